--- /dev/null
+++ b/Makefile
@@ -0,0 +1,3 @@
+test:
+	go test -race ./...
+.PHONY: test
