--- /dev/null
+++ b/adminapi/adminapi.go
@@ -0,0 +1,161 @@
+// Package adminapi is the HTTP interface for operators. Nodes keep no plans: a
+// plan is complete and signed with a key that all nodes share, so any node can
+// confirm it after the one that made it has died.
+package adminapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeebo/errs"
+
+	"wigeondale/event"
+	"wigeondale/fleet"
+	"wigeondale/intent"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("adminapi")
+
+// Limits of one call.
+const (
+	MaxBody      = 900 << 10 // bytes
+	MaxRevisions = 200
+	callTimeout  = 20 * time.Second
+)
+
+// Keeper is what this package needs of intent.Keeper.
+type Keeper interface {
+	State() *intent.State
+	Ready() (bool, string)
+	Confirm(ctx context.Context, p intent.Plan) (intent.Revision, error)
+	Revisions(ctx context.Context, from uint64, max int) ([]intent.Revision, error)
+}
+
+// Node is what this router knows of one router, itself included.
+type Node struct {
+	ID            string `json:"id"`
+	FailureDomain string `json:"failure_domain"`
+	Revision      uint64 `json:"revision"` // in force there, as last heard
+	Heard         bool   `json:"heard"`    // false when it has not been heard from lately
+}
+
+// Members lists the routers.
+type Members interface {
+	Nodes() []Node
+}
+
+// BackendStatus is what this router knows of one backend server.
+type BackendStatus struct {
+	Backend  fleet.Backend    `json:"backend"`
+	Health   string           `json:"health"`
+	Serves   []fleet.ModelRef `json:"serves"`
+	InFlight int              `json:"in_flight"`
+	Leaving  bool             `json:"leaving"` // by any of intent, VM list or its own word
+}
+
+// Config is what the API uses.
+type Config struct {
+	Node      string
+	Keeper    Keeper
+	Members   Members
+	View      func(context.Context) (intent.FleetView, error)
+	Backends  func() []BackendStatus
+	Operators []Operator
+	PlanKey   []byte // signs plans; the same on all nodes
+	Nonce     func() string
+	Events    *event.Log
+	Metrics   *metrics.Set
+}
+
+// API serves /admin/v1/.
+type API struct {
+	cfg     Config
+	mux     *http.ServeMux
+	refused *metrics.Counter
+}
+
+// New returns the handler of the administration API.
+func New(cfg Config) *API {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	if cfg.Nonce == nil {
+		cfg.Nonce = randomNonce
+	}
+	a := &API{cfg: cfg, mux: http.NewServeMux()}
+	a.refused = cfg.Metrics.GetOrCreateCounter("wigeon_admin_refused_total")
+	a.mux.Handle("POST /admin/v1/plans", a.allow(Editor, a.makePlan))
+	a.mux.Handle("GET /admin/v1/plans/{id}", a.allow(Viewer, a.planStatus))
+	a.mux.Handle("POST /admin/v1/plans/{id}/confirm", a.allow(Confirmer, a.confirm))
+	a.mux.Handle("GET /admin/v1/state", a.allow(Viewer, a.state))
+	a.mux.Handle("GET /admin/v1/status", a.allow(Viewer, a.status))
+	a.mux.Handle("GET /admin/v1/backends", a.allow(Viewer, a.backends))
+	a.mux.Handle("GET /admin/v1/revisions", a.allow(Viewer, a.revisions))
+	a.mux.HandleFunc("/admin/v1/", func(w http.ResponseWriter, _ *http.Request) {
+		writeError(w, http.StatusNotFound, Problem{Code: CodeNotFound, Message: "no such path or method"})
+	})
+	return a
+}
+
+// ServeHTTP serves one call.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	r = r.WithContext(ctx)
+	r.Body = http.MaxBytesReader(w, r.Body, MaxBody)
+	a.mux.ServeHTTP(w, r)
+}
+
+// Status tells where a revision is in force.
+type Status struct {
+	Node     string   `json:"node"`
+	Revision uint64   `json:"revision"` // in force on the answering node
+	Ready    bool     `json:"ready"`
+	Reason   string   `json:"reason,omitempty"`
+	InForce  int      `json:"in_force"`  // nodes heard from at this revision or later
+	NotHeard []string `json:"not_heard"` // nodes known of but not heard from
+	Nodes    []Node   `json:"nodes"`
+}
+
+func (a *API) status(w http.ResponseWriter, _ *http.Request, _ Operator) {
+	s := Status{Node: a.cfg.Node, Revision: a.cfg.Keeper.State().Revision, NotHeard: []string{}}
+	s.Ready, s.Reason = a.cfg.Keeper.Ready()
+	s.Nodes = a.cfg.Members.Nodes()
+	for _, n := range s.Nodes {
+		switch {
+		case !n.Heard:
+			s.NotHeard = append(s.NotHeard, n.ID)
+		case n.Revision >= s.Revision:
+			s.InForce++
+		}
+	}
+	writeJSON(w, http.StatusOK, s)
+}
+
+func (a *API) state(w http.ResponseWriter, _ *http.Request, _ Operator) {
+	writeJSON(w, http.StatusOK, a.cfg.Keeper.State().Redacted())
+}
+
+func (a *API) backends(w http.ResponseWriter, _ *http.Request, _ Operator) {
+	writeJSON(w, http.StatusOK, a.cfg.Backends())
+}
+
+func (a *API) revisions(w http.ResponseWriter, r *http.Request, _ Operator) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil || from == 0 {
+		from = 1
+	}
+	list, err := a.cfg.Keeper.Revisions(r.Context(), from, MaxRevisions)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	for i := range list {
+		list[i] = list[i].Redacted()
+	}
+	writeJSON(w, http.StatusOK, list)
+}
--- /dev/null
+++ b/adminapi/plans.go
@@ -0,0 +1,128 @@
+package adminapi
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"wigeondale/intent"
+)
+
+// SignedPlan is a plan with the proof that a node of this deployment made it.
+// Without it an operator who may confirm could slip in changes that were never
+// checked against the fleet.
+type SignedPlan struct {
+	Plan      intent.Plan `json:"plan"`
+	Signature string      `json:"signature"` // HMAC-SHA-256, hex
+}
+
+// Accepted answers a confirmation.
+type Accepted struct {
+	PlanID   string `json:"plan_id"`
+	Revision uint64 `json:"revision"`
+}
+
+// PlanStatus tells whether a plan was accepted, as far as this node knows.
+type PlanStatus struct {
+	PlanID   string `json:"plan_id"`
+	Accepted bool   `json:"accepted"`
+	Revision uint64 `json:"revision,omitempty"`
+	Head     uint64 `json:"head"` // newest revision known to the answering node
+}
+
+func randomNonce() string { return rand.Text() }
+
+// Sign makes a plan confirmable.
+func Sign(key []byte, p intent.Plan) (SignedPlan, error) {
+	sig, err := signature(key, p)
+	return SignedPlan{Plan: p, Signature: hex.EncodeToString(sig)}, err
+}
+
+// Verify reports whether sp was signed with key and not changed since.
+func Verify(key []byte, sp SignedPlan) bool {
+	got, err := hex.DecodeString(sp.Signature)
+	if err != nil {
+		return false
+	}
+	want, err := signature(key, sp.Plan)
+	return err == nil && hmac.Equal(got, want)
+}
+
+func signature(key []byte, p intent.Plan) ([]byte, error) {
+	b, err := json.Marshal(p)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte("wigeondale plan 1\n"))
+	mac.Write(b)
+	return mac.Sum(nil), nil
+}
+
+func (a *API) makePlan(w http.ResponseWriter, r *http.Request, op Operator) {
+	var in intent.Intents
+	if !decode(w, r, &in) {
+		return
+	}
+	sp, err := a.plan(r, op, in)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, sp)
+}
+
+func (a *API) plan(r *http.Request, op Operator, in intent.Intents) (SignedPlan, error) {
+	if ok, reason := a.cfg.Keeper.Ready(); !ok {
+		return SignedPlan{}, Error.New("%w: %s", intent.ErrNotReady, reason)
+	}
+	view, err := a.cfg.View(r.Context())
+	if err != nil {
+		return SignedPlan{}, Error.Wrap(err)
+	}
+	return Sign(a.cfg.PlanKey, intent.MakePlan(a.cfg.Keeper.State(), view, op.Name, a.cfg.Nonce(), in))
+}
+
+func (a *API) planStatus(w http.ResponseWriter, r *http.Request, _ Operator) {
+	s := a.cfg.Keeper.State()
+	ps := PlanStatus{PlanID: r.PathValue("id"), Head: s.Revision}
+	ps.Revision, ps.Accepted = s.Plans[ps.PlanID]
+	writeJSON(w, http.StatusOK, ps)
+}
+
+func (a *API) confirm(w http.ResponseWriter, r *http.Request, op Operator) {
+	var sp SignedPlan
+	if !decode(w, r, &sp) {
+		return
+	}
+	if sp.Plan.ID != r.PathValue("id") || !Verify(a.cfg.PlanKey, sp) {
+		writeError(w, http.StatusBadRequest, Problem{Code: CodeBadPlan, Message: "the plan's signature or id doesn't match; make a new plan"})
+		return
+	}
+	rev, err := a.cfg.Keeper.Confirm(r.Context(), sp.Plan)
+	var conflict *intent.ConflictError
+	if errors.As(err, &conflict) {
+		a.writeConflict(w, r, op, sp.Plan, conflict)
+		return
+	}
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Accepted{PlanID: rev.PlanID, Revision: rev.N})
+}
+
+// writeConflict refuses a plan and offers a new one for what was asked; the
+// placements that planning had derived from the old base are derived anew.
+func (a *API) writeConflict(w http.ResponseWriter, r *http.Request, op Operator, old intent.Plan, c *intent.ConflictError) {
+	p := Problem{Code: CodeConflict, Message: c.Error(), Conflicts: c.Conflicts}
+	offer, err := a.plan(r, op, intent.Intents{Changes: old.Asked(), Force: old.Force})
+	if err == nil {
+		p.NewPlan = &offer
+	}
+	writeError(w, http.StatusConflict, p)
+}
--- /dev/null
+++ b/adminapi/problem.go
@@ -0,0 +1,80 @@
+package adminapi
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"wigeondale/intent"
+)
+
+// Codes of problems.
+const (
+	CodeUnauthorized = "unauthorized"
+	CodeForbidden    = "forbidden"
+	CodeNotFound     = "not_found"
+	CodeBadRequest   = "bad_request"
+	CodeBadPlan      = "bad_plan"
+	CodeConflict     = "conflict"
+	CodeNotReady     = "not_ready"
+	CodeUnavailable  = "unavailable" // nothing was changed by this call
+	CodeUnsettled    = "unsettled"   // not known whether the plan was accepted
+	CodeInternal     = "internal"
+)
+
+// retryAfterMS is when to call again while the service or the node isn't ready.
+const retryAfterMS = 1000
+
+// Problem is the body of each refusal, under the key "error".
+type Problem struct {
+	Code         string            `json:"code"`
+	Message      string            `json:"message"`
+	RetryAfterMS int               `json:"retry_after_ms,omitempty"`
+	Conflicts    []intent.Conflict `json:"conflicts,omitempty"`
+	NewPlan      *SignedPlan       `json:"new_plan,omitempty"`
+}
+
+// ProblemBody wraps a Problem as it is sent.
+type ProblemBody struct {
+	Error Problem `json:"error"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the caller has gone; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, status int, p Problem) {
+	if p.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa((p.RetryAfterMS+999)/1000))
+	}
+	writeJSON(w, status, ProblemBody{Error: p})
+}
+
+func writeFailure(w http.ResponseWriter, err error) {
+	p := Problem{Code: CodeInternal, Message: err.Error(), RetryAfterMS: retryAfterMS}
+	status := http.StatusInternalServerError
+	switch {
+	case errors.Is(err, intent.ErrUnsettled):
+		p.Code, status = CodeUnsettled, http.StatusGatewayTimeout
+	case errors.Is(err, intent.ErrUnavailable):
+		p.Code, status = CodeUnavailable, http.StatusServiceUnavailable
+	case errors.Is(err, intent.ErrNotReady):
+		p.Code, status = CodeNotReady, http.StatusServiceUnavailable
+	}
+	writeError(w, status, p)
+}
+
+// decode reads a body strictly and answers the call when it can't.
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		writeError(w, http.StatusBadRequest, Problem{Code: CodeBadRequest, Message: "body: " + err.Error()})
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/admission/dispatch.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"context"
+	"time"
+)
+
+// wait blocks until the ticket is served, its deadline passes or ctx ends.
+func (c *Controller) wait(ctx context.Context, w *waiter) *Refused {
+	var deadline <-chan time.Time
+	if d := w.ticket.Deadline; !d.IsZero() {
+		timer := time.NewTimer(time.Until(d) - c.cfg.MinService)
+		defer timer.Stop()
+		deadline = timer.C
+	}
+	again := time.NewTicker(recheck)
+	defer again.Stop()
+	for {
+		select {
+		case r := <-w.ready:
+			return r
+		case <-again.C:
+			c.again(w.pool)
+		case <-deadline:
+			return c.leave(w, ReasonDeadline)
+		case <-ctx.Done():
+			return c.leave(w, ReasonCancelled)
+		}
+	}
+}
+
+// leave takes a waiter out. If it was served in the same moment, that stands,
+// and the caller must release it.
+func (c *Controller) leave(w *waiter, reason Reason) *Refused {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w.index < 0 {
+		return <-w.ready
+	}
+	c.drop(w, c.cfg.refuse(reason, w.pool.waitFor(w.pool.waiting())))
+	return <-w.ready
+}
+
+// drop takes a waiter out of its queue and gives its charge back.
+func (c *Controller) drop(w *waiter, r *Refused) {
+	w.queue.remove(w)
+	c.refund(w)
+	w.ready <- r
+}
+
+// Kick serves waiting tickets after capacity grew.
+func (c *Controller) Kick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, p := range c.pools {
+		c.dispatch(p, now)
+	}
+}
+
+// again is Kick for one pool, at most once per interval however many wait.
+func (c *Controller) again(p *pool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(p.checked) < recheck {
+		return
+	}
+	p.checked = now
+	c.dispatch(p, now)
+}
+
+// dispatch serves a pool's tickets while there is capacity.
+func (c *Controller) dispatch(p *pool, now time.Time) {
+	for p.running < c.cfg.capacity(p.name) {
+		q := p.next()
+		if q == nil {
+			return
+		}
+		w := q.pop()
+		if w.expired(now, c.cfg.MinService) {
+			c.refund(w)
+			w.ready <- c.cfg.refuse(ReasonDeadline, p.waitFor(p.waiting()))
+			continue
+		}
+		c.grant(w, now)
+		w.ready <- nil
+	}
+}
+
+func (c *Controller) refund(w *waiter) {
+	w.acct.waiting--
+	if !w.ticket.Resume {
+		w.acct.settle(w.ticket.Cost, 0)
+	}
+}
+
+func (c *Controller) grant(w *waiter, now time.Time) {
+	w.acct.waiting--
+	w.acct.running++
+	w.pool.running++
+	w.pool.load[w.ticket.Priority].running++
+	w.granted = now
+}
+
+func (c *Controller) release(w *waiter, actual float64) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.pool.running--
+	load := &w.pool.load[w.ticket.Priority]
+	load.running--
+	load.observe(now.Sub(w.granted))
+	w.acct.running--
+	if !w.ticket.Resume {
+		w.acct.settle(w.ticket.Cost, actual)
+	}
+	c.dispatch(w.pool, now)
+}
--- /dev/null
+++ b/backend/chunk_test.go
@@ -0,0 +1,130 @@
+package backend
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"wigeondale/fleet"
+)
+
+var testID = StreamID{Request: "r-1", Attempt: 2, Ref: fleet.ModelRef{Model: "m", Version: "v1"}}
+
+func chunk(id StreamID, index int, text, finish string) string {
+	f := "null"
+	if finish != "" {
+		f = `"` + finish + `"`
+	}
+	return fmt.Sprintf(`data: %s%d,"choices":[{"index":0,"text":%s,"finish_reason":%s}]}`+"\n\n", chunkHead(id), index, quote(text), f)
+}
+
+func readStream(s string) *Stream {
+	return NewStream(io.NopCloser(strings.NewReader(s)), testID, "i")
+}
+
+// Symptom: a caller reads tokens of somebody else's answer. Sequence: an
+// engine or a proxy before it crosses two answers on one connection. Cause:
+// the client trusted the connection instead of what each chunk names.
+func TestStreamChecksEachChunk(t *testing.T) {
+	whole := chunk(testID, 0, " a\"\\\n<\u00e9\U0001F600", "") + ": note\n" + chunk(testID, 1, strings.Repeat("x", 3*streamBufferBytes), "stop") + "data: [DONE]\n\n"
+	s := readStream(whole)
+	a, err := s.Next()
+	if err != nil || string(a.Text) != " a\"\\\n<\u00e9\U0001F600" || !s.Buffered() {
+		t.Fatal(a, err)
+	}
+	b, err := s.Next()
+	if err != nil || b.Index != 1 || len(b.Text) != 3*streamBufferBytes || b.Finish != "stop" {
+		t.Fatal(b.Index, len(b.Text), err)
+	}
+	if _, err := s.Next(); err != io.EOF {
+		t.Fatal(err)
+	}
+	good := strings.TrimSpace(chunk(testID, 0, "t", ""))
+	for _, tc := range []struct {
+		old, new string
+		want     error
+	}{
+		{`r-1`, `r-2`, ErrMismatch},
+		{`"attempt":2`, `"attempt":1`, ErrMismatch},
+		{`"model":"m"`, `"model":"n"`, ErrMismatch},
+		{`v1`, `v2`, ErrMismatch},
+		{`"adapter":""`, `"adapter":"x"`, ErrMismatch},
+		{`"adapter":"",`, ``, ErrMismatch},
+		{`"index":0,"choices"`, `"index":-1,"choices"`, ErrMismatch},
+		{`null`, `"cancelled"`, ErrBroken},
+		{`null`, `7`, ErrMismatch},
+		{`}]}`, `}]`, ErrMismatch},
+		{good, `data: {"error":{"code":"internal"}}`, ErrBroken},
+		{good, `data: [DON`, ErrMismatch},
+		{`"id"`, ` "id"`, nil},
+		{`"finish_reason":null`, `"more":[1],"finish_reason":null`, nil},
+	} {
+		_, err := readStream(strings.Replace(good, tc.old, tc.new, 1) + "\n").Next()
+		if !errors.Is(err, tc.want) {
+			t.Errorf("%s -> %s: got %v, want %v", tc.old, tc.new, err, tc.want)
+		}
+	}
+	// A connection that ends, even inside a line, is no end of the answer.
+	if _, err := readStream(good).Next(); !errors.Is(err, ErrBroken) || errors.Is(err, io.EOF) {
+		t.Fatal(err)
+	}
+}
+
+// FuzzChunk compares the parser with encoding/json on any line that it takes.
+func FuzzChunk(f *testing.F) {
+	f.Add([]byte(strings.TrimSpace(chunk(testID, 3, "a\\u0041\"", "stop"))[6:]))
+	f.Add([]byte(strings.TrimSpace(chunk(testID, 3, "\U0001F600", ""))[6:]))
+	f.Add([]byte(string(chunkHead(testID)) + `1,"choices":[{"index":0,"text":"\ud83d\u0041\ud800","finish_reason":null}]}`))
+	f.Add([]byte(string(chunkHead(testID)) + `1,"choices":[{"index":0,"text":"\q` + "\xff" + `","finish_reason":null}]}`))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := readStream("data: " + string(data) + "\n")
+		tok, fast := s.fastChunk(data)
+		if !fast {
+			s.Next()
+			return
+		}
+		var want struct {
+			ID, Model, Version string
+			Attempt, Index     int
+			Choices            []struct {
+				Text         string
+				FinishReason string `json:"finish_reason"`
+			}
+		}
+		if err := json.Unmarshal(data, &want); err != nil {
+			t.Fatalf("fast path took %q: %v", data, err)
+		}
+		if want.ID != testID.Request || want.Attempt != testID.Attempt || want.Index != tok.Index {
+			t.Fatalf("%q: got %+v", data, tok)
+		}
+		if c := want.Choices[0]; c.Text != string(tok.Text) || c.FinishReason != tok.Finish {
+			t.Fatalf("%q: got %+v, want %+v", data, tok, c)
+		}
+	})
+}
+
+func BenchmarkStreamNext(b *testing.B) {
+	var buf bytes.Buffer
+	const tokens = 1000
+	for i := range tokens {
+		buf.WriteString(chunk(testID, i, fmt.Sprintf(" %d.ab12.0011aabb", i), ""))
+	}
+	data := buf.Bytes()
+	r := bytes.NewReader(data)
+	s := NewStream(io.NopCloser(r), testID, "i")
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if i%tokens == 0 {
+			r.Reset(data)
+			s.br.Reset(r)
+		}
+		if _, err := s.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/backend/client.go
@@ -0,0 +1,259 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"wigeondale/fleet"
+)
+
+const (
+	incarnationHeader = "X-Engine-Incarnation"
+	maxAnswerBytes    = 1 << 20 // of answers that aren't streams
+)
+
+// Client speaks to model engines. It may be shared by goroutines.
+type Client struct {
+	rt *http.Transport
+}
+
+// NewClient returns a client with its own connection pool.
+func NewClient() *Client { return &Client{rt: newTransport()} }
+
+// CloseIdle closes connections that carry no request.
+func (c *Client) CloseIdle() { c.rt.CloseIdleConnections() }
+
+type startExt struct {
+	RequestID    string `json:"request_id"`
+	Attempt      int    `json:"attempt"`
+	Version      string `json:"version"`
+	Adapter      string `json:"adapter"`
+	ResumeText   string `json:"resume_text,omitempty"`
+	ResumeTokens int    `json:"resume_tokens,omitempty"`
+	LingerMS     int64  `json:"linger_ms"`
+}
+
+type startBody struct {
+	Model     string         `json:"model"`
+	Prompt    string         `json:"prompt"`
+	MaxTokens int            `json:"max_tokens"`
+	Stream    bool           `json:"stream"`
+	Priority  fleet.Priority `json:"priority"`
+	Ext       startExt       `json:"ext"`
+}
+
+// Open starts an attempt. Errors: *Refused and ErrDial mean that it did not
+// run; ErrBroken that it may have; ErrMismatch that the answer is no stream.
+func (c *Client) Open(ctx context.Context, b fleet.Backend, r StartRequest) (*Stream, error) {
+	body, err := json.Marshal(startBody{
+		Model: r.Ref.Model, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: true, Priority: r.Priority,
+		Ext: startExt{
+			RequestID: r.ID, Attempt: r.Attempt, Version: r.Ref.Version, Adapter: r.Ref.Adapter,
+			ResumeText: r.ResumeText, ResumeTokens: r.ResumeTokens, LingerMS: r.Linger.Milliseconds(),
+		},
+	})
+	if err != nil {
+		return nil, Error.New("%w: %w", ErrDial, err)
+	}
+	resp, err := c.send(ctx, http.MethodPost, b, "/v1/completions", body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp)
+	}
+	return newStream(resp, StreamID{Request: r.ID, Attempt: r.Attempt, Ref: r.Ref}), nil
+}
+
+// Attach reads an attempt that an engine still holds, from token index from
+// on. It takes the stream over from any other reader. A missing stream is
+// ErrUnknownStream.
+func (c *Client) Attach(ctx context.Context, b fleet.Backend, id StreamID, from int) (*Stream, error) {
+	resp, err := c.send(ctx, http.MethodGet, b, streamPath(id.Request, id.Attempt)+"?from="+strconv.Itoa(from), nil)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusNotFound {
+		drain(resp)
+		return nil, Error.Wrap(ErrUnknownStream)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp)
+	}
+	return newStream(resp, id), nil
+}
+
+// CancelResult is an engine's answer to a cancel.
+type CancelResult struct {
+	Generated   int // tokens that the attempt generated in all
+	Incarnation string
+}
+
+// Cancel ends an attempt. It is idempotent. A missing stream is
+// ErrUnknownStream.
+func (c *Client) Cancel(ctx context.Context, b fleet.Backend, request string, attempt int) (CancelResult, error) {
+	var out struct {
+		Generated int `json:"generated"`
+	}
+	resp, err := c.send(ctx, http.MethodDelete, b, streamPath(request, attempt), nil)
+	if err != nil {
+		return CancelResult{}, err
+	}
+	res := CancelResult{Incarnation: resp.Header.Get(incarnationHeader)}
+	if resp.StatusCode == http.StatusNotFound {
+		drain(resp)
+		return res, Error.Wrap(ErrUnknownStream)
+	}
+	err = decode(resp, &out)
+	res.Generated = out.Generated
+	return res, err
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(ctx context.Context, b fleet.Backend) (fleet.LoadReport, error) {
+	var r fleet.LoadReport
+	err := c.get(ctx, b, "/v1/load", &r)
+	return r, err
+}
+
+// CacheEvents reads the cache events with a sequence number above after.
+func (c *Client) CacheEvents(ctx context.Context, b fleet.Backend, after uint64) (CacheEvents, error) {
+	var r CacheEvents
+	err := c.get(ctx, b, "/v1/cache-events?after="+strconv.FormatUint(after, 10), &r)
+	return r, err
+}
+
+// Order tells an engine its desired state. ErrStaleFence means that the
+// engine has seen a higher fencing number; Fence in the status is that number.
+func (c *Client) Order(ctx context.Context, b fleet.Backend, o OrderRequest) (OrderStatus, error) {
+	if o.Desired == nil {
+		o.Desired = []fleet.ModelRef{}
+	}
+	body, err := json.Marshal(o)
+	if err != nil {
+		return OrderStatus{}, Error.Wrap(err)
+	}
+	resp, err := c.send(ctx, http.MethodPut, b, "/v1/orders", body)
+	if err != nil {
+		return OrderStatus{}, err
+	}
+	if resp.StatusCode != http.StatusConflict {
+		var s OrderStatus
+		err = decode(resp, &s)
+		return s, err
+	}
+	var stale struct {
+		Fence uint64 `json:"fence"`
+	}
+	resp.StatusCode = http.StatusOK
+	if err := decode(resp, &stale); err != nil {
+		return OrderStatus{}, err
+	}
+	return OrderStatus{Fence: stale.Fence}, Error.Wrap(ErrStaleFence)
+}
+
+// OrderStatus reads an engine's desired and actual state.
+func (c *Client) OrderStatus(ctx context.Context, b fleet.Backend) (OrderStatus, error) {
+	var s OrderStatus
+	err := c.get(ctx, b, "/v1/orders", &s)
+	return s, err
+}
+
+func (c *Client) get(ctx context.Context, b fleet.Backend, path string, v any) error {
+	resp, err := c.send(ctx, http.MethodGet, b, path, nil)
+	if err != nil {
+		return err
+	}
+	return decode(resp, v)
+}
+
+// send makes one request. A body is sent with its length but can't be
+// rewound, so net/http never sends it twice.
+func (c *Client) send(ctx context.Context, method string, b fleet.Backend, path string, body []byte) (*http.Response, error) {
+	var r io.Reader
+	if body != nil {
+		r = onceBody{bytes.NewReader(body)}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.Addr+path, r)
+	if err != nil {
+		return nil, Error.New("%w: %w", ErrDial, err)
+	}
+	if body != nil {
+		req.ContentLength = int64(len(body))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return roundTrip(c.rt, req)
+}
+
+func streamPath(request string, attempt int) string {
+	return "/v1/streams/" + url.PathEscape(request) + "/" + strconv.Itoa(attempt)
+}
+
+func decode(resp *http.Response, v any) error {
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return Error.New("%w: %w", ErrBroken, err)
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return Error.New("%w: %w", ErrMismatch, err)
+	}
+	return nil
+}
+
+func drain(resp *http.Response) {
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
+	resp.Body.Close()
+}
+
+// refusal reads an answer that is not 200. Only the documented refusals, with
+// a code that says so, count as "not run": a bare 500 or a proxy's 503 may
+// follow work that was done, so it is ErrBroken.
+func refusal(resp *http.Response) error {
+	defer resp.Body.Close()
+	var body struct {
+		Error struct {
+			Message string `json:"message"`
+			Code    string `json:"code"`
+		} `json:"error"`
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return Error.New("%w: %w", ErrBroken, err)
+	}
+	err = errors.Join(json.Unmarshal(data, &body), context.Cause(resp.Request.Context()))
+	if err != nil || body.Error.Code == "" || !refusalStatus(resp.StatusCode) {
+		return Error.New("%w: status %d without a refusal", ErrBroken, resp.StatusCode)
+	}
+	return Error.Wrap(&Refused{
+		Status: resp.StatusCode, Code: body.Error.Code, Message: body.Error.Message,
+		RetryAfter: retryAfter(resp.Header.Get("Retry-After")),
+	})
+}
+
+func refusalStatus(code int) bool {
+	switch code {
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func retryAfter(s string) time.Duration {
+	n, err := strconv.Atoi(s)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
--- /dev/null
+++ b/backend/send_test.go
@@ -0,0 +1,209 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wigeondale/fleet"
+)
+
+// readThenClose serves the first request of each connection, then reads one
+// more and closes without an answer. It counts the requests that it read.
+func readThenClose(t *testing.T) (fleet.Backend, func() int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	var mu sync.Mutex
+	n := 0
+	serve := func(c net.Conn) {
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for i := range 2 {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			mu.Lock()
+			n++
+			mu.Unlock()
+			if i == 0 {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	count := func() int { mu.Lock(); defer mu.Unlock(); return n }
+	return fleet.Backend{ID: "s", Addr: l.Addr().String()}, count
+}
+
+// Symptom: one booking call books twice. Sequence: a kept connection is
+// reused, the service reads the request, acts and closes; net/http sees no
+// answer and sends the request again on a new connection. Cause: net/http
+// deems a GET, or a POST with an idempotency header, replayable.
+func TestServiceCallIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodHead, http.MethodDelete} {
+		for _, body := range []string{"", "a body"} {
+			b, count := readThenClose(t)
+			c := NewServiceClient()
+			first, err := c.Do(t.Context(), b, Call{Method: http.MethodGet, Path: "/", Idempotent: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := ReadAll(first, 10); err != nil {
+				t.Fatal(err)
+			}
+			call := Call{Method: method, Path: "/book", Body: []byte(body), RequestID: "r", Header: http.Header{
+				"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"},
+			}}
+			_, err = c.Do(t.Context(), b, call)
+			if !errors.Is(err, ErrBroken) || count() != 2 {
+				t.Errorf("%s %q: got %v, server read %d requests, want 2", method, body, err, count())
+			}
+			c.CloseIdle()
+		}
+	}
+}
+
+// Symptom: "no byte left" is told of a request that ran. Sequence: the
+// connection is chosen, the caller's context ends, the transport's writer
+// still writes. Cause: the error was judged without stopping the writer.
+func TestSealStopsLaterWrites(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &sealConn{Conn: near}
+	if c.seal(c.mark()) {
+		t.Fatal("nothing was written")
+	}
+	if n, err := c.Write([]byte("late")); n != 0 || err == nil {
+		t.Fatalf("wrote %d after the seal", n)
+	}
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	_, err := NewClient().Load(t.Context(), fleet.Backend{Addr: gone.Listener.Addr().String()})
+	if !errors.Is(err, ErrDial) {
+		t.Fatal(err)
+	}
+}
+
+// Symptom: a caller gets another caller's booking. Sequence: the service
+// answers crossed. Cause: the answer's own request id was not compared. The
+// same server shows that redirects, which would repeat a call, aren't followed
+// and that the caller's API key stays with the router.
+func TestServiceAnswerIsOfItsRequest(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "" {
+			t.Error("API key was sent on")
+		}
+		w.Header().Set("X-Request-Id", strings.TrimPrefix(r.URL.Path, "/"))
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	}))
+	defer s.Close()
+	b := fleet.Backend{Addr: s.Listener.Addr().String()}
+	call := Call{Method: http.MethodPost, Path: "/r1", RequestID: "r1", Header: http.Header{"Authorization": {"Bearer k"}}}
+	resp, err := NewServiceClient().Do(t.Context(), b, call)
+	if err != nil || resp.StatusCode != http.StatusTemporaryRedirect {
+		t.Fatal(resp, err)
+	}
+	resp.Body.Close()
+	call.Path = "/r2"
+	if _, err := NewServiceClient().Do(t.Context(), b, call); !errors.Is(err, ErrMismatch) {
+		t.Fatal(err)
+	}
+}
+
+// A refusal counts as "not run" only in the documented form.
+func TestRefusals(t *testing.T) {
+	for _, tc := range []struct {
+		status  int
+		body    string
+		refused bool
+	}{
+		{503, `{"error":{"code":"overloaded"}}`, true},
+		{503, `<html>`, false},
+		{500, `{"error":{"code":"internal"}}`, false},
+		{409, `{"error":{"code":"stale_fence"},"fence":13}`, true},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Retry-After", "2")
+			w.WriteHeader(tc.status)
+			io.WriteString(w, tc.body)
+		}))
+		b := fleet.Backend{Addr: s.Listener.Addr().String()}
+		_, err := NewClient().Open(t.Context(), b, StartRequest{ID: "r"})
+		r, ok := errors.AsType[*Refused](err)
+		if ok != tc.refused || (ok && r.RetryAfter != 2*time.Second) || (!ok && !errors.Is(err, ErrBroken)) {
+			t.Errorf("%d %s: got %v", tc.status, tc.body, err)
+		}
+		st, err := NewClient().Order(t.Context(), b, OrderRequest{Fence: 12})
+		if stale := errors.Is(err, ErrStaleFence); stale != (tc.status == 409) || (stale && st.Fence != 13) {
+			t.Errorf("order: %v %v", st, err)
+		}
+		s.Close()
+	}
+}
+
+type cancelScript struct {
+	mu    sync.Mutex
+	fails int
+	calls int
+}
+
+func (c *cancelScript) Cancel(context.Context, fleet.Backend, string, int) (CancelResult, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if c.calls <= c.fails {
+		return CancelResult{}, ErrBroken
+	}
+	return CancelResult{Generated: 12}, nil
+}
+
+// Symptom: extra engine work for hours. Sequence: an engine freezes, its
+// stream is resumed elsewhere, the cancel gets no answer, the engine thaws and
+// generates on. Cause: the cancel was sent once instead of until acknowledged.
+func TestCancellerRepeats(t *testing.T) {
+	for _, tc := range []struct {
+		name, now    string
+		calls, waste int
+	}{
+		{"until acknowledged", "i1", 6, 7},
+		{"until a new incarnation", "i2", 0, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			api := &cancelScript{fails: 5}
+			c := NewCanceller(api, CancellerOptions{Incarnation: func(string) string { return tc.now }, Max: 1})
+			ctx, stop := context.WithCancel(t.Context())
+			go c.Run(ctx)
+			a := Abandoned{Backend: fleet.Backend{ID: "e"}, Incarnation: "i1", Attempt: 1, Accepted: 5}
+			c.Add(a)
+			c.Add(a) // above Max: dropped, never blocks
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			if api.calls != tc.calls || c.Pending() != 0 || c.wasted.Get() != uint64(tc.waste) || c.dropped.Get() != 1 {
+				t.Errorf("%s: calls %d, pending %d, wasted %d, dropped %d", tc.name, api.calls, c.Pending(), c.wasted.Get(), c.dropped.Get())
+			}
+			stop()
+		})
+	}
+}
--- /dev/null
+++ b/backend/service.go
@@ -0,0 +1,141 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strings"
+
+	"wigeondale/fleet"
+)
+
+const requestIDHeader = "X-Request-Id"
+
+// Call is one call of a plain service.
+type Call struct {
+	Method     string
+	Path       string // below the service's address, beginning with /
+	RawPath    string // optional escaped form of Path, as in net/url
+	RawQuery   string
+	Header     http.Header
+	Body       []byte
+	RequestID  string
+	Idempotent bool
+}
+
+// ServiceClient calls plain services. It may be shared by goroutines.
+type ServiceClient struct {
+	rt *http.Transport
+}
+
+// NewServiceClient returns a client with its own connection pool.
+func NewServiceClient() *ServiceClient { return &ServiceClient{rt: newTransport()} }
+
+// CloseIdle closes connections that carry no request.
+func (c *ServiceClient) CloseIdle() { c.rt.CloseIdleConnections() }
+
+// Do makes a call and returns the service's own answer, whatever its status;
+// the caller closes its body. Redirects are not followed. ErrDial means that no
+// byte left, ErrBroken that the call may have run, ErrMismatch that the answer
+// names another request. A call that is not idempotent is sent at most once.
+func (c *ServiceClient) Do(ctx context.Context, b fleet.Backend, call Call) (*http.Response, error) {
+	req, err := newCall(ctx, b, call)
+	if err != nil {
+		return nil, Error.New("%w: %w", ErrDial, err)
+	}
+	resp, err := roundTrip(c.rt, req)
+	if err != nil {
+		return nil, err
+	}
+	echo := resp.Header.Get(requestIDHeader)
+	if echo != "" && echo != call.RequestID {
+		// Closed without draining: the connection has lost step with its
+		// requests, and its next answer would be a wrong one too.
+		resp.Body.Close()
+		return nil, Error.Wrap(ErrMismatch)
+	}
+	return resp, nil
+}
+
+func newCall(ctx context.Context, b fleet.Backend, call Call) (*http.Request, error) {
+	u := url.URL{Scheme: "http", Host: b.Addr, Path: call.Path, RawPath: call.RawPath, RawQuery: call.RawQuery}
+	req, err := http.NewRequestWithContext(ctx, call.Method, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	copyHeader(req.Header, call.Header)
+	req.Header.Set(requestIDHeader, call.RequestID)
+	if len(call.Body) > 0 {
+		req.Body = onceBody{bytes.NewReader(call.Body)}
+		req.ContentLength = int64(len(call.Body))
+	}
+	if !call.Idempotent {
+		forbidReplay(req)
+	}
+	return req, nil
+}
+
+// forbidReplay keeps net/http from sending a request twice.
+//
+// What goes wrong: a server reads a request on a reused connection, acts on
+// it and closes. The transport sees the connection end without an answer and
+// sends the request again if it deems it replayable: a GET without a body, or
+// any request with an idempotency header. The server then runs it twice, which
+// shows only in its own record. A body that can't be rewound makes a GET
+// unreplayable (an empty one adds no byte), and the headers are removed.
+func forbidReplay(req *http.Request) {
+	req.Header.Del("Idempotency-Key")
+	req.Header.Del("X-Idempotency-Key")
+	req.GetBody = nil
+	if req.Body != nil && req.Body != http.NoBody {
+		return
+	}
+	switch req.Method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		req.Body = onceBody{strings.NewReader("")}
+	}
+}
+
+// copyHeader leaves out what belongs to the caller's own connection and what
+// only the router may see: its API key above all.
+func copyHeader(dst, src http.Header) {
+	drop := map[string]bool{}
+	for _, name := range connectionHeaders {
+		drop[name] = true
+	}
+	for _, v := range src.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			drop[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, values := range src {
+		name = textproto.CanonicalMIMEHeaderKey(name)
+		if drop[name] || strings.HasPrefix(name, "Wigeon-") {
+			continue
+		}
+		dst[name] = append([]string(nil), values...)
+	}
+}
+
+var connectionHeaders = []string{
+	"Authorization", "Connection", "Content-Length", "Expect", "Host", "Keep-Alive",
+	"Last-Event-Id", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// ReadAll reads a service's answer up to max bytes. An answer that ends early
+// is ErrBroken: its status alone doesn't make it whole.
+func ReadAll(resp *http.Response, max int64) ([]byte, error) {
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, max+1))
+	if err != nil {
+		return nil, Error.New("%w: %w", ErrBroken, err)
+	}
+	if int64(len(data)) > max {
+		return nil, Error.New("%w: answer above %d bytes", ErrBroken, max)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/backend/stream.go
@@ -0,0 +1,159 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"wigeondale/fleet"
+)
+
+const (
+	streamBufferBytes = 4 << 10
+	maxLineBytes      = 1 << 20
+)
+
+var (
+	dataField    = []byte("data:")
+	doneData     = []byte("[DONE]")
+	choicesOpen  = []byte(`,"choices":[{"index":0,"text":"`)
+	finishOpen   = []byte(`,"finish_reason":`)
+	nullLiteral  = []byte("null")
+	chunkClose   = []byte("}]}")
+	stopQuoted   = []byte(`"stop"`)
+	lengthQuoted = []byte(`"length"`)
+)
+
+// StreamID is what every chunk of a stream must name.
+type StreamID struct {
+	Request string
+	Attempt int
+	Ref     fleet.ModelRef
+}
+
+// Stream reads the tokens of one attempt. It belongs to one goroutine, but
+// Close may be called from another. Next allocates nothing per token on
+// chunks in the documented form.
+type Stream struct {
+	id          StreamID
+	incarnation string
+	body        io.ReadCloser
+	br          *bufio.Reader
+	head        []byte // constant start of each chunk, up to the index
+	line        []byte // a line longer than the read buffer
+	text        []byte // unescaped text of the current token
+	parser      fastjson.Parser
+}
+
+func newStream(resp *http.Response, id StreamID) *Stream {
+	return NewStream(resp.Body, id, resp.Header.Get(incarnationHeader))
+}
+
+// NewStream reads the stream of attempt id from body.
+func NewStream(body io.ReadCloser, id StreamID, incarnation string) *Stream {
+	return &Stream{
+		id: id, incarnation: incarnation, body: body,
+		br:   bufio.NewReaderSize(body, streamBufferBytes),
+		head: chunkHead(id),
+	}
+}
+
+func chunkHead(id StreamID) []byte {
+	h := []byte(`{"id":`)
+	h = append(h, quote(id.Request)...)
+	h = append(h, `,"attempt":`...)
+	h = strconv.AppendInt(h, int64(id.Attempt), 10)
+	h = append(h, `,"model":`...)
+	h = append(h, quote(id.Ref.Model)...)
+	h = append(h, `,"version":`...)
+	h = append(h, quote(id.Ref.Version)...)
+	h = append(h, `,"adapter":`...)
+	h = append(h, quote(id.Ref.Adapter)...)
+	return append(h, `,"index":`...)
+}
+
+func quote(s string) []byte {
+	b, err := json.Marshal(s)
+	if err != nil { // a string can always be encoded
+		return nil
+	}
+	return b
+}
+
+// Incarnation names the engine's run that holds the stream.
+func (s *Stream) Incarnation() string { return s.incarnation }
+
+// Close ends the reading. The engine keeps the attempt for its linger time.
+func (s *Stream) Close() error { return s.body.Close() }
+
+// Buffered reports whether another whole line of data is at hand, so that a
+// writer need not flush yet.
+func (s *Stream) Buffered() bool {
+	p, _ := s.br.Peek(s.br.Buffered())
+	p = bytes.TrimLeft(p, "\r\n")
+	return bytes.IndexByte(p, '\n') >= 0
+}
+
+// Next returns the next token, io.EOF after the engine's end mark, ErrBroken
+// when the connection ended before it, or ErrMismatch.
+func (s *Stream) Next() (Token, error) {
+	for {
+		line, err := s.readLine()
+		if err != nil {
+			return Token{}, err
+		}
+		data, ok := bytes.CutPrefix(line, dataField)
+		if !ok {
+			continue // blank lines, comments and other fields
+		}
+		data = bytes.TrimLeft(data, " ")
+		if bytes.Equal(data, doneData) {
+			return Token{}, io.EOF
+		}
+		if t, ok := s.fastChunk(data); ok {
+			return t, nil
+		}
+		return s.slowChunk(data)
+	}
+}
+
+func (s *Stream) readLine() ([]byte, error) {
+	line, err := s.br.ReadSlice('\n')
+	if err == nil {
+		return trimLine(line), nil
+	}
+	s.line = append(s.line[:0], line...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(s.line) > maxLineBytes {
+			return nil, Error.New("%w: line too long", ErrMismatch)
+		}
+		line, err = s.br.ReadSlice('\n')
+		s.line = append(s.line, line...)
+	}
+	if err != nil {
+		return nil, Error.New("%w: %w", ErrBroken, noEOF(err))
+	}
+	return trimLine(s.line), nil
+}
+
+// noEOF keeps a connection's end apart from the end of the answer.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func trimLine(b []byte) []byte {
+	b = b[:len(b)-1]
+	if n := len(b); n > 0 && b[n-1] == '\r' {
+		b = b[:n-1]
+	}
+	return b
+}
--- /dev/null
+++ b/callerapi/body.go
@@ -0,0 +1,183 @@
+package callerapi
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// format is one of the two forms of a generation's request and answer.
+type format int
+
+const (
+	completions format = iota
+	chat
+)
+
+const maxDepth = 32 // nesting of a body
+
+// ask is the part of a body that is understood. Other fields, such as
+// temperature, are accepted for the sake of usual clients and have no effect.
+type ask struct {
+	Model      string
+	Prompt     string
+	MaxTokens  int
+	Stream     bool
+	ResumeText *string // nil: not sent
+	Hash       [16]byte
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Failure) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.BodyBytes))
+	if err != nil {
+		return nil, bodyFailure(err)
+	}
+	return raw, nil
+}
+
+func badBody(text string) *Failure {
+	return refuse(http.StatusBadRequest, codeBadRequest, text)
+}
+
+// parseAsk reads a body. Field names are matched exactly, as the hash sees them.
+func (s *Server) parseAsk(raw []byte, form format) (ask, *Failure) {
+	a := ask{MaxTokens: s.DefaultTokens}
+	if tooDeep(raw) {
+		return a, badBody(fmt.Sprintf("the body is nested deeper than %d", maxDepth))
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil || fields == nil {
+		return a, badBody("the body is not a JSON object")
+	}
+	p := fieldReader{fields: fields}
+	p.read("model", &a.Model, "a string")
+	p.read("max_tokens", &a.MaxTokens, "an integer")
+	p.read("stream", &a.Stream, "true or false")
+	p.read("resume_text", &a.ResumeText, "a string")
+	p.one("n")
+	p.one("best_of")
+	a.Prompt = p.prompt(form)
+	if a.Model == "" {
+		p.fail("model: want a non-empty string")
+	}
+	if a.MaxTokens < 1 || a.MaxTokens > s.MaxTokens {
+		p.fail(fmt.Sprintf("max_tokens: want 1 to %d", s.MaxTokens))
+	}
+	a.Hash = hashBody(fields, form)
+	return a, p.failure
+}
+
+// fieldReader decodes fields and keeps the first failure.
+type fieldReader struct {
+	fields  map[string]json.RawMessage
+	failure *Failure
+}
+
+func (p *fieldReader) fail(text string) {
+	if p.failure == nil {
+		p.failure = badBody(text)
+	}
+}
+
+func (p *fieldReader) read(name string, v any, want string) {
+	raw, ok := p.fields[name]
+	if !ok || string(raw) == "null" {
+		return
+	}
+	if json.Unmarshal(raw, v) != nil {
+		p.fail(name + ": want " + want)
+	}
+}
+
+// one refuses a request for several answers, since one is given.
+func (p *fieldReader) one(name string) {
+	n := 1
+	p.read(name, &n, "1")
+	if n != 1 {
+		p.fail(name + ": want 1")
+	}
+}
+
+func (p *fieldReader) prompt(form format) string {
+	if form == chat {
+		return p.messages()
+	}
+	var prompt string
+	p.read("prompt", &prompt, "a string")
+	if prompt == "" {
+		p.fail("prompt: want a non-empty string")
+	}
+	return prompt
+}
+
+// messages renders a conversation by the template that docs/API.md gives.
+func (p *fieldReader) messages() string {
+	var list []message
+	p.read("messages", &list, "an array of {role, content} with text content")
+	if len(list) == 0 {
+		p.fail("messages: want at least one")
+	}
+	var b strings.Builder
+	for i, m := range list {
+		if m.Role != "system" && m.Role != "user" && m.Role != "assistant" {
+			p.fail(fmt.Sprintf("messages[%d].role: want system, user or assistant", i))
+		}
+		b.WriteString("<|" + m.Role + "|>\n" + m.Content + "\n")
+	}
+	b.WriteString("<|assistant|>\n")
+	return b.String()
+}
+
+// hashBody identifies what was asked. The fields that a reconnect changes are
+// left out; all others count, also those without effect.
+func hashBody(fields map[string]json.RawMessage, form format) [16]byte {
+	rest := make(map[string]json.RawMessage, len(fields))
+	for name, raw := range fields {
+		if name != "resume_text" && name != "stream" {
+			rest[name] = raw
+		}
+	}
+	text, _ := json.Marshal(rest) // parts of a valid text encode; names are sorted
+	sum := sha256.Sum256(append([]byte{byte(form)}, text...))
+	return [16]byte(sum[:16])
+}
+
+// tooDeep counts nesting before anything recurses over the body.
+func tooDeep(raw []byte) bool {
+	depth := 0
+	for i := 0; i < len(raw); i++ {
+		switch raw[i] {
+		case '"':
+			i = stringEnd(raw, i)
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		}
+		if depth > maxDepth {
+			return true
+		}
+	}
+	return false
+}
+
+// stringEnd returns the index of the quote that ends the string begun at i.
+func stringEnd(raw []byte, i int) int {
+	for i++; i < len(raw); i++ {
+		switch raw[i] {
+		case '"':
+			return i
+		case '\\':
+			i++ // the escaped character
+		}
+	}
+	return i
+}
--- /dev/null
+++ b/callerapi/errors.go
@@ -0,0 +1,140 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"wigeondale/fleet"
+)
+
+// Err is the class of this package's errors.
+var Err = errs.Class("callerapi")
+
+// What Accounts.Resolve may answer.
+var (
+	// ErrUnknownModel: no such model is configured.
+	ErrUnknownModel = Err.New("unknown model")
+	// ErrForbidden: the client account may not use the model.
+	ErrForbidden = Err.New("model not allowed for this account")
+)
+
+// ErrSuperseded is the cause of the context's end when the caller came back
+// for the same answer: the engine's stream must be left alive for it.
+var ErrSuperseded = Err.New("superseded by the caller's reconnect")
+
+// Names of headers beyond the usual ones.
+const (
+	headerKey           = "Idempotency-Key"
+	headerNonIdempotent = "Wigeon-Non-Idempotent"
+	headerTimeout       = "Wigeon-Timeout-Ms"
+	headerPriority      = "Wigeon-Priority"
+	headerOutcome       = "Wigeon-Outcome"
+	headerLastEvent     = "Last-Event-ID"
+	headerRetryAfter    = "Retry-After"
+)
+
+// Failure is an answer that is not success.
+type Failure struct {
+	Status     int
+	Code       string // stable, for programs
+	Message    string // for people
+	Outcome    fleet.Outcome
+	RetryAfter time.Duration // 0: trying the same again does not help
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.Code + ": " + f.Message }
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message      string        `json:"message"`
+	Type         string        `json:"type"`
+	Code         string        `json:"code"`
+	Outcome      fleet.Outcome `json:"outcome"`
+	RetryAfterMS int64         `json:"retry_after_ms,omitempty"`
+}
+
+func (f *Failure) body() []byte {
+	kind := "invalid_request_error"
+	if f.Status >= http.StatusInternalServerError || f.Status == http.StatusTooManyRequests {
+		kind = "server_error"
+	}
+	raw, _ := json.Marshal(errorBody{errorDetail{ // strings and numbers always encode
+		Message:      f.Message,
+		Type:         kind,
+		Code:         f.Code,
+		Outcome:      f.Outcome,
+		RetryAfterMS: f.RetryAfter.Milliseconds(),
+	}})
+	return raw
+}
+
+// write sends f as a whole answer.
+func (f *Failure) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerOutcome, string(f.Outcome))
+	if f.RetryAfter > 0 {
+		h.Set(headerRetryAfter, retrySeconds(f.RetryAfter))
+	}
+	armWrite(w)
+	w.WriteHeader(f.Status)
+	_, _ = w.Write(f.body()) // the caller has gone: nobody is left to tell
+}
+
+// retrySeconds rounds up: the header has whole seconds.
+func retrySeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+// refuse makes a failure of a request that no backend server has seen.
+func refuse(status int, code, message string) *Failure {
+	return &Failure{Status: status, Code: code, Message: message, Outcome: fleet.NotRun}
+}
+
+// Codes of refusals.
+const (
+	codeNotReady       = "not_ready"
+	codeOverloaded     = "overloaded"
+	codeBadKey         = "invalid_api_key"
+	codeBadRequest     = "invalid_request"
+	codeBodyTooLarge   = "body_too_large"
+	codeBodyTimeout    = "body_timeout"
+	codeUnknownModel   = "model_not_found"
+	codeForbidden      = "model_not_allowed"
+	codeNotFound       = "not_found"
+	codeMethod         = "method_not_allowed"
+	codeKeyReused      = "key_reused"
+	codeInProgress     = "in_progress"
+	codeCursorInvalid  = "cursor_invalid"
+	codeCursorForeign  = "cursor_foreign"
+	codeCursorExpired  = "cursor_expired"
+	codeCursorMismatch = "cursor_mismatch"
+	codeTextMismatch   = "resume_text_mismatch"
+	codeAnswerTooLarge = "answer_too_large"
+	codeInternal       = "internal"
+)
+
+const (
+	retrySoon       = time.Second // node not ready, or too many open requests
+	retryInProgress = 2 * time.Second
+)
+
+func bodyFailure(err error) *Failure {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refuse(http.StatusRequestEntityTooLarge, codeBodyTooLarge,
+			"the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	}
+	f := refuse(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive whole in time")
+	f.RetryAfter = retrySoon
+	return f
+}
--- /dev/null
+++ b/callerapi/escape.go
@@ -0,0 +1,21 @@
+package callerapi
+
+const hexDigits = "0123456789abcdef"
+
+// appendEscaped adds valid UTF-8 text as the inside of a JSON string. It never
+// allocates while dst has room, unlike encoding/json.
+func appendEscaped(dst, text []byte) []byte {
+	for _, b := range text {
+		switch {
+		case b == '"' || b == '\\':
+			dst = append(dst, '\\', b)
+		case b == '\n':
+			dst = append(dst, '\\', 'n')
+		case b < ' ':
+			dst = append(dst, '\\', 'u', '0', '0', hexDigits[b>>4], hexDigits[b&15])
+		default:
+			dst = append(dst, b)
+		}
+	}
+	return dst
+}
--- /dev/null
+++ b/callerapi/identity.go
@@ -0,0 +1,127 @@
+package callerapi
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"wigeondale/fleet"
+)
+
+const (
+	maxKeyBytes = 200
+	maxTimeout  = 24 * time.Hour
+)
+
+// identity is what a caller's headers say about a request.
+type identity struct {
+	Account       string
+	Key           string
+	Made          bool // the key was made here, so nobody else can have used it
+	NonIdempotent bool
+	Marked        bool // NonIdempotent was stated
+	Priority      fleet.Priority
+	HasPriority   bool
+	Timeout       time.Duration // 0: none stated
+}
+
+func readIdentity(r *http.Request, account string) (identity, *Failure) {
+	id := identity{Account: account, Key: r.Header.Get(headerKey)}
+	if id.Key == "" {
+		id.Key = newKey()
+		id.Made = true
+	}
+	if !validKey(id.Key) {
+		return id, badHeader(headerKey, fmt.Sprintf("1 to %d visible ASCII characters", maxKeyBytes))
+	}
+	if f := id.readMark(r.Header.Get(headerNonIdempotent)); f != nil {
+		return id, f
+	}
+	if f := id.readPriority(r.Header.Get(headerPriority)); f != nil {
+		return id, f
+	}
+	return id, id.readTimeout(r.Header.Get(headerTimeout))
+}
+
+func badHeader(name, want string) *Failure {
+	return refuse(http.StatusBadRequest, codeBadRequest, name+": want "+want)
+}
+
+func (id *identity) readMark(text string) *Failure {
+	if text == "" {
+		return nil
+	}
+	if text != "true" && text != "false" {
+		return badHeader(headerNonIdempotent, "true or false")
+	}
+	id.Marked = true
+	id.NonIdempotent = text == "true"
+	return nil
+}
+
+func (id *identity) readPriority(text string) *Failure {
+	if text == "" {
+		return nil
+	}
+	p, err := fleet.ParsePriority(text)
+	if err != nil {
+		return badHeader(headerPriority, "interactive or batch")
+	}
+	id.Priority, id.HasPriority = p, true
+	return nil
+}
+
+func (id *identity) readTimeout(text string) *Failure {
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
+		return badHeader(headerTimeout, fmt.Sprintf("1 to %d", maxTimeout.Milliseconds()))
+	}
+	id.Timeout = time.Duration(ms) * time.Millisecond
+	return nil
+}
+
+func (id *identity) deadline(standard time.Duration) time.Time {
+	if id.Timeout > 0 {
+		standard = id.Timeout
+	}
+	return time.Now().Add(standard)
+}
+
+// requestID names the request towards backend servers. It is derived from the
+// account and the key together: with the key alone, two accounts that choose
+// the same key would reach each other's streams on an engine.
+func (id *identity) requestID() string {
+	h := sha256.New()
+	var n [8]byte
+	binary.BigEndian.PutUint64(n[:], uint64(len(id.Account)))
+	h.Write(n[:])
+	h.Write([]byte(id.Account))
+	h.Write([]byte(id.Key))
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+func validKey(key string) bool {
+	if len(key) > maxKeyBytes {
+		return false
+	}
+	for _, b := range []byte(key) {
+		if b <= ' ' || b > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func newKey() string {
+	var b [16]byte
+	rand.Read(b[:]) // never fails: the runtime ends the process instead
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,180 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wigeondale/fleet"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func router(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+func chunk(id int, text string) string {
+	return fmt.Sprintf("id: c%d\ndata: {\"id\":\"r\",\"choices\":[{\"index\":0,\"text\":%q,\"finish_reason\":null}]}\n\n", id, text)
+}
+
+const done = "data: [DONE]\n\n"
+
+// breakOff sends s and then cuts the connection without an end of the body.
+func breakOff(w http.ResponseWriter, s string) {
+	io.WriteString(w, s)
+	http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func refuse(w http.ResponseWriter, status int, o fleet.Outcome, retryAfterMS int) {
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"error":{"message":"m","code":"c","outcome":%q,"retry_after_ms":%d}}`, o, retryAfterMS)
+}
+
+func fast() Options { return Options{Backoff: time.Millisecond, BackoffMax: 2 * time.Millisecond} }
+
+// Symptom: after a router's death the answer repeats or lacks a token.
+// Sequence: the router sends three whole events and half of a fourth, then its
+// connection breaks; the caller goes on at the next router.
+// Cause: the client counts the half event, or gives an event id and a text
+// that don't belong together.
+func TestGenerateGoesOnAtNextRouter(t *testing.T) {
+	half := strings.TrimSuffix(chunk(4, " d"), "\n\n")
+	first := router(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		breakOff(w, chunk(1, " a")+chunk(2, " b")+chunk(3, " c")+half)
+	})
+	second := router(t, func(w http.ResponseWriter, r *http.Request) {
+		var body completionBody
+		json.NewDecoder(r.Body).Decode(&body)
+		if r.Header.Get("Last-Event-ID") != "c3" || body.ResumeText != " a b c" {
+			refuse(w, http.StatusBadRequest, fleet.NotRun, 0)
+			return
+		}
+		io.WriteString(w, chunk(4, " D")+chunk(5, " E")+done)
+	})
+	var got []string
+	c := New([]string{first, second}, "k", fast())
+	res, err := c.Generate(t.Context(), Request{Model: "m"}, func(s string) { got = append(got, s) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{" a", " b", " c", " D", " E"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if res.Text != " a b c D E" || res.Reconnects != 1 || len(res.Gaps) != 1 || res.Gaps[0].At != 3 {
+		t.Errorf("result %+v", res)
+	}
+}
+
+// Symptom: a caller is told not-run of a request that an engine has run.
+// Sequence: the first router takes the request and dies; the second knows
+// nothing of it and refuses with not-run.
+// Cause: the second router's word is true of its own try only.
+func TestNotRunAfterLostRouterIsUnknown(t *testing.T) {
+	first := router(t, func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) })
+	second := router(t, func(w http.ResponseWriter, r *http.Request) { refuse(w, 403, fleet.NotRun, 0) })
+	res, err := New([]string{first, second}, "k", fast()).Generate(t.Context(), Request{}, nil)
+	var ref *Refusal
+	if !errors.As(err, &ref) || res.Outcome != fleet.Unknown {
+		t.Errorf("outcome %s, error %v", res.Outcome, err)
+	}
+}
+
+func TestRefusalsEndOrWait(t *testing.T) {
+	final := "event: error\ndata: {\"error\":{\"code\":\"c\",\"outcome\":\"failed\",\"retry_after_ms\":1}}\n\n"
+	cases := []struct {
+		name    string
+		answer  func(w http.ResponseWriter)
+		again   bool
+		outcome fleet.Outcome
+	}{
+		{"overloaded", func(w http.ResponseWriter) { refuse(w, 429, fleet.NotRun, 1) }, true, fleet.Complete},
+		{"not ready", func(w http.ResponseWriter) { refuse(w, 503, fleet.NotRun, 1) }, true, fleet.Complete},
+		{"may have run", func(w http.ResponseWriter) { refuse(w, 503, fleet.Unknown, 1) }, false, fleet.Unknown},
+		{"key still live", func(w http.ResponseWriter) {
+			w.WriteHeader(409)
+			io.WriteString(w, `{"error":{"code":"in_progress","outcome":"unknown","retry_after_ms":1}}`)
+		}, true, fleet.Complete},
+		{"bad request", func(w http.ResponseWriter) { refuse(w, 400, fleet.NotRun, 1) }, false, fleet.NotRun},
+		{"error inside the stream", func(w http.ResponseWriter) { io.WriteString(w, chunk(1, " a")+final) }, false, fleet.Failed},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var tries atomic.Int32
+			url := router(t, func(w http.ResponseWriter, r *http.Request) {
+				if tries.Add(1) == 1 {
+					tc.answer(w)
+					return
+				}
+				io.WriteString(w, chunk(1, " x")+done)
+			})
+			res, _ := New([]string{url}, "k", fast()).Generate(t.Context(), Request{}, nil)
+			if again := tries.Load() > 1; again != tc.again || res.Outcome != tc.outcome {
+				t.Errorf("sent again %v, outcome %s; want %v, %s", again, res.Outcome, tc.again, tc.outcome)
+			}
+		})
+	}
+}
+
+// Symptom: the caller of a frozen router waits until its deadline.
+// Sequence: the router sends one event and then nothing; its connection stays
+// open, since the kernel keeps it.
+// Cause: no read fails.
+func TestSilentRouterIsLeft(t *testing.T) {
+	first := router(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, chunk(1, " a"))
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	second := router(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, chunk(2, " b")+done) })
+	opts := fast()
+	opts.IdleTimeout = 20 * time.Millisecond
+	res, err := New([]string{first, second}, "k", opts).Generate(t.Context(), Request{}, nil)
+	if err != nil || res.Text != " a b" {
+		t.Errorf("text %q, error %v", res.Text, err)
+	}
+}
+
+// Symptom: one call of a non-idempotent service arrives twice.
+// Sequence: the router reads the request on a reused connection and closes it
+// without an answer.
+// Cause: net/http deems a request with an idempotency key replayable and sends
+// it again by itself when its body can be rewound.
+func TestPostIsNotReplayedByTransport(t *testing.T) {
+	var posts atomic.Int32
+	url := router(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		if r.Method == http.MethodPost {
+			posts.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c := New([]string{url}, "k", fast())
+	if _, err := c.Call(context.Background(), CallRequest{Service: "s", Path: "warm"}); err != nil {
+		t.Fatal(err)
+	}
+	for _, body := range [][]byte{nil, []byte("book")} {
+		posts.Store(0)
+		res, err := c.Call(context.Background(), CallRequest{Service: "s", Method: http.MethodPost, Path: "book", Body: body})
+		if err == nil || res.Outcome != fleet.Unknown || posts.Load() != 1 {
+			t.Errorf("body %q: outcome %s, error %v, arrived %d times", body, res.Outcome, err, posts.Load())
+		}
+		if _, err := c.Call(context.Background(), CallRequest{Service: "s", Path: "warm"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/client/sse.go
@@ -0,0 +1,68 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// maxEventLine bounds one line of an event stream, in bytes.
+const maxEventLine = 1 << 20
+
+// sseEvent is one server-sent event. Its fields are valid until the next read.
+type sseEvent struct {
+	id   string
+	name string
+	data []byte
+}
+
+// sseReader splits a stream into events. An event counts only once its blank
+// line has arrived: a connection that breaks inside an event delivers none of
+// it, so that text and event id never disagree.
+type sseReader struct {
+	s  *bufio.Scanner
+	ev sseEvent
+}
+
+func newSSEReader(r io.Reader) *sseReader {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, 4096), maxEventLine)
+	return &sseReader{s: s}
+}
+
+// next returns the next event that carries data. It returns errBroken at the
+// end of the stream: a whole answer ends by an event, not by the connection.
+func (r *sseReader) next() (*sseEvent, error) {
+	r.ev.id, r.ev.name = "", ""
+	r.ev.data = r.ev.data[:0]
+	for r.s.Scan() {
+		line := r.s.Bytes()
+		if len(line) > 0 {
+			r.field(line)
+			continue
+		}
+		if len(r.ev.data) > 0 {
+			return &r.ev, nil
+		}
+	}
+	if err := r.s.Err(); err != nil {
+		return nil, err
+	}
+	return nil, errBroken
+}
+
+func (r *sseReader) field(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		r.ev.id = string(value)
+	case "event":
+		r.ev.name = string(value)
+	case "data":
+		if len(r.ev.data) > 0 {
+			r.ev.data = append(r.ev.data, '\n')
+		}
+		r.ev.data = append(r.ev.data, value...)
+	}
+}
--- /dev/null
+++ b/ctl/caller.go
@@ -0,0 +1,201 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"wigeondale/adminapi"
+)
+
+const (
+	maxAnswer     = 64 << 20 // bytes
+	confirmRounds = 3        // over all addresses
+	roundPause    = 500 * time.Millisecond
+)
+
+// caller calls the administration API at the first address that answers.
+type caller struct {
+	addrs  []string
+	token  string
+	http   *http.Client
+	scheme string
+}
+
+// refusal is a node's own answer that it won't do what was asked.
+type refusal struct {
+	problem adminapi.Problem
+}
+
+// Error gives the node's message.
+func (r *refusal) Error() string { return r.problem.Code + ": " + r.problem.Message }
+
+// Unwrap sorts the refusal for the exit code.
+func (r *refusal) Unwrap() error {
+	switch r.problem.Code {
+	case adminapi.CodeUnsettled:
+		return ErrUnsettled
+	case adminapi.CodeUnavailable, adminapi.CodeNotReady, adminapi.CodeInternal:
+		return ErrUnreachable
+	case adminapi.CodeUnauthorized, adminapi.CodeBadRequest, adminapi.CodeNotFound:
+		return ErrUsage
+	}
+	return ErrRefused
+}
+
+func newCaller(a args, getenv func(string) string) (*caller, error) {
+	c := &caller{token: getenv("WIGEON_TOKEN"), scheme: "http"}
+	for _, addr := range strings.Split(a.Admin, ",") {
+		if addr = strings.TrimSpace(addr); addr != "" {
+			c.addrs = append(c.addrs, addr)
+		}
+	}
+	if len(c.addrs) == 0 {
+		return nil, Error.New("%w: no administration address: give -admin or WIGEON_ADMIN", ErrUsage)
+	}
+	if a.TokenFile != "" {
+		b, err := os.ReadFile(a.TokenFile)
+		if err != nil {
+			return nil, Error.New("%w: %w", ErrUsage, err)
+		}
+		c.token = strings.TrimSpace(string(b))
+	}
+	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}
+	if a.CAFile != "" {
+		pool, err := readPool(a.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		tr.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+		c.scheme = "https"
+	}
+	c.http = &http.Client{Transport: tr, Timeout: a.Timeout}
+	return c, nil
+}
+
+func readPool(file string) (*x509.CertPool, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Error.New("%w: %w", ErrUsage, err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(b) {
+		return nil, Error.New("%w: %s holds no certificate", ErrUsage, file)
+	}
+	return pool, nil
+}
+
+// call tries each address until one gives an answer that isn't "not now".
+func (c *caller) call(ctx context.Context, method, path string, in, out any) error {
+	var last error
+	for _, addr := range c.addrs {
+		last = c.callAt(ctx, addr, method, path, in, out)
+		if last == nil || !errors.Is(last, ErrUnreachable) {
+			return last
+		}
+	}
+	return last
+}
+
+// confirm sends a plan to one node after another until one knows what became of
+// it. A node that dies after it has sent the plan on leaves the outcome open;
+// asking the next one, which reads the log, settles it.
+func (c *caller) confirm(ctx context.Context, sp adminapi.SignedPlan) (adminapi.Accepted, error) {
+	var acc adminapi.Accepted
+	var last error
+	doubt := false
+	for range confirmRounds {
+		for _, addr := range c.addrs {
+			last = c.callAt(ctx, addr, http.MethodPost, "/admin/v1/plans/"+sp.Plan.ID+"/confirm", sp, &acc)
+			if last == nil || settled(last) {
+				return acc, last
+			}
+			doubt = doubt || mayHaveActed(last)
+		}
+		if !pause(ctx, roundPause) {
+			break
+		}
+	}
+	if doubt {
+		return acc, Error.New("%w: it isn't known whether plan %s was accepted; confirm the same plan again (%v)", ErrUnsettled, sp.Plan.ID, last)
+	}
+	return acc, last
+}
+
+func settled(err error) bool {
+	return !errors.Is(err, ErrUnreachable) && !errors.Is(err, ErrUnsettled)
+}
+
+// mayHaveActed reports whether a failed call may have reached the log.
+func mayHaveActed(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return false
+	}
+	var r *refusal
+	if errors.As(err, &r) {
+		return r.problem.Code == adminapi.CodeUnsettled || r.problem.Code == adminapi.CodeInternal
+	}
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (c *caller) callAt(ctx context.Context, addr, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return Error.New("%w: %w", ErrUsage, err)
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+addr+path, body)
+	if err != nil {
+		return Error.New("%w: %w", ErrUsage, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return parseRefusal(addr, resp.StatusCode, b)
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return fmt.Errorf("%w: answer of %s: %w", ErrUnreachable, addr, err)
+	}
+	return nil
+}
+
+func parseRefusal(addr string, status int, b []byte) error {
+	var body adminapi.ProblemBody
+	if err := json.Unmarshal(b, &body); err != nil || body.Error.Code == "" {
+		return fmt.Errorf("%w: %s answered with status %d", ErrUnreachable, addr, status)
+	}
+	return &refusal{body.Error}
+}
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,211 @@
+// Package ctl holds the commands of wigeonctl, the operators' tool. Any node
+// may be asked; a confirmation may safely be sent to one node after another,
+// since a plan takes effect once.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("wigeonctl")
+
+// Exit codes of wigeonctl.
+const (
+	ExitOK          = 0
+	ExitRefused     = 1 // refused or in conflict; nothing was changed
+	ExitUsage       = 2 // wrong usage, file or token
+	ExitUnreachable = 3 // no node answered, or not all nodes in time
+	ExitUnsettled   = 4 // not known whether the plan was accepted
+)
+
+// Errors that decide the exit code.
+var (
+	ErrUsage       = errors.New("usage")
+	ErrRefused     = errors.New("refused")
+	ErrUnreachable = errors.New("unreachable")
+	ErrUnsettled   = errors.New("unsettled")
+)
+
+// StreamCmd streams one completion as a caller.
+type StreamCmd struct {
+	Routers    string        `arg:"--routers,env:WIGEON_ROUTERS" help:"caller addresses of routers, separated by commas"`
+	Model      string        `arg:"--model,required"`
+	PromptFile string        `arg:"--prompt,required" help:"file with the prompt, - for standard input"`
+	MaxTokens  int           `arg:"--max-tokens" default:"256"`
+	KeyFile    string        `arg:"--key-file" help:"file with the API key (default: environment WIGEON_API_KEY)"`
+	Timeout    time.Duration `arg:"--stream-timeout" default:"10m"`
+}
+
+type dumpCmd struct{}
+
+type confirmCmd struct {
+	File string `arg:"positional" default:"-" help:"file with the plan, - for standard input"`
+	waitOptions
+}
+
+type planCmd struct {
+	source
+}
+
+type applyCmd struct {
+	source
+	Yes bool `arg:"-y,--yes" help:"confirm without asking"`
+	waitOptions
+}
+
+type waitOptions struct {
+	Wait        bool          `arg:"--wait" help:"wait until the revision is in force on all nodes"`
+	WaitTimeout time.Duration `arg:"--wait-timeout" default:"30s"`
+}
+
+type emptyCmd struct{}
+
+type revisionsCmd struct {
+	From uint64 `arg:"--from" default:"1"`
+}
+
+type args struct {
+	Admin     string        `arg:"--admin,env:WIGEON_ADMIN" help:"administration addresses, separated by commas, tried in order"`
+	TokenFile string        `arg:"--token-file" help:"file with the operator's token (default: environment WIGEON_TOKEN)"`
+	CAFile    string        `arg:"--ca-file" help:"PEM file with the CA of the nodes' certificates"`
+	JSON      bool          `arg:"--json" help:"print JSON"`
+	Timeout   time.Duration `arg:"--timeout" default:"20s" help:"bound of one call to one node"`
+
+	Plan      *planCmd      `arg:"subcommand:plan" help:"print the plan for intents; changes nothing"`
+	Confirm   *confirmCmd   `arg:"subcommand:confirm" help:"confirm a plan"`
+	Apply     *applyCmd     `arg:"subcommand:apply" help:"plan, ask, confirm and wait"`
+	Status    *emptyCmd     `arg:"subcommand:status" help:"revision in force on each node"`
+	State     *emptyCmd     `arg:"subcommand:state" help:"desired state"`
+	Backends  *emptyCmd     `arg:"subcommand:backends" help:"backend servers"`
+	Revisions *revisionsCmd `arg:"subcommand:revisions" help:"accepted plans"`
+	Dump      *dumpCmd      `arg:"subcommand:dump" help:"state dump of the first node that answers"`
+	Stream    *StreamCmd    `arg:"subcommand:stream" help:"stream a completion as a caller, with reconnects"`
+}
+
+// Env is the surroundings of one run of the tool.
+type Env struct {
+	Stdin          io.Reader
+	Stdout, Stderr io.Writer
+	Getenv         func(string) string
+	// Stream runs the stream command; nil means that this build has none.
+	Stream func(ctx context.Context, cmd StreamCmd, apiKey string, stdout io.Writer) error
+}
+
+type tool struct {
+	env  Env
+	args args
+	api  *caller
+}
+
+// Main runs the tool and returns its exit code.
+func Main(ctx context.Context, argv []string, env Env) int {
+	var a args
+	cfg := arg.Config{Program: "wigeonctl", Out: env.Stdout, EnvPrefix: ""}
+	p, err := arg.NewParser(cfg, &a)
+	if err != nil {
+		fmt.Fprintln(env.Stderr, "wigeonctl:", err)
+		return ExitUsage
+	}
+	err = p.Parse(spellHelp(argv))
+	if errors.Is(err, arg.ErrHelp) {
+		if err := p.WriteHelpForSubcommand(env.Stdout, p.SubcommandNames()...); err != nil {
+			return ExitUsage
+		}
+		return ExitOK
+	}
+	if err == nil && p.Subcommand() == nil {
+		err = errors.New("a command is needed; see -help")
+	}
+	if err != nil {
+		fmt.Fprintln(env.Stderr, "wigeonctl:", err)
+		return ExitUsage
+	}
+	t := &tool{env: env, args: a}
+	err = t.run(ctx)
+	if err != nil {
+		fmt.Fprintln(env.Stderr, "wigeonctl:", err)
+	}
+	return exitCode(err)
+}
+
+// spellHelp lets help be asked for with one dash, as the other options are.
+func spellHelp(argv []string) []string {
+	out := slices.Clone(argv)
+	for i, a := range out {
+		if a == "-help" {
+			out[i] = "--help"
+		}
+	}
+	return out
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, ErrUnsettled):
+		return ExitUnsettled
+	case errors.Is(err, ErrUnreachable):
+		return ExitUnreachable
+	case errors.Is(err, ErrRefused):
+		return ExitRefused
+	}
+	return ExitUsage
+}
+
+func (t *tool) run(ctx context.Context) error {
+	if t.args.Stream != nil {
+		return t.stream(ctx)
+	}
+	api, err := newCaller(t.args, t.env.Getenv)
+	if err != nil {
+		return err
+	}
+	t.api = api
+	switch {
+	case t.args.Plan != nil:
+		return t.plan(ctx)
+	case t.args.Confirm != nil:
+		return t.confirm(ctx)
+	case t.args.Apply != nil:
+		return t.apply(ctx)
+	case t.args.Status != nil:
+		return t.status(ctx)
+	case t.args.State != nil:
+		return t.state(ctx)
+	case t.args.Backends != nil:
+		return t.backends(ctx)
+	case t.args.Revisions != nil:
+		return t.revisions(ctx)
+	}
+	return t.dump(ctx)
+}
+
+func (t *tool) stream(ctx context.Context) error {
+	if t.env.Stream == nil {
+		return Error.New("%w: this build has no stream command", ErrUsage)
+	}
+	cmd := *t.args.Stream
+	key := t.env.Getenv("WIGEON_API_KEY")
+	if cmd.KeyFile != "" {
+		b, err := os.ReadFile(cmd.KeyFile)
+		if err != nil {
+			return Error.New("%w: %w", ErrUsage, err)
+		}
+		key = strings.TrimSpace(string(b))
+	}
+	ctx, cancel := context.WithTimeout(ctx, cmd.Timeout)
+	defer cancel()
+	return t.env.Stream(ctx, cmd, key, t.env.Stdout)
+}
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,307 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wigeondale/fleet"
+)
+
+var ref = fleet.ModelRef{Model: "m", Version: "v1"}
+
+func engine(id string) fleet.Backend {
+	return fleet.Backend{ID: id, VM: "vm-" + id, Kind: fleet.Engine}
+}
+
+func report(incarnation string, asOf time.Time, running int) fleet.LoadReport {
+	return fleet.LoadReport{Incarnation: incarnation, AsOfUnixMS: asOf.UnixMilli(), Running: running, Serves: []fleet.ModelRef{ref}}
+}
+
+// Symptom: all work goes to the engine whose report is oldest. Sequence: an
+// engine reports 10 running, of which 4 ours; the report is a second late; in
+// that second we send 5 more and 2 of ours end. Cause: a report knows nothing
+// of what was sent since its time.
+func TestEstimateBringsLateReportsForward(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(nil)
+		d.Update([]fleet.Backend{engine("e0")}, time.Now())
+		var done []func()
+		for range 4 {
+			done = append(done, d.Start("e0", 1))
+		}
+		time.Sleep(time.Second)
+		asOf := time.Now()
+		time.Sleep(time.Second)
+		for range 5 {
+			d.Start("e0", 1)
+		}
+		done[0]()
+		done[0]() // a second call does nothing
+		done[1]()
+		d.Report("e0", report("i1", asOf, 10), time.Now())
+		live := d.Snapshot(ref)[0].Live
+		if got := live.Load(asOf); got != 13 {
+			t.Errorf("load %g, want 10 + 5 - 2", got)
+		}
+		if got := live.Load(time.Now().Add(time.Minute)); got != 7+6*fadeFloor {
+			t.Errorf("load a minute later %g, want 7 of ours and the others' faded 6", got)
+		}
+	})
+}
+
+// Symptom: routers together send an engine more than it takes. What others
+// have there is taken off; leaving engines count for nothing.
+func TestCapacityLeavesRoomForOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New(nil)
+	d.Update([]fleet.Backend{engine("e0"), engine("e1"), engine("e2")}, now)
+	d.Report("e0", report("i1", now, 6), now)
+	d.Report("e1", report("i1", now, 30), now)
+	d.Report("e2", report("i1", now, 0), now)
+	if got := Capacity(d.Snapshot(ref), 10, now); got != 4+0+10 {
+		t.Errorf("capacity %d, want 14", got)
+	}
+	for _, id := range []string{"e0", "e1", "e2"} {
+		if got := Capacity(d.Snapshot(ref), 1, now); got != 1 {
+			t.Errorf("capacity %d while one takes work, want 1", got)
+		}
+		d.MarkLeaving(id, "", FromRefusal)
+	}
+	if got := Capacity(d.Snapshot(ref), 10, now); got != 0 {
+		t.Errorf("capacity %d of leaving engines", got)
+	}
+}
+
+// Symptom: new work reaches a VM that is about to go. Sequence: any order of
+// lagging news from the VM list, reports and rumours. Once a source said that
+// an incarnation leaves, nothing but another incarnation's report may bring
+// the engine back.
+func TestLeavingSticksToItsIncarnation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		d := New(nil)
+		d.Update([]fleet.Backend{engine("e0")}, now)
+		current := "i0"
+		d.Report("e0", report(current, now, 0), now)
+		marked := map[string]bool{}
+		listLeaving := false
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now = now.Add(time.Second)
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				b := engine("e0")
+				b.Leaving = rapid.Bool().Draw(t, "list")
+				if b.Leaving && !listLeaving {
+					marked[current] = true
+				}
+				listLeaving = b.Leaving
+				d.Update([]fleet.Backend{b}, now)
+			case 1:
+				rep := report(current, now, 0)
+				rep.Leaving = rapid.IntRange(0, 3).Draw(t, "report") == 0
+				marked[current] = marked[current] || rep.Leaving
+				d.Report("e0", rep, now)
+			case 2:
+				d.MarkLeaving("e0", current, FromRumour)
+				marked[current] = true
+			case 3:
+				current = fmt.Sprint("i", now.Unix())
+				d.Report("e0", report(current, now, 0), now)
+			default:
+				d.MarkLeaving("e0", "long-gone", FromRumour)
+			}
+			want := marked[current] || listLeaving
+			if d.Leaving("e0") != want || d.Snapshot(ref)[0].Live.Leaving() != want {
+				t.Fatalf("leaving %v, want %v", d.Leaving("e0"), want)
+			}
+		}
+	})
+}
+
+// Symptom: an engine that was marked before its first report takes work.
+func TestMarkBeforeFirstReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New(nil)
+	var told []string
+	d.OnLeaving = func(id, incarnation string, s Source) { told = append(told, fmt.Sprint(id, incarnation, s)) }
+	b := engine("e0")
+	b.Leaving = true
+	d.Update([]fleet.Backend{b}, now)
+	d.Report("e0", report("i1", now, 0), now)
+	d.Update([]fleet.Backend{engine("e0")}, now) // an older replica of the list
+	if !d.Leaving("e0") || !d.Leaving("never-heard-of") {
+		t.Error("the mark of the VM list was lost, or an unknown one takes work")
+	}
+	d.SetIntent(map[string]bool{"vm-e0": true})
+	if len(told) != 1 {
+		t.Errorf("announced %v, want once", told)
+	}
+}
+
+// Symptom: prompts are drawn to a cache that dropped their blocks. Sequence:
+// the event "removed" is lost, shown only by a gap in the numbers.
+func TestCacheGapDropsTrust(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New(nil)
+	d.Update([]fleet.Backend{engine("e0")}, now)
+	d.Report("e0", report("i1", now, 0), now)
+	hits := func(at time.Time) int { return d.Snapshot(ref)[0].Live.Hits([]uint64{1, 2, 3}, at) }
+	feed := func(seqs ...uint64) {
+		b := CacheBatch{Incarnation: "i1"}
+		for _, s := range seqs {
+			b.Events = append(b.Events, CacheEvent{Seq: s, Stored: true, Block: s})
+		}
+		d.CacheEvents("e0", b, now)
+	}
+	feed(1, 2)
+	if hits(now) != 2 {
+		t.Fatalf("hits %d, want 2", hits(now))
+	}
+	feed(4)
+	if hits(now) != 0 || hits(now.Add(relearn)) != 0 {
+		t.Error("blocks from before the gap are still believed")
+	}
+	d.CacheEvents("e0", CacheBatch{Incarnation: "i1", Events: []CacheEvent{{5, true, 1}, {6, true, 2}, {7, false, 2}}}, now)
+	if hits(now) != 0 || hits(now.Add(relearn)) != 1 {
+		t.Errorf("relearned map: now %d, later %d; want 0, then 1", hits(now), hits(now.Add(relearn)))
+	}
+}
+
+func TestSubsetIsStableAndEven(t *testing.T) {
+	var ids []string
+	for i := range 1000 {
+		ids = append(ids, fmt.Sprint("e", i))
+	}
+	count := map[string]int{}
+	for r := range 300 {
+		name := fmt.Sprint("r", r)
+		got := Subset(name, ids, 20)
+		for _, id := range got {
+			count[id]++
+		}
+		kept := 0
+		for _, id := range Subset(name, ids[100:], 20) {
+			if slices.Contains(got, id) {
+				kept++
+			}
+		}
+		if kept < 10 {
+			t.Errorf("%s kept %d of 20 when a tenth of the fleet went", name, kept)
+		}
+	}
+	for id, n := range count {
+		if n > 6*5 { // the mean is 6
+			t.Errorf("%s is in %d subsets", id, n)
+		}
+	}
+}
+
+// platform plays the VM list and the engines; it counts calls under way.
+type platform struct {
+	mu          sync.Mutex
+	fleet       []fleet.Backend
+	asked       map[string]int
+	under, most int
+}
+
+func (p *platform) Backends(context.Context) ([]fleet.Backend, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.fleet), nil
+}
+
+func (p *platform) Load(ctx context.Context, b fleet.Backend) (fleet.LoadReport, error) {
+	p.mu.Lock()
+	p.asked[b.ID]++
+	p.under++
+	p.most = max(p.most, p.under)
+	p.mu.Unlock()
+	defer func() { p.mu.Lock(); p.under--; p.mu.Unlock() }()
+	if b.ID == "frozen" {
+		<-ctx.Done()
+		return fleet.LoadReport{}, ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	return report("i1", time.Now(), 1), nil
+}
+
+func (p *platform) CacheEvents(context.Context, fleet.Backend, uint64) (CacheBatch, error) {
+	return CacheBatch{}, errors.New("none")
+}
+
+// Symptom: a leaving VM gets work for longer than stated, since the poller is
+// held up by frozen engines; or every router polls every engine. Sequence: 200
+// engines, one of them frozen; after the fleet is known, one VM leaves.
+func TestPollerKeepsItsBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &platform{asked: map[string]int{}, fleet: []fleet.Backend{engine("frozen")}}
+		for i := range 200 {
+			p.fleet = append(p.fleet, engine(fmt.Sprint("e", i)))
+		}
+		d := New(nil)
+		cfg := PollConfig{Router: "r1", SubsetSize: 10, Explore: 4, Concurrency: 4}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = NewPoller(cfg, d, p, p).Run(ctx) }()
+		time.Sleep(30 * time.Second)
+		if n := len(d.Snapshot(ref)); n != 10 {
+			t.Errorf("%d candidates, want the subset of 10", n)
+		}
+		total := 0
+		p.mu.Lock()
+		for _, n := range p.asked {
+			total += n
+		}
+		if p.most > 4 || total > 40*(10+4)+20 {
+			t.Errorf("%d polls at once and %d in 30 s", p.most, total)
+		}
+		p.fleet[5].Leaving = true
+		id := p.fleet[5].ID
+		p.mu.Unlock()
+		time.Sleep(LeavingBound - RumourDelay)
+		if !d.Leaving(id) {
+			t.Errorf("not known to be leaving within %v", LeavingBound-RumourDelay)
+		}
+		cancel()
+		<-done
+	})
+}
+
+func BenchmarkSnapshotAndLoad(b *testing.B) {
+	d, now := New(nil), time.Now()
+	d.Update([]fleet.Backend{engine("e0")}, now)
+	d.Report("e0", report("i1", now, 5), now)
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = d.Snapshot(ref)[0].Live.Load(now)
+	}
+}
+
+func BenchmarkBytesPerBackend(b *testing.B) {
+	const n = 2000
+	var list []fleet.Backend
+	for i := range n {
+		list = append(list, engine(fmt.Sprint("e", i)))
+	}
+	now := time.Now()
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		d := New(nil)
+		d.Update(list, now)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "B/backend")
+		runtime.KeepAlive(d)
+	}
+}
--- /dev/null
+++ b/directory/dump.go
@@ -0,0 +1,77 @@
+package directory
+
+import (
+	"time"
+
+	"wigeondale/fleet"
+	"wigeondale/routing"
+)
+
+// BackendDump is one backend server in a dump.
+type BackendDump struct {
+	Backend     fleet.Backend    `json:"backend"`
+	Report      fleet.LoadReport `json:"report"`
+	Load        float64          `json:"estimated_load"`
+	Leaving     bool             `json:"leaving"`
+	Marks       []string         `json:"leaving_incarnations"`
+	Member      bool             `json:"in_subset"`
+	CacheBlocks int              `json:"cache_blocks_known"`
+}
+
+// Dump returns what is known of each backend server, by id.
+func (d *Directory) Dump() map[string]BackendDump {
+	now := time.Now()
+	d.mu.Lock()
+	subset := d.subset
+	d.mu.Unlock()
+	out := map[string]BackendDump{}
+	for id, r := range d.table.Load().byID {
+		b := r.dump(now)
+		b.Member = subset == nil || subset[id]
+		out[id] = b
+	}
+	return out
+}
+
+func (r *record) dump(now time.Time) BackendDump {
+	blocks := r.cache.size()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return BackendDump{
+		Backend:     r.backend,
+		Report:      r.last,
+		Load:        r.Load(now),
+		Leaving:     r.Leaving(),
+		Marks:       append([]string(nil), r.marks...),
+		CacheBlocks: blocks,
+	}
+}
+
+func (c *cacheMap) size() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return len(c.blocks)
+}
+
+// Capacity is how many requests this router may have under way at the given
+// candidates, as a Snapshot returns them, when each takes perBackend at once:
+// what others have there is taken off. At least one is granted while any
+// candidate takes work, since other routers' reported load lags.
+func Capacity(candidates []routing.Candidate, perBackend float64, now time.Time) int {
+	var sum float64
+	taking := false
+	for _, c := range candidates {
+		r, ok := c.Live.(*record)
+		if !ok || r.Leaving() {
+			continue
+		}
+		taking = true
+		ours := float64(r.inFlight.Load()) / milli
+		others := r.Load(now) - ours
+		sum += max(perBackend-others, 0)
+	}
+	if !taking {
+		return 0
+	}
+	return max(int(sum), 1)
+}
--- /dev/null
+++ b/directory/poll.go
@@ -0,0 +1,156 @@
+package directory
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wigeondale/fleet"
+)
+
+// VMLister reads the VM list: engines and plain services with their addresses.
+type VMLister interface {
+	Backends(ctx context.Context) ([]fleet.Backend, error)
+}
+
+// EngineProbe asks one engine about itself.
+type EngineProbe interface {
+	Load(ctx context.Context, b fleet.Backend) (fleet.LoadReport, error)
+	CacheEvents(ctx context.Context, b fleet.Backend, after uint64) (CacheBatch, error)
+}
+
+// PollConfig sizes a Poller. Zero values take the defaults.
+type PollConfig struct {
+	Router      string        // id of this node, decides its subset
+	SubsetSize  int           // engines per model (default 32)
+	Explore     int           // engines outside the subset asked per round (default 8)
+	Concurrency int           // polls under way at once (default 16)
+	Interval    time.Duration // between polls of an engine (default PollInterval)
+	// ListInterval is that between readings of the VM list (default Interval).
+	// Where hundreds of routers would burden the list, let few read it often
+	// and spread what leaves as a rumour; the others may read it seldom.
+	ListInterval time.Duration
+	Timeout      time.Duration // of one poll (default half of Interval)
+}
+
+func (c PollConfig) withDefaults() PollConfig {
+	if c.SubsetSize == 0 {
+		c.SubsetSize = 32
+	}
+	if c.Explore == 0 {
+		c.Explore = 8
+	}
+	if c.Concurrency == 0 {
+		c.Concurrency = 16
+	}
+	if c.Interval == 0 {
+		c.Interval = PollInterval
+	}
+	if c.ListInterval == 0 {
+		c.ListInterval = c.Interval
+	}
+	if c.Timeout == 0 {
+		c.Timeout = c.Interval / 2
+	}
+	return c
+}
+
+// Poller keeps a Directory up to date. Each router polls a subset of the
+// engines: if all of hundreds of routers polled all of thousands of engines,
+// the polls alone would be millions a second.
+type Poller struct {
+	cfg   PollConfig
+	dir   *Directory
+	vms   VMLister
+	probe EngineProbe
+}
+
+// NewPoller returns a Poller; Run does the work.
+func NewPoller(cfg PollConfig, dir *Directory, vms VMLister, probe EngineProbe) *Poller {
+	return &Poller{cfg: cfg.withDefaults(), dir: dir, vms: vms, probe: probe}
+}
+
+// Run polls until ctx ends. A failed poll leaves what was known before. The VM
+// list has its own loop: engines that time out must not delay the news that
+// others are leaving.
+func (p *Poller) Run(ctx context.Context) error {
+	p.List(ctx)
+	var group errgroup.Group
+	group.Go(func() error { p.loop(ctx, p.cfg.ListInterval, p.List); return nil })
+	group.Go(func() error { p.loop(ctx, p.cfg.Interval, p.Engines); return nil })
+	return group.Wait()
+}
+
+// loop runs f at jittered intervals, counted from start to start.
+func (p *Poller) loop(ctx context.Context, every time.Duration, f func(context.Context)) {
+	for ctx.Err() == nil {
+		next := time.Now().Add(jitter(every, rand.Float64()))
+		f(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(next)):
+		}
+	}
+}
+
+// jitter moves an interval by up to PollJitter either way, so that routers
+// started together do not poll in step. u is uniform in [0,1).
+func jitter(d time.Duration, u float64) time.Duration {
+	return time.Duration(float64(d) * (1 + PollJitter*(2*u-1)))
+}
+
+// Engines asks the engines of the subset, and a few others, once.
+func (p *Poller) Engines(ctx context.Context) {
+	var group errgroup.Group
+	group.SetLimit(p.cfg.Concurrency)
+	members := p.dir.Members(p.cfg.Router, p.cfg.SubsetSize)
+	p.dir.Select(members)
+	explore := p.cfg.Explore
+	if len(members) == 0 {
+		explore = 2 * p.cfg.SubsetSize // a router that knows nothing yet
+	}
+	ids := slices.Collect(maps.Keys(members))
+	ids = append(ids, p.dir.Unheard(p.cfg.Router, members, explore)...)
+	for _, id := range ids {
+		group.Go(func() error { p.engine(ctx, id, members[id]); return nil })
+	}
+	_ = group.Wait() // no poll returns an error
+	p.dir.Select(p.dir.Members(p.cfg.Router, p.cfg.SubsetSize))
+}
+
+// List reads the VM list once.
+func (p *Poller) List(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
+	defer cancel()
+	list, err := p.vms.Backends(ctx)
+	if err != nil || len(list) == 0 {
+		return // an empty list is taken for a fault of the platform
+	}
+	p.dir.Update(list, time.Now())
+}
+
+func (p *Poller) engine(ctx context.Context, id string, member bool) {
+	b, ok := p.dir.Backend(id)
+	if !ok || b.Kind != fleet.Engine {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
+	defer cancel()
+	rep, err := p.probe.Load(ctx, b)
+	if err != nil {
+		return
+	}
+	p.dir.Report(id, rep, time.Now())
+	if !member {
+		return
+	}
+	batch, err := p.probe.CacheEvents(ctx, b, p.dir.CacheAfter(id))
+	if err != nil {
+		return
+	}
+	p.dir.CacheEvents(id, batch, time.Now())
+}
--- /dev/null
+++ b/directory/record.go
@@ -0,0 +1,162 @@
+package directory
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wigeondale/fleet"
+	"wigeondale/routing"
+)
+
+const (
+	// milli is the fixed-point unit of costs, so that they add up exactly.
+	milli = 1000
+	// fadeTime is the age at which what a report said of other routers' work is
+	// down to fadeFloor of itself: old news of load is worth less, but an engine
+	// must not look idle only because its reports stopped.
+	fadeTime  = 10 * time.Second
+	fadeFloor = 0.5
+	// keptMarks is how many leaving incarnations are remembered.
+	keptMarks = 4
+)
+
+// record is one backend server. It is the routing.Live of its candidates.
+type record struct {
+	id       string
+	inFlight atomic.Int64  // own requests under way, in thousandths
+	others   atomic.Uint64 // load not ours at the report's time, float64 bits
+	asOf     atomic.Int64  // time of the report, Unix milliseconds
+	leaving  atomic.Bool
+	cache    cacheMap
+
+	mu       sync.Mutex
+	backend  fleet.Backend
+	last     fleet.LoadReport
+	reported bool
+	seen     time.Time // last time on the VM list
+	sent     timeline
+	marks    []string // incarnations known to be leaving
+	intent   bool
+}
+
+func newRecord(b fleet.Backend) *record {
+	r := &record{id: b.ID, backend: b}
+	r.backend.Leaving = false // listed takes note of it
+	return r
+}
+
+// listed takes in the VM list's entry; it returns true when the backend server
+// turns out to be leaving by it.
+func (r *record) listed(b fleet.Backend, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// Only the first word marks the incarnation known then: a new one that
+	// starts while the list still lags must not be marked for its whole life.
+	if b.Leaving && !r.backend.Leaving {
+		r.mark(r.last.Incarnation)
+	}
+	r.backend = b
+	r.seen = now
+	return r.settleLeaving()
+}
+
+// keep tells whether a backend server missing from the VM list is kept.
+func (r *record) keep(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.seen) < missingGrace || r.inFlight.Load() > 0
+}
+
+// report takes in a load report. changed tells that the candidate differs,
+// left that the backend server turns out to be leaving.
+func (r *record) report(rep fleet.LoadReport, now time.Time) (changed, left bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sameLife := r.last.Incarnation == rep.Incarnation
+	if sameLife && rep.AsOfUnixMS < r.last.AsOfUnixMS {
+		return false, false
+	}
+	if !sameLife && r.last.Incarnation == "" && slices.Contains(r.marks, "") {
+		// What was marked before its incarnation was known is this one.
+		r.mark(rep.Incarnation)
+	}
+	changed = !r.reported || !sameLife || rep.Role != r.last.Role || !slices.Equal(rep.Serves, r.last.Serves)
+	r.last = rep
+	r.reported = true
+	if rep.Leaving {
+		r.mark(rep.Incarnation)
+	}
+	r.estimate(now)
+	return changed, r.settleLeaving()
+}
+
+// estimate splits the reported load into ours and others'. The report knows of
+// our requests only as they were at its time, so what we sent and finished
+// since is taken off what we have under way now.
+func (r *record) estimate(now time.Time) {
+	asOf := r.last.AsOf()
+	if asOf.After(now) || now.Sub(asOf) > timelineSpan {
+		asOf = now // its clock is off or the report is too old to tell
+	}
+	oursNow := float64(r.inFlight.Load()) / milli
+	oursThen := oursNow - r.sent.since(asOf)/milli
+	total := float64(r.last.Running + r.last.Waiting)
+	others := max(total-max(oursThen, 0), 0)
+	r.others.Store(math.Float64bits(others))
+	r.asOf.Store(asOf.UnixMilli())
+}
+
+// Load estimates the requests running and waiting: what others had there by
+// the last report, faded by its age, and what we have there now.
+func (r *record) Load(now time.Time) float64 {
+	others := math.Float64frombits(r.others.Load())
+	ours := float64(r.inFlight.Load()) / milli
+	if others == 0 {
+		return ours
+	}
+	age := float64(now.UnixMilli()-r.asOf.Load()) / float64(fadeTime.Milliseconds())
+	fade := min(max(age, 0), 1) * (1 - fadeFloor)
+	return ours + others*(1-fade)
+}
+
+// Leaving tells that no new work may go there.
+func (r *record) Leaving() bool { return r.leaving.Load() }
+
+// Hits counts the leading blocks in the cache, as far as that is known.
+func (r *record) Hits(blocks []uint64, now time.Time) int { return r.cache.hits(blocks, now) }
+
+func (r *record) start(cost float64) (done func()) {
+	units := int64(cost * milli)
+	r.count(units)
+	var once sync.Once
+	return func() { once.Do(func() { r.count(-units) }) }
+}
+
+func (r *record) count(units int64) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight.Add(units)
+	r.sent.add(now, units)
+}
+
+func (r *record) currentIncarnation() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last.Incarnation
+}
+
+func (r *record) candidate() routing.Candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return routing.Candidate{
+		Backend:     r.backend,
+		Incarnation: r.last.Incarnation,
+		Role:        r.last.Role,
+		Serves:      r.last.Serves,
+		Live:        r,
+	}
+}
--- /dev/null
+++ b/dump/dump_test.go
@@ -0,0 +1,33 @@
+package dump_test
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+
+	"wigeondale/dump"
+)
+
+// Symptom: no dump at all, just when one is needed.
+// Sequence: one part panics, or returns what JSON cannot hold.
+// Cause: parts that are not shielded from each other.
+func TestOneBadPart(t *testing.T) {
+	var r dump.Registry
+	r.Add("good", func() any { return 7 })
+	r.Add("panics", func() any { panic("x") })
+	r.Add("strange", func() any { return func() {} })
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
+	var got map[string]any
+	if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	if got["good"] != 7.0 || got["panics"] == nil || got["strange"] == nil {
+		t.Errorf("got %v", got)
+	}
+	one := httptest.NewRecorder()
+	r.ServeHTTP(one, httptest.NewRequest("GET", "/?section=good", nil))
+	if one.Body.String() != "7\n" {
+		t.Errorf("one section: %q", one.Body)
+	}
+}
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,136 @@
+package event
+
+// ID numbers one kind of log event. Numbers are never reused.
+type ID int
+
+// Severity is the klog level that an event is written at.
+type Severity int
+
+// The severities that events use.
+const (
+	Info Severity = iota
+	Warning
+	Error
+)
+
+// Entry describes one kind of event, as docs/EVENTS.md lists it.
+type Entry struct {
+	ID       ID
+	Name     string
+	Severity Severity
+	Text     string // what happened, and what an operator does about it
+}
+
+// Events of intents, the administration API and orders (16xx).
+const (
+	RevisionInForce ID = 1601 + iota
+	RevisionUnreadable
+	PauseNoticed
+	LogLost
+	SnapshotFailed
+	PlanAccepted
+	PlanConflict
+	ConfirmUnsettled
+	OperatorRefused
+	OrderLeaseHeld
+	OrderLeaseLost
+	OrderSent
+	OrderFailed
+)
+
+// Events of links and membership (12xx).
+const (
+	PeerLinkUp ID = 1201 + iota
+	PeerLinkLost
+	PeerMessageRejected
+	PeerHandshakeRefused
+	PeerSuspected
+	PeerDead
+	PeerRefuted
+	PeerDuplicateID
+	PeerPaused
+)
+
+// Events of the daemon and its settings (17xx).
+const (
+	Started ID = 1701 + iota
+	ShutdownBegun
+	ShutdownDone
+)
+
+// Events of health, routing and admission (13xx).
+const (
+	EngineSuspect ID = 1301 + iota
+	BackendEjected
+	BackendRecovered
+	EngineLeaving
+	CacheGap
+)
+
+// Events of generations and of calls to backend servers (14xx).
+const (
+	AttemptMismatch ID = 1401 + iota
+	OutcomeUnknown
+	CancelDropped
+	VoidFailed
+)
+
+// Events of the log and of at-most-once claims (11xx).
+const (
+	LogWatchLost ID = 1101 + iota
+	ClaimsUnavailable
+	ClaimsUnsettled
+	ClaimVoidsDropped
+	ClaimsRebuilt
+	ClaimsCompactFailed
+)
+
+// Events of the caller API (15xx).
+const (
+	CursorRefused ID = 1501 + iota
+)
+
+// Catalogue lists every event in the order of its number.
+var Catalogue = []Entry{
+	{LogWatchLost, "log-watch-lost", Warning, "A watch on a log ended; reads find new entries until it is open again. If it goes on, look at the key-value service."},
+	{ClaimsUnavailable, "claims-unavailable", Warning, "Claims are refused not-run since the key-value service can't be written. Look at the key-value service."},
+	{ClaimsUnsettled, "claims-unsettled", Warning, "It isn't known whether a batch of claims was written; its requests were refused and their claims will be voided. Look at the key-value service if it repeats."},
+	{ClaimVoidsDropped, "claim-voids-dropped", Warning, "More unsettled claims than this node keeps; the keys of the dropped ones stay claimed until their window ends."},
+	{ClaimsRebuilt, "claims-rebuilt", Info, "A shard's claims were read anew from snapshot and log. Nothing to do."},
+	{ClaimsCompactFailed, "claims-compact-failed", Warning, "A snapshot of a shard's claims was not kept; the next one will be. Starts take longer until then."},
+	{PeerLinkUp, "peer-link-up", Info, "A link to another node is authenticated. Nothing to do."},
+	{PeerLinkLost, "peer-link-lost", Info, "A link ended, for the reason given; it is dialled again if it is wanted. Look at the network if many nodes report silent or slow."},
+	{PeerMessageRejected, "peer-message-rejected", Warning, "A message was malformed or too large and its link was closed. Check that both nodes run compatible releases."},
+	{PeerHandshakeRefused, "peer-handshake-refused", Warning, "A connection failed to prove the shared key, or is not the node that was dialled. Check the key in the settings, and who connects."},
+	{PeerSuspected, "peer-suspected", Info, "This node does not hear a member that it is to hear; the others are told. Nothing to do unless it repeats."},
+	{PeerDead, "peer-dead", Warning, "Nobody refuted the suspicion in time, or the member said farewell: it counts as dead until it is heard again. Look at its VM."},
+	{PeerRefuted, "peer-refuted", Info, "This node was called suspect or dead and answered with a higher version. If it repeats, look for pauses of this VM."},
+	{PeerDuplicateID, "peer-duplicate-id", Error, "Another process uses this node's id at another address. Give each VM its own id in the settings."},
+	{PeerPaused, "peer-paused", Warning, "This process stood still for the time given; its judgement of others was suspended. Look for an overloaded or frozen VM."},
+	{EngineSuspect, "engine-suspect", Warning, "An engine fell silent on all its streams, which are resumed elsewhere. Check the engine if it repeats."},
+	{BackendEjected, "backend-ejected", Warning, "A backend server gets no new work until a probe succeeds. Check the backend server if it stays so."},
+	{BackendRecovered, "backend-recovered", Info, "A backend server answered again and gets work. Nothing to do."},
+	{EngineLeaving, "engine-leaving", Info, "A backend server is leaving and gets no new work. Nothing to do."},
+	{CacheGap, "cache-gap", Info, "Cache events were lost, so the engine's cache map is not trusted for a while. Nothing to do."},
+	{AttemptMismatch, "attempt-mismatch", Warning, "An engine's answer named another request, attempt or model, skipped a token or was malformed; the attempt was ended. Check that engine if it repeats."},
+	{OutcomeUnknown, "outcome-unknown", Warning, "A request marked as non-idempotent may have run, and its answer was lost. The caller has been told; look the work up before it is asked for again."},
+	{CancelDropped, "cancel-dropped", Warning, "An abandoned attempt will not be cancelled; the engine ends it after its linger time. Check that engine if it repeats."},
+	{VoidFailed, "void-failed", Warning, "The claim of a request that didn't run couldn't be freed: repeats of its key are answered as unknown until the claim expires. Check the key-value service."},
+	{CursorRefused, "cursor-refused", Warning, "A caller came back with a cursor that is forged, foreign, malformed or too old, and was refused. Check that all nodes share the cursor key if it repeats; else the account is trying others' cursors."},
+	{RevisionInForce, "revision-in-force", Info, "This node acts on a newer revision of the configuration. Nothing to do."},
+	{RevisionUnreadable, "revision-unreadable", Error, "A log entry can't be read and counts as no change. Find who wrote it: a newer build or another program on the same prefix."},
+	{PauseNoticed, "pause-noticed", Warning, "The process was stopped for longer than the bound; new work waits until the revision is confirmed. Look at the VM if it repeats."},
+	{LogLost, "log-lost", Warning, "Following the configuration log broke off; it is taken up again. If it goes on, look at the key-value service: traffic continues, plans can't be confirmed."},
+	{SnapshotFailed, "snapshot-failed", Warning, "A snapshot of the configuration was not kept; the next one will be. Starts take longer until then."},
+	{PlanAccepted, "plan-accepted", Info, "A plan became a revision. Nothing to do."},
+	{PlanConflict, "plan-conflict", Info, "A plan was refused since its objects changed. The operator makes a new plan."},
+	{ConfirmUnsettled, "confirm-unsettled", Warning, "It isn't known whether a plan was accepted. Confirm the same plan again, at any node."},
+	{OperatorRefused, "operator-refused", Warning, "A call to the administration API had no valid token or too low a role. Find out who called if it repeats."},
+	{OrderLeaseHeld, "order-lease-held", Info, "This node gives orders to backend servers from now on. Nothing to do."},
+	{OrderLeaseLost, "order-lease-lost", Warning, "This node gives no more orders: its lease lapsed or couldn't be renewed in time. Another node takes over."},
+	{OrderSent, "order-sent", Info, "A backend server was sent its desired state. Nothing to do."},
+	{OrderFailed, "order-failed", Warning, "A backend server didn't take an order; it is sent again. Look at the backend server if it goes on."},
+	{Started, "started", Info, "The process serves its listeners. Nothing to do."},
+	{ShutdownBegun, "shutdown-begun", Info, "A signal came: readiness fails from now on and open requests are finished. Nothing to do."},
+	{ShutdownDone, "shutdown-done", Info, "Every open request ended and the process exits. Nothing to do."},
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,47 @@
+// Package event writes numbered log events through klog. The numbers are an
+// interface: operators alert on them, and docs/EVENTS.md explains each.
+package event
+
+import (
+	"k8s.io/klog/v2"
+)
+
+// Log writes events for one node. A nil Log drops them, so that tests and
+// pure code need none.
+type Log struct {
+	logger klog.Logger
+	byID   map[ID]Entry
+}
+
+// New returns a Log that puts the node's name on each event.
+func New(node string) *Log {
+	l := &Log{
+		logger: klog.Background().WithValues("node", node),
+		byID:   make(map[ID]Entry, len(Catalogue)),
+	}
+	for _, e := range Catalogue {
+		l.byID[e.ID] = e
+	}
+	return l
+}
+
+// Emit writes event id with alternating keys and values. Secrets and the text
+// of prompts or answers must never be among them.
+func (l *Log) Emit(id ID, kv ...any) {
+	if l == nil {
+		return
+	}
+	e, ok := l.byID[id]
+	if !ok {
+		e = Entry{ID: id, Name: "unlisted", Severity: Error}
+	}
+	args := append([]any{"event", int(id)}, kv...)
+	switch e.Severity {
+	case Error:
+		l.logger.Error(nil, e.Name, args...)
+	case Warning:
+		l.logger.Info("warning: "+e.Name, args...)
+	default:
+		l.logger.Info(e.Name, args...)
+	}
+}
--- /dev/null
+++ b/fakes/engine/http.go
@@ -0,0 +1,239 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"wigeondale/check"
+	"wigeondale/fakes/fault"
+	"wigeondale/fleet"
+)
+
+const (
+	maxBody           = 64 << 20 // bytes
+	retryAfterSeconds = "1"
+)
+
+// CompletionRequest is the body of POST /v1/completions.
+type CompletionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	Priority  int    `json:"priority"`
+	Ext       Ext    `json:"ext"`
+}
+
+// Ext is the engines' extension of the completions protocol.
+type Ext struct {
+	RequestID    string `json:"request_id"`
+	Attempt      int    `json:"attempt"`
+	Version      string `json:"version"`
+	Adapter      string `json:"adapter"`
+	ResumeText   string `json:"resume_text"`
+	ResumeTokens int    `json:"resume_tokens"`
+	LingerMS     int64  `json:"linger_ms"`
+}
+
+type errorBody struct {
+	Message string `json:"message,omitempty"`
+	Code    string `json:"code"`
+}
+
+type errorAnswer struct {
+	Error errorBody `json:"error"`
+}
+
+type staleFence struct {
+	Error errorBody `json:"error"`
+	Fence uint64    `json:"fence"`
+}
+
+type cancelAnswer struct {
+	Cancelled bool `json:"cancelled"`
+	Generated int  `json:"generated"`
+}
+
+type eventsAnswer struct {
+	Incarnation string       `json:"incarnation"`
+	Events      []CacheEvent `json:"events"`
+}
+
+// refusal is an answer given before any work has been done.
+type refusal struct {
+	status  int
+	code    string
+	message string
+}
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.postCompletions)
+	mux.HandleFunc("GET /v1/streams/{request}/{attempt}", e.getStream)
+	mux.HandleFunc("DELETE /v1/streams/{request}/{attempt}", e.deleteStream)
+	mux.HandleFunc("GET /v1/load", e.getLoad)
+	mux.HandleFunc("GET /v1/cache-events", e.getCacheEvents)
+	mux.HandleFunc("GET /v1/orders", e.getOrders)
+	mux.HandleFunc("PUT /v1/orders", e.putOrders)
+	return mux
+}
+
+func (e *Engine) postCompletions(w http.ResponseWriter, r *http.Request) {
+	var req CompletionRequest
+	if err := readJSON(w, r, &req); err != nil {
+		refuse(w, refusal{http.StatusBadRequest, "bad_request", err.Error()})
+		return
+	}
+	if msg := req.problem(); msg != "" {
+		refuse(w, refusal{http.StatusBadRequest, "bad_request", msg})
+		return
+	}
+	rd := newReader()
+	s := newStream(req)
+	s.attach(rd)
+	incarnation, no := e.accept(s)
+	if no != nil {
+		refuse(w, *no)
+		return
+	}
+	e.follow(w, r, s, rd, incarnation, 0)
+}
+
+func (r CompletionRequest) problem() string {
+	switch {
+	case !r.Stream:
+		return "stream must be true"
+	case r.Model == "":
+		return "model is empty"
+	case r.Ext.RequestID == "":
+		return "ext.request_id is empty"
+	case r.Ext.ResumeTokens < 0 || r.MaxTokens <= r.Ext.ResumeTokens:
+		return "max_tokens must be above ext.resume_tokens"
+	case (r.Ext.ResumeTokens == 0) != (r.Ext.ResumeText == ""):
+		return "ext.resume_text and ext.resume_tokens do not agree"
+	}
+	return ""
+}
+
+func newStream(req CompletionRequest) *stream {
+	x := req.Ext
+	ref := fleet.ModelRef{Model: req.Model, Version: x.Version, Adapter: x.Adapter}
+	input := req.Prompt + x.ResumeText
+	pieces := (len(input) + fleet.BlockBytes - 1) / fleet.BlockBytes
+	return &stream{
+		key:      key{x.RequestID, x.Attempt},
+		ref:      ref,
+		priority: req.Priority,
+		max:      req.MaxTokens,
+		base:     x.ResumeTokens,
+		linger:   time.Duration(x.LingerMS) * time.Millisecond,
+		blocks:   fleet.PrefixBlocks(input, pieces),
+		pieces:   pieces,
+		head:     chunkHead(x.RequestID, x.Attempt, ref),
+		chain:    check.NewChain(req.Prompt, x.ResumeText, x.ResumeTokens),
+	}
+}
+
+// accept queues the stream or says why not.
+func (e *Engine) accept(s *stream) (incarnation string, no *refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.order.leaving:
+		return "", &refusal{http.StatusServiceUnavailable, "leaving", "the engine is leaving"}
+	case !slices.Contains(e.order.actual, s.ref):
+		return "", &refusal{http.StatusNotFound, "model_not_loaded", s.ref.String() + " is not loaded"}
+	case e.streams[s.key] != nil:
+		return "", &refusal{http.StatusConflict, "bad_request", "this attempt exists already"}
+	case len(e.waiting) >= e.cfg.MaxWaiting:
+		return "", &refusal{http.StatusTooManyRequests, "overloaded", "the waiting queue is full"}
+	}
+	e.enqueue(s)
+	return e.incarnation, nil
+}
+
+func (e *Engine) getStream(w http.ResponseWriter, r *http.Request) {
+	s, incarnation := e.find(r)
+	if s == nil {
+		refuse(w, refusal{http.StatusNotFound, "no_stream", "no such stream"})
+		return
+	}
+	from, err := strconv.Atoi(r.FormValue("from"))
+	if r.FormValue("from") == "" {
+		from, err = s.base, nil
+	}
+	if err != nil || from < s.base || from > s.max {
+		refuse(w, refusal{http.StatusBadRequest, "bad_request", fmt.Sprintf("from must be in %d..%d", s.base, s.max)})
+		return
+	}
+	rd := newReader()
+	s.attach(rd)
+	e.follow(w, r, s, rd, incarnation, from-s.base)
+}
+
+func (e *Engine) deleteStream(w http.ResponseWriter, r *http.Request) {
+	s, _ := e.find(r)
+	if s == nil {
+		refuse(w, refusal{http.StatusNotFound, "no_stream", "no such stream"})
+		return
+	}
+	e.mu.Lock()
+	n := e.end(s, "cancelled", time.Now())
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, cancelAnswer{true, n})
+}
+
+func (e *Engine) find(r *http.Request) (*stream, string) {
+	attempt, err := strconv.Atoi(r.PathValue("attempt"))
+	if err != nil {
+		return nil, ""
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[key{r.PathValue("request"), attempt}], e.incarnation
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := e.samples[0]
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) getCacheEvents(w http.ResponseWriter, r *http.Request) {
+	var after uint64
+	if v := r.FormValue("after"); v != "" {
+		n, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			refuse(w, refusal{http.StatusBadRequest, "bad_request", "after is not a number"})
+			return
+		}
+		after = n
+	}
+	e.mu.Lock()
+	until := time.Now().Add(-fault.Millis(e.cfg.EventsLagMS))
+	answer := eventsAnswer{e.incarnation, e.cache.after(after, until)}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) error {
+	return json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+func refuse(w http.ResponseWriter, no refusal) {
+	if no.status == http.StatusTooManyRequests || no.status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	writeJSON(w, no.status, errorAnswer{errorBody{no.message, no.code}})
+}
--- /dev/null
+++ b/fakes/relay/relay.go
@@ -0,0 +1,97 @@
+// Package relay is a plain TCP relay whose two directions can be cut, so that a
+// test can separate two processes that both stay alive.
+package relay
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"wigeondale/fakes/fault"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("relay")
+
+const dialTimeout = 5 * time.Second
+
+// Relay passes the bytes of each connection to its target and back.
+type Relay struct {
+	id       string
+	target   string
+	listener *fault.Listener
+}
+
+// New prepares a relay from the address listen to the address target.
+func New(id, listen, target string) *Relay {
+	return &Relay{id: id, target: target, listener: fault.NewListener(listen)}
+}
+
+// ID is the name under which the control listener knows the relay.
+func (r *Relay) ID() string { return r.id }
+
+// Addr is the address that clients dial.
+func (r *Relay) Addr() string { return r.listener.Address() }
+
+// Start begins to accept connections.
+func (r *Relay) Start() error {
+	ln, err := r.listener.Start()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if ln != nil {
+		go r.accept(ln)
+	}
+	return nil
+}
+
+// Close resets all connections and stops accepting.
+func (r *Relay) Close() { r.listener.Kill() }
+
+// Fault turns a switch: cut, heal, kill or start.
+func (r *Relay) Fault(name string, _ json.RawMessage) error {
+	switch name {
+	case "cut":
+		r.listener.Cut()
+	case "heal":
+		r.listener.Heal()
+	case "kill":
+		r.Close()
+	case "start":
+		return r.Start()
+	default:
+		return fault.ErrUnknown
+	}
+	return nil
+}
+
+func (r *Relay) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(c)
+	}
+}
+
+// pass ends both connections once either direction has ended.
+func (r *Relay) pass(c net.Conn) {
+	defer c.Close()
+	t, err := net.DialTimeout("tcp", r.target, dialTimeout)
+	if err != nil {
+		return
+	}
+	defer t.Close()
+	done := make(chan struct{}, 2)
+	copyOne := func(dst, src net.Conn) {
+		io.Copy(dst, src)
+		done <- struct{}{}
+	}
+	go copyOne(t, c)
+	go copyOne(c, t)
+	<-done
+}
--- /dev/null
+++ b/fakes/vms/vms.go
@@ -0,0 +1,204 @@
+// Package vms is a stand-in for the platform's VM list. It speaks the HTTP
+// service-discovery format of Prometheus and lags behind the changes that are
+// made to it.
+package vms
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"wigeondale/fakes/fault"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("fake VM list")
+
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
+// Entry is one target of the list.
+type Entry struct {
+	ID            string `json:"id"` // backend id or node id
+	VM            string `json:"vm"`
+	Role          string `json:"role"` // "engine", "service" or "entry"
+	Addr          string `json:"addr"`
+	FailureDomain string `json:"failure_domain"`
+	Service       string `json:"service"`
+	ChecksFence   bool   `json:"checks_fence"`
+	Leaving       bool   `json:"leaving"`
+}
+
+type target struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+func (e Entry) target() target {
+	state := stateLive
+	if e.Leaving {
+		state = stateLeaving
+	}
+	return target{
+		Targets: []string{e.Addr},
+		Labels: map[string]string{
+			"__meta_vm_id":          e.VM,
+			"__meta_role":           e.Role,
+			"__meta_backend_id":     e.ID,
+			"__meta_failure_domain": e.FailureDomain,
+			"__meta_state":          state,
+			"__meta_service":        e.Service,
+			"__meta_checks_fence":   strconv.FormatBool(e.ChecksFence),
+		},
+	}
+}
+
+// version is the list as it stood from a moment on.
+type version struct {
+	since   time.Time
+	entries []Entry
+}
+
+// List is the stand-in service.
+type List struct {
+	server *fault.Server
+
+	mu       sync.Mutex
+	lag      time.Duration
+	versions []version // oldest first; never empty
+}
+
+// New prepares the list at addr, which shows changes only after lag.
+func New(addr string, lag time.Duration) *List {
+	l := &List{lag: lag, versions: make([]version, 1)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", l.get)
+	l.server = fault.NewServer(addr, mux)
+	return l
+}
+
+// ID is the name under which the control listener knows the list.
+func (l *List) ID() string { return "vms" }
+
+// Addr is the address of the list.
+func (l *List) Addr() string { return l.server.Addr() }
+
+// Start begins to serve.
+func (l *List) Start() error { return Error.Wrap(l.server.Start()) }
+
+// Close ends the service.
+func (l *List) Close() { l.server.Kill() }
+
+// Seed sets the first entries, shown without any lag.
+func (l *List) Seed(entries []Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range entries {
+		if entries[i].VM == "" {
+			entries[i].VM = entries[i].ID
+		}
+	}
+	l.versions = []version{{entries: entries}}
+}
+
+// Fault turns a switch: leave {vm,on}, add {an entry}, remove {vm}, lag {ms}
+// and the common ones of an HTTP stand-in.
+func (l *List) Fault(name string, raw json.RawMessage) error {
+	if name == "add" {
+		return l.add(raw)
+	}
+	var args fault.Args
+	if err := fault.Decode(raw, &args); err != nil {
+		return err
+	}
+	switch name {
+	case "leave":
+		return l.change(args.VM, func(e []Entry, i int) []Entry {
+			e[i].Leaving = args.Enabled()
+			return e
+		})
+	case "remove":
+		return l.change(args.VM, func(e []Entry, i int) []Entry { return slices.Delete(e, i, i+1) })
+	case "lag":
+		l.setLag(args.Duration())
+		return nil
+	}
+	return l.server.Apply(name, args)
+}
+
+func (l *List) setLag(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = d
+}
+
+func (l *List) add(raw json.RawMessage) error {
+	var e Entry
+	if err := fault.Decode(raw, &e); err != nil {
+		return err
+	}
+	if e.ID == "" || e.Addr == "" {
+		return fault.ErrArgs
+	}
+	if e.VM == "" {
+		e.VM = e.ID
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.push(append(l.latest(), e))
+	return nil
+}
+
+// change applies f to every entry of the VM, last one first.
+func (l *List) change(vm string, f func([]Entry, int) []Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entries := l.latest()
+	found := false
+	for i := len(entries) - 1; i >= 0; i-- {
+		if entries[i].VM == vm {
+			entries = f(entries, i)
+			found = true
+		}
+	}
+	if !found {
+		return fault.ErrArgs
+	}
+	l.push(entries)
+	return nil
+}
+
+// latest copies the newest entries, so that older versions stay as they were.
+func (l *List) latest() []Entry { return slices.Clone(l.versions[len(l.versions)-1].entries) }
+
+func (l *List) push(entries []Entry) {
+	l.versions = append(l.versions, version{time.Now(), entries})
+}
+
+// visible is the newest version that is old enough to be shown.
+func (l *List) visible(now time.Time) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range slices.Backward(l.versions) {
+		if now.Sub(v.since) >= l.lag {
+			return v.entries
+		}
+	}
+	return l.versions[0].entries
+}
+
+func (l *List) get(w http.ResponseWriter, _ *http.Request) {
+	targets := []target{}
+	for _, e := range l.visible(time.Now()) {
+		targets = append(targets, e.target())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(targets)
+}
--- /dev/null
+++ b/generation/attempt.go
@@ -0,0 +1,109 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wigeondale/backend"
+	"wigeondale/fleet"
+)
+
+// attemptSpread is the range of the random step in the attempt's number after
+// a change of router: two routers that take the same answer over at the same
+// moment must not give one number to two attempts.
+const attemptSpread = 1 << 16
+
+// attempt is one run of the request on one engine.
+type attempt struct {
+	backend  fleet.Backend
+	place    Place
+	stream   *backend.Stream // nil while it isn't read
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	watch    Watch
+	done     func()
+	accepted int  // tokens delivered from it
+	seen     bool // the engine has confirmed that it exists
+}
+
+func (x *run) nextNumber() int {
+	x.number++
+	if x.req.Resume != nil && x.number == x.req.Resume.Attempt+1 {
+		x.number += int(x.opts.Rand() * attemptSpread)
+	}
+	return x.number
+}
+
+// watchAttempt puts a under the failure detector.
+func (x *run) watchAttempt(a *attempt) {
+	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
+	a.watch = x.Watcher.Watch(a.backend.ID, a.cancel)
+}
+
+// closeReader ends the reading of a; the engine keeps it for the linger time.
+func (a *attempt) closeReader() {
+	if a.stream != nil {
+		a.stream.Close()
+		a.stream = nil
+	}
+	if a.watch != nil {
+		a.watch.Close()
+		a.watch = nil
+	}
+	if a.cancel != nil {
+		a.cancel(nil)
+	}
+	if a.done != nil {
+		a.done()
+		a.done = nil
+	}
+}
+
+// leave closes the reader and lets the engine's linger time decide.
+func (x *run) leave() {
+	if x.last != nil {
+		x.last.closeReader()
+		x.last = nil
+	}
+}
+
+// abandon closes the reader and has the attempt cancelled.
+func (x *run) abandon() {
+	a := x.last
+	if a == nil {
+		return
+	}
+	x.leave()
+	if a.backend.Addr == "" {
+		return // handed over from a backend server that isn't known any more
+	}
+	x.Abandon.Add(backend.Abandoned{
+		Backend: a.backend, Incarnation: a.place.Incarnation,
+		Request: x.req.ID, Attempt: a.place.Attempt, Accepted: a.accepted,
+	})
+}
+
+// linger is how long the engine keeps an attempt without a reader. The one
+// run of a request that isn't idempotent must outlast a long silence.
+func (x *run) linger() time.Duration {
+	if !x.req.NonIdempotent || x.req.Deadline.IsZero() {
+		return x.opts.Linger
+	}
+	return min(max(x.opts.Linger, time.Until(x.req.Deadline)), maxOnceLinger)
+}
+
+// engineLost reports whether the failure detector ended the attempt.
+func engineLost(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, ErrEngineLost) {
+		return true
+	}
+	r, ok := errors.AsType[resumer](cause)
+	return ok && r.Resume()
+}
+
+type resumer interface {
+	error
+	Resume() bool
+}
--- /dev/null
+++ b/generation/dispatch.go
@@ -0,0 +1,199 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wigeondale/backend"
+	"wigeondale/event"
+)
+
+// dispatch sends the request to the picked engine. The deadline has been
+// checked by pick, after the claim.
+func (x *run) dispatch() string {
+	a := &attempt{backend: x.backend, done: x.done}
+	x.done = nil
+	a.place = Place{Backend: a.backend.ID, Attempt: x.nextNumber()}
+	x.watchAttempt(a)
+	x.m.attempts.Inc()
+	if x.reached {
+		x.m.prefill.Add(len(x.req.Prompt) + len(x.text))
+	}
+	s, err := x.Engines.Open(a.ctx, a.backend, backend.StartRequest{
+		ID: x.req.ID, Attempt: a.place.Attempt, Ref: x.req.Ref,
+		Prompt: x.req.Prompt, MaxTokens: x.req.MaxTokens, Priority: x.req.Priority,
+		ResumeText: string(x.text), ResumeTokens: x.acc.next, Linger: x.linger(),
+	})
+	if err != nil {
+		return x.notOpened(a, err)
+	}
+	x.Watcher.Result(a.backend.ID, nil)
+	x.reached = true
+	return x.begin(a, s, "opened")
+}
+
+// begin makes a the attempt that tokens are accepted from.
+func (x *run) begin(a *attempt, s *backend.Stream, ev string) string {
+	a.stream = s
+	a.seen = true
+	a.place.Incarnation = s.Incarnation()
+	x.last = a
+	x.acc.begin(a.place.Attempt)
+	if err := x.sink.Begin(a.place); err != nil {
+		return x.callerGone(err)
+	}
+	if x.started() {
+		x.res.Resumes++
+		x.m.resumes.Inc()
+	}
+	return ev
+}
+
+func (x *run) notOpened(a *attempt, err error) string {
+	refused, isRefusal := errors.AsType[*backend.Refused](err)
+	if !isRefusal && !errors.Is(err, backend.ErrDial) {
+		x.reached = true
+		x.last = a
+		return x.lost(a, err)
+	}
+	a.closeReader()
+	if x.over() {
+		return x.giveUp(CodeDeadline, x.cause())
+	}
+	if x.exclude[a.backend.ID] {
+		x.delay = waitMin // the picker has no other
+	}
+	x.exclude[a.backend.ID] = true
+	x.waitErr = err
+	if isRefusal {
+		x.m.refusedByEngine.Inc()
+		x.Watcher.Result(a.backend.ID, nil)
+		if refused.Code == codeBadRequest {
+			return x.giveUp(codeBadRequest, err)
+		}
+	} else {
+		x.Watcher.Result(a.backend.ID, err)
+	}
+	// A started answer goes before the budget: it holds work already paid for.
+	if !x.started() && !x.Budget.Take() {
+		return x.giveUp(CodeRetryBudget, err)
+	}
+	return "not-started"
+}
+
+// lost closes the reader of an attempt that ended early and notes why.
+func (x *run) lost(a *attempt, err error) string {
+	if x.ctx.Err() != nil {
+		return x.giveUp(CodeDeadline, x.cause())
+	}
+	x.lossCause = lossCause(a.ctx, err)
+	if !engineLost(a.ctx) {
+		x.Watcher.Result(a.backend.ID, err)
+	}
+	if x.lossCause == causeMismatch || x.lossCause == causeGap {
+		x.opts.Log.Emit(event.AttemptMismatch, "backend", a.backend.ID, "request", x.req.ID, "err", err)
+	}
+	x.waitErr = err
+	a.closeReader()
+	return "lost"
+}
+
+func lossCause(ctx context.Context, err error) string {
+	switch {
+	case engineLost(ctx):
+		return causeSilence
+	case errors.Is(err, errGap):
+		return causeGap
+	case errors.Is(err, backend.ErrMismatch):
+		return causeMismatch
+	}
+	return causeBroken
+}
+
+// suspect decides how an answer goes on whose attempt was lost. With the text
+// at hand it goes on at another engine, and the old attempt is cancelled.
+// Otherwise (not idempotent, or a text that this router never saw) only the
+// very same run can give the rest.
+func (x *run) suspect() string {
+	if x.over() {
+		return x.giveUp(CodeDeadline, x.cause())
+	}
+	x.tries++
+	if x.tries > x.maxTries() {
+		return x.giveUp(CodeEngineLost, errors.Join(ErrNoResume, x.waitErr))
+	}
+	if x.holdsText && !x.unseated {
+		x.exclude[x.last.place.Backend] = true
+		x.abandon()
+		return "continue"
+	}
+	x.unseated = false
+	if x.last.place.Backend == "" || (x.last.seen && errors.Is(x.waitErr, backend.ErrUnknownStream)) {
+		return x.giveUp(CodeNoResume, errors.Join(ErrNoResume, x.waitErr))
+	}
+	if x.tries > 1 && !x.sleep(waitMin<<min(x.tries, 5)) {
+		return x.giveUp(CodeDeadline, x.cause())
+	}
+	return "reattach"
+}
+
+func (x *run) maxTries() int {
+	if x.req.NonIdempotent {
+		return maxOnceTries
+	}
+	return x.opts.MaxFruitless
+}
+
+// resume attaches to the run that the engine still holds.
+func (x *run) resume() string {
+	if x.last == nil {
+		x.last = x.handedOver()
+	}
+	a := x.last
+	b, known := x.Picker.Lookup(a.place.Backend)
+	if !known {
+		x.waitErr = Error.New("%w: backend server %s is not known", backend.ErrUnknownStream, a.place.Backend)
+		return "not-attached"
+	}
+	a.backend = b
+	x.watchAttempt(a)
+	x.m.reattachs.Inc()
+	s, err := x.attach(a)
+	if err != nil {
+		if x.ctx.Err() != nil {
+			return x.giveUp(CodeDeadline, x.cause())
+		}
+		x.waitErr = err
+		a.closeReader()
+		return "not-attached"
+	}
+	return x.begin(a, s, "attached")
+}
+
+func (x *run) handedOver() *attempt {
+	p := x.req.Resume
+	return &attempt{
+		place: Place{Backend: p.Backend, Incarnation: p.Incarnation, Attempt: p.Attempt},
+		seen:  true,
+	}
+}
+
+// attach bounds the wait for the engine's answer, not the reading after it:
+// a frozen engine accepts connections and says nothing.
+func (x *run) attach(a *attempt) (*backend.Stream, error) {
+	cancel := a.cancel
+	t := time.AfterFunc(x.opts.AttachTimeout, func() { cancel(ErrEngineLost) })
+	defer t.Stop()
+	s, err := x.Engines.Attach(a.ctx, a.backend, backend.StreamID{
+		Request: x.req.ID, Attempt: a.place.Attempt, Ref: x.req.Ref,
+	}, x.acc.next)
+	if err != nil {
+		return nil, err
+	}
+	if a.place.Incarnation != "" && a.place.Incarnation != s.Incarnation() {
+		s.Close()
+		return nil, Error.New("%w: engine was restarted", backend.ErrUnknownStream)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/generation/fake_test.go
@@ -0,0 +1,263 @@
+package generation
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"wigeondale/backend"
+	"wigeondale/fleet"
+)
+
+const answerTokens = 8
+
+var ref = fleet.ModelRef{Model: "m", Version: "v1"}
+
+func word(i int) string { return fmt.Sprintf(" %d", i) }
+
+func words(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(word(i))
+	}
+	return b.String()
+}
+
+// act is what an engine does with one request: so many tokens, then a fault.
+type act struct {
+	tokens int
+	then   string
+}
+
+type post struct {
+	Ext struct {
+		RequestID    string `json:"request_id"`
+		Attempt      int    `json:"attempt"`
+		ResumeText   string `json:"resume_text"`
+		ResumeTokens int    `json:"resume_tokens"`
+	} `json:"ext"`
+}
+
+// fakeEngine plays its acts in order, the last one for ever.
+type fakeEngine struct {
+	srv   *httptest.Server
+	mu    sync.Mutex
+	acts  []act
+	posts []post
+	gets  int
+}
+
+func newFakeEngine(t *testing.T, acts ...act) *fakeEngine {
+	e := &fakeEngine{acts: acts}
+	e.srv = httptest.NewServer(e)
+	t.Cleanup(e.srv.Close)
+	return e
+}
+
+func (e *fakeEngine) next() act {
+	a := e.acts[0]
+	if len(e.acts) > 1 {
+		e.acts = e.acts[1:]
+	}
+	return a
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var p post
+	e.mu.Lock()
+	if r.Method == http.MethodPost {
+		json.NewDecoder(r.Body).Decode(&p)
+		e.posts = append(e.posts, p)
+	} else {
+		e.gets++
+		part := strings.Split(r.URL.Path, "/")
+		p.Ext.RequestID = part[3]
+		fmt.Sscan(part[4], &p.Ext.Attempt)
+		fmt.Sscan(r.URL.Query().Get("from"), &p.Ext.ResumeTokens)
+	}
+	a := e.next()
+	e.mu.Unlock()
+	e.play(w, r, p, a)
+}
+
+func (e *fakeEngine) play(w http.ResponseWriter, r *http.Request, p post, a act) {
+	w.Header().Set("X-Engine-Incarnation", "i1")
+	switch a.then {
+	case "refuse":
+		w.Header().Set("Retry-After", "4")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprint(w, `{"error":{"code":"overloaded"}}`)
+		return
+	case "none":
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case "close":
+		panic(http.ErrAbortHandler)
+	}
+	from := p.Ext.ResumeTokens
+	end := min(from+a.tokens, answerTokens)
+	if a.then == "" {
+		end = answerTokens
+	}
+	for i := from; i < end; i++ {
+		emit(w, p.Ext.RequestID, p.Ext.Attempt, i)
+	}
+	w.(http.Flusher).Flush()
+	switch a.then {
+	case "reset":
+		panic(http.ErrAbortHandler)
+	case "hang":
+		<-r.Context().Done()
+	case "gap":
+		emit(w, p.Ext.RequestID, p.Ext.Attempt, end+1)
+	case "cross":
+		emit(w, "other", p.Ext.Attempt, end)
+	case "repeat":
+		for i := end - 1; i < answerTokens; i++ {
+			emit(w, p.Ext.RequestID, p.Ext.Attempt, i)
+		}
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func emit(w http.ResponseWriter, id string, attempt, i int) {
+	finish := "null"
+	if i == answerTokens-1 {
+		finish = `"stop"`
+	}
+	fmt.Fprintf(w, `data: {"id":%q,"attempt":%d,"model":"m","version":"v1","adapter":"","index":%d,"choices":[{"index":0,"text":%q,"finish_reason":%s}]}`+"\n\n", id, attempt, i, word(i), finish)
+}
+
+// harness plays everything around the Runner.
+type harness struct {
+	engines     []*fakeEngine
+	dead        bool // the engines' address refuses connections
+	silentAfter int  // tokens after which the first stream is called silent
+	expect      bool // a missing replica is expected
+	claimErr    error
+	duplicate   bool
+	onClaim     func()
+	noBudget    bool
+
+	watched   int
+	abandoned []backend.Abandoned
+	voided    []string
+	released  int
+	inFlight  int
+}
+
+func (h *harness) Admit(context.Context, Ticket) (func(), error) {
+	return func() { h.released++ }, nil
+}
+
+func (h *harness) Claim(context.Context, string, string, [16]byte, string) (bool, error) {
+	if h.onClaim != nil {
+		h.onClaim()
+	}
+	return !h.duplicate && h.claimErr == nil, h.claimErr
+}
+
+func (h *harness) Void(_ context.Context, _, _, attempt string) error {
+	h.voided = append(h.voided, attempt)
+	return nil
+}
+
+func (h *harness) Pick(_ context.Context, a Ask) (fleet.Backend, func(), error) {
+	for i := range h.engines {
+		b, _ := h.Lookup(fmt.Sprint("e", i))
+		if !a.Exclude[b.ID] {
+			h.inFlight++
+			return b, func() { h.inFlight-- }, nil
+		}
+	}
+	return fleet.Backend{}, nil, &Unavailable{Retryable: h.expect, RetryAfter: 7 * time.Second, Err: errors.New("no replica")}
+}
+
+func (h *harness) Lookup(id string) (fleet.Backend, bool) {
+	for i, e := range h.engines {
+		if id == fmt.Sprint("e", i) {
+			b := fleet.Backend{ID: id, Addr: e.srv.Listener.Addr().String()}
+			if h.dead {
+				e.srv.Close()
+			}
+			return b, true
+		}
+	}
+	return fleet.Backend{}, false
+}
+
+func (h *harness) Take() bool { return !h.noBudget }
+
+func (h *harness) Add(a backend.Abandoned) { h.abandoned = append(h.abandoned, a) }
+
+func (h *harness) Result(string, error) {}
+
+func (h *harness) Watch(_ string, cancel context.CancelCauseFunc) Watch {
+	h.watched++
+	return &fakeWatch{left: h.silentAfter, first: h.watched == 1, cancel: cancel}
+}
+
+type fakeWatch struct {
+	left   int
+	first  bool
+	cancel context.CancelCauseFunc
+}
+
+type silence struct{}
+
+func (silence) Error() string { return "silent" }
+func (silence) Resume() bool  { return true }
+
+func (w *fakeWatch) Token(time.Time) {
+	w.left--
+	if w.first && w.left == 0 {
+		w.cancel(silence{})
+	}
+}
+
+func (w *fakeWatch) Close() {}
+
+type fakeSink struct {
+	text   strings.Builder
+	places []Place
+	failAt int // index whose Token fails; 0 for never
+}
+
+func (s *fakeSink) Begin(p Place) error { s.places = append(s.places, p); return nil }
+
+func (s *fakeSink) Token(i int, text []byte, _ string) error {
+	if s.failAt > 0 && i == s.failAt {
+		return errors.New("connection reset")
+	}
+	s.text.Write(text)
+	return nil
+}
+
+func (s *fakeSink) Flush() error { return nil }
+
+func (h *harness) run(t *testing.T, req Request, sink *fakeSink, o Options) Result {
+	t.Helper()
+	client := backend.NewClient()
+	defer client.CloseIdle()
+	r, err := New(Deps{Admitter: h, Claims: h, Picker: h, Watcher: h, Engines: client, Abandon: h, Budget: h}, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.ID, req.Ref, req.Prompt = "r", ref, "prompt"
+	if req.MaxTokens == 0 {
+		req.MaxTokens = 100
+	}
+	res := r.Run(t.Context(), req, sink)
+	r.Wait()
+	if h.inFlight != 0 || h.released > 1 {
+		t.Errorf("in flight %d, released %d", h.inFlight, h.released)
+	}
+	return res
+}
--- /dev/null
+++ b/generation/generation.go
@@ -0,0 +1,196 @@
+// Package generation carries one generation from its admission to its end,
+// over as many engines as it takes.
+//
+// The state chart in generation.json holds the order of events; the code holds
+// what each state does. The package guards against: an engine lost in
+// mid-answer (the answer goes on elsewhere from the accepted text, same model,
+// version and adapter only); late, repeated, crossed or skipped tokens (type
+// acceptor); a second run of a request that is not idempotent (claim before
+// dispatch, then only re-attachment to the one run); and an untrue "not-run",
+// which is said only while no byte can have reached an engine or every engine
+// that was reached refused before starting.
+//
+// When the caller's connection is lost (a Sink error, or the caller's context
+// ending) the attempt is not cancelled: its reader is closed and the engine
+// keeps it for the linger time, so that the caller may re-attach through any
+// router. In every other case the attempt goes to the Canceller.
+package generation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"wigeondale/backend"
+	"wigeondale/fleet"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("generation")
+
+var (
+	// ErrEngineLost, as a cancel cause of an attempt, asks for a resume.
+	ErrEngineLost = errors.New("engine lost")
+	// ErrDeadline says that the caller's deadline passed.
+	ErrDeadline = errors.New("deadline passed")
+	// ErrCallerGone says that the caller took no more of the answer.
+	ErrCallerGone = errors.New("caller is gone")
+	// ErrDuplicate says that the key of the request is claimed already.
+	ErrDuplicate = errors.New("key is claimed already")
+	// ErrNoResume says that an answer can't be continued truthfully.
+	ErrNoResume = errors.New("answer can't be continued")
+)
+
+// Codes of Result, besides those of an engine's own refusal.
+const (
+	CodeDeadline     = "deadline"
+	CodeCallerGone   = "caller_gone"
+	CodeDuplicate    = "duplicate_key"
+	CodeNoClaim      = "claims_unavailable"
+	CodeNoReplica    = "no_replica"
+	CodeNotAdmitted  = "not_admitted"
+	CodeRetryBudget  = "retry_budget"
+	CodeEngineLost   = "engine_lost"
+	CodeNoResume     = "resume_impossible"
+	codeBadRequest   = "bad_request"
+	codeInternalFlow = "internal"
+)
+
+// Unavailable is the error by which an Admitter, Claims or Picker says why and
+// until when; any other error counts as final and without advice.
+type Unavailable struct {
+	Code       string        // for the caller; empty uses this package's code
+	Retryable  bool          // what is missing is expected within RetryAfter
+	RetryAfter time.Duration // 0 when not known
+	Err        error
+}
+
+func (e *Unavailable) Error() string {
+	return fmt.Sprintf("unavailable (%s): %v", e.Code, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Unavailable) Unwrap() error { return e.Err }
+
+// Request is one generation as the caller asked for it.
+type Request struct {
+	ID            string // unique over all client accounts
+	Account       string
+	Ref           fleet.ModelRef
+	Prompt        string
+	MaxTokens     int
+	Priority      fleet.Priority
+	NonIdempotent bool
+	Deadline      time.Time // zero means none
+	BodyHash      [16]byte
+	Resume        *ResumePoint // nil for a new request
+}
+
+// ResumePoint is where an answer begun through another router goes on. Its
+// origin and its text have been checked against the cursor.
+type ResumePoint struct {
+	Backend     string
+	Incarnation string
+	Attempt     int
+	Offset      int    // tokens that the caller has
+	Text        string // text of those tokens
+	HaveText    bool
+	Finished    bool // the caller has the last token already
+}
+
+// Place names the attempt that tokens come from.
+type Place struct {
+	Backend     string
+	Incarnation string
+	Attempt     int
+}
+
+// Sink takes the answer. An error means that the caller is gone.
+type Sink interface {
+	// Begin is called once for each attempt that delivers, before its tokens.
+	Begin(p Place) error
+	// Token takes the token at index; text is valid during the call only.
+	Token(index int, text []byte, finish string) error
+	// Flush is called when no further token is at hand.
+	Flush() error
+}
+
+// Result is what became of a request.
+type Result struct {
+	Outcome    fleet.Outcome
+	Code       string // empty when complete
+	Err        error
+	RetryAfter time.Duration
+	Tokens     int // delivered by this run
+	Resumes    int
+}
+
+// Ticket is what admission decides on.
+type Ticket struct {
+	Account  string
+	Priority fleet.Priority
+	Cost     float64 // tokens of prompt (estimated) and answer (at most)
+	Deadline time.Time
+}
+
+// Admitter applies the limits of client accounts.
+type Admitter interface {
+	Admit(ctx context.Context, t Ticket) (release func(), err error)
+}
+
+// Claims holds at-most-once claims.
+type Claims interface {
+	// Claim reports whether attempt holds the key from now on.
+	Claim(ctx context.Context, account, key string, bodyHash [16]byte, attempt string) (granted bool, err error)
+	// Void frees a key that this very attempt holds and will not use.
+	Void(ctx context.Context, account, key, attempt string) error
+}
+
+// Ask is what a Picker chooses by.
+type Ask struct {
+	Ref      fleet.ModelRef
+	Priority fleet.Priority
+	Prompt   string
+	Exclude  map[string]bool
+	Resume   bool // a started answer goes ahead of new work
+}
+
+// Picker chooses engines. Pick must check at that moment that the engine is
+// not leaving; done ends the engine's in-flight count.
+type Picker interface {
+	Pick(ctx context.Context, a Ask) (b fleet.Backend, done func(), err error)
+	// Lookup finds a known engine, leaving or not.
+	Lookup(backendID string) (fleet.Backend, bool)
+}
+
+// Watch follows one stream for the failure detector.
+type Watch interface {
+	Token(now time.Time)
+	Close()
+}
+
+// Watcher is the failure detector. It cancels an attempt with a cause that
+// has Resume() bool, or that wraps ErrEngineLost.
+type Watcher interface {
+	Watch(backendID string, cancel context.CancelCauseFunc) Watch
+	Result(backendID string, err error)
+}
+
+// Engines opens streams; *backend.Client does.
+type Engines interface {
+	Open(ctx context.Context, b fleet.Backend, r backend.StartRequest) (*backend.Stream, error)
+	Attach(ctx context.Context, b fleet.Backend, id backend.StreamID, from int) (*backend.Stream, error)
+}
+
+// Abandoner cancels attempts that nobody reads; *backend.Canceller does.
+type Abandoner interface {
+	Add(a backend.Abandoned)
+}
+
+// RetryBudget limits retries to a share of first tries.
+type RetryBudget interface {
+	Take() bool
+}
--- /dev/null
+++ b/generation/meters.go
@@ -0,0 +1,55 @@
+package generation
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"wigeondale/fleet"
+)
+
+// Causes of a loss, as the resume latency is labelled.
+const (
+	causeBroken   = "broken"
+	causeSilence  = "silence"
+	causeMismatch = "mismatch"
+	causeGap      = "gap"
+	causeRouter   = "router"
+)
+
+type meters struct {
+	set       *metrics.Set
+	textBytes atomic.Int64
+	open      atomic.Int64
+
+	attempts, resumes, prefill         *metrics.Counter
+	droppedLate, droppedRepeat         *metrics.Counter
+	droppedGap, droppedMismatch        *metrics.Counter
+	tokens, refusedByEngine, reattachs *metrics.Counter
+}
+
+func newMeters(set *metrics.Set) *meters {
+	m := &meters{set: set}
+	m.attempts = set.GetOrCreateCounter("wigeon_attempts_total")
+	m.resumes = set.GetOrCreateCounter("wigeon_resumes_total")
+	m.reattachs = set.GetOrCreateCounter("wigeon_reattaches_total")
+	m.prefill = set.GetOrCreateCounter("wigeon_extra_prefill_bytes_total")
+	m.tokens = set.GetOrCreateCounter("wigeon_tokens_total")
+	m.refusedByEngine = set.GetOrCreateCounter("wigeon_engine_refusals_total")
+	m.droppedLate = set.GetOrCreateCounter(`wigeon_tokens_dropped_total{reason="late"}`)
+	m.droppedRepeat = set.GetOrCreateCounter(`wigeon_tokens_dropped_total{reason="repeated"}`)
+	m.droppedGap = set.GetOrCreateCounter(`wigeon_tokens_dropped_total{reason="gap"}`)
+	m.droppedMismatch = set.GetOrCreateCounter(`wigeon_tokens_dropped_total{reason="mismatch"}`)
+	set.GetOrCreateGauge("wigeon_accepted_text_bytes", func() float64 { return float64(m.textBytes.Load()) })
+	set.GetOrCreateGauge("wigeon_generations_open", func() float64 { return float64(m.open.Load()) })
+	return m
+}
+
+func (m *meters) resumed(cause string, d time.Duration) {
+	m.set.GetOrCreateHistogram(`wigeon_resume_latency_seconds{cause="` + cause + `"}`).Update(d.Seconds())
+}
+
+func (m *meters) ended(o fleet.Outcome) {
+	m.set.GetOrCreateCounter(`wigeon_generations_total{outcome="` + string(o) + `"}`).Inc()
+}
--- /dev/null
+++ b/generation/steps.go
@@ -0,0 +1,178 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wigeondale/event"
+)
+
+const (
+	bytesPerToken = 4 // rough size of a prompt token, for admission's cost
+	waitMin       = 20 * time.Millisecond
+	waitMax       = 500 * time.Millisecond
+)
+
+func (x *run) admit() string {
+	if p := x.req.Resume; p != nil && (p.Finished || p.Offset >= x.req.MaxTokens) {
+		return "already-whole"
+	}
+	if x.over() {
+		return x.giveUp(CodeDeadline, x.cause())
+	}
+	release, err := x.Admitter.Admit(x.ctx, Ticket{
+		Account:  x.req.Account,
+		Priority: x.req.Priority,
+		Cost:     float64(len(x.req.Prompt)/bytesPerToken + x.req.MaxTokens - x.acc.next),
+		Deadline: x.req.Deadline,
+	})
+	if err != nil {
+		return x.giveUp(CodeNotAdmitted, err)
+	}
+	x.release = release
+	switch {
+	case x.req.Resume != nil:
+		return "handed-over"
+	case x.req.NonIdempotent:
+		return "admitted-once"
+	}
+	return "admitted"
+}
+
+// claim makes this run the only one that may dispatch the request. A claim
+// whose fate isn't known is voided: it was not used, and the void is harmless
+// when another run holds the key.
+func (x *run) claim() string {
+	x.claimedAs = x.claimName()
+	granted, err := x.Claims.Claim(x.ctx, x.req.Account, x.req.ID, x.req.BodyHash, x.claimedAs)
+	if err != nil {
+		return x.giveUp(CodeNoClaim, err)
+	}
+	if !granted {
+		// Another run may have dispatched it, so "not-run" would be untrue.
+		x.claimedAs = ""
+		return x.end("lose", CodeDuplicate, ErrDuplicate)
+	}
+	return "granted"
+}
+
+func (x *run) pick() string {
+	if x.over() {
+		return x.giveUp(CodeDeadline, x.cause())
+	}
+	b, done, err := x.Picker.Pick(x.ctx, Ask{
+		Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
+		Exclude: x.exclude, Resume: x.started(),
+	})
+	if err == nil {
+		x.backend, x.done = b, done
+		return "picked"
+	}
+	x.waitErr = err
+	u, ok := errors.AsType[*Unavailable](err)
+	retryable := ok && u.Retryable
+	if !retryable && len(x.exclude) == 0 {
+		return x.giveUp(CodeNoReplica, err)
+	}
+	x.delay = waitMin
+	if retryable {
+		x.delay = max(u.RetryAfter, waitMin)
+	}
+	// An engine that was lost or refused may be back: better than none.
+	clear(x.exclude)
+	return "none"
+}
+
+// wait passes the time until the next pick, within the caller's deadline and
+// the patience. What can't come within them is answered at once.
+func (x *run) wait() string {
+	if x.over() {
+		return x.giveUp(CodeDeadline, x.cause())
+	}
+	if x.delay == 0 {
+		return "retry"
+	}
+	left := x.patienceLeft()
+	if x.delay > left {
+		return x.giveUp(CodeNoReplica, x.waitErr)
+	}
+	d := min(x.delay, waitMax)
+	x.delay = 0
+	if !x.sleep(d) {
+		return x.giveUp(CodeDeadline, x.cause())
+	}
+	return "retry"
+}
+
+func (x *run) patienceLeft() time.Duration {
+	patience := x.opts.Patience
+	if x.started() {
+		patience = x.opts.StartedPatience
+	}
+	left := patience - time.Since(x.lastToken)
+	if !x.req.Deadline.IsZero() {
+		left = min(left, time.Until(x.req.Deadline))
+	}
+	return left
+}
+
+func (x *run) sleep(d time.Duration) bool {
+	jittered := d/2 + time.Duration(x.opts.Rand()*float64(d)/2)
+	t := time.NewTimer(jittered)
+	defer t.Stop()
+	select {
+	case <-x.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// over reports whether the caller is gone or the deadline has passed. The
+// clock is read, since after a pause of the process the deadline's own timer
+// may not have fired yet; and the wall clock too, since the monotonic one may
+// stand still while a VM is paused.
+func (x *run) over() bool {
+	if x.ctx.Err() != nil {
+		return true
+	}
+	d := x.req.Deadline
+	if d.IsZero() {
+		return false
+	}
+	now := time.Now()
+	return now.After(d) || now.Round(0).After(d.Round(0))
+}
+
+func (x *run) cause() error {
+	cause := context.Cause(x.ctx)
+	switch {
+	case cause == nil, errors.Is(cause, ErrDeadline):
+		return ErrDeadline
+	case errors.Is(cause, context.DeadlineExceeded):
+		return ErrDeadline
+	}
+	return errors.Join(ErrCallerGone, cause)
+}
+
+func (x *run) finish() string {
+	if err := x.sink.Flush(); err != nil {
+		return x.callerGone(err)
+	}
+	return "delivered"
+}
+
+func (x *run) voidClaim() {
+	if x.claimedAs == "" || x.reached {
+		return
+	}
+	account, key, name := x.req.Account, x.req.ID, x.claimedAs
+	x.voids.Go(func() {
+		ctx, stop := context.WithTimeout(context.WithoutCancel(x.ctx), voidTimeout)
+		defer stop()
+		if err := x.Claims.Void(ctx, account, key, name); err != nil {
+			x.opts.Log.Emit(event.VoidFailed, "account", account, "err", err)
+		}
+	})
+}
--- /dev/null
+++ b/generation/stream.go
@@ -0,0 +1,93 @@
+package generation
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"wigeondale/backend"
+)
+
+var errGap = errors.New("token missing")
+
+// stream delivers the attempt's tokens until it ends.
+func (x *run) stream() string {
+	a := x.last
+	for {
+		t, err := a.stream.Next()
+		if err != nil {
+			return x.streamEnded(a, err)
+		}
+		now := time.Now()
+		a.watch.Token(now)
+		switch x.acc.offer(a.place.Attempt, t.Index) {
+		case late:
+			x.m.droppedLate.Inc()
+			continue
+		case repeated:
+			x.m.droppedRepeat.Inc()
+			continue
+		case gap:
+			x.m.droppedGap.Inc()
+			return x.lost(a, Error.New("%w: got index %d, want %d", errGap, t.Index, x.acc.next))
+		}
+		if err := x.deliver(a, t, now); err != nil {
+			return x.callerGone(err)
+		}
+		if t.Finish != "" {
+			return x.whole(a)
+		}
+	}
+}
+
+func (x *run) deliver(a *attempt, t backend.Token, now time.Time) error {
+	if x.lossCause != "" {
+		x.m.resumed(x.lossCause, now.Sub(x.lastToken))
+		x.lossCause = ""
+	}
+	x.lastToken = now
+	x.tries = 0
+	a.accepted++
+	x.res.Tokens++
+	x.m.tokens.Inc()
+	if x.holdsText {
+		x.text = append(x.text, t.Text...)
+		x.meterText()
+	}
+	if err := x.sink.Token(t.Index, t.Text, t.Finish); err != nil {
+		return err
+	}
+	if a.stream.Buffered() {
+		return nil
+	}
+	err := x.sink.Flush()
+	// A caller that reads slowly keeps this goroutine from reading tokens, and
+	// the failure detector sees silence. The engine isn't at fault and still
+	// holds the stream: take it up there instead of paying for a new prefill.
+	x.unseated = a.ctx.Err() != nil
+	return err
+}
+
+// whole ends an attempt after its last token: nothing is left to cancel. The
+// end mark is read when at hand, so that the connection can be used again.
+func (x *run) whole(a *attempt) string {
+	if a.stream.Buffered() {
+		a.stream.Next()
+	}
+	x.leave()
+	return "done"
+}
+
+// streamEnded judges the end of a stream before the last token. An end mark
+// alone doesn't make an answer whole: an engine that ended the attempt itself
+// sends it too.
+func (x *run) streamEnded(a *attempt, err error) string {
+	if errors.Is(err, io.EOF) && x.acc.next >= x.req.MaxTokens {
+		x.leave()
+		return "done"
+	}
+	if errors.Is(err, backend.ErrMismatch) {
+		x.m.droppedMismatch.Inc()
+	}
+	return x.lost(a, err)
+}
--- /dev/null
+++ b/health/gaps.go
@@ -0,0 +1,159 @@
+package health
+
+import (
+	"math"
+	"math/bits"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// buckets covers gaps from 1 ms to about 16 s, four to each doubling.
+	buckets       = 60
+	perDoubling   = 4
+	smallestGap   = time.Millisecond
+	fullHistogram = 4096 // samples at which all counts are halved
+	priorSamples  = 64   // weight of the shared prior against own samples
+
+	tailShare    = 1.0 / fullHistogram
+	tailQuantile = 0.999 // where the unseen tail begins
+	preemptShare = 0.02  // of the synthetic prior: gaps of four steps
+	pauseShare   = 0.005 // of the synthetic prior: gaps of ten steps
+)
+
+// Gaps is a histogram of the gaps between an engine's tokens. Counts are
+// halved when it is full, so that it follows an engine whose load changes.
+// Add may be called from several goroutines.
+type Gaps struct {
+	n     atomic.Uint32
+	count [buckets]atomic.Uint32
+}
+
+// Add records one gap. Gaps below 1 ms belong to one decode step's burst and
+// say nothing about silence, so they are not kept.
+func (g *Gaps) Add(gap time.Duration) {
+	if gap < smallestGap {
+		return
+	}
+	g.count[bucketOf(gap)].Add(1)
+	if g.n.Add(1) >= fullHistogram {
+		g.age()
+	}
+}
+
+// age halves the counts. A concurrent Add may be lost, which is harmless.
+func (g *Gaps) age() {
+	var n uint32
+	for i := range g.count {
+		half := g.count[i].Load() / 2
+		g.count[i].Store(half)
+		n += half
+	}
+	g.n.Store(n)
+}
+
+// bucketOf finds the bucket by the position and the next two bits of the gap
+// in microseconds over 1 ms, without logarithms: this is the hot path.
+func bucketOf(gap time.Duration) int {
+	us := uint64(gap / time.Microsecond)
+	top := bits.Len64(us) - 1
+	quarter := (us >> (top - 2)) & (perDoubling - 1)
+	i := (top-firstTop)*perDoubling + int(quarter)
+	return min(max(i, 0), buckets-1)
+}
+
+// firstTop is the highest bit of 1 ms in microseconds (512..1023 us).
+const firstTop = 9
+
+// edge is the upper bound of bucket i.
+func edge(i int) time.Duration {
+	top := firstTop + i/perDoubling
+	quarter := uint64(i%perDoubling) + 1
+	us := uint64(1)<<top + quarter<<(top-2)
+	return time.Duration(us) * time.Microsecond
+}
+
+// Shares is a distribution of gaps: the share of them in each bucket, with the
+// number of samples behind it.
+type Shares struct {
+	Samples float64
+	Count   [buckets]float64
+}
+
+// Shares copies the counts.
+func (g *Gaps) Shares() Shares {
+	var s Shares
+	for i := range g.count {
+		c := float64(g.count[i].Load())
+		s.Count[i] = c
+		s.Samples += c
+	}
+	return s
+}
+
+// With adds a prior, scaled to a fixed number of samples so that it governs
+// while an engine is young and fades as its own samples come in.
+func (s Shares) With(prior Shares) Shares {
+	if prior.Samples == 0 {
+		return s
+	}
+	scale := min(1, priorSamples/prior.Samples)
+	for i := range s.Count {
+		s.Count[i] += prior.Count[i] * scale
+	}
+	s.Samples += prior.Samples * scale
+	return s
+}
+
+// synthetic is the prior before any gap was observed anywhere.
+func synthetic(typical time.Duration) Shares {
+	var s Shares
+	s.Samples = priorSamples
+	s.Count[bucketOf(typical)] = priorSamples * (1 - preemptShare - pauseShare)
+	s.Count[bucketOf(4*typical)] += priorSamples * preemptShare
+	s.Count[bucketOf(10*typical)] += priorSamples * pauseShare
+	return s
+}
+
+// mean is the mean gap in seconds.
+func (s *Shares) mean() float64 {
+	if s.Samples == 0 {
+		return 0
+	}
+	var sum float64
+	for i, c := range s.Count {
+		sum += c * edge(i).Seconds()
+	}
+	return sum / s.Samples
+}
+
+// survival returns, for each bucket edge, the probability that a healthy gap
+// is longer. A small share of gaps is imagined to lie beyond what was seen:
+// without it, the first gap longer than all earlier ones would count as proof
+// of death. The share is fixed, since engines share their experience by way of
+// the prior; a young engine is no likelier to pause than an old one. It falls
+// off by a Pareto law with the given exponent.
+func (s *Shares) survival(exponent float64) [buckets]float64 {
+	scale := s.quantile(tailQuantile).Seconds()
+	var out [buckets]float64
+	above := s.Samples
+	for i := range out {
+		above -= s.Count[i]
+		seen := max(above, 0) / max(s.Samples, 1)
+		tail := math.Pow(min(1, scale/edge(i).Seconds()), exponent)
+		out[i] = (1-tailShare)*seen + tailShare*tail
+	}
+	return out
+}
+
+// quantile is the edge below which share q of the gaps lie.
+func (s *Shares) quantile(q float64) time.Duration {
+	var below float64
+	for i, c := range s.Count {
+		below += c
+		if below >= q*s.Samples {
+			return edge(i)
+		}
+	}
+	return edge(buckets - 1)
+}
--- /dev/null
+++ b/health/judge_test.go
@@ -0,0 +1,105 @@
+package health
+
+import (
+	"testing"
+	"time"
+)
+
+// history30 is an engine that stepped every 30 ms, with now and then a pause.
+func history30(pause time.Duration, pauses int) History {
+	var g Gaps
+	for range 2000 {
+		g.Add(30 * time.Millisecond)
+	}
+	for range pauses {
+		g.Add(pause)
+	}
+	return History{Gaps: g.Shares(), Streams: 20, Bytes: 20 * 8000}
+}
+
+// Symptom of a wrong threshold: callers wait for seconds on dead engines, or
+// engines that were merely slow are paid for twice. Each row changes one thing
+// and states which way the threshold must move.
+func TestThresholdFollowsExpectedCost(t *testing.T) {
+	base := DefaultPolicy()
+	usual := Threshold(history30(0, 0), &base)
+	rows := []struct {
+		name   string
+		change func(h *History, p *Policy)
+		longer bool
+	}{
+		{"latency weighs more", func(_ *History, p *Policy) { p.ResumeLatencyWeight = 20 }, false},
+		{"extra work weighs more", func(_ *History, p *Policy) { p.ExtraWorkWeight = 20 }, true},
+		{"more text to prefill", func(h *History, _ *Policy) { h.Bytes *= 20 }, true},
+		{"failures are frequent", func(_ *History, p *Policy) { p.FailuresPerHour = 20 }, false},
+		{"a rumour is about", func(h *History, _ *Policy) { h.Rumoured = true }, false},
+		{"an engine with pauses", func(h *History, _ *Policy) { *h = history30(700*time.Millisecond, 40) }, true},
+	}
+	for _, row := range rows {
+		h, p := history30(0, 0), base
+		row.change(&h, &p)
+		got := Threshold(h, &p)
+		if row.longer && got <= usual {
+			t.Errorf("%s: threshold %v, want above %v", row.name, got, usual)
+		}
+		if !row.longer && got >= usual {
+			t.Errorf("%s: threshold %v, want below %v", row.name, got, usual)
+		}
+	}
+	if usual < 2*30*time.Millisecond || usual > 2*time.Second {
+		t.Errorf("threshold of an engine with steps of 30 ms is %v", usual)
+	}
+}
+
+// Symptom: streams are resumed at each preemption. Sequence: an engine steps
+// every 30 ms and pauses for 700 ms once in fifty steps; silence of 100 ms is
+// rare for its steps, yet the token is likely to come. Cause guarded against:
+// judging only by the next moment.
+func TestKnownPausesAreWaitedOut(t *testing.T) {
+	p := DefaultPolicy()
+	got := Threshold(history30(700*time.Millisecond, 40), &p)
+	if got < 700*time.Millisecond {
+		t.Errorf("threshold %v is shorter than the engine's usual pauses", got)
+	}
+}
+
+func TestPrefillBoundGrowsWithPrompt(t *testing.T) {
+	p := DefaultPolicy()
+	short, long := p.PrefillBound(100, false), p.PrefillBound(100_000, false)
+	if short < p.MinPrefill || long <= short || p.PrefillBound(1<<40, true) != p.MaxPrefill {
+		t.Errorf("bounds: short %v, long %v", short, long)
+	}
+	if p.PrefillBound(100, true) <= short {
+		t.Error("a request that queues behind live streams is given no more time")
+	}
+}
+
+func TestBucketsMatchTheirEdges(t *testing.T) {
+	for i := range buckets - 1 {
+		if got := bucketOf(edge(i) - time.Microsecond); got != i {
+			t.Errorf("just below edge %d: bucket %d", i, got)
+		}
+		if got := bucketOf(edge(i)); got != i+1 {
+			t.Errorf("at edge %d: bucket %d", i, got)
+		}
+	}
+}
+
+func TestPolicyIsChecked(t *testing.T) {
+	p := DefaultPolicy()
+	if err := p.Check(); err != nil {
+		t.Error(err)
+	}
+	for name, spoil := range map[string]func(p *Policy){
+		"weight":    func(p *Policy) { p.ExtraWorkWeight = 0 },
+		"bounds":    func(p *Policy) { p.MaxSilence = p.MinSilence },
+		"share":     func(p *Policy) { p.MaxEjectedShare = 1 },
+		"histogram": func(p *Policy) { p.MaxSilence = time.Hour },
+	} {
+		bad := DefaultPolicy()
+		spoil(&bad)
+		if !Error.Has(bad.Check()) {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
--- /dev/null
+++ b/health/monitor.go
@@ -0,0 +1,140 @@
+package health
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"wigeondale/event"
+)
+
+// Monitor watches the backend servers of one process.
+type Monitor struct {
+	// OnChange, set before use, is told when a backend server is ejected or
+	// recovers, so that a rumour can be spread. It must not block.
+	OnChange func(backend, incarnation string, kind RumourKind)
+
+	policy Policy
+	log    *event.Log
+	epoch  time.Time
+	prior  Gaps // gaps of all engines, sampled at ticks
+
+	lastTick atomic.Int64
+	pauseEnd atomic.Int64
+	open     atomic.Int64 // open streams
+	ejected  atomic.Int64 // engines not Healthy
+	wake     chan struct{}
+
+	mu      sync.RWMutex
+	engines map[string]*engine
+
+	suspects, stalls, lates, pauses, held *metrics.Counter
+}
+
+// NewMonitor returns a Monitor. A nil log or set is replaced by one that
+// nobody reads.
+func NewMonitor(policy Policy, log *event.Log, set *metrics.Set) *Monitor {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	m := &Monitor{
+		policy:   policy,
+		log:      log,
+		epoch:    time.Now().Add(-time.Second), // so that no time is 0
+		wake:     make(chan struct{}, 1),
+		engines:  map[string]*engine{},
+		suspects: set.NewCounter(`wigeon_health_cancels_total{cause="suspect"}`),
+		stalls:   set.NewCounter(`wigeon_health_cancels_total{cause="stalled"}`),
+		lates:    set.NewCounter(`wigeon_health_cancels_total{cause="no_first_token"}`),
+		pauses:   set.NewCounter(`wigeon_health_pauses_total`),
+		held:     set.NewCounter(`wigeon_health_mass_holds_total`),
+	}
+	set.NewGauge(`wigeon_health_ejected`, func() float64 { return float64(m.ejected.Load()) })
+	return m
+}
+
+func (m *Monitor) at(now time.Time) int64 { return int64(now.Sub(m.epoch)) }
+
+func (m *Monitor) engine(id string) *engine {
+	m.mu.RLock()
+	e := m.engines[id]
+	m.mu.RUnlock()
+	if e != nil {
+		return e
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e = m.engines[id]; e == nil {
+		e = &engine{id: id}
+		m.engines[id] = e
+	}
+	return e
+}
+
+// Forget drops a backend server that left the fleet, unless streams are open.
+func (m *Monitor) Forget(backend string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.engines[backend]
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.streams) > 0 {
+		return
+	}
+	if e.state != Healthy {
+		m.ejected.Add(-1)
+	}
+	delete(m.engines, backend)
+}
+
+// Watch begins to watch one attempt, whose cancel function is called with
+// ErrSuspect, ErrStalled or ErrNoFirstToken when it should be resumed
+// elsewhere. Call Close on the Stream in any case.
+func (m *Monitor) Watch(backend string, promptBytes int, cancel context.CancelCauseFunc) *Stream {
+	now := m.at(time.Now())
+	s := &Stream{mon: m, engine: m.engine(backend), cancel: cancel, prompt: promptBytes, opened: now}
+	if m.open.Add(1) == 1 {
+		m.lastTick.Store(now)
+		select {
+		case m.wake <- struct{}{}:
+		default:
+		}
+	}
+	s.engine.add(s)
+	return s
+}
+
+// Run ticks while streams are open, until ctx ends.
+func (m *Monitor) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.wake:
+		}
+		if !m.watchOpen(ctx) {
+			return nil
+		}
+	}
+}
+
+// watchOpen ticks until no stream is open. It returns false when ctx ends.
+func (m *Monitor) watchOpen(ctx context.Context) bool {
+	tick := time.NewTicker(m.policy.Tick)
+	defer tick.Stop()
+	for m.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-tick.C:
+			m.Tick(time.Now())
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/health/monitor_test.go
@@ -0,0 +1,281 @@
+package health
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// step is the decode step of the engines in these tests.
+const step = 30 * time.Millisecond
+
+// attempt is a watched stream of a test engine.
+type attempt struct {
+	*Stream
+	ctx context.Context
+}
+
+func (a *attempt) cause() error { return context.Cause(a.ctx) }
+
+func start(m *Monitor, backend string, prompt int) *attempt {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &attempt{Stream: m.Watch(backend, prompt, cancel), ctx: ctx}
+}
+
+// run starts a Monitor's ticks in a bubble of fake time.
+func run(t *testing.T, f func(m *Monitor)) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMonitor(DefaultPolicy(), nil, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = m.Run(ctx)
+		}()
+		f(m)
+		cancel()
+		<-done
+	})
+}
+
+// decode advances all streams by n steps.
+func decode(n int, streams ...*attempt) {
+	for range n {
+		time.Sleep(step)
+		for _, s := range streams {
+			s.Token(time.Now())
+		}
+	}
+	synctest.Wait()
+}
+
+// Symptom: callers of a frozen engine wait for ever; no reset comes. Sequence:
+// four engines decode, one stops on all of its streams. Its streams must be
+// cancelled with a cause that asks for a resume, the others not; later a
+// single probe at a time may go to it, and a token brings it back.
+func TestFrozenEngineIsSuspectedAndProbed(t *testing.T) {
+	run(t, func(m *Monitor) {
+		var told []RumourKind
+		m.OnChange = func(_, _ string, k RumourKind) { told = append(told, k) }
+		dead, dead2 := start(m, "e0", 100), start(m, "e0", 100)
+		live := []*attempt{start(m, "e1", 100), start(m, "e2", 100), start(m, "e3", 100)}
+		decode(40, append(live, dead, dead2)...)
+		decode(int(DefaultPolicy().MaxSilence/step)+1, live...)
+		var resume interface{ Resume() bool }
+		if !errors.Is(dead.cause(), ErrSuspect) || !errors.As(dead2.cause(), &resume) || !resume.Resume() {
+			t.Fatalf("causes of the frozen engine's streams: %v, %v", dead.cause(), dead2.cause())
+		}
+		for _, s := range live {
+			if s.cause() != nil {
+				t.Errorf("a live engine's stream was cancelled: %v", s.cause())
+			}
+		}
+		if m.State("e0") != Probing {
+			t.Fatalf("after its backoff e0 is %v, want probing", m.State("e0"))
+		}
+		if !m.Allow("e0") || m.Allow("e0") {
+			t.Fatal("want exactly one probe at a time")
+		}
+		start(m, "e0", 100).Token(time.Now())
+		if m.State("e0") != Healthy || !m.Allow("e0") {
+			t.Errorf("after a token e0 is %v", m.State("e0"))
+		}
+		if !slices.Equal(told, []RumourKind{RumourSuspect, RumourAlive}) {
+			t.Errorf("rumours %v, want one of suspicion and one of recovery", told)
+		}
+	})
+}
+
+// Symptom: one preempted stream makes its whole engine look dead. Sequence:
+// two streams decode, one stops, the other goes on. Only the silent one may be
+// cancelled, as stalled, and not before the slower bound. A stream whose
+// caller takes no tokens is never judged.
+func TestStalledStreamIsJudgedApart(t *testing.T) {
+	run(t, func(m *Monitor) {
+		live, silent, held := start(m, "e0", 100), start(m, "e0", 100), start(m, "e0", 100)
+		decode(40, live, silent, held)
+		held.SetBlocked(true, time.Now())
+		decode(int(DefaultPolicy().MinStall/step)-1, live)
+		if silent.cause() != nil {
+			t.Fatalf("cancelled before the bound: %v", silent.cause())
+		}
+		decode(int(DefaultPolicy().MaxStall/step)+1, live)
+		if !errors.Is(silent.cause(), ErrStalled) {
+			t.Errorf("silent stream's cause is %v, want stalled", silent.cause())
+		}
+		if live.cause() != nil || held.cause() != nil || m.State("e0") != Healthy {
+			t.Errorf("live %v, held back %v, engine %v", live.cause(), held.cause(), m.State("e0"))
+		}
+	})
+}
+
+// Symptom: after the VM of this process was frozen, all streams are resumed at
+// once although no engine failed. Sequence: tokens come, this process sleeps
+// for ten seconds, then ticks before any reader has run. Cause: silence
+// measured over a time in which we could not hear. The pause must also not
+// enter the distribution of gaps, or later failures would be waited out.
+func TestOwnPauseIsForgiven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMonitor(DefaultPolicy(), nil, nil)
+		s := start(m, "e0", 100)
+		tick := func(n int) {
+			for range n {
+				time.Sleep(DefaultPolicy().Tick)
+				m.Tick(time.Now())
+			}
+		}
+		for range 40 {
+			tick(6)
+			s.Token(time.Now())
+		}
+		before := s.engine.gaps.Shares().Samples
+		time.Sleep(10 * time.Second)
+		tick(4)
+		if s.cause() != nil {
+			t.Fatalf("cancelled after our own pause: %v", s.cause())
+		}
+		s.Token(time.Now())
+		if got := s.engine.gaps.Shares().Samples; got != before {
+			t.Errorf("the pause was recorded as a gap of the engine")
+		}
+		tick(int(DefaultPolicy().MaxSilence / DefaultPolicy().Tick))
+		if !errors.Is(s.cause(), ErrSuspect) {
+			t.Errorf("real silence after the pause: cause %v, want suspect", s.cause())
+		}
+	})
+}
+
+// Symptom: a cut of our own network makes us resume everything everywhere.
+// Sequence: eight engines fall silent, not in the same tick. No more than the
+// bounded share may be acted on before MassSilence, then all.
+func TestMassSilenceIsHeldBack(t *testing.T) {
+	run(t, func(m *Monitor) {
+		var all []*attempt
+		for i := range 8 {
+			all = append(all, start(m, fmt.Sprintf("e%d", i), 100*(1+i*40)))
+		}
+		decode(40, all...)
+		cancelled := func() (n int) {
+			for _, s := range all {
+				if s.cause() != nil {
+					n++
+				}
+			}
+			return n
+		}
+		time.Sleep(DefaultPolicy().MassSilence - 2*step)
+		if got := cancelled(); got > 4 {
+			t.Errorf("%d of 8 engines were given up before the bound for mass silence", got)
+		}
+		time.Sleep(4 * step)
+		if got := cancelled(); got != 8 {
+			t.Errorf("after it %d of 8 were given up, want all", got)
+		}
+	})
+}
+
+// Symptom: now and then a stream is cancelled at its very first token.
+// Sequence: the engine was idle for a minute; a tick falls between the two
+// writes that record a first token, and finds a decoding stream on an engine
+// that was last heard a minute ago.
+func TestFirstTokenAfterIdleIsNoSilence(t *testing.T) {
+	m := NewMonitor(DefaultPolicy(), nil, nil)
+	now := time.Now()
+	for range 2000 {
+		now = now.Add(time.Minute)
+		m.lastTick.Store(m.at(now))
+		s := start(m, "e0", 100)
+		m.lastTick.Store(m.at(now))
+		s.opened = m.at(now)
+		done := make(chan struct{})
+		go func() { defer close(done); s.Token(now) }()
+		for range 20 {
+			m.Tick(now)
+		}
+		<-done
+		s.Close()
+		if s.cause() != nil {
+			t.Fatal(s.cause())
+		}
+	}
+}
+
+// Symptom: one router that is cut off talks the others out of healthy engines.
+// Sequence: rumours go on and on while tokens arrive.
+func TestRumourAloneNeverEjects(t *testing.T) {
+	run(t, func(m *Monitor) {
+		s := start(m, "e0", 100)
+		for range 60 {
+			m.Rumour("e0", "i1", RumourDown)
+			decode(1, s)
+		}
+		if s.cause() != nil || m.State("e0") != Healthy {
+			t.Errorf("cause %v, state %v", s.cause(), m.State("e0"))
+		}
+	})
+}
+
+// Symptom: a wave of errors ejects a whole replica set, and its load kills the
+// last ones. For any sequence of refusals and successes no more than the
+// stated share may be unusable.
+func TestEjectionIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := DefaultPolicy()
+		p.MaxEjectedShare = rapid.Float64Range(0, 0.9).Draw(t, "share")
+		m := NewMonitor(p, nil, nil)
+		ids := make([]string, rapid.IntRange(1, 12).Draw(t, "replicas"))
+		for i := range ids {
+			ids[i] = fmt.Sprint("e", i)
+		}
+		refused := errors.New("connection refused")
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				m.Result(id, nil)
+			case 1:
+				m.eject(m.engine(id), Suspect, m.at(time.Now()))
+			default:
+				m.Result(id, refused)
+			}
+			out := 0
+			for _, ok := range m.Usable(ids) {
+				if !ok {
+					out++
+				}
+			}
+			if float64(out) > p.MaxEjectedShare*float64(len(ids)) {
+				t.Fatalf("%d of %d ejected with a share of %g", out, len(ids), p.MaxEjectedShare)
+			}
+		}
+	})
+}
+
+func BenchmarkToken(b *testing.B) {
+	m := NewMonitor(DefaultPolicy(), nil, nil)
+	s := m.Watch("e0", 100, func(error) {})
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(20 * time.Millisecond)
+		s.Token(now)
+	}
+}
+
+func BenchmarkQuietTick600StreamsOn24Engines(b *testing.B) {
+	m := NewMonitor(DefaultPolicy(), nil, nil)
+	now := time.Now()
+	for i := range 600 {
+		m.Watch(fmt.Sprint("e", i%24), 100, func(error) {}).Token(now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Tick(now.Add(time.Second))
+	}
+}
--- /dev/null
+++ b/health/policy.go
@@ -0,0 +1,155 @@
+package health
+
+import "time"
+
+// Policy holds a deployment's weights and the bounds on what follows from them.
+type Policy struct {
+	// ResumeLatencyWeight is the cost of one second for which one caller waits
+	// on a dead engine.
+	ResumeLatencyWeight float64 `json:"resume_latency_weight"`
+	// ExtraWorkWeight is the cost of one second of engine time spent on prefill
+	// that a failure-free run would not need.
+	ExtraWorkWeight float64 `json:"extra_work_weight"`
+	// FailuresPerHour is the prior rate of real failures of one engine.
+	FailuresPerHour float64 `json:"failures_per_hour"`
+	// PrefillBytesPerSecond is the engine's prefill rate in bytes of text.
+	PrefillBytesPerSecond float64 `json:"prefill_bytes_per_second"`
+	// TokenBytes is the mean size of one token's text in bytes.
+	TokenBytes float64 `json:"token_bytes"`
+	// TypicalGap is the gap between tokens assumed before any was observed.
+	TypicalGap time.Duration `json:"typical_gap"`
+	// TailExponent is how fast healthy gaps longer than all seen are taken to
+	// become rarer: twice as long is 2^TailExponent times as rare. A low one
+	// bears long silences.
+	TailExponent float64 `json:"tail_exponent"`
+	// MinSilence and MaxSilence bound the silence of an engine before it is
+	// suspected.
+	MinSilence time.Duration `json:"min_silence"`
+	MaxSilence time.Duration `json:"max_silence"`
+	// StallFactor times the engine's threshold, at least MinStall and at most
+	// MaxStall, is the bound on one silent stream beside live ones.
+	StallFactor float64       `json:"stall_factor"`
+	MinStall    time.Duration `json:"min_stall"`
+	MaxStall    time.Duration `json:"max_stall"`
+	// MinPrefill plus PrefillFactor times the expected prefill, at most
+	// MaxPrefill, bounds the wait for a first token. QueueFactor multiplies the
+	// bound while the engine's other streams are alive, since the request then
+	// waits its turn.
+	MinPrefill    time.Duration `json:"min_prefill"`
+	MaxPrefill    time.Duration `json:"max_prefill"`
+	PrefillFactor float64       `json:"prefill_factor"`
+	QueueFactor   float64       `json:"queue_factor"`
+	// RumourFactor multiplies the prior of failure while a rumour lives.
+	RumourFactor float64       `json:"rumour_factor"`
+	RumourLife   time.Duration `json:"rumour_life"`
+	// DownAfter is the number of refused connections in a row before Down.
+	DownAfter int `json:"down_after"`
+	// MinBackoff doubles with each failed probe up to MaxBackoff. ProbeTimeout
+	// frees the slot of a probe whose result never came.
+	MinBackoff   time.Duration `json:"min_backoff"`
+	MaxBackoff   time.Duration `json:"max_backoff"`
+	ProbeTimeout time.Duration `json:"probe_timeout"`
+	// MaxEjectedShare is the largest share of a replica set ejected at once.
+	MaxEjectedShare float64 `json:"max_ejected_share"`
+	// MassSilence is the silence required when more than MaxEjectedShare of the
+	// watched engines are silent together.
+	MassSilence time.Duration `json:"mass_silence"`
+	// Tick is the interval of judgement. A gap between ticks longer than
+	// PauseGap is a pause of this process; PauseGrace is added to what is
+	// forgiven, so that tokens waiting in sockets are read first.
+	Tick       time.Duration `json:"tick"`
+	PauseGap   time.Duration `json:"pause_gap"`
+	PauseGrace time.Duration `json:"pause_grace"`
+}
+
+// DefaultPolicy weighs a caller's second and an engine's second alike.
+func DefaultPolicy() Policy {
+	return Policy{
+		ResumeLatencyWeight:   1,
+		ExtraWorkWeight:       1,
+		FailuresPerHour:       0.1,
+		PrefillBytesPerSecond: 40_000,
+		TokenBytes:            5,
+		TypicalGap:            30 * time.Millisecond,
+		TailExponent:          4,
+		MinSilence:            80 * time.Millisecond,
+		MaxSilence:            3 * time.Second,
+		StallFactor:           4,
+		MinStall:              time.Second,
+		MaxStall:              10 * time.Second,
+		MinPrefill:            time.Second,
+		MaxPrefill:            30 * time.Second,
+		PrefillFactor:         4,
+		QueueFactor:           4,
+		RumourFactor:          50,
+		RumourLife:            3 * time.Second,
+		DownAfter:             2,
+		MinBackoff:            250 * time.Millisecond,
+		MaxBackoff:            8 * time.Second,
+		ProbeTimeout:          5 * time.Second,
+		MaxEjectedShare:       0.5,
+		MassSilence:           4 * time.Second,
+		Tick:                  5 * time.Millisecond,
+		PauseGap:              40 * time.Millisecond,
+		PauseGrace:            100 * time.Millisecond,
+	}
+}
+
+// Check returns an error that names the first field out of its range.
+func (p *Policy) Check() error {
+	positive := []struct {
+		name  string
+		value float64
+	}{
+		{"resume_latency_weight", p.ResumeLatencyWeight},
+		{"extra_work_weight", p.ExtraWorkWeight},
+		{"failures_per_hour", p.FailuresPerHour},
+		{"prefill_bytes_per_second", p.PrefillBytesPerSecond},
+		{"tail_exponent", p.TailExponent},
+		{"min_silence", float64(p.MinSilence)},
+		{"max_silence", float64(p.MaxSilence - p.MinSilence)},
+		{"mass_silence", float64(p.MassSilence)},
+		{"min_backoff", float64(p.MinBackoff)},
+		{"max_backoff", float64(p.MaxBackoff)},
+		{"tick", float64(p.Tick)},
+		{"pause_gap", float64(p.PauseGap - p.Tick)},
+		{"down_after", float64(p.DownAfter)},
+		{"max_ejected_share", p.MaxEjectedShare},
+	}
+	for _, f := range positive {
+		if !(f.value > 0) {
+			return Error.New("%s is too small", f.name)
+		}
+	}
+	if p.MaxEjectedShare >= 1 {
+		return Error.New("max_ejected_share must be below 1")
+	}
+	if p.MaxSilence > edge(buckets-1) {
+		return Error.New("max_silence must be at most %v", edge(buckets-1))
+	}
+	return nil
+}
+
+// prefill is the engine time to prefill n bytes, in seconds.
+func (p *Policy) prefill(bytes float64) float64 {
+	if p.PrefillBytesPerSecond <= 0 {
+		return 0
+	}
+	return bytes / p.PrefillBytesPerSecond
+}
+
+// PrefillBound is how long a stream may wait for its first token.
+func (p *Policy) PrefillBound(promptBytes int, engineAlive bool) time.Duration {
+	expected := p.prefill(float64(promptBytes)) * p.PrefillFactor
+	bound := p.MinPrefill + time.Duration(expected*float64(time.Second))
+	if engineAlive {
+		bound = time.Duration(float64(bound) * p.QueueFactor)
+	}
+	return min(bound, p.MaxPrefill)
+}
+
+// stallBound is how long one stream may be silent beside live ones.
+func (p *Policy) stallBound(threshold time.Duration) time.Duration {
+	bound := time.Duration(float64(threshold) * p.StallFactor)
+	return min(max(bound, p.MinStall), p.MaxStall)
+}
--- /dev/null
+++ b/health/state.go
@@ -0,0 +1,191 @@
+package health
+
+import (
+	"slices"
+	"time"
+
+	"wigeondale/event"
+)
+
+// Result reports the end of a connection attempt or of a plain call: nil when
+// an answer's first byte came, otherwise the error. A connection that was
+// merely accepted is no success: the kernel of a frozen engine accepts too.
+func (m *Monitor) Result(backend string, err error) {
+	e := m.engine(backend)
+	if err == nil {
+		m.success(e)
+		return
+	}
+	t := m.at(time.Now())
+	e.mu.Lock()
+	e.refused++
+	failedProbe := e.state != Healthy
+	down := failedProbe || e.refused >= m.policy.DownAfter
+	e.mu.Unlock()
+	if down {
+		m.eject(e, Down, t)
+	}
+}
+
+func (m *Monitor) success(e *engine) {
+	e.mu.Lock()
+	was := e.state
+	e.recover()
+	incarnation := e.incarnation
+	e.mu.Unlock()
+	if was == Healthy {
+		return
+	}
+	m.ejected.Add(-1)
+	m.log.Emit(event.BackendRecovered, "backend", e.id)
+	m.tell(e.id, incarnation, RumourAlive)
+}
+
+func (m *Monitor) eject(e *engine, state State, t int64) {
+	e.mu.Lock()
+	was := e.state
+	e.eject(state, t, &m.policy)
+	incarnation := e.incarnation
+	e.mu.Unlock()
+	if was != Healthy {
+		return
+	}
+	m.ejected.Add(1)
+	m.log.Emit(event.BackendEjected, "backend", e.id, "state", state.String())
+	kind := RumourSuspect
+	if state == Down {
+		kind = RumourDown
+	}
+	m.tell(e.id, incarnation, kind)
+}
+
+func (m *Monitor) tell(backend, incarnation string, kind RumourKind) {
+	if m.OnChange != nil {
+		m.OnChange(backend, incarnation, kind)
+	}
+}
+
+// State returns what is believed of a backend server now.
+func (m *Monitor) State(backend string) State {
+	t := m.at(time.Now())
+	e := m.engine(backend)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current(t)
+}
+
+// sparedFor is how long an engine that Usable gave back is allowed work.
+const sparedFor = time.Second
+
+// Allow is asked just before a dispatch. For a healthy backend server it is
+// true, as for one that Usable gave back because of the ejection bound. For
+// one whose backoff ended it is true for a single request at a time, whose
+// Token or Result decides: work is idempotent or not yet sent, and a crowd of
+// probes would be a retry storm on a server that just came up.
+func (m *Monitor) Allow(backend string) bool {
+	t := m.at(time.Now())
+	e := m.engine(backend)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.state == Healthy {
+		return true
+	}
+	if t >= e.retryAt && e.probeFree(t) {
+		e.probing = true
+		e.probeUntil = t + int64(m.policy.ProbeTimeout)
+		return true
+	}
+	return t < e.sparedUntil
+}
+
+// Rumour takes in what another router says of one incarnation. It raises the
+// prior of failure for a while, and so shortens the silence that is borne; it
+// never ejects by itself, since the other router may be the one cut off.
+func (m *Monitor) Rumour(backend, incarnation string, kind RumourKind) {
+	e := m.engine(backend)
+	t := m.at(time.Now())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.incarnation != "" && e.incarnation != incarnation {
+		return
+	}
+	if kind == RumourAlive {
+		e.rumourUntil = 0
+		return
+	}
+	e.rumourUntil = t + int64(m.policy.RumourLife)
+}
+
+// Incarnation tells which incarnation of a backend server answered last. A new
+// one starts without rumours, and may be probed at once.
+func (m *Monitor) Incarnation(backend, incarnation string) {
+	e := m.engine(backend)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.incarnation == incarnation {
+		return
+	}
+	known := e.incarnation != ""
+	e.incarnation = incarnation
+	e.rumourUntil = 0
+	if known {
+		e.retryAt = 0
+	}
+}
+
+// suspicion orders the members of a replica set that are ejected.
+type suspicion struct {
+	index int
+	state State
+	since int64
+}
+
+// Usable tells for each member of a replica set whether it may get work; nil
+// means all. At most MaxEjectedShare of the set is ejected: beyond it, those
+// with the weakest evidence are given back, since a fleet that seems to be
+// gone is usually an error of the observer, and ejecting the rest would move
+// the whole load onto the few left.
+func (m *Monitor) Usable(ids []string) []bool {
+	if m.ejected.Load() == 0 {
+		return nil
+	}
+	t := m.at(time.Now())
+	usable := make([]bool, len(ids))
+	var out []suspicion
+	for i, id := range ids {
+		e := m.engine(id)
+		e.mu.Lock()
+		state := e.current(t)
+		usable[i] = state == Healthy || (state == Probing && e.probeFree(t))
+		if !usable[i] {
+			out = append(out, suspicion{i, e.state, e.since})
+		}
+		e.mu.Unlock()
+	}
+	for _, i := range giveBack(out, len(ids), m.policy.MaxEjectedShare) {
+		usable[i] = true
+		m.engine(ids[i]).spare(t)
+	}
+	return usable
+}
+
+// giveBack returns the indices of ejected members to take back into use:
+// silent ones before those that refuse connections, and of each kind those
+// ejected longest ago, which had most time to recover.
+func giveBack(out []suspicion, members int, share float64) []int {
+	excess := len(out) - int(share*float64(members))
+	if excess <= 0 {
+		return nil
+	}
+	slices.SortFunc(out, func(a, b suspicion) int {
+		if a.state != b.state {
+			return int(a.state) - int(b.state)
+		}
+		return int(min(max(a.since-b.since, -1), 1))
+	})
+	back := make([]int, 0, excess)
+	for _, s := range out[:excess] {
+		back = append(back, s.index)
+	}
+	return back
+}
--- /dev/null
+++ b/intent/change.go
@@ -0,0 +1,170 @@
+package intent
+
+import (
+	"wigeondale/fleet"
+)
+
+// Kind names what a change is about.
+type Kind string
+
+// The kinds of objects that operators change.
+const (
+	KindAccount   Kind = "account"
+	KindAccess    Kind = "access"
+	KindTraffic   Kind = "traffic"
+	KindVM        Kind = "vm"
+	KindPlacement Kind = "placement"
+)
+
+// Op is what a change does to its object.
+type Op string
+
+// The operations of a change.
+const (
+	Set    Op = "set"
+	Remove Op = "remove"
+)
+
+// Change sets or removes one object. Exactly the field named by Kind is set;
+// for a removal only its identifying fields count.
+type Change struct {
+	Kind      Kind       `json:"kind"`
+	Op        Op         `json:"op"`
+	Account   *Account   `json:"account,omitempty"`
+	Access    *Access    `json:"access,omitempty"`
+	Traffic   *Traffic   `json:"traffic,omitempty"`
+	VM        *VMIntent  `json:"vm,omitempty"`
+	Placement *Placement `json:"placement,omitempty"`
+}
+
+// Object is the identity of what is changed, as in "account/acme". Two changes
+// overlap when their objects are equal. It is empty for a malformed change.
+func (c Change) Object() string {
+	switch {
+	case c.Kind == KindAccount && c.Account != nil:
+		return "account/" + c.Account.ID
+	case c.Kind == KindAccess && c.Access != nil:
+		return "access/" + c.Access.Account + "/" + c.Access.Model
+	case c.Kind == KindTraffic && c.Traffic != nil:
+		return "traffic/" + c.Traffic.Model
+	case c.Kind == KindVM && c.VM != nil:
+		return "vm/" + c.VM.VM
+	case c.Kind == KindPlacement && c.Placement != nil:
+		return "placement/" + c.Placement.Backend
+	}
+	return ""
+}
+
+// Revision is one entry of the log: a confirmed plan's changes.
+type Revision struct {
+	N        uint64   `json:"n"`
+	PlanID   string   `json:"plan_id"`
+	Operator string   `json:"operator"`
+	Base     uint64   `json:"base"` // the revision that the plan was made at
+	Changes  []Change `json:"changes"`
+}
+
+// Apply returns the state after r, which must be the next revision. A change
+// that this build doesn't know is left out, so that the log never gets stuck.
+func (s *State) Apply(r Revision) (*State, error) {
+	if r.N != s.Revision+1 {
+		return nil, Error.New("%w: revision %d after %d", ErrGap, r.N, s.Revision)
+	}
+	next := s.clone()
+	next.Revision = r.N
+	for _, c := range r.Changes {
+		next.change(c)
+	}
+	if r.PlanID != "" {
+		next.Plans[r.PlanID] = r.N
+	}
+	next.forget()
+	return next, nil
+}
+
+func (s *State) change(c Change) {
+	object := c.Object()
+	if object == "" {
+		return
+	}
+	s.Touched[object] = s.Revision
+	set := c.Op == Set
+	switch c.Kind {
+	case KindAccount:
+		put(s.Accounts, c.Account.ID, *c.Account, set)
+	case KindAccess:
+		put(s.Access, c.Access.Account+"/"+c.Access.Model, *c.Access, set)
+	case KindTraffic:
+		t := *c.Traffic
+		t.Previous = s.Traffic[t.Model].Weights
+		put(s.Traffic, t.Model, t, set)
+	case KindVM:
+		put(s.VMs, c.VM.VM, *c.VM, set)
+	case KindPlacement:
+		put(s.Placement, c.Placement.Backend, *c.Placement, set)
+	}
+}
+
+func put[V any](m map[string]V, key string, v V, set bool) {
+	if !set {
+		delete(m, key)
+		return
+	}
+	m[key] = v
+}
+
+// forget drops history that no acceptable plan can refer to any more.
+func (s *State) forget() {
+	if s.Revision <= HistoryWindow {
+		return
+	}
+	oldest := s.Revision - HistoryWindow
+	for id, n := range s.Plans {
+		if n < oldest {
+			delete(s.Plans, id)
+		}
+	}
+	for object, n := range s.Touched {
+		if n < oldest {
+			delete(s.Touched, object)
+		}
+	}
+}
+
+// Before returns the object that a change would replace, or nil.
+func (s *State) Before(c Change) any {
+	switch c.Kind {
+	case KindAccount:
+		return found(s.Accounts, c.Account.ID)
+	case KindAccess:
+		return found(s.Access, c.Access.Account+"/"+c.Access.Model)
+	case KindTraffic:
+		return found(s.Traffic, c.Traffic.Model)
+	case KindVM:
+		return found(s.VMs, c.VM.VM)
+	case KindPlacement:
+		return found(s.Placement, c.Placement.Backend)
+	}
+	return nil
+}
+
+func found[V any](m map[string]V, key string) any {
+	v, ok := m[key]
+	if !ok {
+		return nil
+	}
+	return v
+}
+
+// Models returns every model version that the state sends traffic to.
+func (s *State) Models() []fleet.ModelRef {
+	var refs []fleet.ModelRef
+	for _, t := range s.Traffic {
+		for _, w := range t.Weights {
+			if w.Percent > 0 {
+				refs = append(refs, t.ref(w))
+			}
+		}
+	}
+	return refs
+}
--- /dev/null
+++ b/intent/check.go
@@ -0,0 +1,209 @@
+package intent
+
+import (
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"wigeondale/fleet"
+)
+
+// Limits of what one plan may carry, so that a revision stays far under the
+// key-value service's one megabyte.
+const (
+	MaxChanges = 2000
+	MaxName    = 128 // bytes in an id
+)
+
+// Check says whether changes make sense, in their order, in state s. The first
+// one that doesn't is returned as an *InvalidError.
+func (s *State) Check(changes []Change) error {
+	if len(changes) == 0 {
+		return &InvalidError{Object: "plan", Reason: "no changes"}
+	}
+	if len(changes) > MaxChanges {
+		return &InvalidError{Object: "plan", Reason: "too many changes"}
+	}
+	next := s.clone()
+	next.Revision++
+	seen := map[string]bool{}
+	for _, c := range changes {
+		object := c.Object()
+		if object == "" {
+			return &InvalidError{Object: "change of kind " + string(c.Kind), Reason: "unknown kind, or the field of that name is missing"}
+		}
+		reason := next.reject(c)
+		if seen[object] {
+			reason = "changed twice in one plan"
+		}
+		if reason != "" {
+			return &InvalidError{Object: object, Reason: reason}
+		}
+		seen[object] = true
+		next.change(c)
+	}
+	return next.checkReferences()
+}
+
+// checkReferences finds access rules whose account is gone.
+func (s *State) checkReferences() error {
+	for key, a := range s.Access {
+		if _, ok := s.Accounts[a.Account]; !ok {
+			return &InvalidError{Object: "access/" + key, Reason: "unknown client account " + a.Account}
+		}
+	}
+	return nil
+}
+
+func (s *State) reject(c Change) string {
+	if c.Op != Set && c.Op != Remove {
+		return "op must be set or remove"
+	}
+	if c.Op == Remove {
+		if s.Before(c) == nil {
+			return "there is none to remove"
+		}
+		return ""
+	}
+	switch c.Kind {
+	case KindAccount:
+		return rejectAccount(*c.Account)
+	case KindAccess:
+		return s.rejectAccess(*c.Access)
+	case KindTraffic:
+		return rejectTraffic(*c.Traffic)
+	case KindVM:
+		return rejectName(c.VM.VM)
+	}
+	return rejectPlacement(*c.Placement)
+}
+
+func rejectName(name string) string {
+	if name == "" || len(name) > MaxName {
+		return "id must have 1 to 128 bytes"
+	}
+	if strings.ContainsAny(name, "/ \t\r\n") {
+		return "id must not hold a slash or space"
+	}
+	return ""
+}
+
+func rejectAccount(a Account) string {
+	if r := rejectName(a.ID); r != "" {
+		return r
+	}
+	if len(a.KeyHashes) == 0 {
+		return "at least one key hash is needed"
+	}
+	for _, h := range a.KeyHashes {
+		raw, err := hex.DecodeString(h)
+		if err != nil || len(raw) != 32 || h != strings.ToLower(h) {
+			return "key hash must be the SHA-256 of the API key in 64 lower-case hex digits"
+		}
+	}
+	if a.TokensPerSecond < 0 || a.Burst < 0 || a.MaxConcurrent < 0 {
+		return "limits must not be negative"
+	}
+	return ""
+}
+
+func (s *State) rejectAccess(a Access) string {
+	if _, ok := s.Accounts[a.Account]; !ok {
+		return "unknown client account " + a.Account
+	}
+	return rejectName(a.Model)
+}
+
+func rejectTraffic(t Traffic) string {
+	if r := rejectName(t.Model); r != "" {
+		return r
+	}
+	if _, err := fleet.ParsePriority(t.Priority); err != nil && t.Priority != "" {
+		return err.Error()
+	}
+	sum := 0
+	var seen []fleet.ModelRef
+	for _, w := range t.Weights {
+		if r := rejectName(w.Version); r != "" {
+			return "version: " + r
+		}
+		if w.Percent < 0 || w.Percent > 100 {
+			return "percent must be 0 to 100"
+		}
+		if slices.Contains(seen, t.ref(w)) {
+			return "version " + w.Version + " is listed twice"
+		}
+		seen = append(seen, t.ref(w))
+		sum += w.Percent
+	}
+	if sum != 100 {
+		return "weights must sum to 100"
+	}
+	return ""
+}
+
+func rejectPlacement(p Placement) string {
+	if r := rejectName(p.Backend); r != "" {
+		return r
+	}
+	for _, ref := range p.Desired {
+		if ref.Model == "" || ref.Version == "" {
+			return "model and version are needed"
+		}
+	}
+	switch p.Role {
+	case "", "both", "prefill", "decode":
+		return ""
+	}
+	return "role must be both, prefill or decode"
+}
+
+// Conflicts compares a plan with a state that may have moved on since its base.
+// None means that the plan's changes may be appended as the next revision.
+func (s *State) Conflicts(p Plan) []Conflict {
+	if p.Base > s.Revision {
+		return []Conflict{{Object: "plan", Reason: "its base is newer than this state"}}
+	}
+	if s.Revision-p.Base >= HistoryWindow {
+		return []Conflict{{Object: "plan", Reason: "its base is too old to compare"}}
+	}
+	var out []Conflict
+	for _, c := range p.Changes {
+		n := s.Touched[c.Object()]
+		if n > p.Base {
+			out = append(out, Conflict{Object: c.Object(), Revision: n, Reason: "changed since the plan was made"})
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	if err := s.Check(p.Changes); err != nil {
+		return []Conflict{conflictOf(err)}
+	}
+	return s.lostReplicas(p)
+}
+
+func conflictOf(err error) Conflict {
+	if inv, ok := err.(*InvalidError); ok {
+		return Conflict{Object: inv.Object, Reason: inv.Reason}
+	}
+	return Conflict{Object: "plan", Reason: err.Error()}
+}
+
+// lostReplicas finds models that would lose their last replica. Two plans, each
+// of which lets a different one of two VMs leave, share no object; accepted both,
+// they would leave a model with no replica. So a plan names the VMs that it
+// counts on, and at least one of them must still be staying.
+func (s *State) lostReplicas(p Plan) []Conflict {
+	if p.Force {
+		return nil
+	}
+	var out []Conflict
+	for _, need := range p.Needs {
+		stays := func(vm string) bool { return !s.Leaving(vm) }
+		if !slices.ContainsFunc(need.VMs, stays) {
+			out = append(out, Conflict{Object: "model/" + need.Ref.String(), Reason: "every VM that the plan left it on is leaving by now"})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/intent/errors.go
@@ -0,0 +1,61 @@
+package intent
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("intent")
+
+var (
+	// ErrUnavailable means that the log could not be reached and that this call
+	// has surely changed nothing.
+	ErrUnavailable = errors.New("configuration log unavailable; nothing was changed by this call")
+	// ErrUnsettled means that it isn't known whether the plan was accepted. The
+	// same plan may be confirmed again, at any node: it takes effect once.
+	ErrUnsettled = errors.New("not known whether the plan was accepted; confirm the same plan again")
+	// ErrTruncated means that the log no longer holds the entry: a snapshot
+	// stands in its place.
+	ErrTruncated = errors.New("log entry replaced by a snapshot")
+	// ErrStaleSnapshot means that a snapshot as new is in place already.
+	ErrStaleSnapshot = errors.New("a snapshot as new is in place")
+	// ErrGap means that a revision doesn't follow on from the state.
+	ErrGap = errors.New("revision doesn't follow the state")
+	// ErrNotReady means that the node holds no state that it may act on.
+	ErrNotReady = errors.New("no confirmed state")
+)
+
+// Conflict says why one object of a plan can't be changed as planned.
+type Conflict struct {
+	Object   string `json:"object"`
+	Revision uint64 `json:"revision,omitempty"` // the revision that changed the object since the plan's base
+	Reason   string `json:"reason"`
+}
+
+// ConflictError refuses a plan. Nothing was changed.
+type ConflictError struct {
+	Base, Head uint64
+	Conflicts  []Conflict
+}
+
+// Error lists the conflicts.
+func (e *ConflictError) Error() string {
+	parts := make([]string, 0, len(e.Conflicts))
+	for _, c := range e.Conflicts {
+		parts = append(parts, c.Object+": "+c.Reason)
+	}
+	return fmt.Sprintf("plan made at revision %d conflicts at revision %d: %s", e.Base, e.Head, strings.Join(parts, "; "))
+}
+
+// InvalidError refuses a change that makes no sense in the state it is for.
+type InvalidError struct {
+	Object string
+	Reason string
+}
+
+// Error names the object and the reason.
+func (e *InvalidError) Error() string { return e.Object + ": " + e.Reason }
