--- /dev/null
+++ b/intent/fake_test.go
@@ -0,0 +1,142 @@
+package intent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+var errLost = errors.New("answer lost")
+
+// fate is what becomes of one append.
+type fate int
+
+const (
+	works fate = iota
+	refused
+	lost    // applied, the answer is lost
+	delayed // answered with an error, applied later if the place is still free
+	fates
+)
+
+// fakeLog is the log; before runs between a reader's read and its append.
+type fakeLog struct {
+	entries map[uint64]LogEntry
+	late    []LogEntry
+	down    bool
+	next    func() fate
+	before  func()
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{entries: map[uint64]LogEntry{}} }
+
+func (f *fakeLog) Head(context.Context) (uint64, error) { return uint64(len(f.entries)), nil }
+
+func (f *fakeLog) Read(_ context.Context, from uint64, max int) ([]LogEntry, error) {
+	if f.down {
+		return nil, ErrUnavailable
+	}
+	var out []LogEntry
+	for n := from; len(out) < max; n++ {
+		e, ok := f.entries[n]
+		if !ok {
+			break
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+func (f *fakeLog) AppendAt(_ context.Context, n uint64, id string, data []byte) (bool, LogEntry, error) {
+	if f.before != nil {
+		f.before()
+	}
+	e := LogEntry{N: n, ID: id, Data: data}
+	fate, down := works, f.down
+	if f.next != nil {
+		fate = f.next()
+	}
+	switch {
+	case fate == refused || down:
+		return false, LogEntry{}, ErrUnavailable
+	case fate == delayed:
+		f.late = append(f.late, e)
+		return false, LogEntry{}, errLost
+	}
+	won := f.create(e)
+	if fate == lost {
+		return false, LogEntry{}, errLost
+	}
+	return won || f.entries[n].ID == id, f.entries[n], nil
+}
+
+func (f *fakeLog) create(e LogEntry) bool {
+	if _, taken := f.entries[e.N]; taken {
+		return false
+	}
+	f.entries[e.N] = e
+	return true
+}
+
+// landOne lets a delayed write arrive.
+func (f *fakeLog) landOne(i int) {
+	e := f.late[i]
+	f.late = append(f.late[:i], f.late[i+1:]...)
+	f.create(e)
+}
+
+func (f *fakeLog) Follow(ctx context.Context, _ uint64, _ func(LogEntry)) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (f *fakeLog) LoadSnapshot(context.Context) (uint64, []byte, bool, error) {
+	if f.down {
+		return 0, nil, false, ErrUnavailable
+	}
+	return 0, nil, false, nil
+}
+
+func (f *fakeLog) Snapshot(context.Context, uint64, []byte) error { return nil }
+
+// fakeSpread links keepers by name; a missing one can't be reached.
+type fakeSpread map[string]*Keeper
+
+func (f fakeSpread) Peers() []string {
+	var names []string
+	for n := range f {
+		names = append(names, n)
+	}
+	return names
+}
+func (fakeSpread) Flood(Revision) {}
+func (f fakeSpread) FetchFrom(_ context.Context, node string, from uint64) (Batch, error) {
+	k, ok := f[node]
+	if !ok {
+		return Batch{}, errors.New("unreachable")
+	}
+	return k.Serve(from)
+}
+
+func account(id string) Change {
+	return Change{Kind: KindAccount, Op: Set, Account: &Account{ID: id, KeyHashes: []string{strings.Repeat("0", 64)}}}
+}
+
+func leave(vm string) Change {
+	return Change{Kind: KindVM, Op: Set, VM: &VMIntent{VM: vm, Leaving: true}}
+}
+
+// filledLog is a log with n revisions.
+func filledLog(t *testing.T, n int) *fakeLog {
+	f := newFakeLog()
+	for i := 1; i <= n; i++ {
+		data, err := EncodeRevision(Revision{N: uint64(i), PlanID: fmt.Sprint("p", i), Changes: []Change{account("a")}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.entries[uint64(i)] = LogEntry{N: uint64(i), ID: fmt.Sprint("p", i), Data: data}
+	}
+	return f
+}
--- /dev/null
+++ b/intent/waves.go
@@ -0,0 +1,175 @@
+package intent
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"wigeondale/fleet"
+)
+
+// WaveSeconds is how long one wave may draw on the weight store.
+const WaveSeconds = 60
+
+// placements derives the loads that moved traffic needs: for each version that
+// gets a share, as many replicas as its share of the model's replicas.
+func placements(s *State, view FleetView, changes []Change) []Change {
+	after := s.clone()
+	after.Revision++
+	for _, c := range changes {
+		after.change(c)
+	}
+	chosen := map[string]Placement{}
+	for _, c := range changes {
+		if c.Kind == KindTraffic && c.Op == Set {
+			place(after, view, *c.Traffic, chosen)
+		}
+	}
+	for _, c := range changes {
+		if c.Kind == KindPlacement {
+			delete(chosen, c.Placement.Backend)
+		}
+	}
+	var out []Change
+	for _, p := range chosen {
+		out = append(out, Change{Kind: KindPlacement, Op: Set, Placement: &p})
+	}
+	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.Object(), b.Object()) })
+	return out
+}
+
+func place(after *State, view FleetView, t Traffic, chosen map[string]Placement) {
+	hosts := hostsOf(after, view, t.Model)
+	for _, w := range t.Weights {
+		if w.Percent == 0 {
+			continue
+		}
+		want := max(1, (len(hosts)*w.Percent+99)/100)
+		for _, b := range hosts {
+			if slices.Contains(held(after, view, b.ID), t.ref(w)) {
+				want--
+			}
+		}
+		for _, b := range hosts {
+			if want <= 0 {
+				break
+			}
+			have := held(after, view, b.ID)
+			if slices.Contains(have, t.ref(w)) {
+				continue
+			}
+			p := Placement{Backend: b.ID, Desired: kept(t, have), Role: after.Placement[b.ID].Role}
+			p.Desired = append(p.Desired, t.ref(w))
+			after.Placement[b.ID] = p
+			chosen[b.ID] = p
+			want--
+		}
+	}
+}
+
+// kept drops versions of the model that get no traffic any more.
+func kept(t Traffic, have []fleet.ModelRef) []fleet.ModelRef {
+	var out []fleet.ModelRef
+	for _, ref := range have {
+		serves := func(w Weight) bool { return t.ref(w) == ref && w.Percent > 0 }
+		if ref.Model != t.Model || slices.ContainsFunc(t.Weights, serves) {
+			out = append(out, ref)
+		}
+	}
+	return out
+}
+
+// hostsOf lists staying engines that hold any version of a model, so ordered
+// that neighbours lie in different failure domains.
+func hostsOf(s *State, view FleetView, model string) []fleet.Backend {
+	byDomain := map[string]int{}
+	type ranked struct {
+		b    fleet.Backend
+		rank int
+	}
+	var list []ranked
+	for _, b := range view.Backends {
+		if b.Kind != fleet.Engine || b.Leaving || s.Leaving(b.VM) {
+			continue
+		}
+		has := func(r fleet.ModelRef) bool { return r.Model == model }
+		if !slices.ContainsFunc(held(s, view, b.ID), has) {
+			continue
+		}
+		list = append(list, ranked{b, byDomain[b.FailureDomain]})
+		byDomain[b.FailureDomain]++
+	}
+	slices.SortStableFunc(list, func(x, y ranked) int { return cmp.Compare(x.rank, y.rank) })
+	out := make([]fleet.Backend, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.b)
+	}
+	return out
+}
+
+// addLoads lists what the plan's placements have to load, in waves.
+func (p *Plan) addLoads(after *State, view FleetView) {
+	var loads []Load
+	for _, c := range p.Changes {
+		if c.Kind != KindPlacement || c.Op != Set {
+			continue
+		}
+		id := c.Placement.Backend
+		for _, ref := range after.Placement[id].Desired {
+			if slices.Contains(view.Serves[id], ref) {
+				continue
+			}
+			size, ok := view.Weights[ref.String()]
+			if !ok {
+				p.Warnings = append(p.Warnings, "the weight store gave no size for "+ref.String())
+			}
+			loads = append(loads, Load{Backend: id, Ref: ref, Bytes: size})
+		}
+	}
+	hosts := 0
+	for _, b := range view.Backends {
+		if b.Kind == fleet.Engine && !b.Leaving && !after.Leaving(b.VM) {
+			hosts++
+		}
+	}
+	p.Waves = Waves(loads, view.WeightRate, hosts)
+	for _, w := range p.Waves {
+		p.WeightBytes += w.Bytes
+		p.WeightSeconds += w.Seconds
+	}
+	slices.Sort(p.Warnings)
+	p.Warnings = slices.Compact(p.Warnings)
+	if len(p.Waves) > 1 {
+		p.Warnings = append(p.Warnings, fmt.Sprintf("loading takes %d waves", len(p.Waves)))
+	}
+}
+
+// Waves groups loads. A wave draws on the weight store for no longer than
+// WaveSeconds at its rate (bytes per second; none known means no bound), and
+// touches no more than half of the hosts, so that the others keep the old
+// versions' capacity. A load that is larger by itself gets a wave of its own.
+func Waves(loads []Load, rate int64, hosts int) []Wave {
+	most := max(1, hosts/2)
+	var waves []Wave
+	var w Wave
+	busy := map[string]bool{}
+	for _, l := range loads {
+		full := rate > 0 && w.Bytes+l.Bytes > rate*WaveSeconds
+		crowded := !busy[l.Backend] && len(busy) >= most
+		if len(w.Loads) > 0 && (full || crowded) {
+			waves = append(waves, w)
+			w = Wave{}
+			clear(busy)
+		}
+		w.Loads = append(w.Loads, l)
+		w.Bytes += l.Bytes
+		busy[l.Backend] = true
+		if rate > 0 {
+			w.Seconds = float64(w.Bytes) / float64(rate)
+		}
+	}
+	if len(w.Loads) > 0 {
+		waves = append(waves, w)
+	}
+	return waves
+}
--- /dev/null
+++ b/kvlog/kvtest/store.go
@@ -0,0 +1,199 @@
+// Package kvtest is an in-memory key-value service for tests. Its clients'
+// calls can be held and released one by one, each with a fault, so that a test
+// decides every interleaving.
+package kvtest
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"wigeondale/platform"
+)
+
+// Store is the service's memory. Its own methods answer at once.
+type Store struct {
+	// Latency, if set, is slept in each call of a Store (not of a Client).
+	Latency time.Duration
+	// OnCreate, if set, is told of each key that came to be.
+	OnCreate func(key string, data []byte)
+
+	mu       sync.Mutex
+	rev      int64
+	data     map[string]platform.Value
+	watchers []watcher
+	writes   int
+	reads    int
+}
+
+type watcher struct {
+	prefix string
+	events chan platform.WatchEvent
+	mute   bool
+}
+
+const watchBuffer = 1024
+
+var errNotHere = errors.New("kvtest: leases are not played")
+
+// New returns an empty store.
+func New() *Store { return &Store{data: make(map[string]platform.Value)} }
+
+// Calls returns how many writes and reads were applied.
+func (s *Store) Calls() (writes, reads int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, s.reads
+}
+
+// Get reads one key.
+func (s *Store) Get(_ context.Context, key string) (platform.Value, bool, error) {
+	time.Sleep(s.Latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	v, ok := s.data[key]
+	return v, ok, nil
+}
+
+// Range reads keys in [from, end).
+func (s *Store) Range(_ context.Context, from, end string, limit int) ([]platform.Value, error) {
+	time.Sleep(s.Latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	var out []platform.Value
+	for k, v := range s.data {
+		if k >= from && k < end {
+			out = append(out, v)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	if limit > 0 && len(out) > limit {
+		out = out[:limit]
+	}
+	return out, nil
+}
+
+// Create writes key if absent.
+func (s *Store) Create(ctx context.Context, key string, data []byte) (bool, platform.Value, error) {
+	return s.CompareAndSwap(ctx, key, 0, data)
+}
+
+// CreateWithLease is Create; the lease is ignored.
+func (s *Store) CreateWithLease(ctx context.Context, key string, data []byte, _ platform.LeaseID) (bool, platform.Value, error) {
+	return s.Create(ctx, key, data)
+}
+
+// CompareAndSwap writes key at revision modRev.
+func (s *Store) CompareAndSwap(_ context.Context, key string, modRev int64, data []byte) (bool, platform.Value, error) {
+	time.Sleep(s.Latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if v := s.data[key]; v.ModRev != modRev {
+		return false, v, nil
+	}
+	return true, s.put(key, data), nil
+}
+
+// Put writes key.
+func (s *Store) Put(_ context.Context, key string, data []byte, _ platform.LeaseID) error {
+	time.Sleep(s.Latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	s.put(key, data)
+	return nil
+}
+
+func (s *Store) put(key string, data []byte) platform.Value {
+	s.rev++
+	v := platform.Value{Key: key, Data: append([]byte(nil), data...), CreateRev: s.rev, ModRev: s.rev}
+	if old, ok := s.data[key]; ok {
+		v.CreateRev = old.CreateRev
+	} else if s.OnCreate != nil {
+		s.OnCreate(key, v.Data)
+	}
+	s.data[key] = v
+	for _, w := range s.watchers {
+		if !w.mute && strings.HasPrefix(key, w.prefix) {
+			w.events <- platform.WatchEvent{Value: v}
+		}
+	}
+	return v
+}
+
+// Delete removes key.
+func (s *Store) Delete(ctx context.Context, key string) error {
+	return s.DeleteRange(ctx, key, key+"\x00")
+}
+
+// DeleteRange removes the keys in [from, end).
+func (s *Store) DeleteRange(_ context.Context, from, end string) error {
+	time.Sleep(s.Latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	s.rev++
+	for k := range s.data {
+		if k >= from && k < end {
+			delete(s.data, k)
+		}
+	}
+	return nil
+}
+
+// Watch tells of puts from now on; fromRev is honoured for keys still there.
+func (s *Store) Watch(ctx context.Context, prefix string, fromRev int64) (<-chan platform.WatchEvent, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := watcher{prefix: prefix, events: make(chan platform.WatchEvent, watchBuffer)}
+	var missed []platform.Value
+	for k, v := range s.data {
+		if fromRev > 0 && v.ModRev >= fromRev && strings.HasPrefix(k, prefix) {
+			missed = append(missed, v)
+		}
+	}
+	sort.Slice(missed, func(i, j int) bool { return missed[i].ModRev < missed[j].ModRev })
+	for _, v := range missed {
+		w.events <- platform.WatchEvent{Value: v}
+	}
+	s.watchers = append(s.watchers, w)
+	return w.events, nil
+}
+
+// MuteWatches leaves every watch open but silent.
+func (s *Store) MuteWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.watchers {
+		s.watchers[i].mute = true
+	}
+}
+
+// CutWatches ends every watch.
+func (s *Store) CutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.watchers {
+		close(w.events)
+	}
+	s.watchers = nil
+}
+
+// Grant is not played.
+func (s *Store) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	return 0, errNotHere
+}
+
+// KeepAlive is not played.
+func (s *Store) KeepAlive(context.Context, platform.LeaseID) (time.Duration, error) {
+	return 0, errNotHere
+}
+
+// Revoke is not played.
+func (s *Store) Revoke(context.Context, platform.LeaseID) error { return errNotHere }
--- /dev/null
+++ b/load/curves.go
@@ -0,0 +1,42 @@
+package load
+
+import (
+	"encoding/csv"
+	"io"
+	"strconv"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// ticksPerHalfDistance sets how finely a curve nears 100%.
+const ticksPerHalfDistance = 5
+
+// WriteCurves writes the percentile curve of each class and measure as CSV:
+// class, measure, percentile, value in milliseconds, count up to it.
+func (r *Result) WriteCurves(w io.Writer) error {
+	out := csv.NewWriter(w)
+	rows := [][]string{{"class", "measure", "percentile", "ms", "count"}}
+	for _, c := range r.Classes {
+		rows = append(rows, curve(c.Name, "first_token", c.firstToken)...)
+		rows = append(rows, curve(c.Name, "token_gap", c.gap)...)
+		rows = append(rows, curve(c.Name, "resume_latency", c.resume)...)
+		rows = append(rows, curve(c.Name, "whole_answer", c.whole)...)
+	}
+	return Error.Wrap(out.WriteAll(rows))
+}
+
+func curve(class, measure string, h *hdrhistogram.Histogram) [][]string {
+	if h.TotalCount() == 0 {
+		return nil
+	}
+	var rows [][]string
+	for _, b := range h.CumulativeDistributionWithTicks(ticksPerHalfDistance) {
+		rows = append(rows, []string{
+			class, measure,
+			strconv.FormatFloat(b.Quantile, 'f', 4, 64),
+			strconv.FormatFloat(float64(b.ValueAt)/1000, 'f', 3, 64),
+			strconv.FormatInt(b.Count, 10),
+		})
+	}
+	return rows
+}
--- /dev/null
+++ b/load/record.go
@@ -0,0 +1,137 @@
+package load
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"slices"
+)
+
+// RequestID is the name that routers give a request towards engines. It is
+// reckoned as package callerapi does, which callers can't see; a difference
+// would show as answers without resumes in the record.
+func RequestID(account, key string) string {
+	h := sha256.New()
+	var n [8]byte
+	binary.BigEndian.PutUint64(n[:], uint64(len(account)))
+	h.Write(n[:])
+	h.Write([]byte(account))
+	h.Write([]byte(key))
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// Record is the part of the stand-ins' record that load reads.
+type Record struct {
+	Engines []EngineRecord `json:"engines"`
+}
+
+// EngineRecord is what one engine did.
+type EngineRecord struct {
+	Engine  string          `json:"engine"`
+	Streams []AttemptRecord `json:"streams"`
+}
+
+// AttemptRecord is what one engine did for one attempt of one request.
+type AttemptRecord struct {
+	Request   string `json:"request"`
+	Attempt   int    `json:"attempt"`
+	Prefilled int    `json:"prefilled"`  // tokens
+	ResumedAt int    `json:"resumed_at"` // index of the first token generated
+	Generated int    `json:"generated"`  // tokens
+	Delivered int    `json:"delivered"`  // tokens
+	Finished  bool   `json:"finished"`
+	Cancelled string `json:"cancelled"`
+}
+
+// FetchRecord reads the record at url.
+func FetchRecord(ctx context.Context, url string) (*Record, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, Error.New("record: status %d", resp.StatusCode)
+	}
+	var rec Record
+	if err := json.NewDecoder(resp.Body).Decode(&rec); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &rec, nil
+}
+
+// Resumes lists for each request the token indices at which a further attempt
+// took over. An attempt that delivered nothing took nothing over.
+func (r *Record) Resumes() map[string][]int {
+	out := make(map[string][]int)
+	for _, e := range r.Engines {
+		for _, s := range e.Streams {
+			if s.ResumedAt == 0 || s.Delivered == 0 {
+				continue
+			}
+			if !slices.Contains(out[s.Request], s.ResumedAt) {
+				out[s.Request] = append(out[s.Request], s.ResumedAt)
+			}
+		}
+	}
+	return out
+}
+
+// Serving returns the engine that runs an attempt of the request now, or "".
+// An empty request means any.
+func (r *Record) Serving(request string) string {
+	for _, e := range r.Engines {
+		for _, s := range e.Streams {
+			mine := request == "" || s.Request == request
+			if mine && !s.Finished && s.Cancelled == "" {
+				return e.Engine
+			}
+		}
+	}
+	return ""
+}
+
+// Extra is engine work beyond a run without failures.
+type Extra struct {
+	Generated int `json:"generated"` // tokens generated beyond those of the answer
+	Prefilled int `json:"prefilled"` // prompt tokens prefilled again
+}
+
+// Extra reckons the extra work of one request whose answer has so many tokens.
+func (r *Record) Extra(request string, tokens int) Extra {
+	var x Extra
+	first := 0
+	for _, e := range r.Engines {
+		for _, s := range e.Streams {
+			if s.Request != request {
+				continue
+			}
+			x.Generated += s.Generated
+			x.Prefilled += s.Prefilled
+			if s.ResumedAt == 0 {
+				first = max(first, s.Prefilled)
+			}
+		}
+	}
+	x.Generated -= tokens
+	x.Prefilled -= first
+	return x
+}
+
+func fetchResumes(ctx context.Context, url string) (map[string][]int, error) {
+	if url == "" {
+		return nil, nil
+	}
+	rec, err := FetchRecord(ctx, url)
+	if err != nil {
+		return nil, err
+	}
+	return rec.Resumes(), nil
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,166 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"wigeondale/check"
+	"wigeondale/client"
+	"wigeondale/fleet"
+)
+
+// answer is what one request came to.
+type answer struct {
+	class      int
+	id         string // request id as the engines record it
+	outcome    fleet.Outcome
+	endedBy    string // code of the refusal or name of the error; empty when complete
+	firstToken time.Duration
+	took       time.Duration
+	gaps       []time.Duration // gaps[i] is the wait before token i+1
+	reconnects int
+	report     check.Report
+	checked    bool
+	retryAfter bool
+}
+
+// Run sends the whole schedule and waits for every request to end. It ends
+// early, with what has been measured, when ctx ends.
+func Run(ctx context.Context, cfg Config) (*Result, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	c := client.New(cfg.Endpoints, cfg.APIKey, client.Options{
+		Spread: true, MaxTries: cfg.MaxTries, IdleTimeout: cfg.IdleTimeout,
+	})
+	var (
+		wg      sync.WaitGroup
+		mu      sync.Mutex
+		answers []answer
+	)
+	began := time.Now()
+	for _, a := range arrivals(cfg) {
+		if !sleepUntil(ctx, began.Add(a.at)) {
+			break
+		}
+		wg.Go(func() {
+			got := send(ctx, c, cfg, a)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, got)
+		})
+	}
+	wg.Wait()
+	res := newResult(cfg, time.Since(began))
+	resumes, err := fetchResumes(ctx, cfg.RecordURL)
+	for i := range answers {
+		res.add(&answers[i], resumes[answers[i].id])
+	}
+	res.finish()
+	return res, err
+}
+
+func send(ctx context.Context, c *client.Client, cfg Config, a arrival) answer {
+	cl := cfg.Classes[a.class]
+	if cl.Service != "" {
+		return call(ctx, c, cl, a)
+	}
+	return generate(ctx, c, cfg, a)
+}
+
+func call(ctx context.Context, c *client.Client, cl Class, a arrival) answer {
+	res, err := c.Call(ctx, client.CallRequest{
+		Service: cl.Service, Path: cl.Path, Key: a.key,
+		Timeout: cl.Timeout, Priority: cl.Priority, NonIdempotent: cl.NonIdempotent,
+	})
+	got := answer{class: a.class, outcome: res.Outcome, took: res.Took, firstToken: res.Took}
+	got.fail(err)
+	return got
+}
+
+func generate(ctx context.Context, c *client.Client, cfg Config, a arrival) answer {
+	cl := cfg.Classes[a.class]
+	got := answer{class: a.class}
+	began := time.Now()
+	var last time.Time
+	res, err := c.Generate(ctx, client.Request{
+		Model: cfg.Model, Prompt: a.prompt, MaxTokens: cl.MaxTokens, Key: a.key,
+		NonIdempotent: cl.NonIdempotent, Timeout: cl.Timeout, Priority: cl.Priority,
+	}, func(text string) {
+		now := time.Now()
+		if !last.IsZero() {
+			got.addGap(now.Sub(last), strings.Count(text, " "))
+		}
+		last = now
+	})
+	got.took = time.Since(began)
+	got.id = RequestID(cfg.Account, a.key)
+	got.outcome = res.Outcome
+	got.firstToken = res.FirstToken
+	got.reconnects = res.Reconnects
+	got.fail(err)
+	got.report = Check(a.prompt, cl.MaxTokens, res)
+	got.checked = true
+	return got
+}
+
+// addGap notes the wait before an event that brought n tokens: the first of
+// them waited, the others came with it.
+func (a *answer) addGap(d time.Duration, n int) {
+	a.gaps = append(a.gaps, d)
+	for range n - 1 {
+		a.gaps = append(a.gaps, 0)
+	}
+}
+
+func (a *answer) fail(err error) {
+	if err == nil {
+		return
+	}
+	var ref *client.Refusal
+	switch {
+	case errors.As(err, &ref):
+		a.endedBy = ref.Code
+		a.retryAfter = ref.RetryAfter > 0
+	case errors.Is(err, context.DeadlineExceeded):
+		a.endedBy = "deadline"
+	case errors.Is(err, client.ErrTriesExhausted):
+		a.endedBy = "tries-exhausted"
+	default:
+		a.endedBy = "other"
+	}
+}
+
+// Check proves the text of one answer. Text that came beside an error is
+// checked too: it may be cut short but never wrong. A complete answer must
+// also have its end.
+func Check(prompt string, maxTokens int, res client.Result) check.Report {
+	rep := check.Answer(prompt, res.Text)
+	if res.Outcome != fleet.Complete {
+		rep.OK = rep.OK || res.Text == ""
+		return rep
+	}
+	if res.Finish == "" {
+		rep.Missing++
+		rep.OK = false
+	}
+	if res.Finish == "length" && rep.Tokens < maxTokens {
+		rep.Missing += maxTokens - rep.Tokens
+		rep.OK = false
+	}
+	return rep
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/once/batcher.go
@@ -0,0 +1,127 @@
+package once
+
+import (
+	"context"
+	"slices"
+	"sync"
+)
+
+// waiter is one operation that waits for its result.
+type waiter struct {
+	op   Op
+	done chan Result // of capacity 1, so that a waiter that left blocks nobody
+}
+
+// batcher gathers operations while the previous batch is under way, so that
+// the number of writes grows with time and not with operations.
+type batcher struct {
+	send     func([]Op) []Result
+	maxOps   int
+	maxQueue int
+
+	mu    sync.Mutex
+	queue []*waiter
+	busy  bool
+}
+
+// do waits for the result of op. A caller whose ctx ends while op is still
+// queued takes it back, which makes "not written" true.
+func (b *batcher) do(ctx context.Context, op Op) Result {
+	w, ok := b.enqueue(op)
+	if !ok {
+		return Result{Code: CodeUnavailable}
+	}
+	return b.wait(ctx, w)
+}
+
+// doAll enqueues all operations before it waits, so that they share a batch.
+func (b *batcher) doAll(ctx context.Context, ops []Op) []Result {
+	waiters := make([]*waiter, len(ops))
+	for i, op := range ops {
+		waiters[i], _ = b.enqueue(op)
+	}
+	results := make([]Result, len(ops))
+	for i, w := range waiters {
+		results[i] = Result{Code: CodeUnavailable}
+		if w != nil {
+			results[i] = b.wait(ctx, w)
+		}
+	}
+	return results
+}
+
+func (b *batcher) enqueue(op Op) (*waiter, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.queue) >= b.maxQueue {
+		return nil, false
+	}
+	w := &waiter{op: op, done: make(chan Result, 1)}
+	b.queue = append(b.queue, w)
+	if !b.busy {
+		b.busy = true
+		go b.run()
+	}
+	return w, true
+}
+
+func (b *batcher) wait(ctx context.Context, w *waiter) Result {
+	select {
+	case r := <-w.done:
+		return r
+	case <-ctx.Done():
+	}
+	if b.takeBack(w) {
+		return Result{Code: CodeUnavailable}
+	}
+	return Result{Code: CodeUnknown}
+}
+
+func (b *batcher) takeBack(w *waiter) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := slices.Index(b.queue, w)
+	if i < 0 {
+		return false
+	}
+	b.queue = slices.Delete(b.queue, i, i+1)
+	return true
+}
+
+func (b *batcher) run() {
+	for {
+		batch := b.take()
+		if len(batch) == 0 {
+			return
+		}
+		ops := make([]Op, len(batch))
+		for i, w := range batch {
+			ops[i] = w.op
+		}
+		for i, r := range b.send(ops) {
+			batch[i].done <- r
+		}
+	}
+}
+
+func (b *batcher) take() []*waiter {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := min(len(b.queue), b.maxOps)
+	if n == 0 {
+		b.busy = false
+		return nil
+	}
+	batch := slices.Clone(b.queue[:n])
+	b.queue = slices.Delete(b.queue, 0, n)
+	return batch
+}
+
+// all returns n results with one code.
+func all(n int, c Code) []Result {
+	results := make([]Result, n)
+	for i := range results {
+		results[i].Code = c
+	}
+	return results
+}
--- /dev/null
+++ b/once/once_test.go
@@ -0,0 +1,192 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wigeondale/kvlog/kvtest"
+	"wigeondale/platform"
+)
+
+// alone is the Forwarder of a router that owns every shard.
+type alone struct{}
+
+func (alone) Owner(int) (string, bool) { return "n", true }
+
+func (alone) Forward(context.Context, string, Batch) (BatchResult, error) {
+	return BatchResult{}, errLinkCut
+}
+
+// downStore is a store whose reads and creates fail while down is set.
+type downStore struct {
+	*kvtest.Store
+	down  bool
+	calls int
+}
+
+func (d *downStore) Create(ctx context.Context, key string, data []byte) (bool, platform.Value, error) {
+	d.calls++
+	if d.down {
+		return false, platform.Value{}, platform.ErrUnavailable
+	}
+	return d.Store.Create(ctx, key, data)
+}
+
+func newAlone(kv platform.KV) *Claims {
+	return New(Config{Node: "n", Incarnation: "i", KV: kv, Prefix: "c/", Shards: 1, Window: time.Hour, ClockSkew: time.Minute, CompactEvery: 1}, alone{})
+}
+
+// Symptom: during an outage each claim waits for a timeout before its refusal,
+// or a claim that was refused turns out to hold its key.
+// Sequence: the key-value service refuses; claims come; the service returns.
+// Cause: each claim asks the failing service anew.
+func TestOutageRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := &downStore{Store: kvtest.New()}
+		c := newAlone(kv)
+		ask := func(attempt string) (Verdict, error) {
+			return c.Claim(t.Context(), "acme", "k", [16]byte{1}, attempt)
+		}
+		kv.down = true
+		for i := range 10 {
+			_, err := ask(fmt.Sprint(i))
+			var refused *UnavailableError
+			if !errors.As(err, &refused) || refused.RetryAfter <= 0 {
+				t.Error(err)
+			}
+		}
+		if kv.calls != 1 {
+			t.Errorf("%d calls to a service that is down", kv.calls)
+		}
+		kv.down = false
+		time.Sleep(DefaultCooldown)
+		if v, err := ask("a"); !v.Granted || err != nil {
+			t.Error(v, err)
+		}
+		if v, err := ask("a"); !v.Granted || err != nil {
+			t.Error("same attempt again:", v, err)
+		}
+		if v, err := ask("b"); v.Granted || v.Attempt != "a" || v.Holder != "n" || err != nil {
+			t.Error("duplicate:", v, err)
+		}
+		if _, err := c.Claim(t.Context(), "acme", "k", [16]byte{2}, "c"); !errors.Is(err, ErrKeyReused) {
+			t.Error("other body:", err)
+		}
+		if v, err := c.Claim(t.Context(), "other", "k", [16]byte{2}, "c"); !v.Granted || err != nil {
+			t.Error("other account:", v, err)
+		}
+	})
+}
+
+// Symptom: a key protects for less than its window.
+// Sequence: snapshots are taken within the window, by a node whose clock may
+// run ahead; the key is asked for again.
+// Cause: a snapshot drops claims by the age that one node's clock shows.
+func TestWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newAlone(kvtest.New())
+		claim := func(key, attempt string) bool {
+			v, err := c.Claim(t.Context(), "acme", key, [16]byte{}, attempt)
+			if err != nil {
+				t.Error(err)
+			}
+			return v.Granted
+		}
+		compact := func(ahead time.Duration) {
+			s := c.shards[0]
+			if err := s.compact(t.Context(), time.Now().Add(ahead)); err != nil {
+				t.Error(err)
+			}
+			s.drop(s.current()) // the next claim rebuilds from snapshot and log
+		}
+		claim("k", "a")
+		compact(24 * time.Hour)
+		if claim("k", "b") {
+			t.Error("dropped by a clock that runs ahead")
+		}
+		time.Sleep(time.Hour)
+		claim("other", "c")
+		compact(0)
+		if claim("k", "d") {
+			t.Error("dropped within the window")
+		}
+		time.Sleep(2 * time.Minute)
+		claim("other2", "e")
+		compact(0)
+		if !claim("k", "f") || claim("other", "g") {
+			t.Error("kept past the window, or a newer claim dropped")
+		}
+	})
+}
+
+// frozen is a context whose timer did not fire while the process stood still.
+type frozen struct {
+	context.Context
+	deadline time.Time
+}
+
+func (f frozen) Deadline() (time.Time, bool) { return f.deadline, true }
+
+// Symptom: a request is dispatched after its caller gave up.
+// Sequence: the claim is granted, the process freezes past the deadline and
+// thaws; its timers have not fired yet, or its monotonic clock stood still.
+// Cause: only the context's Done channel is looked at.
+func TestInTimeAfterFreeze(t *testing.T) {
+	now := time.Now()
+	stopped := now.Add(time.Minute).Round(0).Add(-2 * time.Minute) // wall clock only
+	for name, deadline := range map[string]time.Time{"timer late": now.Add(-time.Second), "wall clock": stopped} {
+		if err := InTime(frozen{t.Context(), deadline}); !errors.Is(err, ErrLate) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := InTime(frozen{t.Context(), now.Add(time.Hour)}); err != nil {
+		t.Error(err)
+	}
+}
+
+// BenchmarkClaims asks through one shard of a service that takes 2 ms a call.
+func BenchmarkClaims(b *testing.B) {
+	store := kvtest.New()
+	store.Latency = 2 * time.Millisecond
+	c := newAlone(store)
+	c.cfg.CompactEvery = 1 << 40
+	b.SetParallelism(64)
+	var seq = make(chan int, 1)
+	seq <- 0
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			i := <-seq
+			seq <- i + 1
+			v, err := c.Claim(b.Context(), "acme", fmt.Sprint("key", i), [16]byte{}, fmt.Sprint("attempt", i))
+			if err != nil || !v.Granted {
+				b.Error(v, err)
+			}
+		}
+	})
+	writes, reads := store.Calls()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(float64(writes)/float64(b.N), "writes/claim")
+	b.ReportMetric(float64(reads)/float64(b.N), "reads/claim")
+	b.ReportMetric(float64(writes)/b.Elapsed().Seconds(), "writes/s")
+}
+
+// BenchmarkClaimMemory reports the bytes that one kept claim takes.
+func BenchmarkClaimMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	t := newTable()
+	for i := range b.N {
+		op := Op{Kind: OpClaim, Key: NewKeyID("acme", fmt.Sprint(i)), Attempt: fmt.Sprintf("node-1/%016x", i), Node: "node-1"}
+		t.apply(entry{Ops: []Op{op}})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "bytes/claim")
+	runtime.KeepAlive(t)
+}
--- /dev/null
+++ b/order/lease.go
@@ -0,0 +1,69 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wigeondale/platform"
+)
+
+// LeaseKey is the key that the holder's lease is attached to, below a prefix.
+const LeaseKey = "orders/lease"
+
+// kvLease is a Lease in the key-value service.
+type kvLease struct {
+	kv   platform.KV
+	key  string
+	node string
+}
+
+// NewLease returns the lease for orders under a key prefix of the service.
+func NewLease(kv platform.KV, prefix, node string) Lease {
+	return &kvLease{kv: kv, key: prefix + LeaseKey, node: node}
+}
+
+// Acquire implements Lease. A create whose answer is lost isn't settled: the
+// key then goes with its lease, which nobody renews, and someone acquires anew.
+func (l *kvLease) Acquire(ctx context.Context, ttl time.Duration) (Held, bool, error) {
+	_, taken, err := l.kv.Get(ctx, l.key)
+	if err != nil || taken {
+		return Held{}, false, Error.Wrap(err)
+	}
+	id, err := l.kv.Grant(ctx, ttl)
+	if err != nil {
+		return Held{}, false, Error.Wrap(err)
+	}
+	created, v, err := l.kv.CreateWithLease(ctx, l.key, []byte(l.node), id)
+	if err != nil || !created {
+		// Best effort: the lease lapses by itself.
+		_ = l.kv.Revoke(ctx, id)
+		return Held{}, false, Error.Wrap(err)
+	}
+	return Held{Fence: uint64(v.CreateRev), ID: int64(id), TTL: ttl}, true, nil
+}
+
+// Renew implements Lease. The key is looked at too: without it the lease
+// protects nothing, and another node may have created it anew.
+func (l *kvLease) Renew(ctx context.Context, h Held) error {
+	left, err := l.kv.KeepAlive(ctx, platform.LeaseID(h.ID))
+	if errors.Is(err, platform.ErrLeaseNotFound) || (err == nil && left <= 0) {
+		return Error.Wrap(ErrLeaseLost)
+	}
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	v, ok, err := l.kv.Get(ctx, l.key)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if !ok || uint64(v.CreateRev) != h.Fence {
+		return Error.Wrap(ErrLeaseLost)
+	}
+	return nil
+}
+
+// Release implements Lease.
+func (l *kvLease) Release(ctx context.Context, h Held) error {
+	return Error.Wrap(l.kv.Revoke(ctx, platform.LeaseID(h.ID)))
+}
--- /dev/null
+++ b/order/next.go
@@ -0,0 +1,184 @@
+package order
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"wigeondale/fleet"
+	"wigeondale/intent"
+)
+
+// View is what one round sees of the fleet.
+type View struct {
+	Backends []fleet.Backend
+	Status   map[string]Status // by backend server; those that didn't answer are absent
+	Weights  map[string]int64  // bytes by ModelRef.String()
+}
+
+// Step is an order for one backend server.
+type Step struct {
+	Backend fleet.Backend
+	Order   Order
+}
+
+// Progress remembers since when each model's new versions are all serving.
+type Progress struct {
+	since map[string]time.Time
+}
+
+// Next decides the orders of one round. It sends a backend server the whole of
+// what it shall have now: what it has and may keep, and the loads of the current
+// wave. Backend servers that already have that as their desired state get none.
+func Next(s *intent.State, v View, p Policy, progress *Progress, now time.Time) []Step {
+	progress.update(s, v, now)
+	wave := currentWave(s, v, p)
+	var steps []Step
+	for _, b := range v.Backends {
+		status, answered := v.Status[b.ID]
+		if b.Kind != fleet.Engine || !answered {
+			continue
+		}
+		o := Order{Plan: fmt.Sprintf("r-%d", s.Revision), Role: role(s, b, status)}
+		// Leaving is never taken back: an engine that is going away by its own
+		// word would be sent new work that it is about to cut.
+		o.Leaving = status.Leaving || s.Leaving(b.VM)
+		o.Desired = stage(s, b, status, wave[b.ID], progress.settled(p, now))
+		if agrees(s, b, o, status) {
+			continue
+		}
+		steps = append(steps, Step{Backend: b, Order: o})
+	}
+	return steps
+}
+
+// agrees reports whether b already does what the order would say.
+func agrees(s *intent.State, b fleet.Backend, o Order, st Status) bool {
+	if o.Leaving != st.Leaving || (st.Role != "" && o.Role != st.Role) {
+		return false
+	}
+	_, placed := s.Placement[b.ID]
+	return !placed || sameSet(o.Desired, st.Desired)
+}
+
+func role(s *intent.State, b fleet.Backend, st Status) string {
+	if r := s.Placement[b.ID].Role; r != "" {
+		return r
+	}
+	if st.Role != "" {
+		return st.Role
+	}
+	return "both"
+}
+
+// stage is what b shall have now. An old version stays until every backend
+// server that shall get a version of that model serves it, and a grace beyond.
+func stage(s *intent.State, b fleet.Backend, st Status, loads []fleet.ModelRef, settled func(string) bool) []fleet.ModelRef {
+	placement, placed := s.Placement[b.ID]
+	if !placed {
+		return st.Actual
+	}
+	var out []fleet.ModelRef
+	for _, ref := range st.Actual {
+		if slices.Contains(placement.Desired, ref) || !settled(ref.Model) {
+			out = append(out, ref)
+		}
+	}
+	for _, ref := range placement.Desired {
+		started := slices.Contains(st.Loading, ref) || slices.Contains(loads, ref)
+		if started && !slices.Contains(out, ref) {
+			out = append(out, ref)
+		}
+	}
+	return out
+}
+
+// currentWave picks the loads to be under way: those that are, and as many more
+// as the weight store's budget for one wave allows.
+func currentWave(s *intent.State, v View, p Policy) map[string][]fleet.ModelRef {
+	var loads []intent.Load
+	var waiting []intent.Load
+	hosts := 0
+	for _, b := range v.Backends {
+		st, ok := v.Status[b.ID]
+		if !ok || b.Kind != fleet.Engine {
+			continue
+		}
+		hosts++
+		for _, ref := range s.Placement[b.ID].Desired {
+			if slices.Contains(st.Actual, ref) || s.Leaving(b.VM) {
+				continue
+			}
+			l := intent.Load{Backend: b.ID, Ref: ref, Bytes: v.Weights[ref.String()]}
+			if slices.Contains(st.Loading, ref) || slices.Contains(st.Desired, ref) {
+				loads = append(loads, l)
+				continue
+			}
+			waiting = append(waiting, l)
+		}
+	}
+	waves := intent.Waves(append(loads, waiting...), p.WeightRate, hosts)
+	out := map[string][]fleet.ModelRef{}
+	if len(waves) > 0 {
+		for _, l := range waves[0].Loads {
+			out[l.Backend] = append(out[l.Backend], l.Ref)
+		}
+	}
+	for _, l := range loads {
+		if !slices.Contains(out[l.Backend], l.Ref) {
+			out[l.Backend] = append(out[l.Backend], l.Ref)
+		}
+	}
+	return out
+}
+
+// update notes since when each model has all its placed versions serving. A
+// backend server that doesn't answer counts as not serving, unless it leaves.
+func (p *Progress) update(s *intent.State, v View, now time.Time) {
+	if p.since == nil {
+		p.since = map[string]time.Time{}
+	}
+	pending := map[string]bool{}
+	placed := map[string]bool{}
+	for _, b := range v.Backends {
+		if s.Leaving(b.VM) || b.Leaving {
+			continue
+		}
+		for _, ref := range s.Placement[b.ID].Desired {
+			placed[ref.Model] = true
+			if !slices.Contains(v.Status[b.ID].Actual, ref) {
+				pending[ref.Model] = true
+			}
+		}
+	}
+	for model := range p.since {
+		if pending[model] || !placed[model] {
+			delete(p.since, model)
+		}
+	}
+	for model := range placed {
+		if _, known := p.since[model]; !known && !pending[model] {
+			p.since[model] = now
+		}
+	}
+}
+
+// settled returns whether a model's old versions may be unloaded.
+func (p *Progress) settled(policy Policy, now time.Time) func(model string) bool {
+	return func(model string) bool {
+		since, ok := p.since[model]
+		return ok && now.Sub(since) >= policy.UnloadGrace
+	}
+}
+
+func sameSet(a, b []fleet.ModelRef) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, ref := range a {
+		if !slices.Contains(b, ref) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/order/next_test.go
@@ -0,0 +1,154 @@
+package order
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wigeondale/fleet"
+	"wigeondale/intent"
+)
+
+var (
+	v1 = fleet.ModelRef{Model: "m", Version: "v1"}
+	v2 = fleet.ModelRef{Model: "m", Version: "v2"}
+)
+
+// fleetOf is engines that obey, one load each Tick; it checks what it is told.
+type fleetOf struct {
+	mu      sync.Mutex
+	list    []fleet.Backend
+	status  map[string]Status
+	loading int // most loads ever under way at once
+	calls   int
+}
+
+func newFleet(ids ...string) *fleetOf {
+	f := &fleetOf{status: map[string]Status{}}
+	for _, id := range ids {
+		f.list = append(f.list, fleet.Backend{ID: id, VM: "vm-" + id, Kind: fleet.Engine})
+		f.status[id] = Status{Desired: []fleet.ModelRef{v1}, Actual: []fleet.ModelRef{v1}}
+	}
+	return f
+}
+
+func (f *fleetOf) Status(_ context.Context, b fleet.Backend) (Status, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status[b.ID], nil
+}
+
+func (f *fleetOf) Order(_ context.Context, b fleet.Backend, o Order) (Status, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	st := f.status[b.ID]
+	st.Desired, st.Leaving = o.Desired, o.Leaving
+	st.Loading = nil
+	st.Actual = slices.DeleteFunc(slices.Clone(st.Actual), func(r fleet.ModelRef) bool { return !slices.Contains(o.Desired, r) })
+	for _, ref := range o.Desired {
+		if !slices.Contains(st.Actual, ref) {
+			st.Loading = append(st.Loading, ref)
+		}
+	}
+	f.status[b.ID] = st
+	under := 0
+	for _, s := range f.status {
+		under += len(s.Loading)
+	}
+	f.loading = max(f.loading, under)
+	return st, nil
+}
+
+// loaded ends the loads under way.
+func (f *fleetOf) loaded() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, st := range f.status {
+		st.Actual = append(st.Actual, st.Loading...)
+		st.Loading = nil
+		f.status[id] = st
+	}
+}
+
+func (f *fleetOf) serving(ref fleet.ModelRef) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, st := range f.status {
+		if slices.Contains(st.Actual, ref) {
+			n++
+		}
+	}
+	return n
+}
+
+type freeLease struct{}
+
+func (freeLease) Acquire(context.Context, time.Duration) (Held, bool, error) {
+	return Held{Fence: 1}, true, nil
+}
+func (freeLease) Renew(context.Context, Held) error   { return nil }
+func (freeLease) Release(context.Context, Held) error { return nil }
+
+// Symptom: a model has no replica while its new version loads, or the weight
+// store is asked for more than its rate. Sequence: a plan replaces v1 by v2 on
+// four engines. Cause: ordering all at once, or unloading v1 as v2 is ordered.
+func TestWavesKeepOldVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("a", "b", "c", "d")
+		state := intent.NewState()
+		for _, b := range f.list {
+			state.Placement[b.ID] = intent.Placement{Backend: b.ID, Desired: []fleet.ModelRef{v2}}
+		}
+		e, err := New(Config{
+			Lease:    freeLease{},
+			Backends: f,
+			State:    func() *intent.State { return state },
+			Fresh:    func() bool { return true },
+			List:     func() []fleet.Backend { return f.list },
+			Sizes:    func() map[string]int64 { return map[string]int64{v2.String(): 100} },
+			Policy:   Policy{WeightRate: 2},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- e.Run(ctx) }()
+		time.Sleep(DefaultTTL)
+		if f.calls != 0 {
+			t.Fatalf("%d orders to engines that don't check fences while the former holder may still order", f.calls)
+		}
+		for range 120 {
+			time.Sleep(time.Second)
+			if f.serving(v1) < 4 && f.serving(v2) < 4 {
+				t.Fatalf("%d engines serve v1 and %d serve v2", f.serving(v1), f.serving(v2))
+			}
+			f.loaded()
+		}
+		if f.serving(v1) != 0 || f.serving(v2) != 4 || f.loading != 1 {
+			t.Fatalf("v1 on %d, v2 on %d engines, at most %d loads at once; want 0, 4, 1", f.serving(v1), f.serving(v2), f.loading)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestLeavingIsNotTakenBack(t *testing.T) {
+	f := newFleet("a", "b")
+	st := f.status["b"]
+	st.Leaving = true // by its own word
+	f.status["b"] = st
+	state := intent.NewState()
+	state.VMs["vm-a"] = intent.VMIntent{VM: "vm-a", Leaving: true}
+	steps := Next(state, View{Backends: f.list, Status: f.status}, Policy{}.WithDefaults(), &Progress{}, time.Now())
+	if len(steps) != 1 || steps[0].Backend.ID != "a" || !steps[0].Order.Leaving {
+		t.Fatalf("steps = %+v, want one that lets a leave", steps)
+	}
+}
--- /dev/null
+++ b/peer/judge.go
@@ -0,0 +1,72 @@
+package peer
+
+import "time"
+
+// Policy holds the timeouts of failure judgement.
+type Policy struct {
+	LinkTimeout    time.Duration // silence after which a link is closed
+	SuspectTimeout time.Duration // from suspect to dead, unless refuted
+	ForgetAfter    time.Duration // from dead to forgotten
+}
+
+// Evidence is what one node knows about another at a moment.
+type Evidence struct {
+	Status      Status
+	StatusSince time.Time
+	Neighbour   bool      // this node is to hold a link to the other
+	WantedSince time.Time // since when it is a neighbour
+	LastHeard   time.Time // zero: never in this node's life
+	Thawed      time.Time // end of this node's own last pause, or its start
+}
+
+// Verdict is the outcome of a judgement.
+type Verdict uint8
+
+const (
+	// Keep leaves the record as it is.
+	Keep Verdict = iota
+	// MakeSuspect spreads the rumour that the node is not heard.
+	MakeSuspect
+	// MakeDead records that the suspicion was not refuted in time.
+	MakeDead
+	// Forget drops the record.
+	Forget
+)
+
+// Judge decides what becomes of a member. It is pure.
+//
+// A node that was frozen itself has heard nobody for the length of its pause:
+// without Thawed it would call the whole fleet dead the moment it returns. And a
+// node that is still heard on a direct link is never moved to dead by a rumour,
+// which a partition between two others may have started.
+func Judge(now time.Time, e Evidence, p Policy) Verdict {
+	since := latest(e.LastHeard, e.WantedSince, e.Thawed)
+	silent := now.Sub(since) > p.LinkTimeout
+	switch e.Status {
+	case Alive:
+		if e.Neighbour && silent {
+			return MakeSuspect
+		}
+	case Suspect:
+		heard := now.Sub(e.LastHeard) <= p.LinkTimeout
+		waited := now.Sub(latest(e.StatusSince, e.Thawed))
+		if !heard && waited > p.SuspectTimeout {
+			return MakeDead
+		}
+	case Dead:
+		if now.Sub(latest(e.StatusSince, e.Thawed)) > p.ForgetAfter {
+			return Forget
+		}
+	}
+	return Keep
+}
+
+func latest(times ...time.Time) time.Time {
+	var out time.Time
+	for _, t := range times {
+		if t.After(out) {
+			out = t
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/peer/members.go
@@ -0,0 +1,186 @@
+package peer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Summary is what a node tells its fleet about itself in each heartbeat.
+type Summary struct {
+	Revision uint64 // of the configuration in force
+	Ready    bool
+	// Demand is tokens per second by client account. SetSummary takes only the
+	// entries that changed, zero removing one. Members shows it for the node
+	// itself and linked nodes only: in a fleet above the full mesh, one node's
+	// 3 KB/s could not carry every account of every node.
+	Demand map[string]float64
+}
+
+// Member is one node as this node sees it.
+type Member struct {
+	ID            string
+	Addr          string // host:port of the peer listener
+	FailureDomain string
+	Incarnation   uint64
+	Alive         bool // not dead; a suspect member is still alive
+	Suspect       bool
+	Leaving       bool
+	Self          bool
+	Linked        bool
+	Summary       Summary // Revision lags for members that are not linked
+}
+
+// Members returns every known node, this one included, ordered by id. Dead ones
+// stay listed for some time with Alive false.
+func (m *Mesh) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Member, 0, len(m.table.byID))
+	for _, e := range m.table.byID {
+		out = append(out, m.member(e))
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (m *Mesh) countAlive() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids, _ := m.table.live()
+	return float64(len(ids))
+}
+
+func (m *Mesh) member(e *entry) Member {
+	r := e.rec
+	_, linked := m.links[r.ID]
+	out := Member{
+		ID:            r.ID,
+		Addr:          r.Addr,
+		FailureDomain: r.FailureDomain,
+		Incarnation:   r.Incarnation,
+		Alive:         r.Status != Dead,
+		Suspect:       r.Status == Suspect,
+		Leaving:       r.Leaving,
+		Self:          r.ID == m.cfg.ID,
+		Linked:        linked,
+		Summary:       Summary{Revision: e.revision, Ready: r.Ready, Demand: maps.Clone(e.demand)},
+	}
+	if out.Self {
+		out.Summary.Demand = maps.Clone(m.demand)
+	}
+	return out
+}
+
+// SetSummary states this node's summary; it goes out with the next heartbeat.
+func (m *Mesh) SetSummary(s Summary) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.byID[m.cfg.ID].revision = s.Revision
+	for account, rate := range s.Demand {
+		m.setDemand(account, rate)
+	}
+	if s.Ready != m.self.Ready {
+		m.self.Ready = s.Ready
+		m.publishSelf()
+	}
+}
+
+func (m *Mesh) setDemand(account string, rate float64) {
+	if len(account) > maxNameBytes {
+		return
+	}
+	applyDemand(m.demand, account, rate)
+	for _, l := range m.links {
+		l.pending[account] = struct{}{}
+	}
+}
+
+// applyDemand keeps the map bounded: a faulty peer could otherwise fill memory
+// with account names.
+func applyDemand(demand map[string]float64, account string, rate float64) {
+	if rate == 0 {
+		delete(demand, account)
+		return
+	}
+	if _, known := demand[account]; !known && len(demand) >= maxDemandAccounts {
+		return
+	}
+	demand[account] = rate
+}
+
+// SetLeaving tells the fleet that this node is going away. It cannot be undone
+// within an incarnation.
+func (m *Mesh) SetLeaving() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.self.Leaving {
+		return
+	}
+	m.self.Leaving = true
+	m.publishSelf()
+}
+
+// publishSelf gives the node's own record a new version and has it pushed.
+func (m *Mesh) publishSelf() {
+	m.self.Version++
+	m.storeSelf()
+}
+
+func (m *Mesh) storeSelf() {
+	m.table.merge(time.Now(), m.self)
+	m.dirty[m.cfg.ID] = struct{}{}
+	m.wake()
+}
+
+// linkDump and memberDump are the state dump's view.
+type linkDump struct {
+	Node        string
+	Dialer      string
+	HeardAgo    string
+	QueuedBytes int64
+}
+
+type memberDump struct {
+	Member
+	Status      string
+	StatusSince time.Time
+	Neighbour   bool
+	Version     uint64
+}
+
+// meshDump is what Dump returns.
+type meshDump struct {
+	Self    Record
+	Members []memberDump
+	Links   []linkDump
+	Seeds   []string
+}
+
+// Dump returns the state for the process's dump. It holds no secret.
+func (m *Mesh) Dump() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := meshDump{Self: m.self, Seeds: slices.Clone(m.seeds)}
+	for _, e := range m.table.byID {
+		d.Members = append(d.Members, memberDump{
+			Member:      m.member(e),
+			Status:      e.rec.Status.String(),
+			StatusSince: e.statusSince,
+			Neighbour:   e.neighbour,
+			Version:     e.rec.Version,
+		})
+	}
+	for _, l := range m.links {
+		d.Links = append(d.Links, linkDump{
+			Node:        l.node,
+			Dialer:      l.dialer,
+			HeardAgo:    time.Since(l.heard()).Round(time.Millisecond).String(),
+			QueuedBytes: l.queued.Load(),
+		})
+	}
+	slices.SortFunc(d.Members, func(a, b memberDump) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(d.Links, func(a, b linkDump) int { return cmp.Compare(a.Node, b.Node) })
+	return d
+}
--- /dev/null
+++ b/peer/metrics.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters holds the counters of one mesh. Bytes are those of messages with their
+// WebSocket headers; TCP, IP and TLS come on top.
+type meters struct {
+	set       *metrics.Set
+	sentBytes [frameTypes]*metrics.Counter
+	sent      [frameTypes]*metrics.Counter
+	received  *metrics.Counter
+	rejected  map[string]*metrics.Counter
+	linksUp   *metrics.Counter
+	linksLost map[string]*metrics.Counter
+	floodDup  *metrics.Counter
+	floodDrop *metrics.Counter
+	callLost  *metrics.Counter
+	relayed   *metrics.Counter
+	dialFails *metrics.Counter
+}
+
+// Reasons why a message or a connection is rejected.
+const (
+	rejectMalformed = "malformed"
+	rejectOversized = "oversized"
+	rejectHandshake = "handshake"
+	rejectBusy      = "busy"
+)
+
+// Reasons why a link ends.
+const (
+	lostClosed    = "closed"
+	lostSilent    = "silent"
+	lostSlow      = "slow"
+	lostRejected  = "rejected"
+	lostReplaced  = "replaced"
+	lostIdle      = "idle"
+	lostDuplicate = "duplicate"
+)
+
+func newMeters(set *metrics.Set) *meters {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	m := &meters{
+		set:       set,
+		received:  set.GetOrCreateCounter("wigeon_peer_received_bytes_total"),
+		rejected:  make(map[string]*metrics.Counter),
+		linksUp:   set.GetOrCreateCounter("wigeon_peer_links_up_total"),
+		linksLost: make(map[string]*metrics.Counter),
+		floodDup:  set.GetOrCreateCounter("wigeon_peer_floods_duplicate_total"),
+		floodDrop: set.GetOrCreateCounter("wigeon_peer_floods_dropped_total"),
+		callLost:  set.GetOrCreateCounter("wigeon_peer_calls_lost_total"),
+		relayed:   set.GetOrCreateCounter("wigeon_peer_calls_relayed_total"),
+		dialFails: set.GetOrCreateCounter("wigeon_peer_dial_failures_total"),
+	}
+	for t := typeHeartbeat; t < frameTypes; t++ {
+		m.sentBytes[t] = set.GetOrCreateCounter(fmt.Sprintf("wigeon_peer_sent_bytes_total{kind=%q}", frameNames[t]))
+		m.sent[t] = set.GetOrCreateCounter(fmt.Sprintf("wigeon_peer_sent_messages_total{kind=%q}", frameNames[t]))
+	}
+	for _, r := range []string{rejectMalformed, rejectOversized, rejectHandshake, rejectBusy} {
+		m.rejected[r] = set.GetOrCreateCounter(fmt.Sprintf("wigeon_peer_rejected_total{reason=%q}", r))
+	}
+	for _, r := range []string{lostClosed, lostSilent, lostSlow, lostRejected, lostReplaced, lostIdle, lostDuplicate} {
+		m.linksLost[r] = set.GetOrCreateCounter(fmt.Sprintf("wigeon_peer_links_lost_total{reason=%q}", r))
+	}
+	return m
+}
+
+// Bytes of a WebSocket header without mask: short, 16-bit and 64-bit lengths.
+const (
+	headerShort  = 2
+	headerMedium = 4
+	headerLong   = 10
+	maskBytes    = 4
+)
+
+// wireBytes is the size of a message with its WebSocket header.
+func wireBytes(payload int, masked bool) int {
+	n := payload + headerShort
+	switch {
+	case payload > 0xffff:
+		n = payload + headerLong
+	case payload > 125:
+		n = payload + headerMedium
+	}
+	if masked {
+		n += maskBytes
+	}
+	return n
+}
--- /dev/null
+++ b/peer/table.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// syncBuckets is the number of hashes in a membership digest.
+const syncBuckets = 64
+
+// entry is what this node keeps about one member.
+type entry struct {
+	rec         Record
+	hash        uint64
+	statusSince time.Time
+	lastHeard   time.Time
+	wantedSince time.Time
+	neighbour   bool
+	revision    uint64
+	demand      map[string]float64 // of linked members only
+}
+
+// table holds the members, this node among them. It has no lock of its own.
+type table struct {
+	byID    map[string]*entry
+	buckets [syncBuckets]uint64 // xor of the hashes of records that are not dead
+	ids     []string            // ordered ids that are not dead; nil: to be built
+	idsHash uint64              // of ids and incarnations
+}
+
+func newTable() *table {
+	return &table{byID: make(map[string]*entry)}
+}
+
+// merge joins a record into the table and says whether anything changed.
+//
+// A dead record of an unknown node is not taken: two nodes that forget it at
+// different times would otherwise hand it back to each other for ever.
+func (t *table) merge(now time.Time, r Record) bool {
+	e, known := t.byID[r.ID]
+	if !known {
+		if r.Status == Dead || len(t.byID) >= maxMembers {
+			return false
+		}
+		e = &entry{statusSince: now}
+		t.byID[r.ID] = e
+		t.set(e, r)
+		t.ids = nil
+		return true
+	}
+	out := Merge(e.rec, r)
+	if out == e.rec {
+		return false
+	}
+	if out.Status != e.rec.Status {
+		e.statusSince = now
+		t.ids = nil
+	}
+	if out.Incarnation != e.rec.Incarnation {
+		e.revision = 0
+		e.demand = nil
+		e.wantedSince = now
+		t.ids = nil
+	}
+	t.unset(e)
+	t.set(e, out)
+	return true
+}
+
+// drop forgets a member.
+func (t *table) drop(id string) {
+	e, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	t.unset(e)
+	delete(t.byID, id)
+	t.ids = nil
+}
+
+func (t *table) set(e *entry, r Record) {
+	e.rec = r
+	e.hash = recordHash(r)
+	t.buckets[bucketOf(r.ID)] ^= e.hash
+}
+
+func (t *table) unset(e *entry) {
+	t.buckets[bucketOf(e.rec.ID)] ^= e.hash
+}
+
+func bucketOf(id string) int {
+	return int(xxhash.Sum64String(id) % syncBuckets)
+}
+
+// recordHash is zero for a dead record, so that digests agree whether or not a
+// node has forgotten it yet.
+func recordHash(r Record) uint64 {
+	if r.Status == Dead {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{r.ID, r.Addr, r.FailureDomain} {
+		d.WriteString(s)
+		d.Write([]byte{0})
+	}
+	var b [19]byte
+	binary.BigEndian.PutUint64(b[0:], r.Incarnation)
+	binary.BigEndian.PutUint64(b[8:], r.Version)
+	b[16] = byte(r.Status)
+	b[17] = bit(r.Ready)
+	b[18] = bit(r.Leaving)
+	d.Write(b[:])
+	return d.Sum64()
+}
+
+func bit(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// live returns the ordered ids that are not dead and their hash. The slice is
+// shared: callers only read it.
+func (t *table) live() ([]string, uint64) {
+	if t.ids != nil {
+		return t.ids, t.idsHash
+	}
+	t.ids = make([]string, 0, len(t.byID))
+	for id, e := range t.byID {
+		if e.rec.Status != Dead {
+			t.ids = append(t.ids, id)
+		}
+	}
+	slices.Sort(t.ids)
+	var d xxhash.Digest
+	d.Reset()
+	for _, id := range t.ids {
+		d.WriteString(id)
+		d.Write(binary.BigEndian.AppendUint64([]byte{0}, t.byID[id].rec.Incarnation))
+	}
+	t.idsHash = d.Sum64()
+	return t.ids, t.idsHash
+}
+
+// differing returns the records of the buckets whose hash differs from the
+// other side's, beginning at bucket start, at most max, and whether some were
+// left out.
+func (t *table) differing(theirs []uint64, start, max int) ([]Record, bool) {
+	var differs [syncBuckets]bool
+	any := false
+	for i := range differs {
+		differs[i] = theirs[i] != t.buckets[i]
+		any = any || differs[i]
+	}
+	if !any {
+		return nil, false
+	}
+	var found []Record
+	for _, e := range t.byID {
+		if differs[bucketOf(e.rec.ID)] {
+			found = append(found, e.rec)
+		}
+	}
+	rank := func(r Record) int {
+		return (bucketOf(r.ID) + syncBuckets - start) % syncBuckets
+	}
+	slices.SortFunc(found, func(a, b Record) int { return rank(a) - rank(b) })
+	if len(found) <= max {
+		return found, false
+	}
+	return found[:max], true
+}
--- /dev/null
+++ b/routing/filters.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"slices"
+
+	"wigeondale/health"
+)
+
+// Filter takes away candidates that must not get the attempt. Keep works on
+// indices in place and returns those that stay.
+type Filter interface {
+	Name() string
+	Keep(all []Candidate, left []int32, ask *Ask, sc *scratch) []int32
+}
+
+// each is a filter that looks at one candidate at a time.
+type each struct {
+	name string
+	keep func(c *Candidate, ask *Ask) bool
+}
+
+func (f each) Name() string { return f.name }
+
+func (f each) Keep(all []Candidate, left []int32, ask *Ask, _ *scratch) []int32 {
+	kept := left[:0]
+	for _, i := range left {
+		if f.keep(&all[i], ask) {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// Names of the filters.
+const (
+	FilterServes  = "serves"
+	FilterLeaving = "leaving"
+	FilterUsable  = "usable"
+	FilterExclude = "exclude"
+	FilterRole    = "role"
+)
+
+// roleDecode takes no prompts: it continues what a prefill engine began.
+const roleDecode = "decode"
+
+func serves(c *Candidate, ask *Ask) bool {
+	if ask.Ref.Model == "" {
+		return true
+	}
+	return slices.Contains(c.Serves, ask.Ref)
+}
+
+func stays(c *Candidate, _ *Ask) bool { return !c.leaving() }
+
+func notExcluded(c *Candidate, ask *Ask) bool { return !ask.Exclude[c.Backend.ID] }
+
+func takesPrompts(c *Candidate, _ *Ask) bool { return c.Role != roleDecode }
+
+// usable asks the health monitor about the whole set at once.
+type usable struct{}
+
+func (usable) Name() string { return FilterUsable }
+
+func (usable) Keep(all []Candidate, left []int32, ask *Ask, sc *scratch) []int32 {
+	if ask.Usable == nil {
+		return each{FilterUsable, healthy}.Keep(all, left, ask, sc)
+	}
+	sc.ids = sc.ids[:0]
+	for _, i := range left {
+		sc.ids = append(sc.ids, all[i].Backend.ID)
+	}
+	ok := ask.Usable(sc.ids)
+	if ok == nil {
+		return left
+	}
+	kept := left[:0]
+	for k, i := range left {
+		if ok[k] {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+func healthy(c *Candidate, _ *Ask) bool {
+	return c.State == health.Healthy || c.State == health.Probing
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,225 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"wigeondale/fleet"
+	"wigeondale/health"
+)
+
+var ref = fleet.ModelRef{Model: "m", Version: "v1"}
+
+func candidate(id string, load float64) Candidate {
+	return Candidate{
+		Backend: fleet.Backend{ID: id, Kind: fleet.Engine, FailureDomain: "a"},
+		Serves:  []fleet.ModelRef{ref},
+		Role:    "both",
+		EstLoad: load,
+	}
+}
+
+func candidates(n int) []Candidate {
+	all := make([]Candidate, n)
+	for i := range all {
+		all[i] = candidate(fmt.Sprint("e", i), float64(i%7))
+	}
+	return all
+}
+
+func router(t testing.TB, steps ...StepConfig) *Router {
+	t.Helper()
+	if len(steps) == 0 {
+		steps = DefaultSteps()
+	}
+	r, err := New(steps, rand.New(rand.NewPCG(1, 2)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Each row spoils all candidates in one way. The error must name the cause and
+// say rightly whether trying again can help: callers act on it.
+func TestNothingLeft(t *testing.T) {
+	other := fleet.ModelRef{Model: "m", Version: "v2"}
+	rows := []struct {
+		name   string
+		spoil  func(c *Candidate, a *Ask)
+		reason Reason
+		retry  bool
+	}{
+		{"other version only", func(c *Candidate, _ *Ask) { c.Serves = []fleet.ModelRef{other} }, NoneServes, false},
+		{"marked leaving", func(c *Candidate, _ *Ask) { c.Leaving = true }, AllLeaving, true},
+		{"VM list says leaving", func(c *Candidate, _ *Ask) { c.Backend.Leaving = true }, AllLeaving, true},
+		{"down", func(c *Candidate, _ *Ask) { c.State = health.Down }, AllDown, true},
+		{"not usable", func(_ *Candidate, a *Ask) {
+			a.Usable = func(ids []string) []bool { return make([]bool, len(ids)) }
+		}, AllDown, true},
+		{"tried", func(c *Candidate, a *Ask) { a.Exclude[c.Backend.ID] = true }, AllExcluded, true},
+		{"decode role", func(c *Candidate, _ *Ask) { c.Role = roleDecode }, NoneTakes, true},
+	}
+	for _, row := range rows {
+		all, ask := candidates(5), Ask{Ref: ref, Exclude: map[string]bool{}}
+		for i := range all {
+			row.spoil(&all[i], &ask)
+		}
+		_, trace, err := router(t).Pick(all, ask)
+		var none *NoCandidate
+		if !errors.As(err, &none) || none.Reason != row.reason || none.Retryable != row.retry {
+			t.Errorf("%s: %v (want %s, retryable %v)", row.name, err, row.reason, row.retry)
+			continue
+		}
+		if len(trace.Removed) != 1 || trace.Removed[0].Count != 5 {
+			t.Errorf("%s: trace %+v", row.name, trace)
+		}
+	}
+	for _, known := range []bool{false, true} {
+		_, _, err := router(t).Pick(nil, Ask{Ref: ref, FleetKnown: known})
+		var none *NoCandidate
+		if !errors.As(err, &none) || none.Retryable == known {
+			t.Errorf("empty snapshot, fleet known %v: %v", known, err)
+		}
+	}
+}
+
+// Symptom: work reaches an engine that leaves, failed, was tried before or
+// runs another version. Whatever the scores, a pick passes every filter.
+func TestPickNeverPassesAFilter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := candidates(rapid.IntRange(1, 20).Draw(t, "n"))
+		ask := Ask{Ref: ref, Exclude: map[string]bool{}, Blocks: []uint64{1, 2}, Resume: rapid.Bool().Draw(t, "resume")}
+		good := map[string]bool{}
+		for i := range all {
+			c := &all[i]
+			c.PrefixHits = rapid.IntRange(0, 2).Draw(t, "hits")
+			switch rapid.IntRange(0, 4).Draw(t, "fault") {
+			case 0:
+				c.Leaving = true
+			case 1:
+				c.State = health.Suspect
+			case 2:
+				ask.Exclude[c.Backend.ID] = true
+			case 3:
+				c.Serves = nil
+			default:
+				good[c.Backend.ID] = true
+			}
+		}
+		r, err := New(DefaultSteps(), rand.New(rand.NewPCG(3, 4)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, _, err := r.Pick(all, ask)
+		if len(good) == 0 && err == nil || len(good) > 0 && !good[got.Backend.ID] {
+			t.Fatalf("picked %q of %v, error %v", got.Backend.ID, good, err)
+		}
+	})
+}
+
+// Symptom: one engine overloads with a popular prompt prefix while others
+// idle. Sequence: requests of one prefix arrive, each adds load to the engine
+// that gets it. The first must meet on few engines, but no load may pass the
+// bound, not even where affinity alone decides.
+func TestPrefixAffinityIsBounded(t *testing.T) {
+	affinityOnly := []StepConfig{{Name: FilterServes}, {Name: FilterLeaving}, {Name: FilterExclude}, {Name: ScoreRendezvous}, {Name: PickArgmax}}
+	for _, steps := range [][]StepConfig{DefaultSteps(), affinityOnly} {
+		all, at := candidates(16), map[string]int{}
+		for i := range all {
+			all[i].EstLoad = 0
+			at[all[i].Backend.ID] = i
+		}
+		r, ask := router(t, steps...), Ask{Ref: ref, Blocks: []uint64{7, 8, 9}}
+		first := map[string]int{}
+		for n := range 320 {
+			got, _, err := r.Pick(all, ask)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all[at[got.Backend.ID]].EstLoad++
+			if n < 3 {
+				first[got.Backend.ID]++
+			}
+		}
+		for _, c := range all {
+			if c.EstLoad > boundedLoad*20+2 {
+				t.Errorf("%s has load %g at a mean of 20", c.Backend.ID, c.EstLoad)
+			}
+		}
+		if len(first) > 2 {
+			t.Errorf("the first three of one prefix went to %v", first)
+		}
+	}
+}
+
+// Symptom: when a failure domain dies, the streams resumed by all routers at
+// the same moment meet on the one engine that looks idle. Sequence: 300 resumes
+// of one prompt prefix on the same lagging snapshot.
+func TestResumesSpread(t *testing.T) {
+	all := candidates(24)
+	for i := range all {
+		all[i].EstLoad = 5
+	}
+	all[3].EstLoad = 4
+	// With argmax nothing but the scorer spreads them.
+	argmaxOnly := []StepConfig{{Name: FilterServes}, {Name: FilterLeaving}, {Name: FilterExclude}, {Name: ScoreLoad}, {Name: ScoreSpread}, {Name: PickArgmax}}
+	for _, steps := range [][]StepConfig{DefaultSteps(), argmaxOnly} {
+		r, got := router(t, steps...), map[string]int{}
+		for n := range 300 {
+			c, _, err := r.Pick(all, Ask{Ref: ref, Blocks: []uint64{7}, Resume: true, Request: uint64(n)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got[c.Backend.ID]++
+		}
+		for id, n := range got {
+			if n > 300/24*5 {
+				t.Errorf("%s got %d of 300 resumes", id, n)
+			}
+		}
+	}
+}
+
+// A configuration must not be able to leave out a guard.
+func TestStepsAreChecked(t *testing.T) {
+	without := func(name string) (out []StepConfig) {
+		for _, s := range DefaultSteps() {
+			if s.Name != name {
+				out = append(out, s)
+			}
+		}
+		return out
+	}
+	bad := map[string][]StepConfig{
+		"no leaving filter": without(FilterLeaving),
+		"no serves filter":  without(FilterServes),
+		"no exclude filter": without(FilterExclude),
+		"no picker":         without(PickTwoChoices),
+		"two pickers":       append(DefaultSteps(), StepConfig{Name: PickRandom}),
+		"twice":             append(DefaultSteps(), StepConfig{Name: ScoreLoad}),
+		"unknown":           append(DefaultSteps(), StepConfig{Name: "luck"}),
+		"negative":          append(without(ScoreLoad), StepConfig{Name: ScoreLoad, Weight: -1}),
+	}
+	for name, steps := range bad {
+		if _, err := New(steps, nil); !Error.Has(err) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{50, 500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all, r := candidates(n), router(b)
+			ask := Ask{Ref: ref, Blocks: []uint64{1, 2, 3, 4}}
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _, _ = r.Pick(all, ask)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/routing/steps.go
@@ -0,0 +1,107 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+)
+
+// StepConfig names one step. Weight is used by scorers only; 0 means 1.
+type StepConfig struct {
+	Name   string  `json:"name"`
+	Weight float64 `json:"weight,omitempty"`
+}
+
+// weighted is a scorer with its weight; affinity marks scorers that draw an
+// attempt to particular candidates.
+type weighted struct {
+	scorer   Scorer
+	weight   float64
+	affinity bool
+}
+
+var filters = map[string]Filter{
+	FilterServes:  each{FilterServes, serves},
+	FilterLeaving: each{FilterLeaving, stays},
+	FilterUsable:  usable{},
+	FilterExclude: each{FilterExclude, notExcluded},
+	FilterRole:    each{FilterRole, takesPrompts},
+}
+
+var scorers = map[string]weighted{
+	ScoreLoad:       {scorer: loadScorer{}},
+	ScorePrefix:     {scorer: prefixScorer{}, affinity: true},
+	ScoreRendezvous: {scorer: rendezvousScorer{}, affinity: true},
+	ScoreDomain:     {scorer: domainScorer{}},
+	ScoreSpread:     {scorer: spreadScorer{}, affinity: true},
+}
+
+// DefaultSteps is the configuration used when the settings name none.
+func DefaultSteps() []StepConfig {
+	return []StepConfig{
+		{Name: FilterServes},
+		{Name: FilterRole},
+		{Name: FilterLeaving},
+		{Name: FilterExclude},
+		{Name: FilterUsable},
+		{Name: ScoreLoad, Weight: 1},
+		{Name: ScorePrefix, Weight: 0.5},
+		{Name: ScoreRendezvous, Weight: 0.4},
+		{Name: ScoreDomain, Weight: 0.05},
+		{Name: ScoreSpread, Weight: 0.2},
+		{Name: PickTwoChoices},
+	}
+}
+
+// New builds a Router from named steps. Unknown names, a missing or second
+// picker and missing guards (serves, leaving, exclude) are errors: a
+// configuration must not be able to send work to a leaving backend server.
+func New(steps []StepConfig, rng *rand.Rand) (*Router, error) {
+	r := &Router{rng: rng}
+	r.pool.New = func() any { return &scratch{} }
+	named := map[string]bool{}
+	for _, s := range steps {
+		if named[s.Name] {
+			return nil, Error.New("step %q is named twice", s.Name)
+		}
+		named[s.Name] = true
+		if err := r.add(s); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	for _, must := range []string{FilterServes, FilterLeaving, FilterExclude} {
+		if !named[must] {
+			return nil, Error.New("step %q is missing", must)
+		}
+	}
+	if r.picker == nil {
+		return nil, Error.New("no picker: name one of %q, %q, %q", PickTwoChoices, PickArgmax, PickRandom)
+	}
+	return r, nil
+}
+
+func (r *Router) add(s StepConfig) error {
+	if f, ok := filters[s.Name]; ok {
+		r.filters = append(r.filters, f)
+		return nil
+	}
+	if w, ok := scorers[s.Name]; ok {
+		w.weight = s.Weight
+		if w.weight == 0 {
+			w.weight = 1
+		}
+		if w.weight < 0 {
+			return fmt.Errorf("step %q: weight %g is negative", s.Name, s.Weight)
+		}
+		r.scorers = append(r.scorers, w)
+		return nil
+	}
+	p, ok := pickers[s.Name]
+	if !ok {
+		return fmt.Errorf("step %q is unknown", s.Name)
+	}
+	if r.picker != nil {
+		return fmt.Errorf("step %q is a second picker", s.Name)
+	}
+	r.picker = p
+	return nil
+}
--- /dev/null
+++ b/scenario/bench_test.go
@@ -0,0 +1,308 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"wigeondale/fakes/control"
+	"wigeondale/fakes/engine"
+	"wigeondale/fakes/service"
+	"wigeondale/fakes/vms"
+	"wigeondale/fleet"
+	"wigeondale/settings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	account  = "acme"
+	apiKey   = "acme-key"
+	operator = "operator-token"
+	model    = "redactor-llm"
+)
+
+var domains = []string{"bog-a", "bog-b", "mde-a"}
+
+// router is one wigeond, over several lives.
+type router struct {
+	name, file, log     string
+	caller, admin, peer string // host:port
+	cmd                 *exec.Cmd
+	exited              chan struct{} // closed when the process of cmd has ended
+}
+
+// bench is the fleet of one script. The stand-ins live in the test's own
+// process: their deaths are played, while those of routers are real.
+type bench struct {
+	env     *testscript.Env
+	dir     string
+	set     *control.Set
+	kv      string
+	routers []*router
+
+	mu   sync.Mutex
+	gens map[string]*gen
+}
+
+func newBench(env *testscript.Env) *bench {
+	return &bench{env: env, dir: env.WorkDir, gens: make(map[string]*gen)}
+}
+
+// up starts the stand-ins and n routers, applies the first intents and waits
+// until every router is ready.
+func (b *bench) up(n int, engines []string) error {
+	for i := range n {
+		name := fmt.Sprintf("r%d", i+1)
+		b.routers = append(b.routers, &router{
+			name: name, file: filepath.Join(b.dir, name+".json"), log: filepath.Join(b.dir, name+".log"),
+			caller: freeAddr(), admin: freeAddr(), peer: freeAddr(),
+		})
+	}
+	if err := b.startFakes(engines); err != nil {
+		return err
+	}
+	for _, key := range []string{"peer.key", "cursor.key"} {
+		if err := os.WriteFile(filepath.Join(b.dir, key), []byte(strings.Repeat(key+"-of-a-test-", 4)), 0o600); err != nil {
+			return err
+		}
+	}
+	for i, r := range b.routers {
+		if err := b.writeSettings(i, r); err != nil {
+			return err
+		}
+		if err := r.start(); err != nil {
+			return err
+		}
+	}
+	return b.configure()
+}
+
+func (b *bench) startFakes(engines []string) error {
+	b.kv = freeAddr()
+	cfg := control.Config{
+		KV:       &control.AddrConfig{Addr: b.kv},
+		VMs:      &control.VMsConfig{},
+		Weights:  &control.WeightsConfig{BytesPerSecond: 1e9},
+		Services: []service.Config{{ID: "portal-notas-1", Service: "portal-notas", FailureDomain: domains[0]}},
+	}
+	for i, id := range engines {
+		cfg.Engines = append(cfg.Engines, engine.Config{
+			ID: id, VM: "vm-" + id, FailureDomain: domains[i%len(domains)], StepMS: 5,
+			Serves: []fleet.ModelRef{{Model: model, Version: "v1"}}, ChecksFence: true,
+		})
+	}
+	for i, r := range b.routers {
+		cfg.VMs.Extra = append(cfg.VMs.Extra, vms.Entry{
+			ID: r.name, VM: "vm-" + r.name, Role: "entry", Addr: r.peer, FailureDomain: domains[i%len(domains)],
+		})
+		// Each router reaches the key-value service through a relay of its own.
+		cfg.Relays = append(cfg.Relays, control.RelayConfig{ID: "kv-" + r.name, Target: b.kv})
+	}
+	set, err := control.New(cfg)
+	if err != nil {
+		return err
+	}
+	b.set = set
+	return set.Start()
+}
+
+func (b *bench) writeSettings(i int, r *router) error {
+	ports := b.set.Ports()
+	def := settings.Default()
+	policy, peers := def.Policy, def.Peers
+	policy.MinSuspectMS, policy.MaxSuspectMS = 50, 1000
+	peers.HeartbeatMS, peers.KeyFile = 100, "peer.key"
+	for _, other := range b.routers {
+		if other != r {
+			peers.Seeds = append(peers.Seeds, other.peer)
+		}
+	}
+	type address struct {
+		Address string `json:"address"`
+	}
+	sum := sha256.Sum256([]byte(operator))
+	data, err := json.MarshalIndent(map[string]any{
+		"node":   settings.Node{ID: r.name, VM: "vm-" + r.name, FailureDomain: domains[i%len(domains)], Region: "co-centro", Incarnation: "auto"},
+		"listen": map[string]address{"caller": {r.caller}, "admin": {r.admin}, "peer": {r.peer}},
+		"platform": settings.Platform{
+			KVURL: "http://" + ports["kv-"+r.name], VMsURL: "http://" + ports["vms"],
+			WeightsURL: "http://" + ports["weights"], CallTimeoutMS: 1000,
+		},
+		"peers":     peers,
+		"cursor":    map[string]string{"key_file": "cursor.key"},
+		"operators": []settings.Operator{{Name: "test", TokenSHA256: hex.EncodeToString(sum[:]), Role: settings.Confirmer}},
+		"policy":    policy,
+		"directory": settings.Directory{VMsPollMS: 100, LoadPollMS: 50},
+		"shutdown":  settings.Shutdown{BalancerNoticeMS: 300},
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(r.file, data, 0o600)
+}
+
+func (r *router) start() error {
+	log, err := os.OpenFile(r.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close() // the process has its own copy
+	cmd := exec.Command("wigeond", "--config", r.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	go func() {
+		cmd.Wait() // its outcome is kept in cmd.ProcessState
+		close(exited)
+	}()
+	r.cmd, r.exited = cmd, exited
+	return nil
+}
+
+// configure applies the first intents and waits until they are in force.
+func (b *bench) configure() error {
+	sum := sha256.Sum256([]byte(apiKey))
+	intents := fmt.Sprintf(`{"changes":[
+		{"kind":"account","op":"set","account":{"id":%q,"key_hashes":[%q],"tokens_per_second":100000,"burst":1000000,"max_concurrent":1000}},
+		{"kind":"access","op":"set","access":{"account":%q,"model":%q}},
+		{"kind":"traffic","op":"set","traffic":{"model":%q,"weights":[{"version":"v1","percent":100}],"priority":"batch"}}]}`,
+		account, hex.EncodeToString(sum[:]), account, model, model)
+	err := waitUntil("administration API", func() bool { return b.ctl("", "status") == nil })
+	if err != nil {
+		return err
+	}
+	if err := b.ctl(intents, "apply", "-f", "-", "--yes", "--wait-timeout", hung.String()); err != nil {
+		return err
+	}
+	for _, r := range b.routers {
+		if err := waitUntil("readiness of "+r.name, r.ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *bench) admins() string {
+	var list []string
+	for _, r := range b.routers {
+		list = append(list, r.admin)
+	}
+	return strings.Join(list, ",")
+}
+
+func (b *bench) ctl(stdin string, args ...string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), hung)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, "wigeonctl", args...)
+	cmd.Env = append(os.Environ(), "WIGEON_ADMIN="+b.admins(), "WIGEON_TOKEN="+operator)
+	cmd.Stdin = strings.NewReader(stdin)
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("wigeonctl %v: %w: %s", args, err, bytes.TrimSpace(out))
+	}
+	return nil
+}
+
+func (r *router) ready() bool {
+	_, err := get("http://" + r.admin + "/readyz")
+	return err == nil
+}
+
+func (b *bench) router(name string) *router {
+	for _, r := range b.routers {
+		if r.name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+// close ends every process that the script started, by its id.
+func (b *bench) close() {
+	for _, r := range b.routers {
+		if r.cmd != nil {
+			r.cmd.Process.Signal(syscall.SIGKILL) // also ends a stopped one
+			<-r.exited
+		}
+	}
+	if b.set != nil {
+		b.set.Close()
+	}
+	for _, g := range b.all() {
+		g.cancel()
+		<-g.done
+	}
+	if t, ok := b.env.T().(interface{ Failed() bool }); ok && t.Failed() {
+		b.logTails()
+	}
+}
+
+func (b *bench) logTails() {
+	const most = 4 << 10 // bytes of each log
+	for _, r := range b.routers {
+		data, _ := os.ReadFile(r.log)
+		b.env.T().Log(r.name + ": " + string(data[max(0, len(data)-most):]))
+	}
+}
+
+// freeAddr picks a loopback address below the ports that the kernel gives to
+// outgoing connections, so that none of those takes it before its owner does.
+func freeAddr() string {
+	for {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if _, taken := given.LoadOrStore(addr, true); taken {
+			continue
+		}
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			ln.Close()
+			return addr
+		}
+	}
+}
+
+var given sync.Map // addresses that freeAddr has returned
+
+func waitUntil(what string, ok func() bool) error {
+	for end := time.Now().Add(hung); !ok(); time.Sleep(poll) {
+		if time.Now().After(end) {
+			return fmt.Errorf("hung: %s", what)
+		}
+	}
+	return nil
+}
+
+func get(url string) ([]byte, error) {
+	c := http.Client{Timeout: 5 * time.Second}
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+operator)
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: status %d", url, resp.StatusCode)
+	}
+	return io.ReadAll(resp.Body)
+}
--- /dev/null
+++ b/scenario/commands_test.go
@@ -0,0 +1,261 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"wigeondale/load"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fastjson"
+)
+
+// command is one command of the scripts; an error fails the script.
+type command func(b *bench, ts *testscript.TestScript, args []string) error
+
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"up":       wrap(1, up),       // up N [engines...]
+	"fault":    wrap(2, fault),    // fault COMPONENT NAME [json]
+	"signal":   wrap(2, signal),   // signal ROUTER KILL|STOP|CONT|TERM
+	"start":    wrap(1, start),    // start ROUTER: again, after it has exited; waits until ready
+	"exited":   wrap(2, exited),   // exited ROUTER CODE: waits for its end
+	"generate": wrap(1, generate), // see bench.generate
+	"await":    wrap(2, await),    // await NAME tokens=N | done
+	"expect":   wrap(2, expect),   // expect NAME FIELD=VALUE...: after done
+	"engineof": wrap(2, engineOf), // engineof NAME VARIABLE
+	"routerof": wrap(2, routerOf), // routerof NAME VARIABLE
+	"idle":     wrap(1, idle),     // idle ENGINE: waits until it runs no stream
+	"checkall": wrap(0, checkAll), // see bench.checkAll
+	"record":   wrap(0, record),   // prints the back ends' record
+	"waitfor":  wrap(3, waitFor),  // waitfor record|ROUTER/PATH dotted.path VALUE
+}
+
+func wrap(least int, f command) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg || len(args) < least {
+			ts.Fatalf("want at least %d arguments and no !", least)
+		}
+		ts.Check(f(ts.Value(benchKey{}).(*bench), ts, args))
+	}
+}
+
+func up(b *bench, ts *testscript.TestScript, args []string) error {
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	engines := args[1:]
+	if len(engines) == 0 {
+		engines = []string{"e1", "e2", "e3"}
+	}
+	if err := b.up(n, engines); err != nil {
+		return err
+	}
+	ts.Setenv("WIGEON_ADMIN", b.admins())
+	ts.Setenv("WIGEON_TOKEN", operator)
+	ts.Setenv("WIGEON_API_KEY", apiKey)
+	return nil
+}
+
+func fault(b *bench, _ *testscript.TestScript, args []string) error {
+	return b.set.Fault(args[0], args[1], json.RawMessage(strings.Join(args[2:], " ")))
+}
+
+func (b *bench) mustRouter(name string) (*router, error) {
+	if r := b.router(name); r != nil {
+		return r, nil
+	}
+	return nil, fmt.Errorf("no router %q", name)
+}
+
+func signal(b *bench, _ *testscript.TestScript, args []string) error {
+	r, err := b.mustRouter(args[0])
+	if err != nil {
+		return err
+	}
+	sig, ok := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+	}[args[1]]
+	if !ok {
+		return fmt.Errorf("no signal %q", args[1])
+	}
+	return r.cmd.Process.Signal(sig)
+}
+
+func start(b *bench, _ *testscript.TestScript, args []string) error {
+	r, err := b.mustRouter(args[0])
+	if err != nil {
+		return err
+	}
+	<-r.exited
+	if err := r.start(); err != nil {
+		return err
+	}
+	return waitUntil("readiness of "+r.name, r.ready)
+}
+
+func exited(b *bench, _ *testscript.TestScript, args []string) error {
+	r, err := b.mustRouter(args[0])
+	if err != nil {
+		return err
+	}
+	select {
+	case <-r.exited:
+	case <-time.After(hung):
+		return fmt.Errorf("hung: %s does not exit", r.name)
+	}
+	if code := strconv.Itoa(r.cmd.ProcessState.ExitCode()); code != args[1] {
+		return fmt.Errorf("%s: exit code %s, want %s", r.name, code, args[1])
+	}
+	return nil
+}
+
+func generate(b *bench, _ *testscript.TestScript, args []string) error { return b.generate(args) }
+
+func (b *bench) mustGen(name string) (*gen, error) {
+	if g := b.gen(name); g != nil {
+		return g, nil
+	}
+	return nil, fmt.Errorf("no generation %q", name)
+}
+
+func await(b *bench, _ *testscript.TestScript, args []string) error {
+	g, err := b.mustGen(args[0])
+	if err != nil {
+		return err
+	}
+	if args[1] == "done" {
+		return g.awaitDone()
+	}
+	n, err := strconv.Atoi(strings.TrimPrefix(args[1], "tokens="))
+	if err != nil {
+		return err
+	}
+	return g.await(n)
+}
+
+func expect(b *bench, _ *testscript.TestScript, args []string) error {
+	g, err := b.mustGen(args[0])
+	if err != nil {
+		return err
+	}
+	if err := g.awaitDone(); err != nil {
+		return err
+	}
+	for _, a := range args[1:] {
+		name, want, _ := strings.Cut(a, "=")
+		if got := g.field(name); got != want {
+			return fmt.Errorf("%s: %s is %s, want %s (%v)", g.name, name, got, want, g.err)
+		}
+	}
+	return nil
+}
+
+func engineOf(b *bench, ts *testscript.TestScript, args []string) error {
+	g, err := b.mustGen(args[0])
+	if err != nil {
+		return err
+	}
+	id := load.RequestID(account, g.key)
+	return waitUntil("an engine that runs "+g.name, func() bool {
+		for _, e := range b.set.Record().Engines {
+			for _, s := range e.Streams {
+				if s.Request == id && !s.Finished && s.Cancelled == "" {
+					ts.Setenv(args[1], e.Engine)
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+func routerOf(b *bench, ts *testscript.TestScript, args []string) error {
+	g, err := b.mustGen(args[0])
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range b.routers {
+		if g.endpoint == "http://"+r.caller {
+			ts.Setenv(args[1], r.name)
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is connected to no router", g.name)
+}
+
+func idle(b *bench, _ *testscript.TestScript, args []string) error {
+	return waitUntil(args[0]+" runs no stream", func() bool {
+		for _, e := range b.set.Record().Engines {
+			if e.Engine != args[0] {
+				continue
+			}
+			for _, s := range e.Streams {
+				if !s.Finished && s.Cancelled == "" {
+					return false
+				}
+			}
+			return true
+		}
+		return false
+	})
+}
+
+func checkAll(b *bench, _ *testscript.TestScript, _ []string) error { return b.checkAll() }
+
+func record(b *bench, ts *testscript.TestScript, _ []string) error {
+	enc := json.NewEncoder(ts.Stdout())
+	enc.SetIndent("", "  ")
+	return enc.Encode(b.set.Record())
+}
+
+func waitFor(b *bench, _ *testscript.TestScript, args []string) error {
+	last := ""
+	err := waitUntil(strings.Join(args, " "), func() bool {
+		data, err := b.read(args[0])
+		if err != nil {
+			last = err.Error()
+			return false
+		}
+		last = valueAt(data, args[1])
+		return last == args[2]
+	})
+	if err != nil {
+		return fmt.Errorf("%w: it is %s", err, last)
+	}
+	return nil
+}
+
+// read gets the record, or an operational page such as r1/debug/dump.
+func (b *bench) read(what string) ([]byte, error) {
+	if what == "record" {
+		return json.Marshal(b.set.Record())
+	}
+	name, path, _ := strings.Cut(what, "/")
+	r, err := b.mustRouter(name)
+	if err != nil {
+		return nil, err
+	}
+	return get("http://" + r.admin + "/" + path)
+}
+
+// valueAt follows names and array indices; strings are shown without quotes.
+func valueAt(data []byte, path string) string {
+	v, err := fastjson.ParseBytes(data)
+	if err != nil {
+		return err.Error()
+	}
+	if v = v.Get(strings.Split(path, ".")...); v == nil {
+		return "absent"
+	}
+	if v.Type() == fastjson.TypeString {
+		return string(v.GetStringBytes())
+	}
+	return v.String()
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,209 @@
+package settings
+
+import (
+	"cmp"
+	"encoding/hex"
+	"fmt"
+	"math"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+const (
+	autoIncarnation = "auto"
+	maxNameBytes    = 100 // ids travel in cursors, whose fields are bounded
+	dayMS           = 24 * 3600 * 1000
+	maxPercent      = 100
+)
+
+// checker gathers what is wrong with the values.
+type checker struct {
+	problems Problems
+}
+
+// Check reports every impossible value, as Problems.
+func (s *Settings) Check() error {
+	c := &checker{}
+	c.all(s)
+	return c.problems.err()
+}
+
+func (c *checker) all(s *Settings) {
+	c.node(&s.Node)
+	c.listen(&s.Listen)
+	c.platform(&s.Platform)
+	c.peers(&s.Peers)
+	c.cursor(&s.Cursor)
+	c.operators(s.Operators)
+	c.policy(&s.Policy)
+	c.routing(s.Routing.Steps)
+	c.rest(s)
+}
+
+func (c *checker) fail(path, want string, got any) {
+	c.problems = append(c.problems, Problem{Path: path, Want: want, Got: fmt.Sprint(got)})
+}
+
+func within[T cmp.Ordered](c *checker, path string, v, low, high T) {
+	if v < low || v > high {
+		c.fail(path, fmt.Sprintf("%v to %v", low, high), v)
+	}
+}
+
+func (c *checker) name(path, v string) {
+	bad := func(r rune) bool { return r <= ' ' || r == '/' || r == 0x7f }
+	if v == "" || len(v) > maxNameBytes || strings.ContainsFunc(v, bad) {
+		want := fmt.Sprintf("a name of 1 to %d bytes without spaces or slashes", maxNameBytes)
+		c.fail(path, want, strconv.Quote(v))
+	}
+}
+
+func (c *checker) address(path, v string) {
+	host, port, err := net.SplitHostPort(v)
+	_, errPort := strconv.ParseUint(port, 10, 16)
+	if err != nil || errPort != nil || host == "" {
+		c.fail(path, "host:port with a port of 0 to 65535", strconv.Quote(v))
+	}
+}
+
+func (c *checker) url(path, v string) {
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.fail(path, "an http or https URL", "something else") // may hold a password
+	}
+}
+
+func (c *checker) node(n *Node) {
+	c.name("node.id", n.ID)
+	c.name("node.vm", n.VM)
+	c.name("node.failure_domain", n.FailureDomain)
+	c.name("node.region", n.Region)
+	c.name("node.incarnation", n.Incarnation)
+}
+
+func (c *checker) listen(l *Listen) {
+	used := map[string]string{}
+	for _, one := range []struct {
+		path string
+		l    *Listener
+	}{{"listen.caller", &l.Caller}, {"listen.admin", &l.Admin}, {"listen.peer", &l.Peer}} {
+		path := one.path + ".address"
+		c.address(path, one.l.Address)
+		c.tls(one.path+".tls", one.l.TLS)
+		if first, taken := used[one.l.Address]; taken && !anyPort(one.l.Address) {
+			c.fail(path, "an address other than that of "+first, one.l.Address)
+		}
+		used[one.l.Address] = path
+	}
+	if l.AdvertisePeer != "" {
+		c.address("listen.advertise_peer", l.AdvertisePeer)
+	}
+}
+
+func anyPort(address string) bool { return strings.HasSuffix(address, ":0") }
+
+func (c *checker) tls(path string, t *TLS) {
+	if t == nil {
+		return
+	}
+	if t.CertFile == "" {
+		c.fail(path+".cert_file", "the path of a PEM file", "nothing")
+	}
+	if t.KeyFile == "" {
+		c.fail(path+".key_file", "the path of a PEM file", "nothing")
+	}
+}
+
+func (c *checker) platform(p *Platform) {
+	c.url("platform.kv_url", p.KVURL)
+	c.url("platform.vms_url", p.VMsURL)
+	c.url("platform.weights_url", p.WeightsURL)
+	within(c, "platform.call_timeout_ms", p.CallTimeoutMS, 10, 60000)
+}
+
+func (c *checker) peers(p *Peers) {
+	for i, seed := range p.Seeds {
+		c.address(fmt.Sprintf("peers.seeds[%d]", i), seed)
+	}
+	c.key("peers.key", p.KeyFile, p.KeyEnv, true)
+	within(c, "peers.full_mesh_limit", p.FullMeshLimit, 1, 1000)
+	within(c, "peers.links_inside", p.LinksInside, 1, 100)
+	within(c, "peers.links_across", p.LinksAcross, 1, 100)
+	within(c, "peers.heartbeat_ms", p.HeartbeatMS, 10, 60000)
+}
+
+func (c *checker) key(path, file, env string, required bool) {
+	if file != "" && env != "" {
+		c.fail(path+"_env", "only one of key_file and key_env", "both")
+	}
+	if required && file == "" && env == "" {
+		c.fail(path+"_file", "a path here, or a variable's name in key_env", "neither")
+	}
+}
+
+func (c *checker) cursor(cu *Cursor) {
+	c.key("cursor.key", cu.KeyFile, cu.KeyEnv, true)
+	c.key("cursor.previous_key", cu.PreviousKeyFile, cu.PreviousKeyEnv, false)
+	within(c, "cursor.max_age_s", cu.MaxAgeS, 60, 30*24*3600)
+}
+
+func (c *checker) operators(ops []Operator) {
+	seen := map[string]bool{}
+	for i, op := range ops {
+		path := fmt.Sprintf("operators[%d]", i)
+		c.name(path+".name", op.Name)
+		if seen[op.Name] {
+			c.fail(path+".name", "a name that no other operator has", strconv.Quote(op.Name))
+		}
+		seen[op.Name] = true
+		raw, err := hex.DecodeString(op.TokenSHA256)
+		if err != nil || len(raw) != 32 {
+			c.fail(path+".token_sha256", "64 hex digits", "something else")
+		}
+		if op.Role != Viewer && op.Role != Editor && op.Role != Confirmer {
+			c.fail(path+".role", "viewer, editor or confirmer", strconv.Quote(op.Role))
+		}
+	}
+}
+
+func (c *checker) policy(p *Policy) {
+	within(c, "policy.resume_latency_weight", p.ResumeLatencyWeight, 0, 1000)
+	within(c, "policy.extra_work_weight", p.ExtraWorkWeight, 0, 1000)
+	if p.ResumeLatencyWeight == 0 && p.ExtraWorkWeight == 0 {
+		c.fail("policy.extra_work_weight", "one weight above 0", "both 0")
+	}
+	within(c, "policy.min_suspect_ms", p.MinSuspectMS, 1, 60000)
+	within(c, "policy.max_suspect_ms", p.MaxSuspectMS, max(1, p.MinSuspectMS), 600000)
+	within(c, "policy.patience_ms", p.PatienceMS, 0, dayMS)
+	within(c, "policy.retry_budget_percent", p.RetryBudgetPercent, 0, maxPercent)
+	within(c, "policy.hedge.budget_percent", p.Hedge.BudgetPercent, 0, maxPercent)
+}
+
+func (c *checker) routing(steps []Step) {
+	seen := map[string]bool{}
+	for i, step := range steps {
+		path := fmt.Sprintf("routing.steps[%d]", i)
+		c.name(path+".name", step.Name)
+		if seen[step.Name] {
+			c.fail(path+".name", "a step once", strconv.Quote(step.Name))
+		}
+		seen[step.Name] = true
+		within(c, path+".weight", step.Weight, 0, 1000)
+	}
+}
+
+func (c *checker) rest(s *Settings) {
+	within(c, "limits.header_bytes", s.Limits.HeaderBytes, 4096, 1<<20)
+	within(c, "limits.body_bytes", s.Limits.BodyBytes, 1024, 1<<30)
+	within(c, "limits.max_open_requests", s.Limits.MaxOpenRequests, 1, math.MaxInt32)
+	within(c, "limits.queue", s.Limits.Queue, 0, math.MaxInt32)
+	within(c, "claims.shards", s.Claims.Shards, 1, 1024)
+	within(c, "claims.window_s", s.Claims.WindowS, 60, 30*24*3600)
+	within(c, "directory.vms_poll_ms", s.Directory.VMsPollMS, 50, 600000)
+	within(c, "directory.load_poll_ms", s.Directory.LoadPollMS, 50, 600000)
+	within(c, "directory.subset", s.Directory.Subset, 0, 10000)
+	within(c, "shutdown.balancer_notice_ms", s.Shutdown.BalancerNoticeMS, 0, dayMS)
+	within(c, "log.verbosity", s.Log.Verbosity, 0, 10)
+}
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,255 @@
+package settings
+
+import (
+	"bytes"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/zeebo/errs"
+)
+
+// Err is the class of this package's errors.
+var Err = errs.Class("settings")
+
+const (
+	minKeyBytes  = 32
+	maxFileBytes = 1 << 20
+)
+
+// Problem is one fault, at a JSON path such as operators[1].role; an empty
+// path is the whole text.
+type Problem struct {
+	Path string
+	Want string
+	Got  string
+}
+
+// String is one line for an operator.
+func (p Problem) String() string {
+	path := p.Path
+	if path == "" {
+		path = "(whole file)"
+	}
+	return fmt.Sprintf("%s: want %s, got %s", path, p.Want, p.Got)
+}
+
+// Problems is every fault that was found, one a line in its text.
+type Problems []Problem
+
+// Error implements error.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, one := range p {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (p Problems) err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return Err.Wrap(p)
+}
+
+// Parse reads settings over the defaults and checks them, without touching the
+// files that they name. errors.As gives Problems.
+func Parse(data []byte) (*Settings, error) {
+	s, problems := parse(data)
+	return s, problems.err()
+}
+
+func parse(data []byte) (*Settings, Problems) {
+	s := Default()
+	problems := decode(data, s)
+	// A field of a wrong type kept its default, so that checking the rest
+	// reports the other faults in the same run, each once.
+	reported := map[string]bool{}
+	for _, p := range problems {
+		reported[p.Path] = true
+	}
+	if reported[""] {
+		return s, problems
+	}
+	c := &checker{}
+	c.all(s)
+	for _, p := range c.problems {
+		if !reported[p.Path] {
+			problems = append(problems, p)
+		}
+	}
+	return s, problems
+}
+
+// Load reads the file at path, checks it, makes relative paths in it start at
+// its folder, and reads the keys and certificates, so that a wrong path is
+// found before any socket opens.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Err.Wrap(err)
+	}
+	if len(data) > maxFileBytes {
+		return nil, Err.New("%s: larger than %d bytes", path, maxFileBytes)
+	}
+	s, problems := parse(data)
+	if len(problems) > 0 {
+		return nil, problems.err()
+	}
+	s.resolve(filepath.Dir(path))
+	c := &checker{}
+	s.readKeys(c)
+	c.certificates(s)
+	if err := c.problems.err(); err != nil {
+		return nil, err
+	}
+	if s.Node.Incarnation == autoIncarnation {
+		s.Node.Incarnation = newIncarnation()
+	}
+	return s, nil
+}
+
+func newIncarnation() string {
+	var b [8]byte
+	rand.Read(b[:]) // never fails: the runtime ends the process instead
+	return hex.EncodeToString(b[:])
+}
+
+func (s *Settings) listeners() []*Listener {
+	return []*Listener{&s.Listen.Caller, &s.Listen.Admin, &s.Listen.Peer}
+}
+
+func (s *Settings) resolve(dir string) {
+	paths := []*string{&s.Peers.KeyFile, &s.Cursor.KeyFile, &s.Cursor.PreviousKeyFile}
+	for _, l := range s.listeners() {
+		if l.TLS != nil {
+			paths = append(paths, &l.TLS.CertFile, &l.TLS.KeyFile, &l.TLS.ClientCAFile)
+		}
+	}
+	for _, p := range paths {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(dir, *p)
+		}
+	}
+}
+
+// keys are kept out of the exported fields, so that no dump shows them.
+type keys struct {
+	peer, cursor, previous []byte
+}
+
+// PeerKey is the key that daemons prove to each other. Set by Load.
+func (s *Settings) PeerKey() []byte { return s.keys.peer }
+
+// CursorKeys are the current and the previous cursor key (nil if none). Set by Load.
+func (s *Settings) CursorKeys() (current, previous []byte) {
+	return s.keys.cursor, s.keys.previous
+}
+
+func (s *Settings) readKeys(c *checker) {
+	s.keys.peer = c.readKey("peers.key", s.Peers.KeyFile, s.Peers.KeyEnv)
+	s.keys.cursor = c.readKey("cursor.key", s.Cursor.KeyFile, s.Cursor.KeyEnv)
+	s.keys.previous = c.readKey("cursor.previous_key", s.Cursor.PreviousKeyFile, s.Cursor.PreviousKeyEnv)
+}
+
+func (c *checker) readKey(path, file, env string) []byte {
+	var key []byte
+	switch {
+	case file != "":
+		path += "_file"
+		data, err := os.ReadFile(file)
+		if err != nil {
+			c.fail(path, "a readable file", err)
+			return nil
+		}
+		key = bytes.TrimSpace(data)
+	case env != "":
+		path += "_env"
+		key = []byte(os.Getenv(env))
+	default:
+		return nil
+	}
+	if len(key) < minKeyBytes {
+		c.fail(path, fmt.Sprintf("a key of at least %d bytes", minKeyBytes), fmt.Sprintf("%d bytes", len(key)))
+	}
+	return key
+}
+
+func (c *checker) certificates(s *Settings) {
+	names := []string{"listen.caller.tls", "listen.admin.tls", "listen.peer.tls"}
+	for i, l := range s.listeners() {
+		if _, err := l.TLS.Config(); err != nil {
+			c.fail(names[i], "certificate, key and CA in PEM files", err)
+		}
+	}
+}
+
+// Config reads the files and returns what a listener needs, or nil without TLS.
+func (t *TLS) Config() (*tls.Config, error) {
+	if t == nil {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return nil, Err.Wrap(err)
+	}
+	cfg := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	if t.ClientCAFile == "" {
+		return cfg, nil
+	}
+	pem, err := os.ReadFile(t.ClientCAFile)
+	if err != nil {
+		return nil, Err.Wrap(err)
+	}
+	cfg.ClientCAs = x509.NewCertPool()
+	if !cfg.ClientCAs.AppendCertsFromPEM(pem) {
+		return nil, Err.New("%s: no certificate in it", t.ClientCAFile)
+	}
+	cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	return cfg, nil
+}
+
+// DialConfig is the other side of Config, for daemons that dial each other's
+// listener: the same certificate, and a server that the same CA has signed.
+// It is nil without TLS.
+func (t *TLS) DialConfig() (*tls.Config, error) {
+	cfg, err := t.Config()
+	if cfg == nil || err != nil {
+		return nil, err
+	}
+	cfg.RootCAs, cfg.ClientCAs = cfg.ClientCAs, nil
+	cfg.ClientAuth = tls.NoClientCert
+	return cfg, nil
+}
+
+const masked = "(masked)"
+
+// Printable is the settings in force as indented JSON, with the hashes of
+// operators' tokens and passwords in URLs masked.
+func (s *Settings) Printable() []byte {
+	shown := *s
+	shown.Operators = make([]Operator, len(s.Operators))
+	for i, op := range s.Operators {
+		op.TokenSHA256 = masked
+		shown.Operators[i] = op
+	}
+	p := &shown.Platform
+	for _, u := range []*string{&p.KVURL, &p.VMsURL, &p.WeightsURL} {
+		if parsed, err := url.Parse(*u); err == nil {
+			*u = parsed.Redacted()
+		}
+	}
+	text, err := json.MarshalIndent(&shown, "", "  ")
+	if err != nil {
+		return []byte(err.Error()) // a NaN that Check would have refused
+	}
+	return append(text, '\n')
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,147 @@
+package settings_test
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"wigeondale/settings"
+)
+
+func demo(t testing.TB) string {
+	t.Helper()
+	data, err := os.ReadFile("../examples/demo/entry-1.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// Symptom: a node runs with other settings than its operator wrote, noticed
+// only when the default bites.
+// Sequence: a field is misspelt, of a wrong type, given twice, or impossible.
+// Cause: a lenient parser. Each fault must be named by its path, all at once.
+func TestParseNamesEachFault(t *testing.T) {
+	text := demo(t)
+	for old, now := range map[string]string{
+		`"region": "co-centro"`:              `"region": 7, "zone": "x"`,
+		`"min_suspect_ms": 50`:               `"min_suspect_ms": "50ms"`,
+		`"max_suspect_ms": 1000`:             `"max_suspect_ms": 0.5`,
+		`"role": "confirmer"`:                `"role": "owner", "name": "demo"`,
+		`"address": "127.0.0.1:19202"`:       `"address": "127.0.0.1:70000"`,
+		`"key_file": "keys/cursor.key"`:      `"max_age_s": null`,
+		`"kv_url": "http://127.0.0.1:19101"`: `"kv_url": "127.0.0.1:19101"`,
+		`"heartbeat_ms": 200`:                `"heartbeat_ms": 0`,
+		`"balancer_notice_ms": 500`:          `"balancer_notice_ms": -1`,
+		`"load_poll_ms": 100`:                `"load_poll_ms": [100]`,
+	} {
+		if !strings.Contains(text, old) {
+			t.Fatalf("the example has no %s", old)
+		}
+		text = strings.Replace(text, old, now, 1)
+	}
+	_, err := settings.Parse([]byte(text))
+	var problems settings.Problems
+	if !errors.As(err, &problems) {
+		t.Fatalf("got %v", err)
+	}
+	got := map[string]int{}
+	for _, p := range problems {
+		got[p.Path]++
+		if p.Want == "" || p.Got == "" {
+			t.Errorf("%s: says too little: %v", p.Path, p)
+		}
+	}
+	for _, path := range []string{
+		"node.region", "node.zone", "policy.min_suspect_ms", "policy.max_suspect_ms", "operators[0].role", "operators[0].name",
+		"listen.admin.address", "cursor.max_age_s", "cursor.key_file", "platform.kv_url",
+		"peers.heartbeat_ms", "shutdown.balancer_notice_ms", "directory.load_poll_ms",
+	} {
+		if got[path] == 0 {
+			t.Errorf("%s is not reported", path)
+		}
+		delete(got, path)
+	}
+	for path := range got {
+		t.Errorf("%s is reported without a fault", path)
+	}
+}
+
+func TestParseWholeText(t *testing.T) {
+	for _, text := range []string{"", "{", "[]", "null", "7", demo(t) + "x", `{"node":`, "{} {}"} {
+		if _, err := settings.Parse([]byte(text)); err == nil {
+			t.Errorf("%.20q is taken", text)
+		}
+	}
+}
+
+// The examples must stay true to the program, and secrets out of what is shown.
+func TestExamples(t *testing.T) {
+	t.Setenv("WIGEON_PEER_KEY", strings.Repeat("p", 32))
+	t.Setenv("WIGEON_CURSOR_KEY", strings.Repeat("c", 32))
+	for _, name := range []string{"demo/entry-1", "demo/entry-2", "demo/entry-3"} {
+		s, err := settings.Load("../examples/" + name + ".json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		key, _ := s.CursorKeys()
+		if len(key) < 32 || len(s.PeerKey()) < 32 || s.Node.Incarnation == "auto" {
+			t.Errorf("%s: keys or incarnation are not loaded", name)
+		}
+		shown := s.Printable()
+		if !json.Valid(shown) || strings.Contains(string(shown), s.Operators[0].TokenSHA256) {
+			t.Errorf("%s: what is shown holds a secret", name)
+		}
+	}
+	for name, wantLatencyFirst := range map[string]bool{"notas-abiertas": false, "portalon": true} {
+		data, err := os.ReadFile("../examples/" + name + ".json")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := settings.Parse(data)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if got := s.Policy.ResumeLatencyWeight > s.Policy.ExtraWorkWeight; got != wantLatencyFirst {
+			t.Errorf("%s: weighs latency first: %v", name, got)
+		}
+	}
+}
+
+// A key file that is missing or short must be found at the start, with its path.
+func TestLoadChecksKeys(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "s.json")
+	if err := errors.Join(
+		os.Mkdir(filepath.Join(dir, "keys"), 0o700),
+		os.WriteFile(path, []byte(demo(t)), 0o600),
+		os.WriteFile(filepath.Join(dir, "keys", "peer.key"), []byte("short"), 0o600),
+	); err != nil {
+		t.Fatal(err)
+	}
+	_, err := settings.Load(path)
+	var problems settings.Problems
+	if !errors.As(err, &problems) || len(problems) != 2 {
+		t.Fatalf("got %v", err)
+	}
+	if problems[0].Path != "peers.key_file" || problems[1].Path != "cursor.key_file" {
+		t.Fatalf("got %v", problems)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(demo(f)))
+	f.Add([]byte(`{"operators":[{"role":1}],"listen":{"caller":{"tls":{}}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := settings.Parse(data)
+		if err != nil {
+			return
+		}
+		if s.Check() != nil {
+			t.Fatal("taken, but the check fails")
+		}
+	})
+}
