--- a/adminapi/operator.go
+++ b/adminapi/operator.go
@@ -58,6 +58,12 @@
 	})
 }
 
+// Guard lets operators of at least the given role through to another handler of
+// the same listener, such as the state dump.
+func (a *API) Guard(least Role, next http.Handler) http.Handler {
+	return a.allow(least, func(w http.ResponseWriter, r *http.Request, _ Operator) { next.ServeHTTP(w, r) })
+}
+
 func (a *API) refuse(w http.ResponseWriter, r *http.Request, status int, p Problem) {
 	a.refused.Inc()
 	a.cfg.Events.Emit(event.OperatorRefused, "path", r.URL.Path, "code", p.Code, "remote", r.RemoteAddr)
--- /dev/null
+++ b/daemon/claims.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"strconv"
+
+	"wigeondale/generation"
+	"wigeondale/once"
+	"wigeondale/peer"
+)
+
+const callClaims = "once.batch"
+
+// claims gives package generation the at-most-once claims.
+type claims struct{ *once.Claims }
+
+// Claim asks for a key. A claim that may have been made and can't be settled is
+// voided in the background, so that a true refusal doesn't burn the key.
+func (c claims) Claim(ctx context.Context, account, key string, body [16]byte, attempt string) (bool, error) {
+	v, err := c.Claims.Claim(ctx, account, key, body, attempt)
+	if err == nil {
+		return v.Granted, nil
+	}
+	if !errors.Is(err, once.ErrUnavailable) && !errors.Is(err, once.ErrUnknown) {
+		return false, err
+	}
+	refusal := &generation.Unavailable{Code: generation.CodeNoClaim, Err: err}
+	if unavailable, ok := errors.AsType[*once.UnavailableError](err); ok {
+		refusal.RetryAfter = unavailable.RetryAfter
+	}
+	return false, refusal
+}
+
+// shardOwner names the router that appends the claims of each shard. Routers
+// that disagree for a while meet at the log's create.
+type shardOwner struct {
+	mesh *peer.Mesh
+	self string
+}
+
+// Owner picks by rendezvous hash among the living members.
+func (o shardOwner) Owner(shard int) (string, bool) {
+	alive := living(o.mesh.Members())
+	best := peer.Rendezvous("claims/"+strconv.Itoa(shard), alive, 1)
+	if len(best) == 0 {
+		return o.self, true
+	}
+	return best[0].ID, best[0].ID == o.self
+}
+
+// Forward sends a batch to the owner over the peer links.
+func (o shardOwner) Forward(ctx context.Context, node string, b once.Batch) (once.BatchResult, error) {
+	return peer.Call[once.Batch, once.BatchResult](ctx, o.mesh, node, callClaims, b)
+}
+
+func living(members []peer.Member) []peer.Member {
+	out := make([]peer.Member, 0, len(members))
+	for _, m := range members {
+		if m.Alive && !m.Leaving {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,143 @@
+// Package daemon wires one wigeond: it builds every part from the settings and
+// runs them as one group. Decisions live in the other packages; what is here
+// joins their small interfaces.
+//
+// A shutdown signal cuts nothing: readiness fails first, requests are accepted
+// until the balancer has had time to notice, every open one is finished, and
+// only then do the parts below them stop. Further signals change nothing; only
+// the platform's kill ends the process early.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/oklog/run"
+	"github.com/zeebo/errs"
+	"k8s.io/klog/v2"
+
+	"wigeondale/event"
+	"wigeondale/settings"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("daemon")
+
+// Exit codes of the daemon.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1 // a listener could not be opened, or a part failed
+	ExitSettings = 2 // bad command line or settings; no socket was opened
+)
+
+type arguments struct {
+	Config string `arg:"-c,--config,required" help:"settings, a JSON file"`
+	Check  bool   `arg:"--check" help:"check the settings, print them with their defaults, and exit"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "wigeond serves long generations on engines that fail. Exit codes: 0 ok, 1 failure, 2 settings."
+}
+
+// Main runs the daemon until a signal has ended it gracefully.
+func Main(argv []string, stdout, stderr io.Writer) int {
+	var args arguments
+	parser, err := arg.NewParser(arg.Config{Program: "wigeond"}, &args)
+	if err != nil {
+		return fail(stderr, ExitFailure, err)
+	}
+	err = parser.Parse(argv)
+	if errors.Is(err, arg.ErrHelp) {
+		parser.WriteHelp(stdout)
+		return ExitOK
+	}
+	if err != nil {
+		return fail(stderr, ExitSettings, err)
+	}
+	set, err := settings.Load(args.Config)
+	if err != nil {
+		return fail(stderr, ExitSettings, err)
+	}
+	if args.Check {
+		fmt.Fprintln(stdout, string(set.Printable()))
+		return ExitOK
+	}
+	return serve(set, stderr)
+}
+
+func fail(stderr io.Writer, code int, err error) int {
+	fmt.Fprintln(stderr, "wigeond:", err)
+	return code
+}
+
+func serve(set *settings.Settings, stderr io.Writer) int {
+	initLog(set.Log.Verbosity)
+	defer klog.Flush()
+	log := event.New(set.Node.ID)
+	n, err := newNode(set, log)
+	if err != nil {
+		return fail(stderr, ExitFailure, err)
+	}
+	if err := n.run(); err != nil {
+		return fail(stderr, ExitFailure, err)
+	}
+	log.Emit(event.ShutdownDone)
+	return ExitOK
+}
+
+func initLog(verbosity int) {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	// Both flags exist and both values parse.
+	_ = fs.Set("logtostderr", "true")
+	_ = fs.Set("v", strconv.Itoa(verbosity))
+}
+
+// run serves until a signal comes and every open request has ended.
+func (n *node) run() error {
+	var g run.Group
+	for _, part := range n.parts() {
+		ctx, cancel := context.WithCancel(context.Background())
+		g.Add(func() error {
+			err := part(ctx)
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}, func(error) { cancel() })
+	}
+	for _, l := range n.listeners() {
+		g.Add(l.Serve, func(error) { _ = l.Close() })
+	}
+	stop := make(chan struct{})
+	g.Add(func() error { return n.untilSignal(stop) }, func(error) { close(stop) })
+	n.log.Emit(event.Started, "caller", n.caller.Addr(), "admin", n.admin.Addr(), "peer", n.peers.Addr())
+	return g.Run()
+}
+
+// untilSignal waits for the first signal and then for the end of all requests.
+// Its return ends the group.
+func (n *node) untilSignal(stop <-chan struct{}) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case <-stop:
+		return nil
+	}
+	n.log.Emit(event.ShutdownBegun, "open", n.callers.Open())
+	n.leaving.Store(true)
+	n.mesh.SetLeaving()
+	err := n.caller.Shutdown(context.Background(), n.notice)
+	n.runner.Wait()
+	return err
+}
--- /dev/null
+++ b/daemon/dispatch.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wigeondale/admission"
+	"wigeondale/backend"
+	"wigeondale/directory"
+	"wigeondale/fleet"
+	"wigeondale/generation"
+	"wigeondale/health"
+	"wigeondale/routing"
+)
+
+const (
+	// prefixBlocks is how many leading blocks of a prompt routing looks at.
+	prefixBlocks = 64
+	// pickTries bounds the picks repeated because the choice was just taken away.
+	pickTries = 4
+	// replicaWait is told when a replica is expected back soon.
+	replicaWait = time.Second
+)
+
+// picker chooses engines for package generation.
+type picker struct {
+	dir    *directory.Directory
+	mon    *health.Monitor
+	router *routing.Router
+	domain string
+}
+
+// Lookup finds a known engine, leaving or not.
+func (p *picker) Lookup(id string) (fleet.Backend, bool) { return p.dir.Backend(id) }
+
+// Pick chooses an engine and checks once more, at the moment of dispatch, that
+// it is neither leaving nor taken by another probe.
+func (p *picker) Pick(_ context.Context, a generation.Ask) (fleet.Backend, func(), error) {
+	ask := routing.Ask{
+		Ref:           a.Ref,
+		Priority:      a.Priority,
+		Blocks:        fleet.PrefixBlocks(a.Prompt, prefixBlocks),
+		Exclude:       a.Exclude,
+		FailureDomain: p.domain,
+		PromptBytes:   len(a.Prompt),
+		Resume:        a.Resume,
+		Request:       xxhash.Sum64String(a.Prompt),
+		FleetKnown:    p.dir.FleetKnown(),
+		Usable:        p.mon.Usable,
+	}
+	return p.pick(p.dir.Snapshot(a.Ref), ask)
+}
+
+// service chooses a backend server of a plain service.
+func (p *picker) service(name string, exclude map[string]bool) (fleet.Backend, func(), error) {
+	ask := routing.Ask{
+		Priority:      fleet.Interactive,
+		Exclude:       exclude,
+		FailureDomain: p.domain,
+		FleetKnown:    true,
+		Usable:        p.mon.Usable,
+	}
+	return p.pick(p.dir.Service(name), ask)
+}
+
+func (p *picker) pick(candidates []routing.Candidate, ask routing.Ask) (fleet.Backend, func(), error) {
+	for range pickTries {
+		ask.Now = time.Now()
+		c, _, err := p.router.Pick(candidates, ask)
+		if err != nil {
+			return fleet.Backend{}, nil, noReplica(err)
+		}
+		if !p.dir.Leaving(c.Backend.ID) && p.mon.Allow(c.Backend.ID) {
+			return c.Backend, p.dir.Start(c.Backend.ID, 1), nil
+		}
+		ask.Exclude = with(ask.Exclude, c.Backend.ID)
+	}
+	return fleet.Backend{}, nil, &generation.Unavailable{Retryable: true, RetryAfter: replicaWait}
+}
+
+func with(set map[string]bool, id string) map[string]bool {
+	out := make(map[string]bool, len(set)+1)
+	for k, v := range set {
+		out[k] = v
+	}
+	out[id] = true
+	return out
+}
+
+func noReplica(err error) error {
+	none, ok := errors.AsType[*routing.NoCandidate](err)
+	if !ok {
+		return &generation.Unavailable{Err: err}
+	}
+	return &generation.Unavailable{Retryable: none.Retryable, RetryAfter: replicaWait, Err: err}
+}
+
+// admitter applies admission to generations.
+type admitter struct{ ctl *admission.Controller }
+
+// Admit waits for a turn within the limits of the client account.
+func (a admitter) Admit(ctx context.Context, t generation.Ticket) (func(), error) {
+	release, err := a.ctl.Admit(ctx, admission.Ticket{
+		Account:  t.Account,
+		Pool:     t.Model,
+		Priority: t.Priority,
+		Cost:     t.Cost,
+		Deadline: t.Deadline,
+		Resume:   t.Resume,
+	})
+	if err != nil {
+		return nil, refusedBy(err)
+	}
+	return func() { release(t.Cost) }, nil
+}
+
+func refusedBy(err error) error {
+	refused, ok := errors.AsType[*admission.Refused](err)
+	if !ok {
+		return &generation.Unavailable{Err: err}
+	}
+	return &generation.Unavailable{Code: string(refused.Reason), RetryAfter: refused.RetryAfter, Err: err}
+}
+
+// watcher lets package health judge the streams of generations.
+type watcher struct {
+	*health.Monitor
+	dir *directory.Directory
+}
+
+// Watch begins to watch one attempt.
+func (w watcher) Watch(id string, promptBytes int, cancel context.CancelCauseFunc) generation.Watch {
+	return w.Monitor.Watch(id, promptBytes, cancel)
+}
+
+// Result reports how a dispatch began. Only a connection error counts against
+// a backend server: a refusal shows that it is alive. One that refuses because
+// it is leaving gets nothing more.
+func (w watcher) Result(id string, err error) {
+	refused, ok := errors.AsType[*backend.Refused](err)
+	if !ok {
+		w.Monitor.Result(id, err)
+		return
+	}
+	if refused.Code == codeLeaving {
+		w.dir.MarkLeaving(id, "", directory.FromRefusal)
+	}
+	w.Monitor.Result(id, nil)
+}
+
+// codeLeaving is the code by which an engine refuses work because it leaves.
+const codeLeaving = "leaving"
--- /dev/null
+++ b/daemon/pointers.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wigeondale/once"
+	"wigeondale/peer"
+)
+
+const (
+	callPointer = "pointer.get"
+	callPoint   = "pointer.set"
+	// pointerCopies is how many routers remember where a key runs.
+	pointerCopies = 2
+	// pointerLife bounds how long a pointer is believed without renewal.
+	pointerLife = 10 * time.Minute
+	// pointerWait bounds the look-up, which each new request waits for.
+	pointerWait = 100 * time.Millisecond
+	// maxPointers bounds the memory for other routers' keys; about 100 B each.
+	maxPointers = 100_000
+)
+
+// pointer says which router runs a key.
+type pointer struct {
+	Key   once.KeyID `cbor:"1,keyasint"`
+	Node  string     `cbor:"2,keyasint"`
+	Body  [16]byte   `cbor:"3,keyasint"`
+	Drop  bool       `cbor:"4,keyasint,omitempty"`
+	Known bool       `cbor:"5,keyasint,omitempty"`
+}
+
+type heldPointer struct {
+	pointer
+	until time.Time
+}
+
+// pointers tells other routers which keys run here, through two routers chosen
+// by rendezvous hash. They are an economy and no promise: what must run at most
+// once is claimed in the log.
+type pointers struct {
+	mesh *peer.Mesh
+	self string
+
+	mu   sync.Mutex
+	held map[once.KeyID]heldPointer
+}
+
+func newPointers(mesh *peer.Mesh, self string) *pointers {
+	p := &pointers{mesh: mesh, self: self, held: make(map[once.KeyID]heldPointer)}
+	peer.HandleCall(mesh, callPoint, func(_ context.Context, _ string, v pointer) (pointer, error) {
+		p.keep(v, time.Now())
+		return pointer{}, nil
+	})
+	peer.HandleCall(mesh, callPointer, func(_ context.Context, _ string, v pointer) (pointer, error) {
+		return p.find(v.Key, time.Now()), nil
+	})
+	return p
+}
+
+func (p *pointers) keep(v pointer, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v.Drop {
+		if p.held[v.Key].Node == v.Node {
+			delete(p.held, v.Key)
+		}
+		return
+	}
+	if len(p.held) >= maxPointers {
+		p.expire(now)
+	}
+	if len(p.held) >= maxPointers {
+		return
+	}
+	p.held[v.Key] = heldPointer{v, now.Add(pointerLife)}
+}
+
+func (p *pointers) expire(now time.Time) {
+	for k, h := range p.held {
+		if now.After(h.until) {
+			delete(p.held, k)
+		}
+	}
+}
+
+func (p *pointers) find(key once.KeyID, now time.Time) pointer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.held[key]
+	if !ok || now.After(h.until) {
+		return pointer{}
+	}
+	h.Known = true
+	return h.pointer
+}
+
+// Live asks the routers that would remember the key. Only a node that is still
+// believed alive counts: the caller of a dead router must not be turned away.
+func (p *pointers) Live(ctx context.Context, account, key string) (string, [16]byte, bool) {
+	id := once.NewKeyID(account, key)
+	ctx, cancel := context.WithTimeout(ctx, pointerWait)
+	defer cancel()
+	members := living(p.mesh.Members())
+	for _, m := range peer.Rendezvous(string(id[:]), members, pointerCopies) {
+		v := p.ask(ctx, m, id)
+		if v.Known && v.Node != p.self && isAlive(members, v.Node) {
+			return v.Node, v.Body, true
+		}
+	}
+	return "", [16]byte{}, false
+}
+
+func (p *pointers) ask(ctx context.Context, m peer.Member, id once.KeyID) pointer {
+	if m.Self {
+		return p.find(id, time.Now())
+	}
+	// Unreachable counts as not known: the pointer is only an economy.
+	v, _ := peer.Call[pointer, pointer](ctx, p.mesh, m.ID, callPointer, pointer{Key: id})
+	return v
+}
+
+func isAlive(members []peer.Member, node string) bool {
+	for _, m := range members {
+		if m.ID == node {
+			return !m.Suspect
+		}
+	}
+	return false
+}
+
+// Announce says that the key runs here.
+func (p *pointers) Announce(account, key string, body [16]byte) {
+	p.tell(pointer{Key: once.NewKeyID(account, key), Node: p.self, Body: body})
+}
+
+// Drop says that the key no longer runs here.
+func (p *pointers) Drop(account, key string) {
+	p.tell(pointer{Key: once.NewKeyID(account, key), Node: p.self, Drop: true})
+}
+
+func (p *pointers) tell(v pointer) {
+	for _, m := range peer.Rendezvous(string(v.Key[:]), living(p.mesh.Members()), pointerCopies) {
+		if m.Self {
+			p.keep(v, time.Now())
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, _ = peer.Call[pointer, pointer](ctx, p.mesh, m.ID, callPoint, v)
+		}()
+	}
+}
--- /dev/null
+++ b/daemon/services.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"wigeondale/admission"
+	"wigeondale/backend"
+	"wigeondale/callerapi"
+	"wigeondale/fleet"
+	"wigeondale/generation"
+	"wigeondale/once"
+)
+
+const (
+	serviceTries  = 3
+	serviceCost   = 1 // tokens charged to the account for a plain call
+	codeNoReplica = "no_replica"
+	codeDuplicate = "duplicate_key"
+	codeLost      = "connection_lost"
+	codeDeadline  = "deadline"
+	// unknownWait is told when nobody knows whether a call ran: asking again
+	// under the same key is safe, and tells nothing new sooner.
+	unknownWait = 5 * time.Second
+)
+
+// services passes plain calls to backend servers.
+type services struct {
+	node   string
+	admit  *admission.Controller
+	claims claims
+	pick   *picker
+	client *backend.ServiceClient
+	retry  *admission.RetryBudget
+	mon    watcher
+	seq    atomic.Uint64
+}
+
+// Do claims the call when it is not idempotent, sends it, and repeats it at
+// another backend server only when that is safe.
+func (s *services) Do(ctx context.Context, call callerapi.ServiceCall) (*http.Response, error) {
+	release, err := s.admit.Admit(ctx, admission.Ticket{
+		Account: call.Account, Pool: "service/" + call.Service,
+		Priority: call.Priority, Cost: serviceCost, Deadline: call.Deadline,
+	})
+	if err != nil {
+		return nil, refusal(http.StatusTooManyRequests, refusedBy(err))
+	}
+	defer release(serviceCost)
+	if call.Idempotent {
+		return s.send(ctx, call, serviceTries)
+	}
+	return s.once(ctx, call)
+}
+
+// once claims the key and sends the call a single time.
+func (s *services) once(ctx context.Context, call callerapi.ServiceCall) (*http.Response, error) {
+	attempt := s.node + "/" + strconv.FormatUint(s.seq.Add(1), 10)
+	granted, err := s.claims.Claim(ctx, call.Account, call.Key, call.BodyHash, attempt)
+	if errors.Is(err, once.ErrKeyReused) {
+		return nil, &callerapi.Failure{Status: http.StatusUnprocessableEntity, Code: "key_reused",
+			Message: "this key was used with another body", Outcome: fleet.NotRun}
+	}
+	if err != nil {
+		return nil, refusal(http.StatusServiceUnavailable, err)
+	}
+	if !granted {
+		return nil, &callerapi.Failure{Status: http.StatusConflict, Code: codeDuplicate,
+			Message: "this key is claimed by an earlier request", Outcome: fleet.Unknown, RetryAfter: unknownWait}
+	}
+	// The process may have been frozen while the claim was under way.
+	if once.InTime(ctx) != nil || expired(call.Deadline) {
+		s.void(call, attempt)
+		return nil, &callerapi.Failure{Status: http.StatusGatewayTimeout, Code: codeDeadline,
+			Message: "the deadline passed before the call was sent", Outcome: fleet.NotRun, RetryAfter: replicaWait}
+	}
+	resp, err := s.send(ctx, call, 1)
+	if f, ok := errors.AsType[*callerapi.Failure](err); ok && f.Outcome == fleet.NotRun {
+		s.void(call, attempt)
+	}
+	return resp, err
+}
+
+func (s *services) void(call callerapi.ServiceCall, attempt string) {
+	// A claim that can't be voided leaves the key used: safe, if unkind.
+	_ = s.claims.VoidLater(call.Account, call.Key, attempt)
+}
+
+func expired(deadline time.Time) bool { return !deadline.IsZero() && !time.Now().Before(deadline) }
+
+// send tries up to tries backend servers. A call of which a byte may have left
+// is repeated only if it is idempotent, and within the retry budget.
+func (s *services) send(ctx context.Context, call callerapi.ServiceCall, tries int) (*http.Response, error) {
+	tried := map[string]bool{}
+	s.retry.First()
+	for n := 1; ; n++ {
+		b, done, err := s.pick.service(call.Service, tried)
+		if err != nil {
+			return nil, refusal(http.StatusServiceUnavailable, err)
+		}
+		resp, err := s.client.Do(ctx, b, toBackend(call))
+		done()
+		s.mon.Result(b.ID, err)
+		if err == nil {
+			return resp, nil
+		}
+		tried[b.ID] = true
+		if n >= tries || ctx.Err() != nil || !s.retry.Take() {
+			return nil, lost(call, err)
+		}
+	}
+}
+
+func toBackend(call callerapi.ServiceCall) backend.Call {
+	return backend.Call{
+		Method:     call.Method,
+		Path:       "/" + call.Path,
+		RawQuery:   call.Query,
+		Header:     call.Header,
+		Body:       call.Body,
+		RequestID:  call.RequestID,
+		Idempotent: call.Idempotent,
+	}
+}
+
+// lost says what is known of a call whose answer did not come.
+func lost(call callerapi.ServiceCall, err error) *callerapi.Failure {
+	f := &callerapi.Failure{Status: http.StatusBadGateway, Code: codeLost,
+		Message: "the connection to the backend server broke", Outcome: fleet.Unknown, RetryAfter: unknownWait}
+	switch {
+	case errors.Is(err, backend.ErrDial):
+		f.Status, f.Code = http.StatusServiceUnavailable, codeNoReplica
+		f.Message, f.Outcome, f.RetryAfter = "no backend server could be reached", fleet.NotRun, replicaWait
+	case expired(call.Deadline):
+		f.Status, f.Code = http.StatusGatewayTimeout, codeDeadline
+		f.Message = "the deadline passed before the answer came"
+	}
+	return f
+}
+
+// refusal turns a reason for which nothing was sent into the caller's answer.
+func refusal(status int, err error) *callerapi.Failure {
+	f := &callerapi.Failure{Status: status, Code: codeNoReplica, Message: err.Error(), Outcome: fleet.NotRun, RetryAfter: replicaWait}
+	if u, ok := errors.AsType[*generation.Unavailable](err); ok {
+		f.RetryAfter = max(u.RetryAfter, time.Millisecond)
+		if u.Code != "" {
+			f.Code = u.Code
+		}
+	}
+	return f
+}
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -38,7 +38,7 @@
 // watchAttempt puts a under the failure detector.
 func (x *run) watchAttempt(a *attempt) {
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
-	a.watch = x.Watcher.Watch(a.backend.ID, a.cancel)
+	a.watch = x.Watcher.Watch(a.backend.ID, len(x.req.Prompt)+len(x.text), a.cancel)
 }
 
 // closeReader ends the reading of a; the engine keeps it for the linger time.
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -131,9 +131,11 @@
 // Ticket is what admission decides on.
 type Ticket struct {
 	Account  string
+	Model    string
 	Priority fleet.Priority
 	Cost     float64 // tokens of prompt (estimated) and answer (at most)
 	Deadline time.Time
+	Resume   bool // continues an answer begun through another router
 }
 
 // Admitter applies the limits of client accounts.
@@ -175,7 +177,7 @@
 // Watcher is the failure detector. It cancels an attempt with a cause that
 // has Resume() bool, or that wraps ErrEngineLost.
 type Watcher interface {
-	Watch(backendID string, cancel context.CancelCauseFunc) Watch
+	Watch(backendID string, promptBytes int, cancel context.CancelCauseFunc) Watch
 	Result(backendID string, err error)
 }
 
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -23,9 +23,11 @@
 	}
 	release, err := x.Admitter.Admit(x.ctx, Ticket{
 		Account:  x.req.Account,
+		Model:    x.req.Ref.Model,
 		Priority: x.req.Priority,
 		Cost:     float64(len(x.req.Prompt)/bytesPerToken + x.req.MaxTokens - x.acc.next),
 		Deadline: x.req.Deadline,
+		Resume:   x.req.Resume != nil,
 	})
 	if err != nil {
 		return x.giveUp(CodeNotAdmitted, err)
--- a/health/dump.go
+++ b/health/dump.go
@@ -26,7 +26,7 @@
 func (m *Monitor) dumpOne(e *engine, t int64) BackendDump {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	h := e.history()
+	h := e.history(t)
 	h.Gaps = e.gaps.Shares().With(m.priorShares())
 	h.Rumoured = t < e.rumourUntil
 	return BackendDump{
--- a/health/stream.go
+++ b/health/stream.go
@@ -36,9 +36,7 @@
 func (s *Stream) Token(now time.Time) {
 	t := int64(now.Sub(s.mon.epoch))
 	n := s.tokens.Add(1)
-	// The engine's time goes first: a tick that already sees this stream among
-	// those past their first token must not see the engine's time from before
-	// it was idle, or it would find it silent all that while.
+
 	prev := s.engine.last.Swap(t)
 	if s.last.Swap(t) == 0 {
 		s.mon.success(s.engine) // it answers, so it is healthy
--- a/health/tick.go
+++ b/health/tick.go
@@ -90,9 +90,7 @@
 	if !e.waitedOn() {
 		return v, false
 	}
-	// The streams are looked at before the silence: see Stream.Token.
-	h := e.history()
-	h.Silence = e.silence(t)
+	h := e.history(t)
 	v = verdict{engine: e, silence: h.Silence}
 	h.Rumoured = t < e.rumourUntil
 	d := Decision{Threshold: m.policy.MaxSilence}
@@ -131,15 +129,23 @@
 }
 
 // history sums over the streams that wait for a next token.
-func (e *engine) history() History {
+//
+// A tick may fall between the two writes that record a token: the stream's
+// time is set and the engine's is still from before it was idle. The engine
+// would seem silent all that while, and a stream be cancelled at its first
+// token. So the newest of the streams' own times counts as well.
+func (e *engine) history(t int64) History {
 	var h History
+	newest := int64(0)
 	for _, s := range e.streams {
 		if s.cancelled || s.last.Load() == 0 || s.blocked.Load() {
 			continue
 		}
+		newest = max(newest, s.last.Load())
 		h.Streams++
 		h.Bytes += float64(s.prompt) + float64(s.tokens.Load())*s.mon.policy.TokenBytes
 	}
+	h.Silence = min(e.silence(t), time.Duration(t-newest))
 	return h
 }
 
--- a/intent/plan_test.go
+++ b/intent/plan_test.go
@@ -82,3 +82,29 @@
 		t.Fatal("the second plan goes through and leaves no replica")
 	}
 }
+
+// Symptom: a plan confirmed a second time, long after, takes effect again.
+// Sequence: its id is dropped from the bounded history, then it is confirmed.
+// Cause: history that is shorter than the age up to which plans are accepted.
+func TestForgottenPlanIsRefused(t *testing.T) {
+	s := NewState()
+	p := MakePlan(s, FleetView{}, "op", "1", Intents{Changes: []Change{leave("vm1")}})
+	for n := uint64(1); n < HistoryWindow+10; n++ {
+		r := Revision{N: n}
+		if n == 5 {
+			r = p.Revision(n)
+		}
+		next, err := s.Apply(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s = next
+		_, known := s.Plans[p.ID]
+		if n >= 5 && !known && len(s.Conflicts(p)) == 0 {
+			t.Fatalf("at revision %d the plan accepted as 5 would be accepted again", n)
+		}
+	}
+	if len(s.Plans)+len(s.Touched) != 0 {
+		t.Fatalf("%d plans and %d objects are remembered for ever", len(s.Plans), len(s.Touched))
+	}
+}
--- a/kvlog/kvlog_test.go
+++ b/kvlog/kvlog_test.go
@@ -98,3 +98,46 @@
 		t.Error("the same snapshot again:", err)
 	}
 }
+
+// Symptom: an entry is in the log twice, or its appender is told that it isn't there.
+// Sequence: an append's answer is lost; others append past the window; the
+// appender's process reads on for another append, then asks for the first again.
+// Cause: the id, once seen in the log, is forgotten with its window.
+func TestLandedPastTheWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := kvtest.NewBench()
+		opts := kvlog.Options{Window: 2, SettleTries: 1}
+		log := kvlog.New(bench.Client(), "l/", opts)
+		others := kvlog.New(bench.Store, "l/", opts)
+		appended := func(id string, faults ...kvtest.Fault) (n uint64, err error) {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				n, err = log.Append(t.Context(), id, nil)
+			}()
+			for synctest.Wait(); bench.Held() > 0; synctest.Wait() {
+				f := kvtest.OK
+				if len(faults) > 0 {
+					f, faults = faults[0], faults[1:]
+				}
+				bench.Release(0, f)
+			}
+			<-done
+			return n, err
+		}
+		if _, err := appended("a", kvtest.OK, kvtest.OK, kvtest.AnswerLost); !errors.Is(err, kvlog.ErrUnsettled) {
+			t.Error(err)
+		}
+		for i := range 5 {
+			if _, err := others.Append(t.Context(), fmt.Sprint(i), nil); err != nil {
+				t.Error(err)
+			}
+		}
+		if n, err := appended("b"); n != 7 || err != nil {
+			t.Error(n, err)
+		}
+		if n, err := appended("a"); n != 1 || err != nil {
+			t.Error("appended again:", n, err)
+		}
+	})
+}
--- a/once/shard.go
+++ b/once/shard.go
@@ -83,8 +83,11 @@
 	if err != nil {
 		return all(len(ops), CodeUnavailable)
 	}
+	if v, err = s.refresh(ctx, v, ops); err != nil {
+		return all(len(ops), CodeUnavailable)
+	}
 	results := make([]Result, len(ops))
-	open := v.decide(ctx, ops, results)
+	open := v.decide(ops, results)
 	if len(open) == 0 {
 		return results
 	}
@@ -126,15 +129,26 @@
 	return CodeUnavailable
 }
 
-// decide fills in what the log already answers and returns the indexes of the
-// operations left to write. Before it says that a key is held it reads the log
-// to its end, because the holder may have been voided by another owner since.
-func (v *view) decide(ctx context.Context, ops []Op, results []Result) (open []int) {
-	if v.holdsAny(ops) {
-		// A failed read leaves the older answer. It can only say "held" of a key
-		// that was voided since: a refusal that was not needed, never a second run.
-		_, _ = v.log.Head(ctx)
+// refresh reads the log to its end if v shows a holder for any of the keys,
+// because the holder may have been voided by another owner since. A failed
+// read leaves the older answer. It can only say "held" of a key that was voided
+// since: a refusal that was not needed, never a second run.
+func (s *shard) refresh(ctx context.Context, v *view, ops []Op) (*view, error) {
+	if !v.holdsAny(ops) {
+		return v, nil
+	}
+	_, err := v.log.Head(ctx)
+	var gone *kvlog.TruncatedError
+	if errors.As(err, &gone) {
+		s.drop(v)
+		return s.open(ctx)
 	}
+	return v, nil
+}
+
+// decide fills in what the log already answers and returns the indexes of the
+// operations left to write.
+func (v *view) decide(ops []Op, results []Result) (open []int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for i, op := range ops {
@@ -186,10 +200,10 @@
 	if err != nil {
 		return nil, err
 	}
+	s.cfg.Events.Emit(event.ClaimsRebuilt, "shard", s.id, "position", v.applied)
 	s.mu.Lock()
 	s.view = v
 	s.mu.Unlock()
-	s.cfg.Events.Emit(event.ClaimsRebuilt, "shard", s.id, "position", v.applied)
 	return v, nil
 }
 
--- a/once/upkeep.go
+++ b/once/upkeep.go
@@ -4,12 +4,18 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"wigeondale/event"
 	"wigeondale/kvlog"
 )
 
+// voidsAtOnce is how many voids wait for their batch together.
+const voidsAtOnce = 256
+
 // voidQueue holds the attempts that are to be voided: at most limit of them,
 // the oldest dropped first.
 type voidQueue struct {
@@ -78,17 +84,25 @@
 	c.voidAll(ctx, c.voids.takeKey(k))
 }
 
-// voidAll returns how many voids were put back.
-func (c *Claims) voidAll(ctx context.Context, ops []Op) (left int) {
+// voidAll returns how many voids were put back. They are sent together, so
+// that they share batches.
+func (c *Claims) voidAll(ctx context.Context, ops []Op) int {
+	var left atomic.Int64
+	var group errgroup.Group
+	group.SetLimit(voidsAtOnce)
 	for _, op := range ops {
-		r := c.route(ctx, op)
-		c.count("void", r, op)
-		if r.Code != CodeDone {
-			c.later(op)
-			left++
-		}
+		group.Go(func() error {
+			r := c.route(ctx, op)
+			c.count("void", r, op)
+			if r.Code != CodeDone {
+				c.later(op)
+				left.Add(1)
+			}
+			return nil
+		})
 	}
-	return left
+	_ = group.Wait() // no error is returned above
+	return int(left.Load())
 }
 
 // Run voids given-up attempts and compacts the logs of the shards that this
@@ -177,3 +191,30 @@
 	defer v.mu.Unlock()
 	v.snapshot = max(v.snapshot, n)
 }
+
+// ShardDump is the state of one shard, for a dump of the process's state.
+type ShardDump struct {
+	Shard    int    `json:"shard"`
+	Owner    string `json:"owner"`
+	Open     bool   `json:"open"` // whether this node has read the shard
+	Position uint64 `json:"position"`
+	Snapshot uint64 `json:"snapshot"`
+	Claims   int    `json:"claims"`
+	Down     bool   `json:"down"` // whether claims are refused at once
+}
+
+// Dump returns the state of each shard.
+func (c *Claims) Dump() any {
+	dumps := make([]ShardDump, 0, len(c.shards))
+	for _, s := range c.shards {
+		owner, _ := c.fwd.Owner(s.id)
+		d := ShardDump{Shard: s.id, Owner: owner, Down: s.isDown()}
+		if v := s.current(); v != nil {
+			v.mu.Lock()
+			d.Open, d.Position, d.Snapshot, d.Claims = true, v.applied, v.snapshot, len(v.table.claims)
+			v.mu.Unlock()
+		}
+		dumps = append(dumps, d)
+	}
+	return dumps
+}
--- a/order/executor.go
+++ b/order/executor.go
@@ -42,11 +42,16 @@
 
 // Executor gives orders while this router holds the lease.
 type Executor struct {
-	cfg      Config
-	machine  *chart.Machine
-	held     Held
-	nextTry  time.Time // for the lease
-	progress Progress
+	cfg Config
+
+	// Used by the goroutine that keeps the lease.
+	machine *chart.Machine
+	held    Held
+	nextTry time.Time // for the lease
+
+	// Used by the goroutine that gives orders.
+	progress   Progress
+	progressOf uint64 // the fence of the tenure that progress belongs to
 
 	mu     sync.Mutex
 	tenure *Tenure // nil while the lease isn't held
@@ -78,15 +83,25 @@
 	}, nil
 }
 
-// Run gives orders until ctx ends, then gives the lease up.
+// Run gives orders until ctx ends, then gives the lease up. The lease is kept
+// by a goroutine of its own: a round may wait long for engines that don't
+// answer, and a lease that lapsed over that would cost the wait of a new tenure.
 func (e *Executor) Run(ctx context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { return e.every(ctx, e.keepLease) })
+	g.Go(func() error { return e.every(ctx, e.round) })
+	err := g.Wait()
+	e.stop()
+	return err
+}
+
+func (e *Executor) every(ctx context.Context, f func(context.Context)) error {
 	t := time.NewTicker(e.cfg.Policy.Interval)
 	defer t.Stop()
 	for {
-		e.round(ctx)
+		f(ctx)
 		select {
 		case <-ctx.Done():
-			e.stop()
 			return nil
 		case <-t.C:
 		}
@@ -109,20 +124,44 @@
 	return d
 }
 
-// round keeps the lease and, while it is held, gives what orders are due.
-func (e *Executor) round(ctx context.Context) {
-	if e.current() == nil && e.mayTry(time.Now()) {
+// keepLease tries for the lease or keeps it.
+func (e *Executor) keepLease(ctx context.Context) {
+	if !e.holding() && e.mayTry(time.Now()) {
 		e.acquire(ctx)
 	}
-	e.keep(ctx)
-	if e.current() == nil || !e.cfg.Fresh() {
+	if e.holding() {
+		e.keep(ctx)
+	}
+}
+
+// round gives what orders are due.
+func (e *Executor) round(ctx context.Context) {
+	fence, ok := e.fence()
+	if !ok || !e.cfg.Fresh() {
 		return
 	}
+	if fence != e.progressOf {
+		e.progress, e.progressOf = Progress{}, fence
+	}
 	v := e.look(ctx)
 	steps := Next(e.cfg.State(), v, e.cfg.Policy, &e.progress, time.Now())
 	e.send(ctx, steps)
 }
 
+func (e *Executor) fence() (uint64, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.tenure == nil {
+		return 0, false
+	}
+	return e.tenure.Fence, true
+}
+
+func (e *Executor) holding() bool {
+	_, ok := e.fence()
+	return ok
+}
+
 // mayTry spaces the tries for the lease, so that waiting routers cost little.
 func (e *Executor) mayTry(now time.Time) bool {
 	if now.Before(e.nextTry) || !e.cfg.Candidate() || !e.cfg.Fresh() {
@@ -133,12 +172,6 @@
 	return true
 }
 
-func (e *Executor) current() *Tenure {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.tenure
-}
-
 func (e *Executor) acquire(ctx context.Context) {
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.Policy.OrderDeadline)
@@ -151,18 +184,16 @@
 	e.held = h
 	e.tenure = Begin(e.cfg.Policy, h.Fence, asked, time.Now())
 	e.mu.Unlock()
-	e.progress = Progress{}
 	e.fire("acquired")
 	e.cfg.Events.Emit(event.OrderLeaseHeld, "fence", h.Fence)
 }
 
 // keep renews the lease in time and ends the tenure when that fails.
 func (e *Executor) keep(ctx context.Context) {
-	t := e.current()
-	if t == nil {
-		return
-	}
 	asked := time.Now()
+	e.mu.Lock()
+	t := *e.tenure
+	e.mu.Unlock()
 	if t.Lapsed(asked) {
 		e.lost("it lapsed by this node's clock")
 		return
@@ -182,7 +213,7 @@
 	}
 	if err == nil {
 		e.mu.Lock()
-		t.Renewed(asked)
+		e.tenure.Renewed(asked)
 		e.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/order/lease_test.go
@@ -0,0 +1,53 @@
+package order
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"wigeondale/fakes/kv"
+	"wigeondale/platform"
+)
+
+// Symptom: two routers give orders. Sequence: one's lease is gone at the
+// service, another takes it over, and the first renews. Cause: renewing without
+// looking whose the key is, or a fencing number that doesn't grow.
+func TestLeaseAgainstTheService(t *testing.T) {
+	srv := kv.New("127.0.0.1:0")
+	if err := srv.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer srv.Close()
+	store := platform.NewEtcdKV(platform.KVConfig{URL: "http://" + srv.Addr()}, metrics.NewSet())
+	one, two := NewLease(store, "p/", "n1"), NewLease(store, "p/", "n2")
+	ctx := t.Context()
+	first, ok, err := one.Acquire(ctx, time.Minute)
+	if !ok || err != nil {
+		t.Fatalf("acquire = %v, %v", ok, err)
+	}
+	if _, ok, err := two.Acquire(ctx, time.Minute); ok || err != nil {
+		t.Fatalf("acquire of a held lease = %v, %v", ok, err)
+	}
+	if err := one.Renew(ctx, first); err != nil {
+		t.Fatal(err)
+	}
+	// The key goes but the lease lives on, as when an operator deletes the key.
+	if err := store.Delete(ctx, "p/"+LeaseKey); err != nil {
+		t.Fatal(err)
+	}
+	second, ok, err := two.Acquire(ctx, time.Minute)
+	if !ok || err != nil || second.Fence <= first.Fence {
+		t.Fatalf("take-over = fence %d after %d, %v, %v", second.Fence, first.Fence, ok, err)
+	}
+	if err := one.Renew(ctx, first); !errors.Is(err, ErrLeaseLost) {
+		t.Fatalf("renewal by the former holder = %v, want ErrLeaseLost", err)
+	}
+	if err := two.Release(ctx, second); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok, err := one.Acquire(ctx, time.Minute); !ok || err != nil {
+		t.Fatalf("acquire after a release = %v, %v", ok, err)
+	}
+}
--- a/peer/fabric_test.go
+++ b/peer/fabric_test.go
@@ -202,6 +202,13 @@
 	n.srv.Close()
 }
 
+// forgetSeeds leaves a node only the members that it knows.
+func (n *node) forgetSeeds() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seeds = nil
+}
+
 // member returns what n believes of a node.
 func (n *node) member(id string) Member {
 	for _, m := range n.Members() {
--- a/peer/merge_test.go
+++ b/peer/merge_test.go
@@ -116,4 +116,12 @@
 	if b.merge(now, x) {
 		t.Fatal("a dead record of an unknown member was taken")
 	}
+	b.byID["y"].revision = 9
+	old := b.revisionDigestOf(false)
+	y.Incarnation++
+	b.merge(now, y)
+	b.applyRevisions(old, "self")
+	if b.byID["y"].revision != 0 {
+		t.Fatal("a restarted member keeps the revision of its last life")
+	}
 }
