ctl: a time limit no longer hides which nodes were not heard from

Cause: wait's limit also cut the status call under way, so with a short limit the list was never read. Seen: TestConfirmAtAnotherNode failed in one of three runs (limit of 1 ms). Change: the limit bounds the waiting between looks only.

--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -120,19 +120,21 @@
 	t.printPlan(*r.problem.NewPlan)
 }
 
-// wait prints on how many nodes a revision is in force until it is on all.
-func (t *tool) wait(ctx context.Context, revision uint64, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+// wait prints on how many nodes a revision is in force until it is on all. The
+// limit bounds the waiting, not a look at the status: a limit that passes in
+// the middle of one would otherwise hide which nodes were not heard from.
+func (t *tool) wait(parent context.Context, revision uint64, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
 	shown := ""
 	for {
 		var s adminapi.Status
-		err := t.api.call(ctx, http.MethodGet, "/admin/v1/status", nil, &s)
+		err := t.api.call(parent, http.MethodGet, "/admin/v1/status", nil, &s)
 		line, all := progress(s, revision)
 		if err != nil {
 			line, all = "no node answers: "+err.Error(), false
 		}
-		if line != shown && ctx.Err() == nil {
+		if line != shown && parent.Err() == nil {
 			fmt.Fprintln(t.progressOut(), line)
 			shown = line
 		}
