generation: an unrepeatable run whose engine is gone ends within the patience; a doubled attempt is unknown

Cause 2: with the soft pointer lost, an engine refuses the same attempt of a second router with 409; that was told as not-run while the request ran. The engine protocol names it attempt_exists and the outcome is unknown.

--- a/fakes/engine/http.go
+++ b/fakes/engine/http.go
@@ -149,7 +149,7 @@
 	case !slices.Contains(e.order.actual, s.ref):
 		return "", &refusal{http.StatusNotFound, "model_not_loaded", s.ref.String() + " is not loaded"}
 	case e.streams[s.key] != nil:
-		return "", &refusal{http.StatusConflict, "bad_request", "this attempt exists already"}
+		return "", &refusal{http.StatusConflict, "attempt_exists", "this attempt exists already"}
 	case len(e.waiting) >= e.cfg.MaxWaiting:
 		return "", &refusal{http.StatusTooManyRequests, "overloaded", "the waiting queue is full"}
 	}
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -58,6 +58,11 @@
 		return x.lost(a, err)
 	}
 	a.closeReader()
+	if isRefusal && refused.Code == codeAttemptExists {
+		// Another router runs this very request, and the soft pointer to it is
+		// lost. "Refused, so not run" would be untrue.
+		return x.end("lose", CodeDuplicate, ErrDuplicate)
+	}
 	if x.over() {
 		return x.giveUp(CodeDeadline, x.cause())
 	}
@@ -87,6 +92,9 @@
 	if x.ctx.Err() != nil {
 		return x.giveUp(CodeDeadline, x.cause())
 	}
+	if x.lossCause == "" {
+		x.lostAt = time.Now()
+	}
 	x.lossCause = lossCause(a.ctx, err)
 	if !engineLost(a.ctx) {
 		x.Watcher.Result(a.backend.ID, err)
@@ -133,6 +141,10 @@
 		return "continue"
 	}
 	x.unseated = false
+	// The engine may be back in a moment; a caller waits a few seconds at most.
+	if x.tries > 1 && time.Since(x.lostAt) > x.opts.StartedPatience {
+		return x.giveUp(CodeEngineLost, errors.Join(ErrNoResume, x.waitErr))
+	}
 	if x.last.place.Backend == "" || (x.last.seen && errors.Is(x.waitErr, backend.ErrUnknownStream)) {
 		return x.giveUp(CodeNoResume, errors.Join(ErrNoResume, x.waitErr))
 	}
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -104,6 +104,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		fmt.Fprint(w, `{"error":{"code":"overloaded"}}`)
 		return
+	case "exists":
+		w.WriteHeader(http.StatusConflict)
+		fmt.Fprint(w, `{"error":{"code":"attempt_exists"}}`)
+		return
 	case "none":
 		w.WriteHeader(http.StatusNotFound)
 		return
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -46,17 +46,18 @@
 
 // Codes of Result, besides those of an engine's own refusal.
 const (
-	CodeDeadline     = "deadline"
-	CodeCallerGone   = "caller_gone"
-	CodeDuplicate    = "duplicate_key"
-	CodeNoClaim      = "claims_unavailable"
-	CodeNoReplica    = "no_replica"
-	CodeNotAdmitted  = "not_admitted"
-	CodeRetryBudget  = "retry_budget"
-	CodeEngineLost   = "engine_lost"
-	CodeNoResume     = "resume_impossible"
-	codeBadRequest   = "bad_request"
-	codeInternalFlow = "internal"
+	CodeDeadline      = "deadline"
+	CodeCallerGone    = "caller_gone"
+	CodeDuplicate     = "duplicate_key"
+	CodeNoClaim       = "claims_unavailable"
+	CodeNoReplica     = "no_replica"
+	CodeNotAdmitted   = "not_admitted"
+	CodeRetryBudget   = "retry_budget"
+	CodeEngineLost    = "engine_lost"
+	CodeNoResume      = "resume_impossible"
+	codeBadRequest    = "bad_request"
+	codeAttemptExists = "attempt_exists"
+	codeInternalFlow  = "internal"
 )
 
 // Unavailable is the error by which an Admitter, Claims or Picker says why and
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -180,6 +180,7 @@
 	lastToken time.Time // of the last token, or the start
 	awoke     time.Time // when a silence longer than PauseGap ended
 	lossCause string    // set from a loss until the next token
+	lostAt    time.Time // of that loss
 	res       Result
 }
 
@@ -192,6 +193,7 @@
 		x.number = p.Attempt
 		x.holdsText = x.holdsText && p.HaveText
 		x.lossCause = causeRouter
+		x.lostAt = x.lastToken
 		if x.holdsText {
 			x.text = []byte(p.Text)
 		}
