--- a/admission/admission.go
+++ b/admission/admission.go
@@ -11,7 +11,9 @@
 package admission
 
 import (
+	"cmp"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -90,30 +92,18 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.MaxQueue == 0 {
-		c.MaxQueue = 1024
-	}
-	if c.MaxRetryAfter == 0 {
-		c.MaxRetryAfter = 30 * time.Second
-	}
-	if c.MinService == 0 {
-		c.MinService = 20 * time.Millisecond
-	}
-	if c.DefaultRetry == 0 {
-		c.DefaultRetry = time.Second
-	}
-	if c.Patience == 0 {
-		c.Patience = 3 * time.Second
-	}
-	if c.DemandHalfLife == 0 {
-		c.DemandHalfLife = 2 * time.Second
-	}
+	c.MaxQueue = cmp.Or(c.MaxQueue, 1024)
+	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, 30*time.Second)
+	c.MinService = cmp.Or(c.MinService, 20*time.Millisecond)
+	c.DefaultRetry = cmp.Or(c.DefaultRetry, time.Second)
+	c.DemandHalfLife = cmp.Or(c.DemandHalfLife, 2*time.Second)
+	c.Patience = cmp.Or(c.Patience, 3*time.Second)
 	return c
 }
 
 func (c *Config) capacity(pool string) int {
 	if c.Capacity == nil {
-		return int(^uint(0) >> 1)
+		return math.MaxInt
 	}
 	return c.Capacity(pool)
 }
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -11,9 +11,9 @@
 	"wigeondale/fleet"
 )
 
-// recheck is how often waiting tickets look whether capacity grew without a
-// release, since the capacity function can't tell us.
-const recheck = 50 * time.Millisecond
+// recheckInterval is how often waiting tickets look whether capacity grew
+// without a release, since the capacity function can't tell us.
+const recheckInterval = 50 * time.Millisecond
 
 // Controller admits requests on one router.
 type Controller struct {
@@ -23,7 +23,7 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	peers    telling
+	peers    peerDemands
 	pools    map[string]*pool
 	seq      uint64
 }
@@ -114,13 +114,13 @@
 	if w.expired(now, c.cfg.MinService) {
 		return nil, c.cfg.refuse(ReasonDeadline, 0)
 	}
-	p.look(&c.cfg, now)
+	p.noteCapacity(&c.cfg, now)
 	if p.dead(&c.cfg, now) {
 		return nil, c.cfg.refuse(ReasonNoReplica, 0)
 	}
 	free := p.unqueued(classOf(t)) && p.takes(classOf(t), &c.cfg)
 	if !free {
-		if r := c.room(w, now); r != nil {
+		if r := c.makeRoom(w, now); r != nil {
 			return nil, r
 		}
 	}
@@ -154,10 +154,10 @@
 	return nil
 }
 
-// room refuses what cannot finish in time by the rate at which the queues
-// drain, or would wait longer than is of use, and makes room in a full queue if the newcomer's turn is earlier than
-// that of the last in it. Resumes always have room.
-func (c *Controller) room(w *waiter, now time.Time) *Refused {
+// makeRoom refuses what cannot finish in time by the rate at which the queues
+// drain, or would wait longer than is of use. In a full queue it drops the last
+// ticket if the newcomer's turn is earlier. Resumes always have room.
+func (c *Controller) makeRoom(w *waiter, now time.Time) *Refused {
 	p := w.pool
 	wait := p.waitFor(p.ahead(w), w.ticket.Priority, &c.cfg, now)
 	// Refused now or after a wait in vain: the estimate is taken for too short.
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -13,14 +13,14 @@
 		defer timer.Stop()
 		deadline = timer.C
 	}
-	again := time.NewTicker(recheck)
-	defer again.Stop()
+	tick := time.NewTicker(recheckInterval)
+	defer tick.Stop()
 	for {
 		select {
 		case r := <-w.ready:
 			return r
-		case <-again.C:
-			if c.again(w.pool) {
+		case <-tick.C:
+			if c.recheck(w.pool) {
 				return c.leave(w, ReasonNoReplica)
 			}
 		case <-deadline:
@@ -62,24 +62,15 @@
 	w.ready <- r
 }
 
-// Kick serves waiting tickets after capacity grew.
-func (c *Controller) Kick() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	for _, p := range c.pools {
-		c.dispatch(p, now)
-	}
-}
-
-// again is Kick for one pool, at most once per interval however many wait.
-func (c *Controller) again(p *pool) (dead bool) {
+// recheck serves a pool's tickets in case that its capacity grew, at most once
+// per interval however many wait. It tells whether waiting is in vain.
+func (c *Controller) recheck(p *pool) (dead bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(p.checked) >= recheck {
+	if now.Sub(p.checked) >= recheckInterval {
 		p.checked = now
-		p.look(&c.cfg, now)
+		p.noteCapacity(&c.cfg, now)
 		c.dispatch(p, now)
 	}
 	return p.dead(&c.cfg, now)
--- a/admission/limits.go
+++ b/admission/limits.go
@@ -23,7 +23,7 @@
 		a := c.accounts[id]
 		if a == nil {
 			a = &account{id: id, limit: l, fraction: 1}
-			a.hear(c.peers)
+			a.setPeers(c.peers)
 		}
 		a.limit = l
 		a.split(now, c.cfg.DemandHalfLife)
@@ -39,23 +39,23 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peers = told(peers)
+	c.peers = newPeerDemands(peers)
 	for _, a := range c.accounts {
-		a.hear(c.peers)
+		a.setPeers(c.peers)
 		a.split(now, c.cfg.DemandHalfLife)
 	}
 }
 
-// telling is the peers' demands, where those that tell of none are only
+// peerDemands holds the peers' demands, where those that report none are only
 // counted. Above the full mesh these are nearly all: to look each up for each
 // client account took 9% of a core and 39 MB at 830 nodes and 5,600 accounts.
-type telling struct {
+type peerDemands struct {
 	peers       []PeerDemand
-	heard, lost int // peers that tell of no demand
+	heard, lost int // peers that report no demand
 }
 
-func told(peers []PeerDemand) telling {
-	var t telling
+func newPeerDemands(peers []PeerDemand) peerDemands {
+	var t peerDemands
 	for _, p := range peers {
 		switch {
 		case len(p.Demand) > 0:
@@ -69,7 +69,8 @@
 	return t
 }
 
-func (a *account) hear(t telling) {
+// setPeers takes over what the peers ask for on this account.
+func (a *account) setPeers(t peerDemands) {
 	a.heard, a.lost = others{nodes: t.heard}, others{nodes: t.lost}
 	for _, p := range t.peers {
 		if p.Lost {
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -133,8 +133,8 @@
 	return nil
 }
 
-// look notes whether the pool has any capacity now.
-func (p *pool) look(cfg *Config, now time.Time) {
+// noteCapacity notes whether the pool has any capacity now.
+func (p *pool) noteCapacity(cfg *Config, now time.Time) {
 	switch {
 	case cfg.capacity(p.name) > 0:
 		p.closed = time.Time{}
--- a/backend/canceller.go
+++ b/backend/canceller.go
@@ -60,11 +60,11 @@
 	api  CancelAPI
 	opts CancellerOptions
 
-	mu    sync.Mutex
-	ctx   context.Context // set by Run
-	lanes map[string][]queued
-	held  int
-	wg    sync.WaitGroup
+	mu     sync.Mutex
+	ctx    context.Context // set by Run
+	queues map[string][]queued
+	held   int
+	wg     sync.WaitGroup
 
 	wasted, dropped, done, tries *metrics.Counter
 }
@@ -100,7 +100,7 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewSet()
 	}
-	c := &Canceller{api: api, opts: o, lanes: map[string][]queued{}}
+	c := &Canceller{api: api, opts: o, queues: map[string][]queued{}}
 	c.wasted = o.Metrics.GetOrCreateCounter("wigeon_tokens_for_nobody_total")
 	c.dropped = o.Metrics.GetOrCreateCounter("wigeon_cancels_dropped_total")
 	c.done = o.Metrics.GetOrCreateCounter("wigeon_cancels_done_total")
@@ -121,8 +121,8 @@
 	}
 	c.held++
 	id := a.Backend.ID
-	lane, working := c.lanes[id]
-	c.lanes[id] = append(lane, queued{Abandoned: a, since: time.Now(), known: c.opts.Incarnation(a.Backend.ID)})
+	queue, working := c.queues[id]
+	c.queues[id] = append(queue, queued{Abandoned: a, since: time.Now(), known: c.opts.Incarnation(a.Backend.ID)})
 	if !working && c.ctx != nil {
 		c.start(id)
 	}
@@ -139,7 +139,7 @@
 func (c *Canceller) Run(ctx context.Context) error {
 	c.mu.Lock()
 	c.ctx = ctx
-	for id := range c.lanes {
+	for id := range c.queues {
 		c.start(id)
 	}
 	c.mu.Unlock()
@@ -176,23 +176,23 @@
 	}
 }
 
-// first returns the attempt to try next; an empty lane is removed under the
+// first returns the attempt to try next; an empty queue is removed under the
 // same lock, so that Add knows whether a goroutine serves it.
 func (c *Canceller) first(id string) (queued, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	lane := c.lanes[id]
-	if len(lane) == 0 {
-		delete(c.lanes, id)
+	queue := c.queues[id]
+	if len(queue) == 0 {
+		delete(c.queues, id)
 		return queued{}, false
 	}
-	return lane[0], true
+	return queue[0], true
 }
 
 func (c *Canceller) pop(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lanes[id] = c.lanes[id][1:]
+	c.queues[id] = c.queues[id][1:]
 	c.held--
 }
 
--- a/backend/send_test.go
+++ b/backend/send_test.go
@@ -72,9 +72,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := ReadAll(first, 10); err != nil {
+			if _, err := io.ReadAll(first.Body); err != nil {
 				t.Fatal(err)
 			}
+			first.Body.Close()
 			call := Call{Method: method, Path: "/book", Body: []byte(body), RequestID: "r", Header: http.Header{
 				"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"},
 			}}
--- a/backend/service.go
+++ b/backend/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/textproto"
 	"net/url"
@@ -125,17 +124,3 @@
 	"Last-Event-Id", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade",
 }
-
-// ReadAll reads a service's answer up to max bytes. An answer that ends early
-// is ErrBroken: its status alone doesn't make it whole.
-func ReadAll(resp *http.Response, max int64) ([]byte, error) {
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, max+1))
-	if err != nil {
-		return nil, Error.New("%w: %w", ErrBroken, err)
-	}
-	if int64(len(data)) > max {
-		return nil, Error.New("%w: answer above %d bytes", ErrBroken, max)
-	}
-	return data, nil
-}
--- a/bench/path_test.go
+++ b/bench/path_test.go
@@ -77,11 +77,14 @@
 	forward(b, job{Model: pacedModel, Streams: 600, Tokens: 200})
 }
 
+// bareRequests numbers the bare handler's requests over all rounds: an engine
+// refuses an attempt that it has seen.
+var bareRequests atomic.Int64
+
 // BenchmarkForwardPacedBare is the same through a bare handler, which copies
 // what it reads and flushes: what net/http and the kernel cost by themselves.
 func BenchmarkForwardPacedBare(b *testing.B) {
 	p := thePath(b)
-	var made atomic.Int64
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var ask struct {
@@ -90,7 +93,7 @@
 		if err := json.NewDecoder(r.Body).Decode(&ask); err != nil {
 			return // the caller sees an answer without tokens
 		}
-		n := made.Add(1)
+		n := bareRequests.Add(1)
 		body := directBody(pacedModel, fmt.Sprint("bare-", n), ask.MaxTokens)
 		engine := p.ports[fmt.Sprint(pacedModel, n%enginesEach)]
 		resp, err := client.Post("http://"+engine+"/v1/completions", "application/json", strings.NewReader(body))
--- a/callerapi/answer.go
+++ b/callerapi/answer.go
@@ -10,15 +10,22 @@
 
 // statusOf gives the HTTP status of a run's codes; others go by their outcome.
 var statusOf = map[string]int{
-	CodeNotReady:             http.StatusServiceUnavailable,
-	CodeOverloaded:           http.StatusServiceUnavailable,
-	CodeAccountLimit:         http.StatusTooManyRequests,
-	CodeRateLimited:          http.StatusTooManyRequests,
-	generation.CodeDeadline:  http.StatusGatewayTimeout,
-	generation.CodeDuplicate: http.StatusConflict,
-	generation.CodeNoResume:  http.StatusConflict,
-	"bad_request":            http.StatusBadRequest,
-	"deadline_exceeded":      http.StatusGatewayTimeout,
+	CodeNotReady:              http.StatusServiceUnavailable,
+	CodeOverloaded:            http.StatusServiceUnavailable,
+	CodeAccountLimit:          http.StatusTooManyRequests,
+	CodeRateLimited:           http.StatusTooManyRequests,
+	generation.CodeDeadline:   http.StatusGatewayTimeout,
+	generation.CodeDuplicate:  http.StatusConflict,
+	generation.CodeNoResume:   http.StatusConflict,
+	generation.CodeKeyReused:  http.StatusUnprocessableEntity,
+	generation.CodeBadRequest: http.StatusBadRequest,
+}
+
+// callerMistakes are codes for which the same request never succeeds, so that
+// no time to come back is told.
+var callerMistakes = map[string]bool{
+	generation.CodeKeyReused:  true,
+	generation.CodeBadRequest: true,
 }
 
 // failureOf returns nil for a complete run. A result that names no outcome is
@@ -48,6 +55,9 @@
 	if status, ok := statusOf[f.Code]; ok {
 		f.Status = status
 	}
+	if callerMistakes[f.Code] {
+		f.RetryAfter = 0
+	}
 	return f
 }
 
@@ -93,7 +103,7 @@
 
 // replay answers from an answer that was finished here a short while ago.
 func (s *Server) replay(w http.ResponseWriter, c *call, f *finished) *Failure {
-	if !c.ask.Stream {
+	if !c.params.Stream {
 		s.writeWhole(w, c, f)
 		return nil
 	}
@@ -101,9 +111,9 @@
 	if c.from != nil {
 		var ok bool
 		if rest, ok = f.rest(c.from); !ok {
-			f := refuse(http.StatusConflict, codeTextMismatch, "another answer was finished under this key")
-			f.Outcome = fleet.Failed
-			return f
+			failure := refuse(http.StatusConflict, codeTextMismatch, "another answer was finished under this key")
+			failure.Outcome = fleet.Failed
+			return failure
 		}
 	}
 	sink := s.stream(w, c)
--- a/callerapi/body.go
+++ b/callerapi/body.go
@@ -19,9 +19,9 @@
 
 const maxDepth = 32 // nesting of a body
 
-// ask is the part of a body that is understood. Other fields, such as
+// params is the part of a body that is understood. Other fields, such as
 // temperature, are accepted for the sake of usual clients and have no effect.
-type ask struct {
+type params struct {
 	Model      string
 	Prompt     string
 	MaxTokens  int
@@ -47,32 +47,32 @@
 	return refuse(http.StatusBadRequest, codeBadRequest, text)
 }
 
-// parseAsk reads a body. Field names are matched exactly, as the hash sees them.
-func (s *Server) parseAsk(raw []byte, form format) (ask, *Failure) {
-	a := ask{MaxTokens: s.DefaultTokens}
+// parseBody reads a body. Field names are matched exactly, as the hash sees them.
+func (s *Server) parseBody(raw []byte, form format) (params, *Failure) {
+	out := params{MaxTokens: s.DefaultTokens}
 	if tooDeep(raw) {
-		return a, badBody(fmt.Sprintf("the body is nested deeper than %d", maxDepth))
+		return out, badBody(fmt.Sprintf("the body is nested deeper than %d", maxDepth))
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(raw, &fields); err != nil || fields == nil {
-		return a, badBody("the body is not a JSON object")
+		return out, badBody("the body is not a JSON object")
 	}
 	p := fieldReader{fields: fields}
-	p.read("model", &a.Model, "a string")
-	p.read("max_tokens", &a.MaxTokens, "an integer")
-	p.read("stream", &a.Stream, "true or false")
-	p.read("resume_text", &a.ResumeText, "a string")
+	p.read("model", &out.Model, "a string")
+	p.read("max_tokens", &out.MaxTokens, "an integer")
+	p.read("stream", &out.Stream, "true or false")
+	p.read("resume_text", &out.ResumeText, "a string")
 	p.one("n")
 	p.one("best_of")
-	a.Prompt = p.prompt(form)
-	if a.Model == "" {
+	out.Prompt = p.prompt(form)
+	if out.Model == "" {
 		p.fail("model: want a non-empty string")
 	}
-	if a.MaxTokens < 1 || a.MaxTokens > s.MaxTokens {
+	if out.MaxTokens < 1 || out.MaxTokens > s.MaxTokens {
 		p.fail(fmt.Sprintf("max_tokens: want 1 to %d", s.MaxTokens))
 	}
-	a.Hash = hashBody(fields, form)
-	return a, p.failure
+	out.Hash = hashBody(fields, form)
+	return out, p.failure
 }
 
 // fieldReader decodes fields and keeps the first failure.
--- a/callerapi/callerapi_test.go
+++ b/callerapi/callerapi_test.go
@@ -266,6 +266,8 @@
 		{generation.Result{Outcome: fleet.NotRun, Code: "account_limit", RetryAfter: 1200 * time.Millisecond}, 429, "not-run", "2"},
 		{generation.Result{Outcome: fleet.NotRun, Code: callerapi.CodeRateLimited, RetryAfter: 3 * time.Second}, 429, "not-run", "3"},
 		{generation.Result{Outcome: fleet.NotRun, Code: callerapi.CodeOverloaded, RetryAfter: 3 * time.Second}, 503, "not-run", "3"},
+		{generation.Result{Outcome: fleet.NotRun, Code: "bad_request"}, 400, "not-run", ""},
+		{generation.Result{Outcome: fleet.NotRun, Code: generation.CodeKeyReused, RetryAfter: time.Second}, 422, "not-run", ""},
 		{generation.Result{Outcome: fleet.NotRun, Code: "no_replica"}, 503, "not-run", "1"},
 		{generation.Result{Outcome: fleet.NotRun, Code: generation.CodeDeadline}, 504, "not-run", "1"},
 		{generation.Result{Outcome: fleet.Failed, Code: generation.CodeEngineLost}, 502, "failed", ""},
--- a/callerapi/errors.go
+++ b/callerapi/errors.go
@@ -12,20 +12,20 @@
 	"wigeondale/fleet"
 )
 
-// Err is the class of this package's errors.
-var Err = errs.Class("callerapi")
+// Error is the class of this package's errors.
+var Error = errs.Class("callerapi")
 
 // What Accounts.Resolve may answer.
 var (
 	// ErrUnknownModel: no such model is configured.
-	ErrUnknownModel = Err.New("unknown model")
+	ErrUnknownModel = Error.New("unknown model")
 	// ErrForbidden: the client account may not use the model.
-	ErrForbidden = Err.New("model not allowed for this account")
+	ErrForbidden = Error.New("model not allowed for this account")
 )
 
 // ErrSuperseded is the cause of the context's end when the caller came back
 // for the same answer: the engine's stream must be left alive for it.
-var ErrSuperseded = Err.New("superseded by the caller's reconnect")
+var ErrSuperseded = Error.New("superseded by the caller's reconnect")
 
 // Names of headers beyond the usual ones.
 const (
--- a/callerapi/generate.go
+++ b/callerapi/generate.go
@@ -13,11 +13,11 @@
 
 // call is one request for a generation after its checks.
 type call struct {
-	id   identity
-	ask  ask
-	form format
-	ref  fleet.ModelRef
-	from *cursor.Cursor // nil: from the start
+	id     identity
+	params params
+	form   format
+	ref    fleet.ModelRef
+	from   *cursor.Cursor // nil: from the start
 }
 
 func (s *Server) generate(form format) handler {
@@ -50,10 +50,10 @@
 	if f != nil {
 		return c, f
 	}
-	if c.ask, f = s.parseAsk(raw, form); f != nil {
+	if c.params, f = s.parseBody(raw, form); f != nil {
 		return c, f
 	}
-	if c.from, f = s.openCursor(r, &c.id, &c.ask); f != nil {
+	if c.from, f = s.openCursor(r, &c.id, &c.params); f != nil {
 		return c, f
 	}
 	return c, s.resolve(c)
@@ -62,7 +62,7 @@
 // resolve settles version and priority. A reconnect stays with the version
 // that began the answer, whatever the traffic weights say by now.
 func (s *Server) resolve(c *call) *Failure {
-	ref, priority, err := s.Accounts.Resolve(c.id.Account, c.ask.Model, c.id.Key)
+	ref, priority, err := s.Accounts.Resolve(c.id.Account, c.params.Model, c.id.Key)
 	switch {
 	case errors.Is(err, ErrUnknownModel):
 		return refuse(http.StatusNotFound, codeUnknownModel, "no such model")
@@ -100,7 +100,7 @@
 	var kept *finished
 	defer func() { s.keys.end(e, kept) }()
 	if s.Pointers != nil {
-		s.Pointers.Announce(c.id.Account, c.id.Key, c.ask.Hash)
+		s.Pointers.Announce(c.id.Account, c.id.Key, c.params.Hash)
 		defer s.Pointers.Drop(c.id.Account, c.id.Key)
 	}
 	kept, f = s.run(ctx, w, c)
@@ -123,7 +123,7 @@
 	if !ok {
 		return nil
 	}
-	if hash != c.ask.Hash {
+	if hash != c.params.Hash {
 		return keyReused()
 	}
 	return inProgress()
@@ -151,11 +151,11 @@
 func (s *Server) take(ctx context.Context, c *call, cancel context.CancelCauseFunc) (*keyEntry, *Failure) {
 	name := keyName(c.id.Account, c.id.Key)
 	for {
-		e, began := s.keys.begin(name, c.ask.Hash, cancel)
+		e, began := s.keys.begin(name, c.params.Hash, cancel)
 		if began {
 			return e, nil
 		}
-		if e.hash != c.ask.Hash {
+		if e.hash != c.params.Hash {
 			return nil, keyReused()
 		}
 		if s.keys.answer(e) != nil {
@@ -178,7 +178,7 @@
 		Request:  c.id.Key,
 		Account:  c.id.Account,
 		Ref:      c.ref,
-		BodyHash: c.ask.Hash,
+		BodyHash: c.params.Hash,
 	}
 	if c.from != nil {
 		place = *c.from
@@ -186,16 +186,16 @@
 	sink := newStreamSink(w, s.Sealer, place, c.form)
 	sink.limit = s.KeepBytes / 4
 	// The text before the cursor is known only if the caller sent it back.
-	if c.from != nil && c.ask.ResumeText != nil {
-		sink.text = []byte(*c.ask.ResumeText)
+	if c.from != nil && c.params.ResumeText != nil {
+		sink.text = []byte(*c.params.ResumeText)
 	}
-	sink.full = c.from != nil && c.ask.ResumeText == nil
+	sink.full = c.from != nil && c.params.ResumeText == nil
 	return sink
 }
 
 func (s *Server) run(ctx context.Context, w http.ResponseWriter, c *call) (*finished, *Failure) {
 	req := s.request(c)
-	if c.ask.Stream {
+	if c.params.Stream {
 		sink := s.stream(w, c)
 		release := sink.abortOn(ctx)
 		defer release()
@@ -234,12 +234,12 @@
 		ID:            c.id.requestID(),
 		Account:       c.id.Account,
 		Ref:           c.ref,
-		Prompt:        c.ask.Prompt,
-		MaxTokens:     c.ask.MaxTokens,
+		Prompt:        c.params.Prompt,
+		MaxTokens:     c.params.MaxTokens,
 		Priority:      c.id.Priority,
 		NonIdempotent: c.id.NonIdempotent,
 		Deadline:      c.id.deadline(s.GenerateTimeout),
-		BodyHash:      c.ask.Hash,
+		BodyHash:      c.params.Hash,
 	}
 	if c.from == nil {
 		return req
@@ -250,8 +250,8 @@
 		Attempt:     c.from.Attempt,
 		Offset:      c.from.Offset,
 	}
-	if c.ask.ResumeText != nil {
-		req.Resume.Text = *c.ask.ResumeText
+	if c.params.ResumeText != nil {
+		req.Resume.Text = *c.params.ResumeText
 		req.Resume.HaveText = true
 	}
 	return req
--- a/callerapi/resume.go
+++ b/callerapi/resume.go
@@ -11,10 +11,10 @@
 
 // openCursor opens the cursor that a caller came back with, and checks that it
 // belongs to this account, key and body. nil without a cursor.
-func (s *Server) openCursor(r *http.Request, id *identity, a *ask) (*cursor.Cursor, *Failure) {
+func (s *Server) openCursor(r *http.Request, id *identity, p *params) (*cursor.Cursor, *Failure) {
 	text := r.Header.Get(headerLastEvent)
 	if text == "" {
-		if a.ResumeText != nil {
+		if p.ResumeText != nil {
 			f := badBody("resume_text: only together with a " + headerLastEvent + " header")
 			f.forReconnect()
 			return nil, f
@@ -29,14 +29,14 @@
 	if id.Made {
 		id.Key, id.Made = c.Request, false
 	}
-	if id.Key != c.Request || a.Hash != c.BodyHash {
+	if id.Key != c.Request || p.Hash != c.BodyHash {
 		return nil, refuse(http.StatusBadRequest, codeCursorMismatch,
 			"the cursor belongs to another request: send the same key and body as at first")
 	}
-	if !a.Stream {
+	if !p.Stream {
 		return nil, badBody("stream: want true with a " + headerLastEvent + " header")
 	}
-	if a.ResumeText != nil && c.CheckText(*a.ResumeText) != nil {
+	if p.ResumeText != nil && c.CheckText(*p.ResumeText) != nil {
 		return nil, refuse(http.StatusBadRequest, codeTextMismatch,
 			"resume_text is not the text that was delivered up to the cursor")
 	}
--- a/callerapi/server.go
+++ b/callerapi/server.go
@@ -5,12 +5,14 @@
 // It guards four things. A refusal keeps its HTTP status, since no header is
 // sent before the first token. An outcome is never better than the truth:
 // not-run is said only of requests that were turned away here or that the
-// layers below say were not started, and never to a caller that comes back. A second request under a live key never
-// becomes a second draft on this node. And a reconnect goes on only from the
-// very text that was delivered, proved by its cursor.
+// layers below say were not started, and never to a caller that comes back. A
+// second request under a live key never becomes a second draft on this node.
+// And a reconnect goes on only from the very text that was delivered, proved
+// by its cursor.
 package callerapi
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -118,22 +120,15 @@
 }
 
 func (o *Options) fill() {
-	setDefault(&o.BodyBytes, 4<<20)
-	setDefault(&o.AnswerBytes, 16<<20)
-	setDefault(&o.MaxOpen, 4096)
-	setDefault(&o.MaxTokens, 131072)
-	setDefault(&o.DefaultTokens, 1024)
-	setDefault(&o.GenerateTimeout, time.Hour)
-	setDefault(&o.ServiceTimeout, 10*time.Second)
-	setDefault(&o.KeepBytes, 16<<20)
-	setDefault(&o.KeepTime, 2*time.Minute)
-}
-
-func setDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
+	o.BodyBytes = cmp.Or(o.BodyBytes, 4<<20)
+	o.AnswerBytes = cmp.Or(o.AnswerBytes, 16<<20)
+	o.MaxOpen = cmp.Or(o.MaxOpen, 4096)
+	o.MaxTokens = cmp.Or(o.MaxTokens, 131072)
+	o.DefaultTokens = cmp.Or(o.DefaultTokens, 1024)
+	o.GenerateTimeout = cmp.Or(o.GenerateTimeout, time.Hour)
+	o.ServiceTimeout = cmp.Or(o.ServiceTimeout, 10*time.Second)
+	o.KeepBytes = cmp.Or(o.KeepBytes, 16<<20)
+	o.KeepTime = cmp.Or(o.KeepTime, 2*time.Minute)
 }
 
 // ServeHTTP implements http.Handler.
--- a/callerapi/sink.go
+++ b/callerapi/sink.go
@@ -58,7 +58,7 @@
 func (s *wholeSink) Token(index int, text []byte, finish string) error {
 	s.add(index, text, finish)
 	if s.full {
-		return Err.New("answer larger than %d bytes", s.limit)
+		return Error.New("answer larger than %d bytes", s.limit)
 	}
 	return nil
 }
@@ -141,7 +141,7 @@
 	s.place.IssuedUnixS = time.Now().Unix()
 	w, err := s.sealer.Writer(&s.place)
 	if err != nil {
-		return Err.Wrap(err)
+		return Error.Wrap(err)
 	}
 	s.writer = w
 	return nil
--- a/client/client.go
+++ b/client/client.go
@@ -16,9 +16,9 @@
 	"sync/atomic"
 	"time"
 
-	"wigeondale/fleet"
-
 	"github.com/zeebo/errs"
+
+	"wigeondale/fleet"
 )
 
 // Error is the class of every error that this package returns.
@@ -26,10 +26,9 @@
 
 // Defaults of Options.
 const (
-	DefaultMaxTries    = 12
-	DefaultBackoff     = 50 * time.Millisecond
-	DefaultBackoffMax  = 2 * time.Second
-	DefaultDialTimeout = 2 * time.Second
+	DefaultMaxTries   = 12
+	DefaultBackoff    = 50 * time.Millisecond
+	DefaultBackoffMax = 2 * time.Second
 )
 
 // Options tunes a Client. The zero value takes every default.
--- a/ctl/caller.go
+++ b/ctl/caller.go
@@ -22,6 +22,7 @@
 	maxAnswer     = 64 << 20 // bytes
 	confirmRounds = 3        // over all addresses
 	roundPause    = 500 * time.Millisecond
+	dialTimeout   = 2 * time.Second
 )
 
 // caller calls the administration API at the first address that answers.
@@ -70,7 +71,7 @@
 		}
 		c.token = strings.TrimSpace(string(b))
 	}
-	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}
+	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	if a.CAFile != "" {
 		pool, err := readPool(a.CAFile)
 		if err != nil {
--- a/cursor/cursor.go
+++ b/cursor/cursor.go
@@ -23,27 +23,27 @@
 	"wigeondale/fleet"
 )
 
-// Err is the class of this package's errors.
-var Err = errs.Class("cursor")
+// Error is the class of this package's errors.
+var Error = errs.Class("cursor")
 
 // The ways in which a cursor can be refused. All are true before any work.
 var (
 	// ErrMalformed: not the encoding, or a wrong length.
-	ErrMalformed = Err.New("malformed")
+	ErrMalformed = Error.New("malformed")
 	// ErrVersion: a format that this program does not read.
-	ErrVersion = Err.New("unknown version")
+	ErrVersion = Error.New("unknown version")
 	// ErrForged: no known key made it.
-	ErrForged = Err.New("authentication failed")
+	ErrForged = Error.New("authentication failed")
 	// ErrForeign: made for another client account.
-	ErrForeign = Err.New("belongs to another client account")
+	ErrForeign = Error.New("belongs to another client account")
 	// ErrExpired: older than the settings allow.
-	ErrExpired = Err.New("expired")
+	ErrExpired = Error.New("expired")
 	// ErrText: the text sent back is not the text that was delivered.
-	ErrText = Err.New("text is not the delivered text")
+	ErrText = Error.New("text is not the delivered text")
 	// ErrField: a part is too long to be encoded.
-	ErrField = Err.New("field too long")
+	ErrField = Error.New("field too long")
 	// ErrKey: the sealing key is too short.
-	ErrKey = Err.New("key shorter than 32 bytes")
+	ErrKey = Error.New("key shorter than 32 bytes")
 )
 
 // Cursor is one place in the delivery of one answer.
--- /dev/null
+++ b/cursor/export_test.go
@@ -0,0 +1,10 @@
+package cursor
+
+// Seal returns the text of c.
+func (s *Sealer) Seal(c *Cursor) (string, error) {
+	w, err := s.Writer(c)
+	if err != nil {
+		return "", err
+	}
+	return string(w.Append(nil, c.Place)), nil
+}
--- a/cursor/seal.go
+++ b/cursor/seal.go
@@ -94,15 +94,6 @@
 	return encoding.AppendEncode(dst, w.raw[:])
 }
 
-// Seal returns the text of c.
-func (s *Sealer) Seal(c *Cursor) (string, error) {
-	w, err := s.Writer(c)
-	if err != nil {
-		return "", err
-	}
-	return string(w.Append(nil, c.Place)), nil
-}
-
 // Open checks text and returns the cursor in it. account is the client account
 // that presented it. The MAC is compared in constant time and before anything
 // in the cursor is believed.
--- /dev/null
+++ b/daemon/backends.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+
+	"wigeondale/backend"
+	"wigeondale/directory"
+	"wigeondale/fleet"
+	"wigeondale/health"
+	"wigeondale/intent"
+	"wigeondale/settings"
+)
+
+func (n *node) buildBackends(set *settings.Settings) error {
+	n.engines = backend.NewClient()
+	n.dir = directory.New(n.log)
+	n.mon = health.NewMonitor(policyOf(set.Policy), n.log, n.set)
+	rumours{n.mesh}.connect(n.mon, n.dir, n.inv)
+	n.drain = &drain{vm: set.Node.VM, notice: n.notice, log: n.log}
+	lister := &vms{inv: n.inv, mesh: n.mesh, mon: n.mon, drain: n.drain}
+	n.poller = directory.NewPoller(directory.PollConfig{
+		Router:       n.id,
+		SubsetSize:   set.Directory.Subset,
+		Interval:     millis(set.Directory.LoadPollMS),
+		ListInterval: lookInterval,
+		ListChanged:  n.inv.Changed(),
+	}, n.dir, lister, probe{n.engines, n.mon})
+	n.cancels = backend.NewCanceller(n.engines, backend.CancellerOptions{
+		Incarnation: n.dir.Incarnation, Log: n.log, Metrics: n.set,
+	})
+	n.keeper.Subscribe(func(s *intent.State) {
+		n.dir.SetIntent(leavingVMs(s))
+		n.drain.setPlanned(s.Leaving(set.Node.VM))
+	})
+	return nil
+}
+
+func leavingVMs(s *intent.State) map[string]bool {
+	out := map[string]bool{}
+	for id, vm := range s.VMs {
+		if vm.Leaving {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// policyOf takes over what the deployment weighs; the rest are measured defaults.
+func policyOf(p settings.Policy) health.Policy {
+	out := health.DefaultPolicy()
+	out.ResumeLatencyWeight = p.ResumeLatencyWeight
+	out.ExtraWorkWeight = p.ExtraWorkWeight
+	out.MinSilence = millis(p.MinSuspectMS)
+	out.MaxSilence = millis(p.MaxSuspectMS)
+	out.FailuresPerHour = p.FailuresPerHour
+	out.TailExponent = p.TailExponent
+	out.PrefillBytesPerSecond = p.PrefillBytesPerSecond
+	out.FixedTimeout = millis(p.FixedTimeoutMS)
+	return out
+}
+
+// probe asks engines about themselves.
+type probe struct {
+	client *backend.Client
+	mon    *health.Monitor
+}
+
+// Load reads the load report. Its incarnation tells the failure detector of a
+// restart, after which what was held against the engine no longer counts.
+func (p probe) Load(ctx context.Context, b fleet.Backend) (fleet.LoadReport, error) {
+	rep, err := p.client.Load(ctx, b)
+	if err == nil {
+		p.mon.Incarnation(b.ID, rep.Incarnation)
+	}
+	return rep, err
+}
+
+// CacheEvents reads the cache events after a number. An event whose block can't
+// be read is dropped: it only makes the prefix estimate poorer.
+func (p probe) CacheEvents(ctx context.Context, b fleet.Backend, after uint64) (directory.CacheBatch, error) {
+	page, err := p.client.CacheEvents(ctx, b, after)
+	if err != nil {
+		return directory.CacheBatch{}, err
+	}
+	batch := directory.CacheBatch{Incarnation: page.Incarnation}
+	for _, e := range page.Events {
+		block, err := strconv.ParseUint(e.Block, 16, 64)
+		if err != nil {
+			continue
+		}
+		batch.Events = append(batch.Events, directory.CacheEvent{Seq: e.Seq, Stored: e.Type == "stored", Block: block})
+	}
+	return batch, nil
+}
--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wigeondale/admission"
+	"wigeondale/backend"
+	"wigeondale/callerapi"
+	"wigeondale/cursor"
+	"wigeondale/generation"
+	"wigeondale/hedge"
+	"wigeondale/intent"
+	"wigeondale/routing"
+	"wigeondale/settings"
+)
+
+const (
+	// perService is how many calls this router has open at one replica of a
+	// plain service before new ones queue here, where deadlines are known.
+	perService = 64
+	// retryBurst is how many retries the budget holds when it is full.
+	retryBurst = 20
+	// hedgeBurst is how many second tries their budget holds when it is full.
+	hedgeBurst = 10
+)
+
+// Ready says why this node may not take new work. It is callerapi's gate.
+func (n *node) Ready() error {
+	if n.drain.closed(time.Now()) {
+		return Error.New("this VM is leaving")
+	}
+	if ok, reason := n.keeper.Ready(); !ok {
+		return Error.New("configuration: %s", reason)
+	}
+	if len(n.dir.IDs()) == 0 {
+		return Error.New("no backend server is known yet")
+	}
+	return nil
+}
+
+func (n *node) buildCallers(set *settings.Settings) error {
+	accs := newAccounts(n.dir)
+	n.buildAdmission(set, accs)
+	pick, err := n.newPicker(set)
+	if err != nil {
+		return err
+	}
+	budget := admission.NewRetryBudget(float64(set.Policy.RetryBudgetPercent)/100, retryBurst)
+	if err := n.buildRunner(set, pick, budget); err != nil {
+		return err
+	}
+	current, previous := set.CursorKeys()
+	sealer, err := cursor.NewSealer(current, previous, time.Duration(set.Cursor.MaxAgeS)*time.Second)
+	if err != nil {
+		return err
+	}
+	n.callers = callerapi.New(callerapi.Config{
+		Options:  callerapi.Options{BodyBytes: set.Limits.BodyBytes, MaxOpen: int64(set.Limits.MaxOpenRequests)},
+		Gate:     n,
+		Accounts: accs,
+		Runner:   n.runner,
+		Services: n.newServices(set, pick, budget),
+		Pointers: newPointers(n.mesh, n.id),
+		Sealer:   sealer,
+		Log:      n.log,
+		Metrics:  n.set,
+	})
+	return nil
+}
+
+// buildAdmission lets accounts and limits follow the configuration in force.
+func (n *node) buildAdmission(set *settings.Settings, accs *accounts) {
+	room := &room{
+		dir: n.dir, mon: n.mon, accs: accs, routers: n.routers,
+		perEngine: set.Limits.RequestsPerEngine, reserve: set.Limits.ReservePercent,
+	}
+	n.admit = admission.NewController(admission.Config{
+		MaxQueue:      set.Limits.Queue,
+		Capacity:      room.all,
+		BatchCapacity: room.batch,
+		UrgentFloor:   room.urgent,
+	}, n.log, n.set)
+	n.share = &summaries{mesh: n.mesh, keeper: n.keeper, admit: n.admit, sent: map[string]float64{}, heard: demands{}}
+	n.keeper.Subscribe(func(s *intent.State) {
+		accs.set(s)
+		n.admit.SetLimits(limitsOf(s))
+	})
+}
+
+func (n *node) newPicker(set *settings.Settings) (*picker, error) {
+	router, err := routing.New(stepsOf(set.Routing), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if err != nil {
+		return nil, err
+	}
+	return &picker{dir: n.dir, mon: n.mon, router: router, domain: set.Node.FailureDomain}, nil
+}
+
+func (n *node) buildRunner(set *settings.Settings, pick *picker, budget *admission.RetryBudget) error {
+	var err error
+	n.runner, err = generation.New(generation.Deps{
+		Admitter: admitter{n.admit, budget},
+		Claims:   claims{n.claims},
+		Picker:   pick,
+		Watcher:  n.watcher(),
+		Engines:  n.engines,
+		Abandon:  n.cancels,
+		Budget:   budget,
+	}, generation.Options{
+		Node:            attemptNode(set),
+		StartedPatience: max(millis(set.Policy.PatienceMS), time.Second),
+		Rand:            rand.Float64,
+		Log:             n.log,
+		Metrics:         n.set,
+	})
+	return err
+}
+
+func (n *node) newServices(set *settings.Settings, pick *picker, budget *admission.RetryBudget) *services {
+	return &services{
+		node:   attemptNode(set),
+		admit:  n.admit,
+		claims: claims{n.claims},
+		pick:   pick,
+		client: backend.NewServiceClient(),
+		retry:  budget,
+		mon:    n.watcher(),
+		hedge:  n.hedger(set.Policy.Hedge),
+	}
+}
+
+func (n *node) watcher() watcher { return watcher{Monitor: n.mon, dir: n.dir} }
+
+// attemptNode names this life of the router in the names of its attempts: after
+// a restart none of them may be taken for an attempt of the life before.
+func attemptNode(set *settings.Settings) string { return set.Node.ID + "/" + set.Node.Incarnation }
+
+// hedger allows second tries within their own budget: retries after a failure
+// must not be spent by lookups that are merely late.
+func (n *node) hedger(h settings.Hedge) *hedge.Hedger {
+	budget := admission.NewRetryBudget(float64(h.BudgetPercent)/100, hedgeBurst)
+	return hedge.New(hedge.Config{Enabled: h.Enabled}, budget, n.set)
+}
+
+func (n *node) routers() int { return len(living(n.mesh.Members())) }
+
+func stepsOf(r settings.Routing) []routing.StepConfig {
+	if len(r.Steps) == 0 {
+		return routing.DefaultSteps()
+	}
+	steps := make([]routing.StepConfig, 0, len(r.Steps))
+	for _, s := range r.Steps {
+		steps = append(steps, routing.StepConfig(s))
+	}
+	return steps
+}
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -5,13 +5,36 @@
 	"errors"
 	"strconv"
 	"sync"
+	"time"
 
 	"wigeondale/generation"
 	"wigeondale/once"
 	"wigeondale/peer"
+	"wigeondale/settings"
 )
 
-const callClaims = "once.batch"
+const (
+	claimsPrefix = "wigeondale/claims/"
+	callClaims   = "once.batch"
+)
+
+func (n *node) buildClaims(set *settings.Settings) error {
+	owner := newShardOwner(n.mesh, n.id)
+	n.claims = once.New(once.Config{
+		Node:        n.id,
+		Incarnation: set.Node.Incarnation,
+		KV:          n.kv,
+		Prefix:      claimsPrefix,
+		Shards:      set.Claims.Shards,
+		Window:      time.Duration(set.Claims.WindowS) * time.Second,
+		Events:      n.log,
+		Metrics:     n.set,
+	}, owner)
+	peer.HandleCall(n.mesh, callClaims, func(ctx context.Context, _ string, b once.Batch) (once.BatchResult, error) {
+		return n.claims.Handle(ctx, b)
+	})
+	return nil
+}
 
 // claims gives package generation the at-most-once claims.
 type claims struct{ *once.Claims }
@@ -23,6 +46,9 @@
 	if err == nil {
 		return v.Granted, nil
 	}
+	if errors.Is(err, once.ErrKeyReused) {
+		return false, &generation.Unavailable{Code: generation.CodeKeyReused, Err: err}
+	}
 	if !errors.Is(err, once.ErrUnavailable) && !errors.Is(err, once.ErrUnknown) {
 		return false, err
 	}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -22,30 +22,30 @@
 
 	mu      sync.Mutex
 	planned bool // by the configuration: a level, which a plan may take back
-	given   bool // by the VM list, whose lagging "live" takes nothing back
+	listed  bool // by the VM list, whose lagging "live" takes nothing back
 	since   time.Time
 	entries []intent.EntryVM
 }
 
-// wish takes in what the configuration in force says of this VM.
-func (d *drain) wish(leaving bool) {
+// setPlanned takes in what the configuration in force says of this VM.
+func (d *drain) setPlanned(leaving bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.planned = leaving
-	d.settle("intent")
+	d.update("intent")
 }
 
-// listed takes in the entry VMs of a reading of the VM list.
-func (d *drain) listed(entries []intent.EntryVM) {
+// setListed takes in the entry VMs of a reading of the VM list.
+func (d *drain) setListed(entries []intent.EntryVM) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.entries = entries
-	d.given = d.given || slices.Contains(entries, intent.EntryVM{VM: d.vm, Leaving: true})
-	d.settle("vm-list")
+	d.listed = d.listed || slices.Contains(entries, intent.EntryVM{VM: d.vm, Leaving: true})
+	d.update("vm-list")
 }
 
-func (d *drain) settle(source string) {
-	leaving := d.planned || d.given
+func (d *drain) update(source string) {
+	leaving := d.planned || d.listed
 	switch {
 	case leaving && d.since.IsZero():
 		d.since = time.Now()
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -25,17 +25,17 @@
 				t.Fatalf("leaving %v, closed %v; want %v, %v", d.leaving(), d.closed(time.Now()), leaving, closed)
 			}
 		}
-		list := func(leaving bool) { d.listed([]intent.EntryVM{{VM: "vm2"}, {VM: "vm1", Leaving: leaving}}) }
+		list := func(leaving bool) { d.setListed([]intent.EntryVM{{VM: "vm2"}, {VM: "vm1", Leaving: leaving}}) }
 		list(false)
 		expect(false, false)
-		d.wish(true)
+		d.setPlanned(true)
 		expect(true, false)
 		time.Sleep(notice - time.Nanosecond)
-		d.wish(true) // the next revision says it again
+		d.setPlanned(true) // the next revision says it again
 		expect(true, false)
 		time.Sleep(time.Nanosecond)
 		expect(true, true)
-		d.wish(false)
+		d.setPlanned(false)
 		expect(false, false)
 		list(true)
 		expect(true, false)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -4,21 +4,20 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"wigeondale/backend"
-	"wigeondale/directory"
 	"wigeondale/fleet"
 	"wigeondale/health"
 	"wigeondale/intent"
 	"wigeondale/inventory"
 	"wigeondale/peer"
 	"wigeondale/platform"
+	"wigeondale/settings"
 )
 
 const (
+	vmsPath = "/vms"
 	// lookInterval is how often the directory looks at the inventory when
 	// nothing changes, so that it knows what is still listed.
 	lookInterval = 5 * time.Second
@@ -26,6 +25,15 @@
 	doubtfulLive = 30 * time.Second
 )
 
+func (n *node) buildPlatform(set *settings.Settings) error {
+	timeout := millis(set.Platform.CallTimeoutMS)
+	n.kv = platform.NewEtcdKV(platform.KVConfig{URL: set.Platform.KVURL, Timeout: timeout}, n.set)
+	n.vmList = platform.NewVMList(set.Platform.VMsURL+vmsPath, timeout, n.set)
+	n.weightRate = set.Platform.WeightsBytesPerSecond
+	n.sizes = newSizes(platform.NewWeightStore(set.Platform.WeightsURL, timeout, n.set))
+	return nil
+}
+
 // vms shows the inventory: backend servers go to the directory, entry VMs are
 // seeds of the mesh.
 type vms struct {
@@ -65,7 +73,7 @@
 		return nil, nil // nothing is known yet
 	}
 	v.mesh.AddSeeds(seeds)
-	v.drain.listed(entries)
+	v.drain.setListed(entries)
 	v.forget(backends)
 	return backends, nil
 }
@@ -103,40 +111,6 @@
 	v.seen = now
 }
 
-// probe asks engines about themselves.
-type probe struct {
-	client *backend.Client
-	mon    *health.Monitor
-}
-
-// Load reads the load report. Its incarnation tells the failure detector of a
-// restart, after which what was held against the engine no longer counts.
-func (p probe) Load(ctx context.Context, b fleet.Backend) (fleet.LoadReport, error) {
-	rep, err := p.client.Load(ctx, b)
-	if err == nil {
-		p.mon.Incarnation(b.ID, rep.Incarnation)
-	}
-	return rep, err
-}
-
-// CacheEvents reads the cache events after a number. An event whose block can't
-// be read is dropped: it only makes the prefix estimate poorer.
-func (p probe) CacheEvents(ctx context.Context, b fleet.Backend, after uint64) (directory.CacheBatch, error) {
-	page, err := p.client.CacheEvents(ctx, b, after)
-	if err != nil {
-		return directory.CacheBatch{}, err
-	}
-	batch := directory.CacheBatch{Incarnation: page.Incarnation}
-	for _, e := range page.Events {
-		block, err := strconv.ParseUint(e.Block, 16, 64)
-		if err != nil {
-			continue
-		}
-		batch.Events = append(batch.Events, directory.CacheEvent{Seq: e.Seq, Stored: e.Type == "stored", Block: block})
-	}
-	return batch, nil
-}
-
 // sizes remembers the sizes of weights, which never change for a version.
 type sizes struct {
 	store *platform.WeightStore
--- a/daemon/pointers.go
+++ b/daemon/pointers.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	callPointer = "pointer.get"
-	callPoint   = "pointer.set"
+	callGetPointer = "pointer.get"
+	callSetPointer = "pointer.set"
 	// pointerCopies is how many routers remember where a key runs.
 	pointerCopies = 2
 	// pointerLife bounds how long a pointer is believed without renewal.
@@ -21,9 +21,9 @@
 	// takes about a millisecond between failure domains.
 	pointerWait = 25 * time.Millisecond
 	// pointerMisses is how many look-ups in a row a router leaves without answer
-	// before it is not asked for pointerRest: one late answer is no cut link.
-	pointerMisses = 2
-	pointerRest   = time.Second
+	// before it is not asked for pointerBackoff: one late answer is no cut link.
+	pointerMisses  = 2
+	pointerBackoff = time.Second
 	// maxPointers bounds the memory for other routers' keys; about 100 B each.
 	maxPointers = 100_000
 )
@@ -45,33 +45,33 @@
 	until time.Time
 }
 
-// silence is how often in a row a router did not answer, and until when it is
+// missedAnswers is how often in a row a router did not answer, and until when it is
 // therefore not asked.
-type silence struct {
+type missedAnswers struct {
 	misses int
 	until  time.Time
 }
 
 // pointers tells other routers which keys run here, through two routers chosen
-// by rendezvous hash. They are an economy and no promise: what must run at most
-// once is claimed in the log.
+// by rendezvous hash. They save work and guarantee nothing: what must run at
+// most once is claimed in the log.
 type pointers struct {
 	mesh *peer.Mesh
 	self string
 	wait time.Duration // for the answers to one look-up
 
-	mu   sync.Mutex
-	held map[once.KeyID]heldPointer
-	mute map[string]silence // routers that did not answer
+	mu     sync.Mutex
+	held   map[once.KeyID]heldPointer
+	missed map[string]missedAnswers // routers that did not answer
 }
 
 func newPointers(mesh *peer.Mesh, self string) *pointers {
-	p := &pointers{mesh: mesh, self: self, wait: pointerWait, held: make(map[once.KeyID]heldPointer), mute: make(map[string]silence)}
-	peer.HandleCall(mesh, callPoint, func(_ context.Context, _ string, v pointer) (pointer, error) {
+	p := &pointers{mesh: mesh, self: self, wait: pointerWait, held: make(map[once.KeyID]heldPointer), missed: make(map[string]missedAnswers)}
+	peer.HandleCall(mesh, callSetPointer, func(_ context.Context, _ string, v pointer) (pointer, error) {
 		p.keep(v, time.Now())
 		return pointer{}, nil
 	})
-	peer.HandleCall(mesh, callPointer, func(_ context.Context, _ string, v pointer) (pointer, error) {
+	peer.HandleCall(mesh, callGetPointer, func(_ context.Context, _ string, v pointer) (pointer, error) {
 		return p.find(v.Key, time.Now()), nil
 	})
 	return p
@@ -149,7 +149,7 @@
 	defer p.mu.Unlock()
 	out := make([]peer.Member, 0, len(holders))
 	for _, m := range holders {
-		if m.Self || !m.Suspect && now.After(p.mute[m.ID].until) {
+		if m.Self || !m.Suspect && now.After(p.missed[m.ID].until) {
 			out = append(out, m)
 		}
 	}
@@ -160,8 +160,8 @@
 	if m.Self {
 		return p.find(id, time.Now())
 	}
-	// Unreachable counts as not known: the pointer is only an economy.
-	v, err := peer.Call[pointer, pointer](ctx, p.mesh, m.ID, callPointer, pointer{Key: id})
+	// Unreachable counts as not known: the pointer only saves work.
+	v, err := peer.Call[pointer, pointer](ctx, p.mesh, m.ID, callGetPointer, pointer{Key: id})
 	p.heard(m.ID, err, context.Cause(ctx))
 	return v
 }
@@ -172,18 +172,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
-		delete(p.mute, node)
+		delete(p.missed, node)
 		return
 	}
 	if ended != nil && !errors.Is(ended, errNoAnswer) {
 		return
 	}
-	s := p.mute[node]
+	s := p.missed[node]
 	s.misses++
 	if s.misses >= pointerMisses {
-		s.until = time.Now().Add(pointerRest)
+		s.until = time.Now().Add(pointerBackoff)
 	}
-	p.mute[node] = s
+	p.missed[node] = s
 }
 
 func isAlive(members []peer.Member, node string) bool {
@@ -197,15 +197,15 @@
 
 // Announce says that the key runs here.
 func (p *pointers) Announce(account, key string, body [16]byte) {
-	p.tell(pointer{Key: once.NewKeyID(account, key), Node: p.self, Body: body})
+	p.send(pointer{Key: once.NewKeyID(account, key), Node: p.self, Body: body})
 }
 
 // Drop says that the key no longer runs here.
 func (p *pointers) Drop(account, key string) {
-	p.tell(pointer{Key: once.NewKeyID(account, key), Node: p.self, Drop: true})
+	p.send(pointer{Key: once.NewKeyID(account, key), Node: p.self, Drop: true})
 }
 
-func (p *pointers) tell(v pointer) {
+func (p *pointers) send(v pointer) {
 	for _, m := range peer.Rendezvous(string(v.Key[:]), living(p.mesh.Members()), pointerCopies) {
 		if m.Self {
 			p.keep(v, time.Now())
@@ -214,7 +214,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			_, _ = peer.Call[pointer, pointer](ctx, p.mesh, m.ID, callPoint, v)
+			_, _ = peer.Call[pointer, pointer](ctx, p.mesh, m.ID, callSetPointer, v)
 		}()
 	}
 }
--- a/daemon/pointers_test.go
+++ b/daemon/pointers_test.go
@@ -75,7 +75,7 @@
 			p = newPointers(m, "n0")
 			return
 		}
-		peer.HandleCall(m, callPointer, func(_ context.Context, _ string, v pointer) (pointer, error) {
+		peer.HandleCall(m, callGetPointer, func(_ context.Context, _ string, v pointer) (pointer, error) {
 			both.Done()
 			both.Wait()
 			return pointer{Key: v.Key, Node: "n2", Known: true}, nil
@@ -99,7 +99,7 @@
 		case 0:
 			p = newPointers(m, "n0")
 		case 1:
-			peer.HandleCall(m, callPointer, func(ctx context.Context, _ string, _ pointer) (pointer, error) {
+			peer.HandleCall(m, callGetPointer, func(ctx context.Context, _ string, _ pointer) (pointer, error) {
 				asked.Add(1)
 				<-ctx.Done()
 				return pointer{}, ctx.Err()
@@ -127,7 +127,7 @@
 	if left := p.answering(holders, now); len(left) != 2 || left[1].ID != "n2" {
 		t.Errorf("asked are %+v, want n0 and n2", left)
 	}
-	if left := p.answering(holders, now.Add(2*pointerRest)); len(left) != 3 {
+	if left := p.answering(holders, now.Add(2*pointerBackoff)); len(left) != 3 {
 		t.Errorf("asked after the rest are %+v, want all but n3", left)
 	}
 }
@@ -140,7 +140,7 @@
 			var p *pointers
 			all := meshes(b, 3, func(i int, m *peer.Mesh) {
 				if i == 1 && state == "cut" {
-					peer.HandleCall(m, callPointer, func(ctx context.Context, _ string, _ pointer) (pointer, error) {
+					peer.HandleCall(m, callGetPointer, func(ctx context.Context, _ string, _ pointer) (pointer, error) {
 						<-ctx.Done()
 						return pointer{}, ctx.Err()
 					})
--- a/daemon/room.go
+++ b/daemon/room.go
@@ -62,12 +62,12 @@
 	if r.known == nil {
 		r.known = map[string]figures{}
 	}
-	f := r.reckon(pool, now)
+	f := r.compute(pool, now)
 	r.known[pool] = f
 	return f
 }
 
-func (r *room) reckon(pool string, now time.Time) figures {
+func (r *room) compute(pool string, now time.Time) figures {
 	f := figures{at: now}
 	if name, ok := serviceOf(pool); ok {
 		f.all = perService * len(r.dir.Service(name))
--- a/daemon/spread.go
+++ b/daemon/spread.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"wigeondale/intent"
+	"wigeondale/kvlog"
 	"wigeondale/peer"
+	"wigeondale/settings"
 )
 
 const (
+	configPrefix  = "wigeondale/config/"
 	floodRevision = "intent.revision"
 	callRevisions = "intent.fetch"
 	// watchersPerDomain is how many routers of each failure domain follow the
@@ -15,6 +19,22 @@
 	watchersPerDomain = 2
 )
 
+func (n *node) buildConfig(set *settings.Settings) error {
+	carrier := spread{mesh: n.mesh, self: n.id}
+	log := kvlog.New(n.kv, configPrefix, kvlog.Options{Events: n.log, Metrics: n.set})
+	n.keeper = intent.NewKeeper(intent.Config{
+		Node:    n.id,
+		Log:     intent.NewLog(log),
+		Spread:  carrier,
+		Watcher: func() bool { return carrier.watches(set.Node.FailureDomain) },
+		Random:  rand.Float64,
+		Events:  n.log,
+		Metrics: n.set,
+	})
+	carrier.follow(n.keeper)
+	return nil
+}
+
 type fetchRevisions struct {
 	From uint64 `cbor:"1,keyasint"`
 }
@@ -66,10 +86,5 @@
 		}
 	}
 	chosen := peer.Rendezvous("watch/"+domain, near, watchersPerDomain)
-	for _, m := range chosen {
-		if m.Self {
-			return true
-		}
-	}
-	return len(chosen) == 0
+	return len(chosen) == 0 || peer.SelfAmong(chosen)
 }
--- a/directory/batch.go
+++ b/directory/batch.go
@@ -8,22 +8,24 @@
 )
 
 const (
-	// guessedBatch is taken until an engine's reports tell more.
-	guessedBatch = 64
+	// defaultBatch is assumed until an engine's reports tell more.
+	defaultBatch = 64
 	minBatch     = 4
 	maxBatch     = 4096
-	// shrink bounds how much one report can take off.
-	shrink = 0.75
-	// nearly is the share of what an engine is thought to take at which it shows
-	// that it may take more, as nothing waits; grow is what it is then given.
-	nearly = 0.85
-	grow   = 1.25
-	// settled is how long a figure that a queue showed is not raised: each try
+	// shrinkFactor bounds how much one report can take off.
+	shrinkFactor = 0.75
+	// growShare is the share of what an engine is thought to take at which it
+	// shows that it may take more, as nothing waits; growFactor is what it is
+	// then given.
+	growShare  = 0.85
+	growFactor = 1.25
+	// growPause is how long a figure that a queue showed is not raised: each try
 	// costs requests that wait at the engine.
-	settled = 30 * time.Second
-	// slack is what urgent work is sent on top, as a share: a short queue at the
-	// engine fills a place at its next step instead of after our next look.
-	slack = 0.125
+	growPause = 30 * time.Second
+	// queueShare is what urgent work is sent on top, as a share: a short queue
+	// at the engine fills a place at its next step instead of after our next
+	// look.
+	queueShare = 0.125
 )
 
 // batchSize learns how many requests an engine runs at once.
@@ -49,23 +51,23 @@
 		if running < before && !wasQueued {
 			return // a burst that the engine's next step may take in
 		}
-		b.known = max(running, b.known*shrink)
-	case running >= before*nearly && rep.AsOf().Sub(b.shown) > settled:
-		b.known = max(running*grow, before)
+		b.known = max(running, b.known*shrinkFactor)
+	case running >= before*growShare && rep.AsOf().Sub(b.shown) > growPause:
+		b.known = max(running*growFactor, before)
 	}
 	if b.known > 0 {
 		b.known = min(max(b.known, minBatch), maxBatch)
 	}
 }
 
-// reborn keeps the figure for a new incarnation, which most often runs on the
+// restart keeps the figure for a new incarnation, which most often runs on the
 // same VM: by the first guess, a whole failure domain that comes back would be
 // overfilled. It may grow at once.
-func (b *batchSize) reborn() { *b = batchSize{known: b.known} }
+func (b *batchSize) restart() { *b = batchSize{known: b.known} }
 
 func (b *batchSize) value() float64 {
 	if b.known == 0 {
-		return guessedBatch
+		return defaultBatch
 	}
 	return b.known
 }
@@ -74,7 +76,7 @@
 // of its places is to be filled. The whole is a little more than the places.
 func (b *batchSize) take(share float64) float64 {
 	if share >= 1 {
-		return b.value()*(1+slack) + 1
+		return b.value()*(1+queueShare) + 1
 	}
 	return b.value() * share
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -17,16 +17,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	"wigeondale/event"
 	"wigeondale/fleet"
 	"wigeondale/routing"
 )
 
-// Error is the class of this package's errors.
-var Error = errs.Class("directory")
-
 // PollInterval is the mean interval at which an engine's load is asked for and
 // a reader reads the VM list; each poll is moved by up to PollJitter of it.
 const (
--- a/directory/poll.go
+++ b/directory/poll.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -39,24 +40,12 @@
 }
 
 func (c PollConfig) withDefaults() PollConfig {
-	if c.SubsetSize == 0 {
-		c.SubsetSize = 32
-	}
-	if c.Explore == 0 {
-		c.Explore = 8
-	}
-	if c.Concurrency == 0 {
-		c.Concurrency = 16
-	}
-	if c.Interval == 0 {
-		c.Interval = PollInterval
-	}
-	if c.ListInterval == 0 {
-		c.ListInterval = c.Interval
-	}
-	if c.Timeout == 0 {
-		c.Timeout = c.Interval / 2
-	}
+	c.SubsetSize = cmp.Or(c.SubsetSize, 32)
+	c.Explore = cmp.Or(c.Explore, 8)
+	c.Concurrency = cmp.Or(c.Concurrency, 16)
+	c.Interval = cmp.Or(c.Interval, PollInterval)
+	c.ListInterval = cmp.Or(c.ListInterval, c.Interval)
+	c.Timeout = cmp.Or(c.Timeout, c.Interval/2)
 	return c
 }
 
@@ -86,8 +75,8 @@
 	return group.Wait()
 }
 
-// leastGap is the least time between two looks at the VM list.
-const leastGap = 100 * time.Millisecond
+// minListGap is the least time between two looks at the VM list.
+const minListGap = 100 * time.Millisecond
 
 // loop runs f at jittered intervals, counted from start to start, and when woken.
 func loop(ctx context.Context, every time.Duration, wake <-chan struct{}, f func(context.Context)) {
@@ -99,7 +88,7 @@
 		case <-ctx.Done():
 		case <-wake:
 			// A storm of changes must not fill the time with looks.
-			time.Sleep(time.Until(started.Add(leastGap)))
+			time.Sleep(time.Until(started.Add(minListGap)))
 		case <-time.After(time.Until(next)):
 		}
 	}
--- a/directory/record.go
+++ b/directory/record.go
@@ -77,17 +77,17 @@
 func (r *record) report(rep fleet.LoadReport, now time.Time) (changed, left bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sameLife := r.last.Incarnation == rep.Incarnation
-	if sameLife && rep.AsOfUnixMS < r.last.AsOfUnixMS {
+	sameIncarnation := r.last.Incarnation == rep.Incarnation
+	if sameIncarnation && rep.AsOfUnixMS < r.last.AsOfUnixMS {
 		return false, false
 	}
-	if !sameLife && r.last.Incarnation == "" && slices.Contains(r.marks, "") {
+	if !sameIncarnation && r.last.Incarnation == "" && slices.Contains(r.marks, "") {
 		// What was marked before its incarnation was known is this one.
 		r.mark(rep.Incarnation)
 	}
-	changed = !r.reported || !sameLife || rep.Role != r.last.Role || !slices.Equal(rep.Serves, r.last.Serves)
-	if !sameLife {
-		r.batch.reborn()
+	changed = !r.reported || !sameIncarnation || rep.Role != r.last.Role || !slices.Equal(rep.Serves, r.last.Serves)
+	if !sameIncarnation {
+		r.batch.restart()
 	}
 	r.batch.observe(rep)
 	r.places.Store(math.Float64bits(r.batch.known))
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -76,8 +76,8 @@
 	x.Watcher.Result(a.backend.ID, err)
 	if isRefusal {
 		x.m.refusedByEngine.Inc()
-		if refused.Code == codeBadRequest {
-			return x.giveUp(codeBadRequest, err)
+		if refused.Code == CodeBadRequest {
+			return x.giveUp(CodeBadRequest, err)
 		}
 	}
 	// A started answer goes before the budget: it holds work already paid for.
@@ -135,12 +135,12 @@
 	if x.tries > x.maxTries() {
 		return x.giveUp(CodeEngineLost, errors.Join(ErrNoResume, x.waitErr))
 	}
-	if x.holdsText && !x.unseated {
+	if x.holdsText && !x.callerSlow {
 		x.exclude[x.last.place.Backend] = true
 		x.abandon()
 		return "continue"
 	}
-	x.unseated = false
+	x.callerSlow = false
 	// The engine may be back in a moment; a caller waits a few seconds at most.
 	if x.tries > 1 && time.Since(x.lostAt) > x.opts.StartedPatience {
 		return x.giveUp(CodeEngineLost, errors.Join(ErrNoResume, x.waitErr))
@@ -174,7 +174,7 @@
 	}
 	a.backend = b
 	x.watchAttempt(a)
-	x.m.reattachs.Inc()
+	x.m.reattaches.Inc()
 	s, err := x.attach(a)
 	if err != nil {
 		if x.ctx.Err() != nil {
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -150,6 +150,7 @@
 
 // harness plays everything around the Runner.
 type harness struct {
+	blocked     bool // as the watch was told last
 	engines     []*fakeEngine
 	dead        string // address that refuses connections, in place of the engines
 	silentAfter int    // tokens after which the first stream is called silent
@@ -214,10 +215,11 @@
 
 func (h *harness) Watch(_ string, _ int, cancel context.CancelCauseFunc) Watch {
 	h.watched++
-	return &fakeWatch{left: h.silentAfter, first: h.watched == 1, cancel: cancel}
+	return &fakeWatch{h: h, left: h.silentAfter, first: h.watched == 1, cancel: cancel}
 }
 
 type fakeWatch struct {
+	h      *harness
 	left   int
 	first  bool
 	cancel context.CancelCauseFunc
@@ -235,12 +237,17 @@
 	}
 }
 
+func (w *fakeWatch) SetBlocked(blocked bool, _ time.Time) {
+	w.h.blocked = blocked
+}
+
 func (w *fakeWatch) Close() {}
 
 type fakeSink struct {
 	text   strings.Builder
 	places []Place
 	failAt int // index whose Token fails; 0 for never
+	flush  func()
 }
 
 func (s *fakeSink) Begin(p Place) error { s.places = append(s.places, p); return nil }
@@ -253,7 +260,12 @@
 	return nil
 }
 
-func (s *fakeSink) Flush() error { return nil }
+func (s *fakeSink) Flush() error {
+	if s.flush != nil {
+		s.flush()
+	}
+	return nil
+}
 
 func (h *harness) run(t *testing.T, req Request, sink *fakeSink, o Options) Result {
 	t.Helper()
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -49,13 +49,14 @@
 	CodeDeadline      = "deadline"
 	CodeCallerGone    = "caller_gone"
 	CodeDuplicate     = "duplicate_key"
+	CodeKeyReused     = "key_reused" // the key is claimed by a request with another body
 	CodeNoClaim       = "claims_unavailable"
 	CodeNoReplica     = "no_replica"
 	CodeNotAdmitted   = "not_admitted"
 	CodeRetryBudget   = "retry_budget"
 	CodeEngineLost    = "engine_lost"
 	CodeNoResume      = "resume_impossible"
-	codeBadRequest    = "bad_request"
+	CodeBadRequest    = "bad_request"
 	codeAttemptExists = "attempt_exists"
 	codeInternalFlow  = "internal"
 )
@@ -173,6 +174,8 @@
 // Watch follows one stream for the failure detector.
 type Watch interface {
 	Token(now time.Time)
+	// SetBlocked tells that the caller stopped, or began again, to take tokens.
+	SetBlocked(blocked bool, now time.Time)
 	Close()
 }
 
--- a/generation/generation_test.go
+++ b/generation/generation_test.go
@@ -246,3 +246,23 @@
 		t.Fatal("a passed deadline went unnoticed")
 	}
 }
+
+// Symptom: an engine is given up, and all its streams at this router resume
+// elsewhere, though it decodes as ever. Sequence: one caller takes no tokens for
+// a while, so that nobody reads its stream. Cause: the failure detector wasn't
+// told that the silence is the caller's.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	h := &harness{engines: []*fakeEngine{newFakeEngine(t, act{})}}
+	flushes, told := 0, 0
+	sink := &fakeSink{flush: func() {
+		flushes++
+		if h.blocked {
+			told++
+		}
+	}}
+	res := h.run(t, Request{}, sink, Options{})
+	// The last flush comes after the end of the watch.
+	if res.Outcome != fleet.Complete || flushes < 2 || told != flushes-1 || h.blocked {
+		t.Errorf("%v: %d of %d flushes told as the caller's time, still blocked: %v", res.Outcome, told, flushes, h.blocked)
+	}
+}
--- a/generation/meters.go
+++ b/generation/meters.go
@@ -23,17 +23,17 @@
 	textBytes atomic.Int64
 	open      atomic.Int64
 
-	attempts, resumes, prefill         *metrics.Counter
-	droppedLate, droppedRepeat         *metrics.Counter
-	droppedGap, droppedMismatch        *metrics.Counter
-	tokens, refusedByEngine, reattachs *metrics.Counter
+	attempts, resumes, prefill          *metrics.Counter
+	droppedLate, droppedRepeat          *metrics.Counter
+	droppedGap, droppedMismatch         *metrics.Counter
+	tokens, refusedByEngine, reattaches *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
 	m := &meters{set: set}
 	m.attempts = set.GetOrCreateCounter("wigeon_attempts_total")
 	m.resumes = set.GetOrCreateCounter("wigeon_resumes_total")
-	m.reattachs = set.GetOrCreateCounter("wigeon_reattaches_total")
+	m.reattaches = set.GetOrCreateCounter("wigeon_reattaches_total")
 	m.prefill = set.GetOrCreateCounter("wigeon_extra_prefill_bytes_total")
 	m.tokens = set.GetOrCreateCounter("wigeon_tokens_total")
 	m.refusedByEngine = set.GetOrCreateCounter("wigeon_engine_refusals_total")
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -29,7 +29,7 @@
 	defaultPauseGap        = 250 * time.Millisecond
 	defaultCallerGrace     = 200 * time.Millisecond
 	maxOnceLinger          = 10 * time.Minute
-	maxOnceTries           = 64 // re-attachments in a row to a run that can\'t be repeated
+	maxOnceTries           = 64 // re-attachments in a row to a run that can't be repeated
 	voidTimeout            = 5 * time.Second
 )
 
@@ -145,7 +145,7 @@
 	for !m.Final() {
 		ev := r.steps[m.State()](x)
 		if err := m.Fire(ev); err != nil {
-			x.res.Err, x.res.Code = err, codeInternalFlow
+			x.res.Err, x.res.Code = Error.Wrap(err), codeInternalFlow
 			return x.result(x.lostState())
 		}
 	}
@@ -163,19 +163,19 @@
 	text      []byte // accepted text, held only while a resume may need it
 	textCap   int64  // bytes of text that the metric knows of
 	holdsText bool
-	release   func()
+	release   func() // of the admission; nil before it
 	claimedAs string // attempt name of the claim; empty without one
 	reached   bool   // a byte may have reached an engine that hasn't refused
 
-	backend  fleet.Backend // picked or held
-	done     func()
-	last     *attempt // attempt to read, re-attach to or cancel
-	number   int      // of the latest attempt
-	exclude  map[string]bool
-	delay    time.Duration // asked for by the state before wait
-	waitErr  error
-	tries    int  // attempts or re-attachments since the last token
-	unseated bool // the loss came while the caller was slow to read
+	backend    fleet.Backend // picked or held
+	done       func()        // ends the in-flight count at backend
+	last       *attempt      // attempt to read, re-attach to or cancel
+	number     int           // of the latest attempt
+	exclude    map[string]bool
+	delay      time.Duration // asked for by the state before wait
+	waitErr    error
+	tries      int  // attempts or re-attachments since the last token
+	callerSlow bool // the loss came while the caller was slow to read
 
 	lastToken time.Time // of the last token, or the start
 	awoke     time.Time // when a silence longer than PauseGap ended
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -64,11 +64,16 @@
 	if a.stream.Buffered() {
 		return nil
 	}
+	// A caller that reads slowly keeps this goroutine from reading tokens.
+	// Unless the failure detector knows, a healthy engine seems silent to it, and
+	// is given up at this router for all its streams.
+	a.watch.SetBlocked(true, now)
 	err := x.sink.Flush()
-	// A caller that reads slowly keeps this goroutine from reading tokens, and
-	// the failure detector sees silence. The engine isn't at fault and still
-	// holds the stream: take it up there instead of paying for a new prefill.
-	x.unseated = !silent && a.ctx.Err() != nil
+	a.watch.SetBlocked(false, time.Now())
+	// The other waits of a write, within Token, are rare. After one, the engine
+	// isn't at fault either and still holds the stream: take it up there instead
+	// of paying for a new prefill.
+	x.callerSlow = !silent && a.ctx.Err() != nil
 	return err
 }
 
--- a/health/engine.go
+++ b/health/engine.go
@@ -13,24 +13,24 @@
 	last atomic.Int64 // last token on any stream
 	gaps Gaps
 
-	mu          sync.Mutex
-	streams     []*Stream
-	credit      time.Duration // paused time since creditFrom
-	creditFrom  int64         // value of last that the credit belongs to
-	state       State
-	since       int64 // when the state was entered
-	refused     int   // refused connections in a row
-	late        int   // late answers since the last that came
-	lateFrom    int64 // the first of those
-	backoff     time.Duration
-	retryAt     int64
-	probing     bool
-	probeUntil  int64
-	incarnation string
-	rumourUntil int64
-	sparedUntil int64 // given back by Usable
-	known       knownThreshold
-	spokeAt     int64 // last token before it was suspected, 0 if it was not
+	mu              sync.Mutex
+	streams         []*Stream
+	credit          time.Duration // paused time since creditFrom
+	creditFrom      int64         // value of last that the credit belongs to
+	state           State
+	since           int64 // when the state was entered
+	refused         int   // refused connections in a row
+	late            int   // late answers since the last that came
+	lateFrom        int64 // the first of those
+	backoff         time.Duration
+	retryAt         int64
+	probing         bool
+	probeUntil      int64
+	incarnation     string
+	rumourUntil     int64
+	reinstatedUntil int64 // given back by Usable
+	known           knownThreshold
+	spokeAt         int64 // last token before it was suspected, 0 if it was not
 }
 
 // silence is the time without any token, less what this process slept.
@@ -159,8 +159,8 @@
 	return e.state == Suspect && t-e.since < int64(d)
 }
 
-func (e *engine) spare(t int64) {
+func (e *engine) reinstate(t int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.sparedUntil = t + int64(sparedFor)
+	e.reinstatedUntil = t + int64(reinstatedFor)
 }
--- a/health/state.go
+++ b/health/state.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -108,8 +109,8 @@
 	return e.current(t)
 }
 
-// sparedFor is how long an engine that Usable gave back is allowed work.
-const sparedFor = time.Second
+// reinstatedFor is how long an engine that Usable gave back is allowed work.
+const reinstatedFor = time.Second
 
 // Allow is asked just before a dispatch. For a healthy backend server it is
 // true, as for one that Usable gave back because of the ejection bound. For
@@ -129,7 +130,7 @@
 		e.probeUntil = t + int64(m.policy.ProbeTimeout)
 		return true
 	}
-	return t < e.sparedUntil
+	return t < e.reinstatedUntil
 }
 
 // Rumour takes in what another router says of one incarnation. It raises the
@@ -199,7 +200,7 @@
 	}
 	for _, i := range giveBack(out, len(ids), m.policy.MaxEjectedShare) {
 		usable[i] = true
-		m.engine(ids[i]).spare(t)
+		m.engine(ids[i]).reinstate(t)
 	}
 	return usable
 }
@@ -213,10 +214,7 @@
 		return nil
 	}
 	slices.SortFunc(out, func(a, b suspicion) int {
-		if a.state != b.state {
-			return int(a.state) - int(b.state)
-		}
-		return int(min(max(a.since-b.since, -1), 1))
+		return cmp.Or(cmp.Compare(a.state, b.state), cmp.Compare(a.since, b.since))
 	})
 	back := make([]int, 0, excess)
 	for _, s := range out[:excess] {
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -11,6 +11,7 @@
 package hedge
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -34,18 +35,10 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Percentile == 0 {
-		c.Percentile = 95
-	}
-	if c.MinDelay == 0 {
-		c.MinDelay = 2 * time.Millisecond
-	}
-	if c.MinSamples == 0 {
-		c.MinSamples = 50
-	}
-	if c.Window == 0 {
-		c.Window = 30 * time.Second
-	}
+	c.Percentile = cmp.Or(c.Percentile, 95)
+	c.MinDelay = cmp.Or(c.MinDelay, 2*time.Millisecond)
+	c.MinSamples = cmp.Or(c.MinSamples, 50)
+	c.Window = cmp.Or(c.Window, 30*time.Second)
 	return c
 }
 
@@ -83,27 +76,27 @@
 )
 
 // latencies are those of one pool of backend servers: two histograms, of which
-// the older is thrown away when the newer has grown old.
+// the older is reset and becomes the newer one each half window.
 type latencies struct {
-	turned       time.Time
+	rotated      time.Time
 	older, newer *hdrhistogram.Histogram
 }
 
 func newLatencies(now time.Time) *latencies {
 	return &latencies{
-		turned: now,
-		older:  hdrhistogram.New(lowest, highest, digits),
-		newer:  hdrhistogram.New(lowest, highest, digits),
+		rotated: now,
+		older:   hdrhistogram.New(lowest, highest, digits),
+		newer:   hdrhistogram.New(lowest, highest, digits),
 	}
 }
 
-func (l *latencies) turn(now time.Time, window time.Duration) {
-	if now.Sub(l.turned) < window/2 {
+func (l *latencies) rotate(now time.Time, window time.Duration) {
+	if now.Sub(l.rotated) < window/2 {
 		return
 	}
 	l.older, l.newer = l.newer, l.older
 	l.newer.Reset()
-	l.turned = now
+	l.rotated = now
 }
 
 // delay is the percentile over both histograms.
@@ -131,7 +124,7 @@
 		l = newLatencies(now)
 		h.pools[pool] = l
 	}
-	l.turn(now, h.cfg.Window)
+	l.rotate(now, h.cfg.Window)
 	_ = l.newer.RecordValue(us) // can't fail: the value is within the range
 }
 
--- a/hedge/run.go
+++ b/hedge/run.go
@@ -51,9 +51,9 @@
 	began := time.Now()
 	delay, may := h.Delay(call.Pool, call.Idempotent)
 	if may {
-		value, release, err = contest(ctx, h, call, delay)
+		value, release, err = hedged(ctx, h, call, delay)
 	} else {
-		value, release, err = single(ctx, call)
+		value, release, err = unhedged(ctx, call)
 	}
 	if err == nil && call.Idempotent {
 		h.Observe(call.Pool, time.Since(began), time.Now())
@@ -61,7 +61,7 @@
 	return value, release, err
 }
 
-func single[T any](ctx context.Context, call Call[T]) (T, func(), error) {
+func unhedged[T any](ctx context.Context, call Call[T]) (T, func(), error) {
 	ctx, cancel := context.WithCancel(ctx)
 	v, err := call.Try(ctx, false)
 	if err != nil {
@@ -70,7 +70,7 @@
 	return v, cancel, err
 }
 
-func contest[T any](ctx context.Context, h *Hedger, call Call[T], delay time.Duration) (T, func(), error) {
+func hedged[T any](ctx context.Context, h *Hedger, call Call[T], delay time.Duration) (T, func(), error) {
 	r := &race[T]{h: h, call: call, ctx: ctx, results: make(chan outcome[T], 2)}
 	r.start(false)
 	got := r.first(delay)
--- a/intent/keeper.go
+++ b/intent/keeper.go
@@ -16,6 +16,9 @@
 // recentRevisions is how many revisions a Keeper holds for peers that are behind.
 const recentRevisions = 256
 
+// readPage is how many log entries one read of a catch-up asks for.
+const readPage = 128
+
 // Keeper holds the newest state that this node knows. Its revision only grows.
 type Keeper struct {
 	cfg   Config
@@ -175,7 +178,7 @@
 	}
 }
 
-// take installs a batch from a peer and reports whether it may be relied on.
+// take installs a batch from a peer; an error means that it does not decode.
 func (k *Keeper) take(b Batch) error {
 	if len(b.Snapshot) > 0 {
 		s, err := DecodeState(b.Snapshot)
@@ -194,7 +197,7 @@
 func (k *Keeper) catchUp(ctx context.Context) error {
 	for {
 		from := k.State().Revision + 1
-		entries, err := k.cfg.Log.Read(ctx, from, 128)
+		entries, err := k.cfg.Log.Read(ctx, from, readPage)
 		if errors.Is(err, ErrTruncated) && k.loadSnapshot(ctx) && k.State().Revision >= from {
 			continue
 		}
--- a/intent/run.go
+++ b/intent/run.go
@@ -14,6 +14,9 @@
 // timeout; the next Sync starts at another.
 const peersPerSync = 3
 
+// maxSpread bounds the revisions that a watcher floods after one reading.
+const maxSpread = 16
+
 // Run keeps the state up to date until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -127,7 +130,7 @@
 		}
 	}
 	k.mu.Unlock()
-	if len(fresh) > 16 {
+	if len(fresh) > maxSpread {
 		return // a start; the others hold these already or will ask
 	}
 	for _, r := range fresh {
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -68,10 +68,10 @@
 
 // Inventory is safe for concurrent use.
 type Inventory struct {
-	cfg     Config
-	met     *meters
-	changed chan struct{}
-	moved   atomic.Bool // the members changed since they were last copied
+	cfg          Config
+	met          *meters
+	changed      chan struct{}
+	membersMoved atomic.Bool // the members changed since they were last copied
 
 	mu       sync.Mutex
 	state    *State
@@ -95,7 +95,7 @@
 		heard:    time.Now(),
 		duty:     Reads,
 	}
-	v.moved.Store(true)
+	v.membersMoved.Store(true)
 	v.met = newMeters(cfg.Metrics, v)
 	return v
 }
@@ -104,7 +104,7 @@
 // ctx ends.
 func (v *Inventory) Run(ctx context.Context) error {
 	var group errgroup.Group
-	group.Go(func() error { every(ctx, v.cfg.ReadInterval, v.turn); return nil })
+	group.Go(func() error { every(ctx, v.cfg.ReadInterval, v.readIfDue); return nil })
 	group.Go(func() error { every(ctx, digestInterval, v.round); return nil })
 	return group.Wait()
 }
@@ -129,7 +129,7 @@
 func (v *Inventory) Changed() <-chan struct{} { return v.changed }
 
 // MembersChanged makes the next turn look at the members anew.
-func (v *Inventory) MembersChanged() { v.moved.Store(true) }
+func (v *Inventory) MembersChanged() { v.membersMoved.Store(true) }
 
 // Live returns the records on the list, in no order.
 func (v *Inventory) Live() []Record {
@@ -145,8 +145,8 @@
 	return v.duty
 }
 
-// turn reads the list if this node is to.
-func (v *Inventory) turn(ctx context.Context) {
+// readIfDue reads the list if this node is to.
+func (v *Inventory) readIfDue(ctx context.Context) {
 	if !v.due(time.Now()) {
 		return
 	}
@@ -171,7 +171,7 @@
 // due chooses the duty anew and tells whether to read now.
 func (v *Inventory) due(now time.Time) bool {
 	var members []peer.Member
-	moved := v.moved.Swap(false)
+	moved := v.membersMoved.Swap(false)
 	if moved {
 		members = v.cfg.Peers.Members()
 	}
@@ -210,20 +210,20 @@
 	defer v.mu.Unlock()
 	v.readings++
 	changes, verdict := v.observer.Observe(v.state, list, started)
-	v.tell(verdict, len(list))
-	first := v.note(started)
+	v.logVerdict(verdict, len(list))
+	first := v.noteReading(started)
 	v.merge(changes, v.met.byReading)
 	out := deltas(v.state.heard, changes)
 	if first && len(out) == 0 {
-		// Others that would stand in hear at once that they need not.
+		// Others that would read alone hear at once that they need not.
 		out = append(out, Delta{Heard: v.state.heard})
 	}
 	return out
 }
 
-// note makes this reading the newest one; true if it is the first one of a node
-// that stands in for the readers.
-func (v *Inventory) note(started time.Time) (first bool) {
+// noteReading makes this reading the newest one; true if it is the first one of
+// a node that reads alone.
+func (v *Inventory) noteReading(started time.Time) (first bool) {
 	h := Heard{Reading: v.state.stamp(started)}
 	if v.duty == Reads {
 		h.Chosen = h.Reading
@@ -234,8 +234,8 @@
 	return first
 }
 
-// tell logs when readings begin to be held back, and how that ends.
-func (v *Inventory) tell(verdict Verdict, shown int) {
+// logVerdict logs when readings begin to be held back, and how that ends.
+func (v *Inventory) logVerdict(verdict Verdict, shown int) {
 	switch verdict {
 	case Held:
 		v.met.readHeld.Inc()
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -225,7 +225,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newNetwork(2, engines(10_000))
 		old, fresh := w.nodes["n0"], w.nodes["n1"]
-		old.turn(t.Context())
+		old.readIfDue(t.Context())
 		fresh.Sync(t.Context(), "n0")
 		if n := len(fresh.Live()); n != 10_000 {
 			t.Errorf("%d of 10000 entries", n)
@@ -235,7 +235,7 @@
 		}
 		// A new reader that reads the same list has no news for anyone.
 		before := old.state.Digest().Root
-		fresh.turn(t.Context())
+		fresh.readIfDue(t.Context())
 		if fresh.state.Digest().Root != before {
 			t.Error("a start changes the version of what it reads")
 		}
@@ -249,9 +249,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newNetwork(2, engines(100))
 		w.lossy = true
-		w.nodes["n0"].turn(t.Context())
+		w.nodes["n0"].readIfDue(t.Context())
 		time.Sleep(time.Second)
-		w.nodes["n1"].turn(t.Context())
+		w.nodes["n1"].readIfDue(t.Context())
 		if w.nodes["n0"].state.root() != w.nodes["n1"].state.root() {
 			t.Error("two readings of one list differ")
 		}
--- a/inventory/observe.go
+++ b/inventory/observe.go
@@ -72,7 +72,7 @@
 	next := make(map[string]Item, len(reading))
 	for key, i := range reading {
 		before, seen := o.last[key]
-		news.look(key, i, true, seen && before == i)
+		news.compare(key, i, true, seen && before == i)
 		next[key] = i
 	}
 	for key, r := range s.records {
@@ -80,7 +80,7 @@
 			continue
 		}
 		_, seen := o.last[key]
-		news.look(key, r.Item, false, !seen)
+		news.compare(key, r.Item, false, !seen)
 	}
 	news.postpone(next)
 	o.last, o.differs = next, news.disputes
@@ -131,9 +131,9 @@
 	late     []string // keys whose record is newer than this reading
 }
 
-// look compares an entry with its record. same tells that this reader's last
+// compare holds an entry against its record. same tells that this reader's last
 // reading showed it as this one does.
-func (f *findings) look(key string, i Item, listed, same bool) {
+func (f *findings) compare(key string, i Item, listed, same bool) {
 	r, known := f.state.records[key]
 	switch {
 	case known && r.Gone && !listed, known && listed && r.shows(i):
--- a/inventory/readers.go
+++ b/inventory/readers.go
@@ -41,12 +41,12 @@
 }
 
 // Choose gives a node its duty. A reader that is leaving reads to its end, when
-// the others have chosen another one already. Nodes that see different members choose
-// differently, which costs some extra readings; a node that hears of no reader
-// reads by itself, since the chosen ones may be up and unable to read. It goes
-// on until one of them is heard: if it stopped at its own news, or at that of
-// another one that stood in, no node would read twice, and only two readings of
-// one node show a change.
+// the others have chosen another one already. Nodes that see different members
+// choose differently, which costs some extra readings; a node that hears of no
+// reader reads by itself, since the chosen ones may be up and unable to read. It
+// goes on until one of them is heard: if it stopped at its own news, or at that
+// of another node that reads alone, no node would read twice, and only two
+// readings of one node show a change.
 func Choose(v View) Duty {
 	var near []peer.Member
 	for _, m := range v.Members {
@@ -54,11 +54,8 @@
 			near = append(near, m)
 		}
 	}
-	chosen := peer.Rendezvous("inventory/"+v.FailureDomain, near, readersPerDomain)
-	for _, m := range chosen {
-		if m.Self {
-			return Reads
-		}
+	if peer.SelfAmong(peer.Rendezvous("inventory/"+v.FailureDomain, near, readersPerDomain)) {
+		return Reads
 	}
 	if v.Standing || v.Unheard >= silence {
 		return Alone
--- a/inventory/sync.go
+++ b/inventory/sync.go
@@ -78,7 +78,7 @@
 	differed = len(asked) > 0
 	for err == nil && len(asked) > 0 {
 		var done int
-		done, err = v.swap(ctx, node, asked)
+		done, err = v.exchangeBuckets(ctx, node, asked)
 		asked = asked[done:]
 	}
 	return differed, err
@@ -100,8 +100,8 @@
 	return v.state.Differing(answer), nil
 }
 
-// swap exchanges as many of the buckets as fit into messages both ways.
-func (v *Inventory) swap(ctx context.Context, node string, asked []uint16) (done int, err error) {
+// exchangeBuckets exchanges as many of the buckets as fit into messages both ways.
+func (v *Inventory) exchangeBuckets(ctx context.Context, node string, asked []uint16) (done int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	v.mu.Lock()
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -21,8 +21,8 @@
 	"wigeondale/settings"
 )
 
-// Err is the class of this package's errors.
-var Err = errs.Class("listen")
+// Error is the class of this package's errors.
+var Error = errs.Class("listen")
 
 const (
 	headerTimeout = 10 * time.Second  // whole header, from the first byte
@@ -49,11 +49,11 @@
 func New(cfg Config, handler http.Handler) (*Server, error) {
 	tlsConfig, err := cfg.TLS.Config()
 	if err != nil {
-		return nil, Err.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	ln, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
-		return nil, Err.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	s := &Server{ln: ln}
 	s.srv = &http.Server{
@@ -77,7 +77,7 @@
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
-	return Err.Wrap(err)
+	return Error.Wrap(err)
 }
 
 func (s *Server) serve() error {
@@ -105,13 +105,13 @@
 	case <-time.After(notice):
 	case <-ctx.Done():
 	}
-	return Err.Wrap(s.srv.Shutdown(ctx))
+	return Error.Wrap(s.srv.Shutdown(ctx))
 }
 
 // Close drops the listener and its connections; for tests and failed starts.
 func (s *Server) Close() error {
 	err := s.ln.Close()
-	return Err.Wrap(errors.Join(err, s.srv.Close()))
+	return Error.Wrap(errors.Join(err, s.srv.Close()))
 }
 
 func (s *Server) wrap(next http.Handler, bodyBytes int64) http.Handler {
--- a/load/arrivals.go
+++ b/load/arrivals.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,7 +24,7 @@
 		rng := rand.New(rand.NewPCG(cfg.Seed, uint64(i)))
 		all = append(all, classArrivals(cfg, i, cl, rng)...)
 	}
-	slices.SortStableFunc(all, func(a, b arrival) int { return int(a.at - b.at) })
+	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
 	return all[:min(len(all), cfg.MaxRequests)]
 }
 
--- a/load/command.go
+++ b/load/command.go
@@ -10,9 +10,9 @@
 	"syscall"
 	"time"
 
-	"wigeondale/fleet"
-
 	"github.com/alexflint/go-arg"
+
+	"wigeondale/fleet"
 )
 
 // Exit codes of wigeonload.
--- a/load/config.go
+++ b/load/config.go
@@ -7,9 +7,9 @@
 import (
 	"time"
 
-	"wigeondale/fleet"
-
 	"github.com/zeebo/errs"
+
+	"wigeondale/fleet"
 )
 
 // Error is the class of every error that this package returns.
--- a/load/result.go
+++ b/load/result.go
@@ -7,9 +7,9 @@
 	"text/tabwriter"
 	"time"
 
-	"wigeondale/fleet"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"wigeondale/fleet"
 )
 
 // Range and precision of the histograms, which count microseconds.
--- a/measure/drive.go
+++ b/measure/drive.go
@@ -68,29 +68,7 @@
 }
 
 // ThroughRouters sends by the caller's library.
-func ThroughRouters(r *Running) Sender {
-	c := client.New(r.Endpoints, APIKey, client.Options{Spread: true})
-	return func(ctx context.Context, start time.Time, a *Arrival) Answer {
-		got := newAnswer(start, a)
-		res, err := c.Generate(ctx, client.Request{
-			Model: Model, Prompt: a.Prompt, MaxTokens: a.Class.MaxTokens, Key: a.Key,
-			Timeout: a.Class.Timeout, Priority: a.Class.Priority,
-		}, func(text string) {
-			now := time.Since(start)
-			for range strings.Count(text, " ") {
-				got.Tokens = append(got.Tokens, now)
-			}
-		})
-		got.Ended = time.Since(start)
-		got.Text = res.Text
-		got.Outcome = res.Outcome
-		got.RetryWait = res.RetryAfter
-		if err != nil {
-			got.Reason = err.Error()
-		}
-		return got
-	}
-}
+func ThroughRouters(r *Running) Sender { return as(r, Account, APIKey) }
 
 func newAnswer(start time.Time, a *Arrival) Answer {
 	return Answer{
--- a/measure/limit.go
+++ b/measure/limit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"wigeondale/fleet"
@@ -19,17 +20,17 @@
 // Accounts of the limit experiment ask for five times their limit: one at all
 // routers alike, one mostly at the first.
 const (
-	evenAccount   = "even"
-	skewedAccount = "skewed"
-	accountRate   = 2000.0 // tokens a second
-	asked         = 5.0    // times the limit
-	skew          = 0.8    // share of the skewed demand at the first router
-	bytesOfAsk    = 400
-	tokensOfAsk   = 20
-	costOfAsk     = bytesOfAsk/bytesPerToken + tokensOfAsk
+	evenAccount      = "even"
+	skewedAccount    = "skewed"
+	accountRate      = 2000.0 // tokens a second
+	overDemand       = 5.0    // times the limit
+	skewShare        = 0.8    // share of the skewed demand at the first router
+	limitPromptBytes = 400
+	limitMaxTokens   = 20
+	limitCost        = limitPromptBytes/bytesPerToken + limitMaxTokens
 )
 
-var asks = Class{Name: "ask", MaxTokens: tokensOfAsk, PromptBytes: bytesOfAsk, Documents: 8,
+var limitClass = Class{Name: "ask", MaxTokens: limitMaxTokens, PromptBytes: limitPromptBytes, Documents: 8,
 	Priority: fleet.Batch, Timeout: 5 * time.Second}
 
 // Fleets implements Experiment.
@@ -61,30 +62,9 @@
 }
 
 func (limit) run(ctx context.Context, r *Running, start time.Time, each time.Duration, seed uint64) ([][]row, error) {
-	var script Script
-	for i, fault := range []string{"cut", "heal"} {
-		for k := range r.Routers {
-			script = append(script, Step{At: time.Duration(i+1) * each, Component: relayID(k), Fault: fault})
-		}
-	}
 	played := make(chan error, 1)
-	go func() { played <- script.Play(ctx, start, r) }()
-	total := asked * accountRate / costOfAsk // requests a second
-	var parts []part
-	for k, endpoint := range r.Endpoints {
-		one := *r
-		one.Endpoints = []string{endpoint}
-		share := skew
-		if k > 0 {
-			share = (1 - skew) / float64(r.Routers-1)
-		}
-		loads := map[string]float64{evenAccount: total / float64(r.Routers), skewedAccount: total * share}
-		for account, rate := range loads {
-			class := asks.rate(rate).named(fmt.Sprintf("%s-%d", account, k))
-			parts = append(parts, part{0, Load{[]Class{class}, seed, 3 * each}, once(&one, account, account)})
-		}
-	}
-	answers, err := driveParts(ctx, start, parts)
+	go func() { played <- limitScript(r, each).Play(ctx, start, r) }()
+	answers, err := driveParts(ctx, start, limitParts(r, each, seed))
 	if err != nil {
 		return nil, err
 	}
@@ -104,6 +84,37 @@
 	return [][]row{rows}, nil
 }
 
+// limitScript cuts all links and heals them.
+func limitScript(r *Running, each time.Duration) Script {
+	var script Script
+	for i, fault := range []string{"cut", "heal"} {
+		for k := range r.Routers {
+			script = append(script, Step{At: time.Duration(i+1) * each, Component: relayID(k), Fault: fault})
+		}
+	}
+	return script
+}
+
+// limitParts is the load of both accounts at each router.
+func limitParts(r *Running, each time.Duration, seed uint64) []part {
+	total := overDemand * accountRate / limitCost // requests a second
+	var parts []part
+	for k, endpoint := range r.Endpoints {
+		one := *r
+		one.Endpoints = []string{endpoint}
+		share := skewShare
+		if k > 0 {
+			share = (1 - skewShare) / float64(r.Routers-1)
+		}
+		loads := map[string]float64{evenAccount: total / float64(r.Routers), skewedAccount: total * share}
+		for account, rate := range loads {
+			class := limitClass.rate(rate).named(fmt.Sprintf("%s-%d", account, k))
+			parts = append(parts, part{0, Load{[]Class{class}, seed, 3 * each}, once(&one, account, account)})
+		}
+	}
+	return parts
+}
+
 // limitRow sums up what one account was admitted in a stretch.
 func limitRow(account string, s stretch, answers []Answer) row {
 	var refusal durations
@@ -111,7 +122,7 @@
 	seconds := make([]float64, int((s.to-s.from)/time.Second))
 	for i := range answers {
 		a := &answers[i]
-		if len(a.Class) < len(account) || a.Class[:len(account)] != account || a.Began < s.from || a.Began >= s.to {
+		if !strings.HasPrefix(a.Class, account) || a.Began < s.from || a.Began >= s.to {
 			continue
 		}
 		sent++
--- a/measure/overload.go
+++ b/measure/overload.go
@@ -164,24 +164,16 @@
 }
 
 func phaseRow(name string, p stretch, class string, answers []Answer) row {
-	var first, whole durations
-	sent, complete := 0, 0
+	var s answered
 	for i := range answers {
 		a := &answers[i]
 		if a.Class != class || a.Began < p.from || a.Began >= p.to {
 			continue
 		}
-		sent++
-		if a.Outcome == fleet.Complete {
-			complete++
-			whole = append(whole, a.Ended-a.Began)
-		}
-		if len(a.Tokens) > 0 {
-			first = append(first, a.Tokens[0]-a.Began)
-		}
+		s.add(a)
 	}
-	return row{[]string{name, p.name, class}, []float64{float64(sent), percent(complete, sent),
-		first.at(0.5), first.at(0.99), whole.at(0.5), whole.at(0.99)}}
+	return row{[]string{name, p.name, class}, []float64{float64(s.sent), percent(s.complete, s.sent),
+		s.first.at(0.5), s.first.at(0.99), s.whole.at(0.5), s.whole.at(0.99)}}
 }
 
 // summaryRow sums up one run: what was started must end whole, what was
--- a/measure/parts.go
+++ b/measure/parts.go
@@ -217,6 +217,23 @@
 	return float64(s[min(int(q*float64(len(s))), len(s)-1)].Microseconds()) / 1000
 }
 
+// answered counts a set of answers and the times of those that came.
+type answered struct {
+	sent, complete int
+	first, whole   durations // to the first token; to the end of complete ones
+}
+
+func (s *answered) add(a *Answer) {
+	s.sent++
+	if a.Outcome == fleet.Complete {
+		s.complete++
+		s.whole = append(s.whole, a.Ended-a.Began)
+	}
+	if len(a.Tokens) > 0 {
+		s.first = append(s.first, a.Tokens[0]-a.Began)
+	}
+}
+
 // eachFleet runs one seed on all fleets at once and joins their rows in the
 // order of the fleets, table by table.
 func eachFleet(ctx context.Context, env *Env, run func(context.Context, *Running, time.Time) ([][]row, error)) ([][]row, error) {
--- a/measure/routing.go
+++ b/measure/routing.go
@@ -120,28 +120,21 @@
 }
 
 func routingRow(name string, c Class, answers []Answer, attempts map[string][]tried) row {
-	var first, whole durations
-	sent, complete, prefilled, asked := 0, 0, 0, 0
+	var s answered
+	prefilled, asked := 0, 0
 	for i := range answers {
 		a := &answers[i]
 		if a.Class != c.Name {
 			continue
 		}
-		sent++
-		if a.Outcome == fleet.Complete {
-			complete++
-			whole = append(whole, a.Ended-a.Began)
-		}
-		if len(a.Tokens) > 0 {
-			first = append(first, a.Tokens[0]-a.Began)
-		}
+		s.add(a)
 		for _, try := range attempts[a.Request] {
 			prefilled += try.Prefilled
 			asked += len(a.Prompt) / bytesPerToken
 		}
 	}
-	return row{[]string{name, c.Name}, []float64{float64(sent), percent(complete, sent), 100 - percent(prefilled, asked),
-		first.at(0.5), first.at(0.9), first.at(0.99), whole.at(0.5)}}
+	return row{[]string{name, c.Name}, []float64{float64(s.sent), percent(s.complete, s.sent), 100 - percent(prefilled, asked),
+		s.first.at(0.5), s.first.at(0.9), s.first.at(0.99), s.whole.at(0.5)}}
 }
 
 // bytesPerToken is the stand-in engines' size of a prompt token.
--- a/measure/startover.go
+++ b/measure/startover.go
@@ -86,19 +86,26 @@
 	} `json:"choices"`
 }
 
-func (s *startOver) try(ctx context.Context, start time.Time, a *Arrival, got *Answer, engine string, attempt int) (string, bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	idle := time.AfterFunc(s.first, cancel)
-	defer idle.Stop()
+// request asks one engine for the whole answer, as one of the caller's attempts.
+func (s *startOver) request(ctx context.Context, a *Arrival, engine string, attempt int) (*http.Request, error) {
 	body, err := json.Marshal(engineRequest{
 		Model: Model, Prompt: a.Prompt, MaxTokens: a.Class.MaxTokens, Stream: true, Priority: int(a.Class.Priority),
 		Ext: engineExt{RequestID: load.RequestID(Account, a.Key), Attempt: attempt, Version: version},
 	})
 	if err != nil {
-		return "", false
+		return nil, Error.Wrap(err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.r.Ports[engine]+"/v1/completions", bytes.NewReader(body))
+	url := "http://" + s.r.Ports[engine] + "/v1/completions"
+	return http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+}
+
+// try returns the text that came, and whether it came whole.
+func (s *startOver) try(ctx context.Context, start time.Time, a *Arrival, got *Answer, engine string, attempt int) (string, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idle := time.AfterFunc(s.first, cancel)
+	defer idle.Stop()
+	req, err := s.request(ctx, a, engine, attempt)
 	if err != nil {
 		return "", false
 	}
--- a/once/batcher.go
+++ b/once/batcher.go
@@ -117,8 +117,8 @@
 	return batch
 }
 
-// all returns n results with one code.
-func all(n int, c Code) []Result {
+// sameResults returns n results with one code.
+func sameResults(n int, c Code) []Result {
 	results := make([]Result, n)
 	for i := range results {
 		results[i].Code = c
--- a/once/claims.go
+++ b/once/claims.go
@@ -123,7 +123,7 @@
 	case CodeUnavailable:
 		return Verdict{}, c.unavailable()
 	}
-	c.later(op)
+	c.queueVoid(op)
 	return Verdict{}, Error.Wrap(ErrUnknown)
 }
 
@@ -147,7 +147,7 @@
 	if r.Code == CodeDone {
 		return nil
 	}
-	c.later(op)
+	c.queueVoid(op)
 	if r.Code == CodeUnavailable {
 		return c.unavailable()
 	}
@@ -160,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	c.later(op)
+	c.queueVoid(op)
 	return nil
 }
 
@@ -169,7 +169,7 @@
 func (c *Claims) Handle(ctx context.Context, b Batch) (BatchResult, error) {
 	shards, err := c.open(ctx)
 	if err != nil {
-		return BatchResult{Results: all(len(b.Ops), CodeUnavailable)}, nil
+		return BatchResult{Results: sameResults(len(b.Ops), CodeUnavailable)}, nil
 	}
 	if b.Shard < 0 || b.Shard >= len(shards) || len(b.Ops) > maxBatchOps {
 		return BatchResult{}, Error.Wrap(fmt.Errorf("%w: shard %d, %d operations", ErrInvalid, b.Shard, len(b.Ops)))
@@ -226,13 +226,13 @@
 func (c *Claims) relay(shard int, ops []Op) []Result {
 	node, self := c.fwd.Owner(shard)
 	if self {
-		return all(len(ops), CodeUnavailable)
+		return sameResults(len(ops), CodeUnavailable)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.RelayTimeout)
 	defer cancel()
 	out, err := c.fwd.Forward(ctx, node, Batch{Shard: shard, Ops: ops})
 	if err != nil || len(out.Results) != len(ops) {
-		return all(len(ops), CodeUnknown)
+		return sameResults(len(ops), CodeUnknown)
 	}
 	return out.Results
 }
--- a/once/shard.go
+++ b/once/shard.go
@@ -69,22 +69,22 @@
 // it, so one batch is under way at a time.
 func (s *shard) send(ops []Op) []Result {
 	if s.isDown() {
-		return all(len(ops), CodeUnavailable)
+		return sameResults(len(ops), CodeUnavailable)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.SendTimeout)
 	defer cancel()
 	results := s.write(ctx, ops)
-	s.mark(results)
+	s.noteFailure(results)
 	return results
 }
 
 func (s *shard) write(ctx context.Context, ops []Op) []Result {
 	v, err := s.open(ctx)
 	if err != nil {
-		return all(len(ops), CodeUnavailable)
+		return sameResults(len(ops), CodeUnavailable)
 	}
 	if v, err = s.refresh(ctx, v, ops); err != nil {
-		return all(len(ops), CodeUnavailable)
+		return sameResults(len(ops), CodeUnavailable)
 	}
 	results := make([]Result, len(ops))
 	open := v.decide(ops, results)
@@ -255,7 +255,7 @@
 	return time.Now().Before(s.downUntil)
 }
 
-func (s *shard) mark(results []Result) {
+func (s *shard) noteFailure(results []Result) {
 	for _, r := range results {
 		if r.Code == CodeDone {
 			continue
--- a/once/upkeep.go
+++ b/once/upkeep.go
@@ -71,7 +71,7 @@
 	return taken
 }
 
-func (c *Claims) later(op Op) {
+func (c *Claims) queueVoid(op Op) {
 	op.Kind = OpVoid
 	if c.voids.add(op) {
 		c.cfg.Events.Emit(event.ClaimVoidsDropped, "limit", maxVoids)
@@ -95,7 +95,7 @@
 			r := c.route(ctx, op)
 			c.count("void", r, op)
 			if r.Code != CodeDone {
-				c.later(op)
+				c.queueVoid(op)
 				left.Add(1)
 			}
 			return nil
--- a/order/executor.go
+++ b/order/executor.go
@@ -149,7 +149,7 @@
 	e.mu.Lock()
 	e.rounds++
 	e.mu.Unlock()
-	v := e.look(ctx)
+	v := e.readFleet(ctx)
 	steps := Next(e.cfg.State(), v, e.cfg.Policy, &e.progress, time.Now())
 	e.send(ctx, steps)
 }
@@ -256,8 +256,8 @@
 	}
 }
 
-// look reads every engine's status.
-func (e *Executor) look(ctx context.Context) View {
+// readFleet reads every engine's status.
+func (e *Executor) readFleet(ctx context.Context) View {
 	v := View{Backends: e.cfg.List(), Status: map[string]Status{}, Weights: e.sizes(ctx)}
 	var mu sync.Mutex
 	var g errgroup.Group
@@ -306,7 +306,7 @@
 // sendOne asks the tenure again right before the order leaves, since this
 // process may have been paused since the round began.
 func (e *Executor) sendOne(ctx context.Context, s Step) {
-	deadline, fence, ok := e.may(s.Backend)
+	deadline, fence, ok := e.permit(s.Backend)
 	if !ok {
 		return
 	}
@@ -333,7 +333,8 @@
 	e.cfg.Events.Emit(event.OrderSent, "backend", s.Backend.ID, "fence", fence, "plan", s.Order.Plan, "desired", fmt.Sprint(s.Order.Desired))
 }
 
-func (e *Executor) may(b fleet.Backend) (time.Time, uint64, bool) {
+// permit asks the tenure whether an order may leave now, and until when.
+func (e *Executor) permit(b fleet.Backend) (time.Time, uint64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.tenure == nil {
--- a/order/next.go
+++ b/order/next.go
@@ -43,7 +43,7 @@
 		// Leaving is never taken back: an engine that is going away by its own
 		// word would be sent new work that it is about to cut.
 		o.Leaving = status.Leaving || s.Leaving(b.VM)
-		o.Desired = stage(s, b, status, wave[b.ID], progress.settled(p, now))
+		o.Desired = desiredNow(s, b, status, wave[b.ID], progress.settled(p, now))
 		if agrees(s, b, o, status) {
 			continue
 		}
@@ -71,9 +71,9 @@
 	return "both"
 }
 
-// stage is what b shall have now. An old version stays until every backend
+// desiredNow is what b shall have now. An old version stays until every backend
 // server that shall get a version of that model serves it, and a grace beyond.
-func stage(s *intent.State, b fleet.Backend, st Status, loads []fleet.ModelRef, settled func(string) bool) []fleet.ModelRef {
+func desiredNow(s *intent.State, b fleet.Backend, st Status, loads []fleet.ModelRef, settled func(string) bool) []fleet.ModelRef {
 	placement, placed := s.Placement[b.ID]
 	if !placed {
 		return st.Actual
@@ -96,9 +96,25 @@
 // currentWave picks the loads to be under way: those that are, and as many more
 // as the weight store's budget for one wave allows.
 func currentWave(s *intent.State, v View, p Policy) map[string][]fleet.ModelRef {
-	var loads []intent.Load
-	var waiting []intent.Load
-	hosts := 0
+	running, waiting, hosts := missingLoads(s, v)
+	out := map[string][]fleet.ModelRef{}
+	add := func(loads []intent.Load) {
+		for _, l := range loads {
+			if !slices.Contains(out[l.Backend], l.Ref) {
+				out[l.Backend] = append(out[l.Backend], l.Ref)
+			}
+		}
+	}
+	if waves := intent.Waves(slices.Concat(running, waiting), p.WeightRate, hosts); len(waves) > 0 {
+		add(waves[0].Loads)
+	}
+	add(running)
+	return out
+}
+
+// missingLoads returns the loads under way, those not begun, and how many
+// engines answered.
+func missingLoads(s *intent.State, v View) (running, waiting []intent.Load, hosts int) {
 	for _, b := range v.Backends {
 		st, ok := v.Status[b.ID]
 		if !ok || b.Kind != fleet.Engine {
@@ -111,25 +127,13 @@
 			}
 			l := intent.Load{Backend: b.ID, Ref: ref, Bytes: v.Weights[ref.String()]}
 			if slices.Contains(st.Loading, ref) || slices.Contains(st.Desired, ref) {
-				loads = append(loads, l)
+				running = append(running, l)
 				continue
 			}
 			waiting = append(waiting, l)
 		}
 	}
-	waves := intent.Waves(append(loads, waiting...), p.WeightRate, hosts)
-	out := map[string][]fleet.ModelRef{}
-	if len(waves) > 0 {
-		for _, l := range waves[0].Loads {
-			out[l.Backend] = append(out[l.Backend], l.Ref)
-		}
-	}
-	for _, l := range loads {
-		if !slices.Contains(out[l.Backend], l.Ref) {
-			out[l.Backend] = append(out[l.Backend], l.Ref)
-		}
-	}
-	return out
+	return running, waiting, hosts
 }
 
 // update notes since when each model has all its placed versions serving. A
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -4,9 +4,9 @@
 // Failures it guards against:
 //   - A node dies or is cut off: its neighbours stop hearing it, rumour it as
 //     suspect, and every member moves it to dead unless it refutes the rumour.
-//   - A node freezes and thaws: it hears that it was called suspect or dead and
-//     refutes that with a higher version of its own record. Its own judgement is
-//     suspended after the pause, because it heard nobody while it stood still.
+//   - A node is paused and goes on: it hears that it was called suspect or dead
+//     and refutes that with a higher version of its own record. Its own judgement
+//     is suspended after the pause, because it heard nobody while it stood still.
 //   - A node restarts: it has a new incarnation, which replaces all that was
 //     said about the old one.
 //   - A link is silent, dead in one direction or slow: it is closed after a
--- a/peer/judge.go
+++ b/peer/judge.go
@@ -16,7 +16,7 @@
 	Neighbour   bool      // this node is to hold a link to the other
 	WantedSince time.Time // since when it is a neighbour
 	LastHeard   time.Time // zero: never in this node's life
-	Thawed      time.Time // end of this node's own last pause, or its start
+	PauseEnd    time.Time // end of this node's own last pause, or its start
 }
 
 // Verdict is the outcome of a judgement.
@@ -36,11 +36,11 @@
 // Judge decides what becomes of a member. It is pure.
 //
 // A node that was frozen itself has heard nobody for the length of its pause:
-// without Thawed it would call the whole fleet dead the moment it returns. And a
+// without PauseEnd it would call the whole fleet dead the moment it returns. And a
 // node that is still heard on a direct link is never moved to dead by a rumour,
 // which a partition between two others may have started.
 func Judge(now time.Time, e Evidence, p Policy) Verdict {
-	since := latest(e.LastHeard, e.WantedSince, e.Thawed)
+	since := latest(e.LastHeard, e.WantedSince, e.PauseEnd)
 	silent := now.Sub(since) > p.LinkTimeout
 	switch e.Status {
 	case Alive:
@@ -49,12 +49,12 @@
 		}
 	case Suspect:
 		heard := now.Sub(e.LastHeard) <= p.LinkTimeout
-		waited := now.Sub(latest(e.StatusSince, e.Thawed))
+		waited := now.Sub(latest(e.StatusSince, e.PauseEnd))
 		if !heard && waited > p.SuspectTimeout {
 			return MakeDead
 		}
 	case Dead:
-		if now.Sub(latest(e.StatusSince, e.Thawed)) > p.ForgetAfter {
+		if now.Sub(latest(e.StatusSince, e.PauseEnd)) > p.ForgetAfter {
 			return Forget
 		}
 	}
--- a/peer/merge.go
+++ b/peer/merge.go
@@ -14,7 +14,7 @@
 	// Suspect means that a neighbour no longer hears the node.
 	Suspect
 	// Dead means that nobody refuted the suspicion in time, or that the node
-	// said farewell.
+	// said that it leaves.
 	Dead
 )
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -47,7 +47,7 @@
 	seeds    []string
 	seedDue  time.Time
 	dials    map[string]*dialState
-	thawed   time.Time
+	pauseEnd time.Time
 	floods   map[string]floodHandler
 	callees  map[string]callHandler
 	onLink   []func(node string)
@@ -106,8 +106,8 @@
 	return m, nil
 }
 
-// Run keeps links and membership until ctx ends, says farewell to the
-// neighbours and returns when all its goroutines have ended. It runs once.
+// Run keeps links and membership until ctx ends, tells the neighbours that the
+// node leaves and returns when all its goroutines have ended. It runs once.
 func (m *Mesh) Run(ctx context.Context) error {
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -118,13 +118,13 @@
 	}
 	m.life = life
 	m.running = true
-	m.thawed = time.Now()
+	m.pauseEnd = time.Now()
 	m.rewire = true
 	m.mu.Unlock()
 
 	m.start(func() { m.handleFloods(life) })
 	m.tickUntil(ctx)
-	m.farewell()
+	m.announceLeave()
 	stop := time.AfterFunc(m.cfg.Heartbeat, cancel)
 	defer stop.Stop()
 	m.waitLinks()
@@ -171,9 +171,9 @@
 	}
 }
 
-// farewell tells the neighbours that the node goes, so that they need not wait
-// for a timeout, and lets the queues drain.
-func (m *Mesh) farewell() {
+// announceLeave tells the neighbours that the node goes, so that they need not
+// wait for a timeout, and lets the queues drain.
+func (m *Mesh) announceLeave() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.running = false
--- a/peer/tick.go
+++ b/peer/tick.go
@@ -85,7 +85,7 @@
 	if gap <= m.cfg.Policy.LinkTimeout/2 {
 		return
 	}
-	m.thawed = now
+	m.pauseEnd = now
 	m.log.Emit(event.PeerPaused, "for", gap.String())
 }
 
@@ -93,7 +93,7 @@
 // is frozen, cut off, or the connection passes bytes in one direction only.
 func (m *Mesh) closeSilent(now time.Time) {
 	for _, l := range m.links {
-		if now.Sub(latest(l.heard(), m.thawed)) > m.cfg.Policy.LinkTimeout {
+		if now.Sub(latest(l.heard(), m.pauseEnd)) > m.cfg.Policy.LinkTimeout {
 			l.close(lostSilent)
 		}
 	}
@@ -110,7 +110,7 @@
 			Neighbour:   e.neighbour,
 			WantedSince: e.wantedSince,
 			LastHeard:   e.lastHeard,
-			Thawed:      m.thawed,
+			PauseEnd:    m.pauseEnd,
 		}
 		if l, ok := m.links[id]; ok {
 			ev.LastHeard = l.heard()
@@ -125,7 +125,7 @@
 		m.suspect(now, e)
 	case MakeDead:
 		m.log.Emit(event.PeerDead, "peer", e.rec.ID, "incarnation", e.rec.Incarnation)
-		m.rumour(now, e, Dead)
+		m.recordStatus(now, e, Dead)
 	case Forget:
 		m.table.drop(e.rec.ID)
 		m.rewire = true
@@ -137,10 +137,12 @@
 		return
 	}
 	m.log.Emit(event.PeerSuspected, "peer", e.rec.ID)
-	m.rumour(now, e, Suspect)
+	m.recordStatus(now, e, Suspect)
 }
 
-func (m *Mesh) rumour(now time.Time, e *entry, s Status) {
+// recordStatus stores the status that this node gives another one. A suspicion
+// is also pushed to the neighbours.
+func (m *Mesh) recordStatus(now time.Time, e *entry, s Status) {
 	r := e.rec
 	r.Status = s
 	m.table.merge(now, r)
--- a/peer/topology.go
+++ b/peer/topology.go
@@ -86,3 +86,8 @@
 	}
 	return out
 }
+
+// SelfAmong tells whether this node is one of the members.
+func SelfAmong(members []Member) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Self })
+}
--- a/routing/pickers.go
+++ b/routing/pickers.go
@@ -2,10 +2,10 @@
 
 import "math/rand/v2"
 
-// Picker chooses an index by the scores. anchor holds the part of each score
+// Picker chooses an index by the scores. affinity holds the part of each score
 // that expresses affinity.
 type Picker interface {
-	Choose(score, anchor []float64, rng *rand.Rand) int
+	Choose(score, affinity []float64, rng *rand.Rand) int
 }
 
 // Names of the pickers.
@@ -25,13 +25,13 @@
 // any has some, and takes the best of them by the whole score.
 type twoChoices struct{}
 
-func (twoChoices) Choose(score, anchor []float64, rng *rand.Rand) int {
+func (twoChoices) Choose(score, affinity []float64, rng *rand.Rand) int {
 	best := rng.IntN(len(score))
 	if other := rng.IntN(len(score)); score[other] > score[best] {
 		best = other
 	}
-	top := argmax{}.Choose(anchor, nil, nil)
-	if anchor[top] > 0 && score[top] > score[best] {
+	top := argmax{}.Choose(affinity, nil, nil)
+	if affinity[top] > 0 && score[top] > score[best] {
 		best = top
 	}
 	return best
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -114,12 +114,12 @@
 
 // scratch holds the buffers of one Pick, reused to keep it free of garbage.
 type scratch struct {
-	left   []int32
-	ids    []string
-	loads  []float64
-	score  []float64
-	part   []float64
-	anchor []float64
+	left     []int32
+	ids      []string
+	loads    []float64
+	score    []float64
+	part     []float64
+	affinity []float64
 }
 
 func resize(s []float64, n int) []float64 {
@@ -157,7 +157,7 @@
 	trace.Left = len(sc.left)
 	r.rate(snapshot, &ask, sc)
 	r.mu.Lock()
-	chosen := r.picker.Choose(sc.score, sc.anchor, r.rng)
+	chosen := r.picker.Choose(sc.score, sc.affinity, r.rng)
 	r.mu.Unlock()
 	trace.Score = sc.score[chosen]
 	return snapshot[sc.left[chosen]], trace, nil
@@ -170,7 +170,7 @@
 	n := len(sc.left)
 	sc.loads = resize(sc.loads, n)
 	sc.score = resize(sc.score, n)
-	sc.anchor = resize(sc.anchor, n)
+	sc.affinity = resize(sc.affinity, n)
 	for k, i := range sc.left {
 		sc.loads[k] = snapshot[i].load(ask.Now)
 	}
@@ -180,7 +180,7 @@
 		for k, p := range sc.part {
 			sc.score[k] += w.weight * p
 			if w.affinity {
-				sc.anchor[k] += w.weight * p
+				sc.affinity[k] += w.weight * p
 			}
 		}
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -41,7 +41,11 @@
 	c.operators(s.Operators)
 	c.policy(&s.Policy)
 	c.routing(s.Routing.Steps)
-	c.rest(s)
+	c.limits(&s.Limits)
+	c.claims(&s.Claims)
+	c.directory(&s.Directory)
+	within(c, "shutdown.balancer_notice_ms", s.Shutdown.BalancerNoticeMS, 0, dayMS)
+	within(c, "log.verbosity", s.Log.Verbosity, 0, 10)
 }
 
 func (c *checker) fail(path, want string, got any) {
@@ -201,18 +205,22 @@
 	}
 }
 
-func (c *checker) rest(s *Settings) {
-	within(c, "limits.header_bytes", s.Limits.HeaderBytes, 4096, 1<<20)
-	within(c, "limits.body_bytes", s.Limits.BodyBytes, 1024, 1<<30)
-	within(c, "limits.max_open_requests", s.Limits.MaxOpenRequests, 1, math.MaxInt32)
-	within(c, "limits.queue", s.Limits.Queue, 0, math.MaxInt32)
-	within(c, "limits.requests_per_engine", s.Limits.RequestsPerEngine, 0, 100000)
-	within(c, "limits.reserve_percent", s.Limits.ReservePercent, 0, 90)
-	within(c, "claims.shards", s.Claims.Shards, 1, 1024)
-	within(c, "claims.window_s", s.Claims.WindowS, 60, 30*24*3600)
-	within(c, "directory.vms_poll_ms", s.Directory.VMsPollMS, 50, 600000)
-	within(c, "directory.load_poll_ms", s.Directory.LoadPollMS, 50, 600000)
-	within(c, "directory.subset", s.Directory.Subset, 1, 10000)
-	within(c, "shutdown.balancer_notice_ms", s.Shutdown.BalancerNoticeMS, 0, dayMS)
-	within(c, "log.verbosity", s.Log.Verbosity, 0, 10)
+func (c *checker) limits(l *Limits) {
+	within(c, "limits.header_bytes", l.HeaderBytes, 4096, 1<<20)
+	within(c, "limits.body_bytes", l.BodyBytes, 1024, 1<<30)
+	within(c, "limits.max_open_requests", l.MaxOpenRequests, 1, math.MaxInt32)
+	within(c, "limits.queue", l.Queue, 0, math.MaxInt32)
+	within(c, "limits.requests_per_engine", l.RequestsPerEngine, 0, 100000)
+	within(c, "limits.reserve_percent", l.ReservePercent, 0, 90)
+}
+
+func (c *checker) claims(cl *Claims) {
+	within(c, "claims.shards", cl.Shards, 1, 1024)
+	within(c, "claims.window_s", cl.WindowS, 60, 30*24*3600)
+}
+
+func (c *checker) directory(d *Directory) {
+	within(c, "directory.vms_poll_ms", d.VMsPollMS, 50, 600000)
+	within(c, "directory.load_poll_ms", d.LoadPollMS, 50, 600000)
+	within(c, "directory.subset", d.Subset, 1, 10000)
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -16,8 +16,8 @@
 	"github.com/zeebo/errs"
 )
 
-// Err is the class of this package's errors.
-var Err = errs.Class("settings")
+// Error is the class of this package's errors.
+var Error = errs.Class("settings")
 
 const (
 	minKeyBytes  = 32
@@ -57,7 +57,7 @@
 	if len(p) == 0 {
 		return nil
 	}
-	return Err.Wrap(p)
+	return Error.Wrap(p)
 }
 
 // Parse reads settings over the defaults and checks them, without touching the
@@ -95,10 +95,10 @@
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, Err.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	if len(data) > maxFileBytes {
-		return nil, Err.New("%s: larger than %d bytes", path, maxFileBytes)
+		return nil, Error.New("%s: larger than %d bytes", path, maxFileBytes)
 	}
 	s, problems := parse(data)
 	if len(problems) > 0 {
@@ -199,7 +199,7 @@
 	}
 	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
 	if err != nil {
-		return nil, Err.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	cfg := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
 	if t.ClientCAFile == "" {
@@ -207,11 +207,11 @@
 	}
 	pem, err := os.ReadFile(t.ClientCAFile)
 	if err != nil {
-		return nil, Err.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	cfg.ClientCAs = x509.NewCertPool()
 	if !cfg.ClientCAs.AppendCertsFromPEM(pem) {
-		return nil, Err.New("%s: no certificate in it", t.ClientCAFile)
+		return nil, Error.New("%s: no certificate in it", t.ClientCAFile)
 	}
 	cfg.ClientAuth = tls.RequireAndVerifyClientCert
 	return cfg, nil
