Routing without cache events by default

Cause: the steps polled each engine twice, for its load and for its cache events, and held up to 165 MB of maps at the aim's size. Change: prefix-reported leaves the default steps, and engines are asked for cache events only when the settings name it. The test fails without its guard: "290 polls for cache events that no scorer uses".

--- a/bench/path_test.go
+++ b/bench/path_test.go
@@ -225,9 +225,14 @@
 	return total
 }
 
-// BenchmarkPoll measures the two questions to one engine of each round of
-// polls: processor time of the asking process, and bytes both ways.
+// BenchmarkPoll is the client's cost of asking one engine for its load, and for
+// its cache events as well, which only the scorer prefix-reported needs.
 func BenchmarkPoll(b *testing.B) {
+	b.Run("load", func(b *testing.B) { poll(b, false) })
+	b.Run("load-and-cache-events", func(b *testing.B) { poll(b, true) })
+}
+
+func poll(b *testing.B, events bool) {
 	p := thePath(b)
 	engine := fleet.Backend{ID: "e", Addr: p.ports[pacedModel+"0"], Kind: fleet.Engine}
 	c := backend.NewClient()
@@ -236,7 +241,7 @@
 	for b.Loop() {
 		n++
 		_, err := c.Load(b.Context(), engine)
-		if err == nil {
+		if err == nil && events {
 			_, err = c.CacheEvents(b.Context(), engine, 0)
 		}
 		if err != nil {
@@ -245,14 +250,18 @@
 	}
 	each := used().since(began, n)
 	b.ReportMetric(each.ns, "cpu-ns/poll")
-	b.ReportMetric(float64(pollBytes(b, engine.Addr)), "bytes/poll")
+	paths := []string{"/v1/load"}
+	if events {
+		paths = append(paths, "/v1/cache-events?after=0")
+	}
+	b.ReportMetric(float64(pollBytes(b, engine.Addr, paths)), "bytes/poll")
 }
 
-// pollBytes counts the bytes of the same two questions asked over one plain
+// pollBytes counts the bytes of the same questions, each over a plain
 // connection.
-func pollBytes(b *testing.B, addr string) int {
+func pollBytes(b *testing.B, addr string, paths []string) int {
 	total := 0
-	for _, path := range []string{"/v1/load", "/v1/cache-events?after=0"} {
+	for _, path := range paths {
 		conn, err := net.Dial("tcp", addr)
 		if err != nil {
 			b.Fatal(err)
--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -9,6 +9,7 @@
 	"wigeondale/fleet"
 	"wigeondale/health"
 	"wigeondale/intent"
+	"wigeondale/routing"
 	"wigeondale/settings"
 )
 
@@ -25,6 +26,7 @@
 		Interval:     millis(set.Directory.LoadPollMS),
 		ListInterval: lookInterval,
 		ListChanged:  n.inv.Changed(),
+		CacheEvents:  routing.Uses(stepsOf(set.Routing), routing.ScorePrefix),
 	}, n.dir, lister, probe{n.engines, n.mon})
 	n.cancels = backend.NewCanceller(n.engines, backend.CancellerOptions{
 		Incarnation: n.dir.Incarnation, Log: n.log, Metrics: n.set,
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -19,17 +19,18 @@
 func (n *node) buildOrders(*settings.Settings) error {
 	var err error
 	n.orders, err = order.New(order.Config{
-		Lease:     order.NewLease(n.kv, orderPrefix, n.id),
-		Backends:  order.NewBackends(n.engines),
-		State:     n.keeper.State,
-		Fresh:     n.keeper.Fresh,
-		List:      n.engineList,
-		Sizes:     n.placedSizes,
-		Candidate: n.givesOrders,
-		Random:    rand.Float64,
-		Policy:    order.Policy{WeightRate: n.weightRate},
-		Events:    n.log,
-		Metrics:   n.set,
+		Lease:       order.NewLease(n.kv, orderPrefix, n.id),
+		Backends:    order.NewBackends(n.engines),
+		State:       n.keeper.State,
+		Fresh:       n.keeper.Fresh,
+		List:        n.engineList,
+		Sizes:       n.placedSizes,
+		Candidate:   n.givesOrders,
+		Incarnation: n.dir.Incarnation,
+		Random:      rand.Float64,
+		Policy:      order.Policy{WeightRate: n.weightRate},
+		Events:      n.log,
+		Metrics:     n.set,
 	})
 	return err
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -242,6 +243,7 @@
 
 // platform plays the VM list and the engines; it counts calls under way.
 type platform struct {
+	events      atomic.Int64 // polls for cache events
 	mu          sync.Mutex
 	fleet       []fleet.Backend
 	asked       map[string]int
@@ -270,6 +272,7 @@
 }
 
 func (p *platform) CacheEvents(context.Context, fleet.Backend, uint64) (CacheBatch, error) {
+	p.events.Add(1)
 	return CacheBatch{}, errors.New("none")
 }
 
@@ -296,6 +299,9 @@
 		for _, n := range p.asked {
 			total += n
 		}
+		if n := p.events.Load(); n > 0 {
+			t.Errorf("%d polls for cache events that no scorer uses", n)
+		}
 		if p.most > 4 || total > 40*(10+4)+20 {
 			t.Errorf("%d polls at once and %d in 30 s", p.most, total)
 		}
--- a/directory/poll.go
+++ b/directory/poll.go
@@ -37,6 +37,9 @@
 	// it, a lister that is told of changes needs no short ListInterval.
 	ListChanged <-chan struct{}
 	Timeout     time.Duration // of one poll (default half of Interval)
+	// CacheEvents has engines asked for their cache events too. Only a scorer
+	// that goes by them is worth the second call of each poll, and the memory.
+	CacheEvents bool
 }
 
 func (c PollConfig) withDefaults() PollConfig {
@@ -142,7 +145,7 @@
 		return
 	}
 	p.dir.Report(id, rep, time.Now())
-	if !member {
+	if !member || !p.cfg.CacheEvents {
 		return
 	}
 	batch, err := p.probe.CacheEvents(ctx, b, p.dir.CacheAfter(id))
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 )
 
 // StepConfig names one step. Weight is used by scorers only; 0 means 1.
@@ -37,7 +38,9 @@
 	ScorePlaces:     {scorer: placesScorer{}, affinity: true},
 }
 
-// DefaultSteps is the configuration used when the settings name none.
+// DefaultSteps is the configuration used when the settings name none. ScorePrefix
+// is not among them: beside ScoreRendezvous it measured no gain, and the polls
+// for cache events that it needs double the cost of knowing the engines.
 func DefaultSteps() []StepConfig {
 	return []StepConfig{
 		{Name: FilterServes},
@@ -46,7 +49,6 @@
 		{Name: FilterExclude},
 		{Name: FilterUsable},
 		{Name: ScoreLoad, Weight: 1},
-		{Name: ScorePrefix, Weight: 0.5},
 		{Name: ScoreRendezvous, Weight: 0.4},
 		{Name: ScoreDomain, Weight: 0.05},
 		{Name: ScoreSpread, Weight: 0.2},
@@ -55,6 +57,11 @@
 	}
 }
 
+// Uses tells whether a step is among the configured ones.
+func Uses(steps []StepConfig, name string) bool {
+	return slices.ContainsFunc(steps, func(s StepConfig) bool { return s.Name == name })
+}
+
 // New builds a Router from named steps. Unknown names, a missing or second
 // picker and missing guards (serves, leaving, exclude) are errors: a
 // configuration must not be able to send work to a leaving backend server.
