--- a/order/executor.go
+++ b/order/executor.go
@@ -35,10 +35,13 @@
 	// Candidate says whether this router should try for the lease; nil means yes.
 	// A few candidates are enough, and each costs the service a read per try.
 	Candidate func() bool
-	Random    func() float64 // 0 to 1, for jitter; nil means none
-	Policy    Policy
-	Events    *event.Log
-	Metrics   *metrics.Set
+	// Incarnation returns an engine's incarnation by its last load report, or "";
+	// nil means that none is known. A new one has the engine asked at once.
+	Incarnation func(id string) string
+	Random      func() float64 // 0 to 1, for jitter; nil means none
+	Policy      Policy
+	Events      *event.Log
+	Metrics     *metrics.Set
 }
 
 // Executor gives orders while this router holds the lease.
@@ -52,7 +55,8 @@
 
 	// Used by the goroutine that gives orders.
 	progress   Progress
-	progressOf uint64 // the fence of the tenure that progress belongs to
+	schedule   *Schedule
+	progressOf uint64 // the fence of the tenure that both belong to
 
 	mu     sync.Mutex
 	tenure *Tenure // nil while the lease isn't held
@@ -74,6 +78,9 @@
 	if cfg.Candidate == nil {
 		cfg.Candidate = func() bool { return true }
 	}
+	if cfg.Incarnation == nil {
+		cfg.Incarnation = func(string) string { return "" }
+	}
 	if cfg.Random == nil {
 		cfg.Random = func() float64 { return 0.5 }
 	}
@@ -137,23 +144,6 @@
 	}
 }
 
-// round gives what orders are due.
-func (e *Executor) round(ctx context.Context) {
-	fence, ok := e.fence()
-	if !ok || !e.cfg.Fresh() {
-		return
-	}
-	if fence != e.progressOf {
-		e.progress, e.progressOf = Progress{}, fence
-	}
-	e.mu.Lock()
-	e.rounds++
-	e.mu.Unlock()
-	v := e.readFleet(ctx)
-	steps := Next(e.cfg.State(), v, e.cfg.Policy, &e.progress, time.Now())
-	e.send(ctx, steps)
-}
-
 func (e *Executor) fence() (uint64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -256,41 +246,6 @@
 	}
 }
 
-// readFleet reads every engine's status.
-func (e *Executor) readFleet(ctx context.Context) View {
-	v := View{Backends: e.cfg.List(), Status: map[string]Status{}, Weights: e.sizes(ctx)}
-	var mu sync.Mutex
-	var g errgroup.Group
-	g.SetLimit(parallelCalls)
-	for _, b := range v.Backends {
-		if b.Kind != fleet.Engine {
-			continue
-		}
-		g.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, e.cfg.Policy.OrderDeadline)
-			defer cancel()
-			st, err := e.cfg.Backends.Status(ctx, b)
-			if err != nil {
-				return nil // it is asked again in the next round
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			v.Status[b.ID] = st
-			return nil
-		})
-	}
-	_ = g.Wait()
-	return v
-}
-
-// sizes asks for no longer than for an order: a slow weight store must not hold
-// up orders that load nothing.
-func (e *Executor) sizes(ctx context.Context) map[string]int64 {
-	ctx, cancel := context.WithTimeout(ctx, e.cfg.Policy.OrderDeadline)
-	defer cancel()
-	return e.cfg.Sizes(ctx)
-}
-
 func (e *Executor) send(ctx context.Context, steps []Step) {
 	var g errgroup.Group
 	g.SetLimit(parallelCalls)
--- /dev/null
+++ b/order/round.go
@@ -0,0 +1,79 @@
+package order
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wigeondale/fleet"
+	"wigeondale/intent"
+)
+
+// round gives what orders are due.
+func (e *Executor) round(ctx context.Context) {
+	fence, ok := e.fence()
+	if !ok || !e.cfg.Fresh() {
+		return
+	}
+	e.roundAt(ctx, fence, time.Now())
+}
+
+// roundAt is a round that began at now.
+func (e *Executor) roundAt(ctx context.Context, fence uint64, now time.Time) {
+	if fence != e.progressOf || e.schedule == nil {
+		e.progress, e.schedule, e.progressOf = Progress{}, NewSchedule(now), fence
+	}
+	e.mu.Lock()
+	e.rounds++
+	e.mu.Unlock()
+	s := e.cfg.State()
+	v := e.readFleet(ctx, s, now)
+	steps := Next(s, v, e.cfg.Policy, &e.progress, time.Now())
+	e.send(ctx, steps)
+}
+
+// readFleet asks the engines that are due. The others' last answers stand.
+func (e *Executor) readFleet(ctx context.Context, s *intent.State, now time.Time) View {
+	v := View{Backends: e.cfg.List(), Weights: e.sizes(ctx)}
+	for {
+		due := e.schedule.Due(s, v.Backends, e.cfg.Incarnation, now)
+		if len(due) == 0 {
+			break
+		}
+		e.ask(ctx, due)
+	}
+	v.Status = e.schedule.status
+	return v
+}
+
+func (e *Executor) ask(ctx context.Context, due []fleet.Backend) {
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(parallelCalls)
+	for _, b := range due {
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, e.cfg.Policy.OrderDeadline)
+			defer cancel()
+			st, err := e.cfg.Backends.Status(ctx, b)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				e.schedule.Failed(b.ID)
+				return nil // the schedule has it asked again
+			}
+			e.schedule.Answered(b.ID, st)
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// sizes asks for no longer than for an order: a slow weight store must not hold
+// up orders that load nothing.
+func (e *Executor) sizes(ctx context.Context) map[string]int64 {
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.Policy.OrderDeadline)
+	defer cancel()
+	return e.cfg.Sizes(ctx)
+}
