TLS on all three listeners proved by whole processes; HTTP/2 streams outlive a silent engine

Found by the proof: over HTTP/2 a write deadline that passes resets the stream by itself, so an engine silent for 30 s cost its caller the connection (TestSilentStreamOutlivesWriteDeadline: "stream error: stream ID 1; INTERNAL_ERROR"). Change: the deadline is taken away after each flush, for HTTP/2 only; in HTTP/1.1 it fails only a write, and each is armed. scenario tls_fleet: three routers with client certificates form a fleet; a peer without one, or with another CA's, is refused; streams over HTTP/2 and HTTP/1.1 survive a killed router and a graceful shutdown. Without the client CA check it prints "certificate none: got 426 Upgrade Required"; without the dialler's TLS "peers.Links.1.Node r3: it is absent". wigeonctl takes WIGEON_CA, for stream too. Not seen to fail: the check of plain HTTP on a TLS port.

--- a/callerapi/generate.go
+++ b/callerapi/generate.go
@@ -18,6 +18,7 @@
 	form   format
 	ref    fleet.ModelRef
 	from   *cursor.Cursor // nil: from the start
+	http2  bool
 }
 
 func (s *Server) generate(form format) handler {
@@ -41,7 +42,7 @@
 }
 
 func (s *Server) readCall(w http.ResponseWriter, r *http.Request, account string, form format) (*call, *Failure) {
-	c := &call{form: form}
+	c := &call{form: form, http2: r.ProtoMajor >= 2}
 	var f *Failure
 	if c.id, f = readIdentity(r, account); f != nil {
 		return c, f
@@ -184,6 +185,7 @@
 		place = *c.from
 	}
 	sink := newStreamSink(w, s.Sealer, place, c.form)
+	sink.http2 = c.http2
 	sink.limit = s.KeepBytes / 4
 	// The text before the cursor is known only if the caller sent it back.
 	if c.from != nil && c.params.ResumeText != nil {
--- a/callerapi/sink.go
+++ b/callerapi/sink.go
@@ -88,6 +88,7 @@
 	pending int // bytes written since the deadline was set
 	started bool
 	opening bool // the next event is the answer's first
+	http2   bool
 	aborted atomic.Bool
 }
 
@@ -241,7 +242,19 @@
 		return nil
 	}
 	s.arm()
-	return s.rc.Flush()
+	err := s.rc.Flush()
+	s.disarm()
+	return err
+}
+
+// disarm takes the deadline away until the next write. In HTTP/2 a deadline that
+// passes resets the stream by itself, though nothing waits to be written: an
+// engine that was silent for longer would cost the caller its connection, with
+// INTERNAL_ERROR. In HTTP/1.1 it only fails a write, and each is armed.
+func (s *streamSink) disarm() {
+	if s.http2 {
+		_ = s.rc.SetWriteDeadline(time.Time{}) // as in armWrite
+	}
 }
 
 // done ends a complete stream.
--- a/client/client.go
+++ b/client/client.go
@@ -11,6 +11,8 @@
 package client
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -35,6 +37,10 @@
 type Options struct {
 	// HTTP sends the requests. Its Timeout must be zero: streams are long.
 	HTTP *http.Client
+	// RootCAs are the CAs of the routers' certificates, for endpoints such as
+	// "https://127.0.0.1:8080"; nil takes the system's. It is for the HTTP client
+	// that New makes: one that is given has its own.
+	RootCAs *x509.CertPool
 	// MaxTries bounds how often one request is sent, the first time included.
 	MaxTries int
 	// Backoff is the mean wait before the second try without progress; it
@@ -64,7 +70,7 @@
 // "http://127.0.0.1:8080".
 func New(endpoints []string, apiKey string, opts Options) *Client {
 	if opts.HTTP == nil {
-		opts.HTTP = newHTTPClient()
+		opts.HTTP = newHTTPClient(opts.RootCAs)
 	}
 	if opts.MaxTries <= 0 {
 		opts.MaxTries = DefaultMaxTries
@@ -112,9 +118,10 @@
 	RetryAfter time.Duration // of the refusal that ended the request
 }
 
-func newHTTPClient() *http.Client {
+func newHTTPClient(roots *x509.CertPool) *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
+	t.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
 	t.MaxIdleConnsPerHost = 64
 	return &http.Client{
 		Transport: t,
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -45,6 +46,8 @@
 	MaxTokens  int           `arg:"--max-tokens" default:"256"`
 	KeyFile    string        `arg:"--key-file" help:"file with the API key (default: environment WIGEON_API_KEY)"`
 	Timeout    time.Duration `arg:"--stream-timeout" default:"10m"`
+	// RootCAs are those of the option --ca-file; nil without it.
+	RootCAs *x509.CertPool `arg:"-"`
 }
 
 type dumpCmd struct{}
@@ -78,7 +81,7 @@
 type args struct {
 	Admin     string        `arg:"--admin,env:WIGEON_ADMIN" help:"administration addresses, separated by commas, tried in order"`
 	TokenFile string        `arg:"--token-file" help:"file with the operator's token (default: environment WIGEON_TOKEN)"`
-	CAFile    string        `arg:"--ca-file" help:"PEM file with the CA of the nodes' certificates"`
+	CAFile    string        `arg:"--ca-file,env:WIGEON_CA" help:"PEM file with the CA of the nodes' certificates; turns on TLS"`
 	JSON      bool          `arg:"--json" help:"print JSON"`
 	Timeout   time.Duration `arg:"--timeout" default:"20s" help:"bound of one call to one node"`
 
@@ -205,6 +208,13 @@
 		}
 		key = strings.TrimSpace(string(b))
 	}
+	if t.args.CAFile != "" {
+		pool, err := readPool(t.args.CAFile)
+		if err != nil {
+			return err
+		}
+		cmd.RootCAs = pool
+	}
 	ctx, cancel := context.WithTimeout(ctx, cmd.Timeout)
 	defer cancel()
 	return t.env.Stream(ctx, cmd, key, t.env.Stdout)
--- a/ctl/stream.go
+++ b/ctl/stream.go
@@ -21,13 +21,17 @@
 	if err != nil {
 		return Error.New("%w: %w", ErrUsage, err)
 	}
+	scheme := "http://"
+	if cmd.RootCAs != nil {
+		scheme = "https://"
+	}
 	var endpoints []string
 	for _, r := range strings.Split(cmd.Routers, ",") {
 		if r = strings.TrimSpace(r); r == "" {
 			continue
 		}
 		if !strings.Contains(r, "://") {
-			r = "http://" + r
+			r = scheme + r
 		}
 		endpoints = append(endpoints, r)
 	}
@@ -35,7 +39,7 @@
 		return Error.New("%w: no router: give -routers or WIGEON_ROUTERS", ErrUsage)
 	}
 	req := client.Request{Model: cmd.Model, Prompt: string(prompt), MaxTokens: cmd.MaxTokens, Timeout: cmd.Timeout}
-	res, err := client.New(endpoints, apiKey, client.Options{}).Generate(ctx, req, func(text string) {
+	res, err := client.New(endpoints, apiKey, client.Options{RootCAs: cmd.RootCAs}).Generate(ctx, req, func(text string) {
 		// A failed write to standard output leaves nobody to tell.
 		_, _ = io.WriteString(stdout, text)
 	})
--- a/scenario/bench_test.go
+++ b/scenario/bench_test.go
@@ -48,6 +48,7 @@
 	name, file, log     string
 	caller, admin, peer string // host:port
 	via                 string // host:port of the relay through which peers dial it
+	tls                 *certs // nil: plain HTTP
 	cmd                 *exec.Cmd
 	exited              chan struct{} // closed when the process of cmd has ended
 }
@@ -61,6 +62,7 @@
 	kv      string
 	routers []*router
 
+	tls        *certs           // nil: plain HTTP
 	unfenced   bool             // the engines don't check fencing numbers
 	sizes      map[string]int64 // bytes of weights by model version
 	storeRate  float64          // bytes/s that the weight store grants
@@ -85,7 +87,7 @@
 		name := fmt.Sprintf("r%d", i+1)
 		b.routers = append(b.routers, &router{
 			name: name, file: filepath.Join(b.dir, name+".json"), log: filepath.Join(b.dir, name+".log"),
-			caller: freeAddr(), admin: freeAddr(), peer: freeAddr(), via: freeAddr(),
+			caller: freeAddr(), admin: freeAddr(), peer: freeAddr(), via: freeAddr(), tls: b.tls,
 		})
 	}
 	if err := b.startFakes(engines); err != nil {
@@ -168,15 +170,12 @@
 			peers.Seeds = append(peers.Seeds, other.via)
 		}
 	}
-	type address struct {
-		Address string `json:"address"`
-	}
 	sum := sha256.Sum256([]byte(operator))
 	data, err := json.MarshalIndent(map[string]any{
 		"node": settings.Node{ID: r.name, VM: "vm-" + r.name, FailureDomain: domains[i%len(domains)], Region: "co-centro", Incarnation: "auto"},
 		"listen": map[string]any{
-			"caller": address{r.caller}, "admin": address{r.admin},
-			"peer": address{r.peer}, "advertise_peer": r.via,
+			"caller": b.tls.listener(r.caller), "admin": b.tls.listener(r.admin),
+			"peer": b.tls.peerListener(r.peer), "advertise_peer": r.via,
 		},
 		"platform": settings.Platform{
 			KVURL: "http://" + ports["kv-"+r.name], VMsURL: "http://" + ports["vms-"+r.name],
@@ -264,7 +263,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), hung)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, "wigeonctl", args...)
-	cmd.Env = append(os.Environ(), "WIGEON_ADMIN="+b.admins(), "WIGEON_TOKEN="+operator)
+	cmd.Env = append(os.Environ(), "WIGEON_ADMIN="+b.admins(), "WIGEON_TOKEN="+operator, "WIGEON_CA="+b.tls.caFile())
 	cmd.Stdin = strings.NewReader(stdin)
 	out, err := cmd.CombinedOutput()
 	if err != nil {
@@ -274,7 +273,7 @@
 }
 
 func (r *router) ready() bool {
-	_, err := get("http://" + r.admin + "/readyz")
+	_, err := r.get("/readyz")
 	return err == nil
 }
 
@@ -342,8 +341,15 @@
 	return nil
 }
 
-func get(url string) ([]byte, error) {
-	c := http.Client{Timeout: 5 * time.Second}
+// get reads an operational page of the router.
+func (r *router) get(path string) ([]byte, error) {
+	return getBy(r.tls.transport(false), r.tls.scheme()+r.admin+path)
+}
+
+func get(url string) ([]byte, error) { return getBy(http.DefaultTransport, url) }
+
+func getBy(tr http.RoundTripper, url string) ([]byte, error) {
+	c := http.Client{Timeout: 5 * time.Second, Transport: tr}
 	req, err := http.NewRequest(http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -72,11 +72,12 @@
 	}
 	ts.Setenv("WIGEON_ADMIN", b.admins())
 	ts.Setenv("WIGEON_TOKEN", operator)
+	ts.Setenv("WIGEON_CA", b.tls.caFile())
 	ts.Setenv("MODEL", model)
 	ts.Setenv("WIGEON_API_KEY", apiKey)
 	ts.Setenv("RECORD", "http://"+b.set.Addr()+"/control/record")
 	for i, r := range b.routers {
-		ts.Setenv("R"+strconv.Itoa(i+1), "http://"+r.caller)
+		ts.Setenv("R"+strconv.Itoa(i+1), b.tls.scheme()+r.caller)
 		ts.Setenv("ADMIN"+strconv.Itoa(i+1), r.admin)
 	}
 	return nil
@@ -203,7 +204,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range b.routers {
-		if g.endpoint == "http://"+r.caller {
+		if g.endpoint == b.tls.scheme()+r.caller {
 			ts.Setenv(args[1], r.name)
 			return nil
 		}
@@ -265,7 +266,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return get("http://" + r.admin + "/" + path)
+	return r.get("/" + path)
 }
 
 // valueAt follows names and array indices; strings are shown without quotes.
--- a/scenario/generate_test.go
+++ b/scenario/generate_test.go
@@ -30,12 +30,13 @@
 	tokens   int
 	endpoint string
 	cursor   string        // id of the latest event
+	proto    string        // of the latest answer
 	res      client.Result // after done
 	err      error         // after done
 }
 
 // generate starts a generation: NAME [-key k] [-non-idempotent] [-router i]
-// [-tokens n] [-timeout d] [-idle d] [-tries n] [-prompt text]. It runs in the background.
+// [-tokens n] [-timeout d] [-idle d] [-tries n] [-prompt text] [-http1]. It runs in the background.
 func (b *bench) generate(args []string) error {
 	args = slices.DeleteFunc(slices.Clone(args), func(s string) bool { return s == "&" })
 	if len(args) == 0 || b.gen(args[0]) != nil {
@@ -51,6 +52,7 @@
 	idle := fs.Duration("idle", 0, "leave a router that is silent for so long")
 	tries := fs.Int("tries", 0, "")
 	prompt := fs.String("prompt", "", "made from the key if empty")
+	http1 := fs.Bool("http1", false, "no HTTP/2 where it would be negotiated")
 	if err := fs.Parse(args[1:]); err != nil {
 		return err
 	}
@@ -61,7 +63,7 @@
 		done:   make(chan struct{}), news: make(chan struct{}),
 	}
 	c := client.New(b.endpoints(*first), apiKey, client.Options{
-		IdleTimeout: *idle, MaxTries: *tries, HTTP: &http.Client{Transport: &cursorTap{g: g}},
+		IdleTimeout: *idle, MaxTries: *tries, HTTP: &http.Client{Transport: &cursorTap{g: g, next: b.tls.transport(*http1)}},
 		Connected: func(e string) { g.change(func() { g.endpoint = e }) },
 	})
 	b.mu.Lock()
@@ -128,6 +130,8 @@
 		return fmt.Sprint(g.res.Reconnects)
 	case "tokens":
 		return fmt.Sprint(g.tokens)
+	case "proto":
+		return g.proto
 	case "finish":
 		return g.res.Finish
 	}
@@ -153,7 +157,7 @@
 func (b *bench) endpoints(first int) []string {
 	var list []string
 	for i := range b.routers {
-		list = append(list, "http://"+b.routers[(first-1+i)%len(b.routers)].caller)
+		list = append(list, b.tls.scheme()+b.routers[(first-1+i)%len(b.routers)].caller)
 	}
 	return list
 }
--- a/scenario/inventory_test.go
+++ b/scenario/inventory_test.go
@@ -38,7 +38,7 @@
 }
 
 func (b *bench) inventoryOf(r *router, field string) string {
-	data, err := get("http://" + r.admin + "/debug/dump")
+	data, err := r.get("/debug/dump")
 	if err != nil {
 		return err.Error()
 	}
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -31,7 +31,7 @@
 		"wigeond": func() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"wigeonctl": func() {
 			os.Exit(ctl.Main(context.Background(), os.Args[1:], ctl.Env{
-				Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv,
+				Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv, Stream: ctl.Stream,
 			}))
 		},
 		"wigeonload": func() { os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr)) },
--- a/scenario/orders_test.go
+++ b/scenario/orders_test.go
@@ -21,7 +21,7 @@
 			if slices.Contains(args[1:], r.name) {
 				continue
 			}
-			data, err := get("http://" + r.admin + "/debug/dump?section=orders")
+			data, err := r.get("/debug/dump?section=orders")
 			if err == nil && valueAt(data, "holding") == "true" {
 				ts.Setenv(args[0], r.name)
 				return true
@@ -38,7 +38,7 @@
 	}
 	first := ""
 	return waitUntil("a round of "+r.name, func() bool {
-		data, err := get("http://" + r.admin + "/debug/dump?section=orders")
+		data, err := r.get("/debug/dump?section=orders")
 		if err != nil {
 			return false
 		}
--- a/scenario/raw_test.go
+++ b/scenario/raw_test.go
@@ -16,11 +16,15 @@
 
 // cursorTap notes the id of each event on its way to the client, for reconnects
 // that a well-behaved client does not make.
-type cursorTap struct{ g *gen }
+type cursorTap struct {
+	g    *gen
+	next http.RoundTripper
+}
 
 func (t *cursorTap) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := t.next.RoundTrip(req)
 	if err == nil {
+		t.g.change(func() { t.g.proto = resp.Proto })
 		resp.Body = &tappedBody{ReadCloser: resp.Body, g: t.g}
 	}
 	return resp, err
