--- a/load/run.go
+++ b/load/run.go
@@ -43,7 +43,7 @@
 	)
 	began := time.Now()
 	for _, a := range arrivals(cfg) {
-		if !sleepUntil(ctx, began.Add(a.at)) {
+		if !SleepUntil(ctx, began.Add(a.at)) {
 			break
 		}
 		wg.Go(func() {
@@ -154,7 +154,8 @@
 	return rep
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
+// SleepUntil waits until t; false means that ctx ended first.
+func SleepUntil(ctx context.Context, t time.Time) bool {
 	timer := time.NewTimer(time.Until(t))
 	defer timer.Stop()
 	select {
--- a/measure/detection.go
+++ b/measure/detection.go
@@ -177,7 +177,7 @@
 		return tally{}, err
 	}
 	// What a thawed engine goes on generating for nobody ends by its linger.
-	if !sleepUntil(ctx, time.Now().Add(settleTime)) {
+	if !load.SleepUntil(ctx, time.Now().Add(settleTime)) {
 		return tally{}, Error.Wrap(ctx.Err())
 	}
 	rec, err := load.FetchRecord(ctx, r.Record())
--- a/measure/drive.go
+++ b/measure/drive.go
@@ -86,7 +86,7 @@
 		answers []Answer
 	)
 	for _, a := range l.arrivals() {
-		if !sleepUntil(ctx, start.Add(a.At)) {
+		if !load.SleepUntil(ctx, start.Add(a.At)) {
 			break
 		}
 		wg.Go(func() {
@@ -155,14 +155,3 @@
 	}
 	return docs
 }
-
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/measure/faults.go
+++ b/measure/faults.go
@@ -109,7 +109,7 @@
 
 // preempt silences one draft that the engine is decoding, if there is one.
 func (f fault) preempt(ctx context.Context, start time.Time, r *Running) error {
-	if !sleepUntil(ctx, start.Add(f.at)) {
+	if !load.SleepUntil(ctx, start.Add(f.at)) {
 		return Error.Wrap(ctx.Err())
 	}
 	rec, err := load.FetchRecord(ctx, r.Record())
--- a/measure/hedged.go
+++ b/measure/hedged.go
@@ -12,6 +12,7 @@
 	"wigeondale/client"
 	"wigeondale/fakes/service"
 	"wigeondale/fleet"
+	"wigeondale/load"
 	"wigeondale/settings"
 )
 
@@ -104,7 +105,7 @@
 		if at > length {
 			return nil
 		}
-		if !sleepUntil(ctx, start.Add(at)) {
+		if !load.SleepUntil(ctx, start.Add(at)) {
 			return Error.Wrap(ctx.Err())
 		}
 		args := map[string]any{"ms": lateMS, "n": 1}
@@ -127,7 +128,7 @@
 	var at time.Duration
 	for ; ; calls++ {
 		at += time.Duration(rng.ExpFloat64() / callRate * float64(time.Second))
-		if at > length || !sleepUntil(ctx, start.Add(at)) {
+		if at > length || !load.SleepUntil(ctx, start.Add(at)) {
 			break
 		}
 		wg.Go(func() {
--- a/measure/script.go
+++ b/measure/script.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"net/http"
 	"time"
+
+	"wigeondale/load"
 )
 
 // Step is one turn of a fault switch of the stand-ins.
@@ -22,7 +24,7 @@
 // Play turns the switches of one fleet; the steps are in order of time.
 func (s Script) Play(ctx context.Context, start time.Time, r *Running) error {
 	for _, step := range s {
-		if !sleepUntil(ctx, start.Add(step.At)) {
+		if !load.SleepUntil(ctx, start.Add(step.At)) {
 			return Error.Wrap(ctx.Err())
 		}
 		if err := Turn(ctx, r, step.Component, step.Fault, step.Args); err != nil {
