generation: TestSlowCallerIsNoSilence no longer depends on how tokens arrive

When all tokens and the end mark came in one read, no flush fell into the stream, and the test wants at least one. Ruled out: the guard. Change: the first engine stops after three tokens with nothing more at hand. As strict: all flushes but the last must be told.

--- a/generation/generation_test.go
+++ b/generation/generation_test.go
@@ -252,7 +252,9 @@
 // a while, so that nobody reads its stream. Cause: the failure detector wasn't
 // told that the silence is the caller's.
 func TestSlowCallerIsNoSilence(t *testing.T) {
-	h := &harness{engines: []*fakeEngine{newFakeEngine(t, act{})}}
+	// The first engine stops after three tokens with nothing more at hand, so that
+	// at least one flush falls into a stream however its tokens arrive.
+	h := &harness{silentAfter: 3, engines: []*fakeEngine{newFakeEngine(t, act{3, "hang"}), newFakeEngine(t, act{})}}
 	flushes, told := 0, 0
 	sink := &fakeSink{flush: func() {
 		flushes++
