--- a/daemon/inventory.go
+++ b/daemon/inventory.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
+	"wigeondale/infra"
 	"wigeondale/inventory"
 	"wigeondale/peer"
-	"wigeondale/platform"
 	"wigeondale/settings"
 )
 
@@ -54,7 +54,7 @@
 	return nil
 }
 
-func readItems(ctx context.Context, list *platform.VMList) ([]inventory.Item, error) {
+func readItems(ctx context.Context, list *infra.VMList) ([]inventory.Item, error) {
 	all, err := list.List(ctx)
 	if err != nil {
 		return nil, err
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -16,13 +16,13 @@
 	"wigeondale/event"
 	"wigeondale/generation"
 	"wigeondale/health"
+	"wigeondale/infra"
 	"wigeondale/intent"
 	"wigeondale/inventory"
 	"wigeondale/listen"
 	"wigeondale/once"
 	"wigeondale/order"
 	"wigeondale/peer"
-	"wigeondale/platform"
 	"wigeondale/settings"
 )
 
@@ -35,8 +35,8 @@
 	leaving atomic.Bool
 	notice  time.Duration
 
-	kv         platform.KV
-	vmList     *platform.VMList
+	kv         infra.KV
+	vmList     *infra.VMList
 	sizes      *sizes
 	weightRate int64
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -9,10 +9,10 @@
 
 	"wigeondale/fleet"
 	"wigeondale/health"
+	"wigeondale/infra"
 	"wigeondale/intent"
 	"wigeondale/inventory"
 	"wigeondale/peer"
-	"wigeondale/platform"
 	"wigeondale/settings"
 )
 
@@ -27,10 +27,10 @@
 
 func (n *node) buildPlatform(set *settings.Settings) error {
 	timeout := millis(set.Platform.CallTimeoutMS)
-	n.kv = platform.NewEtcdKV(platform.KVConfig{URL: set.Platform.KVURL, Timeout: timeout}, n.set)
-	n.vmList = platform.NewVMList(set.Platform.VMsURL+vmsPath, timeout, n.set)
+	n.kv = infra.NewEtcdKV(infra.KVConfig{URL: set.Platform.KVURL, Timeout: timeout}, n.set)
+	n.vmList = infra.NewVMList(set.Platform.VMsURL+vmsPath, timeout, n.set)
 	n.weightRate = set.Platform.WeightsBytesPerSecond
-	n.sizes = newSizes(platform.NewWeightStore(set.Platform.WeightsURL, timeout, n.set))
+	n.sizes = newSizes(infra.NewWeightStore(set.Platform.WeightsURL, timeout, n.set))
 	return nil
 }
 
@@ -113,13 +113,13 @@
 
 // sizes remembers the sizes of weights, which never change for a version.
 type sizes struct {
-	store *platform.WeightStore
+	store *infra.WeightStore
 
 	mu    sync.Mutex
 	known map[string]int64
 }
 
-func newSizes(store *platform.WeightStore) *sizes {
+func newSizes(store *infra.WeightStore) *sizes {
 	return &sizes{store: store, known: make(map[string]int64)}
 }
 
--- a/platform/kv.go
+++ b/infra/kv.go
@@ -1,4 +1,4 @@
-// Package platform holds the clients of the services that the deployment
+// Package infra holds the clients of the services that the deployment
 // already runs: the key-value service, the VM list and the weight store.
 //
 // The failure that matters here is a write whose answer is lost. The service
@@ -6,7 +6,7 @@
 // Each error therefore says which: ErrUnavailable means that nothing was
 // applied, ErrUnknownOutcome that it may have been. Nothing in this package
 // sends a write a second time; the callers own that decision.
-package platform
+package infra
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 )
 
 // Error is the class of every error of this package.
-var Error = errs.Class("platform")
+var Error = errs.Class("infra")
 
 var (
 	// ErrUnavailable means that the call failed and surely changed nothing.
--- a/platform/platform_test.go
+++ b/infra/platform_test.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/intent/service_test.go
+++ b/intent/service_test.go
@@ -11,9 +11,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"wigeondale/fakes/kv"
+	"wigeondale/infra"
 	"wigeondale/intent"
 	"wigeondale/kvlog"
-	"wigeondale/platform"
 )
 
 type nobody struct{}
@@ -26,7 +26,7 @@
 
 func newNode(srv *kv.Server) (*intent.Keeper, intent.Log) {
 	set := metrics.NewSet()
-	store := platform.NewEtcdKV(platform.KVConfig{URL: "http://" + srv.Addr()}, set)
+	store := infra.NewEtcdKV(infra.KVConfig{URL: "http://" + srv.Addr()}, set)
 	log := intent.NewLog(kvlog.New(store, "config/", kvlog.Options{Window: 4, Metrics: set}))
 	return intent.NewKeeper(intent.Config{Log: log, Spread: nobody{}}), log
 }
--- a/kvlog/append.go
+++ b/kvlog/append.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 // Append adds an entry and returns its position. Within the window, an id is
@@ -122,7 +122,7 @@
 	if err == nil {
 		return e, nil
 	}
-	return l.decodeEntry(platform.Value{Key: l.entryKey(n), Data: value})
+	return l.decodeEntry(infra.Value{Key: l.entryKey(n), Data: value})
 }
 
 // place creates value at n, the lowest position not seen taken, and returns
@@ -139,7 +139,7 @@
 		if err == nil {
 			return l.confirm(ctx, e, id)
 		}
-		if !errors.Is(err, platform.ErrUnknownOutcome) {
+		if !errors.Is(err, infra.ErrUnknownOutcome) {
 			return Entry{}, unavailable(err)
 		}
 	}
@@ -148,7 +148,7 @@
 
 func (l *Log) create(ctx context.Context, n uint64, id string, value []byte) (Entry, error) {
 	created, v, err := l.kv.Create(ctx, l.entryKey(n), value)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, infra.ErrUnknownOutcome) {
 		l.unsettled.set(id, n)
 		l.count("unknown")
 	}
--- a/kvlog/keys.go
+++ b/kvlog/keys.go
@@ -9,7 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 const (
@@ -22,7 +22,7 @@
 // entryKey is fixed-width hex, so that keys sort as their positions do.
 func (l *Log) entryKey(n uint64) string { return fmt.Sprintf("%s%s%016x", l.prefix, entryPart, n) }
 
-func (l *Log) entryEnd() string { return platform.PrefixEnd(l.prefix + entryPart) }
+func (l *Log) entryEnd() string { return infra.PrefixEnd(l.prefix + entryPart) }
 
 func (l *Log) pointerKey() string { return l.prefix + pointerPart }
 
@@ -57,7 +57,7 @@
 	return b, nil
 }
 
-func (l *Log) decodeEntry(v platform.Value) (Entry, error) {
+func (l *Log) decodeEntry(v infra.Value) (Entry, error) {
 	hexN := strings.TrimPrefix(v.Key, l.prefix+entryPart)
 	n, err := strconv.ParseUint(hexN, 16, 64)
 	if err != nil {
--- a/kvlog/kvlog.go
+++ b/kvlog/kvlog.go
@@ -27,7 +27,7 @@
 	"github.com/zeebo/errs"
 
 	"wigeondale/event"
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 // Error is the class of every error of this package.
@@ -141,7 +141,7 @@
 // Log is one process's handle on a log. Its methods are safe for concurrent
 // use; appends through one Log go one after the other.
 type Log struct {
-	kv     platform.KV
+	kv     infra.KV
 	prefix string
 	opts   Options
 
@@ -156,7 +156,7 @@
 }
 
 // New returns a handle on the log whose keys start with prefix. It does no I/O.
-func New(kv platform.KV, prefix string, opts Options) *Log {
+func New(kv infra.KV, prefix string, opts Options) *Log {
 	opts.setDefaults()
 	return &Log{
 		kv:        kv,
--- a/kvlog/kvtest/held.go
+++ b/kvlog/kvtest/held.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 // Fault is what becomes of a held call.
@@ -94,11 +94,11 @@
 	case f == OK || f == Paused:
 		return nil
 	case f == Refused || !c.write:
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	case f == Delayed && !c.applied:
 		b.delayed = append(b.delayed, c.apply)
 	}
-	return platform.ErrUnknownOutcome
+	return infra.ErrUnknownOutcome
 }
 
 // Client is one process's access to the bench's store.
@@ -135,8 +135,8 @@
 }
 
 // Get is held, then reads.
-func (c *Client) Get(ctx context.Context, key string) (v platform.Value, ok bool, err error) {
-	var got platform.Value
+func (c *Client) Get(ctx context.Context, key string) (v infra.Value, ok bool, err error) {
+	var got infra.Value
 	var found bool
 	err = c.hold(ctx, false, func() { got, found, _ = c.Store.Get(ctx, key) })
 	if err != nil {
@@ -146,8 +146,8 @@
 }
 
 // Range is held, then reads.
-func (c *Client) Range(ctx context.Context, from, end string, limit int) ([]platform.Value, error) {
-	var got []platform.Value
+func (c *Client) Range(ctx context.Context, from, end string, limit int) ([]infra.Value, error) {
+	var got []infra.Value
 	err := c.hold(ctx, false, func() { got, _ = c.Store.Range(ctx, from, end, limit) })
 	if err != nil {
 		return nil, err
@@ -156,26 +156,26 @@
 }
 
 // Create is held, then writes.
-func (c *Client) Create(ctx context.Context, key string, data []byte) (bool, platform.Value, error) {
+func (c *Client) Create(ctx context.Context, key string, data []byte) (bool, infra.Value, error) {
 	return c.CompareAndSwap(ctx, key, 0, data)
 }
 
 // CompareAndSwap is held, then writes.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, rev int64, data []byte) (bool, platform.Value, error) {
+func (c *Client) CompareAndSwap(ctx context.Context, key string, rev int64, data []byte) (bool, infra.Value, error) {
 	type result struct {
 		ok bool
-		v  platform.Value
+		v  infra.Value
 	}
 	got := new(result)
 	err := c.hold(ctx, true, func() { got.ok, got.v, _ = c.Store.CompareAndSwap(ctx, key, rev, data) })
 	if err != nil {
-		return false, platform.Value{}, err
+		return false, infra.Value{}, err
 	}
 	return got.ok, got.v, nil
 }
 
 // Put is held, then writes.
-func (c *Client) Put(ctx context.Context, key string, data []byte, _ platform.LeaseID) error {
+func (c *Client) Put(ctx context.Context, key string, data []byte, _ infra.LeaseID) error {
 	return c.hold(ctx, true, func() { _ = c.Store.Put(ctx, key, data, 0) })
 }
 
--- a/kvlog/kvtest/store.go
+++ b/kvlog/kvtest/store.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 // Store is the service's memory. Its own methods answer at once.
@@ -23,7 +23,7 @@
 
 	mu       sync.Mutex
 	rev      int64
-	data     map[string]platform.Value
+	data     map[string]infra.Value
 	watchers []watcher
 	writes   int
 	reads    int
@@ -31,7 +31,7 @@
 
 type watcher struct {
 	prefix string
-	events chan platform.WatchEvent
+	events chan infra.WatchEvent
 	mute   bool
 }
 
@@ -40,7 +40,7 @@
 var errNotHere = errors.New("kvtest: leases are not played")
 
 // New returns an empty store.
-func New() *Store { return &Store{data: make(map[string]platform.Value)} }
+func New() *Store { return &Store{data: make(map[string]infra.Value)} }
 
 // Calls returns how many writes and reads were applied.
 func (s *Store) Calls() (writes, reads int) {
@@ -50,7 +50,7 @@
 }
 
 // Get reads one key.
-func (s *Store) Get(_ context.Context, key string) (platform.Value, bool, error) {
+func (s *Store) Get(_ context.Context, key string) (infra.Value, bool, error) {
 	time.Sleep(s.Latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -60,12 +60,12 @@
 }
 
 // Range reads keys in [from, end).
-func (s *Store) Range(_ context.Context, from, end string, limit int) ([]platform.Value, error) {
+func (s *Store) Range(_ context.Context, from, end string, limit int) ([]infra.Value, error) {
 	time.Sleep(s.Latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	var out []platform.Value
+	var out []infra.Value
 	for k, v := range s.data {
 		if k >= from && k < end {
 			out = append(out, v)
@@ -79,17 +79,17 @@
 }
 
 // Create writes key if absent.
-func (s *Store) Create(ctx context.Context, key string, data []byte) (bool, platform.Value, error) {
+func (s *Store) Create(ctx context.Context, key string, data []byte) (bool, infra.Value, error) {
 	return s.CompareAndSwap(ctx, key, 0, data)
 }
 
 // CreateWithLease is Create; the lease is ignored.
-func (s *Store) CreateWithLease(ctx context.Context, key string, data []byte, _ platform.LeaseID) (bool, platform.Value, error) {
+func (s *Store) CreateWithLease(ctx context.Context, key string, data []byte, _ infra.LeaseID) (bool, infra.Value, error) {
 	return s.Create(ctx, key, data)
 }
 
 // CompareAndSwap writes key at revision modRev.
-func (s *Store) CompareAndSwap(_ context.Context, key string, modRev int64, data []byte) (bool, platform.Value, error) {
+func (s *Store) CompareAndSwap(_ context.Context, key string, modRev int64, data []byte) (bool, infra.Value, error) {
 	time.Sleep(s.Latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,7 +101,7 @@
 }
 
 // Put writes key.
-func (s *Store) Put(_ context.Context, key string, data []byte, _ platform.LeaseID) error {
+func (s *Store) Put(_ context.Context, key string, data []byte, _ infra.LeaseID) error {
 	time.Sleep(s.Latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,9 +110,9 @@
 	return nil
 }
 
-func (s *Store) put(key string, data []byte) platform.Value {
+func (s *Store) put(key string, data []byte) infra.Value {
 	s.rev++
-	v := platform.Value{Key: key, Data: append([]byte(nil), data...), CreateRev: s.rev, ModRev: s.rev}
+	v := infra.Value{Key: key, Data: append([]byte(nil), data...), CreateRev: s.rev, ModRev: s.rev}
 	if old, ok := s.data[key]; ok {
 		v.CreateRev = old.CreateRev
 	} else if s.OnCreate != nil {
@@ -121,7 +121,7 @@
 	s.data[key] = v
 	for _, w := range s.watchers {
 		if !w.mute && strings.HasPrefix(key, w.prefix) {
-			w.events <- platform.WatchEvent{Value: v}
+			w.events <- infra.WatchEvent{Value: v}
 		}
 	}
 	return v
@@ -148,11 +148,11 @@
 }
 
 // Watch tells of puts from now on; fromRev is honoured for keys still there.
-func (s *Store) Watch(ctx context.Context, prefix string, fromRev int64) (<-chan platform.WatchEvent, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, fromRev int64) (<-chan infra.WatchEvent, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := watcher{prefix: prefix, events: make(chan platform.WatchEvent, watchBuffer)}
-	var missed []platform.Value
+	w := watcher{prefix: prefix, events: make(chan infra.WatchEvent, watchBuffer)}
+	var missed []infra.Value
 	for k, v := range s.data {
 		if fromRev > 0 && v.ModRev >= fromRev && strings.HasPrefix(k, prefix) {
 			missed = append(missed, v)
@@ -160,7 +160,7 @@
 	}
 	sort.Slice(missed, func(i, j int) bool { return missed[i].ModRev < missed[j].ModRev })
 	for _, v := range missed {
-		w.events <- platform.WatchEvent{Value: v}
+		w.events <- infra.WatchEvent{Value: v}
 	}
 	s.watchers = append(s.watchers, w)
 	return w.events, nil
@@ -186,14 +186,14 @@
 }
 
 // Grant is not played.
-func (s *Store) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+func (s *Store) Grant(context.Context, time.Duration) (infra.LeaseID, error) {
 	return 0, errNotHere
 }
 
 // KeepAlive is not played.
-func (s *Store) KeepAlive(context.Context, platform.LeaseID) (time.Duration, error) {
+func (s *Store) KeepAlive(context.Context, infra.LeaseID) (time.Duration, error) {
 	return 0, errNotHere
 }
 
 // Revoke is not played.
-func (s *Store) Revoke(context.Context, platform.LeaseID) error { return errNotHere }
+func (s *Store) Revoke(context.Context, infra.LeaseID) error { return errNotHere }
--- a/kvlog/read.go
+++ b/kvlog/read.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"wigeondale/event"
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 // Read returns at most max entries from position from on (from 1), in order;
@@ -110,7 +110,7 @@
 	return t.follow(ctx, events)
 }
 
-func (t *tail) follow(ctx context.Context, events <-chan platform.WatchEvent) error {
+func (t *tail) follow(ctx context.Context, events <-chan infra.WatchEvent) error {
 	for {
 		poll := time.NewTimer(t.log.pollDelay())
 		select {
@@ -137,10 +137,10 @@
 // event takes an entry straight from the watch when it is the next one and
 // the watch began right after the one before. The first create that such a
 // watch shows at a position is the genuine one. Anything else is a reason to read.
-func (t *tail) event(ctx context.Context, e platform.WatchEvent) error {
+func (t *tail) event(ctx context.Context, e infra.WatchEvent) error {
 	if e.Err != nil {
 		t.log.opts.Events.Emit(event.LogWatchLost, "prefix", t.log.prefix, "err", e.Err)
-		if errors.Is(e.Err, platform.ErrCompacted) {
+		if errors.Is(e.Err, infra.ErrCompacted) {
 			t.rev = 0
 		}
 		return nil
--- a/kvlog/snapshot.go
+++ b/kvlog/snapshot.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 const (
@@ -39,7 +39,7 @@
 	return decodePointer(v)
 }
 
-func decodePointer(v platform.Value) (pointer, error) {
+func decodePointer(v infra.Value) (pointer, error) {
 	var p pointer
 	if err := cbor.Unmarshal(v.Data, &p); err != nil {
 		return pointer{}, Error.Wrap(fmt.Errorf("%w: snapshot pointer: %w", ErrCorrupt, err))
@@ -115,7 +115,7 @@
 	var err error
 	for range l.opts.SettleTries {
 		err = l.kv.Put(ctx, key, piece, 0)
-		if !errors.Is(err, platform.ErrUnknownOutcome) {
+		if !errors.Is(err, infra.ErrUnknownOutcome) {
 			return err
 		}
 		if !l.pause(ctx) {
@@ -142,7 +142,7 @@
 			}
 			return Error.Wrap(fmt.Errorf("%w: another was put in force meanwhile", ErrStaleSnapshot))
 		}
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		if errors.Is(err, infra.ErrUnknownOutcome) {
 			unknown = true
 		} else if !unknown {
 			return unavailable(err)
@@ -154,7 +154,7 @@
 	return Error.Wrap(fmt.Errorf("%w: snapshot pointer", ErrUnsettled))
 }
 
-func (l *Log) swap(ctx context.Context, rev int64, data []byte) (bool, platform.Value, error) {
+func (l *Log) swap(ctx context.Context, rev int64, data []byte) (bool, infra.Value, error) {
 	if rev == 0 {
 		return l.kv.Create(ctx, l.pointerKey(), data)
 	}
@@ -169,7 +169,7 @@
 }
 
 func (l *Log) deleteRange(ctx context.Context, from, end string) {
-	if d, ok := l.kv.(platform.RangeDeleter); ok {
+	if d, ok := l.kv.(infra.RangeDeleter); ok {
 		_ = d.DeleteRange(ctx, from, end)
 		return
 	}
--- a/once/agree.go
+++ b/once/agree.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"wigeondale/event"
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 // maxShards bounds the number that is read from the key-value service.
@@ -98,7 +98,7 @@
 	return parseShards(v)
 }
 
-func parseShards(v platform.Value) (int, error) {
+func parseShards(v infra.Value) (int, error) {
 	n, err := strconv.Atoi(string(v.Data))
 	if err != nil || n < 1 || n > maxShards {
 		return 0, fmt.Errorf("%w: %q", ErrShards, v.Data)
--- a/once/claims.go
+++ b/once/claims.go
@@ -9,8 +9,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"wigeondale/event"
+	"wigeondale/infra"
 	"wigeondale/kvlog"
-	"wigeondale/platform"
 )
 
 // Defaults and bounds.
@@ -38,7 +38,7 @@
 type Config struct {
 	Node        string
 	Incarnation string // differs at each start of the node, so that entry ids never repeat
-	KV          platform.KV
+	KV          infra.KV
 	Prefix      string // of the keys, such as "claims/"
 	// Shards is what this node proposes. The first proposal of all nodes is kept
 	// in the key-value service and used by all.
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -10,8 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"wigeondale/infra"
 	"wigeondale/kvlog/kvtest"
-	"wigeondale/platform"
 )
 
 // alone is the Forwarder of a router that owns every shard.
@@ -30,15 +30,15 @@
 	calls int
 }
 
-func (d *downStore) Create(ctx context.Context, key string, data []byte) (bool, platform.Value, error) {
+func (d *downStore) Create(ctx context.Context, key string, data []byte) (bool, infra.Value, error) {
 	d.calls++
 	if d.down {
-		return false, platform.Value{}, platform.ErrUnavailable
+		return false, infra.Value{}, infra.ErrUnavailable
 	}
 	return d.Store.Create(ctx, key, data)
 }
 
-func newAlone(kv platform.KV) *Claims {
+func newAlone(kv infra.KV) *Claims {
 	return New(Config{Node: "n", Incarnation: "i", KV: kv, Prefix: "c/", Shards: 1, Window: time.Hour, ClockSkew: time.Minute, CompactEvery: 1}, alone{})
 }
 
@@ -97,11 +97,11 @@
 	lost bool
 }
 
-func (l *lostStore) Create(ctx context.Context, key string, data []byte) (bool, platform.Value, error) {
+func (l *lostStore) Create(ctx context.Context, key string, data []byte) (bool, infra.Value, error) {
 	ok, v, err := l.Store.Create(ctx, key, data)
 	if !l.lost {
 		l.lost = true
-		return false, platform.Value{}, platform.ErrUnknownOutcome
+		return false, infra.Value{}, infra.ErrUnknownOutcome
 	}
 	return ok, v, err
 }
@@ -113,7 +113,7 @@
 func TestShardsAreAgreed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := kvtest.New()
-		node := func(kv platform.KV, shards int) *Claims {
+		node := func(kv infra.KV, shards int) *Claims {
 			return New(Config{Node: fmt.Sprint(shards), Incarnation: "i", KV: kv, Prefix: "c/", Shards: shards}, alone{})
 		}
 		nodes := []*Claims{node(&lostStore{Store: store}, 4), node(store, 7), node(store, 1)}
@@ -230,7 +230,7 @@
 	hook func()
 }
 
-func (h *hookStore) Get(ctx context.Context, key string) (platform.Value, bool, error) {
+func (h *hookStore) Get(ctx context.Context, key string) (infra.Value, bool, error) {
 	v, ok, err := h.Store.Get(ctx, key)
 	if hook := h.hook; hook != nil && strings.Contains(key, "/c/") {
 		h.hook = nil
--- a/order/lease.go
+++ b/order/lease.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 // LeaseKey is the key that the holder's lease is attached to, below a prefix.
@@ -13,13 +13,13 @@
 
 // kvLease is a Lease in the key-value service.
 type kvLease struct {
-	kv   platform.KV
+	kv   infra.KV
 	key  string
 	node string
 }
 
 // NewLease returns the lease for orders under a key prefix of the service.
-func NewLease(kv platform.KV, prefix, node string) Lease {
+func NewLease(kv infra.KV, prefix, node string) Lease {
 	return &kvLease{kv: kv, key: prefix + LeaseKey, node: node}
 }
 
@@ -46,8 +46,8 @@
 // Renew implements Lease. The key is looked at too: without it the lease
 // protects nothing, and another node may have created it anew.
 func (l *kvLease) Renew(ctx context.Context, h Held) error {
-	left, err := l.kv.KeepAlive(ctx, platform.LeaseID(h.ID))
-	if errors.Is(err, platform.ErrLeaseNotFound) || (err == nil && left <= 0) {
+	left, err := l.kv.KeepAlive(ctx, infra.LeaseID(h.ID))
+	if errors.Is(err, infra.ErrLeaseNotFound) || (err == nil && left <= 0) {
 		return Error.Wrap(ErrLeaseLost)
 	}
 	if err != nil {
@@ -65,5 +65,5 @@
 
 // Release implements Lease.
 func (l *kvLease) Release(ctx context.Context, h Held) error {
-	return Error.Wrap(l.kv.Revoke(ctx, platform.LeaseID(h.ID)))
+	return Error.Wrap(l.kv.Revoke(ctx, infra.LeaseID(h.ID)))
 }
--- a/order/lease_test.go
+++ b/order/lease_test.go
@@ -8,7 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"wigeondale/fakes/kv"
-	"wigeondale/platform"
+	"wigeondale/infra"
 )
 
 // Symptom: two routers give orders. Sequence: one's lease is gone at the
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	defer srv.Close()
-	store := platform.NewEtcdKV(platform.KVConfig{URL: "http://" + srv.Addr()}, metrics.NewSet())
+	store := infra.NewEtcdKV(infra.KVConfig{URL: "http://" + srv.Addr()}, metrics.NewSet())
 	one, two := NewLease(store, "p/", "n1"), NewLease(store, "p/", "n2")
 	ctx := t.Context()
 	first, ok, err := one.Acquire(ctx, time.Minute)
--- a/scenario/calls_test.go
+++ b/scenario/calls_test.go
@@ -16,9 +16,9 @@
 
 	"wigeondale/fakes/service"
 	"wigeondale/fleet"
+	"wigeondale/infra"
 	"wigeondale/load"
 	"wigeondale/once"
-	"wigeondale/platform"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -200,10 +200,10 @@
 	const above = "wigeondale/"
 	// Generations are claimed under the id that engines see.
 	call, gen := once.NewKeyID(account, args[0]), once.NewKeyID(account, load.RequestID(account, args[0]))
-	store := platform.NewEtcdKV(platform.KVConfig{URL: "http://" + b.kv}, nil)
+	store := infra.NewEtcdKV(infra.KVConfig{URL: "http://" + b.kv}, nil)
 	return waitUntil("claim of "+args[0], func() bool {
-		values, err := store.Range(context.Background(), above, platform.PrefixEnd(above), 0)
-		return err == nil && slices.ContainsFunc(values, func(v platform.Value) bool {
+		values, err := store.Range(context.Background(), above, infra.PrefixEnd(above), 0)
+		return err == nil && slices.ContainsFunc(values, func(v infra.Value) bool {
 			return strings.HasPrefix(v.Key, claimsPrefix) && (bytes.Contains(v.Data, call[:]) || bytes.Contains(v.Data, gen[:]))
 		})
 	})
