--- a/backend/backend.go
+++ b/backend/backend.go
@@ -61,6 +61,11 @@
 	ResumeText   string // text of the tokens before ResumeTokens
 	ResumeTokens int    // index of the first token to generate
 	Linger       time.Duration
+
+	// Opaque, when set, is the whole request: of the fields above only
+	// ResumeTokens counts, as the number of the first piece that is wanted.
+	Opaque *Opaque
+	Copies Copies
 }
 
 // Token is one token of an answer. Text is valid until the next call of Next.
--- a/backend/client.go
+++ b/backend/client.go
@@ -179,7 +179,7 @@
 func (c *Client) send(ctx context.Context, method string, b fleet.Backend, path string, body []byte) (*http.Response, error) {
 	var r io.Reader
 	if body != nil {
-		r = onceBody{bytes.NewReader(body)}
+		r = OnceBody{bytes.NewReader(body)}
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.Addr+path, r)
 	if err != nil {
@@ -189,7 +189,7 @@
 		req.ContentLength = int64(len(body))
 		req.Header.Set("Content-Type", "application/json")
 	}
-	return roundTrip(c.rt, req)
+	return RoundTrip(c.rt, req)
 }
 
 func streamPath(request string, attempt int) string {
--- a/backend/send.go
+++ b/backend/send.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -17,10 +21,26 @@
 	readBufferBytes = 8 << 10
 )
 
-// newTransport returns a transport that speaks HTTP/1.1 only: HTTP/2 repeats
-// requests after GOAWAY.
+// Dial says how connections are opened.
+type Dial struct {
+	Timeout time.Duration // of opening one
+	// Unanswered ends a connection on which sent bytes, or probes while it is
+	// idle, are not acknowledged for so long. Without it a connection that fell
+	// silent for good, or whose machine lost power, is found out minutes later.
+	// 0 leaves it to the system.
+	Unanswered time.Duration
+	ReadBuffer int // bytes
+}
+
+// newTransport returns the transport for the product's own protocol.
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewTransport(Dial{Timeout: dialTimeout, ReadBuffer: readBufferBytes})
+}
+
+// NewTransport returns a transport that speaks HTTP/1.1 only: HTTP/2 repeats
+// requests after GOAWAY.
+func NewTransport(d Dial) *http.Transport {
+	dialer := d.dialer()
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Transport{
@@ -35,8 +55,27 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerSrv,
 		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      readBufferBytes,
+		ReadBufferSize:      d.ReadBuffer,
+		WriteBufferSize:     d.ReadBuffer,
+	}
+}
+
+func (d Dial) dialer() *net.Dialer {
+	dialer := &net.Dialer{Timeout: d.Timeout}
+	if d.Unanswered <= 0 {
+		return dialer
+	}
+	dialer.KeepAliveConfig = net.KeepAliveConfig{
+		Enable: true, Idle: d.Unanswered / 2, Interval: d.Unanswered / 4, Count: 2,
+	}
+	dialer.Control = func(_, _ string, c syscall.RawConn) error {
+		var err error
+		set := func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Unanswered.Milliseconds()))
+		}
+		return errors.Join(c.Control(set), err)
 	}
+	return dialer
 }
 
 // sealConn counts what was written, and can be sealed against later writes.
@@ -110,9 +149,9 @@
 	return sent
 }
 
-// roundTrip sends req once, follows no redirect, and turns an error into
+// RoundTrip sends req once, follows no redirect, and turns an error into
 // ErrDial or ErrBroken.
-func roundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
+func RoundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
 	w := &sentWatch{}
 	trace := &httptrace.ClientTrace{GotConn: w.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
@@ -126,8 +165,9 @@
 	return nil, Error.New("%w: %w", ErrDial, err)
 }
 
-// onceBody hides the type of a body from net/http, which then can't rewind it
+// OnceBody hides the type of a body from net/http, which then can't rewind it
 // and so doesn't repeat the request.
-type onceBody struct{ io.Reader }
+type OnceBody struct{ io.Reader }
 
-func (onceBody) Close() error { return nil }
+// Close implements io.Closer.
+func (OnceBody) Close() error { return nil }
--- a/backend/service.go
+++ b/backend/service.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, Error.New("%w: %w", ErrDial, err)
 	}
-	resp, err := roundTrip(c.rt, req)
+	resp, err := RoundTrip(c.rt, req)
 	if err != nil {
 		return nil, err
 	}
@@ -68,16 +68,16 @@
 	copyHeader(req.Header, call.Header)
 	req.Header.Set(requestIDHeader, call.RequestID)
 	if len(call.Body) > 0 {
-		req.Body = onceBody{bytes.NewReader(call.Body)}
+		req.Body = OnceBody{bytes.NewReader(call.Body)}
 		req.ContentLength = int64(len(call.Body))
 	}
 	if !call.Idempotent {
-		forbidReplay(req)
+		ForbidReplay(req)
 	}
 	return req, nil
 }
 
-// forbidReplay keeps net/http from sending a request twice.
+// ForbidReplay keeps net/http from sending a request twice.
 //
 // What goes wrong: a server reads a request on a reused connection, acts on
 // it and closes. The transport sees the connection end without an answer and
@@ -85,7 +85,7 @@
 // any request with an idempotency header. The server then runs it twice, which
 // shows only in its own record. A body that can't be rewound makes a GET
 // unreplayable (an empty one adds no byte), and the headers are removed.
-func forbidReplay(req *http.Request) {
+func ForbidReplay(req *http.Request) {
 	req.Header.Del("Idempotency-Key")
 	req.Header.Del("X-Idempotency-Key")
 	req.GetBody = nil
@@ -94,17 +94,31 @@
 	}
 	switch req.Method {
 	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		req.Body = onceBody{strings.NewReader("")}
+		req.Body = OnceBody{strings.NewReader("")}
 	}
 }
 
 // copyHeader leaves out what belongs to the caller's own connection and what
 // only the router may see: its API key above all.
 func copyHeader(dst, src http.Header) {
+	CopyHeader(dst, src, ownHeaders)
+	for name := range dst {
+		if strings.HasPrefix(name, "Wigeon-") {
+			delete(dst, name)
+		}
+	}
+}
+
+// CopyHeader copies the end-to-end headers, without those named in except, in
+// canonical form.
+func CopyHeader(dst, src http.Header, except []string) {
 	drop := map[string]bool{}
 	for _, name := range connectionHeaders {
 		drop[name] = true
 	}
+	for _, name := range except {
+		drop[name] = true
+	}
 	for _, v := range src.Values("Connection") {
 		for name := range strings.SplitSeq(v, ",") {
 			drop[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
@@ -112,15 +126,19 @@
 	}
 	for name, values := range src {
 		name = textproto.CanonicalMIMEHeaderKey(name)
-		if drop[name] || strings.HasPrefix(name, "Wigeon-") {
+		if drop[name] {
 			continue
 		}
 		dst[name] = append([]string(nil), values...)
 	}
 }
 
+// connectionHeaders concern one connection only.
 var connectionHeaders = []string{
-	"Authorization", "Connection", "Content-Length", "Expect", "Host", "Keep-Alive",
-	"Last-Event-Id", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Connection", "Content-Length", "Expect", "Host", "Keep-Alive",
+	"Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade",
 }
+
+// ownHeaders are spoken between callers and this program only.
+var ownHeaders = []string{"Authorization", "Last-Event-Id"}
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -89,6 +89,9 @@
 // Incarnation names the engine's run that holds the stream.
 func (s *Stream) Incarnation() string { return s.incarnation }
 
+// Head returns nil: the chunks of this protocol say all there is.
+func (s *Stream) Head() *Head { return nil }
+
 // Close ends the reading. The engine keeps the attempt for its linger time.
 func (s *Stream) Close() error { return s.body.Close() }
 
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -103,9 +103,9 @@
 		Claims:   claims{n.claims},
 		Picker:   pick,
 		Watcher:  n.watcher(),
-		Engines:  n.engines,
+		Engines:  generation.Native{Client: n.engines},
 		Abandon:  n.cancels,
-		Budget:   budget,
+		Budget:   sharedBudget{budget},
 	}, generation.Options{
 		Node:            attemptNode(set),
 		StartedPatience: max(millis(set.Policy.PatienceMS), time.Second),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -26,6 +27,7 @@
 	"k8s.io/klog/v2"
 
 	"wigeondale/event"
+	"wigeondale/hosted"
 	"wigeondale/listen"
 	"wigeondale/routing"
 	"wigeondale/settings"
@@ -42,7 +44,7 @@
 )
 
 type arguments struct {
-	Config string `arg:"-c,--config,required" help:"settings, a JSON file"`
+	Config string `arg:"-c,--config,required,env:WIGEONDALE_SETTINGS" help:"settings, a JSON file"`
 	Check  bool   `arg:"--check" help:"check the settings, print them with their defaults, and exit"`
 }
 
@@ -105,6 +107,9 @@
 }
 
 func serve(set *settings.Settings, stderr io.Writer) int {
+	if set.Hosted != nil {
+		return serveHosted(set, stderr)
+	}
 	initLog(set.Log.Verbosity)
 	defer klog.Flush()
 	log := event.New(set.Node.ID)
@@ -119,6 +124,22 @@
 	return ExitOK
 }
 
+// serveHosted runs on the users' platform. Its log goes to standard output,
+// which no reader may hold up.
+func serveHosted(set *settings.Settings, stderr io.Writer) int {
+	debug.SetGCPercent(set.Hosted.GCPercent)
+	out := event.NewOutput(os.Stdout, set.Hosted.LogLinesPerSecond)
+	defer out.Close()
+	event.LogTo(out, set.Log.Verbosity)
+	log := event.New(set.Node.ID)
+	out.OnDropped = func(n int) { log.Emit(event.LinesDropped, "lines", n) }
+	if err := hosted.Run(set, log); err != nil {
+		return fail(stderr, ExitFailure, err)
+	}
+	log.Emit(event.ShutdownDone)
+	return ExitOK
+}
+
 func initLog(verbosity int) {
 	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(fs)
@@ -141,8 +162,7 @@
 		}, func(error) { cancel() })
 	}
 	for _, l := range n.listeners() {
-		serve, stop := listenerActor(l)
-		g.Add(serve, stop)
+		g.Add(listen.Actor(l))
 	}
 	stop := make(chan struct{})
 	g.Add(func() error { return n.untilSignal(stop) }, func(error) { close(stop) })
@@ -150,27 +170,6 @@
 	return g.Run()
 }
 
-// listenerActor keeps its place in the group after a graceful shutdown has
-// begun. Serve returns as soon as that begins, while requests are still open;
-// an actor that returned then would end the whole group and cut them. It would
-// show as callers whose streams end right after the balancer's notice time.
-func listenerActor(l *listen.Server) (serve func() error, stop func(error)) {
-	stopped := make(chan struct{})
-	serve = func() error {
-		if err := l.Serve(); err != nil {
-			return err
-		}
-		<-stopped
-		return nil
-	}
-	stop = func(error) {
-		close(stopped)
-		// The process ends: nobody is left to tell of a failure to close.
-		_ = l.Close()
-	}
-	return serve, stop
-}
-
 // untilSignal waits for the first signal and then for the end of all requests.
 // Its return ends the group.
 func (n *node) untilSignal(stop <-chan struct{}) error {
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -99,6 +99,17 @@
 	return &generation.Unavailable{Retryable: none.Retryable, RetryAfter: replicaWait, Err: err}
 }
 
+// Standby implements generation.Picker: engines of this protocol keep no copies.
+func (p *picker) Standby(generation.Ask, fleet.Backend) (fleet.Backend, func(), bool) {
+	return fleet.Backend{}, nil, false
+}
+
+// sharedBudget is one retry budget for all models.
+type sharedBudget struct{ *admission.RetryBudget }
+
+// Take implements generation.RetryBudget.
+func (b sharedBudget) Take(string) bool { return b.RetryBudget.Take() }
+
 // admitter applies admission to generations and counts their first tries, of
 // which the budget allows a share of retries.
 type admitter struct {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -77,6 +77,24 @@
 	CacheGap
 )
 
+// Events of the users' platform: its store, its replicas, opaque requests (19xx).
+const (
+	StoreLost ID = 1901 + iota
+	StoreRegained
+	StoreHistoryLost
+	TableInForce
+	ItemUnreadable
+	ReplicaKnown
+	ReplicaLeaving
+	RelayRefused
+	RelayEnded
+	AttemptBegun
+	AttemptLost
+	Reloaded
+	LinesDropped
+	DomainSuspect
+)
+
 // Events of generations and of calls to backend servers (14xx).
 const (
 	AttemptMismatch ID = 1401 + iota
@@ -151,4 +169,18 @@
 	{InventoryShrunk, "inventory-shrunk", Warning, "Readings went on lacking more than half of what was known, so that is taken for gone. Nothing to do if so many VMs were taken away; else look at the VM list."},
 	{InventoryAlone, "inventory-alone", Warning, "No reader's reading of the VM list was heard of for a minute, so this node reads it now and then by itself. Look at the VM list, and at the links between nodes."},
 	{InventoryFromPeer, "inventory-from-peer", Info, "This node had no inventory and took that of another node. Nothing to do."},
+	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
+	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
+	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
+	{TableInForce, "table-in-force", Info, "A newer version of routes, services and client accounts is in force on this node. Nothing to do."},
+	{ItemUnreadable, "item-unreadable", Error, "An item of the store could not be read and the last good value stays. Look at who wrote it."},
+	{ReplicaKnown, "replica-known", Info, "A replica registered itself and gets work from now on. Nothing to do."},
+	{ReplicaLeaving, "replica-leaving", Info, "A replica leaves or is gone and gets no new work from now on, for the reason given. Nothing to do."},
+	{RelayRefused, "relay-refused", Warning, "A request was refused before it reached a backend server, for the reason given."},
+	{RelayEnded, "relay-ended", Info, "A request that was passed on came to its end."},
+	{AttemptBegun, "attempt-begun", Info, "An attempt is sent to a backend server, with the standby that keeps its copy."},
+	{AttemptLost, "attempt-lost", Warning, "An attempt ended before its answer was whole; the next lines of the request tell what was done."},
+	{Reloaded, "reloaded", Info, "The settings file was read again after a signal; changes that need a restart are named."},
+	{LinesDropped, "lines-dropped", Warning, "Log lines were dropped to keep their volume bounded; the number is given."},
+	{DomainSuspect, "domain-suspect", Warning, "Several backend servers of one failure domain failed together; the whole domain is avoided for a moment."},
 }
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -18,13 +18,15 @@
 type attempt struct {
 	backend  fleet.Backend
 	place    Place
-	stream   *backend.Stream // nil while it isn't read
+	stream   Stream // nil while it isn't read
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	watch    Watch
 	done     func()
-	accepted int  // tokens delivered from it
-	seen     bool // the engine has confirmed that it exists
+	copyAt   fleet.Backend // holds a standby copy of the run, if it has an address
+	copyDone func()        // ends the copy's part in the load at copyAt
+	accepted int           // tokens delivered from it
+	seen     bool          // the engine has confirmed that it exists
 }
 
 func (x *run) nextNumber() int {
@@ -38,7 +40,13 @@
 // watchAttempt puts a under the failure detector.
 func (x *run) watchAttempt(a *attempt) {
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
-	a.watch = x.Watcher.Watch(a.backend.ID, len(x.req.Prompt)+len(x.text), a.cancel)
+	if x.req.Opaque != nil && x.req.NonIdempotent {
+		// It can't go on elsewhere: ending it at a silence would only lose an
+		// answer that may still come.
+		a.watch = unwatched{}
+		return
+	}
+	a.watch = x.Watcher.Watch(a.backend.ID, x.promptBytes(), a.cancel)
 }
 
 // closeReader ends the reading of a; the engine keeps it for the linger time.
@@ -58,6 +66,25 @@
 		a.done()
 		a.done = nil
 	}
+	if a.copyDone != nil {
+		a.copyDone()
+		a.copyDone = nil
+	}
+}
+
+// unwatched is the Watch of an attempt that no silence may end.
+type unwatched struct{}
+
+func (unwatched) Token(time.Time)            {}
+func (unwatched) SetBlocked(bool, time.Time) {}
+func (unwatched) Close()                     {}
+
+// promptBytes is the size of the text that an attempt has to read first.
+func (x *run) promptBytes() int {
+	if o := x.req.Opaque; o != nil {
+		return o.Size * bytesPerToken
+	}
+	return len(x.req.Prompt) + len(x.text)
 }
 
 // leave closes the reader and lets the engine's linger time decide.
@@ -75,6 +102,9 @@
 		return
 	}
 	x.leave()
+	if x.req.Opaque != nil {
+		return // closing the connection has cancelled it
+	}
 	if a.backend.Addr == "" {
 		return // handed over from a backend server that isn't known any more
 	}
--- a/generation/awake_test.go
+++ b/generation/awake_test.go
@@ -34,7 +34,7 @@
 	l := &leaver{h, func() { time.AfterFunc(10*time.Millisecond, gone) }}
 	client := backend.NewClient()
 	defer client.CloseIdle()
-	r, err := New(Deps{Admitter: h, Claims: h, Picker: h, Watcher: l, Engines: client, Abandon: h, Budget: h},
+	r, err := New(Deps{Admitter: h, Claims: h, Picker: h, Watcher: l, Engines: Native{client}, Abandon: h, Budget: h},
 		Options{PauseGap: 1, CallerGrace: time.Hour})
 	if err != nil {
 		t.Fatal(err)
--- a/generation/bench_test.go
+++ b/generation/bench_test.go
@@ -14,20 +14,20 @@
 // memEngines streams answers from memory.
 type memEngines struct{ data []byte }
 
-func (e memEngines) Open(_ context.Context, _ fleet.Backend, r backend.StartRequest) (*backend.Stream, error) {
+func (e memEngines) Open(_ context.Context, _ fleet.Backend, r backend.StartRequest) (Stream, error) {
 	id := backend.StreamID{Request: r.ID, Attempt: r.Attempt, Ref: r.Ref}
 	return backend.NewStream(io.NopCloser(bytes.NewReader(e.data)), id, "i1"), nil
 }
 
-func (e memEngines) Attach(context.Context, fleet.Backend, backend.StreamID, int) (*backend.Stream, error) {
+func (e memEngines) Attach(context.Context, fleet.Backend, backend.StreamID, int) (Stream, error) {
 	return nil, backend.ErrUnknownStream
 }
 
 type nullSink struct{}
 
-func (nullSink) Begin(Place) error               { return nil }
-func (nullSink) Token(int, []byte, string) error { return nil }
-func (nullSink) Flush() error                    { return nil }
+func (nullSink) Begin(Place, *backend.Head) error { return nil }
+func (nullSink) Token(int, []byte, string) error  { return nil }
+func (nullSink) Flush() error                     { return nil }
 
 // BenchmarkRunner reports the cost of one whole answer of 1000 tokens.
 func BenchmarkRunner(b *testing.B) {
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -17,10 +17,15 @@
 	a.place = Place{Backend: a.backend.ID, Attempt: x.nextNumber()}
 	x.watchAttempt(a)
 	x.m.attempts.Inc()
-	if x.reached {
-		x.m.prefill.Add(len(x.req.Prompt) + len(x.text))
+	x.sent++
+	held := x.prefer != "" && x.prefer == a.backend.ID
+	x.prefer = ""
+	x.keepCopy(a)
+	if x.reached && !held {
+		x.m.prefill.Add(x.promptBytes())
 	}
 	s, err := x.Engines.Open(a.ctx, a.backend, backend.StartRequest{
+		Opaque: x.opaque(), Copies: backend.Copies{Standby: a.copyAt, Held: held},
 		ID: x.req.ID, Attempt: a.place.Attempt, Ref: x.req.Ref,
 		Prompt: x.req.Prompt, MaxTokens: x.req.MaxTokens, Priority: x.req.Priority, Resume: x.started(),
 		ResumeText: string(x.text), ResumeTokens: x.acc.next, Linger: x.linger(),
@@ -33,14 +38,38 @@
 	return x.begin(a, s, "opened")
 }
 
+func (x *run) opaque() *backend.Opaque {
+	if x.req.Opaque == nil {
+		return nil
+	}
+	return x.req.Opaque.Opaque
+}
+
+// keepCopy chooses where the backend server of a keeps a copy of the run.
+//
+// What goes wrong without it: a failure domain's engines crash together, and
+// each of their answers has to read its prompt anew elsewhere. It shows as a
+// pause of a second or more in every answer that ran there, and as prefill
+// that is paid for twice.
+func (x *run) keepCopy(a *attempt) {
+	if x.req.Opaque == nil || !x.req.Opaque.Copies {
+		return
+	}
+	standby, done, ok := x.Picker.Standby(x.ask(), a.backend)
+	if !ok {
+		return
+	}
+	a.copyAt, a.copyDone = standby, done
+}
+
 // begin makes a the attempt that tokens are accepted from.
-func (x *run) begin(a *attempt, s *backend.Stream, ev string) string {
+func (x *run) begin(a *attempt, s Stream, ev string) string {
 	a.stream = s
 	a.seen = true
 	a.place.Incarnation = s.Incarnation()
 	x.last = a
 	x.acc.begin(a.place.Attempt)
-	if err := x.sink.Begin(a.place); err != nil {
+	if err := x.sink.Begin(a.place, s.Head()); err != nil {
 		return x.callerGone(err)
 	}
 	if x.started() {
@@ -52,12 +81,16 @@
 
 func (x *run) notOpened(a *attempt, err error) string {
 	refused, isRefusal := errors.AsType[*backend.Refused](err)
+	if failed, ok := errors.AsType[*backend.FailedAnswer](err); ok {
+		return x.answeredFailure(a, failed)
+	}
 	if !isRefusal && !errors.Is(err, backend.ErrDial) {
 		x.reached = true
 		x.last = a
 		return x.lost(a, err)
 	}
 	a.closeReader()
+	x.sent--
 	if isRefusal && refused.Code == codeAttemptExists {
 		// Another router runs this very request, and the soft pointer to it is
 		// lost. "Refused, so not run" would be untrue.
@@ -81,12 +114,24 @@
 		}
 	}
 	// A started answer goes before the budget: it holds work already paid for.
-	if !x.started() && !x.Budget.Take() {
+	if !x.Budget.Take(x.service()) && !x.started() {
 		return x.giveUp(CodeRetryBudget, err)
 	}
 	return "not-started"
 }
 
+// answeredFailure keeps a backend server's own failure: it is the answer unless
+// another one may try and succeeds.
+func (x *run) answeredFailure(a *attempt, failed *backend.FailedAnswer) string {
+	x.reached = true
+	x.failed = failed
+	x.waitErr = failed
+	x.Watcher.Result(a.backend.ID, nil)
+	x.last = a
+	a.closeReader()
+	return "lost"
+}
+
 // lost closes the reader of an attempt that ended early and notes why.
 func (x *run) lost(a *attempt, err error) string {
 	if x.ctx.Err() != nil {
@@ -135,10 +180,11 @@
 	if x.tries > x.maxTries() {
 		return x.giveUp(CodeEngineLost, errors.Join(ErrNoResume, x.waitErr))
 	}
-	if x.holdsText && !x.callerSlow {
-		x.exclude[x.last.place.Backend] = true
-		x.abandon()
-		return "continue"
+	if x.continues() && (!x.callerSlow || x.req.Opaque != nil) {
+		return x.goOn()
+	}
+	if x.req.Opaque != nil {
+		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
 	x.callerSlow = false
 	// The engine may be back in a moment; a caller waits a few seconds at most.
@@ -154,6 +200,24 @@
 	return "reattach"
 }
 
+// goOn has another backend server continue the answer, at the standby copy of
+// the lost run if there is one. An opaque answer that has not begun is a second
+// try like any other, and draws on the budget.
+func (x *run) goOn() string {
+	x.exclude[x.last.place.Backend] = true
+	if x.last.copyAt.Addr != "" && !x.exclude[x.last.copyAt.ID] {
+		x.prefer = x.last.copyAt.ID
+	}
+	x.abandon()
+	if x.req.Opaque == nil {
+		return "continue"
+	}
+	if !x.Budget.Take(x.service()) && !x.started() {
+		return x.giveUp(CodeRetryBudget, x.waitErr)
+	}
+	return "continue"
+}
+
 func (x *run) maxTries() int {
 	if x.req.NonIdempotent {
 		return maxOnceTries
@@ -197,7 +261,7 @@
 
 // attach bounds the wait for the engine's answer, not the reading after it:
 // a frozen engine accepts connections and says nothing.
-func (x *run) attach(a *attempt) (*backend.Stream, error) {
+func (x *run) attach(a *attempt) (Stream, error) {
 	cancel := a.cancel
 	t := time.AfterFunc(x.opts.AttachTimeout, func() { cancel(ErrEngineLost) })
 	defer t.Stop()
--- a/generation/end.go
+++ b/generation/end.go
@@ -24,6 +24,9 @@
 	if errors.Is(err, ErrCallerGone) {
 		return x.callerGone(err)
 	}
+	if x.failed != nil && !x.started() {
+		return x.passFailure()
+	}
 	switch x.lostState() {
 	case "refused":
 		return x.end("refuse", code, err)
@@ -44,6 +47,21 @@
 	return "failed"
 }
 
+// passFailure delivers a backend server's own failure as the whole answer.
+func (x *run) passFailure() string {
+	x.leave()
+	if err := x.sink.Begin(Place{Attempt: x.number}, &x.failed.Head); err != nil {
+		return x.callerGone(err)
+	}
+	if err := x.sink.Token(x.acc.next, x.failed.Body, finishWhole); err != nil {
+		return x.callerGone(err)
+	}
+	return "failed-answer"
+}
+
+// finishWhole marks the single piece of an answer that comes whole.
+const finishWhole = "whole"
+
 func (x *run) end(ev, code string, err error) string {
 	x.res.Code = code
 	x.res.Err = Error.Wrap(err)
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -207,7 +207,11 @@
 	return fleet.Backend{}, false
 }
 
-func (h *harness) Take() bool { return !h.noBudget }
+func (h *harness) Take(string) bool { return !h.noBudget }
+
+func (h *harness) Standby(Ask, fleet.Backend) (fleet.Backend, func(), bool) {
+	return fleet.Backend{}, nil, false
+}
 
 func (h *harness) Add(a backend.Abandoned) { h.abandoned = append(h.abandoned, a) }
 
@@ -250,7 +254,7 @@
 	flush  func()
 }
 
-func (s *fakeSink) Begin(p Place) error { s.places = append(s.places, p); return nil }
+func (s *fakeSink) Begin(p Place, _ *backend.Head) error { s.places = append(s.places, p); return nil }
 
 func (s *fakeSink) Token(i int, text []byte, _ string) error {
 	if s.failAt > 0 && i == s.failAt {
@@ -272,7 +276,7 @@
 	h.released = 0
 	client := backend.NewClient()
 	defer client.CloseIdle()
-	r, err := New(Deps{Admitter: h, Claims: h, Picker: h, Watcher: h, Engines: client, Abandon: h, Budget: h}, o)
+	r, err := New(Deps{Admitter: h, Claims: h, Picker: h, Watcher: h, Engines: Native{client}, Abandon: h, Budget: h}, o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -89,6 +89,23 @@
 	Deadline      time.Time // zero means none
 	BodyHash      [16]byte
 	Resume        *ResumePoint // nil for a new request
+
+	// Opaque, when set, is passed on unread in place of Ref and Prompt. Its
+	// answer's pieces are delivered as tokens. There is no claim: each such
+	// request has an id of its own and reaches a single router.
+	Opaque *Opaque
+}
+
+// Opaque is what the run of an opaque request goes by.
+type Opaque struct {
+	*backend.Opaque
+	Service     string
+	First       int           // number of the first piece that the caller wants
+	Size        int           // estimated tokens of the prompt
+	Answer      int           // most tokens of the answer
+	MaxAttempts int           // backend servers that it may run on
+	Patience    time.Duration // longest wait for a backend server
+	Copies      bool          // keep a standby copy of the run
 }
 
 // ResumePoint is where an answer begun through another router goes on. Its
@@ -113,7 +130,8 @@
 // Sink takes the answer. An error means that the caller is gone.
 type Sink interface {
 	// Begin is called once for each attempt that delivers, before its tokens.
-	Begin(p Place) error
+	// head is that of the attempt's answer if the request is opaque, else nil.
+	Begin(p Place, head *backend.Head) error
 	// Token takes the token at index; text is valid during the call only.
 	Token(index int, text []byte, finish string) error
 	// Flush is called when no further token is at hand.
@@ -134,6 +152,7 @@
 type Ticket struct {
 	Account  string
 	Model    string
+	Service  string // of an opaque request, instead of Model
 	Priority fleet.Priority
 	Cost     float64 // tokens of prompt (estimated) and answer (at most)
 	Deadline time.Time
@@ -161,6 +180,10 @@
 	Prompt   string
 	Exclude  map[string]bool
 	Resume   bool // a started answer goes ahead of new work
+
+	Service string // of an opaque request, instead of Ref
+	Size    int    // estimated tokens that it holds at a backend server
+	Prefer  string // backend server that holds a copy; it is taken if it can be
 }
 
 // Picker chooses engines. Pick must check at that moment that the engine is
@@ -169,6 +192,8 @@
 	Pick(ctx context.Context, a Ask) (b fleet.Backend, done func(), err error)
 	// Lookup finds a known engine, leaving or not.
 	Lookup(backendID string) (fleet.Backend, bool)
+	// Standby chooses where the run at b keeps a copy; false means nowhere.
+	Standby(a Ask, b fleet.Backend) (standby fleet.Backend, done func(), ok bool)
 }
 
 // Watch follows one stream for the failure detector.
@@ -187,10 +212,44 @@
 	Result(backendID string, err error)
 }
 
-// Engines opens streams; *backend.Client does.
+// Stream is the answer of one attempt; *backend.Stream is one. It belongs to
+// one goroutine, but Close may be called from another.
+type Stream interface {
+	// Next returns the next token, or io.EOF after the end of the answer.
+	Next() (backend.Token, error)
+	// Buffered reports whether another token is at hand.
+	Buffered() bool
+	Incarnation() string
+	// Head is the beginning of an opaque answer, else nil.
+	Head() *backend.Head
+	Close() error
+}
+
+// Engines opens streams.
 type Engines interface {
-	Open(ctx context.Context, b fleet.Backend, r backend.StartRequest) (*backend.Stream, error)
-	Attach(ctx context.Context, b fleet.Backend, id backend.StreamID, from int) (*backend.Stream, error)
+	Open(ctx context.Context, b fleet.Backend, r backend.StartRequest) (Stream, error)
+	Attach(ctx context.Context, b fleet.Backend, id backend.StreamID, from int) (Stream, error)
+}
+
+// Native opens streams of the product's own protocol.
+type Native struct{ Client *backend.Client }
+
+// Open implements Engines.
+func (n Native) Open(ctx context.Context, b fleet.Backend, r backend.StartRequest) (Stream, error) {
+	s, err := n.Client.Open(ctx, b, r)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Attach implements Engines.
+func (n Native) Attach(ctx context.Context, b fleet.Backend, id backend.StreamID, from int) (Stream, error) {
+	s, err := n.Client.Attach(ctx, b, id, from)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 // Abandoner cancels attempts that nobody reads; *backend.Canceller does.
@@ -200,5 +259,6 @@
 
 // RetryBudget limits retries to a share of first tries.
 type RetryBudget interface {
-	Take() bool
+	// Take draws one retry for a request to service; empty for model engines.
+	Take(service string) bool
 }
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/backend"
 	"wigeondale/chart"
 	"wigeondale/event"
 	"wigeondale/fleet"
@@ -167,10 +168,13 @@
 	claimedAs string // attempt name of the claim; empty without one
 	reached   bool   // a byte may have reached an engine that hasn't refused
 
-	backend    fleet.Backend // picked or held
-	done       func()        // ends the in-flight count at backend
-	last       *attempt      // attempt to read, re-attach to or cancel
-	number     int           // of the latest attempt
+	prefer     string                // backend server that holds a copy of the lost run
+	sent       int                   // attempts that may have run
+	failed     *backend.FailedAnswer // the latest, delivered if nothing better comes
+	backend    fleet.Backend         // picked or held
+	done       func()                // ends the in-flight count at backend
+	last       *attempt              // attempt to read, re-attach to or cancel
+	number     int                   // of the latest attempt
 	exclude    map[string]bool
 	delay      time.Duration // asked for by the state before wait
 	waitErr    error
@@ -187,6 +191,10 @@
 func newRun(r *Runner, ctx context.Context, req Request, sink Sink) *run {
 	x := &run{Runner: r, ctx: ctx, req: req, sink: sink, exclude: map[string]bool{}, lastToken: time.Now()}
 	x.holdsText = !req.NonIdempotent
+	if req.Opaque != nil {
+		x.acc.next = req.Opaque.First
+		x.holdsText = false
+	}
 	if p := req.Resume; p != nil {
 		x.reached = true
 		x.acc.next = p.Offset
@@ -202,7 +210,28 @@
 	return x
 }
 
-func (x *run) started() bool { return x.acc.next > 0 }
+func (x *run) started() bool {
+	if o := x.req.Opaque; o != nil {
+		return x.acc.next > o.First
+	}
+	return x.acc.next > 0
+}
+
+// continues tells that another backend server may go on with the answer.
+func (x *run) continues() bool {
+	if x.req.Opaque != nil {
+		return !x.req.NonIdempotent
+	}
+	return x.holdsText
+}
+
+// service is that of an opaque request, else empty.
+func (x *run) service() string {
+	if x.req.Opaque == nil {
+		return ""
+	}
+	return x.req.Opaque.Service
+}
 
 // meterText accounts for the memory of the accepted text.
 func (x *run) meterText() {
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -24,8 +24,9 @@
 	release, err := x.Admitter.Admit(x.ctx, Ticket{
 		Account:  x.req.Account,
 		Model:    x.req.Ref.Model,
+		Service:  x.service(),
 		Priority: x.req.Priority,
-		Cost:     float64(len(x.req.Prompt)/bytesPerToken + x.req.MaxTokens - x.acc.next),
+		Cost:     x.cost(),
 		Deadline: x.req.Deadline,
 		Resume:   x.req.Resume != nil,
 	})
@@ -36,12 +37,20 @@
 	switch {
 	case x.req.Resume != nil:
 		return "handed-over"
-	case x.req.NonIdempotent:
+	case x.req.NonIdempotent && x.req.Opaque == nil:
 		return "admitted-once"
 	}
 	return "admitted"
 }
 
+// cost is the work of the request in tokens.
+func (x *run) cost() float64 {
+	if o := x.req.Opaque; o != nil {
+		return float64(o.Size + o.Answer)
+	}
+	return float64(len(x.req.Prompt)/bytesPerToken + x.req.MaxTokens - x.acc.next)
+}
+
 // claim makes this run the only one that may dispatch the request. A claim
 // whose fate isn't known is voided: it was not used, and the void is harmless
 // when another run holds the key.
@@ -63,10 +72,10 @@
 	if x.over() {
 		return x.giveUp(CodeDeadline, x.cause())
 	}
-	b, done, err := x.Picker.Pick(x.ctx, Ask{
-		Request: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
-		Exclude: x.exclude, Resume: x.started(),
-	})
+	if o := x.req.Opaque; o != nil && x.sent >= o.MaxAttempts {
+		return x.giveUp(CodeEngineLost, x.waitErr)
+	}
+	b, done, err := x.Picker.Pick(x.ctx, x.ask())
 	if err == nil {
 		x.backend, x.done = b, done
 		return "picked"
@@ -86,6 +95,17 @@
 	return "none"
 }
 
+func (x *run) ask() Ask {
+	a := Ask{
+		Request: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
+		Exclude: x.exclude, Resume: x.started(), Prefer: x.prefer,
+	}
+	if o := x.req.Opaque; o != nil {
+		a.Service, a.Size = o.Service, o.Size+o.Answer
+	}
+	return a
+}
+
 // wait passes the time until the next pick, within the caller's deadline and
 // the patience. What can't come within them is answered at once.
 func (x *run) wait() string {
@@ -109,6 +129,9 @@
 
 func (x *run) patienceLeft() time.Duration {
 	patience := x.opts.Patience
+	if o := x.req.Opaque; o != nil {
+		patience = o.Patience
+	}
 	if x.started() {
 		patience = x.opts.StartedPatience
 	}
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -91,7 +91,7 @@
 // alone doesn't make an answer whole: an engine that ended the attempt itself
 // sends it too.
 func (x *run) streamEnded(a *attempt, err error) string {
-	if errors.Is(err, io.EOF) && x.acc.next >= x.req.MaxTokens {
+	if errors.Is(err, io.EOF) && (x.req.Opaque != nil || x.acc.next >= x.req.MaxTokens) {
 		x.leave()
 		return "done"
 	}
--- /dev/null
+++ b/hosted/hosted.go
@@ -0,0 +1,204 @@
+// Package hosted wires one wigeond on the users' platform: routes, accounts and
+// replicas come from the platform's store, requests are passed on unread, and
+// nothing lasts on the machine. Decisions live in the other packages; package
+// platform translates.
+//
+// The parts of the product's own interface (claims, plans, orders, cursors) are
+// not built here, so they cost nothing.
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"github.com/zeebo/errs"
+
+	"wigeondale/directory"
+	"wigeondale/event"
+	"wigeondale/generation"
+	"wigeondale/health"
+	"wigeondale/listen"
+	"wigeondale/mirror"
+	"wigeondale/platform"
+	"wigeondale/relay"
+	"wigeondale/route"
+	"wigeondale/routing"
+	"wigeondale/settings"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("hosted")
+
+// node is one wigeond on the platform.
+type node struct {
+	set   *settings.Settings
+	log   *event.Log
+	meter *metrics.Set
+
+	leaving atomic.Bool
+	table   *route.Current
+	dir     *directory.Directory
+	mon     *health.Monitor
+	view    *view
+	mirror  *mirror.Mirror
+
+	front, ready, stats *listen.Server
+}
+
+// Run serves until a signal has ended the process gracefully.
+func Run(set *settings.Settings, log *event.Log) error {
+	n, err := newNode(set, log)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(n.run())
+}
+
+func newNode(set *settings.Settings, log *event.Log) (*node, error) {
+	n := &node{
+		set:   set,
+		log:   log,
+		meter: metrics.NewSet(),
+		table: &route.Current{},
+		dir:   directory.New(log),
+	}
+	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
+	n.view = newView(n.table, n.dir, n.mon, log)
+	n.mirror = mirror.New(platform.NewStore(set.Hosted.StoreAddress), n.view, mirror.Config{Log: log, Set: n.meter})
+	relay, err := n.newRelay()
+	if err != nil {
+		return nil, err
+	}
+	return n, n.listen(relay)
+}
+
+func (n *node) newRelay() (*relay.Relay, error) {
+	pick, err := newPicker(n.dir, n.mon, n.set.Node.FailureDomain, n.log)
+	if err != nil {
+		return nil, err
+	}
+	budgets := newBudgets(n.set.Hosted)
+	replicas := platform.NewReplicas()
+	replicas.OnLoad = n.view.load
+	runner, err := generation.New(generation.Deps{
+		Admitter: openDoor{},
+		Picker:   pick,
+		Watcher:  watcher{Monitor: n.mon, dir: n.dir},
+		Engines:  replicas,
+		Budget:   budgets,
+	}, generation.Options{
+		Node:            n.set.Node.ID,
+		StartedPatience: startedPatience,
+		RetryAfter:      refusedRetry,
+		MaxFruitless:    maxFruitless,
+		Rand:            rand.Float64,
+		Log:             n.log,
+		Metrics:         n.meter,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return relay.New(relay.Config{
+		Table: n.table, Runner: runner, Budgets: budgets, Log: n.log, Set: n.meter,
+	}), nil
+}
+
+func (n *node) listen(r *relay.Relay) error {
+	open := func(addr string, h http.Handler) (*listen.Server, error) {
+		return listen.New(listen.Config{
+			Listener:    settings.Listener{Address: addr},
+			HeaderBytes: n.set.Limits.HeaderBytes,
+		}, h)
+	}
+	var err error
+	if n.front, err = open(n.set.Hosted.FrontAddress, &platform.Front{Relay: r, Table: n.table}); err != nil {
+		return err
+	}
+	if n.ready, err = open(n.set.Hosted.ReadinessAddress, platform.Readiness{Ready: n.readiness}); err != nil {
+		return err
+	}
+	n.stats, err = open(n.set.Hosted.MetricsAddress, http.HandlerFunc(n.serveMetrics))
+	return err
+}
+
+func (n *node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	n.meter.WritePrometheus(w)
+}
+
+// readiness says why this node takes no new connections.
+func (n *node) readiness() error {
+	switch {
+	case n.leaving.Load():
+		return Error.New("shutting down")
+	case n.table.Get() == nil:
+		return Error.New("no configuration is known yet")
+	case len(n.dir.IDs()) == 0:
+		return Error.New("no backend server is known yet")
+	}
+	return nil
+}
+
+func (n *node) run() error {
+	var g run.Group
+	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run} {
+		ctx, cancel := context.WithCancel(context.Background())
+		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
+	}
+	for _, l := range []*listen.Server{n.front, n.ready, n.stats} {
+		g.Add(listen.Actor(l))
+	}
+	stop := make(chan struct{})
+	g.Add(func() error { return n.untilSignal(stop) }, func(error) { close(stop) })
+	n.log.Emit(event.Started, "front", n.front.Addr(), "ready", n.ready.Addr(), "store", n.set.Hosted.StoreAddress)
+	return g.Run()
+}
+
+// untilSignal waits for the signal to end and then for the end of all requests.
+func (n *node) untilSignal(stop <-chan struct{}) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				n.reload()
+				continue
+			}
+		case <-stop:
+			return nil
+		}
+		break
+	}
+	n.log.Emit(event.ShutdownBegun)
+	n.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.grace())
+	defer cancel()
+	return n.front.Shutdown(ctx, millis(n.set.Shutdown.BalancerNoticeMS))
+}
+
+// grace is how long open requests may take after a signal to end: the platform
+// kills the process a little later.
+func (n *node) grace() time.Duration {
+	return millis(n.set.Hosted.GraceMS) - killMargin
+}
+
+// reload reads the settings again. All of them take effect at a start only; the
+// line tells an operator that the file was seen and whether it is valid.
+func (n *node) reload() {
+	_, err := settings.Load(n.set.Path())
+	n.log.Emit(event.Reloaded, "valid", err == nil, "err", err, "effect", "at the next start")
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func newRouter(steps []routing.StepConfig) (*routing.Router, error) {
+	return routing.New(steps, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
--- /dev/null
+++ b/hosted/policy.go
@@ -0,0 +1,249 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"wigeondale/admission"
+	"wigeondale/backend"
+	"wigeondale/directory"
+	"wigeondale/event"
+	"wigeondale/fleet"
+	"wigeondale/generation"
+	"wigeondale/health"
+	"wigeondale/platform"
+	"wigeondale/routing"
+	"wigeondale/settings"
+)
+
+const (
+	// startedPatience is how long an answer that has begun waits for a replica
+	// to go on at. Clients leave after a gap of 5.6 s or more.
+	startedPatience = 5 * time.Second
+	// refusedRetry is told with a refusal when nothing better is known: half
+	// of the time in which crashed replicas were seen to come back.
+	refusedRetry = 600 * time.Millisecond
+	// maxFruitless bounds attempts in a row without a piece.
+	maxFruitless = 8
+	// killMargin is how long before the platform's kill the process ends.
+	killMargin = 300 * time.Millisecond
+	// pickTries bounds picks repeated because the choice was just taken away.
+	pickTries = 4
+	// standbyCost is what keeping a copy costs a replica, against running it.
+	// It takes as much memory, and a part of the work.
+	standbyCost = 0.5
+	// tokensOfOne is the size of an ordinary request in tokens.
+	tokensOfOne = 6000
+)
+
+// policyOf fits the failure detector to replicas that crash by failure domain
+// every few seconds, and to clients for whom a pause of 700 ms is late.
+func policyOf(h *settings.Hosted) health.Policy {
+	p := health.DefaultPolicy()
+	p.FailuresPerHour = h.FailuresPerHour
+	p.MinSilence = millis(h.MinSilenceMS)
+	p.MaxSilence = millis(h.MaxSilenceMS)
+	p.MassSilence = millis(h.MaxSilenceMS)
+	p.PrefillBytesPerSecond = h.PrefillTokensPerSecond * bytesPerToken
+	p.MinPrefill = millis(h.MinPrefillMS)
+	p.PrefillFactor = 1.5
+	p.QueueFactor = 3
+	p.TypicalGap = 60 * time.Millisecond
+	p.Tick = 10 * time.Millisecond
+	return p
+}
+
+// bytesPerToken is the size by which package generation states prompts.
+const bytesPerToken = 4
+
+// openDoor admits all requests: the platform sets no limits of accounts.
+type openDoor struct{}
+
+func (openDoor) Admit(context.Context, generation.Ticket) (func(), error) { return nil, nil }
+
+// budgets hold one retry budget for each service. The platform's bound is a
+// share of the requests for a service, summed over all nodes.
+type budgets struct {
+	share, burst float64
+
+	mu    sync.Mutex
+	known map[string]*admission.RetryBudget
+}
+
+func newBudgets(h *settings.Hosted) *budgets {
+	return &budgets{share: h.RetryShare, burst: h.RetryBurst, known: map[string]*admission.RetryBudget{}}
+}
+
+func (b *budgets) of(service string) *admission.RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	one := b.known[service]
+	if one == nil {
+		one = admission.NewRetryBudget(b.share, b.burst)
+		b.known[service] = one
+	}
+	return one
+}
+
+// First implements relay.Budgets.
+func (b *budgets) First(service string) { b.of(service).First() }
+
+// Take implements generation.RetryBudget.
+func (b *budgets) Take(service string) bool { return b.of(service).Take() }
+
+// watcher reports how attempts begin to the failure detector.
+type watcher struct {
+	*health.Monitor
+	dir *directory.Directory
+}
+
+// Watch implements generation.Watcher.
+func (w watcher) Watch(id string, promptBytes int, cancel context.CancelCauseFunc) generation.Watch {
+	return w.Monitor.Watch(id, promptBytes, cancel)
+}
+
+// Result implements generation.Watcher. A refusal shows that the replica
+// lives, unless another one has its address.
+func (w watcher) Result(id string, err error) {
+	refused, ok := errors.AsType[*backend.Refused](err)
+	if !ok {
+		w.Monitor.Result(id, err)
+		return
+	}
+	if refused.Code == platform.CodeElsewhere {
+		w.dir.MarkLeaving(id, "", directory.FromRefusal)
+		return
+	}
+	w.Monitor.Result(id, nil)
+}
+
+// picker chooses replicas and standbys.
+type picker struct {
+	dir     *directory.Directory
+	mon     *health.Monitor
+	work    *routing.Router
+	standby *routing.Router
+	domain  string
+	log     *event.Log
+}
+
+func newPicker(dir *directory.Directory, mon *health.Monitor, domain string, log *event.Log) (*picker, error) {
+	work, err := newRouter(workSteps)
+	if err != nil {
+		return nil, err
+	}
+	standby, err := newRouter(standbySteps)
+	if err != nil {
+		return nil, err
+	}
+	return &picker{dir: dir, mon: mon, work: work, standby: standby, domain: domain, log: log}, nil
+}
+
+var (
+	workSteps = []routing.StepConfig{
+		{Name: routing.FilterServes},
+		{Name: routing.FilterLeaving},
+		{Name: routing.FilterExclude},
+		{Name: routing.FilterUsable},
+		{Name: routing.ScoreLoad, Weight: 1},
+		{Name: routing.ScoreDomain, Weight: 0.02},
+		{Name: routing.PickTwoChoices},
+	}
+	standbySteps = []routing.StepConfig{
+		{Name: routing.FilterServes},
+		{Name: routing.FilterLeaving},
+		{Name: routing.FilterExclude},
+		{Name: routing.FilterOtherDomain},
+		{Name: routing.FilterUsable},
+		{Name: routing.ScoreLoad, Weight: 1},
+		{Name: routing.PickTwoChoices},
+	}
+)
+
+// Lookup implements generation.Picker.
+func (p *picker) Lookup(id string) (fleet.Backend, bool) { return p.dir.Backend(id) }
+
+// Pick implements generation.Picker. Whether a replica is leaving is looked up
+// once more at the moment of sending.
+func (p *picker) Pick(_ context.Context, a generation.Ask) (fleet.Backend, func(), error) {
+	if b, done, ok := p.preferred(a); ok {
+		return b, done, nil
+	}
+	ask := p.ask(a)
+	for range pickTries {
+		ask.Now = time.Now()
+		c, _, err := p.work.Pick(p.dir.Service(a.Service), ask)
+		if err != nil {
+			return fleet.Backend{}, nil, noReplica(err)
+		}
+		if !p.dir.Leaving(c.Backend.ID) && p.mon.Allow(c.Backend.ID) {
+			return c.Backend, p.dir.Start(c.Backend.ID, cost(a.Size)), nil
+		}
+		ask.Exclude = with(ask.Exclude, c.Backend.ID)
+	}
+	return fleet.Backend{}, nil, &generation.Unavailable{Retryable: true, RetryAfter: waitForReplica}
+}
+
+// waitForReplica is how long a request waits before it looks again whether a
+// replica has come up.
+const waitForReplica = 50 * time.Millisecond
+
+// preferred is the replica that holds a copy of the run, if it takes work.
+func (p *picker) preferred(a generation.Ask) (fleet.Backend, func(), bool) {
+	if a.Prefer == "" || a.Exclude[a.Prefer] || p.dir.Leaving(a.Prefer) {
+		return fleet.Backend{}, nil, false
+	}
+	b, ok := p.dir.Backend(a.Prefer)
+	if !ok || p.mon.State(a.Prefer) != health.Healthy {
+		return fleet.Backend{}, nil, false
+	}
+	return b, p.dir.Start(b.ID, cost(a.Size)), true
+}
+
+// Standby implements generation.Picker: a replica of another failure domain
+// than b, so that the loss of one domain doesn't take the run and its copy.
+func (p *picker) Standby(a generation.Ask, b fleet.Backend) (fleet.Backend, func(), bool) {
+	ask := p.ask(a)
+	ask.Now = time.Now()
+	ask.Exclude = with(a.Exclude, b.ID)
+	ask.OtherDomain = b.FailureDomain
+	c, _, err := p.standby.Pick(p.dir.Service(a.Service), ask)
+	if err != nil {
+		return fleet.Backend{}, nil, false
+	}
+	return c.Backend, p.dir.Start(c.Backend.ID, standbyCost*cost(a.Size)), true
+}
+
+func (p *picker) ask(a generation.Ask) routing.Ask {
+	return routing.Ask{
+		Priority:      a.Priority,
+		Exclude:       a.Exclude,
+		FailureDomain: p.domain,
+		Resume:        a.Resume,
+		FleetKnown:    true,
+		Usable:        p.mon.Usable,
+	}
+}
+
+// cost is the load of a request in units of an ordinary one.
+func cost(tokens int) float64 {
+	if tokens <= 0 {
+		return 1
+	}
+	return float64(tokens) / tokensOfOne
+}
+
+func with(set map[string]bool, id string) map[string]bool {
+	out := make(map[string]bool, len(set)+1)
+	for k, v := range set {
+		out[k] = v
+	}
+	out[id] = true
+	return out
+}
+
+func noReplica(err error) error {
+	return &generation.Unavailable{Retryable: true, RetryAfter: waitForReplica, Err: err}
+}
--- /dev/null
+++ b/hosted/view.go
@@ -0,0 +1,125 @@
+package hosted
+
+import (
+	"time"
+
+	"wigeondale/directory"
+	"wigeondale/event"
+	"wigeondale/fleet"
+	"wigeondale/health"
+	"wigeondale/infra"
+	"wigeondale/platform"
+	"wigeondale/route"
+)
+
+// view turns the items of the store into the table in force and the directory
+// of replicas. It implements mirror.Receiver; its calls come from one goroutine.
+type view struct {
+	table *route.Current
+	dir   *directory.Directory
+	mon   *health.Monitor
+	log   *event.Log
+
+	replicas map[string]fleet.Backend // by id
+	changed  bool
+}
+
+func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, log *event.Log) *view {
+	return &view{table: table, dir: dir, mon: mon, log: log, replicas: map[string]fleet.Backend{}}
+}
+
+// Put implements mirror.Receiver.
+func (v *view) Put(item infra.Value) {
+	if platform.IsConfig(item.Key) {
+		v.putConfig(item)
+		return
+	}
+	if id, ok := platform.ReplicaID(item.Key); ok {
+		v.putReplica(id, item)
+	}
+}
+
+func (v *view) putConfig(item infra.Value) {
+	cfg, err := platform.DecodeConfig(item.Data)
+	if err != nil {
+		v.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
+		return
+	}
+	if v.table.Install(route.NewTable(cfg)) {
+		v.log.Emit(event.TableInForce, "version", cfg.Version, "revision", item.ModRev,
+			"routes", len(cfg.Routes), "accounts", len(cfg.Accounts))
+	}
+}
+
+func (v *view) putReplica(id string, item infra.Value) {
+	b, err := platform.DecodeReplica(id, item.Data)
+	if err != nil {
+		v.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
+		return
+	}
+	old, known := v.replicas[id]
+	v.replicas[id] = b
+	v.changed = true
+	switch {
+	case b.Leaving && !old.Leaving:
+		v.leave(id, "it announced it", item.ModRev)
+	case !known:
+		v.log.Emit(event.ReplicaKnown, "backend", id, "service", b.Service, "domain", b.FailureDomain, "addr", b.Addr)
+		v.succeed(b, item.ModRev)
+	}
+}
+
+// succeed marks those as gone whose address a new replica has taken.
+func (v *view) succeed(b fleet.Backend, revision int64) {
+	for id, old := range v.replicas {
+		if id != b.ID && old.Addr == b.Addr {
+			v.leave(id, "its address is another replica's", revision)
+		}
+	}
+}
+
+// Gone implements mirror.Receiver.
+func (v *view) Gone(key string) {
+	id, ok := platform.ReplicaID(key)
+	if !ok {
+		return
+	}
+	v.leave(id, "its entry is gone", 0)
+	delete(v.replicas, id)
+	v.mon.Forget(id)
+	v.changed = true
+}
+
+// leave takes effect at once, not with the next Settled.
+func (v *view) leave(id, reason string, revision int64) {
+	if v.dir.Leaving(id) {
+		if _, known := v.dir.Backend(id); known {
+			return
+		}
+	}
+	v.log.Emit(event.ReplicaLeaving, "backend", id, "reason", reason, "revision", revision)
+	v.dir.MarkLeaving(id, "", directory.FromVMList)
+}
+
+// Settled implements mirror.Receiver.
+func (v *view) Settled() {
+	if !v.changed {
+		return
+	}
+	v.changed = false
+	list := make([]fleet.Backend, 0, len(v.replicas))
+	for _, b := range v.replicas {
+		list = append(list, b)
+	}
+	v.dir.Update(list, time.Now())
+}
+
+// load takes in what a replica said of its load with an answer.
+func (v *view) load(id string, l platform.Load) {
+	now := time.Now()
+	v.dir.Report(id, fleet.LoadReport{
+		AsOfUnixMS: now.UnixMilli(),
+		Running:    l.Running,
+		Waiting:    l.Waiting,
+	}, now)
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,234 @@
+// Package relay passes requests with an opaque body to the service of their
+// route, and gives each its one final, true answer.
+//
+// Failure stories. A router that does not know its configuration yet, or knows
+// an old one, must not say that a route or a key doesn't exist: it refuses with
+// the time to come back. A refusal says that nothing ran; it is given at once,
+// and only while that is true (package generation decides it). A request that
+// ran and whose answer is lost gets an answer that promises nothing. At the
+// route's timeout the final answer is given, whatever is under way.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeebo/errs"
+
+	"wigeondale/backend"
+	"wigeondale/clock"
+	"wigeondale/event"
+	"wigeondale/fleet"
+	"wigeondale/generation"
+	"wigeondale/route"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("relay")
+
+// Request is one request as a client sent it.
+type Request struct {
+	ID     string // as the client chose it
+	Method string
+	Target string // request target, unchanged
+	Path   string // of the target, unchanged
+	Host   string
+	Header http.Header // end-to-end headers
+	Body   []byte
+	Key    string        // API key, if any
+	Budget time.Duration // how long the client waits; 0 when it did not say
+	// First is the number of the first piece that the client wants of a stream.
+	First  int
+	Size   int // tokens of the prompt, 0 when not stated
+	Answer int // most tokens of the answer, 0 when not stated
+}
+
+// Verdict is how a request ended.
+type Verdict struct {
+	// Status of the answer that the client still has to be given; 0 when the
+	// backend server's answer was delivered.
+	Status     int
+	RetryAfter time.Duration // with a refusal
+	// Broken tells that an answer has begun and can't be completed: the
+	// connection must end so that the answer does not look whole.
+	Broken bool
+}
+
+// Runner carries one request over as many backend servers as it takes.
+type Runner interface {
+	Run(ctx context.Context, req generation.Request, sink generation.Sink) generation.Result
+}
+
+// Budgets count first tries, of which a share may be tried again.
+type Budgets interface {
+	First(service string)
+}
+
+// Config of a Relay.
+type Config struct {
+	Table   *route.Current
+	Runner  Runner
+	Budgets Budgets
+	Log     *event.Log
+	Set     *metrics.Set
+}
+
+// Relay serves requests. It may be shared by goroutines.
+type Relay struct {
+	cfg Config
+	m   *meters
+}
+
+// New returns a Relay.
+func New(cfg Config) *Relay {
+	if cfg.Set == nil {
+		cfg.Set = metrics.NewSet()
+	}
+	return &Relay{cfg: cfg, m: newMeters(cfg.Set)}
+}
+
+const (
+	// unknownRetry is told while no configuration is known: reading it takes
+	// some tens of milliseconds once the store answers.
+	unknownRetry = 500 * time.Millisecond
+	// retryShare is the largest part of a client's remaining time that it is
+	// told to wait: later it could not be served any more.
+	retryShare = 3
+)
+
+// Serve carries req to its end. It delivers to sink from the calling goroutine;
+// ctx ends when the client is gone.
+func (r *Relay) Serve(ctx context.Context, req *Request, sink generation.Sink) Verdict {
+	began := time.Now()
+	table := r.cfg.Table.Get()
+	if table == nil {
+		return r.refuse(req, nil, http.StatusServiceUnavailable, "no configuration yet", unknownRetry)
+	}
+	rt, ok := table.Match(req.Host, req.Path)
+	if !ok {
+		return r.refuse(req, table, http.StatusNotFound, "no route", 0)
+	}
+	account, known := table.Account(req.Key)
+	if !known && !rt.Open && !table.Keyless {
+		return r.refuse(req, table, http.StatusUnauthorized, "unknown key", 0)
+	}
+	j := newJob(req, rt, account, table)
+	r.cfg.Budgets.First(j.service)
+	res := r.cfg.Runner.Run(ctx, j.generation(), sink)
+	v := j.verdict(res)
+	r.ended(j, res, v, time.Since(began))
+	return v
+}
+
+// job is one request with all that was decided about it at its begin.
+type job struct {
+	req      *Request
+	route    *route.Route
+	service  string
+	engine   route.Service
+	account  string
+	priority int
+	version  int64
+	timeout  time.Duration
+	deadline clock.Deadline
+}
+
+func newJob(req *Request, rt *route.Route, account *route.Account, table *route.Table) *job {
+	j := &job{
+		req:      req,
+		route:    rt,
+		service:  rt.Pick(rand.Uint64()),
+		priority: rt.Priority,
+		version:  table.Version,
+		timeout:  timeoutOf(req, rt),
+	}
+	j.engine = table.Service(j.service)
+	if account != nil {
+		j.account = account.Name
+		if account.HasPriority {
+			j.priority = account.Priority
+		}
+	}
+	if j.timeout > 0 {
+		j.deadline = clock.In(j.timeout)
+	}
+	return j
+}
+
+// timeoutOf is the shorter of what the client waits and what the route allows.
+func timeoutOf(req *Request, rt *route.Route) time.Duration {
+	switch {
+	case req.Budget <= 0:
+		return rt.Timeout
+	case rt.Timeout <= 0:
+		return req.Budget
+	}
+	return min(req.Budget, rt.Timeout)
+}
+
+// patience is how long a request waits for a backend server to come up. Half
+// of the time until its answer is late: the rest is needed for its work.
+func (j *job) patience() time.Duration { return j.route.Target / 2 }
+
+func (j *job) generation() generation.Request {
+	req := generation.Request{
+		ID:            j.req.ID,
+		Account:       j.account,
+		Priority:      fleet.Batch,
+		NonIdempotent: !j.route.Replayable(),
+		Opaque: &generation.Opaque{
+			Opaque: &backend.Opaque{
+				Method:     j.req.Method,
+				Target:     j.req.Target,
+				Host:       j.req.Host,
+				Header:     j.req.Header,
+				Body:       j.req.Body,
+				Account:    j.account,
+				Streaming:  j.route.Kind == route.Stream,
+				Deadline:   j.deadline,
+				Replayable: j.route.Replayable(),
+			},
+			Service:     j.service,
+			First:       j.req.First,
+			Size:        j.req.Size,
+			Answer:      j.req.Answer,
+			MaxAttempts: max(j.route.MaxAttempts, 1),
+			Patience:    j.patience(),
+			Copies:      j.engine.Standby && j.route.Kind == route.Stream && j.route.Resumable,
+		},
+	}
+	if j.route.Kind != route.Stream {
+		req.Priority = fleet.Interactive
+	}
+	if j.timeout > 0 {
+		req.Deadline = time.Now().Add(j.timeout)
+	}
+	return req
+}
+
+// verdict turns the outcome into what the client is still to be told.
+func (j *job) verdict(res generation.Result) Verdict {
+	switch {
+	case res.Outcome == fleet.Complete:
+		return Verdict{}
+	case res.Tokens > 0:
+		return Verdict{Broken: true}
+	case res.Outcome == fleet.NotRun:
+		return Verdict{Status: http.StatusServiceUnavailable, RetryAfter: j.retryAfter(res.RetryAfter)}
+	case j.deadline.Passed():
+		return Verdict{Status: http.StatusGatewayTimeout}
+	}
+	return Verdict{Status: http.StatusBadGateway}
+}
+
+// retryAfter keeps the advice within what is left to the client.
+func (j *job) retryAfter(advice time.Duration) time.Duration {
+	if j.req.Budget <= 0 {
+		return advice
+	}
+	left := j.deadline.Left() + j.req.Budget - j.timeout
+	return max(min(advice, left/retryShare), 0)
+}
--- /dev/null
+++ b/relay/report.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"wigeondale/event"
+	"wigeondale/generation"
+	"wigeondale/route"
+)
+
+type meters struct {
+	set *metrics.Set
+}
+
+func newMeters(set *metrics.Set) *meters { return &meters{set: set} }
+
+func (m *meters) ended(kind, result string, took time.Duration) {
+	m.set.GetOrCreateCounter(`wigeon_relayed_total{kind="` + kind + `",result="` + result + `"}`).Inc()
+	m.set.GetOrCreateHistogram(`wigeon_relay_seconds{kind="` + kind + `"}`).Update(took.Seconds())
+}
+
+// refuse answers a request that reaches no backend server.
+func (r *Relay) refuse(req *Request, table *route.Table, status int, reason string, retry time.Duration) Verdict {
+	version := int64(0)
+	if table != nil {
+		version = table.Version
+	}
+	r.m.set.GetOrCreateCounter(`wigeon_relay_refused_total{status="` + strconv.Itoa(status) + `"}`).Inc()
+	r.cfg.Log.Emit(event.RelayRefused, "request", req.ID, "status", status, "reason", reason,
+		"host", req.Host, "path", req.Path, "version", version)
+	if status == http.StatusServiceUnavailable && req.Budget > 0 {
+		retry = min(retry, req.Budget/retryShare)
+	}
+	return Verdict{Status: status, RetryAfter: retry}
+}
+
+// ended tells how a request went that was passed on.
+func (r *Relay) ended(j *job, res generation.Result, v Verdict, took time.Duration) {
+	r.m.ended(j.route.Kind.String(), string(res.Outcome), took)
+	kv := []any{
+		"request", j.req.ID, "route", j.route.Name, "service", j.service, "account", j.account,
+		"version", j.version, "outcome", string(res.Outcome), "pieces", res.Tokens, "resumes", res.Resumes,
+		"took_ms", took.Milliseconds(),
+	}
+	if res.Code != "" {
+		kv = append(kv, "code", res.Code, "status", v.Status, "retry_after_ms", v.RetryAfter.Milliseconds(), "err", res.Err)
+	}
+	r.cfg.Log.Emit(event.RelayEnded, kv...)
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,191 @@
+// Package route holds the routes, services and client accounts of one version
+// of the configuration, and finds the route and the account of a request.
+//
+// Failure story: a request is handled by an older version than one whose effect
+// has already been seen. It shows as an access that was taken away and works
+// again, or as an answer of a service from which a route was moved. A Table is
+// therefore immutable, a request uses one Table from its begin to its end, and
+// Current only ever moves to a higher version.
+package route
+
+import (
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("route")
+
+// Kind says what may be repeated.
+type Kind uint8
+
+// The kinds of a route.
+const (
+	// Once is a request that may run at most once.
+	Once Kind = iota
+	// Repeatable is a request that may run more than once.
+	Repeatable
+	// Stream is answered by numbered pieces.
+	Stream
+)
+
+// String names the kind in logs.
+func (k Kind) String() string {
+	switch k {
+	case Repeatable:
+		return "repeatable"
+	case Stream:
+		return "stream"
+	}
+	return "once"
+}
+
+// Share is one service of a split route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says how the requests of one host and path prefix are handled.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Service     string // when Split is empty
+	Split       []Share
+	Kind        Kind
+	Resumable   bool          // a stream may go on at another replica
+	Timeout     time.Duration // a request has its final answer by then; 0 is none
+	Target      time.Duration // an answer, or a stream's first piece, is on time until then
+	Gap         time.Duration // longest pause between the pieces of a stream on time
+	MaxAttempts int
+	Priority    int  // 0 is the highest
+	Open        bool // no key is needed
+}
+
+// Replayable tells that more than one backend server may run a request.
+func (r *Route) Replayable() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Pick chooses the service of one request; n is a random number.
+func (r *Route) Pick(n uint64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Service
+	}
+	at := int(n % uint64(total))
+	for _, s := range r.Split {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Service
+}
+
+// Service is what the configuration says of the replicas of one service.
+type Service struct {
+	Name string
+	// StateTokens is how many tokens of prompts and answers a replica holds; 0
+	// for services that aren't model engines.
+	StateTokens int
+	// Standby tells that a replica can keep copies of other replicas' runs.
+	Standby bool
+}
+
+// Account is a client account with its keys.
+type Account struct {
+	Name string
+	Keys []string
+	// Priority goes before that of the route, if HasPriority.
+	Priority    int
+	HasPriority bool
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	BodyBytes int64
+}
+
+// Config is one version of the configuration, as it was written.
+type Config struct {
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	// Keyless tells that the configuration knows no accounts: no request needs
+	// a key.
+	Keyless bool
+	Limits  Limits
+}
+
+// Table finds routes and accounts of one version. It is immutable.
+type Table struct {
+	Version  int64
+	Keyless  bool
+	Limits   Limits
+	hosts    map[string][]*Route
+	services map[string]Service
+	keys     map[string]*Account
+}
+
+// NewTable prepares one version for look-ups.
+func NewTable(c *Config) *Table {
+	t := &Table{
+		Version:  c.Version,
+		Keyless:  c.Keyless,
+		Limits:   c.Limits,
+		hosts:    map[string][]*Route{},
+		services: map[string]Service{},
+		keys:     map[string]*Account{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, s := range c.Services {
+		t.services[s.Name] = s
+	}
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
+		for _, key := range a.Keys {
+			t.keys[key] = a
+		}
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	var best *Route
+	for _, r := range t.hosts[hostOf(host)] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best, best != nil
+}
+
+// hostOf strips the port and the case of a Host header.
+func hostOf(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Account returns the client account that holds the key.
+func (t *Table) Account(key string) (*Account, bool) {
+	a, ok := t.keys[key]
+	return a, ok && key != ""
+}
+
+// Service returns a service by its name; the zero value when it isn't known.
+func (t *Table) Service(name string) Service { return t.services[name] }
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -38,6 +38,8 @@
 	FilterUsable  = "usable"
 	FilterExclude = "exclude"
 	FilterRole    = "role"
+	// FilterOtherDomain keeps a copy apart from what it is a copy of.
+	FilterOtherDomain = "other-domain"
 )
 
 // roleDecode takes no prompts: it continues what a prefill engine began.
@@ -54,6 +56,8 @@
 
 func notExcluded(c *Candidate, ask *Ask) bool { return !ask.Exclude[c.Backend.ID] }
 
+func otherDomain(c *Candidate, ask *Ask) bool { return c.Backend.FailureDomain != ask.OtherDomain }
+
 func takesPrompts(c *Candidate, _ *Ask) bool { return c.Role != roleDecode }
 
 // usable asks the health monitor about the whole set at once.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -76,6 +76,7 @@
 	Blocks        []uint64 // leading blocks of the prompt, see fleet.PrefixBlocks
 	Exclude       map[string]bool
 	FailureDomain string // of this router
+	OtherDomain   string // FilterOtherDomain keeps to domains other than this one
 	PromptBytes   int
 	Resume        bool
 	Request       uint64 // hash of the request id, spreads resumes
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -26,6 +26,8 @@
 	FilterUsable:  usable{},
 	FilterExclude: each{FilterExclude, notExcluded},
 	FilterRole:    each{FilterRole, takesPrompts},
+
+	FilterOtherDomain: each{FilterOtherDomain, otherDomain},
 }
 
 var scorers = map[string]weighted{
--- a/settings/check.go
+++ b/settings/check.go
@@ -34,6 +34,13 @@
 
 func (c *checker) all(s *Settings) {
 	c.node(&s.Node)
+	if s.Hosted != nil {
+		c.hosted(s.Hosted)
+		c.limits(&s.Limits)
+		within(c, "shutdown.balancer_notice_ms", s.Shutdown.BalancerNoticeMS, 0, dayMS)
+		within(c, "log.verbosity", s.Log.Verbosity, 0, 10)
+		return
+	}
 	c.listen(&s.Listen)
 	c.platform(&s.Platform)
 	c.peers(&s.Peers)
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -9,6 +9,9 @@
 	"strings"
 )
 
+// defaulter is an optional section that has defaults once it is there.
+type defaulter interface{ setDefaults() }
+
 // decoder walks the JSON text and the Go value together. encoding/json alone
 // stops at the first fault, names no path, and takes the last of two equal
 // fields in silence.
@@ -43,7 +46,11 @@
 	case reflect.Slice:
 		d.array(v, path, raw)
 	case reflect.Pointer:
-		v.Set(reflect.New(v.Type().Elem()))
+		fresh := reflect.New(v.Type().Elem())
+		if section, ok := fresh.Interface().(defaulter); ok {
+			section.setDefaults()
+		}
+		v.Set(fresh)
 		d.value(v.Elem(), path, raw)
 	default:
 		d.scalar(v, path, raw)
--- /dev/null
+++ b/settings/hosted.go
@@ -0,0 +1,62 @@
+package settings
+
+// Hosted is what the daemon is told on the users' platform.
+type Hosted struct {
+	FrontAddress     string `json:"front_address"`     // clients
+	ReadinessAddress string `json:"readiness_address"` // the platform's balancer
+	MetricsAddress   string `json:"metrics_address"`
+	StoreAddress     string `json:"store_address"`
+	// GraceMS is the time from the signal to end to the platform's kill.
+	GraceMS int `json:"grace_ms"`
+	// RetryShare of the requests for a service may be tried again by this node,
+	// and RetryBurst at once. The platform bounds the sum over all nodes.
+	RetryShare float64 `json:"retry_share"`
+	RetryBurst float64 `json:"retry_burst"`
+	// FailuresPerHour is the prior rate at which one replica fails.
+	FailuresPerHour float64 `json:"failures_per_hour"`
+	// MinSilenceMS and MaxSilenceMS bound the silence of a replica after which
+	// its streams go on elsewhere.
+	MinSilenceMS int `json:"min_silence_ms"`
+	MaxSilenceMS int `json:"max_silence_ms"`
+	// MinPrefillMS is the least wait for a first piece; the time that reading
+	// the prompt takes at PrefillTokensPerSecond comes on top.
+	MinPrefillMS           int     `json:"min_prefill_ms"`
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	// GCPercent is the collector's target. A small one trades processor time
+	// for memory.
+	GCPercent         int `json:"gc_percent"`
+	LogLinesPerSecond int `json:"log_lines_per_second"`
+}
+
+// setDefaults sets what holds where a file with the section says nothing.
+func (h *Hosted) setDefaults() {
+	*h = Hosted{
+		GraceMS:                8000,
+		RetryShare:             0.5,
+		RetryBurst:             12,
+		FailuresPerHour:        200,
+		MinSilenceMS:           150,
+		MaxSilenceMS:           700,
+		MinPrefillMS:           600,
+		PrefillTokensPerSecond: 5000,
+		GCPercent:              30,
+		LogLinesPerSecond:      400,
+	}
+}
+
+func (c *checker) hosted(h *Hosted) {
+	c.address("hosted.front_address", h.FrontAddress)
+	c.address("hosted.readiness_address", h.ReadinessAddress)
+	c.address("hosted.metrics_address", h.MetricsAddress)
+	c.address("hosted.store_address", h.StoreAddress)
+	within(c, "hosted.grace_ms", h.GraceMS, 1000, dayMS)
+	within(c, "hosted.retry_share", h.RetryShare, 0, 10)
+	within(c, "hosted.retry_burst", h.RetryBurst, 0, 10000)
+	within(c, "hosted.failures_per_hour", h.FailuresPerHour, 0.001, 100000)
+	within(c, "hosted.min_silence_ms", h.MinSilenceMS, 10, maxSuspectMS)
+	within(c, "hosted.max_silence_ms", h.MaxSilenceMS, h.MinSilenceMS+1, maxSuspectMS)
+	within(c, "hosted.min_prefill_ms", h.MinPrefillMS, 10, 60000)
+	within(c, "hosted.prefill_tokens_per_second", h.PrefillTokensPerSecond, 1, 1e9)
+	within(c, "hosted.gc_percent", h.GCPercent, 5, 1000)
+	within(c, "hosted.log_lines_per_second", h.LogLinesPerSecond, 1, 1000000)
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -104,6 +104,11 @@
 	if len(problems) > 0 {
 		return nil, problems.err()
 	}
+	s.path = path
+	if s.Hosted != nil {
+		s.newLife()
+		return s, nil
+	}
 	s.resolve(filepath.Dir(path))
 	c := &checker{}
 	s.readKeys(c)
@@ -111,10 +116,15 @@
 	if err := c.problems.err(); err != nil {
 		return nil, err
 	}
+	s.newLife()
+	return s, nil
+}
+
+// newLife draws the incarnation of this start, unless the file names it.
+func (s *Settings) newLife() {
 	if s.Node.Incarnation == autoIncarnation {
 		s.Node.Incarnation = newIncarnation()
 	}
-	return s, nil
 }
 
 func newIncarnation() string {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,10 +21,17 @@
 	Directory Directory  `json:"directory"`
 	Shutdown  Shutdown   `json:"shutdown"`
 	Log       Log        `json:"log"`
+	// Hosted, when set, runs the daemon on the users' platform. Of the other
+	// sections only node, limits, shutdown and log then count.
+	Hosted *Hosted `json:"hosted"`
 
 	keys keys
+	path string
 }
 
+// Path of the file that the settings were loaded from.
+func (s *Settings) Path() string { return s.path }
+
 // Node names this process and its place.
 type Node struct {
 	ID            string `json:"id"`
