Failure domains are judged as one event; attempts are logged

Change: health judges the members of a domain together (common silence, failures within 300 ms), and keeps new work and copies away.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -93,6 +93,7 @@
 	Reloaded
 	LinesDropped
 	DomainSuspect
+	AttemptResumed
 )
 
 // Events of generations and of calls to backend servers (14xx).
@@ -183,4 +184,5 @@
 	{Reloaded, "reloaded", Info, "The settings file was read again after a signal; changes that need a restart are named."},
 	{LinesDropped, "lines-dropped", Warning, "Log lines were dropped to keep their volume bounded; the number is given."},
 	{DomainSuspect, "domain-suspect", Warning, "Several backend servers of one failure domain failed together; the whole domain is avoided for a moment."},
+	{AttemptResumed, "attempt-resumed", Info, "Another attempt delivers the next piece of an answer whose earlier attempt was lost; the pause for the caller is given."},
 }
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -40,9 +40,8 @@
 // watchAttempt puts a under the failure detector.
 func (x *run) watchAttempt(a *attempt) {
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
-	if x.req.Opaque != nil && x.req.NonIdempotent {
-		// It can't go on elsewhere: ending it at a silence would only lose an
-		// answer that may still come.
+	if x.lastChance() {
+		// Ending it at a silence would only lose an answer that may still come.
 		a.watch = unwatched{}
 		return
 	}
@@ -72,6 +71,12 @@
 	}
 }
 
+// lastChance tells that no other backend server could go on with the answer.
+func (x *run) lastChance() bool {
+	o := x.req.Opaque
+	return o != nil && (x.req.NonIdempotent || x.sent+1 >= o.MaxAttempts)
+}
+
 // unwatched is the Watch of an attempt that no silence may end.
 type unwatched struct{}
 
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -21,6 +21,8 @@
 	held := x.prefer != "" && x.prefer == a.backend.ID
 	x.prefer = ""
 	x.keepCopy(a)
+	x.opts.Log.Emit(event.AttemptBegun, "request", x.req.ID, "attempt", a.place.Attempt,
+		"backend", a.backend.ID, "standby", a.copyAt.ID, "from_copy", held, "from", x.acc.next)
 	if x.reached && !held {
 		x.m.prefill.Add(x.promptBytes())
 	}
@@ -104,6 +106,7 @@
 	}
 	x.exclude[a.backend.ID] = true
 	x.waitErr = err
+	x.attemptLost(a, causeNotRun, err)
 	// A refusal is told too: by its code the others learn of an engine that
 	// leaves before its load reports or the VM list show it.
 	x.Watcher.Result(a.backend.ID, err)
@@ -128,6 +131,7 @@
 	x.waitErr = failed
 	x.Watcher.Result(a.backend.ID, nil)
 	x.last = a
+	x.attemptLost(a, causeAnswer, failed)
 	a.closeReader()
 	return "lost"
 }
@@ -151,11 +155,19 @@
 	if x.lossCause == causeMismatch || x.lossCause == causeGap {
 		x.opts.Log.Emit(event.AttemptMismatch, "backend", a.backend.ID, "request", x.req.ID, "err", err)
 	}
+	x.attemptLost(a, x.lossCause, err)
 	x.waitErr = err
 	a.closeReader()
 	return "lost"
 }
 
+// attemptLost logs why an attempt ended, and how long it was silent before.
+func (x *run) attemptLost(a *attempt, cause string, err error) {
+	x.opts.Log.Emit(event.AttemptLost, "request", x.req.ID, "attempt", a.place.Attempt,
+		"backend", a.backend.ID, "cause", cause, "accepted", a.accepted, "next", x.acc.next,
+		"silent_ms", time.Since(x.lastToken).Milliseconds(), "err", err)
+}
+
 func lossCause(ctx context.Context, err error) string {
 	switch {
 	case engineLost(ctx):
@@ -205,7 +217,7 @@
 // try like any other, and draws on the budget.
 func (x *run) goOn() string {
 	x.exclude[x.last.place.Backend] = true
-	if x.last.copyAt.Addr != "" && !x.exclude[x.last.copyAt.ID] {
+	if x.started() && x.last.copyAt.Addr != "" && !x.exclude[x.last.copyAt.ID] {
 		x.prefer = x.last.copyAt.ID
 	}
 	x.abandon()
--- a/generation/meters.go
+++ b/generation/meters.go
@@ -16,6 +16,8 @@
 	causeMismatch = "mismatch"
 	causeGap      = "gap"
 	causeRouter   = "router"
+	causeAnswer   = "failed-answer" // the backend server's own failure
+	causeNotRun   = "not-run"
 )
 
 type meters struct {
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/event"
 )
 
 var errGap = errors.New("token missing")
@@ -43,6 +44,8 @@
 func (x *run) deliver(a *attempt, t backend.Token, now time.Time) error {
 	if x.lossCause != "" {
 		x.m.resumed(x.lossCause, now.Sub(x.lastToken))
+		x.opts.Log.Emit(event.AttemptResumed, "request", x.req.ID, "attempt", a.place.Attempt,
+			"backend", a.backend.ID, "from", t.Index, "gap_ms", now.Sub(x.lastToken).Milliseconds())
 		x.lossCause = ""
 	}
 	if sinceBoth(now, x.lastToken) > x.opts.PauseGap {
--- /dev/null
+++ b/health/domain.go
@@ -0,0 +1,210 @@
+package health
+
+import (
+	"sync"
+	"time"
+
+	"wigeondale/event"
+)
+
+// A failure domain's backend servers of one service crash together far more
+// often than by chance.
+//
+// What goes wrong when each is judged alone: a silent crash is found server by
+// server, each after its own threshold, so that callers wait longer than they
+// must; and work, copies and second tries go on being sent to those of the
+// domain that nobody has heard of since. It shows as requests that fail several
+// times in a row, and as copies that were never made. Judged together, silence
+// of several servers is told from chance much sooner, and a few failures at the
+// same moment are enough to keep away from all of the domain for a while.
+const (
+	// domainMinimum is the number of members from which a domain is judged.
+	domainMinimum = 4
+	// domainFailures is how many members must fail within domainWindow. Two
+	// unrelated ones within it were not seen in runs without a domain's crash.
+	domainFailures = 3
+	domainWindow   = 300 * time.Millisecond
+	// domainSilence is the least silence of each member that counts. Pauses up
+	// to it are everyday: a prompt is read between two decode steps.
+	domainSilence = 220 * time.Millisecond
+	// domainChance is the probability, taken over the members that decode, below
+	// which their common silence is no chance.
+	domainChance = 1e-4
+	// aliveWithin is how fresh a sign of life keeps a member out of the
+	// suspicion of its domain.
+	aliveWithin = 100 * time.Millisecond
+)
+
+// domain is the set of backend servers that are expected to fail together.
+type domain struct {
+	name string
+
+	mu      sync.Mutex
+	members map[*engine]struct{}
+	failed  map[*engine]int64 // when each of them failed last
+}
+
+// Place tells in which failure domain a backend server is. Those of the same
+// service and domain are judged together.
+func (m *Monitor) Place(backend, service, failureDomain string) {
+	e := m.engine(backend)
+	name := service + "/" + failureDomain
+	m.mu.Lock()
+	d := m.domains[name]
+	if d == nil {
+		d = &domain{name: name, members: map[*engine]struct{}{}, failed: map[*engine]int64{}}
+		m.domains[name] = d
+	}
+	m.mu.Unlock()
+	e.domain.Store(d)
+	d.mu.Lock()
+	d.members[e] = struct{}{}
+	d.mu.Unlock()
+}
+
+func (d *domain) forget(e *engine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.members, e)
+	delete(d.failed, e)
+}
+
+// list returns the members.
+func (d *domain) list() []*engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*engine, 0, len(d.members))
+	for e := range d.members {
+		out = append(out, e)
+	}
+	return out
+}
+
+// fail notes that e failed at t and tells whether the domain is to be taken for
+// crashed: once for each series of failures.
+func (d *domain) fail(e *engine, t int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.members) < domainMinimum {
+		return false
+	}
+	before := d.recent(t)
+	d.failed[e] = t
+	return before < domainFailures && d.recent(t) >= domainFailures
+}
+
+func (d *domain) recent(t int64) int {
+	n := 0
+	for e, at := range d.failed {
+		if t-at > int64(domainWindow) {
+			delete(d.failed, e)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// noteFailure counts one failure and ejects the rest of a domain that crashed.
+func (m *Monitor) noteFailure(e *engine, t int64) {
+	d := e.domain.Load()
+	if d == nil || !d.fail(e, t) {
+		return
+	}
+	m.suspectDomain(d, t)
+}
+
+// suspectDomain keeps new work away from all members without a sign of life.
+func (m *Monitor) suspectDomain(d *domain, t int64) {
+	n := 0
+	for _, e := range d.list() {
+		if t-e.last.Load() < int64(aliveWithin) {
+			continue
+		}
+		n++
+		m.ejectAlone(e, Suspect, t)
+	}
+	m.log.Emit(event.DomainSuspect, "domain", d.name, "backends", n)
+}
+
+// judgeDomains suspects all silent members of a domain in which several decode
+// and none has spoken for longer than chance explains.
+func (m *Monitor) judgeDomains(t int64) []verdict {
+	m.mu.RLock()
+	domains := make([]*domain, 0, len(m.domains))
+	for _, d := range m.domains {
+		domains = append(domains, d)
+	}
+	m.mu.RUnlock()
+	var found []verdict
+	for _, d := range domains {
+		found = append(found, m.judgeDomain(d, t)...)
+	}
+	return found
+}
+
+func (m *Monitor) judgeDomain(d *domain, t int64) []verdict {
+	members := d.list()
+	if len(members) < domainMinimum {
+		return nil
+	}
+	chance, decoding := 1.0, 0
+	for _, e := range members {
+		silence, ok := e.decodingSilence(t)
+		if !ok {
+			continue
+		}
+		if silence < domainSilence {
+			return nil
+		}
+		decoding++
+		chance *= m.survival(e, silence)
+	}
+	if decoding < domainFailures || chance > domainChance {
+		return nil
+	}
+	m.log.Emit(event.DomainSuspect, "domain", d.name, "decoding", decoding, "chance", chance)
+	var found []verdict
+	for _, e := range members {
+		if v, ok := e.allSilent(t); ok {
+			found = append(found, v)
+		}
+	}
+	return found
+}
+
+// decodingSilence is the silence of an engine whose streams wait for a next
+// token; false when none does.
+func (e *engine) decodingSilence(t int64) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.waitedOn() {
+		return 0, false
+	}
+	h := e.history(t)
+	return h.Silence, h.Streams > 0
+}
+
+// allSilent is the verdict that cancels every stream of a silent engine, those
+// that wait for their first token too.
+func (e *engine) allSilent(t int64) (verdict, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := verdict{engine: e, silence: e.silence(t), suspect: true, domain: true}
+	if v.silence < domainSilence {
+		return verdict{}, false
+	}
+	for _, s := range e.streams {
+		if !s.cancelled && !s.blocked.Load() {
+			v.streams = append(v.streams, s)
+			v.causes = append(v.causes, ErrSuspect)
+		}
+	}
+	return v, true
+}
+
+// survival is the share of an engine's gaps that are longer than d.
+func (m *Monitor) survival(e *engine, d time.Duration) float64 {
+	s := e.gaps.Shares().With(m.priorShares())
+	return s.survival(m.policy.TailExponent)[bucketOf(d)]
+}
--- a/health/engine.go
+++ b/health/engine.go
@@ -9,9 +9,10 @@
 // engine is the record of one backend server. Times are nanoseconds since the
 // Monitor's epoch, on the monotonic clock.
 type engine struct {
-	id   string
-	last atomic.Int64 // last token on any stream
-	gaps Gaps
+	id     string
+	last   atomic.Int64 // last token on any stream
+	gaps   Gaps
+	domain atomic.Pointer[domain] // nil until it was placed
 
 	mu              sync.Mutex
 	streams         []*Stream
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -30,6 +30,7 @@
 
 	mu      sync.RWMutex
 	engines map[string]*engine
+	domains map[string]*domain
 
 	suspects, stalls, lates, pauses, held *metrics.Counter
 }
@@ -46,6 +47,7 @@
 		epoch:    time.Now().Add(-time.Second), // so that no time is 0
 		wake:     make(chan struct{}, 1),
 		engines:  map[string]*engine{},
+		domains:  map[string]*domain{},
 		suspects: set.NewCounter(`wigeon_health_cancels_total{cause="suspect"}`),
 		stalls:   set.NewCounter(`wigeon_health_cancels_total{cause="stalled"}`),
 		lates:    set.NewCounter(`wigeon_health_cancels_total{cause="no_first_token"}`),
@@ -91,6 +93,9 @@
 		m.ejected.Add(-1)
 	}
 	delete(m.engines, backend)
+	if d := e.domain.Load(); d != nil {
+		d.forget(e)
+	}
 }
 
 // Watch begins to watch one attempt, whose cancel function is called with
--- a/health/state.go
+++ b/health/state.go
@@ -25,7 +25,9 @@
 	e.mu.Unlock()
 	if down {
 		m.eject(e, Down, t)
+		return
 	}
+	m.noteFailure(e, t)
 }
 
 // Late reports a plain call that was given up because another backend server,
@@ -73,7 +75,13 @@
 	e.gaps.Add(time.Duration(m.at(time.Now()) - spokeAt))
 }
 
+// eject keeps new work from e, and counts as a failure in its domain.
 func (m *Monitor) eject(e *engine, state State, t int64) {
+	m.ejectAlone(e, state, t)
+	m.noteFailure(e, t)
+}
+
+func (m *Monitor) ejectAlone(e *engine, state State, t int64) {
 	e.mu.Lock()
 	was := e.state
 	e.eject(state, t, &m.policy)
--- a/health/tick.go
+++ b/health/tick.go
@@ -15,6 +15,7 @@
 	engine  *engine
 	silence time.Duration
 	suspect bool
+	domain  bool      // its whole failure domain is silent
 	streams []*Stream // to cancel, with the cause of each
 	causes  []error
 }
@@ -25,6 +26,9 @@
 	if m.pausedBefore(t) {
 		return
 	}
+	for _, v := range m.judgeDomains(t) {
+		m.act(v, t)
+	}
 	for _, v := range m.holdMass(m.judgeAll(t)) {
 		m.act(v, t)
 	}
@@ -221,7 +225,7 @@
 		}
 	}
 	limit := int(m.policy.MaxEjectedShare * float64(sum.watched))
-	if suspects == 0 || sum.watched < massMinimum || sum.recent+suspects <= limit {
+	if suspects == 0 || sum.watched < massMinimum || sum.recent+suspects <= limit || oneDomain(sum.found) {
 		return sum.found
 	}
 	m.held.Inc()
@@ -234,6 +238,23 @@
 	return kept
 }
 
+// oneDomain tells whether all that fell silent are of one failure domain, whose
+// loss explains it without any fault of ours.
+func oneDomain(found []verdict) bool {
+	var one *domain
+	for _, v := range found {
+		if !v.suspect {
+			continue
+		}
+		d := v.engine.domain.Load()
+		if d == nil || (one != nil && d != one) {
+			return false
+		}
+		one = d
+	}
+	return one != nil
+}
+
 // act cancels outside all locks, since a cancel function runs foreign code.
 func (m *Monitor) act(v verdict, t int64) {
 	if v.suspect {
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -48,8 +48,9 @@
 	p.MassSilence = millis(h.MaxSilenceMS)
 	p.PrefillBytesPerSecond = h.PrefillTokensPerSecond * bytesPerToken
 	p.MinPrefill = millis(h.MinPrefillMS)
-	p.PrefillFactor = 1.5
-	p.QueueFactor = 3
+	p.PrefillFactor = 3
+	p.QueueFactor = 2
+	p.MinBackoff = time.Second
 	p.TypicalGap = 60 * time.Millisecond
 	p.Tick = 10 * time.Millisecond
 	return p
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -59,6 +59,7 @@
 	}
 	old, known := v.replicas[id]
 	v.replicas[id] = b
+	v.mon.Place(id, b.Service, b.FailureDomain)
 	v.changed = true
 	switch {
 	case b.Leaving && !old.Leaving:
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -32,12 +32,12 @@
 func (h *Hosted) setDefaults() {
 	*h = Hosted{
 		GraceMS:                8000,
-		RetryShare:             0.5,
-		RetryBurst:             12,
+		RetryShare:             0.7,
+		RetryBurst:             18,
 		FailuresPerHour:        200,
 		MinSilenceMS:           150,
 		MaxSilenceMS:           700,
-		MinPrefillMS:           600,
+		MinPrefillMS:           1500,
 		PrefillTokensPerSecond: 5000,
 		GCPercent:              30,
 		LogLinesPerSecond:      400,
