--- a/generation/generation.go
+++ b/generation/generation.go
@@ -103,6 +103,7 @@
 	First       int           // number of the first piece that the caller wants
 	Size        int           // estimated tokens of the prompt
 	Answer      int           // most tokens of the answer
+	Prompt      string        // names the prompt; empty when it has none
 	MaxAttempts int           // backend servers that it may run on
 	Patience    time.Duration // longest wait for a backend server
 	Copies      bool          // keep a standby copy of the run
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -101,7 +101,7 @@
 		Exclude: x.exclude, Resume: x.started(), Prefer: x.prefer,
 	}
 	if o := x.req.Opaque; o != nil {
-		a.Service, a.Size = o.Service, o.Size+o.Answer
+		a.Service, a.Size, a.Prompt = o.Service, o.Size+o.Answer, o.Prompt
 	}
 	return a
 }
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wigeondale/admission"
 	"wigeondale/backend"
 	"wigeondale/directory"
@@ -149,6 +151,7 @@
 		{Name: routing.FilterExclude},
 		{Name: routing.FilterUsable},
 		{Name: routing.ScoreLoad, Weight: 1},
+		{Name: routing.ScoreRendezvous, Weight: 1},
 		{Name: routing.ScoreDomain, Weight: 0.02},
 		{Name: routing.PickTwoChoices},
 	}
@@ -223,11 +226,25 @@
 		Exclude:       a.Exclude,
 		FailureDomain: p.domain,
 		Resume:        a.Resume,
+		Blocks:        promptBlocks(a.Prompt),
 		FleetKnown:    true,
 		Usable:        p.mon.Usable,
 	}
 }
 
+// promptBlocks draws requests with the same prompt to the same replica.
+//
+// What goes wrong without it: the router of a draft dies, and the client comes
+// back through another one, which sends it anywhere. Its prompt is read anew,
+// while the replica that had read it still holds it. It shows as prefill that is
+// paid for twice after each loss of a router.
+func promptBlocks(prompt string) []uint64 {
+	if prompt == "" {
+		return nil
+	}
+	return []uint64{xxhash.Sum64String(prompt)}
+}
+
 // cost is the load of a request in units of an ordinary one.
 func cost(tokens int) float64 {
 	if tokens <= 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,8 +42,9 @@
 	Budget time.Duration // how long the client waits; 0 when it did not say
 	// First is the number of the first piece that the client wants of a stream.
 	First  int
-	Size   int // tokens of the prompt, 0 when not stated
-	Answer int // most tokens of the answer, 0 when not stated
+	Size   int    // tokens of the prompt, 0 when not stated
+	Answer int    // most tokens of the answer, 0 when not stated
+	Prompt string // names the prompt: equal for equal prompts; may be empty
 }
 
 // Verdict is how a request ended.
@@ -195,6 +196,7 @@
 			First:       j.req.First,
 			Size:        j.req.Size,
 			Answer:      j.req.Answer,
+			Prompt:      j.req.Prompt,
 			MaxAttempts: max(j.route.MaxAttempts, 1),
 			Patience:    j.patience(),
 			Copies:      j.engine.Standby && j.route.Kind == route.Stream && j.route.Resumable,
