--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,9 @@
 	// ChecksFence is true when the backend server refuses an order whose fencing
 	// number is lower than one that it has already seen.
 	ChecksFence bool `json:"checks_fence"`
+	// Started orders the starts of backend servers: a later one has a higher
+	// number. 0 when that is not known.
+	Started int64 `json:"started,omitempty"`
 	// Slots is how many requests it runs at once, 0 when it does not say.
 	Slots int `json:"slots,omitempty"`
 	// Leaving is true once the VM list says that the VM is going away.
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -150,6 +150,7 @@
 		{Name: routing.FilterLeaving},
 		{Name: routing.FilterExclude},
 		{Name: routing.FilterUsable},
+		{Name: routing.FilterDue},
 		{Name: routing.ScoreLoad, Weight: 1},
 		{Name: routing.ScoreRendezvous, Weight: 1},
 		{Name: routing.ScoreDomain, Weight: 0.02},
@@ -161,6 +162,7 @@
 		{Name: routing.FilterExclude},
 		{Name: routing.FilterOtherDomain},
 		{Name: routing.FilterUsable},
+		{Name: routing.FilterDue},
 		{Name: routing.ScoreLoad, Weight: 1},
 		{Name: routing.PickTwoChoices},
 	}
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -57,6 +57,7 @@
 		v.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
 		return
 	}
+	b.Started = item.CreateRev
 	old, known := v.replicas[id]
 	v.replicas[id] = b
 	v.mon.Place(id, b.Service, b.FailureDomain)
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -28,6 +28,7 @@
 	FilterRole:    each{FilterRole, takesPrompts},
 
 	FilterOtherDomain: each{FilterOtherDomain, otherDomain},
+	FilterDue:         due{},
 }
 
 var scorers = map[string]weighted{
