Copies only at replicas without suspicion; a resume leaves the domain of the loss; less silence borne where a copy is kept

Cause: standbys were chosen in a domain whose crash other nodes had seen, and a lost run was resumed in the very domain that crashed. Now a copy counts as a quarter of the prompt.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -82,6 +82,7 @@
 
 func (unwatched) Token(time.Time)            {}
 func (unwatched) SetBlocked(bool, time.Time) {}
+func (unwatched) SetCopied(bool)             {}
 func (unwatched) Close()                     {}
 
 // promptBytes is the size of the text that an attempt has to read first.
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -62,6 +62,7 @@
 		return
 	}
 	a.copyAt, a.copyDone = standby, done
+	a.watch.SetCopied(true)
 }
 
 // begin makes a the attempt that tokens are accepted from.
@@ -217,6 +218,7 @@
 // try like any other, and draws on the budget.
 func (x *run) goOn() string {
 	x.exclude[x.last.place.Backend] = true
+	x.lostDomain = x.last.backend.FailureDomain
 	if x.started() && x.last.copyAt.Addr != "" && !x.exclude[x.last.copyAt.ID] {
 		x.prefer = x.last.copyAt.ID
 	}
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -241,6 +241,8 @@
 	}
 }
 
+func (w *fakeWatch) SetCopied(bool) {}
+
 func (w *fakeWatch) SetBlocked(blocked bool, _ time.Time) {
 	w.h.blocked = blocked
 }
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -185,6 +185,9 @@
 	Service string // of an opaque request, instead of Ref
 	Size    int    // estimated tokens that it holds at a backend server
 	Prefer  string // backend server that holds a copy; it is taken if it can be
+	// LostDomain is the failure domain of the attempt that was lost last. Others
+	// go first: what took that backend server may have taken its neighbours.
+	LostDomain string
 }
 
 // Picker chooses engines. Pick must check at that moment that the engine is
@@ -202,6 +205,9 @@
 	Token(now time.Time)
 	// SetBlocked tells that the caller stopped, or began again, to take tokens.
 	SetBlocked(blocked bool, now time.Time)
+	// SetCopied tells whether a copy of the run's state is kept elsewhere, from
+	// which it goes on without another prefill.
+	SetCopied(copied bool)
 	Close()
 }
 
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -168,6 +168,7 @@
 	claimedAs string // attempt name of the claim; empty without one
 	reached   bool   // a byte may have reached an engine that hasn't refused
 
+	lostDomain string                // failure domain of the attempt lost last
 	prefer     string                // backend server that holds a copy of the lost run
 	sent       int                   // attempts that may have run
 	failed     *backend.FailedAnswer // the latest, delivered if nothing better comes
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -102,6 +102,7 @@
 	}
 	if o := x.req.Opaque; o != nil {
 		a.Service, a.Size, a.Prompt = o.Service, o.Size+o.Answer, o.Prompt
+		a.LostDomain = x.lostDomain
 	}
 	return a
 }
--- a/health/domain.go
+++ b/health/domain.go
@@ -20,9 +20,13 @@
 const (
 	// domainMinimum is the number of members from which a domain is judged.
 	domainMinimum = 4
-	// domainFailures is how many members must fail within domainWindow. Two
-	// unrelated ones within it were not seen in runs without a domain's crash.
-	domainFailures = 3
+	// domainFailures is how many members must fail within domainWindow, which two
+	// unrelated ones rarely do.
+	domainFailures = 2
+	// domainDecoding is how many members must decode for their common silence to
+	// count. Two fell silent together after each wave of resumes, when both read
+	// prompts.
+	domainDecoding = 3
 	domainWindow   = 300 * time.Millisecond
 	// domainSilence is the least silence of each member that counts. Pauses up
 	// to it are everyday: a prompt is read between two decode steps.
@@ -160,7 +164,7 @@
 		decoding++
 		chance *= m.survival(e, silence)
 	}
-	if decoding < domainFailures || chance > domainChance {
+	if decoding < domainDecoding || chance > domainChance {
 		return nil
 	}
 	m.log.Emit(event.DomainSuspect, "domain", d.name, "decoding", decoding, "chance", chance)
--- a/health/stream.go
+++ b/health/stream.go
@@ -26,6 +26,10 @@
 	blocked atomic.Bool
 	closed  atomic.Bool
 
+	// resumable is set while a copy of the run's state is kept elsewhere: going
+	// on there needs no prefill, so less silence is borne.
+	resumable atomic.Bool
+
 	slot       int // index in engine.streams, under engine.mu
 	cancelled  bool
 	credit     time.Duration
@@ -69,6 +73,9 @@
 	s.blocked.Store(blocked)
 }
 
+// SetCopied tells whether a copy of the run's state is kept elsewhere.
+func (s *Stream) SetCopied(copied bool) { s.resumable.Store(copied) }
+
 // Close ends the watch. Call it as soon as the last token was read.
 func (s *Stream) Close() {
 	if s.closed.Swap(true) {
--- a/health/tick.go
+++ b/health/tick.go
@@ -151,12 +151,20 @@
 		}
 		newest = max(newest, s.last.Load())
 		h.Streams++
+		if s.resumable.Load() {
+			h.Bytes += float64(s.prompt) / copiedShare
+			continue
+		}
 		h.Bytes += float64(s.prompt) + float64(s.tokens.Load())*s.mon.policy.TokenBytes
 	}
 	h.Silence = min(e.silence(t), time.Duration(t-newest))
 	return h
 }
 
+// copiedShare is the part, one in so many, of a prompt that a run is taken to
+// read again when it goes on from a copy: what the copy lacked, and the wait.
+const copiedShare = 4
+
 // judgeStreams judges each stream; decoding tells that some stream of the
 // engine waits for a next token and so shows whether it is alive.
 func (m *Monitor) judgeStreams(v *verdict, d Decision, decoding bool, t int64) {
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -31,6 +31,10 @@
 	maxFruitless = 8
 	// killMargin is how long before the platform's kill the process ends.
 	killMargin = 300 * time.Millisecond
+	// probeAfter is when a replica under suspicion gets a first request again. A
+	// crashed one is off the registry by then: its entry lapses after three
+	// heartbeats of 1.2 s, and the replica that follows has an id of its own.
+	probeAfter = 3600 * time.Millisecond
 	// pickTries bounds picks repeated because the choice was just taken away.
 	pickTries = 4
 	// standbyCost is what keeping a copy costs a replica, against running it.
@@ -52,7 +56,7 @@
 	p.MinPrefill = millis(h.MinPrefillMS)
 	p.PrefillFactor = 3
 	p.QueueFactor = 2
-	p.MinBackoff = time.Second
+	p.MinBackoff = probeAfter
 	p.TypicalGap = 60 * time.Millisecond
 	p.Tick = 10 * time.Millisecond
 	return p
@@ -144,11 +148,15 @@
 	return &picker{dir: dir, mon: mon, work: work, standby: standby, domain: domain, log: log}, nil
 }
 
+// workSteps choose where an attempt runs, standbySteps where its copy is kept. A
+// copy is never the probe of a replica under suspicion: one that isn't made is
+// noticed only when it is needed.
 var (
 	workSteps = []routing.StepConfig{
 		{Name: routing.FilterServes},
 		{Name: routing.FilterLeaving},
 		{Name: routing.FilterExclude},
+		{Name: routing.FilterOtherDomain},
 		{Name: routing.FilterUsable},
 		{Name: routing.FilterDue},
 		{Name: routing.ScoreLoad, Weight: 1},
@@ -161,7 +169,7 @@
 		{Name: routing.FilterLeaving},
 		{Name: routing.FilterExclude},
 		{Name: routing.FilterOtherDomain},
-		{Name: routing.FilterUsable},
+		{Name: routing.FilterHealthy},
 		{Name: routing.FilterDue},
 		{Name: routing.ScoreLoad, Weight: 1},
 		{Name: routing.PickTwoChoices},
@@ -178,9 +186,14 @@
 		return b, done, nil
 	}
 	ask := p.ask(a)
+	ask.OtherDomain = a.LostDomain
 	for range pickTries {
 		ask.Now = time.Now()
 		c, _, err := p.work.Pick(p.dir.Service(a.Service), ask)
+		if err != nil && ask.OtherDomain != "" {
+			ask.OtherDomain = ""
+			continue
+		}
 		if err != nil {
 			return fleet.Backend{}, nil, noReplica(err)
 		}
@@ -231,9 +244,12 @@
 		Blocks:        promptBlocks(a.Prompt),
 		FleetKnown:    true,
 		Usable:        p.mon.Usable,
+		Healthy:       p.healthy,
 	}
 }
 
+func (p *picker) healthy(id string) bool { return p.mon.State(id) == health.Healthy }
+
 // promptBlocks draws requests with the same prompt to the same replica.
 //
 // What goes wrong without it: the router of a draft dies, and the client comes
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -38,6 +38,8 @@
 	FilterUsable  = "usable"
 	FilterExclude = "exclude"
 	FilterRole    = "role"
+	// FilterHealthy keeps off those that would get the work as a probe.
+	FilterHealthy = "healthy"
 	// FilterOtherDomain keeps a copy apart from what it is a copy of.
 	FilterOtherDomain = "other-domain"
 )
@@ -56,7 +58,14 @@
 
 func notExcluded(c *Candidate, ask *Ask) bool { return !ask.Exclude[c.Backend.ID] }
 
-func otherDomain(c *Candidate, ask *Ask) bool { return c.Backend.FailureDomain != ask.OtherDomain }
+// knownHealthy asks the health monitor, and takes all if it has no objection to any.
+func knownHealthy(c *Candidate, ask *Ask) bool {
+	return ask.Healthy == nil || ask.Healthy(c.Backend.ID)
+}
+
+func otherDomain(c *Candidate, ask *Ask) bool {
+	return ask.OtherDomain == "" || c.Backend.FailureDomain != ask.OtherDomain
+}
 
 func takesPrompts(c *Candidate, _ *Ask) bool { return c.Role != roleDecode }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -76,7 +76,7 @@
 	Blocks        []uint64 // leading blocks of the prompt, see fleet.PrefixBlocks
 	Exclude       map[string]bool
 	FailureDomain string // of this router
-	OtherDomain   string // FilterOtherDomain keeps to domains other than this one
+	OtherDomain   string // FilterOtherDomain keeps to domains other than this one; empty for any
 	PromptBytes   int
 	Resume        bool
 	Request       uint64 // hash of the request id, spreads resumes
@@ -87,6 +87,9 @@
 	// Usable is health.Monitor.Usable: asked for all candidates at once, since
 	// the bound on ejection is a share of the set. Nil goes by Candidate.State.
 	Usable func(ids []string) []bool
+	// Healthy tells whether a backend server is not under any suspicion; it is
+	// asked by FilterHealthy.
+	Healthy func(id string) bool
 }
 
 // Removed counts what one filter took away.
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -28,6 +28,7 @@
 	FilterRole:    each{FilterRole, takesPrompts},
 
 	FilterOtherDomain: each{FilterOtherDomain, otherDomain},
+	FilterHealthy:     each{FilterHealthy, knownHealthy},
 	FilterDue:         due{},
 }
 
