--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -94,6 +94,7 @@
 	LinesDropped
 	DomainSuspect
 	AttemptResumed
+	HolderSought
 )
 
 // Events of generations and of calls to backend servers (14xx).
@@ -185,4 +186,5 @@
 	{LinesDropped, "lines-dropped", Warning, "Log lines were dropped to keep their volume bounded; the number is given."},
 	{DomainSuspect, "domain-suspect", Warning, "Several backend servers of one failure domain failed together; the whole domain is avoided for a moment."},
 	{AttemptResumed, "attempt-resumed", Info, "Another attempt delivers the next piece of an answer whose earlier attempt was lost; the pause for the caller is given."},
+	{HolderSought, "holder-sought", Info, "A client came back with a part of its answer; backend servers were asked which still holds the prompt. Without one it is read anew."},
 }
--- a/event/event.go
+++ b/event/event.go
@@ -3,6 +3,8 @@
 package event
 
 import (
+	"strings"
+
 	"k8s.io/klog/v2"
 )
 
@@ -36,6 +38,11 @@
 		e = Entry{ID: id, Name: "unlisted", Severity: Error}
 	}
 	args := append([]any{"event", int(id)}, kv...)
+	for i, v := range args {
+		if err, isErr := v.(error); isErr {
+			args[i] = oneLine(err)
+		}
+	}
 	switch e.Severity {
 	case Error:
 		l.logger.Error(nil, e.Name, args...)
@@ -45,3 +52,6 @@
 		l.logger.Info(e.Name, args...)
 	}
 }
+
+// oneLine keeps joined errors, which print a line each, within the event's line.
+func oneLine(err error) string { return strings.ReplaceAll(err.Error(), "\n", "; ") }
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -103,7 +103,8 @@
 	First       int           // number of the first piece that the caller wants
 	Size        int           // estimated tokens of the prompt
 	Answer      int           // most tokens of the answer
-	Prompt      string        // names the prompt; empty when it has none
+	Parts       []string      // ids of the prompt's parts, in order
+	Returned    bool          // the client has a part of the answer from another router
 	MaxAttempts int           // backend servers that it may run on
 	Patience    time.Duration // longest wait for a backend server
 	Copies      bool          // keep a standby copy of the run
@@ -184,7 +185,10 @@
 
 	Service string // of an opaque request, instead of Ref
 	Size    int    // estimated tokens that it holds at a backend server
-	Prefer  string // backend server that holds a copy; it is taken if it can be
+	// Parts are those of the prompt of a client that came back with a part of its
+	// answer: some backend server may still hold them.
+	Parts  []string
+	Prefer string // backend server that holds a copy; it is taken if it can be
 	// LostDomain is the failure domain of the attempt that was lost last. Others
 	// go first: what took that backend server may have taken its neighbours.
 	LostDomain string
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -101,7 +101,10 @@
 		Exclude: x.exclude, Resume: x.started(), Prefer: x.prefer,
 	}
 	if o := x.req.Opaque; o != nil {
-		a.Service, a.Size, a.Prompt = o.Service, o.Size+o.Answer, o.Prompt
+		a.Service, a.Size = o.Service, o.Size+o.Answer
+		if o.Returned && x.sent == 0 {
+			a.Parts = o.Parts
+		}
 		a.LostDomain = x.lostDomain
 	}
 	return a
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -25,6 +25,7 @@
 	"wigeondale/event"
 	"wigeondale/generation"
 	"wigeondale/health"
+	"wigeondale/holders"
 	"wigeondale/listen"
 	"wigeondale/mirror"
 	"wigeondale/platform"
@@ -81,13 +82,14 @@
 }
 
 func (n *node) newRelay() (*relay.Relay, error) {
-	pick, err := newPicker(n.dir, n.mon, n.set.Node.FailureDomain, n.log)
+	replicas := platform.NewReplicas()
+	replicas.OnLoad = n.view.load
+	find := holders.New(replicas, holders.Config{Set: n.meter})
+	pick, err := newPicker(n.dir, n.mon, find, n.set.Node.FailureDomain, n.log)
 	if err != nil {
 		return nil, err
 	}
 	budgets := newBudgets(n.set.Hosted)
-	replicas := platform.NewReplicas()
-	replicas.OnLoad = n.view.load
 	runner, err := generation.New(generation.Deps{
 		Admitter: openDoor{},
 		Picker:   pick,
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"wigeondale/admission"
 	"wigeondale/backend"
 	"wigeondale/directory"
@@ -15,6 +13,7 @@
 	"wigeondale/fleet"
 	"wigeondale/generation"
 	"wigeondale/health"
+	"wigeondale/holders"
 	"wigeondale/platform"
 	"wigeondale/routing"
 	"wigeondale/settings"
@@ -54,7 +53,7 @@
 	p.MassSilence = millis(h.MaxSilenceMS)
 	p.PrefillBytesPerSecond = h.PrefillTokensPerSecond * bytesPerToken
 	p.MinPrefill = millis(h.MinPrefillMS)
-	p.PrefillFactor = 3
+	p.PrefillFactor = 5
 	p.QueueFactor = 2
 	p.MinBackoff = probeAfter
 	p.TypicalGap = 60 * time.Millisecond
@@ -132,11 +131,12 @@
 	mon     *health.Monitor
 	work    *routing.Router
 	standby *routing.Router
+	holders *holders.Finder
 	domain  string
 	log     *event.Log
 }
 
-func newPicker(dir *directory.Directory, mon *health.Monitor, domain string, log *event.Log) (*picker, error) {
+func newPicker(dir *directory.Directory, mon *health.Monitor, find *holders.Finder, domain string, log *event.Log) (*picker, error) {
 	work, err := newRouter(workSteps)
 	if err != nil {
 		return nil, err
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &picker{dir: dir, mon: mon, work: work, standby: standby, domain: domain, log: log}, nil
+	return &picker{dir: dir, mon: mon, work: work, standby: standby, holders: find, domain: domain, log: log}, nil
 }
 
 // workSteps choose where an attempt runs, standbySteps where its copy is kept. A
@@ -158,9 +158,8 @@
 		{Name: routing.FilterExclude},
 		{Name: routing.FilterOtherDomain},
 		{Name: routing.FilterUsable},
-		{Name: routing.FilterDue},
 		{Name: routing.ScoreLoad, Weight: 1},
-		{Name: routing.ScoreRendezvous, Weight: 1},
+		{Name: routing.ScoreDue, Weight: 0.3},
 		{Name: routing.ScoreDomain, Weight: 0.02},
 		{Name: routing.PickTwoChoices},
 	}
@@ -170,8 +169,8 @@
 		{Name: routing.FilterExclude},
 		{Name: routing.FilterOtherDomain},
 		{Name: routing.FilterHealthy},
-		{Name: routing.FilterDue},
 		{Name: routing.ScoreLoad, Weight: 1},
+		{Name: routing.ScoreDue, Weight: 0.3},
 		{Name: routing.PickTwoChoices},
 	}
 )
@@ -181,10 +180,13 @@
 
 // Pick implements generation.Picker. Whether a replica is leaving is looked up
 // once more at the moment of sending.
-func (p *picker) Pick(_ context.Context, a generation.Ask) (fleet.Backend, func(), error) {
+func (p *picker) Pick(ctx context.Context, a generation.Ask) (fleet.Backend, func(), error) {
 	if b, done, ok := p.preferred(a); ok {
 		return b, done, nil
 	}
+	if b, done, ok := p.holder(ctx, a); ok {
+		return b, done, nil
+	}
 	ask := p.ask(a)
 	ask.OtherDomain = a.LostDomain
 	for range pickTries {
@@ -221,6 +223,29 @@
 	return b, p.dir.Start(b.ID, cost(a.Size)), true
 }
 
+// holder is the replica that still holds the prompt of a client that came back.
+func (p *picker) holder(ctx context.Context, a generation.Ask) (fleet.Backend, func(), bool) {
+	if len(a.Parts) == 0 {
+		return fleet.Backend{}, nil, false
+	}
+	var up []fleet.Backend
+	for _, c := range p.dir.Service(a.Service) {
+		if !p.dir.Leaving(c.Backend.ID) && p.healthy(c.Backend.ID) {
+			up = append(up, c.Backend)
+		}
+	}
+	id, tokens := p.holders.Find(ctx, up, a.Parts)
+	p.log.Emit(event.HolderSought, "request", a.Request, "asked", len(up), "backend", id, "tokens", tokens)
+	if tokens == 0 || p.dir.Leaving(id) {
+		return fleet.Backend{}, nil, false
+	}
+	b, ok := p.dir.Backend(id)
+	if !ok {
+		return fleet.Backend{}, nil, false
+	}
+	return b, p.dir.Start(id, cost(a.Size)), true
+}
+
 // Standby implements generation.Picker: a replica of another failure domain
 // than b, so that the loss of one domain doesn't take the run and its copy.
 func (p *picker) Standby(a generation.Ask, b fleet.Backend) (fleet.Backend, func(), bool) {
@@ -241,7 +266,6 @@
 		Exclude:       a.Exclude,
 		FailureDomain: p.domain,
 		Resume:        a.Resume,
-		Blocks:        promptBlocks(a.Prompt),
 		FleetKnown:    true,
 		Usable:        p.mon.Usable,
 		Healthy:       p.healthy,
@@ -250,19 +274,6 @@
 
 func (p *picker) healthy(id string) bool { return p.mon.State(id) == health.Healthy }
 
-// promptBlocks draws requests with the same prompt to the same replica.
-//
-// What goes wrong without it: the router of a draft dies, and the client comes
-// back through another one, which sends it anywhere. Its prompt is read anew,
-// while the replica that had read it still holds it. It shows as prefill that is
-// paid for twice after each loss of a router.
-func promptBlocks(prompt string) []uint64 {
-	if prompt == "" {
-		return nil
-	}
-	return []uint64{xxhash.Sum64String(prompt)}
-}
-
 // cost is the load of a request in units of an ordinary one.
 func cost(tokens int) float64 {
 	if tokens <= 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,10 +41,12 @@
 	Key    string        // API key, if any
 	Budget time.Duration // how long the client waits; 0 when it did not say
 	// First is the number of the first piece that the client wants of a stream.
-	First  int
-	Size   int    // tokens of the prompt, 0 when not stated
-	Answer int    // most tokens of the answer, 0 when not stated
-	Prompt string // names the prompt: equal for equal prompts; may be empty
+	First int
+	// Returned tells that the client has pieces before First from an earlier try.
+	Returned bool
+	Size     int      // tokens of the prompt, 0 when not stated
+	Answer   int      // most tokens of the answer, 0 when not stated
+	Parts    []string // ids of the prompt's parts, in order
 }
 
 // Verdict is how a request ended.
@@ -196,7 +198,8 @@
 			First:       j.req.First,
 			Size:        j.req.Size,
 			Answer:      j.req.Answer,
-			Prompt:      j.req.Prompt,
+			Parts:       j.req.Parts,
+			Returned:    j.req.Returned,
 			MaxAttempts: max(j.route.MaxAttempts, 1),
 			Patience:    j.patience(),
 			Copies:      j.engine.Standby && j.route.Kind == route.Stream && j.route.Resumable,
--- a/routing/due.go
+++ b/routing/due.go
@@ -2,12 +2,12 @@
 
 import "slices"
 
-// FilterDue names the filter that keeps work off the failure domain that is
+// ScoreDue names the scorer that draws work off the failure domain that is
 // likeliest to crash next.
-const FilterDue = "due-domain"
+const ScoreDue = "due-domain"
 
-// due keeps off the domain all of whose backend servers are older than those of
-// every other domain, if at least half of the candidates stay.
+// dueScorer draws work off the domain whose backend servers are older than those
+// of every other domain.
 //
 // Where whole domains crash again and again, the one that has not crashed for
 // the longest time is the likeliest to be next: what makes them crash (a rolling
@@ -16,10 +16,18 @@
 // each crash, and as copies that are gone when they are needed. The ages of the
 // lifetimes in the registry are the same for all routers, outlast their restarts
 // and need no memory. Where starts of domains are mixed, as after a first start
-// or a release, there is no such domain and the filter does nothing.
-type due struct{}
+// or a release, there is no such domain and all get the same score. It is no
+// filter: with one domain down and one avoided the others would be overloaded.
+type dueScorer struct{}
 
-func (due) Name() string { return FilterDue }
+func (dueScorer) Score(v View, out []float64) {
+	oldest, found := oldestDomain(v.all)
+	for k := range out {
+		if !found || v.at(k).Backend.FailureDomain != oldest {
+			out[k] = 1
+		}
+	}
+}
 
 // ages are the first and the third quartile of the starts within one domain. A
 // crash leaves out some of a domain, whose lifetimes go on.
@@ -31,29 +39,6 @@
 	return ages{first: starts[n/4], third: starts[n-1-n/4]}
 }
 
-func (due) Keep(all []Candidate, left []int32, _ *Ask, _ *scratch) []int32 {
-	oldest, ok := oldestDomain(all)
-	if !ok {
-		return left
-	}
-	stay := 0
-	for _, i := range left {
-		if all[i].Backend.FailureDomain != oldest {
-			stay++
-		}
-	}
-	if 2*stay < len(left) || stay == 0 {
-		return left
-	}
-	kept := left[:0]
-	for _, i := range left {
-		if all[i].Backend.FailureDomain != oldest {
-			kept = append(kept, i)
-		}
-	}
-	return kept
-}
-
 // oldestDomain is the domain most of whose backend servers are older than most
 // of each other domain.
 func oldestDomain(all []Candidate) (string, bool) {
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -29,7 +29,6 @@
 
 	FilterOtherDomain: each{FilterOtherDomain, otherDomain},
 	FilterHealthy:     each{FilterHealthy, knownHealthy},
-	FilterDue:         due{},
 }
 
 var scorers = map[string]weighted{
@@ -38,6 +37,7 @@
 	ScorePrefix:     {scorer: prefixScorer{}, affinity: true},
 	ScoreRendezvous: {scorer: rendezvousScorer{}, affinity: true},
 	ScoreDomain:     {scorer: domainScorer{}},
+	ScoreDue:        {scorer: dueScorer{}},
 	ScoreSpread:     {scorer: spreadScorer{}, affinity: true},
 	ScorePlaces:     {scorer: placesScorer{}, affinity: true},
 }
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -37,7 +37,7 @@
 		FailuresPerHour:        200,
 		MinSilenceMS:           260,
 		MaxSilenceMS:           450,
-		MinPrefillMS:           1500,
+		MinPrefillMS:           2500,
 		PrefillTokensPerSecond: 5000,
 		GCPercent:              30,
 		LogLinesPerSecond:      400,
