A run whose copy is lost gets another one

Change: generation looks every 300 ms whether the copy can still be counted on, and has another one made beside the stream.

--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -31,6 +31,11 @@
 	// Held tells that the attempt goes on from the copy at its own backend
 	// server. Without that copy the attempt is refused.
 	Held bool
+	// Name and Source are those of a copy made on demand: its name, and the
+	// backend server that the run was copied from. Name is empty for a copy that
+	// was kept up to date all along.
+	Name   string
+	Source fleet.Backend
 }
 
 // Head is the beginning of an answer that is passed on.
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -104,6 +104,9 @@
 	return fleet.Backend{}, nil, false
 }
 
+// Keeps implements generation.Picker.
+func (p *picker) Keeps(string) bool { return false }
+
 // sharedBudget is one retry budget for all models.
 type sharedBudget struct{ *admission.RetryBudget }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -95,6 +95,7 @@
 	DomainSuspect
 	AttemptResumed
 	HolderSought
+	CopyMade
 )
 
 // Events of generations and of calls to backend servers (14xx).
@@ -187,4 +188,5 @@
 	{DomainSuspect, "domain-suspect", Warning, "Several backend servers of one failure domain failed together; the whole domain is avoided for a moment."},
 	{AttemptResumed, "attempt-resumed", Info, "Another attempt delivers the next piece of an answer whose earlier attempt was lost; the pause for the caller is given."},
 	{HolderSought, "holder-sought", Info, "A client came back with a part of its answer; backend servers were asked which still holds the prompt. Without one it is read anew."},
+	{CopyMade, "copy-made", Info, "The copy of a run was lost or is old, and another was made, or could not be for the reason given."},
 }
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -16,17 +16,20 @@
 
 // attempt is one run of the request on one engine.
 type attempt struct {
-	backend  fleet.Backend
-	place    Place
-	stream   Stream // nil while it isn't read
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	watch    Watch
-	done     func()
-	copyAt   fleet.Backend // holds a standby copy of the run, if it has an address
-	copyDone func()        // ends the copy's part in the load at copyAt
-	accepted int           // tokens delivered from it
-	seen     bool          // the engine has confirmed that it exists
+	backend fleet.Backend
+	place   Place
+	stream  Stream // nil while it isn't read
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	watch   Watch
+	done    func()
+	copy    standbyCopy
+	copied  chan standbyCopy // a copy that was made beside the stream; room for one
+	copying bool             // one is being made
+
+	copyChecked time.Time
+	accepted    int  // tokens delivered from it
+	seen        bool // the engine has confirmed that it exists
 }
 
 func (x *run) nextNumber() int {
@@ -65,10 +68,7 @@
 		a.done()
 		a.done = nil
 	}
-	if a.copyDone != nil {
-		a.copyDone()
-		a.copyDone = nil
-	}
+	a.copy.release()
 }
 
 // lastChance tells that no other backend server could go on with the answer.
--- /dev/null
+++ b/generation/copy.go
@@ -0,0 +1,129 @@
+package generation
+
+import (
+	"context"
+	"time"
+
+	"wigeondale/event"
+	"wigeondale/fleet"
+)
+
+const (
+	// copyCheck is how often a run looks whether its copy is still kept.
+	copyCheck = 300 * time.Millisecond
+	// copyTimeout bounds the making of a copy. Some 100 MB take a few ms on the
+	// links that were measured; they queue behind other copies.
+	copyTimeout = 1500 * time.Millisecond
+	// copyRefresh is when a copy that was made on demand is brought up to date.
+	// Backend servers drop it some 4 s after it was made.
+	copyRefresh = 2500 * time.Millisecond
+)
+
+// Copier copies the state of a run from one backend server to another.
+type Copier interface {
+	// Copy copies the run of the request at from, and returns the name of the
+	// copy. Called again it copies only what is new.
+	Copy(ctx context.Context, from fleet.Backend, request string, to fleet.Backend) (name string, err error)
+}
+
+// standbyCopy is where a copy of a run is kept.
+type standbyCopy struct {
+	at   fleet.Backend // without an address there is none
+	name string        // of a copy made on demand; empty while the backend server keeps it up to date
+	made time.Time
+	done func() // ends the copy's part in the load at at
+}
+
+func (c *standbyCopy) release() {
+	if c.done != nil {
+		c.done()
+		c.done = nil
+	}
+}
+
+// tendCopy sees to it that the attempt has a copy, without waiting for it.
+//
+// What goes wrong without it: the failure domain of the copy crashes, the run
+// goes on without one, and some seconds later its own domain crashes too. It
+// shows as answers that pause for a second or more, and pay for their prompt
+// twice, in every second crash: 20 of 94 lost attempts on a day with a crash
+// each 6 s.
+func (x *run) tendCopy(a *attempt, now time.Time) {
+	if x.Copier == nil || !x.req.Opaque.wantsCopies() || now.Sub(a.copyChecked) < copyCheck {
+		return
+	}
+	a.copyChecked = now
+	a.takeCopy()
+	if a.copying || x.copyHolds(a, now) {
+		return
+	}
+	to := a.copy
+	if to.at.Addr == "" || to.name == "" || !x.Picker.Keeps(to.at.ID) {
+		at, done, ok := x.Picker.Standby(x.ask(), a.backend)
+		if !ok {
+			return
+		}
+		to = standbyCopy{at: at, done: done}
+	}
+	a.copying = true
+	go x.makeCopy(a.ctx, a, to)
+}
+
+func (o *Opaque) wantsCopies() bool { return o != nil && o.Copies }
+
+// copyHolds tells whether the copy will do for now.
+func (x *run) copyHolds(a *attempt, now time.Time) bool {
+	if a.copy.at.Addr == "" || !x.Picker.Keeps(a.copy.at.ID) {
+		return false
+	}
+	return a.copy.name == "" || now.Sub(a.copy.made) < copyRefresh
+}
+
+// makeCopy runs beside the stream; its outcome is taken in by takeCopy.
+func (x *run) makeCopy(ctx context.Context, a *attempt, to standbyCopy) {
+	ctx, stop := context.WithTimeout(ctx, copyTimeout)
+	defer stop()
+	made := time.Now()
+	name, err := x.Copier.Copy(ctx, a.backend, x.req.ID, to.at)
+	x.opts.Log.Emit(event.CopyMade, "request", x.req.ID, "attempt", a.place.Attempt,
+		"backend", a.backend.ID, "standby", to.at.ID, "copy", name, "took_ms", time.Since(made).Milliseconds(), "err", err)
+	if err != nil {
+		to.release()
+		to = standbyCopy{}
+	}
+	to.name, to.made = name, made
+	a.copied <- to
+}
+
+// copyOfLost is the copy of an attempt that was lost.
+type copyOfLost struct {
+	at     string        // id of the backend server that keeps it; empty for none
+	name   string        // as in standbyCopy
+	source fleet.Backend // that the attempt ran at
+}
+
+// takeCopyAtLoss takes in a copy that was completed just before the loss.
+func (a *attempt) takeCopyAtLoss() {
+	select {
+	case c := <-a.copied:
+		c.release()
+		if c.at.Addr != "" {
+			a.copy = c
+		}
+	default:
+	}
+}
+
+// takeCopy makes the latest copy the one to go on from.
+func (a *attempt) takeCopy() {
+	select {
+	case c := <-a.copied:
+		a.copying = false
+		if a.copy.at.ID != c.at.ID {
+			a.copy.release()
+		}
+		a.copy = c
+		a.watch.SetCopied(c.at.Addr != "")
+	default:
+	}
+}
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -7,27 +7,27 @@
 
 	"wigeondale/backend"
 	"wigeondale/event"
+	"wigeondale/fleet"
 )
 
 // dispatch sends the request to the picked engine. The deadline has been
 // checked by pick, after the claim.
 func (x *run) dispatch() string {
-	a := &attempt{backend: x.backend, done: x.done}
+	a := &attempt{backend: x.backend, done: x.done, copied: make(chan standbyCopy, 1)}
 	x.done = nil
 	a.place = Place{Backend: a.backend.ID, Attempt: x.nextNumber()}
 	x.watchAttempt(a)
 	x.m.attempts.Inc()
 	x.sent++
-	held := x.prefer != "" && x.prefer == a.backend.ID
-	x.prefer = ""
-	x.keepCopy(a)
+	held := x.heldBy(a.backend)
+	held.Standby = x.keepCopy(a)
 	x.opts.Log.Emit(event.AttemptBegun, "request", x.req.ID, "attempt", a.place.Attempt,
-		"backend", a.backend.ID, "standby", a.copyAt.ID, "from_copy", held, "from", x.acc.next)
-	if x.reached && !held {
+		"backend", a.backend.ID, "standby", a.copy.at.ID, "from_copy", held.Held, "from", x.acc.next)
+	if x.reached && !held.Held {
 		x.m.prefill.Add(x.promptBytes())
 	}
 	s, err := x.Engines.Open(a.ctx, a.backend, backend.StartRequest{
-		Opaque: x.opaque(), Copies: backend.Copies{Standby: a.copyAt, Held: held},
+		Opaque: x.opaque(), Copies: held,
 		ID: x.req.ID, Attempt: a.place.Attempt, Ref: x.req.Ref,
 		Prompt: x.req.Prompt, MaxTokens: x.req.MaxTokens, Priority: x.req.Priority, Resume: x.started(),
 		ResumeText: string(x.text), ResumeTokens: x.acc.next, Linger: x.linger(),
@@ -53,16 +53,27 @@
 // each of their answers has to read its prompt anew elsewhere. It shows as a
 // pause of a second or more in every answer that ran there, and as prefill
 // that is paid for twice.
-func (x *run) keepCopy(a *attempt) {
-	if x.req.Opaque == nil || !x.req.Opaque.Copies {
-		return
+func (x *run) keepCopy(a *attempt) fleet.Backend {
+	if !x.req.Opaque.wantsCopies() {
+		return fleet.Backend{}
 	}
 	standby, done, ok := x.Picker.Standby(x.ask(), a.backend)
 	if !ok {
-		return
+		return fleet.Backend{}
 	}
-	a.copyAt, a.copyDone = standby, done
+	a.copy = standbyCopy{at: standby, done: done}
 	a.watch.SetCopied(true)
+	return standby
+}
+
+// heldBy says whether the run goes on from a copy at b, and uses that up.
+func (x *run) heldBy(b fleet.Backend) backend.Copies {
+	lost := x.lostCopy
+	x.lostCopy = copyOfLost{}
+	if lost.at == "" || lost.at != b.ID {
+		return backend.Copies{}
+	}
+	return backend.Copies{Held: true, Name: lost.name, Source: lost.source}
 }
 
 // begin makes a the attempt that tokens are accepted from.
@@ -219,8 +230,9 @@
 func (x *run) goOn() string {
 	x.exclude[x.last.place.Backend] = true
 	x.lostDomain = x.last.backend.FailureDomain
-	if x.started() && x.last.copyAt.Addr != "" && !x.exclude[x.last.copyAt.ID] {
-		x.prefer = x.last.copyAt.ID
+	x.last.takeCopyAtLoss()
+	if c := x.last.copy; x.started() && c.at.Addr != "" && !x.exclude[c.at.ID] {
+		x.lostCopy = copyOfLost{at: c.at.ID, name: c.name, source: x.last.backend}
 	}
 	x.abandon()
 	if x.req.Opaque == nil {
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -209,6 +209,8 @@
 
 func (h *harness) Take(string) bool { return !h.noBudget }
 
+func (h *harness) Keeps(string) bool { return false }
+
 func (h *harness) Standby(Ask, fleet.Backend) (fleet.Backend, func(), bool) {
 	return fleet.Backend{}, nil, false
 }
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -200,6 +200,8 @@
 	Pick(ctx context.Context, a Ask) (b fleet.Backend, done func(), err error)
 	// Lookup finds a known engine, leaving or not.
 	Lookup(backendID string) (fleet.Backend, bool)
+	// Keeps tells whether a copy at a backend server is still to be counted on.
+	Keeps(backendID string) bool
 	// Standby chooses where the run at b keeps a copy; false means nowhere.
 	Standby(a Ask, b fleet.Backend) (standby fleet.Backend, done func(), ok bool)
 }
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -59,6 +59,7 @@
 	Engines  Engines
 	Abandon  Abandoner
 	Budget   RetryBudget
+	Copier   Copier // nil where backend servers make no copies on demand
 }
 
 // Runner runs generations. It may be shared by goroutines.
@@ -169,7 +170,7 @@
 	reached   bool   // a byte may have reached an engine that hasn't refused
 
 	lostDomain string                // failure domain of the attempt lost last
-	prefer     string                // backend server that holds a copy of the lost run
+	lostCopy   copyOfLost            // of the attempt lost last
 	sent       int                   // attempts that may have run
 	failed     *backend.FailedAnswer // the latest, delivered if nothing better comes
 	backend    fleet.Backend         // picked or held
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -98,7 +98,7 @@
 func (x *run) ask() Ask {
 	a := Ask{
 		Request: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
-		Exclude: x.exclude, Resume: x.started(), Prefer: x.prefer,
+		Exclude: x.exclude, Resume: x.started(), Prefer: x.lostCopy.at,
 	}
 	if o := x.req.Opaque; o != nil {
 		a.Service, a.Size = o.Service, o.Size+o.Answer
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -96,6 +96,7 @@
 		Watcher:  watcher{Monitor: n.mon, dir: n.dir},
 		Engines:  replicas,
 		Budget:   budgets,
+		Copier:   replicas,
 	}, generation.Options{
 		Node:            n.set.Node.ID,
 		StartedPatience: startedPatience,
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -246,6 +246,9 @@
 	return b, p.dir.Start(id, cost(a.Size)), true
 }
 
+// Keeps implements generation.Picker.
+func (p *picker) Keeps(id string) bool { return p.healthy(id) && !p.dir.Leaving(id) }
+
 // Standby implements generation.Picker: a replica of another failure domain
 // than b, so that the loss of one domain doesn't take the run and its copy.
 func (p *picker) Standby(a generation.Ask, b fleet.Backend) (fleet.Backend, func(), bool) {
