Routers of the platform find each other through its store and tell what they have under way

Change: nodes register in the store, agree on a key there, link by package peer, tell their load to their neighbours each 40 ms, and answer for the store where it turns a node away (mirror.Fallback).

--- a/directory/record.go
+++ b/directory/record.go
@@ -32,6 +32,8 @@
 	places   atomic.Uint64 // what batch knows, float64 bits
 	leaving  atomic.Bool
 	cache    cacheMap
+	peers    atomic.Int64 // requests of other routers as they tell, in thousandths
+	told     atomic.Bool  // other routers tell what they have under way
 
 	mu       sync.Mutex
 	backend  fleet.Backend
@@ -119,8 +121,11 @@
 // Load estimates the requests running and waiting: what others had there by
 // the last report, faded by its age, and what we have there now.
 func (r *record) Load(now time.Time) float64 {
-	others := math.Float64frombits(r.others.Load())
 	ours := float64(r.inFlight.Load()) / milli
+	if r.told.Load() {
+		return ours + float64(r.peers.Load())/milli
+	}
+	others := math.Float64frombits(r.others.Load())
 	if others == 0 {
 		return ours
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -96,6 +96,10 @@
 	AttemptResumed
 	HolderSought
 	CopyMade
+	StoreFromPeer
+	RegisterFailed
+	PeerAskFailed
+	PeerListenerFailed
 )
 
 // Events of generations and of calls to backend servers (14xx).
@@ -189,4 +193,8 @@
 	{AttemptResumed, "attempt-resumed", Info, "Another attempt delivers the next piece of an answer whose earlier attempt was lost; the pause for the caller is given."},
 	{HolderSought, "holder-sought", Info, "A client came back with a part of its answer; backend servers were asked which still holds the prompt. Without one it is read anew."},
 	{CopyMade, "copy-made", Info, "The copy of a run was lost or is old, and another was made, or could not be for the reason given."},
+	{StoreFromPeer, "store-from-peer", Info, "The store does not answer this node, and another node knew of newer changes, which are in force now. Nothing to do."},
+	{RegisterFailed, "register-failed", Warning, "This node could not write its address to the store and tries again; until then other nodes don't link to it. Look at the store if it goes on."},
+	{PeerAskFailed, "peer-ask-failed", Info, "Another node did not say what it knows of the store; the next one is asked."},
+	{PeerListenerFailed, "peer-listener-failed", Error, "The listener for other nodes ended: this node hears nothing from them. Restart it."},
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -49,6 +49,7 @@
 	dir     *directory.Directory
 	mon     *health.Monitor
 	view    *view
+	peers   *peers
 	mirror  *mirror.Mirror
 
 	front, ready, stats *listen.Server
@@ -72,8 +73,11 @@
 		dir:   directory.New(log),
 	}
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
-	n.view = newView(n.table, n.dir, n.mon, log)
-	n.mirror = mirror.New(platform.NewStore(set.Hosted.StoreAddress), n.view, mirror.Config{Log: log, Set: n.meter})
+	store := platform.NewStore(set.Hosted.StoreAddress)
+	n.peers = newPeers(set, store, n.dir, log)
+	n.view = newView(n.table, n.dir, n.mon, n.peers, log)
+	n.mirror = mirror.New(store, n.view, mirror.Config{Fallback: n.peers, Log: log, Set: n.meter})
+	n.peers.mirror = n.mirror
 	relay, err := n.newRelay()
 	if err != nil {
 		return nil, err
@@ -151,7 +155,7 @@
 
 func (n *node) run() error {
 	var g run.Group
-	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run} {
+	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
--- /dev/null
+++ b/hosted/peers.go
@@ -0,0 +1,328 @@
+package hosted
+
+import (
+	"context"
+	"crypto/rand"
+	"strings"
+	"sync"
+	"time"
+
+	"wigeondale/directory"
+	"wigeondale/event"
+	"wigeondale/infra"
+	"wigeondale/listen"
+	"wigeondale/mirror"
+	"wigeondale/peer"
+	"wigeondale/platform"
+	"wigeondale/settings"
+)
+
+// Keys of this program in the store.
+const (
+	nodePrefix = "wigeondale/nodes/"   // addresses of the peer listeners, by node
+	peerKeyKey = "wigeondale/peer-key" // shared key of the links
+)
+
+const (
+	peerKeyBytes = 32
+	// heartbeat of a link. Several are missed before a node counts as gone.
+	peerHeartbeat   = time.Second
+	peerDialTimeout = 500 * time.Millisecond
+	peerMaxBackoff  = 2 * time.Second
+	// tellEvery bounds how late other routers learn what this one sent where. A
+	// prompt is read in about a second.
+	tellEvery = 40 * time.Millisecond
+	// tellAll repeats everything, since messages may be lost.
+	tellAll = 2 * time.Second
+	// loadsLife is how long a router's word counts when it falls silent.
+	loadsLife = 3 * tellAll
+	// registerTimeout bounds one write to the store, registerRetry the pause
+	// after one that failed.
+	registerTimeout = time.Second
+	registerRetry   = 500 * time.Millisecond
+)
+
+// Kinds of messages between routers.
+const (
+	tellLoads  = "hosted.loads"
+	callMirror = "hosted.mirror"
+)
+
+// peers joins this node with the others. It is idle until the store has given
+// the key that all links prove.
+type peers struct {
+	set    *settings.Settings
+	store  *platform.Store
+	dir    *directory.Directory
+	log    *event.Log
+	mirror *mirror.Mirror // set before run
+
+	mu    sync.Mutex
+	key   []byte
+	addrs map[string]string // by node, from the store
+	mesh  *peer.Mesh
+	loads map[string]toldLoads // by router
+	found chan struct{}        // closed when the key is known
+}
+
+// toldLoads is the last word of one router.
+type toldLoads struct {
+	at    time.Time
+	loads directory.PeerLoads
+}
+
+// loadsMessage is what a router tells the others.
+type loadsMessage struct {
+	Loads directory.PeerLoads `cbor:"1,keyasint"`
+}
+
+type mirrorRequest struct {
+	After int64 `cbor:"1,keyasint"`
+}
+
+// mirrorReply is empty when the asked node has nothing newer.
+type mirrorReply struct {
+	At    int64         `cbor:"1,keyasint"`
+	Items []infra.Value `cbor:"2,keyasint"`
+}
+
+func newPeers(set *settings.Settings, store *platform.Store, dir *directory.Directory, log *event.Log) *peers {
+	return &peers{
+		set: set, store: store, dir: dir, log: log,
+		addrs: map[string]string{}, loads: map[string]toldLoads{}, found: make(chan struct{}),
+	}
+}
+
+// put takes in an item of this program.
+func (p *peers) put(item infra.Value) {
+	if item.Key == peerKeyKey {
+		p.setKey(item.Data)
+		return
+	}
+	id, ok := strings.CutPrefix(item.Key, nodePrefix)
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addrs[id] = string(item.Data)
+	p.seed()
+}
+
+func (p *peers) gone(key string) {
+	if id, ok := strings.CutPrefix(key, nodePrefix); ok {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.addrs, id)
+	}
+}
+
+func (p *peers) setKey(key []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.key != nil || len(key) < peerKeyBytes {
+		return
+	}
+	p.key = key
+	close(p.found)
+}
+
+// seed tells the mesh where other nodes listen.
+func (p *peers) seed() {
+	if p.mesh == nil {
+		return
+	}
+	var addrs []string
+	for id, addr := range p.addrs {
+		if id != p.set.Node.ID {
+			addrs = append(addrs, addr)
+		}
+	}
+	p.mesh.AddSeeds(addrs)
+}
+
+// nodes is the number of nodes that are registered, this one included.
+func (p *peers) nodes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(len(p.addrs), 1)
+}
+
+// run registers this node and keeps its links until ctx ends.
+func (p *peers) run(ctx context.Context) error {
+	p.register(ctx)
+	select {
+	case <-p.found:
+	case <-ctx.Done():
+		return nil
+	}
+	mesh, err := p.newMesh()
+	if err != nil {
+		return err
+	}
+	l, err := listen.New(listen.Config{Listener: settings.Listener{Address: p.set.Hosted.PeerAddress}}, mesh)
+	if err != nil {
+		return err
+	}
+	go func() {
+		// It ends with the listener, at the end of this function.
+		if err := l.Serve(); err != nil && ctx.Err() == nil {
+			p.log.Emit(event.PeerListenerFailed, "err", err)
+		}
+	}()
+	defer l.Close()
+	go p.tell(ctx, mesh)
+	return mesh.Run(ctx)
+}
+
+func (p *peers) newMesh() (*peer.Mesh, error) {
+	mesh, err := peer.New(peer.Config{
+		ID:            p.set.Node.ID,
+		Addr:          p.set.Hosted.PeerAddress,
+		FailureDomain: p.set.Node.FailureDomain,
+		Heartbeat:     peerHeartbeat,
+		DialTimeout:   peerDialTimeout,
+		MaxBackoff:    peerMaxBackoff,
+		Topology:      peer.Topology{FullMeshLimit: p.set.Peers.FullMeshLimit, NearLinks: p.set.Peers.LinksInside, FarLinks: p.set.Peers.LinksAcross},
+	}, p.key, p.log, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	peer.Handle(mesh, tellLoads, p.takeLoads)
+	peer.HandleCall(mesh, callMirror, func(_ context.Context, _ string, req mirrorRequest) (mirrorReply, error) {
+		c, _ := p.mirror.Held(req.After)
+		return mirrorReply{At: c.At, Items: c.Items}, nil
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mesh = mesh
+	p.seed()
+	return mesh, nil
+}
+
+// register writes this node's address, and the shared key if there is none. A
+// key that another node created first comes through the mirror.
+func (p *peers) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := p.registerOnce(ctx)
+		if err == nil {
+			return
+		}
+		p.log.Emit(event.RegisterFailed, "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerRetry):
+		}
+	}
+}
+
+func (p *peers) registerOnce(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, registerTimeout)
+	defer stop()
+	key := make([]byte, peerKeyBytes)
+	rand.Read(key) // never fails: the runtime ends the process instead
+	if _, err := p.store.Create(ctx, peerKeyKey, key); err != nil {
+		return err
+	}
+	_, err := p.store.Create(ctx, nodePrefix+p.set.Node.ID, []byte(p.set.Hosted.PeerAddress))
+	return err
+}
+
+// tell sends what this router has under way whenever it changes.
+func (p *peers) tell(ctx context.Context, mesh *peer.Mesh) {
+	tick := time.NewTicker(tellEvery)
+	defer tick.Stop()
+	var last directory.PeerLoads
+	var all time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		own := p.dir.OwnLoads()
+		if now.Sub(all) >= tellAll {
+			all, last = now, own
+			_ = mesh.Tell(tellLoads, loadsMessage{own}) // the next one repeats it
+		} else if changed := changes(last, own); len(changed) > 0 {
+			last = own
+			_ = mesh.Tell(tellLoads, loadsMessage{changed})
+		}
+		p.sum(now)
+	}
+}
+
+// changes returns the entries of now that differ, with 0 for those that ended.
+func changes(before, now directory.PeerLoads) directory.PeerLoads {
+	out := directory.PeerLoads{}
+	for id, v := range now {
+		if before[id] != v {
+			out[id] = v
+		}
+	}
+	for id := range before {
+		if _, ok := now[id]; !ok {
+			out[id] = 0
+		}
+	}
+	return out
+}
+
+func (p *peers) takeLoads(from string, m loadsMessage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.loads[from]
+	if t.loads == nil {
+		t.loads = directory.PeerLoads{}
+	}
+	for id, v := range m.Loads {
+		if v == 0 {
+			delete(t.loads, id)
+			continue
+		}
+		t.loads[id] = v
+	}
+	t.at = time.Now()
+	p.loads[from] = t
+}
+
+// sum hands what the others told to the directory.
+func (p *peers) sum(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum directory.PeerLoads
+	for from, t := range p.loads {
+		if now.Sub(t.at) > loadsLife {
+			delete(p.loads, from)
+			continue
+		}
+		if sum == nil {
+			sum = directory.PeerLoads{}
+		}
+		for id, v := range t.loads {
+			sum[id] += v
+		}
+	}
+	p.dir.SetPeerLoads(sum)
+}
+
+// Newer implements mirror.Fallback: it asks a linked node.
+func (p *peers) Newer(ctx context.Context, after int64) (mirror.Copy, bool) {
+	p.mu.Lock()
+	mesh := p.mesh
+	p.mu.Unlock()
+	if mesh == nil {
+		return mirror.Copy{}, false
+	}
+	node, ok := mesh.RandomNeighbour()
+	if !ok {
+		return mirror.Copy{}, false
+	}
+	reply, err := peer.Call[mirrorRequest, mirrorReply](ctx, mesh, node, callMirror, mirrorRequest{After: after})
+	if err != nil {
+		p.log.Emit(event.PeerAskFailed, "peer", node, "err", err)
+		return mirror.Copy{}, false
+	}
+	return mirror.Copy{Items: reply.Items, At: reply.At}, reply.At > after
+}
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -18,14 +18,15 @@
 	table *route.Current
 	dir   *directory.Directory
 	mon   *health.Monitor
+	peers *peers
 	log   *event.Log
 
 	replicas map[string]fleet.Backend // by id
 	changed  bool
 }
 
-func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, log *event.Log) *view {
-	return &view{table: table, dir: dir, mon: mon, log: log, replicas: map[string]fleet.Backend{}}
+func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, p *peers, log *event.Log) *view {
+	return &view{table: table, dir: dir, mon: mon, peers: p, log: log, replicas: map[string]fleet.Backend{}}
 }
 
 // Put implements mirror.Receiver.
@@ -36,7 +37,9 @@
 	}
 	if id, ok := platform.ReplicaID(item.Key); ok {
 		v.putReplica(id, item)
+		return
 	}
+	v.peers.put(item)
 }
 
 func (v *view) putConfig(item infra.Value) {
@@ -84,6 +87,7 @@
 func (v *view) Gone(key string) {
 	id, ok := platform.ReplicaID(key)
 	if !ok {
+		v.peers.gone(key)
 		return
 	}
 	v.leave(id, "its entry is gone", 0)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -13,6 +13,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,6 +40,19 @@
 	Reset()
 }
 
+// Copy is another node's mirror of the prefix.
+type Copy struct {
+	Items []infra.Value
+	At    int64 // revision up to which it is complete
+}
+
+// Fallback is where a Mirror looks while the store does not answer it.
+type Fallback interface {
+	// Newer returns a copy that is complete up to a later revision than after;
+	// false when no other node has one.
+	Newer(ctx context.Context, after int64) (Copy, bool)
+}
+
 // Receiver is told what the mirror holds. Calls come from one goroutine.
 type Receiver interface {
 	// Put tells of a new or changed item.
@@ -61,8 +77,10 @@
 	Timeout time.Duration
 	// Doubt is how long after an outage a missing item may still come back.
 	Doubt time.Duration
-	Log   *event.Log
-	Set   *metrics.Set
+	// Fallback may be nil.
+	Fallback Fallback
+	Log      *event.Log
+	Set      *metrics.Set
 }
 
 // Defaults of Config.
@@ -99,12 +117,14 @@
 	store Store
 	out   Receiver
 
-	items    map[string]int64 // revision of each item held
-	doubted  map[string]bool  // missing since an outage, not yet told as gone
+	mu     sync.Mutex // guards items and at, which Held reads
+	items  map[string]infra.Value
+	at     int64 // revision up to which changes are known
+	synced bool  // items are complete up to at
+
+	doubted  map[string]bool // missing since an outage, not yet told as gone
 	doubtEnd time.Time
-	at       int64 // revision up to which changes are known
-	synced   bool  // items are complete up to at
-	lost     bool  // the latest call failed
+	lost     bool // the latest call failed
 	retry    time.Duration
 
 	calls, failures *metrics.Counter
@@ -117,7 +137,7 @@
 		cfg:      cfg,
 		store:    store,
 		out:      out,
-		items:    map[string]int64{},
+		items:    map[string]infra.Value{},
 		doubted:  map[string]bool{},
 		calls:    cfg.Set.GetOrCreateCounter("wigeon_mirror_calls_total"),
 		failures: cfg.Set.GetOrCreateCounter("wigeon_mirror_failures_total"),
@@ -134,6 +154,7 @@
 		pause := m.cfg.Pause
 		if err != nil {
 			pause = m.failed(err)
+			m.askOthers(ctx)
 		} else {
 			m.regained()
 		}
@@ -157,7 +178,7 @@
 	defer stop()
 	events, at, err := m.store.Changes(ctx, m.cfg.Prefix, m.at, wait)
 	if errors.Is(err, infra.ErrCompacted) {
-		m.synced = false
+		m.setSynced(false)
 		m.cfg.Log.Emit(event.StoreHistoryLost, "after", m.at)
 		return m.readAll(ctx)
 	}
@@ -165,7 +186,7 @@
 		return err
 	}
 	m.takeEvents(events)
-	m.at = max(m.at, at)
+	m.advance(at)
 	return nil
 }
 
@@ -176,6 +197,14 @@
 	if err != nil {
 		return err
 	}
+	m.takeAll(items, m.remove)
+	m.advance(at)
+	m.setSynced(true)
+	return nil
+}
+
+// takeAll takes in a complete set; remove is told what isn't in it.
+func (m *Mirror) takeAll(items []infra.Value, remove func(key string)) {
 	found := make(map[string]bool, len(items))
 	for _, v := range items {
 		found[v.Key] = true
@@ -183,13 +212,51 @@
 	}
 	for key := range m.items {
 		if !found[key] {
-			m.remove(key)
+			remove(key)
 		}
 	}
-	m.at = at
-	m.synced = true
 	m.out.Settled()
-	return nil
+}
+
+func (m *Mirror) advance(at int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.at = max(m.at, at)
+}
+
+func (m *Mirror) setSynced(synced bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.synced = synced
+}
+
+// Held returns the items that this node holds if they are complete and newer
+// than after. It may be called from any goroutine.
+func (m *Mirror) Held(after int64) (Copy, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.synced || m.at <= after {
+		return Copy{}, false
+	}
+	return Copy{Items: slices.Collect(maps.Values(m.items)), At: m.at}, true
+}
+
+// askOthers takes in what another node knows of the store. That node saw the
+// store itself, so what is missing there is gone.
+func (m *Mirror) askOthers(ctx context.Context) {
+	if m.cfg.Fallback == nil {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout)
+	defer stop()
+	c, ok := m.cfg.Fallback.Newer(ctx, m.at)
+	if !ok {
+		return
+	}
+	m.cfg.Log.Emit(event.StoreFromPeer, "at", c.At, "before", m.at, "items", len(c.Items))
+	m.takeAll(c.Items, m.drop)
+	m.advance(c.At)
+	m.setSynced(true)
 }
 
 func (m *Mirror) takeEvents(events []infra.WatchEvent) {
@@ -207,10 +274,12 @@
 
 func (m *Mirror) put(v infra.Value) {
 	delete(m.doubted, v.Key)
-	if m.items[v.Key] == v.ModRev {
+	if m.items[v.Key].ModRev >= v.ModRev {
 		return
 	}
-	m.items[v.Key] = v.ModRev
+	m.mu.Lock()
+	m.items[v.Key] = v
+	m.mu.Unlock()
 	m.out.Put(v)
 }
 
@@ -227,7 +296,9 @@
 }
 
 func (m *Mirror) drop(key string) {
+	m.mu.Lock()
 	delete(m.items, key)
+	m.mu.Unlock()
 	delete(m.doubted, key)
 	m.out.Gone(key)
 }
--- a/peer/flood.go
+++ b/peer/flood.go
@@ -63,8 +63,15 @@
 // Flood sends v to every member that can be reached, each handling it once. It
 // does not wait and promises no delivery: a member that was cut off or slow
 // misses it, and the owner of the kind repairs that by anti-entropy.
-func (m *Mesh) Flood(kind string, v any) error {
-	f := frame{Type: typeFlood, Kind: kind, ID: rand.Uint64(), From: m.cfg.ID}
+func (m *Mesh) Flood(kind string, v any) error { return m.flood(kind, v, 0) }
+
+// Tell sends v to the linked members only, which don't pass it on. It is for
+// news that is soon replaced by newer: passed on, each would cost a message a
+// link instead of one a neighbour.
+func (m *Mesh) Tell(kind string, v any) error { return m.flood(kind, v, maxFloodHops) }
+
+func (m *Mesh) flood(kind string, v any, hops uint64) error {
+	f := frame{Type: typeFlood, Kind: kind, ID: rand.Uint64(), From: m.cfg.ID, Arg: hops}
 	b, err := encodeFrame(f, v)
 	if err != nil {
 		return err
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -5,6 +5,7 @@
 	FrontAddress     string `json:"front_address"`     // clients
 	ReadinessAddress string `json:"readiness_address"` // the platform's balancer
 	MetricsAddress   string `json:"metrics_address"`
+	PeerAddress      string `json:"peer_address"` // other nodes
 	StoreAddress     string `json:"store_address"`
 	// GraceMS is the time from the signal to end to the platform's kill.
 	GraceMS int `json:"grace_ms"`
@@ -49,6 +50,7 @@
 	c.address("hosted.readiness_address", h.ReadinessAddress)
 	c.address("hosted.metrics_address", h.MetricsAddress)
 	c.address("hosted.store_address", h.StoreAddress)
+	c.address("hosted.peer_address", h.PeerAddress)
 	within(c, "hosted.grace_ms", h.GraceMS, 1000, dayMS)
 	within(c, "hosted.retry_share", h.RetryShare, 0, 10)
 	within(c, "hosted.retry_burst", h.RetryBurst, 0, 10000)
