A failure domain's crash is told to the other routers; streams without a first piece go on at once

Change: who takes a domain to have crashed tells the others, who believe it unless a member has just spoken to them; streams that wait for a first piece there go on elsewhere.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -100,6 +100,7 @@
 	RegisterFailed
 	PeerAskFailed
 	PeerListenerFailed
+	CopyDropFailed
 )
 
 // Events of generations and of calls to backend servers (14xx).
@@ -197,4 +198,5 @@
 	{RegisterFailed, "register-failed", Warning, "This node could not write its address to the store and tries again; until then other nodes don't link to it. Look at the store if it goes on."},
 	{PeerAskFailed, "peer-ask-failed", Info, "Another node did not say what it knows of the store; the next one is asked."},
 	{PeerListenerFailed, "peer-listener-failed", Error, "The listener for other nodes ended: this node hears nothing from them. Restart it."},
+	{CopyDropFailed, "copy-drop-failed", Info, "The copy of a run that ended was not freed; the backend server frees it after some seconds."},
 }
--- a/generation/copy.go
+++ b/generation/copy.go
@@ -24,6 +24,8 @@
 	// Copy copies the run of the request at from, and returns the name of the
 	// copy. Called again it copies only what is new.
 	Copy(ctx context.Context, from fleet.Backend, request string, to fleet.Backend) (name string, err error)
+	// Drop frees a copy of a run that ended, at both ends.
+	Drop(ctx context.Context, from fleet.Backend, name string) error
 }
 
 // standbyCopy is where a copy of a run is kept.
@@ -69,6 +71,23 @@
 	go x.makeCopy(a.ctx, a, to)
 }
 
+// dropCopy frees the copy of a run that came to its end. Without it the copy
+// takes memory for some seconds more, for nobody.
+func (x *run) dropCopy(a *attempt) {
+	a.takeCopy()
+	if a.copy.name == "" {
+		return
+	}
+	from, name := a.backend, a.copy.name
+	x.voids.Go(func() {
+		ctx, stop := context.WithTimeout(context.WithoutCancel(x.ctx), copyTimeout)
+		defer stop()
+		if err := x.Copier.Drop(ctx, from, name); err != nil {
+			x.opts.Log.Emit(event.CopyDropFailed, "request", x.req.ID, "backend", from.ID, "copy", name, "err", err)
+		}
+	})
+}
+
 func (o *Opaque) wantsCopies() bool { return o != nil && o.Copies }
 
 // copyHolds tells whether the copy will do for now.
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -148,6 +148,10 @@
 	RetryAfter time.Duration
 	Tokens     int // delivered by this run
 	Resumes    int
+	// FirstAfter is when the first token was delivered, and LongestPause the
+	// longest time between two that followed.
+	FirstAfter   time.Duration
+	LongestPause time.Duration
 }
 
 // Ticket is what admission decides on.
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -49,6 +49,7 @@
 			"backend", a.backend.ID, "from", t.Index, "gap_ms", now.Sub(x.lastToken).Milliseconds())
 		x.lossCause = ""
 	}
+	x.measure(now)
 	if sinceBoth(now, x.lastToken) > x.opts.PauseGap {
 		x.awoke = now
 	}
@@ -81,6 +82,16 @@
 	return err
 }
 
+// measure notes how late a token is. lastToken is the start before the first.
+func (x *run) measure(now time.Time) {
+	wait := now.Sub(x.lastToken)
+	if x.res.Tokens == 0 {
+		x.res.FirstAfter = wait
+		return
+	}
+	x.res.LongestPause = max(x.res.LongestPause, wait)
+}
+
 // whole ends an attempt after its last token: nothing is left to cancel. The
 // end mark is read when at hand, so that the connection can be used again.
 func (x *run) whole(a *attempt) string {
@@ -96,6 +107,7 @@
 // sends it too.
 func (x *run) streamEnded(a *attempt, err error) string {
 	if errors.Is(err, io.EOF) && (x.req.Opaque != nil || x.acc.next >= x.req.MaxTokens) {
+		x.dropCopy(a)
 		x.leave()
 		return "done"
 	}
--- a/health/domain.go
+++ b/health/domain.go
@@ -34,6 +34,12 @@
 	// domainChance is the probability, taken over the members that decode, below
 	// which their common silence is no chance.
 	domainChance = 1e-4
+	// crashedSilence is the silence from which a stream of a crashed domain goes on
+	// elsewhere. Others are judged as usual.
+	crashedSilence = 150 * time.Millisecond
+	// domainCrash is the time in which all failures belong to one crash. New
+	// lifetimes were seen 1.2 s after one, and the next crash 6 s after.
+	domainCrash = 2 * time.Second
 	// aliveWithin is how fresh a sign of life keeps a member out of the
 	// suspicion of its domain.
 	aliveWithin = 100 * time.Millisecond
@@ -46,6 +52,8 @@
 	mu      sync.Mutex
 	members map[*engine]struct{}
 	failed  map[*engine]int64 // when each of them failed last
+
+	crashedAt int64 // 0 if never
 }
 
 // Place tells in which failure domain a backend server is. Those of the same
@@ -109,48 +117,86 @@
 	return n
 }
 
-// noteFailure counts one failure and ejects the rest of a domain that crashed.
+// noteFailure counts one failure and acts on a domain that crashed by it.
 func (m *Monitor) noteFailure(e *engine, t int64) {
 	d := e.domain.Load()
 	if d == nil || !d.fail(e, t) {
 		return
 	}
-	m.suspectDomain(d, t)
+	m.crashed(d, t, "members failed together")
 }
 
-// suspectDomain keeps new work away from all members without a sign of life.
-func (m *Monitor) suspectDomain(d *domain, t int64) {
+// DomainRumour takes in another router's word that a domain crashed. It counts
+// unless some member has given this router a sign of life just now: the other
+// router may be the one that is cut off.
+func (m *Monitor) DomainRumour(name string) {
+	m.mu.RLock()
+	d := m.domains[name]
+	m.mu.RUnlock()
+	if d == nil {
+		return
+	}
+	t := m.at(time.Now())
+	for _, e := range d.list() {
+		if t-e.last.Load() < int64(aliveWithin) {
+			return
+		}
+	}
+	m.crashed(d, t, "another router says so")
+}
+
+// crashed keeps new work away from all members without a sign of life, and has
+// their streams go on elsewhere. Once for each crash: what follows within
+// domainCrash belongs to it.
+func (m *Monitor) crashed(d *domain, t int64, reason string) {
+	if !d.enter(t) {
+		return
+	}
 	n := 0
 	for _, e := range d.list() {
 		if t-e.last.Load() < int64(aliveWithin) {
 			continue
 		}
 		n++
+		v := e.silent(t)
 		m.ejectAlone(e, Suspect, t)
+		m.cancel(v)
 	}
-	m.log.Emit(event.DomainSuspect, "domain", d.name, "backends", n)
+	m.log.Emit(event.DomainSuspect, "domain", d.name, "backends", n, "reason", reason)
+	if m.OnDomain != nil {
+		m.OnDomain(d.name)
+	}
+}
+
+// enter tells whether a crash at t is a new one.
+func (d *domain) enter(t int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.crashedAt != 0 && t-d.crashedAt < int64(domainCrash) {
+		return false
+	}
+	d.crashedAt = t
+	return true
 }
 
 // judgeDomains suspects all silent members of a domain in which several decode
 // and none has spoken for longer than chance explains.
-func (m *Monitor) judgeDomains(t int64) []verdict {
+func (m *Monitor) judgeDomains(t int64) {
 	m.mu.RLock()
 	domains := make([]*domain, 0, len(m.domains))
 	for _, d := range m.domains {
 		domains = append(domains, d)
 	}
 	m.mu.RUnlock()
-	var found []verdict
 	for _, d := range domains {
-		found = append(found, m.judgeDomain(d, t)...)
+		m.judgeDomain(d, t)
 	}
-	return found
 }
 
-func (m *Monitor) judgeDomain(d *domain, t int64) []verdict {
+func (m *Monitor) judgeDomain(d *domain, t int64) {
 	members := d.list()
 	if len(members) < domainMinimum {
-		return nil
+		return
 	}
 	chance, decoding := 1.0, 0
 	for _, e := range members {
@@ -159,22 +205,15 @@
 			continue
 		}
 		if silence < domainSilence {
-			return nil
+			return
 		}
 		decoding++
 		chance *= m.survival(e, silence)
 	}
 	if decoding < domainDecoding || chance > domainChance {
-		return nil
-	}
-	m.log.Emit(event.DomainSuspect, "domain", d.name, "decoding", decoding, "chance", chance)
-	var found []verdict
-	for _, e := range members {
-		if v, ok := e.allSilent(t); ok {
-			found = append(found, v)
-		}
+		return
 	}
-	return found
+	m.crashed(d, t, "common silence")
 }
 
 // decodingSilence is the silence of an engine whose streams wait for a next
@@ -189,22 +228,22 @@
 	return h.Silence, h.Streams > 0
 }
 
-// allSilent is the verdict that cancels every stream of a silent engine, those
-// that wait for their first token too.
-func (e *engine) allSilent(t int64) (verdict, bool) {
+// silent is the verdict that cancels the streams of a crashed domain's member:
+// those that wait for their first token, and those that are silent for long
+// enough to tell.
+func (e *engine) silent(t int64) verdict {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	v := verdict{engine: e, silence: e.silence(t), suspect: true, domain: true}
-	if v.silence < domainSilence {
-		return verdict{}, false
-	}
+	v := verdict{engine: e, silence: e.silence(t)}
 	for _, s := range e.streams {
-		if !s.cancelled && !s.blocked.Load() {
-			v.streams = append(v.streams, s)
-			v.causes = append(v.causes, ErrSuspect)
+		waits := s.last.Load() == 0 || s.silence(t) >= crashedSilence
+		if !waits || s.cancelled || s.blocked.Load() {
+			continue
 		}
+		v.streams = append(v.streams, s)
+		v.causes = append(v.causes, ErrSuspect)
 	}
-	return v, true
+	return v
 }
 
 // survival is the share of an engine's gaps that are longer than d.
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -17,6 +17,10 @@
 	// recovers, so that a rumour can be spread. It must not block.
 	OnChange func(backend, incarnation string, kind RumourKind)
 
+	// OnDomain, set before use, is told once when a failure domain is taken to
+	// have crashed. It must not block.
+	OnDomain func(name string)
+
 	policy Policy
 	log    *event.Log
 	epoch  time.Time
--- a/health/tick.go
+++ b/health/tick.go
@@ -26,9 +26,7 @@
 	if m.pausedBefore(t) {
 		return
 	}
-	for _, v := range m.judgeDomains(t) {
-		m.act(v, t)
-	}
+	m.judgeDomains(t)
 	for _, v := range m.holdMass(m.judgeAll(t)) {
 		m.act(v, t)
 	}
@@ -269,6 +267,10 @@
 		m.eject(v.engine, Suspect, t)
 		m.log.Emit(event.EngineSuspect, "backend", v.engine.id, "silence_ms", v.silence.Milliseconds(), "streams", len(v.streams))
 	}
+	m.cancel(v)
+}
+
+func (m *Monitor) cancel(v verdict) {
 	v.engine.markCancelled(v.streams)
 	for i, s := range v.streams {
 		m.count(v.causes[i])
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -74,7 +74,7 @@
 	}
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
 	store := platform.NewStore(set.Hosted.StoreAddress)
-	n.peers = newPeers(set, store, n.dir, log)
+	n.peers = newPeers(set, store, n.dir, n.mon, log)
 	n.view = newView(n.table, n.dir, n.mon, n.peers, log)
 	n.mirror = mirror.New(store, n.view, mirror.Config{Fallback: n.peers, Log: log, Set: n.meter})
 	n.peers.mirror = n.mirror
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -9,6 +9,7 @@
 
 	"wigeondale/directory"
 	"wigeondale/event"
+	"wigeondale/health"
 	"wigeondale/infra"
 	"wigeondale/listen"
 	"wigeondale/mirror"
@@ -46,6 +47,7 @@
 const (
 	tellLoads  = "hosted.loads"
 	callMirror = "hosted.mirror"
+	floodCrash = "hosted.domain-crash"
 )
 
 // peers joins this node with the others. It is idle until the store has given
@@ -54,6 +56,7 @@
 	set    *settings.Settings
 	store  *platform.Store
 	dir    *directory.Directory
+	mon    *health.Monitor
 	log    *event.Log
 	mirror *mirror.Mirror // set before run
 
@@ -76,6 +79,11 @@
 	Loads directory.PeerLoads `cbor:"1,keyasint"`
 }
 
+// crashMessage names a failure domain that a router takes to have crashed.
+type crashMessage struct {
+	Domain string `cbor:"1,keyasint"`
+}
+
 type mirrorRequest struct {
 	After int64 `cbor:"1,keyasint"`
 }
@@ -86,11 +94,25 @@
 	Items []infra.Value `cbor:"2,keyasint"`
 }
 
-func newPeers(set *settings.Settings, store *platform.Store, dir *directory.Directory, log *event.Log) *peers {
-	return &peers{
-		set: set, store: store, dir: dir, log: log,
+func newPeers(set *settings.Settings, store *platform.Store, dir *directory.Directory, mon *health.Monitor, log *event.Log) *peers {
+	p := &peers{
+		set: set, store: store, dir: dir, mon: mon, log: log,
 		addrs: map[string]string{}, loads: map[string]toldLoads{}, found: make(chan struct{}),
 	}
+	mon.OnDomain = p.crashed
+	return p
+}
+
+// crashed tells the others of a failure domain that this router, or one that told
+// it, takes to have crashed. Each router passes it on once.
+func (p *peers) crashed(domain string) {
+	p.mu.Lock()
+	mesh := p.mesh
+	p.mu.Unlock()
+	if mesh != nil {
+		// Not delivered means only that others find out for themselves.
+		_ = mesh.Tell(floodCrash, crashMessage{domain})
+	}
 }
 
 // put takes in an item of this program.
@@ -189,6 +211,7 @@
 		return nil, Error.Wrap(err)
 	}
 	peer.Handle(mesh, tellLoads, p.takeLoads)
+	peer.Handle(mesh, floodCrash, func(_ string, m crashMessage) { p.mon.DomainRumour(m.Domain) })
 	peer.HandleCall(mesh, callMirror, func(_ context.Context, _ string, req mirrorRequest) (mirrorReply, error) {
 		c, _ := p.mirror.Held(req.After)
 		return mirrorReply{At: c.At, Items: c.Items}, nil
--- a/relay/report.go
+++ b/relay/report.go
@@ -44,7 +44,7 @@
 	kv := []any{
 		"request", j.req.ID, "route", j.route.Name, "service", j.service, "account", j.account,
 		"version", j.version, "outcome", string(res.Outcome), "pieces", res.Tokens, "resumes", res.Resumes,
-		"took_ms", took.Milliseconds(),
+		"first_ms", res.FirstAfter.Milliseconds(), "pause_ms", res.LongestPause.Milliseconds(), "took_ms", took.Milliseconds(),
 	}
 	if res.Code != "" {
 		kv = append(kv, "code", res.Code, "status", v.Status, "retry_after_ms", v.RetryAfter.Milliseconds(), "err", res.Err)
