--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -161,7 +161,7 @@
 		{Name: routing.ScoreLoad, Weight: 1},
 		{Name: routing.ScoreDue, Weight: 0.3},
 		{Name: routing.ScoreDomain, Weight: 0.02},
-		{Name: routing.PickTwoChoices},
+		{Name: routing.PickBest},
 	}
 	standbySteps = []routing.StepConfig{
 		{Name: routing.FilterServes},
@@ -171,7 +171,7 @@
 		{Name: routing.FilterHealthy},
 		{Name: routing.ScoreLoad, Weight: 1},
 		{Name: routing.ScoreDue, Weight: 0.3},
-		{Name: routing.PickTwoChoices},
+		{Name: routing.PickBest},
 	}
 )
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -90,8 +90,11 @@
 	defaultPause   = 300 * time.Millisecond
 	defaultTimeout = 1500 * time.Millisecond
 	defaultDoubt   = 2 * time.Second
-	minRetry       = 100 * time.Millisecond
-	maxRetry       = 800 * time.Millisecond
+	// lostWait keeps calls short until one is answered again: one that was sent
+	// into a cut is not answered after it, and would hide the store's return.
+	lostWait = 400 * time.Millisecond
+	minRetry = 100 * time.Millisecond
+	maxRetry = 800 * time.Millisecond
 )
 
 func (c Config) withDefaults() Config {
@@ -171,6 +174,9 @@
 		return m.readAll(ctx)
 	}
 	wait := m.cfg.Wait
+	if m.lost {
+		wait = min(wait, lostWait)
+	}
 	if len(m.doubted) > 0 {
 		wait = min(wait, max(time.Until(m.doubtEnd), minRetry))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -94,9 +94,10 @@
 }
 
 const (
-	// unknownRetry is told while no configuration is known: reading it takes
-	// some tens of milliseconds once the store answers.
-	unknownRetry = 500 * time.Millisecond
+	// unknownRetry is told while no configuration is known. A start takes some
+	// tens of milliseconds once the store answers, so the store is away, and a
+	// client that comes back too soon is refused once more.
+	unknownRetry = 2 * time.Second
 	// retryShare is the largest part of a client's remaining time that it is
 	// told to wait: later it could not be served any more.
 	retryShare = 3
--- a/routing/pickers.go
+++ b/routing/pickers.go
@@ -13,12 +13,14 @@
 	PickTwoChoices = "two-choices"
 	PickArgmax     = "argmax"
 	PickRandom     = "random"
+	PickBest       = "best"
 )
 
 var pickers = map[string]Picker{
 	PickTwoChoices: twoChoices{},
 	PickArgmax:     argmax{},
 	PickRandom:     random{},
+	PickBest:       best{},
 }
 
 // twoChoices draws two at random, adds the one with the highest affinity if
@@ -51,6 +53,30 @@
 	return best
 }
 
+// best takes one of the highest scores, at random among those that are as good.
+// It is for routers that tell each other what they have under way: then two
+// random choices leave idle ones aside, and those that choose at the same moment
+// rarely meet, since many are as good.
+type best struct{}
+
+// asGood is how far below the highest a score still counts as equal.
+const asGood = 0.02
+
+func (best) Choose(score, _ []float64, rng *rand.Rand) int {
+	top := score[argmax{}.Choose(score, nil, nil)]
+	chosen, n := 0, 0
+	for k, s := range score {
+		if s < top-asGood {
+			continue
+		}
+		n++
+		if rng.IntN(n) == 0 {
+			chosen = k
+		}
+	}
+	return chosen
+}
+
 // random ignores the scores; it serves as a baseline.
 type random struct{}
 
