Retry budget of a service is divided among the nodes, and no attempt goes beyond it

Change: the burst is divided by the registered nodes, started answers wait for budget, a replica whose address answered for another is told to all routers.

--- a/admission/retry.go
+++ b/admission/retry.go
@@ -18,6 +18,15 @@
 	return &RetryBudget{share: share, burst: burst, level: burst}
 }
 
+// Resize changes what the budget holds at most, as routers come and go that
+// share it. It never holds less than one retry.
+func (b *RetryBudget) Resize(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = max(burst, 1)
+	b.level = min(b.level, b.burst)
+}
+
 // First counts a first try.
 func (b *RetryBudget) First() {
 	b.mu.Lock()
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -128,8 +128,12 @@
 			return x.giveUp(CodeBadRequest, err)
 		}
 	}
+	if x.req.Opaque != nil {
+		x.repeats = isRefusal // a connection that was never open is no arrival
+		return "not-started"
+	}
 	// A started answer goes before the budget: it holds work already paid for.
-	if !x.Budget.Take(x.service()) && !x.started() {
+	if !x.started() && !x.Budget.Take(x.service()) {
 		return x.giveUp(CodeRetryBudget, err)
 	}
 	return "not-started"
@@ -225,8 +229,7 @@
 }
 
 // goOn has another backend server continue the answer, at the standby copy of
-// the lost run if there is one. An opaque answer that has not begun is a second
-// try like any other, and draws on the budget.
+// the lost run if there is one.
 func (x *run) goOn() string {
 	x.exclude[x.last.place.Backend] = true
 	x.lostDomain = x.last.backend.FailureDomain
@@ -235,12 +238,7 @@
 		x.lostCopy = copyOfLost{at: c.at.ID, name: c.name, source: x.last.backend}
 	}
 	x.abandon()
-	if x.req.Opaque == nil {
-		return "continue"
-	}
-	if !x.Budget.Take(x.service()) && !x.started() {
-		return x.giveUp(CodeRetryBudget, x.waitErr)
-	}
+	x.repeats = x.req.Opaque != nil
 	return "continue"
 }
 
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -75,6 +75,10 @@
 	if o := x.req.Opaque; o != nil && x.sent >= o.MaxAttempts {
 		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
+	if x.repeats && !x.Budget.Take(x.service()) {
+		return x.overBudget()
+	}
+	x.repeats = false
 	b, done, err := x.Picker.Pick(x.ctx, x.ask())
 	if err == nil {
 		x.backend, x.done = b, done
@@ -95,6 +99,25 @@
 	return "none"
 }
 
+// budgetWait is how soon a started answer asks for budget again. First tries
+// earn it, some hundred a second over all routers.
+const budgetWait = 100 * time.Millisecond
+
+// overBudget holds an attempt back for which the service has no budget left. A
+// started answer waits for some: it holds work already paid for.
+//
+// What goes wrong when started answers are let through: replicas crash while
+// the store is away, each router tries one address after the other that is not
+// the replica's any more, and a service that has lost half of its replicas gets
+// several times as many arrivals as requests.
+func (x *run) overBudget() string {
+	if !x.started() {
+		return x.giveUp(CodeRetryBudget, x.waitErr)
+	}
+	x.delay = budgetWait
+	return "none"
+}
+
 func (x *run) ask() Ask {
 	a := Ask{
 		Request: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	budgets := newBudgets(n.set.Hosted)
+	budgets := newBudgets(n.set.Hosted, n.peers.nodes)
 	runner, err := generation.New(generation.Deps{
 		Admitter: openDoor{},
 		Picker:   pick,
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -48,6 +48,7 @@
 	tellLoads  = "hosted.loads"
 	callMirror = "hosted.mirror"
 	floodCrash = "hosted.domain-crash"
+	floodGone  = "hosted.replica-gone"
 )
 
 // peers joins this node with the others. It is idle until the store has given
@@ -84,6 +85,11 @@
 	Domain string `cbor:"1,keyasint"`
 }
 
+// goneMessage names a replica whose address another one has.
+type goneMessage struct {
+	Replica string `cbor:"1,keyasint"`
+}
+
 type mirrorRequest struct {
 	After int64 `cbor:"1,keyasint"`
 }
@@ -100,9 +106,26 @@
 		addrs: map[string]string{}, loads: map[string]toldLoads{}, found: make(chan struct{}),
 	}
 	mon.OnDomain = p.crashed
+	dir.OnLeaving = p.leaving
 	return p
 }
 
+// leaving tells the others of a replica whose address turned out to be another's.
+// The registry tells them too, but not while the store is away: then each router
+// would find out by a request of its own, which counts as one more arrival.
+func (p *peers) leaving(id, _ string, source directory.Source) {
+	if source != directory.FromRefusal {
+		return
+	}
+	p.mu.Lock()
+	mesh := p.mesh
+	p.mu.Unlock()
+	if mesh != nil {
+		// Not delivered means only that others find out for themselves.
+		_ = mesh.Flood(floodGone, goneMessage{id})
+	}
+}
+
 // crashed tells the others of a failure domain that this router, or one that told
 // it, takes to have crashed. Each router passes it on once.
 func (p *peers) crashed(domain string) {
@@ -212,6 +235,7 @@
 	}
 	peer.Handle(mesh, tellLoads, p.takeLoads)
 	peer.Handle(mesh, floodCrash, func(_ string, m crashMessage) { p.mon.DomainRumour(m.Domain) })
+	peer.Handle(mesh, floodGone, func(_ string, m goneMessage) { p.dir.MarkLeaving(m.Replica, "", directory.FromRumour) })
 	peer.HandleCall(mesh, callMirror, func(_ context.Context, _ string, req mirrorRequest) (mirrorReply, error) {
 		c, _ := p.mirror.Held(req.After)
 		return mirrorReply{At: c.At, Items: c.Items}, nil
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -69,27 +69,38 @@
 
 func (openDoor) Admit(context.Context, generation.Ticket) (func(), error) { return nil, nil }
 
-// budgets hold one retry budget for each service. The platform's bound is a
-// share of the requests for a service, summed over all nodes.
+// budgets hold one retry budget for each service. The platform bounds the sum
+// over all nodes: a share of the requests, and a burst that the nodes divide.
 type budgets struct {
-	share, burst float64
+	share float64
+	burst func() float64 // of one node
 
 	mu    sync.Mutex
 	known map[string]*admission.RetryBudget
 }
 
-func newBudgets(h *settings.Hosted) *budgets {
-	return &budgets{share: h.RetryShare, burst: h.RetryBurst, known: map[string]*admission.RetryBudget{}}
+// budgetMargin is the part of the platform's bound that is used. The rest is for
+// nodes that don't know yet how many they are, and for uneven shares.
+const budgetMargin = 0.8
+
+func newBudgets(h *settings.Hosted, nodes func() int) *budgets {
+	return &budgets{
+		share: budgetMargin * h.RetryShare,
+		burst: func() float64 { return budgetMargin * h.RetryBurst / float64(nodes()) },
+		known: map[string]*admission.RetryBudget{},
+	}
 }
 
 func (b *budgets) of(service string) *admission.RetryBudget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	burst := b.burst()
 	one := b.known[service]
 	if one == nil {
-		one = admission.NewRetryBudget(b.share, b.burst)
+		one = admission.NewRetryBudget(b.share, burst)
 		b.known[service] = one
 	}
+	one.Resize(burst)
 	return one
 }
 
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -9,8 +9,8 @@
 	StoreAddress     string `json:"store_address"`
 	// GraceMS is the time from the signal to end to the platform's kill.
 	GraceMS int `json:"grace_ms"`
-	// RetryShare of the requests for a service may be tried again by this node,
-	// and RetryBurst at once. The platform bounds the sum over all nodes.
+	// RetryShare of the requests for a service may be tried again, and RetryBurst
+	// more at once, by all nodes together.
 	RetryShare float64 `json:"retry_share"`
 	RetryBurst float64 `json:"retry_burst"`
 	// FailuresPerHour is the prior rate at which one replica fails.
@@ -33,8 +33,8 @@
 func (h *Hosted) setDefaults() {
 	*h = Hosted{
 		GraceMS:                8000,
-		RetryShare:             0.7,
-		RetryBurst:             18,
+		RetryShare:             0.8,
+		RetryBurst:             150,
 		FailuresPerHour:        200,
 		MinSilenceMS:           260,
 		MaxSilenceMS:           450,
