--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -58,6 +58,9 @@
 	ShutdownDone
 	VMLeaving
 	VMStays
+	LinesDropped
+	Reloaded
+	ShutdownCut
 )
 
 // Events of the inventory of VMs (18xx).
@@ -75,32 +78,7 @@
 	BackendRecovered
 	EngineLeaving
 	CacheGap
-)
-
-// Events of the users' platform: its store, its replicas, opaque requests (19xx).
-const (
-	StoreLost ID = 1901 + iota
-	StoreRegained
-	StoreHistoryLost
-	TableInForce
-	ItemUnreadable
-	ReplicaKnown
-	ReplicaLeaving
-	RelayRefused
-	RelayEnded
-	AttemptBegun
-	AttemptLost
-	Reloaded
-	LinesDropped
 	DomainSuspect
-	AttemptResumed
-	HolderSought
-	CopyMade
-	StoreFromPeer
-	RegisterFailed
-	PeerAskFailed
-	PeerListenerFailed
-	CopyDropFailed
 )
 
 // Events of generations and of calls to backend servers (14xx).
@@ -109,6 +87,11 @@
 	OutcomeUnknown
 	CancelDropped
 	VoidFailed
+	AttemptBegun
+	AttemptLost
+	AttemptResumed
+	CopyMade
+	CopyDropFailed
 )
 
 // Events of the log and of at-most-once claims (11xx).
@@ -127,6 +110,29 @@
 	CursorRefused ID = 1501 + iota
 )
 
+// Events of a node on the users' platform: routes, replicas, opaque requests,
+// other nodes (19xx).
+const (
+	TableInForce ID = 1901 + iota
+	ItemUnreadable
+	ReplicaKnown
+	ReplicaLeaving
+	RelayRefused
+	RelayEnded
+	HolderSought
+	RegisterFailed
+	PeerAskFailed
+	PeerListenerFailed
+)
+
+// Events of the platform's store (20xx).
+const (
+	StoreLost ID = 2001 + iota
+	StoreRegained
+	StoreHistoryLost
+	StoreFromPeer
+)
+
 // Catalogue lists every event in the order of its number.
 var Catalogue = []Entry{
 	{LogWatchLost, "log-watch-lost", Warning, "A watch on a log ended; reads find new entries until it is open again. If it goes on, look at the key-value service."},
@@ -150,10 +156,16 @@
 	{BackendRecovered, "backend-recovered", Info, "A backend server answered again and gets work. Nothing to do."},
 	{EngineLeaving, "engine-leaving", Info, "A backend server is leaving and gets no new work. Nothing to do."},
 	{CacheGap, "cache-gap", Info, "Cache events were lost, so the engine's cache map is not trusted for a while. Nothing to do."},
+	{DomainSuspect, "domain-suspect", Warning, "Several backend servers of one failure domain failed together; the whole domain is avoided for a moment."},
 	{AttemptMismatch, "attempt-mismatch", Warning, "An engine's answer named another request, attempt or model, skipped a token or was malformed; the attempt was ended. Check that engine if it repeats."},
 	{OutcomeUnknown, "outcome-unknown", Warning, "A request marked as non-idempotent may have run, and its answer was lost. The caller has been told; look the work up before it is asked for again."},
 	{CancelDropped, "cancel-dropped", Warning, "An abandoned attempt will not be cancelled; the engine ends it after its linger time. Check that engine if it repeats."},
 	{VoidFailed, "void-failed", Warning, "The claim of a request that didn't run couldn't be freed: repeats of its key are answered as unknown until the claim expires. Check the key-value service."},
+	{AttemptBegun, "attempt-begun", Info, "An attempt is sent to a backend server, with the standby that keeps its copy."},
+	{AttemptLost, "attempt-lost", Warning, "An attempt ended before its answer was whole; the next lines of the request tell what was done."},
+	{AttemptResumed, "attempt-resumed", Info, "Another attempt delivers the next piece of an answer whose earlier attempt was lost; the pause for the caller is given."},
+	{CopyMade, "copy-made", Info, "The copy of a run was lost or is old, and another was made, or could not be for the reason given."},
+	{CopyDropFailed, "copy-drop-failed", Info, "The copy of a run that ended was not freed; the backend server frees it after some seconds."},
 	{CursorRefused, "cursor-refused", Warning, "A caller came back with a cursor that is forged, foreign, malformed or too old, and was refused. Check that all nodes share the cursor key if it repeats; else the account is trying others' cursors."},
 	{RevisionInForce, "revision-in-force", Info, "This node acts on a newer revision of the configuration. Nothing to do."},
 	{RevisionUnreadable, "revision-unreadable", Error, "A log entry can't be read and counts as no change. Find who wrote it: a newer build or another program on the same prefix."},
@@ -173,30 +185,25 @@
 	{ShutdownDone, "shutdown-done", Info, "Every open request ended and the process exits. Nothing to do."},
 	{VMLeaving, "vm-leaving", Info, "This node's own VM is to leave: readiness fails now, new work is refused after the balancer's notice, open requests are finished. End the process when it has none left."},
 	{VMStays, "vm-stays", Info, "The wish that this node's VM leaves was taken back; it takes work again. Nothing to do."},
+	{LinesDropped, "lines-dropped", Warning, "Log lines were dropped to keep their volume bounded; the number is given."},
+	{Reloaded, "reloaded", Info, "The settings file was read again after a signal; changes that need a restart are named."},
+	{ShutdownCut, "shutdown-cut", Warning, "Requests were still open when the time to the platform\'s kill was over; they end with the process. Look for replicas that answer slowly."},
 	{InventoryHeld, "inventory-held", Warning, "Readings of the VM list lack more than half of what is known, or are empty, and nothing is removed by them. Look at the VM list; the next event tells if it stays so."},
 	{InventoryShrunk, "inventory-shrunk", Warning, "Readings went on lacking more than half of what was known, so that is taken for gone. Nothing to do if so many VMs were taken away; else look at the VM list."},
 	{InventoryAlone, "inventory-alone", Warning, "No reader's reading of the VM list was heard of for a minute, so this node reads it now and then by itself. Look at the VM list, and at the links between nodes."},
 	{InventoryFromPeer, "inventory-from-peer", Info, "This node had no inventory and took that of another node. Nothing to do."},
-	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
-	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
-	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
 	{TableInForce, "table-in-force", Info, "A newer version of routes, services and client accounts is in force on this node. Nothing to do."},
 	{ItemUnreadable, "item-unreadable", Error, "An item of the store could not be read and the last good value stays. Look at who wrote it."},
 	{ReplicaKnown, "replica-known", Info, "A replica registered itself and gets work from now on. Nothing to do."},
 	{ReplicaLeaving, "replica-leaving", Info, "A replica leaves or is gone and gets no new work from now on, for the reason given. Nothing to do."},
 	{RelayRefused, "relay-refused", Warning, "A request was refused before it reached a backend server, for the reason given."},
 	{RelayEnded, "relay-ended", Info, "A request that was passed on came to its end."},
-	{AttemptBegun, "attempt-begun", Info, "An attempt is sent to a backend server, with the standby that keeps its copy."},
-	{AttemptLost, "attempt-lost", Warning, "An attempt ended before its answer was whole; the next lines of the request tell what was done."},
-	{Reloaded, "reloaded", Info, "The settings file was read again after a signal; changes that need a restart are named."},
-	{LinesDropped, "lines-dropped", Warning, "Log lines were dropped to keep their volume bounded; the number is given."},
-	{DomainSuspect, "domain-suspect", Warning, "Several backend servers of one failure domain failed together; the whole domain is avoided for a moment."},
-	{AttemptResumed, "attempt-resumed", Info, "Another attempt delivers the next piece of an answer whose earlier attempt was lost; the pause for the caller is given."},
 	{HolderSought, "holder-sought", Info, "A client came back with a part of its answer; backend servers were asked which still holds the prompt. Without one it is read anew."},
-	{CopyMade, "copy-made", Info, "The copy of a run was lost or is old, and another was made, or could not be for the reason given."},
-	{StoreFromPeer, "store-from-peer", Info, "The store does not answer this node, and another node knew of newer changes, which are in force now. Nothing to do."},
 	{RegisterFailed, "register-failed", Warning, "This node could not write its address to the store and tries again; until then other nodes don't link to it. Look at the store if it goes on."},
 	{PeerAskFailed, "peer-ask-failed", Info, "Another node did not say what it knows of the store; the next one is asked."},
 	{PeerListenerFailed, "peer-listener-failed", Error, "The listener for other nodes ended: this node hears nothing from them. Restart it."},
-	{CopyDropFailed, "copy-drop-failed", Info, "The copy of a run that ended was not freed; the backend server frees it after some seconds."},
+	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
+	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
+	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
+	{StoreFromPeer, "store-from-peer", Info, "The store does not answer this node, and another node knew of newer changes, which are in force now. Nothing to do."},
 }
--- /dev/null
+++ b/fakes/hosted/replica.go
@@ -0,0 +1,318 @@
+package hosted
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Arrival is one request as a replica saw it.
+type Arrival struct {
+	ID     string
+	Method string
+	Target string
+	Header http.Header
+	Body   string
+	Ran    bool
+	// Ended is set when the run ended by itself; a run that was cut stays false.
+	Ended bool
+}
+
+// Replica is a stand-in for one replica, as a model engine or a plain service.
+// Its answers are a function of the request's id, so that two runs of a request
+// give the same bytes.
+type Replica struct {
+	ID      string
+	Service string
+	Domain  string
+	Engine  bool
+	Pieces  int           // of a stream
+	Gap     time.Duration // between them
+
+	server *http.Server
+	ln     net.Listener
+
+	mu       sync.Mutex
+	arrivals []*Arrival
+	copies   map[string]bool // ids of runs of which a copy lies here
+	faults   Faults
+	frozen   chan struct{} // closed when the replica goes on
+	peers    func(addr string) *Replica
+}
+
+// Faults are the switches of a replica. Each holds until it is set anew.
+type Faults struct {
+	Refuse     bool // 503, not executed
+	FailStatus int  // its own failure, after the run
+	WrongID    bool // echoes another request's id
+	NoSeal     bool
+	Encoded    bool
+	Torn       bool // ends within the answer
+	Unframed   bool // no length: the answer ends with its connection
+	Silent     bool // takes requests and says nothing
+}
+
+// Start begins to listen. peers finds the replica at an address, for copies.
+func (r *Replica) Start(peers func(addr string) *Replica) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	r.ln, r.peers, r.copies = ln, peers, map[string]bool{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-list", r.serveList)
+	mux.HandleFunc("POST /kv-move", r.serveMove)
+	mux.HandleFunc("DELETE /kv-handle/{name}", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/", r.serve)
+	r.server = &http.Server{Handler: mux}
+	go r.server.Serve(ln)
+	return nil
+}
+
+// Addr is where the replica listens.
+func (r *Replica) Addr() string { return r.ln.Addr().String() }
+
+// Crash cuts every connection and ends the replica.
+func (r *Replica) Crash() { r.server.Close() }
+
+// Freeze leaves everything as it is, without a sign, until Thaw.
+func (r *Replica) Freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.frozen = make(chan struct{})
+}
+
+// Thaw ends Freeze.
+func (r *Replica) Thaw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.frozen != nil {
+		close(r.frozen)
+		r.frozen = nil
+	}
+}
+
+// Set sets the faults.
+func (r *Replica) Set(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// Entry is the replica's item in the store.
+func (r *Replica) Entry(state string) map[string]any {
+	return map[string]any{
+		"service": r.Service, "address": r.Addr(), "zone": r.Domain, "version": "v1",
+		"slots": 8, "state": state, "cold_left_ms": 0, "sequence": 1,
+	}
+}
+
+// Arrivals returns the requests seen so far.
+func (r *Replica) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Arrival, len(r.arrivals))
+	for i, a := range r.arrivals {
+		out[i] = *a
+	}
+	return out
+}
+
+// Piece is event n of the answer to the request with id.
+func Piece(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
+}
+
+// Whole is the whole answer of a plain service to the request with id.
+func Whole(id string) string { return "answer to " + id }
+
+func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	a := &Arrival{
+		ID: req.Header.Get("X-Attempt-Id"), Method: req.Method, Target: req.RequestURI,
+		Header: req.Header.Clone(), Body: string(body),
+	}
+	f, refuse := r.arrive(a)
+	h := w.Header()
+	h.Set("X-Attempt-Id", a.ID)
+	h.Set("X-Replica-Load", "1,0,8")
+	if refuse != 0 {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(refuse)
+		return
+	}
+	if f.Silent {
+		<-req.Context().Done()
+		return
+	}
+	r.dress(h, f)
+	if f.FailStatus != 0 {
+		w.WriteHeader(f.FailStatus)
+		io.WriteString(w, "failed")
+		return
+	}
+	if r.Engine {
+		r.stream(w, req, a, f)
+		return
+	}
+	r.whole(w, a, f)
+}
+
+// dress sets the headers of an answer, with their faults.
+func (r *Replica) dress(h http.Header, f Faults) {
+	if f.WrongID {
+		h.Set("X-Attempt-Id", "another")
+	}
+	if !f.NoSeal {
+		h.Set("X-Response-Seal", "seal-of-"+r.ID)
+	}
+	if f.Encoded {
+		h.Set("Content-Encoding", "gzip")
+	}
+}
+
+// arrive notes the request and says whether the replica refuses it.
+func (r *Replica) arrive(a *Arrival) (f Faults, refuse int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, a)
+	if expected := a.Header.Get("X-Expect-Instance"); expected != "" && expected != r.ID {
+		return r.faults, http.StatusMisdirectedRequest
+	}
+	if r.faults.Refuse {
+		return r.faults, http.StatusServiceUnavailable
+	}
+	if a.Header.Get("Kv-From") != "" && !r.copies[a.ID] {
+		return r.faults, http.StatusServiceUnavailable
+	}
+	a.Ran = true
+	if standby := a.Header.Get("X-Kv-Backup"); standby != "" {
+		r.copyTo(standby, a.ID)
+	}
+	return r.faults, 0
+}
+
+func (r *Replica) copyTo(addr, id string) bool {
+	if r.peers == nil {
+		return false
+	}
+	other := r.peers(addr)
+	if other == nil || other == r {
+		return false
+	}
+	other.mu.Lock()
+	defer other.mu.Unlock()
+	other.copies[id] = true
+	return true
+}
+
+func (r *Replica) whole(w http.ResponseWriter, a *Arrival, f Faults) {
+	text := Whole(a.ID)
+	switch {
+	case f.Unframed:
+		conn, buf, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\nConnection: close\r\n\r\n%s", a.ID, text)
+		buf.Flush()
+		conn.Close()
+	case f.Torn:
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		io.WriteString(w, text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	default:
+		io.WriteString(w, text)
+	}
+	r.ended(a)
+}
+
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, a *Arrival, f Faults) {
+	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := from + 1; n <= r.Pieces; n++ {
+		if !r.wait(req) {
+			return
+		}
+		piece := Piece(a.ID, n)
+		if f.Torn && n == r.Pieces/2 {
+			io.WriteString(w, piece[:len(piece)/2])
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, piece); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+	}
+	r.ended(a)
+}
+
+// wait passes the time to the next piece, or longer while the replica is frozen.
+func (r *Replica) wait(req *http.Request) bool {
+	t := time.NewTimer(r.Gap)
+	defer t.Stop()
+	select {
+	case <-req.Context().Done():
+		return false
+	case <-t.C:
+	}
+	r.mu.Lock()
+	frozen := r.frozen
+	r.mu.Unlock()
+	if frozen == nil {
+		return true
+	}
+	select {
+	case <-req.Context().Done():
+		return false
+	case <-frozen:
+		return true
+	}
+}
+
+func (r *Replica) ended(a *Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.Ended = true
+}
+
+// serveList lists the prompts of the runs that the replica has seen.
+func (r *Replica) serveList(w http.ResponseWriter, _ *http.Request) {
+	held := [][]any{}
+	for _, a := range r.Arrivals() {
+		if !a.Ran {
+			continue
+		}
+		for part := range strings.SplitSeq(a.Header.Get("X-Prompt-Prefix"), ",") {
+			id, tokens, _ := strings.Cut(part, ":")
+			n, _ := strconv.Atoi(tokens)
+			held = append(held, []any{"", id, n, "m"})
+		}
+	}
+	answer(w, map[string]any{"epoch": 1, "next": 1, "held": held})
+}
+
+// serveMove copies a run on demand.
+func (r *Replica) serveMove(w http.ResponseWriter, req *http.Request) {
+	var move struct{ ID, Target string }
+	if err := decode(req.Body, &move); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !r.copyTo(move.Target, move.ID) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	answer(w, map[string]any{"kv_handle": "handle-of-" + move.ID, "created": 1})
+}
+
+func decode(r io.Reader, v any) error { return json.NewDecoder(r).Decode(v) }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -61,7 +61,9 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(n.run())
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return Error.Wrap(n.run(signals))
 }
 
 func newNode(set *settings.Settings, log *event.Log) (*node, error) {
@@ -153,7 +155,7 @@
 	return nil
 }
 
-func (n *node) run() error {
+func (n *node) run(signals <-chan os.Signal) error {
 	var g run.Group
 	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run} {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -163,32 +165,37 @@
 		g.Add(listen.Actor(l))
 	}
 	stop := make(chan struct{})
-	g.Add(func() error { return n.untilSignal(stop) }, func(error) { close(stop) })
+	g.Add(func() error { return n.untilSignal(signals, stop) }, func(error) { close(stop) })
 	n.log.Emit(event.Started, "front", n.front.Addr(), "ready", n.ready.Addr(), "store", n.set.Hosted.StoreAddress)
 	return g.Run()
 }
 
 // untilSignal waits for the signal to end and then for the end of all requests.
-func (n *node) untilSignal(stop <-chan struct{}) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func (n *node) untilSignal(signals <-chan os.Signal, stop <-chan struct{}) error {
 	for {
 		select {
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				n.reload()
-				continue
-			}
 		case <-stop:
 			return nil
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				n.shutdown()
+				return nil
+			}
+			n.reload()
 		}
-		break
 	}
+}
+
+// shutdown takes no new connections and lets the open requests end, as long as
+// the platform lets the process live.
+func (n *node) shutdown() {
 	n.log.Emit(event.ShutdownBegun)
 	n.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.grace())
 	defer cancel()
-	return n.front.Shutdown(ctx, millis(n.set.Shutdown.BalancerNoticeMS))
+	if err := n.front.Shutdown(ctx, millis(n.set.Shutdown.BalancerNoticeMS)); err != nil {
+		n.log.Emit(event.ShutdownCut, "err", err)
+	}
 }
 
 // grace is how long open requests may take after a signal to end: the platform
