--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -42,6 +42,7 @@
 	arrivals []*Arrival
 	copies   map[string]bool // ids of runs of which a copy lies here
 	faults   Faults
+	open     int           // requests under way
 	frozen   chan struct{} // closed when the replica goes on
 	peers    func(addr string) *Replica
 }
@@ -124,6 +125,19 @@
 	return out
 }
 
+// Open is the number of requests under way.
+func (r *Replica) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open
+}
+
+func (r *Replica) count(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open += n
+}
+
 // Piece is event n of the answer to the request with id.
 func Piece(id string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n)
@@ -133,6 +147,8 @@
 func Whole(id string) string { return "answer to " + id }
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	r.count(1)
+	defer r.count(-1)
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
--- a/fakes/hosted/store.go
+++ b/fakes/hosted/store.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -58,6 +59,34 @@
 // Addr is the address without a scheme.
 func (s *Store) Addr() string { return strings.TrimPrefix(s.URL, "http://") }
 
+// Door is one more address of the store, which can be shut without the others.
+type Door struct {
+	*httptest.Server
+	shut atomic.Bool
+}
+
+// NewDoor opens one more address of the same store.
+func (s *Store) NewDoor() *Door {
+	d := &Door{}
+	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.shut.Load() {
+			http.Error(w, `{"error":"not you"}`, http.StatusServiceUnavailable)
+			return
+		}
+		s.Config.Handler.ServeHTTP(w, r)
+	}))
+	return d
+}
+
+// Addr is the address without a scheme.
+func (d *Door) Addr() string { return strings.TrimPrefix(d.URL, "http://") }
+
+// Shut turns whoever comes through this address away, and cuts those that wait.
+func (d *Door) Shut() {
+	d.shut.Store(true)
+	d.CloseClientConnections()
+}
+
 // Down makes every call fail with 503, or ends that.
 func (s *Store) Down(down bool) {
 	s.mu.Lock()
--- /dev/null
+++ b/hosted/hosted_test.go
@@ -0,0 +1,511 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	fakes "wigeondale/fakes/hosted"
+	"wigeondale/settings"
+)
+
+const (
+	key      = "key-of-acc"
+	patience = 10 * time.Second // bound of every wait; no verdict depends on it
+)
+
+// fleet is a store, replicas and nodes on loopback.
+type testFleet struct {
+	t        *testing.T
+	store    *fakes.Store
+	mu       sync.Mutex
+	replicas map[string]*fakes.Replica // by address
+	version  int
+}
+
+func newFleet(t *testing.T) *testFleet {
+	f := &testFleet{t: t, store: fakes.NewStore(), replicas: map[string]*fakes.Replica{}}
+	t.Cleanup(func() {
+		f.store.Silent(false)
+		f.store.CloseClientConnections()
+		f.store.Close()
+	})
+	return f
+}
+
+func (f *testFleet) at(addr string) *fakes.Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replicas[addr]
+}
+
+func (f *testFleet) replica(r *fakes.Replica) *fakes.Replica {
+	f.t.Helper()
+	if err := r.Start(f.at); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Crash)
+	f.mu.Lock()
+	f.replicas[r.Addr()] = r
+	f.mu.Unlock()
+	f.store.PutJSON("servers/"+r.ID, r.Entry("ready"))
+	return r
+}
+
+// engines starts n engines in two failure domains.
+func (f *testFleet) engines(n, pieces int, gap time.Duration) []*fakes.Replica {
+	var out []*fakes.Replica
+	for i := range n {
+		out = append(out, f.replica(&fakes.Replica{
+			ID: fmt.Sprintf("e%d", i), Service: "llm", Domain: fmt.Sprintf("d%d", i%2), Engine: true, Pieces: pieces, Gap: gap,
+		}))
+	}
+	return out
+}
+
+// configure writes the next version with these keys of the account.
+func (f *testFleet) configure(keys ...string) {
+	f.version++
+	route := func(name, kind, service string, timeout, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "prefix": "/" + name + "/", "route_type": kind, "service": service,
+			"timeout_ms": timeout, "target_latency_ms": 1000, "max_attempts": attempts, "resumable": kind == "streaming",
+		}
+	}
+	f.store.PutJSON("op/config", map[string]any{
+		"version": f.version,
+		"routes": []any{
+			route("draft", "streaming", "llm", 20000, 5),
+			route("book", "non_idempotent", "app", 3000, 1),
+			route("look", "idempotent", "app", 3000, 2),
+			route("short", "idempotent", "app", 300, 2),
+		},
+		"services": []any{
+			map[string]any{"name": "llm", "engine": map[string]any{"kv_capacity": 55000, "backups": true}},
+			map[string]any{"name": "app"},
+		},
+		"tenants": []any{map[string]any{"name": "acc", "api_keys": keys}},
+	})
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// testNode is one running node.
+type testNode struct {
+	*node
+	t       *testing.T
+	signals chan os.Signal
+	done    chan struct{}
+}
+
+func (f *testFleet) node(id string) *testNode {
+	f.t.Helper()
+	return f.nodeAt(id, f.store.Addr())
+}
+
+// nodeAt starts a node that reaches the store at an address of its own.
+func (f *testFleet) nodeAt(id, store string) *testNode {
+	f.t.Helper()
+	set, err := settings.Parse(fmt.Appendf(nil, `{
+		"node": {"id": %q, "vm": %q, "failure_domain": "d0", "region": "r", "incarnation": "1"},
+		"shutdown": {"balancer_notice_ms": 200},
+		"hosted": {"front_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0", "metrics_address": "127.0.0.1:0",
+			"peer_address": %q, "store_address": %q, "grace_ms": 8000}}`, id, id, freeAddr(f.t), store))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n, err := newNode(set, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	tn := &testNode{node: n, t: f.t, signals: make(chan os.Signal, 1), done: make(chan struct{})}
+	go func() {
+		defer close(tn.done)
+		if err := n.run(tn.signals); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	f.t.Cleanup(tn.stop)
+	return tn
+}
+
+func (n *testNode) stop() {
+	select {
+	case n.signals <- syscall.SIGTERM:
+	default:
+	}
+	<-n.done
+}
+
+func (n *testNode) ready() bool {
+	resp, err := http.Get("http://" + n.node.ready.Addr().String() + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// send makes a request with its own id through the node.
+func (n *testNode) send(ctx context.Context, path, id, apiKey string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front.Addr().String()+path, strings.NewReader("q"))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Api-Key", apiKey)
+	req.Header.Set("X-Deadline-Ms", "15000")
+	req.Header.Set("X-Token-Usage", "100,50")
+	req.Header.Set("X-Prompt-Prefix", "aa:40,"+id+":60")
+	return (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+}
+
+func (n *testNode) get(path, id, apiKey string) (status int, body string) {
+	n.t.Helper()
+	resp, err := n.send(n.t.Context(), path, id, apiKey)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
+
+func draft(id string, pieces int) string {
+	s := ""
+	for n := 1; n <= pieces; n++ {
+		s += fakes.Piece(id, n)
+	}
+	return s
+}
+
+// running returns the engine on which the request runs now.
+func running(engines []*fakes.Replica, id string) *fakes.Replica {
+	for _, e := range engines {
+		for _, a := range e.Arrivals() {
+			if a.ID == id && a.Ran && !a.Ended {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// Symptom: a node that knows nothing yet denies what is allowed, and the client
+// does not come back.
+func TestWithoutConfigurationARequestIsRefused(t *testing.T) {
+	f := newFleet(t)
+	n := f.node("n1")
+	resp, err := n.send(t.Context(), "/draft/x", "q0", key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %d with %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if n.ready() {
+		t.Error("ready without a configuration")
+	}
+	f.engines(2, 3, 0)
+	f.configure(key)
+	await(t, "readiness", n.ready)
+	if status, body := n.get("/draft/x", "q1", key); status != 200 || body != draft("q1", 3) {
+		t.Errorf("got %d %q", status, body)
+	}
+}
+
+func TestRoutesAndKeys(t *testing.T) {
+	f := newFleet(t)
+	app := f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "readiness", n.ready)
+	for _, c := range []struct {
+		path, key string
+		want      int
+	}{{"/look/x", key, 200}, {"/look/x", "stranger", 401}, {"/nowhere/x", key, 404}, {"/lookalike", key, 404}} {
+		if status, _ := n.get(c.path, "q", c.key); status != c.want {
+			t.Errorf("%s with %s: got %d, want %d", c.path, c.key, status, c.want)
+		}
+	}
+	got := app.Arrivals()
+	if len(got) != 1 || got[0].Header.Get("X-Tenant-Id") != "acc" || got[0].Header.Get("X-Api-Key") != "" {
+		t.Errorf("the replica saw %+v", got)
+	}
+}
+
+// Symptom: a draft is cut when its engine crashes, or falls silent without a word.
+// Sequence: the engine ends, or stands still, in the middle of a stream whose copy
+// lies in the other failure domain.
+func TestDraftOutlivesItsEngine(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(*fakes.Replica)
+	}{{"crash", (*fakes.Replica).Crash}, {"silence", (*fakes.Replica).Freeze}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			engines := f.engines(4, 40, 10*time.Millisecond)
+			f.configure(key)
+			n := f.node("n1")
+			await(t, "readiness", n.ready)
+			resp, err := n.send(t.Context(), "/draft/x", "q1", key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			first := make([]byte, len(draft("q1", 3)))
+			if _, err := io.ReadFull(resp.Body, first); err != nil {
+				t.Fatal(err)
+			}
+			lost := running(engines, "q1")
+			c.end(lost)
+			rest, err := io.ReadAll(resp.Body)
+			lost.Thaw()
+			if err != nil || string(first)+string(rest) != draft("q1", 40) {
+				t.Fatalf("%v: got %q", err, string(first)+string(rest))
+			}
+			held := 0
+			for _, e := range engines {
+				for _, a := range e.Arrivals() {
+					if a.Ran && a.Header.Get("Kv-From") != "" {
+						held++
+						if e.Domain == lost.Domain {
+							t.Error("the copy lay in the failure domain of the run")
+						}
+					}
+				}
+			}
+			if held != 1 {
+				t.Errorf("%d runs went on from a copy", held)
+			}
+		})
+	}
+}
+
+// Symptom: engines work for nobody. Cause: a run goes on after its client left.
+func TestClientLeaves(t *testing.T) {
+	f := newFleet(t)
+	engines := f.engines(2, 100000, 5*time.Millisecond)
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "readiness", n.ready)
+	ctx, leave := context.WithCancel(t.Context())
+	resp, err := n.send(ctx, "/draft/x", "q1", key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	e := running(engines, "q1")
+	leave()
+	await(t, "the end of the run", func() bool { return e.Open() == 0 })
+}
+
+// Symptom: a request is sent to a replica that leaves, seconds after the node
+// heard of it.
+func TestLeavingReplicaGetsNothing(t *testing.T) {
+	f := newFleet(t)
+	a := f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	b := f.replica(&fakes.Replica{ID: "a1", Service: "app", Domain: "d1"})
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "readiness", n.ready)
+	await(t, "both replicas", func() bool { return len(n.dir.IDs()) == 2 })
+	f.store.PutJSON("servers/a0", a.Entry("draining"))
+	f.store.PutJSON("servers/a1", b.Entry("ready"))
+	await(t, "the news", func() bool { return n.dir.Leaving("a0") })
+	f.store.PutJSON("servers/a0", a.Entry("ready")) // older news that comes late
+	for i := range 20 {
+		if status, _ := n.get("/look/x", fmt.Sprint("q", i), key); status != 200 {
+			t.Fatalf("got %d", status)
+		}
+	}
+	if got := len(a.Arrivals()); got != 0 {
+		t.Errorf("%d requests reached it", got)
+	}
+}
+
+// linked tells whether any other node is linked.
+func (p *peers) linked() bool {
+	p.mu.Lock()
+	mesh := p.mesh
+	p.mu.Unlock()
+	if mesh == nil {
+		return false
+	}
+	_, ok := mesh.RandomNeighbour()
+	return ok
+}
+
+// Symptom: an account whose key was taken away is served by a node that the store
+// turns away. Sequence: the store answers the other node only; the key is taken
+// away. The node must hear of it from the other.
+func TestRevocationIsHeardThroughAnotherNode(t *testing.T) {
+	f := newFleet(t)
+	f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	f.configure(key, "other")
+	door := f.store.NewDoor()
+	t.Cleanup(door.Close)
+	n1, n2 := f.node("n1"), f.nodeAt("n2", door.Addr())
+	await(t, "readiness", func() bool { return n1.ready() && n2.ready() })
+	await(t, "the link", func() bool { return n2.peers.linked() })
+	door.Shut()
+	f.configure("other")
+	await(t, "the revocation at the other node", func() bool {
+		status, _ := n2.get("/look/x", "q", key)
+		return status == http.StatusUnauthorized
+	})
+}
+
+// Symptom: a rolling restart cuts drafts. Sequence: the signal comes while a
+// stream is open; the node must be unready at once, end the stream, and then go.
+func TestShutdownCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.engines(2, 60, 10*time.Millisecond)
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "readiness", n.ready)
+	resp, err := n.send(t.Context(), "/draft/x", "q1", key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	n.signals <- syscall.SIGTERM
+	await(t, "unreadiness", func() bool { return !n.ready() })
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || string(body) != draft("q1", 60) {
+		t.Errorf("%v: got %d bytes", err, len(body))
+	}
+	<-n.done
+}
+
+// Symptom: the process ends at a signal that only says that its settings changed.
+func TestReloadCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "readiness", n.ready)
+	n.signals <- syscall.SIGHUP
+	if status, _ := n.get("/look/x", "q", key); status != 200 || !n.ready() {
+		t.Errorf("got %d", status)
+	}
+}
+
+// Symptom: a request stays unanswered beyond its route's time. Cause: the answer
+// of a silent replica is waited for until the client's own time is over.
+func TestAnswerAtTheRoutesTimeout(t *testing.T) {
+	f := newFleet(t)
+	a := f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	a.Set(fakes.Faults{Silent: true})
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "readiness", n.ready)
+	if status, _ := n.get("/short/x", "q", key); status != http.StatusGatewayTimeout {
+		t.Errorf("got %d", status)
+	}
+}
+
+// Symptom: a client whose router was lost pays for its prompt again. Cause: it is
+// sent anywhere, though a replica still holds the prompt.
+func TestReturningClientFindsItsPrompt(t *testing.T) {
+	f := newFleet(t)
+	engines := f.engines(6, 5, 0)
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "all replicas", func() bool { return len(n.dir.IDs()) == 6 })
+	await(t, "readiness", n.ready)
+	if status, _ := n.get("/draft/x", "q1", key); status != 200 {
+		t.Fatalf("got %d", status)
+	}
+	var held string
+	for _, e := range engines {
+		if len(e.Arrivals()) > 0 {
+			held = e.ID
+		}
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.front.Addr().String()+"/draft/x", strings.NewReader("q"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header = http.Header{"X-Attempt-Id": {"q2"}, "X-Api-Key": {key}, "Last-Event-Id": {"3"}, "X-Prompt-Prefix": {"aa:40,q1:60"}}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || string(body) != fakes.Piece("q2", 4)+fakes.Piece("q2", 5) {
+		t.Errorf("%v: got %q", err, body)
+	}
+	for _, e := range engines {
+		for _, a := range e.Arrivals() {
+			if a.ID == "q2" && e.ID != held {
+				t.Errorf("ran at %s, the prompt lies at %s", e.ID, held)
+			}
+		}
+	}
+}
+
+// Symptom: one bad item of the store ends a node, or takes its configuration away.
+func TestBadItemsLeaveTheLastGoodValue(t *testing.T) {
+	f := newFleet(t)
+	f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "readiness", n.ready)
+	f.store.Put("op/config", []byte("{"))
+	f.store.Put("servers/a1", []byte(`{"service":1}`))
+	f.configure(key, "late")
+	await(t, "the next good version", func() bool {
+		status, _ := n.get("/look/x", "q", "late")
+		return status == 200
+	})
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	_, err := settings.Parse([]byte(`{"node": {"id": "n"}, "hosted": {"front_address": "here", "retry_share": -1, "odd": 1}}`))
+	problems, ok := errors.AsType[settings.Problems](err)
+	if !ok {
+		t.Fatalf("got %v", err)
+	}
+	text := problems.Error()
+	for _, path := range []string{"hosted.front_address", "hosted.retry_share", "hosted.odd", "hosted.store_address"} {
+		if !strings.Contains(text, path) {
+			t.Errorf("%s is not named in %s", path, text)
+		}
+	}
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,83 @@
+package route
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Symptom: a request runs at the service of a shorter prefix, after a route was
+// added below it. Cause: the first match is taken instead of the longest.
+func TestLongestPrefixWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segment := rapid.SampledFrom([]string{"a", "b", "c"})
+		prefixes := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) string {
+			parts := rapid.SliceOfN(segment, 1, 3).Draw(t, "parts")
+			return "/" + strings.Join(parts, "/") + "/"
+		}), 1, 8, rapid.ID).Draw(t, "prefixes")
+		cfg := &Config{Version: 1}
+		for _, p := range prefixes {
+			cfg.Routes = append(cfg.Routes, Route{Name: p, Host: "h.example", Prefix: p})
+		}
+		path := "/" + strings.Join(rapid.SliceOfN(segment, 1, 5).Draw(t, "path"), "/")
+		got, ok := NewTable(cfg).Match("H.example:8080", path)
+		want := ""
+		for _, p := range prefixes {
+			if strings.HasPrefix(path, p) && len(p) > len(want) {
+				want = p
+			}
+		}
+		if ok != (want != "") || (ok && got.Prefix != want) {
+			t.Fatalf("path %s over %v: got %v, want %q", path, prefixes, got, want)
+		}
+	})
+}
+
+// Symptom: an account whose key was taken away is served again. Sequence: the
+// new version is in force; a stale read brings the one before it. Cause: the
+// latest arrival is put in force instead of the highest version.
+func TestVersionOnlyGrows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c Current
+		highest := int64(0)
+		for _, v := range rapid.SliceOfN(rapid.Int64Range(1, 20), 1, 30).Draw(t, "versions") {
+			installed := c.Install(NewTable(&Config{Version: v}))
+			if installed != (v > highest) {
+				t.Fatalf("version %d after %d: installed %v", v, highest, installed)
+			}
+			highest = max(highest, v)
+			if got := c.Get().Version; got != highest {
+				t.Fatalf("in force %d, want %d", got, highest)
+			}
+		}
+	})
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := Route{Service: "a", Split: []Share{{"a", 90}, {"b", 10}}}
+	n := map[string]int{}
+	for i := range uint64(1000) {
+		n[r.Pick(i)]++
+	}
+	if n["a"] != 900 || n["b"] != 100 {
+		t.Errorf("got %v", n)
+	}
+}
+
+func TestWhatMayBeRepeated(t *testing.T) {
+	for _, c := range []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: Once}, false},
+		{Route{Kind: Repeatable}, true},
+		{Route{Kind: Stream}, false},
+		{Route{Kind: Stream, Resumable: true}, true},
+		{Route{Kind: Once, Resumable: true}, false},
+	} {
+		if got := c.route.Replayable(); got != c.want {
+			t.Errorf("%s, resumable %v: got %v", c.route.Kind, c.route.Resumable, got)
+		}
+	}
+}
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -10,7 +10,7 @@
 )
 
 // defaulter is an optional section that has defaults once it is there.
-type defaulter interface{ setDefaults() }
+type defaulter interface{ SetDefaults() }
 
 // decoder walks the JSON text and the Go value together. encoding/json alone
 // stops at the first fault, names no path, and takes the last of two equal
@@ -48,7 +48,7 @@
 	case reflect.Pointer:
 		fresh := reflect.New(v.Type().Elem())
 		if section, ok := fresh.Interface().(defaulter); ok {
-			section.setDefaults()
+			section.SetDefaults()
 		}
 		v.Set(fresh)
 		d.value(v.Elem(), path, raw)
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -29,8 +29,8 @@
 	LogLinesPerSecond int `json:"log_lines_per_second"`
 }
 
-// setDefaults sets what holds where a file with the section says nothing.
-func (h *Hosted) setDefaults() {
+// SetDefaults sets what holds where a file with the section says nothing.
+func (h *Hosted) SetDefaults() {
 	*h = Hosted{
 		GraceMS:                8000,
 		RetryShare:             0.8,
--- a/settings/page_test.go
+++ b/settings/page_test.go
@@ -20,7 +20,11 @@
 func fields(path string, v reflect.Value, out map[string]string) {
 	switch v.Kind() {
 	case reflect.Pointer:
-		fields(path, reflect.New(v.Type().Elem()).Elem(), out)
+		fresh := reflect.New(v.Type().Elem())
+		if section, ok := fresh.Interface().(interface{ SetDefaults() }); ok {
+			section.SetDefaults()
+		}
+		fields(path, fresh.Elem(), out)
 	case reflect.Struct:
 		for i := range v.NumField() {
 			f := v.Type().Field(i)
