Few nodes read the platform's store; neighbours tell the others

Change: one reader in each failure domain; who knows more is asked for the difference; knowledge carries its age, and a node whose knowledge is stale reads by itself.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -123,6 +123,7 @@
 	RegisterFailed
 	PeerAskFailed
 	PeerListenerFailed
+	StoreFromPeer
 )
 
 // Events of the platform's store (20xx).
@@ -130,7 +131,6 @@
 	StoreLost ID = 2001 + iota
 	StoreRegained
 	StoreHistoryLost
-	StoreFromPeer
 )
 
 // Catalogue lists every event in the order of its number.
@@ -202,8 +202,8 @@
 	{RegisterFailed, "register-failed", Warning, "This node could not write its address to the store and tries again; until then other nodes don't link to it. Look at the store if it goes on."},
 	{PeerAskFailed, "peer-ask-failed", Info, "Another node did not say what it knows of the store; the next one is asked."},
 	{PeerListenerFailed, "peer-listener-failed", Error, "The listener for other nodes ended: this node hears nothing from them. Restart it."},
+	{StoreFromPeer, "store-from-peer", Info, "Another node knew of newer changes of the store, which are in force here now. Nothing to do."},
 	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
 	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
 	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
-	{StoreFromPeer, "store-from-peer", Info, "The store does not answer this node, and another node knew of newer changes, which are in force now. Nothing to do."},
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -76,10 +76,11 @@
 	}
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
 	store := platform.NewStore(set.Hosted.StoreAddress)
-	n.peers = newPeers(set, store, n.dir, n.mon, log)
+	news := newNews(set.Node.ID, set.Node.FailureDomain, log)
+	n.peers = newPeers(set, store, n.dir, n.mon, news, log)
 	n.view = newView(n.table, n.dir, n.mon, n.peers, log)
-	n.mirror = mirror.New(store, n.view, mirror.Config{Fallback: n.peers, Log: log, Set: n.meter})
-	n.peers.mirror = n.mirror
+	n.mirror = mirror.New(store, n.view, mirror.Config{Reads: news.reads, OnNews: news.say, Log: log, Set: n.meter})
+	news.mirror = n.mirror
 	relay, err := n.newRelay()
 	if err != nil {
 		return nil, err
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -12,7 +12,6 @@
 	"wigeondale/health"
 	"wigeondale/infra"
 	"wigeondale/listen"
-	"wigeondale/mirror"
 	"wigeondale/peer"
 	"wigeondale/platform"
 	"wigeondale/settings"
@@ -46,7 +45,6 @@
 // Kinds of messages between routers.
 const (
 	tellLoads  = "hosted.loads"
-	callMirror = "hosted.mirror"
 	floodCrash = "hosted.domain-crash"
 	floodGone  = "hosted.replica-gone"
 )
@@ -54,12 +52,12 @@
 // peers joins this node with the others. It is idle until the store has given
 // the key that all links prove.
 type peers struct {
-	set    *settings.Settings
-	store  *platform.Store
-	dir    *directory.Directory
-	mon    *health.Monitor
-	log    *event.Log
-	mirror *mirror.Mirror // set before run
+	set   *settings.Settings
+	store *platform.Store
+	dir   *directory.Directory
+	mon   *health.Monitor
+	log   *event.Log
+	news  *news
 
 	mu    sync.Mutex
 	key   []byte
@@ -90,19 +88,9 @@
 	Replica string `cbor:"1,keyasint"`
 }
 
-type mirrorRequest struct {
-	After int64 `cbor:"1,keyasint"`
-}
-
-// mirrorReply is empty when the asked node has nothing newer.
-type mirrorReply struct {
-	At    int64         `cbor:"1,keyasint"`
-	Items []infra.Value `cbor:"2,keyasint"`
-}
-
-func newPeers(set *settings.Settings, store *platform.Store, dir *directory.Directory, mon *health.Monitor, log *event.Log) *peers {
+func newPeers(set *settings.Settings, store *platform.Store, dir *directory.Directory, mon *health.Monitor, n *news, log *event.Log) *peers {
 	p := &peers{
-		set: set, store: store, dir: dir, mon: mon, log: log,
+		set: set, store: store, dir: dir, mon: mon, news: n, log: log,
 		addrs: map[string]string{}, loads: map[string]toldLoads{}, found: make(chan struct{}),
 	}
 	mon.OnDomain = p.crashed
@@ -236,10 +224,7 @@
 	peer.Handle(mesh, tellLoads, p.takeLoads)
 	peer.Handle(mesh, floodCrash, func(_ string, m crashMessage) { p.mon.DomainRumour(m.Domain) })
 	peer.Handle(mesh, floodGone, func(_ string, m goneMessage) { p.dir.MarkLeaving(m.Replica, "", directory.FromRumour) })
-	peer.HandleCall(mesh, callMirror, func(_ context.Context, _ string, req mirrorRequest) (mirrorReply, error) {
-		c, _ := p.mirror.Held(req.After)
-		return mirrorReply{At: c.At, Items: c.Items}, nil
-	})
+	p.news.join(mesh)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mesh = mesh
@@ -297,6 +282,7 @@
 			_ = mesh.Tell(tellLoads, loadsMessage{changed})
 		}
 		p.sum(now)
+		p.news.tick(now)
 	}
 }
 
@@ -353,23 +339,3 @@
 	}
 	p.dir.SetPeerLoads(sum)
 }
-
-// Newer implements mirror.Fallback: it asks a linked node.
-func (p *peers) Newer(ctx context.Context, after int64) (mirror.Copy, bool) {
-	p.mu.Lock()
-	mesh := p.mesh
-	p.mu.Unlock()
-	if mesh == nil {
-		return mirror.Copy{}, false
-	}
-	node, ok := mesh.RandomNeighbour()
-	if !ok {
-		return mirror.Copy{}, false
-	}
-	reply, err := peer.Call[mirrorRequest, mirrorReply](ctx, mesh, node, callMirror, mirrorRequest{After: after})
-	if err != nil {
-		p.log.Emit(event.PeerAskFailed, "peer", node, "err", err)
-		return mirror.Copy{}, false
-	}
-	return mirror.Copy{Items: reply.Items, At: reply.At}, reply.At > after
-}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -8,13 +8,15 @@
 // by a fresh connection, and after lost history the whole prefix is read anew.
 // Entries that lapsed while the store was away come back with it: what went
 // missing then is held to be doubtful for a while, not gone.
+//
+// Few nodes read the store; the others are told by their neighbours (Delta,
+// Merge), which also serves a node that the store turns away. Age says how old a
+// node's knowledge may be, so that one that nobody tells reads by itself.
 package mirror
 
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,20 +42,8 @@
 	Reset()
 }
 
-// Copy is another node's mirror of the prefix.
-type Copy struct {
-	Items []infra.Value
-	At    int64 // revision up to which it is complete
-}
-
-// Fallback is where a Mirror looks while the store does not answer it.
-type Fallback interface {
-	// Newer returns a copy that is complete up to a later revision than after;
-	// false when no other node has one.
-	Newer(ctx context.Context, after int64) (Copy, bool)
-}
-
-// Receiver is told what the mirror holds. Calls come from one goroutine.
+// Receiver is told what the mirror holds. Calls come one at a time, and must not
+// call the Mirror.
 type Receiver interface {
 	// Put tells of a new or changed item.
 	Put(v infra.Value)
@@ -66,8 +56,8 @@
 // Config of a Mirror. Zero durations mean the defaults.
 type Config struct {
 	Prefix string
-	// Wait is how long one call may wait for a change. A call that is cut off
-	// from the store without notice is found out after it.
+	// Wait is how long one call may wait for a change. It bounds the age of what
+	// a reader knows, and with it that of what it tells others.
 	Wait time.Duration
 	// Slack is added to Wait for the answer to arrive.
 	Slack time.Duration
@@ -77,22 +67,24 @@
 	Timeout time.Duration
 	// Doubt is how long after an outage a missing item may still come back.
 	Doubt time.Duration
-	// Fallback may be nil.
-	Fallback Fallback
-	Log      *event.Log
-	Set      *metrics.Set
+	// Reads tells whether this node reads the store; nil means always. Until it
+	// has read everything once, it does in any case.
+	Reads func() bool
+	// OnNews, if set, is called after changes; it must not block.
+	OnNews func()
+	Log    *event.Log
+	Set    *metrics.Set
 }
 
 // Defaults of Config.
 const (
-	defaultWait    = 2500 * time.Millisecond
-	defaultSlack   = 500 * time.Millisecond
+	defaultWait    = 800 * time.Millisecond
+	defaultSlack   = 400 * time.Millisecond
 	defaultPause   = 300 * time.Millisecond
 	defaultTimeout = 1500 * time.Millisecond
 	defaultDoubt   = 2 * time.Second
-	// lostWait keeps calls short until one is answered again: one that was sent
-	// into a cut is not answered after it, and would hide the store's return.
-	lostWait = 400 * time.Millisecond
+	// idle is how often a node that doesn't read looks whether it has to.
+	idle     = 100 * time.Millisecond
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
 )
@@ -108,6 +100,12 @@
 	set(&c.Pause, defaultPause)
 	set(&c.Timeout, defaultTimeout)
 	set(&c.Doubt, defaultDoubt)
+	if c.Reads == nil {
+		c.Reads = func() bool { return true }
+	}
+	if c.OnNews == nil {
+		c.OnNews = func() {}
+	}
 	if c.Set == nil {
 		c.Set = metrics.NewSet()
 	}
@@ -118,17 +116,15 @@
 type Mirror struct {
 	cfg   Config
 	store Store
-	out   Receiver
+	lost  bool // the latest call failed; of Run's goroutine
+	retry time.Duration
 
-	mu     sync.Mutex // guards items and at, which Held reads
-	items  map[string]infra.Value
-	at     int64 // revision up to which changes are known
-	synced bool  // items are complete up to at
-
-	doubted  map[string]bool // missing since an outage, not yet told as gone
+	mu       sync.Mutex
+	state    state
+	synced   bool      // the state is complete up to state.at
+	answered time.Time // of the last answer of the store
 	doubtEnd time.Time
-	lost     bool // the latest call failed
-	retry    time.Duration
+	doubting bool // what goes missing now may come back
 
 	calls, failures *metrics.Counter
 }
@@ -139,9 +135,7 @@
 	return &Mirror{
 		cfg:      cfg,
 		store:    store,
-		out:      out,
-		items:    map[string]infra.Value{},
-		doubted:  map[string]bool{},
+		state:    newState(out),
 		calls:    cfg.Set.GetOrCreateCounter("wigeon_mirror_calls_total"),
 		failures: cfg.Set.GetOrCreateCounter("wigeon_mirror_failures_total"),
 	}
@@ -150,16 +144,9 @@
 // Run follows the prefix until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := m.step(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		pause := m.cfg.Pause
-		if err != nil {
-			pause = m.failed(err)
-			m.askOthers(ctx)
-		} else {
-			m.regained()
+		pause := idle
+		if !m.Synced() || m.cfg.Reads() {
+			pause = m.read(ctx)
 		}
 		m.settleDoubt(time.Now())
 		sleep(ctx, pause)
@@ -167,32 +154,48 @@
 	return nil
 }
 
-// step makes one call and takes in its answer.
-func (m *Mirror) step(ctx context.Context) error {
+// read makes one call and returns how long to wait before the next.
+func (m *Mirror) read(ctx context.Context) time.Duration {
 	m.calls.Inc()
-	if !m.synced {
-		return m.readAll(ctx)
+	err := m.step(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return 0
+	case err != nil:
+		return m.failed(err)
 	}
-	wait := m.cfg.Wait
-	if m.lost {
-		wait = min(wait, lostWait)
-	}
-	if len(m.doubted) > 0 {
-		wait = min(wait, max(time.Until(m.doubtEnd), minRetry))
+	m.regained()
+	return m.cfg.Pause
+}
+
+func (m *Mirror) step(ctx context.Context) error {
+	if !m.Synced() {
+		return m.readAll(ctx)
 	}
-	ctx, stop := context.WithTimeout(ctx, wait+m.cfg.Slack)
+	m.mu.Lock()
+	at := m.state.at
+	m.mu.Unlock()
+	ctx, stop := context.WithTimeout(ctx, m.cfg.Wait+m.cfg.Slack)
 	defer stop()
-	events, at, err := m.store.Changes(ctx, m.cfg.Prefix, m.at, wait)
+	events, now, err := m.store.Changes(ctx, m.cfg.Prefix, at, m.cfg.Wait)
 	if errors.Is(err, infra.ErrCompacted) {
-		m.setSynced(false)
-		m.cfg.Log.Emit(event.StoreHistoryLost, "after", m.at)
+		m.cfg.Log.Emit(event.StoreHistoryLost, "after", at)
 		return m.readAll(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	m.takeEvents(events)
-	m.advance(at)
+	m.change(func() {
+		m.answered = time.Now()
+		for _, e := range events {
+			if e.Deleted {
+				m.state.remove(e.Value.Key, e.Value.ModRev, m.doubting)
+			} else {
+				m.state.put(e.Value)
+			}
+		}
+		m.state.reach(now)
+	})
 	return nil
 }
 
@@ -203,121 +206,86 @@
 	if err != nil {
 		return err
 	}
-	m.takeAll(items, m.remove)
-	m.advance(at)
-	m.setSynced(true)
+	m.change(func() {
+		m.answered = time.Now()
+		m.state.replace(items, at, m.doubting)
+		m.synced = true
+	})
 	return nil
 }
 
-// takeAll takes in a complete set; remove is told what isn't in it.
-func (m *Mirror) takeAll(items []infra.Value, remove func(key string)) {
-	found := make(map[string]bool, len(items))
-	for _, v := range items {
-		found[v.Key] = true
-		m.put(v)
-	}
-	for key := range m.items {
-		if !found[key] {
-			remove(key)
-		}
+// change applies f, and tells of what it changed.
+func (m *Mirror) change(f func()) {
+	m.mu.Lock()
+	before := m.state.newest
+	f()
+	m.state.settle()
+	news := m.state.newest != before
+	m.mu.Unlock()
+	if news {
+		m.cfg.OnNews()
 	}
-	m.out.Settled()
 }
 
-func (m *Mirror) advance(at int64) {
+// Synced tells whether everything has been read once, here or by a neighbour.
+func (m *Mirror) Synced() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.at = max(m.at, at)
+	return m.synced
 }
 
-func (m *Mirror) setSynced(synced bool) {
+// Newest is the revision of the newest change that this node knows.
+func (m *Mirror) Newest() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.synced = synced
+	return m.state.newest
 }
 
-// Held returns the items that this node holds if they are complete and newer
-// than after. It may be called from any goroutine.
-func (m *Mirror) Held(after int64) (Copy, bool) {
+// Age is how long ago the store last answered this node.
+func (m *Mirror) Age(now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.synced || m.at <= after {
-		return Copy{}, false
+	if m.answered.IsZero() {
+		return neverAnswered
 	}
-	return Copy{Items: slices.Collect(maps.Values(m.items)), At: m.at}, true
+	return now.Sub(m.answered)
 }
 
-// askOthers takes in what another node knows of the store. That node saw the
-// store itself, so what is missing there is gone.
-func (m *Mirror) askOthers(ctx context.Context) {
-	if m.cfg.Fallback == nil {
-		return
-	}
-	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout)
-	defer stop()
-	c, ok := m.cfg.Fallback.Newer(ctx, m.at)
-	if !ok {
-		return
-	}
-	m.cfg.Log.Emit(event.StoreFromPeer, "at", c.At, "before", m.at, "items", len(c.Items))
-	m.takeAll(c.Items, m.drop)
-	m.advance(c.At)
-	m.setSynced(true)
-}
+// neverAnswered is the age of what the store has never told.
+const neverAnswered = time.Hour
 
-func (m *Mirror) takeEvents(events []infra.WatchEvent) {
-	for _, e := range events {
-		if e.Deleted {
-			m.remove(e.Value.Key)
-			continue
-		}
-		m.put(e.Value)
-	}
-	if len(events) > 0 {
-		m.out.Settled()
-	}
-}
-
-func (m *Mirror) put(v infra.Value) {
-	delete(m.doubted, v.Key)
-	if m.items[v.Key].ModRev >= v.ModRev {
-		return
-	}
+// Delta returns what changed after a revision; false when this node has nothing
+// newer, or isn't complete itself.
+func (m *Mirror) Delta(after int64) (Delta, bool) {
 	m.mu.Lock()
-	m.items[v.Key] = v
-	m.mu.Unlock()
-	m.out.Put(v)
-}
-
-// remove takes an item out, or holds it to be doubtful after an outage.
-func (m *Mirror) remove(key string) {
-	if _, held := m.items[key]; !held {
-		return
-	}
-	if m.lost || time.Now().Before(m.doubtEnd) {
-		m.doubted[key] = true
-		return
+	defer m.mu.Unlock()
+	if !m.synced || m.state.newest <= after {
+		return Delta{}, false
 	}
-	m.drop(key)
+	return m.state.delta(after), true
 }
 
-func (m *Mirror) drop(key string) {
-	m.mu.Lock()
-	delete(m.items, key)
-	m.mu.Unlock()
-	delete(m.doubted, key)
-	m.out.Gone(key)
+// Merge takes in a neighbour's Delta, which was made for this node's Newest or an
+// earlier one.
+func (m *Mirror) Merge(d Delta) {
+	m.change(func() {
+		m.state.merge(d)
+		m.synced = m.synced || d.Full
+	})
 }
 
 // settleDoubt takes for gone what did not come back.
 func (m *Mirror) settleDoubt(now time.Time) {
-	if m.lost || len(m.doubted) == 0 || now.Before(m.doubtEnd) {
+	m.mu.Lock()
+	over := m.doubting && !m.doubtEnd.IsZero() && !now.Before(m.doubtEnd)
+	m.mu.Unlock()
+	if !over {
 		return
 	}
-	for key := range m.doubted {
-		m.drop(key)
-	}
-	m.out.Settled()
+	m.change(func() {
+		m.doubting = false
+		m.state.dropDoubted()
+	})
 }
 
 // failed notes a failed call and returns how long to wait before the next.
@@ -325,10 +293,13 @@
 	m.failures.Inc()
 	m.store.Reset()
 	if !m.lost {
-		m.cfg.Log.Emit(event.StoreLost, "at", m.at, "err", err)
+		m.cfg.Log.Emit(event.StoreLost, "newest", m.Newest(), "err", err)
 		m.retry = minRetry
 	}
 	m.lost = true
+	m.mu.Lock()
+	m.doubting, m.doubtEnd = true, time.Time{}
+	m.mu.Unlock()
 	m.retry = min(2*m.retry, maxRetry)
 	return m.retry
 }
@@ -338,8 +309,10 @@
 		return
 	}
 	m.lost = false
+	m.mu.Lock()
 	m.doubtEnd = time.Now().Add(m.cfg.Doubt)
-	m.cfg.Log.Emit(event.StoreRegained, "at", m.at)
+	m.mu.Unlock()
+	m.cfg.Log.Emit(event.StoreRegained, "newest", m.Newest())
 }
 
 func sleep(ctx context.Context, d time.Duration) {
