A started answer may overdraw its node's part of the retry budget

Change: the first try to go on after a loss draws up to 6 beyond it; later ones, and all others, do not.

--- a/admission/retry.go
+++ b/admission/retry.go
@@ -34,6 +34,18 @@
 	b.level = min(b.level+b.share, b.burst)
 }
 
+// Overdraw draws one retry also when none is left, up to depth below. It is for
+// work that is already paid for; what was overdrawn is earned before others draw.
+func (b *RetryBudget) Overdraw(depth float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.level-1 < -depth {
+		return false
+	}
+	b.level--
+	return true
+}
+
 // Take draws one retry; false means that the budget is spent: give up.
 func (b *RetryBudget) Take() bool {
 	b.mu.Lock()
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -113,6 +113,9 @@
 // Take implements generation.RetryBudget.
 func (b sharedBudget) Take(string) bool { return b.RetryBudget.Take() }
 
+// Continue implements generation.RetryBudget: only opaque answers ask.
+func (b sharedBudget) Continue(string) bool { return true }
+
 // admitter applies admission to generations and counts their first tries, of
 // which the budget allows a share of retries.
 type admitter struct {
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -132,6 +132,7 @@
 	}
 	if x.req.Opaque != nil {
 		x.repeats = isRefusal // a connection that was never open is no arrival
+		x.afterLoss = false
 		return "not-started"
 	}
 	// A started answer goes before the budget: it holds work already paid for.
@@ -241,6 +242,7 @@
 	}
 	x.abandon()
 	x.repeats = x.req.Opaque != nil
+	x.afterLoss = x.started()
 	return "continue"
 }
 
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -211,6 +211,8 @@
 
 func (h *harness) Keeps(string) bool { return false }
 
+func (h *harness) Continue(string) bool { return true }
+
 func (h *harness) Standby(Ask, fleet.Backend) (fleet.Backend, func(), bool) {
 	return fleet.Backend{}, nil, false
 }
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -278,4 +278,7 @@
 type RetryBudget interface {
 	// Take draws one retry for a request to service; empty for model engines.
 	Take(service string) bool
+	// Continue draws one for an answer that has begun and was lost. It may go
+	// beyond what Take allows, within a bound.
+	Continue(service string) bool
 }
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -27,17 +27,18 @@
 
 // world is a fleet in memory for opaque requests. Attempt n follows scripts[n].
 type world struct {
-	scripts  []script
-	pieces   int
-	budget   int // retries left
-	opened   []backend.StartRequest
-	at       []string
-	watched  []bool          // by attempt
-	watching bool            // the next attempt is under the failure detector
-	lost     map[string]bool // backend servers that keep no copies any more
-	copies   int
-	excluded []map[string]bool
-	running  func() bool // answer to a question about a run
+	scripts   []script
+	pieces    int
+	budget    int // retries left
+	overdraft int // answers that may go on beyond it
+	opened    []backend.StartRequest
+	at        []string
+	watched   []bool          // by attempt
+	watching  bool            // the next attempt is under the failure detector
+	lost      map[string]bool // backend servers that keep no copies any more
+	copies    int
+	excluded  []map[string]bool
+	running   func() bool // answer to a question about a run
 }
 
 func (w *world) Running(context.Context, fleet.Backend, string) (bool, error) {
@@ -55,6 +56,11 @@
 	return w.budget >= 0
 }
 
+func (w *world) Continue(string) bool {
+	w.overdraft--
+	return w.overdraft >= 0 || w.Take("")
+}
+
 func (w *world) Pick(_ context.Context, a Ask) (fleet.Backend, func(), error) {
 	w.excluded = append(w.excluded, a.Exclude)
 	id := a.Prefer
@@ -349,3 +355,19 @@
 		})
 	}
 }
+
+// Symptom: drafts are cut at a crash though the service has budget left. Sequence:
+// many nodes share the budget, and one node's part is spent. Cause: going on with
+// a started answer draws on no more than a lookup's second try.
+func TestStartedAnswerMayOverdraw(t *testing.T) {
+	synctestRun(t, func() {
+		w := &world{pieces: 9, overdraft: 1, scripts: []script{{ends: 2, err: broken}}}
+		if res, out := w.run(t, nil); res.Outcome != fleet.Complete || out.text != text(9) {
+			t.Errorf("got %s, %q", res.Outcome, out.text)
+		}
+		w = &world{pieces: 9, overdraft: 9, scripts: []script{{openErr: broken}}}
+		if res, _ := w.run(t, nil); res.Outcome != fleet.Failed || len(w.opened) != 1 {
+			t.Errorf("not begun: got %s in %d attempts", res.Outcome, len(w.opened))
+		}
+	})
+}
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -75,7 +75,7 @@
 	if o := x.req.Opaque; o != nil && x.sent >= o.MaxAttempts {
 		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
-	if x.repeats && !x.Budget.Take(x.service()) {
+	if x.repeats && !x.drawBudget() {
 		return x.overBudget()
 	}
 	x.repeats = false
@@ -99,6 +99,15 @@
 	return "none"
 }
 
+// drawBudget draws for one more arrival. The first try to go on with a started
+// answer is worth more than any other second try: without it the answer is cut.
+func (x *run) drawBudget() bool {
+	if x.afterLoss {
+		return x.Budget.Continue(x.service())
+	}
+	return x.Budget.Take(x.service())
+}
+
 // budgetWait is how soon a started answer asks for budget again. First tries
 // earn it, some hundred a second over all routers.
 const budgetWait = 100 * time.Millisecond
--- a/hosted/budgets.go
+++ b/hosted/budgets.go
@@ -28,10 +28,18 @@
 // nodes that don't know yet how many they are, and for uneven shares.
 const budgetMargin = 0.8
 
+const (
+	// minBurst keeps a node of many able to try a request once more.
+	minBurst = 2
+	// continueDepth is how far answers that have begun may overdraw. A crash of a
+	// failure domain was seen to hit up to four of them on one of 85 nodes.
+	continueDepth = 6
+)
+
 func newBudgets(h *settings.Hosted, nodes func() int) *budgets {
 	return &budgets{
 		share: budgetMargin * h.RetryShare,
-		burst: func() float64 { return budgetMargin * h.RetryBurst / float64(nodes()) },
+		burst: func() float64 { return max(budgetMargin*h.RetryBurst/float64(nodes()), minBurst) },
 		known: map[string]*admission.RetryBudget{},
 	}
 }
@@ -52,5 +60,8 @@
 // First implements relay.Budgets.
 func (b *budgets) First(service string) { b.of(service).First() }
 
+// Continue implements generation.RetryBudget.
+func (b *budgets) Continue(service string) bool { return b.of(service).Overdraw(continueDepth) }
+
 // Take implements generation.RetryBudget.
 func (b *budgets) Take(service string) bool { return b.of(service).Take() }
--- /dev/null
+++ b/soak/checks.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	fakes "wigeondale/fakes/hosted"
+)
+
+// checks holds what was seen, and the promises that were broken.
+type checks struct {
+	mu       sync.Mutex
+	requests int
+	outcomes map[string]int
+	refused  map[string]int    // status of a refusal, by request that may run once
+	denied   map[string]string // request by which a key was first denied, by key and lifetime
+	broke    []Violation
+}
+
+func newChecks() *checks {
+	return &checks{outcomes: map[string]int{}, refused: map[string]int{}, denied: map[string]string{}}
+}
+
+func (c *checks) broken(promise, request, detail string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broke = append(c.broke, Violation{promise, request, detail})
+}
+
+// take judges one answer by itself.
+func (c *checks) take(r result) {
+	c.mu.Lock()
+	c.requests++
+	c.outcomes[r.outcome()]++
+	if r.kind == "book" && promisesNotRun(r.status) {
+		c.refused[r.id] = r.status
+	}
+	c.mu.Unlock()
+	if v := r.judge(); v != "" {
+		c.broken(v, r.id, fmt.Sprintf("%s: status %d, cut %v, body %.80q", r.kind, r.status, r.cut, r.body))
+	}
+	c.judgeKey(r)
+}
+
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func (r *result) outcome() string {
+	switch {
+	case r.left:
+		return r.kind + " left"
+	case r.cut != nil && r.status == 0:
+		return r.kind + " no answer"
+	case r.cut != nil:
+		return r.kind + " cut"
+	}
+	return fmt.Sprintf("%s %d", r.kind, r.status)
+}
+
+// judge names the promise that an answer breaks, if any.
+func (r *result) judge() string {
+	if r.took >= answerBound {
+		return "every request has its final answer soon after its time is over"
+	}
+	if r.status != http.StatusOK {
+		return ""
+	}
+	want := fakes.Whole(r.id)
+	if r.kind == "draft" {
+		var b strings.Builder
+		for n := 1; n <= pieces; n++ {
+			b.WriteString(fakes.Piece(r.id, n))
+		}
+		want = b.String()
+	}
+	if !strings.HasPrefix(want, r.body) {
+		return "no piece is missing, repeated, or another answer's"
+	}
+	if r.cut == nil && !r.left && r.body != want {
+		return "an answer that ends early does not look whole"
+	}
+	return ""
+}
+
+// judgeKey finds a process that goes back to an older configuration: keys are only
+// ever taken away.
+func (c *checks) judgeKey(r result) {
+	if r.lifetime == "" || r.cut != nil {
+		return
+	}
+	at := r.lifetime + " " + r.key
+	c.mu.Lock()
+	first, was := c.denied[at]
+	if r.status == http.StatusUnauthorized && !was {
+		c.denied[at] = r.id
+	}
+	c.mu.Unlock()
+	if was && r.status == http.StatusOK {
+		c.broken("no process goes back to an older configuration", r.id, fmt.Sprintf("%s was denied by %s", at, first))
+	}
+}
+
+// workEnds is how long replicas may take to notice that nobody waits any more.
+const workEnds = 5 * time.Second
+
+// finalChecks compare the replicas' own record with what clients were told.
+func (r *run) finalChecks() {
+	r.mu.Lock()
+	all := append([]*fakes.Replica(nil), r.gone...)
+	for _, reps := range r.services {
+		all = append(all, reps...)
+	}
+	r.mu.Unlock()
+	ran := map[string]int{}
+	for _, rep := range all {
+		for _, a := range rep.Arrivals() {
+			if !a.Ran {
+				continue
+			}
+			ran[a.ID]++
+			if key := a.Header.Get("X-Api-Key"); key != "" || a.Header.Get("X-Tenant-Id") != "acc" {
+				r.checks.broken("keys stay here and accounts are named", a.ID, "replica "+rep.ID)
+			}
+			if strings.HasPrefix(a.Target, "/book/") && ran[a.ID] > 1 {
+				r.checks.broken("a request that may run once runs at most once", a.ID, "last at "+rep.ID)
+			}
+		}
+	}
+	r.checks.mu.Lock()
+	refused := r.checks.refused
+	r.checks.mu.Unlock()
+	for id, status := range refused {
+		if ran[id] > 0 {
+			r.checks.broken("a refusal that says that nothing ran is true", id, fmt.Sprintf("status %d", status))
+		}
+	}
+	r.checkIdle(all)
+}
+
+// checkIdle finds work that goes on for nobody.
+func (r *run) checkIdle(all []*fakes.Replica) {
+	end := time.Now().Add(workEnds)
+	for _, rep := range all {
+		for rep.Open() > 0 && time.Now().Before(end) {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if n := rep.Open(); n > 0 {
+			r.checks.broken("work ends when nobody waits for it", "", fmt.Sprintf("%d requests at %s", n, rep.ID))
+		}
+	}
+}
+
+func (c *checks) report(seed uint64, faults []string) *Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &Report{Seed: seed, Requests: c.requests, Outcomes: c.outcomes, Faults: faults, Violations: c.broke}
+}
--- /dev/null
+++ b/soak/client.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	fakes "wigeondale/fakes/hosted"
+)
+
+const (
+	// budget is how long a client waits, and answerBound when it must have its
+	// final answer at the latest; the routes' time is 8 s.
+	budget      = 9 * time.Second
+	answerBound = 14 * time.Second
+	// leaveShare of the clients go away in the middle of a draft, one in so many.
+	leaveShare = 12
+)
+
+// client sends one request after the other, over connections that it keeps.
+type client struct {
+	run  *run
+	rng  *rand.Rand
+	name string
+	sent int
+}
+
+// result is what a client saw of one request.
+type result struct {
+	id, kind, key string
+	lifetime      string // of the node that it was sent to
+	status        int
+	body          string
+	cut           error // the connection ended before the answer did
+	left          bool  // the client went away
+	took          time.Duration
+}
+
+func (c *client) loop(ctx context.Context) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2}
+	defer transport.CloseIdleConnections()
+	for ctx.Err() == nil {
+		c.run.checks.take(c.one(transport))
+		time.Sleep(time.Duration(c.rng.IntN(40)) * time.Millisecond)
+	}
+}
+
+func (c *client) one(transport *http.Transport) result {
+	c.sent++
+	n := c.run.nodes[c.rng.IntN(len(c.run.nodes))]
+	res := result{
+		id:   fmt.Sprintf("%s-%d", c.name, c.sent),
+		kind: []string{"draft", "book", "look"}[c.rng.IntN(3)],
+		key:  fmt.Sprintf("key-%d", c.rng.IntN(firstKeys)),
+	}
+	res.lifetime = n.lifetime()
+	ctx, stop := context.WithTimeout(context.Background(), answerBound)
+	defer stop()
+	began := time.Now()
+	res.status, res.body, res.left, res.cut = c.send(ctx, transport, n, &res)
+	res.took = time.Since(began)
+	if n.lifetime() != res.lifetime {
+		res.lifetime = "" // another process may have answered
+	}
+	return res
+}
+
+func (c *client) send(ctx context.Context, t *http.Transport, n *node, res *result) (status int, body string, left bool, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front+"/"+res.kind+"/x", io.NopCloser(strings.NewReader("q")))
+	if err != nil {
+		return 0, "", false, err
+	}
+	req.ContentLength = 1
+	req.GetBody = nil // net/http must not repeat it by itself
+	req.Host = "h.example"
+	req.Header = http.Header{
+		"X-Attempt-Id": {res.id}, "X-Api-Key": {res.key}, "X-Deadline-Ms": {fmt.Sprint(budget.Milliseconds())},
+		"X-Token-Usage": {"100,280"}, "X-Prompt-Prefix": {"aa:40," + res.id + ":60"},
+	}
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return 0, "", false, err
+	}
+	defer resp.Body.Close()
+	if res.kind == "draft" && resp.StatusCode == http.StatusOK && c.rng.IntN(leaveShare) == 0 {
+		part, err := io.ReadAll(io.LimitReader(resp.Body, int64(len(fakes.Piece(res.id, 1)))))
+		return resp.StatusCode, string(part), true, err
+	}
+	var got bytes.Buffer
+	_, err = io.Copy(&got, resp.Body)
+	return resp.StatusCode, got.String(), false, err
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,219 @@
+// Package soak runs real wigeond processes against stand-ins of the users'
+// platform, injects faults from outside them, and checks what callers and backend
+// servers see.
+//
+// It finds failures of combinations: signals, restarts, cuts and changes that come
+// in series and overlap. A run is a function of its seed as far as its faults and
+// requests go; how processes interleave is not, so a seed that failed is kept and
+// played again, and a single failure counts.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	fakes "wigeondale/fakes/hosted"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("soak")
+
+// Config of one run.
+type Config struct {
+	Seed     uint64
+	Wigeond  string   // program to start
+	Env      []string // added to its environment
+	Nodes    int
+	Engines  int // in two failure domains
+	Services int
+	Clients  int
+	Length   time.Duration // of the part with faults
+	Dir      string        // for settings and logs
+	Out      io.Writer
+}
+
+// Violation is one promise that was broken.
+type Violation struct {
+	Promise string
+	Request string // id, if it is about one
+	Detail  string
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed       uint64
+	Requests   int
+	Outcomes   map[string]int
+	Faults     []string
+	Violations []Violation
+}
+
+// run is the state of one run.
+type run struct {
+	cfg   Config
+	rng   *rand.Rand // of the faults; not shared
+	began time.Time
+	store *fakes.Store
+	nodes []*node
+
+	mu       sync.Mutex
+	replicas map[string]*fakes.Replica // by address
+	services map[string][]*fakes.Replica
+	gone     []*fakes.Replica // crashed or left; their record still counts
+	started  int              // replicas so far
+	version  int
+	keys     []string // in force; only ever removed
+	faults   []string
+	checks   *checks
+}
+
+// settleTime is how long the fleet may take to come to rest after the last fault.
+const settleTime = 20 * time.Second
+
+// Run plays one seed.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	r := &run{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
+		began:    time.Now(),
+		store:    fakes.NewStore(),
+		replicas: map[string]*fakes.Replica{},
+		services: map[string][]*fakes.Replica{},
+		checks:   newChecks(),
+	}
+	defer r.stop()
+	if err := r.start(ctx); err != nil {
+		return nil, err
+	}
+	clientCtx, stopClients := context.WithCancel(ctx)
+	defer stopClients()
+	var clients sync.WaitGroup
+	for i := range cfg.Clients {
+		c := &client{run: r, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(100+i))), name: fmt.Sprintf("c%d", i)}
+		clients.Go(func() { c.loop(clientCtx) })
+	}
+	r.injectFaults(ctx)
+	r.calm()
+	stopClients()
+	clients.Wait()
+	r.finalChecks()
+	return r.report(), nil
+}
+
+func (r *run) start(ctx context.Context) error {
+	for i := range r.cfg.Engines {
+		if err := r.addReplica("llm", i%2, true); err != nil {
+			return err
+		}
+	}
+	for i := range r.cfg.Services {
+		if err := r.addReplica("app", i%2, false); err != nil {
+			return err
+		}
+	}
+	for i := range firstKeys {
+		r.keys = append(r.keys, fmt.Sprintf("key-%d", i))
+	}
+	r.configure()
+	for i := range r.cfg.Nodes {
+		n, err := newNode(r, i)
+		if err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, n)
+		if err := n.launch(); err != nil {
+			return err
+		}
+	}
+	for _, n := range r.nodes {
+		if !n.awaitReady(ctx, settleTime) {
+			return Error.New("node %s was not ready within %v; see %s", n.id, settleTime, n.logPath())
+		}
+	}
+	return nil
+}
+
+// pieces and pieceGap make a draft last half a second.
+const (
+	pieces    = 40
+	pieceGap  = 12 * time.Millisecond
+	firstKeys = 40
+)
+
+func (r *run) addReplica(service string, domain int, engine bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.started++
+	rep := &fakes.Replica{
+		ID: fmt.Sprintf("i-%d", r.started), Service: service, Domain: fmt.Sprintf("d%d", domain),
+		Engine: engine, Pieces: pieces, Gap: pieceGap,
+	}
+	if err := rep.Start(r.replicaAt); err != nil {
+		return Error.Wrap(err)
+	}
+	r.replicas[rep.Addr()] = rep
+	r.services[service] = append(r.services[service], rep)
+	r.store.PutJSON("servers/"+rep.ID, rep.Entry("ready"))
+	return nil
+}
+
+func (r *run) replicaAt(addr string) *fakes.Replica {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replicas[addr]
+}
+
+// configure writes the next version, with the keys in force.
+func (r *run) configure() {
+	r.version++
+	route := func(name, kind, service string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "prefix": "/" + name + "/", "route_type": kind, "service": service,
+			"timeout_ms": 8000, "target_latency_ms": 2000, "max_attempts": attempts, "resumable": kind == "streaming",
+		}
+	}
+	r.store.PutJSON("op/config", map[string]any{
+		"version":  r.version,
+		"routes":   []any{route("draft", "streaming", "llm", 5), route("book", "non_idempotent", "app", 2), route("look", "idempotent", "app", 2)},
+		"services": []any{map[string]any{"name": "llm", "engine": map[string]any{"kv_capacity": 55000, "backups": true}}, map[string]any{"name": "app"}},
+		"tenants":  []any{map[string]any{"name": "acc", "api_keys": r.keys}},
+	})
+}
+
+// note records a fault with its time.
+func (r *run) note(format string, args ...any) {
+	line := fmt.Sprintf("%7.3f %s", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, line)
+}
+
+func (r *run) report() *Report {
+	r.mu.Lock()
+	faults := r.faults
+	r.mu.Unlock()
+	return r.checks.report(r.cfg.Seed, faults)
+}
+
+// stop ends every process and stand-in that the run has started.
+func (r *run) stop() {
+	for _, n := range r.nodes {
+		n.kill()
+		n.link.Close()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rep := range r.replicas {
+		rep.Thaw()
+		rep.Crash()
+	}
+	r.store.Silent(false)
+	r.store.CloseClientConnections()
+	r.store.Close()
+}
