--- /dev/null
+++ b/soak/command.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit codes of wigeonsoak.
+const (
+	exitOK      = 0
+	exitFailure = 1 // a promise was broken, or a run could not be played
+	exitUsage   = 2
+)
+
+type arguments struct {
+	Wigeond  string        `arg:"--wigeond" default:"bin/wigeond" help:"the program to run"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"the first seed"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	Nodes    int           `arg:"--nodes" default:"4"`
+	Engines  int           `arg:"--engines" default:"6"`
+	Services int           `arg:"--services" default:"4"`
+	Clients  int           `arg:"--clients" default:"12"`
+	Length   time.Duration `arg:"--length" default:"15s" help:"of the part with faults"`
+	Keep     string        `arg:"--keep" help:"folder for settings and logs; kept only after a failure if not given"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "wigeonsoak runs real routers against stand-ins and injects faults from outside."
+}
+
+// Main plays the seeds that the command line asks for.
+func Main(argv []string, stdout, stderr io.Writer) int {
+	var args arguments
+	parser, err := arg.NewParser(arg.Config{Program: "wigeonsoak"}, &args)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	if err := parser.Parse(argv); errors.Is(err, arg.ErrHelp) {
+		parser.WriteHelp(stdout)
+		return exitOK
+	} else if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	// An interrupt ends the run, which then ends its processes.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	code, broken := exitOK, []uint64{}
+	for seed := args.Seed; seed < args.Seed+uint64(args.Seeds) && ctx.Err() == nil; seed++ {
+		ok, err := playOne(ctx, args, seed, stdout)
+		if err != nil {
+			fmt.Fprintln(stderr, err)
+			return exitFailure
+		}
+		if !ok {
+			code, broken = exitFailure, append(broken, seed)
+		}
+	}
+	if args.Seeds > 1 {
+		fmt.Fprintf(stdout, "%d seeds from %d, broken: %v\n", args.Seeds, args.Seed, broken)
+	}
+	return code
+}
+
+func playOne(ctx context.Context, args arguments, seed uint64, out io.Writer) (bool, error) {
+	dir := args.Keep
+	if dir == "" {
+		tmp, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return false, Error.Wrap(err)
+		}
+		dir = tmp
+	}
+	report, err := Run(ctx, Config{
+		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
+		Services: args.Services, Clients: args.Clients, Length: args.Length, Dir: dir, Out: out,
+	})
+	if err != nil {
+		return false, err
+	}
+	report.Print(out, dir)
+	ok := len(report.Violations) == 0
+	if ok && args.Keep == "" {
+		return true, Error.Wrap(os.RemoveAll(dir))
+	}
+	return ok, nil
+}
+
+// maxShown bounds the violations that are printed with their requests' ways.
+const maxShown = 5
+
+// Print writes the report; of each violation also the request's way through the logs.
+func (r *Report) Print(w io.Writer, dir string) {
+	fmt.Fprintf(w, "seed %d: %d requests, %d faults, %d promises broken\n", r.Seed, r.Requests, len(r.Faults), len(r.Violations))
+	for _, k := range slices.Sorted(maps.Keys(r.Outcomes)) {
+		fmt.Fprintf(w, "  %6d %s\n", r.Outcomes[k], k)
+	}
+	if len(r.Violations) == 0 {
+		return
+	}
+	fmt.Fprintf(w, "logs: %s\nfaults:\n", dir)
+	for _, f := range r.Faults {
+		fmt.Fprintln(w, " ", f)
+	}
+	for _, v := range r.Violations[:min(len(r.Violations), maxShown)] {
+		fmt.Fprintf(w, "BROKEN %s: request %q, %s\n", v.Promise, v.Request, v.Detail)
+		if v.Request == "" {
+			continue
+		}
+		for _, line := range way(dir, v.Request) {
+			fmt.Fprintln(w, "   ", line)
+		}
+	}
+}
+
+// way returns the lines of all logs that name the request.
+func way(dir, request string) []string {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		return []string{err.Error()}
+	}
+	var lines []string
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			lines = append(lines, err.Error())
+			continue
+		}
+		for s := bufio.NewScanner(f); s.Scan(); {
+			if strings.Contains(s.Text(), `request="`+request+`"`) {
+				lines = append(lines, s.Text())
+			}
+		}
+		f.Close()
+	}
+	return lines
+}
