--- a/client/call.go
+++ b/client/call.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"wigeondale/clock"
 	"wigeondale/fleet"
 )
 
@@ -87,7 +88,7 @@
 		if !mayCallAgain(req, ref, mayHave) {
 			return res, err
 		}
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return res, ctx.Err()
 		}
 	}
--- a/client/generate.go
+++ b/client/generate.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"wigeondale/clock"
 	"wigeondale/fleet"
 )
 
@@ -95,7 +96,7 @@
 		if !again {
 			return err
 		}
-		if !sleep(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			r.res.Outcome = r.unfinished()
 			return ctx.Err()
 		}
@@ -299,18 +300,3 @@
 	}
 	return nil
 }
-
-// sleep waits for d and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/ctl/caller.go
+++ b/ctl/caller.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"wigeondale/adminapi"
+	"wigeondale/clock"
 )
 
 const (
@@ -123,7 +124,7 @@
 			}
 			doubt = doubt || mayHaveActed(last)
 		}
-		if !pause(ctx, roundPause) {
+		if !clock.Sleep(ctx, roundPause) {
 			break
 		}
 	}
@@ -150,17 +151,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (c *caller) callAt(ctx context.Context, addr, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
--- a/ctl/commands.go
+++ b/ctl/commands.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"wigeondale/adminapi"
+	"wigeondale/clock"
 	"wigeondale/intent"
 )
 
@@ -141,7 +142,7 @@
 		if all {
 			return nil
 		}
-		if !pause(ctx, statusEvery) {
+		if !clock.Sleep(ctx, statusEvery) {
 			return Error.New("%w: revision %d is accepted; at the time limit: %s", ErrUnreachable, revision, shown)
 		}
 	}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -11,6 +11,7 @@
 	"wigeondale/generation"
 	"wigeondale/hedge"
 	"wigeondale/intent"
+	"wigeondale/placement"
 	"wigeondale/routing"
 	"wigeondale/settings"
 )
@@ -129,7 +130,9 @@
 	}
 }
 
-func (n *node) watcher() watcher { return watcher{Monitor: n.mon, dir: n.dir} }
+func (n *node) watcher() placement.Watcher {
+	return placement.Watcher{Monitor: n.mon, Dir: n.dir, Leaves: codeLeaving}
+}
 
 // attemptNode names this life of the router in the names of its attempts: after
 // a restart none of them may be taken for an attempt of the life before.
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -8,20 +8,18 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wigeondale/admission"
-	"wigeondale/backend"
 	"wigeondale/callerapi"
 	"wigeondale/directory"
 	"wigeondale/fleet"
 	"wigeondale/generation"
 	"wigeondale/health"
+	"wigeondale/placement"
 	"wigeondale/routing"
 )
 
 const (
 	// prefixBlocks is how many leading blocks of a prompt routing looks at.
 	prefixBlocks = 64
-	// pickTries bounds the picks repeated because the choice was just taken away.
-	pickTries = 4
 	// replicaWait is told when a replica is expected back soon.
 	replicaWait = time.Second
 )
@@ -68,35 +66,8 @@
 }
 
 func (p *picker) pick(candidates []routing.Candidate, ask routing.Ask) (fleet.Backend, func(), error) {
-	for range pickTries {
-		ask.Now = time.Now()
-		c, _, err := p.router.Pick(candidates, ask)
-		if err != nil {
-			return fleet.Backend{}, nil, noReplica(err)
-		}
-		if !p.dir.Leaving(c.Backend.ID) && p.mon.Allow(c.Backend.ID) {
-			return c.Backend, p.dir.Start(c.Backend.ID, 1), nil
-		}
-		ask.Exclude = with(ask.Exclude, c.Backend.ID)
-	}
-	return fleet.Backend{}, nil, &generation.Unavailable{Retryable: true, RetryAfter: replicaWait}
-}
-
-func with(set map[string]bool, id string) map[string]bool {
-	out := make(map[string]bool, len(set)+1)
-	for k, v := range set {
-		out[k] = v
-	}
-	out[id] = true
-	return out
-}
-
-func noReplica(err error) error {
-	none, ok := errors.AsType[*routing.NoCandidate](err)
-	if !ok {
-		return &generation.Unavailable{Err: err}
-	}
-	return &generation.Unavailable{Retryable: none.Retryable, RetryAfter: replicaWait, Err: err}
+	c := placement.Chooser{Dir: p.dir, Mon: p.mon, Wait: replicaWait}
+	return c.Pick(p.router, candidates, ask, 1)
 }
 
 // Standby implements generation.Picker: engines of this protocol keep no copies.
@@ -162,31 +133,5 @@
 	admission.ReasonNoReplica:      generation.CodeNoReplica,
 }
 
-// watcher lets package health judge the streams of generations.
-type watcher struct {
-	*health.Monitor
-	dir *directory.Directory
-}
-
-// Watch begins to watch one attempt.
-func (w watcher) Watch(id string, promptBytes int, cancel context.CancelCauseFunc) generation.Watch {
-	return w.Monitor.Watch(id, promptBytes, cancel)
-}
-
-// Result reports how a dispatch began. Only a connection error counts against
-// a backend server: a refusal shows that it is alive. One that refuses because
-// it is leaving gets nothing more.
-func (w watcher) Result(id string, err error) {
-	refused, ok := errors.AsType[*backend.Refused](err)
-	if !ok {
-		w.Monitor.Result(id, err)
-		return
-	}
-	if refused.Code == codeLeaving {
-		w.dir.MarkLeaving(id, "", directory.FromRefusal)
-	}
-	w.Monitor.Result(id, nil)
-}
-
 // codeLeaving is the code by which an engine refuses work because it leaves.
 const codeLeaving = "leaving"
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -17,6 +17,7 @@
 	"wigeondale/generation"
 	"wigeondale/hedge"
 	"wigeondale/once"
+	"wigeondale/placement"
 )
 
 const (
@@ -41,7 +42,7 @@
 	client *backend.ServiceClient
 	retry  *admission.RetryBudget
 	hedge  *hedge.Hedger
-	mon    watcher
+	mon    placement.Watcher
 	seq    atomic.Uint64
 }
 
--- a/daemon/services_test.go
+++ b/daemon/services_test.go
@@ -17,6 +17,7 @@
 	"wigeondale/directory"
 	"wigeondale/fleet"
 	"wigeondale/health"
+	"wigeondale/placement"
 	"wigeondale/routing"
 	"wigeondale/settings"
 )
@@ -42,7 +43,7 @@
 		client: backend.NewServiceClient(),
 		retry:  admission.NewRetryBudget(1, 10),
 		hedge:  n.hedger(settings.Hedge{Enabled: true, BudgetPercent: 100}),
-		mon:    watcher{Monitor: mon, dir: dir},
+		mon:    placement.Watcher{Monitor: mon, Dir: dir, Leaves: codeLeaving},
 	}
 }
 
--- a/generation/inquire.go
+++ b/generation/inquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/fleet"
 )
@@ -48,7 +49,7 @@
 	ctx, cancel := context.WithCancel(a.ctx)
 	b := a.backend
 	go func() {
-		for wait := inquireAfter; pause(ctx, wait); wait = inquireAgain {
+		for wait := inquireAfter; clock.Sleep(ctx, wait); wait = inquireAgain {
 			running, err := x.askOnce(ctx, b)
 			if ctx.Err() != nil {
 				return
@@ -69,15 +70,3 @@
 	defer stop()
 	return x.Inquirer.Running(ctx, b, x.req.ID)
 }
-
-// pause returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -22,12 +23,14 @@
 	"github.com/zeebo/errs"
 
 	"wigeondale/directory"
+	"wigeondale/dump"
 	"wigeondale/event"
 	"wigeondale/generation"
 	"wigeondale/health"
 	"wigeondale/holders"
 	"wigeondale/listen"
 	"wigeondale/mirror"
+	"wigeondale/placement"
 	"wigeondale/platform"
 	"wigeondale/relay"
 	"wigeondale/route"
@@ -50,6 +53,8 @@
 	mon     *health.Monitor
 	view    *view
 	peers   *peers
+	news    *news
+	dumps   dump.Registry
 	mirror  *mirror.Mirror
 
 	front, ready, stats *listen.Server
@@ -76,11 +81,11 @@
 	}
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
 	store := platform.NewStore(set.Hosted.StoreAddress)
-	news := newNews(set.Node.ID, set.Node.FailureDomain, log)
-	n.peers = newPeers(set, store, n.dir, n.mon, news, log)
+	n.news = newNews(set.Node.ID, set.Node.FailureDomain, log)
+	n.peers = newPeers(set, store, n.dir, n.mon, n.news, log)
 	n.view = newView(n.table, n.dir, n.mon, n.peers, log)
-	n.mirror = mirror.New(store, n.view, mirror.Config{Reads: news.reads, OnNews: news.say, Log: log, Set: n.meter})
-	news.mirror = n.mirror
+	n.mirror = mirror.New(store, n.view, mirror.Config{Reads: n.news.reads, OnNews: n.news.say, Log: log, Set: n.meter})
+	n.news.mirror = n.mirror
 	relay, err := n.newRelay()
 	if err != nil {
 		return nil, err
@@ -100,7 +105,7 @@
 	runner, err := generation.New(generation.Deps{
 		Admitter: openDoor{},
 		Picker:   pick,
-		Watcher:  watcher{Monitor: n.mon, dir: n.dir},
+		Watcher:  placement.Watcher{Monitor: n.mon, Dir: n.dir, Leaves: platform.CodeElsewhere},
 		Engines:  replicas,
 		Budget:   budgets,
 		Copier:   replicas,
@@ -136,12 +141,31 @@
 	if n.ready, err = open(n.set.Hosted.ReadinessAddress, platform.Readiness{Ready: n.readiness}); err != nil {
 		return err
 	}
-	n.stats, err = open(n.set.Hosted.MetricsAddress, http.HandlerFunc(n.serveMetrics))
+	n.stats, err = open(n.set.Hosted.MetricsAddress, n.inspection())
 	return err
 }
 
-func (n *node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	n.meter.WritePrometheus(w)
+// inspection serves metrics and the state dump.
+func (n *node) inspection() http.Handler {
+	n.dumps.Add("settings", func() any { return json.RawMessage(n.set.Printable()) })
+	n.dumps.Add("table", func() any { return n.tableState() })
+	n.dumps.Add("store", func() any { return n.news.state() })
+	n.dumps.Add("backends", func() any { return n.dir.Dump() })
+	n.dumps.Add("health", func() any { return n.mon.Dump() })
+	n.dumps.Add("peers", func() any { return n.peers.state() })
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/dump", &n.dumps)
+	mux.HandleFunc("GET /", func(w http.ResponseWriter, _ *http.Request) { n.meter.WritePrometheus(w) })
+	return mux
+}
+
+// tableState is what the dump shows of the configuration in force.
+func (n *node) tableState() any {
+	t := n.table.Get()
+	if t == nil {
+		return nil
+	}
+	return struct{ Version int64 }{t.Version}
 }
 
 // readiness says why this node takes no new connections.
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -507,3 +507,37 @@
 		}
 	}
 }
+
+// An operator sees a node's state without its logs; no key may be in it.
+func TestInspection(t *testing.T) {
+	f := newFleet(t)
+	f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "readiness", n.ready)
+	n.get("/look/x", "q", key)
+	page := func(path string) string {
+		resp, err := http.Get("http://" + n.stats.Addr().String() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(data)
+	}
+	if !strings.Contains(page("/metrics"), `wigeon_relayed_total{kind="repeatable",result="complete"} 1`) {
+		t.Errorf("metrics: %s", page("/metrics"))
+	}
+	state := page("/debug/dump")
+	for _, want := range []string{`"table"`, `"a0"`, `"store"`, `"health"`} {
+		if !strings.Contains(state, want) {
+			t.Errorf("%s is not in the dump", want)
+		}
+	}
+	if strings.Contains(state, key) {
+		t.Error("a client's key is in the dump")
+	}
+}
--- a/hosted/news.go
+++ b/hosted/news.go
@@ -192,3 +192,13 @@
 		"items", len(reply.Delta.Items), "removed", len(reply.Delta.Removed), "full", reply.Delta.Full)
 	n.mirror.Merge(reply.Delta)
 }
+
+// state is what the dump shows of the node's knowledge of the store.
+func (n *news) state() any {
+	now := time.Now()
+	return struct {
+		Newest int64
+		AgeMS  int64
+		Reads  bool
+	}{n.mirror.Newest(), n.age(now).Milliseconds(), n.reads()}
+}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -339,3 +339,14 @@
 	}
 	p.dir.SetPeerLoads(sum)
 }
+
+// state is what the dump shows of the other nodes.
+func (p *peers) state() any {
+	p.mu.Lock()
+	mesh := p.mesh
+	p.mu.Unlock()
+	if mesh == nil {
+		return nil
+	}
+	return mesh.Dump()
+}
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -10,12 +10,11 @@
 	"wigeondale/generation"
 	"wigeondale/health"
 	"wigeondale/holders"
+	"wigeondale/placement"
 	"wigeondale/routing"
 )
 
 const (
-	// pickTries bounds picks repeated because the choice was just taken away.
-	pickTries = 4
 	// standbyCost is what keeping a copy costs a replica, against running it.
 	// It takes as much memory, and a part of the work.
 	standbyCost = 0.5
@@ -90,22 +89,13 @@
 	}
 	ask := p.ask(a)
 	ask.OtherDomain = a.LostDomain
-	for range pickTries {
-		ask.Now = time.Now()
-		c, _, err := p.work.Pick(p.dir.Service(a.Service), ask)
-		if err != nil && ask.OtherDomain != "" {
-			ask.OtherDomain = ""
-			continue
-		}
-		if err != nil {
-			return fleet.Backend{}, nil, noReplica(err)
-		}
-		if !p.dir.Leaving(c.Backend.ID) && p.mon.Allow(c.Backend.ID) {
-			return c.Backend, p.dir.Start(c.Backend.ID, cost(a.Size)), nil
-		}
-		ask.Exclude = with(ask.Exclude, c.Backend.ID)
+	chooser := placement.Chooser{Dir: p.dir, Mon: p.mon, Wait: waitForReplica}
+	b, done, err := chooser.Pick(p.work, p.dir.Service(a.Service), ask, cost(a.Size))
+	if err == nil || ask.OtherDomain == "" {
+		return b, done, err
 	}
-	return fleet.Backend{}, nil, &generation.Unavailable{Retryable: true, RetryAfter: waitForReplica}
+	ask.OtherDomain = "" // better there than nowhere
+	return chooser.Pick(p.work, p.dir.Service(a.Service), ask, cost(a.Size))
 }
 
 // preferred is the replica that holds a copy of the run, if it takes work.
@@ -151,7 +141,7 @@
 func (p *picker) Standby(a generation.Ask, b fleet.Backend) (fleet.Backend, func(), bool) {
 	ask := p.ask(a)
 	ask.Now = time.Now()
-	ask.Exclude = with(a.Exclude, b.ID)
+	ask.Exclude = placement.With(a.Exclude, b.ID)
 	ask.OtherDomain = b.FailureDomain
 	c, _, err := p.standby.Pick(p.dir.Service(a.Service), ask)
 	if err != nil {
@@ -181,16 +171,3 @@
 	}
 	return float64(tokens) / tokensOfOne
 }
-
-func with(set map[string]bool, id string) map[string]bool {
-	out := make(map[string]bool, len(set)+1)
-	for k, v := range set {
-		out[k] = v
-	}
-	out[id] = true
-	return out
-}
-
-func noReplica(err error) error {
-	return &generation.Unavailable{Retryable: true, RetryAfter: waitForReplica, Err: err}
-}
--- a/intent/confirm.go
+++ b/intent/confirm.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"wigeondale/clock"
 	"wigeondale/event"
 )
 
@@ -39,7 +40,7 @@
 		if !doubt {
 			return Revision{}, Error.New("%w (%v)", ErrUnavailable, err)
 		}
-		sleep(ctx, settleWait)
+		clock.Sleep(ctx, settleWait)
 		if ctx.Err() != nil {
 			k.cfg.Events.Emit(event.ConfirmUnsettled, "plan", p.ID, "error", err)
 			return Revision{}, Error.New("%w (%v)", ErrUnsettled, err)
--- a/intent/run.go
+++ b/intent/run.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"wigeondale/clock"
 	"wigeondale/event"
 )
 
@@ -56,7 +57,7 @@
 			k.Sync(ctx)
 			poll = time.Now().Add(k.jittered(k.cfg.Poll))
 		}
-		sleep(ctx, k.cfg.Tick)
+		clock.Sleep(ctx, k.cfg.Tick)
 	}
 	return nil
 }
@@ -179,7 +180,7 @@
 		if k.loaded.Load() && k.cfg.Watcher() {
 			k.follow(ctx)
 		}
-		sleep(ctx, k.jittered(k.cfg.Tick))
+		clock.Sleep(ctx, k.jittered(k.cfg.Tick))
 	}
 	return nil
 }
@@ -189,7 +190,7 @@
 	defer cancel()
 	go func() {
 		for ctx.Err() == nil {
-			sleep(ctx, k.cfg.Tick)
+			clock.Sleep(ctx, k.cfg.Tick)
 			if !k.cfg.Watcher() {
 				cancel()
 			}
@@ -222,7 +223,7 @@
 		case <-ctx.Done():
 			return nil
 		case s := <-k.snaps:
-			sleep(ctx, k.jittered(k.cfg.Call))
+			clock.Sleep(ctx, k.jittered(k.cfg.Call))
 			k.keepSnapshot(ctx, s)
 		}
 	}
@@ -243,12 +244,3 @@
 		k.cfg.Events.Emit(event.SnapshotFailed, "revision", s.Revision, "error", err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -23,6 +23,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeebo/errs"
 
+	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/infra"
 )
@@ -149,7 +150,7 @@
 			pause = m.read(ctx)
 		}
 		m.settleDoubt(time.Now())
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -314,12 +315,3 @@
 	m.mu.Unlock()
 	m.cfg.Log.Emit(event.StoreRegained, "newest", m.Newest())
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
