--- /dev/null
+++ b/fakes/hosted/operator.go
@@ -0,0 +1,105 @@
+package hosted
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ConfigKey is where the operator's configuration lies in the store.
+const ConfigKey = "op/config"
+
+// Host is the host of all routes of a Config.
+const Host = "h.example"
+
+// Route is one route of a Config: its prefix is its name.
+type Route struct {
+	Name     string
+	Kind     string // streaming, idempotent or non_idempotent
+	Service  string
+	Attempts int
+	Timeout  time.Duration
+}
+
+// Config is the operator's configuration, with one account that has all keys.
+type Config struct {
+	Version int
+	Account string
+	Keys    []string
+	Engines string // service whose replicas keep copies of each other's runs
+	Plain   string // service of the other replicas
+	Routes  []Route
+}
+
+// PutConfig writes a configuration.
+func (s *Store) PutConfig(c Config) {
+	var routes []any
+	for _, r := range c.Routes {
+		routes = append(routes, map[string]any{
+			"name": r.Name, "host": Host, "prefix": "/" + r.Name + "/", "route_type": r.Kind, "service": r.Service,
+			"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": 1500, "max_attempts": r.Attempts, "resumable": r.Kind == "streaming",
+		})
+	}
+	s.PutJSON(ConfigKey, map[string]any{
+		"version": c.Version,
+		"routes":  routes,
+		"services": []any{
+			map[string]any{"name": c.Engines, "engine": map[string]any{"kv_capacity": 55000, "backups": true}},
+			map[string]any{"name": c.Plain},
+		},
+		"tenants": []any{map[string]any{"name": c.Account, "api_keys": c.Keys}},
+	})
+}
+
+// Register writes the entry of a replica that serves, or leaves.
+func (s *Store) Register(r *Replica, leaving bool) {
+	state := "ready"
+	if leaving {
+		state = "draining"
+	}
+	s.PutJSON("servers/"+r.ID, r.Entry(state))
+}
+
+// Lapse removes the entry of a replica.
+func (s *Store) Lapse(r *Replica) { s.Delete("servers/" + r.ID) }
+
+// Ask is one request as a client of the platform sends it.
+type Ask struct {
+	Addr   string // of the node's front
+	Path   string
+	ID     string
+	Key    string
+	Budget time.Duration
+	After  int // number of the last piece that the client has; 0 for none
+	Prompt string
+}
+
+// Request makes the HTTP request, in a form that net/http never sends twice.
+func (a Ask) Request() (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+a.Addr+a.Path, io.NopCloser(strings.NewReader("q")))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = 1
+	req.GetBody = nil
+	req.Host = Host
+	req.Header = http.Header{
+		"X-Attempt-Id": {a.ID}, "X-Api-Key": {a.Key}, "X-Deadline-Ms": {strconv.FormatInt(a.Budget.Milliseconds(), 10)},
+		"X-Token-Usage": {"100,280"}, "X-Prompt-Prefix": {a.Prompt},
+	}
+	if a.After > 0 {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(a.After))
+	}
+	return req, nil
+}
+
+// Account is what a replica was told of the client's account, and whether it was
+// also given a key.
+func (a *Arrival) Account() (name string, gotKey bool) {
+	return a.Header.Get("X-Tenant-Id"), a.Header.Get("X-Api-Key") != ""
+}
+
+// FromCopy tells whether the run went on from a copy.
+func (a *Arrival) FromCopy() bool { return a.Header.Get("Kv-From") != "" }
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -56,7 +56,7 @@
 	f.mu.Lock()
 	f.replicas[r.Addr()] = r
 	f.mu.Unlock()
-	f.store.PutJSON("servers/"+r.ID, r.Entry("ready"))
+	f.store.Register(r, false)
 	return r
 }
 
@@ -74,25 +74,17 @@
 // configure writes the next version with these keys of the account.
 func (f *testFleet) configure(keys ...string) {
 	f.version++
-	route := func(name, kind, service string, timeout, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": "h.example", "prefix": "/" + name + "/", "route_type": kind, "service": service,
-			"timeout_ms": timeout, "target_latency_ms": 1000, "max_attempts": attempts, "resumable": kind == "streaming",
-		}
-	}
-	f.store.PutJSON("op/config", map[string]any{
-		"version": f.version,
-		"routes": []any{
-			route("draft", "streaming", "llm", 20000, 5),
-			route("book", "non_idempotent", "app", 3000, 1),
-			route("look", "idempotent", "app", 3000, 2),
-			route("short", "idempotent", "app", 300, 2),
-		},
-		"services": []any{
-			map[string]any{"name": "llm", "engine": map[string]any{"kv_capacity": 55000, "backups": true}},
-			map[string]any{"name": "app"},
+	route := func(name, kind, service string, timeout time.Duration, attempts int) fakes.Route {
+		return fakes.Route{Name: name, Kind: kind, Service: service, Attempts: attempts, Timeout: timeout}
+	}
+	f.store.PutConfig(fakes.Config{
+		Version: f.version, Account: "acc", Keys: keys, Engines: "llm", Plain: "app",
+		Routes: []fakes.Route{
+			route("draft", "streaming", "llm", 20*time.Second, 5),
+			route("book", "non_idempotent", "app", 3*time.Second, 1),
+			route("look", "idempotent", "app", 3*time.Second, 2),
+			route("short", "idempotent", "app", 300*time.Millisecond, 2),
 		},
-		"tenants": []any{map[string]any{"name": "acc", "api_keys": keys}},
 	})
 }
 
@@ -177,16 +169,13 @@
 
 // send makes a request with its own id through the node.
 func (n *testNode) send(ctx context.Context, path, id, apiKey string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front.Addr().String()+path, strings.NewReader("q"))
+	req, err := fakes.Ask{
+		Addr: n.front.Addr().String(), Path: path, ID: id, Key: apiKey, Budget: 15 * time.Second, Prompt: "aa:40," + id + ":60",
+	}.Request()
 	if err != nil {
 		return nil, err
 	}
-	req.Host = "h.example"
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Api-Key", apiKey)
-	req.Header.Set("X-Deadline-Ms", "15000")
-	req.Header.Set("X-Token-Usage", "100,50")
-	req.Header.Set("X-Prompt-Prefix", "aa:40,"+id+":60")
+	req = req.WithContext(ctx)
 	return (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 }
 
@@ -301,7 +290,7 @@
 			held := 0
 			for _, e := range engines {
 				for _, a := range e.Arrivals() {
-					if a.Ran && a.Header.Get("Kv-From") != "" {
+					if a.Ran && a.FromCopy() {
 						held++
 						if e.Domain == lost.Domain {
 							t.Error("the copy lay in the failure domain of the run")
@@ -344,10 +333,10 @@
 	n := f.node("n1")
 	await(t, "readiness", n.ready)
 	await(t, "both replicas", func() bool { return len(n.dir.IDs()) == 2 })
-	f.store.PutJSON("servers/a0", a.Entry("draining"))
-	f.store.PutJSON("servers/a1", b.Entry("ready"))
+	f.store.Register(a, true)
+	f.store.Register(b, false)
 	await(t, "the news", func() bool { return n.dir.Leaving("a0") })
-	f.store.PutJSON("servers/a0", a.Entry("ready")) // older news that comes late
+	f.store.Register(a, false) // older news that comes late
 	for i := range 20 {
 		if status, _ := n.get("/look/x", fmt.Sprint("q", i), key); status != 200 {
 			t.Fatalf("got %d", status)
@@ -457,12 +446,12 @@
 			held = e.ID
 		}
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+n.front.Addr().String()+"/draft/x", strings.NewReader("q"))
+	req, err := fakes.Ask{
+		Addr: n.front.Addr().String(), Path: "/draft/x", ID: "q2", Key: key, Budget: 15 * time.Second, After: 3, Prompt: "aa:40,q1:60",
+	}.Request()
 	if err != nil {
 		t.Fatal(err)
 	}
-	req.Host = "h.example"
-	req.Header = http.Header{"X-Attempt-Id": {"q2"}, "X-Api-Key": {key}, "Last-Event-Id": {"3"}, "X-Prompt-Prefix": {"aa:40,q1:60"}}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		t.Fatal(err)
@@ -488,7 +477,7 @@
 	f.configure(key)
 	n := f.node("n1")
 	await(t, "readiness", n.ready)
-	f.store.Put("op/config", []byte("{"))
+	f.store.Put(fakes.ConfigKey, []byte("{"))
 	f.store.Put("servers/a1", []byte(`{"service":1}`))
 	f.configure(key, "late")
 	await(t, "the next good version", func() bool {
--- a/kvlog/kvtest/held.go
+++ b/kvlog/kvtest/held.go
@@ -101,7 +101,7 @@
 	return infra.ErrUnknownOutcome
 }
 
-// Client is one process's access to the bench's store.
+// Client is one process's access to the benchmark's store.
 type Client struct {
 	*Store
 	bench *Bench
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -126,7 +126,7 @@
 				continue
 			}
 			ran[a.ID]++
-			if key := a.Header.Get("X-Api-Key"); key != "" || a.Header.Get("X-Tenant-Id") != "acc" {
+			if name, gotKey := a.Account(); gotKey || name != account {
 				r.checks.broken("keys stay here and accounts are named", a.ID, "replica "+rep.ID)
 			}
 			if strings.HasPrefix(a.Target, "/book/") && ran[a.ID] > 1 {
--- a/soak/client.go
+++ b/soak/client.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"time"
 
 	fakes "wigeondale/fakes/hosted"
@@ -71,17 +70,12 @@
 }
 
 func (c *client) send(ctx context.Context, t *http.Transport, n *node, res *result) (status int, body string, left bool, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front+"/"+res.kind+"/x", io.NopCloser(strings.NewReader("q")))
+	ask := fakes.Ask{Addr: n.front, Path: "/" + res.kind + "/x", ID: res.id, Key: res.key, Budget: budget, Prompt: "aa:40," + res.id + ":60"}
+	req, err := ask.Request()
 	if err != nil {
 		return 0, "", false, err
 	}
-	req.ContentLength = 1
-	req.GetBody = nil // net/http must not repeat it by itself
-	req.Host = "h.example"
-	req.Header = http.Header{
-		"X-Attempt-Id": {res.id}, "X-Api-Key": {res.key}, "X-Deadline-Ms": {fmt.Sprint(budget.Milliseconds())},
-		"X-Token-Usage": {"100,280"}, "X-Prompt-Prefix": {"aa:40," + res.id + ":60"},
-	}
+	req = req.WithContext(ctx)
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return 0, "", false, err
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -199,12 +199,12 @@
 	if !r.take(rep) {
 		return func() {}
 	}
-	r.store.PutJSON("servers/"+rep.ID, rep.Entry("draining"))
+	r.store.Register(rep, true)
 	return func() { r.replace(rep) }
 }
 
 func (r *run) replace(rep *fakes.Replica) {
-	r.store.Delete("servers/" + rep.ID)
+	r.store.Lapse(rep)
 	domain := int(rep.Domain[1] - '0')
 	if err := r.addReplica(rep.Service, domain, rep.Engine); err != nil {
 		r.checks.broken("the soak's own replica starts", "", err.Error())
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -144,6 +144,9 @@
 	pieces    = 40
 	pieceGap  = 12 * time.Millisecond
 	firstKeys = 40
+	account   = "acc"
+	// routeTimeout is when a request must have its final answer.
+	routeTimeout = 8 * time.Second
 )
 
 func (r *run) addReplica(service string, domain int, engine bool) error {
@@ -159,7 +162,7 @@
 	}
 	r.replicas[rep.Addr()] = rep
 	r.services[service] = append(r.services[service], rep)
-	r.store.PutJSON("servers/"+rep.ID, rep.Entry("ready"))
+	r.store.Register(rep, false)
 	return nil
 }
 
@@ -172,17 +175,14 @@
 // configure writes the next version, with the keys in force.
 func (r *run) configure() {
 	r.version++
-	route := func(name, kind, service string, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": "h.example", "prefix": "/" + name + "/", "route_type": kind, "service": service,
-			"timeout_ms": 8000, "target_latency_ms": 2000, "max_attempts": attempts, "resumable": kind == "streaming",
-		}
+	route := func(name, kind, service string, attempts int) fakes.Route {
+		return fakes.Route{Name: name, Kind: kind, Service: service, Attempts: attempts, Timeout: routeTimeout}
 	}
-	r.store.PutJSON("op/config", map[string]any{
-		"version":  r.version,
-		"routes":   []any{route("draft", "streaming", "llm", 5), route("book", "non_idempotent", "app", 2), route("look", "idempotent", "app", 2)},
-		"services": []any{map[string]any{"name": "llm", "engine": map[string]any{"kv_capacity": 55000, "backups": true}}, map[string]any{"name": "app"}},
-		"tenants":  []any{map[string]any{"name": "acc", "api_keys": r.keys}},
+	r.store.PutConfig(fakes.Config{
+		Version: r.version, Account: account, Keys: r.keys, Engines: "llm", Plain: "app",
+		Routes: []fakes.Route{
+			route("draft", "streaming", "llm", 5), route("book", "non_idempotent", "app", 2), route("look", "idempotent", "app", 2),
+		},
 	})
 }
 
