Opaque requests end by the boot clock alone; a broken run is continued without waiting for news of its caller

Cause: read in the code: the wall clock in the look at the deadline would end requests early where the time of day is set ahead, and an opaque run can't be taken over by another router, so that the wait of 200 ms helps nobody. Ruled out: a write deadline left on a kept connection (a test passed without any guard: net/http takes it off).

--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -166,7 +166,9 @@
 	x.lossCause = lossCause(a.ctx, err)
 	if !engineLost(a.ctx) {
 		x.Watcher.Result(a.backend.ID, err)
-		x.awaitCaller()
+		if x.req.Opaque == nil { // no other router can take an opaque run over
+			x.awaitCaller()
+		}
 	}
 	if x.ctx.Err() != nil {
 		return x.giveUp(CodeDeadline, x.cause())
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"wigeondale/backend"
+	"wigeondale/clock"
 	"wigeondale/fleet"
 )
 
@@ -372,3 +373,21 @@
 		}
 	})
 }
+
+// Symptom: requests end early on VMs whose time of day is set ahead. Cause: a
+// deadline on the wall clock, which a suspension calls for; the boot clock counts
+// that as well and is never set.
+func TestOpaqueDeadlineIsOnTheBootClock(t *testing.T) {
+	early := func(r *Request) {
+		r.Deadline = time.Now().Add(time.Hour)
+		r.Opaque.Deadline = clock.In(-time.Second)
+	}
+	w := &world{pieces: 1, budget: 9}
+	if res, _ := w.run(t, early); res.Outcome != fleet.NotRun || len(w.opened) != 0 {
+		t.Errorf("after its time on the boot clock: got %s in %d attempts", res.Outcome, len(w.opened))
+	}
+	w = &world{pieces: 1, budget: 9}
+	if res, _ := w.run(t, func(r *Request) { r.Opaque.Deadline = clock.In(time.Hour) }); res.Outcome != fleet.Complete {
+		t.Errorf("before it: got %s", res.Outcome)
+	}
+}
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -198,6 +198,11 @@
 	if x.ctx.Err() != nil {
 		return true
 	}
+	if o := x.req.Opaque; o != nil {
+		// The boot clock alone: the time of day is set ahead by seconds there,
+		// and requests would end early.
+		return o.Deadline.Passed()
+	}
 	d := x.req.Deadline
 	if d.IsZero() {
 		return false
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -22,6 +22,16 @@
 	// crashed one is off the registry by then: its entry lapses after three
 	// heartbeats of 1.2 s, and the replica that follows has an id of its own.
 	probeAfter = 3600 * time.Millisecond
+	// prefillFactor and queueFactor stretch the bound on a first piece: prompts are
+	// read one after the other, and first pieces were seen to take up to 7 s on
+	// busy days. A replica that lost the run is found by asking it.
+	prefillFactor = 5
+	queueFactor   = 2
+	// typicalGap between the pieces of one stream, before any was observed: 25 ms
+	// alone, 200 ms beside a prompt that is read, 45 ms at the median.
+	typicalGap = 60 * time.Millisecond
+	// tick is the interval of judgement; it adds to the time of each detection.
+	tick = 10 * time.Millisecond
 )
 
 // policyOf fits the failure detector to replicas that crash by failure domain
@@ -34,11 +44,11 @@
 	p.MassSilence = millis(h.MaxSilenceMS)
 	p.PrefillBytesPerSecond = h.PrefillTokensPerSecond * bytesPerToken
 	p.MinPrefill = millis(h.MinPrefillMS)
-	p.PrefillFactor = 5
-	p.QueueFactor = 2
+	p.PrefillFactor = prefillFactor
+	p.QueueFactor = queueFactor
 	p.MinBackoff = probeAfter
-	p.TypicalGap = 60 * time.Millisecond
-	p.Tick = 10 * time.Millisecond
+	p.TypicalGap = typicalGap
+	p.Tick = tick
 	return p
 }
 
