Nodes register under a lease, with the address that they have now

Cause: read in the code: an entry was only created, never replaced, so a node replaced at another address got no links, and entries of nodes that are gone stayed for good, and counted in the division of the retry budget.

--- a/fakes/hosted/store.go
+++ b/fakes/hosted/store.go
@@ -37,6 +37,7 @@
 	down      bool          // every call gets 503
 	silent    bool          // no call is answered
 	calls     int
+	leases    int64
 }
 
 // NewStore starts a store on loopback.
@@ -46,6 +47,8 @@
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
 	mux.HandleFunc("POST /kv-txn", s.serveTxn)
+	mux.HandleFunc("POST /kv-lease", s.serveLease)
+	mux.HandleFunc("POST /kv-keep/{lease}", func(w http.ResponseWriter, _ *http.Request) { answer(w, map[string]any{"ttl_ms": 1}) })
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.refuses(r) {
 			http.Error(w, `{"error":"down"}`, http.StatusServiceUnavailable)
@@ -124,7 +127,7 @@
 func (s *Store) Put(key string, value []byte) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.put(key, value)
+	return s.put(key, value, 0)
 }
 
 // PutJSON writes an item whose value is v as JSON.
@@ -136,13 +139,13 @@
 	return s.Put(key, data)
 }
 
-func (s *Store) put(key string, value []byte) int64 {
+func (s *Store) put(key string, value []byte, lease int64) int64 {
 	s.revision++
 	created := s.revision
 	if old, ok := s.items[key]; ok {
 		created = old.Created
 	}
-	i := Item{Key: key, Value: value, Revision: s.revision, Created: created}
+	i := Item{Key: key, Value: value, Revision: s.revision, Created: created, Lease: lease}
 	s.items[key] = i
 	s.history = append(s.history, i)
 	s.wake()
@@ -279,7 +282,7 @@
 		}
 	}
 	for _, i := range t.Writes {
-		s.put(i.Key, i.Value)
+		s.put(i.Key, i.Value, i.Lease)
 	}
 	for _, key := range t.Deletes {
 		s.drop(key)
@@ -287,6 +290,14 @@
 	answer(w, map[string]any{"revision": s.revision})
 }
 
+// serveLease grants leases that never end.
+func (s *Store) serveLease(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases++
+	answer(w, map[string]any{"lease": s.leases, "ttl_ms": 1})
+}
+
 func answer(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A client that is gone needs no answer.
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -533,3 +533,16 @@
 		t.Error("a client's key is in the dump")
 	}
 }
+
+// Symptom: a node that was replaced at another address gets no links. Cause: its
+// entry in the store is still that of the node before it.
+func TestNodeRegistersItsNewAddress(t *testing.T) {
+	f := newFleet(t)
+	f.store.Put(nodePrefix+"n1", []byte("127.0.0.1:1"))
+	f.configure(key)
+	n := f.node("n1")
+	await(t, "the entry", func() bool {
+		i, ok := f.store.Get(nodePrefix + "n1")
+		return ok && string(i.Value) == n.set.Hosted.PeerAddress && i.Lease > 0
+	})
+}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"strings"
 	"sync"
 	"time"
@@ -36,10 +35,6 @@
 	tellAll = 2 * time.Second
 	// loadsLife is how long a router's word counts when it falls silent.
 	loadsLife = 3 * tellAll
-	// registerTimeout bounds one write to the store, registerRetry the pause
-	// after one that failed.
-	registerTimeout = time.Second
-	registerRetry   = 500 * time.Millisecond
 )
 
 // Kinds of messages between routers.
@@ -52,12 +47,12 @@
 // peers joins this node with the others. It is idle until the store has given
 // the key that all links prove.
 type peers struct {
-	set   *settings.Settings
-	store *platform.Store
-	dir   *directory.Directory
-	mon   *health.Monitor
-	log   *event.Log
-	news  *news
+	set  *settings.Settings
+	reg  *registration
+	dir  *directory.Directory
+	mon  *health.Monitor
+	log  *event.Log
+	news *news
 
 	mu    sync.Mutex
 	key   []byte
@@ -90,7 +85,7 @@
 
 func newPeers(set *settings.Settings, store *platform.Store, dir *directory.Directory, mon *health.Monitor, n *news, log *event.Log) *peers {
 	p := &peers{
-		set: set, store: store, dir: dir, mon: mon, news: n, log: log,
+		set: set, reg: &registration{set: set, store: store, log: log}, dir: dir, mon: mon, news: n, log: log,
 		addrs: map[string]string{}, loads: map[string]toldLoads{}, found: make(chan struct{}),
 	}
 	mon.OnDomain = p.crashed
@@ -183,7 +178,7 @@
 
 // run registers this node and keeps its links until ctx ends.
 func (p *peers) run(ctx context.Context) error {
-	p.register(ctx)
+	go p.reg.run(ctx)
 	select {
 	case <-p.found:
 	case <-ctx.Done():
@@ -232,34 +227,6 @@
 	return mesh, nil
 }
 
-// register writes this node's address, and the shared key if there is none. A
-// key that another node created first comes through the mirror.
-func (p *peers) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := p.registerOnce(ctx)
-		if err == nil {
-			return
-		}
-		p.log.Emit(event.RegisterFailed, "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerRetry):
-		}
-	}
-}
-
-func (p *peers) registerOnce(ctx context.Context) error {
-	ctx, stop := context.WithTimeout(ctx, registerTimeout)
-	defer stop()
-	key := make([]byte, peerKeyBytes)
-	rand.Read(key) // never fails: the runtime ends the process instead
-	if _, err := p.store.Create(ctx, peerKeyKey, key); err != nil {
-		return err
-	}
-	_, err := p.store.Create(ctx, nodePrefix+p.set.Node.ID, []byte(p.set.Hosted.PeerAddress))
-	return err
-}
-
 // tell sends what this router has under way whenever it changes.
 func (p *peers) tell(ctx context.Context, mesh *peer.Mesh) {
 	tick := time.NewTicker(tellEvery)
