--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -19,8 +19,8 @@
 	Account   string // client account, empty on routes that need none
 	Streaming bool
 	Deadline  clock.Deadline // the backend server is told what is left of it
-	// Replayable allows more than one backend server to run the request.
-	Replayable bool
+	// Urgency orders the requests that wait at a backend server; 0 goes first.
+	Urgency int
 }
 
 // Copies says which standby copies of its state an attempt makes and uses.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -93,8 +93,6 @@
 	// Started orders the starts of backend servers: a later one has a higher
 	// number. 0 when that is not known.
 	Started int64 `json:"started,omitempty"`
-	// Slots is how many requests it runs at once, 0 when it does not say.
-	Slots int `json:"slots,omitempty"`
 	// Leaving is true once the VM list says that the VM is going away.
 	Leaving bool `json:"leaving"`
 }
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -166,7 +166,7 @@
 		t.Fatal(err)
 	}
 	req := Request{ID: "q", Opaque: &Opaque{
-		Opaque: &backend.Opaque{Streaming: true, Replayable: true}, Service: "svc", First: 1, MaxAttempts: 5,
+		Opaque: &backend.Opaque{Streaming: true}, Service: "svc", First: 1, MaxAttempts: 5,
 		Patience: time.Second, Copies: true,
 	}}
 	if change != nil {
--- a/hosted/news.go
+++ b/hosted/news.go
@@ -5,12 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wigeondale/event"
 	"wigeondale/mirror"
 	"wigeondale/peer"
 	"wigeondale/routing"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -28,8 +28,8 @@
 
 func serve(t *testing.T, res generation.Result, req *Request, change func(*route.Config)) (Verdict, generation.Request) {
 	t.Helper()
-	cfg := &route.Config{Version: 1, Accounts: []route.Account{{Name: "acc", Keys: []string{"k"}}}, Routes: []route.Route{
-		{Host: "h", Prefix: "/p/", Service: "svc", Kind: route.Once, Timeout: 2 * time.Second, MaxAttempts: 1},
+	cfg := &route.Config{Version: 1, Accounts: []route.Account{{Name: "acc", Keys: []string{"k"}, Priority: 3, HasPriority: true}}, Routes: []route.Route{
+		{Host: "h", Prefix: "/p/", Service: "svc", Kind: route.Once, Timeout: 2 * time.Second, MaxAttempts: 1, Priority: 7},
 		{Host: "h", Prefix: "/open/", Service: "svc", Open: true},
 	}}
 	if change != nil {
@@ -102,12 +102,12 @@
 	}
 }
 
-// Symptom: a request that may run once is tried elsewhere, or a request outlives
-// its route's time.
+// Symptom: a request that may run once is tried elsewhere, a request outlives its
+// route's time, or an account's priority does not go before that of the route.
 func TestRouteDecidesWhatMayBeRepeated(t *testing.T) {
 	_, got := serve(t, generation.Result{Outcome: fleet.Complete}, &Request{Host: "h", Path: "/p/x", Key: "k", Budget: time.Hour}, nil)
 	left := got.Opaque.Deadline.Left()
-	if !got.NonIdempotent || got.Opaque.Replayable || got.Account != "acc" || left > 2*time.Second || left < time.Second {
+	if !got.NonIdempotent || got.Opaque.Urgency != 3 || got.Account != "acc" || left > 2*time.Second || left < time.Second {
 		t.Errorf("got %+v with %v left", got, left)
 	}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -59,7 +59,6 @@
 	Resumable   bool          // a stream may go on at another replica
 	Timeout     time.Duration // a request has its final answer by then; 0 is none
 	Target      time.Duration // an answer, or a stream's first piece, is on time until then
-	Gap         time.Duration // longest pause between the pieces of a stream on time
 	MaxAttempts int
 	Priority    int  // 0 is the highest
 	Open        bool // no key is needed
@@ -92,9 +91,6 @@
 // Service is what the configuration says of the replicas of one service.
 type Service struct {
 	Name string
-	// StateTokens is how many tokens of prompts and answers a replica holds; 0
-	// for services that aren't model engines.
-	StateTokens int
 	// Standby tells that a replica can keep copies of other replicas' runs.
 	Standby bool
 }
