--- a/health/tick.go
+++ b/health/tick.go
@@ -15,7 +15,6 @@
 	engine  *engine
 	silence time.Duration
 	suspect bool
-	domain  bool      // its whole failure domain is silent
 	streams []*Stream // to cancel, with the cause of each
 	causes  []error
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -43,15 +43,6 @@
 	s.wake()
 }
 
-func (s *fakeStore) drop(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rev++
-	delete(s.items, key)
-	s.events = append(s.events, infra.WatchEvent{Deleted: true, Value: infra.Value{Key: key, ModRev: s.rev}})
-	s.wake()
-}
-
 func (s *fakeStore) fail(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
