--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -520,9 +520,10 @@
 		}
 		return string(data)
 	}
-	if !strings.Contains(page("/metrics"), `wigeon_relayed_total{kind="repeatable",result="complete"} 1`) {
-		t.Errorf("metrics: %s", page("/metrics"))
-	}
+	// The request is counted once it has ended, which is after its answer came.
+	await(t, "the metric", func() bool {
+		return strings.Contains(page("/metrics"), `wigeon_relayed_total{kind="repeatable",result="complete"} 1`)
+	})
 	state := page("/debug/dump")
 	for _, want := range []string{`"table"`, `"a0"`, `"store"`, `"health"`} {
 		if !strings.Contains(state, want) {
