--- a/holders/holders.go
+++ b/holders/holders.go
@@ -13,6 +13,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,12 +33,16 @@
 type Config struct {
 	Fresh   time.Duration // how long an answer is used again
 	Timeout time.Duration // of one question
+	Most    int           // candidates asked at once, drawn at random
 	Set     *metrics.Set
 }
 
 const (
 	defaultFresh   = 2 * time.Second
 	defaultTimeout = 150 * time.Millisecond
+	// defaultMost bounds the connections that one client's return can open. With
+	// 3,000 replicas, all of them asked, a node opened 2,900 at once.
+	defaultMost = 200
 )
 
 // Finder remembers what backend servers said. It may be shared by goroutines.
@@ -65,6 +71,9 @@
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = defaultTimeout
 	}
+	if cfg.Most <= 0 {
+		cfg.Most = defaultMost
+	}
 	if cfg.Set == nil {
 		cfg.Set = metrics.NewSet()
 	}
@@ -80,6 +89,7 @@
 // Find returns which of the candidates holds most of the leading parts, and how
 // many tokens that is; 0 when none holds any.
 func (f *Finder) Find(ctx context.Context, candidates []fleet.Backend, parts []string) (id string, tokens int) {
+	candidates = f.some(candidates)
 	f.ask(ctx, candidates)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,6 +104,16 @@
 	return id, tokens
 }
 
+// some returns at most Config.Most of the candidates.
+func (f *Finder) some(candidates []fleet.Backend) []fleet.Backend {
+	if len(candidates) <= f.cfg.Most {
+		return candidates
+	}
+	drawn := slices.Clone(candidates)
+	rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:f.cfg.Most]
+}
+
 // leading counts the tokens of the parts up to the first that is missing: a
 // part is of use only with all that come before it.
 func (h held) leading(parts []string) int {
--- a/holders/holders_test.go
+++ b/holders/holders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -90,3 +91,17 @@
 		}
 	})
 }
+
+// Symptom: a node opens thousands of connections at once. Sequence: a client comes
+// back in a large fleet. Cause: every replica is asked.
+func TestFewAreAskedInALargeFleet(t *testing.T) {
+	l := &lists{asked: map[string]int{}, held: map[string]map[string]int{}}
+	var all []fleet.Backend
+	for i := range 1000 {
+		all = append(all, fleet.Backend{ID: strconv.Itoa(i)})
+	}
+	New(l, Config{Most: 20}).Find(t.Context(), all, []string{"p"})
+	if len(l.asked) != 20 {
+		t.Errorf("%d were asked", len(l.asked))
+	}
+}
