--- a/backend/canceller.go
+++ b/backend/canceller.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/fleet"
 )
@@ -198,14 +199,7 @@
 
 func (c *Canceller) sleep(ctx context.Context, d time.Duration) bool {
 	jittered := d/2 + time.Duration(c.opts.Rand()*float64(d))
-	t := time.NewTimer(jittered)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return clock.Sleep(ctx, jittered)
 }
 
 // settled reports whether nothing is left to do for q.
--- a/event/output_test.go
+++ b/event/output_test.go
@@ -35,3 +35,24 @@
 		t.Errorf("told of %d dropped, %d lines", n, len(o.lines))
 	}
 }
+
+// Symptom: a node stands still at the first line after lines were dropped. Cause:
+// the line that tells their number is written within the writing of another.
+func TestDroppedLinesAreTold(t *testing.T) {
+	o := NewOutput(io.Discard, 100)
+	LogTo(o, 0)
+	log := New("n")
+	told := 0
+	o.OnDropped = func(n int) {
+		told += n
+		log.Emit(LinesDropped, "lines", n)
+	}
+	o.mu.Lock()
+	o.dropped = 5 // in an earlier second
+	o.mu.Unlock()
+	log.Emit(Started)
+	o.Close()
+	if told != 5 {
+		t.Errorf("told of %d", told)
+	}
+}
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -172,7 +172,7 @@
 
 	lostDomain string                // failure domain of the attempt lost last
 	lostCopy   copyOfLost            // of the attempt lost last
-	afterLoss  bool                  // it is the first since a loss
+	afterLoss  bool                  // the next attempt is the first since an answer that had begun was lost
 	repeats    bool                  // the next attempt of an opaque request is one more arrival at its service
 	sent       int                   // attempts that may have run
 	failed     *backend.FailedAnswer // the latest, delivered if nothing better comes
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"wigeondale/clock"
 	"wigeondale/event"
 )
 
@@ -180,14 +181,7 @@
 
 func (x *run) sleep(d time.Duration) bool {
 	jittered := d/2 + time.Duration(x.opts.Rand()*float64(d)/2)
-	t := time.NewTimer(jittered)
-	defer t.Stop()
-	select {
-	case <-x.ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return clock.Sleep(x.ctx, jittered)
 }
 
 // over reports whether the caller is gone or the deadline has passed. The
