Test programs claim their ports

Cause: scenario, hosted and soak looked for a free port each in its own way, in ranges that overlap, and the port was nobody's until a process bound it or while one was restarted. Change: one pool for all test programs, which claims blocks of ports by a listener that it keeps; the soak's failure to start shows the end of the router's log. Test: pools never give out the same port (fails with the former way).

--- /dev/null
+++ b/fakes/ports/ports_test.go
@@ -0,0 +1,47 @@
+package ports
+
+import "testing"
+
+// Symptom: a process that a test starts ends at once, or never gets ready: another
+// one listens on its address.
+// Sequence: two test programs look for free ports at the same time, or one does
+// while a process of the other is being restarted; the port is free, so both use it.
+// Cause: a port that was merely looked at is nobody's until a process binds it. Here
+// two pools, as two programs have them, never give out the same one, though nobody
+// listens on any of them.
+func TestPoolsGiveOutDifferentPorts(t *testing.T) {
+	const pools, each = 8, 3 * blockSize
+	given := map[string]int{}
+	for i := range pools {
+		p := &Pool{}
+		t.Cleanup(func() {
+			if err := p.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+		for range each {
+			addr, err := p.FreeAddr()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if other, taken := given[addr]; taken {
+				t.Fatalf("%s was given out by pool %d and by pool %d", addr, other, i)
+			}
+			given[addr] = i
+		}
+	}
+}
+
+func TestClosedPoolGivesItsBlocksBack(t *testing.T) {
+	p := &Pool{}
+	if _, err := p.FreeAddr(); err != nil {
+		t.Fatal(err)
+	}
+	guard := p.claims[0].Addr().String()
+	if err := p.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if len(p.claims) != 0 || p.next != p.end {
+		t.Fatalf("the pool still holds %s", guard)
+	}
+}
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	fakes "wigeondale/fakes/hosted"
+	"wigeondale/fakes/ports"
 	"wigeondale/settings"
 )
 
@@ -90,7 +91,7 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	addr, err := fakes.FreeAddr()
+	addr, err := ports.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/scenario/bench_test.go
+++ b/scenario/bench_test.go
@@ -10,8 +10,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +21,7 @@
 
 	"wigeondale/fakes/control"
 	"wigeondale/fakes/engine"
+	"wigeondale/fakes/ports"
 	"wigeondale/fakes/service"
 	"wigeondale/fakes/vms"
 	"wigeondale/fleet"
@@ -314,24 +313,15 @@
 	}
 }
 
-// freeAddr picks a loopback address below the ports that the kernel gives to
-// outgoing connections, so that none of those takes it before its owner does.
+// freeAddr is an address that no other test program uses.
 func freeAddr() string {
-	for {
-		addr := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
-		if _, taken := given.LoadOrStore(addr, true); taken {
-			continue
-		}
-		ln, err := net.Listen("tcp", addr)
-		if err == nil {
-			ln.Close()
-			return addr
-		}
+	addr, err := ports.FreeAddr()
+	if err != nil {
+		panic(err) // no ports left on this machine
 	}
+	return addr
 }
 
-var given sync.Map // addresses that freeAddr has returned
-
 func waitUntil(what string, ok func() bool) error {
 	for end := time.Now().Add(hung); !ok(); time.Sleep(poll) {
 		if time.Now().After(end) {
--- a/soak/node.go
+++ b/soak/node.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	fakes "wigeondale/fakes/hosted"
+	"wigeondale/fakes/ports"
 	"wigeondale/fakes/relay"
 )
 
@@ -35,7 +35,7 @@
 func newNode(r *run, i int) (*node, error) {
 	n := &node{run: r, id: fmt.Sprintf("n%d", i)}
 	for _, addr := range []*string{&n.front, &n.ready, &n.stats, &n.peer} {
-		a, err := fakes.FreeAddr()
+		a, err := ports.FreeAddr()
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
@@ -55,6 +55,18 @@
 func (n *node) settingsPath() string { return filepath.Join(n.run.cfg.Dir, n.id+".json") }
 func (n *node) logPath() string      { return filepath.Join(n.run.cfg.Dir, n.id+".log") }
 
+// tailBytes of a log are shown with a failure.
+const tailBytes = 4 << 10
+
+// logTail is the end of the log; the log itself may be gone with the test's folder.
+func (n *node) logTail() string {
+	data, err := os.ReadFile(n.logPath())
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-tailBytes):])
+}
+
 // launch starts a process unless one runs.
 func (n *node) launch() error {
 	n.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -133,7 +133,7 @@
 	}
 	for _, n := range r.nodes {
 		if !n.awaitReady(ctx, settleTime) {
-			return Error.New("node %s was not ready within %v; see %s", n.id, settleTime, n.logPath())
+			return Error.New("node %s was not ready within %v; its log ends with:\n%s", n.id, settleTime, n.logTail())
 		}
 	}
 	return nil
