Ticks and loads look only at backend servers in use

Cause: a router's processor time grew with the replicas it knows. The failure detector locked every known one in each tick of 10 ms, and what is under way was told and summed every 40 ms by a walk over all. Change: the monitor keeps the set that needs a look (open streams, fresh suspicion); the directory keeps those with own requests and those that neighbours told of.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -69,6 +69,7 @@
 	log   *event.Log
 	table atomic.Pointer[table]
 	heard atomic.Bool
+	loads loadBook
 	// OnLeaving, set before use, is told once for each incarnation that turns
 	// out to be leaving, so that a rumour can be spread.
 	OnLeaving func(id, incarnation string, source Source)
@@ -80,7 +81,7 @@
 
 // New returns an empty Directory.
 func New(log *event.Log) *Directory {
-	d := &Directory{log: log}
+	d := &Directory{log: log, loads: loadBook{busy: map[*record]struct{}{}}}
 	d.table.Store(&table{})
 	return d
 }
@@ -95,7 +96,7 @@
 	for _, b := range list {
 		r := old.byID[b.ID]
 		if r == nil {
-			r = newRecord(b)
+			r = newRecord(b, &d.loads.tells)
 		}
 		if r.listed(b, now) {
 			left = append(left, r)
@@ -231,7 +232,9 @@
 	if r == nil {
 		return func() {}
 	}
-	return r.start(cost)
+	done = r.start(cost)
+	d.loads.note(r)
+	return done
 }
 
 // MarkLeaving records that one incarnation is leaving. It sticks until the
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -1,5 +1,10 @@
 package directory
 
+import (
+	"sync"
+	"sync/atomic"
+)
+
 // What other routers have under way at each backend server, as they tell it.
 //
 // What goes wrong without it: each router sees its own requests, and those of
@@ -12,13 +17,35 @@
 // ordinary request.
 type PeerLoads map[string]float64
 
+// loadBook is the state behind OwnLoads and SetPeerLoads. Both are called many
+// times a second, so they look only at backend servers with anything under way.
+type loadBook struct {
+	tells atomic.Bool // other routers tell what they have under way
+
+	mu   sync.Mutex
+	busy map[*record]struct{} // with own requests, or until lately
+	told PeerLoads            // as last set
+}
+
+// note remembers that a request of this router is under way at r.
+func (p *loadBook) note(r *record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[r] = struct{}{}
+}
+
 // OwnLoads returns what this router has under way.
 func (d *Directory) OwnLoads() PeerLoads {
+	d.loads.mu.Lock()
+	defer d.loads.mu.Unlock()
 	out := PeerLoads{}
-	for id, r := range d.table.Load().byID {
-		if n := r.inFlight.Load(); n != 0 {
-			out[id] = float64(n) / milli
+	for r := range d.loads.busy {
+		n := r.inFlight.Load()
+		if n == 0 {
+			delete(d.loads.busy, r)
+			continue
 		}
+		out[r.id] = float64(n) / milli
 	}
 	return out
 }
@@ -26,8 +53,19 @@
 // SetPeerLoads replaces what other routers have under way, summed over them. Nil
 // means that they don't tell: then reports count again.
 func (d *Directory) SetPeerLoads(sum PeerLoads) {
-	for id, r := range d.table.Load().byID {
-		r.peers.Store(int64(sum[id] * milli))
-		r.told.Store(sum != nil)
+	d.loads.mu.Lock()
+	defer d.loads.mu.Unlock()
+	byID := d.table.Load().byID
+	for id := range d.loads.told {
+		if r := byID[id]; r != nil && sum[id] == 0 {
+			r.peers.Store(0)
+		}
+	}
+	for id, load := range sum {
+		if r := byID[id]; r != nil {
+			r.peers.Store(int64(load * milli))
+		}
 	}
+	d.loads.told = sum
+	d.loads.tells.Store(sum != nil)
 }
--- /dev/null
+++ b/directory/peers_test.go
@@ -0,0 +1,89 @@
+package directory
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wigeondale/fleet"
+)
+
+// Symptom: a router's processor time grows with the backend servers that it knows.
+// Sequence: 3,000 are known, a few have requests; what is under way is told and
+// summed 25 times a second, each time with a look at every one.
+// Cause: the walks went over all known ones. Here what is told and what counts must
+// be the same as by a walk over everything, whatever comes in whatever order.
+func TestLoadsAreThoseOfAWalkOverEverything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New(nil)
+		ids := []string{"e0", "e1", "e2", "e3"}
+		listed := func(n int) (list []fleet.Backend) {
+			for _, id := range ids[:n] {
+				list = append(list, engine(id))
+			}
+			return list
+		}
+		d.Update(listed(3), time.Now())
+		want := map[string]int{} // own requests
+		var peers PeerLoads      // as last told
+		var open []func()
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				id := rapid.SampledFrom(ids[:3]).Draw(t, "id")
+				done := d.Start(id, 1)
+				want[id]++
+				open = append(open, func() { done(); want[id]-- })
+			},
+			"end": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip("none open")
+				}
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+				open[i]()
+				open = append(open[:i], open[i+1:]...)
+			},
+			"told": func(t *rapid.T) {
+				peers = rapid.MapOf(rapid.SampledFrom(ids), rapid.Custom(func(t *rapid.T) float64 {
+					return float64(rapid.IntRange(1, 9).Draw(t, "load"))
+				})).Draw(t, "peers")
+				d.SetPeerLoads(peers)
+			},
+			"silent": func(*rapid.T) { peers = nil; d.SetPeerLoads(nil) },
+			"listed": func(*rapid.T) { d.Update(listed(4), time.Now()); d.SetPeerLoads(peers) },
+			"": func(t *rapid.T) {
+				own := PeerLoads{}
+				for id, n := range want {
+					if n > 0 {
+						own[id] = float64(n)
+					}
+				}
+				if got := d.OwnLoads(); !maps.Equal(got, own) {
+					t.Fatalf("tells %v, has %v", got, own)
+				}
+				for id, r := range d.table.Load().byID {
+					if got, should := r.Load(time.Now()), float64(want[id])+peers[id]; got != should {
+						t.Fatalf("%s counts %v, want %v", id, got, should)
+					}
+				}
+			},
+		})
+	})
+}
+
+// BenchmarkPeerLoads measures one round of telling and summing with few of many
+// backend servers in use.
+func BenchmarkPeerLoads(b *testing.B) {
+	d, list := bigFleet(0)
+	sum := PeerLoads{}
+	for i := range 20 {
+		d.Start(list[i].ID, 1)
+		sum[list[i+10].ID] = 2
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		d.OwnLoads()
+		d.SetPeerLoads(sum)
+	}
+}
--- a/directory/record.go
+++ b/directory/record.go
@@ -33,7 +33,7 @@
 	leaving  atomic.Bool
 	cache    cacheMap
 	peers    atomic.Int64 // requests of other routers as they tell, in thousandths
-	told     atomic.Bool  // other routers tell what they have under way
+	told     *atomic.Bool // other routers tell what they have under way
 
 	mu       sync.Mutex
 	backend  fleet.Backend
@@ -46,8 +46,8 @@
 	intent   bool
 }
 
-func newRecord(b fleet.Backend) *record {
-	r := &record{id: b.ID, backend: b}
+func newRecord(b fleet.Backend, told *atomic.Bool) *record {
+	r := &record{id: b.ID, backend: b, told: told}
 	r.backend.Leaving = false // listed takes note of it
 	return r
 }
--- a/health/domain.go
+++ b/health/domain.go
@@ -81,6 +81,12 @@
 	delete(d.failed, e)
 }
 
+func (d *domain) size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members)
+}
+
 // list returns the members.
 func (d *domain) list() []*engine {
 	d.mu.Lock()
@@ -180,26 +186,26 @@
 }
 
 // judgeDomains suspects all silent members of a domain in which several decode
-// and none has spoken for longer than chance explains.
-func (m *Monitor) judgeDomains(t int64) {
-	m.mu.RLock()
-	domains := make([]*domain, 0, len(m.domains))
-	for _, d := range m.domains {
-		domains = append(domains, d)
+// and none has spoken for longer than chance explains. inUse holds all engines
+// with open streams.
+func (m *Monitor) judgeDomains(inUse []*engine, t int64) {
+	of := map[*domain][]*engine{}
+	for _, e := range inUse {
+		if d := e.domain.Load(); d != nil {
+			of[d] = append(of[d], e)
+		}
 	}
-	m.mu.RUnlock()
-	for _, d := range domains {
-		m.judgeDomain(d, t)
+	for d, engines := range of {
+		m.judgeDomain(d, engines, t)
 	}
 }
 
-func (m *Monitor) judgeDomain(d *domain, t int64) {
-	members := d.list()
-	if len(members) < domainMinimum {
+func (m *Monitor) judgeDomain(d *domain, inUse []*engine, t int64) {
+	if len(inUse) < domainDecoding || d.size() < domainMinimum {
 		return
 	}
 	chance, decoding := 1.0, 0
-	for _, e := range members {
+	for _, e := range inUse {
 		silence, ok := e.decodingSilence(t)
 		if !ok {
 			continue
--- a/health/engine.go
+++ b/health/engine.go
@@ -160,6 +160,13 @@
 	return e.state == Suspect && t-e.since < int64(d)
 }
 
+// needsLook tells whether streams are open, or e was suspected less than d ago.
+func (e *engine) needsLook(t int64, d time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams) > 0 || (e.state == Suspect && t-e.since < int64(d))
+}
+
 func (e *engine) reinstate(t int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -34,7 +34,14 @@
 
 	mu      sync.RWMutex
 	engines map[string]*engine
-	domains map[string]*domain
+
+	// watched holds the engines that a tick has to look at: those with open
+	// streams, and those suspected a short while ago. With thousands of known
+	// engines and a few in use, a look at each in each tick took 3% of a core.
+	watchMu sync.Mutex
+	watched map[*engine]struct{}
+
+	domains map[string]*domain // under mu
 
 	suspects, stalls, lates, pauses, held *metrics.Counter
 }
@@ -51,6 +58,7 @@
 		epoch:    time.Now().Add(-time.Second), // so that no time is 0
 		wake:     make(chan struct{}, 1),
 		engines:  map[string]*engine{},
+		watched:  map[*engine]struct{}{},
 		domains:  map[string]*domain{},
 		suspects: set.NewCounter(`wigeon_health_cancels_total{cause="suspect"}`),
 		stalls:   set.NewCounter(`wigeon_health_cancels_total{cause="stalled"}`),
@@ -96,6 +104,7 @@
 	if e.state != Healthy {
 		m.ejected.Add(-1)
 	}
+	e.recover() // it is judged no more
 	delete(m.engines, backend)
 	if d := e.domain.Load(); d != nil {
 		d.forget(e)
@@ -116,9 +125,32 @@
 		}
 	}
 	s.engine.add(s)
+	m.watch(s.engine)
 	return s
 }
 
+// watch has the following ticks look at e.
+func (m *Monitor) watch(e *engine) {
+	m.watchMu.Lock()
+	defer m.watchMu.Unlock()
+	m.watched[e] = struct{}{}
+}
+
+// inUse returns the engines to look at, without those that need no look any more.
+func (m *Monitor) inUse(t int64) []*engine {
+	m.watchMu.Lock()
+	defer m.watchMu.Unlock()
+	out := make([]*engine, 0, len(m.watched))
+	for e := range m.watched {
+		if !e.needsLook(t, m.policy.MassSilence) {
+			delete(m.watched, e)
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
 // Run ticks while streams are open, until ctx ends.
 func (m *Monitor) Run(ctx context.Context) error {
 	for {
--- a/health/state.go
+++ b/health/state.go
@@ -94,6 +94,7 @@
 		return
 	}
 	m.ejected.Add(1)
+	m.watch(e)
 	m.log.Emit(event.BackendEjected, "backend", e.id, "state", state.String())
 	kind := RumourSuspect
 	if state == Down {
--- a/health/tick.go
+++ b/health/tick.go
@@ -25,8 +25,9 @@
 	if m.pausedBefore(t) {
 		return
 	}
-	m.judgeDomains(t)
-	for _, v := range m.holdMass(m.judgeAll(t)) {
+	engines := m.inUse(t)
+	m.judgeDomains(engines, t)
+	for _, v := range m.holdMass(m.judgeAll(engines, t)) {
 		m.act(v, t)
 	}
 }
@@ -66,9 +67,9 @@
 	found   []verdict
 }
 
-func (m *Monitor) judgeAll(t int64) tally {
+func (m *Monitor) judgeAll(engines []*engine, t int64) tally {
 	var sum tally
-	for _, e := range m.list() {
+	for _, e := range engines {
 		v, open := m.judgeOne(e, t)
 		recent := e.suspectSince(t, m.policy.MassSilence)
 		if open || recent {
