Soak plays the product's own interface; a hangup no longer ends a router there

Cause: only the wiring for the users' platform handled SIGHUP. Package signals now serves both. The soak: RunProduct drives routers, key-value service, VM list, engines and plain services with relays on each path (cut, reset), signals, crashes of engines and domains, late and closing services, accounts taken away through the tool; checks from callers and from the back ends' record.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,10 +16,8 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
 	"github.com/oklog/run"
@@ -31,6 +29,7 @@
 	"wigeondale/listen"
 	"wigeondale/routing"
 	"wigeondale/settings"
+	"wigeondale/signals"
 )
 
 // Error is the class of this package's errors.
@@ -164,20 +163,16 @@
 	for _, l := range n.listeners() {
 		g.Add(listen.Actor(l))
 	}
-	stop := make(chan struct{})
-	g.Add(func() error { return n.untilSignal(stop) }, func(error) { close(stop) })
+	stop, told := make(chan struct{}), signals.Notify()
+	g.Add(func() error { return n.untilSignal(told, stop) }, func(error) { close(stop) })
 	n.log.Emit(event.Started, "caller", n.caller.Addr(), "admin", n.admin.Addr(), "peer", n.peers.Addr())
 	return g.Run()
 }
 
-// untilSignal waits for the first signal and then for the end of all requests.
+// untilSignal waits for the signal to end and then for the end of all requests.
 // Its return ends the group.
-func (n *node) untilSignal(stop <-chan struct{}) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case <-signals:
-	case <-stop:
+func (n *node) untilSignal(told <-chan os.Signal, stop <-chan struct{}) error {
+	if !signals.Wait(told, stop, n.config, n.log) {
 		return nil
 	}
 	n.log.Emit(event.ShutdownBegun, "open", n.callers.Open())
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -29,6 +29,7 @@
 // node is one wigeond with all its parts.
 type node struct {
 	id      string
+	config  *settings.Settings
 	log     *event.Log
 	set     *metrics.Set
 	dumps   *dump.Registry
@@ -63,6 +64,7 @@
 func newNode(set *settings.Settings, log *event.Log) (*node, error) {
 	n := &node{
 		id:     set.Node.ID,
+		config: set,
 		log:    log,
 		set:    metrics.NewSet(),
 		dumps:  &dump.Registry{},
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -13,9 +13,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,6 +34,7 @@
 	"wigeondale/route"
 	"wigeondale/routing"
 	"wigeondale/settings"
+	"wigeondale/signals"
 )
 
 // Error is the class of this package's errors.
@@ -66,9 +65,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return Error.Wrap(n.run(signals))
+	return Error.Wrap(n.run(signals.Notify()))
 }
 
 func newNode(set *settings.Settings, log *event.Log) (*node, error) {
@@ -181,7 +178,7 @@
 	return nil
 }
 
-func (n *node) run(signals <-chan os.Signal) error {
+func (n *node) run(told <-chan os.Signal) error {
 	var g run.Group
 	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run} {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -191,25 +188,17 @@
 		g.Add(listen.Actor(l))
 	}
 	stop := make(chan struct{})
-	g.Add(func() error { return n.untilSignal(signals, stop) }, func(error) { close(stop) })
+	g.Add(func() error { return n.untilSignal(told, stop) }, func(error) { close(stop) })
 	n.log.Emit(event.Started, "front", n.front.Addr(), "ready", n.ready.Addr(), "store", n.set.Hosted.StoreAddress)
 	return g.Run()
 }
 
 // untilSignal waits for the signal to end and then for the end of all requests.
-func (n *node) untilSignal(signals <-chan os.Signal, stop <-chan struct{}) error {
-	for {
-		select {
-		case <-stop:
-			return nil
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				n.shutdown()
-				return nil
-			}
-			n.reload()
-		}
+func (n *node) untilSignal(told <-chan os.Signal, stop <-chan struct{}) error {
+	if signals.Wait(told, stop, n.set, n.log) {
+		n.shutdown()
 	}
+	return nil
 }
 
 // shutdown takes no new connections and lets the open requests end, as long as
@@ -230,13 +219,6 @@
 	return millis(n.set.Hosted.GraceMS) - killMargin
 }
 
-// reload reads the settings again. All of them take effect at a start only; the
-// line tells an operator that the file was seen and whether it is valid.
-func (n *node) reload() {
-	_, err := settings.Load(n.set.Path())
-	n.log.Emit(event.Reloaded, "valid", err == nil, "err", err, "effect", "at the next start")
-}
-
 func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func newRouter(steps []routing.StepConfig) (*routing.Router, error) {
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,12 +17,19 @@
 	requests int
 	outcomes map[string]int
 	refused  map[string]int    // status of a refusal, by request that may run once
-	denied   map[string]string // request by which a key was first denied, by key and lifetime
+	denied   map[string]denial // the first, by key and lifetime
 	broke    []Violation
+	bookings bookings
+}
+
+// denial is an answer that a key is not known.
+type denial struct {
+	request string
+	at      time.Time
 }
 
 func newChecks() *checks {
-	return &checks{outcomes: map[string]int{}, refused: map[string]int{}, denied: map[string]string{}}
+	return &checks{outcomes: map[string]int{}, refused: map[string]int{}, denied: map[string]denial{}, bookings: bookings{told: map[string]toldBooking{}}}
 }
 
 func (c *checks) broken(promise, request, detail string) {
@@ -32,9 +40,8 @@
 
 // take judges one answer by itself.
 func (c *checks) take(r result) {
+	c.count(r.kind, r.outcome())
 	c.mu.Lock()
-	c.requests++
-	c.outcomes[r.outcome()]++
 	if r.kind == "book" && promisesNotRun(r.status) {
 		c.refused[r.id] = r.status
 	}
@@ -56,13 +63,13 @@
 func (r *result) outcome() string {
 	switch {
 	case r.left:
-		return r.kind + " left"
+		return "left"
 	case r.cut != nil && r.status == 0:
-		return r.kind + " no answer"
+		return "no answer"
 	case r.cut != nil:
-		return r.kind + " cut"
+		return "cut"
 	}
-	return fmt.Sprintf("%s %d", r.kind, r.status)
+	return strconv.Itoa(r.status)
 }
 
 // judge names the promise that an answer breaks, if any.
@@ -97,17 +104,42 @@
 		return
 	}
 	at := r.lifetime + " " + r.key
+	switch r.status {
+	case http.StatusUnauthorized:
+		c.deny(at, r.id)
+	case http.StatusOK:
+		c.accept(at, r.id, r.began)
+	}
+}
+
+// deny notes that a key was denied by one lifetime of a router.
+func (c *checks) deny(at, request string) {
 	c.mu.Lock()
-	first, was := c.denied[at]
-	if r.status == http.StatusUnauthorized && !was {
-		c.denied[at] = r.id
+	defer c.mu.Unlock()
+	if _, was := c.denied[at]; !was {
+		c.denied[at] = denial{request, time.Now()}
 	}
+}
+
+// accept finds a lifetime that denied the key before. A request that began earlier
+// may end well: it is served by what was in force then.
+func (c *checks) accept(at, request string, began time.Time) {
+	c.mu.Lock()
+	first, was := c.denied[at]
 	c.mu.Unlock()
-	if was && r.status == http.StatusOK {
-		c.broken("no process goes back to an older configuration", r.id, fmt.Sprintf("%s was denied by %s", at, first))
+	if was && began.After(first.at) {
+		c.broken("no process goes back to an older configuration", request, fmt.Sprintf("%s was denied by %s", at, first.request))
 	}
 }
 
+// count notes the outcome of one request.
+func (c *checks) count(kind, outcome string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests++
+	c.outcomes[kind+" "+outcome]++
+}
+
 // workEnds is how long replicas may take to notice that nobody waits any more.
 const workEnds = 5 * time.Second
 
--- a/soak/client.go
+++ b/soak/client.go
@@ -21,8 +21,8 @@
 	leaveShare = 12
 )
 
-// client sends one request after the other, over connections that it keeps.
-type client struct {
+// caller sends one request after the other, over connections that it keeps.
+type caller struct {
 	run  *run
 	rng  *rand.Rand
 	name string
@@ -37,10 +37,11 @@
 	body          string
 	cut           error // the connection ended before the answer did
 	left          bool  // the client went away
+	began         time.Time
 	took          time.Duration
 }
 
-func (c *client) loop(ctx context.Context) {
+func (c *caller) loop(ctx context.Context) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
@@ -49,7 +50,7 @@
 	}
 }
 
-func (c *client) one(transport *http.Transport) result {
+func (c *caller) one(transport *http.Transport) result {
 	c.sent++
 	n := c.run.nodes[c.rng.IntN(len(c.run.nodes))]
 	res := result{
@@ -60,16 +61,16 @@
 	res.lifetime = n.lifetime()
 	ctx, stop := context.WithTimeout(context.Background(), answerBound)
 	defer stop()
-	began := time.Now()
+	res.began = time.Now()
 	res.status, res.body, res.left, res.cut = c.send(ctx, transport, n, &res)
-	res.took = time.Since(began)
+	res.took = time.Since(res.began)
 	if n.lifetime() != res.lifetime {
 		res.lifetime = "" // another process may have answered
 	}
 	return res
 }
 
-func (c *client) send(ctx context.Context, t *http.Transport, n *node, res *result) (status int, body string, left bool, err error) {
+func (c *caller) send(ctx context.Context, t *http.Transport, n *node, res *result) (status int, body string, left bool, err error) {
 	ask := fakes.Ask{Addr: n.front, Path: "/" + res.kind + "/x", ID: res.id, Key: res.key, Budget: budget, Prompt: "aa:40," + res.id + ":60"}
 	req, err := ask.Request()
 	if err != nil {
--- a/soak/command.go
+++ b/soak/command.go
@@ -27,6 +27,7 @@
 
 type arguments struct {
 	Wigeond  string        `arg:"--wigeond" default:"bin/wigeond" help:"the program to run"`
+	Side     string        `arg:"--interface" default:"both" help:"platform, product, or both by turns"`
 	Seed     uint64        `arg:"--seed" default:"1" help:"the first seed"`
 	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
 	Nodes    int           `arg:"--nodes" default:"4"`
@@ -57,12 +58,16 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
+	if !slices.Contains(sides, args.Side) {
+		fmt.Fprintf(stderr, "wigeonsoak: --interface is one of %v\n", sides)
+		return exitUsage
+	}
 	// An interrupt ends the run, which then ends its processes.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	code, broken := exitOK, []uint64{}
 	for seed := args.Seed; seed < args.Seed+uint64(args.Seeds) && ctx.Err() == nil; seed++ {
-		ok, err := playOne(ctx, args, seed, stdout)
+		ok, err := playSides(ctx, args, seed, stdout)
 		if err != nil {
 			fmt.Fprintln(stderr, err)
 			return exitFailure
@@ -77,7 +82,36 @@
 	return code
 }
 
-func playOne(ctx context.Context, args arguments, seed uint64, out io.Writer) (bool, error) {
+// Interfaces that are played.
+const (
+	platformSide = "platform"
+	productSide  = "product"
+	bothSides    = "both"
+)
+
+var sides = []string{platformSide, productSide, bothSides}
+
+// playSides plays one seed on each interface that was asked for.
+func playSides(ctx context.Context, args arguments, seed uint64, out io.Writer) (bool, error) {
+	all := true
+	for _, side := range []struct {
+		name string
+		run  func(context.Context, Config) (*Report, error)
+	}{{platformSide, Run}, {productSide, RunProduct}} {
+		if args.Side != bothSides && args.Side != side.name {
+			continue
+		}
+		fmt.Fprintf(out, "%s ", side.name)
+		ok, err := playOne(ctx, args, seed, side.run, out)
+		if err != nil {
+			return false, err
+		}
+		all = all && ok
+	}
+	return all, nil
+}
+
+func playOne(ctx context.Context, args arguments, seed uint64, run func(context.Context, Config) (*Report, error), out io.Writer) (bool, error) {
 	dir := args.Keep
 	if dir == "" {
 		tmp, err := os.MkdirTemp("", "soak")
@@ -86,7 +120,7 @@
 		}
 		dir = tmp
 	}
-	report, err := Run(ctx, Config{
+	report, err := run(ctx, Config{
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, Length: args.Length, Dir: dir, Out: out,
 	})
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -12,7 +13,7 @@
 // after a random time, and other faults come meanwhile.
 type fault struct {
 	name string
-	do   func(r *run) (end func())
+	do   func() (end func())
 }
 
 const (
@@ -24,76 +25,82 @@
 	minReplicas = 2
 )
 
-var allFaults = []fault{
-	{"kill and restart", func(r *run) func() {
-		n := r.anyNode()
-		n.kill()
-		return func() { r.relaunch(n) }
-	}},
-	{"terminate and restart", func(r *run) func() {
-		n := r.anyNode()
-		n.signal(syscall.SIGTERM)
-		return func() { r.relaunch(n) }
-	}},
-	{"pause", func(r *run) func() {
-		n := r.anyNode()
-		n.signal(syscall.SIGSTOP)
-		return func() { n.signal(syscall.SIGCONT) }
-	}},
-	{"reload", func(r *run) func() { r.anyNode().signal(syscall.SIGHUP); return nil }},
-	{"store down", func(r *run) func() { r.store.Down(true); return func() { r.store.Down(false) } }},
-	{"store silent", func(r *run) func() { r.store.Silent(true); return func() { r.store.Silent(false) } }},
-	{"store forgets", func(r *run) func() { r.store.Compact(); return nil }},
-	{"node cut from the store", func(r *run) func() {
-		n := r.anyNode()
-		r.toggle(n, "cut")
-		return func() { r.toggle(n, "heal") }
-	}},
-	{"connections to the store reset", func(r *run) func() {
-		n := r.anyNode()
-		r.toggle(n, "kill")
-		return func() { r.toggle(n, "start") }
-	}},
-	{"replica crashes", func(r *run) func() { return r.crash(r.anyReplica()) }},
-	{"failure domain crashes", func(r *run) func() {
-		var ends []func()
-		for _, rep := range r.domain("llm", r.rng.IntN(2)) {
-			ends = append(ends, r.crash(rep))
-		}
-		return func() {
-			for _, end := range ends {
-				end()
-			}
+// processFaults are those of one router's process, drawn by any.
+func processFaults(any func() *process) []fault {
+	return []fault{
+		{"kill and restart", func() func() {
+			p := any()
+			p.kill()
+			return p.restart
+		}},
+		{"terminate and restart", func() func() {
+			p := any()
+			p.signal(syscall.SIGTERM)
+			return p.restart
+		}},
+		{"pause", func() func() {
+			p := any()
+			p.signal(syscall.SIGSTOP)
+			return func() { p.signal(syscall.SIGCONT) }
+		}},
+		{"reload", func() func() { any().signal(syscall.SIGHUP); return nil }},
+	}
+}
+
+// faults lists all kinds of trouble of the users' platform.
+func (r *run) allFaults() []fault {
+	return append(processFaults(func() *process { return &r.anyNode().process }),
+		fault{"store down", func() func() { r.store.Down(true); return func() { r.store.Down(false) } }},
+		fault{"store silent", func() func() { r.store.Silent(true); return func() { r.store.Silent(false) } }},
+		fault{"store forgets", func() func() { r.store.Compact(); return nil }},
+		fault{"node cut from the store", func() func() { return r.toggled(r.anyNode(), "cut", "heal") }},
+		fault{"connections to the store reset", func() func() { return r.toggled(r.anyNode(), "kill", "start") }},
+		fault{"replica crashes", func() func() { return r.crash(r.anyReplica()) }},
+		fault{"failure domain crashes", r.crashDomain},
+		fault{"replica freezes", func() func() { rep := r.anyReplica(); rep.Freeze(); return rep.Thaw }},
+		fault{"replica misbehaves", func() func() {
+			rep := r.anyReplica()
+			rep.Set(misbehaviours[r.rng.IntN(len(misbehaviours))])
+			return func() { rep.Set(fakes.Faults{}) }
+		}},
+		fault{"replica leaves", func() func() { return r.leave(r.anyReplica()) }},
+		fault{"a key is taken away", func() func() { r.revoke(); return nil }},
+		fault{"new version", func() func() { r.configure(); return nil }},
+	)
+}
+
+var misbehaviours = []fakes.Faults{
+	{Refuse: true}, {FailStatus: 500}, {WrongID: true}, {NoSeal: true}, {Torn: true}, {Unframed: true}, {Silent: true}, {Repeat: true},
+}
+
+// crashDomain crashes all engines of one failure domain at the same moment.
+func (r *run) crashDomain() func() {
+	var ends []func()
+	for _, rep := range r.domain("llm", r.rng.IntN(2)) {
+		ends = append(ends, r.crash(rep))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
 		}
-	}},
-	{"replica freezes", func(r *run) func() { rep := r.anyReplica(); rep.Freeze(); return rep.Thaw }},
-	{"replica misbehaves", func(r *run) func() {
-		rep := r.anyReplica()
-		rep.Set([]fakes.Faults{
-			{Refuse: true}, {FailStatus: 500}, {WrongID: true}, {NoSeal: true}, {Torn: true}, {Unframed: true}, {Silent: true}, {Repeat: true},
-		}[r.rng.IntN(8)])
-		return func() { rep.Set(fakes.Faults{}) }
-	}},
-	{"replica leaves", func(r *run) func() { return r.leave(r.anyReplica()) }},
-	{"a key is taken away", func(r *run) func() { r.revoke(); return nil }},
-	{"new version", func(r *run) func() { r.configure(); return nil }},
+	}
 }
 
 // injectFaults draws faults until the time is over, and ends them all.
-func (r *run) injectFaults(ctx context.Context) {
+func injectFaults(ctx context.Context, rng *rand.Rand, length time.Duration, all []fault, note func(string)) {
 	type due struct {
 		at  time.Time
 		end func()
 	}
 	var open []due
-	for over := time.Now().Add(r.cfg.Length); time.Now().Before(over) && ctx.Err() == nil; {
-		f := allFaults[r.rng.IntN(len(allFaults))]
-		r.note("%s", f.name)
-		if end := f.do(r); end != nil {
-			life := time.Duration(r.rng.Int64N(int64(faultLife)))
+	for over := time.Now().Add(length); time.Now().Before(over) && ctx.Err() == nil; {
+		f := all[rng.IntN(len(all))]
+		note(f.name)
+		if end := f.do(); end != nil {
+			life := time.Duration(rng.Int64N(int64(faultLife)))
 			open = append(open, due{time.Now().Add(life), end})
 		}
-		time.Sleep(time.Duration(r.rng.Int64N(2 * int64(faultGap))))
+		time.Sleep(time.Duration(rng.Int64N(2 * int64(faultGap))))
 		still := open[:0]
 		for _, d := range open {
 			if time.Now().Before(d.at) {
@@ -111,40 +118,31 @@
 
 // calm brings every node and link back, and waits until all are ready.
 func (r *run) calm() {
-	r.note("calm")
+	r.history.note("calm")
 	r.store.Down(false)
 	r.store.Silent(false)
 	for _, n := range r.nodes {
 		n.signal(syscall.SIGCONT)
 		r.toggle(n, "heal")
 		r.toggle(n, "start")
-	}
-	for _, n := range r.nodes {
-		end := time.Now().Add(settleTime)
-		for !n.isReady(context.Background()) && time.Now().Before(end) {
-			r.relaunch(n) // one that was told to end may just have gone
-			time.Sleep(100 * time.Millisecond)
-		}
-		if !n.isReady(context.Background()) {
-			r.checks.broken("nodes recover from any series of faults", "", n.id+" is not ready after "+settleTime.String())
-		}
+		n.recovers()
 	}
 }
 
 func (r *run) anyNode() *node { return r.nodes[r.rng.IntN(len(r.nodes))] }
 
-func (r *run) relaunch(n *node) {
-	if err := n.launch(); err != nil {
-		r.checks.broken("a process starts", "", n.id+": "+err.Error())
-	}
-}
-
 func (r *run) toggle(n *node, name string) {
 	if err := n.link.Fault(name, nil); err != nil {
 		r.checks.broken("the soak's own relay works", "", n.id+": "+err.Error())
 	}
 }
 
+// toggled turns a switch of the node's link to the store, and back at the end.
+func (r *run) toggled(n *node, name, back string) func() {
+	r.toggle(n, name)
+	return func() { r.toggle(n, back) }
+}
+
 func (r *run) anyReplica() *fakes.Replica {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,6 +1,6 @@
-// Package soak runs real wigeond processes against stand-ins of the users'
-// platform, injects faults from outside them, and checks what callers and backend
-// servers see.
+// Package soak runs real wigeond processes against stand-ins, on the users' platform
+// (Run) and on the product's own interface (RunProduct), injects faults from outside
+// them, and checks what callers and backend servers see.
 //
 // It finds failures of combinations: signals, restarts, cuts and changes that come
 // in series and overlap. A run is a function of its seed as far as its faults and
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,7 +59,6 @@
 type run struct {
 	cfg   Config
 	rng   *rand.Rand // of the faults; not shared
-	began time.Time
 	store *fakes.Store
 	nodes []*node
 
@@ -69,19 +69,40 @@
 	started  int              // replicas so far
 	version  int
 	keys     []string // in force; only ever removed
-	faults   []string
+	history  *history
 	checks   *checks
 }
 
+// history lists the faults of a run with their times.
+type history struct {
+	began time.Time
+
+	mu    sync.Mutex
+	lines []string
+}
+
+func (h *history) note(name string) {
+	line := fmt.Sprintf("%7.3f %s", time.Since(h.began).Seconds(), name)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lines = append(h.lines, line)
+}
+
+func (h *history) list() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.lines)
+}
+
 // settleTime is how long the fleet may take to come to rest after the last fault.
 const settleTime = 20 * time.Second
 
-// Run plays one seed.
+// Run plays one seed on the users' platform.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
 	r := &run{
 		cfg:      cfg,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
-		began:    time.Now(),
+		history:  &history{began: time.Now()},
 		store:    fakes.NewStore(),
 		replicas: map[string]*fakes.Replica{},
 		services: map[string][]*fakes.Replica{},
@@ -95,15 +116,15 @@
 	defer stopClients()
 	var clients sync.WaitGroup
 	for i := range cfg.Clients {
-		c := &client{run: r, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(100+i))), name: fmt.Sprintf("c%d", i)}
+		c := &caller{run: r, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(100+i))), name: fmt.Sprintf("c%d", i)}
 		clients.Go(func() { c.loop(clientCtx) })
 	}
-	r.injectFaults(ctx)
+	injectFaults(ctx, r.rng, cfg.Length, r.allFaults(), r.history.note)
 	r.calm()
 	stopClients()
 	clients.Wait()
 	r.finalChecks()
-	return r.report(), nil
+	return r.checks.report(cfg.Seed, r.history.list()), nil
 }
 
 func (r *run) start(ctx context.Context) error {
@@ -132,8 +153,8 @@
 		}
 	}
 	for _, n := range r.nodes {
-		if !n.awaitReady(ctx, settleTime) {
-			return Error.New("node %s was not ready within %v; its log ends with:\n%s", n.id, settleTime, n.logTail())
+		if err := n.awaitReady(ctx); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -186,21 +207,6 @@
 	})
 }
 
-// note records a fault with its time.
-func (r *run) note(format string, args ...any) {
-	line := fmt.Sprintf("%7.3f %s", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.faults = append(r.faults, line)
-}
-
-func (r *run) report() *Report {
-	r.mu.Lock()
-	faults := r.faults
-	r.mu.Unlock()
-	return r.checks.report(r.cfg.Seed, faults)
-}
-
 // stop ends every process and stand-in that the run has started.
 func (r *run) stop() {
 	for _, n := range r.nodes {
