A start reads pages that may be old, then the changes since; first reading is cheap

Cause: 300 nodes that start together need 18,000 reads of pages at 6,000 a second that the store grants; reads that may be seconds old are not counted. Taking in 3,000 replicas compared each address with all others and wrote a line for each. Change: the first read takes old pages from the oldest revision seen and counts only once the changes since are in; after lost history pages are as new as can be. Many new replicas share one line (1911); store-from-peer moved to 2004, the range of its package.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -124,7 +124,7 @@
 	RegisterFailed
 	PeerAskFailed
 	PeerListenerFailed
-	StoreFromPeer
+	ReplicasKnown
 )
 
 // Events of the platform's store (20xx).
@@ -132,6 +132,7 @@
 	StoreLost ID = 2001 + iota
 	StoreRegained
 	StoreHistoryLost
+	StoreFromPeer
 )
 
 // Catalogue lists every event in the order of its number.
@@ -204,8 +205,9 @@
 	{RegisterFailed, "register-failed", Warning, "This node could not write its address to the store and tries again; until then other nodes don't link to it. Look at the store if it goes on."},
 	{PeerAskFailed, "peer-ask-failed", Info, "Another node did not say what it knows of the store; the next one is asked."},
 	{PeerListenerFailed, "peer-listener-failed", Error, "The listener for other nodes ended: this node hears nothing from them. Restart it."},
-	{StoreFromPeer, "store-from-peer", Info, "Another node knew of newer changes of the store, which are in force here now. Nothing to do."},
+	{ReplicasKnown, "replicas-known", Info, "Many replicas became known at once, as at a start; each gets work from now on. The state dump lists them."},
 	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
 	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
 	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
+	{StoreFromPeer, "store-from-peer", Info, "Another node knew of newer changes of the store, which are in force here now. Nothing to do."},
 }
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -22,11 +22,17 @@
 	log   *event.Log
 
 	replicas map[string]fleet.Backend // by id
+	at       map[string]string        // id of the youngest replica that has an address
+	found    []fleet.Backend          // new since the last Settled
 	changed  bool
 }
 
+// maxNamed is how many replicas that became known together get a line each. A
+// router that starts reads thousands, whose lines would crowd out all others.
+const maxNamed = 20
+
 func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, p *peers, log *event.Log) *view {
-	return &view{table: table, dir: dir, mon: mon, peers: p, log: log, replicas: map[string]fleet.Backend{}}
+	return &view{table: table, dir: dir, mon: mon, peers: p, log: log, replicas: map[string]fleet.Backend{}, at: map[string]string{}}
 }
 
 // Put implements mirror.Receiver.
@@ -69,18 +75,22 @@
 	case b.Leaving && !old.Leaving:
 		v.leave(id, "it announced it", item.ModRev)
 	case !known:
-		v.log.Emit(event.ReplicaKnown, "backend", id, "service", b.Service, "domain", b.FailureDomain, "addr", b.Addr)
+		v.found = append(v.found, b)
 		v.succeed(b, item.ModRev)
 	}
 }
 
-// succeed marks those as gone whose address a new replica has taken.
+// succeed marks a replica as gone whose address a younger one has taken.
 func (v *view) succeed(b fleet.Backend, revision int64) {
-	for id, old := range v.replicas {
-		if id != b.ID && old.Addr == b.Addr {
-			v.leave(id, "its address is another replica's", revision)
+	other, taken := v.replicas[v.at[b.Addr]]
+	if taken && other.ID != b.ID && other.Addr == b.Addr {
+		if other.Started > b.Started {
+			v.leave(b.ID, "its address is another replica's", revision)
+			return
 		}
+		v.leave(other.ID, "its address is another replica's", revision)
 	}
+	v.at[b.Addr] = b.ID
 }
 
 // Gone implements mirror.Receiver.
@@ -91,6 +101,9 @@
 		return
 	}
 	v.leave(id, "its entry is gone", 0)
+	if b := v.replicas[id]; v.at[b.Addr] == id {
+		delete(v.at, b.Addr)
+	}
 	delete(v.replicas, id)
 	v.mon.Forget(id)
 	v.changed = true
@@ -104,6 +117,11 @@
 		}
 	}
 	v.log.Emit(event.ReplicaLeaving, "backend", id, "reason", reason, "revision", revision)
+	// The directory may not know it yet: then the next Settled tells it.
+	if b, ok := v.replicas[id]; ok {
+		b.Leaving = true
+		v.replicas[id] = b
+	}
 	v.dir.MarkLeaving(id, "", directory.FromVMList)
 }
 
@@ -114,6 +132,7 @@
 		return
 	}
 	v.changed = false
+	v.tellFound()
 	list := make([]fleet.Backend, 0, len(v.replicas))
 	for _, b := range v.replicas {
 		list = append(list, b)
@@ -121,6 +140,18 @@
 	v.dir.Update(list, time.Now())
 }
 
+// tellFound logs the replicas that became known.
+func (v *view) tellFound() {
+	if len(v.found) > maxNamed {
+		v.log.Emit(event.ReplicasKnown, "replicas", len(v.found), "all", len(v.replicas))
+		v.found = nil
+	}
+	for _, b := range v.found {
+		v.log.Emit(event.ReplicaKnown, "backend", b.ID, "service", b.Service, "domain", b.FailureDomain, "addr", b.Addr)
+	}
+	v.found = v.found[:0]
+}
+
 // load takes in what a replica said of its load with an answer.
 func (v *view) load(id string, l platform.Load) {
 	now := time.Now()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -35,8 +35,9 @@
 
 // Store is the part of the platform's store that a Mirror reads.
 type Store interface {
-	// Page reads items under prefix whose keys are after one.
-	Page(ctx context.Context, prefix, after string) (infra.Page, error)
+	// Page reads items under prefix whose keys are after one. With stale it may be
+	// seconds old, which the store can answer at far less cost.
+	Page(ctx context.Context, prefix, after string, stale bool) (infra.Page, error)
 	// Changes waits up to wait for changes after a revision. It fails with
 	// infra.ErrCompacted when they are no longer known.
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (events []infra.WatchEvent, at int64, err error)
@@ -193,69 +194,93 @@
 	if err != nil {
 		return err
 	}
-	m.change(func() {
-		m.answered = time.Now()
-		for _, e := range events {
-			if e.Deleted {
-				m.state.remove(e.Value.Key, e.Value.ModRev, m.doubts)
-			} else {
-				m.state.put(e.Value)
-			}
-		}
-		m.state.reach(now)
-	})
+	m.change(func() { m.apply(events, now) })
 	return nil
 }
 
+// apply takes in the changes up to a revision.
+func (m *Mirror) apply(events []infra.WatchEvent, upTo int64) {
+	m.answered = time.Now()
+	for _, e := range events {
+		if e.Deleted {
+			m.state.remove(e.Value.Key, e.Value.ModRev, m.doubts)
+		} else {
+			m.state.put(e.Value)
+		}
+	}
+	m.state.reach(upTo)
+}
+
 // reading is what a read of all items has brought so far.
 type reading struct {
 	began time.Time
+	stale bool // pages may be seconds old
 	items []infra.Value
-	at    int64 // revision of the first page: later changes may be missing
+	at    int64 // of the oldest page: later changes may be missing
 	last  string
+	all   bool // nothing follows after last
 }
 
 // readAll reads page after page. It goes on where an earlier call failed.
 //
-// What goes wrong when a failure throws the pages away: many nodes that start
-// together share the store's line, none has all pages within its time, and each
-// begins anew. It shows as nodes that are not ready for half a minute.
+// What goes wrong when a failure throws the pages away, or when many nodes that
+// start together exceed the store's rate of reads: none has all pages in time, and
+// each begins anew. It shows as nodes that are not ready for half a minute. So the
+// first read takes pages that may be old, of which the store grants any number, and
+// then the changes since, before anything of it counts.
 func (m *Mirror) readAll(ctx context.Context) error {
 	if m.pages == nil || time.Since(m.pages.began) > m.cfg.Keep {
-		m.pages = &reading{began: time.Now()}
+		m.pages = &reading{began: time.Now(), stale: !m.Synced()}
 	}
-	for more := true; more; {
-		var err error
-		if more, err = m.readPage(ctx); err != nil {
+	for !m.pages.all {
+		if err := m.readPage(ctx); err != nil {
 			return err
 		}
 	}
 	r := m.pages
+	events, now, err := m.since(ctx, r)
+	if errors.Is(err, infra.ErrCompacted) {
+		m.pages = &reading{began: time.Now()} // as new as can be
+	}
+	if err != nil {
+		return err
+	}
 	m.pages = nil
 	m.change(func() {
-		m.answered = time.Now()
 		m.state.replace(r.items, r.at, m.doubts)
+		m.apply(events, now)
 		m.synced = true
 	})
 	return nil
 }
 
-func (m *Mirror) readPage(ctx context.Context) (more bool, err error) {
+// since returns the changes since the pages, if those may be old.
+func (m *Mirror) since(ctx context.Context, r *reading) ([]infra.WatchEvent, int64, error) {
+	if !r.stale {
+		return nil, r.at, nil
+	}
+	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout)
+	defer stop()
+	return m.store.Changes(ctx, m.cfg.Prefix, r.at, 0)
+}
+
+func (m *Mirror) readPage(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout)
 	defer stop()
 	r := m.pages
-	page, err := m.store.Page(ctx, m.cfg.Prefix, r.last)
+	page, err := m.store.Page(ctx, m.cfg.Prefix, r.last, r.stale)
 	if err != nil {
-		return false, err
+		return err
 	}
-	if r.last == "" {
+	if r.at == 0 || page.Revision < r.at {
 		r.at = page.Revision
 	}
 	if n := len(page.Values); n > 0 {
 		r.items = append(r.items, page.Values...)
 		r.last = page.Values[n-1].Key
 	}
-	return page.More, nil
+	r.all = !page.More
+	return nil
 }
 
 // Catch has Run make one call soon, also at a node that doesn't read.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -29,6 +29,7 @@
 	resets  int
 	changed chan struct{}
 
+	old       *infra.Page // answer to reads that may be old, if set
 	pageSize  int
 	pages     int
 	failEvery int // one page in so many fails
@@ -68,10 +69,13 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Page(_ context.Context, _, after string) (infra.Page, error) {
+func (s *fakeStore) Page(_ context.Context, _, after string, stale bool) (infra.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pages++
+	if stale && s.old != nil {
+		return *s.old, nil
+	}
 	if s.err != nil || (s.failEvery > 0 && s.pages%s.failEvery == 0) {
 		return infra.Page{}, cmp.Or(s.err, errors.New("once in a while"))
 	}
@@ -448,6 +452,40 @@
 	}
 }
 
+// Symptom: a node starts with a configuration that was replaced seconds ago, and
+// accepts keys that were taken away. Sequence: its first read is answered from what
+// the store knew before; the changes since are known, or were dropped. Cause: old
+// pages counted before the changes since were taken in.
+func TestFirstReadIsBroughtUpToDate(t *testing.T) {
+	for name, compacted := range map[string]bool{"changes known": false, "changes dropped": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				s.put("taken")
+				s.put("config")
+				s.old = &infra.Page{Revision: 3, Values: []infra.Value{{Key: "taken", ModRev: 2}, {Key: "config", ModRev: 3}}}
+				s.put("config")
+				s.mu.Lock()
+				delete(s.items, "taken")
+				s.rev++
+				s.events = append(s.events, infra.WatchEvent{Deleted: true, Value: infra.Value{Key: "taken", ModRev: s.rev}})
+				s.mu.Unlock()
+				if compacted {
+					s.compact()
+				}
+				out := follow(t, s)
+				time.Sleep(time.Second)
+				if !out.has("config") || out.has("taken") || slices.Contains(out.log, "put taken") && compacted {
+					t.Errorf("got %v", out.log)
+				}
+				if out.now["config"] != 4 {
+					t.Errorf("configuration of revision %d, want 4", out.now["config"])
+				}
+			})
+		})
+	}
+}
+
 // Symptom: changes made while all is read are missing for ever. Sequence: a read
 // fails, goes on much later, and the store has dropped the changes since its first
 // page. Cause: pages are of use only while the changes since are remembered.
