One log for both interfaces: standard output, bounded, never blocking

The daemon on the product's own interface wrote to standard error, unbounded, and a reader that stopped would have held up requests. log.lines_per_second replaces hosted.log_lines_per_second.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,18 +11,15 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
-	"strconv"
 
 	"github.com/alexflint/go-arg"
 	"github.com/oklog/run"
 	"github.com/zeebo/errs"
-	"k8s.io/klog/v2"
 
 	"wigeondale/event"
 	"wigeondale/hosted"
@@ -105,46 +102,38 @@
 	return code
 }
 
+// serve runs one daemon. Its log goes to standard output, which no reader may hold
+// up.
 func serve(set *settings.Settings, stderr io.Writer) int {
-	if set.Hosted != nil {
-		return serveHosted(set, stderr)
-	}
-	initLog(set.Log.Verbosity)
-	defer klog.Flush()
+	out := event.NewOutput(os.Stdout, set.Log.LinesPerSecond)
+	defer out.Close()
+	event.LogTo(out, set.Log.Verbosity)
 	log := event.New(set.Node.ID)
-	n, err := newNode(set, log)
-	if err != nil {
-		return fail(stderr, ExitFailure, err)
+	out.OnDropped = func(n int) { log.Emit(event.LinesDropped, "lines", n) }
+	run := runOwn
+	if set.Hosted != nil {
+		run = runHosted
 	}
-	if err := n.run(); err != nil {
+	if err := run(set, log); err != nil {
 		return fail(stderr, ExitFailure, err)
 	}
 	log.Emit(event.ShutdownDone)
 	return ExitOK
 }
 
-// serveHosted runs on the users' platform. Its log goes to standard output,
-// which no reader may hold up.
-func serveHosted(set *settings.Settings, stderr io.Writer) int {
-	debug.SetGCPercent(set.Hosted.GCPercent)
-	out := event.NewOutput(os.Stdout, set.Hosted.LogLinesPerSecond)
-	defer out.Close()
-	event.LogTo(out, set.Log.Verbosity)
-	log := event.New(set.Node.ID)
-	out.OnDropped = func(n int) { log.Emit(event.LinesDropped, "lines", n) }
-	if err := hosted.Run(set, log); err != nil {
-		return fail(stderr, ExitFailure, err)
+// runOwn serves the product's own interface.
+func runOwn(set *settings.Settings, log *event.Log) error {
+	n, err := newNode(set, log)
+	if err != nil {
+		return err
 	}
-	log.Emit(event.ShutdownDone)
-	return ExitOK
+	return n.run()
 }
 
-func initLog(verbosity int) {
-	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(fs)
-	// Both flags exist and both values parse.
-	_ = fs.Set("logtostderr", "true")
-	_ = fs.Set("v", strconv.Itoa(verbosity))
+// runHosted serves on the users' platform.
+func runHosted(set *settings.Settings, log *event.Log) error {
+	debug.SetGCPercent(set.Hosted.GCPercent)
+	return hosted.Run(set, log)
 }
 
 // run serves until a signal comes and every open request has ended.
--- a/settings/check.go
+++ b/settings/check.go
@@ -38,7 +38,7 @@
 		c.hosted(s.Hosted)
 		c.limits(&s.Limits)
 		within(c, "shutdown.balancer_notice_ms", s.Shutdown.BalancerNoticeMS, 0, dayMS)
-		within(c, "log.verbosity", s.Log.Verbosity, 0, 10)
+		c.log(&s.Log)
 		return
 	}
 	c.listen(&s.Listen)
@@ -52,7 +52,12 @@
 	c.claims(&s.Claims)
 	c.directory(&s.Directory)
 	within(c, "shutdown.balancer_notice_ms", s.Shutdown.BalancerNoticeMS, 0, dayMS)
-	within(c, "log.verbosity", s.Log.Verbosity, 0, 10)
+	c.log(&s.Log)
+}
+
+func (c *checker) log(l *Log) {
+	within(c, "log.verbosity", l.Verbosity, 0, 10)
+	within(c, "log.lines_per_second", l.LinesPerSecond, 1, 1000000)
 }
 
 func (c *checker) fail(path, want string, got any) {
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -25,8 +25,7 @@
 	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
 	// GCPercent is the collector's target. A small one trades processor time
 	// for memory.
-	GCPercent         int `json:"gc_percent"`
-	LogLinesPerSecond int `json:"log_lines_per_second"`
+	GCPercent int `json:"gc_percent"`
 }
 
 // SetDefaults sets what holds where a file with the section says nothing.
@@ -41,7 +40,6 @@
 		MinPrefillMS:           2500,
 		PrefillTokensPerSecond: 5000,
 		GCPercent:              30,
-		LogLinesPerSecond:      400,
 	}
 }
 
@@ -60,5 +58,4 @@
 	within(c, "hosted.min_prefill_ms", h.MinPrefillMS, 10, 60000)
 	within(c, "hosted.prefill_tokens_per_second", h.PrefillTokensPerSecond, 1, 1e9)
 	within(c, "hosted.gc_percent", h.GCPercent, 5, 1000)
-	within(c, "hosted.log_lines_per_second", h.LogLinesPerSecond, 1, 1000000)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -183,9 +183,11 @@
 	BalancerNoticeMS int `json:"balancer_notice_ms"`
 }
 
-// Log governs klog.
+// Log governs the log on standard output.
 type Log struct {
-	Verbosity int `json:"verbosity"`
+	Verbosity int `json:"verbosity"` // klog's -v
+	// LinesPerSecond is the rate beyond which lines are dropped and counted.
+	LinesPerSecond int `json:"lines_per_second"`
 }
 
 // Default returns the settings that hold where a file says nothing.
@@ -219,5 +221,6 @@
 		Claims:    Claims{Shards: 4, WindowS: 86400},
 		Directory: Directory{VMsPollMS: 1000, LoadPollMS: 500, Subset: 40},
 		Shutdown:  Shutdown{BalancerNoticeMS: 5000},
+		Log:       Log{LinesPerSecond: 400},
 	}
 }
