--- /dev/null
+++ b/soak/checks_test.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	fakes "wigeondale/fakes/hosted"
+	"wigeondale/fleet"
+)
+
+// whole is the answer to a draft, as replicas give it.
+func whole(id string) string {
+	var b strings.Builder
+	for n := 1; n <= pieces; n++ {
+		b.WriteString(fakes.Piece(id, n))
+	}
+	return b.String()
+}
+
+// Each check is seen red for what it is to find, and stays quiet for what is allowed.
+func TestAnswersAreJudged(t *testing.T) {
+	const id = "c1-1"
+	good := whole(id)
+	two := fakes.Piece(id, 1) + fakes.Piece(id, 2)
+	cut := errors.New("connection reset")
+	for name, c := range map[string]struct {
+		result result
+		broken string // part of the promise
+	}{
+		"whole":                    {result{kind: "draft", status: 200, body: good}, ""},
+		"cut, as a failure shows":  {result{kind: "draft", status: 200, body: two, cut: cut}, ""},
+		"left by its client":       {result{kind: "draft", status: 200, body: two, left: true}, ""},
+		"refused":                  {result{kind: "draft", status: 503}, ""},
+		"cut, but looks whole":     {result{kind: "draft", status: 200, body: two}, "look whole"},
+		"a piece is missing":       {result{kind: "draft", status: 200, body: fakes.Piece(id, 1) + fakes.Piece(id, 3), cut: cut}, "missing"},
+		"a piece is repeated":      {result{kind: "draft", status: 200, body: two + fakes.Piece(id, 2), cut: cut}, "repeated"},
+		"pieces of another answer": {result{kind: "draft", status: 200, body: fakes.Piece(id, 1) + fakes.Piece("c2-9", 2), cut: cut}, "another answer"},
+		"a joined tail":            {result{kind: "draft", status: 200, body: good + two}, "repeated"},
+		"another's plain answer":   {result{kind: "look", status: 200, body: fakes.Whole("c2-9")}, "another answer"},
+		"late":                     {result{kind: "look", status: 503, took: answerBound}, "final answer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.result.id = id
+			got := c.result.judge()
+			if (got == "") != (c.broken == "") || !strings.Contains(got, c.broken) {
+				t.Errorf("judged %q, want one with %q", got, c.broken)
+			}
+		})
+	}
+}
+
+func TestOlderConfigurationIsFound(t *testing.T) {
+	answer := func(status int, life string, began time.Time) result {
+		return result{id: "c1-1", kind: "look", key: "k", status: status, lifetime: life, began: began, body: fakes.Whole("c1-1")}
+	}
+	c := newChecks()
+	early := time.Now()
+	c.take(answer(http.StatusOK, "n0/1", early))
+	c.take(answer(http.StatusUnauthorized, "n0/1", early))
+	c.take(answer(http.StatusOK, "n0/1", early))                      // began before the denial
+	c.take(answer(http.StatusOK, "n0/2", time.Now()))                 // another lifetime
+	c.take(answer(http.StatusServiceUnavailable, "n0/1", time.Now())) // says nothing of the key
+	if len(c.broke) != 0 {
+		t.Fatalf("false alarm: %v", c.broke)
+	}
+	c.take(answer(http.StatusOK, "n0/1", time.Now().Add(time.Millisecond)))
+	if len(c.broke) != 1 || !strings.Contains(c.broke[0].Promise, "older configuration") {
+		t.Errorf("found %v", c.broke)
+	}
+}
+
+// Work for nobody, requests that ran twice and refusals that lie show in the
+// replicas' own record.
+func TestRecordOfReplicasIsJudged(t *testing.T) {
+	r := &run{cfg: Config{}, checks: newChecks(), store: fakes.NewStore(), replicas: map[string]*fakes.Replica{}, services: map[string][]*fakes.Replica{}}
+	defer r.stop()
+	for _, service := range []string{"llm", "app"} {
+		if err := r.addReplica(service, 0, service == "llm"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	draft, app := r.services["llm"][0], r.services["app"][0]
+	ask := func(rep *fakes.Replica, path, id string) *http.Request {
+		req, err := fakes.Ask{Addr: rep.Addr(), Path: path, ID: id, Key: "", Budget: time.Minute, Prompt: "aa:40"}.Request()
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Tenant", account)
+		return req
+	}
+	for range 2 {
+		resp, err := http.DefaultClient.Do(ask(app, "/book/x", "twice"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+	}
+	r.checks.take(result{id: "twice", kind: "book", status: http.StatusServiceUnavailable})
+	ctx, leave := context.WithCancel(t.Context())
+	defer leave()
+	resp, err := http.DefaultClient.Do(ask(draft, "/draft/x", "open").WithContext(ctx))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	draft.Freeze() // so that the work is not over before the check has waited
+	defer draft.Thaw()
+	r.finalChecks()
+	for _, promise := range []string{"at most once", "nothing ran is true", "nobody waits"} {
+		found := false
+		for _, v := range r.checks.broke {
+			found = found || strings.Contains(v.Promise, promise)
+		}
+		if !found {
+			t.Errorf("not found: %s; found %v", promise, r.checks.broke)
+		}
+	}
+}
+
+// What callers of the product's own interface were told is compared with what ran.
+func TestBookingsAreJudged(t *testing.T) {
+	c := newChecks()
+	c.booked("a", "c1-1", fleet.NotRun)
+	c.booked("b", "c1-2", fleet.Unknown)
+	c.booked("c", "c1-3", fleet.Complete)
+	c.booked("d", "c1-4", fleet.Complete)
+	c.judgeBookings(map[string]int{"a": 1, "b": 2, "d": 1})
+	if len(c.broke) != 3 {
+		t.Fatalf("found %v, want that a ran, that b ran twice and that c did not run", c.broke)
+	}
+}
+
+// A process that ends by itself, or badly, is a violation.
+func TestEndsOfProcessesAreJudged(t *testing.T) {
+	for name, c := range map[string]struct {
+		program string
+		broken  int
+	}{
+		"ends by itself": {"true", 1},
+		"ends badly":     {"false", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &process{id: "n0", cfg: &Config{Wigeond: c.program, Dir: t.TempDir()}, checks: newChecks()}
+			if err := p.launch(); err != nil {
+				t.Fatal(err)
+			}
+			p.mu.Lock()
+			done := p.done
+			p.mu.Unlock()
+			<-done
+			if got := len(p.checks.broke); got != c.broken {
+				t.Errorf("%d violations, want %d: %v", got, c.broken, p.checks.broke)
+			}
+		})
+	}
+}
--- a/soak/product_client.go
+++ b/soak/product_client.go
@@ -168,6 +168,23 @@
 	c.bookings.told[digest] = toldBooking{id, o}
 }
 
+// judgeBookings compares what ran, by digest of the body, with what callers were told.
+func (c *checks) judgeBookings(ran map[string]int) {
+	c.bookings.mu.Lock()
+	defer c.bookings.mu.Unlock()
+	for digest, told := range c.bookings.told {
+		n := ran[digest]
+		switch {
+		case n > 1:
+			c.broken("a request that may run once runs at most once", told.id, fmt.Sprintf("%d times", n))
+		case n > 0 && told.outcome == fleet.NotRun:
+			c.broken("not-run is true", told.id, "it ran")
+		case n == 0 && told.outcome == fleet.Complete:
+			c.broken("an answer is a back end's", told.id, "it did not run")
+		}
+	}
+}
+
 // finalChecks compare the back ends' own record with what callers were told.
 func (r *productRun) finalChecks() {
 	ran := map[string]int{}
@@ -176,17 +193,7 @@
 			ran[digest] += n
 		}
 	}
-	for digest, told := range r.checks.bookings.told {
-		n := ran[digest]
-		switch {
-		case n > 1:
-			r.checks.broken("a request that may run once runs at most once", told.id, fmt.Sprintf("%d times", n))
-		case n > 0 && told.outcome == fleet.NotRun:
-			r.checks.broken("not-run is true", told.id, "it ran")
-		case n == 0 && told.outcome == fleet.Complete:
-			r.checks.broken("an answer is a back end's", told.id, "it did not run")
-		}
-	}
+	r.checks.judgeBookings(ran)
 	for end := time.Now().Add(workEnds); r.working() != "" && time.Now().Before(end); {
 		time.Sleep(20 * time.Millisecond)
 	}
