Soak: one-way cuts, resets and delays on every path; signals are taken over first

Cause: the handler was installed after settings and parts; now it is the first thing that Main does. What is left is the start of the program itself, which none can handle; the soak sends a hangup only once 'started' is logged.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 
 // Main runs the daemon until a signal has ended it gracefully.
 func Main(argv []string, stdout, stderr io.Writer) int {
+	told := signals.Notify() // first: until then a hangup ends the process
 	var args arguments
 	parser, err := arg.NewParser(arg.Config{Program: "wigeond"}, &args)
 	if err != nil {
@@ -75,7 +76,7 @@
 		fmt.Fprintln(stdout, string(set.Printable()))
 		return ExitOK
 	}
-	return serve(set, stderr)
+	return serve(set, told, stderr)
 }
 
 // check finds what only the parts themselves can tell of their settings.
@@ -104,7 +105,7 @@
 
 // serve runs one daemon. Its log goes to standard output, which no reader may hold
 // up.
-func serve(set *settings.Settings, stderr io.Writer) int {
+func serve(set *settings.Settings, told <-chan os.Signal, stderr io.Writer) int {
 	out := event.NewOutput(os.Stdout, set.Log.LinesPerSecond)
 	defer out.Close()
 	event.LogTo(out, set.Log.Verbosity)
@@ -114,7 +115,7 @@
 	if set.Hosted != nil {
 		run = runHosted
 	}
-	if err := run(set, log); err != nil {
+	if err := run(set, told, log); err != nil {
 		return fail(stderr, ExitFailure, err)
 	}
 	log.Emit(event.ShutdownDone)
@@ -122,22 +123,22 @@
 }
 
 // runOwn serves the product's own interface.
-func runOwn(set *settings.Settings, log *event.Log) error {
+func runOwn(set *settings.Settings, told <-chan os.Signal, log *event.Log) error {
 	n, err := newNode(set, log)
 	if err != nil {
 		return err
 	}
-	return n.run()
+	return n.run(told)
 }
 
 // runHosted serves on the users' platform.
-func runHosted(set *settings.Settings, log *event.Log) error {
+func runHosted(set *settings.Settings, told <-chan os.Signal, log *event.Log) error {
 	debug.SetGCPercent(set.Hosted.GCPercent)
-	return hosted.Run(set, log)
+	return hosted.Run(set, told, log)
 }
 
 // run serves until a signal comes and every open request has ended.
-func (n *node) run() error {
+func (n *node) run(told <-chan os.Signal) error {
 	var g run.Group
 	for _, part := range n.parts() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -152,7 +153,7 @@
 	for _, l := range n.listeners() {
 		g.Add(listen.Actor(l))
 	}
-	stop, told := make(chan struct{}), signals.Notify()
+	stop := make(chan struct{})
 	g.Add(func() error { return n.untilSignal(told, stop) }, func(error) { close(stop) })
 	n.log.Emit(event.Started, "caller", n.caller.Addr(), "admin", n.admin.Addr(), "peer", n.peers.Addr())
 	return g.Run()
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"wigeondale/fakes/fault"
 )
 
 // Arrival is one request as a replica saw it.
@@ -37,6 +39,7 @@
 
 	server *http.Server
 	ln     net.Listener
+	link   *fault.Listener
 
 	mu       sync.Mutex
 	arrivals []*Arrival
@@ -62,7 +65,8 @@
 
 // Start begins to listen. peers finds the replica at an address, for copies.
 func (r *Replica) Start(peers func(addr string) *Replica) error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	r.link = fault.NewListener("127.0.0.1:0")
+	ln, err := r.link.Start()
 	if err != nil {
 		return err
 	}
@@ -81,6 +85,9 @@
 // Addr is where the replica listens.
 func (r *Replica) Addr() string { return r.ln.Addr().String() }
 
+// Link is where the replica's connections can be cut, delayed and reset.
+func (r *Replica) Link() *fault.Listener { return r.link }
+
 // Crash cuts every connection and ends the replica.
 func (r *Replica) Crash() { r.server.Close() }
 
--- a/fakes/relay/relay.go
+++ b/fakes/relay/relay.go
@@ -51,11 +51,23 @@
 // Close resets all connections and stops accepting.
 func (r *Relay) Close() { r.listener.Kill() }
 
-// Fault turns a switch: cut, heal, kill or start.
-func (r *Relay) Fault(name string, _ json.RawMessage) error {
+// Fault turns a switch: cut, cut-in, cut-out, heal, reset, delay {ms}, kill or start.
+func (r *Relay) Fault(name string, raw json.RawMessage) error {
+	var args fault.Args
+	if err := fault.Decode(raw, &args); err != nil {
+		return err
+	}
 	switch name {
 	case "cut":
 		r.listener.Cut()
+	case "cut-in":
+		r.listener.CutIn()
+	case "cut-out":
+		r.listener.CutOut()
+	case "reset":
+		r.listener.Reset()
+	case "delay":
+		r.listener.Delay(args.Duration())
 	case "heal":
 		r.listener.Heal()
 	case "kill":
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -59,13 +59,13 @@
 	front, ready, stats *listen.Server
 }
 
-// Run serves until a signal has ended the process gracefully.
-func Run(set *settings.Settings, log *event.Log) error {
+// Run serves until one of the signals has ended the process gracefully.
+func Run(set *settings.Settings, told <-chan os.Signal, log *event.Log) error {
 	n, err := newNode(set, log)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	return Error.Wrap(n.run(signals.Notify()))
+	return Error.Wrap(n.run(told))
 }
 
 func newNode(set *settings.Settings, log *event.Log) (*node, error) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -21,6 +22,10 @@
 	faultGap = 250 * time.Millisecond
 	// faultLife bounds how long one lasts.
 	faultLife = 3 * time.Second
+	// slowBy is what a slow link adds to each read and write.
+	slowBy   = 150 * time.Millisecond
+	slowLink = `{"ms": 150}`
+	fastLink = `{"ms": 0}`
 	// minReplicas of a service stay up, so that requests have somewhere to go.
 	minReplicas = 2
 )
@@ -43,7 +48,12 @@
 			p.signal(syscall.SIGSTOP)
 			return func() { p.signal(syscall.SIGCONT) }
 		}},
-		{"reload", func() func() { any().signal(syscall.SIGHUP); return nil }},
+		{"reload", func() func() {
+			if p := any(); p.hasStarted() {
+				p.signal(syscall.SIGHUP)
+			}
+			return nil
+		}},
 	}
 }
 
@@ -55,6 +65,22 @@
 		fault{"store forgets", func() func() { r.store.Compact(); return nil }},
 		fault{"node cut from the store", func() func() { return r.toggled(r.anyNode(), "cut", "heal") }},
 		fault{"connections to the store reset", func() func() { return r.toggled(r.anyNode(), "kill", "start") }},
+		fault{"node's links to the store reset", func() func() { r.toggle(r.anyNode(), "reset", ""); return nil }},
+		fault{"node hears nothing from the store", func() func() { return r.toggled(r.anyNode(), "cut-out", "heal") }},
+		fault{"store hears nothing from a node", func() func() { return r.toggled(r.anyNode(), "cut-in", "heal") }},
+		fault{"node's links to the store are slow", func() func() {
+			n := r.anyNode()
+			r.toggle(n, "delay", slowLink)
+			return func() { r.toggle(n, "delay", fastLink) }
+		}},
+		fault{"links to a replica reset", func() func() { r.anyReplica().Link().Reset(); return nil }},
+		fault{"links to a replica pass nothing back", func() func() { l := r.anyReplica().Link(); l.CutOut(); return l.Heal }},
+		fault{"links to a replica pass nothing on", func() func() { l := r.anyReplica().Link(); l.CutIn(); return l.Heal }},
+		fault{"links to a replica are slow", func() func() {
+			l := r.anyReplica().Link()
+			l.Delay(slowBy)
+			return func() { l.Delay(0) }
+		}},
 		fault{"replica crashes", func() func() { return r.crash(r.anyReplica()) }},
 		fault{"failure domain crashes", r.crashDomain},
 		fault{"replica freezes", func() func() { rep := r.anyReplica(); rep.Freeze(); return rep.Thaw }},
@@ -123,24 +149,25 @@
 	r.store.Silent(false)
 	for _, n := range r.nodes {
 		n.signal(syscall.SIGCONT)
-		r.toggle(n, "heal")
-		r.toggle(n, "start")
+		r.toggle(n, "heal", "")
+		r.toggle(n, "start", "")
+		r.toggle(n, "delay", fastLink)
 		n.recovers()
 	}
 }
 
 func (r *run) anyNode() *node { return r.nodes[r.rng.IntN(len(r.nodes))] }
 
-func (r *run) toggle(n *node, name string) {
-	if err := n.link.Fault(name, nil); err != nil {
+func (r *run) toggle(n *node, name, args string) {
+	if err := n.link.Fault(name, json.RawMessage(args)); err != nil {
 		r.checks.broken("the soak's own relay works", "", n.id+": "+err.Error())
 	}
 }
 
 // toggled turns a switch of the node's link to the store, and back at the end.
 func (r *run) toggled(n *node, name, back string) func() {
-	r.toggle(n, name)
-	return func() { r.toggle(n, back) }
+	r.toggle(n, name, "")
+	return func() { r.toggle(n, back, "") }
 }
 
 func (r *run) anyReplica() *fakes.Replica {
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -19,11 +20,12 @@
 	ready  string // URL that answers 200 while it takes requests
 	checks *checks
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}  // closed when the process has ended
-	life int            // counts its processes
-	told syscall.Signal // by which it was told to end; 0 if it was not
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}  // closed when the process has ended
+	life    int            // counts its processes
+	told    syscall.Signal // by which it was told to end; 0 if it was not
+	logFrom int64          // size of the log when it was launched
 }
 
 // readyWithin bounds one question for readiness.
@@ -56,13 +58,17 @@
 		return Error.Wrap(err)
 	}
 	defer log.Close() // the process has its own descriptor
+	before, err := log.Stat()
+	if err != nil {
+		return Error.Wrap(err)
+	}
 	cmd := exec.Command(p.cfg.Wigeond, "--config", p.settingsPath())
 	cmd.Env = append(os.Environ(), p.cfg.Env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return Error.Wrap(err)
 	}
-	p.cmd, p.done, p.told = cmd, make(chan struct{}), 0
+	p.cmd, p.done, p.told, p.logFrom = cmd, make(chan struct{}), 0, before.Size()
 	p.life++
 	go p.reap(cmd, p.done)
 	return nil
@@ -118,6 +124,15 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// hasStarted tells whether the process has said so. Before, it can't have taken the
+// signals over whose usual effect is its end.
+func (p *process) hasStarted() bool {
+	data, err := os.ReadFile(p.logPath())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return err == nil && p.cmd != nil && bytes.Contains(data[min(p.logFrom, int64(len(data))):], []byte(`"started"`))
+}
+
 // kill ends the process and waits for it.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
