--- /dev/null
+++ b/hosted/fleet_test.go
@@ -0,0 +1,213 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	fakes "wigeondale/fakes/hosted"
+	"wigeondale/fakes/ports"
+	"wigeondale/settings"
+)
+
+const (
+	key      = "key-of-acc"
+	patience = 10 * time.Second // bound of every wait; no verdict depends on it
+)
+
+// fleet is a store, replicas and nodes on loopback.
+type testFleet struct {
+	t        *testing.T
+	store    *fakes.Store
+	mu       sync.Mutex
+	replicas map[string]*fakes.Replica // by address
+	version  int
+}
+
+func newFleet(t *testing.T) *testFleet {
+	f := &testFleet{t: t, store: fakes.NewStore(), replicas: map[string]*fakes.Replica{}}
+	t.Cleanup(func() {
+		f.store.Silent(false)
+		f.store.CloseClientConnections()
+		f.store.Close()
+	})
+	return f
+}
+
+func (f *testFleet) at(addr string) *fakes.Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replicas[addr]
+}
+
+func (f *testFleet) replica(r *fakes.Replica) *fakes.Replica {
+	f.t.Helper()
+	if err := r.Start(f.at); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Crash)
+	f.mu.Lock()
+	f.replicas[r.Addr()] = r
+	f.mu.Unlock()
+	f.store.Register(r, false)
+	return r
+}
+
+// engines starts n engines in two failure domains.
+func (f *testFleet) engines(n, pieces int, gap time.Duration) []*fakes.Replica {
+	var out []*fakes.Replica
+	for i := range n {
+		out = append(out, f.replica(&fakes.Replica{
+			ID: fmt.Sprintf("e%d", i), Service: "llm", Domain: fmt.Sprintf("d%d", i%2), Engine: true, Pieces: pieces, Gap: gap,
+		}))
+	}
+	return out
+}
+
+// configure writes the next version with these keys of the account.
+func (f *testFleet) configure(keys ...string) {
+	f.version++
+	route := func(name, kind, service string, timeout time.Duration, attempts int) fakes.Route {
+		return fakes.Route{Name: name, Kind: kind, Service: service, Attempts: attempts, Timeout: timeout}
+	}
+	f.store.PutConfig(fakes.Config{
+		Version: f.version, Account: "acc", Keys: keys, Engines: "llm", Plain: "app",
+		Routes: []fakes.Route{
+			route("draft", "streaming", "llm", 20*time.Second, 5),
+			route("book", "non_idempotent", "app", 3*time.Second, 1),
+			route("look", "idempotent", "app", 3*time.Second, 2),
+			route("short", "idempotent", "app", 300*time.Millisecond, 2),
+		},
+	})
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	addr, err := ports.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
+// testNode is one running node.
+type testNode struct {
+	*node
+	t       *testing.T
+	signals chan os.Signal
+	done    chan struct{}
+}
+
+func (f *testFleet) node(id string) *testNode {
+	f.t.Helper()
+	return f.nodeAt(id, f.store.Addr())
+}
+
+// nodeAt starts a node that reaches the store at an address of its own.
+func (f *testFleet) nodeAt(id, store string) *testNode {
+	f.t.Helper()
+	set, err := settings.Parse(fmt.Appendf(nil, `{
+		"node": {"id": %q, "vm": %q, "failure_domain": "d0", "region": "r", "incarnation": "1"},
+		"shutdown": {"balancer_notice_ms": 200},
+		"hosted": {"front_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0", "metrics_address": "127.0.0.1:0",
+			"peer_address": %q, "store_address": %q, "grace_ms": 8000}}`, id, id, freeAddr(f.t), store))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n, err := newNode(set, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	tn := &testNode{node: n, t: f.t, signals: make(chan os.Signal, 1), done: make(chan struct{})}
+	go func() {
+		defer close(tn.done)
+		if err := n.run(tn.signals); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	f.t.Cleanup(tn.stop)
+	return tn
+}
+
+func (n *testNode) stop() {
+	select {
+	case n.signals <- syscall.SIGTERM:
+	default:
+	}
+	<-n.done
+}
+
+func (n *testNode) ready() bool { return n.readyStatus() == http.StatusOK }
+
+// readyStatus is 0 when nobody answers.
+func (n *testNode) readyStatus() int {
+	resp, err := http.Get("http://" + n.node.ready.Addr().String() + "/readyz")
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// send makes a request with its own id through the node.
+func (n *testNode) send(ctx context.Context, path, id, apiKey string) (*http.Response, error) {
+	req, err := fakes.Ask{
+		Addr: n.front.Addr().String(), Path: path, ID: id, Key: apiKey, Budget: 15 * time.Second, Prompt: "aa:40," + id + ":60",
+	}.Request()
+	if err != nil {
+		return nil, err
+	}
+	req = req.WithContext(ctx)
+	return (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+}
+
+func (n *testNode) get(path, id, apiKey string) (status int, body string) {
+	n.t.Helper()
+	resp, err := n.send(n.t.Context(), path, id, apiKey)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
+
+func draft(id string, pieces int) string {
+	s := ""
+	for n := 1; n <= pieces; n++ {
+		s += fakes.Piece(id, n)
+	}
+	return s
+}
+
+// running returns the engine on which the request runs now.
+func running(engines []*fakes.Replica, id string) *fakes.Replica {
+	for _, e := range engines {
+		for _, a := range e.Arrivals() {
+			if a.ID == id && a.Ran && !a.Ended {
+				return e
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/mirror/fake_test.go
@@ -0,0 +1,179 @@
+package mirror
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"wigeondale/infra"
+)
+
+// fakeStore answers from memory; err, when set, is the answer to every call.
+type fakeStore struct {
+	mu      sync.Mutex
+	items   map[string]infra.Value
+	events  []infra.WatchEvent
+	rev     int64
+	oldest  int64 // changes up to it are forgotten
+	err     error
+	resets  int
+	changed chan struct{}
+
+	old       *infra.Page // answer to reads that may be old, if set
+	pageSize  int
+	pages     int
+	failEvery int // one page in so many fails
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{items: map[string]infra.Value{}, rev: 1, changed: make(chan struct{}), pageSize: 10}
+}
+
+func (s *fakeStore) put(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	v := infra.Value{Key: key, ModRev: s.rev}
+	s.items[key] = v
+	s.events = append(s.events, infra.WatchEvent{Value: v})
+	s.wake()
+}
+
+func (s *fakeStore) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.err = err
+	s.wake()
+}
+
+func (s *fakeStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.oldest = s.rev
+	s.wake()
+}
+
+func (s *fakeStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) Page(_ context.Context, _, after string, stale bool) (infra.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pages++
+	if stale && s.old != nil {
+		return *s.old, nil
+	}
+	if s.err != nil || (s.failEvery > 0 && s.pages%s.failEvery == 0) {
+		return infra.Page{}, cmp.Or(s.err, errors.New("once in a while"))
+	}
+	page := infra.Page{Revision: s.rev}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if key <= after {
+			continue
+		}
+		if len(page.Values) == s.pageSize {
+			page.More = true
+			break
+		}
+		page.Values = append(page.Values, s.items[key])
+	}
+	return page, nil
+}
+
+func (s *fakeStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]infra.WatchEvent, int64, error) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		err, changed := s.err, s.changed
+		var out []infra.WatchEvent
+		for _, e := range s.events {
+			if e.Value.ModRev > after {
+				out = append(out, e)
+			}
+		}
+		lost, rev := after < s.oldest, s.rev
+		s.mu.Unlock()
+		switch {
+		case err != nil:
+			return nil, 0, err
+		case lost:
+			return nil, 0, infra.ErrCompacted
+		case len(out) > 0:
+			return out, rev, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resets++
+}
+
+// seen records what a Mirror tells.
+type seen struct {
+	mu  sync.Mutex
+	now map[string]int64
+	log []string
+}
+
+func (r *seen) Put(v infra.Value) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v.ModRev < r.now[v.Key] {
+		r.log = append(r.log, "BACK "+v.Key)
+	}
+	r.now[v.Key] = v.ModRev
+	r.log = append(r.log, "put "+v.Key)
+}
+
+func (r *seen) Gone(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.now, key)
+	r.log = append(r.log, "gone "+key)
+}
+
+func (r *seen) Settled() {}
+
+func (r *seen) has(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.now[key]
+	return ok
+}
+
+// follow runs a Mirror under a fake clock until the test ends.
+func follow(t *testing.T, s *fakeStore) *seen {
+	out, _ := followAs(t, s, Config{})
+	return out
+}
+
+func followAs(t *testing.T, s *fakeStore, cfg Config) (*seen, *Mirror) {
+	out := &seen{now: map[string]int64{}}
+	m := New(s, out, cfg)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Run(ctx)
+	}()
+	t.Cleanup(func() { stop(); <-done })
+	time.Sleep(10 * time.Millisecond)
+	return out, m
+}
