--- a/soak/checks.go
+++ b/soak/checks.go
@@ -13,6 +13,8 @@
 
 // checks holds what was seen, and the promises that were broken.
 type checks struct {
+	timed bool // when answers come is judged too
+
 	mu       sync.Mutex
 	requests int
 	outcomes map[string]int
@@ -28,8 +30,8 @@
 	at      time.Time
 }
 
-func newChecks() *checks {
-	return &checks{outcomes: map[string]int{}, refused: map[string]int{}, denied: map[string]denial{}, bookings: bookings{told: map[string]toldBooking{}}}
+func newChecks(timed bool) *checks {
+	return &checks{timed: timed, outcomes: map[string]int{}, refused: map[string]int{}, denied: map[string]denial{}, bookings: bookings{told: map[string]toldBooking{}}}
 }
 
 func (c *checks) broken(promise, request, detail string) {
@@ -49,6 +51,7 @@
 	if v := r.judge(); v != "" {
 		c.broken(v, r.id, fmt.Sprintf("%s: status %d, cut %v, body %.80q", r.kind, r.status, r.cut, r.body))
 	}
+	c.judgeTime(r.id, r.took, answerBound)
 	c.judgeKey(r)
 }
 
@@ -74,9 +77,6 @@
 
 // judge names the promise that an answer breaks, if any.
 func (r *result) judge() string {
-	if r.took >= answerBound {
-		return "every request has its final answer soon after its time is over"
-	}
 	if r.status != http.StatusOK {
 		return ""
 	}
@@ -112,6 +112,13 @@
 	}
 }
 
+// judgeTime finds a request that was held beyond its time.
+func (c *checks) judgeTime(request string, took, bound time.Duration) {
+	if c.timed && took >= bound {
+		c.broken("every request has its final answer soon after its time is over", request, took.String())
+	}
+}
+
 // deny notes that a key was denied by one lifetime of a router.
 func (c *checks) deny(at, request string) {
 	c.mu.Lock()
--- a/soak/command.go
+++ b/soak/command.go
@@ -122,7 +122,7 @@
 	}
 	report, err := run(ctx, Config{
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
-		Services: args.Services, Clients: args.Clients, Length: args.Length, Dir: dir, Out: out,
+		Services: args.Services, Clients: args.Clients, Length: args.Length, Dir: dir, Out: out, Timed: true,
 	})
 	if err != nil {
 		return false, err
--- a/soak/product.go
+++ b/soak/product.go
@@ -61,7 +61,7 @@
 		cfg:     cfg,
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
 		history: &history{began: time.Now()},
-		checks:  newChecks(),
+		checks:  newChecks(cfg.Timed),
 		left:    ownAccounts,
 	}
 	defer r.stop()
--- a/soak/product_client.go
+++ b/soak/product_client.go
@@ -60,9 +60,7 @@
 		default:
 			c.look(id)
 		}
-		if took := time.Since(began); took >= ownBound {
-			c.run.checks.broken("every request has its final answer soon after its time is over", id, took.String())
-		}
+		c.run.checks.judgeTime(id, time.Since(began), ownBound)
 		time.Sleep(time.Duration(c.rng.IntN(40)) * time.Millisecond)
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,9 @@
 	Length   time.Duration // of the part with faults
 	Dir      string        // for settings and logs
 	Out      io.Writer
+	// Timed also judges when answers come. It is off in CI, whose verdict must not
+	// depend on how busy the machine is.
+	Timed bool
 }
 
 // Violation is one promise that was broken.
@@ -106,7 +109,7 @@
 		store:    fakes.NewStore(),
 		replicas: map[string]*fakes.Replica{},
 		services: map[string][]*fakes.Replica{},
-		checks:   newChecks(),
+		checks:   newChecks(cfg.Timed),
 	}
 	defer r.stop()
 	if err := r.start(ctx); err != nil {
