--- a/soak/client.go
+++ b/soak/client.go
@@ -21,6 +21,14 @@
 	leaveShare = 12
 )
 
+// maxIdle bounds the connections that a client keeps, since hundreds of clients and
+// routers share the descriptors of one process.
+const maxIdle = 16
+
+func newTransport() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 2, MaxIdleConns: maxIdle}
+}
+
 // caller sends one request after the other, over connections that it keeps.
 type caller struct {
 	run  *run
@@ -42,7 +50,7 @@
 }
 
 func (c *caller) loop(ctx context.Context) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2}
+	transport := newTransport()
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.run.checks.take(c.one(transport))
--- a/soak/product_client.go
+++ b/soak/product_client.go
@@ -42,7 +42,7 @@
 func newProductClient(r *productRun, i int) *productClient {
 	return &productClient{
 		run: r, rng: rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+i))), name: fmt.Sprintf("c%d", i),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+		http: &http.Client{Transport: newTransport()},
 	}
 }
 
