An engine whose clock is set back is heard again

Found while giving the soak a switch for engines' clocks. Symptom: load as it was an hour ago, and its word that it leaves is lost. Cause: reports older than the last one count as overtaken, and ranks and batch sizes used the engine's own time. Change: overtaken means by 2 s at most; leaving holds whenever it was said; whom to poll and the batch's pause go by this router's time. On the platform the time of a load that came with an answer runs on from the node's start. Tests fail before: TestEngineClockIsSetBack, TestOvertakenReport.

--- a/directory/batch.go
+++ b/directory/batch.go
@@ -38,21 +38,21 @@
 type batchSize struct {
 	known  float64
 	queued bool      // in the last report
-	shown  time.Time // of the last report with a queue
+	shown  time.Time // when the last report with a queue came
 }
 
-func (b *batchSize) observe(rep fleet.LoadReport) {
+func (b *batchSize) observe(rep fleet.LoadReport, now time.Time) {
 	running, before := float64(rep.Running), b.value()
 	wasQueued := b.queued
 	b.queued = rep.Waiting > 0
 	switch {
 	case b.queued:
-		b.shown = rep.AsOf()
+		b.shown = now
 		if running < before && !wasQueued {
 			return // a burst that the engine's next step may take in
 		}
 		b.known = max(running, b.known*shrinkFactor)
-	case running >= before*growShare && rep.AsOf().Sub(b.shown) > growPause:
+	case running >= before*growShare && now.Sub(b.shown) > growPause:
 		b.known = max(running*growFactor, before)
 	}
 	if b.known > 0 {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -346,3 +346,51 @@
 		runtime.KeepAlive(d)
 	}
 }
+
+// Symptom: an engine that leaves goes on getting work, and its load stays what it
+// was an hour ago; another is polled in every round, so that others are not.
+// Sequence: the engine's clock is set back by an hour while it runs. Cause: its
+// reports count as overtaken ones, and the time of its last report is taken from its
+// own clock.
+func TestEngineClockIsSetBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(nil)
+		d.Update([]fleet.Backend{engine("e0"), engine("e1")}, time.Now())
+		d.Report("e1", report("i1", time.Now(), 1), time.Now())
+		time.Sleep(time.Second)
+		d.Report("e0", report("i1", time.Now(), 40), time.Now())
+		back := func() time.Time { return time.Now().Add(-time.Hour) }
+		time.Sleep(time.Second)
+		d.Report("e0", report("i1", back(), 3), time.Now())
+		r := d.table.Load().byID["e0"]
+		if got := r.Load(time.Now()); got > 4 {
+			t.Errorf("load %v by a report from before the clock was set", got)
+		}
+		if first := d.Unheard("r1", map[string]bool{}, 1); len(first) != 1 || first[0] != "e1" {
+			t.Errorf("%v is polled first, want e1, which was heard from longest ago", first)
+		}
+		leaving := report("i1", back(), 3)
+		leaving.Leaving = true
+		d.Report("e0", leaving, time.Now())
+		if !d.Leaving("e0") {
+			t.Error("the engine's word that it leaves is not heard")
+		}
+	})
+}
+
+// A report that another one overtook tells nothing of the load, but that the engine
+// leaves holds.
+func TestOvertakenReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(nil)
+		d.Update([]fleet.Backend{engine("e0")}, time.Now())
+		first := report("i1", time.Now(), 40)
+		first.Leaving = true
+		time.Sleep(300 * time.Millisecond)
+		d.Report("e0", report("i1", time.Now(), 3), time.Now())
+		d.Report("e0", first, time.Now())
+		if got := d.table.Load().byID["e0"].Load(time.Now()); got > 4 || !d.Leaving("e0") {
+			t.Errorf("load %v, leaving %v", got, d.Leaving("e0"))
+		}
+	})
+}
--- a/directory/record.go
+++ b/directory/record.go
@@ -35,15 +35,15 @@
 	peers    atomic.Int64 // requests of other routers as they tell, in thousandths
 	told     *atomic.Bool // other routers tell what they have under way
 
-	mu       sync.Mutex
-	backend  fleet.Backend
-	last     fleet.LoadReport
-	reported bool
-	seen     time.Time // last time on the VM list
-	sent     timeline
-	batch    batchSize
-	marks    []string // incarnations known to be leaving
-	intent   bool
+	mu      sync.Mutex
+	backend fleet.Backend
+	last    fleet.LoadReport
+	heard   time.Time // when the last report came, zero if none did
+	seen    time.Time // last time on the VM list
+	sent    timeline
+	batch   batchSize
+	marks   []string // incarnations known to be leaving
+	intent  bool
 }
 
 func newRecord(b fleet.Backend, told *atomic.Bool) *record {
@@ -80,28 +80,40 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	sameIncarnation := r.last.Incarnation == rep.Incarnation
-	if sameIncarnation && rep.AsOfUnixMS < r.last.AsOfUnixMS {
-		return false, false
+	if rep.Leaving {
+		r.mark(rep.Incarnation)
+	}
+	if sameIncarnation && overtaken(rep, r.last) {
+		return false, r.settleLeaving()
 	}
 	if !sameIncarnation && r.last.Incarnation == "" && slices.Contains(r.marks, "") {
 		// What was marked before its incarnation was known is this one.
 		r.mark(rep.Incarnation)
 	}
-	changed = !r.reported || !sameIncarnation || rep.Role != r.last.Role || !slices.Equal(rep.Serves, r.last.Serves)
+	changed = r.heard.IsZero() || !sameIncarnation || rep.Role != r.last.Role || !slices.Equal(rep.Serves, r.last.Serves)
 	if !sameIncarnation {
 		r.batch.restart()
 	}
-	r.batch.observe(rep)
+	r.batch.observe(rep, now)
 	r.places.Store(math.Float64bits(r.batch.known))
 	r.last = rep
-	r.reported = true
-	if rep.Leaving {
-		r.mark(rep.Incarnation)
-	}
+	r.heard = now
 	r.estimate(now)
 	return changed, r.settleLeaving()
 }
 
+// reorderSpan is how much later than a newer one a report may come. It is far
+// above the time of a poll; an engine's clock that is set is seldom so by less.
+const reorderSpan = 2 * time.Second
+
+// overtaken tells whether a report describes an earlier moment than the last one.
+// One that is much earlier comes from an engine whose clock was set back. Taken for
+// overtaken, its reports would not be heard until its clock is where it was.
+func overtaken(rep, last fleet.LoadReport) bool {
+	by := time.Duration(last.AsOfUnixMS-rep.AsOfUnixMS) * time.Millisecond
+	return by > 0 && by <= reorderSpan
+}
+
 // estimate splits the reported load into ours and others'. The report knows of
 // our requests only as they were at its time, so what we sent and finished
 // since is taken off what we have under way now.
--- a/directory/subset.go
+++ b/directory/subset.go
@@ -75,21 +75,22 @@
 		if members[id] || r.candidate().Backend.Kind != fleet.Engine {
 			continue
 		}
-		all = append(all, ranked{id, r.reportedAt(), routing.Rendezvous(key, id)})
+		all = append(all, ranked{id, r.heardAt(), routing.Rendezvous(key, id)})
 	}
 	slices.SortFunc(all, ranked.compare)
 	return first(all, n)
 }
 
-// reportedAt is the time of the last report in Unix milliseconds, before all
-// others for an engine that never reported.
-func (r *record) reportedAt() int64 {
+// heardAt is when the last report came, in Unix milliseconds of this router, before
+// all others for an engine that never reported. By the engines' own clocks, one that
+// is behind would be asked in each round.
+func (r *record) heardAt() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.reported {
+	if r.heard.IsZero() {
 		return math.MinInt64
 	}
-	return r.last.AsOfUnixMS
+	return r.heard.UnixMilli()
 }
 
 func (r *record) models() []string {
--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -26,6 +26,7 @@
 	server *fault.Server
 	shots  shots
 	slow   atomic.Int64 // additional nanoseconds per step
+	clock  atomic.Int64 // milliseconds by which its clock is ahead
 
 	mu          sync.Mutex
 	rng         *rand.Rand
--- a/fakes/engine/fault.go
+++ b/fakes/engine/fault.go
@@ -55,7 +55,7 @@
 }
 
 // Fault turns a switch: kill, start, freeze, thaw, cut, heal, slow {ms} (longer
-// steps), stall {request,on}, late {request,ms} (a stall that ends by itself),
+// steps), clock {ms} (ahead, or behind if below 0), stall {request,on}, late {request,ms} (a stall that ends by itself),
 // leave {on}, lag {ms} of load reports and cache events, and the one-shot cross, repeat and skip {request,n}.
 func (e *Engine) Fault(name string, raw json.RawMessage) error {
 	var args fault.Args
@@ -75,6 +75,8 @@
 		return e.server.Apply(name, args)
 	case "slow":
 		e.slow.Store(int64(args.Duration()))
+	case "clock":
+		e.clock.Store(args.Duration().Milliseconds())
 	case "stall":
 		e.stall(args.Request, args.Enabled())
 	case "late":
--- a/fakes/engine/http.go
+++ b/fakes/engine/http.go
@@ -202,6 +202,7 @@
 	e.mu.Lock()
 	report := e.samples[0]
 	e.mu.Unlock()
+	report.AsOfUnixMS += e.clock.Load()
 	writeJSON(w, http.StatusOK, report)
 }
 
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -24,6 +24,7 @@
 	replicas map[string]fleet.Backend // by id
 	at       map[string]string        // id of the youngest replica that has an address
 	found    []fleet.Backend          // new since the last Settled
+	began    time.Time
 	changed  bool
 }
 
@@ -32,7 +33,7 @@
 const maxNamed = 20
 
 func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, p *peers, log *event.Log) *view {
-	return &view{table: table, dir: dir, mon: mon, peers: p, log: log, replicas: map[string]fleet.Backend{}, at: map[string]string{}}
+	return &view{table: table, dir: dir, mon: mon, peers: p, log: log, replicas: map[string]fleet.Backend{}, at: map[string]string{}, began: time.Now()}
 }
 
 // Put implements mirror.Receiver.
@@ -152,9 +153,10 @@
 	v.found = v.found[:0]
 }
 
-// load takes in what a replica said of its load with an answer.
+// load takes in what a replica said of its load with an answer. Its time runs on
+// from the start of this node: the clock of the day may be set.
 func (v *view) load(id string, l platform.Load) {
-	now := time.Now()
+	now := v.began.Add(time.Since(v.began))
 	v.dir.Report(id, fleet.LoadReport{
 		AsOfUnixMS: now.UnixMilli(),
 		Running:    l.Running,
--- a/soak/product_faults.go
+++ b/soak/product_faults.go
@@ -30,6 +30,8 @@
 		r.switched("engine freezes", r.engine, "freeze", "", "thaw", ""),
 		r.switched("engine is cut", r.engine, "cut", "", "heal", ""),
 		r.switched("engine stalls its streams", r.engine, "stall", `{"on":true}`, "stall", `{"on":false}`),
+		r.switched("engine's clock is set back", r.engine, "clock", `{"ms":-3600000}`, "clock", `{"ms":0}`),
+		r.switched("engine's clock is set ahead", r.engine, "clock", `{"ms":3600000}`, "clock", `{"ms":0}`),
 		r.switched("engine slows down", r.engine, "slow", `{"ms":60}`, "slow", `{"ms":0}`),
 		r.switched("plain service crashes", r.service, "kill", "", "start", ""),
 		r.switched("plain service closes after it read", r.service, "close-after-read", `{"n":3}`, "", ""),
