--- a/mirror/read.go
+++ b/mirror/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"wigeondale/event"
 	"wigeondale/infra"
 )
 
@@ -37,7 +38,9 @@
 	r := m.pages
 	events, now, err := m.since(ctx, r)
 	if errors.Is(err, infra.ErrCompacted) {
-		m.pages = &reading{began: time.Now()} // as new as can be
+		m.cfg.Log.Emit(event.StoreHistoryLost, "after", r.at)
+		m.pages = &reading{began: time.Now()} // pages as new as can be
+		return m.readAll(ctx)
 	}
 	if err != nil {
 		return err
