--- a/soak/checks.go
+++ b/soak/checks.go
@@ -151,7 +151,7 @@
 const workEnds = 5 * time.Second
 
 // finalChecks compare the replicas' own record with what clients were told.
-func (r *run) finalChecks() {
+func (r *platformRun) finalChecks() {
 	r.mu.Lock()
 	all := append([]*fakes.Replica(nil), r.gone...)
 	for _, reps := range r.services {
@@ -185,7 +185,7 @@
 }
 
 // checkIdle finds work that goes on for nobody.
-func (r *run) checkIdle(all []*fakes.Replica) {
+func (r *platformRun) checkIdle(all []*fakes.Replica) {
 	end := time.Now().Add(workEnds)
 	for _, rep := range all {
 		for rep.Open() > 0 && time.Now().Before(end) {
--- a/soak/client.go
+++ b/soak/platform_client.go
@@ -31,7 +31,7 @@
 
 // caller sends one request after the other, over connections that it keeps.
 type caller struct {
-	run  *run
+	run  *platformRun
 	rng  *rand.Rand
 	name string
 	sent int
--- a/soak/faults.go
+++ b/soak/platform_faults.go
@@ -1,64 +1,14 @@
 package soak
 
 import (
-	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"syscall"
-	"time"
 
 	fakes "wigeondale/fakes/hosted"
 )
 
-// fault is one kind of trouble. It returns what ends it, or nil; the end is due
-// after a random time, and other faults come meanwhile.
-type fault struct {
-	name string
-	do   func() (end func())
-}
-
-const (
-	// faultGap is the mean time between two faults.
-	faultGap = 250 * time.Millisecond
-	// faultLife bounds how long one lasts.
-	faultLife = 3 * time.Second
-	// slowBy is what a slow link adds to each read and write.
-	slowBy   = 150 * time.Millisecond
-	slowLink = `{"ms": 150}`
-	fastLink = `{"ms": 0}`
-	// minReplicas of a service stay up, so that requests have somewhere to go.
-	minReplicas = 2
-)
-
-// processFaults are those of one router's process, drawn by any.
-func processFaults(any func() *process) []fault {
-	return []fault{
-		{"kill and restart", func() func() {
-			p := any()
-			p.kill()
-			return p.restart
-		}},
-		{"terminate and restart", func() func() {
-			p := any()
-			p.signal(syscall.SIGTERM)
-			return p.restart
-		}},
-		{"pause", func() func() {
-			p := any()
-			p.signal(syscall.SIGSTOP)
-			return func() { p.signal(syscall.SIGCONT) }
-		}},
-		{"reload", func() func() {
-			if p := any(); p.hasStarted() {
-				p.signal(syscall.SIGHUP)
-			}
-			return nil
-		}},
-	}
-}
-
 // faults lists all kinds of trouble of the users' platform.
-func (r *run) allFaults() []fault {
+func (r *platformRun) faults() []fault {
 	return append(processFaults(func() *process { return &r.anyNode().process }),
 		fault{"store down", func() func() { r.store.Down(true); return func() { r.store.Down(false) } }},
 		fault{"store silent", func() func() { r.store.Silent(true); return func() { r.store.Silent(false) } }},
@@ -100,7 +50,7 @@
 }
 
 // crashDomain crashes all engines of one failure domain at the same moment.
-func (r *run) crashDomain() func() {
+func (r *platformRun) crashDomain() func() {
 	var ends []func()
 	for _, rep := range r.domain("llm", r.rng.IntN(2)) {
 		ends = append(ends, r.crash(rep))
@@ -112,38 +62,8 @@
 	}
 }
 
-// injectFaults draws faults until the time is over, and ends them all.
-func injectFaults(ctx context.Context, rng *rand.Rand, length time.Duration, all []fault, note func(string)) {
-	type due struct {
-		at  time.Time
-		end func()
-	}
-	var open []due
-	for over := time.Now().Add(length); time.Now().Before(over) && ctx.Err() == nil; {
-		f := all[rng.IntN(len(all))]
-		note(f.name)
-		if end := f.do(); end != nil {
-			life := time.Duration(rng.Int64N(int64(faultLife)))
-			open = append(open, due{time.Now().Add(life), end})
-		}
-		time.Sleep(time.Duration(rng.Int64N(2 * int64(faultGap))))
-		still := open[:0]
-		for _, d := range open {
-			if time.Now().Before(d.at) {
-				still = append(still, d)
-				continue
-			}
-			d.end()
-		}
-		open = still
-	}
-	for _, d := range open {
-		d.end()
-	}
-}
-
 // calm brings every node and link back, and waits until all are ready.
-func (r *run) calm() {
+func (r *platformRun) calm() {
 	r.history.note("calm")
 	r.store.Down(false)
 	r.store.Silent(false)
@@ -156,21 +76,21 @@
 	}
 }
 
-func (r *run) anyNode() *node { return r.nodes[r.rng.IntN(len(r.nodes))] }
+func (r *platformRun) anyNode() *node { return r.nodes[r.rng.IntN(len(r.nodes))] }
 
-func (r *run) toggle(n *node, name, args string) {
+func (r *platformRun) toggle(n *node, name, args string) {
 	if err := n.link.Fault(name, json.RawMessage(args)); err != nil {
 		r.checks.broken("the soak's own relay works", "", n.id+": "+err.Error())
 	}
 }
 
 // toggled turns a switch of the node's link to the store, and back at the end.
-func (r *run) toggled(n *node, name, back string) func() {
+func (r *platformRun) toggled(n *node, name, back string) func() {
 	r.toggle(n, name, "")
 	return func() { r.toggle(n, back, "") }
 }
 
-func (r *run) anyReplica() *fakes.Replica {
+func (r *platformRun) anyReplica() *fakes.Replica {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	service := []string{"llm", "app"}[r.rng.IntN(2)]
@@ -178,7 +98,7 @@
 	return all[r.rng.IntN(len(all))]
 }
 
-func (r *run) domain(service string, number int) []*fakes.Replica {
+func (r *platformRun) domain(service string, number int) []*fakes.Replica {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []*fakes.Replica
@@ -191,7 +111,7 @@
 }
 
 // take removes a replica from those that serve, if enough stay.
-func (r *run) take(rep *fakes.Replica) bool {
+func (r *platformRun) take(rep *fakes.Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := r.services[rep.Service]
@@ -210,7 +130,7 @@
 
 // crash ends a replica; a new lifetime registers at the fault's end, and the old
 // entry lapses then.
-func (r *run) crash(rep *fakes.Replica) func() {
+func (r *platformRun) crash(rep *fakes.Replica) func() {
 	if !r.take(rep) {
 		return func() {}
 	}
@@ -220,7 +140,7 @@
 }
 
 // leave announces that a replica goes, and lets it go at the fault's end.
-func (r *run) leave(rep *fakes.Replica) func() {
+func (r *platformRun) leave(rep *fakes.Replica) func() {
 	if !r.take(rep) {
 		return func() {}
 	}
@@ -228,7 +148,7 @@
 	return func() { r.replace(rep) }
 }
 
-func (r *run) replace(rep *fakes.Replica) {
+func (r *platformRun) replace(rep *fakes.Replica) {
 	r.store.Lapse(rep)
 	domain := int(rep.Domain[1] - '0')
 	if err := r.addReplica(rep.Service, domain, rep.Engine); err != nil {
@@ -237,7 +157,7 @@
 }
 
 // revoke takes a key away for good.
-func (r *run) revoke() {
+func (r *platformRun) revoke() {
 	r.mu.Lock()
 	if len(r.keys) > 1 {
 		r.keys = append([]string(nil), r.keys[1:]...)
--- a/soak/node.go
+++ b/soak/platform_node.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 
-	"wigeondale/fakes/ports"
 	"wigeondale/fakes/relay"
 )
 
@@ -16,15 +15,11 @@
 	link  *relay.Relay
 }
 
-func newNode(r *run, i int) (*node, error) {
+func newNode(r *platformRun, i int) (*node, error) {
 	id := fmt.Sprintf("n%d", i)
 	var front, ready, stats, peer string
-	for _, addr := range []*string{&front, &ready, &stats, &peer} {
-		a, err := ports.FreeAddr()
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		*addr = a
+	if err := claimAddrs(&front, &ready, &stats, &peer); err != nil {
+		return nil, err
 	}
 	n := &node{
 		process: process{id: id, cfg: &r.cfg, checks: r.checks, ready: "http://" + ready + "/readyz"},
--- a/soak/process.go
+++ b/soak/process.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"wigeondale/fakes/ports"
 )
 
 // process is one wigeond, over several lives.
@@ -28,6 +30,18 @@
 	logFrom int64          // size of the log when it was launched
 }
 
+// claimAddrs fills in addresses that are told to processes before they start.
+func claimAddrs(addrs ...*string) error {
+	for _, addr := range addrs {
+		a, err := ports.FreeAddr()
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		*addr = a
+	}
+	return nil
+}
+
 // readyWithin bounds one question for readiness.
 const readyWithin = 300 * time.Millisecond
 
--- a/soak/product.go
+++ b/soak/product.go
@@ -18,7 +18,6 @@
 	"wigeondale/ctl"
 	"wigeondale/fakes/control"
 	"wigeondale/fakes/engine"
-	"wigeondale/fakes/ports"
 	"wigeondale/fakes/service"
 	"wigeondale/fakes/vms"
 	"wigeondale/fleet"
@@ -91,7 +90,11 @@
 		}
 		r.routers = append(r.routers, one)
 	}
-	set, err := control.New(r.standIns())
+	fakes, err := r.standIns()
+	if err != nil {
+		return err
+	}
+	set, err := control.New(fakes)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -125,12 +128,8 @@
 
 func newRouter(r *productRun, i int) (*router, error) {
 	one := &router{process: process{id: fmt.Sprintf("r%d", i), cfg: &r.cfg, checks: r.checks}}
-	for _, addr := range []*string{&one.caller, &one.admin, &one.peer, &one.via} {
-		a, err := ports.FreeAddr()
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		*addr = a
+	if err := claimAddrs(&one.caller, &one.admin, &one.peer, &one.via); err != nil {
+		return nil, err
 	}
 	one.process.ready = "http://" + one.admin + "/readyz"
 	return one, nil
@@ -138,8 +137,11 @@
 
 // standIns describes engines, plain services, the platform and a relay for each
 // path that is to be cut.
-func (r *productRun) standIns() control.Config {
-	kv, list := mustAddr(), mustAddr()
+func (r *productRun) standIns() (control.Config, error) {
+	var kv, list string
+	if err := claimAddrs(&kv, &list); err != nil {
+		return control.Config{}, err
+	}
 	cfg := control.Config{
 		KV:      &control.AddrConfig{Addr: kv},
 		VMs:     &control.VMsConfig{Addr: list},
@@ -163,16 +165,7 @@
 			control.RelayConfig{ID: "vms-" + one.id, Target: list},
 			control.RelayConfig{ID: "peer-" + one.id, Listen: one.via, Target: one.peer})
 	}
-	return cfg
-}
-
-// mustAddr is a free address; a machine without one can't run anything here.
-func mustAddr() string {
-	addr, err := ports.FreeAddr()
-	if err != nil {
-		panic(err)
-	}
-	return addr
+	return cfg, nil
 }
 
 func (r *productRun) writeSettings(one *router, i int) error {
