--- a/soak/platform.go
+++ b/soak/platform.go
@@ -12,8 +12,7 @@
 
 // platformRun is the state of one run on the users' platform.
 type platformRun struct {
-	cfg   Config
-	rng   *rand.Rand // of the faults; not shared
+	run
 	store *fakes.Store
 	nodes []*node
 
@@ -24,38 +23,25 @@
 	started  int              // replicas so far
 	version  int
 	keys     []string // in force; only ever removed
-	history  *history
-	checks   *checks
 }
 
 // Run plays one seed on the users' platform.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	r := &platformRun{
-		cfg:      cfg,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, 1)),
-		history:  &history{began: time.Now()},
+	r := newPlatformRun(cfg)
+	return r.play(ctx, r)
+}
+
+func newPlatformRun(cfg Config) *platformRun {
+	return &platformRun{
+		run:      newRun(cfg, platformStream),
 		store:    fakes.NewStore(),
 		replicas: map[string]*fakes.Replica{},
 		services: map[string][]*fakes.Replica{},
-		checks:   newChecks(cfg.Timed),
-	}
-	defer r.stop()
-	if err := r.start(ctx); err != nil {
-		return nil, err
 	}
-	clientCtx, stopClients := context.WithCancel(ctx)
-	defer stopClients()
-	var clients sync.WaitGroup
-	for i := range cfg.Clients {
-		c := &caller{run: r, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(100+i))), name: fmt.Sprintf("c%d", i)}
-		clients.Go(func() { c.loop(clientCtx) })
-	}
-	injectFaults(ctx, r.rng, cfg.Length, r.faults(), r.history.note)
-	r.calm()
-	stopClients()
-	clients.Wait()
-	r.finalChecks()
-	return r.checks.report(cfg.Seed, r.history.list()), nil
+}
+
+func (r *platformRun) client(i int) looper {
+	return &caller{run: r, rng: rand.New(rand.NewPCG(r.cfg.Seed, uint64(100+i))), name: fmt.Sprintf("c%d", i)}
 }
 
 func (r *platformRun) start(ctx context.Context) error {
--- a/soak/product.go
+++ b/soak/product.go
@@ -7,11 +7,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -45,10 +43,7 @@
 
 // productRun is the state of one run on the product's own interface.
 type productRun struct {
-	cfg     Config
-	rng     *rand.Rand // of the faults; not shared
-	history *history
-	checks  *checks
+	run
 	set     *control.Set
 	routers []*router
 	left    int // accounts that were not taken away
@@ -56,32 +51,12 @@
 
 // RunProduct plays one seed on the product's own interface.
 func RunProduct(ctx context.Context, cfg Config) (*Report, error) {
-	r := &productRun{
-		cfg:     cfg,
-		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
-		history: &history{began: time.Now()},
-		checks:  newChecks(cfg.Timed),
-		left:    ownAccounts,
-	}
-	defer r.stop()
-	if err := r.start(ctx); err != nil {
-		return nil, err
-	}
-	clientCtx, stopClients := context.WithCancel(ctx)
-	defer stopClients()
-	var clients sync.WaitGroup
-	for i := range cfg.Clients {
-		c := newProductClient(r, i)
-		clients.Go(func() { c.loop(clientCtx) })
-	}
-	injectFaults(ctx, r.rng, cfg.Length, r.faults(), r.history.note)
-	r.calm()
-	stopClients()
-	clients.Wait()
-	r.finalChecks()
-	return r.checks.report(cfg.Seed, r.history.list()), nil
+	r := &productRun{run: newRun(cfg, productStream), left: ownAccounts}
+	return r.play(ctx, r)
 }
 
+func (r *productRun) client(i int) looper { return newProductClient(r, i) }
+
 func (r *productRun) start(ctx context.Context) error {
 	for i := range r.cfg.Nodes {
 		one, err := newRouter(r, i)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -9,8 +9,10 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -75,5 +77,66 @@
 	return slices.Clone(h.lines)
 }
 
+// Streams of random numbers, so that the two interfaces don't get the same faults.
+const (
+	platformStream = 1
+	productStream  = 2
+)
+
+// run is what the runs on both interfaces have.
+type run struct {
+	cfg     Config
+	rng     *rand.Rand // of the faults; not shared
+	history *history
+	checks  *checks
+}
+
+func newRun(cfg Config, stream uint64) run {
+	return run{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, stream)),
+		history: &history{began: time.Now()},
+		checks:  newChecks(cfg.Timed),
+	}
+}
+
+// side is one interface with its routers, stand-ins and clients.
+type side interface {
+	start(ctx context.Context) error
+	client(i int) looper
+	faults() []fault
+	// calm ends all faults and waits until every router is ready.
+	calm()
+	finalChecks()
+	// stop ends every process and stand-in that was started.
+	stop()
+}
+
+// looper sends requests until its context ends, and finishes the last one.
+type looper interface {
+	loop(ctx context.Context)
+}
+
+// play injects faults while clients send requests, and judges what was seen.
+func (r *run) play(ctx context.Context, s side) (*Report, error) {
+	defer s.stop()
+	if err := s.start(ctx); err != nil {
+		return nil, err
+	}
+	clientCtx, stopClients := context.WithCancel(ctx)
+	defer stopClients()
+	var clients sync.WaitGroup
+	for i := range r.cfg.Clients {
+		c := s.client(i)
+		clients.Go(func() { c.loop(clientCtx) })
+	}
+	injectFaults(ctx, r.rng, r.cfg.Length, s.faults(), r.history.note)
+	s.calm()
+	stopClients()
+	clients.Wait()
+	s.finalChecks()
+	return r.checks.report(r.cfg.Seed, r.history.list()), nil
+}
+
 // settleTime is how long the fleet may take to come to rest after the last fault.
 const settleTime = 20 * time.Second
