--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -189,7 +189,7 @@
 	{VMLeaving, "vm-leaving", Info, "This node's own VM is to leave: readiness fails now, new work is refused after the balancer's notice, open requests are finished. End the process when it has none left."},
 	{VMStays, "vm-stays", Info, "The wish that this node's VM leaves was taken back; it takes work again. Nothing to do."},
 	{LinesDropped, "lines-dropped", Warning, "Log lines were dropped to keep their volume bounded; the number is given."},
-	{Reloaded, "reloaded", Info, "The settings file was read again after a signal; changes that need a restart are named."},
+	{Reloaded, "reloaded", Info, "The settings file was read and checked again after a hangup signal; its values take effect at the next start. If it is not valid, mend it before then."},
 	{ShutdownCut, "shutdown-cut", Warning, "Requests were still open when the time to the platform's kill was over; they end with the process. Look for replicas that answer slowly."},
 	{InventoryHeld, "inventory-held", Warning, "Readings of the VM list lack more than half of what is known, or are empty, and nothing is removed by them. Look at the VM list; the next event tells if it stays so."},
 	{InventoryShrunk, "inventory-shrunk", Warning, "Readings went on lacking more than half of what was known, so that is taken for gone. Nothing to do if so many VMs were taken away; else look at the VM list."},
