Stand-ins that are killed keep their port

Cause: stand-ins on port 0 listened on a port of the kernel's choice. While one was killed, the kernel gave the port to an outgoing connection, so that it never came back. The router did as it must. Ruled out: the router (it retried all along). Change: port 0 is replaced by a claimed port. TestPortIsKeptOverAKill fails before.

--- a/fakes/fault/fault_test.go
+++ b/fakes/fault/fault_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net"
+	"strconv"
 	"testing"
 	"time"
+
+	"wigeondale/fakes/ports"
 )
 
 func listen(t *testing.T, l *Listener) net.Listener {
@@ -72,3 +75,27 @@
 	<-arrived
 	<-arrived
 }
+
+// Symptom: a stand-in that was killed can't be started again, "address already in
+// use", and the router behind it is never ready. Sequence: it listens on a port that
+// the kernel chose; it is killed; an outgoing connection of any process gets the
+// port. Cause: the port was from the range of outgoing connections.
+func TestPortIsKeptOverAKill(t *testing.T) {
+	l := NewListener("127.0.0.1:0")
+	if _, err := l.Start(); err != nil {
+		t.Fatal(err)
+	}
+	first := l.Address()
+	_, text, err := net.SplitHostPort(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if port, err := strconv.Atoi(text); err != nil || !ports.InRange(port) {
+		t.Errorf("listens on %s, which the kernel may give to a connection", first)
+	}
+	l.Kill()
+	if _, err := l.Start(); err != nil || l.Address() != first {
+		t.Errorf("started again on %s with %v, want %s", l.Address(), err, first)
+	}
+	l.Kill()
+}
--- a/fakes/fault/listener.go
+++ b/fakes/fault/listener.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"wigeondale/fakes/ports"
 )
 
 // Error is the class of this package's errors.
@@ -47,8 +49,12 @@
 	}
 }
 
-// NewListener prepares a listener at addr. Port 0 is replaced by the kernel's
-// choice at the first Start and kept from then on.
+// NewListener prepares a listener at addr. Port 0 is replaced at the first Start by
+// a port that the program has claimed, and kept from then on.
+//
+// What goes wrong with a port of the kernel's choice: while the listener is killed,
+// the kernel gives the port to some outgoing connection, and the next Start fails. It
+// showed as a router that never reached its store again.
 func NewListener(addr string) *Listener {
 	return &Listener{addr: addr, conns: make(map[*conn]struct{}), in: openGate(), out: openGate()}
 }
@@ -64,7 +70,11 @@
 	if l.ln != nil {
 		return nil, nil
 	}
-	ln, err := net.Listen("tcp", l.addr)
+	addr, err := claimed(l.addr)
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -73,6 +83,15 @@
 	return &session{Listener: ln, owner: l}, nil
 }
 
+// claimed replaces port 0.
+func claimed(addr string) (string, error) {
+	if _, port, err := net.SplitHostPort(addr); err != nil || port != "0" {
+		return addr, nil // net.Listen tells what is wrong with it
+	}
+	free, err := ports.FreeAddr()
+	return free, Error.Wrap(err)
+}
+
 // Kill resets every connection and closes the socket, so that further
 // connects are refused.
 func (l *Listener) Kill() {
--- a/fakes/ports/ports.go
+++ b/fakes/ports/ports.go
@@ -81,6 +81,12 @@
 	return Error.New("all %d blocks of ports from %d on are claimed", blockCount, firstPort)
 }
 
+// InRange tells whether a port is one that pools give out, and so none that systems
+// give to outgoing connections.
+func InRange(port int) bool {
+	return port >= firstPort && port < firstPort+blockCount*blockSize
+}
+
 // Close gives all claims up.
 func (p *Pool) Close() error {
 	p.mu.Lock()
