--- a/hosted/view.go
+++ b/hosted/view.go
@@ -24,7 +24,7 @@
 	replicas map[string]fleet.Backend // by id
 	at       map[string]string        // id of the youngest replica that has an address
 	found    []fleet.Backend          // new since the last Settled
-	began    time.Time // of this node; see load
+	began    time.Time                // of this node; see load
 	changed  bool
 }
 
