--- a/generation/inquire.go
+++ b/generation/inquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"wigeondale/clock"
@@ -19,11 +20,23 @@
 	inquireTimeout = 300 * time.Millisecond
 )
 
-// Inquirer asks a backend server about a run.
+// Inquirer asks a backend server about its runs.
 type Inquirer interface {
-	// Running tells whether the backend server has the run of the request, in its
-	// queue or at work.
-	Running(ctx context.Context, b fleet.Backend, request string) (bool, error)
+	Runs(ctx context.Context, b fleet.Backend) (RunReport, error)
+}
+
+// RunReport is what a backend server says of its runs.
+type RunReport struct {
+	Queued int // requests that wait for a place
+	Active int // runs, and requests whose prompts are read
+	// Requests are those of the runs that have made a piece.
+	Requests []string
+}
+
+// mayHave tells whether the backend server may have a run of the request. One that
+// isn't named may wait or have its prompt read, as long as there are such requests.
+func (r RunReport) mayHave(request string) bool {
+	return slices.Contains(r.Requests, request) || r.Queued > 0 || r.Active > len(r.Requests)
 }
 
 // runGone is the cause with which an attempt ends whose backend server says that
@@ -68,5 +81,6 @@
 func (x *run) askOnce(ctx context.Context, b fleet.Backend) (bool, error) {
 	ctx, stop := context.WithTimeout(ctx, inquireTimeout)
 	defer stop()
-	return x.Inquirer.Running(ctx, b, x.req.ID)
+	report, err := x.Inquirer.Runs(ctx, b)
+	return report.mayHave(x.req.ID), err
 }
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -43,8 +43,11 @@
 	running   func() bool // answer to a question about a run
 }
 
-func (w *world) Running(context.Context, fleet.Backend, string) (bool, error) {
-	return w.running(), nil
+func (w *world) Runs(context.Context, fleet.Backend) (RunReport, error) {
+	if w.running() {
+		return RunReport{Active: 1}, nil
+	}
+	return RunReport{}, nil
 }
 
 func (w *world) Admit(context.Context, Ticket) (func(), error) { return nil, nil }
