--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -70,6 +70,21 @@
 	return out
 }
 
+// app starts a replica of the plain service.
+func (f *testFleet) app(id, domain string) *fakes.Replica {
+	f.t.Helper()
+	return f.replica(&fakes.Replica{ID: id, Service: "app", Domain: domain})
+}
+
+// serving starts a node with a first configuration, and waits until it is ready.
+func (f *testFleet) serving() *testNode {
+	f.t.Helper()
+	f.configure(key)
+	n := f.node("n1")
+	await(f.t, "readiness", n.ready)
+	return n
+}
+
 // configure writes the next version with these keys of the account.
 func (f *testFleet) configure(keys ...string) {
 	f.version++
@@ -166,6 +181,17 @@
 	}
 }
 
+// draft asks for a draft, whose answer is open until the test ends.
+func (n *testNode) draft(id string) *http.Response {
+	n.t.Helper()
+	resp, err := n.send(n.t.Context(), "/draft/x", id, key)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
 // send makes a request with its own id through the node.
 func (n *testNode) send(ctx context.Context, path, id, apiKey string) (*http.Response, error) {
 	req, err := fakes.Ask{
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -41,10 +41,8 @@
 
 func TestRoutesAndKeys(t *testing.T) {
 	f := newFleet(t)
-	app := f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
-	f.configure(key)
-	n := f.node("n1")
-	await(t, "readiness", n.ready)
+	app := f.app("a0", "d0")
+	n := f.serving()
 	for _, c := range []struct {
 		path, key string
 		want      int
@@ -70,14 +68,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(t)
 			engines := f.engines(4, 40, 10*time.Millisecond)
-			f.configure(key)
-			n := f.node("n1")
-			await(t, "readiness", n.ready)
-			resp, err := n.send(t.Context(), "/draft/x", "q1", key)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer resp.Body.Close()
+			n := f.serving()
+			resp := n.draft("q1")
 			first := make([]byte, len(draft("q1", 3)))
 			if _, err := io.ReadFull(resp.Body, first); err != nil {
 				t.Fatal(err)
@@ -111,9 +103,7 @@
 func TestClientLeaves(t *testing.T) {
 	f := newFleet(t)
 	engines := f.engines(2, 100000, 5*time.Millisecond)
-	f.configure(key)
-	n := f.node("n1")
-	await(t, "readiness", n.ready)
+	n := f.serving()
 	ctx, leave := context.WithCancel(t.Context())
 	resp, err := n.send(ctx, "/draft/x", "q1", key)
 	if err != nil {
@@ -129,11 +119,9 @@
 // heard of it.
 func TestLeavingReplicaGetsNothing(t *testing.T) {
 	f := newFleet(t)
-	a := f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
-	b := f.replica(&fakes.Replica{ID: "a1", Service: "app", Domain: "d1"})
-	f.configure(key)
-	n := f.node("n1")
-	await(t, "readiness", n.ready)
+	a := f.app("a0", "d0")
+	b := f.app("a1", "d1")
+	n := f.serving()
 	await(t, "both replicas", func() bool { return len(n.dir.IDs()) == 2 })
 	f.store.Register(a, true)
 	f.store.Register(b, false)
@@ -166,7 +154,7 @@
 // away. The node must hear of it from the other.
 func TestRevocationIsHeardThroughAnotherNode(t *testing.T) {
 	f := newFleet(t)
-	f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	f.app("a0", "d0")
 	f.configure(key, "other")
 	door := f.store.NewDoor()
 	t.Cleanup(door.Close)
@@ -186,14 +174,8 @@
 func TestShutdownCutsNothing(t *testing.T) {
 	f := newFleet(t)
 	f.engines(2, 60, 10*time.Millisecond)
-	f.configure(key)
-	n := f.node("n1")
-	await(t, "readiness", n.ready)
-	resp, err := n.send(t.Context(), "/draft/x", "q1", key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
+	n := f.serving()
+	resp := n.draft("q1")
 	n.signals <- syscall.SIGTERM
 	await(t, "unreadiness", func() bool { return n.readyStatus() == http.StatusServiceUnavailable })
 	body, err := io.ReadAll(resp.Body)
@@ -206,10 +188,8 @@
 // Symptom: the process ends at a signal that only says that its settings changed.
 func TestReloadCutsNothing(t *testing.T) {
 	f := newFleet(t)
-	f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
-	f.configure(key)
-	n := f.node("n1")
-	await(t, "readiness", n.ready)
+	f.app("a0", "d0")
+	n := f.serving()
 	n.signals <- syscall.SIGHUP
 	if status, _ := n.get("/look/x", "q", key); status != 200 || !n.ready() {
 		t.Errorf("got %d", status)
@@ -220,11 +200,9 @@
 // of a silent replica is waited for until the client's own time is over.
 func TestAnswerAtTheRoutesTimeout(t *testing.T) {
 	f := newFleet(t)
-	a := f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	a := f.app("a0", "d0")
 	a.Set(fakes.Faults{Silent: true})
-	f.configure(key)
-	n := f.node("n1")
-	await(t, "readiness", n.ready)
+	n := f.serving()
 	if status, _ := n.get("/short/x", "q", key); status != http.StatusGatewayTimeout {
 		t.Errorf("got %d", status)
 	}
@@ -275,10 +253,8 @@
 // Symptom: one bad item of the store ends a node, or takes its configuration away.
 func TestBadItemsLeaveTheLastGoodValue(t *testing.T) {
 	f := newFleet(t)
-	f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
-	f.configure(key)
-	n := f.node("n1")
-	await(t, "readiness", n.ready)
+	f.app("a0", "d0")
+	n := f.serving()
 	f.store.Put(fakes.ConfigKey, []byte("{"))
 	f.store.Put("servers/a1", []byte(`{"service":1}`))
 	f.configure(key, "late")
@@ -305,10 +281,8 @@
 // An operator sees a node's state without its logs; no key may be in it.
 func TestInspection(t *testing.T) {
 	f := newFleet(t)
-	f.replica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
-	f.configure(key)
-	n := f.node("n1")
-	await(t, "readiness", n.ready)
+	f.app("a0", "d0")
+	n := f.serving()
 	n.get("/look/x", "q", key)
 	page := func(path string) string {
 		resp, err := http.Get("http://" + n.stats.Addr().String() + path)
