Silent engines are asked about their runs before they are given up

Overloaded engines pause: they read prompts, or put a run off for lack of memory. Taken for dead, their runs read their prompts anew elsewhere, and the fleet stayed overloaded. Change: the failure detector asks an engine about its runs when its silence reaches the threshold. One that answers is given time, up to 4 s; a run that it doesn't have, or whose tokens did not arrive, goes on elsewhere; without an answer in 100 ms all is as before.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -7,6 +7,7 @@
 
 	"wigeondale/backend"
 	"wigeondale/fleet"
+	"wigeondale/health"
 )
 
 // attemptSpread is the range of the random step in the attempt's number after
@@ -48,7 +49,16 @@
 		a.watch = unwatched{}
 		return
 	}
-	a.watch = x.Watcher.Watch(a.backend.ID, x.promptBytes(), a.cancel)
+	a.watch = x.Watcher.Watch(a.backend.ID, x.work(), a.cancel)
+}
+
+// work is what the next attempt is to do.
+func (x *run) work() health.Work {
+	w := health.Work{Request: x.req.ID, PromptBytes: x.promptBytes(), Received: x.acc.next}
+	if x.req.Opaque != nil {
+		w.Received-- // its pieces are numbered from 1
+	}
+	return w
 }
 
 // closeReader ends the reading of a; the engine keeps it for the linger time.
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -16,6 +16,7 @@
 
 	"wigeondale/backend"
 	"wigeondale/fleet"
+	"wigeondale/health"
 )
 
 const answerTokens = 8
@@ -221,7 +222,7 @@
 
 func (h *harness) Result(string, error) {}
 
-func (h *harness) Watch(_ string, _ int, cancel context.CancelCauseFunc) Watch {
+func (h *harness) Watch(_ string, _ health.Work, cancel context.CancelCauseFunc) Watch {
 	h.watched++
 	return &fakeWatch{h: h, left: h.silentAfter, first: h.watched == 1, cancel: cancel}
 }
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -26,6 +26,7 @@
 
 	"wigeondale/backend"
 	"wigeondale/fleet"
+	"wigeondale/health"
 )
 
 // Error is the class of this package's errors.
@@ -224,7 +225,7 @@
 // Watcher is the failure detector. It cancels an attempt with a cause that
 // has Resume() bool, or that wraps ErrEngineLost.
 type Watcher interface {
-	Watch(backendID string, promptBytes int, cancel context.CancelCauseFunc) Watch
+	Watch(backendID string, work health.Work, cancel context.CancelCauseFunc) Watch
 	// Result tells how a dispatch began; err may be a *backend.Refused.
 	Result(backendID string, err error)
 }
--- a/generation/inquire.go
+++ b/generation/inquire.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"wigeondale/clock"
@@ -29,14 +28,25 @@
 type RunReport struct {
 	Queued int // requests that wait for a place
 	Active int // runs, and requests whose prompts are read
-	// Requests are those of the runs that have made a piece.
-	Requests []string
+	// Made is how many pieces each run has made, by request. It names only those
+	// that have made one.
+	Made map[string]int
 }
 
 // mayHave tells whether the backend server may have a run of the request. One that
 // isn't named may wait or have its prompt read, as long as there are such requests.
 func (r RunReport) mayHave(request string) bool {
-	return slices.Contains(r.Requests, request) || r.Queued > 0 || r.Active > len(r.Requests)
+	_, named := r.Made[request]
+	return named || r.Queued > 0 || r.Active > len(r.Made)
+}
+
+// Holds implements health.Word. A run whose latest pieces were not received is there,
+// but its connection has fallen silent.
+func (r RunReport) Holds(request string, received int) bool {
+	if made, named := r.Made[request]; named {
+		return made <= received
+	}
+	return r.mayHave(request)
 }
 
 // runGone is the cause with which an attempt ends whose backend server says that
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -15,6 +15,7 @@
 	"wigeondale/backend"
 	"wigeondale/clock"
 	"wigeondale/fleet"
+	"wigeondale/health"
 )
 
 // script is what one attempt does: it delivers the pieces up to ends and then
@@ -186,7 +187,7 @@
 
 func (v worldWatcher) Result(string, error) {}
 
-func (v worldWatcher) Watch(string, int, context.CancelCauseFunc) Watch {
+func (v worldWatcher) Watch(string, health.Work, context.CancelCauseFunc) Watch {
 	v.w.watching = true
 	return unwatched{}
 }
--- /dev/null
+++ b/health/doubt_test.go
@@ -0,0 +1,128 @@
+package health
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// word is what a stand-in engine says: how much of each run it has made.
+type word map[string]int
+
+func (w word) Holds(request string, received int) bool {
+	made, ok := w[request]
+	return ok && made <= received
+}
+
+// asked is an engine that answers questions after some time.
+type asked struct {
+	word  word
+	after time.Duration
+	err   error
+	times int
+}
+
+func (a *asked) Ask(ctx context.Context, _ string) (Word, error) {
+	a.times++
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(a.after):
+		return a.word, a.err
+	}
+}
+
+// silence has two runs at one engine give some tokens and then none for d.
+func silence(m *Monitor, a *asked, d time.Duration) [2]*attempt {
+	m.Inquirer = a
+	var streams [2]*attempt
+	for i, request := range []string{"q1", "q2"} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		w := Work{Request: request, PromptBytes: 1000, Received: 10}
+		streams[i] = &attempt{Stream: m.Watch("e", w, cancel), ctx: ctx}
+	}
+	decode(3, streams[:]...)
+	time.Sleep(d)
+	synctest.Wait()
+	return streams
+}
+
+// Symptom: after a burst of requests most answers are late, long after it has passed.
+// Sequence: an engine reads several prompts and pauses; its silence is longer than the
+// threshold; its runs are begun again elsewhere, where their prompts are read anew.
+// Cause: silence alone was taken for the engine's end.
+func TestPausedEngineIsAskedFirst(t *testing.T) {
+	run(t, func(m *Monitor) {
+		a := &asked{word: word{"q1": 13, "q2": 12}, after: 5 * time.Millisecond}
+		streams := silence(m, a, longestSilence-100*time.Millisecond)
+		for i, s := range streams {
+			if err := s.cause(); err != nil {
+				t.Errorf("run %d was ended: %v", i, err)
+			}
+		}
+		if got := m.State("e"); got != Healthy {
+			t.Errorf("the engine is %v", got)
+		}
+		if a.times < 2 || a.times > 9 {
+			t.Errorf("it was asked %d times, want once for each %v", a.times, wordLife)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if streams[0].cause() == nil {
+			t.Error("its word is taken for ever")
+		}
+	})
+}
+
+// Symptom: answers pause for longer than callers bear when engines die silently.
+// Sequence: an engine falls silent and does not answer the question, or only after the
+// time it has for it. Cause: a question that is waited for without a bound.
+func TestEngineThatDoesNotAnswer(t *testing.T) {
+	for name, a := range map[string]*asked{
+		"no answer":          {after: time.Hour},
+		"a late answer":      {word: word{"q1": 13, "q2": 13}, after: 2 * inquiryTimeout},
+		"connection refused": {err: errors.New("refused")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(m *Monitor) {
+				threshold := DefaultPolicy().MaxSilence
+				streams := silence(m, a, threshold+inquiryTimeout+50*time.Millisecond)
+				for i, s := range streams {
+					if !errors.Is(s.cause(), ErrSuspect) {
+						t.Errorf("run %d ended with %v, want %v", i, s.cause(), ErrSuspect)
+					}
+				}
+				if m.State("e") == Healthy {
+					t.Error("the engine still gets work")
+				}
+			})
+		})
+	}
+}
+
+// Symptom: an answer stops for good while its engine works on.
+// Sequence: a connection falls silent without a reset, or a run ended and its answer was
+// lost; the engine is asked and answers. Cause: any word of it was taken for a word
+// about each run.
+func TestRunThatAnEngineDoesNotHold(t *testing.T) {
+	for name, w := range map[string]word{
+		"it has made more than came": {"q1": 13, "q2": 14},
+		"it has no such run":         {"q1": 13},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(m *Monitor) {
+				streams := silence(m, &asked{word: w}, DefaultPolicy().MaxSilence+50*time.Millisecond)
+				if err := streams[0].cause(); err != nil {
+					t.Errorf("the run that it holds was ended: %v", err)
+				}
+				if !errors.Is(streams[1].cause(), ErrStalled) {
+					t.Errorf("the other ended with %v, want %v", streams[1].cause(), ErrStalled)
+				}
+				if got := m.State("e"); got != Healthy {
+					t.Errorf("the engine is %v", got)
+				}
+			})
+		})
+	}
+}
--- a/health/engine.go
+++ b/health/engine.go
@@ -32,6 +32,7 @@
 	reinstatedUntil int64 // given back by Usable
 	known           knownThreshold
 	spokeAt         int64 // last token before it was suspected, 0 if it was not
+	inquiry         inquiry
 }
 
 // silence is the time without any token, less what this process slept.
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -17,6 +17,10 @@
 	// recovers, so that a rumour can be spread. It must not block.
 	OnChange func(backend, incarnation string, kind RumourKind)
 
+	// Inquirer, set before use, is asked before an engine is suspected for its
+	// silence. Nil where engines can't be asked.
+	Inquirer Inquirer
+
 	// OnDomain, set before use, is told once when a failure domain is taken to
 	// have crashed. It must not block.
 	OnDomain func(name string)
@@ -43,7 +47,7 @@
 
 	domains map[string]*domain // under mu
 
-	suspects, stalls, lates, pauses, held *metrics.Counter
+	suspects, stalls, lates, pauses, held, inquiries *metrics.Counter
 }
 
 // NewMonitor returns a Monitor. A nil log or set is replaced by one that
@@ -53,18 +57,19 @@
 		set = metrics.NewSet()
 	}
 	m := &Monitor{
-		policy:   policy,
-		log:      log,
-		epoch:    time.Now().Add(-time.Second), // so that no time is 0
-		wake:     make(chan struct{}, 1),
-		engines:  map[string]*engine{},
-		watched:  map[*engine]struct{}{},
-		domains:  map[string]*domain{},
-		suspects: set.NewCounter(`wigeon_health_cancels_total{cause="suspect"}`),
-		stalls:   set.NewCounter(`wigeon_health_cancels_total{cause="stalled"}`),
-		lates:    set.NewCounter(`wigeon_health_cancels_total{cause="no_first_token"}`),
-		pauses:   set.NewCounter(`wigeon_health_pauses_total`),
-		held:     set.NewCounter(`wigeon_health_mass_holds_total`),
+		policy:    policy,
+		log:       log,
+		epoch:     time.Now().Add(-time.Second), // so that no time is 0
+		wake:      make(chan struct{}, 1),
+		engines:   map[string]*engine{},
+		watched:   map[*engine]struct{}{},
+		domains:   map[string]*domain{},
+		suspects:  set.NewCounter(`wigeon_health_cancels_total{cause="suspect"}`),
+		stalls:    set.NewCounter(`wigeon_health_cancels_total{cause="stalled"}`),
+		lates:     set.NewCounter(`wigeon_health_cancels_total{cause="no_first_token"}`),
+		pauses:    set.NewCounter(`wigeon_health_pauses_total`),
+		held:      set.NewCounter(`wigeon_health_mass_holds_total`),
+		inquiries: set.NewCounter(`wigeon_health_inquiries_total`),
 	}
 	set.NewGauge(`wigeon_health_ejected`, func() float64 { return float64(m.ejected.Load()) })
 	return m
@@ -111,12 +116,19 @@
 	}
 }
 
+// Work is what an attempt is to do.
+type Work struct {
+	Request     string // id by which the engine names its run
+	PromptBytes int
+	Received    int // tokens of the answer that earlier attempts gave
+}
+
 // Watch begins to watch one attempt, whose cancel function is called with
 // ErrSuspect, ErrStalled or ErrNoFirstToken when it should be resumed
 // elsewhere. Call Close on the Stream in any case.
-func (m *Monitor) Watch(backend string, promptBytes int, cancel context.CancelCauseFunc) *Stream {
+func (m *Monitor) Watch(backend string, work Work, cancel context.CancelCauseFunc) *Stream {
 	now := m.at(time.Now())
-	s := &Stream{mon: m, engine: m.engine(backend), cancel: cancel, prompt: promptBytes, opened: now}
+	s := &Stream{mon: m, engine: m.engine(backend), cancel: cancel, work: work, opened: now}
 	if m.open.Add(1) == 1 {
 		m.lastTick.Store(now)
 		select {
--- a/health/monitor_test.go
+++ b/health/monitor_test.go
@@ -25,7 +25,7 @@
 
 func start(m *Monitor, backend string, prompt int) *attempt {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	return &attempt{Stream: m.Watch(backend, prompt, cancel), ctx: ctx}
+	return &attempt{Stream: m.Watch(backend, Work{PromptBytes: prompt}, cancel), ctx: ctx}
 }
 
 // run starts a Monitor's ticks in a bubble of fake time.
@@ -250,7 +250,7 @@
 
 func BenchmarkToken(b *testing.B) {
 	m := NewMonitor(DefaultPolicy(), nil, nil)
-	s := m.Watch("e0", 100, func(error) {})
+	s := m.Watch("e0", Work{PromptBytes: 100}, func(error) {})
 	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
@@ -263,7 +263,7 @@
 	m := NewMonitor(DefaultPolicy(), nil, nil)
 	now := time.Now()
 	for i := range 600 {
-		m.Watch(fmt.Sprint("e", i%24), 100, func(error) {}).Token(now)
+		m.Watch(fmt.Sprint("e", i%24), Work{PromptBytes: 100}, func(error) {}).Token(now)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/health/stream.go
+++ b/health/stream.go
@@ -17,7 +17,7 @@
 	mon    *Monitor
 	engine *engine
 	cancel context.CancelCauseFunc
-	prompt int
+	work   Work
 	opened int64
 	last   atomic.Int64 // last token, 0 before the first
 	tokens atomic.Int64
@@ -73,6 +73,9 @@
 	s.blocked.Store(blocked)
 }
 
+// received is how many tokens of the answer came, from this attempt and earlier ones.
+func (s *Stream) received() int { return s.work.Received + int(s.tokens.Load()) }
+
 // SetCopied tells whether a copy of the run's state is kept elsewhere.
 func (s *Stream) SetCopied(copied bool) { s.resumable.Store(copied) }
 
--- a/health/tick.go
+++ b/health/tick.go
@@ -103,7 +103,7 @@
 	// Below the lower bound nothing can be decided: skip the arithmetic.
 	if v.silence >= m.policy.MinSilence && h.Streams > 0 {
 		d.Threshold = m.threshold(e, &h, t)
-		d.Suspect = v.silence >= d.Threshold
+		d.Suspect = v.silence >= d.Threshold && m.doubt(e, v.silence, t)
 	}
 	v.suspect = d.Suspect
 	m.judgeStreams(&v, d, h.Streams > 0, t)
@@ -150,10 +150,10 @@
 		newest = max(newest, s.last.Load())
 		h.Streams++
 		if s.resumable.Load() {
-			h.Bytes += float64(s.prompt) / copiedShare
+			h.Bytes += float64(s.work.PromptBytes) / copiedShare
 			continue
 		}
-		h.Bytes += float64(s.prompt) + float64(s.tokens.Load())*s.mon.policy.TokenBytes
+		h.Bytes += float64(s.work.PromptBytes) + float64(s.tokens.Load())*s.mon.policy.TokenBytes
 	}
 	h.Silence = min(e.silence(t), time.Duration(t-newest))
 	return h
@@ -181,7 +181,8 @@
 	}
 	silence := s.silence(t)
 	if s.last.Load() == 0 {
-		if silence >= m.policy.PrefillBound(s.prompt, alive) {
+		bound := m.policy.PrefillBound(s.work.PromptBytes, alive)
+		if silence >= vouchedBounds*bound || (silence >= bound && m.doubt(s.engine, 0, t)) {
 			return ErrNoFirstToken
 		}
 		if d.Suspect {
@@ -192,7 +193,7 @@
 	if d.Suspect {
 		return ErrSuspect
 	}
-	if alive && silence >= m.policy.stallBound(d.Threshold) {
+	if alive && silence >= m.policy.stallBound(d.Threshold) && m.doubt(s.engine, silence, t) {
 		return ErrStalled
 	}
 	return nil
@@ -207,7 +208,7 @@
 		}
 		bound, cause := m.policy.FixedTimeout, ErrStalled
 		if s.last.Load() == 0 {
-			bound, cause = m.policy.PrefillBound(s.prompt, true), ErrNoFirstToken
+			bound, cause = m.policy.PrefillBound(s.work.PromptBytes, true), ErrNoFirstToken
 		}
 		if s.silence(t) >= bound {
 			v.streams = append(v.streams, s)
--- a/health/watched_test.go
+++ b/health/watched_test.go
@@ -15,7 +15,7 @@
 		id := fmt.Sprint("e", i)
 		m.Place(id, "llm", fmt.Sprint("d", i%3))
 		if i < used {
-			open = append(open, m.Watch(id, 1000, func(error) {}))
+			open = append(open, m.Watch(id, Work{PromptBytes: 1000}, func(error) {}))
 		}
 	}
 	return m, open
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -93,6 +93,7 @@
 func (n *node) newRelay() (*relay.Relay, error) {
 	replicas := platform.NewReplicas()
 	replicas.OnLoad = n.view.load
+	n.mon.Inquirer = inquirer{n.dir, replicas}
 	find := holders.New(replicas, holders.Config{Set: n.meter})
 	pick, err := newPicker(n.dir, n.mon, find, n.set.Node.FailureDomain, n.log)
 	if err != nil {
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -1,8 +1,11 @@
 package hosted
 
 import (
+	"context"
 	"time"
 
+	"wigeondale/directory"
+	"wigeondale/generation"
 	"wigeondale/health"
 	"wigeondale/settings"
 )
@@ -52,5 +55,19 @@
 	return p
 }
 
+// inquirer has replicas asked about their runs. It implements health.Inquirer.
+type inquirer struct {
+	dir      *directory.Directory
+	replicas generation.Inquirer
+}
+
+func (q inquirer) Ask(ctx context.Context, id string) (health.Word, error) {
+	b, ok := q.dir.Backend(id)
+	if !ok {
+		return nil, Error.New("replica %s is not known", id)
+	}
+	return q.replicas.Runs(ctx, b)
+}
+
 // bytesPerToken is the size by which package generation states prompts.
 const bytesPerToken = 4
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -77,8 +77,8 @@
 }
 
 // Watch begins to watch one attempt.
-func (w Watcher) Watch(id string, promptBytes int, cancel context.CancelCauseFunc) generation.Watch {
-	return w.Monitor.Watch(id, promptBytes, cancel)
+func (w Watcher) Watch(id string, work health.Work, cancel context.CancelCauseFunc) generation.Watch {
+	return w.Monitor.Watch(id, work, cancel)
 }
 
 // Result reports how an attempt began. Only a connection error counts against a
