Successors of crashed replicas are adopted while the store is away

Ruled out: the id that a refusal names alone (nothing tells its service). Change: while the store's word is stale, the nodes that read it ask the addresses of lost replicas who is there now (package succession), and tell the others. Only the one service of model engines is looked after, and an engine must hold as much memory.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -126,6 +126,7 @@
 	PeerAskFailed
 	PeerListenerFailed
 	ReplicasKnown
+	ReplicaAdopted
 )
 
 // Events of the platform's store (20xx).
@@ -208,6 +209,7 @@
 	{PeerAskFailed, "peer-ask-failed", Info, "Another node did not say what it knows of the store; the next one is asked."},
 	{PeerListenerFailed, "peer-listener-failed", Error, "The listener for other nodes ended: this node hears nothing from them. Restart it."},
 	{ReplicasKnown, "replicas-known", Info, "Many replicas became known at once, as at a start; each gets work from now on. The state dump lists them."},
+	{ReplicaAdopted, "replica-adopted", Info, "While the store is away a replica was found at the address of one that crashed, and gets work until the store is back and says otherwise. Nothing to do."},
 	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
 	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
 	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -14,6 +14,13 @@
 	"wigeondale/fakes/fault"
 )
 
+// CheckPath is where replicas say that they are healthy, and Memory is how many tokens
+// an engine holds.
+const (
+	CheckPath = "/healthz"
+	Memory    = 55000
+)
+
 // Arrival is one request as a replica saw it.
 type Arrival struct {
 	ID     string
@@ -34,6 +41,7 @@
 	Service string
 	Domain  string
 	Engine  bool
+	Listen  string        // address; empty for any
 	Pieces  int           // of a stream
 	Gap     time.Duration // between them
 
@@ -65,7 +73,10 @@
 
 // Start begins to listen. peers finds the replica at an address, for copies.
 func (r *Replica) Start(peers func(addr string) *Replica) error {
-	r.link = fault.NewListener("127.0.0.1:0")
+	if r.Listen == "" {
+		r.Listen = "127.0.0.1:0"
+	}
+	r.link = fault.NewListener(r.Listen)
 	ln, err := r.link.Start()
 	if err != nil {
 		return err
@@ -75,6 +86,7 @@
 	mux.HandleFunc("GET /kv-list", r.serveList)
 	mux.HandleFunc("POST /kv-move", r.serveMove)
 	mux.HandleFunc("GET /report", r.serveReport)
+	mux.HandleFunc("GET "+CheckPath, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Replica-Id", r.ID) })
 	mux.HandleFunc("DELETE /kv-handle/{name}", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/", r.serve)
 	r.server = &http.Server{Handler: mux}
@@ -353,5 +365,5 @@
 			runs = append(runs, []any{a.ID, 1, 1, 5})
 		}
 	}
-	answer(w, map[string]any{"stage": "unified", "queued": 0, "active": len(runs), "runs": runs})
+	answer(w, map[string]any{"stage": "unified", "queued": 0, "active": len(runs), "runs": runs, "kv_total": Memory})
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -35,6 +35,7 @@
 	"wigeondale/routing"
 	"wigeondale/settings"
 	"wigeondale/signals"
+	"wigeondale/succession"
 )
 
 // Error is the class of this package's errors.
@@ -53,6 +54,7 @@
 	view    *view
 	peers   *peers
 	news    *news
+	adopter *adopter
 	dumps   dump.Registry
 	mirror  *mirror.Mirror
 
@@ -93,6 +95,8 @@
 func (n *node) newRelay() (*relay.Relay, error) {
 	replicas := platform.NewReplicas()
 	replicas.OnLoad = n.view.load
+	n.adopter = &adopter{view: n.view, news: n.news, seeker: succession.New(replicas), tell: n.peers.tellAdopted}
+	n.peers.adopter = n.adopter
 	n.mon.Inquirer = inquirer{n.dir, replicas}
 	find := holders.New(replicas, holders.Config{Set: n.meter})
 	pick, err := newPicker(n.dir, n.mon, find, n.set.Node.FailureDomain, n.log)
@@ -181,7 +185,7 @@
 
 func (n *node) run(told <-chan os.Signal) error {
 	var g run.Group
-	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run} {
+	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run, n.adopter.run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -47,12 +47,13 @@
 // peers joins this node with the others. It is idle until the store has given
 // the key that all links prove.
 type peers struct {
-	set  *settings.Settings
-	reg  *registration
-	dir  *directory.Directory
-	mon  *health.Monitor
-	log  *event.Log
-	news *news
+	set     *settings.Settings
+	reg     *registration
+	dir     *directory.Directory
+	mon     *health.Monitor
+	log     *event.Log
+	news    *news
+	adopter *adopter // set before run
 
 	mu    sync.Mutex
 	key   []byte
@@ -122,6 +123,17 @@
 	}
 }
 
+// tellAdopted names adopted replicas to all nodes.
+func (p *peers) tellAdopted(m adoptedMessage) {
+	p.mu.Lock()
+	mesh := p.mesh
+	p.mu.Unlock()
+	if mesh != nil {
+		// Told again while the store is away.
+		_ = mesh.Flood(floodAdopted, m)
+	}
+}
+
 // put takes in an item of this program.
 func (p *peers) put(item infra.Value) {
 	if item.Key == peerKeyKey {
@@ -230,6 +242,7 @@
 	peer.Handle(mesh, tellLoads, p.takeLoads)
 	peer.Handle(mesh, floodCrash, func(_ string, m crashMessage) { p.mon.DomainRumour(m.Domain) })
 	peer.Handle(mesh, floodGone, func(_ string, m goneMessage) { p.dir.MarkLeaving(m.Replica, "", directory.FromRumour) })
+	peer.Handle(mesh, floodAdopted, func(_ string, m adoptedMessage) { p.adopter.hear(m) })
 	p.news.join(mesh)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"sync"
 	"time"
 
 	"wigeondale/directory"
@@ -13,7 +14,7 @@
 )
 
 // view turns the items of the store into the table in force and the directory
-// of replicas. It implements mirror.Receiver; its calls come from one goroutine.
+// of replicas. It implements mirror.Receiver.
 type view struct {
 	table *route.Current
 	dir   *directory.Directory
@@ -21,10 +22,13 @@
 	peers *peers
 	log   *event.Log
 
+	began time.Time // of this node; see load
+
+	mu       sync.Mutex
 	replicas map[string]fleet.Backend // by id
+	adopted  map[string]bool          // ids of those that the registry has not named yet; see adopt
 	at       map[string]string        // id of the youngest replica that has an address
 	found    []fleet.Backend          // new since the last Settled
-	began    time.Time                // of this node; see load
 	changed  bool
 }
 
@@ -33,11 +37,13 @@
 const maxNamed = 20
 
 func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, p *peers, log *event.Log) *view {
-	return &view{table: table, dir: dir, mon: mon, peers: p, log: log, replicas: map[string]fleet.Backend{}, at: map[string]string{}, began: time.Now()}
+	return &view{table: table, dir: dir, mon: mon, peers: p, log: log, replicas: map[string]fleet.Backend{}, adopted: map[string]bool{}, at: map[string]string{}, began: time.Now()}
 }
 
 // Put implements mirror.Receiver.
 func (v *view) Put(item infra.Value) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if platform.IsConfig(item.Key) {
 		v.putConfig(item)
 		return
@@ -68,6 +74,7 @@
 		return
 	}
 	b.Started = item.CreateRev
+	delete(v.adopted, id)
 	old, known := v.replicas[id]
 	v.replicas[id] = b
 	v.mon.Place(id, b.Service, b.FailureDomain)
@@ -101,7 +108,14 @@
 		v.peers.gone(key)
 		return
 	}
-	v.leave(id, "its entry is gone", 0)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.drop(id, "its entry is gone")
+}
+
+// drop takes a replica out.
+func (v *view) drop(id, reason string) {
+	v.leave(id, reason, 0)
 	if b := v.replicas[id]; v.at[b.Addr] == id {
 		delete(v.at, b.Addr)
 	}
@@ -129,6 +143,12 @@
 // Settled implements mirror.Receiver.
 func (v *view) Settled() {
 	v.peers.settled()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.settle()
+}
+
+func (v *view) settle() {
 	if !v.changed {
 		return
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -90,7 +90,12 @@
 
 // Service is what the configuration says of the replicas of one service.
 type Service struct {
-	Name string
+	Name       string
+	HealthPath string // where its replicas answer checks
+	// Engine tells that its replicas are model engines, of which each holds Memory
+	// tokens of the requests that it runs.
+	Engine bool
+	Memory int
 	// Standby tells that a replica can keep copies of other replicas' runs.
 	Standby bool
 }
@@ -183,5 +188,18 @@
 	return a, ok && key != ""
 }
 
+// OnlyEngine returns the service whose replicas are model engines, if just one is.
+func (t *Table) OnlyEngine() (Service, bool) {
+	var only Service
+	n := 0
+	for _, s := range t.services {
+		if s.Engine {
+			only = s
+			n++
+		}
+	}
+	return only, n == 1
+}
+
 // Service returns a service by its name; the zero value when it isn't known.
 func (t *Table) Service(name string) Service { return t.services[name] }
--- /dev/null
+++ b/succession/succession_test.go
@@ -0,0 +1,78 @@
+package succession
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"wigeondale/fleet"
+)
+
+// addresses are what answers at each address.
+type addresses struct {
+	mu    sync.Mutex
+	there map[string]Found
+	asked []string
+}
+
+func (a *addresses) Successor(ctx context.Context, b fleet.Backend, _ string) (Found, error) {
+	a.mu.Lock()
+	a.asked = append(a.asked, b.Addr)
+	f, ok := a.there[b.Addr]
+	a.mu.Unlock()
+	switch {
+	case !ok:
+		<-ctx.Done()
+		return Found{}, ctx.Err()
+	case f.ID == b.ID:
+		return Found{}, ErrNone
+	case f.ID == "":
+		return Found{}, errors.New("refused")
+	}
+	return f, nil
+}
+
+// Symptom: after a crash of a failure domain while the registry is away a third of the
+// engines gets no work. Sequence: its replicas are back at their addresses with new ids;
+// some are still down, one lives on, one leaves, one address is another service's now.
+// Cause: none of them is known before the registry is back.
+func TestSuccessorsAreFoundAtTheirAddresses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		there := &addresses{there: map[string]Found{
+			"h:1": {ID: "n1", Memory: 55000},
+			"h:2": {ID: "o2", Memory: 55000},
+			"h:3": {},
+			"h:5": {ID: "n5", Memory: 55000, Leaving: true},
+			"h:6": {ID: "n6"},
+		}}
+		var lost []fleet.Backend
+		for _, n := range []string{"1", "2", "3", "4", "5", "6"} {
+			lost = append(lost, fleet.Backend{ID: "o" + n, Addr: "h:" + n, Service: "llm", FailureDomain: "d1"})
+		}
+		fits := func(_ fleet.Backend, f Found) bool { return f.Memory == 55000 }
+		got := New(there).Seek(t.Context(), lost, "/check", fits)
+		want := fleet.Backend{ID: "n1", Addr: "h:1", Service: "llm", FailureDomain: "d1"}
+		if len(got) != 1 || got[0] != want {
+			t.Errorf("found %+v, want %+v alone", got, want)
+		}
+	})
+}
+
+// Symptom: nodes ask dead machines all the time while the registry is away. Sequence: an
+// address doesn't answer, and the search goes on. Cause: each look asks it again.
+func TestAddressIsLeftAloneForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		there := &addresses{there: map[string]Found{"h:1": {}}}
+		s := New(there)
+		lost := []fleet.Backend{{ID: "o1", Addr: "h:1"}}
+		for range 10 {
+			s.Seek(t.Context(), lost, "/check", func(fleet.Backend, Found) bool { return true })
+		}
+		if want := []string{"h:1"}; !slices.Equal(there.asked, want) {
+			t.Errorf("asked %v at one moment, want %v", there.asked, want)
+		}
+	})
+}
