--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -1,13 +1,11 @@
 package hosted
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -238,20 +236,6 @@
 	return r.faults, 0
 }
 
-func (r *Replica) copyTo(addr, id string) bool {
-	if r.peers == nil {
-		return false
-	}
-	other := r.peers(addr)
-	if other == nil || other == r {
-		return false
-	}
-	other.mu.Lock()
-	defer other.mu.Unlock()
-	other.copies[id] = true
-	return true
-}
-
 func (r *Replica) whole(w http.ResponseWriter, a *Arrival, f Faults) {
 	text := Whole(a.ID)
 	switch {
@@ -324,46 +308,3 @@
 	defer r.mu.Unlock()
 	a.Ended = true
 }
-
-// serveList lists the prompts of the runs that the replica has seen.
-func (r *Replica) serveList(w http.ResponseWriter, _ *http.Request) {
-	held := [][]any{}
-	for _, a := range r.Arrivals() {
-		if !a.Ran {
-			continue
-		}
-		for part := range strings.SplitSeq(a.Header.Get("X-Prompt-Prefix"), ",") {
-			id, tokens, _ := strings.Cut(part, ":")
-			n, _ := strconv.Atoi(tokens)
-			held = append(held, []any{"", id, n, "m"})
-		}
-	}
-	answer(w, map[string]any{"epoch": 1, "next": 1, "held": held})
-}
-
-// serveMove copies a run on demand.
-func (r *Replica) serveMove(w http.ResponseWriter, req *http.Request) {
-	var move struct{ ID, Target string }
-	if err := decode(req.Body, &move); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if !r.copyTo(move.Target, move.ID) {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	answer(w, map[string]any{"kv_handle": "handle-of-" + move.ID, "created": 1})
-}
-
-func decode(r io.Reader, v any) error { return json.NewDecoder(r).Decode(v) }
-
-// serveReport tells of the runs under way.
-func (r *Replica) serveReport(w http.ResponseWriter, _ *http.Request) {
-	runs := [][]any{}
-	for _, a := range r.Arrivals() {
-		if a.Ran && !a.Ended {
-			runs = append(runs, []any{a.ID, 1, 1, 5})
-		}
-	}
-	answer(w, map[string]any{"stage": "unified", "queued": 0, "active": len(runs), "runs": runs, "kv_total": Memory})
-}
--- /dev/null
+++ b/hosted/loads.go
@@ -0,0 +1,113 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"wigeondale/directory"
+	"wigeondale/peer"
+)
+
+// Routers tell their neighbours what they have under way at each replica; package
+// directory adds it to what a router knows itself.
+const (
+	// tellEvery bounds how late other routers learn what this one sent where. A
+	// prompt is read in about a second.
+	tellEvery = 40 * time.Millisecond
+	// tellAll repeats everything, since messages may be lost.
+	tellAll = 2 * time.Second
+	// loadsLife is how long a router's word counts when it falls silent.
+	loadsLife = 3 * tellAll
+	tellLoads = "hosted.loads"
+)
+
+// toldLoads is the last word of one router.
+type toldLoads struct {
+	at    time.Time
+	loads directory.PeerLoads
+}
+
+// loadsMessage is what a router tells the others.
+type loadsMessage struct {
+	Loads directory.PeerLoads `cbor:"1,keyasint"`
+}
+
+// tell sends what this router has under way whenever it changes.
+func (p *peers) tell(ctx context.Context, mesh *peer.Mesh) {
+	tick := time.NewTicker(tellEvery)
+	defer tick.Stop()
+	var last directory.PeerLoads
+	var all time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		own := p.dir.OwnLoads()
+		if now.Sub(all) >= tellAll {
+			all, last = now, own
+			_ = mesh.Tell(tellLoads, loadsMessage{own}) // the next one repeats it
+		} else if changed := changes(last, own); len(changed) > 0 {
+			last = own
+			_ = mesh.Tell(tellLoads, loadsMessage{changed})
+		}
+		p.sum(now)
+		p.news.tick(now)
+	}
+}
+
+// changes returns the entries of now that differ, with 0 for those that ended.
+func changes(before, now directory.PeerLoads) directory.PeerLoads {
+	out := directory.PeerLoads{}
+	for id, v := range now {
+		if before[id] != v {
+			out[id] = v
+		}
+	}
+	for id := range before {
+		if _, ok := now[id]; !ok {
+			out[id] = 0
+		}
+	}
+	return out
+}
+
+func (p *peers) takeLoads(from string, m loadsMessage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.loads[from]
+	if t.loads == nil {
+		t.loads = directory.PeerLoads{}
+	}
+	for id, v := range m.Loads {
+		if v == 0 {
+			delete(t.loads, id)
+			continue
+		}
+		t.loads[id] = v
+	}
+	t.at = time.Now()
+	p.loads[from] = t
+}
+
+// sum hands what the others told to the directory.
+func (p *peers) sum(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var sum directory.PeerLoads
+	for from, t := range p.loads {
+		if now.Sub(t.at) > loadsLife {
+			delete(p.loads, from)
+			continue
+		}
+		if sum == nil {
+			sum = directory.PeerLoads{}
+		}
+		for id, v := range t.loads {
+			sum[id] += v
+		}
+	}
+	p.dir.SetPeerLoads(sum)
+}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -28,18 +28,10 @@
 	peerHeartbeat   = time.Second
 	peerDialTimeout = 500 * time.Millisecond
 	peerMaxBackoff  = 2 * time.Second
-	// tellEvery bounds how late other routers learn what this one sent where. A
-	// prompt is read in about a second.
-	tellEvery = 40 * time.Millisecond
-	// tellAll repeats everything, since messages may be lost.
-	tellAll = 2 * time.Second
-	// loadsLife is how long a router's word counts when it falls silent.
-	loadsLife = 3 * tellAll
 )
 
 // Kinds of messages between routers.
 const (
-	tellLoads  = "hosted.loads"
 	floodCrash = "hosted.domain-crash"
 	floodGone  = "hosted.replica-gone"
 )
@@ -64,17 +56,6 @@
 	found chan struct{}        // closed when the key is known
 }
 
-// toldLoads is the last word of one router.
-type toldLoads struct {
-	at    time.Time
-	loads directory.PeerLoads
-}
-
-// loadsMessage is what a router tells the others.
-type loadsMessage struct {
-	Loads directory.PeerLoads `cbor:"1,keyasint"`
-}
-
 // crashMessage names a failure domain that a router takes to have crashed.
 type crashMessage struct {
 	Domain string `cbor:"1,keyasint"`
@@ -95,6 +76,13 @@
 	return p
 }
 
+// joined is the mesh, nil before it is up.
+func (p *peers) joined() *peer.Mesh {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mesh
+}
+
 // leaving tells the others of a replica whose address turned out to be another's.
 // The registry tells them too, but not while the store is away: then each router
 // would find out by a request of its own, which counts as one more arrival.
@@ -102,10 +90,7 @@
 	if source != directory.FromRefusal {
 		return
 	}
-	p.mu.Lock()
-	mesh := p.mesh
-	p.mu.Unlock()
-	if mesh != nil {
+	if mesh := p.joined(); mesh != nil {
 		// Not delivered means only that others find out for themselves.
 		_ = mesh.Flood(floodGone, goneMessage{id})
 	}
@@ -114,10 +99,7 @@
 // crashed tells the others of a failure domain that this router, or one that told
 // it, takes to have crashed. Each router passes it on once.
 func (p *peers) crashed(domain string) {
-	p.mu.Lock()
-	mesh := p.mesh
-	p.mu.Unlock()
-	if mesh != nil {
+	if mesh := p.joined(); mesh != nil {
 		// Not delivered means only that others find out for themselves.
 		_ = mesh.Tell(floodCrash, crashMessage{domain})
 	}
@@ -125,10 +107,7 @@
 
 // tellAdopted names adopted replicas to all nodes.
 func (p *peers) tellAdopted(m adoptedMessage) {
-	p.mu.Lock()
-	mesh := p.mesh
-	p.mu.Unlock()
-	if mesh != nil {
+	if mesh := p.joined(); mesh != nil {
 		// Told again while the store is away.
 		_ = mesh.Flood(floodAdopted, m)
 	}
@@ -251,91 +230,9 @@
 	return mesh, nil
 }
 
-// tell sends what this router has under way whenever it changes.
-func (p *peers) tell(ctx context.Context, mesh *peer.Mesh) {
-	tick := time.NewTicker(tellEvery)
-	defer tick.Stop()
-	var last directory.PeerLoads
-	var all time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		now := time.Now()
-		own := p.dir.OwnLoads()
-		if now.Sub(all) >= tellAll {
-			all, last = now, own
-			_ = mesh.Tell(tellLoads, loadsMessage{own}) // the next one repeats it
-		} else if changed := changes(last, own); len(changed) > 0 {
-			last = own
-			_ = mesh.Tell(tellLoads, loadsMessage{changed})
-		}
-		p.sum(now)
-		p.news.tick(now)
-	}
-}
-
-// changes returns the entries of now that differ, with 0 for those that ended.
-func changes(before, now directory.PeerLoads) directory.PeerLoads {
-	out := directory.PeerLoads{}
-	for id, v := range now {
-		if before[id] != v {
-			out[id] = v
-		}
-	}
-	for id := range before {
-		if _, ok := now[id]; !ok {
-			out[id] = 0
-		}
-	}
-	return out
-}
-
-func (p *peers) takeLoads(from string, m loadsMessage) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t := p.loads[from]
-	if t.loads == nil {
-		t.loads = directory.PeerLoads{}
-	}
-	for id, v := range m.Loads {
-		if v == 0 {
-			delete(t.loads, id)
-			continue
-		}
-		t.loads[id] = v
-	}
-	t.at = time.Now()
-	p.loads[from] = t
-}
-
-// sum hands what the others told to the directory.
-func (p *peers) sum(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var sum directory.PeerLoads
-	for from, t := range p.loads {
-		if now.Sub(t.at) > loadsLife {
-			delete(p.loads, from)
-			continue
-		}
-		if sum == nil {
-			sum = directory.PeerLoads{}
-		}
-		for id, v := range t.loads {
-			sum[id] += v
-		}
-	}
-	p.dir.SetPeerLoads(sum)
-}
-
 // state is what the dump shows of the other nodes.
 func (p *peers) state() any {
-	p.mu.Lock()
-	mesh := p.mesh
-	p.mu.Unlock()
+	mesh := p.joined()
 	if mesh == nil {
 		return nil
 	}
