A failure domain is given up only after its failed members were asked

Ruled out: a crash (the engines had been known for a second and answered others). Change: the members that failed are asked first; one that answers is not counted.

--- a/health/domain.go
+++ b/health/domain.go
@@ -1,6 +1,9 @@
 package health
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -123,15 +126,76 @@
 	return n
 }
 
+// lately returns the members that failed within domainWindow.
+func (d *domain) lately(t int64) []*engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recent(t)
+	return slices.Collect(maps.Keys(d.failed))
+}
+
+// spare takes back the failure of a member that turned out to be alive.
+func (d *domain) spare(e *engine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.failed, e)
+}
+
 // noteFailure counts one failure and acts on a domain that crashed by it.
 func (m *Monitor) noteFailure(e *engine, t int64) {
 	d := e.domain.Load()
 	if d == nil || !d.fail(e, t) {
 		return
 	}
+	if m.Inquirer != nil {
+		go m.confirmCrash(d, t)
+		return
+	}
 	m.crashed(d, t, "members failed together")
 }
 
+// confirmCrash asks the members that failed before their domain is given up.
+//
+// What goes wrong without it: engines that reset some of their connections are taken
+// for a crash of their domain as soon as two do so at the same moment. All routers
+// leave the domain alone for some seconds, and its runs are begun again elsewhere. It
+// shows as a third of the engines without work while all of them are sound.
+func (m *Monitor) confirmCrash(d *domain, t int64) {
+	asked := map[*engine]bool{}
+	for {
+		failed := d.lately(t)
+		failed = slices.DeleteFunc(failed, func(e *engine) bool { return asked[e] })
+		if len(failed) == 0 {
+			break
+		}
+		for _, e := range failed {
+			asked[e] = true
+		}
+		m.spareAlive(d, failed)
+	}
+	if len(d.lately(t)) >= domainFailures {
+		m.crashed(d, m.at(time.Now()), "members failed together")
+	}
+}
+
+// spareAlive takes back the failures of those members that answer a question.
+func (m *Monitor) spareAlive(d *domain, failed []*engine) {
+	ctx, stop := context.WithTimeout(context.Background(), inquiryTimeout)
+	defer stop()
+	var asks sync.WaitGroup
+	for _, e := range failed {
+		asks.Go(func() {
+			m.inquiries.Inc()
+			_, err := m.Inquirer.Ask(ctx, e.id)
+			m.log.Emit(event.EngineAsked, "backend", e.id, "lost", 0, "err", err)
+			if err == nil {
+				d.spare(e)
+			}
+		})
+	}
+	asks.Wait()
+}
+
 // DomainRumour takes in another router's word that a domain crashed. It counts
 // unless some member has given this router a sign of life just now: the other
 // router may be the one that is cut off.
--- a/health/doubt_test.go
+++ b/health/doubt_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -126,3 +127,45 @@
 		})
 	}
 }
+
+// living answers for the engines that are alive.
+type living map[string]bool
+
+func (l living) Ask(_ context.Context, backend string) (Word, error) {
+	if !l[backend] {
+		return nil, errors.New("refused")
+	}
+	return word{}, nil
+}
+
+// Symptom: all routers leave a failure domain alone for seconds though its engines are
+// sound. Sequence: engines reset some of their connections, two of them at the same
+// moment. Cause: two failures at one moment were proof of a crash. One more failure of
+// an engine that is gone must still be counted after those of sound ones.
+func TestResetsOfSoundEnginesAreNoCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		alive   living
+		crashed bool
+	}{
+		"all are sound":     {living{"a0": true, "a1": true, "a2": true, "a3": true}, false},
+		"one is gone":       {living{"a0": true, "a1": true, "a2": true}, false},
+		"two are gone":      {living{"a0": true, "a1": true}, true},
+		"nobody is there":   {living{}, true},
+		"the first is gone": {living{"a1": true, "a2": true, "a3": true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runPatient(t, func(m *Monitor) {
+				place(m, 6, "a")
+				m.Inquirer = c.alive
+				for i := range 4 {
+					m.Result(fmt.Sprint("a", i), errors.New("reset"))
+					time.Sleep(time.Millisecond)
+					synctest.Wait()
+				}
+				if crashed := m.State("a5") != Healthy; crashed != c.crashed {
+					t.Errorf("taken for crashed: %v, want %v", crashed, c.crashed)
+				}
+			})
+		})
+	}
+}
