Copies of runs are made on demand where a service keeps none by itself

Copies on demand were asked for only where replicas also keep copies up to date; where they keep none, each crash of a domain cost its drafts their prompt and a pause. Where they make none on demand, they were asked all the same, in vain. Change: the configuration's two words are two facts (kept, on demand).

--- a/fakes/hosted/operator.go
+++ b/fakes/hosted/operator.go
@@ -46,7 +46,7 @@
 		"version": c.Version,
 		"routes":  routes,
 		"services": []any{
-			map[string]any{"name": c.Engines, "health_path": CheckPath, "engine": map[string]any{"kv_capacity": Memory, "backups": true}},
+			map[string]any{"name": c.Engines, "health_path": CheckPath, "engine": map[string]any{"kv_capacity": Memory, "backups": true, "moves": true}},
 			map[string]any{"name": c.Plain},
 		},
 		"tenants": []any{map[string]any{"name": c.Account, "api_keys": c.Keys}},
--- a/generation/copy.go
+++ b/generation/copy.go
@@ -51,7 +51,7 @@
 // twice, in every second crash: 20 of 94 lost attempts on a day with a crash
 // each 6 s.
 func (x *run) tendCopy(a *attempt, now time.Time) {
-	if x.Copier == nil || !x.req.Opaque.wantsCopies() || now.Sub(a.copyChecked) < copyCheck {
+	if x.Copier == nil || x.req.Opaque == nil || !x.req.Opaque.Copies.OnDemand || now.Sub(a.copyChecked) < copyCheck {
 		return
 	}
 	a.copyChecked = now
@@ -88,8 +88,6 @@
 	})
 }
 
-func (o *Opaque) wantsCopies() bool { return o != nil && o.Copies }
-
 // copyHolds tells whether the copy will do for now.
 func (x *run) copyHolds(a *attempt, now time.Time) bool {
 	if a.copy.at.Addr == "" || !x.Picker.Keeps(a.copy.at.ID) {
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -56,7 +56,7 @@
 // pause of a second or more in every answer that ran there, and as prefill
 // that is paid for twice.
 func (x *run) keepCopy(a *attempt) fleet.Backend {
-	if !x.req.Opaque.wantsCopies() {
+	if x.req.Opaque == nil || !x.req.Opaque.Copies.Kept {
 		return fleet.Backend{}
 	}
 	standby, done, ok := x.Picker.Standby(x.ask(), a.backend)
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -108,7 +108,13 @@
 	Returned    bool          // the client has a part of the answer from another router
 	MaxAttempts int           // backend servers that it may run on
 	Patience    time.Duration // longest wait for a backend server
-	Copies      bool          // keep a standby copy of the run
+	Copies      Copying       // standby copies of the run
+}
+
+// Copying says how the backend servers of a service copy a run's state to another one.
+type Copying struct {
+	Kept     bool // they keep a copy up to date from the begin of a run
+	OnDemand bool // they make one when asked
 }
 
 // ResumePoint is where an answer begun through another router goes on. Its
--- a/generation/inquire.go
+++ b/generation/inquire.go
@@ -66,7 +66,7 @@
 // that from a queue, so that the bound on the first piece is long, and the answer
 // late: a draft was seen to wait 10 s for a run that had ended after one.
 func (x *run) inquire(a *attempt) (stop func()) {
-	if x.Inquirer == nil || !x.req.Opaque.wantsCopies() || x.lastChance() {
+	if x.Inquirer == nil || x.req.Opaque == nil || !x.req.Opaque.Streaming || x.lastChance() {
 		return func() {}
 	}
 	ctx, cancel := context.WithCancel(a.ctx)
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -171,7 +171,7 @@
 	}
 	req := Request{ID: "q", Opaque: &Opaque{
 		Opaque: &backend.Opaque{Streaming: true}, Service: "svc", First: 1, MaxAttempts: 5,
-		Patience: time.Second, Copies: true,
+		Patience: time.Second, Copies: Copying{Kept: true, OnDemand: true},
 	}}
 	if change != nil {
 		change(&req)
@@ -280,6 +280,36 @@
 	})
 }
 
+// Symptom: where backend servers keep no copies by themselves each crash costs a run its
+// pace, and its prompt is read anew. Cause: no copy was asked for. Where they make none
+// when asked, nobody is to ask.
+func TestCopiesThatAreMadeOnDemandOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		copying Copying
+		held    string // copy from which the run goes on
+		made    int
+	}{
+		"on demand only":   {Copying{OnDemand: true}, "copy1", 1},
+		"kept up to date":  {Copying{Kept: true}, "", 0},
+		"neither of these": {Copying{}, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctestRun(t, func() {
+				w := &world{pieces: 20, budget: 9, scripts: []script{{ends: 10, err: broken}}}
+				out := &answer{slow: 100 * time.Millisecond}
+				w.runTo(t, out, func(r *Request) { r.Opaque.Copies = c.copying })
+				first, second := w.opened[0].Copies, w.opened[1].Copies
+				if out.text != text(20) || (first.Standby.Addr != "") != c.copying.Kept {
+					t.Fatalf("got %q; the first attempt has the standby %q", out.text, first.Standby.Addr)
+				}
+				if second.Held != (c.copying != Copying{}) || second.Name != c.held || (w.copies > 0) != (c.made > 0) {
+					t.Errorf("went on with %+v, %d copies were made", second, w.copies)
+				}
+			})
+		})
+	}
+}
+
 // Symptom: a booking is made twice. Cause: a request that may run once is sent
 // again after its answer was lost.
 func TestOnceIsNeverSentTwice(t *testing.T) {
--- a/hosted/adopt.go
+++ b/hosted/adopt.go
@@ -41,7 +41,9 @@
 	Addr string `cbor:"2,keyasint"`
 }
 
-// adopter looks for successors while the store is away.
+// adopter looks for successors while the store is away. Each node that reads the store
+// looks, so that the cost grows with the replicas that are lost and with the failure
+// domains, not with the nodes.
 type adopter struct {
 	view   *view
 	news   *news
@@ -78,17 +80,17 @@
 	found := a.seeker.Seek(ctx, a.view.lost(service.Name), service.HealthPath, func(_ fleet.Backend, f succession.Found) bool {
 		return f.Memory == service.Memory
 	})
-	var news []adoptedReplica
+	var toTell []adoptedReplica
 	for _, b := range found {
-		news = append(news, adoptedReplica{b.ID, b.Addr})
+		toTell = append(toTell, adoptedReplica{b.ID, b.Addr})
 	}
-	a.view.adopt(news)
+	a.view.adopt(toTell)
 	if now.Sub(a.told) >= adoptTold {
 		a.told = now
-		news = a.view.allAdopted()
+		toTell = a.view.allAdopted()
 	}
-	if len(news) > 0 {
-		a.tell(adoptedMessage{news})
+	if len(toTell) > 0 {
+		a.tell(adoptedMessage{toTell})
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -203,7 +203,7 @@
 			Returned:    j.req.Returned,
 			MaxAttempts: max(j.route.MaxAttempts, 1),
 			Patience:    j.patience(),
-			Copies:      j.engine.Standby && j.route.Kind == route.Stream && j.route.Resumable,
+			Copies:      j.copying(),
 		},
 	}
 	if j.route.Kind != route.Stream {
@@ -215,6 +215,14 @@
 	return req
 }
 
+// copying is what is done about copies: only a run that may go on elsewhere needs one.
+func (j *job) copying() generation.Copying {
+	if j.route.Kind != route.Stream || !j.route.Resumable {
+		return generation.Copying{}
+	}
+	return generation.Copying{Kept: j.engine.KeepsCopies, OnDemand: j.engine.MakesCopies}
+}
+
 // verdict turns the outcome into what the client is still to be told.
 func (j *job) verdict(res generation.Result) Verdict {
 	switch {
--- a/route/route.go
+++ b/route/route.go
@@ -96,8 +96,9 @@
 	// tokens of the requests that it runs.
 	Engine bool
 	Memory int
-	// Standby tells that a replica can keep copies of other replicas' runs.
-	Standby bool
+	// KeepsCopies tells that a replica keeps a copy of a run up to date at another one
+	// from its begin, and MakesCopies that it makes one when asked.
+	KeepsCopies, MakesCopies bool
 }
 
 // Account is a client account with its keys.
