Stand-ins: a port is looked at by connecting, not by listening

Change: a free port is one where connecting is refused, so no socket is left behind; a listener at an address that was just closed is tried again while a copy may hold it.

--- a/fakes/fault/listener.go
+++ b/fakes/fault/listener.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", addr)
+	ln, err := ports.Listen(addr)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -102,7 +102,6 @@
 	l.mu.Unlock()
 	if ln != nil {
 		ln.Close()
-		ports.AwaitStarts() // the listener is started again at the same address
 	}
 	l.Reset()
 }
--- a/fakes/ports/ports.go
+++ b/fakes/ports/ports.go
@@ -9,11 +9,13 @@
 package ports
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -57,24 +59,30 @@
 		}
 		port := p.next
 		p.next++
-		ln, err := listenAt(port)
-		if err != nil {
-			continue // of a program that knows of no claims
+		if addr := address(port); !answers(addr) { // else of a program that knows of no claims
+			return addr, nil
 		}
-		err = ln.Close()
-		AwaitStarts()
-		return ln.Addr().String(), Error.Wrap(err)
 	}
 }
 
-// AwaitStarts returns when no process is being started that may hold a copy of a
-// socket that was closed before. A new process has a copy of every socket until it
-// runs its program; as long as it has, nobody else can listen on the port.
-func AwaitStarts() {
-	syscall.ForkLock.RLock() // held for writing from the copy to the program's run
-	defer syscall.ForkLock.RUnlock()
+// answers tells whether somebody listens at an address. To listen there oneself would
+// tell too, but a process that is started at that moment has a copy of every socket
+// until it runs its program: nobody else could listen for as long, though the socket
+// that looked is closed.
+func answers(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, answerTimeout)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	if err == nil {
+		conn.Close()
+	}
+	return true
 }
 
+// answerTimeout bounds the look at a port. On loopback it takes microseconds.
+const answerTimeout = time.Second
+
 // claim takes a block that nobody has, from a place of its own on, so that programs
 // that start together seldom try the same ones.
 func (p *Pool) claim() error {
@@ -111,5 +119,28 @@
 }
 
 func listenAt(port int) (net.Listener, error) {
-	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	return net.Listen("tcp", address(port))
 }
+
+func address(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// Listen listens at an address that was given out by a pool, also right after a
+// listener there was closed: a copy of its socket in a process that is being started
+// is waited for.
+func Listen(addr string) (net.Listener, error) {
+	end := time.Now().Add(copyPatience)
+	for {
+		ln, err := net.Listen("tcp", addr)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return ln, Error.Wrap(err)
+		}
+		time.Sleep(copyCheck)
+	}
+}
+
+const (
+	// copyPatience bounds the wait for a copy to go. A process runs its program within
+	// some ms, on a busy machine within some hundred.
+	copyPatience = 3 * time.Second
+	copyCheck    = 2 * time.Millisecond
+)
--- a/fakes/ports/ports_test.go
+++ b/fakes/ports/ports_test.go
@@ -82,5 +82,9 @@
 			t.Fatal(err)
 		}
 		ln.Close()
+		if ln, err = Listen(addr); err != nil {
+			t.Fatalf("once more: %v", err)
+		}
+		ln.Close()
 	}
 }
