--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -161,7 +161,7 @@
 	{EngineLeaving, "engine-leaving", Info, "A backend server is leaving and gets no new work. Nothing to do."},
 	{CacheGap, "cache-gap", Info, "Cache events were lost, so the engine's cache map is not trusted for a while. Nothing to do."},
 	{DomainSuspect, "domain-suspect", Warning, "Several backend servers of one failure domain failed together; the whole domain is avoided for a moment."},
-	{EngineAsked, "engine-asked", Info, "A silent engine was asked about its runs; lost is the number of those that it does not have, or whose tokens did not arrive. With an error it gave no answer and is suspected."},
+	{EngineAsked, "engine-asked", Info, "An engine that is silent, or failed together with others of its domain, was asked about its runs; lost is the number of those that it does not have, or whose tokens did not arrive. With an error it gave no answer and is suspected."},
 	{AttemptMismatch, "attempt-mismatch", Warning, "An engine's answer named another request, attempt or model, skipped a token or was malformed; the attempt was ended. Check that engine if it repeats."},
 	{OutcomeUnknown, "outcome-unknown", Warning, "A request marked as non-idempotent may have run, and its answer was lost. The caller has been told; look the work up before it is asked for again."},
 	{CancelDropped, "cancel-dropped", Warning, "An abandoned attempt will not be cancelled; the engine ends it after its linger time. Check that engine if it repeats."},
--- a/health/health.go
+++ b/health/health.go
@@ -10,6 +10,9 @@
 // another moment of waiting costs the callers if the engine is dead, against
 // the prefill thrown away if it was merely slow.
 //
+// Where backend servers can be asked about their runs (Inquirer), silence and a few
+// failures at one moment only raise the question: one that answers is not given up.
+//
 // When many backend servers seem to fail at once, the cause is usually this
 // process (a pause) or its network. Pauses are detected on the monotonic clock
 // and forgiven, and the share of a replica set that may be ejected is bounded.
