A removal is doubtful for as long everywhere as where it was first doubted

The store had been back for 1.4 s; a reader that had lost it held the removal to be doubtful for 0.7 s more, told it first, and its neighbours doubted it for two seconds anew. Change: a doubtful removal says how much longer it is held possible.

--- a/mirror/state.go
+++ b/mirror/state.go
@@ -19,6 +19,16 @@
 	Rev int64  `cbor:"2,keyasint"`
 	// Doubtful says that it went missing by an outage and may come back.
 	Doubtful bool `cbor:"3,keyasint,omitempty"`
+	// DoubtMS is how much longer that is held possible; 0 while it isn't known.
+	DoubtMS int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// doubtEnd is until when the removal is doubtful; unknown is for when it can't say.
+func (r Removal) doubtEnd(unknown time.Time) time.Time {
+	if r.DoubtMS == 0 {
+		return unknown
+	}
+	return time.Now().Add(time.Duration(r.DoubtMS) * time.Millisecond)
 }
 
 // Question asks for what changed after a revision.
@@ -60,6 +70,14 @@
 	end time.Time
 }
 
+// leftMS is how much longer the item may come back, 0 when that isn't known.
+func (d doubted) leftMS() int64 {
+	if d.end.IsZero() {
+		return 0
+	}
+	return max(time.Until(d.end).Milliseconds(), 1)
+}
+
 // state is what is known of the prefix. An item never goes back to an earlier
 // revision, in whatever order news of it come.
 type state struct {
@@ -213,7 +231,7 @@
 	var out []Removal
 	for key, d := range s.doubted {
 		if d.rev > after && d.rev <= upTo {
-			out = append(out, Removal{Key: key, Rev: d.rev, Doubtful: true})
+			out = append(out, Removal{Key: key, Rev: d.rev, Doubtful: true, DoubtMS: d.leftMS()})
 		}
 	}
 	return out
@@ -265,7 +283,12 @@
 	return len(items)
 }
 
-// merge takes in what a neighbour knows. What it doubts may come back until end.
+// merge takes in what a neighbour knows. What it doubts may come back until it says
+// so, or until end if it can't say.
+//
+// What goes wrong when each node doubts for the whole time anew: the store is back for
+// a while, a replica leaves, and the one reader that still doubts it a little tells
+// the others first. They go on sending it work for two seconds.
 func (s *state) merge(d Delta, end time.Time) {
 	if d.Newest <= s.newest || d.Uncovered {
 		return
@@ -277,7 +300,7 @@
 		s.put(v)
 	}
 	for _, r := range d.Removed {
-		s.remove(r.Key, r.Rev, doubts{on: r.Doubtful, end: end})
+		s.remove(r.Key, r.Rev, doubts{on: r.Doubtful, end: r.doubtEnd(end)})
 	}
 	s.reach(d.Newest)
 }
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -112,3 +114,33 @@
 		t.Errorf("claims to know all up to %d, want 5", s.newest)
 	}
 }
+
+// Symptom: a replica gets work more than two seconds after the store acknowledged that
+// it is gone. Sequence: the store is back for a second and a half when a replica leaves;
+// the reader that had lost the store holds that to be doubtful for half a second more,
+// and tells its neighbours before another reader does.
+// Cause: each neighbour doubted for the whole time anew.
+func TestDoubtEndsEverywhereAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const left, whole = 500 * time.Millisecond, 2 * time.Second
+		reader, out := newState(&seen{now: map[string]int64{}}), &seen{now: map[string]int64{}}
+		neighbour := newState(out)
+		for _, s := range []*state{&reader, &neighbour} {
+			s.put(infra.Value{Key: "a", ModRev: 1})
+			s.reach(1)
+		}
+		reader.remove("a", 2, doubts{on: true, end: time.Now().Add(left)})
+		reader.reach(2)
+		neighbour.merge(reader.delta(Question{After: 1}), time.Now().Add(whole))
+		time.Sleep(left - 10*time.Millisecond)
+		neighbour.dropDoubted(time.Now())
+		if len(out.now) != 1 {
+			t.Error("it is gone while it may come back")
+		}
+		time.Sleep(20 * time.Millisecond)
+		neighbour.dropDoubted(time.Now())
+		if len(out.now) != 0 {
+			t.Error("the neighbour doubts for longer than the reader")
+		}
+	})
+}
