--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -127,6 +127,7 @@
 	PeerListenerFailed
 	ReplicasKnown
 	ReplicaAdopted
+	ReplicaWordOutdated
 )
 
 // Events of the platform's store (20xx).
@@ -199,7 +200,7 @@
 	{InventoryAlone, "inventory-alone", Warning, "No reader's reading of the VM list was heard of for a minute, so this node reads it now and then by itself. Look at the VM list, and at the links between nodes."},
 	{InventoryFromPeer, "inventory-from-peer", Info, "This node had no inventory and took that of another node. Nothing to do."},
 	{TableInForce, "table-in-force", Info, "A newer version of routes, services and client accounts is in force on this node. Nothing to do."},
-	{ItemUnreadable, "item-unreadable", Error, "An item of the store could not be read and the last good value stays. Look at who wrote it."},
+	{ItemUnreadable, "item-unreadable", Error, "An item of the store can't be used and the last good value stays; a replica whose entry it replaces gets no new work until its entry is sound again. Look at who wrote it."},
 	{ReplicaKnown, "replica-known", Info, "A replica registered itself and gets work from now on. Nothing to do."},
 	{ReplicaLeaving, "replica-leaving", Info, "A replica leaves or is gone and gets no new work from now on, for the reason given. Nothing to do."},
 	{RelayRefused, "relay-refused", Warning, "A request was refused before it reached a backend server, for the reason given."},
@@ -210,6 +211,7 @@
 	{PeerListenerFailed, "peer-listener-failed", Error, "The listener for other nodes ended: this node hears nothing from them. Restart it."},
 	{ReplicasKnown, "replicas-known", Info, "Many replicas became known at once, as at a start; each gets work from now on. The state dump lists them."},
 	{ReplicaAdopted, "replica-adopted", Info, "While the store is away a replica was found at the address of one that crashed, and gets work until the store is back and says otherwise. Nothing to do."},
+	{ReplicaWordOutdated, "replica-word-outdated", Info, "A word about a replica names a start that a later one has followed, and is left alone. Nothing to do."},
 	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
 	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
 	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -36,6 +36,7 @@
 // give the same bytes.
 type Replica struct {
 	ID      string
+	Born    int64 // Unix milliseconds of its start; 0 for a replica that doesn't say
 	Service string
 	Domain  string
 	Engine  bool
@@ -127,10 +128,29 @@
 
 // Entry is the replica's item in the store.
 func (r *Replica) Entry(state string) map[string]any {
-	return map[string]any{
+	entry := map[string]any{
 		"service": r.Service, "address": r.Addr(), "zone": r.Domain, "version": "v1",
 		"slots": 8, "state": state, "cold_left_ms": 0, "sequence": 1,
 	}
+	return r.withBorn(entry)
+}
+
+// withBorn adds the time of birth to what the replica says of itself.
+func (r *Replica) withBorn(said map[string]any) map[string]any {
+	if r.Born != 0 {
+		said["born"] = r.Born
+	}
+	return said
+}
+
+// Reborn starts a later lifetime of a replica that crashed, under its id and at its
+// address, with nothing of before.
+func (r *Replica) Reborn(born int64) (*Replica, error) {
+	again := &Replica{
+		ID: r.ID, Born: born, Service: r.Service, Domain: r.Domain, Engine: r.Engine,
+		Listen: r.Addr(), Pieces: r.Pieces, Gap: r.Gap,
+	}
+	return again, again.Start(r.peers)
 }
 
 // Arrivals returns the requests seen so far.
--- a/fakes/hosted/state.go
+++ b/fakes/hosted/state.go
@@ -48,7 +48,7 @@
 			runs = append(runs, []any{a.ID, 1, 1, 5})
 		}
 	}
-	answer(w, map[string]any{"stage": "unified", "queued": 0, "active": len(runs), "runs": runs, "kv_total": Memory})
+	answer(w, r.withBorn(map[string]any{"stage": "unified", "queued": 0, "active": len(runs), "runs": runs, "kv_total": Memory}))
 }
 
 // copyTo puts a copy of a run at the replica with an address.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -81,12 +81,15 @@
 
 // Backend is a backend server as the VM list announces it.
 type Backend struct {
-	ID            string `json:"id"`
-	Addr          string `json:"addr"` // host:port
-	VM            string `json:"vm"`
-	FailureDomain string `json:"failure_domain"`
-	Kind          Kind   `json:"kind"`
-	Service       string `json:"service,omitempty"` // name under /services/, for Kind Service
+	ID string `json:"id"`
+	// Lifetime is set where backend servers start again under the same name; ID is
+	// its ID then.
+	Lifetime      Lifetime `json:"-"`
+	Addr          string   `json:"addr"` // host:port
+	VM            string   `json:"vm"`
+	FailureDomain string   `json:"failure_domain"`
+	Kind          Kind     `json:"kind"`
+	Service       string   `json:"service,omitempty"` // name under /services/, for Kind Service
 	// ChecksFence is true when the backend server refuses an order whose fencing
 	// number is lower than one that it has already seen.
 	ChecksFence bool `json:"checks_fence"`
@@ -97,6 +100,14 @@
 	Leaving bool `json:"leaving"`
 }
 
+// Name is how the backend server is addressed.
+func (b *Backend) Name() string {
+	if b.Lifetime.Name != "" {
+		return b.Lifetime.Name
+	}
+	return b.ID
+}
+
 // LoadReport is an engine's own, lagging account of itself.
 type LoadReport struct {
 	Incarnation string     `json:"incarnation"` // new at each start of the engine
--- a/generation/inquire.go
+++ b/generation/inquire.go
@@ -31,11 +31,16 @@
 	// Made is how many pieces each run has made, by request. It names only those
 	// that have made one.
 	Made map[string]int
+	// Reborn tells that the backend server has started again and holds no run of before.
+	Reborn bool
 }
 
 // mayHave tells whether the backend server may have a run of the request. One that
 // isn't named may wait or have its prompt read, as long as there are such requests.
 func (r RunReport) mayHave(request string) bool {
+	if r.Reborn {
+		return false
+	}
 	_, named := r.Made[request]
 	return named || r.Queued > 0 || r.Active > len(r.Made)
 }
--- a/health/health.go
+++ b/health/health.go
@@ -38,6 +38,8 @@
 	ErrSuspect error = &Cause{"engine is silent on all its streams"}
 	// ErrStalled means that one stream fell silent beside live ones.
 	ErrStalled error = &Cause{"stream is silent while its engine is alive"}
+	// ErrEnded means that the engine has started again and holds nothing of before.
+	ErrEnded error = &Cause{"engine has started again"}
 	// ErrNoFirstToken means that the prefill took longer than its bound.
 	ErrNoFirstToken error = &Cause{"no first token within the bound for the prompt"}
 )
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -47,7 +47,7 @@
 
 	domains map[string]*domain // under mu
 
-	suspects, stalls, lates, pauses, held, inquiries *metrics.Counter
+	suspects, stalls, lates, ended, pauses, held, inquiries *metrics.Counter
 }
 
 // NewMonitor returns a Monitor. A nil log or set is replaced by one that
@@ -67,6 +67,7 @@
 		suspects:  set.NewCounter(`wigeon_health_cancels_total{cause="suspect"}`),
 		stalls:    set.NewCounter(`wigeon_health_cancels_total{cause="stalled"}`),
 		lates:     set.NewCounter(`wigeon_health_cancels_total{cause="no_first_token"}`),
+		ended:     set.NewCounter(`wigeon_health_cancels_total{cause="ended"}`),
 		pauses:    set.NewCounter(`wigeon_health_pauses_total`),
 		held:      set.NewCounter(`wigeon_health_mass_holds_total`),
 		inquiries: set.NewCounter(`wigeon_health_inquiries_total`),
@@ -116,6 +117,27 @@
 	}
 }
 
+// Ended cancels what waits on a backend server that has started again: its runs are
+// lost, however short their silence.
+func (m *Monitor) Ended(backend string) {
+	m.mu.RLock()
+	e := m.engines[backend]
+	m.mu.RUnlock()
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	v := verdict{engine: e}
+	for _, s := range e.streams {
+		if !s.cancelled {
+			v.streams = append(v.streams, s)
+			v.causes = append(v.causes, ErrEnded)
+		}
+	}
+	e.mu.Unlock()
+	m.cancel(v)
+}
+
 // Work is what an attempt is to do.
 type Work struct {
 	Request     string // id by which the engine names its run
--- a/health/tick.go
+++ b/health/tick.go
@@ -285,6 +285,8 @@
 		m.suspects.Inc()
 	case ErrStalled:
 		m.stalls.Inc()
+	case ErrEnded:
+		m.ended.Inc()
 	default:
 		m.lates.Inc()
 	}
--- a/hosted/adopt.go
+++ b/hosted/adopt.go
@@ -37,8 +37,17 @@
 
 // adoptedReplica is one of them. All else is as it was with the lost one.
 type adoptedReplica struct {
-	ID   string `cbor:"1,keyasint"`
+	Name string `cbor:"1,keyasint"`
 	Addr string `cbor:"2,keyasint"`
+	Born int64  `cbor:"3,keyasint,omitempty"`
+}
+
+func (a *adoptedReplica) lifetime() fleet.Lifetime {
+	return fleet.Lifetime{Name: a.Name, Born: a.Born}
+}
+
+func adoptedOf(b *fleet.Backend) adoptedReplica {
+	return adoptedReplica{Name: b.Name(), Addr: b.Addr, Born: b.Lifetime.Born}
 }
 
 // adopter looks for successors while the store is away. Each node that reads the store
@@ -81,8 +90,8 @@
 		return f.Memory == service.Memory
 	})
 	var toTell []adoptedReplica
-	for _, b := range found {
-		toTell = append(toTell, adoptedReplica{b.ID, b.Addr})
+	for i := range found {
+		toTell = append(toTell, adoptedOf(&found[i]))
 	}
 	a.view.adopt(toTell)
 	if now.Sub(a.told) >= adoptTold {
@@ -142,25 +151,40 @@
 func (v *view) adopt(found []adoptedReplica) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, f := range found {
-		old, ok := v.replicas[v.at[f.Addr]]
-		if _, known := v.replicas[f.ID]; known || !ok {
-			continue
-		}
-		b := old
-		b.ID, b.Leaving = f.ID, false
-		// It started after all that the store told; the store's own number comes later.
-		b.Started = v.youngest() + 1
-		v.log.Emit(event.ReplicaAdopted, "backend", b.ID, "service", b.Service, "domain", b.FailureDomain, "addr", b.Addr, "after", old.ID)
-		v.replicas[b.ID] = b
-		v.adopted[b.ID] = true
-		v.mon.Place(b.ID, b.Service, b.FailureDomain)
-		v.succeed(b, 0)
-		v.changed = true
+	for i := range found {
+		v.adoptOne(&found[i])
 	}
 	v.settle()
 }
 
+func (v *view) adoptOne(f *adoptedReplica) {
+	old, ok := v.replicas[v.at[f.Addr]]
+	life := f.lifetime()
+	if !ok || old.Lifetime == life {
+		return
+	}
+	if _, known := v.replicas[life.ID()]; known {
+		return
+	}
+	before, n := v.lives.follow(life)
+	switch n {
+	case outdated:
+		return
+	case reborn:
+		v.endLife(before)
+	}
+	b := old
+	b.ID, b.Lifetime, b.VM, b.Leaving = life.ID(), life, life.Name, false
+	// It started after all that the store told; the store's own number comes later.
+	b.Started = v.youngest() + 1
+	v.log.Emit(event.ReplicaAdopted, "backend", b.ID, "service", b.Service, "domain", b.FailureDomain, "addr", b.Addr, "after", old.ID)
+	v.replicas[b.ID] = b
+	v.adopted[b.ID] = true
+	v.mon.Place(b.ID, b.Service, b.FailureDomain)
+	v.succeed(b, 0)
+	v.changed = true
+}
+
 // youngest is the number of the latest start.
 func (v *view) youngest() int64 {
 	var last int64
@@ -175,7 +199,8 @@
 	defer v.mu.Unlock()
 	var out []adoptedReplica
 	for id := range v.adopted {
-		out = append(out, adoptedReplica{id, v.replicas[id].Addr})
+		b := v.replicas[id]
+		out = append(out, adoptedOf(&b))
 	}
 	return out
 }
@@ -185,8 +210,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id := range v.adopted {
+		name := v.replicas[id].Lifetime.Name
 		delete(v.adopted, id)
 		v.drop(id, "the store does not list it")
+		v.lives.forget(name)
 	}
 	v.settle()
 }
--- a/hosted/adopt_test.go
+++ b/hosted/adopt_test.go
@@ -46,15 +46,15 @@
 	}
 }
 
-// adoptingView knows the engine i-a at h:1 and the plain replica i-p at h:2.
+// adoptingView knows the engine i-a at one address.
 func adoptingView(engines ...string) *view {
 	v := newTestView()
-	cfg := &route.Config{Version: 1, Services: []route.Service{{Name: "app"}}}
+	cfg := &route.Config{Version: 2, Services: []route.Service{{Name: "app"}}}
 	for _, name := range engines {
 		cfg.Services = append(cfg.Services, route.Service{Name: name, Engine: true, Memory: 55000})
 	}
 	v.table.Install(route.NewTable(cfg))
-	v.Put(replicaEntry("i-a", "h:1", 5))
+	v.Put(replicaEntry("i-a", "10.0.0.1:80", 5))
 	v.Settled()
 	return v
 }
@@ -64,7 +64,7 @@
 // store's word goes first, in both directions.
 func TestAdoptedReplicaNeedsTheStoresWord(t *testing.T) {
 	v := adoptingView("llm")
-	v.adopt([]adoptedReplica{{"i-b", "h:1"}, {"i-x", "h:9"}})
+	v.adopt([]adoptedReplica{{Name: "i-b", Addr: "10.0.0.1:80"}, {Name: "i-x", Addr: "10.0.0.9:80"}})
 	if !v.dir.Leaving("i-a") || v.dir.Leaving("i-b") || !v.dir.Leaving("i-x") {
 		t.Fatalf("leaving: lost %v, found %v, at an unknown address %v", v.dir.Leaving("i-a"), v.dir.Leaving("i-b"), v.dir.Leaving("i-x"))
 	}
@@ -72,8 +72,8 @@
 	if !v.dir.Leaving("i-b") {
 		t.Error("a replica that the store does not list still gets work")
 	}
-	v.adopt([]adoptedReplica{{"i-c", "h:1"}})
-	v.Put(replicaEntry("i-c", "h:1", 7))
+	v.adopt([]adoptedReplica{{Name: "i-c", Addr: "10.0.0.1:80"}})
+	v.Put(replicaEntry("i-c", "10.0.0.1:80", 7))
 	v.Settled()
 	v.dropAdopted()
 	if v.dir.Leaving("i-c") {
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -66,7 +66,11 @@
 	if !ok {
 		return nil, Error.New("replica %s is not known", id)
 	}
-	return q.replicas.Runs(ctx, b)
+	report, err := q.replicas.Runs(ctx, b)
+	if err == nil && report.Reborn {
+		err = Error.New("replica %s has started again", b.Lifetime)
+	}
+	return report, err
 }
 
 // bytesPerToken is the size by which package generation states prompts.
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -26,9 +26,12 @@
 
 	mu       sync.Mutex
 	replicas map[string]fleet.Backend // by id
-	adopted  map[string]bool          // ids of those that the registry has not named yet; see adopt
-	at       map[string]string        // id of the youngest replica that has an address
-	found    []fleet.Backend          // new since the last Settled
+	lives    lifetimes
+	adopted  map[string]bool        // ids of those that the registry has not named yet; see adopt
+	withheld map[string]bool        // names whose entries can't be used any more
+	unnamed  map[string]infra.Value // entries, by name, of services that the configuration doesn't name
+	at       map[string]string      // id of the youngest replica that has an address
+	found    []fleet.Backend        // new since the last Settled
 	changed  bool
 }
 
@@ -37,7 +40,15 @@
 const maxNamed = 20
 
 func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, p *peers, log *event.Log) *view {
-	return &view{table: table, dir: dir, mon: mon, peers: p, log: log, replicas: map[string]fleet.Backend{}, adopted: map[string]bool{}, at: map[string]string{}, began: time.Now()}
+	return &view{
+		table: table, dir: dir, mon: mon, peers: p, log: log, began: time.Now(),
+		replicas: map[string]fleet.Backend{},
+		lives:    newLifetimes(),
+		adopted:  map[string]bool{},
+		withheld: map[string]bool{},
+		unnamed:  map[string]infra.Value{},
+		at:       map[string]string{},
+	}
 }
 
 // Put implements mirror.Receiver.
@@ -48,8 +59,8 @@
 		v.putConfig(item)
 		return
 	}
-	if id, ok := platform.ReplicaID(item.Key); ok {
-		v.putReplica(id, item)
+	if name, ok := platform.ReplicaID(item.Key); ok {
+		v.putReplica(name, item)
 		return
 	}
 	v.peers.put(item)
@@ -64,30 +75,111 @@
 	if v.table.Install(route.NewTable(cfg)) {
 		v.log.Emit(event.TableInForce, "version", cfg.Version, "revision", item.ModRev,
 			"routes", len(cfg.Routes), "accounts", len(cfg.Accounts))
+		v.putUnnamed()
 	}
 }
 
-func (v *view) putReplica(id string, item infra.Value) {
-	b, err := platform.DecodeReplica(id, item.Data)
+func (v *view) putReplica(name string, item infra.Value) {
+	b, err := platform.DecodeReplica(name, item.Data)
+	if err == nil {
+		err = v.checkRewrite(b)
+	}
 	if err != nil {
-		v.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
+		v.withhold(name, item, err)
+		return
+	}
+	t := v.table.Get()
+	if t == nil {
+		v.unnamed[name] = item
+		return
+	}
+	if !t.HasService(b.Service) {
+		v.unnamed[name] = item
+		v.withhold(name, item, errUnnamed)
+		return
+	}
+	delete(v.unnamed, name)
+	before, n := v.lives.follow(b.Lifetime)
+	if n == outdated {
+		v.log.Emit(event.ReplicaWordOutdated, "backend", b.ID, "known", before.ID(), "revision", item.ModRev)
 		return
 	}
+	v.release(name)
+	if n == reborn {
+		v.endLife(before)
+	}
+	v.takeIn(b, item, n)
+}
+
+// takeIn holds a sound entry.
+func (v *view) takeIn(b fleet.Backend, item infra.Value, n newness) {
+	old, known := v.replicas[b.ID]
 	b.Started = item.CreateRev
-	delete(v.adopted, id)
-	old, known := v.replicas[id]
-	v.replicas[id] = b
-	v.mon.Place(id, b.Service, b.FailureDomain)
+	switch {
+	case known && !v.adopted[b.ID]:
+		b.Started = old.Started
+	case n == reborn:
+		b.Started = item.ModRev
+	}
+	delete(v.adopted, b.ID)
+	v.replicas[b.ID] = b
+	v.mon.Place(b.ID, b.Service, b.FailureDomain)
 	v.changed = true
 	switch {
 	case b.Leaving && !old.Leaving:
-		v.leave(id, "it announced it", item.ModRev)
+		v.leave(b.ID, "it announced it", item.ModRev)
 	case !known:
 		v.found = append(v.found, b)
 		v.succeed(b, item.ModRev)
 	}
 }
 
+var (
+	errUnnamed = Error.New("its service is not in the configuration")
+	errUnborn  = Error.New("it lacks the time of birth that it had")
+)
+
+// checkRewrite tells whether an entry can be the replica's own, by what it said before.
+func (v *view) checkRewrite(b fleet.Backend) error {
+	if known, ok := v.lives.of(b.Lifetime.Name); ok && known.Born != 0 && b.Lifetime.Born == 0 {
+		return errUnborn
+	}
+	return nil
+}
+
+// withhold takes note of an entry that names no replica to use. If it replaces a
+// replica's entry, that one gets no new work until its entry is sound again: what
+// runs there goes on. Its address and its place stay its own.
+func (v *view) withhold(name string, item infra.Value, err error) {
+	v.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
+	if _, known := v.lives.of(name); known && !v.withheld[name] {
+		v.withheld[name] = true
+		v.dir.SetIntent(v.withheld)
+	}
+}
+
+// release ends withhold.
+func (v *view) release(name string) {
+	if v.withheld[name] {
+		delete(v.withheld, name)
+		v.dir.SetIntent(v.withheld)
+	}
+}
+
+// putUnnamed looks again at entries whose services the configuration names now.
+func (v *view) putUnnamed() {
+	for name, item := range v.unnamed {
+		v.putReplica(name, item)
+	}
+}
+
+// endLife drops a lifetime that another one has followed: its runs are lost, and what
+// was known of it says nothing of its successor.
+func (v *view) endLife(life fleet.Lifetime) {
+	v.mon.Ended(life.ID())
+	v.drop(life.ID(), "it has started again")
+}
+
 // succeed marks a replica as gone whose address a younger one has taken.
 func (v *view) succeed(b fleet.Backend, revision int64) {
 	other, taken := v.replicas[v.at[b.Addr]]
@@ -103,14 +195,19 @@
 
 // Gone implements mirror.Receiver.
 func (v *view) Gone(key string) {
-	id, ok := platform.ReplicaID(key)
+	name, ok := platform.ReplicaID(key)
 	if !ok {
 		v.peers.gone(key)
 		return
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.drop(id, "its entry is gone")
+	delete(v.unnamed, name)
+	v.release(name)
+	if life, known := v.lives.of(name); known {
+		v.drop(life.ID(), "its entry is gone")
+		v.lives.forget(name)
+	}
 }
 
 // drop takes a replica out.
--- a/hosted/view_test.go
+++ b/hosted/view_test.go
@@ -14,13 +14,16 @@
 func newTestView() *view {
 	dir, mon := directory.New(nil), health.NewMonitor(health.DefaultPolicy(), nil, nil)
 	set := &settings.Settings{Hosted: &settings.Hosted{}}
-	return newView(&route.Current{}, dir, mon, newPeers(set, nil, dir, mon, newNews("n", "d", nil), nil), nil)
+	v := newView(&route.Current{}, dir, mon, newPeers(set, nil, dir, mon, newNews("n", "d", nil), nil), nil)
+	v.table.Install(route.NewTable(&route.Config{Version: 1, Services: []route.Service{{Name: "llm", Engine: true}}}))
+	return v
 }
 
 func replicaEntry(id, addr string, created int64) infra.Value {
 	return infra.Value{
 		Key: "servers/" + id, CreateRev: created, ModRev: created,
-		Data: fmt.Appendf(nil, `{"service": "llm", "address": %q, "zone": "d0", "state": "up"}`, addr),
+		Data: fmt.Appendf(nil, `{"service": "llm", "address": %q, "zone": "d0", "version": "v1", "slots": 8, "state": "ready",
+			"cold_left_ms": 0, "sequence": 1}`, addr),
 	}
 }
 
@@ -31,8 +34,8 @@
 // taken for the successor, and a mark on one that isn't in the directory yet is lost.
 func TestOlderEntryOfAnAddressLeaves(t *testing.T) {
 	for name, order := range map[string][]infra.Value{
-		"older first":   {replicaEntry("i-a", "h:1", 5), replicaEntry("i-b", "h:1", 9)},
-		"younger first": {replicaEntry("i-b", "h:1", 9), replicaEntry("i-a", "h:1", 5)},
+		"older first":   {replicaEntry("i-a", "10.0.0.1:80", 5), replicaEntry("i-b", "10.0.0.1:80", 9)},
+		"younger first": {replicaEntry("i-b", "10.0.0.1:80", 9), replicaEntry("i-a", "10.0.0.1:80", 5)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := newTestView()
@@ -44,7 +47,7 @@
 				t.Errorf("leaving: old %v, young %v", v.dir.Leaving("i-a"), v.dir.Leaving("i-b"))
 			}
 			v.Gone("servers/i-a")
-			v.Put(replicaEntry("i-c", "h:1", 12))
+			v.Put(replicaEntry("i-c", "10.0.0.1:80", 12))
 			v.Settled()
 			if !v.dir.Leaving("i-b") || v.dir.Leaving("i-c") {
 				t.Errorf("leaving: old %v, young %v", v.dir.Leaving("i-b"), v.dir.Leaving("i-c"))
@@ -57,7 +60,7 @@
 func BenchmarkFirstRead(b *testing.B) {
 	var items []infra.Value
 	for i := range 3000 {
-		items = append(items, replicaEntry(fmt.Sprintf("i-%d", i), fmt.Sprintf("h:%d", i), int64(i+1)))
+		items = append(items, replicaEntry(fmt.Sprintf("i-%d", i), fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), int64(i+1)))
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/route/route.go
+++ b/route/route.go
@@ -204,3 +204,9 @@
 
 // Service returns a service by its name; the zero value when it isn't known.
 func (t *Table) Service(name string) Service { return t.services[name] }
+
+// HasService tells whether the configuration names a service.
+func (t *Table) HasService(name string) bool {
+	_, ok := t.services[name]
+	return ok
+}
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -19,12 +19,13 @@
 	"wigeondale/fleet"
 )
 
-// ErrNone says that an address has no other replica than the one that was known.
+// ErrNone says that an address has no other replica than the one that was known, and
+// that this one has not started again.
 var ErrNone = errors.New("no other replica has the address")
 
 // Found is a replica that answered at the address of another one.
 type Found struct {
-	ID      string
+	fleet.Lifetime
 	Memory  int  // tokens that its engine holds
 	Leaving bool // it takes no more work
 }
@@ -72,10 +73,10 @@
 			defer stop()
 			f, err := s.asker.Successor(ctx, b, checkPath)
 			// Who can't be reached is asked again.
-			if err != nil || f.Leaving || f.ID == "" || !fits(b, f) {
+			if err != nil || f.Leaving || f.Name == "" || !fits(b, f) {
 				return
 			}
-			b.ID, b.Leaving = f.ID, false
+			b.ID, b.Lifetime, b.Leaving = f.ID(), f.Lifetime, false
 			mu.Lock()
 			defer mu.Unlock()
 			found = append(found, b)
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -27,9 +27,9 @@
 	case !ok:
 		<-ctx.Done()
 		return Found{}, ctx.Err()
-	case f.ID == b.ID:
+	case f.Name == b.ID:
 		return Found{}, ErrNone
-	case f.ID == "":
+	case f.Name == "":
 		return Found{}, errors.New("refused")
 	}
 	return f, nil
@@ -42,11 +42,11 @@
 func TestSuccessorsAreFoundAtTheirAddresses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		there := &addresses{there: map[string]Found{
-			"h:1": {ID: "n1", Memory: 55000},
-			"h:2": {ID: "o2", Memory: 55000},
+			"h:1": {Lifetime: fleet.Lifetime{Name: "n1"}, Memory: 55000},
+			"h:2": {Lifetime: fleet.Lifetime{Name: "o2"}, Memory: 55000},
 			"h:3": {},
-			"h:5": {ID: "n5", Memory: 55000, Leaving: true},
-			"h:6": {ID: "n6"},
+			"h:5": {Lifetime: fleet.Lifetime{Name: "n5"}, Memory: 55000, Leaving: true},
+			"h:6": {Lifetime: fleet.Lifetime{Name: "n6"}},
 		}}
 		var lost []fleet.Backend
 		for _, n := range []string{"1", "2", "3", "4", "5", "6"} {
@@ -54,7 +54,7 @@
 		}
 		fits := func(_ fleet.Backend, f Found) bool { return f.Memory == 55000 }
 		got := New(there).Seek(t.Context(), lost, "/check", fits)
-		want := fleet.Backend{ID: "n1", Addr: "h:1", Service: "llm", FailureDomain: "d1"}
+		want := fleet.Backend{ID: "n1", Lifetime: fleet.Lifetime{Name: "n1"}, Addr: "h:1", Service: "llm", FailureDomain: "d1"}
 		if len(got) != 1 || got[0] != want {
 			t.Errorf("found %+v, want %+v alone", got, want)
 		}
