--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -37,7 +37,7 @@
 
 // Pick chooses an engine and checks once more, at the moment of dispatch, that
 // it is neither leaving nor taken by another probe.
-func (p *picker) Pick(_ context.Context, a generation.Ask) (fleet.Backend, func(), error) {
+func (p *picker) Pick(_ context.Context, a generation.Ask) (fleet.Backend, generation.Share, error) {
 	ask := routing.Ask{
 		Ref:           a.Ref,
 		Priority:      a.Priority,
@@ -54,7 +54,7 @@
 }
 
 // service chooses a backend server of a plain service.
-func (p *picker) service(name string, exclude map[string]bool) (fleet.Backend, func(), error) {
+func (p *picker) service(name string, exclude map[string]bool) (fleet.Backend, generation.Share, error) {
 	ask := routing.Ask{
 		Priority:      fleet.Interactive,
 		Exclude:       exclude,
@@ -65,13 +65,13 @@
 	return p.pick(p.dir.Service(name), ask)
 }
 
-func (p *picker) pick(candidates []routing.Candidate, ask routing.Ask) (fleet.Backend, func(), error) {
+func (p *picker) pick(candidates []routing.Candidate, ask routing.Ask) (fleet.Backend, generation.Share, error) {
 	c := placement.Chooser{Dir: p.dir, Mon: p.mon, Wait: replicaWait}
-	return c.Pick(p.router, candidates, ask, 1)
+	return c.Pick(p.router, candidates, ask, directory.Load{Requests: 1})
 }
 
 // Standby implements generation.Picker: engines of this protocol keep no copies.
-func (p *picker) Standby(generation.Ask, fleet.Backend) (fleet.Backend, func(), bool) {
+func (p *picker) Standby(generation.Ask, fleet.Backend) (fleet.Backend, generation.Share, bool) {
 	return fleet.Backend{}, nil, false
 }
 
--- a/daemon/dispatch_test.go
+++ b/daemon/dispatch_test.go
@@ -67,13 +67,13 @@
 	p := &picker{dir: dir, mon: health.NewMonitor(health.DefaultPolicy(), nil, metrics.NewSet()), router: router}
 	picked := map[string]bool{}
 	for i := range 64 {
-		b, done, err := p.Pick(t.Context(), generation.Ask{
+		b, share, err := p.Pick(t.Context(), generation.Ask{
 			Request: strconv.Itoa(i), Ref: ref, Prompt: "one prompt", Resume: true,
 		})
 		if err != nil {
 			t.Fatal(err)
 		}
-		done()
+		share.End()
 		picked[b.ID] = true
 	}
 	if len(picked) != len(list) {
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -140,11 +140,11 @@
 }
 
 func (s *services) tryOne(ctx context.Context, call callerapi.ServiceCall, tried *triedSet, second bool) (*http.Response, error) {
-	b, done, err := s.pick.service(call.Service, tried.all())
+	b, share, err := s.pick.service(call.Service, tried.all())
 	if err != nil {
 		return nil, err
 	}
-	defer done()
+	defer share.End()
 	tried.add(b.ID)
 	resp, err := s.client.Do(ctx, b, toBackend(call))
 	s.judge(ctx, b.ID, err, second)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -225,18 +225,6 @@
 	return slices.Sorted(maps.Keys(d.table.Load().byID))
 }
 
-// Start counts one request sent to a backend server, in units of an ordinary
-// request. Call done once, when it ended; more calls do nothing.
-func (d *Directory) Start(id string, cost float64) (done func()) {
-	r := d.table.Load().byID[id]
-	if r == nil {
-		return func() {}
-	}
-	done = r.start(cost)
-	d.loads.note(r)
-	return done
-}
-
 // MarkLeaving records that one incarnation is leaving. It sticks until the
 // backend server shows a new incarnation. An empty incarnation means the one
 // known now.
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -13,9 +13,36 @@
 // after the other, while others idle. It shows as drafts that take half as long
 // again as they need.
 
-// PeerLoads is what one router has under way, by backend server, in units of an
-// ordinary request.
-type PeerLoads map[string]float64
+// PeerLoads is what one router has under way, by backend server.
+type PeerLoads map[string]Load
+
+// loadCounter is a Load that changes with every request, in thousandths.
+type loadCounter struct {
+	requests, reading, running, held atomic.Int64
+}
+
+func (c *loadCounter) add(l Load) {
+	c.requests.Add(int64(l.Requests * milli))
+	c.reading.Add(int64(l.Reading * milli))
+	c.running.Add(int64(l.Running * milli))
+	c.held.Add(int64(l.Held * milli))
+}
+
+func (c *loadCounter) store(l Load) {
+	c.requests.Store(int64(l.Requests * milli))
+	c.reading.Store(int64(l.Reading * milli))
+	c.running.Store(int64(l.Running * milli))
+	c.held.Store(int64(l.Held * milli))
+}
+
+func (c *loadCounter) load() Load {
+	return Load{
+		Requests: float64(c.requests.Load()) / milli,
+		Reading:  float64(c.reading.Load()) / milli,
+		Running:  float64(c.running.Load()) / milli,
+		Held:     float64(c.held.Load()) / milli,
+	}
+}
 
 // loadBook is the state behind OwnLoads and SetPeerLoads. Both are called many
 // times a second, so they look only at backend servers with anything under way.
@@ -40,12 +67,12 @@
 	defer d.loads.mu.Unlock()
 	out := PeerLoads{}
 	for r := range d.loads.busy {
-		n := r.inFlight.Load()
-		if n == 0 {
+		l := r.ownLoad()
+		if l == (Load{}) {
 			delete(d.loads.busy, r)
 			continue
 		}
-		out[r.id] = float64(n) / milli
+		out[r.id] = l
 	}
 	return out
 }
@@ -57,13 +84,13 @@
 	defer d.loads.mu.Unlock()
 	byID := d.table.Load().byID
 	for id := range d.loads.told {
-		if r := byID[id]; r != nil && sum[id] == 0 {
-			r.peers.Store(0)
+		if r := byID[id]; r != nil && sum[id] == (Load{}) {
+			r.peers.store(Load{})
 		}
 	}
 	for id, load := range sum {
 		if r := byID[id]; r != nil {
-			r.peers.Store(int64(load * milli))
+			r.peers.store(load)
 		}
 	}
 	d.loads.told = sum
--- a/directory/peers_test.go
+++ b/directory/peers_test.go
@@ -45,8 +45,8 @@
 				open = append(open[:i], open[i+1:]...)
 			},
 			"told": func(t *rapid.T) {
-				peers = rapid.MapOf(rapid.SampledFrom(ids), rapid.Custom(func(t *rapid.T) float64 {
-					return float64(rapid.IntRange(1, 9).Draw(t, "load"))
+				peers = rapid.MapOf(rapid.SampledFrom(ids), rapid.Custom(func(t *rapid.T) Load {
+					return Load{Requests: float64(rapid.IntRange(1, 9).Draw(t, "load"))}
 				})).Draw(t, "peers")
 				d.SetPeerLoads(peers)
 			},
@@ -56,14 +56,14 @@
 				own := PeerLoads{}
 				for id, n := range want {
 					if n > 0 {
-						own[id] = float64(n)
+						own[id] = Load{Requests: float64(n)}
 					}
 				}
 				if got := d.OwnLoads(); !maps.Equal(got, own) {
 					t.Fatalf("tells %v, has %v", got, own)
 				}
 				for id, r := range d.table.Load().byID {
-					if got, should := r.Load(time.Now()), float64(want[id])+peers[id]; got != should {
+					if got, should := r.Load(time.Now()), float64(want[id])+peers[id].Requests; got != should {
 						t.Fatalf("%s counts %v, want %v", id, got, should)
 					}
 				}
@@ -79,7 +79,7 @@
 	sum := PeerLoads{}
 	for i := range 20 {
 		d.Start(list[i].ID, 1)
-		sum[list[i+10].ID] = 2
+		sum[list[i+10].ID] = Load{Requests: 2}
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/directory/record.go
+++ b/directory/record.go
@@ -27,12 +27,13 @@
 type record struct {
 	id       string
 	inFlight atomic.Int64  // own requests under way, in thousandths
+	own      loadCounter   // the rest of what they take
+	peers    loadCounter   // what other routers' requests take, as they tell
 	others   atomic.Uint64 // load not ours at the report's time, float64 bits
 	asOf     atomic.Int64  // time of the report, Unix milliseconds
 	places   atomic.Uint64 // what batch knows, float64 bits
 	leaving  atomic.Bool
 	cache    cacheMap
-	peers    atomic.Int64 // requests of other routers as they tell, in thousandths
 	told     *atomic.Bool // other routers tell what they have under way
 
 	mu      sync.Mutex
@@ -135,7 +136,7 @@
 func (r *record) Load(now time.Time) float64 {
 	ours := float64(r.inFlight.Load()) / milli
 	if r.told.Load() {
-		return ours + float64(r.peers.Load())/milli
+		return ours + float64(r.peers.requests.Load())/milli
 	}
 	others := math.Float64frombits(r.others.Load())
 	if others == 0 {
@@ -163,14 +164,13 @@
 // Hits counts the leading blocks in the cache, as far as that is known.
 func (r *record) Hits(blocks []uint64, now time.Time) int { return r.cache.hits(blocks, now) }
 
-func (r *record) start(cost float64) (done func()) {
-	units := int64(cost * milli)
-	r.count(units)
-	var once sync.Once
-	return func() { once.Do(func() { r.count(-units) }) }
-}
-
-func (r *record) count(units int64) {
+// count changes what this router has under way.
+func (r *record) count(change Load) {
+	r.own.add(change)
+	units := int64(change.Requests * milli)
+	if units == 0 {
+		return
+	}
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -178,6 +178,22 @@
 	r.sent.add(now, units)
 }
 
+// ownLoad is what this router has under way.
+func (r *record) ownLoad() Load { return r.own.load() }
+
+// Reading is how many tokens of prompts are yet to be read, as far as routers know.
+func (r *record) Reading() float64 {
+	return float64(r.own.reading.Load()+r.peers.reading.Load()) / milli
+}
+
+// Running is how many runs make tokens.
+func (r *record) Running() float64 {
+	return float64(r.own.running.Load()+r.peers.running.Load()) / milli
+}
+
+// Held is how many tokens of runs and copies are in memory.
+func (r *record) Held() float64 { return float64(r.own.held.Load()+r.peers.held.Load()) / milli }
+
 func (r *record) serves(ref fleet.ModelRef) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/directory/share.go
@@ -0,0 +1,70 @@
+package directory
+
+import "sync"
+
+// Load is what requests take of a backend server.
+type Load struct {
+	Requests float64 `cbor:"1,keyasint,omitempty"` // in units of an ordinary one
+	Reading  float64 `cbor:"2,keyasint,omitempty"` // tokens of prompts that are yet to be read
+	Running  float64 `cbor:"3,keyasint,omitempty"` // runs that make tokens
+	Held     float64 `cbor:"4,keyasint,omitempty"` // tokens of runs and copies in memory
+}
+
+// Plus is the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{l.Requests + o.Requests, l.Reading + o.Reading, l.Running + o.Running, l.Held + o.Held}
+}
+
+func (l Load) minus(o Load) Load {
+	return Load{l.Requests - o.Requests, l.Reading - o.Reading, l.Running - o.Running, l.Held - o.Held}
+}
+
+// Share is a request's part in the load of its backend server. Its methods may be
+// called by any goroutine.
+type Share struct {
+	record *record // nil for a backend server that isn't known
+
+	mu    sync.Mutex
+	load  Load
+	ended bool
+}
+
+// Begin counts what a request takes of a backend server until End of its share.
+func (d *Directory) Begin(id string, l Load) *Share {
+	r := d.table.Load().byID[id]
+	if r == nil {
+		return &Share{}
+	}
+	r.count(l)
+	d.loads.note(r)
+	return &Share{record: r, load: l}
+}
+
+// Start counts one request, in units of an ordinary one. Call done once, when it ended;
+// more calls do nothing.
+func (d *Directory) Start(id string, cost float64) (done func()) {
+	return d.Begin(id, Load{Requests: cost}).End
+}
+
+// Begun tells that the request's prompt has been read: it makes tokens from now on.
+func (s *Share) Begun() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.record == nil || s.ended || s.load.Reading == 0 {
+		return
+	}
+	change := Load{Reading: -s.load.Reading, Running: 1}
+	s.load = s.load.Plus(change)
+	s.record.count(change)
+}
+
+// End takes the share off; further calls do nothing.
+func (s *Share) End() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.record == nil || s.ended {
+		return
+	}
+	s.ended = true
+	s.record.count(Load{}.minus(s.load))
+}
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -23,7 +23,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	watch   Watch
-	done    func()
+	share   Share
 	copy    standbyCopy
 	copied  chan standbyCopy // a copy that was made beside the stream; room for one
 	copying bool             // one is being made
@@ -61,6 +61,13 @@
 	return w
 }
 
+// begun tells the load book of the first piece.
+func (a *attempt) begun() {
+	if a.accepted == 0 && a.share != nil {
+		a.share.Begun()
+	}
+}
+
 // closeReader ends the reading of a; the engine keeps it for the linger time.
 func (a *attempt) closeReader() {
 	if a.stream != nil {
@@ -74,9 +81,9 @@
 	if a.cancel != nil {
 		a.cancel(nil)
 	}
-	if a.done != nil {
-		a.done()
-		a.done = nil
+	if a.share != nil {
+		a.share.End()
+		a.share = nil
 	}
 	a.copy.release()
 }
--- a/generation/copy.go
+++ b/generation/copy.go
@@ -30,16 +30,16 @@
 
 // standbyCopy is where a copy of a run is kept.
 type standbyCopy struct {
-	at   fleet.Backend // without an address there is none
-	name string        // of a copy made on demand; empty while the backend server keeps it up to date
-	made time.Time
-	done func() // ends the copy's part in the load at at
+	at    fleet.Backend // without an address there is none
+	name  string        // of a copy made on demand; empty while the backend server keeps it up to date
+	made  time.Time
+	share Share // of the copy in the load at at
 }
 
 func (c *standbyCopy) release() {
-	if c.done != nil {
-		c.done()
-		c.done = nil
+	if c.share != nil {
+		c.share.End()
+		c.share = nil
 	}
 }
 
@@ -61,11 +61,11 @@
 	}
 	to := a.copy
 	if to.at.Addr == "" || to.name == "" || !x.Picker.Keeps(to.at.ID) {
-		at, done, ok := x.Picker.Standby(x.ask(), a.backend)
+		at, share, ok := x.Picker.Standby(x.ask(), a.backend)
 		if !ok {
 			return
 		}
-		to = standbyCopy{at: at, done: done}
+		to = standbyCopy{at: at, share: share}
 	}
 	a.copying = true
 	go x.makeCopy(a.ctx, a, to)
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -13,8 +13,8 @@
 // dispatch sends the request to the picked engine. The deadline has been
 // checked by pick, after the claim.
 func (x *run) dispatch() string {
-	a := &attempt{backend: x.backend, done: x.done, copied: make(chan standbyCopy, 1)}
-	x.done = nil
+	a := &attempt{backend: x.backend, share: x.share, copied: make(chan standbyCopy, 1)}
+	x.share = nil
 	a.place = Place{Backend: a.backend.ID, Attempt: x.nextNumber()}
 	x.watchAttempt(a)
 	x.m.attempts.Inc()
@@ -59,11 +59,11 @@
 	if x.req.Opaque == nil || !x.req.Opaque.Copies.Kept {
 		return fleet.Backend{}
 	}
-	standby, done, ok := x.Picker.Standby(x.ask(), a.backend)
+	standby, share, ok := x.Picker.Standby(x.ask(), a.backend)
 	if !ok {
 		return fleet.Backend{}
 	}
-	a.copy = standbyCopy{at: standby, done: done}
+	a.copy = standbyCopy{at: standby, share: share}
 	a.watch.SetCopied(true)
 	return standby
 }
--- a/generation/end.go
+++ b/generation/end.go
@@ -103,8 +103,8 @@
 // close gives everything back at the end of a run.
 func (x *run) close() {
 	x.abandon()
-	if x.done != nil {
-		x.done()
+	if x.share != nil {
+		x.share.End()
 	}
 	if x.release != nil {
 		x.release()
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -182,7 +182,7 @@
 	return nil
 }
 
-func (h *harness) Pick(_ context.Context, a Ask) (fleet.Backend, func(), error) {
+func (h *harness) Pick(_ context.Context, a Ask) (fleet.Backend, Share, error) {
 	if a.Request == "" {
 		return fleet.Backend{}, nil, errors.New("asked without the request's id")
 	}
@@ -190,7 +190,7 @@
 		b, _ := h.Lookup(fmt.Sprint("e", i))
 		if !a.Exclude[b.ID] {
 			h.inFlight++
-			return b, func() { h.inFlight-- }, nil
+			return b, &fakeShare{end: func() { h.inFlight-- }}, nil
 		}
 	}
 	return fleet.Backend{}, nil, &Unavailable{Retryable: h.expect, RetryAfter: 7 * time.Second, Err: errors.New("no replica")}
@@ -214,7 +214,7 @@
 
 func (h *harness) Continue(string) bool { return true }
 
-func (h *harness) Standby(Ask, fleet.Backend) (fleet.Backend, func(), bool) {
+func (h *harness) Standby(Ask, fleet.Backend) (fleet.Backend, Share, bool) {
 	return fleet.Backend{}, nil, false
 }
 
@@ -316,3 +316,15 @@
 	}
 	return fmt.Sprint("127.0.0.1:", sa.(*syscall.SockaddrInet4).Port)
 }
+
+// fakeShare is a share in no load.
+type fakeShare struct{ end func() }
+
+func (*fakeShare) Begun() {}
+
+func (s *fakeShare) End() {
+	if s.end != nil {
+		s.end()
+	}
+	s.end = nil
+}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -195,7 +195,8 @@
 	Resume   bool // a started answer goes ahead of new work
 
 	Service string // of an opaque request, instead of Ref
-	Size    int    // estimated tokens that it holds at a backend server
+	Size    int    // estimated tokens of its prompt, 0 when not stated
+	Answer  int    // most tokens of its answer
 	// Parts are those of the prompt of a client that came back with a part of its
 	// answer: some backend server may still hold them.
 	Parts  []string
@@ -206,15 +207,23 @@
 }
 
 // Picker chooses engines. Pick must check at that moment that the engine is
-// not leaving; done ends the engine's in-flight count.
+// not leaving; the share ends its part in the engine's load.
 type Picker interface {
-	Pick(ctx context.Context, a Ask) (b fleet.Backend, done func(), err error)
+	Pick(ctx context.Context, a Ask) (b fleet.Backend, s Share, err error)
 	// Lookup finds a known engine, leaving or not.
 	Lookup(backendID string) (fleet.Backend, bool)
 	// Keeps tells whether a copy at a backend server is still to be counted on.
 	Keeps(backendID string) bool
 	// Standby chooses where the run at b keeps a copy; false means nowhere.
-	Standby(a Ask, b fleet.Backend) (standby fleet.Backend, done func(), ok bool)
+	Standby(a Ask, b fleet.Backend) (standby fleet.Backend, s Share, ok bool)
+}
+
+// Share is the part of an attempt, or of a copy, in the load of its backend server.
+type Share interface {
+	// Begun tells that the prompt has been read.
+	Begun()
+	// End takes the part off; further calls do nothing.
+	End()
 }
 
 // Watch follows one stream for the failure detector.
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -67,18 +67,18 @@
 	return w.overdraft >= 0 || w.Take("")
 }
 
-func (w *world) Pick(_ context.Context, a Ask) (fleet.Backend, func(), error) {
+func (w *world) Pick(_ context.Context, a Ask) (fleet.Backend, Share, error) {
 	w.excluded = append(w.excluded, a.Exclude)
 	id := a.Prefer
 	if id == "" || a.Exclude[id] {
 		id = fmt.Sprintf("b%d", len(w.opened)+1)
 	}
-	return fleet.Backend{ID: id, Addr: id, FailureDomain: "d" + id}, func() {}, nil
+	return fleet.Backend{ID: id, Addr: id, FailureDomain: "d" + id}, &fakeShare{}, nil
 }
 
-func (w *world) Standby(_ Ask, b fleet.Backend) (fleet.Backend, func(), bool) {
+func (w *world) Standby(_ Ask, b fleet.Backend) (fleet.Backend, Share, bool) {
 	id := fmt.Sprintf("s%d-%d", len(w.opened), w.copies)
-	return fleet.Backend{ID: id, Addr: id, FailureDomain: "other"}, func() {}, true
+	return fleet.Backend{ID: id, Addr: id, FailureDomain: "other"}, &fakeShare{}, true
 }
 
 func (w *world) Copy(context.Context, fleet.Backend, string, fleet.Backend) (string, error) {
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -177,7 +177,7 @@
 	sent       int                   // attempts that may have run
 	failed     *backend.FailedAnswer // the latest, delivered if nothing better comes
 	backend    fleet.Backend         // picked or held
-	done       func()                // ends the in-flight count at backend
+	share      Share                 // in the load of backend
 	last       *attempt              // attempt to read, re-attach to or cancel
 	number     int                   // of the latest attempt
 	exclude    map[string]bool
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -80,9 +80,9 @@
 		return x.overBudget()
 	}
 	x.repeats = false
-	b, done, err := x.Picker.Pick(x.ctx, x.ask())
+	b, share, err := x.Picker.Pick(x.ctx, x.ask())
 	if err == nil {
-		x.backend, x.done = b, done
+		x.backend, x.share = b, share
 		return "picked"
 	}
 	x.waitErr = err
@@ -134,7 +134,7 @@
 		Exclude: x.exclude, Resume: x.started(), Prefer: x.lostCopy.at,
 	}
 	if o := x.req.Opaque; o != nil {
-		a.Service, a.Size = o.Service, o.Size+o.Answer
+		a.Service, a.Size, a.Answer = o.Service, o.Size, o.Answer
 		if o.Returned && x.sent == 0 {
 			a.Parts = o.Parts
 		}
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -21,6 +21,7 @@
 		}
 		now := time.Now()
 		a.watch.Token(now)
+		a.begun()
 		x.tendCopy(a, now)
 		switch x.acc.offer(a.place.Attempt, t.Index) {
 		case late:
--- a/hosted/bench_test.go
+++ b/hosted/bench_test.go
@@ -9,6 +9,7 @@
 	"wigeondale/fleet"
 	"wigeondale/generation"
 	"wigeondale/health"
+	"wigeondale/route"
 	"wigeondale/settings"
 )
 
@@ -30,23 +31,23 @@
 				mon.Place(r.ID, r.Service, r.FailureDomain)
 			}
 			dir.Update(list, time.Now())
-			pick, err := newPicker(dir, mon, nil, "d0", nil)
+			pick, err := newPicker(&route.Current{}, dir, mon, nil, "d0", nil)
 			if err != nil {
 				b.Fatal(err)
 			}
 			ask := generation.Ask{Service: "llm", Size: 5000}
 			b.ReportAllocs()
 			for b.Loop() {
-				r, done, err := pick.Pick(b.Context(), ask)
+				r, share, err := pick.Pick(b.Context(), ask)
 				if err != nil {
 					b.Fatal(err)
 				}
-				_, doneToo, ok := pick.Standby(ask, r)
+				_, copied, ok := pick.Standby(ask, r)
 				if !ok {
 					b.Fatal("no standby")
 				}
-				done()
-				doneToo()
+				share.End()
+				copied.End()
 			}
 		})
 	}
--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -68,7 +68,7 @@
 	}
 	for id := range before {
 		if _, ok := now[id]; !ok {
-			out[id] = 0
+			out[id] = directory.Load{}
 		}
 	}
 	return out
@@ -82,7 +82,7 @@
 		t.loads = directory.PeerLoads{}
 	}
 	for id, v := range m.Loads {
-		if v == 0 {
+		if v == (directory.Load{}) {
 			delete(t.loads, id)
 			continue
 		}
@@ -106,7 +106,7 @@
 			sum = directory.PeerLoads{}
 		}
 		for id, v := range t.loads {
-			sum[id] += v
+			sum[id] = sum[id].Plus(v)
 		}
 	}
 	p.dir.SetPeerLoads(sum)
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -11,48 +11,59 @@
 	"wigeondale/health"
 	"wigeondale/holders"
 	"wigeondale/placement"
+	"wigeondale/route"
 	"wigeondale/routing"
 )
 
 const (
-	// standbyCost is what keeping a copy costs a replica, against running it.
-	// It takes as much memory, and a part of the work.
-	standbyCost = 0.5
-	// tokensOfOne is the size of an ordinary request in tokens.
-	tokensOfOne = 6000
+	// typicalPrompt and typicalAnswer are the tokens of a request that does not say.
+	typicalPrompt = 5000
+	typicalAnswer = 1000
 	// waitForReplica is how long a request waits before it looks again whether a
 	// replica has come up.
 	waitForReplica = 50 * time.Millisecond
+	// copyShare is the part of an engine's memory up to which copies are kept there:
+	// the rest is for runs. A copy only spares reading, a run that finds no memory
+	// is put off.
+	copyShare = 0.6
+	// unreadByCopy is the part of a prompt that is read again after a run goes on from
+	// its copy: what had not arrived there.
+	unreadByCopy = 0.05
 )
 
 // picker chooses replicas and standbys.
 type picker struct {
+	table   *route.Current
 	dir     *directory.Directory
 	mon     *health.Monitor
-	work    *routing.Router
+	plain   *routing.Router // of plain services
+	work    *routing.Router // of engines
 	standby *routing.Router
 	holders *holders.Finder
 	domain  string
 	log     *event.Log
 }
 
-func newPicker(dir *directory.Directory, mon *health.Monitor, find *holders.Finder, domain string, log *event.Log) (*picker, error) {
-	work, err := newRouter(workSteps)
-	if err != nil {
-		return nil, err
-	}
-	standby, err := newRouter(standbySteps)
-	if err != nil {
-		return nil, err
+func newPicker(table *route.Current, dir *directory.Directory, mon *health.Monitor, find *holders.Finder, domain string, log *event.Log) (*picker, error) {
+	p := &picker{table: table, dir: dir, mon: mon, holders: find, domain: domain, log: log}
+	for _, r := range []struct {
+		to    **routing.Router
+		steps []routing.StepConfig
+	}{{&p.plain, plainSteps}, {&p.work, workSteps}, {&p.standby, standbySteps}} {
+		router, err := newRouter(r.steps)
+		if err != nil {
+			return nil, err
+		}
+		*r.to = router
 	}
-	return &picker{dir: dir, mon: mon, work: work, standby: standby, holders: find, domain: domain, log: log}, nil
+	return p, nil
 }
 
-// workSteps choose where an attempt runs, standbySteps where its copy is kept. A
-// copy is never the probe of a replica under suspicion: one that isn't made is
-// noticed only when it is needed.
+// plainSteps choose the replica of a plain service, workSteps the engine on which an
+// attempt runs, standbySteps the one where its copy is kept. A copy is never the probe of
+// a replica under suspicion: one that isn't made is noticed only when it is needed.
 var (
-	workSteps = []routing.StepConfig{
+	plainSteps = []routing.StepConfig{
 		{Name: routing.FilterServes},
 		{Name: routing.FilterLeaving},
 		{Name: routing.FilterExclude},
@@ -63,13 +74,26 @@
 		{Name: routing.ScoreDomain, Weight: 0.02},
 		{Name: routing.PickBest},
 	}
+	workSteps = []routing.StepConfig{
+		{Name: routing.FilterServes},
+		{Name: routing.FilterLeaving},
+		{Name: routing.FilterExclude},
+		{Name: routing.FilterOtherDomain},
+		{Name: routing.FilterUsable},
+		{Name: routing.FilterRoom},
+		{Name: routing.ScoreDelay, Weight: 1},
+		{Name: routing.ScoreDue, Weight: 0.3},
+		{Name: routing.ScoreDomain, Weight: 0.02},
+		{Name: routing.PickBest},
+	}
 	standbySteps = []routing.StepConfig{
 		{Name: routing.FilterServes},
 		{Name: routing.FilterLeaving},
 		{Name: routing.FilterExclude},
 		{Name: routing.FilterOtherDomain},
 		{Name: routing.FilterHealthy},
-		{Name: routing.ScoreLoad, Weight: 1},
+		{Name: routing.FilterRoom},
+		{Name: routing.ScoreMemory, Weight: 1},
 		{Name: routing.ScoreDue, Weight: 0.3},
 		{Name: routing.PickBest},
 	}
@@ -80,26 +104,34 @@
 
 // Pick implements generation.Picker. Whether a replica is leaving is looked up
 // once more at the moment of sending.
-func (p *picker) Pick(ctx context.Context, a generation.Ask) (fleet.Backend, func(), error) {
-	if b, done, ok := p.preferred(a); ok {
-		return b, done, nil
+func (p *picker) Pick(ctx context.Context, a generation.Ask) (fleet.Backend, generation.Share, error) {
+	if b, share, ok := p.preferred(a); ok {
+		return b, share, nil
 	}
-	if b, done, ok := p.holder(ctx, a); ok {
-		return b, done, nil
+	if b, share, ok := p.holder(ctx, a); ok {
+		return b, share, nil
 	}
 	ask := p.ask(a)
 	ask.OtherDomain = a.LostDomain
-	chooser := placement.Chooser{Dir: p.dir, Mon: p.mon, Wait: waitForReplica}
-	b, done, err := chooser.Pick(p.work, p.dir.Service(a.Service), ask, cost(a.Size))
+	b, share, err := p.choose(a, ask)
 	if err == nil || ask.OtherDomain == "" {
-		return b, done, err
+		return b, share, err
 	}
 	ask.OtherDomain = "" // better there than nowhere
-	return chooser.Pick(p.work, p.dir.Service(a.Service), ask, cost(a.Size))
+	return p.choose(a, ask)
+}
+
+func (p *picker) choose(a generation.Ask, ask routing.Ask) (fleet.Backend, generation.Share, error) {
+	router, load := p.plain, directory.Load{Requests: 1}
+	if ask.Capacity > 0 {
+		router, load = p.work, loadOf(a, 0)
+	}
+	chooser := placement.Chooser{Dir: p.dir, Mon: p.mon, Wait: waitForReplica}
+	return chooser.Pick(router, p.dir.Service(a.Service), ask, load)
 }
 
 // preferred is the replica that holds a copy of the run, if it takes work.
-func (p *picker) preferred(a generation.Ask) (fleet.Backend, func(), bool) {
+func (p *picker) preferred(a generation.Ask) (fleet.Backend, generation.Share, bool) {
 	if a.Prefer == "" || a.Exclude[a.Prefer] || p.dir.Leaving(a.Prefer) {
 		return fleet.Backend{}, nil, false
 	}
@@ -107,11 +139,12 @@
 	if !ok || p.mon.State(a.Prefer) != health.Healthy {
 		return fleet.Backend{}, nil, false
 	}
-	return b, p.dir.Start(b.ID, cost(a.Size)), true
+	prompt, _ := tokensOf(a)
+	return b, p.dir.Begin(b.ID, loadOf(a, int((1-unreadByCopy)*float64(prompt)))), true
 }
 
 // holder is the replica that still holds the prompt of a client that came back.
-func (p *picker) holder(ctx context.Context, a generation.Ask) (fleet.Backend, func(), bool) {
+func (p *picker) holder(ctx context.Context, a generation.Ask) (fleet.Backend, generation.Share, bool) {
 	if len(a.Parts) == 0 {
 		return fleet.Backend{}, nil, false
 	}
@@ -130,7 +163,7 @@
 	if !ok {
 		return fleet.Backend{}, nil, false
 	}
-	return b, p.dir.Start(id, cost(a.Size)), true
+	return b, p.dir.Begin(id, loadOf(a, tokens)), true
 }
 
 // Keeps implements generation.Picker.
@@ -138,20 +171,21 @@
 
 // Standby implements generation.Picker: a replica of another failure domain
 // than b, so that the loss of one domain doesn't take the run and its copy.
-func (p *picker) Standby(a generation.Ask, b fleet.Backend) (fleet.Backend, func(), bool) {
+func (p *picker) Standby(a generation.Ask, b fleet.Backend) (fleet.Backend, generation.Share, bool) {
 	ask := p.ask(a)
 	ask.Now = time.Now()
 	ask.Exclude = placement.With(a.Exclude, b.ID)
 	ask.OtherDomain = b.FailureDomain
+	ask.Capacity = int(copyShare * float64(ask.Capacity))
 	c, _, err := p.standby.Pick(p.dir.Service(a.Service), ask)
 	if err != nil {
 		return fleet.Backend{}, nil, false
 	}
-	return c.Backend, p.dir.Start(c.Backend.ID, standbyCost*cost(a.Size)), true
+	return c.Backend, p.dir.Begin(c.Backend.ID, directory.Load{Held: float64(ask.Holds)}), true
 }
 
 func (p *picker) ask(a generation.Ask) routing.Ask {
-	return routing.Ask{
+	ask := routing.Ask{
 		Priority:      a.Priority,
 		Exclude:       a.Exclude,
 		FailureDomain: p.domain,
@@ -160,14 +194,30 @@
 		Usable:        p.mon.Usable,
 		Healthy:       p.healthy,
 	}
+	if t := p.table.Get(); t != nil {
+		ask.Capacity = t.Service(a.Service).Memory
+	}
+	prompt, answer := tokensOf(a)
+	ask.Tokens, ask.Holds = prompt, prompt+answer
+	return ask
 }
 
 func (p *picker) healthy(id string) bool { return p.mon.State(id) == health.Healthy }
 
-// cost is the load of a request in units of an ordinary one.
-func cost(tokens int) float64 {
-	if tokens <= 0 {
-		return 1
+// tokensOf returns the tokens of a request's prompt and answer.
+func tokensOf(a generation.Ask) (prompt, answer int) {
+	if a.Size <= 0 {
+		return typicalPrompt, typicalAnswer
+	}
+	return a.Size, a.Answer
+}
+
+// loadOf is what a run takes of an engine that holds some tokens of its prompt.
+func loadOf(a generation.Ask, held int) directory.Load {
+	prompt, answer := tokensOf(a)
+	return directory.Load{
+		Requests: 1,
+		Reading:  float64(max(prompt-held, 1)),
+		Held:     float64(prompt + answer),
 	}
-	return float64(tokens) / tokensOfOne
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,9 +31,9 @@
 	Wait time.Duration
 }
 
-// Pick chooses by router and counts the attempt, with its cost, until done is
-// called. Without a choice the error is a *generation.Unavailable.
-func (c Chooser) Pick(router *routing.Router, candidates []routing.Candidate, ask routing.Ask, cost float64) (b fleet.Backend, done func(), err error) {
+// Pick chooses by router and counts the attempt, with its load, until its share
+// ends. Without a choice the error is a *generation.Unavailable.
+func (c Chooser) Pick(router *routing.Router, candidates []routing.Candidate, ask routing.Ask, load directory.Load) (b fleet.Backend, s generation.Share, err error) {
 	for range tries {
 		ask.Now = time.Now()
 		chosen, _, err := router.Pick(candidates, ask)
@@ -42,7 +42,7 @@
 		}
 		id := chosen.Backend.ID
 		if !c.Dir.Leaving(id) && c.Mon.Allow(id) {
-			return chosen.Backend, c.Dir.Start(id, cost), nil
+			return chosen.Backend, c.Dir.Begin(id, load), nil
 		}
 		ask.Exclude = With(ask.Exclude, id)
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -78,9 +78,13 @@
 	FailureDomain string // of this router
 	OtherDomain   string // FilterOtherDomain keeps to domains other than this one; empty for any
 	PromptBytes   int
-	Resume        bool
-	Request       uint64 // hash of the request id, spreads resumes
-	Now           time.Time
+	// Tokens of the prompt that are to be read, and Holds how many the run takes in
+	// memory at its end. Capacity is how many an engine of the service holds; 0 when
+	// that isn't known.
+	Tokens, Holds, Capacity int
+	Resume                  bool
+	Request                 uint64 // hash of the request id, spreads resumes
+	Now                     time.Time
 	// FleetKnown tells that the directory has heard from the fleet: then an
 	// empty snapshot means that nobody serves Ref, and not that we just started.
 	FleetKnown bool
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -27,6 +27,7 @@
 	FilterExclude: each{FilterExclude, notExcluded},
 	FilterRole:    each{FilterRole, takesPrompts},
 
+	FilterRoom:        each{FilterRoom, hasRoom},
 	FilterOtherDomain: each{FilterOtherDomain, otherDomain},
 	FilterHealthy:     each{FilterHealthy, knownHealthy},
 }
@@ -38,6 +39,8 @@
 	ScoreRendezvous: {scorer: rendezvousScorer{}, affinity: true},
 	ScoreDomain:     {scorer: domainScorer{}},
 	ScoreDue:        {scorer: dueScorer{}},
+	ScoreDelay:      {scorer: delayScorer{}},
+	ScoreMemory:     {scorer: memoryScorer{}},
 	ScoreSpread:     {scorer: spreadScorer{}, affinity: true},
 	ScorePlaces:     {scorer: placesScorer{}, affinity: true},
 }
