--- /dev/null
+++ b/admission/line.go
@@ -0,0 +1,133 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+// A Line orders the requests that wait at this router for an engine to have a place.
+//
+// The load that it answers: more prompts arrive than engines read, for some seconds,
+// or engines crash and all their runs look for others at once. Without an order each
+// request tries by itself, at random: the one that has waited longest has no better
+// chance than the one that has just come, what waits is not counted, and all of them
+// rush to the first engine that is back (38 of them in 35 ms, of which the last had
+// its first piece after 40 s). In a line the number ahead says how long the wait is
+// going to be, so that what can't be served in time is told so at once.
+//
+// It makes decisions only: callers pass the time in, ask for their turn now and then,
+// and are dropped from the line when they stop asking.
+type Line struct {
+	mu      sync.Mutex
+	waiters map[string]*lineEntry
+	arrived uint64
+	pace    time.Duration // between two places that were had while others waited; 0 while unknown
+	lastHad time.Time     // when the last place was had
+}
+
+// Rank orders the line; a lower one goes first, whenever it came.
+type Rank uint8
+
+const (
+	// RankStarted is for answers that have begun: they hold work already done.
+	RankStarted Rank = iota
+	// RankNew is for all others.
+	RankNew
+)
+
+type lineEntry struct {
+	rank  Rank
+	order uint64
+	since time.Time
+	asked time.Time
+	asks  int
+}
+
+// Turn is where a request stands in the line.
+type Turn struct {
+	Ahead  int           // how many go before it
+	Waited time.Duration // since it came
+}
+
+const (
+	// forgotten is when a lineEntry that asks no more is dropped. They ask about each
+	// 50 ms; a process that stood still for longer would only lose its order.
+	forgotten = 400 * time.Millisecond
+	// paceWeight is the weight of the latest interval in the pace.
+	paceWeight = 0.2
+	// paceLife is the age from which a pace says nothing: the burst is another one.
+	paceLife = 5 * time.Second
+)
+
+// NewLine returns an empty line.
+func NewLine() *Line { return &Line{waiters: map[string]*lineEntry{}} }
+
+// Wait has a request stand in the line, or tells that it still does.
+func (l *Line) Wait(id string, rank Rank, now time.Time) Turn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.waiters[id]
+	if w == nil {
+		l.arrived++
+		w = &lineEntry{order: l.arrived, since: now}
+		l.waiters[id] = w
+	}
+	w.rank, w.asked = rank, now
+	w.asks++
+	return Turn{Ahead: l.before(w, now), Waited: now.Sub(w.since)}
+}
+
+// Had tells that a request has got its place. The pace is learnt from those that did
+// not get it when they came.
+func (l *Line) Had(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.waiters[id]
+	delete(l.waiters, id)
+	if w == nil || w.asks < 2 {
+		return
+	}
+	since := now.Sub(l.lastHad)
+	switch {
+	case l.lastHad.IsZero() || since > paceLife:
+		l.pace = 0
+	case l.pace == 0:
+		l.pace = since
+	default:
+		l.pace += time.Duration(paceWeight * float64(since-l.pace))
+	}
+	l.lastHad = now
+}
+
+// Leave takes a request out that is refused or gone.
+func (l *Line) Leave(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiters, id)
+}
+
+// Expect is how long a request with so many before it is going to wait; false while
+// that isn't known. While nobody gets a place the expectation grows with the time that
+// has passed.
+func (l *Line) Expect(ahead int, now time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pace == 0 || now.Sub(l.lastHad) > paceLife {
+		return 0, false
+	}
+	return time.Duration(ahead) * max(l.pace, now.Sub(l.lastHad)/2), true
+}
+
+func (l *Line) before(w *lineEntry, now time.Time) int {
+	n := 0
+	for id, o := range l.waiters {
+		if now.Sub(o.asked) > forgotten {
+			delete(l.waiters, id)
+			continue
+		}
+		if o.rank < w.rank || (o.rank == w.rank && o.order < w.order) {
+			n++
+		}
+	}
+	return n
+}
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -77,6 +77,22 @@
 	return out
 }
 
+// AddPeerLoads changes what other routers have under way, until SetPeerLoads sums it up.
+func (d *Directory) AddPeerLoads(change PeerLoads) {
+	d.loads.mu.Lock()
+	defer d.loads.mu.Unlock()
+	if d.loads.told == nil {
+		return
+	}
+	byID := d.table.Load().byID
+	for id, l := range change {
+		if r := byID[id]; r != nil {
+			r.peers.add(l)
+			d.loads.told[id] = d.loads.told[id].Plus(l)
+		}
+	}
+}
+
 // SetPeerLoads replaces what other routers have under way, summed over them. Nil
 // means that they don't tell: then reports count again.
 func (d *Directory) SetPeerLoads(sum PeerLoads) {
--- a/directory/share.go
+++ b/directory/share.go
@@ -15,7 +15,8 @@
 	return Load{l.Requests + o.Requests, l.Reading + o.Reading, l.Running + o.Running, l.Held + o.Held}
 }
 
-func (l Load) minus(o Load) Load {
+// Minus is their difference.
+func (l Load) Minus(o Load) Load {
 	return Load{l.Requests - o.Requests, l.Reading - o.Reading, l.Running - o.Running, l.Held - o.Held}
 }
 
@@ -46,6 +47,14 @@
 	return d.Begin(id, Load{Requests: cost}).End
 }
 
+// Reading is how many tokens of prompts are yet to be read at a backend server.
+func (d *Directory) Reading(id string) float64 {
+	if r := d.table.Load().byID[id]; r != nil {
+		return r.Reading()
+	}
+	return 0
+}
+
 // Begun tells that the request's prompt has been read: it makes tokens from now on.
 func (s *Share) Begun() {
 	s.mu.Lock()
@@ -66,5 +75,5 @@
 		return
 	}
 	s.ended = true
-	s.record.count(Load{}.minus(s.load))
+	s.record.count(Load{}.Minus(s.load))
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -128,6 +128,8 @@
 	ReplicasKnown
 	ReplicaAdopted
 	ReplicaWordOutdated
+	RequestWaits
+	RequestOverload
 )
 
 // Events of the platform's store (20xx).
@@ -212,6 +214,8 @@
 	{ReplicasKnown, "replicas-known", Info, "Many replicas became known at once, as at a start; each gets work from now on. The state dump lists them."},
 	{ReplicaAdopted, "replica-adopted", Info, "While the store is away a replica was found at the address of one that crashed, and gets work until the store is back and says otherwise. Nothing to do."},
 	{ReplicaWordOutdated, "replica-word-outdated", Info, "A word about a replica names a start that a later one has followed, and is left alone. Nothing to do."},
+	{RequestWaits, "request-waits", Info, "All engines of the service have as much work as they can take, or others wait already; the request waits at this router for its turn. Nothing to do; if it goes on, the service needs more engines."},
+	{RequestOverload, "request-overload", Warning, "A request was refused since its turn would come too late for it; its client was told when to come back. If it goes on, the service needs more engines."},
 	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
 	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
 	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -108,6 +108,7 @@
 	Returned    bool          // the client has a part of the answer from another router
 	MaxAttempts int           // backend servers that it may run on
 	Patience    time.Duration // longest wait for a backend server
+	Target      time.Duration // from the begin, when the first piece is late
 	Copies      Copying       // standby copies of the run
 }
 
@@ -197,6 +198,8 @@
 	Service string // of an opaque request, instead of Ref
 	Size    int    // estimated tokens of its prompt, 0 when not stated
 	Answer  int    // most tokens of its answer
+	// Target is when the first piece is late, from the request's begin; 0 for never.
+	Target time.Duration
 	// Parts are those of the prompt of a client that came back with a part of its
 	// answer: some backend server may still hold them.
 	Parts  []string
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -134,7 +134,7 @@
 		Exclude: x.exclude, Resume: x.started(), Prefer: x.lostCopy.at,
 	}
 	if o := x.req.Opaque; o != nil {
-		a.Service, a.Size, a.Answer = o.Service, o.Size, o.Answer
+		a.Service, a.Size, a.Answer, a.Target = o.Service, o.Size, o.Answer, o.Target
 		if o.Returned && x.sent == 0 {
 			a.Parts = o.Parts
 		}
--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -14,6 +14,10 @@
 	// tellEvery bounds how late other routers learn what this one sent where. A
 	// prompt is read in about a second.
 	tellEvery = 40 * time.Millisecond
+	// tellSoonAfter is how late they learn of a prompt that was sent or read. Where
+	// engines are full, each router that doesn't know yet sends one more to the engine
+	// that has just become free.
+	tellSoonAfter = 2 * time.Millisecond
 	// tellAll repeats everything, since messages may be lost.
 	tellAll = 2 * time.Second
 	// loadsLife is how long a router's word counts when it falls silent.
@@ -36,12 +40,18 @@
 func (p *peers) tell(ctx context.Context, mesh *peer.Mesh) {
 	tick := time.NewTicker(tellEvery)
 	defer tick.Stop()
+	soon := time.NewTimer(time.Hour)
+	defer soon.Stop()
 	var last directory.PeerLoads
 	var all time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-p.soon:
+			soon.Reset(tellSoonAfter)
+			continue
+		case <-soon.C:
 		case <-tick.C:
 		}
 		now := time.Now()
@@ -58,6 +68,14 @@
 	}
 }
 
+// tellSoon has the neighbours told at once, not with the next tick.
+func (p *peers) tellSoon() {
+	select {
+	case p.soon <- struct{}{}:
+	default:
+	}
+}
+
 // changes returns the entries of now that differ, with 0 for those that ended.
 func changes(before, now directory.PeerLoads) directory.PeerLoads {
 	out := directory.PeerLoads{}
@@ -81,6 +99,11 @@
 	if t.loads == nil {
 		t.loads = directory.PeerLoads{}
 	}
+	change := directory.PeerLoads{}
+	for id, v := range m.Loads {
+		change[id] = v.Minus(t.loads[id])
+	}
+	p.dir.AddPeerLoads(change)
 	for id, v := range m.Loads {
 		if v == (directory.Load{}) {
 			delete(t.loads, id)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -53,6 +53,7 @@
 	moved bool              // addrs has more than the mesh was told
 	mesh  *peer.Mesh
 	loads map[string]toldLoads // by router
+	soon  chan struct{}        // neighbours are to be told at once
 	found chan struct{}        // closed when the key is known
 }
 
@@ -69,7 +70,7 @@
 func newPeers(set *settings.Settings, store *platform.Store, dir *directory.Directory, mon *health.Monitor, n *news, log *event.Log) *peers {
 	p := &peers{
 		set: set, reg: &registration{set: set, store: store, log: log}, dir: dir, mon: mon, news: n, log: log,
-		addrs: map[string]string{}, loads: map[string]toldLoads{}, found: make(chan struct{}),
+		addrs: map[string]string{}, loads: map[string]toldLoads{}, soon: make(chan struct{}, 1), found: make(chan struct{}),
 	}
 	mon.OnDomain = p.crashed
 	dir.OnLeaving = p.leaving
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -42,10 +42,12 @@
 	holders *holders.Finder
 	domain  string
 	log     *event.Log
+	queues  queues
+	told    func() // has other routers told soon of a change
 }
 
 func newPicker(table *route.Current, dir *directory.Directory, mon *health.Monitor, find *holders.Finder, domain string, log *event.Log) (*picker, error) {
-	p := &picker{table: table, dir: dir, mon: mon, holders: find, domain: domain, log: log}
+	p := &picker{table: table, dir: dir, mon: mon, holders: find, domain: domain, log: log, told: func() {}}
 	for _, r := range []struct {
 		to    **routing.Router
 		steps []routing.StepConfig
@@ -81,6 +83,7 @@
 		{Name: routing.FilterOtherDomain},
 		{Name: routing.FilterUsable},
 		{Name: routing.FilterRoom},
+		{Name: routing.FilterBacklog},
 		{Name: routing.ScoreDelay, Weight: 1},
 		{Name: routing.ScoreDue, Weight: 0.3},
 		{Name: routing.ScoreDomain, Weight: 0.02},
@@ -111,22 +114,22 @@
 	if b, share, ok := p.holder(ctx, a); ok {
 		return b, share, nil
 	}
+	if p.capacity(a.Service) > 0 {
+		return p.engine(a)
+	}
+	return p.choose(p.plain, a, directory.Load{Requests: 1})
+}
+
+// choose looks in other failure domains first than that of the attempt that was lost.
+func (p *picker) choose(router *routing.Router, a generation.Ask, load directory.Load) (fleet.Backend, generation.Share, error) {
 	ask := p.ask(a)
 	ask.OtherDomain = a.LostDomain
-	b, share, err := p.choose(a, ask)
+	chooser := placement.Chooser{Dir: p.dir, Mon: p.mon, Wait: waitForReplica}
+	b, share, err := chooser.Pick(router, p.dir.Service(a.Service), ask, load)
 	if err == nil || ask.OtherDomain == "" {
 		return b, share, err
 	}
 	ask.OtherDomain = "" // better there than nowhere
-	return p.choose(a, ask)
-}
-
-func (p *picker) choose(a generation.Ask, ask routing.Ask) (fleet.Backend, generation.Share, error) {
-	router, load := p.plain, directory.Load{Requests: 1}
-	if ask.Capacity > 0 {
-		router, load = p.work, loadOf(a, 0)
-	}
-	chooser := placement.Chooser{Dir: p.dir, Mon: p.mon, Wait: waitForReplica}
 	return chooser.Pick(router, p.dir.Service(a.Service), ask, load)
 }
 
@@ -194,14 +197,21 @@
 		Usable:        p.mon.Usable,
 		Healthy:       p.healthy,
 	}
-	if t := p.table.Get(); t != nil {
-		ask.Capacity = t.Service(a.Service).Memory
-	}
+	ask.Capacity = p.capacity(a.Service)
+	ask.Backlog = p.queues.of(a.Service).backlog(a)
 	prompt, answer := tokensOf(a)
 	ask.Tokens, ask.Holds = prompt, prompt+answer
 	return ask
 }
 
+// capacity is how many tokens an engine of the service holds, 0 for a plain service.
+func (p *picker) capacity(service string) int {
+	if t := p.table.Get(); t != nil {
+		return t.Service(service).Memory
+	}
+	return 0
+}
+
 func (p *picker) healthy(id string) bool { return p.mon.State(id) == health.Healthy }
 
 // tokensOf returns the tokens of a request's prompt and answer.
--- /dev/null
+++ b/hosted/queue.go
@@ -0,0 +1,140 @@
+package hosted
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"wigeondale/admission"
+	"wigeondale/directory"
+	"wigeondale/event"
+	"wigeondale/fleet"
+	"wigeondale/generation"
+)
+
+// Requests wait at the router for an engine that can take them: there they can still go
+// to whichever is free first, and be told at once when their turn would come too late.
+const (
+	// readingShare is the part of the time to a late first piece within which an engine
+	// is to have read what it was sent. The rest is for the wait at the router, where
+	// a request can still go to another engine.
+	readingShare = 0.5
+	// turnEvery is how often the first in the line looks for an engine; those behind
+	// it look less often, by their place.
+	turnEvery = 10 * time.Millisecond
+	// turnPlaces bounds that.
+	turnPlaces = 8
+	// adviceSpread spreads the return of those that are refused together.
+	adviceSpread = 0.5
+	// codeOverloaded is the code of a refusal because the wait would be too long.
+	codeOverloaded = "overloaded"
+)
+
+// queue is what waits for the engines of one service, and what was learnt of them.
+type queue struct {
+	line    *admission.Line
+	reading admission.Reading
+}
+
+// queues hold one queue for each service.
+type queues struct {
+	mu        sync.Mutex
+	byService map[string]*queue
+}
+
+func (q *queues) of(service string) *queue {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	one := q.byService[service]
+	if one == nil {
+		one = &queue{line: admission.NewLine()}
+		if q.byService == nil {
+			q.byService = map[string]*queue{}
+		}
+		q.byService[service] = one
+	}
+	return one
+}
+
+// backlog bounds the tokens that an engine is to have yet to read.
+func (q *queue) backlog(a generation.Ask) float64 {
+	return q.reading.Within(time.Duration(readingShare * float64(a.Target)))
+}
+
+// engine chooses an engine for a run whose turn it is, or says when to ask again.
+func (p *picker) engine(a generation.Ask) (fleet.Backend, generation.Share, error) {
+	q := p.queues.of(a.Service)
+	rank := admission.RankNew
+	if a.Resume {
+		rank = admission.RankStarted
+	}
+	now := time.Now()
+	turn := q.line.Wait(a.Request, rank, now)
+	if turn.Ahead > 0 {
+		return fleet.Backend{}, nil, p.wait(q, a, turn, now)
+	}
+	b, share, err := p.choose(p.work, a, loadOf(a, 0))
+	if err == nil {
+		q.line.Had(a.Request, now)
+		return b, p.timed(q, b.ID, share), nil
+	}
+	if u, ok := errors.AsType[*generation.Unavailable](err); !ok || !u.Retryable {
+		q.line.Leave(a.Request)
+		return fleet.Backend{}, nil, err
+	}
+	return fleet.Backend{}, nil, p.wait(q, a, turn, now)
+}
+
+// wait says when a request is to ask again, or refuses it if its turn would come too
+// late for its first piece. An answer that has begun is never refused here.
+func (p *picker) wait(q *queue, a generation.Ask, turn admission.Turn, now time.Time) error {
+	expect, known := q.line.Expect(turn.Ahead+1, now)
+	latest := time.Duration((1 - readingShare) * float64(a.Target))
+	if !a.Resume && known && a.Target > 0 && turn.Waited+expect > latest {
+		q.line.Leave(a.Request)
+		advice := expect + time.Duration(adviceSpread*rand.Float64()*float64(expect))
+		p.log.Emit(event.RequestOverload, "request", a.Request, "service", a.Service, "ahead", turn.Ahead,
+			"waited_ms", turn.Waited.Milliseconds(), "expect_ms", expect.Milliseconds(), "advice_ms", advice.Milliseconds())
+		return &generation.Unavailable{Code: codeOverloaded, RetryAfter: advice, Err: errOverloaded}
+	}
+	if turn.Waited == 0 {
+		p.log.Emit(event.RequestWaits, "request", a.Request, "service", a.Service, "ahead", turn.Ahead,
+			"expect_ms", expect.Milliseconds(), "backlog_tokens", int(q.backlog(a)))
+	}
+	next := turnEvery * time.Duration(1+min(turn.Ahead, turnPlaces))
+	return &generation.Unavailable{Retryable: true, RetryAfter: next, Err: errOverloaded}
+}
+
+var errOverloaded = Error.New("all engines have as much work as they can take")
+
+// timedShare learns from the time to the first piece how fast prompts are read.
+type timedShare struct {
+	*directory.Share
+	queue  *queue
+	tokens float64 // that were to be read when it began, its own among them
+	began  time.Time
+	told   func()
+}
+
+func (p *picker) timed(q *queue, id string, s generation.Share) generation.Share {
+	share, ok := s.(*directory.Share)
+	if !ok {
+		return s
+	}
+	p.told()
+	return &timedShare{Share: share, queue: q, tokens: p.dir.Reading(id), began: time.Now(), told: p.told}
+}
+
+// Begun implements generation.Share.
+func (t *timedShare) Begun() {
+	t.Share.Begun()
+	t.queue.reading.Observe(t.tokens, time.Since(t.began))
+	t.told()
+}
+
+// End implements generation.Share.
+func (t *timedShare) End() {
+	t.Share.End()
+	t.told()
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -203,6 +203,7 @@
 			Returned:    j.req.Returned,
 			MaxAttempts: max(j.route.MaxAttempts, 1),
 			Patience:    j.patience(),
+			Target:      j.route.Target,
 			Copies:      j.copying(),
 		},
 	}
--- a/routing/delay.go
+++ b/routing/delay.go
@@ -4,6 +4,8 @@
 const (
 	// FilterRoom keeps to engines that have memory for the run to its end.
 	FilterRoom = "room"
+	// FilterBacklog keeps to engines that will soon have read what they were sent.
+	FilterBacklog = "backlog"
 	// ScoreDelay prefers the engine where the prompt causes the least delay.
 	ScoreDelay = "prompt-delay"
 	// ScoreMemory prefers the engine that has most memory free.
@@ -63,6 +65,17 @@
 	}
 }
 
+// shortBacklog tells whether the prompt is read within its time at an engine. An engine
+// that reads no prompt takes one of any length.
+//
+// What goes wrong without it: an engine that has just come back has all its memory
+// free, and every prompt that waits is sent there, to be read one after the other while
+// other engines become free.
+func shortBacklog(c *Candidate, ask *Ask) bool {
+	reading := c.engine().Reading()
+	return ask.Backlog <= 0 || reading == 0 || reading+float64(ask.Tokens) <= ask.Backlog
+}
+
 // memoryScorer rates by free memory.
 type memoryScorer struct{}
 
--- a/routing/errors.go
+++ b/routing/errors.go
@@ -12,7 +12,7 @@
 	AllLeaving  Reason = "all that serve it are leaving"
 	AllDown     Reason = "all that serve it are down"
 	AllExcluded Reason = "all that serve it were tried"
-	AllFull     Reason = "all that serve it have their memory in use"
+	AllFull     Reason = "all that serve it have as much work as they can take"
 	NoneTakes   Reason = "none of those that serve it takes prompts"
 )
 
@@ -46,7 +46,7 @@
 		e.Reason = AllLeaving
 	case FilterUsable:
 		e.Reason = AllDown
-	case FilterRoom:
+	case FilterRoom, FilterBacklog:
 		e.Reason = AllFull
 	case FilterExclude:
 		e.Reason = AllExcluded
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -82,9 +82,12 @@
 	// memory at its end. Capacity is how many an engine of the service holds; 0 when
 	// that isn't known.
 	Tokens, Holds, Capacity int
-	Resume                  bool
-	Request                 uint64 // hash of the request id, spreads resumes
-	Now                     time.Time
+	// Backlog bounds the tokens that are yet to be read at an engine, this prompt's
+	// among them; 0 for no bound.
+	Backlog float64
+	Resume  bool
+	Request uint64 // hash of the request id, spreads resumes
+	Now     time.Time
 	// FleetKnown tells that the directory has heard from the fleet: then an
 	// empty snapshot means that nobody serves Ref, and not that we just started.
 	FleetKnown bool
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -28,6 +28,7 @@
 	FilterRole:    each{FilterRole, takesPrompts},
 
 	FilterRoom:        each{FilterRoom, hasRoom},
+	FilterBacklog:     each{FilterBacklog, shortBacklog},
 	FilterOtherDomain: each{FilterOtherDomain, otherDomain},
 	FilterHealthy:     each{FilterHealthy, knownHealthy},
 }
