--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -22,10 +22,6 @@
 	// waitForReplica is how long a request waits before it looks again whether a
 	// replica has come up.
 	waitForReplica = 50 * time.Millisecond
-	// copyShare is the part of an engine's memory up to which copies are kept there:
-	// the rest is for runs. A copy only spares reading, a run that finds no memory
-	// is put off.
-	copyShare = 0.6
 	// unreadByCopy is the part of a prompt that is read again after a run goes on from
 	// its copy: what had not arrived there.
 	unreadByCopy = 0.05
@@ -143,6 +139,7 @@
 		return fleet.Backend{}, nil, false
 	}
 	prompt, _ := tokensOf(a)
+	p.queues.of(a.Service).losses.Began(true)
 	return b, p.dir.Begin(b.ID, loadOf(a, int((1-unreadByCopy)*float64(prompt)))), true
 }
 
@@ -179,7 +176,7 @@
 	ask.Now = time.Now()
 	ask.Exclude = placement.With(a.Exclude, b.ID)
 	ask.OtherDomain = b.FailureDomain
-	ask.Capacity = int(copyShare * float64(ask.Capacity))
+	ask.Capacity = int(p.queues.of(a.Service).losses.CopyShare() * float64(ask.Capacity))
 	c, _, err := p.standby.Pick(p.dir.Service(a.Service), ask)
 	if err != nil {
 		return fleet.Backend{}, nil, false
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -35,6 +35,7 @@
 type queue struct {
 	line    *admission.Line
 	reading admission.Reading
+	losses  admission.Losses
 }
 
 // queues hold one queue for each service.
@@ -77,6 +78,7 @@
 	b, share, err := p.choose(p.work, a, loadOf(a, 0))
 	if err == nil {
 		q.line.Had(a.Request, now)
+		q.losses.Began(a.Resume)
 		return b, p.timed(q, b.ID, share), nil
 	}
 	if u, ok := errors.AsType[*generation.Unavailable](err); !ok || !u.Retryable {
