--- a/admission/losses.go
+++ b/admission/losses.go
@@ -16,6 +16,10 @@
 	share float64 // of runs that go on after a loss, among all that begin
 }
 
+// NewLosses returns a Losses that expects engines to fail until it saw that they don't:
+// the first crash comes without a warning.
+func NewLosses() *Losses { return &Losses{share: (mostCopies - leastCopies) / copiesPerLoss} }
+
 const (
 	// lossWeight is the weight of the latest run: some thirty make most of the share.
 	lossWeight = 0.03
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -35,7 +35,7 @@
 type queue struct {
 	line    *admission.Line
 	reading admission.Reading
-	losses  admission.Losses
+	losses  *admission.Losses
 }
 
 // queues hold one queue for each service.
@@ -49,7 +49,7 @@
 	defer q.mu.Unlock()
 	one := q.byService[service]
 	if one == nil {
-		one = &queue{line: admission.NewLine()}
+		one = &queue{line: admission.NewLine(), losses: admission.NewLosses()}
 		if q.byService == nil {
 			q.byService = map[string]*queue{}
 		}
