--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -139,7 +139,7 @@
 		return fleet.Backend{}, nil, false
 	}
 	prompt, _ := tokensOf(a)
-	p.queues.of(a.Service).losses.Began(true)
+	p.queues.of(a.Service).losses.Lost(time.Now())
 	return b, p.dir.Begin(b.ID, loadOf(a, int((1-unreadByCopy)*float64(prompt)))), true
 }
 
@@ -176,7 +176,7 @@
 	ask.Now = time.Now()
 	ask.Exclude = placement.With(a.Exclude, b.ID)
 	ask.OtherDomain = b.FailureDomain
-	ask.Capacity = int(p.queues.of(a.Service).losses.CopyShare() * float64(ask.Capacity))
+	ask.Capacity = int(p.queues.of(a.Service).losses.CopyShare(ask.Now) * float64(ask.Capacity))
 	c, _, err := p.standby.Pick(p.dir.Service(a.Service), ask)
 	if err != nil {
 		return fleet.Backend{}, nil, false
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -49,7 +49,7 @@
 	defer q.mu.Unlock()
 	one := q.byService[service]
 	if one == nil {
-		one = &queue{line: admission.NewLine(), losses: admission.NewLosses()}
+		one = &queue{line: admission.NewLine(), losses: admission.NewLosses(time.Now())}
 		if q.byService == nil {
 			q.byService = map[string]*queue{}
 		}
@@ -78,7 +78,9 @@
 	b, share, err := p.choose(p.work, a, loadOf(a, 0))
 	if err == nil {
 		q.line.Had(a.Request, now)
-		q.losses.Began(a.Resume)
+		if a.Resume {
+			q.losses.Lost(now)
+		}
 		return b, p.timed(q, b.ID, share), nil
 	}
 	if u, ok := errors.AsType[*generation.Unavailable](err); !ok || !u.Retryable {
