--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -20,9 +20,6 @@
 	// is to have read what it was sent. The rest is for the wait at the router, where
 	// a request can still go to another engine.
 	readingShare = 0.5
-	// waitingShare is the part of the time to a late first piece that a request may wait
-	// at the router. An engine that reads nothing needs the rest.
-	waitingShare = 0.7
 	// turnEvery is how often the first in the line looks for an engine; those behind
 	// it look less often, by their place.
 	turnEvery = 10 * time.Millisecond
@@ -97,7 +94,7 @@
 // late for its first piece. An answer that has begun is never refused here.
 func (p *picker) wait(q *queue, a generation.Ask, turn admission.Turn, now time.Time) error {
 	expect, known := q.line.Expect(turn.Ahead+1, now)
-	latest := time.Duration(waitingShare * float64(a.Target))
+	latest := time.Duration((1 - readingShare) * float64(a.Target))
 	if !a.Resume && known && a.Target > 0 && turn.Waited+expect > latest {
 		q.line.Leave(a.Request)
 		advice := expect + time.Duration(adviceSpread*rand.Float64()*float64(expect))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -175,7 +175,7 @@
 
 // patience is how long a request waits for a backend server to come up. Half
 // of the time until its answer is late: the rest is needed for its work.
-func (j *job) patience() time.Duration { return j.route.Target * 3 / 4 }
+func (j *job) patience() time.Duration { return j.route.Target / 2 }
 
 func (j *job) generation() generation.Request {
 	req := generation.Request{
