--- a/admission/line.go
+++ b/admission/line.go
@@ -20,7 +20,6 @@
 type Line struct {
 	mu      sync.Mutex
 	waiters map[string]*lineEntry
-	arrived uint64
 	pace    time.Duration // between two places that were had while others waited; 0 while unknown
 	lastHad time.Time     // when the last place was had
 }
@@ -37,8 +36,8 @@
 
 type lineEntry struct {
 	rank  Rank
-	order uint64
-	since time.Time
+	came  time.Time // of its client's first try, as far as known
+	since time.Time // it stands here
 	asked time.Time
 	asks  int
 }
@@ -62,19 +61,20 @@
 // NewLine returns an empty line.
 func NewLine() *Line { return &Line{waiters: map[string]*lineEntry{}} }
 
-// Wait has a request stand in the line, or tells that it still does.
-func (l *Line) Wait(id string, rank Rank, now time.Time) Turn {
+// Wait has a request stand in the line, or tells that it still does. age is how long ago
+// its client tried first: one that was told to come back goes before those that came
+// meanwhile.
+func (l *Line) Wait(id string, rank Rank, age time.Duration, now time.Time) Turn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	w := l.waiters[id]
 	if w == nil {
-		l.arrived++
-		w = &lineEntry{order: l.arrived, since: now}
+		w = &lineEntry{came: now.Add(-age), since: now}
 		l.waiters[id] = w
 	}
 	w.rank, w.asked = rank, now
 	w.asks++
-	return Turn{Ahead: l.before(w, now), Waited: now.Sub(w.since)}
+	return Turn{Ahead: l.before(id, w, now), Waited: now.Sub(w.since)}
 }
 
 // Had tells that a request has got its place. The pace is learnt from those that did
@@ -118,14 +118,23 @@
 	return time.Duration(ahead) * max(l.pace, now.Sub(l.lastHad)/2), true
 }
 
-func (l *Line) before(w *lineEntry, now time.Time) int {
+// goesBefore orders the line.
+func (e *lineEntry) goesBefore(other *lineEntry) bool {
+	if e.rank != other.rank {
+		return e.rank < other.rank
+	}
+	return e.came.Before(other.came)
+}
+
+// before counts those that go before w, and drops those that ask no more.
+func (l *Line) before(own string, w *lineEntry, now time.Time) int {
 	n := 0
 	for id, o := range l.waiters {
 		if now.Sub(o.asked) > forgotten {
 			delete(l.waiters, id)
 			continue
 		}
-		if o.rank < w.rank || (o.rank == w.rank && o.order < w.order) {
+		if id != own && o.goesBefore(w) {
 			n++
 		}
 	}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -109,6 +109,7 @@
 	MaxAttempts int           // backend servers that it may run on
 	Patience    time.Duration // longest wait for a backend server
 	Target      time.Duration // from the begin, when the first piece is late
+	Age         time.Duration // since the client's first try, as far as known
 	Copies      Copying       // standby copies of the run
 }
 
@@ -200,6 +201,8 @@
 	Answer  int    // most tokens of its answer
 	// Target is when the first piece is late, from the request's begin; 0 for never.
 	Target time.Duration
+	// Age is how long ago the client of an opaque request tried first, as far as known.
+	Age time.Duration
 	// Parts are those of the prompt of a client that came back with a part of its
 	// answer: some backend server may still hold them.
 	Parts  []string
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -134,7 +134,8 @@
 		Exclude: x.exclude, Resume: x.started(), Prefer: x.lostCopy.at,
 	}
 	if o := x.req.Opaque; o != nil {
-		a.Service, a.Size, a.Answer, a.Target = o.Service, o.Size, o.Answer, o.Target
+		a.Service, a.Size, a.Answer = o.Service, o.Size, o.Answer
+		a.Target, a.Age = o.Target, o.Age
 		if o.Returned && x.sent == 0 {
 			a.Parts = o.Parts
 		}
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -71,7 +71,7 @@
 		rank = admission.RankStarted
 	}
 	now := time.Now()
-	turn := q.line.Wait(a.Request, rank, now)
+	turn := q.line.Wait(a.Request, rank, a.Age, now)
 	if turn.Ahead > 0 {
 		return fleet.Backend{}, nil, p.wait(q, a, turn, now)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -173,6 +173,16 @@
 	return min(req.Budget, rt.Timeout)
 }
 
+// age is how long ago the client tried first, as far as what is left of its time tells:
+// clients wait for about as long as the route allows. It orders requests that wait, and
+// decides nothing else, since a client may wait for less from the begin.
+func (j *job) age() time.Duration {
+	if j.req.Budget <= 0 || j.route.Timeout <= 0 {
+		return 0
+	}
+	return max(j.route.Timeout-j.req.Budget, 0)
+}
+
 // patience is how long a request waits for a backend server to come up. Half
 // of the time until its answer is late: the rest is needed for its work.
 func (j *job) patience() time.Duration { return j.route.Target / 2 }
@@ -204,6 +214,7 @@
 			MaxAttempts: max(j.route.MaxAttempts, 1),
 			Patience:    j.patience(),
 			Target:      j.route.Target,
+			Age:         j.age(),
 			Copies:      j.copying(),
 		},
 	}
