--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -68,7 +68,6 @@
 		{Name: routing.FilterOtherDomain},
 		{Name: routing.FilterUsable},
 		{Name: routing.ScoreLoad, Weight: 1},
-		{Name: routing.ScoreDue, Weight: 0.3},
 		{Name: routing.ScoreDomain, Weight: 0.02},
 		{Name: routing.PickBest},
 	}
@@ -81,7 +80,6 @@
 		{Name: routing.FilterRoom},
 		{Name: routing.FilterBacklog},
 		{Name: routing.ScoreDelay, Weight: 1},
-		{Name: routing.ScoreDue, Weight: 0.3},
 		{Name: routing.ScoreDomain, Weight: 0.02},
 		{Name: routing.PickBest},
 	}
@@ -93,7 +91,6 @@
 		{Name: routing.FilterHealthy},
 		{Name: routing.FilterRoom},
 		{Name: routing.ScoreMemory, Weight: 1},
-		{Name: routing.ScoreDue, Weight: 0.3},
 		{Name: routing.PickBest},
 	}
 )
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -39,7 +39,6 @@
 	ScorePrefix:     {scorer: prefixScorer{}, affinity: true},
 	ScoreRendezvous: {scorer: rendezvousScorer{}, affinity: true},
 	ScoreDomain:     {scorer: domainScorer{}},
-	ScoreDue:        {scorer: dueScorer{}},
 	ScoreDelay:      {scorer: delayScorer{}},
 	ScoreMemory:     {scorer: memoryScorer{}},
 	ScoreSpread:     {scorer: spreadScorer{}, affinity: true},
