--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -74,6 +74,13 @@
 
 type emptyCmd struct{}
 
+// explainCmd sorts the requests of routers' logs by cause.
+type explainCmd struct {
+	Log   string        `arg:"positional" default:"-" help:"file with the routers' logs, - for standard input"`
+	First time.Duration `arg:"--first" default:"4.5s" help:"when a first piece, or a whole answer, is late"`
+	Pause time.Duration `arg:"--pause" default:"700ms" help:"when a pause between pieces is too long"`
+}
+
 type revisionsCmd struct {
 	From uint64 `arg:"--from" default:"1"`
 }
@@ -93,6 +100,7 @@
 	Backends  *emptyCmd     `arg:"subcommand:backends" help:"backend servers"`
 	Revisions *revisionsCmd `arg:"subcommand:revisions" help:"accepted plans"`
 	Dump      *dumpCmd      `arg:"subcommand:dump" help:"state dump of the first node that answers"`
+	Explain   *explainCmd   `arg:"subcommand:explain" help:"sort the requests of routers' logs by what became of them and why"`
 	Stream    *StreamCmd    `arg:"subcommand:stream" help:"stream a completion as a caller, with reconnects"`
 }
 
@@ -168,8 +176,11 @@
 }
 
 func (t *tool) run(ctx context.Context) error {
-	if t.args.Stream != nil {
+	switch {
+	case t.args.Stream != nil:
 		return t.stream(ctx)
+	case t.args.Explain != nil:
+		return t.explain(t.args.Explain)
 	}
 	api, err := newCaller(t.args, t.env.Getenv)
 	if err != nil {
