--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(GO) test ./soak -run TestSeeds -count=1 -v
 
 soak-many: build
-	./bin/wigeonsoak --seed $(SEED) --seeds 50 --length 8s
+	./bin/wigeonsoak --seed $(SEED) --seeds 50 --length 8s --lifetimes
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -235,8 +235,18 @@
 	}
 }
 
-// arrive notes the request and says whether the replica refuses it.
+// arrive notes the request and says whether the replica refuses it. The copy is put at
+// the other replica without a lock held here: two that keep each other's copies would
+// wait for each other for ever.
 func (r *Replica) arrive(a *Arrival) (f Faults, refuse int) {
+	f, refuse = r.note(a)
+	if standby := a.Header.Get("X-Kv-Backup"); refuse == 0 && standby != "" {
+		r.copyTo(standby, a.ID)
+	}
+	return f, refuse
+}
+
+func (r *Replica) note(a *Arrival) (f Faults, refuse int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.arrivals = append(r.arrivals, a)
@@ -250,9 +260,6 @@
 		return r.faults, http.StatusServiceUnavailable
 	}
 	a.Ran = true
-	if standby := a.Header.Get("X-Kv-Backup"); standby != "" {
-		r.copyTo(standby, a.ID)
-	}
 	return r.faults, 0
 }
 
--- a/hosted/bench_test.go
+++ b/hosted/bench_test.go
@@ -31,7 +31,7 @@
 				mon.Place(r.ID, r.Service, r.FailureDomain)
 			}
 			dir.Update(list, time.Now())
-			pick, err := newPicker(&route.Current{}, dir, mon, nil, "d0", nil)
+			pick, err := newPicker(&route.Current{}, dir, mon, nil, nil)
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -99,7 +99,7 @@
 	n.peers.adopter = n.adopter
 	n.mon.Inquirer = inquirer{n.dir, replicas}
 	find := holders.New(replicas, holders.Config{Set: n.meter})
-	pick, err := newPicker(n.table, n.dir, n.mon, find, n.set.Node.FailureDomain, n.log)
+	pick, err := newPicker(n.table, n.dir, n.mon, find, n.log)
 	if err != nil {
 		return nil, err
 	}
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -36,14 +36,13 @@
 	work    *routing.Router // of engines
 	standby *routing.Router
 	holders *holders.Finder
-	domain  string
 	log     *event.Log
 	queues  queues
 	told    func() // has other routers told soon of a change
 }
 
-func newPicker(table *route.Current, dir *directory.Directory, mon *health.Monitor, find *holders.Finder, domain string, log *event.Log) (*picker, error) {
-	p := &picker{table: table, dir: dir, mon: mon, holders: find, domain: domain, log: log, told: func() {}}
+func newPicker(table *route.Current, dir *directory.Directory, mon *health.Monitor, find *holders.Finder, log *event.Log) (*picker, error) {
+	p := &picker{table: table, dir: dir, mon: mon, holders: find, log: log, told: func() {}}
 	for _, r := range []struct {
 		to    **routing.Router
 		steps []routing.StepConfig
@@ -68,7 +67,6 @@
 		{Name: routing.FilterOtherDomain},
 		{Name: routing.FilterUsable},
 		{Name: routing.ScoreLoad, Weight: 1},
-		{Name: routing.ScoreDomain, Weight: 0.02},
 		{Name: routing.PickBest},
 	}
 	workSteps = []routing.StepConfig{
@@ -80,7 +78,6 @@
 		{Name: routing.FilterRoom},
 		{Name: routing.FilterBacklog},
 		{Name: routing.ScoreDelay, Weight: 1},
-		{Name: routing.ScoreDomain, Weight: 0.02},
 		{Name: routing.PickBest},
 	}
 	standbySteps = []routing.StepConfig{
@@ -183,13 +180,12 @@
 
 func (p *picker) ask(a generation.Ask) routing.Ask {
 	ask := routing.Ask{
-		Priority:      a.Priority,
-		Exclude:       a.Exclude,
-		FailureDomain: p.domain,
-		Resume:        a.Resume,
-		FleetKnown:    true,
-		Usable:        p.mon.Usable,
-		Healthy:       p.healthy,
+		Priority:   a.Priority,
+		Exclude:    a.Exclude,
+		Resume:     a.Resume,
+		FleetKnown: true,
+		Usable:     p.mon.Usable,
+		Healthy:    p.healthy,
 	}
 	ask.Capacity = p.capacity(a.Service)
 	ask.Backlog = p.queues.of(a.Service).backlog(a)
--- a/hosted/replay_test.go
+++ b/hosted/replay_test.go
@@ -85,7 +85,7 @@
 		mon.Place(b.ID, b.Service, b.FailureDomain)
 	}
 	dir.Update(f.list, time.Now())
-	pick, err := newPicker(table, dir, mon, nil, "d0", nil)
+	pick, err := newPicker(table, dir, mon, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/soak/command.go
+++ b/soak/command.go
@@ -26,16 +26,17 @@
 )
 
 type arguments struct {
-	Wigeond  string        `arg:"--wigeond" default:"bin/wigeond" help:"the program to run"`
-	Side     string        `arg:"--interface" default:"both" help:"platform, product, or both by turns"`
-	Seed     uint64        `arg:"--seed" default:"1" help:"the first seed"`
-	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
-	Nodes    int           `arg:"--nodes" default:"4"`
-	Engines  int           `arg:"--engines" default:"6"`
-	Services int           `arg:"--services" default:"4"`
-	Clients  int           `arg:"--clients" default:"12"`
-	Length   time.Duration `arg:"--length" default:"15s" help:"of the part with faults"`
-	Keep     string        `arg:"--keep" help:"folder for settings and logs; kept only after a failure if not given"`
+	Wigeond   string        `arg:"--wigeond" default:"bin/wigeond" help:"the program to run"`
+	Side      string        `arg:"--interface" default:"both" help:"platform, product, or both by turns"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"the first seed"`
+	Seeds     int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	Nodes     int           `arg:"--nodes" default:"4"`
+	Engines   int           `arg:"--engines" default:"6"`
+	Services  int           `arg:"--services" default:"4"`
+	Clients   int           `arg:"--clients" default:"12"`
+	Length    time.Duration `arg:"--length" default:"15s" help:"of the part with faults"`
+	Lifetimes bool          `arg:"--lifetimes" help:"replicas also start again under their names, and other programs write to the store"`
+	Keep      string        `arg:"--keep" help:"folder for settings and logs; kept only after a failure if not given"`
 }
 
 // Description is shown by --help.
@@ -122,7 +123,7 @@
 	}
 	report, err := run(ctx, Config{
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
-		Services: args.Services, Clients: args.Clients, Length: args.Length, Dir: dir, Out: out, Timed: true,
+		Services: args.Services, Clients: args.Clients, Length: args.Length, Dir: dir, Out: out, Timed: true, Lifetimes: args.Lifetimes,
 	})
 	if err != nil {
 		return false, err
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -95,6 +95,9 @@
 		ID: fmt.Sprintf("i-%d", r.started), Service: service, Domain: fmt.Sprintf("d%d", domain),
 		Engine: engine, Pieces: pieces, Gap: pieceGap,
 	}
+	if r.cfg.Lifetimes {
+		rep.Born = time.Now().UnixMilli()
+	}
 	if err := rep.Start(r.replicaAt); err != nil {
 		return Error.Wrap(err)
 	}
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -9,7 +9,7 @@
 
 // faults lists all kinds of trouble of the users' platform.
 func (r *platformRun) faults() []fault {
-	return append(processFaults(func() *process { return &r.anyNode().process }),
+	all := append(processFaults(func() *process { return &r.anyNode().process }),
 		fault{"store down", func() func() { r.store.Down(true); return func() { r.store.Down(false) } }},
 		fault{"store silent", func() func() { r.store.Silent(true); return func() { r.store.Silent(false) } }},
 		fault{"store forgets", func() func() { r.store.Compact(); return nil }},
@@ -43,6 +43,7 @@
 		fault{"a key is taken away", func() func() { r.revoke(); return nil }},
 		fault{"new version", func() func() { r.configure(); return nil }},
 	)
+	return append(all, r.lifetimeFaults()...)
 }
 
 var misbehaviours = []fakes.Faults{
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,9 @@
 	// Timed also judges when answers come. It is off in CI, whose verdict must not
 	// depend on how busy the machine is.
 	Timed bool
+	// Lifetimes adds replicas that start again under their names, and entries of other
+	// programs, on the users' platform.
+	Lifetimes bool
 }
 
 // Violation is one promise that was broken.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// The same with replicas that start again under their names, and with entries of other
+// programs in the store.
+func TestLifetimeSeeds(t *testing.T) {
+	for _, seed := range []uint64{3} {
+		play(t, Run, Config{Seed: seed, Nodes: 3, Engines: 6, Services: 4, Clients: 6, Length: 5 * time.Second, Lifetimes: true})
+	}
+}
+
 // The same on the product's own interface.
 func TestProductSeeds(t *testing.T) {
 	for _, seed := range productSeeds {
