--- /dev/null
+++ b/health/confirm.go
@@ -0,0 +1,104 @@
+package health
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"wigeondale/event"
+)
+
+// Where engines can be asked, a failure domain is given up only after its members were:
+// what looks like the crash of all may be pauses, or resets of some connections.
+
+const reasonSilence = "common silence"
+
+// ask tells whether the members are to be asked about a common silence at t: their
+// last word counts for a while.
+func (d *domain) ask(t int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.askedAt != 0 && t-d.askedAt < int64(wordLife) {
+		return false
+	}
+	d.askedAt = t
+	return true
+}
+
+// confirmSilence asks the silent members before their domain is given up: most of them
+// must give no answer.
+//
+// What goes wrong without it: the silence that is no chance is told from the gaps that
+// were seen. Engines that read prompts slowly pause their runs for longer than any gap
+// before, several at once when several prompts come; sound domains are given up, their
+// runs begun again elsewhere, and their engines get no work for some seconds. With
+// engines of half the reading speed four sound domains were given up within 20 s; the
+// question raised the drafts that were in time from 136 to 157 of 287 (one played day). A
+// domain that is down costs the time of the question.
+func (m *Monitor) confirmSilence(d *domain, silent []*engine) {
+	answered := m.whoAnswers(silent)
+	mute := len(silent) - len(answered)
+	if mute < domainFailures || mute <= len(answered) {
+		return
+	}
+	t := m.at(time.Now())
+	for _, e := range answered {
+		e.vouchedAt.Store(t)
+	}
+	m.crashed(d, t, reasonSilence)
+}
+
+// confirmCrash asks the members that failed before their domain is given up.
+//
+// What goes wrong without it: engines that reset some of their connections are taken
+// for a crash of their domain as soon as two do so at the same moment. All routers
+// leave the domain alone for some seconds, and its runs are begun again elsewhere. It
+// shows as a third of the engines without work while all of them are sound.
+func (m *Monitor) confirmCrash(d *domain, t int64) {
+	asked := map[*engine]bool{}
+	for {
+		failed := d.lately(t)
+		failed = slices.DeleteFunc(failed, func(e *engine) bool { return asked[e] })
+		if len(failed) == 0 {
+			break
+		}
+		for _, e := range failed {
+			asked[e] = true
+		}
+		m.spareAlive(d, failed)
+	}
+	if len(d.lately(t)) >= domainFailures {
+		m.crashed(d, m.at(time.Now()), "members failed together")
+	}
+}
+
+// spareAlive takes back the failures of those members that answer a question.
+func (m *Monitor) spareAlive(d *domain, failed []*engine) {
+	for _, e := range m.whoAnswers(failed) {
+		d.spare(e)
+	}
+}
+
+// whoAnswers asks engines and returns those that answer in time.
+func (m *Monitor) whoAnswers(asked []*engine) []*engine {
+	ctx, stop := context.WithTimeout(context.Background(), inquiryTimeout)
+	defer stop()
+	var mu sync.Mutex
+	var answered []*engine
+	var asks sync.WaitGroup
+	for _, e := range asked {
+		asks.Go(func() {
+			m.inquiries.Inc()
+			_, err := m.Inquirer.Ask(ctx, e.id)
+			m.log.Emit(event.EngineAsked, "backend", e.id, "lost", 0, "err", err)
+			if err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				answered = append(answered, e)
+			}
+		})
+	}
+	asks.Wait()
+	return answered
+}
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -21,10 +21,10 @@
 	maxFruitless = 8
 	// killMargin is how long before the platform's kill the process ends.
 	killMargin = 300 * time.Millisecond
-	// probeAfter is when a replica under suspicion gets a first request again. A
-	// crashed one is off the registry by then: its entry lapses after three
-	// heartbeats of 1.2 s, and the replica that follows has an id of its own.
-	probeAfter = 3600 * time.Millisecond
+	// lapsedBeats is after how many heartbeats an entry lapses, by the platform's pages. A
+	// replica under suspicion gets a first request again then: a crashed one is off the
+	// registry by that time, and the replica that follows is another lifetime.
+	lapsedBeats = 3
 	// prefillFactor and queueFactor stretch the bound on a first piece: prompts are
 	// read one after the other, and first pieces were seen to take up to 7 s on
 	// busy days. A replica that lost the run is found by asking it.
@@ -49,7 +49,7 @@
 	p.MinPrefill = millis(h.MinPrefillMS)
 	p.PrefillFactor = prefillFactor
 	p.QueueFactor = queueFactor
-	p.MinBackoff = probeAfter
+	p.MinBackoff = lapsedBeats * millis(h.HeartbeatMS)
 	p.TypicalGap = typicalGap
 	p.Tick = tick
 	return p
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -20,11 +20,14 @@
 	// is to have read what it was sent. The rest is for the wait at the router, where
 	// a request can still go to another engine.
 	readingShare = 0.5
-	// turnEvery is how often the first in the line looks for an engine; those behind
-	// it look less often, by their place.
+	// turnEvery is how often the first in the line asks for its turn; those behind it
+	// ask less often, by their place.
 	turnEvery = 10 * time.Millisecond
 	// turnPlaces bounds that.
 	turnPlaces = 8
+	// looking is how many of the line look for an engine at once. With the first alone a
+	// request that is too large for what is free anywhere holds up all behind it.
+	looking = 3
 	// adviceSpread spreads the return of those that are refused together.
 	adviceSpread = 0.5
 	// codeOverloaded is the code of a refusal because the wait would be too long.
@@ -67,12 +70,12 @@
 func (p *picker) engine(a generation.Ask) (fleet.Backend, generation.Share, error) {
 	q := p.queues.of(a.Service)
 	rank := admission.RankNew
-	if a.Resume {
+	if sentBefore(a) {
 		rank = admission.RankStarted
 	}
 	now := time.Now()
 	turn := q.line.Wait(a.Request, rank, a.Age, now)
-	if turn.Ahead > 0 {
+	if turn.Ahead >= looking {
 		return fleet.Backend{}, nil, p.wait(q, a, turn, now)
 	}
 	b, share, err := p.choose(p.work, a, loadOf(a, 0))
@@ -91,11 +94,11 @@
 }
 
 // wait says when a request is to ask again, or refuses it if its turn would come too
-// late for its first piece. An answer that has begun is never refused here.
+// late for its first piece. One that an engine had is never refused here.
 func (p *picker) wait(q *queue, a generation.Ask, turn admission.Turn, now time.Time) error {
 	expect, known := q.line.Expect(turn.Ahead+1, now)
 	latest := time.Duration((1 - readingShare) * float64(a.Target))
-	if !a.Resume && known && a.Target > 0 && turn.Waited+expect > latest {
+	if !sentBefore(a) && known && a.Target > 0 && turn.Waited+expect > latest {
 		q.line.Leave(a.Request)
 		advice := expect + time.Duration(adviceSpread*rand.Float64()*float64(expect))
 		p.log.Emit(event.RequestOverload, "request", a.Request, "service", a.Service, "ahead", turn.Ahead,
@@ -110,6 +113,10 @@
 	return &generation.Unavailable{Retryable: true, RetryAfter: next, Err: errOverloaded}
 }
 
+// sentBefore tells whether an engine had the request and was lost: nobody can say any
+// more that it has not run, so that a refusal would be a failure without advice.
+func sentBefore(a generation.Ask) bool { return a.Resume || a.LostDomain != "" }
+
 var errOverloaded = Error.New("all engines have as much work as they can take")
 
 // timedShare learns from the time to the first piece how fast prompts are read.
--- /dev/null
+++ b/hosted/queue_test.go
@@ -0,0 +1,88 @@
+package hosted
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeondale/directory"
+	"wigeondale/fleet"
+	"wigeondale/generation"
+	"wigeondale/health"
+	"wigeondale/route"
+	"wigeondale/settings"
+)
+
+// fullPicker has two engines, whose memory is full but for some tokens at each.
+func fullPicker(t *testing.T, free int) *picker {
+	set := &settings.Settings{Hosted: &settings.Hosted{}}
+	set.Hosted.SetDefaults()
+	dir, mon := directory.New(nil), health.NewMonitor(policyOf(set.Hosted), nil, nil)
+	var list []fleet.Backend
+	for i := range 2 {
+		list = append(list, fleet.Backend{ID: fmt.Sprint("e", i), VM: "m", FailureDomain: fmt.Sprint("d", i), Kind: fleet.Service, Service: "llm"})
+	}
+	dir.Update(list, time.Now())
+	table := &route.Current{}
+	table.Install(route.NewTable(&route.Config{Version: 1, Services: []route.Service{{Name: "llm", Engine: true, Memory: 50000}}}))
+	p, err := newPicker(table, dir, mon, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range list {
+		dir.Begin(b.ID, directory.Load{Held: float64(50000 - free)})
+	}
+	return p
+}
+
+func draftAsk(id string, tokens int) generation.Ask {
+	return generation.Ask{Request: id, Service: "llm", Size: tokens, Answer: 500, Target: 4 * time.Second}
+}
+
+// Symptom: requests are refused although engines have memory for them. Sequence: a request
+// that is larger than what is free anywhere came first. Cause: those behind it only wait.
+func TestLargeRequestHoldsUpNobody(t *testing.T) {
+	p := fullPicker(t, 8000)
+	_, _, err := p.Pick(t.Context(), draftAsk("large", 20000))
+	if u, ok := errors.AsType[*generation.Unavailable](err); !ok || !u.Retryable {
+		t.Fatalf("the large one: %v", err)
+	}
+	if _, _, err := p.Pick(t.Context(), draftAsk("small", 5000)); err != nil {
+		t.Errorf("the small one: %v", err)
+	}
+}
+
+// Symptom: a client waits for seconds and is refused then. Sequence: engines are full, ten
+// wait and get places at one a second; one more comes. Cause: it is let into the line. It
+// must be told at once, with when its turn would come.
+func TestTooLateATurnIsRefusedAtOnce(t *testing.T) {
+	p := fullPicker(t, 0)
+	line := p.queues.of("llm").line
+	now := time.Now()
+	for i := range 10 {
+		line.Wait(fmt.Sprint("q", i), 1, 0, now)
+	}
+	for i := range 3 {
+		id := fmt.Sprint("had", i)
+		line.Wait(id, 0, 0, now)
+		line.Wait(id, 0, 0, now)
+		line.Had(id, now.Add(time.Duration(i-3)*time.Second))
+	}
+	_, _, err := p.Pick(t.Context(), draftAsk("late", 5000))
+	u, ok := errors.AsType[*generation.Unavailable](err)
+	if !ok || u.Retryable || u.Code != codeOverloaded {
+		t.Fatalf("got %v", err)
+	}
+	if u.RetryAfter < 10*time.Second || u.RetryAfter > 18*time.Second {
+		t.Errorf("told to come back after %v", u.RetryAfter)
+	}
+	started, lost := draftAsk("started", 5000), draftAsk("lost", 5000)
+	started.Resume, lost.LostDomain = true, "d0"
+	for _, a := range []generation.Ask{started, lost} {
+		_, _, err = p.Pick(t.Context(), a)
+		if u, ok := errors.AsType[*generation.Unavailable](err); !ok || !u.Retryable {
+			t.Errorf("%s: %v", a.Request, err)
+		}
+	}
+}
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -13,6 +13,8 @@
 	// more at once, by all nodes together.
 	RetryShare float64 `json:"retry_share"`
 	RetryBurst float64 `json:"retry_burst"`
+	// HeartbeatMS is the interval at which replicas renew their entries.
+	HeartbeatMS int `json:"heartbeat_ms"`
 	// FailuresPerHour is the prior rate at which one replica fails.
 	FailuresPerHour float64 `json:"failures_per_hour"`
 	// MinSilenceMS and MaxSilenceMS bound the silence of a replica after which
@@ -34,6 +36,7 @@
 		GraceMS:                8000,
 		RetryShare:             0.8,
 		RetryBurst:             150,
+		HeartbeatMS:            1200,
 		FailuresPerHour:        200,
 		MinSilenceMS:           260,
 		MaxSilenceMS:           450,
@@ -52,6 +55,7 @@
 	within(c, "hosted.grace_ms", h.GraceMS, 1000, dayMS)
 	within(c, "hosted.retry_share", h.RetryShare, 0, 10)
 	within(c, "hosted.retry_burst", h.RetryBurst, 0, 10000)
+	within(c, "hosted.heartbeat_ms", h.HeartbeatMS, 50, 60000)
 	within(c, "hosted.failures_per_hour", h.FailuresPerHour, 0.001, 100000)
 	within(c, "hosted.min_silence_ms", h.MinSilenceMS, 10, maxSuspectMS)
 	within(c, "hosted.max_silence_ms", h.MaxSilenceMS, h.MinSilenceMS+1, maxSuspectMS)
