--- a/generation/end.go
+++ b/generation/end.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"wigeondale/backend"
 	"wigeondale/event"
@@ -66,7 +67,7 @@
 	x.res.Code = code
 	x.res.Err = Error.Wrap(err)
 	if u, ok := errors.AsType[*Unavailable](err); ok {
-		x.res.RetryAfter = u.RetryAfter
+		x.res.RetryAfter = x.advice(u)
 		if u.Code != "" {
 			x.res.Code = u.Code
 		}
@@ -78,6 +79,15 @@
 	return ev
 }
 
+// advice is when the caller is to come back. Where the reason was expected to pass soon,
+// its time is only that to the router's next look, and looking was in vain.
+func (x *run) advice(u *Unavailable) time.Duration {
+	if u.Retryable {
+		return max(u.RetryAfter, x.opts.RetryAfter)
+	}
+	return u.RetryAfter
+}
+
 func (x *run) callerGone(err error) string {
 	x.leave()
 	return x.end("cancel", CodeCallerGone, err)
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -42,6 +42,7 @@
 	copies    int
 	excluded  []map[string]bool
 	running   func() bool // answer to a question about a run
+	full      bool        // nobody takes the request; it is to ask again soon
 }
 
 func (w *world) Runs(context.Context, fleet.Backend) (RunReport, error) {
@@ -69,6 +70,9 @@
 
 func (w *world) Pick(_ context.Context, a Ask) (fleet.Backend, Share, error) {
 	w.excluded = append(w.excluded, a.Exclude)
+	if w.full {
+		return fleet.Backend{}, nil, &Unavailable{Retryable: true, RetryAfter: 20 * time.Millisecond}
+	}
 	id := a.Prefer
 	if id == "" || a.Exclude[id] {
 		id = fmt.Sprintf("b%d", len(w.opened)+1)
@@ -425,3 +429,16 @@
 		t.Errorf("before it: got %s", res.Outcome)
 	}
 }
+
+// Symptom: refused clients come back at once, to be refused again. Sequence: a request
+// waits in vain for a backend server, which it looks for every 20 ms. Cause: the client is
+// told to come back when the router itself would have looked again.
+func TestAdviceIsNotTheRoutersOwnWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{full: true}
+		res, _ := w.run(t, func(*Request) {})
+		if res.Outcome != fleet.NotRun || res.RetryAfter < defaultRetryAfter {
+			t.Errorf("got %s, told to come back after %v", res.Outcome, res.RetryAfter)
+		}
+	})
+}
--- a/hosted/adopt.go
+++ b/hosted/adopt.go
@@ -211,7 +211,6 @@
 	defer v.mu.Unlock()
 	for id := range v.adopted {
 		name := v.replicas[id].Lifetime.Name
-		delete(v.adopted, id)
 		v.drop(id, "the store does not list it")
 		v.lives.forget(name)
 	}
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// typicalPrompt and typicalAnswer are the tokens of a request that does not say.
+	// typicalPrompt and typicalAnswer are the tokens of a request that does not say: those
+	// of an ordinary draft on the first deployments.
 	typicalPrompt = 5000
 	typicalAnswer = 1000
 	// waitForReplica is how long a request waits before it looks again whether a
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -76,7 +76,7 @@
 	now := time.Now()
 	turn := q.line.Wait(a.Request, rank, a.Age, now)
 	if turn.Ahead >= looking {
-		return fleet.Backend{}, nil, p.wait(q, a, turn, now)
+		return fleet.Backend{}, nil, p.waitOrRefuse(q, a, turn, now)
 	}
 	b, share, err := p.choose(p.work, a, loadOf(a, 0))
 	if err == nil {
@@ -90,12 +90,12 @@
 		q.line.Leave(a.Request)
 		return fleet.Backend{}, nil, err
 	}
-	return fleet.Backend{}, nil, p.wait(q, a, turn, now)
+	return fleet.Backend{}, nil, p.waitOrRefuse(q, a, turn, now)
 }
 
-// wait says when a request is to ask again, or refuses it if its turn would come too
+// waitOrRefuse says when a request is to ask again, or refuses it if its turn would come too
 // late for its first piece. One that an engine had is never refused here.
-func (p *picker) wait(q *queue, a generation.Ask, turn admission.Turn, now time.Time) error {
+func (p *picker) waitOrRefuse(q *queue, a generation.Ask, turn admission.Turn, now time.Time) error {
 	expect, known := q.line.Expect(turn.Ahead+1, now)
 	latest := time.Duration((1 - readingShare) * float64(a.Target))
 	if !sentBefore(a) && known && a.Target > 0 && turn.Waited+expect > latest {
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -217,6 +217,7 @@
 		delete(v.at, b.Addr)
 	}
 	delete(v.replicas, id)
+	delete(v.adopted, id)
 	v.mon.Forget(id)
 	v.changed = true
 }
