--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -34,6 +34,8 @@
 // loadsMessage is what a router tells the others.
 type loadsMessage struct {
 	Loads directory.PeerLoads `cbor:"1,keyasint"`
+	// All tells that nothing else is under way at the router.
+	All bool `cbor:"2,keyasint,omitempty"`
 }
 
 // tellAlways sends what this router has under way whenever it changes, and takes in what
@@ -41,8 +43,7 @@
 func (p *peers) tellAlways(ctx context.Context, send func(loadsMessage), after func(now time.Time)) {
 	tick := time.NewTicker(tellEvery)
 	defer tick.Stop()
-	soon := time.NewTimer(time.Hour)
-	defer soon.Stop()
+	var soon <-chan time.Time // set while a change is to be told at once
 	var last directory.PeerLoads
 	var all time.Time
 	for {
@@ -50,19 +51,22 @@
 		case <-ctx.Done():
 			return
 		case <-p.soon:
-			soon.Reset(tellSoonAfter)
+			if soon == nil { // a change that follows must not put off the one before it
+				soon = time.After(tellSoonAfter)
+			}
 			continue
-		case <-soon.C:
+		case <-soon:
 		case <-tick.C:
 		}
+		soon = nil
 		now := time.Now()
 		own := p.dir.OwnLoads()
 		if now.Sub(all) >= tellAll {
 			all, last = now, own
-			send(loadsMessage{own})
+			send(loadsMessage{Loads: own, All: true})
 		} else if changed := changes(last, own); len(changed) > 0 {
 			last = own
-			send(loadsMessage{changed})
+			send(loadsMessage{Loads: changed})
 		}
 		p.sum(now)
 		after(now)
@@ -93,6 +97,11 @@
 	return out
 }
 
+// takeLoads takes in a router's word. One that names all ends what it leaves out: it may
+// have ended since the word before, or the word that it ended may have been lost.
+//
+// What goes wrong otherwise: such requests count at their engines until the router uses
+// the same engine again. Where that is seldom, more and more engines seem busy that idle.
 func (p *peers) takeLoads(from string, m loadsMessage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -100,6 +109,9 @@
 	if t.loads == nil {
 		t.loads = directory.PeerLoads{}
 	}
+	if m.All {
+		m.Loads = changes(t.loads, m.Loads)
+	}
 	change := directory.PeerLoads{}
 	for id, v := range m.Loads {
 		change[id] = v.Minus(t.loads[id])
