--- a/hosted/loads_test.go
+++ b/hosted/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,9 @@
 					return newPeers(&settings.Settings{Hosted: &settings.Hosted{}}, nil, p.dir, p.mon, newNews("n", "d", nil), nil)
 				}
 				from, to := peersOf(own), peersOf(other)
-				deaf := false
+				var deaf atomic.Bool
 				go from.tellAlways(ctx, func(m loadsMessage) {
-					if !deaf {
+					if !deaf.Load() {
 						to.takeLoads("from", m)
 					}
 				}, to.sum)
@@ -37,11 +38,11 @@
 				if other.dir.Reading("e0") != 5000 {
 					t.Fatal("the request was not heard of")
 				}
-				deaf = lost
+				deaf.Store(lost)
 				share.End()
 				if lost {
 					time.Sleep(tellAll / 2)
-					deaf = false
+					deaf.Store(false)
 				}
 				time.Sleep(tellAll + tellEvery)
 				if got := other.dir.Reading("e0"); got != 0 {
