Loads that a few told are dropped once there are too many routers to tell each other

Cause: after a start of all a node knows few others for a second and takes the mesh for full. What those told counted for six seconds more, and engines were not asked meanwhile: in the trace of all killed at 95 routers half of the nodes asked engines first 1.7 s after the kill, one in ten after 8.3 s, though all had requests after 1.1 s. Found in the logs (engines-surveyed by node). Seen red without the change (TestWordOfAFewIsDroppedWhenThereAreMany).

--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -141,10 +141,16 @@
 	p.loads[from] = t
 }
 
-// sum hands what the others told to the directory.
+// sum hands what the others told to the directory, if all of them tell.
+//
+// What goes wrong if some do: after a start of all, a node knows few others for a second,
+// and takes them for all. What these told counts for seconds, and engines aren't asked.
 func (p *peers) sum(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.full() {
+		clear(p.loads)
+	}
 	var sum directory.PeerLoads
 	for from, t := range p.loads {
 		if now.Sub(t.at) > loadsLife {
--- a/hosted/loads_test.go
+++ b/hosted/loads_test.go
@@ -26,7 +26,8 @@
 					return newPeers(&settings.Settings{Hosted: &settings.Hosted{}}, nil, p.dir, p.mon, newNews("n", "d", nil), nil)
 				}
 				from, to := peersOf(own), peersOf(other)
-				from.full = func() bool { return true }
+				all := func() bool { return true }
+				from.full, to.full = all, all
 				var deaf atomic.Bool
 				go from.tellAlways(ctx, func(m loadsMessage) {
 					if !deaf.Load() {
@@ -55,3 +56,30 @@
 		})
 	}
 }
+
+// Symptom: after all of many routers started, they place prompts for six seconds as if most
+// engines were idle. Sequence: a router is linked to the first few others and hears what
+// they have under way; then it learns that there are many more. Cause: the word of a few
+// counted for all, and engines were not asked.
+func TestWordOfAFewIsDroppedWhenThereAreMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		pick := pickerOf(t, engineList(1, 1), 50000)
+		p := newPeers(&settings.Settings{Hosted: &settings.Hosted{}}, nil, pick.dir, pick.mon, newNews("n", "d", nil), nil)
+		var many atomic.Bool
+		p.full = func() bool { return !many.Load() }
+		go p.tellAlways(ctx, func(loadsMessage) {}, func(time.Time) {})
+		p.takeLoads("other", loadsMessage{All: true, Loads: directory.PeerLoads{"e0": {Requests: 1, Reading: 5000}}})
+		time.Sleep(2 * tellEvery)
+		if !pick.dir.OthersTell() || pick.dir.Reading("e0") != 5000 {
+			t.Fatal("the word of one that is all others doesn't count")
+		}
+		many.Store(true)
+		time.Sleep(2 * tellEvery)
+		if pick.dir.OthersTell() || pick.dir.Reading("e0") != 0 {
+			t.Error("the word of a few counts")
+		}
+		stop()
+		synctest.Wait()
+	})
+}
