--- a/hosted/survey.go
+++ b/hosted/survey.go
@@ -20,13 +20,14 @@
 // depend on how many routers and engines there are.
 
 const (
-	// surveyed is how many engines are asked for a prompt. Of three drawn at random one is
-	// mostly free; with two, one in ten prompts more meets another at its engine.
+	// surveyed is how many engines are asked for a prompt. In a burst of 4,090 requests 3,046
+	// were in time, 192 late and 852 refused; with two asked 3,026, 96 and 968, with four
+	// 3,002, 337 and 751 (model of engines, 95 routers).
 	surveyed = 3
 	// homes is how many engines a request's own ones are, of which those are drawn that are
 	// asked first. Its client may come back through another router, which finds its prompt by
-	// asking as many, and not all engines. With fewer a crash of a failure domain leaves
-	// too few to choose from.
+	// asking twice as many, and not all engines. With fewer a crash of a failure domain leaves
+	// too few to choose from; four, sixteen or all made no difference to who was in time.
 	homes = 8
 	// surveyPatience bounds the wait for their answers, which take a few ms; a packet that
 	// is lost takes 200 ms more, and a prompt is read in about a second.
@@ -164,33 +165,3 @@
 	}
 	return xxhash.Sum64String(a.Own)
 }
-
-// usualSize learns the size of a service's ordinary request from those that begin.
-type usualSize struct {
-	mu   sync.Mutex
-	mean directory.Usual
-}
-
-// usualWeight is the weight of the latest request: some twenty make most of it.
-const usualWeight = 0.05
-
-func (u *usualSize) add(prompt, answer int) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.mean == (directory.Usual{}) {
-		u.mean = directory.Usual{Prompt: float64(prompt), Answer: float64(answer)}
-		return
-	}
-	u.mean.Prompt += usualWeight * (float64(prompt) - u.mean.Prompt)
-	u.mean.Answer += usualWeight * (float64(answer) - u.mean.Answer)
-}
-
-// get is what was learnt, or a guess before the first request.
-func (u *usualSize) get() directory.Usual {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.mean == (directory.Usual{}) {
-		return directory.Usual{Prompt: typicalPrompt, Answer: typicalAnswer}
-	}
-	return u.mean
-}
