An answer that has begun waits for an engine from when its loss is known

The stalled stream's silence was noticed after 4.3 s, since the engine had paused before on the busy machine, and the patience of 4 s counted from the last token: nothing was left, and the answer was cut though its engine takes the next attempt. TestSilenceIsNoWait fails without the change ("-300ms are left"). Requests of the users' platform wait as before, from their last piece, since their clients leave after a pause.

--- a/generation/steps.go
+++ b/generation/steps.go
@@ -168,15 +168,25 @@
 	return "retry"
 }
 
+// patienceLeft is how much longer the request may wait for a backend server. An answer that
+// has begun waits from when its loss is known; an opaque one from its last piece, since its
+// client leaves after a pause, whatever caused it.
+//
+// What goes wrong if it waits from its last token: an engine that paused before has its
+// silence borne for longer, which uses the patience up. The answer is cut at the moment at
+// which its silence is noticed, though an engine could go on with it.
 func (x *run) patienceLeft() time.Duration {
-	patience := x.opts.Patience
+	patience, since := x.opts.Patience, x.lastToken
 	if o := x.req.Opaque; o != nil {
 		patience = o.Patience
 	}
 	if x.started() {
 		patience = x.opts.StartedPatience
+		if x.req.Opaque == nil && x.lossCause != "" && x.lostAt.After(since) {
+			since = x.lostAt
+		}
 	}
-	left := patience - time.Since(x.lastToken)
+	left := patience - time.Since(since)
 	if !x.req.Deadline.IsZero() {
 		left = min(left, time.Until(x.req.Deadline))
 	}
