--- a/admission/line.go
+++ b/admission/line.go
@@ -80,9 +80,9 @@
 // Had tells that a request has got its place. The pace is learnt from those that did
 // not get it when they came, while somebody waited all the time since the one before.
 //
-// What goes wrong if other times count: at a router with little traffic the pace is that at which
-// requests come, not at which engines become free. The only one that waits is refused
-// although its turn is next.
+// What goes wrong if other times count: at a router with little traffic the pace is that
+// at which requests come, not at which engines become free. The only one that waits is
+// refused although its turn is next.
 func (l *Line) Had(id string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -99,11 +99,11 @@
 	n.peers.adopter = n.adopter
 	n.mon.Inquirer = inquirer{n.dir, replicas}
 	find := holders.New(replicas, holders.Config{Set: n.meter})
-	ask, err := newSurvey(replicas, n.dir, n.meter)
+	asks, err := newSurvey(replicas, n.dir, n.meter)
 	if err != nil {
 		return nil, err
 	}
-	pick, err := newPicker(n.table, n.dir, n.mon, find, ask, n.log)
+	pick, err := newPicker(n.table, n.dir, n.mon, find, asks, n.log)
 	if err != nil {
 		return nil, err
 	}
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -45,8 +45,8 @@
 	tellSoon func()
 }
 
-func newPicker(table *route.Current, dir *directory.Directory, mon *health.Monitor, find *holders.Finder, ask *survey, log *event.Log) (*picker, error) {
-	p := &picker{survey: ask, table: table, dir: dir, mon: mon, holders: find, log: log, tellSoon: func() {}}
+func newPicker(table *route.Current, dir *directory.Directory, mon *health.Monitor, find *holders.Finder, asks *survey, log *event.Log) (*picker, error) {
+	p := &picker{survey: asks, table: table, dir: dir, mon: mon, holders: find, log: log, tellSoon: func() {}}
 	for _, r := range []struct {
 		to    **routing.Router
 		steps []routing.StepConfig
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -23,9 +23,10 @@
 	// a request can still go to another engine.
 	readingShare = 0.5
 	// waitShare is the part of that time which a request may be expected to wait here, and
-	// for which it waits if there is nothing to expect from. What is left beside readingShare
-	// is for waits that last longer than expected: half of them do. Up to the half of the time, 111 of 1,873 were late, and 56 up to 0.3 of it, with as
-	// many in time (model of engines, twelve seeds).
+	// for which it waits while no expectation is known. What is left beside readingShare is
+	// for waits that last longer than expected: half of them do. Up to half of the time 111
+	// of 1,873 were late, and 56 up to 0.3 of it, with as many in time (model of engines,
+	// twelve seeds).
 	waitShare = 0.3
 	// turnEvery is how often the first in the line asks for its turn; those behind it
 	// ask less often, by their place.
@@ -46,7 +47,7 @@
 	line    *admission.Line
 	reading admission.Reading
 	losses  *admission.Losses
-	lookout lookout
+	gate    surveyGate
 	usual   usualSize
 }
 
--- a/hosted/survey.go
+++ b/hosted/survey.go
@@ -16,8 +16,8 @@
 )
 
 // Where routers are too many to tell each other what they have under way, a router asks a
-// few engines, drawn at random, before it chooses one of them. What that costs does not
-// depend on how many routers and engines there are.
+// few engines, drawn at random, before it chooses one of them (power of d choices). What
+// that costs does not depend on how many routers and engines there are.
 
 const (
 	// surveyed is how many engines are asked for a prompt. In a burst of 4,090 requests 3,046
@@ -127,14 +127,14 @@
 	return true
 }
 
-// lookout says when the requests that wait for a service have engines asked again.
-type lookout struct {
+// surveyGate says when the requests that wait for a service have engines asked again.
+type surveyGate struct {
 	mu   sync.Mutex
 	next time.Time
 }
 
 // due tells whether it is time to ask. A request that has just come always asks.
-func (l *lookout) due(first bool, now time.Time) bool {
+func (l *surveyGate) due(first bool, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !first && now.Before(l.next) {
@@ -146,7 +146,7 @@
 
 // look has engines asked for a request whose turn it is, which has waited for some time.
 func (p *picker) look(ctx context.Context, a generation.Ask, q *queue, waited time.Duration) {
-	if !p.survey.needed() || !q.lookout.due(waited == 0, time.Now()) {
+	if !p.survey.needed() || !q.gate.due(waited == 0, time.Now()) {
 		return
 	}
 	began := time.Now()
