--- a/admission/line.go
+++ b/admission/line.go
@@ -104,13 +104,6 @@
 	l.lastHad = now
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Leave takes a request out that is refused or gone.
 func (l *Line) Leave(id string) {
 	l.mu.Lock()
@@ -127,7 +120,7 @@
 	if l.pace == 0 || now.Sub(l.lastHad) > paceLife {
 		return 0, false
 	}
-	none := now.Sub(later(l.waitedSince(now), l.lastHad))
+	none := min(now.Sub(l.waitedSince(now)), now.Sub(l.lastHad))
 	return time.Duration(ahead) * max(l.pace, none/2), true
 }
 
--- a/directory/observed.go
+++ b/directory/observed.go
@@ -27,9 +27,9 @@
 // observation is what an engine said.
 type observation struct {
 	at time.Time
-	// beside is what was there beside the requests of this router. It may be below zero
-	// while the report holds less than this router has under way.
-	beside Load
+	// others is what requests of other routers take. It may be below zero while the report
+	// holds less than this router has under way.
+	others Load
 }
 
 // begun is what this router began at a moment.
@@ -77,7 +77,7 @@
 			there = there.Plus(b.load)
 		}
 	}
-	r.seenState.Store(&observation{at: now, beside: there.Minus(r.own.load())})
+	r.observed.Store(&observation{at: now, others: there.Minus(r.own.load())})
 }
 
 // remember keeps what began until every report holds it. r.mu is held.
@@ -93,28 +93,27 @@
 
 // Seen is when the engine last said what it has under way; zero if it never did.
 func (r *record) Seen() time.Time {
-	if o := r.seenState.Load(); o != nil {
+	if o := r.observed.Load(); o != nil {
 		return o.at
 	}
 	return time.Time{}
 }
 
-// beside is what requests of other routers take: as these tell or, if they don't, as the
-// engine said.
-func (r *record) beside() Load {
+// othersLoad is what requests of other routers take: as these tell or, if they don't, as
+// the engine said.
+func (r *record) othersLoad() Load {
 	if r.told.Load() {
 		return r.peers.load()
 	}
-	if o := r.seenState.Load(); o != nil {
-		return o.beside
+	if o := r.observed.Load(); o != nil {
+		return o.others
 	}
 	return Load{}
 }
 
-// estimated adds what is there beside this router's own.
+// estimated is this router's own requests and those of others.
 func (r *record) estimated() Load {
-	own, beside := r.own.load(), r.beside()
-	sum := own.Plus(beside)
+	sum := r.own.load().Plus(r.othersLoad())
 	return Load{
 		Requests: max(sum.Requests, 0),
 		Reading:  max(sum.Reading, 0),
@@ -123,9 +122,9 @@
 	}
 }
 
-// Estimate is what an engine is taken to have under way, and how long ago it said so itself;
-// false if it never did.
-func (d *Directory) Estimate(id string, now time.Time) (l Load, age time.Duration, said bool) {
+// Estimate is what an engine is taken to have under way, and how long ago it reported that
+// itself; reported is false if it never did.
+func (d *Directory) Estimate(id string, now time.Time) (l Load, age time.Duration, reported bool) {
 	r := d.table.Load().byID[id]
 	if r == nil {
 		return Load{}, 0, false
--- a/directory/record.go
+++ b/directory/record.go
@@ -34,8 +34,8 @@
 	leaving atomic.Bool
 	cache   cacheMap
 	told    *atomic.Bool // other routers tell what they have under way
-	// seenState is what the engine last said when it was asked.
-	seenState atomic.Pointer[observation]
+	// observed is the engine's last report of its state, nil before the first.
+	observed atomic.Pointer[observation]
 
 	mu      sync.Mutex
 	backend fleet.Backend
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -77,22 +77,22 @@
 		routing.StepConfig{Name: routing.FilterUsable},
 		routing.StepConfig{Name: routing.ScoreLoad},
 	)
-	workSteps    = engineSteps(routing.FilterKnown)
-	homeSteps    = engineSteps(routing.FilterKnownOnly)
+	workSteps    = engineSteps(routing.FilterFresh)
+	homeSteps    = engineSteps(routing.FilterFreshOnly)
 	standbySteps = guarded(
 		routing.StepConfig{Name: routing.FilterHealthy},
-		routing.StepConfig{Name: routing.FilterKnown},
+		routing.StepConfig{Name: routing.FilterFresh},
 		routing.StepConfig{Name: routing.FilterRoom},
 		routing.StepConfig{Name: routing.ScoreMemory},
 	)
 )
 
-// engineSteps choose the engine that is to run an attempt, among those that the filter
-// takes for known.
-func engineSteps(known string) []routing.StepConfig {
+// engineSteps choose the engine that is to run an attempt, among those that a filter by the
+// age of their reports keeps.
+func engineSteps(byAge string) []routing.StepConfig {
 	return guarded(
 		routing.StepConfig{Name: routing.FilterUsable},
-		routing.StepConfig{Name: known},
+		routing.StepConfig{Name: byAge},
 		routing.StepConfig{Name: routing.FilterRoom},
 		routing.StepConfig{Name: routing.FilterBacklog},
 		routing.StepConfig{Name: routing.ScoreDelay},
--- a/hosted/survey.go
+++ b/hosted/survey.go
@@ -58,7 +58,7 @@
 // surveySteps draw those to ask: those that could be chosen, and did not answer just now.
 var surveySteps = guarded(
 	routing.StepConfig{Name: routing.FilterUsable},
-	routing.StepConfig{Name: routing.FilterUnknown},
+	routing.StepConfig{Name: routing.FilterStale},
 )
 
 func newSurvey(states stateAsker, dir *directory.Directory, set *metrics.Set) (*survey, error) {
--- a/routing/delay.go
+++ b/routing/delay.go
@@ -8,12 +8,6 @@
 	FilterRoom = "room"
 	// FilterBacklog keeps to engines that will soon have read what they were sent.
 	FilterBacklog = "backlog"
-	// FilterKnown keeps to engines that said lately what they have under way, if any did.
-	FilterKnown = "known"
-	// FilterKnownOnly keeps to such engines, also if there is none.
-	FilterKnownOnly = "known-only"
-	// FilterUnknown keeps to engines that did not say so just now.
-	FilterUnknown = "unknown"
 	// ScoreDelay prefers the engine where the prompt causes the least delay.
 	ScoreDelay = "prompt-delay"
 	// ScoreMemory prefers the engine that has most memory free.
@@ -110,43 +104,3 @@
 func hasRoom(c *Candidate, ask *Ask) bool {
 	return ask.Capacity <= 0 || c.engine().Held()+float64(ask.Holds) <= float64(ask.Capacity)
 }
-
-const (
-	// knownFor is how long what an engine said is gone by. Within it an engine reads half
-	// a prompt of usual size; what others send there meanwhile isn't known.
-	knownFor = 600 * time.Millisecond
-	// askAgainAfter is how soon an engine is worth another question: its report changes
-	// a few times a second.
-	askAgainAfter = 300 * time.Millisecond
-)
-
-// known keeps to engines of which it is known what they have under way.
-//
-// What goes wrong without it: where routers can't tell each other their loads, an engine
-// that did not say what it has looks idle, and is preferred to those that said it.
-type known struct{}
-
-func (known) Name() string { return FilterKnown }
-
-func (known) Keep(all []Candidate, left []int32, ask *Ask, _ *scratch) []int32 {
-	next := 0
-	for k, i := range left {
-		if !seenLately(&all[i], ask) {
-			continue
-		}
-		left[next], left[k] = left[k], left[next]
-		next++
-	}
-	if next == 0 {
-		return left
-	}
-	return left[:next]
-}
-
-func seenLately(c *Candidate, ask *Ask) bool {
-	return ask.Now.Sub(c.engine().Seen()) <= knownFor
-}
-
-func worthAsking(c *Candidate, ask *Ask) bool {
-	return ask.Now.Sub(c.engine().Seen()) > askAgainAfter
-}
--- a/routing/delay_test.go
+++ b/routing/delay_test.go
@@ -114,7 +114,7 @@
 	never, old, late := seen{busy{}, -1}, seen{busy{}, time.Minute}, seen{busy{reading: 3000, held: 3000}, time.Millisecond}
 	ask := Ask{FleetKnown: true, Tokens: 5000, Holds: 6000, Capacity: 55000, Now: time.Unix(1000, 0)}
 	r, err := New([]StepConfig{
-		{Name: FilterServes}, {Name: FilterLeaving}, {Name: FilterExclude}, {Name: FilterKnown}, {Name: FilterRoom},
+		{Name: FilterServes}, {Name: FilterLeaving}, {Name: FilterExclude}, {Name: FilterFresh}, {Name: FilterRoom},
 		{Name: ScoreDelay}, {Name: PickBest},
 	}, rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -29,9 +29,9 @@
 
 	FilterRoom:        each{FilterRoom, hasRoom},
 	FilterBacklog:     each{FilterBacklog, shortBacklog},
-	FilterKnown:       known{},
-	FilterKnownOnly:   each{FilterKnownOnly, seenLately},
-	FilterUnknown:     each{FilterUnknown, worthAsking},
+	FilterFresh:       fresh{},
+	FilterFreshOnly:   each{FilterFreshOnly, isFresh},
+	FilterStale:       each{FilterStale, isStale},
 	FilterOtherDomain: each{FilterOtherDomain, otherDomain},
 	FilterHealthy:     each{FilterHealthy, knownHealthy},
 }
