--- a/chart/chart.go
+++ b/chart/chart.go
@@ -87,6 +87,17 @@
 // IsFinal reports whether state is a final one.
 func (c *Chart) IsFinal(state string) bool { return c.final[state] }
 
+// Next returns the state to which an event leads, for a procedure whose state is kept
+// elsewhere, or a *NotAllowedError.
+func (c *Chart) Next(state, event string) (string, error) {
+	for _, e := range c.events {
+		if e.Name == event && slices.Contains(e.Src, state) {
+			return e.Dst, nil
+		}
+	}
+	return "", Error.Wrap(&NotAllowedError{Chart: c.name, State: state, Event: event})
+}
+
 // New starts a machine in the chart's initial state.
 func (c *Chart) New() *Machine {
 	return &Machine{chart: c, fsm: fsm.NewFSM(c.initial, c.events, nil)}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -90,6 +90,8 @@
 	FailureDomain string   `json:"failure_domain"`
 	Kind          Kind     `json:"kind"`
 	Service       string   `json:"service,omitempty"` // name under /services/, for Kind Service
+	// Version is that of its software, where a roll-out may replace it; empty elsewhere.
+	Version string `json:"-"`
 	// ChecksFence is true when the backend server refuses an order whose fencing
 	// number is lower than one that it has already seen.
 	ChecksFence bool `json:"checks_fence"`
