Roll-outs on the users' platform: orders are followed, runs move before the old replicas stop

Change: platform translates the order and the operator's status; hosted follows the record in the store, divides a service's replicas by version, counts what first attempts gave (a decorator of the replicas), tells other nodes, and writes what is due under a condition. A run that is to go on elsewhere ends with generation.ErrMoved, which is not held against its replica. Settings rollout_share and rollout_burst, events 1918 to 1923, dump section rollouts, OPERATIONS.

Ruled out: taking the revision that a transaction answers for that of the record: with two writes in it the store's answer names the later one, and the next condition never held (seen in hosted.TestRunsMoveBeforeTheOldVersionStops). A node goes by what the store tells.

Tests failed first: without the change the order is not answered and the new replicas get half of all requests.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -66,6 +66,8 @@
 	// ResumeTokens counts, as the number of the first piece that is wanted.
 	Opaque *Opaque
 	Copies Copies
+	First  bool // no attempt of the request was sent before
+	Last   bool // no other attempt may follow
 }
 
 // Token is one token of an answer. Text is valid until the next call of Next.
--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -16,8 +16,10 @@
 	Host      string
 	Header    http.Header // the caller's end-to-end headers
 	Body      []byte
+	Route     string // name of its route
 	Account   string // client account, empty on routes that need none
 	Streaming bool
+	Resumable bool           // another backend server may go on with its answer
 	Deadline  clock.Deadline // the backend server is told what is left of it
 	// Urgency orders the requests that wait at a backend server; 0 goes first.
 	Urgency int
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -132,6 +132,12 @@
 	RequestOverload
 	EnginesSurveyed
 	EngineChosen
+	RolloutOrdered
+	RolloutStage
+	RolloutJudged
+	RolloutHeld
+	RolloutNotWritten
+	RunsMoved
 )
 
 // Events of the platform's store (20xx).
@@ -220,6 +226,12 @@
 	{RequestOverload, "request-overload", Warning, "A request was refused since its turn would come too late for it; its client was told when to come back. If it goes on, the service needs more engines."},
 	{EnginesSurveyed, "engines-surveyed", Info, "Some engines were asked what they have under way, before one was chosen for the request: routers are too many to tell each other. Those that gave no answer in time were left out. Look at the network if many give none."},
 	{EngineChosen, "engine-chosen", Info, "An engine was chosen for the request; what it is taken to have under way, this request among it, is given, and how long ago it said so itself (-1: never, other routers tell). Nothing to do."},
+	{RolloutOrdered, "rollout-ordered", Info, "An operator ordered that a service moves to another version of its replicas, or took the order back (target empty). Its next stage follows."},
+	{RolloutStage, "rollout-stage", Info, "This node goes by another stage of a service's roll-out: trial (a small share of the requests), moving (all new work; runs move too), completed, or rolled-back for the reason given."},
+	{RolloutJudged, "rollout-judged", Warning, "A new version answers worse than the old one and gets nothing more from this node, by what it saw or was told; the route, the evidence and the numbers of answers are given. Look at the new version."},
+	{RolloutHeld, "rollout-held", Warning, "The trial of a new version is over and can't be ended in its favour yet, for the reason given. If it goes on, the version is taken back at the end of its time."},
+	{RolloutNotWritten, "rollout-not-written", Warning, "The next stage of a roll-out could not be written to the store, or another node wrote one before. It is looked at again soon. Look at the store if it goes on."},
+	{RunsMoved, "runs-moved", Info, "Runs at replicas of a version that takes no more work were ended here and go on elsewhere. Nothing to do."},
 	{StoreLost, "store-lost", Warning, "The platform's store fails to answer this node; the last configuration and replicas stay in force. Look at the store if it goes on."},
 	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
 	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node had not seen; everything is read anew. Nothing to do."},
--- a/fakes/hosted/operator.go
+++ b/fakes/hosted/operator.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -53,6 +54,29 @@
 	})
 }
 
+// OrderRollout orders that a service moves to a version within some time.
+func (s *Store) OrderRollout(service, version string, within time.Duration) {
+	s.PutJSON(rolloutOrder+service, map[string]any{"service": service, "target": version, "duration_s": within.Seconds()})
+}
+
+// WithdrawRollout takes the order back.
+func (s *Store) WithdrawRollout(service string) { s.Delete(rolloutOrder + service) }
+
+// RolloutState is what the operator is told of a roll-out, empty before the first word.
+func (s *Store) RolloutState(service string) (state, version string) {
+	item, ok := s.Get("status/rollout/" + service)
+	if !ok {
+		return "", ""
+	}
+	var told struct{ State, Target string }
+	if err := json.Unmarshal(item.Value, &told); err != nil {
+		return err.Error(), ""
+	}
+	return told.State, told.Target
+}
+
+const rolloutOrder = "op/rollout/"
+
 // Register writes the entry of a replica that serves, or leaves.
 func (s *Store) Register(r *Replica, leaving bool) {
 	state := "ready"
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -39,6 +40,7 @@
 	Born    int64 // Unix milliseconds of its start; 0 for a replica that doesn't say
 	Service string
 	Domain  string
+	Version string // of its software; empty for v1
 	Engine  bool
 	Listen  string        // address; empty for any
 	Pieces  int           // of a stream
@@ -129,7 +131,7 @@
 // Entry is the replica's item in the store.
 func (r *Replica) Entry(state string) map[string]any {
 	entry := map[string]any{
-		"service": r.Service, "address": r.Addr(), "zone": r.Domain, "version": "v1",
+		"service": r.Service, "address": r.Addr(), "zone": r.Domain, "version": cmp.Or(r.Version, "v1"),
 		"slots": 8, "state": state, "cold_left_ms": 0, "sequence": 1,
 	}
 	return r.withBorn(entry)
@@ -147,7 +149,7 @@
 // address, with nothing of before.
 func (r *Replica) Reborn(born int64) (*Replica, error) {
 	again := &Replica{
-		ID: r.ID, Born: born, Service: r.Service, Domain: r.Domain, Engine: r.Engine,
+		ID: r.ID, Born: born, Service: r.Service, Domain: r.Domain, Version: r.Version, Engine: r.Engine,
 		Listen: r.Addr(), Pieces: r.Pieces, Gap: r.Gap,
 	}
 	return again, again.Start(r.peers)
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -19,6 +19,8 @@
 	x.watchAttempt(a)
 	x.m.attempts.Inc()
 	x.sent++
+	first := !x.sentBefore
+	x.sentBefore = true
 	held := x.heldBy(a.backend)
 	held.Standby = x.keepCopy(a)
 	x.opts.Log.Emit(event.AttemptBegun, "request", x.req.ID, "attempt", a.place.Attempt,
@@ -28,7 +30,7 @@
 	}
 	stopInquiry := x.inquire(a)
 	s, err := x.Engines.Open(a.ctx, a.backend, backend.StartRequest{
-		Opaque: x.opaque(), Copies: held,
+		Opaque: x.opaque(), Copies: held, First: first, Last: x.lastChance(),
 		ID: x.req.ID, Attempt: a.place.Attempt, Ref: x.req.Ref,
 		Prompt: x.req.Prompt, MaxTokens: x.req.MaxTokens, Priority: x.req.Priority, Resume: x.started(),
 		ResumeText: string(x.text), ResumeTokens: x.acc.next, Linger: x.linger(),
@@ -164,7 +166,7 @@
 		x.lostAt = time.Now()
 	}
 	x.lossCause = lossCause(a.ctx, err)
-	if !engineLost(a.ctx) {
+	if !engineLost(a.ctx) && x.lossCause != causeMoved {
 		x.Watcher.Result(a.backend.ID, err)
 		if x.req.Opaque == nil { // no other router can take an opaque run over
 			x.awaitCaller()
@@ -193,6 +195,8 @@
 	switch {
 	case engineLost(ctx):
 		return causeSilence
+	case errors.Is(err, ErrMoved):
+		return causeMoved
 	case errors.Is(err, errGap):
 		return causeGap
 	case errors.Is(err, backend.ErrMismatch):
@@ -238,6 +242,9 @@
 func (x *run) goOn() string {
 	x.exclude[x.last.place.Backend] = true
 	x.lostDomain = x.last.backend.FailureDomain
+	if x.lossCause == causeMoved {
+		x.lostDomain = "" // it works
+	}
 	x.last.takeCopyAtLoss()
 	if c := x.last.copy; x.started() && c.at.Addr != "" && !x.exclude[c.at.ID] {
 		x.lostCopy = copyOfLost{at: c.at.ID, name: c.name, source: x.last.backend}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -41,6 +41,9 @@
 	ErrCallerGone = errors.New("caller is gone")
 	// ErrDuplicate says that the key of the request is claimed already.
 	ErrDuplicate = errors.New("key is claimed already")
+	// ErrMoved says that an attempt was ended since its answer is to go on elsewhere. It is no
+	// fault of the backend server.
+	ErrMoved = errors.New("answer is to go on elsewhere")
 	// ErrNoResume says that an answer can't be continued truthfully.
 	ErrNoResume = errors.New("answer can't be continued")
 )
@@ -195,6 +198,7 @@
 	Prompt   string
 	Exclude  map[string]bool
 	Resume   bool // a started answer goes ahead of new work
+	Again    bool // an attempt of the request was sent before
 
 	Service string // of an opaque request, instead of Ref
 	Size    int    // estimated tokens of its prompt, 0 when not stated
--- a/generation/meters.go
+++ b/generation/meters.go
@@ -18,6 +18,7 @@
 	causeRouter   = "router"
 	causeAnswer   = "failed-answer" // the backend server's own failure
 	causeNotRun   = "not-run"
+	causeMoved    = "moved"
 )
 
 type meters struct {
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -41,6 +41,8 @@
 	lost      map[string]bool // backend servers that keep no copies any more
 	copies    int
 	excluded  []map[string]bool
+	asks      []Ask
+	results   []error     // that the failure detector was told
 	running   func() bool // answer to a question about a run
 	full      bool        // nobody takes the request; it is to ask again soon
 }
@@ -55,7 +57,6 @@
 func (w *world) Admit(context.Context, Ticket) (func(), error) { return nil, nil }
 func (w *world) Lookup(string) (fleet.Backend, bool)           { return fleet.Backend{}, false }
 func (w *world) Keeps(id string) bool                          { return !w.lost[id] }
-func (w *world) Result(string, error)                          {}
 func (w *world) Add(backend.Abandoned)                         {}
 
 func (w *world) Take(string) bool {
@@ -70,6 +71,7 @@
 
 func (w *world) Pick(_ context.Context, a Ask) (fleet.Backend, Share, error) {
 	w.excluded = append(w.excluded, a.Exclude)
+	w.asks = append(w.asks, a)
 	if w.full {
 		return fleet.Backend{}, nil, &Unavailable{Retryable: true, RetryAfter: 20 * time.Millisecond}
 	}
@@ -189,7 +191,7 @@
 // before the attempt is opened.
 type worldWatcher struct{ w *world }
 
-func (v worldWatcher) Result(string, error) {}
+func (v worldWatcher) Result(_ string, err error) { v.w.results = append(v.w.results, err) }
 
 func (v worldWatcher) Watch(string, health.Work, context.CancelCauseFunc) Watch {
 	v.w.watching = true
@@ -267,6 +269,27 @@
 	}
 }
 
+// Symptom: replicas that work are suspected, and with them their failure domain. Sequence:
+// a run is ended so that it goes on elsewhere. Cause: its end is taken for a loss.
+func TestMovedRunIsNoFault(t *testing.T) {
+	w := &world{pieces: 9, budget: 9, scripts: []script{{ends: 4, err: fmt.Errorf("a layer above: %w", ErrMoved)}}}
+	res, out := w.run(t, nil)
+	if res.Outcome != fleet.Complete || out.text != text(9) || w.opened[1].ResumeTokens != 5 {
+		t.Fatalf("got %s, %q", res.Outcome, out.text)
+	}
+	for _, err := range w.results {
+		if err != nil {
+			t.Errorf("the failure detector was told of %v", err)
+		}
+	}
+	if a := w.asks[1]; a.LostDomain != "" || !a.Again || w.asks[0].Again {
+		t.Errorf("the second attempt avoids domain %q, again %v", a.LostDomain, a.Again)
+	}
+	if !w.opened[0].First || w.opened[1].First {
+		t.Error("the first attempt alone is the first")
+	}
+}
+
 // Symptom: every second crash costs a run its answer's pace. Sequence: the failure
 // domain of the copy crashes, then that of the run. Cause: nobody makes another
 // copy.
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -175,6 +175,7 @@
 	afterLoss  bool                  // the next attempt is the first since an answer that had begun was lost
 	repeats    bool                  // the next attempt of an opaque request is one more arrival at its service
 	sent       int                   // attempts that may have run
+	sentBefore bool                  // an attempt was sent, whether it may have run or not
 	failed     *backend.FailedAnswer // the latest, delivered if nothing better comes
 	backend    fleet.Backend         // picked or held
 	share      Share                 // in the load of backend
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"wigeondale/event"
 	fakes "wigeondale/fakes/hosted"
 	"wigeondale/fakes/ports"
 	"wigeondale/settings"
@@ -135,7 +136,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	n, err := newNode(set, nil)
+	n, err := newNode(set, event.New(id))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -47,16 +47,17 @@
 	log   *event.Log
 	meter *metrics.Set
 
-	leaving atomic.Bool
-	table   *route.Current
-	dir     *directory.Directory
-	mon     *health.Monitor
-	view    *view
-	peers   *peers
-	news    *news
-	adopter *adopter
-	dumps   dump.Registry
-	mirror  *mirror.Mirror
+	leaving  atomic.Bool
+	table    *route.Current
+	dir      *directory.Directory
+	mon      *health.Monitor
+	view     *view
+	peers    *peers
+	news     *news
+	adopter  *adopter
+	rollouts *rollouts
+	dumps    dump.Registry
+	mirror   *mirror.Mirror
 
 	front, ready, stats *listen.Server
 }
@@ -82,7 +83,13 @@
 	store := platform.NewStore(set.Hosted.StoreAddress)
 	n.news = newNews(set.Node.ID, set.Node.FailureDomain, log)
 	n.peers = newPeers(set, store, n.dir, n.mon, n.news, log)
-	n.view = newView(n.table, n.dir, n.mon, n.peers, log)
+	var err error
+	if n.rollouts, err = newRollouts(set.Hosted, store, n.dir, n.mon, log, n.meter); err != nil {
+		return nil, err
+	}
+	n.rollouts.join(n.peers, n.news)
+	n.peers.rollouts = n.rollouts
+	n.view = newView(n.table, n.dir, n.mon, n.peers, n.rollouts, log)
 	n.mirror = mirror.New(store, n.view, mirror.Config{Reads: n.news.reads, OnNews: n.news.say, Log: log, Set: n.meter})
 	n.news.mirror = n.mirror
 	relay, err := n.newRelay()
@@ -108,12 +115,13 @@
 		return nil, err
 	}
 	pick.tellSoon = n.peers.tellSoon
+	pick.rollouts = n.rollouts
 	budgets := newBudgets(n.set.Hosted, n.peers.nodes)
 	runner, err := generation.New(generation.Deps{
 		Admitter: openDoor{},
 		Picker:   pick,
 		Watcher:  placement.Watcher{Monitor: n.mon, Dir: n.dir, Leaves: platform.CodeElsewhere},
-		Engines:  replicas,
+		Engines:  observed{replicas, n.rollouts},
 		Budget:   budgets,
 		Copier:   replicas,
 		Inquirer: replicas,
@@ -159,6 +167,7 @@
 	n.dumps.Add("store", func() any { return n.news.state() })
 	n.dumps.Add("backends", func() any { return n.dir.Dump() })
 	n.dumps.Add("health", func() any { return n.mon.Dump() })
+	n.dumps.Add("rollouts", func() any { return n.rollouts.state() })
 	n.dumps.Add("peers", func() any { return n.peers.state() })
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/dump", &n.dumps)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -39,13 +39,14 @@
 // peers joins this node with the others. It is idle until the store has given
 // the key that all links prove.
 type peers struct {
-	set     *settings.Settings
-	reg     *registration
-	dir     *directory.Directory
-	mon     *health.Monitor
-	log     *event.Log
-	news    *news
-	adopter *adopter // set before run
+	set      *settings.Settings
+	reg      *registration
+	dir      *directory.Directory
+	mon      *health.Monitor
+	log      *event.Log
+	news     *news
+	adopter  *adopter  // set before run
+	rollouts *rollouts // set before run
 
 	mu    sync.Mutex
 	key   []byte
@@ -203,6 +204,21 @@
 	return max(len(p.addrs), 1)
 }
 
+// living are the nodes that are taken to work, this one included.
+func (p *peers) living() []string {
+	mesh := p.joined()
+	if mesh == nil {
+		return nil
+	}
+	var out []string
+	for _, m := range mesh.Members() {
+		if m.Self || (m.Alive && !m.Suspect && !m.Leaving) {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
 // run registers this node and keeps its links until ctx ends.
 func (p *peers) run(ctx context.Context) error {
 	go p.reg.run(ctx)
@@ -229,7 +245,10 @@
 	p.full = mesh.Full
 	go p.tellAlways(ctx, func(m loadsMessage) {
 		_ = mesh.Tell(tellLoads, m) // one that is lost is repeated with all the others
-	}, p.news.tick)
+	}, func(now time.Time) {
+		p.news.tick(now)
+		p.rollouts.tick(now)
+	})
 	return mesh.Run(ctx)
 }
 
@@ -250,6 +269,7 @@
 	peer.Handle(mesh, floodCrash, func(_ string, m crashMessage) { p.mon.DomainRumour(m.Domain) })
 	peer.Handle(mesh, floodGone, func(_ string, m goneMessage) { p.dir.MarkLeaving(m.Replica, "", directory.FromRumour) })
 	peer.Handle(mesh, floodAdopted, func(_ string, m adoptedMessage) { p.adopter.hear(m) })
+	peer.Handle(mesh, floodRollout, p.rollouts.hear)
 	p.news.join(mesh)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -41,6 +41,8 @@
 	log     *event.Log
 	queues  queues
 	survey  *survey
+	// rollouts say which versions attempts may use; nil for any.
+	rollouts *rollouts
 	// tellSoon has other routers told at once of a change.
 	tellSoon func()
 }
@@ -118,6 +120,19 @@
 // Pick implements generation.Picker. Whether a replica is leaving is looked up
 // once more at the moment of sending.
 func (p *picker) Pick(ctx context.Context, a generation.Ask) (fleet.Backend, generation.Share, error) {
+	b, share, err := p.pick(ctx, a)
+	one := p.rollouts.of(a.Service)
+	switch {
+	case one == nil:
+	case err == nil:
+		one.Sent(a.Request)
+	case one.Unassign(a.Request): // the version on trial can't take it
+		return p.Pick(ctx, a)
+	}
+	return b, share, err
+}
+
+func (p *picker) pick(ctx context.Context, a generation.Ask) (fleet.Backend, generation.Share, error) {
 	if b, share, ok := p.preferred(a); ok {
 		return b, share, nil
 	}
@@ -127,7 +142,7 @@
 	if p.capacity(a.Service) > 0 {
 		return p.engine(ctx, a)
 	}
-	return p.choose(p.plain, p.dir.Service(a.Service), a, directory.Load{Requests: 1})
+	return p.choose(p.plain, p.candidates(a), a, directory.Load{Requests: 1})
 }
 
 // choose looks in other failure domains first than that of the attempt that was lost.
@@ -145,7 +160,7 @@
 
 // preferred is the replica that holds a copy of the run, if it takes work.
 func (p *picker) preferred(a generation.Ask) (fleet.Backend, generation.Share, bool) {
-	if a.Prefer == "" || a.Exclude[a.Prefer] || p.dir.Leaving(a.Prefer) {
+	if a.Prefer == "" || a.Exclude[a.Prefer] || p.dir.Leaving(a.Prefer) || !p.allowed(a.Prefer) {
 		return fleet.Backend{}, nil, false
 	}
 	b, ok := p.dir.Backend(a.Prefer)
@@ -187,7 +202,7 @@
 // second, and each router asks each engine. With 95 routers and 160 engines 54 routers
 // asked 8,600 times in 0.3 s, which delays what the engines do.
 func (p *picker) mayHold(a generation.Ask) []routing.Candidate {
-	all := p.dir.Service(a.Service)
+	all := p.usual(a.Service)
 	if !p.survey.needed() || a.Own == "" {
 		return all
 	}
@@ -195,7 +210,9 @@
 }
 
 // Keeps implements generation.Picker.
-func (p *picker) Keeps(id string) bool { return p.healthy(id) && !p.dir.Leaving(id) }
+func (p *picker) Keeps(id string) bool {
+	return p.healthy(id) && !p.dir.Leaving(id) && p.allowed(id)
+}
 
 // Standby implements generation.Picker: a replica of another failure domain
 // than b, so that the loss of one domain doesn't take the run and its copy.
@@ -205,7 +222,7 @@
 	ask.Exclude = placement.With(a.Exclude, b.ID)
 	ask.OtherDomain = b.FailureDomain
 	ask.Capacity = int(p.queues.of(a.Service).losses.CopyShare(ask.Now) * float64(ask.Capacity))
-	c, _, err := p.standby.Pick(p.dir.Service(a.Service), ask)
+	c, _, err := p.standby.Pick(p.usual(a.Service), ask)
 	if err != nil {
 		return fleet.Backend{}, nil, false
 	}
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -119,7 +119,7 @@
 
 // place chooses an engine for a run: one of its homes if any of them can take it.
 func (p *picker) place(a generation.Ask) (fleet.Backend, generation.Share, error) {
-	all, load := p.dir.Service(a.Service), loadOf(a, 0)
+	all, load := p.candidates(a), loadOf(a, 0)
 	if p.survey.needed() {
 		b, share, err := p.choose(p.home, routing.Homes(all, homeKey(a), homes), a, load)
 		if err == nil {
--- a/hosted/survey.go
+++ b/hosted/survey.go
@@ -152,7 +152,7 @@
 	began := time.Now()
 	ask := p.ask(a)
 	ask.OtherDomain = a.LostDomain
-	drawn := p.survey.drawn(p.dir.Service(a.Service), ask, homeKey(a), int(waited/surveyEvery))
+	drawn := p.survey.drawn(p.candidates(a), ask, homeKey(a), int(waited/surveyEvery))
 	answered := p.survey.ask(ctx, drawn, q.usual.get())
 	p.log.Emit(event.EnginesSurveyed, "request", a.Request, "service", a.Service,
 		"asked", len(drawn), "answered", answered, "took_ms", time.Since(began).Milliseconds())
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -20,7 +20,9 @@
 	dir   *directory.Directory
 	mon   *health.Monitor
 	peers *peers
-	log   *event.Log
+	// rollouts take in the orders to move services to other versions.
+	rollouts *rollouts
+	log      *event.Log
 
 	began time.Time // of this node; see load
 
@@ -39,9 +41,9 @@
 // router that starts reads thousands, whose lines would crowd out all others.
 const maxNamed = 20
 
-func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, p *peers, log *event.Log) *view {
+func newView(table *route.Current, dir *directory.Directory, mon *health.Monitor, p *peers, ro *rollouts, log *event.Log) *view {
 	return &view{
-		table: table, dir: dir, mon: mon, peers: p, log: log, began: time.Now(),
+		table: table, dir: dir, mon: mon, peers: p, rollouts: ro, log: log, began: time.Now(),
 		replicas: map[string]fleet.Backend{},
 		lives:    newLifetimes(),
 		adopted:  map[string]bool{},
@@ -63,6 +65,9 @@
 		v.putReplica(name, item)
 		return
 	}
+	if v.rollouts.put(item) {
+		return
+	}
 	v.peers.put(item)
 }
 
@@ -198,6 +203,7 @@
 func (v *view) Gone(key string) {
 	name, ok := platform.ReplicaID(key)
 	if !ok {
+		v.rollouts.gone(key)
 		v.peers.gone(key)
 		return
 	}
--- a/hosted/view_test.go
+++ b/hosted/view_test.go
@@ -14,7 +14,7 @@
 func newTestView() *view {
 	dir, mon := directory.New(nil), health.NewMonitor(health.DefaultPolicy(), nil, nil)
 	set := &settings.Settings{Hosted: &settings.Hosted{}}
-	v := newView(&route.Current{}, dir, mon, newPeers(set, nil, dir, mon, newNews("n", "d", nil), nil), nil)
+	v := newView(&route.Current{}, dir, mon, newPeers(set, nil, dir, mon, newNews("n", "d", nil), nil), nil, nil)
 	v.table.Install(route.NewTable(&route.Config{Version: 1, Services: []route.Service{{Name: "llm", Engine: true}}}))
 	return v
 }
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -13,6 +13,10 @@
 	// more at once, by all nodes together.
 	RetryShare float64 `json:"retry_share"`
 	RetryBurst float64 `json:"retry_burst"`
+	// RolloutShare of the requests for a service, and RolloutBurst more, may reach a version
+	// on trial that turns out to be bad, from all nodes together.
+	RolloutShare float64 `json:"rollout_share"`
+	RolloutBurst float64 `json:"rollout_burst"`
 	// HeartbeatMS is the interval at which replicas renew their entries.
 	HeartbeatMS int `json:"heartbeat_ms"`
 	// FailuresPerHour is the prior rate at which one replica fails.
@@ -36,6 +40,8 @@
 		GraceMS:                8000,
 		RetryShare:             0.8,
 		RetryBurst:             150,
+		RolloutShare:           0.1,
+		RolloutBurst:           50,
 		HeartbeatMS:            1200,
 		FailuresPerHour:        200,
 		MinSilenceMS:           260,
@@ -55,6 +61,8 @@
 	within(c, "hosted.grace_ms", h.GraceMS, 1000, dayMS)
 	within(c, "hosted.retry_share", h.RetryShare, 0, 10)
 	within(c, "hosted.retry_burst", h.RetryBurst, 0, 10000)
+	within(c, "hosted.rollout_share", h.RolloutShare, 0.001, 1)
+	within(c, "hosted.rollout_burst", h.RolloutBurst, 0, 10000)
 	within(c, "hosted.heartbeat_ms", h.HeartbeatMS, 50, 60000)
 	within(c, "hosted.failures_per_hour", h.FailuresPerHour, 0.001, 100000)
 	within(c, "hosted.min_silence_ms", h.MinSilenceMS, 10, maxSuspectMS)
