rollout: a trial that begins late lasts a while

Change: a trial lasts 2 s at least, or a quarter of the order's time. rollout.TestTrialThatBeginsLateLastsAWhile failed first. The soak's orders give 8 s in place of 5: within 5 s a version that turns bad after 1.5 s can't be told from a sound one by any trial.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -302,7 +302,7 @@
 	if elapsed < r.order.moveAt() {
 		return "", ""
 	}
-	missing := r.missing(ready)
+	missing := r.missing(ready, now)
 	switch {
 	case missing == "":
 		return eventPassed, ""
@@ -317,11 +317,13 @@
 const enoughReady = 0.7
 
 // missing tells what a trial lacks to be passed, "" for nothing.
-func (r *Rollout) missing(ready Ready) string {
+func (r *Rollout) missing(ready Ready, now time.Duration) string {
 	answers := r.verdict.Answers
 	switch {
 	case r.stale:
 		return "this router does not hear the store"
+	case now-r.staged < r.order.leastTrial():
+		return "the trial has just begun"
 	case float64(ready.New) < enoughReady*float64(ready.Old) || ready.New == 0:
 		return fmt.Sprintf("%d new replicas are ready, %d old ones", ready.New, ready.Old)
 	case r.verdict.Evidence >= doubtAt:
@@ -346,5 +348,5 @@
 	if r.order == nil || r.stage() != Trial || now-r.began < r.order.moveAt() {
 		return ""
 	}
-	return r.missing(ready)
+	return r.missing(ready, now)
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -254,3 +254,19 @@
 		t.Errorf("got %+v", next)
 	}
 }
+
+// Symptom: a version that turns bad a second after its begin gets all requests. Sequence:
+// the store answers late, so the trial begins when most of the time before the move is
+// over. Cause: the trial ends by the time of the order alone.
+func TestTrialThatBeginsLateLastsAWhile(t *testing.T) {
+	r := newRollout(t)
+	r.Ordered(someOrder, 0)
+	begin := someOrder.moveAt() - 100*time.Millisecond
+	r.Recorded(Record{Order: 7, Target: "v2", Stage: Trial}, 8, begin)
+	ready := Ready{New: 3, Old: 3, Domains: 3}
+	for at := begin; at < begin+someOrder.leastTrial() && at < someOrder.lateAt()-newsLag; at += simTick {
+		if next, _, due := r.Next(at, ready); due {
+			t.Fatalf("after %v: %+v", at-begin, next)
+		}
+	}
+}
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -18,6 +18,11 @@
 	minMargin   = 1200 * time.Millisecond
 	// minTrialShare of an order's time goes to the trial, however short the time is.
 	minTrialShare = 0.4
+	// leastTrial is how long a trial lasts at least once it has begun, and leastTrialShare
+	// the part of the order's time, if that is less: where the store answered late, what is
+	// left by the order's time may be too short to see an answer.
+	leastTrial      = 2 * time.Second
+	leastTrialShare = 0.25
 	// lastCall is how long before the end of its time a roll-out that has not passed its
 	// trial is taken back.
 	lastCall = settle + 200*time.Millisecond
@@ -33,3 +38,8 @@
 
 // lateAt is when a roll-out that has not passed its trial can't complete in time.
 func (o Order) lateAt() time.Duration { return max(o.Duration-lastCall, o.moveAt()) }
+
+// leastTrial is how long its trial lasts at least.
+func (o Order) leastTrial() time.Duration {
+	return min(leastTrial, time.Duration(leastTrialShare*float64(o.Duration)))
+}
--- a/soak/platform_rollouts.go
+++ b/soak/platform_rollouts.go
@@ -9,7 +9,7 @@
 
 const (
 	// rolloutTime is what an order gives a roll-out.
-	rolloutTime = 5 * time.Second
+	rolloutTime = 8 * time.Second
 	// rolloutEnds is how much later one must have ended, once all faults are over.
 	rolloutEnds = 15 * time.Second
 	// exposureShare and exposureBurst bound the requests that reach a bad version.
