Who is refused in overload: two ways, by what a late answer is worth

Ways: late (present: who would be late is refused), unservable (only who can't be answered any more; who would be late goes behind all others and only to an engine that reads nothing).

The model's engines no longer stand still when copies fill them.

--- a/admission/limits.go
+++ b/admission/limits.go
@@ -47,8 +47,8 @@
 }
 
 // peerDemands holds the peers' demands, where those that report none are only
-// counted. Above the full mesh these are nearly all: to look each up for each
-// client account took 9% of a core and 39 MB at 830 nodes and 5,600 accounts.
+// counted. Above the full mesh these are nearly all, and to look each up for each client
+// account costs more than all else of admission.
 type peerDemands struct {
 	peers       []PeerDemand
 	heard, lost int // peers that report no demand
--- a/admission/line.go
+++ b/admission/line.go
@@ -11,8 +11,7 @@
 // or engines crash and all their runs look for others at once. Without an order each
 // request tries by itself, at random: the one that has waited longest has no better
 // chance than the one that has just come, what waits is not counted, and all of them
-// rush to the first engine that is back (20 of them in 33 ms; their first pieces took up
-// to 18 s, and five clients left without any). In a line the number ahead says how long the wait is
+// rush to the first engine that is back. In a line the number ahead says how long the wait is
 // going to be, so that what can't be served in time is told so at once.
 //
 // It makes decisions only: callers pass the time in, ask for their turn now and then,
@@ -32,10 +31,13 @@
 	RankStarted Rank = iota
 	// RankNew is for all others.
 	RankNew
+	// RankLate is for those that can't be in time any more.
+	RankLate
 )
 
 type lineEntry struct {
 	rank  Rank
+	late  bool      // it stays so
 	came  time.Time // of its client's first try, as far as known
 	since time.Time // it stands here
 	asked time.Time
@@ -46,6 +48,7 @@
 type Turn struct {
 	Ahead  int           // how many go before it
 	Waited time.Duration // since it came
+	Late   bool          // it can't be in time any more
 }
 
 const (
@@ -72,9 +75,26 @@
 		w = &lineEntry{came: now.Add(-age), since: now}
 		l.waiters[id] = w
 	}
+	if w.late && rank == RankNew {
+		rank = RankLate
+	}
 	w.rank, w.asked = rank, now
 	w.asks++
-	return Turn{Ahead: l.before(id, w, now), Waited: now.Sub(w.since)}
+	return Turn{Ahead: l.before(id, w, now), Waited: now.Sub(w.since), Late: w.late}
+}
+
+// Late puts a request that waits behind all that can still be in time, for good, and
+// tells where it stands then.
+func (l *Line) Late(id string, now time.Time) Turn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.waiters[id]
+	if w == nil {
+		return Turn{}
+	}
+	w.late = true
+	w.rank = max(w.rank, RankLate)
+	return Turn{Ahead: l.before(id, w, now), Waited: now.Sub(w.since), Late: true}
 }
 
 // Had tells that a request has got its place. The pace is learnt from those that did
--- a/admission/line_test.go
+++ b/admission/line_test.go
@@ -168,3 +168,45 @@
 		t.Errorf("after a loss copies take %v", got)
 	}
 }
+
+// Symptom: those that could be in time wait behind those that can't. Cause: a request that
+// was given up as late goes before others again because it came first.
+func TestLateGoLast(t *testing.T) {
+	l, now := NewLine(), time.Unix(1000, 0)
+	l.Wait("late", RankNew, 0, now)
+	if turn := l.Late("late", now); !turn.Late {
+		t.Errorf("got %+v", turn)
+	}
+	l.Wait("new", RankNew, 0, now.Add(10*time.Millisecond))
+	if turn := l.Wait("late", RankNew, 0, now.Add(10*time.Millisecond)); turn.Ahead != 1 || !turn.Late {
+		t.Errorf("got %+v", turn)
+	}
+	if turn := l.Wait("late", RankStarted, 0, now.Add(10*time.Millisecond)); turn.Ahead != 0 {
+		t.Errorf("an answer that has begun: %+v", turn)
+	}
+}
+
+// What is known not to be servable is refused at once by either way; what would be late
+// by one of them only.
+func TestWhoIsRefused(t *testing.T) {
+	const target = 4 * time.Second
+	for _, c := range []struct {
+		name             string
+		w                Wait
+		late, unservable bool
+	}{
+		{"in time", Wait{Expect: time.Second, Target: target, Left: time.Minute}, false, false},
+		{"late", Wait{Expect: 3 * time.Second, Target: target, Left: time.Minute}, true, false},
+		{"too late for its caller", Wait{Expect: 3 * time.Second, Target: target, Left: 4 * time.Second}, true, true},
+		{"of no use any more", Wait{Expect: 13 * time.Second, Target: target, Left: time.Minute}, true, true},
+		{"has waited long", Wait{Turn: Turn{Waited: 13 * time.Second}, Target: target}, true, true},
+		{"never late", Wait{Expect: time.Hour}, false, false},
+	} {
+		if _, got := RefuseLate.Refuses(c.w); got != c.late {
+			t.Errorf("%s: %s refuses %v", c.name, RefuseLate, got)
+		}
+		if _, got := RefuseUnservable.Refuses(c.w); got != c.unservable {
+			t.Errorf("%s: %s refuses %v", c.name, RefuseUnservable, got)
+		}
+	}
+}
--- a/admission/losses.go
+++ b/admission/losses.go
@@ -10,9 +10,8 @@
 //
 // The load that it answers: memory is short. A copy spares the reading of a prompt if
 // its run is lost, and takes the place of a run if not. Where failure domains crash each
-// few seconds, copies up to 0.8 of the memory were worth 0.06 more in a burst of three
-// times the usual drafts than up to 0.4 (four seeds); in a burst without any crash a run
-// is turned away for each copy, and 0.4 was worth 0.09 more than 0.8 (three seeds).
+// few seconds, copies are worth most of the memory in a burst; in a burst without any
+// crash a run is turned away for each copy.
 type Losses struct {
 	mu   sync.Mutex
 	last time.Time
@@ -24,7 +23,7 @@
 	leastCopies = 0.4
 	mostCopies  = 0.8
 	// lossFresh is how long after a loss the next one is expected soon, and lossOld when
-	// nothing is expected of it any more. Domains were seen to crash each 4 to 7 s.
+	// nothing is expected of it any more.
 	lossFresh = 12 * time.Second
 	lossOld   = 40 * time.Second
 )
--- a/generation/copy.go
+++ b/generation/copy.go
@@ -11,8 +11,7 @@
 const (
 	// copyCheck is how often a run looks whether its copy is still kept.
 	copyCheck = 300 * time.Millisecond
-	// copyTimeout bounds the making of a copy. Some 100 MB take a few ms on the
-	// links that were measured; they queue behind other copies.
+	// copyTimeout bounds the making of a copy, which queues behind other copies.
 	copyTimeout = 1500 * time.Millisecond
 	// copyRefresh is when a copy that was made on demand is brought up to date.
 	// Backend servers drop it some 4 s after it was made.
@@ -48,8 +47,7 @@
 // What goes wrong without it: the failure domain of the copy crashes, the run
 // goes on without one, and some seconds later its own domain crashes too. It
 // shows as answers that pause for a second or more, and pay for their prompt
-// twice, in every second crash: 20 of 94 lost attempts on a day with a crash
-// each 6 s.
+// twice, in every second crash.
 func (x *run) tendCopy(a *attempt, now time.Time) {
 	if x.Copier == nil || x.req.Opaque == nil || !x.req.Opaque.Copies.OnDemand || now.Sub(a.copyChecked) < copyCheck {
 		return
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -207,6 +207,10 @@
 	Target time.Duration
 	// Age is how long ago the client of an opaque request tried first, as far as known.
 	Age time.Duration
+	// Left is what is left of the time of the client of an opaque request; 0 when not known.
+	Left time.Duration
+	// Late tells that its first piece can't be in time any more.
+	Late bool
 	// Own is the id of the part of the prompt that no other request has, "" if not known.
 	Own string
 	// Parts are those of the prompt of a client that came back with a part of its
--- a/generation/inquire.go
+++ b/generation/inquire.go
@@ -11,8 +11,7 @@
 
 const (
 	// inquireAfter is how long an attempt waits for its first piece before its
-	// backend server is asked about it. Half of the first pieces came within
-	// 1.3 s, nine of ten within 2 s.
+	// backend server is asked about it: longer than most prompts take to be read.
 	inquireAfter = 1800 * time.Millisecond
 	// inquireAgain is the time to the next question, and inquireTimeout bounds one.
 	inquireAgain   = 700 * time.Millisecond
@@ -69,7 +68,7 @@
 // What goes wrong without it: a backend server loses an answer, or takes requests
 // and never works on them, while its other streams go on. Silence alone can't tell
 // that from a queue, so that the bound on the first piece is long, and the answer
-// late: a draft was seen to wait 10 s for a run that had ended after one.
+// late by many times what the run would take.
 func (x *run) inquire(a *attempt) (stop func()) {
 	if x.Inquirer == nil || x.req.Opaque == nil || !x.req.Opaque.Streaming || x.lastChance() {
 		return func() {}
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -136,6 +136,9 @@
 	if o := x.req.Opaque; o != nil {
 		a.Service, a.Size, a.Answer = o.Service, o.Size, o.Answer
 		a.Target, a.Age = o.Target, o.Age
+		if !o.Deadline.IsZero() {
+			a.Left = max(o.Deadline.Left(), 1)
+		}
 		if len(o.Parts) > 0 {
 			a.Own = o.Parts[len(o.Parts)-1]
 		}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -20,6 +20,7 @@
 	"github.com/oklog/run"
 	"github.com/zeebo/errs"
 
+	"wigeondale/admission"
 	"wigeondale/directory"
 	"wigeondale/dump"
 	"wigeondale/event"
@@ -116,6 +117,7 @@
 	}
 	pick.tellSoon = n.peers.tellSoon
 	pick.rollouts = n.rollouts
+	pick.refusal = admission.Refusal(n.set.Hosted.Decisions.Refusing)
 	budgets := newBudgets(n.set.Hosted, n.peers.nodes)
 	runner, err := generation.New(generation.Deps{
 		Admitter: openDoor{},
@@ -138,7 +140,7 @@
 		return nil, err
 	}
 	return relay.New(relay.Config{
-		Table: n.table, Runner: runner, Budgets: budgets, Log: n.log, Set: n.meter,
+		Table: n.table, Runner: runner, Budgets: budgets, Patience: pick.refusal.Patience, Log: n.log, Set: n.meter,
 	}), nil
 }
 
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wigeondale/admission"
 	"wigeondale/directory"
 	"wigeondale/event"
 	"wigeondale/fleet"
@@ -28,6 +29,9 @@
 	unreadByCopy = 0.05
 )
 
+// idleOnly is a bound on the backlog that only an engine keeps which reads no prompt.
+const idleOnly = 1
+
 // picker chooses replicas and standbys.
 type picker struct {
 	table   *route.Current
@@ -43,12 +47,13 @@
 	survey  *survey
 	// rollouts say which versions attempts may use; nil for any.
 	rollouts *rollouts
+	refusal  admission.Refusal
 	// tellSoon has other routers told at once of a change.
 	tellSoon func()
 }
 
 func newPicker(table *route.Current, dir *directory.Directory, mon *health.Monitor, find *holders.Finder, asks *survey, log *event.Log) (*picker, error) {
-	p := &picker{survey: asks, table: table, dir: dir, mon: mon, holders: find, log: log, tellSoon: func() {}}
+	p := &picker{refusal: admission.RefuseLate, survey: asks, table: table, dir: dir, mon: mon, holders: find, log: log, tellSoon: func() {}}
 	for _, r := range []struct {
 		to    **routing.Router
 		steps []routing.StepConfig
@@ -67,8 +72,7 @@
 // beside.
 //
 // What goes wrong without it: work goes to engines that keep many copies, whose memory
-// runs out where a router knows a part of the loads only. With 85 routers 48 runs were put
-// off in 50 s of load, and 29 with it.
+// runs out where a router knows a part of the loads only. It shows as runs that are put off.
 const memoryWeight = 0.25
 
 // plainSteps choose the replica of a plain service, workSteps the engine on which an
@@ -199,8 +203,8 @@
 // where prompts are placed by them, or all.
 //
 // What goes wrong if all are asked: when all routers end, all clients come back in one
-// second, and each router asks each engine. With 95 routers and 160 engines 54 routers
-// asked 8,600 times in 0.3 s, which delays what the engines do.
+// second, and each router asks each engine. It shows as engines whose work is delayed by
+// thousands of questions.
 func (p *picker) mayHold(a generation.Ask) []routing.Candidate {
 	all := p.usual(a.Service)
 	if !p.survey.needed() || a.Own == "" {
@@ -240,6 +244,9 @@
 	}
 	ask.Capacity = p.capacity(a.Service)
 	ask.Backlog = p.queues.of(a.Service).backlog(a)
+	if a.Late {
+		ask.Backlog = idleOnly
+	}
 	prompt, answer := tokensOf(a)
 	ask.Tokens, ask.Holds = prompt, prompt+answer
 	return ask
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -22,12 +22,6 @@
 	// is to have read what it was sent. The rest is for the wait at the router, where
 	// a request can still go to another engine.
 	readingShare = 0.5
-	// waitShare is the part of that time which a request may be expected to wait here, and
-	// for which it waits while no expectation is known. What is left beside readingShare is
-	// for waits that last longer than expected: half of them do. Up to half of the time 111
-	// of 1,873 were late, and 56 up to 0.3 of it, with as many in time (model of engines,
-	// twelve seeds).
-	waitShare = 0.3
 	// turnEvery is how often the first in the line asks for its turn; those behind it
 	// ask less often, by their place.
 	turnEvery = 10 * time.Millisecond
@@ -85,6 +79,7 @@
 	}
 	now := time.Now()
 	turn := q.line.Wait(a.Request, rank, a.Age, now)
+	a.Late = turn.Late
 	if turn.Ahead >= lookers {
 		return fleet.Backend{}, nil, p.waitOrRefuse(q, a, turn, now)
 	}
@@ -129,28 +124,41 @@
 	return p.choose(p.work, all, a, load)
 }
 
-// waitOrRefuse says when a request is to ask again, or refuses it if its turn would come too
-// late for its first piece. One that an engine had is never refused here.
+// waitOrRefuse says when a request is to ask again, or refuses it, by the way of refusal
+// that is set. One that an engine had is never refused here.
 func (p *picker) waitOrRefuse(q *queue, a generation.Ask, turn admission.Turn, now time.Time) error {
-	expect, _ := q.line.Expect(turn.Ahead+1, now) // none while no pace is known
-	latest := time.Duration(waitShare * float64(a.Target))
-	if !sentBefore(a) && a.Target > 0 && turn.Waited+expect > latest {
-		q.line.Leave(a.Request)
-		// Who has waited in vain would not have its turn sooner than that either.
-		back := max(expect, turn.Waited)
-		advice := back + time.Duration(adviceSpread*rand.Float64()*float64(back))
-		p.log.Emit(event.RequestOverload, "request", a.Request, "service", a.Service, "ahead", turn.Ahead,
-			"waited_ms", turn.Waited.Milliseconds(), "expect_ms", expect.Milliseconds(), "advice_ms", advice.Milliseconds())
-		return &generation.Unavailable{Code: codeOverloaded, RetryAfter: advice, Err: errOverloaded}
+	wait := p.waitOf(q, a, turn, now)
+	if !sentBefore(a) {
+		if back, refused := p.refusal.Refuses(wait); refused {
+			q.line.Leave(a.Request)
+			return p.refuse(a, wait, back)
+		}
+		if !wait.InTime() && !turn.Late {
+			turn = q.line.Late(a.Request, now)
+		}
 	}
 	if turn.Waited == 0 {
-		p.log.Emit(event.RequestWaits, "request", a.Request, "service", a.Service, "ahead", turn.Ahead,
-			"expect_ms", expect.Milliseconds(), "backlog_tokens", int(q.backlog(a)))
+		p.log.Emit(event.RequestWaits, "request", a.Request, "service", a.Service, "ahead", turn.Ahead, "late", turn.Late,
+			"expect_ms", wait.Expect.Milliseconds(), "backlog_tokens", int(q.backlog(a)))
 	}
 	next := turnEvery * time.Duration(1+min(turn.Ahead, turnPlaces))
 	return &generation.Unavailable{Retryable: true, RetryAfter: next, Err: errOverloaded}
 }
 
+// waitOf is what is known of a request that waits.
+func (p *picker) waitOf(q *queue, a generation.Ask, turn admission.Turn, now time.Time) admission.Wait {
+	expect, _ := q.line.Expect(turn.Ahead+1, now) // none while no pace is known
+	return admission.Wait{Turn: turn, Expect: expect, Target: a.Target, Left: a.Left}
+}
+
+// refuse tells a client when to come back.
+func (p *picker) refuse(a generation.Ask, w admission.Wait, back time.Duration) error {
+	advice := back + time.Duration(adviceSpread*rand.Float64()*float64(back))
+	p.log.Emit(event.RequestOverload, "request", a.Request, "service", a.Service, "ahead", w.Ahead,
+		"waited_ms", w.Waited.Milliseconds(), "expect_ms", w.Expect.Milliseconds(), "advice_ms", advice.Milliseconds())
+	return &generation.Unavailable{Code: codeOverloaded, RetryAfter: advice, Err: errOverloaded}
+}
+
 // sentBefore tells whether an engine had the request and was lost: nobody can say any
 // more that it has not run, so that a refusal would be a failure without advice.
 func sentBefore(a generation.Ask) bool { return a.Resume || a.LostDomain != "" }
--- a/hosted/replay_fleet_test.go
+++ b/hosted/replay_fleet_test.go
@@ -23,6 +23,7 @@
 	replayPrompt  = 5000
 	replayAnswer  = 300
 	replayTarget  = 4500 * time.Millisecond
+	replayTime    = 25 * time.Second // of a client
 	wordDelay     = time.Millisecond // to another router
 )
 
@@ -37,6 +38,25 @@
 	hear int
 	// seeds are played one after the other.
 	seeds int
+	// work is what requests and engines are; the zero value stands for usualWork.
+	work replayWork
+	// change sets what a test compares.
+	change func(*picker)
+}
+
+// replayWork is the size of the requests and the speed of the engines.
+type replayWork struct {
+	prompt, answer int
+	engine         replay.Config
+}
+
+var usualWork = replayWork{replayPrompt, replayAnswer, replayEngine}
+
+func (s replaySize) workOf() replayWork {
+	if s.work == (replayWork{}) {
+		return usualWork
+	}
+	return s.work
 }
 
 // fewRouters all hear each other. Routers that choose at the same moment choose at
@@ -67,7 +87,7 @@
 func newReplay(t *testing.T, ctx context.Context, size replaySize) *replayed {
 	f := &replayed{size: size, engines: map[string]*replay.Engine{}, list: engineList(size.engines, size.domains)}
 	for _, b := range f.list {
-		f.engines[b.ID] = replay.NewEngine(replayEngine)
+		f.engines[b.ID] = replay.NewEngine(size.workOf().engine)
 		go f.engines[b.ID].Serve(ctx)
 	}
 	for i := range size.routers {
@@ -80,7 +100,10 @@
 }
 
 func (f *replayed) router(t *testing.T, id string) *replayRouter {
-	pick := pickerOf(t, f.list, replayEngine.Memory)
+	pick := pickerOf(t, f.list, f.size.workOf().engine.Memory)
+	if f.size.change != nil {
+		f.size.change(pick)
+	}
 	set := &settings.Settings{Hosted: &settings.Hosted{}}
 	r := &replayRouter{id: id, index: len(f.routers), pick: pick, peers: newPeers(set, nil, pick.dir, pick.mon, newNews(id, "d0", nil), nil)}
 	pick.tellSoon = r.peers.tellSoon
@@ -117,13 +140,15 @@
 // request carries one request to its end at a router.
 func (f *replayed) request(ctx context.Context, r *replayRouter, id string, since time.Time) {
 	began := time.Now()
-	ask := generation.Ask{Request: id, Service: "llm", Size: replayPrompt, Answer: replayAnswer, Target: replayTarget}
+	work := f.size.workOf()
+	ask := generation.Ask{Request: id, Service: "llm", Size: work.prompt, Answer: work.answer, Target: replayTarget}
 	first := time.Duration(0)
 	for ctx.Err() == nil {
+		ask.Left = max(replayTime-time.Since(began), 1)
 		b, share, err := r.pick.Pick(ctx, ask)
 		if err != nil {
 			u, ok := errors.AsType[*generation.Unavailable](err)
-			if !ok || !u.Retryable || (!ask.Resume && time.Since(began)+u.RetryAfter > replayTarget/2) {
+			if !ok || !u.Retryable || (!ask.Resume && time.Since(began)+u.RetryAfter > r.pick.refusal.Patience(replayTarget)) {
 				f.note(&f.refused, time.Since(began))
 				return
 			}
@@ -132,13 +157,13 @@
 		}
 		kept := 0
 		if ask.Prefer == b.ID {
-			kept = replayPrompt * 19 / 20
+			kept = work.prompt * 19 / 20
 		}
-		run := replay.NewRun(replayPrompt, kept, replayAnswer)
+		run := replay.NewRun(work.prompt, kept, work.answer)
 		f.engines[b.ID].Begin(run)
 		standby, copied, hasCopy := r.pick.Standby(ask, b)
 		if hasCopy {
-			f.engines[standby.ID].Keep(replayPrompt + replayAnswer)
+			f.engines[standby.ID].Keep(work.prompt + work.answer)
 		}
 		lost := false
 		for s := range run.Signals {
@@ -155,7 +180,7 @@
 		share.End()
 		if hasCopy {
 			copied.End()
-			f.engines[standby.ID].Keep(-replayPrompt - replayAnswer)
+			f.engines[standby.ID].Keep(-work.prompt - work.answer)
 		}
 		if !lost {
 			f.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -75,8 +75,11 @@
 	Table   *route.Current
 	Runner  Runner
 	Budgets Budgets
-	Log     *event.Log
-	Set     *metrics.Set
+	// Patience says how long a stream waits for a backend server, by its target; nil for
+	// half of it.
+	Patience func(target time.Duration) time.Duration
+	Log      *event.Log
+	Set      *metrics.Set
 }
 
 // Relay serves requests. It may be shared by goroutines.
@@ -96,8 +99,7 @@
 
 const (
 	// startGrace is how long after its begin a Relay has requests wait for the first
-	// configuration. When all of 95 routers start at once each has it after 190 ms; a
-	// later one means that the store is away.
+	// configuration. One that is not there by then means that the store is away.
 	startGrace = 500 * time.Millisecond
 	// startPoll is how often it looks meanwhile.
 	startPoll = 5 * time.Millisecond
@@ -126,6 +128,7 @@
 		return r.refuse(req, table, http.StatusUnauthorized, "unknown key", 0)
 	}
 	j := newJob(req, rt, account, table)
+	j.relay = &r.cfg
 	r.cfg.Budgets.First(j.service)
 	res := r.cfg.Runner.Run(ctx, j.generation(), sink)
 	v := j.verdict(res)
@@ -138,8 +141,7 @@
 // What goes wrong without it: all routers are killed, and clients are back before the
 // routers have read the store. They are told that the store is away and come back two
 // seconds later, for what is there in a tenth of a second. It shows as refusals for want
-// of a configuration right after a start: 3 in 100 requests of a day on which all routers
-// are killed twice.
+// of a configuration right after a start.
 func (r *Relay) table(ctx context.Context) *route.Table {
 	for {
 		t := r.cfg.Table.Get()
@@ -156,6 +158,7 @@
 
 // job is one request with all that was decided about it at its begin.
 type job struct {
+	relay    *Config
 	req      *Request
 	route    *route.Route
 	service  string
@@ -210,9 +213,14 @@
 	return max(j.route.Timeout-j.req.Budget, 0)
 }
 
-// patience is how long a request waits for a backend server to come up. Half
-// of the time until its answer is late: the rest is needed for its work.
-func (j *job) patience() time.Duration { return j.route.Target / 2 }
+// patience is how long a request waits for a backend server: half of the time until its
+// answer is late, since the rest is needed for its work, or as the relay is told.
+func (j *job) patience() time.Duration {
+	if j.route.Kind == route.Stream && j.relay.Patience != nil {
+		return j.relay.Patience(j.route.Target)
+	}
+	return j.route.Target / 2
+}
 
 func (j *job) generation() generation.Request {
 	req := generation.Request{
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -189,8 +189,8 @@
 	}
 	r := e.waiting[0]
 	chunk := min(e.cfg.Chunk, r.Prompt-r.read)
-	if e.held()+chunk > e.cfg.Memory {
-		return 0
+	if e.held()+chunk > e.cfg.Memory && len(e.running) > 0 {
+		return 0 // until a run ends; where none does, copies and other prompts yield
 	}
 	return chunk
 }
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -1,5 +1,13 @@
 package settings
 
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"wigeondale/admission"
+)
+
 // Hosted is what the daemon is told on the users' platform.
 type Hosted struct {
 	FrontAddress     string `json:"front_address"`     // clients
@@ -32,6 +40,13 @@
 	// GCPercent is the collector's target. A small one trades processor time
 	// for memory.
 	GCPercent int `json:"gc_percent"`
+	// Decisions name the ways in which requests are placed, wait and are refused.
+	Decisions Decisions `json:"decisions"`
+}
+
+// Decisions name one way for each decision that has several.
+type Decisions struct {
+	Refusing string `json:"refusing"` // as in package admission
 }
 
 // SetDefaults sets what holds where a file with the section says nothing.
@@ -49,6 +64,7 @@
 		MinPrefillMS:           2500,
 		PrefillTokensPerSecond: 5000,
 		GCPercent:              30,
+		Decisions:              Decisions{Refusing: string(admission.RefuseLate)},
 	}
 }
 
@@ -70,4 +86,12 @@
 	within(c, "hosted.min_prefill_ms", h.MinPrefillMS, 10, 60000)
 	within(c, "hosted.prefill_tokens_per_second", h.PrefillTokensPerSecond, 1, 1e9)
 	within(c, "hosted.gc_percent", h.GCPercent, 5, 1000)
+	c.oneOf("hosted.decisions.refusing", h.Decisions.Refusing, admission.Refusals())
+}
+
+// oneOf reports a value that is not among the names.
+func (c *checker) oneOf(field, value string, names []string) {
+	if !slices.Contains(names, value) {
+		c.fail(field, fmt.Sprintf("one of %q", names), strconv.Quote(value))
+	}
 }
