--- a/directory/observed.go
+++ b/directory/observed.go
@@ -11,8 +11,7 @@
 // What goes wrong without it: where routers are too many to tell each other what they
 // have under way, each knows of its own requests only. Every engine seems to have room,
 // nothing waits and nothing is refused, and prompts crowd each other out of memory. It
-// shows as drafts that are late by the half in a burst, none of them refused: of 2,037
-// over 95 routers 1,105 were late (model of engines).
+// shows as drafts that are late by the half in a burst, none of them refused.
 
 // reportLag is how old the state in an engine's report is taken to be when it comes. What
 // this router began there since may not be in it, and is added. Taken for too long a time,
--- a/health/domain.go
+++ b/health/domain.go
@@ -39,8 +39,8 @@
 	// crashedSilence is the silence from which a stream of a crashed domain goes on
 	// elsewhere. Others are judged as usual.
 	crashedSilence = 150 * time.Millisecond
-	// domainCrash is the time in which all failures belong to one crash. New
-	// lifetimes were seen 1.2 s after one, and the next crash 6 s after.
+	// domainCrash is the time in which all failures belong to one crash: crashed replicas
+	// are seldom back sooner.
 	domainCrash = 2 * time.Second
 	// aliveWithin is how fresh a sign of life keeps a member out of the
 	// suspicion of its domain.
--- a/holders/holders.go
+++ b/holders/holders.go
@@ -40,8 +40,8 @@
 const (
 	defaultFresh   = 2 * time.Second
 	defaultTimeout = 150 * time.Millisecond
-	// defaultMost bounds the connections that one client's return can open. With
-	// 3,000 replicas, all of them asked, a node opened 2,900 at once.
+	// defaultMost bounds the connections that one client's return can open where there
+	// are thousands of replicas.
 	defaultMost = 200
 )
 
--- a/hosted/budgets.go
+++ b/hosted/budgets.go
@@ -31,8 +31,8 @@
 const (
 	// minBurst keeps a node of many able to try a request once more.
 	minBurst = 2
-	// continueDepth is how far answers that have begun may overdraw. A crash of a
-	// failure domain was seen to hit up to four of them on one of 85 nodes.
+	// continueDepth is how far answers that have begun may overdraw: a crash of a failure
+	// domain hits several at one node.
 	continueDepth = 6
 )
 
--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -21,8 +21,7 @@
 	tellEvery = 40 * time.Millisecond
 	// tellSoonAfter is how late they learn of a prompt that was sent or read. Where
 	// engines are full, each router that doesn't know yet sends one more to the engine
-	// that has just become free: of 1,765 requests in bursts 162 were late when told with the
-	// tick, and 56 when told at once (model of engines, twelve seeds).
+	// that has just become free.
 	tellSoonAfter = 2 * time.Millisecond
 	// tellAll repeats everything, since messages may be lost.
 	tellAll = 2 * time.Second
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -14,8 +14,8 @@
 	// startedPatience is how long an answer that has begun waits for a replica
 	// to go on at. Clients leave after a gap of 5.6 s or more.
 	startedPatience = 5 * time.Second
-	// refusedRetry is told with a refusal when nothing better is known: half
-	// of the time in which crashed replicas were seen to come back.
+	// refusedRetry is told with a refusal when nothing better is known: replicas that
+	// crash are back within seconds.
 	refusedRetry = 600 * time.Millisecond
 	// maxFruitless bounds attempts in a row without a piece.
 	maxFruitless = 8
@@ -26,12 +26,11 @@
 	// registry by that time, and the replica that follows is another lifetime.
 	lapsedBeats = 3
 	// prefillFactor and queueFactor stretch the bound on a first piece: prompts are
-	// read one after the other, and first pieces were seen to take up to 7 s on
-	// busy days. A replica that lost the run is found by asking it.
+	// read one after the other. A replica that lost the run is found by asking it.
 	prefillFactor = 5
 	queueFactor   = 2
-	// typicalGap between the pieces of one stream, before any was observed: 25 ms
-	// alone, 200 ms beside a prompt that is read, 45 ms at the median.
+	// typicalGap between the pieces of one stream, before any was observed: more than
+	// alone, less than beside a prompt that is read.
 	typicalGap = 60 * time.Millisecond
 	// tick is the interval of judgement; it adds to the time of each detection.
 	tick = 10 * time.Millisecond
--- a/hosted/registration.go
+++ b/hosted/registration.go
@@ -90,7 +90,7 @@
 //
 // What goes wrong without it: all nodes end at once and start again, and each of them makes
 // three writes for what is in the store already, while all read it. It shows as the largest
-// part of the calls to the store on days on which all nodes end: 285 calls with 95 nodes.
+// part of the calls to the store when all nodes end.
 func (r *registration) takeUp(ctx context.Context) (infra.LeaseID, bool) {
 	_, lease := r.known()
 	if lease == 0 {
--- a/hosted/survey.go
+++ b/hosted/survey.go
@@ -20,14 +20,13 @@
 // that costs does not depend on how many routers and engines there are.
 
 const (
-	// surveyed is how many engines are asked for a prompt. In a burst of 4,090 requests 3,046
-	// were in time, 192 late and 852 refused; with two asked 3,026, 96 and 968, with four
-	// 3,002, 337 and 751 (model of engines, 95 routers).
+	// surveyed is how many engines are asked for a prompt. With more of them more routers
+	// find the same free place at the same moment; with fewer free places stay unfound.
 	surveyed = 3
 	// homes is how many engines a request's own ones are, of which those are drawn that are
 	// asked first. Its client may come back through another router, which finds its prompt by
 	// asking twice as many, and not all engines. With fewer a crash of a failure domain leaves
-	// too few to choose from; four, sixteen or all made no difference to who was in time.
+	// too few to choose from.
 	homes = 8
 	// surveyPatience bounds the wait for their answers, which take a few ms; a packet that
 	// is lost takes 200 ms more, and a prompt is read in about a second.
@@ -36,8 +35,7 @@
 	surveyTimeout = 250 * time.Millisecond
 	// surveyEvery is how often requests that wait at this router have engines asked, all of
 	// them together. Reports are up to 0.3 s old: each router that asks meanwhile sees the
-	// same place free and sends a prompt there. Asked each 100 ms, 380 of 2,037 requests in a
-	// burst were late, and 115 each 400 ms, with a few more in time (model of engines).
+	// same place free and sends a prompt there.
 	surveyEvery = 400 * time.Millisecond
 )
 
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -20,10 +20,10 @@
 
 // Long messages are compressed, each by itself.
 //
-// What goes wrong without it: a start of 300 nodes with 3,000 backend servers has each
-// node pass pages of 165 KB to six neighbours. Lines of 10 Mbit/s are full for a second
-// at a time, calls to the registry wait behind them and time out, and each page takes
-// five seconds. It shows as nodes that know all backend servers 27 s after their start.
+// What goes wrong without it: a start of hundreds of nodes with thousands of backend
+// servers has each node pass large pages to its neighbours. Slow lines are full, calls to the
+// registry wait behind them and time out. It shows as nodes that know all backend servers
+// half a minute after their start.
 const (
 	compression = websocket.CompressionNoContextTakeover
 	// compressedFrom is the length in bytes from which it pays. The tables of the
--- a/routing/delay.go
+++ b/routing/delay.go
@@ -42,7 +42,7 @@
 }
 
 // delayPerRun is the part of the reading time of a prompt by which each run beside it
-// is delayed. A chunk of a prompt takes 25 ms, between tokens that take 6 ms alone.
+// is delayed: a chunk of a prompt takes several times as long as a token.
 const delayPerRun = 0.8
 
 // delayScorer rates by the delay, in tokens that are read meanwhile, that the prompt
@@ -76,8 +76,7 @@
 //
 // What goes wrong without it: an engine that has just come back has all its memory
 // free, and every prompt that waits is sent there, to be read one after the other while
-// other engines become free. Of 1,873 requests around crashes 277 were late without it, and 65
-// with it (model of engines, twelve seeds).
+// other engines become free. It shows as answers that are late after a crash.
 func shortBacklog(c *Candidate, ask *Ask) bool {
 	reading := c.engine().Reading()
 	return ask.Backlog <= 0 || reading == 0 || reading+float64(ask.Tokens) <= ask.Backlog
@@ -99,8 +98,7 @@
 //
 // What goes wrong without it: the memory of an engine runs out in the middle of its
 // runs, which are put off and read their prompts again, for which others are put off.
-// It shows as tokens read for nothing, and as answers that are late long after a burst:
-// 3,840,000 tokens in twelve bursts without it, 320,000 with it (model of engines).
+// It shows as tokens read for nothing, and as answers that are late long after a burst.
 func hasRoom(c *Candidate, ask *Ask) bool {
 	return ask.Capacity <= 0 || c.engine().Held()+float64(ask.Holds) <= float64(ask.Capacity)
 }
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -49,8 +49,8 @@
 }
 
 // DefaultSteps is the configuration used when the settings name none. ScorePrefix
-// is not among them: beside ScoreRendezvous it measured no gain, and the polls
-// for cache events that it needs double the cost of knowing the engines.
+// is not among them: ScoreRendezvous sends equal prompts to equal engines without the
+// polls for cache events that it needs.
 func DefaultSteps() []StepConfig {
 	return []StepConfig{
 		{Name: FilterServes},
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -39,8 +39,8 @@
 }
 
 const (
-	// askAgain is how long an address is left alone after it was asked. Crashed
-	// replicas were seen to be back after 1.2 s.
+	// askAgain is how long an address is left alone after it was asked: a start takes
+	// about as long.
 	askAgain = time.Second
 	// askTimeout bounds one question. Who is there answers within some ms.
 	askTimeout = 300 * time.Millisecond
