--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -117,8 +117,8 @@
 	return out
 }
 
-// make returns the roll-out of a service, a new one if there was none.
-func (s *rollouts) make(service string) *serviceRollout {
+// forService returns the roll-out of a service, a new one if there was none.
+func (s *rollouts) forService(service string) *serviceRollout {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	one := s.byService[service]
@@ -149,7 +149,7 @@
 		s.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
 		return true
 	}
-	s.make(service).Recorded(rec, item.ModRev, clock.Boot())
+	s.forService(service).Recorded(rec, item.ModRev, clock.Boot())
 	return true
 }
 
@@ -161,7 +161,7 @@
 	}
 	s.log.Emit(event.RolloutOrdered, "service", service, "target", order.Target,
 		"within_ms", order.Duration.Milliseconds(), "revision", order.Revision)
-	s.make(service).Ordered(order, clock.Boot())
+	s.forService(service).Ordered(order, clock.Boot())
 }
 
 // gone takes note of an item that was removed.
@@ -213,7 +213,7 @@
 // atRest tells that a roll-out ended a while ago.
 func (o *serviceRollout) atRest(now time.Duration) bool {
 	stage := o.Stage()
-	return stage == o.told && now-o.toldAt > restAfter && (stage == rollout.Completed || stage == rollout.RolledBack) &&
+	return stage == o.logged && now-o.stageSince > restAfter && (stage == rollout.Completed || stage == rollout.RolledBack) &&
 		stage == o.Record().Stage
 }
 
@@ -224,7 +224,7 @@
 		s.flood(*report)
 	}
 	s.overdue(one, now)
-	s.tell(one, now, ready)
+	s.logChanges(one, now, ready)
 	s.move(one, now)
 	s.act(one, now, ready)
 }
@@ -250,23 +250,23 @@
 	return out
 }
 
-// tell logs what has changed.
-func (s *rollouts) tell(one *serviceRollout, now time.Duration, ready rollout.Ready) {
+// logChanges logs what has changed.
+func (s *rollouts) logChanges(one *serviceRollout, now time.Duration, ready rollout.Ready) {
 	stage := one.Stage()
-	if stage != one.told {
-		one.told, one.toldAt = stage, now
+	if stage != one.logged {
+		one.logged, one.stageSince = stage, now
 		rec := one.Record()
 		s.log.Emit(event.RolloutStage, "service", one.service, "stage", string(stage), "target", rec.Target,
 			"elapsed_ms", rec.ElapsedMS, "new", ready.New, "old", ready.Old, "reason", rec.Reason)
 	}
 	verdict, bad := one.Verdict()
-	if bad && !one.toldBad {
+	if bad && !one.loggedBad {
 		s.log.Emit(event.RolloutJudged, "service", one.service, "route", verdict.Route, "evidence", verdict.Evidence,
 			"answers", verdict.Answers, "bad", verdict.BadOnes)
 	}
-	one.toldBad = bad
-	if why := one.Missing(now, ready); why != one.toldMissing {
-		one.toldMissing = why
+	one.loggedBad = bad
+	if why := one.Missing(now, ready); why != one.loggedMissing {
+		one.loggedMissing = why
 		if why != "" {
 			s.log.Emit(event.RolloutHeld, "service", one.service, "reason", why)
 		}
@@ -276,7 +276,7 @@
 // move ends the runs here that are to go on at another version, once each had the time for
 // a copy where it goes on.
 func (s *rollouts) move(one *serviceRollout, now time.Duration) {
-	if now-one.toldAt < rollout.MoveGrace {
+	if now-one.stageSince < rollout.MoveGrace {
 		return
 	}
 	rule := one.Rule()
--- a/hosted/versions.go
+++ b/hosted/versions.go
@@ -20,13 +20,13 @@
 	writing atomic.Bool
 	retryAt atomic.Int64 // on the boot clock
 
-	// Of the goroutine that ticks.
-	told        rollout.Stage
-	toldAt      time.Duration
-	toldBad     bool
-	toldMissing string
-	isDue       bool
-	due         time.Duration // since when a change is
+	// Of the goroutine that ticks: what was logged last, and what is due.
+	logged        rollout.Stage
+	stageSince    time.Duration // of the stage that was logged last
+	loggedBad     bool
+	loggedMissing string
+	isDue         bool
+	due           time.Duration // since when a change of the record is
 }
 
 // split is the replicas of a service, divided by a rule.
