--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -306,6 +306,9 @@
 	if s.rng.Float64() < 0.01 {
 		took *= 5
 	}
+	if route.pace > 0 {
+		took *= time.Duration(max(rep.busy, 1)) // prompts are read one after the other
+	}
 	failed := s.rng.Float64() < route.fails || (rep.grey && s.rng.Float64() < 0.4)
 	v := s.version
 	if isNew && s.now-start >= v.after && (v.busy == 0 || rep.busy >= v.busy) && (v.route == "" || v.route == route.name) {
--- a/rollout/ration.go
+++ b/rollout/ration.go
@@ -25,9 +25,10 @@
 	// firstShare is the part of that with which a trial begins, and firstFor how long.
 	firstShare = 0.25
 	firstFor   = 1500 * time.Millisecond
-	// trialLoad is the load of a replica in the trial against that of its later work: a
-	// version that is bad under load shows it.
-	trialLoad = 1.5
+	// trialRoom is how much larger the part of the new replicas that take part in a trial is
+	// than the share of the requests that goes to them: the burst comes on top of the share,
+	// and replicas that have more to do than the old ones would seem slow.
+	trialRoom = 3
 )
 
 // share is the part of the requests that goes to the new version after some time of trial.
@@ -71,8 +72,8 @@
 func (r *ration) giveBack() { r.sent-- }
 
 // TrialSet chooses the replicas of the new version that take part in a trial: one at least
-// in each failure domain, and so few that each has more to do than it will have later. All
-// routers choose the same.
+// in each failure domain, and so few that each has about as much to do as it will have
+// later, so that a version which is bad under load shows it. All routers choose the same.
 func TrialSet(replicas []fleet.Backend, l Limits) map[string]bool {
 	byDomain := map[string][]string{}
 	for i := range replicas {
@@ -82,7 +83,7 @@
 	set := map[string]bool{}
 	for _, ids := range byDomain {
 		slices.SortFunc(ids, byHash)
-		n := int(math.Ceil(usedShare * l.Share * float64(len(ids)) / trialLoad))
+		n := int(math.Ceil(trialRoom * usedShare * l.Share * float64(len(ids))))
 		for _, id := range ids[:max(n, 1)] {
 			set[id] = true
 		}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -270,3 +270,30 @@
 		}
 	}
 }
+
+// Symptom: a sound version of engines seems slow and is taken back. Sequence: its trial goes
+// to two engines of sixty in a domain, where prompts wait for each other. Cause: fewer
+// replicas take part than the requests of the trial need.
+func TestTrialHasReplicasEnough(t *testing.T) {
+	limits := Limits{Share: 0.1, Burst: 50}
+	for _, each := range []int{1, 3, 60, 1000} {
+		var all []fleet.Backend
+		for i := range 3 * each {
+			all = append(all, fleet.Backend{ID: fmt.Sprint("e", i), FailureDomain: fmt.Sprint("d", i%3)})
+		}
+		byDomain := map[string]int{}
+		for id := range TrialSet(all, limits) {
+			for i := range all {
+				if all[i].ID == id {
+					byDomain[all[i].FailureDomain]++
+				}
+			}
+		}
+		for d := range 3 {
+			n := byDomain[fmt.Sprint("d", d)]
+			if least := limits.Share * float64(each); float64(n) < least || n < 1 || n > each/3+1 {
+				t.Errorf("%d replicas of %d in a domain take part", n, each)
+			}
+		}
+	}
+}
