--- a/rollout/bounds_test.go
+++ b/rollout/bounds_test.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// Symptom: a sound version of a plain service is not completed. Sequence: one of its three
+// replicas fails two answers in five, and two failure domains crash in the trial. Cause: the
+// evidence of the replica's domain is bounded, but a little doubt from the others is enough.
+func TestSoundVersionWithOneFailingReplicaCompletes(t *testing.T) {
+	for _, seed := range []uint64{112, 117} {
+		if o := simulate(t, plain.with(simRouters, 12*time.Second, version{}, rough), seed); o.stage != Completed {
+			t.Errorf("seed %d: %+v", seed, o)
+		}
+	}
+}
+
 // Symptom: a version that fails keeps its share, or gets all requests. Sequence: it is bad
 // from the first, late in its trial, slow, or on one route only. Cause: it is judged by too
 // few answers, by the sum of all routes, or by what was seen before it turned bad.
