A request that moves to another version is never refused for its wait

Cause, found by reading: an attempt that was ended before its first piece so that it goes on elsewhere leaves no lost domain behind, and a full queue then refused it, though it may have run: its caller got 502 at once instead of an answer. Change: whether an attempt may have run is told to the picker. hosted.TestTooLateATurnIsRefusedAtOnce failed first with that case. Nothing changes where no run is moved.

--- a/generation/generation.go
+++ b/generation/generation.go
@@ -199,6 +199,7 @@
 	Exclude  map[string]bool
 	Resume   bool // a started answer goes ahead of new work
 	Again    bool // an attempt of the request was sent before
+	Reached  bool // one may have run
 
 	Service string // of an opaque request, instead of Ref
 	Size    int    // estimated tokens of its prompt, 0 when not stated
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -131,7 +131,7 @@
 func (x *run) ask() Ask {
 	a := Ask{
 		Request: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
-		Exclude: x.exclude, Resume: x.started(), Again: x.sentBefore, Prefer: x.lostCopy.at,
+		Exclude: x.exclude, Resume: x.started(), Again: x.sentBefore, Reached: x.reached, Prefer: x.lostCopy.at,
 	}
 	if o := x.req.Opaque; o != nil {
 		a.Service, a.Size, a.Answer = o.Service, o.Size, o.Answer
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -159,9 +159,10 @@
 	return &generation.Unavailable{Code: codeOverloaded, RetryAfter: advice, Err: errOverloaded}
 }
 
-// sentBefore tells whether an engine had the request and was lost: nobody can say any
-// more that it has not run, so that a refusal would be a failure without advice.
-func sentBefore(a generation.Ask) bool { return a.Resume || a.LostDomain != "" }
+// sentBefore tells whether an engine had the request and was lost, or left for another
+// version: nobody can say any more that it has not run, so that a refusal would be a
+// failure without advice.
+func sentBefore(a generation.Ask) bool { return a.Reached || a.Resume || a.LostDomain != "" }
 
 var errOverloaded = Error.New("all engines have as much work as they can take")
 
--- a/hosted/queue_test.go
+++ b/hosted/queue_test.go
@@ -62,9 +62,9 @@
 	if u.RetryAfter < 10*time.Second || u.RetryAfter > 18*time.Second {
 		t.Errorf("told to come back after %v", u.RetryAfter)
 	}
-	started, lost := draftAsk("started", 5000), draftAsk("lost", 5000)
-	started.Resume, lost.LostDomain = true, "d0"
-	for _, a := range []generation.Ask{started, lost} {
+	started, lost, moved := draftAsk("started", 5000), draftAsk("lost", 5000), draftAsk("moved", 5000)
+	started.Resume, lost.LostDomain, moved.Reached = true, "d0", true
+	for _, a := range []generation.Ask{started, lost, moved} {
 		_, _, err = p.Pick(t.Context(), a)
 		if u, ok := errors.AsType[*generation.Unavailable](err); !ok || !u.Retryable {
 			t.Errorf("%s: %v", a.Request, err)
