--- a/soak/platform_rollouts.go
+++ b/soak/platform_rollouts.go
@@ -120,7 +120,7 @@
 // completed stops the old replicas at once; their entries lapse a little later.
 func (r *platformRun) completed(o *rolledOut) {
 	if o.bad {
-		r.checks.broken("a bad version does not complete", "", o.service+" "+o.version)
+		r.judgeCompleted(o)
 	}
 	old, _ := r.ofVersion(o)
 	for _, rep := range old {
@@ -133,6 +133,26 @@
 	r.endRollout(o)
 }
 
+// judgeCompleted finds a version that was completed though it had shown that it is bad. One
+// that turned bad a moment ago, or at a service with few requests, can't be told from a
+// sound one.
+func (r *platformRun) judgeCompleted(o *rolledOut) {
+	shown := 0
+	for _, rep := range r.everOf(o) {
+		for _, a := range rep.Arrivals() {
+			if a.Failed {
+				shown++
+			}
+		}
+	}
+	what := fmt.Sprintf("%s %s after %d bad answers", o.service, o.version, shown)
+	if shown >= exposureBurst {
+		r.checks.broken("a version that has shown to be bad does not complete", "", what)
+		return
+	}
+	r.history.note("completed: " + what)
+}
+
 // rolledBack drains the new replicas, which go on serving for a while.
 func (r *platformRun) rolledBack(o *rolledOut) {
 	time.Sleep(stopWithin)
