--- a/fakes/hosted/operator.go
+++ b/fakes/hosted/operator.go
@@ -125,5 +125,17 @@
 	return a.Header.Get("X-Tenant-Id"), a.Header.Get("X-Api-Key") != ""
 }
 
+// Ran counts the requests that ran at some replicas.
+func Ran(replicas []*Replica) (n int) {
+	for _, r := range replicas {
+		for _, a := range r.Arrivals() {
+			if a.Ran {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // FromCopy tells whether the run went on from a copy.
 func (a *Arrival) FromCopy() bool { return a.Header.Get("Kv-From") != "" }
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -32,8 +32,6 @@
 	Ran    bool
 	// Ended is set when the run ended by itself; a run that was cut stays false.
 	Ended bool
-	// Failed is set when the answer was the replica's own failure.
-	Failed bool
 }
 
 // Replica is a stand-in for one replica, as a model engine or a plain service.
@@ -231,7 +229,6 @@
 	}
 	r.dress(h, f)
 	if r.fails(f, a.ID) {
-		r.failed(a)
 		w.WriteHeader(f.FailStatus)
 		io.WriteString(w, "failed")
 		return
@@ -351,12 +348,6 @@
 	}
 }
 
-func (r *Replica) failed(a *Arrival) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a.Failed = true
-}
-
 func (r *Replica) ended(a *Arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/hosted/decisions_test.go
+++ b/hosted/decisions_test.go
@@ -13,6 +13,11 @@
 	ReadPerSecond: 8000, Chunk: 200, Step: 3470 * time.Microsecond, StepPerRun: 160 * time.Microsecond, Memory: 88000,
 }}
 
+// slowWork are the same prompts at engines of half the speed with 0.6 of the memory.
+var slowWork = replayWork{prompt: 8200, answer: 980, engine: replay.Config{
+	ReadPerSecond: 4000, Chunk: 200, Step: 6940 * time.Microsecond, StepPerRun: 320 * time.Microsecond, Memory: 52800,
+}}
+
 // crowded is the load of a fleet whose usual rate is perSecond: two and a half times that for
 // nine seconds, in which two failure domains crash.
 func crowded(perSecond, times float64) load {
@@ -23,13 +28,18 @@
 	}
 }
 
-// crowdedFleets are fleets of two kinds under more load than they read.
+// slowSeeds are more than for the others: routers choose at random, and who is in time on
+// slow engines spreads most.
+const slowSeeds = 18
+
+// crowdedFleets are fleets of three kinds under more load than they read.
 var crowdedFleets = []struct {
 	name string
 	size replaySize
 	load load
 }{
 	{"long prompts", replaySize{routers: 10, engines: 24, domains: 3, hear: 4, seeds: 3, work: longWork}, crowded(6.5, 2.8)},
+	{"slow engines", replaySize{routers: 10, engines: 24, domains: 3, hear: 4, seeds: slowSeeds, work: slowWork}, crowded(4.8, 2)},
 	{"routers that hear each other", replaySize{routers: 6, engines: 12, domains: 4, seeds: 3}, crowded(3, 4)},
 }
 
--- a/hosted/rollouts_test.go
+++ b/hosted/rollouts_test.go
@@ -24,18 +24,6 @@
 	return out
 }
 
-// ran counts the requests that ran at some replicas.
-func ran(replicas []*fakes.Replica) (n int) {
-	for _, r := range replicas {
-		for _, a := range r.Arrivals() {
-			if a.Ran {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // steady sends look-ups until stop is called, which returns how many there were and how
 // many of them were not answered well.
 func steady(nodes []*testNode, path string) (stop func() (sent, failed int)) {
@@ -84,15 +72,15 @@
 	stop := steady(nodes, "/look/x")
 	awaitState(t, f, "app", "in_progress")
 	time.Sleep(time.Second)
-	if n := ran(fresh); n > 30 {
+	if n := fakes.Ran(fresh); n > 30 {
 		t.Errorf("%d requests reached the new version in the first second", n)
 	}
 	awaitState(t, f, "app", "completed")
 	if _, target := f.store.RolloutState("app"); target != "v2" {
 		t.Errorf("the target is %q", target)
 	}
-	if sent, failed := stop(); failed > 0 || ran(fresh) == 0 {
-		t.Errorf("%d of %d requests failed, %d ran at the new version", failed, sent, ran(fresh))
+	if sent, failed := stop(); failed > 0 || fakes.Ran(fresh) == 0 {
+		t.Errorf("%d of %d requests failed, %d ran at the new version", failed, sent, fakes.Ran(fresh))
 	}
 }
 
@@ -114,9 +102,9 @@
 	stop := steady(nodes, "/look/x")
 	awaitState(t, f, "app", "rolled_back")
 	time.Sleep(time.Second) // the last node has heard
-	before := ran(fresh)
+	before := fakes.Ran(fresh)
 	time.Sleep(500 * time.Millisecond)
-	if after := ran(fresh); after != before {
+	if after := fakes.Ran(fresh); after != before {
 		t.Errorf("%d requests reached the new version after it was taken back", after-before)
 	}
 	sent, failed := stop()
@@ -177,13 +165,13 @@
 	awaitState(t, f, "app", "in_progress")
 	f.store.WithdrawRollout("app")
 	awaitState(t, f, "app", "rolled_back")
-	before := ran(fresh)
+	before := fakes.Ran(fresh)
 	for i := range 50 {
 		if status, _ := n.get("/look/x", fmt.Sprint("w", i), key); status != 200 {
 			t.Errorf("status %d", status)
 		}
 	}
-	if after := ran(fresh); after != before {
+	if after := fakes.Ran(fresh); after != before {
 		t.Errorf("%d requests reached a version whose order was withdrawn", after-before)
 	}
 }
--- a/rollout/bounds_test.go
+++ b/rollout/bounds_test.go
@@ -27,10 +27,11 @@
 	return p
 }
 
-// calm and rough are what may befall a service while its version is replaced.
+// calm, mild and rough are what may befall a service while its version is replaced.
 var (
 	calm  = trouble{}
-	rough = trouble{grey: 0.03, crash: map[time.Duration]string{2 * time.Second: "d0", 6 * time.Second: "d1"}}
+	mild  = trouble{grey: 0.03, drawn: true, crash: map[time.Duration]string{2 * time.Second: "d0", 6 * time.Second: "d1"}}
+	rough = trouble{grey: 0.14, crash: map[time.Duration]string{2 * time.Second: "d0", 6 * time.Second: "d1"}}
 )
 
 // eachKind plays a number of roll-outs of both kinds of services, in both kinds of trouble.
@@ -62,18 +63,29 @@
 			t.Errorf("%s: completed after %v", name, o.ended)
 		}
 	})
-	// One in a hundred may be taken back; a run of few has room for one.
-	if allowed := max(all/100, 1); back > allowed {
+	// One in a hundred may be taken back.
+	if back > all/100 {
 		t.Errorf("%d of %d sound versions were taken back", back, all)
 	}
 }
 
+// The same where nothing befalls the service.
+func TestSoundVersionCompletesInCalm(t *testing.T) {
+	for name, p := range map[string]plan{"engines": engines, "plain": plain} {
+		for seed := range *rollouts {
+			if o := simulate(t, p.with(simRouters, 12*time.Second, version{}, calm), uint64(seed)); o.stage != Completed {
+				t.Errorf("%s, seed %d: %+v", name, seed, o)
+			}
+		}
+	}
+}
+
 // Symptom: a sound version of a plain service is not completed. Sequence: one of its three
 // replicas fails two answers in five, and two failure domains crash in the trial. Cause: the
-// evidence of the replica's domain is bounded, but a little doubt from the others is enough.
+// doubt of the replica's domain alone kept the trial from being passed.
 func TestSoundVersionWithOneFailingReplicaCompletes(t *testing.T) {
 	for _, seed := range []uint64{112, 117} {
-		if o := simulate(t, plain.with(simRouters, 12*time.Second, version{}, rough), seed); o.stage != Completed {
+		if o := simulate(t, plain.with(simRouters, 12*time.Second, version{}, mild), seed); o.stage != Completed {
 			t.Errorf("seed %d: %+v", seed, o)
 		}
 	}
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -25,7 +25,10 @@
 // trouble is what befalls both versions.
 type trouble struct {
 	crash map[time.Duration]string // domains, each away for crashFor
-	grey  float64                  // share of the replicas that fail two in five answers
+	// grey is the share of the service's replicas, of both versions together, that fail two
+	// in five answers; each by itself has that chance if drawn is set.
+	grey  float64
+	drawn bool
 }
 
 const crashFor = 1200 * time.Millisecond
@@ -99,29 +102,6 @@
 	grey bool
 }
 
-type simEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type eventHeap []simEvent
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
-var seqOf int
-
 func (s *simulation) after(d time.Duration, do func()) {
 	seqOf++
 	heap.Push(&s.events, simEvent{s.now + d, seqOf, do})
@@ -146,6 +126,7 @@
 		s.old = append(s.old, s.replica("old", "v1", i))
 		s.fresh = append(s.fresh, s.replica("new", p.order.Target, i))
 	}
+	s.turnGrey()
 	var list []fleet.Backend
 	for _, r := range s.fresh {
 		list = append(list, r.b)
@@ -178,7 +159,19 @@
 func (s *simulation) replica(kind, version string, i int) *simReplica {
 	return &simReplica{
 		b:    fleet.Backend{ID: fmt.Sprint(kind, i), FailureDomain: fmt.Sprint("d", i%simDomain), Version: version},
-		grey: s.rng.Float64() < s.trouble.grey,
+		grey: s.trouble.drawn && s.rng.Float64() < s.trouble.grey,
+	}
+}
+
+// turnGrey has a share of all replicas fail, whichever version they are of.
+func (s *simulation) turnGrey() {
+	if s.trouble.drawn {
+		return
+	}
+	all := append(slices.Clone(s.old), s.fresh...)
+	s.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, r := range all[:int(math.Round(s.trouble.grey*float64(len(all))))] {
+		r.grey = true
 	}
 }
 
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -27,8 +27,9 @@
 	verdictAt = 11.0
 	// mostOfOne is the part of that which one failure domain can give.
 	mostOfOne = 0.5
-	// doubtAt is the evidence with which a trial is not ended in the version's favour.
-	doubtAt = 5.0
+	// doubtAt is the evidence, without that of the failure domain which has most, with which
+	// a trial is not ended in the version's favour.
+	doubtAt = 1.0
 	// minAnswers of the new version are needed to say that it is sound, unless fewRequests
 	// came in the trial, or less.
 	minAnswers  = 10
@@ -48,8 +49,9 @@
 	Route    string // that it shows on; empty for all together
 	Aspect   Aspect
 	Evidence float64
-	Answers  int // of the new version
-	BadOnes  int // of those
+	Doubt    float64 // evidence without that of the domain which has most
+	Answers  int     // of the new version
+	BadOnes  int     // of those
 }
 
 func (v Verdict) String() string {
@@ -173,9 +175,15 @@
 		most = mostOfOne * verdictAt
 	}
 	for l, byDomain := range j.sums {
-		sum := 0.0
+		sum, largest := 0.0, 0.0
 		for _, s := range byDomain {
 			sum += min(s, most)
+			largest = max(largest, min(s, most))
+		}
+		if domains > 1 {
+			v.Doubt = max(v.Doubt, sum-largest)
+		} else {
+			v.Doubt = max(v.Doubt, sum)
 		}
 		if sum > v.Evidence {
 			v.Evidence, v.Route, v.Aspect = sum, l.route, l.aspect
--- a/rollout/pool.go
+++ b/rollout/pool.go
@@ -27,6 +27,12 @@
 	heard map[string]heardReport
 	// pooled are the answers of the old version of late that other routers told of.
 	pooled map[Cell]uint32
+	// frozen are those that count once all work has moved: nothing comes from the old
+	// version any more.
+	//
+	// What goes wrong without it: what is usual is forgotten within seconds, and a route on
+	// which either version fails now and then convicts a sound version while it moves.
+	frozen map[Cell]uint32
 	teller bool // this router tells of the old version, also without news of the new
 
 	untold    bool // own has more than was told
@@ -150,6 +156,9 @@
 
 // pooledOld are the answers of the old version of late, over the routers that told.
 func (e *evidence) pooledOld(now time.Duration) map[Cell]uint32 {
+	if e.frozen != nil {
+		return e.frozen
+	}
 	sum := maps.Clone(e.pooled)
 	if sum == nil {
 		sum = map[Cell]uint32{}
--- a/rollout/ration.go
+++ b/rollout/ration.go
@@ -52,8 +52,8 @@
 }
 
 // newRation returns the ration of one of some routers; random is 0 to 1.
-func newRation(l Limits, routers int, random float64) ration {
-	return ration{due: random, extra: usedBurst * l.Burst / float64(max(routers, 1))}
+func newRation(l Limits, routers int, random float64) *ration {
+	return &ration{due: random, extra: usedBurst * l.Burst / float64(max(routers, 1))}
 }
 
 // next counts one request and tells whether it goes to the new version. over is how much of
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -41,7 +41,7 @@
 			seed = seed*6364136223846793005 + 1442695040888963407
 			return float64(seed>>11) / (1 << 53)
 		}
-		rations := make([]ration, routers)
+		rations := make([]*ration, routers)
 		for i := range rations {
 			rations[i] = newRation(limits, routers, random())
 		}
@@ -297,3 +297,50 @@
 		}
 	}
 }
+
+// Symptom: a sound version is taken back while all work moves to it. Sequence: nothing comes
+// from the old version any more; a route fails one answer in four, as it did there. Cause:
+// what is usual is forgotten after some seconds.
+func TestUsualIsKeptWhileWorkMoves(t *testing.T) {
+	r := newRollout(t)
+	r.Ordered(someOrder, 0)
+	r.Recorded(Record{Order: 7, Target: "v2", Stage: Trial}, 8, 0)
+	grade := func(i int) Grade {
+		if i%4 == 0 {
+			return Failed
+		}
+		return 10
+	}
+	for i := range 140 {
+		r.Observe(Cell{Route: "r", Grade: grade(i)}, false, time.Second)
+	}
+	r.Recorded(Record{Order: 7, Target: "v2", Stage: Moving}, 9, 2*time.Second)
+	for i := range 140 {
+		r.Observe(Cell{Route: "r", Domain: fmt.Sprint("d", i%3), Grade: grade(i)}, true, 2*time.Second+2*oldSpan)
+	}
+	r.Tick(2*time.Second+2*oldSpan, true, 3)
+	if v, bad := r.Verdict(); bad || v.BadOnes != 35 {
+		t.Errorf("bad %v: %+v", bad, v)
+	}
+}
+
+// Symptom: a trial is not passed for a replica that fails, whatever the others answer. Cause:
+// the doubt of its domain counts.
+func TestOneDomainIsNoDoubt(t *testing.T) {
+	r := newRollout(t)
+	r.Ordered(someOrder, 0)
+	r.Recorded(Record{Order: 7, Target: "v2", Stage: Trial}, 8, time.Second)
+	for i := range 60 {
+		c := Cell{Route: "r", Domain: fmt.Sprint("d", i%3), Grade: 10}
+		if i%3 == 0 {
+			c.Grade = Failed
+		}
+		r.Observe(Cell{Route: "r", Grade: 10}, false, 2*time.Second)
+		r.Observe(c, true, 2*time.Second)
+	}
+	r.Tick(2*time.Second, true, 3)
+	next, _, due := r.Next(someOrder.moveAt(), Ready{New: 3, Old: 3, Domains: 3})
+	if !due || next.Stage != Moving {
+		t.Errorf("due %v: %+v", due, next)
+	}
+}
--- a/rollout/schedule.go
+++ b/rollout/schedule.go
@@ -8,14 +8,14 @@
 	// settle is the time from the decision that all work moves to the word that the old
 	// replicas may stop. Other routers learn of the decision within newsLag, and move
 	// their runs MoveGrace later.
-	settle = 2 * time.Second
+	settle = 1700 * time.Millisecond
 	// MoveGrace is how long runs stay where they are once they are to move, so that a
 	// copy of each can be made where it goes on.
 	MoveGrace = 600 * time.Millisecond
 	// marginShare of an order's time, and minMargin at least, is kept for a store that
 	// answers late and for a router that takes over from another one.
 	marginShare = 0.12
-	minMargin   = 1200 * time.Millisecond
+	minMargin   = 1500 * time.Millisecond
 	// minTrialShare of an order's time goes to the trial, however short the time is.
 	minTrialShare = 0.4
 	// leastTrial is how long a trial lasts at least once it has begun, and leastTrialShare
--- a/soak/platform_rollouts.go
+++ b/soak/platform_rollouts.go
@@ -9,7 +9,7 @@
 
 const (
 	// rolloutTime is what an order gives a roll-out.
-	rolloutTime = 8 * time.Second
+	rolloutTime = 5 * time.Second
 	// rolloutEnds is how much later one must have ended, once all faults are over.
 	rolloutEnds = 15 * time.Second
 	// exposureShare and exposureBurst bound the requests that reach a bad version.
@@ -61,7 +61,7 @@
 		r.badVersions[o.version] = versionFaults[r.versions%len(versionFaults)]
 		r.mu.Unlock()
 	}
-	o.before = arrivalsAt(r.everAt(service))
+	o.before = fakes.Ran(r.everAt(service))
 	r.store.OrderRollout(service, o.version, rolloutTime)
 	r.rolling[service] = o
 	for _, like := range old {
@@ -120,7 +120,7 @@
 // completed stops the old replicas at once; their entries lapse a little later.
 func (r *platformRun) completed(o *rolledOut) {
 	if o.bad {
-		r.judgeCompleted(o)
+		r.checks.broken("a bad version does not complete", "", o.service+" "+o.version)
 	}
 	old, _ := r.ofVersion(o)
 	for _, rep := range old {
@@ -133,37 +133,17 @@
 	r.endRollout(o)
 }
 
-// judgeCompleted finds a version that was completed though it had shown that it is bad. One
-// that turned bad a moment ago, or at a service with few requests, can't be told from a
-// sound one.
-func (r *platformRun) judgeCompleted(o *rolledOut) {
-	shown := 0
-	for _, rep := range r.everOf(o) {
-		for _, a := range rep.Arrivals() {
-			if a.Failed {
-				shown++
-			}
-		}
-	}
-	what := fmt.Sprintf("%s %s after %d bad answers", o.service, o.version, shown)
-	if shown >= exposureBurst {
-		r.checks.broken("a version that has shown to be bad does not complete", "", what)
-		return
-	}
-	r.history.note("completed: " + what)
-}
-
 // rolledBack drains the new replicas, which go on serving for a while.
 func (r *platformRun) rolledBack(o *rolledOut) {
 	time.Sleep(stopWithin)
-	before := arrivalsAt(r.everOf(o))
+	before := fakes.Ran(r.everOf(o))
 	_, fresh := r.ofVersion(o)
 	for _, rep := range fresh {
 		r.store.Register(rep, true)
 		r.takeAny(rep)
 	}
 	time.Sleep(stopWithin / 5)
-	if after := arrivalsAt(r.everOf(o)); after > before && !r.calmed.Load() {
+	if after := fakes.Ran(r.everOf(o)); after > before && !r.calmed.Load() {
 		r.history.note(fmt.Sprintf("%d requests reached %s after it was taken back, beside faults", after-before, o.version))
 	} else if after > before {
 		r.checks.broken("a version that was taken back gets nothing", "", fmt.Sprintf("%d requests at %s", after-before, o.version))
@@ -180,7 +160,7 @@
 	if !o.bad {
 		return
 	}
-	reached, all := arrivalsAt(r.everOf(o)), arrivalsAt(r.everAt(o.service))-o.before
+	reached, all := fakes.Ran(r.everOf(o)), fakes.Ran(r.everAt(o.service))-o.before
 	if most := exposureShare*float64(all) + exposureBurst; float64(reached) > most {
 		r.checks.broken("few requests reach a bad version", "", fmt.Sprintf("%d of %d at %s", reached, all, o.version))
 	}
@@ -234,14 +214,3 @@
 	}
 	return out
 }
-
-func arrivalsAt(replicas []*fakes.Replica) (n int) {
-	for _, rep := range replicas {
-		for _, a := range rep.Arrivals() {
-			if a.Ran {
-				n++
-			}
-		}
-	}
-	return n
-}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,14 +43,16 @@
 	}
 }
 
-// The same with new versions, good and bad ones, that are ordered beside the faults. A seed
+// The same with new versions, good and bad ones, that are ordered beside the faults. Seeds
 // that failed once:
 //
-// 8002: a router that had heard of no answer ended the trial of a bad version, 91 of 263
-// requests reached it.
+// 8002: a router that had heard of no answer ended the trial of a bad version, which got all
+// requests then.
+//
+// 8003: a trial began late and ended before the version turned bad.
 func TestRolloutSeeds(t *testing.T) {
-	for _, seed := range []uint64{8002} {
-		play(t, Run, Config{Seed: seed, Nodes: 4, Engines: 6, Services: 4, Clients: 12, Length: 20 * time.Second, Rollouts: true})
+	for seed, length := range map[uint64]time.Duration{8002: 20 * time.Second, 8003: 15 * time.Second} {
+		play(t, Run, Config{Seed: seed, Nodes: 4, Engines: 6, Services: 4, Clients: 12, Length: length, Rollouts: true})
 	}
 }
 
