--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -48,7 +48,7 @@
 	return out
 }
 
-// policyOf takes over what the deployment weighs; the rest are measured defaults.
+// policyOf takes over what the deployment weighs; the rest are defaults.
 func policyOf(p settings.Policy) health.Policy {
 	out := health.DefaultPolicy()
 	out.ResumeLatencyWeight = p.ResumeLatencyWeight
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -61,8 +61,8 @@
 
 // shardOwner names the router that appends the claims of each shard. Routers
 // that disagree for a while meet at the log's create. Owners are kept between
-// changes of the membership: ranking 830 members for each claim would cost
-// 0.66 ms of it.
+// changes of the membership: to rank hundreds of members for each claim would cost more
+// than all else of it.
 type shardOwner struct {
 	mesh *peer.Mesh
 	self string
--- a/generation/copy.go
+++ b/generation/copy.go
@@ -14,7 +14,7 @@
 	// copyTimeout bounds the making of a copy, which queues behind other copies.
 	copyTimeout = 1500 * time.Millisecond
 	// copyRefresh is when a copy that was made on demand is brought up to date.
-	// Backend servers drop it some 4 s after it was made.
+	// Backend servers drop one that is left alone for longer.
 	copyRefresh = 2500 * time.Millisecond
 )
 
--- a/health/confirm.go
+++ b/health/confirm.go
@@ -24,10 +24,8 @@
 // What goes wrong without it: the silence that is no chance is told from the gaps that
 // were seen. Engines that read prompts slowly pause their runs for longer than any gap
 // before, several at once when several prompts come; sound domains are given up, their
-// runs begun again elsewhere, and their engines get no work for some seconds. With
-// engines of half the reading speed four sound domains were given up within 20 s; the
-// question raised the drafts that were in time from 136 to 157 of 287 (50 s of load). A
-// domain that is down costs the time of the question.
+// runs begun again elsewhere, and their engines get no work for some seconds. A domain
+// that is down costs the time of the question.
 func (m *Monitor) confirmSilence(d *domain, silent []*engine) {
 	answered := m.whoAnswers(silent)
 	mute := len(silent) - len(answered)
--- a/health/doubt.go
+++ b/health/doubt.go
@@ -23,8 +23,8 @@
 	inquiryTimeout = 100 * time.Millisecond
 	// wordLife is how long an engine's word counts before it is asked again.
 	wordLife = 500 * time.Millisecond
-	// longestSilence is borne on an engine's word. Runs that were put off went on
-	// within 4 s.
+	// longestSilence is borne on an engine's word: a run that was put off goes on when
+	// its prompt has been read again.
 	longestSilence = 4 * time.Second
 	// vouchedBounds is how many times the bound on a first token is borne on an
 	// engine's word: it can't name runs that wait for their prompt to be read, only
--- a/health/judge.go
+++ b/health/judge.go
@@ -42,9 +42,9 @@
 // The prefill of one stream takes engine time from the n streams that its new
 // engine serves at once, so it counts n times; n is taken from this engine.
 //
-// What goes wrong if the wait for a paused engine is left out of the sum: a pause that was seen once among thousands of gaps is
-// far likelier than a failure, so it was waited out whatever the weights, and
-// the threshold came to be the longest gap in memory. One would notice that
+// What goes wrong if the wait for a paused engine is left out of the sum: a pause that
+// comes once among thousands of gaps is far likelier than a failure, so it is waited out
+// whatever the weights, and the threshold is the longest gap in memory. One would notice that
 // deployments with opposite weights resume at the same silence. A caller waits
 // for a paused engine just as for a dead one.
 func Threshold(h History, p *Policy) time.Duration {
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -41,7 +41,7 @@
 
 	// watched holds the engines that a tick has to look at: those with open
 	// streams, and those suspected a short while ago. With thousands of known
-	// engines and a few in use, a look at each in each tick took 3% of a core.
+	// engines and a few in use, a look at each in each tick would cost more than all else.
 	watchMu sync.Mutex
 	watched map[*engine]struct{}
 
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -206,7 +206,7 @@
 // second, and each router asks each engine. It shows as engines whose work is delayed by
 // thousands of questions.
 func (p *picker) mayHold(a generation.Ask) []routing.Candidate {
-	all := p.usual(a.Service)
+	all := p.allowedReplicas(a.Service)
 	if !p.survey.needed() || a.Own == "" {
 		return all
 	}
@@ -226,7 +226,7 @@
 	ask.Exclude = placement.With(a.Exclude, b.ID)
 	ask.OtherDomain = b.FailureDomain
 	ask.Capacity = int(p.queues.of(a.Service).losses.CopyShare(ask.Now) * float64(ask.Capacity))
-	c, _, err := p.standby.Pick(p.usual(a.Service), ask)
+	c, _, err := p.standby.Pick(p.allowedReplicas(a.Service), ask)
 	if err != nil {
 		return fleet.Backend{}, nil, false
 	}
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -12,7 +12,7 @@
 
 const (
 	// startedPatience is how long an answer that has begun waits for a replica
-	// to go on at. Clients leave after a gap of 5.6 s or more.
+	// to go on at: a little less than clients bear.
 	startedPatience = 5 * time.Second
 	// refusedRetry is told with a refusal when nothing better is known: replicas that
 	// crash are back within seconds.
--- a/hosted/survey.go
+++ b/hosted/survey.go
@@ -29,7 +29,7 @@
 	// too few to choose from.
 	homes = 8
 	// surveyPatience bounds the wait for their answers, which take a few ms; a packet that
-	// is lost takes 200 ms more, and a prompt is read in about a second.
+	// is lost would cost more time than a prompt that is placed badly.
 	surveyPatience = 80 * time.Millisecond
 	// surveyTimeout ends a question. An answer that comes later says nothing any more.
 	surveyTimeout = 250 * time.Millisecond
--- a/hosted/versions.go
+++ b/hosted/versions.go
@@ -25,16 +25,15 @@
 	stageSince    time.Duration // of the stage that was logged last
 	loggedBad     bool
 	loggedMissing string
-	isDue         bool
-	due           time.Duration // since when a change of the record is
+	dueSince      time.Duration // a change of the record; 0 while none is due
 }
 
 // split is the replicas of a service, divided by a rule.
 type split struct {
-	of    []routing.Candidate
-	epoch uint64
-	usual []routing.Candidate // for all attempts but those on trial
-	tried []routing.Candidate // for those on trial
+	of      []routing.Candidate
+	epoch   uint64
+	allowed []routing.Candidate // to all attempts but those on trial
+	tried   []routing.Candidate // by those on trial
 }
 
 // among returns the replicas that an attempt may use. It is made anew only when the
@@ -49,7 +48,7 @@
 	if trial {
 		return s.tried
 	}
-	return s.usual
+	return s.allowed
 }
 
 // sameList tells whether two lists are one and the same; lists are never changed in place.
@@ -59,23 +58,23 @@
 
 func (o *serviceRollout) divide(all []routing.Candidate, rule *rollout.Rule, limits rollout.Limits) *split {
 	s := &split{of: all, epoch: rule.Epoch}
-	var fresh []fleet.Backend
+	var ofTarget []fleet.Backend
 	for i := range all {
 		b := &all[i].Backend
 		if b.Version != rule.Target {
 			o.others.Store(true)
 		}
 		if rule.Tries(b) {
-			fresh = append(fresh, *b)
+			ofTarget = append(ofTarget, *b)
 		}
 		if rule.Allows(b) {
-			s.usual = append(s.usual, all[i])
+			s.allowed = append(s.allowed, all[i])
 		}
 	}
-	if len(s.usual) == 0 && !o.others.Load() {
-		s.usual = all // the service never had another version
+	if len(s.allowed) == 0 && !o.others.Load() {
+		s.allowed = all // the service never had another version
 	}
-	set := rollout.TrialSet(fresh, limits)
+	set := rollout.TrialSet(ofTarget, limits)
 	for i := range all {
 		if set[all[i].Backend.ID] {
 			s.tried = append(s.tried, all[i])
@@ -96,8 +95,8 @@
 	return one.among(all, first && one.Assign(a.Request, clock.Boot()), p.rollouts.limits)
 }
 
-// usual are the replicas that any attempt may use that is not on trial.
-func (p *picker) usual(service string) []routing.Candidate {
+// allowedReplicas are those that any attempt may use that is not on trial.
+func (p *picker) allowedReplicas(service string) []routing.Candidate {
 	all := p.dir.Service(service)
 	if one := p.rollouts.of(service); one != nil {
 		return one.among(all, false, p.rollouts.limits)
--- a/mirror/pull.go
+++ b/mirror/pull.go
@@ -9,8 +9,8 @@
 //
 // Where the neighbour doesn't know the changes since, everything is asked for only
 // while the store is away: the store's own pages cost no node its line. A router
-// that has just started knows no removals from before, so that after a start of
-// 300 at once each asked its neighbours for everything, 0.6 MB each time.
+// that has just started knows no removals from before, so that after a start of many
+// at once each would ask its neighbours for everything.
 func (m *Mirror) Pull(from string, ask Ask) error {
 	for {
 		before := m.Newest()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -128,7 +128,7 @@
 		return r.refuse(req, table, http.StatusUnauthorized, "unknown key", 0)
 	}
 	j := newJob(req, rt, account, table)
-	j.relay = &r.cfg
+	j.cfg = &r.cfg
 	r.cfg.Budgets.First(j.service)
 	res := r.cfg.Runner.Run(ctx, j.generation(), sink)
 	v := j.verdict(res)
@@ -158,7 +158,7 @@
 
 // job is one request with all that was decided about it at its begin.
 type job struct {
-	relay    *Config
+	cfg      *Config
 	req      *Request
 	route    *route.Route
 	service  string
@@ -216,8 +216,8 @@
 // patience is how long a request waits for a backend server: half of the time until its
 // answer is late, since the rest is needed for its work, or as the relay is told.
 func (j *job) patience() time.Duration {
-	if j.route.Kind == route.Stream && j.relay.Patience != nil {
-		return j.relay.Patience(j.route.Target)
+	if j.route.Kind == route.Stream && j.cfg.Patience != nil {
+		return j.cfg.Patience(j.route.Target)
 	}
 	return j.route.Target / 2
 }
--- a/routing/delay.go
+++ b/routing/delay.go
@@ -52,8 +52,7 @@
 // What goes wrong with a count of requests: a copy, a run that makes tokens and a prompt
 // that is read weigh the same, although only a prompt takes time from others. Prompts
 // are sent to engines that read one, while others read none. It shows as first pieces
-// that come after twice the time that a prompt takes: one in ten took 2.4 s, and 1.8 s when
-// placed by delay (300 drafts under usual load).
+// that come after twice the time that a prompt takes, under usual load.
 type delayScorer struct{}
 
 func (delayScorer) Score(v View, out []float64) {
