directory: a change of a few replicas costs the same in a large fleet

Cause: after each batch of changes from the store, the view passed the list of all replicas to the directory, which made a new map of all records, sorted all ids and listed all candidates anew. The readiness check sorted all ids as well. Ruled out as the larger part: decoding the entry (30 us).

Change: Directory.Apply takes the changed and the removed replicas; records are held in one index, and the candidates of a service are listed again only when they are read after a change. Update (whole lists, the product's own interface) goes through the same code.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -36,7 +36,7 @@
 	if ok, reason := n.keeper.Ready(); !ok {
 		return Error.New("configuration: %s", reason)
 	}
-	if len(n.dir.IDs()) == 0 {
+	if n.dir.Empty() {
 		return Error.New("no backend server is known yet")
 	}
 	return nil
--- a/directory/cache.go
+++ b/directory/cache.go
@@ -106,7 +106,7 @@
 // CacheEvents applies a batch of an engine's cache events to the map of that engine's
 // cache, and logs a gap in the events. A batch of an unknown engine is ignored.
 func (d *Directory) CacheEvents(id string, b CacheBatch, now time.Time) {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	if r == nil {
 		return
 	}
@@ -119,7 +119,7 @@
 // applied, after which the next poll continues; 0 means that the poll starts with the
 // first event.
 func (d *Directory) CacheAfter(id string) uint64 {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	if r == nil {
 		return 0
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -12,7 +12,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,18 +62,11 @@
 	FromPeerReport Source = "rumour"
 )
 
-// table is an immutable view of the fleet. A change replaces the whole table by a new
-// one, so that readers need no lock.
-type table struct {
-	byID     map[string]*record
-	byRef    map[fleet.ModelRef][]routing.Candidate
-	services map[string][]routing.Candidate
-}
-
-// Directory is safe for concurrent use. Readers take no lock.
+// Directory is safe for concurrent use.
 type Directory struct {
 	log       *event.Log
-	table     atomic.Pointer[table]
+	index     index
+	byRef     atomic.Pointer[map[fleet.ModelRef][]routing.Candidate] // never modified, only replaced
 	anyReport atomic.Bool
 	loads     loadTracker
 	// OnLeaving, set before the Directory is used, is called once for each incarnation
@@ -82,15 +74,19 @@
 	// is nil, no report is broadcast.
 	OnLeaving func(id, incarnation string, source Source)
 
-	mu     sync.Mutex // held by writers, one at a time; readers use table
-	subset map[string]bool
-	intent map[string]bool // VMs that should leave by the configuration
+	mu       sync.Mutex         // held by writers, one at a time
+	unlisted map[string]*record // records of backend servers that are missing from the list
+	subset   map[string]bool
+	intent   map[string]bool // VMs that should leave by the configuration
 }
 
 // New returns an empty Directory.
 func New(log *event.Log) *Directory {
-	d := &Directory{log: log, loads: loadTracker{busy: map[*record]struct{}{}}}
-	d.table.Store(&table{})
+	d := &Directory{
+		log: log, index: newIndex(), unlisted: map[string]*record{},
+		loads: loadTracker{busy: map[*record]struct{}{}},
+	}
+	d.byRef.Store(&map[fleet.ModelRef][]routing.Candidate{})
 	return d
 }
 
@@ -98,15 +94,52 @@
 // for missingGrace after they were last listed, and for as long as they have requests of
 // this router in progress.
 func (d *Directory) Update(list []fleet.Backend, now time.Time) {
+	listed := make(map[string]bool, len(list))
+	for i := range list {
+		listed[list[i].ID] = true
+	}
 	d.mu.Lock()
-	old := d.table.Load()
-	byID := make(map[string]*record, len(list))
+	var missing []*record
+	for _, r := range d.index.all() {
+		if !listed[r.id] {
+			missing = append(missing, r)
+		}
+	}
+	d.applyChanges(list, missing, now)
+}
+
+// Apply applies changes of the VM list: the backend servers that were added or changed, and
+// the ids of those that were removed. Removed backend servers are kept as Update does. Its
+// cost depends on the number of changes, not on the size of the fleet.
+func (d *Directory) Apply(changed []fleet.Backend, removed []string, now time.Time) {
+	d.mu.Lock()
+	var missing []*record
+	for _, id := range removed {
+		r := d.index.get(id)
+		if r == nil || d.unlisted[id] != nil {
+			continue
+		}
+		r.markListed(now) // it was in the list until now
+		missing = append(missing, r)
+	}
+	d.applyChanges(changed, missing, now)
+}
+
+// applyChanges applies the entries of listed backend servers, and notes which records are
+// missing from the list. The caller holds d.mu; applyChanges releases it before it announces
+// what is leaving now.
+func (d *Directory) applyChanges(listed []fleet.Backend, missing []*record, now time.Time) {
 	var nowLeaving, nowIntended []*record
-	for _, b := range list {
-		r := old.byID[b.ID]
+	anyEngine := false
+	for _, b := range listed {
+		r := d.index.get(b.ID)
+		before := ""
 		if r == nil {
 			r = newRecord(b, &d.loads.peersSendLoads)
+		} else {
+			before = r.service()
 		}
+		delete(d.unlisted, b.ID)
 		if r.applyListEntry(b, now) {
 			nowLeaving = append(nowLeaving, r)
 		}
@@ -117,14 +150,15 @@
 		if r.setIntent(d.intent[b.VM]) {
 			nowIntended = append(nowIntended, r)
 		}
-		byID[b.ID] = r
+		d.index.put(r, before)
+		anyEngine = anyEngine || b.Kind != fleet.Service
 	}
-	for id, r := range old.byID {
-		if _, ok := byID[id]; !ok && r.keepUnlisted(now) {
-			byID[id] = r
-		}
+	for _, r := range missing {
+		d.unlisted[r.id] = r
+	}
+	if d.dropUnlisted(now) || anyEngine {
+		d.rebuildRefs()
 	}
-	d.rebuild(byID)
 	d.mu.Unlock()
 	for _, r := range nowLeaving {
 		d.announceLeaving(r.id, r.currentIncarnation(), FromVMList)
@@ -134,11 +168,25 @@
 	}
 }
 
+// dropUnlisted drops the unlisted records that need not be kept any longer, and reports
+// whether a model engine was among them.
+func (d *Directory) dropUnlisted(now time.Time) (engine bool) {
+	for id, r := range d.unlisted {
+		if r.keepUnlisted(now) {
+			continue
+		}
+		delete(d.unlisted, id)
+		d.index.remove(r)
+		engine = engine || r.service() == ""
+	}
+	return engine
+}
+
 // Report applies an engine's load report: it updates which models the engine serves, its
 // load, the estimate of how many requests it runs at once, and whether it is leaving. A
 // report of an unknown engine is ignored.
 func (d *Directory) Report(id string, rep fleet.LoadReport, now time.Time) {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	if r == nil {
 		return
 	}
@@ -146,7 +194,7 @@
 	changed, nowLeaving := r.applyReport(rep, now)
 	if changed {
 		d.mu.Lock()
-		d.rebuild(d.table.Load().byID)
+		d.candidateChanged(r)
 		d.mu.Unlock()
 	}
 	if nowLeaving {
@@ -164,44 +212,50 @@
 		return
 	}
 	d.subset = maps.Clone(subset)
-	d.rebuild(d.table.Load().byID)
+	d.rebuildRefs()
 }
 
-// rebuild replaces the table. It runs only when the set of backend servers or what they
-// serve changes: figures that change with each request are read through the records.
-func (d *Directory) rebuild(byID map[string]*record) {
-	t := &table{
-		byID:     byID,
-		byRef:    map[fleet.ModelRef][]routing.Candidate{},
-		services: map[string][]routing.Candidate{},
+// candidateChanged updates the lists that contain the candidate made from r. The caller
+// holds d.mu.
+func (d *Directory) candidateChanged(r *record) {
+	service := r.service()
+	if service == "" {
+		d.rebuildRefs()
+		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(byID)) {
-		c := byID[id].candidate()
-		if c.Backend.Kind == fleet.Service {
-			t.services[c.Backend.Service] = append(t.services[c.Backend.Service], c)
-			continue
-		}
-		if d.subset != nil && !d.subset[id] {
+	if d.index.get(r.id) == r {
+		d.index.put(r, service)
+	}
+}
+
+// rebuildRefs replaces the lists of the engines by the models that they serve. It runs only
+// when the set of engines or what they serve changes: figures that change with each request
+// are read through the records. The caller holds d.mu.
+func (d *Directory) rebuildRefs() {
+	byRef := map[fleet.ModelRef][]routing.Candidate{}
+	for _, r := range d.index.all() {
+		c := r.candidate()
+		if c.Backend.Kind == fleet.Service || d.subset != nil && !d.subset[r.id] {
 			continue
 		}
 		for _, ref := range c.Serves {
-			t.byRef[ref] = append(t.byRef[ref], c)
+			byRef[ref] = append(byRef[ref], c)
 		}
 	}
-	d.table.Store(t)
+	d.byRef.Store(&byRef)
 }
 
 // Snapshot returns the engines of the subset (Select) that serve ref. The slice is shared
 // and must only be read. A call costs one atomic load and one map look-up.
 func (d *Directory) Snapshot(ref fleet.ModelRef) []routing.Candidate {
-	return d.table.Load().byRef[ref]
+	return (*d.byRef.Load())[ref]
 }
 
 // Serving counts all engines known to serve ref, including the engines outside the
 // subset.
 func (d *Directory) Serving(ref fleet.ModelRef) int {
 	n := 0
-	for _, r := range d.table.Load().byID {
+	for _, r := range d.index.all() {
 		if r.serves(ref) {
 			n++
 		}
@@ -212,7 +266,7 @@
 // Service returns the backend servers of a service that is not a model engine. The slice
 // is shared and must only be read.
 func (d *Directory) Service(name string) []routing.Candidate {
-	return d.table.Load().services[name]
+	return d.index.candidates(name)
 }
 
 // FleetKnown reports whether this router has received a load report of any engine yet.
@@ -221,7 +275,7 @@
 // Backend returns the backend server with the given id, as last listed in the VM list. The
 // bool is false if no such backend server is known.
 func (d *Directory) Backend(id string) (fleet.Backend, bool) {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	if r == nil {
 		return fleet.Backend{}, false
 	}
@@ -231,7 +285,7 @@
 // Incarnation returns the last reported incarnation of a backend server, or "" if none
 // is known.
 func (d *Directory) Incarnation(id string) string {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	if r == nil {
 		return ""
 	}
@@ -240,15 +294,23 @@
 
 // IDs returns the ids of the known backend servers in ascending order.
 func (d *Directory) IDs() []string {
-	return slices.Sorted(maps.Keys(d.table.Load().byID))
+	all := d.index.all()
+	ids := make([]string, 0, len(all))
+	for _, r := range all {
+		ids = append(ids, r.id)
+	}
+	return ids
 }
 
+// Empty reports whether no backend server is known.
+func (d *Directory) Empty() bool { return d.index.len() == 0 }
+
 // MarkLeaving marks one incarnation of a backend server as leaving. If the backend server
 // was not leaving before, MarkLeaving also logs the change and calls OnLeaving. The mark
 // counts until the backend server reports a new incarnation. An empty incarnation means
 // the current incarnation.
 func (d *Directory) MarkLeaving(id, incarnation string, source Source) {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	if r == nil {
 		return
 	}
@@ -264,7 +326,7 @@
 	d.mu.Lock()
 	d.intent = maps.Clone(leavingVMs)
 	var nowIntended []*record
-	for _, r := range d.table.Load().byID {
+	for _, r := range d.index.all() {
 		if r.setIntent(leavingVMs[r.candidate().Backend.VM]) {
 			nowIntended = append(nowIntended, r)
 		}
@@ -279,7 +341,7 @@
 // dispatch, and for queued work, because the backend server may have started to leave
 // since it was chosen. An unknown backend server counts as leaving.
 func (d *Directory) Leaving(id string) bool {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	return r == nil || r.Leaving()
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -369,7 +369,7 @@
 		back := func() time.Time { return time.Now().Add(-time.Hour) }
 		time.Sleep(time.Second)
 		d.Report("e0", report("i1", back(), 3), time.Now())
-		r := d.table.Load().byID["e0"]
+		r := d.index.get("e0")
 		if got := r.Load(time.Now()); got > 4 {
 			t.Errorf("load %v by a report from before the clock was set back", got)
 		}
@@ -397,7 +397,7 @@
 		time.Sleep(300 * time.Millisecond)
 		d.Report("e0", report("i1", time.Now(), 3), time.Now())
 		d.Report("e0", first, time.Now())
-		if got := d.table.Load().byID["e0"].Load(time.Now()); got > 4 || !d.Leaving("e0") {
+		if got := d.index.get("e0").Load(time.Now()); got > 4 || !d.Leaving("e0") {
 			t.Errorf("load %v, leaving %v", got, d.Leaving("e0"))
 		}
 	})
--- a/directory/dump.go
+++ b/directory/dump.go
@@ -26,7 +26,8 @@
 	subset := d.subset
 	d.mu.Unlock()
 	out := map[string]BackendDump{}
-	for id, r := range d.table.Load().byID {
+	for _, r := range d.index.all() {
+		id := r.id
 		b := r.dump(now)
 		b.Member = subset == nil || subset[id]
 		out[id] = b
--- a/directory/observed.go
+++ b/directory/observed.go
@@ -44,7 +44,7 @@
 // from the report. size is the size of a typical request of the engine's service. A report
 // of an unknown engine is ignored.
 func (d *Directory) Observe(id string, s fleet.EngineState, size RequestSize, now time.Time) {
-	if r := d.table.Load().byID[id]; r != nil {
+	if r := d.index.get(id); r != nil {
 		r.observe(loadFromState(s, size), now)
 	}
 }
@@ -136,7 +136,7 @@
 // Estimate returns the estimated load of an engine and the age of the engine's last
 // report of its state. reported is false if the engine never sent a report.
 func (d *Directory) Estimate(id string, now time.Time) (l Load, age time.Duration, reported bool) {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	if r == nil {
 		return Load{}, 0, false
 	}
--- a/directory/observed_test.go
+++ b/directory/observed_test.go
@@ -39,7 +39,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := New(nil)
 		d.Update([]fleet.Backend{{ID: "e", Kind: fleet.Service, Service: "llm"}}, time.Now())
-		r := d.table.Load().byID["e"]
+		r := d.index.get("e")
 		share := d.Begin("e", Load{Requests: 1, Reading: 5000, Memory: 6000})
 		d.Observe("e", fleet.EngineState{}, typical, time.Now())
 		if r.Reading() != 5000 || r.Memory() != 6000 {
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -90,9 +90,8 @@
 	if d.loads.peerLoads == nil {
 		return
 	}
-	byID := d.table.Load().byID
 	for id, l := range change {
-		if r := byID[id]; r != nil {
+		if r := d.index.get(id); r != nil {
 			r.peers.add(l)
 			d.loads.peerLoads[id] = d.loads.peerLoads[id].Plus(l)
 		}
@@ -105,14 +104,13 @@
 func (d *Directory) SetPeerLoads(sum PeerLoads) {
 	d.loads.mu.Lock()
 	defer d.loads.mu.Unlock()
-	byID := d.table.Load().byID
 	for id := range d.loads.peerLoads {
-		if r := byID[id]; r != nil && sum[id] == (Load{}) {
+		if r := d.index.get(id); r != nil && sum[id] == (Load{}) {
 			r.peers.store(Load{})
 		}
 	}
 	for id, load := range sum {
-		if r := byID[id]; r != nil {
+		if r := d.index.get(id); r != nil {
 			r.peers.store(load)
 		}
 	}
--- a/directory/peers_test.go
+++ b/directory/peers_test.go
@@ -62,7 +62,8 @@
 				if got := d.LocalLoads(); !maps.Equal(got, local) {
 					t.Fatalf("broadcasts %v, has %v", got, local)
 				}
-				for id, r := range d.table.Load().byID {
+				for _, r := range d.index.all() {
+					id := r.id
 					if got, should := r.Load(time.Now()), float64(want[id])+peers[id].Requests; got != should {
 						t.Fatalf("%s counts %v, want %v", id, got, should)
 					}
--- a/directory/record.go
+++ b/directory/record.go
@@ -76,6 +76,13 @@
 	return r.updateLeaving()
 }
 
+// markListed records that the VM list included the backend server at the given time.
+func (r *record) markListed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listedAt = now
+}
+
 // keepUnlisted reports whether a backend server missing from the VM list is kept: because
 // it was last listed less than missingGrace ago, or because requests of this router are in
 // progress there.
@@ -103,7 +110,7 @@
 		// incarnation that this first report shows.
 		r.mark(rep.Incarnation)
 	}
-	changed = r.reportedAt.IsZero() || !sameIncarnation || rep.Role != r.last.Role || !slices.Equal(rep.Serves, r.last.Serves)
+	changed = !sameIncarnation || rep.Role != r.last.Role || !slices.Equal(rep.Serves, r.last.Serves)
 	if !sameIncarnation {
 		r.batch.restart()
 	}
--- a/directory/share.go
+++ b/directory/share.go
@@ -33,7 +33,7 @@
 // Begin adds a request's load to a backend server. The load counts until End is called
 // on the returned Share. For an unknown backend server nothing is counted.
 func (d *Directory) Begin(id string, l Load) *Share {
-	r := d.table.Load().byID[id]
+	r := d.index.get(id)
 	if r == nil {
 		return &Share{}
 	}
@@ -50,7 +50,7 @@
 
 // Reading is the number of prompt tokens that a backend server has yet to read.
 func (d *Directory) Reading(id string) float64 {
-	if r := d.table.Load().byID[id]; r != nil {
+	if r := d.index.get(id); r != nil {
 		return r.Reading()
 	}
 	return 0
--- a/directory/subset.go
+++ b/directory/subset.go
@@ -53,7 +53,8 @@
 // separately, see LeastRecentlyReported.
 func (d *Directory) Members(router string, size int) map[string]bool {
 	byModel := map[string][]string{}
-	for id, r := range d.table.Load().byID {
+	for _, r := range d.index.all() {
+		id := r.id
 		for _, model := range r.models() {
 			byModel[model] = append(byModel[model], id)
 		}
@@ -74,7 +75,8 @@
 func (d *Directory) LeastRecentlyReported(router string, members map[string]bool, n int) []string {
 	key := xxhash.Sum64String(router)
 	var all []ranked
-	for id, r := range d.table.Load().byID {
+	for _, r := range d.index.all() {
+		id := r.id
 		if members[id] || r.candidate().Backend.Kind != fleet.Engine {
 			continue
 		}
--- a/hosted/adopt.go
+++ b/hosted/adopt.go
@@ -198,7 +198,7 @@
 	v.adopted[b.ID] = true
 	v.mon.SetFailureDomain(b.ID, b.Service, b.FailureDomain)
 	v.replaceAtAddress(b, 0)
-	v.changed = true
+	v.changed[b.ID] = struct{}{}
 }
 
 // latestStart returns the store revision of the latest start of a known replica, or 0 if no
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -204,7 +204,7 @@
 		return Error.New("shutting down")
 	case n.table.Get() == nil:
 		return Error.New("no configuration is known yet")
-	case len(n.dir.IDs()) == 0:
+	case n.dir.Empty():
 		return Error.New("no backend server is known yet")
 	}
 	return nil
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -38,7 +38,7 @@
 	unknownServices map[string]infra.Value // entries, by name, whose service is not in the configuration
 	byAddr          map[string]string      // id of the replica started last, by address
 	added           []fleet.Backend        // replicas added since the last BatchDone
-	changed         bool
+	changed         map[string]struct{}    // ids of the replicas added, changed or dropped since the last settle
 }
 
 // maxLogged is the largest number of replicas that are logged one by one when they are added
@@ -55,6 +55,7 @@
 		withheld:        map[string]bool{},
 		unknownServices: map[string]infra.Value{},
 		byAddr:          map[string]string{},
+		changed:         map[string]struct{}{},
 	}
 }
 
@@ -135,7 +136,7 @@
 	delete(v.adopted, b.ID)
 	v.replicas[b.ID] = b
 	v.mon.SetFailureDomain(b.ID, b.Service, b.FailureDomain)
-	v.changed = true
+	v.changed[b.ID] = struct{}{}
 	switch {
 	case b.Leaving && !old.Leaving:
 		v.markLeaving(b.ID, "announced by the replica", item.ModRev)
@@ -239,7 +240,7 @@
 	delete(v.replicas, id)
 	delete(v.adopted, id)
 	v.mon.Forget(id)
-	v.changed = true
+	v.changed[id] = struct{}{}
 }
 
 // markLeaving marks a replica as leaving. The mark takes effect at once, and not with the next
@@ -256,6 +257,7 @@
 	if b, ok := v.replicas[id]; ok {
 		b.Leaving = true
 		v.replicas[id] = b
+		v.changed[id] = struct{}{}
 	}
 	v.dir.MarkLeaving(id, "", directory.FromVMList)
 }
@@ -268,17 +270,23 @@
 	v.settle()
 }
 
+// settle passes the changes since the last settle to the directory.
 func (v *view) settle() {
-	if !v.changed {
+	if len(v.changed) == 0 {
 		return
 	}
-	v.changed = false
 	v.logAdded()
-	list := make([]fleet.Backend, 0, len(v.replicas))
-	for _, b := range v.replicas {
-		list = append(list, b)
+	var listed []fleet.Backend
+	var dropped []string
+	for id := range v.changed {
+		if b, ok := v.replicas[id]; ok {
+			listed = append(listed, b)
+		} else {
+			dropped = append(dropped, id)
+		}
 	}
-	v.dir.Update(list, time.Now())
+	clear(v.changed)
+	v.dir.Apply(listed, dropped, time.Now())
 }
 
 // logAdded logs the replicas that were added since the last BatchDone.
