mirror: a crash of a failure domain needs no read of the store by every node

Cause, by reading: a node remembered its last 256 removals. In a large fleet one crash or release removes more than that before the neighbours ask, so each of them read the store (RemovalsUnknown): a bound that holds only while the fleet is small. And each request for the latest changes looked at all items and sorted them, at every link and sync interval.

Test: TestMassRemovalReachesNeighbours; its first half on the code before prints "0 removals of 2999, unknown true".

--- a/mirror/state.go
+++ b/mirror/state.go
@@ -9,10 +9,6 @@
 	"wigeondale/infra"
 )
 
-// defaultMaxRemovals is how many removals are remembered for neighbours that lag. A
-// neighbour that lags by more removals has to read all items.
-const defaultMaxRemovals = 256
-
 // Removal reports to a neighbour that the item with the given Key was missing at the
 // revision Rev.
 type Removal struct {
@@ -94,14 +90,13 @@
 // state is a node's copy of the items under the prefix. An item never goes back to an
 // earlier revision, in whatever order changes arrive.
 type state struct {
-	receiver      Receiver
-	items         map[string]infra.Value
-	unconfirmed   map[string]unconfirmedRemoval // items missing since an outage and not yet passed on as removed, by key
-	removed       []Removal                     // the latest removals, in the order of their arrival
-	tombstones    map[string]int64              // revisions of the removals in removed, by key, so that an older item doesn't come back
-	newest        int64                         // all changes up to this revision are known
-	removalsFloor int64                         // removals up to this revision may be missing from removed
-	maxRemovals   int                           // maximum length of removed
+	receiver    Receiver
+	items       map[string]infra.Value
+	unconfirmed map[string]unconfirmedRemoval // items missing since an outage and not yet passed on as removed, by key
+	removed     removalLog
+	tombstones  map[string]int64 // revisions of the removals in removed, by key, so that an older item doesn't come back
+	recent      recentChanges
+	newest      int64 // all changes up to this revision are known
 	// pageBytes is the maximum size of the items in one Delta: the constant pageBytes, or
 	// a smaller value in tests.
 	pageBytes int
@@ -109,7 +104,7 @@
 }
 
 func newState(out Receiver) state {
-	return state{receiver: out, maxRemovals: defaultMaxRemovals, pageBytes: pageBytes, items: map[string]infra.Value{}, unconfirmed: map[string]unconfirmedRemoval{}, tombstones: map[string]int64{}}
+	return state{receiver: out, removed: removalLog{minKept: minRemovals, keptFor: removalsKept}, recent: recentChanges{max: maxRecent}, pageBytes: pageBytes, items: map[string]infra.Value{}, unconfirmed: map[string]unconfirmedRemoval{}, tombstones: map[string]int64{}}
 }
 
 // advance records that all changes up to a revision are known. The revision of a single
@@ -125,6 +120,7 @@
 	delete(s.unconfirmed, v.Key)
 	delete(s.tombstones, v.Key)
 	s.items[v.Key] = v
+	s.recent.add(v.Key, v.ModRev)
 	s.dirty = true
 	s.receiver.Put(v)
 }
@@ -157,15 +153,10 @@
 		return
 	}
 	s.tombstones[key] = rev
-	s.removed = append(s.removed, Removal{Key: key, Rev: rev})
-	if len(s.removed) <= s.maxRemovals {
-		return
-	}
-	oldest := s.removed[0]
-	s.removed = slices.Delete(s.removed, 0, 1)
-	s.removalsFloor = max(s.removalsFloor, oldest.Rev)
-	if s.tombstones[oldest.Key] == oldest.Rev {
-		delete(s.tombstones, oldest.Key)
+	for _, old := range s.removed.add(Removal{Key: key, Rev: rev}) {
+		if s.tombstones[old.Key] == old.Rev {
+			delete(s.tombstones, old.Key)
+		}
 	}
 }
 
@@ -173,8 +164,9 @@
 // are removed, or become unconfirmed removals, as d defines.
 func (s *state) replace(items []infra.Value, at int64, d removalPolicy) {
 	if s.newest == 0 {
-		s.removalsFloor = at
+		s.removed.floor = at
 	}
+	s.recent.reset(at)
 	found := make(map[string]bool, len(items))
 	for _, v := range items {
 		found[v.Key] = true
@@ -213,7 +205,7 @@
 // node knows all later removals, delta returns the later changes. Otherwise it returns a
 // page of all items if req.All is set, and a Delta with RemovalsUnknown if not.
 func (s *state) delta(req DeltaRequest) Delta {
-	if req.After >= s.removalsFloor {
+	if req.After >= s.removed.floor {
 		return s.changesAfter(req.After)
 	}
 	if !req.All {
@@ -225,24 +217,33 @@
 // changesAfter returns the changes in the order of their revisions. If the changes
 // don't fit into one Delta, Newest is the revision before the first change left out.
 func (s *state) changesAfter(after int64) Delta {
-	d := Delta{Newest: s.newest}
-	for _, v := range s.items {
-		if v.ModRev > after {
-			d.Items = append(d.Items, v)
-		}
-	}
+	d := Delta{Newest: s.newest, Items: s.itemsAfter(after)}
 	slices.SortFunc(d.Items, func(a, b infra.Value) int { return cmp.Compare(a.ModRev, b.ModRev) })
 	if n := cutAtRevision(d.Items, countFitting(d.Items, s.pageBytes)); n < len(d.Items) {
 		d.Newest = d.Items[n].ModRev - 1
 		d.Items = d.Items[:n]
 	}
-	for _, r := range s.removed {
-		if r.Rev > after && r.Rev <= d.Newest {
-			d.Removed = append(d.Removed, r)
+	d.Removed = append(s.removed.between(after, d.Newest), s.unconfirmedRemovals(after, d.Newest)...)
+	return d
+}
+
+// itemsAfter returns the items that were changed after a revision, in any order.
+func (s *state) itemsAfter(after int64) []infra.Value {
+	var out []infra.Value
+	if recent, ok := s.recent.after(after); ok {
+		for _, c := range recent {
+			if v := s.items[c.key]; v.ModRev == c.rev {
+				out = append(out, v)
+			}
 		}
+		return out
 	}
-	d.Removed = append(d.Removed, s.unconfirmedRemovals(after, d.Newest)...)
-	return d
+	for _, v := range s.items {
+		if v.ModRev > after {
+			out = append(out, v)
+		}
+	}
+	return out
 }
 
 // unconfirmedRemovals returns the unconfirmed removals after a revision. They must be sent
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -61,7 +61,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		first, second := New(nil, &recorder{items: map[string]int64{}}, Config{}), New(nil, &recorder{items: map[string]int64{}}, Config{})
 		first.synced = true
-		first.state.maxRemovals = 5 // so that a larger lag occurs
+		first.state.removed = removalLog{minKept: 5} // so that a larger lag occurs
+		first.state.recent.max = rapid.IntRange(1, 8).Draw(t, "recent")
 		first.state.pageBytes = rapid.IntRange(1, 30).Draw(t, "page")
 		second.failing.Store(true) // so that it requests all items where needed
 		rev := int64(0)
@@ -176,3 +177,29 @@
 		t.Errorf("got %v", out.items)
 	}
 }
+
+// TestMassRemovalReachesNeighbours guards against a read of the store by every node after the
+// crash of a failure domain: the removals of its thousands of replicas were forgotten before
+// the neighbours had requested them.
+func TestMassRemovalReachesNeighbours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const items = 3000
+		s := newState(&recorder{items: map[string]int64{}})
+		for i := range items {
+			s.put(infra.Value{Key: strconv.Itoa(i), ModRev: int64(i + 1)})
+		}
+		s.advance(items)
+		for i := range items - 1 {
+			s.remove(strconv.Itoa(i), int64(items+i+1), removalPolicy{})
+		}
+		s.advance(2 * items)
+		if d := s.delta(DeltaRequest{After: items}); d.RemovalsUnknown || len(d.Removed) != items-1 {
+			t.Errorf("%d removals of %d, unknown %v", len(d.Removed), items-1, d.RemovalsUnknown)
+		}
+		time.Sleep(removalsKept)
+		s.remove(strconv.Itoa(items-1), 2*items+1, removalPolicy{})
+		if n := len(s.removed.entries); n != minRemovals || len(s.tombstones) != n {
+			t.Errorf("%d removals and %d tombstones are kept, want %d", n, len(s.tombstones), minRemovals)
+		}
+	})
+}
