hosted: a node decides whether it reads the store once a change of the membership, not ten times a second

Cause, by reading: each check whether this node is a reader of its failure domain copied and sorted all members (peer Members, see below), ten times a second whatever the fleet does, so a cost at rest that grows with the fleet: at 985 nodes with 0.192 of a core some 4% of it (worked out).

--- a/hosted/store_sync.go
+++ b/hosted/store_sync.go
@@ -60,8 +60,19 @@
 	received map[string]receivedSync // latest message by neighbour
 	lastSent time.Time               // time of this node's last message
 	pulling  bool
+	// role is whether this node is a reader of its failure domain, or roleUnknown if the
+	// membership has changed since that was decided. To decide it, all members are compared.
+	role readerRole
 }
 
+type readerRole uint8
+
+const (
+	roleUnknown readerRole = iota
+	roleReader
+	roleOther
+)
+
 type receivedSync struct {
 	receivedAt time.Time
 	newest     int64
@@ -77,9 +88,17 @@
 	peer.HandleCall(mesh, callDelta, func(_ context.Context, _ string, q mirror.DeltaRequest) (mirror.Delta, error) {
 		return n.mirror.Delta(q), nil
 	})
+	mesh.OnChange(n.membershipChanged)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.mesh = mesh
+	n.role = roleUnknown
+}
+
+func (n *storeSync) membershipChanged() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.role = roleUnknown
 }
 
 // readsStore reports whether this node reads the store itself: it is a reader of its failure
@@ -93,11 +112,23 @@
 // for their failure domain. Without a mesh each node is a reader.
 func (n *storeSync) isReader() bool {
 	n.mu.Lock()
-	mesh := n.mesh
+	mesh, role := n.mesh, n.role
+	if role == roleUnknown && mesh != nil {
+		n.role = roleOther // a change of the membership from now on resets it
+	}
 	n.mu.Unlock()
-	if mesh == nil {
+	switch {
+	case mesh == nil:
 		return true
+	case role == roleUnknown:
+		return n.decideRole(mesh)
 	}
+	return role == roleReader
+}
+
+// decideRole compares this node with the other members of its failure domain, and reports
+// whether it is a reader.
+func (n *storeSync) decideRole(mesh *peer.Mesh) bool {
 	key := xxhash.Sum64String(n.domain)
 	localWeight := routing.Rendezvous(key, n.id)
 	ahead := 0
@@ -106,7 +137,15 @@
 			ahead++
 		}
 	}
-	return ahead < readersPerDomain
+	if ahead >= readersPerDomain {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.role == roleOther {
+		n.role = roleReader
+	}
+	return true
 }
 
 // age returns the time since the store confirmed the contents of this node's copy, either to
