hosted: nodes that start don't all follow the store, and a growing fleet is sampled early

Each node without links is a reader, so 985 nodes read each of 10,000 registrations; the store's line was full, 99 of 111 logged nodes timed out on it, and links came up 3.6 s after the start. And no read of all items saw more than a page, so no plan was written. Change: a node that knows others and the key waits for its links (its copy's age still makes it read); readers look at the plan twice a second, and sample from 4,096 known replicas on. A replica that leaves the sample is withdrawn: no new work, no log line each, nothing announced; in use again when listed again.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -125,6 +125,18 @@
 	d.applyChanges(changed, missing, now)
 }
 
+// Withdraw stops the use of backend servers of which no more changes become known, until they
+// are listed again. Their requests in progress go on, and they are kept as those that were
+// removed from the list; no router is notified.
+func (d *Directory) Withdraw(ids []string, now time.Time) {
+	for _, id := range ids {
+		if r := d.index.get(id); r != nil {
+			r.withdraw()
+		}
+	}
+	d.Apply(nil, ids, now)
+}
+
 // applyChanges applies the entries of listed backend servers, and notes which records are
 // missing from the list. The caller holds d.mu; applyChanges releases it before it announces
 // what is leaving now.
--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -42,10 +42,18 @@
 	return r.updateLeaving()
 }
 
+// withdraw makes the backend server count as leaving until it is listed again.
+func (r *record) withdraw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.withdrawn = true
+	r.updateLeaving()
+}
+
 // updateLeaving recomputes the flag leaving and returns true if the flag was not set
 // before and is set now.
 func (r *record) updateLeaving() bool {
-	now := r.intent || r.backend.Leaving || slices.Contains(r.marks, r.last.Incarnation)
+	now := r.intent || r.withdrawn || r.backend.Leaving || slices.Contains(r.marks, r.last.Incarnation)
 	was := r.leaving.Swap(now)
 	return now && !was
 }
--- a/directory/record.go
+++ b/directory/record.go
@@ -50,6 +50,7 @@
 	batch         batchSize
 	marks         []string // incarnations known to be leaving
 	intent        bool
+	withdrawn     bool // see Directory.Withdraw
 }
 
 func newRecord(b fleet.Backend, peersSendLoads *atomic.Bool) *record {
@@ -73,6 +74,7 @@
 	}
 	r.backend = b
 	r.listedAt = now
+	r.withdrawn = false
 	return r.updateLeaving()
 }
 
--- a/hosted/adopt.go
+++ b/hosted/adopt.go
@@ -194,7 +194,7 @@
 	// after the latest start stands in.
 	b.Started = v.latestStart() + 1
 	v.log.Emit(event.ReplicaAdopted, "backend", b.ID, "service", b.Service, "domain", b.FailureDomain, "addr", b.Addr, "after", old.ID)
-	v.replicas[b.ID] = b
+	v.store(b)
 	v.adopted[b.ID] = true
 	v.mon.SetFailureDomain(b.ID, b.Service, b.FailureDomain)
 	v.replaceAtAddress(b, 0)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -239,6 +239,18 @@
 	return rank
 }
 
+// linksExpected reports whether this node can have links: it knows another registered node
+// and the key with which links authenticate.
+func (p *peers) linksExpected() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	others := len(p.addrs)
+	if _, registered := p.addrs[p.set.Node.ID]; registered {
+		others--
+	}
+	return p.key != nil && others > 0
+}
+
 // startRank returns the rank that this node had among the registered nodes when it started,
 // and false if it was not registered.
 func (p *peers) startRank() (int, bool) {
--- a/hosted/sampling.go
+++ b/hosted/sampling.go
@@ -20,7 +20,7 @@
 	// services all nodes know.
 	samplePlanKey = "wigeondale/sample-plan"
 	// planInterval is how often a reader of the store compares the plan with the fleet.
-	planInterval = 10 * time.Second
+	planInterval = 500 * time.Millisecond
 	// planTimeout bounds one write of the plan.
 	planTimeout = time.Second
 )
--- a/hosted/store_sync.go
+++ b/hosted/store_sync.go
@@ -70,7 +70,9 @@
 	// startRank returns the rank of this node among the nodes that were registered when it
 	// started, and false if this node was not registered. Readers call afterTick at each tick.
 	startRank func() (int, bool)
-	afterTick func(now time.Time)
+	// linksExpected reports whether this node can have links to other nodes.
+	linksExpected func() bool
+	afterTick     func(now time.Time)
 	// otherDomains is when this node begins to take all items from nodes of other failure
 	// domains as well.
 	otherDomains time.Time
@@ -104,7 +106,8 @@
 	return &storeSync{
 		id: id, domain: domain, log: log, received: map[string]receivedSync{},
 		startRank: func() (int, bool) { return unregistered, false }, afterTick: func(time.Time) {},
-		otherDomains: time.Now().Add(ownDomainWait + rand.N(ownDomainSpread)),
+		linksExpected: func() bool { return false },
+		otherDomains:  time.Now().Add(ownDomainWait + rand.N(ownDomainSpread)),
 	}
 }
 
@@ -148,15 +151,23 @@
 }
 
 // isReader reports whether this node is one of the nodes whose task it is to read the store
-// for their failure domain. Without a mesh each node is a reader.
+// for their failure domain. A node that will never have links is a reader.
+//
+// A node that has just started knows no other members yet. If each node of a large fleet
+// followed all changes of the store until its links were up, the store's network link would
+// be saturated when all nodes start, and the links would come up late.
 func (n *storeSync) isReader() bool {
+	expected := n.linksExpected()
 	n.mu.Lock()
 	mesh, role := n.mesh, n.role
-	if role == roleUnknown && mesh != nil {
+	settling := mesh == nil || time.Since(n.joinedAt) < membersSettle
+	if role == roleUnknown && mesh != nil && !settling {
 		n.role = roleOther // a change of the membership from now on resets it
 	}
 	n.mu.Unlock()
 	switch {
+	case settling && expected:
+		return false
 	case mesh == nil:
 		return true
 	case role == roleUnknown:
--- a/hosted/store_sync_size_test.go
+++ b/hosted/store_sync_size_test.go
@@ -118,6 +118,7 @@
 }
 
 func (*lagRecorder) Removed(string) {}
+func (*lagRecorder) Dropped(string) {}
 func (*lagRecorder) BatchDone()     {}
 
 // syncNode is one node with its links and its copy of the store.
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	byAddr          map[string]string      // id of the replica started last, by address
 	added           []fleet.Backend        // replicas added since the last BatchDone
 	changed         map[string]struct{}    // ids of the replicas added, changed or dropped since the last settle
+	withdrawn       []string               // ids of the replicas that left the sample since the last settle
+	counts          map[string]int         // number of known replicas, by service
 }
 
 // maxLogged is the largest number of replicas that are logged one by one when they are added
@@ -58,6 +61,7 @@
 		unknownServices: map[string]infra.Value{},
 		byAddr:          map[string]string{},
 		changed:         map[string]struct{}{},
+		counts:          map[string]int{},
 	}
 }
 
@@ -136,7 +140,7 @@
 		b.Started = item.ModRev
 	}
 	delete(v.adopted, b.ID)
-	v.replicas[b.ID] = b
+	v.store(b)
 	v.mon.SetFailureDomain(b.ID, b.Service, b.FailureDomain)
 	v.changed[b.ID] = struct{}{}
 	switch {
@@ -236,13 +240,51 @@
 // the failure detector.
 func (v *view) drop(id, reason string) {
 	v.markLeaving(id, reason, 0)
-	if b := v.replicas[id]; v.byAddr[b.Addr] == id {
+	v.forget(id)
+	v.changed[id] = struct{}{}
+}
+
+// store records a replica in the view.
+func (v *view) store(b fleet.Backend) {
+	if _, known := v.replicas[b.ID]; !known {
+		v.counts[b.Service]++
+	}
+	v.replicas[b.ID] = b
+}
+
+// forget removes a replica from the view and from the failure detector.
+func (v *view) forget(id string) {
+	b, known := v.replicas[id]
+	if known {
+		v.counts[b.Service]--
+	}
+	if v.byAddr[b.Addr] == id {
 		delete(v.byAddr, b.Addr)
 	}
 	delete(v.replicas, id)
 	delete(v.adopted, id)
 	v.mon.Forget(id)
-	v.changed[id] = struct{}{}
+}
+
+// Dropped implements mirror.Receiver. The replica works on, but this node may not use it: no
+// change of it, such as its leaving, becomes known here.
+func (v *view) Dropped(key string) {
+	name, ok := platform.ReplicaID(key)
+	if !ok {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.unknownServices, name)
+	v.release(name)
+	inc, known := v.incarnations.get(name)
+	if !known {
+		return
+	}
+	v.incarnations.forget(name)
+	v.forget(inc.ID())
+	delete(v.changed, inc.ID())
+	v.withdrawn = append(v.withdrawn, inc.ID())
 }
 
 // markLeaving marks a replica as leaving. The mark takes effect at once, and not with the next
@@ -274,6 +316,11 @@
 
 // settle passes the changes since the last settle to the directory.
 func (v *view) settle() {
+	if len(v.withdrawn) > 0 {
+		v.log.Emit(event.ReplicasWithdrawn, "replicas", len(v.withdrawn), "all", len(v.replicas))
+		v.dir.Withdraw(v.withdrawn, time.Now())
+		v.withdrawn = nil
+	}
 	if len(v.changed) == 0 {
 		return
 	}
@@ -295,11 +342,7 @@
 func (v *view) replicasByService() map[string]int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := map[string]int{}
-	for _, b := range v.replicas {
-		out[b.Service]++
-	}
-	return out
+	return maps.Clone(v.counts)
 }
 
 // logAdded logs the replicas that were added since the last BatchDone.
--- a/hosted/view_test.go
+++ b/hosted/view_test.go
@@ -56,6 +56,26 @@
 	}
 }
 
+// A replica that leaves the sample must not get new work, since its leaving would not become
+// known. It is used again when the sample becomes larger.
+func TestReplicaOutsideTheSampleIsNotUsed(t *testing.T) {
+	v := newTestView()
+	for i, id := range []string{"i-a", "i-b"} {
+		v.Put(replicaEntry(id, fmt.Sprintf("10.0.0.%d:80", i), int64(i+1)))
+	}
+	v.BatchDone()
+	v.Dropped("servers/i-a")
+	v.BatchDone()
+	if !v.dir.Leaving("i-a") || v.dir.Leaving("i-b") || v.replicasByService()["llm"] != 1 {
+		t.Errorf("leaving: dropped %v, kept %v; counts %v", v.dir.Leaving("i-a"), v.dir.Leaving("i-b"), v.replicasByService())
+	}
+	v.Put(replicaEntry("i-a", "10.0.0.0:80", 1))
+	v.BatchDone()
+	if v.dir.Leaving("i-a") || v.replicasByService()["llm"] != 2 {
+		t.Errorf("leaving after it is back in the sample: %v; counts %v", v.dir.Leaving("i-a"), v.replicasByService())
+	}
+}
+
 // BenchmarkFirstRead measures adding 3,000 replicas at a start.
 func BenchmarkFirstRead(b *testing.B) {
 	var items []infra.Value
--- a/mirror/config.go
+++ b/mirror/config.go
@@ -35,6 +35,9 @@
 	// copy. For an unconfirmed removal, Removed is called only if the item has not been
 	// written again by the end of the unconfirmed removal.
 	Removed(key string)
+	// Dropped is called when the filter no longer keeps the item with this key. The item still
+	// exists, but this node gets no more changes of it.
+	Dropped(key string)
 	// BatchDone reports the end of a batch of Put and Removed calls. A receiver uses it to
 	// act once on all changes of the batch, instead of once on each change.
 	BatchDone()
--- a/mirror/fake_test.go
+++ b/mirror/fake_test.go
@@ -142,6 +142,8 @@
 	r.calls = append(r.calls, "put "+v.Key)
 }
 
+func (r *recorder) Dropped(key string) { r.Removed(key) }
+
 func (r *recorder) Removed(key string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/mirror/filter.go
+++ b/mirror/filter.go
@@ -71,7 +71,7 @@
 func (s *state) applyFilter(v infra.Value) {
 	next, err := s.newFilter(v.Data)
 	if err != nil {
-		s.log.Emit(event.ItemUnreadable, "key", v.Key, "revision", v.ModRev, "err", err)
+		s.log.Emit(event.StoreFilterUnreadable, "key", v.Key, "revision", v.ModRev, "err", err)
 		return
 	}
 	s.filter.set(next, v.ModRev)
@@ -91,7 +91,7 @@
 	delete(s.items, key)
 	delete(s.unconfirmed, key)
 	s.dirty = true
-	s.receiver.Removed(key)
+	s.receiver.Dropped(key)
 }
 
 // filterFirst puts the filter into force that a complete list of items and the changes after
--- a/mirror/panicguard.go
+++ b/mirror/panicguard.go
@@ -28,6 +28,12 @@
 	g.out.Removed(key)
 }
 
+// Dropped implements Receiver.
+func (g panicGuard) Dropped(key string) {
+	defer g.recoverPanic(key)
+	g.out.Dropped(key)
+}
+
 // BatchDone implements Receiver.
 func (g panicGuard) BatchDone() {
 	defer g.recoverPanic("")
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -26,8 +26,8 @@
 // Bounds of the number of sampled backend servers of a service, beyond which the sample is
 // changed. They are far apart so that small changes of the fleet don't change the plan.
 const (
-	growBelow   = MinServers / 2
-	shrinkAbove = 3 * MinServers
+	growBelow = MinServers / 2
+	shrinkAt  = 2 * MinServers
 )
 
 // maxHalvings is the number of bits of the hash by which backend servers are sampled.
@@ -45,7 +45,7 @@
 func ForCounts(counts map[string]int) Plan {
 	p := Plan{Halvings: map[string]int{}}
 	for service, n := range counts {
-		if n >= 2*MinServers {
+		if n >= shrinkAt {
 			p.Halvings[service] = bits.Len(uint(n/MinServers)) - 1
 		}
 	}
@@ -62,7 +62,7 @@
 		}
 	}
 	for service, n := range sampled {
-		if n <= shrinkAbove {
+		if n < shrinkAt {
 			continue
 		}
 		if out.Halvings == nil {
