hosted: a node waits for members only while it knows less than half of the registered nodes

Change: the wait ends when half of the registered nodes are known as members, in a small fleet at once. go test ./hosted -run 'Rollout|Version|StartOfAll|NewsReach' passed.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -104,7 +104,7 @@
 		OnUpdate: n.storeSync.broadcast, Log: log, Set: n.meter,
 	})
 	n.storeSync.startRank = n.peers.startRank
-	n.storeSync.linksExpected = n.peers.linksExpected
+	n.storeSync.expectedLinks = n.peers.expectedLinks
 	n.storeSync.afterTick = func(now time.Time) { n.view.planner.look(now, n.view.replicasByService) }
 	n.storeSync.mirror = n.mirror
 	relay, err := n.newRelay()
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -239,16 +239,19 @@
 	return rank
 }
 
-// linksExpected reports whether this node can have links: it knows another registered node
-// and the key with which links authenticate.
-func (p *peers) linksExpected() bool {
+// expectedLinks returns to how many other nodes this node could have links: to none while the
+// key with which links authenticate is unknown.
+func (p *peers) expectedLinks() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.key == nil {
+		return 0
+	}
 	others := len(p.addrs)
 	if _, registered := p.addrs[p.set.Node.ID]; registered {
 		others--
 	}
-	return p.key != nil && others > 0
+	return others
 }
 
 // startRank returns the rank that this node had among the registered nodes when it started,
--- a/hosted/store_sync.go
+++ b/hosted/store_sync.go
@@ -27,8 +27,8 @@
 	// bulkReaders is how many of the nodes that start again together read all replicas from
 	// the store. The other nodes get them from their neighbours.
 	bulkReaders = 8
-	// A node that was not registered when it started can tell its rank among the other nodes
-	// only by the links, membersSettle after these are up.
+	// membersSettle is how long a node waits until it knows most of the registered nodes as
+	// members, before it decides by the members that it knows whether it reads the store.
 	membersSettle = 2 * time.Second
 	// A node that needs all items takes them from a node of its own failure domain, or after
 	// ownDomainWait and a random part of ownDomainSpread from any node.
@@ -70,8 +70,8 @@
 	// startRank returns the rank of this node among the nodes that were registered when it
 	// started, and false if this node was not registered. Readers call afterTick at each tick.
 	startRank func() (int, bool)
-	// linksExpected reports whether this node can have links to other nodes.
-	linksExpected func() bool
+	// expectedLinks returns to how many other nodes this node could have links.
+	expectedLinks func() int
 	afterTick     func(now time.Time)
 	// otherDomains is when this node begins to take all items from nodes of other failure
 	// domains as well.
@@ -106,7 +106,7 @@
 	return &storeSync{
 		id: id, domain: domain, log: log, received: map[string]receivedSync{},
 		startRank: func() (int, bool) { return unregistered, false }, afterTick: func(time.Time) {},
-		linksExpected: func() bool { return false },
+		expectedLinks: func() int { return 0 },
 		otherDomains:  time.Now().Add(ownDomainWait + rand.N(ownDomainSpread)),
 	}
 }
@@ -153,24 +153,27 @@
 // isReader reports whether this node is one of the nodes whose task it is to read the store
 // for their failure domain. A node that will never have links is a reader.
 //
-// A node that has just started knows no other members yet. If each node of a large fleet
+// A node that has just started knows few other members. If each node of a large fleet
 // followed all changes of the store until its links were up, the store's network link would
 // be saturated when all nodes start, and the links would come up late.
 func (n *storeSync) isReader() bool {
-	expected := n.linksExpected()
 	n.mu.Lock()
-	mesh, role := n.mesh, n.role
-	settling := mesh == nil || time.Since(n.joinedAt) < membersSettle
-	if role == roleUnknown && mesh != nil && !settling {
+	mesh, joinedAt := n.mesh, n.joinedAt
+	n.mu.Unlock()
+	others := n.expectedLinks()
+	if mesh == nil {
+		return others == 0
+	}
+	if others >= 2*mesh.AliveMembers() && time.Since(joinedAt) < membersSettle {
+		return false
+	}
+	n.mu.Lock()
+	role := n.role
+	if role == roleUnknown {
 		n.role = roleOther // a change of the membership from now on resets it
 	}
 	n.mu.Unlock()
-	switch {
-	case settling && expected:
-		return false
-	case mesh == nil:
-		return true
-	case role == roleUnknown:
+	if role == roleUnknown {
 		return n.decideRole(mesh)
 	}
 	return role == roleReader
--- a/peer/members.go
+++ b/peer/members.go
@@ -57,16 +57,19 @@
 	return e.rec.FailureDomain, true
 }
 
-func (m *Mesh) countAlive() float64 {
+// AliveMembers returns the number of members that are not dead, including this node.
+func (m *Mesh) AliveMembers() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	ids, _ := m.table.live()
-	return float64(len(ids))
+	return len(ids)
 }
 
+func (m *Mesh) countAlive() float64 { return float64(m.AliveMembers()) }
+
 // IsFullMesh reports whether the fleet has so few members that each member keeps links
 // to all other members.
-func (m *Mesh) IsFullMesh() bool { return m.countAlive() <= float64(m.cfg.Topology.FullMeshLimit) }
+func (m *Mesh) IsFullMesh() bool { return m.AliveMembers() <= m.cfg.Topology.FullMeshLimit }
 
 func (m *Mesh) member(e *entry) Member {
 	r := e.rec
