--- a/mirror/config.go
+++ b/mirror/config.go
@@ -109,8 +109,11 @@
 	// bulkChanges is the number of changes in one response of the store that a node without
 	// neighbours doesn't follow: so many items are written when a large fleet starts.
 	bulkChanges = 200
-	// peersPoll is how often a node that waits looks for neighbours in the store.
-	peersPoll = 500 * time.Millisecond
+	// peersPoll is how often a node that waits looks for neighbours in the store. After its
+	// first read a node without neighbours does so for peersWait, before it follows all changes:
+	// when a large fleet starts for the first time, thousands of replicas register meanwhile.
+	peersPoll = 300 * time.Millisecond
+	peersWait = time.Second
 	// idlePoll is how often a node that doesn't read the store checks whether it has
 	// to.
 	idlePoll = 100 * time.Millisecond
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -44,6 +44,7 @@
 	retryDelay    time.Duration // accessed only by the goroutine of Run, as is partial
 	partial       *fullRead     // nil if no read of all items is in progress
 	bulkDeadline  time.Time     // when this node stops waiting for the items under Config.Bulk; zero: it doesn't wait
+	peersDeadline time.Time     // until when this node looks for neighbours before it follows the store
 	failing       atomic.Bool   // set if the latest call failed
 	callRequested atomic.Bool   // set if CatchUp has requested a call
 
@@ -98,6 +99,13 @@
 	return m.waitEnds(now) || m.cfg.NeedsPeers()
 }
 
+// seeksPeers reports whether this node looks for neighbours instead of reading or following all
+// items of the store.
+func (m *Mirror) seeksPeers(now time.Time) bool {
+	waits := !m.bulkDeadline.IsZero() && !m.waitEnds(now) || now.Before(m.peersDeadline)
+	return waits && m.cfg.NeedsPeers()
+}
+
 // waitEnds reports whether a node that waits for its neighbours to send the items under
 // Config.Bulk reads these items itself now.
 func (m *Mirror) waitEnds(now time.Time) bool {
@@ -133,17 +141,17 @@
 		return m.callFailed(err)
 	}
 	m.callSucceeded()
-	if !m.bulkDeadline.IsZero() && m.cfg.NeedsPeers() {
+	if m.seeksPeers(time.Now()) {
 		return peersPoll
 	}
 	return m.cfg.Pause
 }
 
 func (m *Mirror) fetch(ctx context.Context) error {
+	if m.partial == nil && m.seeksPeers(time.Now()) {
+		return m.readPeers(ctx)
+	}
 	if m.partial != nil || m.needsFullRead() {
-		if m.partial == nil && !m.bulkDeadline.IsZero() && !m.waitEnds(time.Now()) {
-			return m.readPeers(ctx)
-		}
 		return m.readAll(ctx)
 	}
 	m.mu.Lock()
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -59,6 +59,9 @@
 		return err
 	}
 	m.partial = nil
+	if !m.Synced() {
+		m.peersDeadline = time.Now().Add(peersWait)
+	}
 	m.update(func() {
 		for _, e := range events {
 			if !e.Deleted {
