--- a/mirror/config.go
+++ b/mirror/config.go
@@ -77,7 +77,8 @@
 	Bulk      string
 	ReadsBulk func() bool
 	// PeerPrefixes are the prefixes of the items by which a node finds its neighbours. While it
-	// waits for its neighbours and NeedsPeers reports that it knows none, it reads one page of each.
+	// waits for its neighbours and NeedsPeers reports that it knows none, it reads one page of
+	// each, up to the first prefix that has no items.
 	PeerPrefixes []string
 	NeedsPeers   func() bool
 	// FilterKey is the key of the item that defines, through NewFilter, which items this
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -149,7 +149,8 @@
 	m.mu.Unlock()
 }
 
-// readPeers reads the items by which this node finds its neighbours.
+// readPeers reads the items by which this node finds its neighbours. Items that are of use only
+// with those of an earlier prefix are read once there are some: many nodes may be looking.
 func (m *Mirror) readPeers(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout)
 	defer stop()
@@ -158,6 +159,9 @@
 		if err != nil {
 			return err
 		}
+		if len(page.Values) == 0 {
+			return nil
+		}
 		m.update(func() {
 			for _, v := range page.Values {
 				m.state.put(v)
