mirror: a read begins with the nodes, stops there in a large fleet, and gives the store more time when it is slow

Change: a read of all items reads this system's own items first; if they register a large fleet, the node takes everything else from its neighbours, the configuration too, which may be outdated on a stale page. The time for a page is doubled after each timeout, up to 6 s. go test ./mirror ./hosted (start, news, roll-out tests) passed.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -99,7 +99,8 @@
 	n.view.holds = n.holds
 	n.view.planner = &planner{store: store, log: log}
 	n.mirror = mirror.New(store, n.view, mirror.Config{
-		Bulk: platform.ReplicaPrefix, IsReader: n.storeSync.readsStore, ReadsBulk: n.storeSync.readsBulk,
+		Parts: []string{ownPrefix, platform.OperatorPrefix, platform.ReplicaPrefix}, Bulk: platform.ReplicaPrefix,
+		LargeFleet: listsLargeFleet, IsReader: n.storeSync.readsStore, ReadsBulk: n.storeSync.readsBulk,
 		PeerPrefixes: []string{peerKeyKey, nodePrefix}, NeedsPeers: n.peers.needed,
 		FilterKey: samplePlanKey, NewFilter: newSampleFilter, OnFullRead: n.view.planner.handleFullRead,
 		OnUpdate: n.storeSync.broadcast, Log: log, Set: n.meter,
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -22,6 +22,7 @@
 
 // Keys of this program in the store.
 const (
+	ownPrefix  = "wigeondale/"
 	nodePrefix = "wigeondale/nodes/"   // prefix of the addresses of the peer listeners, by node
 	peerKeyKey = "wigeondale/peer-key" // shared key with which all links authenticate
 )
--- a/hosted/store_sync.go
+++ b/hosted/store_sync.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"wigeondale/event"
+	"wigeondale/infra"
 	"wigeondale/mirror"
 	"wigeondale/peer"
 	"wigeondale/routing"
@@ -151,7 +153,7 @@
 // awaitsConfirmation reports whether this node has just started in a large fleet, and no other
 // node has confirmed its copy yet.
 func (n *storeSync) awaitsConfirmation(now time.Time) bool {
-	if !now.Before(n.startEnd) || n.expectedLinks() < largeFleet {
+	if !now.Before(n.startEnd) || !n.inLargeFleet() {
 		return false
 	}
 	n.mu.Lock()
@@ -173,6 +175,21 @@
 	return ok && rank < bulkReaders
 }
 
+// inLargeFleet reports whether so many nodes are registered that they could saturate the
+// store's network link.
+func (n *storeSync) inLargeFleet() bool { return n.expectedLinks() >= largeFleet }
+
+// listsLargeFleet reports whether the items of the store register a large fleet.
+func listsLargeFleet(items []infra.Value) bool {
+	nodes := 0
+	for i := range items {
+		if strings.HasPrefix(items[i].Key, nodePrefix) {
+			nodes++
+		}
+	}
+	return nodes > largeFleet
+}
+
 // isReader reports whether this node is one of the nodes whose task it is to read the store
 // for their failure domain. A node that will never have links is a reader.
 //
--- a/mirror/config.go
+++ b/mirror/config.go
@@ -46,6 +46,9 @@
 // Config configures a Mirror. Zero durations mean the defaults.
 type Config struct {
 	Prefix string
+	// Parts are the prefixes, under Prefix, of which a read of all items reads the pages, one
+	// after the other; nil means Prefix alone.
+	Parts []string
 	// Wait is how long one call of the store may wait for a change. A call that sees no
 	// change returns after Wait and shows that the reader's state is still current. So Wait
 	// bounds the age of that state, and of the state that the reader sends to other nodes.
@@ -56,7 +59,9 @@
 	// Pause is the time between two calls of the store. It makes changes that come in
 	// quick succession arrive in one batch.
 	Pause time.Duration
-	// Timeout bounds the read of one page.
+	// Timeout bounds the read of one page. After each read that timed out it is doubled, up to
+	// maxTimeoutFactor times Timeout: if many nodes read at once, the store's network link may
+	// take longer for all of them, and none would ever succeed.
 	Timeout time.Duration
 	// PageMaxAge is how long after the start of a read of all items the pages of that read
 	// may be used, if an attempt failed and a later attempt continues the read. PageMaxAge
@@ -70,12 +75,13 @@
 	// IsReader reports whether this node reads the store; nil means always. A node that
 	// has not yet received all items once reads the store in any case.
 	IsReader func() bool
-	// Bulk is the prefix of the items that may be too many for each node to read from the
-	// store when it starts. If they are more than one page, only the nodes for which
-	// ReadsBulk is true read them; the others get them from their neighbours. An empty Bulk
-	// means that each node reads everything.
-	Bulk      string
-	ReadsBulk func() bool
+	// Bulk is the last of Parts, whose items may be too many for each node to read from the
+	// store when it starts. If they are more than one page, or if LargeFleet reports, by
+	// the items read before them, that many nodes would read them, only the nodes for which ReadsBulk is true do; the others get
+	// them from their neighbours. An empty Bulk means that each node reads everything.
+	Bulk       string
+	ReadsBulk  func() bool
+	LargeFleet func(items []infra.Value) bool
 	// PeerPrefixes are the prefixes of the items by which a node finds its neighbours. While it
 	// waits for its neighbours and NeedsPeers reports that it knows none, it reads one page of
 	// each, up to the first prefix that has no items.
@@ -101,6 +107,7 @@
 	defaultSlack        = 400 * time.Millisecond
 	defaultPause        = 300 * time.Millisecond
 	defaultTimeout      = 1500 * time.Millisecond
+	maxTimeoutFactor    = 4
 	defaultKeep         = 10 * time.Second
 	defaultConfirmAfter = 2 * time.Second
 	// bulkWait and a random part of bulkSpread are how long a node waits for its neighbours to
@@ -140,6 +147,12 @@
 	if c.ReadsBulk == nil {
 		c.ReadsBulk = func() bool { return true }
 	}
+	if c.LargeFleet == nil {
+		c.LargeFleet = func([]infra.Value) bool { return false }
+	}
+	if c.Parts == nil {
+		c.Parts = []string{c.Prefix}
+	}
 	if c.NeedsPeers == nil {
 		c.NeedsPeers = func() bool { return false }
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -42,11 +42,12 @@
 	cfg           Config
 	store         Store
 	retryDelay    time.Duration // accessed only by the goroutine of Run, as is partial
-	partial       *fullRead     // nil if no read of all items is in progress
-	bulkDeadline  time.Time     // when this node stops waiting for the items under Config.Bulk; zero: it doesn't wait
-	peersDeadline time.Time     // until when this node looks for neighbours before it follows the store
-	failing       atomic.Bool   // set if the latest call failed
-	callRequested atomic.Bool   // set if CatchUp has requested a call
+	timeoutFactor int
+	partial       *fullRead   // nil if no read of all items is in progress
+	bulkDeadline  time.Time   // when this node stops waiting for the items under Config.Bulk; zero: it doesn't wait
+	peersDeadline time.Time   // until when this node looks for neighbours before it follows the store
+	failing       atomic.Bool // set if the latest call failed
+	callRequested atomic.Bool // set if CatchUp has requested a call
 
 	mu            sync.Mutex
 	state         state
@@ -64,11 +65,12 @@
 	s := newState(panicGuard{out, cfg.Log})
 	s.filterKey, s.newFilter, s.log = cfg.FilterKey, cfg.NewFilter, cfg.Log
 	return &Mirror{
-		cfg:      cfg,
-		store:    store,
-		state:    s,
-		calls:    cfg.Set.GetOrCreateCounter("wigeon_mirror_calls_total"),
-		failures: cfg.Set.GetOrCreateCounter("wigeon_mirror_failures_total"),
+		cfg:           cfg,
+		store:         store,
+		state:         s,
+		timeoutFactor: 1,
+		calls:         cfg.Set.GetOrCreateCounter("wigeon_mirror_calls_total"),
+		failures:      cfg.Set.GetOrCreateCounter("wigeon_mirror_failures_total"),
 	}
 }
 
@@ -297,6 +299,7 @@
 }
 
 func (m *Mirror) callSucceeded() {
+	m.timeoutFactor = 1
 	if !m.failing.Swap(false) {
 		return
 	}
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -18,9 +18,10 @@
 	stale     bool // set if the pages may be seconds old
 	items     []infra.Value
 	revision  int64 // revision of the oldest page; later changes may be missing
+	part      int   // index of the part that is being read
 	lastKey   string
-	complete  bool // set if no items follow after lastKey
-	// skipsBulk is set while the items under Config.Bulk are left out.
+	complete  bool // set if all parts were read
+	// skipsBulk is set if the items under Config.Bulk are left out.
 	skipsBulk bool
 }
 
@@ -37,11 +38,10 @@
 	if m.partial == nil || time.Since(m.partial.startedAt) > m.cfg.PageMaxAge {
 		m.partial = &fullRead{startedAt: time.Now(), stale: !m.Synced()}
 	}
-	for !m.partial.complete {
+	for !m.partial.complete && !m.partial.skipsBulk {
 		if err := m.readPage(ctx); err != nil {
 			return err
 		}
-		m.leaveBulk()
 	}
 	r := m.partial
 	if r.skipsBulk {
@@ -87,10 +87,13 @@
 }
 
 func (m *Mirror) readPage(ctx context.Context) error {
-	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout)
+	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout*time.Duration(m.timeoutFactor))
 	defer stop()
 	r := m.partial
-	page, err := m.store.Page(ctx, m.cfg.Prefix, r.lastKey, r.stale)
+	page, err := m.store.Page(ctx, m.cfg.Parts[r.part], r.lastKey, r.stale)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		m.timeoutFactor = min(2*m.timeoutFactor, maxTimeoutFactor)
+	}
 	if err != nil {
 		return err
 	}
@@ -101,46 +104,55 @@
 		r.items = append(r.items, page.Values...)
 		r.lastKey = page.Values[n-1].Key
 	}
-	r.complete = !page.More
+	switch {
+	case page.More:
+		r.skipsBulk = m.leavesBulk(r)
+	case r.part == len(m.cfg.Parts)-1:
+		r.complete = true
+	default:
+		r.part, r.lastKey = r.part+1, ""
+		r.skipsBulk = m.leavesBulk(r)
+	}
 	return nil
 }
 
-// leaveBulk makes the read in progress go on after the items under Config.Bulk, if there are
-// more than one page of them and this node is not one of those that read them. A node that has
-// waited for these items reads them.
+// leavesBulk reports whether the read in progress leaves out the items that many nodes would
+// read at the same time: this node is not one of those that read them, and has not waited for
+// them. That is so once the nodes that were read show a large fleet, and once the items under
+// Config.Bulk have turned out to be more than a page.
 //
 // If each of a thousand nodes read thousands of items when all of them start, the store's
 // network link would be busy for half a minute.
-func (m *Mirror) leaveBulk() {
-	r := m.partial
-	if m.cfg.Bulk == "" || r.skipsBulk || r.complete || !strings.HasPrefix(r.lastKey, m.cfg.Bulk) {
-		return
-	}
-	if !m.bulkDeadline.IsZero() || m.cfg.ReadsBulk() {
-		return
+func (m *Mirror) leavesBulk(r *fullRead) bool {
+	if m.cfg.Bulk == "" || !m.bulkDeadline.IsZero() || m.cfg.ReadsBulk() {
+		return false
 	}
-	r.skipsBulk = true
-	r.items = slices.DeleteFunc(r.items, func(v infra.Value) bool { return strings.HasPrefix(v.Key, m.cfg.Bulk) })
-	r.lastKey = m.cfg.Bulk + afterAll
+	inBulk := m.cfg.Parts[r.part] == m.cfg.Bulk && r.lastKey != ""
+	return inBulk || m.cfg.LargeFleet(r.items)
 }
 
-// afterAll, after a prefix, is a key that follows all keys with this prefix.
-const afterAll = "\xff"
-
-// useWithoutBulk applies the items of a read that left out those under Config.Bulk. The
-// changes since then aren't known: they come with the items that were left out.
+// useWithoutBulk applies, of the items of a read that left out others, those by which this
+// node finds its neighbours, and the filter. All others may be outdated: they come from the neighbours,
+// with the changes since then.
 func (m *Mirror) useWithoutBulk(r *fullRead) {
 	m.partial = nil
 	m.waitForBulk()
 	m.update(func() {
 		m.state.filterFirst(r.items)
 		for _, v := range r.items {
-			m.state.put(v)
+			if m.ofPeers(v.Key) {
+				m.state.put(v)
+			}
 		}
 	})
 	m.cfg.Log.Emit(event.StoreBulkLeft, "items", len(r.items))
 }
 
+// ofPeers reports whether the item with this key is one by which nodes find their neighbours.
+func (m *Mirror) ofPeers(key string) bool {
+	return slices.ContainsFunc(m.cfg.PeerPrefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+}
+
 // waitForBulk makes this node wait until its neighbours send all items.
 func (m *Mirror) waitForBulk() {
 	m.bulkDeadline = time.Now().Add(bulkWait + rand.N(bulkSpread))
