mirror, hosted: a node registers and finds its neighbours before it reads anything else

Change: a first read passes on the key and the nodes as soon as it has them, and goes on only when the node knows others, has been alone in the store for 0.3 s, or after a second. A large fleet is recognised by then.

--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -67,6 +67,7 @@
 	storeRead    chan struct{}        // closed when the store has been read once
 	firstRead    sync.Once            // guards the closing of storeRead
 	localEntry   infra.Value          // this node's entry in the store, as last read
+	listedAt     time.Time            // when this node first saw its own entry in the store
 	rankAtStart  int                  // see startRank; unregistered if this node had no entry
 }
 
@@ -151,6 +152,9 @@
 	p.addrsChanged = true
 	if id == p.set.Node.ID {
 		p.localEntry = item
+		if p.listedAt.IsZero() {
+			p.listedAt = time.Now()
+		}
 	}
 }
 
@@ -255,9 +259,19 @@
 	return others
 }
 
+// aloneAfter is how long a node that finds only itself in the store looks for others.
+const aloneAfter = 300 * time.Millisecond
+
 // needed reports whether this node has to find other nodes: it knows none, or not the key of
-// the links.
-func (p *peers) needed() bool { return p.expectedLinks() == 0 }
+// the links, and has not been alone in the store for aloneAfter.
+func (p *peers) needed() bool {
+	if p.expectedLinks() > 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listedAt.IsZero() || time.Since(p.listedAt) < aloneAfter
+}
 
 // startRank returns the rank that this node had among the registered nodes when it started,
 // and false if it was not registered.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -150,7 +150,7 @@
 }
 
 func (m *Mirror) fetch(ctx context.Context) error {
-	if m.partial == nil && m.seeksPeers(time.Now()) {
+	if m.seeksPeers(time.Now()) {
 		return m.readPeers(ctx)
 	}
 	if m.partial != nil || m.needsFullRead() {
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -39,6 +39,13 @@
 		m.partial = &fullRead{startedAt: time.Now(), stale: !m.Synced()}
 	}
 	for !m.partial.complete && !m.partial.skipsBulk {
+		if m.seeksPeers(time.Now()) {
+			return nil // the read goes on later
+		}
+		if m.partial.part == 1 && m.leavesBulk(m.partial) {
+			m.partial.skipsBulk = true
+			break
+		}
 		if err := m.readPage(ctx); err != nil {
 			return err
 		}
@@ -59,9 +66,6 @@
 		return err
 	}
 	m.partial = nil
-	if !m.Synced() {
-		m.peersDeadline = time.Now().Add(peersWait)
-	}
 	m.update(func() {
 		for _, e := range events {
 			if !e.Deleted {
@@ -111,11 +115,31 @@
 		r.complete = true
 	default:
 		r.part, r.lastKey = r.part+1, ""
+		m.usePeers(r)
 		r.skipsBulk = m.leavesBulk(r)
 	}
 	return nil
 }
 
+// usePeers passes the items by which this node finds its neighbours to the receiver before the other
+// items are read: a node has to register and to find its neighbours even if the store is too slow for the rest.
+func (m *Mirror) usePeers(r *fullRead) {
+	if len(m.cfg.PeerPrefixes) == 0 || r.part != 1 || m.Synced() {
+		return
+	}
+	if m.peersDeadline.IsZero() {
+		m.peersDeadline = time.Now().Add(peersWait)
+	}
+	m.update(func() {
+		for _, v := range r.items {
+			if m.ofPeers(v.Key) {
+				m.state.put(v)
+			}
+		}
+		m.state.dirty = true
+	})
+}
+
 // leavesBulk reports whether the read in progress leaves out the items that many nodes would
 // read at the same time: this node is not one of those that read them, and has not waited for
 // them. That is so once the nodes that were read show a large fleet, and once the items under
@@ -127,6 +151,9 @@
 	if m.cfg.Bulk == "" || !m.bulkDeadline.IsZero() || m.cfg.ReadsBulk() {
 		return false
 	}
+	if m.seeksPeers(time.Now()) {
+		return false
+	}
 	inBulk := m.cfg.Parts[r.part] == m.cfg.Bulk && r.lastKey != ""
 	return inBulk || m.cfg.LargeFleet(r.items)
 }
@@ -174,6 +201,9 @@
 		if len(page.Values) == 0 {
 			return nil
 		}
+		if m.partial != nil {
+			m.partial.items = append(m.partial.items, page.Values...)
+		}
 		m.update(func() {
 			for _, v := range page.Values {
 				m.state.put(v)
