hosted: confirmations of a copy are passed on at once, so that far nodes don't read the store

And each change that came was announced to all links at once, several times within 100 ms where changes come over several links. Change, for nodes that aren't linked to all others: a node announces its copy when it has changed or has been confirmed by an answer of the store half a second later than announced, at most each 80 ms and at least each second.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -103,7 +103,7 @@
 		LargeFleet: listsLargeFleet, IsReader: n.storeSync.readsStore, ReadsBulk: n.storeSync.readsBulk,
 		PeerPrefixes: []string{peerKeyKey, nodePrefix}, NeedsPeers: n.peers.needed,
 		FilterKey: samplePlanKey, NewFilter: newSampleFilter, OnFullRead: n.view.planner.handleFullRead,
-		OnUpdate: n.storeSync.broadcast, Log: log, Set: n.meter,
+		OnUpdate: n.storeSync.copyChanged, Log: log, Set: n.meter,
 	})
 	n.storeSync.startRank = n.peers.startRank
 	n.storeSync.expectedLinks = n.peers.expectedLinks
--- a/hosted/start_size_test.go
+++ b/hosted/start_size_test.go
@@ -104,7 +104,7 @@
 							s.startRank = func() (int, bool) { return i, true }
 						}
 						return mirror.New(store, &lagRecorder{log: newChangeLog()}, mirror.Config{
-							Parts: []string{ownPrefix, "op/", "servers/"}, Bulk: "servers/", LargeFleet: listsLargeFleet, IsReader: s.readsStore, ReadsBulk: s.readsBulk, OnUpdate: s.broadcast, Set: metrics.NewSet(),
+							Parts: []string{ownPrefix, "op/", "servers/"}, Bulk: "servers/", LargeFleet: listsLargeFleet, IsReader: s.readsStore, ReadsBulk: s.readsBulk, OnUpdate: s.copyChanged, Set: metrics.NewSet(),
 						})
 					}))
 				}
--- a/hosted/store_sync.go
+++ b/hosted/store_sync.go
@@ -18,8 +18,18 @@
 	// readersPerDomain is how many nodes of a failure domain read the store; the other nodes
 	// get the contents of the store from their neighbours.
 	readersPerDomain = 1
-	// syncInterval is how often a node broadcasts how current its copy of the store is.
+	// syncInterval is how often a node broadcasts how current its copy of the store is, if it is
+	// linked to all other nodes. Each of them is one link away from a reader then.
 	syncInterval = 400 * time.Millisecond
+	// A node that is linked to some of the others broadcasts as soon as its copy has been
+	// confirmed by a store's answer that is confirmStep later than the one that it broadcast last, and at the
+	// latest after maxSyncInterval. If it did so at fixed intervals, the age of a copy would grow
+	// by an interval with each link on the way from a reader; the farthest nodes of a large
+	// fleet would count as stale and read the store.
+	confirmStep     = 500 * time.Millisecond
+	maxSyncInterval = time.Second
+	// minSyncGap is the least time between two broadcasts of such a node.
+	minSyncGap = 80 * time.Millisecond
 	// A node reads the store itself once its copy is older than staleAfter. staleAfter is
 	// longer than the age that copies reach while a reader works, and shorter than the time
 	// within which a configuration has to be in force.
@@ -94,6 +104,8 @@
 	confirmed bool                    // another node has confirmed this node's copy, or sent a newer one
 	received  map[string]receivedSync // latest message by neighbour
 	lastSent  time.Time               // time of this node's last message
+	sentAsOf  time.Time               // when the store confirmed the copy, as broadcast last
+	changed   bool                    // the copy has changed since the last message
 	pulling   bool
 	// role is whether this node is a reader of its failure domain, or roleUnknown if the
 	// membership has changed since that was decided. To decide it, all members are compared.
@@ -220,13 +232,9 @@
 	return age
 }
 
-// tick broadcasts how current this node's copy of the store is, if syncInterval has passed
-// since the last broadcast.
+// tick broadcasts how current this node's copy of the store is, if that is due.
 func (n *storeSync) tick(now time.Time) {
-	n.mu.Lock()
-	due := now.Sub(n.lastSent) >= syncInterval
-	n.mu.Unlock()
-	if due {
+	if n.broadcastDue(now) {
 		n.broadcast()
 	}
 	if n.isReader() {
@@ -234,16 +242,42 @@
 	}
 }
 
+func (n *storeSync) broadcastDue(now time.Time) bool {
+	asOf := now.Add(-n.age(now))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	since := now.Sub(n.lastSent)
+	if n.mesh != nil && n.mesh.IsFullMesh() {
+		return since >= syncInterval
+	}
+	confirmed := asOf.Sub(n.sentAsOf) >= confirmStep
+	return since >= minSyncGap && (n.changed || confirmed) || since >= maxSyncInterval
+}
+
+// copyChanged broadcasts a change of this node's copy of the store: at once if the node is
+// linked to all other nodes, and else at the next tick for which a broadcast is due. In a large
+// fleet changes arrive over several links in quick succession.
+func (n *storeSync) copyChanged() {
+	n.mu.Lock()
+	mesh := n.mesh
+	n.changed = true
+	n.mu.Unlock()
+	if mesh != nil && mesh.IsFullMesh() {
+		n.broadcast()
+	}
+}
+
 // broadcast sends to the neighbours how current this node's copy is.
 func (n *storeSync) broadcast() {
 	now := time.Now()
-	m := syncMessage{Newest: n.mirror.Newest(), AgeMS: n.age(now).Milliseconds(), Lacks: n.mirror.Lacks()}
+	age := n.age(now)
+	m := syncMessage{Newest: n.mirror.Newest(), AgeMS: age.Milliseconds(), Lacks: n.mirror.Lacks()}
 	n.mu.Lock()
 	mesh := n.mesh
-	n.lastSent = now
+	n.lastSent, n.sentAsOf, n.changed = now, now.Add(-age), false
 	n.mu.Unlock()
 	if mesh != nil {
-		// The message is sent again after syncInterval. A neighbour that misses several messages
+		// The message is sent again after an interval. A neighbour that misses several messages
 		// reads the store itself.
 		_ = mesh.SendToLinked(msgSync, m)
 	}
--- a/hosted/store_sync_size_test.go
+++ b/hosted/store_sync_size_test.go
@@ -133,7 +133,7 @@
 func startSyncNode(t *testing.T, ctx context.Context, f *peertest.Network, log *changeLog, seeds []string, i, domains int) *syncNode {
 	recorder, rejected := &lagRecorder{log: log}, &atomic.Bool{}
 	n := startNodeOf(t, ctx, f, seeds, i, domains, func(s *storeSync) *mirror.Mirror {
-		return mirror.New(nodeStore{log, rejected}, recorder, mirror.Config{IsReader: s.readsStore, OnUpdate: s.broadcast, Set: metrics.NewSet()})
+		return mirror.New(nodeStore{log, rejected}, recorder, mirror.Config{IsReader: s.readsStore, OnUpdate: s.copyChanged, Set: metrics.NewSet()})
 	})
 	n.recorder, n.rejected = recorder, rejected
 	return n
@@ -234,3 +234,53 @@
 	stop()
 	time.Sleep(10 * time.Second) // links close
 }
+
+// countingStore counts the calls of one node.
+type countingStore struct {
+	nodeStore
+	calls *atomic.Int64
+}
+
+func (s countingStore) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]infra.WatchEvent, int64, error) {
+	s.calls.Add(1)
+	return s.nodeStore.Changes(ctx, prefix, after, wait)
+}
+
+// Nodes that are far from a reader must not read the store while all is well: at each link on
+// the way the age of the confirmation grew by an interval, and in a large fleet the farthest
+// copies counted as stale. Calls to the store would grow faster than the fleet.
+func TestFarNodesDoNotReadTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, domains = 400, 2
+		ctx, stop := context.WithCancel(t.Context())
+		network, log := peertest.NewNetwork(), newChangeLog()
+		var seeds []string
+		for i := range size {
+			seeds = append(seeds, syncNodeID(i))
+		}
+		calls := make([]atomic.Int64, size)
+		var nodes []*syncNode
+		for i := range size {
+			nodes = append(nodes, startNodeOf(t, ctx, network, seeds, i, domains, func(s *storeSync) *mirror.Mirror {
+				store := countingStore{nodeStore{log, &atomic.Bool{}}, &calls[i]}
+				return mirror.New(store, &lagRecorder{log: log}, mirror.Config{IsReader: s.readsStore, OnUpdate: s.copyChanged, Set: metrics.NewSet()})
+			}))
+		}
+		time.Sleep(15 * time.Second) // all links are up
+		for i := range calls {
+			calls[i].Store(0)
+		}
+		time.Sleep(20 * time.Second)
+		others := int64(0)
+		for i, n := range nodes {
+			if !n.storeSync.isReader() {
+				others += calls[i].Load()
+			}
+		}
+		if others > 0 {
+			t.Errorf("nodes that are not readers made %d calls", others)
+		}
+		stop()
+		time.Sleep(10 * time.Second) // links close
+	})
+}
