generation: a superseded repeat is not reported as not-run

The reconnect shows that another run of the request exists. Change: the cause of the cancellation, ErrSuperseded, now in generation, makes the outcome of a non-idempotent run unknown. Tests: TestSupersededRepeatIsNotReportedAsNotRun fails before.

--- a/callerapi/errors.go
+++ b/callerapi/errors.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"wigeondale/fleet"
+	"wigeondale/generation"
 )
 
 // Error is the class of this package's errors.
@@ -26,7 +27,7 @@
 // ErrSuperseded is the cause of a run's cancelled context if the caller
 // reconnected for the same answer. The engine's stream must then not be
 // cancelled, because the new connection continues it.
-var ErrSuperseded = Error.New("superseded by the caller's reconnect")
+var ErrSuperseded = Error.Wrap(generation.ErrSuperseded)
 
 // These are the names of request and response headers.
 const (
--- a/generation/end.go
+++ b/generation/end.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -40,8 +41,13 @@
 // incompleteState returns the final state of a run that can't complete: "refused" if no
 // backend server can have run the request, "unknown" if one may have and the request is not
 // idempotent, else "failed".
+//
+// A run that was superseded has not run the request, but the reconnect shows that another run
+// has: "not-run" would be untrue, and the caller of a repeat would send the request again.
 func (x *run) incompleteState() string {
 	switch {
+	case x.req.NonIdempotent && errors.Is(context.Cause(x.ctx), ErrSuperseded):
+		return "unknown"
 	case !x.mayHaveRun:
 		return "refused"
 	case x.req.NonIdempotent:
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -159,6 +159,8 @@
 	silentAfter   int    // tokens after which the first stream is reported silent
 	expectReplica bool   // a missing replica is reported as expected back
 	claimErr      error
+	claimWaits    bool            // Claim waits until its context ends
+	ctx           context.Context // of the run; nil: the test's
 	duplicate     bool
 	pause         time.Duration // of the process, between claim and dispatch
 	noBudget      bool
@@ -174,7 +176,11 @@
 	return func() { h.released++ }, nil
 }
 
-func (h *harness) Claim(context.Context, string, string, [16]byte, string) (bool, error) {
+func (h *harness) Claim(ctx context.Context, _, _ string, _ [16]byte, _ string) (bool, error) {
+	if h.claimWaits {
+		<-ctx.Done()
+		return false, ctx.Err()
+	}
 	time.Sleep(h.pause)
 	return !h.duplicate && h.claimErr == nil, h.claimErr
 }
@@ -293,7 +299,11 @@
 	if req.MaxTokens == 0 {
 		req.MaxTokens = 100
 	}
-	res := r.Run(t.Context(), req, sink)
+	ctx := h.ctx
+	if ctx == nil {
+		ctx = t.Context()
+	}
+	res := r.Run(ctx, req, sink)
 	r.Wait()
 	if h.inFlight != 0 || h.released > 1 {
 		t.Errorf("in flight %d, released %d", h.inFlight, h.released)
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -42,6 +42,9 @@
 	ErrDeadline = errors.New("deadline passed")
 	// ErrCallerDisconnected means that the caller no longer accepts the answer.
 	ErrCallerDisconnected = errors.New("caller is gone")
+	// ErrSuperseded is the cause of a run's cancelled context if a caller reconnected for an
+	// answer to the same request that it had begun to receive.
+	ErrSuperseded = errors.New("superseded by the caller's reconnect")
 	// ErrDuplicate means that another run has already claimed the key of the request.
 	ErrDuplicate = errors.New("key is claimed already")
 	// ErrMoved means that an attempt was ended so that the answer is continued elsewhere. It is
--- a/generation/generation_test.go
+++ b/generation/generation_test.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -159,6 +160,20 @@
 	}
 }
 
+// A caller must not be told that its request has not run while it runs elsewhere. A repeat of a
+// non-idempotent generation waits for its claim when the first caller reconnects at the same
+// router and supersedes it; that caller's run is the one that goes on.
+func TestSupersededRepeatIsNotReportedAsNotRun(t *testing.T) {
+	for cause, want := range map[error]fleet.Outcome{ErrSuperseded: fleet.Unknown, nil: fleet.NotRun} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		h := &harness{claimWaits: true, ctx: ctx}
+		time.AfterFunc(10*time.Millisecond, func() { cancel(cause) })
+		if res := h.run(t, Request{NonIdempotent: true}, &fakeSink{}, Options{}); res.Outcome != want {
+			t.Errorf("cancelled by %v: got %+v, want %v", cause, res, want)
+		}
+	}
+}
+
 // The connection of a non-idempotent generation is reset after three tokens, and the engine
 // still has the run. The router must re-attach to that run: if it gave up, the generation
 // would be lost, and if it dispatched again, the generation would run twice.
