sample, mirror: a smaller sample that grows with its load, in force before the changes that came before it

And a sample of fixed size would leave idle replicas unused under a load that it can't take. Change: after a write of the plan the nodes that read the store read that item at once, and each delta carries the filter of the node that sends it; samples begin at 1,024 replicas (services of 2,048 or more); a request that is refused, or has waited for a second, because no known engine has room doubles the sample, at most each 10 s, up to the whole service. Found by TestFilteredCopiesAreEqual: a filter item newer than the known changes moved the revision of a cut delta past them.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -97,7 +97,7 @@
 	n.holds = newHolds(store, n.log)
 	n.view = newView(n.table, n.dir, n.mon, n.peers, n.rollouts, log)
 	n.view.holds = n.holds
-	n.view.planner = &planner{store: store, log: log}
+	n.view.planner = &planner{store: store, log: log, changed: func() { n.mirror.ReadFilter() }}
 	n.mirror = mirror.New(store, n.view, mirror.Config{
 		Parts: []string{ownPrefix, platform.OperatorPrefix, platform.ReplicaPrefix}, Bulk: platform.ReplicaPrefix,
 		LargeFleet: listsLargeFleet, IsReader: n.storeSync.readsStore, ReadsBulk: n.storeSync.readsBulk,
@@ -136,6 +136,7 @@
 	}
 	pick.broadcastSoon = n.peers.broadcastSoon
 	pick.rollouts = n.rollouts
+	pick.onNoRoom = n.view.planner.enlarge
 	pick.refusal = admission.RefusalPolicy(n.set.Hosted.Decisions.RefusalPolicy)
 	budgets := newBudgets(n.set.Hosted, n.peers.registeredNodes)
 	runner, err := generation.New(generation.Deps{
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -50,12 +50,15 @@
 	// version.
 	rollouts *rollouts
 	refusal  admission.RefusalPolicy
+	// onNoRoom is called when a request of a service is refused, or has waited long, because no
+	// known engine has room for it.
+	onNoRoom func(service string)
 	// broadcastSoon makes this router broadcast its changed loads at once.
 	broadcastSoon func()
 }
 
 func newPicker(table *route.Current, dir *directory.Directory, mon *health.Monitor, finder *cachelookup.Finder, queryLoads *loadQuerier, log *event.Log) (*picker, error) {
-	p := &picker{refusal: admission.RefuseLate, loadQuerier: queryLoads, table: table, dir: dir, mon: mon, cacheFinder: finder, log: log, broadcastSoon: func() {}}
+	p := &picker{refusal: admission.RefuseLate, loadQuerier: queryLoads, table: table, dir: dir, mon: mon, cacheFinder: finder, log: log, broadcastSoon: func() {}, onNoRoom: func(string) {}}
 	for _, r := range []struct {
 		to    **routing.Router
 		steps []routing.StepConfig
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -33,6 +33,9 @@
 	// same time. If only the first request did, a request that needs more memory than is free
 	// anywhere would block all requests behind it.
 	activeWaiters = 3
+	// noRoomAfter is how long a request waits until it counts as a sign that the known engines
+	// have no room, and not as a moment's chance.
+	noRoomAfter = time.Second
 	// adviceSpread spreads the return of clients that are refused at the same time: the time
 	// to come back that each client gets is longer by a random part of up to adviceSpread.
 	adviceSpread = 0.5
@@ -141,12 +144,16 @@
 	if !sentBefore(a) {
 		if retryAfter, refused := p.refusal.Refuses(wait); refused {
 			q.waitQueue.Remove(a.RequestID)
+			p.onNoRoom(a.Service)
 			return p.refuse(a, wait, retryAfter)
 		}
 		if !wait.InTime() && !pos.Late {
 			pos = q.waitQueue.MarkLate(a.RequestID, now)
 		}
 	}
+	if pos.Waited >= noRoomAfter {
+		p.onNoRoom(a.Service)
+	}
 	if pos.Waited == 0 {
 		p.log.Emit(event.RequestWaits, "request", a.RequestID, "service", a.Service, "ahead", pos.Ahead, "late", pos.Late,
 			"expect_ms", wait.Expected.Milliseconds(), "backlog_tokens", int(q.backlog(a)))
--- a/hosted/sampling.go
+++ b/hosted/sampling.go
@@ -23,6 +23,9 @@
 	planInterval = 500 * time.Millisecond
 	// planTimeout bounds one write of the plan.
 	planTimeout = time.Second
+	// enlargeInterval is the least time between two enlargements of samples: the replicas that
+	// are added to a sample are known to all nodes, and used, some seconds later.
+	enlargeInterval = 10 * time.Second
 )
 
 // sampleFilter keeps the items that are needed under a plan: the entries of the sampled
@@ -72,10 +75,16 @@
 	store planStore
 	log   *event.Log
 
-	mu       sync.Mutex
-	plan     sample.Plan
-	revision int64 // of the plan in the store; 0: there is none
-	nextLook time.Time
+	// changed is called after this node or another one has written the plan, so that this node
+	// reads the plan before the changes that were made earlier.
+	changed func()
+
+	mu        sync.Mutex
+	plan      sample.Plan
+	revision  int64     // of the plan in the store; 0: there is none
+	putAt     time.Time // when this node got to know the plan
+	nextLook  time.Time
+	enlarging bool // a write of an enlarged plan is in progress
 }
 
 // put records the plan if the item is the plan.
@@ -86,6 +95,9 @@
 	plan, err := sample.Decode(item.Data)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.revision != item.ModRev {
+		p.putAt = time.Now()
+	}
 	p.revision = item.ModRev
 	if err == nil {
 		p.plan = plan
@@ -149,6 +161,30 @@
 	}
 }
 
+// enlarge makes the sample of a service larger, because a request found no room at the sampled
+// replicas. It does nothing if the plan has changed within enlargeInterval.
+func (p *planner) enlarge(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.enlarging || time.Since(p.putAt) < enlargeInterval {
+		return
+	}
+	next, changed := p.plan.Enlarged(service)
+	if !changed {
+		return
+	}
+	p.enlarging = true
+	revision := p.revision
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), planTimeout)
+		defer stop()
+		p.write(ctx, next, revision)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.enlarging, p.putAt = false, time.Now()
+	}()
+}
+
 // write writes the plan unless another node has written one meanwhile. A failed write is made
 // up for by another node, or at the next look.
 func (p *planner) write(ctx context.Context, plan sample.Plan, revision int64) {
@@ -158,4 +194,7 @@
 	}
 	written, err := p.store.Replace(ctx, samplePlanKey, data, revision)
 	p.log.Emit(event.SamplePlanWritten, "halvings", plan.Halvings, "after", revision, "written", written, "err", err)
+	if err == nil {
+		p.changed()
+	}
 }
--- a/mirror/delta.go
+++ b/mirror/delta.go
@@ -61,6 +61,9 @@
 	More            bool `cbor:"6,keyasint,omitempty"` // set if more pages follow
 	// Lacks reports that the responding node lacks items that its filter keeps.
 	Lacks bool `cbor:"7,keyasint,omitempty"`
+	// FilterItem is the item that defines the responding node's filter. It may be newer than
+	// Newest: the changes before it are filtered already.
+	FilterItem infra.Value `cbor:"9,keyasint,omitzero"`
 	// Packed holds Items and Removed in compressed form, if the request allows it.
 	Packed []byte `cbor:"8,keyasint,omitempty"`
 }
@@ -78,6 +81,9 @@
 // node knows all later removals, delta returns the later changes. Otherwise it returns a
 // page of all items if req.All is set, and a Delta with RemovalsUnknown if not.
 func (s *state) delta(req DeltaRequest) Delta {
+	if req.Filter > s.filter.revision {
+		return Delta{} // this node doesn't know yet which items the requesting node needs
+	}
 	var d Delta
 	switch {
 	case req.After >= s.removed.floor && s.filter.serves(req.Filter):
@@ -89,6 +95,9 @@
 		d = s.page(req.Last)
 	}
 	d.Lacks = s.filter.lacking
+	if req.Filter != s.filter.revision {
+		d.FilterItem = s.filterItem()
+	}
 	return d
 }
 
@@ -105,19 +114,20 @@
 	return d
 }
 
-// itemsAfter returns the items that were changed after a revision, in any order.
+// itemsAfter returns the items that were changed after a revision, in any order. It leaves out
+// a filter item that is newer than the changes known here: the changes before it are unknown.
 func (s *state) itemsAfter(after int64) []infra.Value {
 	var out []infra.Value
 	if recent, ok := s.recent.after(after); ok {
 		for _, c := range recent {
-			if v := s.items[c.key]; v.ModRev == c.rev {
+			if v := s.items[c.key]; v.ModRev == c.rev && v.ModRev <= s.newest {
 				out = append(out, v)
 			}
 		}
 		return out
 	}
 	for _, v := range s.items {
-		if v.ModRev > after {
+		if v.ModRev > after && v.ModRev <= s.newest {
 			out = append(out, v)
 		}
 	}
--- a/mirror/filter.go
+++ b/mirror/filter.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"context"
+
 	"wigeondale/event"
 	"wigeondale/infra"
 )
@@ -111,3 +113,29 @@
 	_, known := s.items[key]
 	return s.filter.revision != 0 && !s.filter.lacking && !known
 }
+
+// putFilter puts a filter item into force that may be newer than the changes known here.
+func (s *state) putFilter(v infra.Value) {
+	if v.Key == s.filterKey && s.filterKey != "" {
+		s.put(v)
+	}
+}
+
+// filterItem returns the item that defines the filter in force, or the zero Value.
+func (s *state) filterItem() infra.Value { return s.items[s.filterKey] }
+
+// readFilter reads the item that defines the filter.
+func (m *Mirror) readFilter(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout)
+	defer stop()
+	page, err := m.store.Page(ctx, m.cfg.FilterKey, "", false)
+	if err != nil {
+		return err
+	}
+	m.update(func() {
+		for _, v := range page.Values {
+			m.state.putFilter(v)
+		}
+	})
+	return nil
+}
--- a/mirror/filter_test.go
+++ b/mirror/filter_test.go
@@ -90,7 +90,9 @@
 			}
 		}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 7:
+				nodes[0].update(func() { nodes[0].state.putFilter(store.items[filterItem]) })
 			case 0:
 				store.change(filterItem, []byte(strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "halvings"))), false)
 			case 1:
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -43,6 +43,8 @@
 	store         Store
 	failing       atomic.Bool // set if the latest call failed
 	callRequested atomic.Bool // set if CatchUp has requested a call
+	// filterRequested is set if ReadFilter has requested a read of the filter.
+	filterRequested atomic.Bool
 
 	// Only the goroutine of Run uses the following fields.
 	retryDelay    time.Duration
@@ -92,7 +94,7 @@
 
 // readsNow reports whether this node calls the store now.
 func (m *Mirror) readsNow(now time.Time) bool {
-	requested := m.callRequested.Swap(false)
+	requested := m.callRequested.Swap(false) || m.filterRequested.Load()
 	switch {
 	case !m.needsFullRead():
 		m.bulkDeadline = time.Time{}
@@ -142,6 +144,9 @@
 	if m.seeksPeers(time.Now()) {
 		return m.readPeers(ctx)
 	}
+	if m.filterRequested.Swap(false) {
+		return m.readFilter(ctx)
+	}
 	if m.partial != nil || m.needsFullRead() {
 		return m.readAll(ctx)
 	}
@@ -186,6 +191,11 @@
 	m.state.advance(upTo)
 }
 
+// ReadFilter makes Run read the item that defines the filter, soon, so that the filter is in
+// force before the changes that were made earlier arrive. When a large fleet starts, there are
+// thousands of these.
+func (m *Mirror) ReadFilter() { m.filterRequested.Store(true) }
+
 // CatchUp makes Run read the store once, soon, even if IsReader reports that this node
 // doesn't read the store.
 func (m *Mirror) CatchUp() { m.callRequested.Store(true) }
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -174,6 +174,7 @@
 		return
 	}
 	filter := s.filter.revision
+	s.putFilter(d.FilterItem)
 	if d.Full {
 		s.replace(d.Items, d.Newest, removalPolicy{})
 	}
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -18,17 +18,11 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("sample")
 
-// MinServers is the least number of backend servers of a service that are in a new sample.
-// With 2,048 engines, one in five reads a prompt when 400 prompts a second take a second each,
-// and a router that queries three engines finds an idle one in 99 of 100 cases.
-const MinServers = 2048
-
-// Bounds of the number of sampled backend servers of a service, beyond which the sample is
-// changed. They are far apart so that small changes of the fleet don't change the plan.
-const (
-	growBelow = MinServers / 2
-	shrinkAt  = 2 * MinServers
-)
+// MinServers is the least number of backend servers of a service that are in a new sample,
+// until the service turns out to need more. With 1,024 engines, one in five reads a prompt when
+// 200 prompts a second take a second each, and a router that queries three engines finds an
+// idle one in 99 of 100 cases.
+const MinServers = 1024
 
 // maxHalvings is the number of bits of the hash by which backend servers are sampled.
 const maxHalvings = 64
@@ -39,13 +33,36 @@
 	// Halvings is the binary logarithm of the ratio of a service's backend servers to the
 	// sampled ones. Services that are not listed are sampled in full.
 	Halvings map[string]int `json:"halvings"`
+	// Wanted is the least number of backend servers in the sample of a service that needs more
+	// than MinServers.
+	Wanted map[string]int `json:"wanted,omitempty"`
+}
+
+// wanted returns the least number of backend servers in the sample of a service. With fewer
+// than half of them the sample becomes larger, with twice as many smaller.
+func (p Plan) wanted(service string) int { return max(p.Wanted[service], MinServers) }
+
+// Enlarged returns the plan after requests of a service found no room at the sampled backend
+// servers, and whether it differs from p: the sample becomes twice as large, if it is not the
+// whole service.
+func (p Plan) Enlarged(service string) (Plan, bool) {
+	if p.Halvings[service] == 0 {
+		return p, false
+	}
+	out := Plan{Halvings: maps.Clone(p.Halvings), Wanted: maps.Clone(p.Wanted)}
+	if out.Wanted == nil {
+		out.Wanted = map[string]int{}
+	}
+	out.Halvings[service]--
+	out.Wanted[service] = 2 * p.wanted(service)
+	return out, true
 }
 
 // ForCounts returns the plan for services with the given numbers of backend servers.
 func ForCounts(counts map[string]int) Plan {
 	p := Plan{Halvings: map[string]int{}}
 	for service, n := range counts {
-		if n >= shrinkAt {
+		if n >= 2*MinServers {
 			p.Halvings[service] = bits.Len(uint(n/MinServers)) - 1
 		}
 	}
@@ -55,14 +72,14 @@
 // Adjusted returns the plan that should replace p if the samples have the given numbers of
 // backend servers, and whether it differs from p.
 func (p Plan) Adjusted(sampled map[string]int) (Plan, bool) {
-	out := Plan{Halvings: maps.Clone(p.Halvings)}
+	out := Plan{Halvings: maps.Clone(p.Halvings), Wanted: p.Wanted}
 	for service, halvings := range p.Halvings {
-		if sampled[service] < growBelow && halvings > 0 {
+		if sampled[service] < p.wanted(service)/2 && halvings > 0 {
 			out.Halvings[service]--
 		}
 	}
 	for service, n := range sampled {
-		if n < shrinkAt {
+		if n < 2*p.wanted(service) {
 			continue
 		}
 		if out.Halvings == nil {
--- a/sample/sample_test.go
+++ b/sample/sample_test.go
@@ -66,3 +66,25 @@
 		}
 	}
 }
+
+// TestSampleGrowsWithItsLoad guards against requests that are refused while most backend servers
+// of a large service idle, because no router knows them. The enlarged sample must last.
+func TestSampleGrowsWithItsLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2*MinServers, 60000).Draw(t, "servers")
+		p := ForCounts(map[string]int{"s": n})
+		for p.Halvings["s"] > 0 {
+			next, changed := p.Enlarged("s")
+			if !changed || !p.Within(next) || next.Within(p) {
+				t.Fatalf("%v becomes %v", p, next)
+			}
+			if q, changed := next.Adjusted(map[string]int{"s": n >> next.Halvings["s"]}); changed {
+				t.Fatalf("%v of %d servers is taken back to %v", next, n, q)
+			}
+			p = next
+		}
+		if _, changed := p.Enlarged("s"); changed {
+			t.Fatal("the sample of a whole service grows")
+		}
+	})
+}
