--- a/hosted/store_start.go
+++ b/hosted/store_start.go
@@ -25,21 +25,6 @@
 	return ok && rank < bulkReaders
 }
 
-// awaitsConfirmation reports whether this node has just started in a large fleet, and no other
-// node has confirmed its copy yet.
-func (n *storeSync) awaitsConfirmation(now time.Time) bool {
-	if !now.Before(n.startEnd) || !n.inLargeFleet() {
-		return false
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.confirmed
-}
-
-// inLargeFleet reports whether so many nodes are registered that they could saturate the
-// store's network link.
-func (n *storeSync) inLargeFleet() bool { return n.expectedLinks() >= largeFleet }
-
 // listsLargeFleet reports whether the items of the store register a large fleet.
 func listsLargeFleet(items []infra.Value) bool {
 	nodes := 0
--- a/hosted/store_sync.go
+++ b/hosted/store_sync.go
@@ -34,11 +34,6 @@
 	// longer than the age that copies reach while a reader works, and shorter than the time
 	// within which a configuration has to be in force.
 	staleAfter = 1700 * time.Millisecond
-	// A node of a large fleet that has just started and has had no confirmation of its copy
-	// since reads the store itself only after startWait and a random part of startSpread. When
-	// all nodes start at once, few of them have readers among their neighbours at first.
-	startWait   = 4 * time.Second
-	startSpread = 6 * time.Second
 	// bulkReaders is how many of the nodes that start again together read all replicas from
 	// the store. The other nodes get them from their neighbours.
 	bulkReaders = 8
@@ -91,22 +86,18 @@
 	// expectedLinks returns to how many other nodes this node could have links.
 	expectedLinks func() int
 	afterTick     func(now time.Time)
-	// startEnd is when a node of a large fleet counts as stale although no other node has
-	// confirmed its copy yet.
-	startEnd time.Time
 	// otherDomains is when this node begins to take all items from nodes of other failure
 	// domains as well.
 	otherDomains time.Time
 
-	mu        sync.Mutex
-	mesh      *peer.Mesh
-	joinedAt  time.Time
-	confirmed bool                    // another node has confirmed this node's copy, or sent a newer one
-	received  map[string]receivedSync // latest message by neighbour
-	lastSent  time.Time               // time of this node's last message
-	sentAsOf  time.Time               // when the store confirmed the copy, as broadcast last
-	changed   bool                    // the copy has changed since the last message
-	pulling   bool
+	mu       sync.Mutex
+	mesh     *peer.Mesh
+	joinedAt time.Time
+	received map[string]receivedSync // latest message by neighbour
+	lastSent time.Time               // time of this node's last message
+	sentAsOf time.Time               // when the store confirmed the copy, as broadcast last
+	changed  bool                    // the copy has changed since the last message
+	pulling  bool
 	// role is whether this node is a reader of its failure domain, or roleUnknown if the
 	// membership has changed since that was decided. To decide it, all members are compared.
 	role readerRole
@@ -157,7 +148,7 @@
 // domain, or its copy is stale.
 func (n *storeSync) readsStore() bool {
 	now := time.Now()
-	return n.age(now) > staleAfter && !n.awaitsConfirmation(now) || n.isReader()
+	return n.age(now) > staleAfter || n.isReader()
 }
 
 // isReader reports whether this node is one of the nodes whose task it is to read the store
@@ -290,7 +281,6 @@
 	behind := m.Newest > newest || m.Newest == newest && !m.Lacks && n.mirror.Lacks()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.confirmed = n.confirmed || m.Newest >= newest && time.Duration(m.AgeMS)*time.Millisecond <= staleAfter
 	n.received[from] = receivedSync{receivedAt: time.Now(), newest: m.Newest, age: time.Duration(m.AgeMS) * time.Millisecond}
 	if !behind || n.pulling || !n.takesFrom(from) {
 		return
