--- a/hosted/store_sync.go
+++ b/hosted/store_sync.go
@@ -22,10 +22,10 @@
 	// linked to all other nodes. Each of them is one link away from a reader then.
 	syncInterval = 400 * time.Millisecond
 	// A node that is linked to some of the others broadcasts as soon as its copy has been
-	// confirmed by a store's answer that is confirmStep later than the one that it broadcast last, and at the
-	// latest after maxSyncInterval. If it did so at fixed intervals, the age of a copy would grow
-	// by an interval with each link on the way from a reader; the farthest nodes of a large
-	// fleet would count as stale and read the store.
+	// confirmed by an answer of the store that is confirmStep later than the one that it
+	// broadcast last, and at the latest after maxSyncInterval. If it did so at fixed intervals,
+	// the age of a copy would grow by an interval with each link on the way from a reader; the
+	// farthest nodes of a large fleet would count as stale and read the store.
 	confirmStep     = 500 * time.Millisecond
 	maxSyncInterval = time.Second
 	// minSyncGap is the least time between two broadcasts of such a node.
@@ -81,11 +81,12 @@
 	mirror     *mirror.Mirror // set before join
 	log        *event.Log
 	// startRank returns the rank of this node among the nodes that were registered when it
-	// started, and false if this node was not registered. Readers call afterTick at each tick.
+	// started, and false if this node was not registered.
 	startRank func() (int, bool)
 	// expectedLinks returns to how many other nodes this node could have links.
 	expectedLinks func() int
-	afterTick     func(now time.Time)
+	// afterTick is called by readers of the store at each tick.
+	afterTick func(now time.Time)
 	// otherDomains is when this node begins to take all items from nodes of other failure
 	// domains as well.
 	otherDomains time.Time
--- a/mirror/filter_test.go
+++ b/mirror/filter_test.go
@@ -39,6 +39,14 @@
 	return c
 }
 
+// revisionOf returns the revision at which the receiver of m knows an item, or 0, and how many
+// items it knows.
+func revisionOf(m *Mirror, out *recorder, key string) (revision int64, items int) {
+	m.mu.Lock() // held while the receiver is called
+	defer m.mu.Unlock()
+	return out.items[key], len(out.items)
+}
+
 // storeModel is the content of a store, with the changes since a reader read it last.
 type storeModel struct {
 	items  map[string]infra.Value
@@ -149,17 +157,17 @@
 		other, some, stopOther := start(false)
 		lone, _, stopLone := start(false)
 		time.Sleep(time.Second)
-		if !reader.Synced() || len(all.items) != 97 {
-			t.Errorf("the reader has %d items, synced %v", len(all.items), reader.Synced())
+		if _, n := revisionOf(reader, all, ""); !reader.Synced() || n != 97 {
+			t.Errorf("the reader has %d items, synced %v", n, reader.Synced())
 		}
-		if other.Synced() || len(some.items) != 1 {
-			t.Errorf("the other node has %d items, synced %v", len(some.items), other.Synced())
+		if _, n := revisionOf(other, some, ""); other.Synced() || n != 1 {
+			t.Errorf("the other node has %d items, synced %v", n, other.Synced())
 		}
 		if err := other.Pull("reader", func(req DeltaRequest) (Delta, error) { return reader.Delta(req), nil }); err != nil {
 			t.Fatal(err)
 		}
-		if !other.Synced() || len(some.items) != 97 {
-			t.Errorf("after a neighbour's delta the other node has %d items, synced %v", len(some.items), other.Synced())
+		if _, n := revisionOf(other, some, ""); !other.Synced() || n != 97 {
+			t.Errorf("after a neighbour's delta the other node has %d items, synced %v", n, other.Synced())
 		}
 		time.Sleep(bulkWait + bulkSpread)
 		if !lone.Synced() {
@@ -210,12 +218,12 @@
 			store.put("servers/" + strconv.Itoa(i))
 		}
 		time.Sleep(time.Second)
-		if len(out.items) > 1+bulkChanges {
-			t.Errorf("the node knows %d items", len(out.items))
+		if _, n := revisionOf(m, out, ""); n > 1+bulkChanges {
+			t.Errorf("the node knows %d items", n)
 		}
 		store.put("z/node")
 		time.Sleep(2 * peersPoll)
-		if out.items["z/node"] == 0 {
+		if rev, _ := revisionOf(m, out, "z/node"); rev == 0 {
 			t.Error("the node does not find the other node")
 		}
 		found.Store(true)
@@ -228,8 +236,8 @@
 		if err := m.Pull("neighbour", func(req DeltaRequest) (Delta, error) { return neighbour.delta(req).packed(req.Packs), nil }); err != nil {
 			t.Fatal(err)
 		}
-		if len(out.items) != 1002 {
-			t.Errorf("the node knows %d items of 1002", len(out.items))
+		if _, n := revisionOf(m, out, ""); n != 1002 {
+			t.Errorf("the node knows %d items of 1002", n)
 		}
 		stop()
 		time.Sleep(time.Minute)
