--- a/generation/generation_test.go
+++ b/generation/generation_test.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// A caller must not be told that its request has not run while it runs elsewhere. A repeat of a
+// A response must not say that a request has not run while it runs elsewhere. A repeat of a
 // non-idempotent generation waits for its claim when the first caller reconnects at the same
 // router and supersedes it; that caller's run is the one that goes on.
 func TestSupersededRepeatIsNotReportedAsNotRun(t *testing.T) {
--- a/hosted/change_test.go
+++ b/hosted/change_test.go
@@ -41,7 +41,7 @@
 
 // TestCostOfAChangeDoesNotGrowWithTheFleet guards against nodes that spend most of their
 // processor time on changes of replicas that they don't use: in a release of a large fleet each
-// change made a node list all replicas anew, so that the cost grew with the square of the fleet.
+// change made a node list all replicas again, so that the cost grew with the square of the fleet.
 func TestCostOfAChangeDoesNotGrowWithTheFleet(t *testing.T) {
 	const changes = 20
 	bytesPerChange := func(replicas int) uint64 {
--- a/mirror/filter.go
+++ b/mirror/filter.go
@@ -85,7 +85,7 @@
 }
 
 // drop removes an item that the filter doesn't keep. Neighbours drop it by the same filter,
-// so they needn't be told.
+// so this node sends them no removal.
 func (s *state) drop(key string) {
 	if _, ok := s.items[key]; !ok {
 		return
