--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"wigeondale/admission"
+	"wigeondale/backend"
 	"wigeondale/cachelookup"
 	"wigeondale/directory"
 	"wigeondale/dump"
@@ -119,6 +120,8 @@
 func (n *node) newRelay() (*relay.Relay, error) {
 	replicas := platform.NewReplicas()
 	replicas.OnLoad = n.view.recordLoad
+	replicas.Unknown = backend.NewUnknownHeaders(platform.AnswerHeaders, n.log, n.meter)
+	n.dumps.Add("unknown_headers", func() any { return replicas.Unknown.State() })
 	n.adopter = &adopter{view: n.view, storeSync: n.storeSync, finder: replacement.New(replicas), broadcast: n.peers.broadcastAdopted}
 	n.peers.adopter = n.adopter
 	queryRuns := runQuerier{n.dir, replicas}
