--- /dev/null
+++ b/fakes/hosted/asks.go
@@ -0,0 +1,28 @@
+package hosted
+
+import "net/http"
+
+// Asks is what a replica asks of the routers in its answers.
+type Asks struct {
+	Limit string // requests a second that it takes from all routers, as the header states it; empty for none
+}
+
+// SetAsks replaces what the replica asks of the routers.
+func (r *Replica) SetAsks(a Asks) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asks = a
+}
+
+// withAsks adds what the replica asks of the routers to all its answers.
+func (r *Replica) withAsks(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.mu.Lock()
+		asks := r.asks
+		r.mu.Unlock()
+		if asks.Limit != "" {
+			w.Header().Set("Server-Limit", asks.Limit)
+		}
+		next.ServeHTTP(w, req)
+	})
+}
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -63,7 +63,8 @@
 	arrivals     []*Arrival
 	copies       map[string]bool // ids of the runs of which this replica has a copy
 	faults       Faults
-	faultsSetAt  time.Time     // when faults were set
+	faultsSetAt  time.Time // when faults were set
+	asks         Asks
 	openRequests int           // requests in progress
 	frozen       chan struct{} // non-nil while frozen; Thaw closes it
 	replicaAt    func(addr string) *Replica
@@ -103,7 +104,7 @@
 	mux.HandleFunc("GET "+HealthPath, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Replica-Id", r.ID) })
 	mux.HandleFunc("DELETE /kv-handle/{name}", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/", r.serve)
-	r.server = &http.Server{Handler: mux}
+	r.server = &http.Server{Handler: r.withAsks(mux)}
 	go r.server.Serve(ln)
 	return nil
 }
--- /dev/null
+++ b/hosted/backpressure_test.go
@@ -0,0 +1,79 @@
+package hosted
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	fakes "wigeondale/fakes/hosted"
+)
+
+// limitWindow, limitFactor and limitSlack bound what reaches a replica that states a limit: in
+// any limitWindow at most limitFactor times what the limit allows, plus limitSlack requests.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// mostIn returns the largest number of arrivals after since within any window of the given length.
+func mostIn(r *fakes.Replica, since time.Time, window time.Duration) int {
+	var times []time.Time
+	for _, a := range r.Arrivals() {
+		if a.At.After(since) {
+			times = append(times, a.At)
+		}
+	}
+	most, first := 0, 0
+	for last := range times {
+		for times[last].Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// startServingNodes starts n nodes and waits until each of them has links to all others.
+func (f *testFleet) startServingNodes(n int) []*testNode {
+	f.t.Helper()
+	f.configure(key)
+	var nodes []*testNode
+	for i := range n {
+		nodes = append(nodes, f.startNode(fmt.Sprint("n", i+1)))
+	}
+	for _, node := range nodes {
+		await(f.t, "readiness", node.ready)
+		await(f.t, "links", func() bool { return len(node.peers.liveNodes()) == n })
+	}
+	return nodes
+}
+
+// Guards against a limit that each router applies for itself, or not at all: a replica in need then
+// gets many times what it takes.
+func TestLimitOfAReplicaHoldsForAllRouters(t *testing.T) {
+	const limit = 0.5
+	f := newFleet(t)
+	limited, free := f.startApp("a0", "d0"), f.startApp("a1", "d1")
+	nodes := f.startServingNodes(3)
+	limited.SetAsks(fakes.Asks{Limit: fmt.Sprint(limit)})
+	for i, n := range nodes {
+		await(t, "an answer with the limit", func() bool {
+			before := len(limited.Arrivals())
+			n.get("/look/x", fmt.Sprint("first", i), key)
+			return len(limited.Arrivals()) > before
+		})
+	}
+	since := time.Now()
+	for i := range 90 {
+		if status, _ := nodes[i%len(nodes)].get("/look/x", fmt.Sprint("q", i), key); status != 200 {
+			t.Fatalf("request %d: status %d, although another replica takes requests", i, status)
+		}
+	}
+	if got, most := mostIn(limited, since, limitWindow), int(limitFactor*limit*limitWindow.Seconds()+limitSlack); got > most {
+		t.Errorf("%d requests in %v reached the replica with a limit of %v a second, at most %d may", got, limitWindow, limit, most)
+	}
+	if len(free.Arrivals()) == 0 {
+		t.Error("the replica without a limit got no request")
+	}
+}
