backpressure: the limit that replicas name holds for all routers together

What callers saw: nothing; a replica in need got four times what it had said it takes. Cause: platform drops each header that it doesn't know, and nothing in the product can bound what all routers send together to one backend server. Change: answers are read for what the replica states, whatever their status, at the one function through which all requests pass; the same function asks package backpressure before the bytes are sent. Of a limit, 0.7 is used by two or more routers chosen by rendezvous hashing over the registered nodes; beginning, changes and end are told to the others. Requests that are withheld go to other replicas, cost no retry budget and are no evidence of sickness; when all are limited, clients are refused at once with a time of return of their own. Why it holds: two sets of routers that don't know of each other send 2*(0.7*4*L + 2.5 + 0.2*L) = 6*L + 5 in 4 s, the bound itself.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -36,6 +36,9 @@
 	// ErrMismatch means that an answer names another request, attempt, model,
 	// version or adapter, or that a chunk is not well formed.
 	ErrMismatch = errors.New("answer does not match the request")
+	// ErrWithheld means that a request was not sent because its backend server asks the routers
+	// for fewer requests. An error that wraps it also wraps ErrNotSent.
+	ErrWithheld = fmt.Errorf("withheld by request of the backend server: %w", ErrNotSent)
 	// ErrUnknownStream means that the engine has no stream of this attempt.
 	ErrUnknownStream = errors.New("unknown stream")
 	// ErrStaleFence means that the engine has seen a higher fencing number than the one in
--- /dev/null
+++ b/backend/statement.go
@@ -0,0 +1,43 @@
+package backend
+
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Statement is what a backend server states about itself in an answer, whatever the answer's
+// status.
+type Statement struct {
+	// Limit is the number of requests a second that it takes from all routers together, if
+	// HasLimit is set.
+	Limit    float64
+	HasLimit bool
+	// LimitUnclear means that the answer states a limit that can't be read.
+	LimitUnclear bool
+}
+
+// maxLimitBytes limits the length of a limit's text.
+const maxLimitBytes = 64
+
+// ParseLimit sets the limit from the values of its header. Of several limits the lowest counts.
+// A value that is not a number of 0 or more is unclear: neither a limit nor the absence of one.
+func (s *Statement) ParseLimit(values []string) {
+	for _, v := range values {
+		limit, ok := parseLimit(strings.TrimSpace(v))
+		switch {
+		case !ok:
+			s.LimitUnclear = !s.HasLimit
+		case !s.HasLimit || limit < s.Limit:
+			s.Limit, s.HasLimit, s.LimitUnclear = limit, true, false
+		}
+	}
+}
+
+func parseLimit(v string) (float64, bool) {
+	if len(v) > maxLimitBytes {
+		return 0, false
+	}
+	limit, err := strconv.ParseFloat(v, 64)
+	return limit, err == nil && limit >= 0 && !math.IsInf(limit, 0)
+}
--- /dev/null
+++ b/backpressure/backpressure.go
@@ -0,0 +1,232 @@
+// Package backpressure applies what backend servers ask of the routers in their answers.
+//
+// A backend server in need states a limit: the requests a second that it takes from all routers
+// together. Without this package each router would go on sending its full share, and the backend
+// server would get many times what it can take.
+//
+// The state belongs to one lifetime of one backend server, and is consulted as the last step before
+// the bytes of a request are sent, so that no path to a backend server evades it: first tries,
+// retries, continuations, probes and queries alike. A request that is not sent for this reason costs
+// no retry budget, and is no evidence that the backend server is sick.
+package backpressure
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeebo/errs"
+
+	"wigeondale/backend"
+	"wigeondale/event"
+	"wigeondale/fleet"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("backpressure")
+
+// ErrLimited is the reason for which a request is withheld from a backend server that states a limit.
+var ErrLimited = errors.New("the backend server takes no request of this router now, by its limit")
+
+const (
+	// refreshInterval is how often the nodes are read, on which the shares of a limit depend.
+	refreshInterval = time.Second
+	// forgetAfter is how long the state of a backend server is kept after the last answer or
+	// report about it. It is longer than any wait for a share of the smallest limit.
+	forgetAfter = 10 * time.Minute
+	// maxBackends bounds the backend servers with a state. Those beyond it are ignored.
+	maxBackends = 20_000
+)
+
+// FloodUpdate is the kind of the messages that contain an Update.
+const FloodUpdate = "backpressure.update"
+
+// Update tells other routers what a backend server asks of all of them.
+type Update struct {
+	Backend string `cbor:"1,keyasint"`
+	// Limit is the limit in requests a second, or 0 if the backend server states none any more.
+	Limit float64 `cbor:"2,keyasint,omitempty"`
+	// AgeMS is the time since the answer that stated it, in milliseconds.
+	AgeMS int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Config configures a Tracker.
+type Config struct {
+	Node string // id of this node
+	// Nodes returns the ids of the nodes that may send requests, including this node. All nodes
+	// should get about the same result.
+	Nodes func() []string
+	// Broadcast sends an update to all other routers. Nil sends none.
+	Broadcast func(Update)
+	Log       *event.Log
+	Set       *metrics.Set
+}
+
+// Tracker holds what the backend servers ask of the routers. It is safe for concurrent use.
+type Tracker struct {
+	cfg   Config
+	count atomic.Int64 // len(byID), read without the lock
+
+	mu        sync.Mutex
+	byID      map[string]*state
+	turns     map[string]time.Time // by service, see turn
+	nodes     []string
+	nodesRead time.Time
+	ticked    time.Time
+}
+
+// state is what one lifetime of one backend server asks.
+type state struct {
+	id      string
+	service string
+	limit   limit
+}
+
+// New returns a Tracker without any state.
+func New(cfg Config) *Tracker {
+	if cfg.Set == nil {
+		cfg.Set = metrics.NewSet()
+	}
+	if cfg.Broadcast == nil {
+		cfg.Broadcast = func(Update) {}
+	}
+	t := &Tracker{cfg: cfg, byID: map[string]*state{}, turns: map[string]time.Time{}}
+	cfg.Set.GetOrCreateGauge("wigeon_backpressure_backends", func() float64 { return float64(t.count.Load()) })
+	return t
+}
+
+// Observe applies an answer of b to a request that was sent at sentAt.
+func (t *Tracker) Observe(b fleet.Backend, sentAt, now time.Time, s backend.Statement) {
+	if s == (backend.Statement{}) && t.count.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	var update *Update
+	if st := t.stateFor(b, s != (backend.Statement{})); st != nil {
+		update = t.observeLimit(st, sentAt, now, s)
+	}
+	t.mu.Unlock()
+	if update != nil {
+		t.cfg.Broadcast(*update)
+	}
+}
+
+// stateFor returns the state of b. If there is none, it creates one or returns nil. The caller
+// holds t.mu.
+func (t *Tracker) stateFor(b fleet.Backend, create bool) *state {
+	st := t.byID[b.ID]
+	if st == nil && create && len(t.byID) < maxBackends {
+		st = &state{id: b.ID, service: b.Service}
+		t.byID[b.ID] = st
+		t.count.Store(int64(len(t.byID)))
+	}
+	if st != nil && st.service == "" {
+		st.service = b.Service
+	}
+	return st
+}
+
+// Accepts reports whether a request may be sent to a backend server now. It changes nothing: the
+// request may still be withheld by Permit.
+func (t *Tracker) Accepts(id string, now time.Time) bool {
+	if t == nil || t.count.Load() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st := t.byID[id]
+	return st == nil || t.accepts(st, now) == nil
+}
+
+// Filter returns Accepts at the given time as a function of the id, or nil if all backend servers
+// accept requests.
+func (t *Tracker) Filter(now time.Time) func(id string) bool {
+	if t == nil || t.count.Load() == 0 {
+		return nil
+	}
+	return func(id string) bool { return t.Accepts(id, now) }
+}
+
+// accepts returns the reason why no request may be sent now, or nil. The caller holds t.mu.
+func (t *Tracker) accepts(st *state, now time.Time) error {
+	if !t.limitAccepts(st, now) {
+		return ErrLimited
+	}
+	return nil
+}
+
+// Permit is called as the last step before the bytes of a request are sent to b, and counts the
+// request. It returns an error if the request must not be sent. An optional request is one without
+// which the work goes on; it is withheld from a backend server that limits its requests, so that
+// the work gets all that the limit allows.
+func (t *Tracker) Permit(b fleet.Backend, optional bool, now time.Time) error {
+	if t == nil || t.count.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	st := t.byID[b.ID]
+	if st == nil {
+		return nil
+	}
+	err := t.accepts(st, now)
+	if err == nil && optional && st.limit.stated() {
+		err = ErrLimited
+	}
+	if err != nil {
+		t.cfg.Set.GetOrCreateCounter(`wigeon_requests_withheld_total{service="` + b.Service + `"}`).Inc()
+		return Error.New("%w: %w", backend.ErrWithheld, err)
+	}
+	st.limit.take(now)
+	return nil
+}
+
+// HandleUpdate applies another router's update.
+func (t *Tracker) HandleUpdate(from string, u Update, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u.Limit < 0 || u.AgeMS < 0 || u.Limit != u.Limit {
+		return
+	}
+	if st := t.stateFor(fleet.Backend{ID: u.Backend}, u.Limit > 0); st != nil {
+		t.applyUpdate(st, from, u, now)
+	}
+}
+
+// Tick does the regular work, at most every refreshInterval.
+func (t *Tracker) Tick(now time.Time) {
+	if t.count.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	if now.Sub(t.ticked) < refreshInterval {
+		t.mu.Unlock()
+		return
+	}
+	t.ticked = now
+	var updates []Update
+	for id, st := range t.byID {
+		if now.Sub(st.limit.heardAt) > forgetAfter {
+			delete(t.byID, id)
+			continue
+		}
+		if u := t.repeatLimit(st, now); u != nil {
+			updates = append(updates, *u)
+		}
+	}
+	t.count.Store(int64(len(t.byID)))
+	t.mu.Unlock()
+	for _, u := range updates {
+		t.cfg.Broadcast(u)
+	}
+}
+
+// allNodes returns the nodes, read at most refreshInterval ago. The caller holds t.mu.
+func (t *Tracker) allNodes(now time.Time) []string {
+	if t.nodes == nil || now.Sub(t.nodesRead) >= refreshInterval {
+		t.nodes, t.nodesRead = t.cfg.Nodes(), now
+	}
+	return t.nodes
+}
--- /dev/null
+++ b/ctl/backpressure.go
@@ -0,0 +1,51 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"wigeondale/backpressure"
+)
+
+// backpressureCmd lists what backend servers ask of the routers in their answers.
+type backpressureCmd struct{}
+
+// askedState is the part of a node's state dump about what backend servers ask.
+type askedState struct {
+	Backpressure   []backpressure.Report `json:"backpressure"`
+	UnknownHeaders map[string]uint64     `json:"unknown_headers"`
+}
+
+func (t *tool) backpressure(ctx context.Context) error {
+	var s askedState
+	if err := t.api.call(ctx, http.MethodGet, "/debug/dump", nil, &s); err != nil {
+		return err
+	}
+	t.printAsked(s)
+	return nil
+}
+
+func (t *tool) printAsked(s askedState) {
+	if t.args.JSON {
+		t.printJSON(s)
+		return
+	}
+	rows := [][]string{{"BACKEND", "SERVICE", "LIMIT", "THIS ROUTER", "FROM", "SINCE"}}
+	for _, r := range s.Backpressure {
+		since := (time.Duration(r.AgeMS) * time.Millisecond).Round(100 * time.Millisecond).String()
+		rows = append(rows, []string{r.Backend, r.Service, fmt.Sprintf("%g/s", r.Limit), fmt.Sprintf("%.2f/s", r.PerSecond), r.From, since})
+	}
+	t.table(rows)
+	if len(s.UnknownHeaders) == 0 {
+		return
+	}
+	rows = [][]string{{"UNKNOWN HEADER", "ANSWERS"}}
+	for _, name := range slices.Sorted(maps.Keys(s.UnknownHeaders)) {
+		rows = append(rows, []string{name, fmt.Sprint(s.UnknownHeaders[name])})
+	}
+	t.table(rows)
+}
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -99,17 +99,18 @@
 	JSON      bool          `arg:"--json" help:"print JSON"`
 	Timeout   time.Duration `arg:"--timeout" default:"20s" help:"bound of one call to one node"`
 
-	Plan       *planCmd       `arg:"subcommand:plan" help:"print the plan for intents; changes nothing"`
-	Confirm    *confirmCmd    `arg:"subcommand:confirm" help:"confirm a plan"`
-	Apply      *applyCmd      `arg:"subcommand:apply" help:"plan, ask, confirm and wait"`
-	Status     *emptyCmd      `arg:"subcommand:status" help:"revision in force on each node"`
-	State      *emptyCmd      `arg:"subcommand:state" help:"desired state"`
-	Backends   *emptyCmd      `arg:"subcommand:backends" help:"backend servers"`
-	Revisions  *revisionsCmd  `arg:"subcommand:revisions" help:"accepted plans"`
-	Quarantine *quarantineCmd `arg:"subcommand:quarantine" help:"requests under which backend servers crashed; lift one"`
-	Dump       *dumpCmd       `arg:"subcommand:dump" help:"state dump of the first node that answers"`
-	Explain    *explainCmd    `arg:"subcommand:explain" help:"sort the requests of routers' logs by what became of them and why"`
-	Stream     *StreamCmd     `arg:"subcommand:stream" help:"stream a completion as a caller, with reconnects"`
+	Plan       *planCmd         `arg:"subcommand:plan" help:"print the plan for intents; changes nothing"`
+	Confirm    *confirmCmd      `arg:"subcommand:confirm" help:"confirm a plan"`
+	Apply      *applyCmd        `arg:"subcommand:apply" help:"plan, ask, confirm and wait"`
+	Status     *emptyCmd        `arg:"subcommand:status" help:"revision in force on each node"`
+	State      *emptyCmd        `arg:"subcommand:state" help:"desired state"`
+	Backends   *emptyCmd        `arg:"subcommand:backends" help:"backend servers"`
+	Revisions  *revisionsCmd    `arg:"subcommand:revisions" help:"accepted plans"`
+	Quarantine *quarantineCmd   `arg:"subcommand:quarantine" help:"requests under which backend servers crashed; lift one"`
+	Pressure   *backpressureCmd `arg:"subcommand:backpressure" help:"what backend servers ask of the routers: limits, unknown headers of answers"`
+	Dump       *dumpCmd         `arg:"subcommand:dump" help:"state dump of the first node that answers"`
+	Explain    *explainCmd      `arg:"subcommand:explain" help:"sort the requests of routers' logs by what became of them and why"`
+	Stream     *StreamCmd       `arg:"subcommand:stream" help:"stream a completion as a caller, with reconnects"`
 }
 
 // Env is the environment of one run of the tool.
@@ -210,6 +211,8 @@
 		return t.backends(ctx)
 	case t.args.Quarantine != nil:
 		return t.quarantine(ctx)
+	case t.args.Pressure != nil:
+		return t.backpressure(ctx)
 	case t.args.Revisions != nil:
 		return t.revisions(ctx)
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -164,6 +164,14 @@
 	RequestLifted
 )
 
+// Events of what backend servers ask of the routers (22xx).
+const (
+	LimitBegun ID = 2201 + iota
+	LimitChanged
+	LimitEnded
+	RequestWithheld
+)
+
 // Catalogue lists all events in the order of their numbers.
 var Catalogue = []Entry{
 	{LogWatchLost, "log-watch-lost", Warning, "A watch on a log ended; until it is open again, new entries are found by reading the log. If it goes on, check the key-value service."},
@@ -264,4 +272,8 @@
 	{RequestHeld, "request-quarantined", Error, "Backend servers crashed again and again under one request, as observed here or reported by another router or the store (from). It is refused for an hour, or until an operator lifts the quarantine; its clients get a final answer at once. Find what in the request crashes the backend servers, by its digest, account and the crashes."},
 	{RequestCleared, "request-cleared", Info, "A request under which backend servers had crashed got a complete answer, so that the crashes no longer count against it. Nothing to do."},
 	{RequestLifted, "request-lifted", Warning, "The quarantine of a request was lifted by an operator, another router or the store; the request is sent again. Nothing to do."},
+	{LimitBegun, "limit-begun", Warning, "A backend server states how many requests a second it takes from all routers together (limit), in an answer to this router or, if from is set, to that router. A few routers divide the limit, the others send it nothing. Find out why the backend server is in need."},
+	{LimitChanged, "limit-changed", Info, "A backend server states another limit than before. Nothing to do."},
+	{LimitEnded, "limit-ended", Info, "A backend server states no limit any more and gets its full share of requests. Nothing to do."},
+	{RequestWithheld, "request-withheld", Warning, "All backend servers of the service ask for fewer requests, and the request waits or is refused; the client's time to come back is given. The state dump lists what each backend server asks. If it goes on, the service needs more backend servers."},
 }
--- a/event/page_test.go
+++ b/event/page_test.go
@@ -52,6 +52,7 @@
 	{19, "Users' platform: routes, replicas, opaque requests, other nodes", []string{"hosted", "relay"}},
 	{20, "Users' platform: its store", []string{"mirror"}},
 	{21, "Requests under which backend servers crash", []string{"quarantine"}},
+	{22, "What backend servers ask of the routers", []string{"backpressure", "hosted", "daemon"}},
 }
 
 var severities = map[event.Severity]string{event.Info: "info", event.Warning: "warning", event.Error: "error"}
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -130,6 +130,9 @@
 	x.exclude[a.backend.ID] = true
 	x.waitErr = err
 	x.logLoss(a, causeNotRun, err)
+	if errors.Is(err, backend.ErrWithheld) {
+		return "not-started" // nothing reached the backend server, and nothing shows that it is sick
+	}
 	// Refusals are reported as well: from the code of a refusal, other routers find out that
 	// an engine is leaving before its load reports or the list of VMs show it.
 	x.Watcher.Result(a.backend.ID, err)
--- a/health/query.go
+++ b/health/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"wigeondale/event"
@@ -33,6 +34,10 @@
 	confirmedPrefillBounds = 2
 )
 
+// ErrQueryWithheld means that a backend server was not queried, because it asks for fewer requests.
+// That is no evidence against it: its silence is accepted as if it had answered.
+var ErrQueryWithheld = errors.New("query withheld")
+
 // RunQuerier queries backend servers about their runs.
 type RunQuerier interface {
 	// QueryRuns returns the report of one backend server; an error means that the backend
@@ -127,7 +132,7 @@
 		return v
 	}
 	e.query.open = false
-	e.query.failed = err != nil
+	e.query.failed = err != nil && !errors.Is(err, ErrQueryWithheld)
 	if err != nil {
 		return v
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -22,6 +22,7 @@
 
 	"wigeondale/admission"
 	"wigeondale/backend"
+	"wigeondale/backpressure"
 	"wigeondale/cachelookup"
 	"wigeondale/directory"
 	"wigeondale/dump"
@@ -60,6 +61,7 @@
 	adopter   *adopter
 	rollouts  *rollouts
 	guard     *quarantine.Guard
+	pressure  *backpressure.Tracker
 	holds     *holds
 	dumps     dump.Registry
 	mirror    *mirror.Mirror
@@ -93,6 +95,10 @@
 	if n.rollouts, err = newRollouts(set.Hosted, store, n.dir, n.mon, log, n.meter); err != nil {
 		return nil, err
 	}
+	n.pressure = backpressure.New(backpressure.Config{
+		Node: set.Node.ID, Nodes: n.peers.servingNodes, Broadcast: n.peers.broadcastPressure, Log: log, Set: n.meter,
+	})
+	n.peers.pressure = n.pressure
 	n.rollouts.connect(n.peers, n.storeSync)
 	n.peers.rollouts = n.rollouts
 	n.holds = newHolds(store, n.log)
@@ -120,7 +126,9 @@
 func (n *node) newRelay() (*relay.Relay, error) {
 	replicas := platform.NewReplicas()
 	replicas.OnLoad = n.view.recordLoad
+	replicas.Gate = n.pressure
 	replicas.Unknown = backend.NewUnknownHeaders(platform.AnswerHeaders, n.log, n.meter)
+	n.dumps.Add("backpressure", func() any { return n.pressure.Reports(time.Now()) })
 	n.dumps.Add("unknown_headers", func() any { return replicas.Unknown.State() })
 	n.adopter = &adopter{view: n.view, storeSync: n.storeSync, finder: replacement.New(replicas), broadcast: n.peers.broadcastAdopted}
 	n.peers.adopter = n.adopter
@@ -139,6 +147,7 @@
 	}
 	pick.broadcastSoon = n.peers.broadcastSoon
 	pick.rollouts = n.rollouts
+	pick.pressure = n.pressure
 	pick.onNoRoom = n.view.planner.enlarge
 	pick.refusal = admission.RefusalPolicy(n.set.Hosted.Decisions.RefusalPolicy)
 	budgets := newBudgets(n.set.Hosted, n.peers.registeredNodes)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"wigeondale/backpressure"
 	"wigeondale/directory"
 	"wigeondale/event"
 	"wigeondale/health"
@@ -48,9 +49,10 @@
 	mon       *health.Monitor
 	log       *event.Log
 	storeSync *storeSync
-	adopter   *adopter          // set before run
-	rollouts  *rollouts         // set before run
-	guard     *quarantine.Guard // set before run
+	adopter   *adopter              // set before run
+	rollouts  *rollouts             // set before run
+	guard     *quarantine.Guard     // set before run
+	pressure  *backpressure.Tracker // set before run
 
 	mu           sync.Mutex
 	key          []byte
@@ -260,6 +262,7 @@
 	}, func(now time.Time) {
 		p.storeSync.tick(now)
 		p.rollouts.tick(now)
+		p.pressure.Tick(now)
 	})
 	return mesh.Run(ctx)
 }
@@ -283,6 +286,7 @@
 	peer.HandleFlood(mesh, floodAdopted, func(_ string, m adoptedMessage) { p.adopter.handleAdopted(m) })
 	peer.HandleFlood(mesh, floodRollout, p.rollouts.handleReport)
 	peer.HandleFlood(mesh, quarantine.FloodUpdate, p.guard.HandleUpdate)
+	peer.HandleFlood(mesh, backpressure.FloodUpdate, func(from string, u backpressure.Update) { p.pressure.HandleUpdate(from, u, time.Now()) })
 	p.storeSync.join(mesh)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"wigeondale/admission"
+	"wigeondale/backpressure"
 	"wigeondale/cachelookup"
 	"wigeondale/directory"
 	"wigeondale/event"
@@ -50,6 +52,7 @@
 	// version.
 	rollouts *rollouts
 	refusal  admission.RefusalPolicy
+	pressure *backpressure.Tracker // what replicas ask of the routers
 	// onNoRoom is called when a request of a service is refused, or has waited long, because no
 	// known engine has room for it.
 	onNoRoom func(service string)
@@ -120,6 +123,7 @@
 		{Name: routing.FilterServes},
 		{Name: routing.FilterLeaving},
 		{Name: routing.FilterExclude},
+		{Name: routing.FilterAccepting},
 		{Name: routing.FilterOtherDomain},
 	}
 	all = append(all, steps...)
@@ -133,6 +137,9 @@
 // the chosen replica is leaving.
 func (p *picker) Pick(ctx context.Context, a generation.PickRequest) (fleet.Backend, generation.LoadShare, error) {
 	b, share, err := p.pick(ctx, a)
+	if u, withheld := withheld(err); withheld {
+		p.log.Emit(event.RequestWithheld, "request", a.RequestID, "service", a.Service, "retry_after_ms", u.RetryAfter.Milliseconds())
+	}
 	ro := p.rollouts.of(a.Service)
 	switch {
 	case ro == nil:
@@ -144,6 +151,13 @@
 	return b, share, err
 }
 
+// withheld returns the error of a choice for which all replicas ask for fewer requests, and false
+// if err is another error.
+func withheld(err error) (*generation.Unavailable, bool) {
+	u, ok := errors.AsType[*generation.Unavailable](err)
+	return u, ok && u.Code == placement.CodeWithheld
+}
+
 func (p *picker) pick(ctx context.Context, a generation.PickRequest) (fleet.Backend, generation.LoadShare, error) {
 	if b, share, ok := p.replicaWithCopy(a); ok {
 		return b, share, nil
@@ -162,7 +176,7 @@
 func (p *picker) choose(router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
 	req := p.pickRequest(a)
 	req.OtherDomain = a.LostDomain
-	chooser := placement.Chooser{Dir: p.dir, Mon: p.mon, RetryAfter: waitForReplica}
+	chooser := placement.Chooser{Dir: p.dir, Mon: p.mon, Pressure: p.pressure, RetryAfter: waitForReplica}
 	b, share, err := chooser.Pick(router, among, req, load)
 	if err == nil || req.OtherDomain == "" {
 		return b, share, err
@@ -179,7 +193,7 @@
 		return fleet.Backend{}, nil, false
 	}
 	b, ok := p.dir.Backend(a.Prefer)
-	if !ok || p.mon.State(a.Prefer) != health.Healthy {
+	if !ok || p.mon.State(a.Prefer) != health.Healthy || !p.pressure.Accepts(a.Prefer, time.Now()) {
 		return fleet.Backend{}, nil, false
 	}
 	prompt, _ := tokensOf(a)
@@ -201,7 +215,7 @@
 	}
 	id, tokens := p.cacheFinder.Find(ctx, live, a.PromptParts)
 	p.log.Emit(event.HolderSought, "request", a.RequestID, "asked", len(live), "backend", id, "tokens", tokens)
-	if tokens == 0 || p.dir.Leaving(id) {
+	if tokens == 0 || p.dir.Leaving(id) || !p.pressure.Accepts(id, time.Now()) {
 		return fleet.Backend{}, nil, false
 	}
 	b, ok := p.dir.Backend(id)
@@ -253,6 +267,7 @@
 		FleetKnown: true,
 		Usable:     p.mon.Usable,
 		Healthy:    p.healthy,
+		Accepts:    p.pressure.Filter(time.Now()),
 	}
 	req.Capacity = p.capacity(a.Service)
 	req.Backlog = p.queues.of(a.Service).backlog(a)
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"wigeondale/backend"
 	"wigeondale/directory"
 	"wigeondale/generation"
 	"wigeondale/health"
@@ -74,6 +76,9 @@
 		return nil, Error.New("replica %s is not known", id)
 	}
 	report, err := q.replicas.Runs(ctx, b)
+	if errors.Is(err, backend.ErrWithheld) {
+		return nil, errors.Join(health.ErrQueryWithheld, err)
+	}
 	if err == nil && report.Restarted {
 		err = Error.New("replica %s has started again", b.ID)
 	}
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -105,7 +105,8 @@
 		p.logChoice(a, b.ID, pos, now)
 		return b, p.timed(q, b.ID, share), nil
 	}
-	if u, ok := errors.AsType[*generation.Unavailable](err); !ok || !u.Retryable {
+	u, ok := errors.AsType[*generation.Unavailable](err)
+	if _, withheld := withheld(err); withheld || !ok || !u.Retryable {
 		q.waitQueue.Remove(a.RequestID)
 		return fleet.Backend{}, nil, err
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/backpressure"
 	"wigeondale/directory"
 	"wigeondale/fleet"
 	"wigeondale/generation"
@@ -30,6 +31,8 @@
 type Chooser struct {
 	Dir *directory.Directory
 	Mon *health.Monitor
+	// Pressure holds what backend servers ask of the routers. Nil means that they ask nothing.
+	Pressure *backpressure.Tracker
 	// RetryAfter is the time to come back that is returned when a backend server is expected
 	// to be available soon.
 	RetryAfter time.Duration
@@ -41,12 +44,13 @@
 func (c Chooser) Pick(router *routing.Router, candidates []routing.Candidate, req routing.PickRequest, load directory.Load) (b fleet.Backend, s generation.LoadShare, err error) {
 	for range maxTries {
 		req.Now = time.Now()
+		req.Accepts = c.Pressure.Filter(req.Now)
 		chosen, _, err := router.Pick(candidates, req)
 		if err != nil {
-			return fleet.Backend{}, nil, c.unavailable(err)
+			return fleet.Backend{}, nil, c.unavailable(err, candidates, req.Now)
 		}
 		id := chosen.Backend.ID
-		if !c.Dir.Leaving(id) && c.Mon.Allow(id) {
+		if !c.Dir.Leaving(id) && c.Pressure.Accepts(id, req.Now) && c.Mon.Allow(id) {
 			return chosen.Backend, c.Dir.Begin(id, load), nil
 		}
 		req.Exclude = WithID(req.Exclude, id)
@@ -54,12 +58,23 @@
 	return fleet.Backend{}, nil, &generation.Unavailable{Retryable: true, RetryAfter: c.RetryAfter}
 }
 
-func (c Chooser) unavailable(err error) error {
+// CodeWithheld is the code of the refusal of a request for which all backend servers ask for
+// fewer requests.
+const CodeWithheld = "backends_limited"
+
+func (c Chooser) unavailable(err error, candidates []routing.Candidate, now time.Time) error {
 	none, ok := errors.AsType[*routing.NoCandidate](err)
 	if !ok {
 		return &generation.Unavailable{Err: err}
 	}
-	return &generation.Unavailable{Retryable: none.Retryable, RetryAfter: c.RetryAfter, Err: err}
+	if none.Reason != routing.NoneAccepts {
+		return &generation.Unavailable{Retryable: none.Retryable, RetryAfter: c.RetryAfter, Err: err}
+	}
+	ids := make([]string, 0, len(candidates))
+	for i := range candidates {
+		ids = append(ids, candidates[i].Backend.ID)
+	}
+	return &generation.Unavailable{Code: CodeWithheld, Retryable: true, RetryAfter: c.Pressure.Wait(ids, now), Err: err}
 }
 
 // WithID returns a copy of set with one more id; set itself is not changed.
--- a/routing/errors.go
+++ b/routing/errors.go
@@ -13,6 +13,7 @@
 	AllDown            Reason = "all that serve it are down"
 	AllExcluded        Reason = "all that serve it were tried"
 	AllFull            Reason = "all that serve it have as much work as they can take"
+	NoneAccepts        Reason = "all that serve it ask for fewer requests"
 	NoneAcceptsPrompts Reason = "none of those that serve it takes prompts"
 )
 
@@ -48,6 +49,8 @@
 		e.Reason = AllDown
 	case FilterMemory, FilterBacklog:
 		e.Reason = AllFull
+	case FilterAccepting:
+		e.Reason = NoneAccepts
 	case FilterExclude:
 		e.Reason = AllExcluded
 	}
--- a/routing/filters.go
+++ b/routing/filters.go
@@ -42,6 +42,9 @@
 	// FilterHealthy removes backend servers that the health monitor suspects; otherwise
 	// the request would serve as a health probe for them.
 	FilterHealthy = "healthy"
+	// FilterAccepting removes backend servers that ask for no request of this router now
+	// (PickRequest.Accepts).
+	FilterAccepting = "accepting"
 	// FilterOtherDomain removes the backend servers in the failure domain of a run
 	// (PickRequest.OtherDomain), so that the copy of the run is kept in another failure
 	// domain.
@@ -69,6 +72,10 @@
 	return req.Healthy == nil || req.Healthy(c.Backend.ID)
 }
 
+func accepting(c *Candidate, req *PickRequest) bool {
+	return req.Accepts == nil || req.Accepts(c.Backend.ID)
+}
+
 func otherDomain(c *Candidate, req *PickRequest) bool {
 	return req.OtherDomain == "" || c.Backend.FailureDomain != req.OtherDomain
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -100,6 +100,9 @@
 	// Healthy reports whether a backend server is under no suspicion. FilterHealthy calls it.
 	// If nil, every backend server counts as healthy.
 	Healthy func(id string) bool
+	// Accepts reports whether a backend server takes a request of this router now.
+	// FilterAccepting calls it. If nil, every backend server does.
+	Accepts func(id string) bool
 }
 
 // Removed is the number of candidates that the filter of the given name removed.
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -33,6 +33,7 @@
 	FilterFresh:       freshFilter{},
 	FilterFreshOnly:   perCandidate{FilterFreshOnly, hasRecentReport},
 	FilterStale:       perCandidate{FilterStale, hasStaleReport},
+	FilterAccepting:   perCandidate{FilterAccepting, accepting},
 	FilterOtherDomain: perCandidate{FilterOtherDomain, otherDomain},
 	FilterHealthy:     perCandidate{FilterHealthy, notSuspected},
 }
@@ -58,6 +59,7 @@
 		{Name: FilterRole},
 		{Name: FilterLeaving},
 		{Name: FilterExclude},
+		{Name: FilterAccepting},
 		{Name: FilterUsable},
 		{Name: ScoreLoad, Weight: 1},
 		{Name: ScoreRendezvous, Weight: 0.4},
