--- a/fakes/hosted/asks.go
+++ b/fakes/hosted/asks.go
@@ -5,6 +5,8 @@
 // Asks is what a replica asks of the routers in its answers.
 type Asks struct {
 	Limit string // requests a second that it takes from all routers, as the header states it; empty for none
+	// Leaving makes it say that it leaves. It goes on to serve what arrives.
+	Leaving bool
 }
 
 // SetAsks replaces what the replica asks of the routers.
@@ -23,6 +25,9 @@
 		if asks.Limit != "" {
 			w.Header().Set("Server-Limit", asks.Limit)
 		}
+		if asks.Leaving {
+			w.Header().Set("Server-Leaving", "1")
+		}
 		next.ServeHTTP(w, req)
 	})
 }
--- a/hosted/backpressure_test.go
+++ b/hosted/backpressure_test.go
@@ -58,11 +58,7 @@
 	nodes := f.startServingNodes(3)
 	limited.SetAsks(fakes.Asks{Limit: fmt.Sprint(limit)})
 	for i, n := range nodes {
-		await(t, "an answer with the limit", func() bool {
-			before := len(limited.Arrivals())
-			n.get("/look/x", fmt.Sprint("first", i), key)
-			return len(limited.Arrivals()) > before
-		})
+		n.tellThrough(limited, fmt.Sprint("first", i))
 	}
 	since := time.Now()
 	for i := range 90 {
@@ -77,3 +73,47 @@
 		t.Error("the replica without a limit got no request")
 	}
 }
+
+// tellThrough sends requests through a node until one has reached the replica, so that the node has
+// received what the replica asks.
+func (n *testNode) tellThrough(r *fakes.Replica, id string) {
+	n.t.Helper()
+	await(n.t, "an answer of the replica", func() bool {
+		before := len(r.Arrivals())
+		n.get("/look/x", id, key)
+		return len(r.Arrivals()) > before
+	})
+}
+
+// Guards against requests to a replica whose answers say that it leaves, while the store that would say so too is
+// away or still has its older state, and after later answers that don't say it.
+func TestLeavingSaidInAnAnswerBinds(t *testing.T) {
+	f := newFleet(t)
+	leaving, staying := f.startApp("a0", "d0"), f.startApp("a1", "d1")
+	nodes := f.startServingNodes(2)
+	leaving.SetAsks(fakes.Asks{Leaving: true})
+	f.store.SetUnresponsive(true)
+	nodes[0].tellThrough(leaving, "first")
+	leaving.SetAsks(fakes.Asks{})
+	before := len(leaving.Arrivals())
+	serve := func(n *testNode, name string) {
+		for i := range 20 {
+			if status, _ := n.get("/look/x", fmt.Sprint(name, i), key); status != 200 {
+				t.Fatalf("request %s%d: status %d, although another replica stays", name, i, status)
+			}
+		}
+	}
+	serve(nodes[0], "away")
+	if got := len(leaving.Arrivals()) - before; got != 0 {
+		t.Errorf("%d requests reached the replica after it had said that it leaves", got)
+	}
+	f.store.SetUnresponsive(false)
+	f.store.Register(leaving, false)
+	f.store.Register(staying, false)
+	await(t, "the news of the other node", func() bool { return nodes[1].dir.Leaving("a0") })
+	serve(nodes[0], "back")
+	serve(nodes[1], "other")
+	if got := len(leaving.Arrivals()) - before; got != 0 {
+		t.Errorf("%d requests reached the replica in all", got)
+	}
+}
