backpressure: what an answer says of its replica's leaving binds from then on

What callers saw: requests lost or ended with a replica that had said that it leaves (504 in the users' record), while the store was away. Cause: the statement in the answers is not read; leaving is known from the store's entry only, which came 12.9 s later. Ruled out by the logs of second1: that it was read and undone (no line engine-leaving anywhere), that a retry or copy evaded it (both broken cases are first attempts). Change: the same gate as for a limit withholds work from such a replica; the directory marks it as leaving, and the other nodes are told with the message that already reports an address taken by another replica. Nothing undoes the mark within the lifetime. Why it holds: the gate is the last step of all requests, and its mark outlives the directory's entry.

--- a/backend/statement.go
+++ b/backend/statement.go
@@ -6,6 +6,18 @@
 	"strings"
 )
 
+// Purpose is why a request is sent to a backend server.
+type Purpose uint8
+
+const (
+	// Work starts or continues the work of a client's request.
+	Work Purpose = iota
+	// RunQuery asks about work in progress.
+	RunQuery
+	// Optional is a request without which the work goes on.
+	Optional
+)
+
 // Statement is what a backend server states about itself in an answer, whatever the answer's
 // status.
 type Statement struct {
@@ -15,6 +27,8 @@
 	HasLimit bool
 	// LimitUnclear means that the answer states a limit that can't be read.
 	LimitUnclear bool
+	// Leaving means that it takes no more work.
+	Leaving bool
 }
 
 // maxLimitBytes limits the length of a limit's text.
--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -2,7 +2,9 @@
 //
 // A backend server in need states a limit: the requests a second that it takes from all routers
 // together. Without this package each router would go on sending its full share, and the backend
-// server would get many times what it can take.
+// server would get many times what it can take. A backend server that is leaving says so in its
+// answers too. While no other source says it, requests would go on to a backend server that is
+// about to end.
 //
 // The state belongs to one lifetime of one backend server, and is consulted as the last step before
 // the bytes of a request are sent, so that no path to a backend server evades it: first tries,
@@ -30,12 +32,18 @@
 // ErrLimited is the reason for which a request is withheld from a backend server that states a limit.
 var ErrLimited = errors.New("the backend server takes no request of this router now, by its limit")
 
+// ErrLeaving is the reason for which work is withheld from a backend server that is leaving.
+var ErrLeaving = errors.New("the backend server is leaving")
+
 const (
 	// refreshInterval is how often the nodes are read, on which the shares of a limit depend.
 	refreshInterval = time.Second
 	// forgetAfter is how long the state of a backend server is kept after the last answer or
 	// report about it. It is longer than any wait for a share of the smallest limit.
 	forgetAfter = 10 * time.Minute
+	// rememberLeaving is how long a backend server is remembered to be leaving. It has ended long
+	// before, and its id is never used again.
+	rememberLeaving = time.Hour
 	// maxBackends bounds the backend servers with a state. Those beyond it are ignored.
 	maxBackends = 20_000
 )
@@ -60,6 +68,9 @@
 	Nodes func() []string
 	// Broadcast sends an update to all other routers. Nil sends none.
 	Broadcast func(Update)
+	// OnLeaving is called when an answer first states that a backend server is leaving. Nil does
+	// nothing.
+	OnLeaving func(id string)
 	Log       *event.Log
 	Set       *metrics.Set
 }
@@ -82,8 +93,11 @@
 	id      string
 	service string
 	limit   limit
+	leftAt  time.Time // when it became known that it is leaving; zero if it is not
 }
 
+func (s *state) leaving() bool { return !s.leftAt.IsZero() }
+
 // New returns a Tracker without any state.
 func New(cfg Config) *Tracker {
 	if cfg.Set == nil {
@@ -92,6 +106,9 @@
 	if cfg.Broadcast == nil {
 		cfg.Broadcast = func(Update) {}
 	}
+	if cfg.OnLeaving == nil {
+		cfg.OnLeaving = func(string) {}
+	}
 	t := &Tracker{cfg: cfg, byID: map[string]*state{}, turns: map[string]time.Time{}}
 	cfg.Set.GetOrCreateGauge("wigeon_backpressure_backends", func() float64 { return float64(t.count.Load()) })
 	return t
@@ -104,13 +121,37 @@
 	}
 	t.mu.Lock()
 	var update *Update
+	nowLeaving := false
 	if st := t.stateFor(b, s != (backend.Statement{})); st != nil {
 		update = t.observeLimit(st, sentAt, now, s)
+		nowLeaving = s.Leaving && st.markLeaving(now)
 	}
 	t.mu.Unlock()
 	if update != nil {
 		t.cfg.Broadcast(*update)
 	}
+	if nowLeaving {
+		t.cfg.OnLeaving(b.ID)
+	}
+}
+
+// MarkLeaving records that a backend server is leaving, as another source than its answers says.
+// Nothing undoes it: all that may say otherwise later may be older.
+func (t *Tracker) MarkLeaving(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if st := t.stateFor(fleet.Backend{ID: id}, true); st != nil {
+		st.markLeaving(now)
+	}
+}
+
+// markLeaving reports whether the backend server was not known to be leaving before.
+func (s *state) markLeaving(now time.Time) bool {
+	if s.leaving() {
+		return false
+	}
+	s.leftAt = now
+	return true
 }
 
 // stateFor returns the state of b. If there is none, it creates one or returns nil. The caller
@@ -137,7 +178,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	st := t.byID[id]
-	return st == nil || t.accepts(st, now) == nil
+	return st == nil || t.accepts(st, backend.Work, now) == nil
 }
 
 // Filter returns Accepts at the given time as a function of the id, or nil if all backend servers
@@ -150,18 +191,20 @@
 }
 
 // accepts returns the reason why no request may be sent now, or nil. The caller holds t.mu.
-func (t *Tracker) accepts(st *state, now time.Time) error {
-	if !t.limitAccepts(st, now) {
+func (t *Tracker) accepts(st *state, why backend.Purpose, now time.Time) error {
+	switch {
+	case why == backend.Work && st.leaving():
+		return ErrLeaving
+	case why == backend.Optional && st.limit.stated(), !t.limitAccepts(st, now):
 		return ErrLimited
 	}
 	return nil
 }
 
 // Permit is called as the last step before the bytes of a request are sent to b, and counts the
-// request. It returns an error if the request must not be sent. An optional request is one without
-// which the work goes on; it is withheld from a backend server that limits its requests, so that
-// the work gets all that the limit allows.
-func (t *Tracker) Permit(b fleet.Backend, optional bool, now time.Time) error {
+// request. It returns an error if the request must not be sent. Optional requests are withheld
+// from a backend server that limits its requests, so that the work gets all that the limit allows.
+func (t *Tracker) Permit(b fleet.Backend, why backend.Purpose, now time.Time) error {
 	if t == nil || t.count.Load() == 0 {
 		return nil
 	}
@@ -171,11 +214,7 @@
 	if st == nil {
 		return nil
 	}
-	err := t.accepts(st, now)
-	if err == nil && optional && st.limit.stated() {
-		err = ErrLimited
-	}
-	if err != nil {
+	if err := t.accepts(st, why, now); err != nil {
 		t.cfg.Set.GetOrCreateCounter(`wigeon_requests_withheld_total{service="` + b.Service + `"}`).Inc()
 		return Error.New("%w: %w", backend.ErrWithheld, err)
 	}
@@ -208,7 +247,7 @@
 	t.ticked = now
 	var updates []Update
 	for id, st := range t.byID {
-		if now.Sub(st.limit.heardAt) > forgetAfter {
+		if now.Sub(st.limit.heardAt) > forgetAfter && now.Sub(st.leftAt) > rememberLeaving {
 			delete(t.byID, id)
 			continue
 		}
--- a/backpressure/limit_fleet_test.go
+++ b/backpressure/limit_fleet_test.go
@@ -115,7 +115,7 @@
 // send sends a request of r if the limit allows it; the answer states the limit in force when the
 // request arrived.
 func (f *limitFleet) send(r *simRouter) {
-	if r.track.Permit(server, false, f.now) != nil {
+	if r.track.Permit(server, backend.Work, f.now) != nil {
 		return
 	}
 	if !r.told.IsZero() && f.now.Sub(r.told) >= graceAfterAnswer {
--- a/backpressure/limit_test.go
+++ b/backpressure/limit_test.go
@@ -64,7 +64,7 @@
 	sent := 0
 	for end := now.Add(time.Minute); now.Before(end); now = now.Add(10 * time.Millisecond) {
 		tr.Tick(now)
-		if tr.Permit(server, false, now) == nil {
+		if tr.Permit(server, backend.Work, now) == nil {
 			sent++
 		}
 	}
@@ -78,13 +78,13 @@
 func TestWithheldRequestsWereNotSent(t *testing.T) {
 	tr, now := alone(), time.Unix(1000, 0)
 	tr.Observe(server, now, now, stated(2))
-	if err := tr.Permit(server, true, now); !errors.Is(err, backend.ErrWithheld) || !errors.Is(err, backend.ErrNotSent) {
+	if err := tr.Permit(server, backend.Optional, now); !errors.Is(err, backend.ErrWithheld) || !errors.Is(err, backend.ErrNotSent) {
 		t.Errorf("an optional request: %v", err)
 	}
-	if err := tr.Permit(server, false, now); err != nil {
+	if err := tr.Permit(server, backend.Work, now); err != nil {
 		t.Errorf("the first request: %v", err)
 	}
-	if err := tr.Permit(server, false, now); !errors.Is(err, backend.ErrWithheld) {
+	if err := tr.Permit(server, backend.Work, now); !errors.Is(err, backend.ErrWithheld) {
 		t.Errorf("the second request: %v", err)
 	}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -62,6 +62,7 @@
 	FromVMList     Source = "vm-list"
 	FromReport     Source = "report"
 	FromRefusal    Source = "refusal"
+	FromAnswer     Source = "answer" // an answer to a request
 	FromPeerReport Source = "rumour"
 )
 
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -97,6 +97,7 @@
 	}
 	n.pressure = backpressure.New(backpressure.Config{
 		Node: set.Node.ID, Nodes: n.peers.servingNodes, Broadcast: n.peers.broadcastPressure, Log: log, Set: n.meter,
+		OnLeaving: func(id string) { n.dir.MarkLeaving(id, "", directory.FromAnswer) },
 	})
 	n.peers.pressure = n.pressure
 	n.rollouts.connect(n.peers, n.storeSync)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -75,7 +75,8 @@
 	Domain string `cbor:"1,keyasint"`
 }
 
-// removedMessage names a replica whose address another replica has taken.
+// removedMessage names a replica that takes no more requests: its answers say that it is leaving,
+// or another replica has taken its address.
 type removedMessage struct {
 	Replica string `cbor:"1,keyasint"`
 }
@@ -99,12 +100,12 @@
 	return p.mesh
 }
 
-// broadcastRemoved broadcasts that a replica's address turned out to belong to another
-// replica. The registry distributes this removal too, but not while the store is unavailable:
-// then each router would find out only by sending a request to this address, and each such
-// request counts as one more arrival of the request at a replica.
+// broadcastRemoved broadcasts that a replica takes no more requests, if this node found that out
+// from an answer. The registry distributes it too, but not while the store is unavailable: then
+// each router would find out only by sending a request to this address, and each such request
+// counts as one more arrival of the request at a replica.
 func (p *peers) broadcastRemoved(id, _ string, source directory.Source) {
-	if source != directory.FromRefusal {
+	if source != directory.FromRefusal && source != directory.FromAnswer {
 		return
 	}
 	if mesh := p.currentMesh(); mesh != nil {
@@ -282,7 +283,10 @@
 	}
 	peer.HandleFlood(mesh, msgLoads, p.handleLoads)
 	peer.HandleFlood(mesh, floodCrash, func(_ string, m crashMessage) { p.mon.HandleDomainReport(m.Domain) })
-	peer.HandleFlood(mesh, floodRemoved, func(_ string, m removedMessage) { p.dir.MarkLeaving(m.Replica, "", directory.FromPeerReport) })
+	peer.HandleFlood(mesh, floodRemoved, func(_ string, m removedMessage) {
+		p.pressure.MarkLeaving(m.Replica, time.Now())
+		p.dir.MarkLeaving(m.Replica, "", directory.FromPeerReport)
+	})
 	peer.HandleFlood(mesh, floodAdopted, func(_ string, m adoptedMessage) { p.adopter.handleAdopted(m) })
 	peer.HandleFlood(mesh, floodRollout, p.rollouts.handleReport)
 	peer.HandleFlood(mesh, quarantine.FloodUpdate, p.guard.HandleUpdate)
