--- a/fakes/hosted/asks.go
+++ b/fakes/hosted/asks.go
@@ -7,6 +7,8 @@
 	Limit string // requests a second that it takes from all routers, as the header states it; empty for none
 	// Leaving makes it say that it leaves. It goes on to serve what arrives.
 	Leaving bool
+	// Rest makes it refuse all requests with 503 and this Retry-After.
+	Rest string
 }
 
 // SetAsks replaces what the replica asks of the routers.
@@ -31,3 +33,9 @@
 		next.ServeHTTP(w, req)
 	})
 }
+
+func (r *Replica) rest() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asks.Rest
+}
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -233,6 +233,9 @@
 	h.Set("X-Replica-Load", "1,0,8")
 	if refuse != 0 {
 		h.Set("X-Not-Executed", "1")
+		if rest := r.rest(); rest != "" {
+			h.Set("Retry-After", rest)
+		}
 		w.WriteHeader(refuse)
 		return
 	}
@@ -302,7 +305,7 @@
 	if expected := a.Header.Get("X-Expect-Instance"); expected != "" && expected != r.ID {
 		return r.faults, http.StatusMisdirectedRequest
 	}
-	if r.faults.Refuse {
+	if r.faults.Refuse || r.asks.Rest != "" {
 		return r.faults, http.StatusServiceUnavailable
 	}
 	if a.Header.Get("Kv-From") != "" && !r.copies[a.ID] {
--- a/hosted/backpressure_test.go
+++ b/hosted/backpressure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -117,3 +118,59 @@
 		t.Errorf("%d requests reached the replica in all", got)
 	}
 }
+
+// maxDuringRest is how many requests of one router may reach a replica during a rest that it has asked that router for.
+const maxDuringRest = 2
+
+// Guards against requests to a replica that has refused one and asked for rest: it refuses each of them, and each
+// costs a retry.
+func TestReplicaThatAsksForRestGetsIt(t *testing.T) {
+	f := newFleet(t)
+	resting := f.startApp("a0", "d0")
+	f.startApp("a1", "d1")
+	n := f.startServingNode()
+	await(t, "both replicas", func() bool { return len(n.dir.IDs()) == 2 })
+	resting.SetAsks(fakes.Asks{Rest: "30"})
+	n.tellThrough(resting, "first")
+	before := len(resting.Arrivals())
+	for i := range 40 {
+		if status, _ := n.get("/look/x", fmt.Sprint("q", i), key); status != 200 {
+			t.Fatalf("request %d: status %d, although another replica takes requests", i, status)
+		}
+	}
+	if got := len(resting.Arrivals()) - before; got > maxDuringRest {
+		t.Errorf("%d requests reached the replica during its rest, at most %d may", got, maxDuringRest)
+	}
+}
+
+// Guards against clients that wait for replicas which all rest, and against a time of return before the first
+// rest ends.
+func TestAllReplicasRest(t *testing.T) {
+	const rest = 3 * time.Second
+	f := newFleet(t)
+	replicas := []*fakes.Replica{f.startApp("a0", "d0"), f.startApp("a1", "d1")}
+	n := f.startServingNode()
+	await(t, "both replicas", func() bool { return len(n.dir.IDs()) == 2 })
+	for _, r := range replicas {
+		r.SetAsks(fakes.Asks{Rest: fmt.Sprint(rest.Seconds())})
+	}
+	n.get("/look/x", "first", key) // is refused by both
+	toldAt := time.Now()
+	resp, err := n.send(t.Context(), "/look/x", "q", key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil || resp.StatusCode != 503 {
+		t.Fatalf("status %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if left := rest - time.Since(toldAt); time.Duration(after*float64(time.Second)) < left {
+		t.Errorf("told to come back after %v s, the rest ends after %v", after, left)
+	}
+	for _, r := range replicas {
+		if got := len(r.Arrivals()); got != 1 {
+			t.Errorf("%d requests reached %s", got, r.ID)
+		}
+	}
+}
