backpressure: a replica that refuses and asks for rest gets none of this router's requests until then

What callers saw: nothing but retries: each request that chose the replica was refused and served elsewhere, 2 ms later. Cause: Retry-After of a replica's refusal is not read; the refusal excludes the replica for one request, and since it refuses at once it looks idle. Change: the gate withholds all requests for the longest rest asked for; one request after it, more after its answer. If all replicas rest, clients are refused at once with the end of the first rest. Why it holds: the gate is the last step of all requests, and only an answer to a request sent after the rest ends it.

--- a/backend/statement.go
+++ b/backend/statement.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Purpose is why a request is sent to a backend server.
@@ -29,6 +31,8 @@
 	LimitUnclear bool
 	// Leaving means that it takes no more work.
 	Leaving bool
+	// Rest is how long it wants no request of this router; 0 means that it asks for no rest.
+	Rest time.Duration
 }
 
 // maxLimitBytes limits the length of a limit's text.
@@ -55,3 +59,30 @@
 	limit, err := strconv.ParseFloat(v, 64)
 	return limit, err == nil && limit >= 0 && !math.IsInf(limit, 0)
 }
+
+// maxRestSeconds is far above any rest that is kept, and far below what a time.Duration can hold.
+const maxRestSeconds = 1e6
+
+// ParseRest sets the rest from the header of a refusal: its Retry-After in seconds, which may have
+// a fraction, or as a date. A date counts from the refusal's own date, since clocks differ. A
+// value that can't be read asks for no rest.
+func (s *Statement) ParseRest(h http.Header, now time.Time) {
+	v := strings.TrimSpace(h.Get("Retry-After"))
+	if len(v) > maxLimitBytes {
+		return
+	}
+	if seconds, err := strconv.ParseFloat(v, 64); err == nil {
+		if seconds > 0 {
+			s.Rest = time.Duration(min(seconds, maxRestSeconds) * float64(time.Second))
+		}
+		return
+	}
+	until, err := http.ParseTime(v)
+	if err != nil {
+		return
+	}
+	if date, err := http.ParseTime(h.Get("Date")); err == nil {
+		now = date
+	}
+	s.Rest = max(until.Sub(now), 0)
+}
--- a/backend/statement_test.go
+++ b/backend/statement_test.go
@@ -1,8 +1,10 @@
 package backend
 
 import (
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against a limit that is misread: taken for none, for a limit that stops all requests, or applied although
@@ -36,3 +38,33 @@
 		}
 	}
 }
+
+// Guards against a rest that is misread: not kept, or kept for hours because of a date or a huge number.
+func TestRestsOfAllForms(t *testing.T) {
+	now := time.Date(2030, 1, 2, 3, 4, 5, 0, time.UTC)
+	date := func(d time.Duration) string { return now.Add(d).Format(http.TimeFormat) }
+	for _, c := range []struct {
+		retryAfter, date string
+		want             time.Duration
+	}{
+		{"", "", 0},
+		{"3", "", 3 * time.Second},
+		{" 0.25 ", "", 250 * time.Millisecond},
+		{"0", "", 0},
+		{"-3", "", 0},
+		{"soon", "", 0},
+		{"NaN", "", 0},
+		{"Inf", "", maxRestSeconds * time.Second},
+		{"1e300", "", maxRestSeconds * time.Second},
+		{date(4 * time.Second), "", 4 * time.Second},
+		{date(4 * time.Second), date(-time.Hour), time.Hour + 4*time.Second},
+		{date(-time.Minute), "", 0},
+		{strings.Repeat("9", 1<<20), "", 0},
+	} {
+		var s Statement
+		s.ParseRest(http.Header{"Retry-After": {c.retryAfter}, "Date": {c.date}}, now)
+		if s.Rest != c.want {
+			t.Errorf("%.40q at %q: got %v, want %v", c.retryAfter, c.date, s.Rest, c.want)
+		}
+	}
+}
--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -4,7 +4,8 @@
 // together. Without this package each router would go on sending its full share, and the backend
 // server would get many times what it can take. A backend server that is leaving says so in its
 // answers too. While no other source says it, requests would go on to a backend server that is
-// about to end.
+// about to end. A backend server that refuses a request may ask the router for rest. If it got none,
+// it would spend its time on refusals, and each refused request would cost a retry.
 //
 // The state belongs to one lifetime of one backend server, and is consulted as the last step before
 // the bytes of a request are sent, so that no path to a backend server evades it: first tries,
@@ -32,6 +33,10 @@
 // ErrLimited is the reason for which a request is withheld from a backend server that states a limit.
 var ErrLimited = errors.New("the backend server takes no request of this router now, by its limit")
 
+// ErrResting is the reason for which a request is withheld from a backend server that has refused
+// one and asked for rest.
+var ErrResting = errors.New("the backend server wants no request of this router for some time")
+
 // ErrLeaving is the reason for which work is withheld from a backend server that is leaving.
 var ErrLeaving = errors.New("the backend server is leaving")
 
@@ -93,6 +98,7 @@
 	id      string
 	service string
 	limit   limit
+	rest    rest
 	leftAt  time.Time // when it became known that it is leaving; zero if it is not
 }
 
@@ -124,6 +130,7 @@
 	nowLeaving := false
 	if st := t.stateFor(b, s != (backend.Statement{})); st != nil {
 		update = t.observeLimit(st, sentAt, now, s)
+		t.observeRest(st, sentAt, now, s)
 		nowLeaving = s.Leaving && st.markLeaving(now)
 	}
 	t.mu.Unlock()
@@ -195,6 +202,8 @@
 	switch {
 	case why == backend.Work && st.leaving():
 		return ErrLeaving
+	case !st.rest.accepts(now):
+		return ErrResting
 	case why == backend.Optional && st.limit.stated(), !t.limitAccepts(st, now):
 		return ErrLimited
 	}
@@ -219,6 +228,7 @@
 		return Error.New("%w: %w", backend.ErrWithheld, err)
 	}
 	st.limit.take(now)
+	st.rest.take(now)
 	return nil
 }
 
@@ -247,7 +257,7 @@
 	t.ticked = now
 	var updates []Update
 	for id, st := range t.byID {
-		if now.Sub(st.limit.heardAt) > forgetAfter && now.Sub(st.leftAt) > rememberLeaving {
+		if now.Sub(st.limit.heardAt) > forgetAfter && now.Sub(st.leftAt) > rememberLeaving && now.Sub(st.rest.until) > forgetAfter {
 			delete(t.byID, id)
 			continue
 		}
--- a/backpressure/report.go
+++ b/backpressure/report.go
@@ -12,12 +12,16 @@
 	Service string `json:"service"`
 	// Limit is the limit in requests a second of all routers, PerSecond the share of this router.
 	Limit     float64 `json:"limit,omitempty"`
-	PerSecond float64 `json:"per_second"`
+	PerSecond float64 `json:"per_second,omitempty"`
 	// From is the router that reported it, or empty if the backend server told this router.
 	From string `json:"from,omitempty"`
 	// AgeMS is the time since it was stated first, HeardMS since it was confirmed last.
-	AgeMS   int64 `json:"age_ms"`
-	HeardMS int64 `json:"heard_ms"`
+	AgeMS   int64 `json:"age_ms,omitempty"`
+	HeardMS int64 `json:"heard_ms,omitempty"`
+	// RestMS is how much longer it wants no request of this router.
+	RestMS int64 `json:"rest_ms,omitempty"`
+	// LeavingMS is the time since it became known that it is leaving.
+	LeavingMS int64 `json:"leaving_ms,omitempty"`
 }
 
 // Reports returns what the backend servers ask, ordered by their ids.
@@ -26,16 +30,26 @@
 	defer t.mu.Unlock()
 	out := []Report{}
 	for _, st := range t.byID {
-		l := &st.limit
-		if !l.stated() {
-			continue
+		if st.limit.stated() || st.rest.asked() || st.leaving() {
+			out = append(out, t.report(st, now))
 		}
-		perSecond, _ := t.fill(st, now)
-		out = append(out, Report{
-			Backend: st.id, Service: st.service, Limit: l.rate, PerSecond: perSecond, From: l.source,
-			AgeMS: now.Sub(l.learnedAt).Milliseconds(), HeardMS: now.Sub(l.heardAt).Milliseconds(),
-		})
 	}
 	slices.SortFunc(out, func(a, b Report) int { return cmp.Compare(a.Backend, b.Backend) })
 	return out
 }
+
+func (t *Tracker) report(st *state, now time.Time) Report {
+	r := Report{Backend: st.id, Service: st.service}
+	if l := &st.limit; l.stated() {
+		r.PerSecond, _ = t.fill(st, now)
+		r.Limit, r.From = l.rate, l.source
+		r.AgeMS, r.HeardMS = now.Sub(l.learnedAt).Milliseconds(), now.Sub(l.heardAt).Milliseconds()
+	}
+	if st.rest.asked() {
+		r.RestMS = max(st.rest.until.Sub(now), time.Millisecond).Milliseconds()
+	}
+	if st.leaving() {
+		r.LeavingMS = max(now.Sub(st.leftAt), time.Millisecond).Milliseconds()
+	}
+	return r
+}
--- a/backpressure/wait.go
+++ b/backpressure/wait.go
@@ -26,9 +26,9 @@
 			service, perSecond = st.service, perSecond+usedShare*st.limit.rate
 		}
 	}
-	wait := maxWait
+	wait := t.restLeft(ids, now)
 	if perSecond > 0 {
-		wait = t.turn(service, perSecond/float64(max(len(t.allNodes(now)), 1)), now)
+		wait = min(wait, t.turn(service, perSecond/float64(max(len(t.allNodes(now)), 1)), now))
 	}
 	return wait + time.Duration(waitSpread*rand.Float64()*float64(wait))
 }
@@ -47,3 +47,15 @@
 	t.turns[service] = next
 	return next.Sub(now)
 }
+
+// restLeft returns the time until the first of the backend servers' rests ends, at most maxWait. The
+// caller holds t.mu.
+func (t *Tracker) restLeft(ids []string, now time.Time) time.Duration {
+	left := maxWait
+	for _, id := range ids {
+		if st := t.byID[id]; st != nil && st.rest.asked() && !st.leaving() {
+			left = min(left, max(st.rest.until.Sub(now), st.rest.trialAt.Add(trialTimeout).Sub(now), 0))
+		}
+	}
+	return left
+}
--- a/ctl/backpressure.go
+++ b/ctl/backpressure.go
@@ -34,10 +34,13 @@
 		t.printJSON(s)
 		return
 	}
-	rows := [][]string{{"BACKEND", "SERVICE", "LIMIT", "THIS ROUTER", "FROM", "SINCE"}}
+	rows := [][]string{{"BACKEND", "SERVICE", "LIMIT", "THIS ROUTER", "FROM", "SINCE", "REST", "LEAVING SINCE"}}
 	for _, r := range s.Backpressure {
-		since := (time.Duration(r.AgeMS) * time.Millisecond).Round(100 * time.Millisecond).String()
-		rows = append(rows, []string{r.Backend, r.Service, fmt.Sprintf("%g/s", r.Limit), fmt.Sprintf("%.2f/s", r.PerSecond), r.From, since})
+		limit, share := "", ""
+		if r.Limit > 0 {
+			limit, share = fmt.Sprintf("%g/s", r.Limit), fmt.Sprintf("%.2f/s", r.PerSecond)
+		}
+		rows = append(rows, []string{r.Backend, r.Service, limit, share, r.From, elapsed(r.AgeMS), elapsed(r.RestMS), elapsed(r.LeavingMS)})
 	}
 	t.table(rows)
 	if len(s.UnknownHeaders) == 0 {
@@ -49,3 +52,11 @@
 	}
 	t.table(rows)
 }
+
+// elapsed formats a time in milliseconds; 0 is shown as nothing.
+func elapsed(ms int64) string {
+	if ms == 0 {
+		return ""
+	}
+	return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond).String()
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -170,6 +170,8 @@
 	LimitChanged
 	LimitEnded
 	RequestWithheld
+	RestBegun
+	RestEnded
 )
 
 // Catalogue lists all events in the order of their numbers.
@@ -276,4 +278,6 @@
 	{LimitChanged, "limit-changed", Info, "A backend server states another limit than before. Nothing to do."},
 	{LimitEnded, "limit-ended", Info, "A backend server states no limit any more and gets its full share of requests. Nothing to do."},
 	{RequestWithheld, "request-withheld", Warning, "All backend servers of the service ask for fewer requests, and the request waits or is refused; the client's time to come back is given. The state dump lists what each backend server asks. If it goes on, the service needs more backend servers."},
+	{RestBegun, "rest-begun", Warning, "A backend server refused a request and asked this router for rest (Retry-After); it gets none of this router's requests for so long, ten minutes at most. If it goes on, the service needs more backend servers."},
+	{RestEnded, "rest-ended", Info, "A backend server has answered the first request after its rest and gets requests again. Nothing to do."},
 }
