--- a/fakes/hosted/asks.go
+++ b/fakes/hosted/asks.go
@@ -18,24 +18,29 @@
 	r.asks = a
 }
 
+// Asks returns what the replica asks of the routers.
+func (r *Replica) Asks() Asks {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asks
+}
+
 // withAsks adds what the replica asks of the routers to all its answers.
 func (r *Replica) withAsks(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r.mu.Lock()
-		asks := r.asks
-		r.mu.Unlock()
-		if asks.Limit != "" {
-			w.Header().Set("Server-Limit", asks.Limit)
-		}
-		if asks.Leaving {
-			w.Header().Set("Server-Leaving", "1")
-		}
+		r.Asks().set(w.Header())
 		next.ServeHTTP(w, req)
 	})
 }
 
-func (r *Replica) rest() string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.asks.Rest
+// set states a in the headers of an answer.
+func (a Asks) set(h http.Header) {
+	h.Del("Server-Limit")
+	h.Del("Server-Leaving")
+	if a.Limit != "" {
+		h.Set("Server-Limit", a.Limit)
+	}
+	if a.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
 }
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -38,6 +38,8 @@
 	// Completed is set when the run has completed. It stays false for a run that was
 	// aborted.
 	Completed bool
+	// Asks is what the replica asked in its answer.
+	Asks Asks
 }
 
 // Replica is a fake replica of a model engine or of another service. Its responses are a
@@ -229,12 +231,13 @@
 	}
 	f, refuse := r.receive(a)
 	h := w.Header()
+	a.Asks.set(h)
 	h.Set("X-Attempt-Id", a.ID)
 	h.Set("X-Replica-Load", "1,0,8")
 	if refuse != 0 {
 		h.Set("X-Not-Executed", "1")
-		if rest := r.rest(); rest != "" {
-			h.Set("Retry-After", rest)
+		if a.Asks.Rest != "" {
+			h.Set("Retry-After", a.Asks.Rest)
 		}
 		w.WriteHeader(refuse)
 		return
@@ -301,11 +304,12 @@
 func (r *Replica) recordArrival(a *Arrival) (f Faults, refuse int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	a.Asks = r.asks
 	r.arrivals = append(r.arrivals, a)
 	if expected := a.Header.Get("X-Expect-Instance"); expected != "" && expected != r.ID {
 		return r.faults, http.StatusMisdirectedRequest
 	}
-	if r.faults.Refuse || r.asks.Rest != "" {
+	if r.faults.Refuse || a.Asks.Rest != "" {
 		return r.faults, http.StatusServiceUnavailable
 	}
 	if a.Header.Get("Kv-From") != "" && !r.copies[a.ID] {
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -22,6 +22,7 @@
 	denied     map[string]denial // the first, by router incarnation and API key or account
 	violations []Violation
 	bookings   bookings
+	asks       *askRecord
 }
 
 // denial is a response in which a router rejects an API key or an account that it does not
@@ -32,7 +33,7 @@
 }
 
 func newChecks(timed bool) *checks {
-	return &checks{checkTimes: timed, outcomes: map[string]int{}, refused: map[string]int{}, denied: map[string]denial{}, bookings: bookings{outcomes: map[string]bookingOutcome{}}}
+	return &checks{checkTimes: timed, outcomes: map[string]int{}, refused: map[string]int{}, denied: map[string]denial{}, bookings: bookings{outcomes: map[string]bookingOutcome{}}, asks: newAskRecord()}
 }
 
 func (c *checks) violated(promise, request, detail string) {
@@ -172,6 +173,7 @@
 	r.mu.Unlock()
 	ran := map[string]int{}
 	for _, rep := range all {
+		r.checks.checkAsks(rep)
 		for _, a := range rep.Arrivals() {
 			if !a.Ran {
 				continue
--- a/soak/command.go
+++ b/soak/command.go
@@ -38,6 +38,7 @@
 	Restarts         bool          `arg:"--lifetimes" help:"replicas also start again under their names, and other programs write to the store"`
 	Rollouts         bool          `arg:"--rollouts" help:"new versions of the services are ordered, good and bad ones"`
 	CrashingRequests bool          `arg:"--crashers" help:"requests are sent that make each backend server crash that runs them"`
+	Asks             bool          `arg:"--asks" help:"replicas limit their requests, ask for rest and say that they leave in their answers"`
 	Keep             string        `arg:"--keep" help:"folder for settings and logs; kept only after a failure if not given"`
 }
 
@@ -125,7 +126,7 @@
 	}
 	report, err := run(ctx, Config{
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
-		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests,
+		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, Asks: args.Asks,
 	})
 	if err != nil {
 		return false, err
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -54,7 +54,9 @@
 	transport := newTransport()
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
-		c.run.checks.checkResult(c.sendOne(transport))
+		res := c.sendOne(transport)
+		c.run.checks.asks.addResult(&res)
+		c.run.checks.checkResult(res)
 		time.Sleep(time.Duration(c.rng.IntN(40)) * time.Millisecond)
 	}
 }
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"syscall"
 
+	fakefault "wigeondale/fakes/fault"
 	fakes "wigeondale/fakes/hosted"
 )
 
@@ -23,13 +24,18 @@
 			r.setLinkFault(n, "delay", slowLink)
 			return func() { r.setLinkFault(n, "delay", fastLink) }
 		}},
-		fault{"links to a replica reset", func() func() { r.randomReplica().Listener().Reset(); return nil }},
-		fault{"links to a replica pass nothing back", func() func() { l := r.randomReplica().Listener(); l.CutOut(); return l.Heal }},
-		fault{"links to a replica pass nothing on", func() func() { l := r.randomReplica().Listener(); l.CutIn(); return l.Heal }},
+		fault{"links to a replica reset", func() func() {
+			r.harmLinks(func(l *replicaLinks) func() { l.Reset(); return func() {} })()
+			return nil
+		}},
+		fault{"links to a replica pass nothing back", func() func() {
+			return r.harmLinks(func(l *replicaLinks) func() { l.CutOut(); return l.Heal })
+		}},
+		fault{"links to a replica pass nothing on", func() func() {
+			return r.harmLinks(func(l *replicaLinks) func() { l.CutIn(); return l.Heal })
+		}},
 		fault{"links to a replica are slow", func() func() {
-			l := r.randomReplica().Listener()
-			l.Delay(slowDelay)
-			return func() { l.Delay(0) }
+			return r.harmLinks(func(l *replicaLinks) func() { l.Delay(slowDelay); return func() { l.Delay(0) } })
 		}},
 		fault{"replica crashes", func() func() { return r.crash(r.randomReplica()) }},
 		fault{"failure domain crashes", r.crashDomain},
@@ -44,9 +50,22 @@
 		fault{"new version", func() func() { r.configure(); return nil }},
 	)
 	all = append(all, r.restartFaults()...)
+	all = append(all, r.askFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
+type replicaLinks = fakefault.Listener
+
+// harmLinks harms the links to a random replica, and records for how long.
+func (r *platformRun) harmLinks(harm func(l *replicaLinks) (heal func())) (end func()) {
+	rep := r.randomReplica()
+	heal, harmed := harm(rep.Listener()), r.checks.asks.addHarm(rep.ID)
+	return func() {
+		heal()
+		harmed()
+	}
+}
+
 var misbehaviours = []fakes.Faults{
 	{Refuse: true}, {FailStatus: 500}, {WrongID: true}, {NoSeal: true}, {Truncated: true}, {NoLength: true}, {NoResponse: true}, {RepeatChunks: true},
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -142,6 +142,9 @@
 	if s == syscall.SIGKILL || (s == syscall.SIGTERM && p.endSignal == 0) {
 		p.endSignal, p.endedBeforeStart = s, !p.startedLocked()
 	}
+	if s == syscall.SIGSTOP {
+		p.checks.asks.addFreeze(fmt.Sprintf("%s/%d", p.id, p.launches))
+	}
 	// An error means that the process has just exited, which reap handles.
 	_ = p.cmd.Process.Signal(s)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,9 @@
 	// CrashingRequests repeatedly sends requests that crash every backend server that runs them, on
 	// the users' platform.
 	CrashingRequests bool
+	// Asks adds replicas on the users' platform that ask something of the routers in their
+	// answers.
+	Asks bool
 }
 
 // Violation is one observation that breaks a promise of the product.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,12 @@
 	checkSeed(t, Run, Config{Seed: 9001, Nodes: 3, Engines: 10, Services: 8, Clients: 6, FaultTime: 8 * time.Second, CrashingRequests: true})
 }
 
+// TestAskSeeds makes the same checks as TestSeeds. In addition to the faults, replicas limit their
+// requests, ask for rest, and say in their answers that they leave; each must get what it asks.
+func TestAskSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 9201, Nodes: 4, Engines: 8, Services: 8, Clients: 8, FaultTime: 10 * time.Second, Asks: true})
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
