backend, daemon: backend servers that speak the product's own protocol can limit requests, ask for rest and say that they leave

A withheld call of a service costs neither retry budget nor one of its tries. Stand-ins (engine, service): switch ask.

--- a/backend/client.go
+++ b/backend/client.go
@@ -22,6 +22,10 @@
 // Client sends requests to model engines. It is safe for concurrent use.
 type Client struct {
 	rt *http.Transport
+	// Gate, if set, decides whether new work may be sent.
+	Gate Gate
+	// Unknown, if set, counts the headers of answers to new work that this package does not know.
+	Unknown *UnknownHeaders
 }
 
 // NewClient returns a client with its own connection pool.
@@ -62,7 +66,11 @@
 	if err != nil {
 		return nil, Error.New("%w: %w", ErrNotSent, err)
 	}
-	resp, err := c.send(ctx, http.MethodPost, b, "/v1/completions", body)
+	req, err := newEngineRequest(ctx, http.MethodPost, b, "/v1/completions", body)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := sendWork(c.rt, c.Gate, c.Unknown, b, req)
 	if err != nil {
 		return nil, err
 	}
@@ -175,9 +183,18 @@
 	return decodeResponse(resp, v)
 }
 
-// send sends one request. The body has a content length but can't be rewound,
-// so net/http never resends it.
+// send sends one request that starts no work.
 func (c *Client) send(ctx context.Context, method string, b fleet.Backend, path string, body []byte) (*http.Response, error) {
+	req, err := newEngineRequest(ctx, method, b, path, body)
+	if err != nil {
+		return nil, err
+	}
+	return RoundTrip(c.rt, req)
+}
+
+// newEngineRequest returns a request whose body has a content length but can't be rewound, so
+// net/http never resends it.
+func newEngineRequest(ctx context.Context, method string, b fleet.Backend, path string, body []byte) (*http.Request, error) {
 	var r io.Reader
 	if body != nil {
 		r = OnceBody{bytes.NewReader(body)}
@@ -190,7 +207,7 @@
 		req.ContentLength = int64(len(body))
 		req.Header.Set("Content-Type", "application/json")
 	}
-	return RoundTrip(c.rt, req)
+	return req, nil
 }
 
 func streamPath(request string, attempt int) string {
--- a/backend/service.go
+++ b/backend/service.go
@@ -29,6 +29,8 @@
 // concurrent use.
 type ServiceClient struct {
 	rt *http.Transport
+	// Gate, if set, decides whether a call may be sent.
+	Gate Gate
 }
 
 // NewServiceClient returns a client with its own connection pool.
@@ -46,10 +48,12 @@
 	if err != nil {
 		return nil, Error.New("%w: %w", ErrNotSent, err)
 	}
-	resp, err := RoundTrip(c.rt, req)
+	resp, err := sendWork(c.rt, c.Gate, nil, b, req)
 	if err != nil {
 		return nil, err
 	}
+	resp.Header.Del(limitHeader)
+	resp.Header.Del(leavingHeader)
 	echo := resp.Header.Get(requestIDHeader)
 	if echo != "" && echo != call.RequestID {
 		// The body is closed without being read to its end, so that the connection isn't
--- a/backend/statement.go
+++ b/backend/statement.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"wigeondale/fleet"
 )
 
 // Purpose is why a request is sent to a backend server.
@@ -20,6 +22,15 @@
 	Optional
 )
 
+// Gate withholds requests from backend servers that ask for fewer.
+type Gate interface {
+	// Permit is called as the last step before the bytes of a request are sent. An error means
+	// that the request must not be sent; it wraps ErrWithheld.
+	Permit(b fleet.Backend, why Purpose, now time.Time) error
+	// Observe is called with what the answer to a request that was sent at sentAt states.
+	Observe(b fleet.Backend, sentAt, now time.Time, s Statement)
+}
+
 // Statement is what a backend server states about itself in an answer, whatever the answer's
 // status.
 type Statement struct {
@@ -33,8 +44,13 @@
 	Leaving bool
 	// Rest is how long it wants no request of this router; 0 means that it asks for no rest.
 	Rest time.Duration
+	// Incarnation is the incarnation that states it, or "" if the answer does not say.
+	Incarnation string
 }
 
+// Asks reports whether the backend server asks anything.
+func (s *Statement) Asks() bool { return s.HasLimit || s.LimitUnclear || s.Leaving || s.Rest > 0 }
+
 // maxLimitBytes limits the length of a limit's text.
 const maxLimitBytes = 64
 
--- a/backpressure/backpressure.go
+++ b/backpressure/backpressure.go
@@ -122,13 +122,13 @@
 
 // Observe applies an answer of b to a request that was sent at sentAt.
 func (t *Tracker) Observe(b fleet.Backend, sentAt, now time.Time, s backend.Statement) {
-	if s == (backend.Statement{}) && t.count.Load() == 0 {
+	if !s.Asks() && t.count.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
 	var update *Update
 	nowLeaving := false
-	if st := t.stateFor(b, s != (backend.Statement{})); st != nil {
+	if st := t.stateFor(b, s.Asks()); st != nil {
 		update = t.observeLimit(st, sentAt, now, s)
 		t.observeRest(st, sentAt, now, s)
 		nowLeaving = s.Leaving && st.markLeaving(now)
--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -18,6 +18,7 @@
 	n.dir = directory.New(n.log)
 	n.mon = health.NewMonitor(policyOf(set.Policy), n.log, n.set)
 	peerReports{n.mesh}.connect(n.mon, n.dir, n.inv)
+	n.buildPressure()
 	n.drain = &drain{vm: set.Node.VM, notice: n.notice, log: n.log}
 	lister := &vms{inv: n.inv, mesh: n.mesh, mon: n.mon, drain: n.drain}
 	n.poller = directory.NewPoller(directory.PollConfig{
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &picker{dir: n.dir, mon: n.mon, router: router, domain: set.Node.FailureDomain}, nil
+	return &picker{dir: n.dir, mon: n.mon, router: router, domain: set.Node.FailureDomain, pressure: n.pressure}, nil
 }
 
 func (n *node) buildRunner(set *settings.Settings, pick *picker, budget *admission.RetryBudget) error {
@@ -122,12 +122,14 @@
 }
 
 func (n *node) newServices(set *settings.Settings, pick *picker, budget *admission.RetryBudget) *services {
+	client := backend.NewServiceClient()
+	client.Gate = gate{n.pressure, n.dir}
 	return &services{
 		node:   attemptPrefix(set),
 		admit:  n.admit,
 		claims: claims{n.claims},
 		pick:   pick,
-		client: backend.NewServiceClient(),
+		client: client,
 		retry:  budget,
 		mon:    n.watcher(),
 		guard:  n.guard,
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wigeondale/admission"
+	"wigeondale/backpressure"
 	"wigeondale/callerapi"
 	"wigeondale/directory"
 	"wigeondale/fleet"
@@ -31,6 +32,8 @@
 	mon    *health.Monitor
 	router *routing.Router
 	domain string
+	// pressure holds what backend servers ask of the routers.
+	pressure *backpressure.Tracker
 }
 
 // Lookup finds an engine in the directory, whether or not the engine is leaving.
@@ -67,7 +70,7 @@
 }
 
 func (p *picker) pick(candidates []routing.Candidate, req routing.PickRequest) (fleet.Backend, generation.LoadShare, error) {
-	c := placement.Chooser{Dir: p.dir, Mon: p.mon, RetryAfter: replicaRetryAfter}
+	c := placement.Chooser{Dir: p.dir, Mon: p.mon, Pressure: p.pressure, RetryAfter: replicaRetryAfter}
 	return c.Pick(p.router, candidates, req, directory.Load{Requests: 1})
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -10,6 +10,7 @@
 
 	"wigeondale/admission"
 	"wigeondale/backend"
+	"wigeondale/backpressure"
 	"wigeondale/callerapi"
 	"wigeondale/directory"
 	"wigeondale/dump"
@@ -57,6 +58,7 @@
 	poller    *directory.Poller
 	drain     *drain
 	guard     *quarantine.Guard
+	pressure  *backpressure.Tracker
 	summaries *summaries
 
 	caller, admin, peers *listen.Server
@@ -116,7 +118,7 @@
 // parts returns the background loops that run until the process ends.
 func (n *node) parts() []func(context.Context) error {
 	return []func(context.Context) error{
-		n.mesh.Run, n.keeper.Run, n.inv.Run, n.poller.Run, n.mon.Run, n.claims.Run, n.cancels.Run, n.orders.Run, n.summaries.run, n.syncHolds,
+		n.mesh.Run, n.keeper.Run, n.inv.Run, n.poller.Run, n.mon.Run, n.claims.Run, n.cancels.Run, n.orders.Run, n.summaries.run, n.syncHolds, n.tickPressure,
 	}
 }
 
@@ -132,5 +134,7 @@
 	n.dumps.Add("cancels_pending", func() any { return n.cancels.Pending() })
 	n.dumps.Add("orders", n.orders.Dump)
 	n.dumps.Add("claims", n.claims.Dump)
+	n.dumps.Add("backpressure", func() any { return n.pressure.Reports(time.Now()) })
+	n.dumps.Add("unknown_headers", func() any { return n.engines.Unknown.State() })
 	n.dumps.Add("quarantine", func() any { return n.guard.List() })
 }
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -125,6 +125,10 @@
 			return resp, nil
 		}
 		_, noReplica := errors.AsType[*generation.Unavailable](err)
+		if errors.Is(err, backend.ErrWithheld) && ctx.Err() == nil {
+			n-- // nothing was sent; the backend server is not chosen again
+			continue
+		}
 		if noReplica || n >= tries || ctx.Err() != nil || !s.retry.Take() {
 			return nil, tried.failure(call, err)
 		}
@@ -189,6 +193,8 @@
 func (s *services) reportResult(ctx context.Context, id string, err error, second bool) {
 	cause := context.Cause(ctx)
 	switch {
+	case errors.Is(err, backend.ErrWithheld):
+		// Nothing was sent, and nothing shows that the backend server is sick.
 	case err != nil && errors.Is(cause, hedge.ErrOtherAnswered):
 		if !second {
 			s.mon.Late(id)
--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -44,8 +44,9 @@
 	order       order
 	loadReports []fleet.LoadReport
 	expired     []StreamRecord // records of streams that clients can no longer attach to
-	refused     int            // requests refused because the engine is leaving
-	fences      []uint64       // fencing numbers of the orders that were followed
+	asks        fault.Asks
+	refused     int      // requests refused because the engine is leaving
+	fences      []uint64 // fencing numbers of the orders that were followed
 }
 
 // New prepares an engine. With a nil loader, models load instantly.
--- a/fakes/engine/fault.go
+++ b/fakes/engine/fault.go
@@ -61,6 +61,7 @@
 //   - stall {request,on}: stops the request's streams
 //   - late {request,ms}: a stall that ends after ms
 //   - leave {on}: the engine refuses new requests since it is leaving
+//   - ask {limit,rest,leaving}: what it asks of the routers in its answers
 //   - lag {ms}: the lag of load reports and cache events
 //   - cross, repeat, skip {request,n}: spoil the next n chunks: one has the id of another
 //     request, is sent twice or is left out
@@ -91,6 +92,8 @@
 		time.AfterFunc(args.Duration(), func() { e.setStalled(args.Request, false) })
 	case "leave":
 		e.setLeaving(args.Enabled())
+	case "ask":
+		e.asks.Set(args)
 	case "lag":
 		e.setLag(args.MS)
 	case faultCross, faultRepeat, faultSkip:
--- a/fakes/engine/http.go
+++ b/fakes/engine/http.go
@@ -84,6 +84,7 @@
 }
 
 func (e *Engine) postCompletions(w http.ResponseWriter, r *http.Request) {
+	restAsked := e.asks.State(w.Header())
 	var req CompletionRequest
 	if err := readJSON(w, r, &req); err != nil {
 		refuse(w, refusal{http.StatusBadRequest, "bad_request", err.Error()})
@@ -96,7 +97,7 @@
 	rd := newReader()
 	s := newStream(req)
 	s.attach(rd)
-	incarnation, refused := e.accept(s)
+	incarnation, refused := e.accept(s, restAsked)
 	if refused != nil {
 		refuse(w, *refused)
 		return
@@ -153,10 +154,13 @@
 }
 
 // accept queues the stream, or returns why it is refused.
-func (e *Engine) accept(s *stream) (incarnation string, refused *refusal) {
+func (e *Engine) accept(s *stream, restAsked bool) (incarnation string, refused *refusal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
+	case restAsked:
+		e.refused++
+		return "", &refusal{http.StatusServiceUnavailable, "overloaded", "the engine asks for rest"}
 	case e.order.leaving:
 		e.refused++
 		return "", &refusal{http.StatusServiceUnavailable, "leaving", "the engine is leaving"}
@@ -248,7 +252,8 @@
 }
 
 func refuse(w http.ResponseWriter, r refusal) {
-	if r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable {
+	limited := r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable
+	if limited && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	}
 	writeJSON(w, r.status, errorResponse{errorBody{r.message, r.code}})
--- a/fakes/service/service.go
+++ b/fakes/service/service.go
@@ -70,6 +70,7 @@
 	answerDelay time.Duration
 	crossesLeft int // how many more requests get the answer to another request
 	lastAnswer  Answer
+	asks        fault.Asks
 }
 
 // New prepares a replica.
@@ -83,8 +84,8 @@
 	}
 	s.lastAnswer = Answer{Service: cfg.Service, Backend: cfg.ID, RequestID: "another-request", Key: "another-key"}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /lookup/{key}", s.lookup)
-	mux.HandleFunc("POST /book", s.book)
+	mux.HandleFunc("GET /lookup/{key}", s.unlessResting(s.lookup))
+	mux.HandleFunc("POST /book", s.unlessResting(s.book))
 	s.server = fault.NewServer(cfg.Addr, mux)
 	return s
 }
@@ -120,7 +121,8 @@
 
 // Fault turns a switch: close-after-read {n} executes the next n requests and closes their
 // connections without a response; late {ms,n} delays the next n responses; cross {n} responds
-// to the next n requests with the answer to another; and the switches of fault.Server.Apply.
+// to the next n requests with the answer to another; ask {limit,rest,leaving} is what it asks of the
+// routers in its answers; and the switches of fault.Server.Apply.
 func (s *Service) Fault(name string, raw json.RawMessage) error {
 	var args fault.Args
 	if err := fault.Decode(raw, &args); err != nil {
@@ -133,6 +135,8 @@
 		s.closesLeft = args.Times()
 	case "late":
 		s.answerDelay, s.delaysLeft = args.Duration(), args.Times()
+	case "ask":
+		s.asks.Set(args)
 	case "cross":
 		s.crossesLeft = args.Times()
 	default:
@@ -141,6 +145,17 @@
 	return nil
 }
 
+// unlessResting refuses requests while the replica asks for rest, and otherwise serves them.
+func (s *Service) unlessResting(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if s.asks.State(w.Header()) {
+			http.Error(w, "asks for rest", http.StatusServiceUnavailable)
+			return
+		}
+		serve(w, r)
+	}
+}
+
 func (s *Service) lookup(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
 	a := s.answer(r)
