--- a/backend/gated.go
+++ b/backend/gated.go
@@ -45,8 +45,6 @@
 	s := Statement{Incarnation: resp.Header.Get(incarnationHeader)}
 	s.ParseLimit(resp.Header.Values(limitHeader))
 	s.Leaving = resp.Header.Get(leavingHeader) == leavingValue
-	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
-		s.ParseRest(resp.Header, time.Now())
-	}
+	s.ParseRest(resp.StatusCode, resp.Header, time.Now())
 	return s
 }
--- a/backend/statement.go
+++ b/backend/statement.go
@@ -79,10 +79,13 @@
 // maxRestSeconds is far above any rest that is kept, and far below what a time.Duration can hold.
 const maxRestSeconds = 1e6
 
-// ParseRest sets the rest from the header of a refusal: its Retry-After in seconds, which may have
-// a fraction, or as a date. A date counts from the refusal's own date, since clocks differ. A
-// value that can't be read asks for no rest.
-func (s *Statement) ParseRest(h http.Header, now time.Time) {
+// ParseRest sets the rest from an answer with status 429 or 503: its Retry-After in seconds, which
+// may have a fraction, or as a date. A date counts from the answer's own date, since clocks
+// differ. A value that can't be read asks for no rest.
+func (s *Statement) ParseRest(status int, h http.Header, now time.Time) {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return
+	}
 	v := strings.TrimSpace(h.Get("Retry-After"))
 	if len(v) > maxLimitBytes {
 		return
--- a/backend/statement_test.go
+++ b/backend/statement_test.go
@@ -62,7 +62,7 @@
 		{strings.Repeat("9", 1<<20), "", 0},
 	} {
 		var s Statement
-		s.ParseRest(http.Header{"Retry-After": {c.retryAfter}, "Date": {c.date}}, now)
+		s.ParseRest(http.StatusServiceUnavailable, http.Header{"Retry-After": {c.retryAfter}, "Date": {c.date}}, now)
 		if s.Rest != c.want {
 			t.Errorf("%.40q at %q: got %v, want %v", c.retryAfter, c.date, s.Rest, c.want)
 		}
--- a/backpressure/limit.go
+++ b/backpressure/limit.go
@@ -52,6 +52,7 @@
 	rate        float64   // requests a second of all routers; 0 if the backend server states none
 	learnedAt   time.Time // when the first answer arrived that stated this rate, or no limit
 	confirmedAt time.Time // when an answer or an update about the limit arrived last
+	answeredAt  time.Time // when an answer to this router arrived last
 	source      string    // router whose update it came from; empty if from an answer to this router
 	sharedAt    time.Time // when an update about the limit was sent or received last
 
@@ -85,6 +86,7 @@
 // The caller holds t.mu.
 func (t *Tracker) observeLimit(st *state, sentAt, now time.Time, s backend.Statement) *Update {
 	l := &st.limit
+	l.answeredAt = now
 	if s.LimitUnclear {
 		l.confirmedAt = now
 		return nil
@@ -162,19 +164,30 @@
 }
 
 // repeatLimit returns an update if it is this router's turn to repeat the limit. The routers that
-// use the limit take over from each other in the order of their ranks. The caller holds t.mu.
+// use the limit take over from each other in the order of their ranks. A router that has had no
+// answer for some time does not repeat the limit, which may have ended: if it did, it would keep
+// the others from finding out. The caller holds t.mu.
 func (t *Tracker) repeatLimit(st *state, now time.Time) *Update {
 	l := &st.limit
 	if !l.stated() && now.Sub(l.learnedAt) > endRepeatTime {
 		return nil
 	}
-	t.fill(st, now)
+	perSecond, _ := t.fill(st, now)
 	if l.rank >= holders(l.rate, l.nodes) || now.Sub(l.sharedAt) < repeatInterval*time.Duration(1+l.rank) {
 		return nil
 	}
+	if l.stated() && now.Sub(l.answeredAt) > answerWait(perSecond) {
+		return nil
+	}
 	return t.newUpdate(st, now)
 }
 
+// answerWait returns how long a router that always has requests may be without an answer, if its
+// share allows the given number of requests a second.
+func answerWait(perSecond float64) time.Duration {
+	return trialInterval + time.Duration(2/perSecond*float64(time.Second))
+}
+
 // fill adds the tokens that the share of this router has brought since the last call, and
 // determines the share again after the nodes have been read. The caller holds t.mu.
 func (t *Tracker) fill(st *state, now time.Time) (perSecond, burst float64) {
@@ -190,8 +203,8 @@
 }
 
 // rank determines the rank of this router. A router that is not among the nodes uses no share: it
-// has just started, and does not know how many other routers there are. A router that begins to use the limit begins without
-// tokens: the router that it replaces may have just sent a request.
+// has just started, and does not know how many other routers there are. A router that begins to
+// use the limit begins without tokens: the router that it replaces may have just sent a request.
 func (t *Tracker) rank(st *state, nodes []string) {
 	l := &st.limit
 	key := xxhash.Sum64String(st.id)
--- a/backpressure/limit_fleet_test.go
+++ b/backpressure/limit_fleet_test.go
@@ -38,9 +38,10 @@
 	routers []*simRouter
 	queue   map[time.Time][]func()
 
-	cutFrom, cutUntil time.Time // in between, the routers with even and odd numbers are cut off from each other
-	blindShare        float64   // share of the nodes that a router does not know
-	deaf              int       // number of the router that receives no updates; -1 for none
+	cutFrom, cutUntil time.Time               // in between, the routers with even and odd numbers are cut off from each other
+	blindShare        float64                 // share of the nodes that a router does not know
+	idle              func(r *simRouter) bool // routers without requests; nil for none
+	deaf              int                     // number of the router that receives no updates; -1 for none
 	sent              []time.Time
 	asked             int
 }
@@ -134,10 +135,10 @@
 	})
 }
 
-// run simulates the fleet; change is called before each step.
-func (f *limitFleet) run(change func(elapsed time.Duration)) {
+// run simulates the fleet for some time; change is called before each step.
+func (f *limitFleet) run(length time.Duration, change func(elapsed time.Duration)) {
 	start := f.now
-	for elapsed := time.Duration(0); elapsed < *simulated; elapsed += step {
+	for elapsed := time.Duration(0); elapsed < length; elapsed += step {
 		f.now = start.Add(elapsed)
 		change(elapsed)
 		for _, do := range f.queue[f.now] {
@@ -149,7 +150,9 @@
 				continue
 			}
 			r.track.Tick(f.now)
-			f.send(r)
+			if f.idle == nil || !f.idle(r) {
+				f.send(r)
+			}
 		}
 	}
 }
@@ -219,7 +222,7 @@
 					t.Run(fmt.Sprintf("%d/%s/%v/%d", size, name, limit, seed), func(t *testing.T) {
 						t.Parallel()
 						f := newLimitFleet(uint64(seed), size, limit)
-						f.run(func(e time.Duration) { change(f, e) })
+						f.run(*simulated, func(e time.Duration) { change(f, e) })
 						f.check(t, max(limit, minLimit))
 					})
 				}
@@ -233,7 +236,7 @@
 	for _, size := range []int{1, 8, 76} {
 		for _, limit := range []float64{0.2, 2.8, 40} {
 			f := newLimitFleet(1, size, limit)
-			f.run(func(time.Duration) {})
+			f.run(*simulated, func(time.Duration) {})
 			if want := 0.7 * limit * simulated.Seconds(); float64(f.asked) < want {
 				t.Errorf("%d routers used %d requests of a limit of %v, want %v", size, f.asked, limit, want)
 			}
@@ -246,7 +249,7 @@
 func TestLimitEndsAtAllRouters(t *testing.T) {
 	for _, size := range []int{8, 76} {
 		f := newLimitFleet(3, size, 2.8)
-		f.run(func(elapsed time.Duration) {
+		f.run(*simulated, func(elapsed time.Duration) {
 			if elapsed == 5*time.Second {
 				f.limit = 0
 			}
@@ -259,11 +262,30 @@
 	}
 }
 
+// Guards against routers that use a limit, get no requests, and go on to repeat a limit that has ended.
+func TestIdleHoldersDoNotKeepALimit(t *testing.T) {
+	f := newLimitFleet(3, 8, 2.8)
+	f.idle = func(r *simRouter) bool {
+		perSecond, _ := r.track.fill(r.track.byID[server.ID], f.now)
+		return perSecond > 0
+	}
+	for _, r := range f.routers {
+		r.track.Observe(server, f.now, f.now, backend.Statement{Limit: f.limit, HasLimit: true})
+	}
+	f.limit = 0
+	f.run(3*trialInterval+answerWait(usedShare*2.8/3), func(time.Duration) {})
+	for _, r := range f.routers {
+		if !f.idle(r) && !r.track.Accepts(server.ID, f.now) {
+			t.Errorf("router %d still applies the limit", r.number)
+		}
+	}
+}
+
 // Guards against the burst of a limit that rises and falls many times.
 func TestChangingLimitHolds(t *testing.T) {
 	for seed := range 20 {
 		f := newLimitFleet(uint64(seed), 24, 2)
-		f.run(func(time.Duration) {
+		f.run(*simulated, func(time.Duration) {
 			if f.rng.IntN(100) == 0 {
 				f.limit = 0.5 + 2.5*f.rng.Float64()
 			}
