--- a/backpressure/limit_test.go
+++ b/backpressure/limit_test.go
@@ -6,8 +6,11 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/fleet"
 )
 
+var server = fleet.Backend{ID: "b1", Service: "app"}
+
 func alone(nodes ...string) *Tracker {
 	if len(nodes) == 0 {
 		nodes = []string{"n0"}
--- a/measure/command.go
+++ b/measure/command.go
@@ -35,6 +35,7 @@
 	Plan     *emptyCommand `arg:"subcommand:plan" help:"write the stand-ins' configuration"`
 	Settings *emptyCommand `arg:"subcommand:settings" help:"write the routers' settings"`
 	Run      *runCommand   `arg:"subcommand:run" help:"measure"`
+	Limits   *emptyCommand `arg:"subcommand:limits" help:"simulate ways to divide a backend server's limit among routers; takes no options"`
 	common
 }
 
@@ -47,6 +48,12 @@
 		}
 		return ExitOK
 	}
+	if len(argv) == 1 && argv[0] == "limits" {
+		if err := limitFleets(stdout); err != nil {
+			return fail(stderr, ExitFailed, err)
+		}
+		return ExitOK
+	}
 	var a args
 	p, err := arg.NewParser(arg.Config{Program: "wigeonmeasure"}, &a)
 	if err != nil {
