--- a/measure/limitfleets.go
+++ b/measure/limitfleets.go
@@ -9,11 +9,16 @@
 	"wigeondale/backpressure/simulate"
 )
 
-// limitFleetTime is the simulated time of each fleet.
-const limitFleetTime = 40 * time.Second
+// Of each fleet, limitFleetStart is simulated until all routers know of the limit, and then
+// limitFleetTime, in which the faults happen.
+const (
+	limitFleetStart = 5 * time.Second
+	limitFleetTime  = 35 * time.Second
+)
 
 // limitFleets writes how ways to divide a backend server's limit among routers do in simulated fleets:
-// the largest number of requests in a window against the number allowed, and the used share of the limit.
+// the largest number of requests in a window against the number allowed, and the share of the limit that is used
+// after the start.
 func limitFleets(out io.Writer) error {
 	ways := []struct {
 		name       string
@@ -30,8 +35,10 @@
 			for _, limit := range []float64{0.2, 2.8} {
 				for _, fault := range []string{"none", "cut"} {
 					f := simulate.New(1, routers, limit, way.newLimiter)
+					f.Run(limitFleetStart, simulate.Faults["none"])
+					before := f.Sent
 					f.Run(limitFleetTime, simulate.Faults[fault])
-					used := float64(f.Sent) / (limit * limitFleetTime.Seconds())
+					used := float64(f.Sent-before) / (limit * limitFleetTime.Seconds())
 					fmt.Fprintf(w, "%s\t%d\t%v\t%s\t%d\t%d\t%.2f\n", way.name, routers, limit, fault, f.Most(), simulate.Allowed(limit), used)
 				}
 			}
