backend, health: connections to backend servers are counted; a domain report names its router

No change of logic: opened and failed connections are counted, domain-suspect names the reporting router, and the function that dials replicas can be replaced, as a failing test needs.

--- a/backend/send.go
+++ b/backend/send.go
@@ -31,6 +31,23 @@
 	// the defaults of the operating system.
 	UnackedTimeout time.Duration
 	BufferBytes    int // size of the read buffer and of the write buffer, in bytes
+	// Dial opens the TCP connections. If it is nil, a net.Dialer does.
+	Dial DialFunc
+	// Connections, if set, is notified of connections that open, don't open, or are lost.
+	Connections ConnObserver
+}
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// ConnObserver is notified of the state of the network on the way to backend servers. Its
+// methods must not block.
+type ConnObserver interface {
+	// ConnOpened is called when a connection to addr has been opened.
+	ConnOpened(addr string)
+	// ConnFailed is called when a connection to addr could not be opened, or when an open one
+	// was reset or timed out.
+	ConnFailed(addr string, err error)
 }
 
 // newTransport returns the transport for the engine protocol and for services.
@@ -41,17 +58,20 @@
 // NewTransport returns a transport that speaks HTTP/1.1 only, because HTTP/2
 // resends requests after GOAWAY.
 func NewTransport(d DialConfig) *http.Transport {
-	dialer := d.dialer()
+	dial := d.Dial
+	if dial == nil {
+		dial = d.dialer().DialContext
+	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Transport{
 		Protocols: &protocols,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
+			c, err := d.open(ctx, dial, network, addr)
 			if err != nil {
 				return nil, err
 			}
-			return &sealConn{Conn: c}, nil
+			return &sealConn{Conn: c, addr: addr, observer: d.Connections}, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerSrv,
@@ -61,6 +81,22 @@
 	}
 }
 
+// open opens a connection with dial, within the timeout, and notifies the observer.
+func (d DialConfig) open(ctx context.Context, dial DialFunc, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	c, err := dial(ctx, network, addr)
+	if d.Connections == nil || errors.Is(err, context.Canceled) {
+		return c, err
+	}
+	if err != nil {
+		d.Connections.ConnFailed(addr, err)
+		return nil, err
+	}
+	d.Connections.ConnOpened(addr)
+	return c, nil
+}
+
 func (d DialConfig) dialer() *net.Dialer {
 	dialer := &net.Dialer{Timeout: d.Timeout}
 	if d.UnackedTimeout <= 0 {
@@ -85,11 +121,31 @@
 // sends it.
 type sealConn struct {
 	net.Conn
+	addr     string
+	observer ConnObserver // nil: none
+
 	mu      sync.Mutex
 	sealed  bool
 	written int64
 }
 
+// Read implements net.Conn. The transport reads a connection also while it is idle, so that the
+// observer is notified when an idle connection is lost.
+func (c *sealConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && c.observer != nil && connectionLost(err) {
+		c.observer.ConnFailed(c.addr, err)
+	}
+	return n, err
+}
+
+// connectionLost reports whether an error of a read means that the connection was reset or timed
+// out, not that either side closed it.
+func connectionLost(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ETIMEDOUT) ||
+		errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+}
+
 func (c *sealConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
--- a/health/confirm.go
+++ b/health/confirm.go
@@ -36,7 +36,7 @@
 		return
 	}
 	m.recordConfirmed(answered)
-	m.domainCrashed(d, m.sinceEpoch(time.Now()), reasonCommonSilence)
+	m.domainCrashed(d, m.sinceEpoch(time.Now()), reasonCommonSilence, "")
 }
 
 // confirmCrash queries the members that failed before their domain is suspected.
@@ -70,7 +70,7 @@
 		return
 	}
 	if !m.majorityWorks(results, down, len(witnesses)) {
-		m.domainCrashed(d, m.sinceEpoch(time.Now()), "members failed together")
+		m.domainCrashed(d, m.sinceEpoch(time.Now()), "members failed together", "")
 	}
 }
 
--- a/health/domain.go
+++ b/health/domain.go
@@ -188,13 +188,13 @@
 		return
 	}
 	d.endConfirmation()
-	m.domainCrashed(d, t, "members failed together")
+	m.domainCrashed(d, t, "members failed together", "")
 }
 
 // HandleDomainReport handles another router's report that a domain crashed. The report is
 // ignored if this router has just seen activity of some member: the other router may be the one
 // that is isolated.
-func (m *Monitor) HandleDomainReport(name string) {
+func (m *Monitor) HandleDomainReport(from, name string) {
 	m.mu.RLock()
 	d := m.domains[name]
 	m.mu.RUnlock()
@@ -207,13 +207,13 @@
 			return
 		}
 	}
-	m.domainCrashed(d, t, "reported by another router")
+	m.domainCrashed(d, t, "reported by another router", from)
 }
 
 // domainCrashed keeps new work away from all members without recent activity, and has their
-// streams resumed elsewhere. It acts once for each crash: a further call within
+// streams resumed elsewhere. from is the router that reported the crash, or "" if this one noticed it. It acts once for each crash: a further call within
 // domainCrashWindow belongs to the same crash and has no effect.
-func (m *Monitor) domainCrashed(d *domain, t int64, reason string) {
+func (m *Monitor) domainCrashed(d *domain, t int64, reason, from string) {
 	if !d.recordCrash(t) {
 		return
 	}
@@ -227,7 +227,7 @@
 		m.ejectEngine(e, Suspect, t)
 		m.cancel(v)
 	}
-	m.log.Emit(event.DomainSuspect, "domain", d.name, "backends", n, "reason", reason)
+	m.log.Emit(event.DomainSuspect, "domain", d.name, "backends", n, "reason", reason, "from", from)
 	if m.OnDomain != nil {
 		m.OnDomain(d.name)
 	}
@@ -289,7 +289,7 @@
 		return
 	}
 	if m.RunQuerier == nil {
-		m.domainCrashed(d, t, reasonCommonSilence)
+		m.domainCrashed(d, t, reasonCommonSilence, "")
 		return
 	}
 	if d.queryDue(t) {
--- a/health/domain_test.go
+++ b/health/domain_test.go
@@ -107,13 +107,13 @@
 		addDomains(m, 6, "a")
 		s := start(m, "a0", 100)
 		decode(10, s)
-		m.HandleDomainReport("llm/a")
+		m.HandleDomainReport("r2", "llm/a")
 		if m.State("a5") != Healthy {
 			t.Fatal("the report is believed in spite of a member's recent token")
 		}
 		time.Sleep(2 * activityWindow)
-		m.HandleDomainReport("llm/a")
-		m.HandleDomainReport("llm/nowhere")
+		m.HandleDomainReport("r2", "llm/a")
+		m.HandleDomainReport("r2", "llm/nowhere")
 		if m.State("a5") == Healthy {
 			t.Error("the report is not believed although no member has been active")
 		}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -51,6 +51,9 @@
 	log   *event.Log
 	meter *metrics.Set
 
+	dialReplica backend.DialFunc // nil: a net.Dialer
+	connections *connectionMeters
+
 	leaving   atomic.Bool
 	table     *route.Current
 	dir       *directory.Directory
@@ -80,13 +83,22 @@
 }
 
 func newNode(set *settings.Settings, log *event.Log) (*node, error) {
+	return newNodeWith(set, log, nil)
+}
+
+// newNodeWith returns a node that opens its connections to replicas with dial, or with a
+// net.Dialer if dial is nil.
+func newNodeWith(set *settings.Settings, log *event.Log, dial backend.DialFunc) (*node, error) {
 	n := &node{
+		dialReplica: dial,
+
 		set:   set,
 		log:   log,
 		meter: metrics.NewSet(),
 		table: &route.Current{},
 		dir:   directory.New(log),
 	}
+	n.connections = newConnectionMeters(n.meter)
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
 	store := platform.NewStore(set.Hosted.StoreAddress)
 	n.storeSync = newStoreSync(set.Node.ID, set.Node.FailureDomain, log)
@@ -125,7 +137,7 @@
 }
 
 func (n *node) newRelay() (*relay.Relay, error) {
-	replicas := platform.NewReplicas()
+	replicas := platform.NewReplicas(n.dialReplica, n.connections)
 	replicas.OnLoad = n.view.recordLoad
 	replicas.Gate = n.pressure
 	replicas.Unknown = backend.NewUnknownHeaders(platform.AnswerHeaders, n.log, n.meter)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -282,7 +282,7 @@
 		return nil, Error.Wrap(err)
 	}
 	peer.HandleFlood(mesh, msgLoads, p.handleLoads)
-	peer.HandleFlood(mesh, floodCrash, func(_ string, m crashMessage) { p.mon.HandleDomainReport(m.Domain) })
+	peer.HandleFlood(mesh, floodCrash, func(from string, m crashMessage) { p.mon.HandleDomainReport(from, m.Domain) })
 	peer.HandleFlood(mesh, floodRemoved, func(_ string, m removedMessage) {
 		p.pressure.MarkLeaving(m.Replica, time.Now())
 		p.dir.MarkLeaving(m.Replica, "", directory.FromPeerReport)
--- a/hosted/suspects.go
+++ b/hosted/suspects.go
@@ -28,9 +28,13 @@
 	return state
 }
 
+func (n *node) crashProber(querier runQuerier) crashProber {
+	return crashProber{Prober: backend.Prober{Dial: n.dialReplica}, querier: querier}
+}
+
 func (n *node) newGuard(querier runQuerier) *quarantine.Guard {
 	return quarantine.NewGuard(quarantine.Config{
-		Prober:     crashProber{querier: querier},
+		Prober:     n.crashProber(querier),
 		Leaving:    n.dir.Leaving,
 		Neighbours: placement.Neighbours(n.dir, n.mon),
 		Isolated:   n.peers.isolated,
