--- /dev/null
+++ b/fakes/fault/dialer.go
@@ -0,0 +1,168 @@
+package fault
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// CutMode is how the connections of a Dialer behave while they are cut.
+type CutMode int
+
+// The modes of a cut.
+const (
+	Connected    CutMode = iota // not cut
+	Hanging                     // nothing is delivered, and nothing refused
+	Resetting                   // open connections are reset, new ones refused
+	RefusingOnly                // open connections live on, new ones are refused
+)
+
+// hungTimeout is how long a connection may be cut before it counts as timed out, as it does on
+// Linux by TCP_USER_TIMEOUT.
+const hungTimeout = 2200 * time.Millisecond
+
+// Dialer opens TCP connections for one process, whose links can be cut while the links of other
+// processes to the same servers work.
+type Dialer struct {
+	mu      sync.Mutex
+	mode    CutMode
+	changed chan struct{} // closed and replaced when mode changes
+	conns   map[*cutConn]struct{}
+	dials   int
+}
+
+// NewDialer returns a Dialer whose links work.
+func NewDialer() *Dialer {
+	return &Dialer{changed: make(chan struct{}), conns: map[*cutConn]struct{}{}}
+}
+
+// Set changes the mode.
+func (d *Dialer) Set(mode CutMode) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mode = mode
+	close(d.changed)
+	d.changed = make(chan struct{})
+	if mode != Resetting {
+		return
+	}
+	for c := range d.conns {
+		c.reset()
+	}
+}
+
+// Dials returns how many connections were dialled.
+func (d *Dialer) Dials() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dials
+}
+
+func (d *Dialer) state() (CutMode, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mode, d.changed
+}
+
+// DialContext opens a connection, as net.Dialer.DialContext does.
+func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	d.mu.Lock()
+	d.dials++
+	d.mu.Unlock()
+	for {
+		mode, changed := d.state()
+		switch mode {
+		case Resetting, RefusingOnly:
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		case Hanging:
+			select {
+			case <-ctx.Done():
+				return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+			case <-changed:
+				continue
+			}
+		}
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		cut := &cutConn{Conn: c, dialer: d}
+		d.mu.Lock()
+		d.conns[cut] = struct{}{}
+		d.mu.Unlock()
+		return cut, nil
+	}
+}
+
+// cutConn is a connection of a Dialer.
+type cutConn struct {
+	net.Conn
+	dialer *Dialer
+	mu     sync.Mutex
+	err    error // why the connection was lost
+}
+
+// reset makes all calls fail as those of a reset connection.
+func (c *cutConn) reset() { c.fail(syscall.ECONNRESET) }
+
+func (c *cutConn) fail(err error) {
+	c.mu.Lock()
+	if c.err == nil {
+		c.err = &net.OpError{Op: "read", Net: "tcp", Err: err}
+	}
+	c.mu.Unlock()
+	c.Conn.Close()
+}
+
+// Read implements net.Conn. What arrived while the connection hangs is withheld.
+func (c *cutConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if lost := c.hang(); lost != nil {
+		return 0, lost
+	}
+	return n, err
+}
+
+// Write implements net.Conn. What is written while the connection hangs is delivered after that.
+func (c *cutConn) Write(p []byte) (int, error) {
+	if lost := c.hang(); lost != nil {
+		return 0, lost
+	}
+	return c.Conn.Write(p)
+}
+
+// hang waits while the connection hangs, and returns why it was lost, or nil.
+func (c *cutConn) hang() error {
+	timeout := time.After(hungTimeout)
+	for {
+		mode, changed := c.dialer.state()
+		if mode != Hanging {
+			break
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			c.fail(syscall.ETIMEDOUT)
+		}
+		if err := c.lost(); err != nil {
+			return err
+		}
+	}
+	return c.lost()
+}
+
+func (c *cutConn) lost() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Close implements net.Conn.
+func (c *cutConn) Close() error {
+	c.dialer.mu.Lock()
+	delete(c.dialer.conns, c)
+	c.dialer.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/hosted/cut_test.go
@@ -0,0 +1,72 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"wigeondale/fakes/fault"
+)
+
+// cutNoticed is how long after its begin a cut may go unnoticed by a router: the stable window of
+// the platform.
+const cutNoticed = 3 * time.Second
+
+var cutModes = map[string]fault.CutMode{
+	"hanging": fault.Hanging, "resetting": fault.Resetting, "refusing new connections": fault.RefusingOnly,
+}
+
+// Guards against refusals at a router that reaches no replica, while other routers reach them.
+func TestRouterCutFromReplicasServes(t *testing.T) {
+	for name, mode := range cutModes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.startEngines(4, 3, 10*time.Millisecond)
+			f.startApp("a0", "d0")
+			f.startApp("a1", "d1")
+			nodes := f.startServingNodes(3)
+			cut := nodes[0]
+			for i := range 6 {
+				cut.get("/look/x", fmt.Sprint("before", i), key)
+			}
+			cut.replicaLinks.Set(mode)
+			begun := time.Now()
+			for i := 0; time.Since(begun) < cutNoticed; i++ {
+				cut.get("/look/x", fmt.Sprint("early", i), key)
+				time.Sleep(100 * time.Millisecond)
+			}
+			for i := range 10 {
+				for path, want := range map[string]string{"/look/x": "answer to ", "/book/x": "answer to ", "/draft/x": ""} {
+					id := fmt.Sprint("q", path[1:5], i)
+					want += id
+					if path == "/draft/x" {
+						want = generationText(id, 3)
+					}
+					if status, body := cut.get(path, id, key); status != 200 || body != want {
+						t.Errorf("%s %s: status %d, %q", path, id, status, body)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against the loss of answers that run when the links of their router are cut.
+func TestStreamsOutliveACutOfTheirRouter(t *testing.T) {
+	for name, mode := range map[string]fault.CutMode{"hanging": fault.Hanging, "resetting": fault.Resetting} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.startEngines(4, 60, 20*time.Millisecond)
+			nodes := f.startServingNodes(3)
+			resp, first := nodes[0].startedGeneration("q1")
+			nodes[0].replicaLinks.Set(mode)
+			rest, err := io.ReadAll(resp.Body)
+			if err != nil || first+string(rest) != generationText("q1", 60) {
+				t.Errorf("%v: got %d bytes of %d", err, len(first)+len(rest), len(generationText("q1", 60)))
+			}
+		})
+	}
+}
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wigeondale/event"
+	"wigeondale/fakes/fault"
 	fakes "wigeondale/fakes/hosted"
 	"wigeondale/fakes/ports"
 	"wigeondale/settings"
@@ -118,6 +119,7 @@
 // testNode is one running node.
 type testNode struct {
 	*node
+	replicaLinks *fault.Dialer // the node's links to replicas
 	t       *testing.T
 	signals chan os.Signal
 	done    chan struct{}
@@ -139,11 +141,12 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	n, err := newNode(set, event.New(id))
+	dialer := fault.NewDialer()
+	n, err := newNodeWith(set, event.New(id), dialer.DialContext)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	tn := &testNode{node: n, t: f.t, signals: make(chan os.Signal, 1), done: make(chan struct{})}
+	tn := &testNode{node: n, replicaLinks: dialer, t: f.t, signals: make(chan os.Signal, 1), done: make(chan struct{})}
 	go func() {
 		defer close(tn.done)
 		if err := n.run(tn.signals); err != nil {
