--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -107,6 +107,7 @@
 	Backends   *emptyCmd        `arg:"subcommand:backends" help:"backend servers"`
 	Revisions  *revisionsCmd    `arg:"subcommand:revisions" help:"accepted plans"`
 	Quarantine *quarantineCmd   `arg:"subcommand:quarantine" help:"requests under which backend servers crashed; lift one"`
+	Reach      *reachCmd        `arg:"subcommand:reach" help:"which routers are cut off from which services, and who runs their requests"`
 	Pressure   *backpressureCmd `arg:"subcommand:backpressure" help:"what backend servers ask of the routers: limits, unknown headers of answers"`
 	Dump       *dumpCmd         `arg:"subcommand:dump" help:"state dump of the first node that answers"`
 	Explain    *explainCmd      `arg:"subcommand:explain" help:"sort the requests of routers' logs by what became of them and why"`
@@ -211,6 +212,8 @@
 		return t.backends(ctx)
 	case t.args.Quarantine != nil:
 		return t.quarantine(ctx)
+	case t.args.Reach != nil:
+		return t.reach(ctx)
 	case t.args.Pressure != nil:
 		return t.backpressure(ctx)
 	case t.args.Revisions != nil:
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -174,6 +174,17 @@
 	RestEnded
 )
 
+// Events of routers that are cut off from backend servers (23xx).
+const (
+	CutOffBegun ID = 2301 + iota
+	CutOffEnded
+	PeerCutOff
+	PeerCutOffEnded
+	RequestPassedOn
+	RequestTakenOver
+	RequestNotTaken
+)
+
 // Catalogue lists all events in the order of their numbers.
 var Catalogue = []Entry{
 	{LogWatchLost, "log-watch-lost", Warning, "A watch on a log ended; until it is open again, new entries are found by reading the log. If it goes on, check the key-value service."},
@@ -280,4 +291,11 @@
 	{RequestWithheld, "request-withheld", Warning, "All backend servers of the service ask for fewer requests, and the request waits or is refused; the client's time to come back is given. The state dump lists what each backend server asks. If it goes on, the service needs more backend servers."},
 	{RestBegun, "rest-begun", Warning, "A backend server refused a request and asked this router for rest (Retry-After); it gets none of this router's requests for so long, ten minutes at most. If it goes on, the service needs more backend servers."},
 	{RestEnded, "rest-ended", Info, "A backend server has answered the first request after its rest and gets requests again. Nothing to do."},
+	{CutOffBegun, "cut-off-begun", Warning, "No connection to a sample of a service's backend servers opens, after connections to several of them failed (failed, of known). This router passes the service's requests on to other routers, and probes backend servers until a connection opens. If other routers report the same, the backend servers are down; else check this VM's network."},
+	{CutOffEnded, "cut-off-ended", Info, "A connection to a backend server of the service opened again, and this router sends requests to the service itself. Nothing to do."},
+	{PeerCutOff, "peer-cut-off", Info, "Another router reports that it is cut off from services; no requests are passed on to it, and what it reports of failure domains is ignored. Check its network."},
+	{PeerCutOffEnded, "peer-cut-off-ended", Info, "Another router reports that it reaches all services again, or is not heard any more. Nothing to do."},
+	{RequestPassedOn, "request-passed-on", Info, "This router is cut off from the service, and another router (to) runs the request from the given token or chunk on. That router's log has its attempts, under the same request id."},
+	{RequestTakenOver, "request-taken-over", Info, "A request that another router passed on has ended here, with the outcome given. Nothing to do."},
+	{RequestNotTaken, "request-not-taken", Warning, "Another router did not take a request that was passed on to it; the next one is asked, or the caller is told when to come back. If it goes on, too many routers are cut off for the rest."},
 }
--- /dev/null
+++ b/forward/message.go
@@ -0,0 +1,203 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"wigeondale/backend"
+	"wigeondale/clock"
+	"wigeondale/fleet"
+	"wigeondale/generation"
+)
+
+// startMessage is the first message of a stream: the request without its body, which follows as a
+// message of its own if BodyBytes is not 0.
+type startMessage struct {
+	ID            string       `cbor:"1,keyasint"`
+	Account       string       `cbor:"2,keyasint,omitempty"`
+	Priority      uint8        `cbor:"3,keyasint,omitempty"`
+	NonIdempotent bool         `cbor:"4,keyasint,omitempty"`
+	TimeLeftMS    int64        `cbor:"5,keyasint,omitempty"` // until the caller's deadline; 0: there is none
+	Retry         bool         `cbor:"6,keyasint,omitempty"`
+	Version       int64        `cbor:"7,keyasint,omitempty"` // of the configuration by which the request was admitted
+	BodyBytes     int          `cbor:"8,keyasint,omitempty"`
+	Opaque        *opaqueStart `cbor:"9,keyasint,omitempty"`
+	Model         *modelStart  `cbor:"10,keyasint,omitempty"`
+	Resume        *resumePoint `cbor:"11,keyasint,omitempty"`
+}
+
+// opaqueStart describes an opaque request.
+type opaqueStart struct {
+	Method           string      `cbor:"1,keyasint"`
+	Target           string      `cbor:"2,keyasint"`
+	Host             string      `cbor:"3,keyasint"`
+	Header           http.Header `cbor:"4,keyasint,omitempty"`
+	Route            string      `cbor:"5,keyasint"`
+	Service          string      `cbor:"6,keyasint"`
+	Streaming        bool        `cbor:"7,keyasint,omitempty"`
+	Resumable        bool        `cbor:"8,keyasint,omitempty"`
+	Urgency          int         `cbor:"9,keyasint,omitempty"`
+	FirstChunk       int         `cbor:"10,keyasint"`
+	PromptTokens     int         `cbor:"11,keyasint,omitempty"`
+	MaxAnswerTokens  int         `cbor:"12,keyasint,omitempty"`
+	PromptParts      []string    `cbor:"13,keyasint,omitempty"`
+	HasPartialAnswer bool        `cbor:"14,keyasint,omitempty"`
+	MaxAttempts      int         `cbor:"15,keyasint"`
+	MaxWaitMS        int64       `cbor:"16,keyasint,omitempty"`
+	TargetMS         int64       `cbor:"17,keyasint,omitempty"`
+	SinceFirstTryMS  int64       `cbor:"18,keyasint,omitempty"`
+	KeepsCopies      bool        `cbor:"19,keyasint,omitempty"`
+	MakesCopies      bool        `cbor:"20,keyasint,omitempty"`
+}
+
+// modelStart describes a request of the product's own interface. Its body is the prompt.
+type modelStart struct {
+	Ref       fleet.ModelRef `cbor:"1,keyasint"`
+	MaxTokens int            `cbor:"2,keyasint"`
+	BodyHash  [16]byte       `cbor:"3,keyasint"`
+}
+
+type resumePoint struct {
+	Backend     string `cbor:"1,keyasint,omitempty"`
+	Incarnation string `cbor:"2,keyasint,omitempty"`
+	Attempt     int    `cbor:"3,keyasint,omitempty"`
+	Offset      int    `cbor:"4,keyasint,omitempty"`
+	Text        string `cbor:"5,keyasint,omitempty"`
+	HaveText    bool   `cbor:"6,keyasint,omitempty"`
+}
+
+// answerKind is the kind of a message of the answer.
+type answerKind uint8
+
+const (
+	answerAlive answerKind = iota // the request is in progress
+	answerBegin                   // an attempt delivers from now on
+	answerToken
+	answerEnd // the last message
+)
+
+// answerMessage is one message of the answer.
+type answerMessage struct {
+	Kind answerKind `cbor:"1,keyasint"`
+
+	// Of answerBegin.
+	Backend     string      `cbor:"2,keyasint,omitempty"`
+	Incarnation string      `cbor:"3,keyasint,omitempty"`
+	Attempt     int         `cbor:"4,keyasint,omitempty"`
+	Status      int         `cbor:"5,keyasint,omitempty"` // 0: the attempt has no head
+	Header      http.Header `cbor:"6,keyasint,omitempty"`
+
+	// Of answerToken.
+	Index  int    `cbor:"7,keyasint,omitempty"`
+	Text   []byte `cbor:"8,keyasint,omitempty"`
+	Finish string `cbor:"9,keyasint,omitempty"`
+
+	// Of answerEnd.
+	Outcome      fleet.Outcome `cbor:"10,keyasint,omitempty"`
+	Code         string        `cbor:"11,keyasint,omitempty"`
+	RetryAfterMS int64         `cbor:"12,keyasint,omitempty"`
+}
+
+func (m *answerMessage) position() generation.Position {
+	return generation.Position{Backend: m.Backend, Incarnation: m.Incarnation, Attempt: m.Attempt}
+}
+
+func (m *answerMessage) head() *backend.Head {
+	if m.Status == 0 {
+		return nil
+	}
+	return &backend.Head{Status: m.Status, Header: m.Header}
+}
+
+func (m *answerMessage) end() *generation.RemoteEnd {
+	return &generation.RemoteEnd{Outcome: m.Outcome, Code: m.Code, RetryAfter: fromMS(m.RetryAfterMS)}
+}
+
+// encode returns the messages that pass a request on: the start message and the body.
+func encode(h generation.Handover, version int64) (startMessage, []byte) {
+	req := &h.Request
+	m := startMessage{
+		ID: req.ID, Account: req.Account, Priority: uint8(req.Priority), NonIdempotent: req.NonIdempotent,
+		TimeLeftMS: timeLeftMS(req), Retry: h.Retry, Version: version,
+	}
+	if p := req.Resume; p != nil {
+		m.Resume = &resumePoint{p.Backend, p.Incarnation, p.Attempt, p.Offset, p.Text, p.HaveText}
+	}
+	var body []byte
+	if o := req.Opaque; o != nil {
+		m.Opaque, body = encodeOpaque(o), o.Body
+	} else {
+		m.Model = &modelStart{req.Ref, req.MaxTokens, req.BodyHash}
+		body = []byte(req.Prompt)
+	}
+	m.BodyBytes = len(body)
+	return m, body
+}
+
+func encodeOpaque(o *generation.Opaque) *opaqueStart {
+	return &opaqueStart{
+		Method: o.Method, Target: o.Target, Host: o.Host, Header: o.Header, Route: o.Route, Service: o.Service,
+		Streaming: o.Streaming, Resumable: o.Resumable, Urgency: o.Urgency, FirstChunk: o.FirstChunk,
+		PromptTokens: o.PromptTokens, MaxAnswerTokens: o.MaxAnswerTokens, PromptParts: o.PromptParts,
+		HasPartialAnswer: o.HasPartialAnswer, MaxAttempts: o.MaxAttempts, MaxWaitMS: o.MaxWait.Milliseconds(),
+		TargetMS: o.FirstChunkTarget.Milliseconds(), SinceFirstTryMS: o.SinceFirstTry.Milliseconds(),
+		KeepsCopies: o.Copies.KeptUpToDate, MakesCopies: o.Copies.OnDemand,
+	}
+}
+
+// timeLeftMS returns the time until the caller's deadline. It is at least 1 if there is one.
+func timeLeftMS(req *generation.Request) int64 {
+	switch {
+	case req.Opaque != nil && !req.Opaque.Deadline.IsZero():
+		return max(req.Opaque.Deadline.Remaining().Milliseconds(), 1)
+	case !req.Deadline.IsZero():
+		return max(time.Until(req.Deadline).Milliseconds(), 1)
+	}
+	return 0
+}
+
+// request returns the request that a start message and a body describe.
+func (m *startMessage) request(body []byte) generation.Request {
+	req := generation.Request{
+		ID: m.ID, Account: m.Account, Priority: fleet.Priority(m.Priority), NonIdempotent: m.NonIdempotent,
+		Forwarded: true, Retry: m.Retry,
+	}
+	if m.TimeLeftMS > 0 {
+		req.Deadline = time.Now().Add(fromMS(m.TimeLeftMS))
+	}
+	if p := m.Resume; p != nil {
+		req.Resume = &generation.ResumePoint{
+			Backend: p.Backend, Incarnation: p.Incarnation, Attempt: p.Attempt, Offset: p.Offset, Text: p.Text, HaveText: p.HaveText,
+		}
+	}
+	if m.Model != nil {
+		req.Ref, req.MaxTokens, req.BodyHash, req.Prompt = m.Model.Ref, m.Model.MaxTokens, m.Model.BodyHash, string(body)
+		return req
+	}
+	req.Opaque = m.opaque(body)
+	return req
+}
+
+func (m *startMessage) opaque(body []byte) *generation.Opaque {
+	o := m.Opaque
+	out := &generation.Opaque{
+		Opaque: &backend.Opaque{
+			Method: o.Method, Target: o.Target, Host: o.Host, Header: o.Header, Body: body, Route: o.Route, Account: m.Account,
+			Streaming: o.Streaming, Resumable: o.Resumable, Urgency: o.Urgency,
+		},
+		Service: o.Service, FirstChunk: o.FirstChunk, PromptTokens: o.PromptTokens, MaxAnswerTokens: o.MaxAnswerTokens,
+		PromptParts: o.PromptParts, HasPartialAnswer: o.HasPartialAnswer, MaxAttempts: o.MaxAttempts,
+		MaxWait: fromMS(o.MaxWaitMS), FirstChunkTarget: fromMS(o.TargetMS), SinceFirstTry: fromMS(o.SinceFirstTryMS),
+		Copies: generation.Copying{KeptUpToDate: o.KeepsCopies, OnDemand: o.MakesCopies},
+	}
+	if m.TimeLeftMS > 0 {
+		out.Deadline = clock.DeadlineIn(fromMS(m.TimeLeftMS))
+	}
+	return out
+}
+
+func (m *startMessage) valid() bool {
+	return m.ID != "" && (m.Opaque == nil) != (m.Model == nil) && m.BodyBytes >= 0
+}
+
+func fromMS(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/generation/copy.go
+++ b/generation/copy.go
@@ -53,7 +53,7 @@
 // later, the prompt would have to be read again. The symptom is that in every second crash
 // answers pause for a second or more, with their prefill paid for twice.
 func (x *run) maintainCopy(a *attempt, now time.Time) {
-	if x.Copier == nil || x.req.Opaque == nil || !x.req.Opaque.Copies.OnDemand || x.tracked.Suspected() || now.Sub(a.copyCheckedAt) < copyCheckInterval {
+	if a.forwarded || x.Copier == nil || x.req.Opaque == nil || !x.req.Opaque.Copies.OnDemand || x.tracked.Suspected() || now.Sub(a.copyCheckedAt) < copyCheckInterval {
 		return
 	}
 	a.copyCheckedAt = now
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -91,7 +91,7 @@
 	a.stream = s
 	a.confirmed = true
 	a.origin.Incarnation = s.Incarnation()
-	x.current = a
+	x.current, x.lastOrigin = a, a.origin
 	x.filter.setAttempt(a.origin.Attempt)
 	if err := x.sink.Begin(a.origin, s.Head()); err != nil {
 		return x.callerDisconnected(err)
@@ -172,11 +172,18 @@
 	if x.ctx.Err() != nil {
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
+	if end, ok := errors.AsType[*RemoteEnd](err); ok && end.Code != CodeCutOff {
+		a.closeReader()
+		return x.endLikeRemote(end)
+	}
 	if x.lossCause == "" {
 		x.lostAt = time.Now()
 	}
 	x.lossCause = lossCause(a.ctx, err)
-	if !engineLost(a.ctx) && x.lossCause != causeMoved {
+	if a.forwarded {
+		x.lossCause = causeRouter
+	}
+	if !engineLost(a.ctx) && x.lossCause != causeMoved && !a.forwarded {
 		x.Watcher.Result(a.backend.ID, err)
 		if x.req.Opaque == nil { // no other router can take over an opaque run
 			x.awaitCallerDisconnect()
@@ -188,7 +195,7 @@
 	if x.lossCause == causeMismatch || x.lossCause == causeGap {
 		x.opts.Log.Emit(event.AttemptMismatch, "backend", a.backend.ID, "request", x.req.ID, "err", err)
 	}
-	if x.lossCause != causeMoved {
+	if x.lossCause != causeMoved && !a.forwarded {
 		x.lossExamined = x.tracked.Lost(a.lossReport(x.lossCause))
 	}
 	x.logLoss(a, x.lossCause, err)
@@ -255,7 +262,9 @@
 // continueElsewhere has another backend server continue the answer, preferably the one that keeps
 // the standby copy of the lost run.
 func (x *run) continueElsewhere() string {
-	x.exclude[x.current.origin.Backend] = true
+	if !x.current.forwarded {
+		x.exclude[x.current.origin.Backend] = true
+	}
 	x.lostDomain = x.current.backend.FailureDomain
 	if x.lossCause == causeMoved {
 		x.lostDomain = "" // the backend server works, and so does its domain
@@ -283,6 +292,10 @@
 	if x.current == nil {
 		x.current = x.attemptFromResume()
 	}
+	if x.cutOff() && !x.req.Forwarded {
+		x.lastOrigin = x.current.origin
+		return x.passOn()
+	}
 	a := x.current
 	b, known := x.Picker.Lookup(a.origin.Backend)
 	if !known {
--- a/generation/end.go
+++ b/generation/end.go
@@ -82,6 +82,9 @@
 			x.res.Code = u.Code
 		}
 	}
+	if r, ok := errors.AsType[*RemoteEnd](err); ok {
+		x.res.RetryAfter = r.RetryAfter
+	}
 	if r, ok := errors.AsType[*backend.Refused](err); ok {
 		x.res.RetryAfter = r.RetryAfter
 		x.res.Code = r.Code
--- /dev/null
+++ b/generation/forward.go
@@ -0,0 +1,173 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"wigeondale/event"
+	"wigeondale/fleet"
+)
+
+// CodeCutOff is the code of the refusal of a request whose router reaches none of the backend
+// servers that it needs, and that no other router takes.
+const CodeCutOff = "router_cut_off"
+
+var errCutOff = Error.New("this router reaches none of the backend servers")
+
+// Forwarder passes requests on to other routers while this router is cut off from the backend
+// servers that they need.
+type Forwarder interface {
+	// CutOff reports whether this router is cut off from a service, or from the model engines if
+	// service is empty.
+	CutOff(service string) bool
+	// Forward passes the rest of a request on to another router and returns its answer. If the
+	// request has not run, the error wraps backend.ErrNotSent or is an *Unavailable.
+	Forward(ctx context.Context, h Handover) (ForwardedStream, error)
+}
+
+// ForwardedStream is the answer of a request that another router runs.
+type ForwardedStream interface {
+	Stream
+	// Router returns the id of the router that runs the request.
+	Router() string
+	// Origin returns the attempt that produced the latest token.
+	Origin() Position
+}
+
+// Handover is the rest of a request, as one router passes it on to another.
+type Handover struct {
+	Request Request
+	// Retry reports that an attempt of the request was sent before. That attempt counts as the
+	// first; the router that passes the request on has drawn the retry budget for the next.
+	Retry bool
+}
+
+// RemoteEnd is the error of a forwarded stream whose request ended at the other router without a
+// complete answer.
+type RemoteEnd struct {
+	Outcome    fleet.Outcome
+	Code       string
+	RetryAfter time.Duration
+}
+
+func (e *RemoteEnd) Error() string {
+	return "the request ended at the other router: " + string(e.Outcome) + ", " + e.Code
+}
+
+// cutOff reports whether this router is cut off from the backend servers that the request needs.
+func (x *run) cutOff() bool { return x.Forwarder != nil && x.Forwarder.CutOff(x.service()) }
+
+// passOn decides what becomes of a request while this router is cut off. A request that another
+// router passed on is not passed on again.
+func (x *run) passOn() string {
+	if x.req.Forwarded {
+		return x.giveUp(CodeCutOff, &Unavailable{Code: CodeCutOff, Err: errCutOff})
+	}
+	return "cut-off"
+}
+
+// maxAttempts returns how many backend servers may run an opaque request. An attempt that was lost
+// with the links of this router does not count.
+func (x *run) maxAttempts() int {
+	n := x.req.Opaque.MaxAttempts
+	if x.cutOff() && !x.req.NonIdempotent {
+		n++
+	}
+	return n
+}
+
+// forward passes the rest of the request on to another router.
+func (x *run) forward() string {
+	a := &attempt{watch: noWatch{}, copyResult: make(chan standbyCopy, 1), forwarded: true}
+	a.origin = Position{Attempt: x.nextAttemptNumber()}
+	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
+	a.sentAt = time.Now()
+	s, err := x.Forwarder.Forward(a.ctx, x.handover())
+	if err != nil {
+		return x.handleForwardError(a, err)
+	}
+	x.attemptsSent++
+	x.anySent, x.mayHaveRun = true, true
+	x.opts.Log.Emit(event.RequestPassedOn, "request", x.req.ID, "service", x.service(), "to", s.Router(), "from", x.filter.next,
+		"took_ms", time.Since(a.sentAt).Milliseconds())
+	attempt := a.origin.Attempt
+	a.origin = s.Origin()
+	a.origin.Attempt, a.remoteAttempt = attempt, a.origin.Attempt
+	return x.makeCurrent(a, s, "opened")
+}
+
+// handover returns the rest of the request.
+func (x *run) handover() Handover {
+	req := x.req
+	req.Forwarded = true
+	if o := req.Opaque; o != nil {
+		rest := *o
+		rest.FirstChunk = x.filter.next
+		rest.HasPartialAnswer = rest.HasPartialAnswer || x.started()
+		rest.MaxAttempts = max(x.maxAttempts()-x.attemptsSent, 1)
+		rest.SinceFirstTry += time.Since(x.startedAt)
+		req.Opaque = &rest
+	} else if x.mayHaveRun {
+		req.Resume = x.resumePoint()
+	}
+	return Handover{Request: req, Retry: x.anySent}
+}
+
+// resumePoint returns the point from which another router continues the answer.
+func (x *run) resumePoint() *ResumePoint {
+	return &ResumePoint{
+		Backend: x.lastOrigin.Backend, Incarnation: x.lastOrigin.Incarnation, Attempt: x.attemptNumber,
+		Offset: x.filter.next, Text: string(x.text), HaveText: x.keepsText,
+	}
+}
+
+// handleForwardError handles an error of a request that could not be passed on, or whose answer
+// did not begin.
+func (x *run) handleForwardError(a *attempt, err error) string {
+	a.closeReader()
+	x.waitErr = err
+	x.logLoss(a, causeRouter, err)
+	if x.mustEnd() {
+		return x.giveUp(CodeDeadline, x.endCause())
+	}
+	end, ended := errors.AsType[*RemoteEnd](err)
+	_, unavailable := errors.AsType[*Unavailable](err)
+	switch {
+	case x.started() && (unavailable || ended && end.Outcome == fleet.NotRun):
+		x.delay = maxPickDelay // a started answer waits for a router that takes it
+		return "not-started"
+	case ended:
+		return x.endLikeRemote(end)
+	case unavailable:
+		return x.giveUp(CodeCutOff, err)
+	}
+	x.attemptsSent++
+	x.anySent, x.mayHaveRun = true, true
+	x.current = a
+	return x.handleLoss(a, err)
+}
+
+// endLikeRemote ends the run as it ended at the other router.
+func (x *run) endLikeRemote(end *RemoteEnd) string {
+	if end.Outcome != fleet.NotRun {
+		x.mayHaveRun = true
+	}
+	return x.giveUp(end.Code, end)
+}
+
+// followOrigin tells the sink which attempt at the other router produces the tokens, if that has
+// changed.
+func (x *run) followOrigin(a *attempt) error {
+	s, ok := a.stream.(ForwardedStream)
+	if !ok {
+		return nil
+	}
+	origin := s.Origin()
+	if origin.Backend == a.origin.Backend && origin.Incarnation == a.origin.Incarnation && origin.Attempt == a.remoteAttempt {
+		return nil
+	}
+	a.remoteAttempt = origin.Attempt
+	a.origin.Backend, a.origin.Incarnation = origin.Backend, origin.Incarnation
+	return x.sink.Begin(origin, s.Head())
+}
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -103,6 +103,12 @@
 	BodyHash      [16]byte
 	Resume        *ResumePoint // nil for a new request
 
+	// Forwarded reports that another router has admitted and claimed the request and passed it on,
+	// since it is cut off from the backend servers.
+	Forwarded bool
+	// Retry reports that the other router has sent an attempt of the request before.
+	Retry bool
+
 	// Opaque, if set, replaces Ref and Prompt. It is passed on without being parsed, and the
 	// chunks of its answer are delivered as tokens. Opaque requests aren't claimed: each of
 	// them has an id of its own and reaches a single router.
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -63,6 +63,7 @@
 	RunQuerier RunQuerier        // nil if backend servers aren't queried for runs
 	Copier     Copier            // nil if backend servers make no copies on demand
 	Guard      *quarantine.Guard // nil if crashes aren't attributed to requests
+	Forwarder  Forwarder         // nil if no requests are passed on to other routers
 }
 
 // Runner runs generations. It is safe for concurrent use.
@@ -91,6 +92,7 @@
 		"pick":     (*run).pick,
 		"wait":     (*run).wait,
 		"dispatch": (*run).dispatch,
+		"forward":  (*run).forward,
 		"stream":   (*run).stream,
 		"suspect":  (*run).suspect,
 		"resume":   (*run).resume,
@@ -187,6 +189,7 @@
 	backend        fleet.Backend         // picked, or still running the attempt
 	loadShare      LoadShare             // in the load of backend
 	current        *attempt              // attempt to read, re-attach to or cancel
+	lastOrigin     Position              // of the latest attempt that delivered
 	attemptNumber  int                   // number of the latest attempt
 	exclude        map[string]bool
 	delay          time.Duration // requested by the state before wait
@@ -194,6 +197,7 @@
 	fruitlessTries int  // attempts or re-attachments since the last token
 	callerSlow     bool // the loss occurred while the caller was slow to read
 
+	startedAt    time.Time // when the run started
 	lastToken    time.Time // time of the last token, or the start of the run
 	pauseEndedAt time.Time // when the last silence longer than PauseGap ended
 	lossCause    string    // set from a loss until the next token
@@ -203,6 +207,8 @@
 
 func newRun(r *Runner, ctx context.Context, req Request, sink Sink) *run {
 	x := &run{Runner: r, ctx: ctx, req: req, sink: sink, exclude: map[string]bool{}, lastToken: time.Now()}
+	x.startedAt = x.lastToken
+	x.anySent = req.Retry
 	x.tracked = r.Guard.Track(req.subject())
 	x.keepsText = !req.NonIdempotent
 	if req.Opaque != nil {
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -25,6 +25,9 @@
 	if err := x.tracked.Refusal(x.ctx); err != nil {
 		return x.end("fail", CodeQuarantined, err)
 	}
+	if x.req.Forwarded {
+		return x.admitted()
+	}
 	release, err := x.Admitter.Admit(x.ctx, Ticket{
 		Account:  x.req.Account,
 		Model:    x.req.Ref.Model,
@@ -38,12 +41,18 @@
 		return x.giveUp(CodeNotAdmitted, err)
 	}
 	x.release = release
-	switch {
-	case x.req.Resume != nil:
-		return "handed-over"
-	case x.req.NonIdempotent && x.req.Opaque == nil:
+	if x.req.Resume == nil && x.req.NonIdempotent && x.req.Opaque == nil {
 		return "admitted-once"
 	}
+	return x.admitted()
+}
+
+// admitted returns the event that follows the admission of a request that needs no claim, or that
+// another router has claimed.
+func (x *run) admitted() string {
+	if x.req.Resume != nil {
+		return "handed-over"
+	}
 	return "admitted"
 }
 
@@ -80,13 +89,16 @@
 	if err := x.tracked.Refusal(x.ctx); err != nil {
 		return x.end("fail", CodeQuarantined, err)
 	}
-	if o := x.req.Opaque; o != nil && x.attemptsSent >= o.MaxAttempts {
+	if x.req.Opaque != nil && x.attemptsSent >= x.maxAttempts() {
 		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
 	if x.needsBudget && !x.drawBudget() {
 		return x.waitForBudget()
 	}
 	x.needsBudget = false
+	if x.cutOff() {
+		return x.passOn()
+	}
 	b, share, err := x.Picker.Pick(x.ctx, x.pickRequest())
 	if err == nil {
 		x.backend, x.loadShare = b, share
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -24,6 +24,9 @@
 		a.recordFirstToken(now)
 		x.clearSuspicion(a, now)
 		x.maintainCopy(a, now)
+		if err := x.followOrigin(a); err != nil {
+			return x.callerDisconnected(err)
+		}
 		switch x.filter.check(a.origin.Attempt, t.Index) {
 		case stale:
 			x.m.droppedStale.Inc()
--- /dev/null
+++ b/health/cutoff.go
@@ -0,0 +1,68 @@
+package health
+
+import (
+	"strings"
+	"time"
+)
+
+// This file keeps what a router that is cut off from backend servers has noticed from being held
+// against them.
+
+// EndSilentStreams ends the streams of a service that are silent, so that their answers go on
+// elsewhere: this router is cut off from the service. Streams on connections that live on aren't
+// silent.
+func (m *Monitor) EndSilentStreams(service string) {
+	t := m.sinceEpoch(time.Now())
+	for _, d := range m.domainsOf(service) {
+		for _, e := range d.list() {
+			m.cancel(e.silentStreams(t))
+		}
+	}
+}
+
+// Absolve makes the backend servers of a service healthy and forgets the failures of their
+// domains: they were noticed while this router was cut off from the service.
+func (m *Monitor) Absolve(service string) {
+	for _, d := range m.domainsOf(service) {
+		d.forgetFailures()
+		for _, e := range d.list() {
+			m.absolve(e)
+		}
+	}
+}
+
+func (m *Monitor) absolve(e *engine) {
+	e.mu.Lock()
+	previous := e.state
+	e.recover()
+	e.mu.Unlock()
+	if previous != Healthy {
+		m.ejected.Add(-1)
+	}
+}
+
+// forgetFailures forgets the failures of the domain's members and the crash of the domain.
+func (d *domain) forgetFailures() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.failed)
+	d.crashedAt = 0
+}
+
+// ServiceOfDomain returns the service to which the name of a failure domain belongs.
+func ServiceOfDomain(name string) string {
+	service, _, _ := strings.Cut(name, "/")
+	return service
+}
+
+func (m *Monitor) domainsOf(service string) []*domain {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []*domain
+	for name, d := range m.domains {
+		if ServiceOfDomain(name) == service {
+			out = append(out, d)
+		}
+	}
+	return out
+}
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -120,9 +120,9 @@
 type testNode struct {
 	*node
 	replicaLinks *fault.Dialer // the node's links to replicas
-	t       *testing.T
-	signals chan os.Signal
-	done    chan struct{}
+	t            *testing.T
+	signals      chan os.Signal
+	done         chan struct{}
 }
 
 func (f *testFleet) startNode(id string) *testNode {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"wigeondale/directory"
 	"wigeondale/dump"
 	"wigeondale/event"
+	"wigeondale/forward"
 	"wigeondale/generation"
 	"wigeondale/health"
 	"wigeondale/listen"
@@ -52,7 +53,6 @@
 	meter *metrics.Set
 
 	dialReplica backend.DialFunc // nil: a net.Dialer
-	connections *connectionMeters
 
 	leaving   atomic.Bool
 	table     *route.Current
@@ -66,6 +66,9 @@
 	guard     *quarantine.Guard
 	pressure  *backpressure.Tracker
 	holds     *holds
+	cutOff    *cutOff
+	forwarder *forward.Forwarder
+	runner    *generation.Runner
 	dumps     dump.Registry
 	mirror    *mirror.Mirror
 
@@ -98,7 +101,6 @@
 		table: &route.Current{},
 		dir:   directory.New(log),
 	}
-	n.connections = newConnectionMeters(n.meter)
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
 	store := platform.NewStore(set.Hosted.StoreAddress)
 	n.storeSync = newStoreSync(set.Node.ID, set.Node.FailureDomain, log)
@@ -117,6 +119,8 @@
 	n.holds = newHolds(store, n.log)
 	n.view = newView(n.table, n.dir, n.mon, n.peers, n.rollouts, log)
 	n.view.holds = n.holds
+	n.cutOff = newCutOff(n)
+	n.peers.cutOff, n.rollouts.prober = n.cutOff, n.newCrashProber(runQuerier{})
 	n.view.planner = &planner{store: store, log: log, changed: func() { n.mirror.ReadFilter() }}
 	n.mirror = mirror.New(store, n.view, mirror.Config{
 		Parts: []string{ownPrefix, platform.OperatorPrefix, platform.ReplicaPrefix}, Bulk: platform.ReplicaPrefix,
@@ -137,7 +141,7 @@
 }
 
 func (n *node) newRelay() (*relay.Relay, error) {
-	replicas := platform.NewReplicas(n.dialReplica, n.connections)
+	replicas := platform.NewReplicas(n.dialReplica, newConnectionMeters(n.cutOff.reach, n.meter))
 	replicas.OnLoad = n.view.recordLoad
 	replicas.Gate = n.pressure
 	replicas.Unknown = backend.NewUnknownHeaders(platform.AnswerHeaders, n.log, n.meter)
@@ -163,8 +167,10 @@
 	pick.pressure = n.pressure
 	pick.onNoRoom = n.view.planner.enlarge
 	pick.refusal = admission.RefusalPolicy(n.set.Hosted.Decisions.RefusalPolicy)
+	n.forwarder = n.newForwarder()
+	n.peers.handleStream = n.handleStream
 	budgets := newBudgets(n.set.Hosted, n.peers.registeredNodes)
-	runner, err := generation.New(generation.Deps{
+	n.runner, err = generation.New(generation.Deps{
 		Admitter:   admitAll{},
 		Picker:     pick,
 		Watcher:    placement.Watcher{Monitor: n.mon, Dir: n.dir, LeavingCode: platform.CodeMisdirected},
@@ -173,6 +179,7 @@
 		Copier:     replicas,
 		RunQuerier: replicas,
 		Guard:      n.guard,
+		Forwarder:  n.forwarder,
 	}, generation.Options{
 		Node:                 n.set.Node.ID,
 		StartedMaxWait:       startedMaxWait,
@@ -186,7 +193,7 @@
 		return nil, err
 	}
 	return relay.New(relay.Config{
-		Table: n.table, Runner: runner, Budgets: budgets, StreamMaxWait: pick.refusal.MaxWait, Log: n.log, Set: n.meter,
+		Table: n.table, Runner: n.runner, Budgets: budgets, StreamMaxWait: pick.refusal.MaxWait, Log: n.log, Set: n.meter,
 	}), nil
 }
 
@@ -216,6 +223,7 @@
 	n.dumps.Add("backends", func() any { return n.dir.Dump() })
 	n.dumps.Add("health", func() any { return n.mon.Dump() })
 	n.dumps.Add("rollouts", func() any { return n.rollouts.state() })
+	n.dumps.Add("reach", func() any { return n.cutOff.state(time.Now(), n.forwarder.Open()) })
 	n.dumps.Add("quarantine", func() any { return n.guard.List() })
 	n.dumps.Add("peers", func() any { return n.peers.state() })
 	mux := http.NewServeMux()
@@ -248,7 +256,7 @@
 
 func (n *node) run(sigs <-chan os.Signal) error {
 	var g run.Group
-	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run, n.adopter.run, n.holds.run} {
+	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run, n.adopter.run, n.holds.run, n.cutOff.reach.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -53,6 +53,9 @@
 	rollouts  *rollouts             // set before run
 	guard     *quarantine.Guard     // set before run
 	pressure  *backpressure.Tracker // set before run
+	cutOff    *cutOff               // set before run
+	// handleStream runs a request that another router passes on; set before run.
+	handleStream func(context.Context, *peer.Stream)
 
 	mu           sync.Mutex
 	key          []byte
@@ -116,10 +119,21 @@
 
 // broadcastCrash broadcasts a failure domain that this router, or a router that reported the
 // domain, considers crashed. Each router forwards the report of a crash once.
+//
+// If this router is cut off from the service, it reports nothing: the fault is in its own links.
 func (p *peers) broadcastCrash(domain string) {
-	if mesh := p.currentMesh(); mesh != nil {
-		// If the message is not delivered, the other routers find out on their own.
-		_ = mesh.SendToLinked(floodCrash, crashMessage{domain})
+	p.cutOff.reach.AfterCheck(health.ServiceOfDomain(domain), func(cutOff bool) {
+		if mesh := p.currentMesh(); mesh != nil && !cutOff {
+			// If the message is not delivered, the other routers find out on their own.
+			_ = mesh.SendToLinked(floodCrash, crashMessage{domain})
+		}
+	})
+}
+
+// handleCrash handles another router's report that a failure domain crashed.
+func (p *peers) handleCrash(from string, m crashMessage) {
+	if !p.cutOff.reports(from, health.ServiceOfDomain(m.Domain)) {
+		p.mon.HandleDomainReport(from, m.Domain)
 	}
 }
 
@@ -264,6 +278,7 @@
 		p.storeSync.tick(now)
 		p.rollouts.tick(now)
 		p.pressure.Tick(now)
+		p.cutOff.tick(now)
 	})
 	return mesh.Run(ctx)
 }
@@ -282,7 +297,9 @@
 		return nil, Error.Wrap(err)
 	}
 	peer.HandleFlood(mesh, msgLoads, p.handleLoads)
-	peer.HandleFlood(mesh, floodCrash, func(from string, m crashMessage) { p.mon.HandleDomainReport(from, m.Domain) })
+	peer.HandleFlood(mesh, floodCrash, p.handleCrash)
+	peer.HandleFlood(mesh, floodCutOff, p.cutOff.handle)
+	mesh.HandleStreams(p.handleStream)
 	peer.HandleFlood(mesh, floodRemoved, func(_ string, m removedMessage) {
 		p.pressure.MarkLeaving(m.Replica, time.Now())
 		p.dir.MarkLeaving(m.Replica, "", directory.FromPeerReport)
--- a/hosted/pressure.go
+++ b/hosted/pressure.go
@@ -3,13 +3,13 @@
 import "wigeondale/backpressure"
 
 // servingNodes returns the ids of the registered nodes, without those that this node knows to be
-// dead or leaving. All nodes read the same registry, so that nodes that have just started or are
+// dead, leaving or cut off from replicas. All nodes read the same registry, so that nodes that have just started or are
 // cut off from each other still know of each other.
 func (p *peers) servingNodes() []string {
 	gone := map[string]bool{}
 	if mesh := p.currentMesh(); mesh != nil {
 		for _, m := range mesh.Members() {
-			gone[m.ID] = !m.Self && (!m.Alive || m.Leaving)
+			gone[m.ID] = !m.Self && (!m.Alive || m.Leaving || p.cutOff.reports(m.ID, ""))
 		}
 	}
 	p.mu.Lock()
--- a/hosted/suspects.go
+++ b/hosted/suspects.go
@@ -7,6 +7,7 @@
 	"wigeondale/fleet"
 	"wigeondale/placement"
 	"wigeondale/quarantine"
+	"wigeondale/reach"
 )
 
 // crashProber finds out whether replicas have crashed, also if another incarnation listens at
@@ -14,12 +15,16 @@
 type crashProber struct {
 	backend.Prober
 	querier runQuerier
+	reach   *reach.Monitor
 }
 
 // Probe implements quarantine.Prober.
 func (l crashProber) Probe(ctx context.Context, b fleet.Backend) quarantine.State {
 	state := l.Prober.Probe(ctx, b)
-	if state != quarantine.Working || b.Incarnation.StartedAt == 0 {
+	if state == quarantine.Exited && l.cutOffFrom(ctx, b.Service) {
+		return quarantine.Unreachable // a link that is cut refuses connections like a crashed replica
+	}
+	if state != quarantine.Working || b.Incarnation.StartedAt == 0 || l.querier.replicas == nil {
 		return state
 	}
 	if report, err := l.querier.replicas.Runs(ctx, b); err == nil && report.Restarted {
@@ -28,13 +33,28 @@
 	return state
 }
 
-func (n *node) crashProber(querier runQuerier) crashProber {
-	return crashProber{Prober: backend.Prober{Dial: n.dialReplica}, querier: querier}
+// cutOffFrom reports whether this router is cut off from a service, after a check if there is
+// reason for one.
+func (l crashProber) cutOffFrom(ctx context.Context, service string) bool {
+	result := make(chan bool, 1)
+	l.reach.AfterCheck(service, func(cutOff bool) { result <- cutOff })
+	select {
+	case cutOff := <-result:
+		return cutOff
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// newCrashProber returns a prober that queries replicas for their runs with querier, if it has
+// one.
+func (n *node) newCrashProber(querier runQuerier) crashProber {
+	return crashProber{Prober: backend.Prober{Dial: n.dialReplica}, querier: querier, reach: n.cutOff.reach}
 }
 
 func (n *node) newGuard(querier runQuerier) *quarantine.Guard {
 	return quarantine.NewGuard(quarantine.Config{
-		Prober:     n.crashProber(querier),
+		Prober:     n.newCrashProber(querier),
 		Leaving:    n.dir.Leaving,
 		Neighbours: placement.Neighbours(n.dir, n.mon),
 		Isolated:   n.peers.isolated,
--- a/peer/config.go
+++ b/peer/config.go
@@ -37,6 +37,9 @@
 	MaxCallLinks   int           // links dialled on demand for calls; default 8
 	MaxCallsServed int           // calls that this node runs at once; default 128
 
+	MaxStreams       int // streams that other nodes may have open here; default 256
+	MaxStreamMessage int // size of a message of a stream in bytes; default 16 MiB
+
 	// Dial opens the TCP connections. If it is nil, the mesh uses a net.Dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
@@ -74,6 +77,8 @@
 	setDefault(&c.MaxLinks, 64)
 	setDefault(&c.MaxCallLinks, 8)
 	setDefault(&c.MaxCallsServed, 128)
+	setDefault(&c.MaxStreams, 256)
+	setDefault(&c.MaxStreamMessage, 16<<20)
 	setDefault(&c.Topology.FullMeshLimit, 16)
 	setDefault(&c.Topology.SameDomainLinks, 4)
 	setDefault(&c.Topology.OtherDomainLinks, 2)
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -50,9 +50,13 @@
 	next  time.Time
 }
 
-// ServeHTTP accepts links from other nodes at any path. It returns when the link
-// has closed.
+// ServeHTTP accepts streams at streamPath and links at any other path. It returns when the
+// stream or link has closed.
 func (m *Mesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == streamPath {
+		m.serveStream(w, r)
+		return
+	}
 	select {
 	case m.handshakeSlots <- struct{}{}:
 	default:
@@ -104,7 +108,14 @@
 	m.mu.Lock()
 	self := m.self
 	m.mu.Unlock()
-	rec, err := handshake(ctx, c, m.key, self, check)
+	hs := handshaker{conn: c, key: m.key, self: self, protocol: protocolVersion}
+	var rec Record
+	var err error
+	if check != nil {
+		rec, err = hs.dial(ctx, check)
+	} else {
+		rec, err = hs.accept(ctx)
+	}
 	if err != nil {
 		c.CloseNow()
 		return nil, err
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -34,71 +34,83 @@
 	MAC []byte
 }
 
-// handshake performs the handshake and returns the record of the authenticated remote
-// node. The caller bounds its duration by ctx and its size by the read limit of c. A
-// dialler passes check, which may end the handshake before the dialler sends its proof,
-// so that the acceptor keeps any link that it already has to the dialler. An acceptor
-// passes a nil check, which makes handshake act as the acceptor.
-func handshake(ctx context.Context, c *websocket.Conn, key []byte, self Record, check func(Record) error) (Record, error) {
+// handshaker performs the handshake on one connection. The caller bounds its duration by a
+// context and its size by the read limit of the connection.
+type handshaker struct {
+	conn     *websocket.Conn
+	key      []byte
+	self     Record
+	protocol int // version that both sides must have
+}
+
+// hello returns this side's first message.
+func (h *handshaker) hello() ([]byte, error) {
 	nonce := make([]byte, nonceBytes)
 	rand.Read(nonce)
-	localHello, err := encMode.Marshal(hello{Protocol: protocolVersion, Record: self, Nonce: nonce})
-	if err != nil {
-		return Record{}, Error.Wrap(err)
-	}
-	if check != nil {
-		return handshakeAsDialer(ctx, c, key, localHello, check)
-	}
-	return handshakeAsAcceptor(ctx, c, key, localHello)
+	b, err := encMode.Marshal(hello{Protocol: h.protocol, Record: h.self, Nonce: nonce})
+	return b, Error.Wrap(err)
 }
 
-func handshakeAsDialer(ctx context.Context, c *websocket.Conn, key, localHello []byte, check func(Record) error) (Record, error) {
-	if err := c.Write(ctx, websocket.MessageBinary, localHello); err != nil {
+// dial performs the handshake as the dialler and returns the record of the authenticated remote
+// node. check may end the handshake before the dialler sends its proof, so that the acceptor keeps
+// any link that it already has to the dialler.
+func (h *handshaker) dial(ctx context.Context, check func(Record) error) (Record, error) {
+	localHello, err := h.hello()
+	if err != nil {
+		return Record{}, err
+	}
+	if err := h.conn.Write(ctx, websocket.MessageBinary, localHello); err != nil {
 		return Record{}, Error.Wrap(err)
 	}
-	remoteHello, rec, err := readHello(ctx, c)
+	remoteHello, rec, err := h.readHello(ctx)
 	if err != nil {
 		return Record{}, err
 	}
 	if err := check(rec); err != nil {
 		return Record{}, err
 	}
-	if err := writeProof(ctx, c, mac(key, labelDialer, localHello, remoteHello)); err != nil {
+	if err := writeProof(ctx, h.conn, mac(h.key, labelDialer, localHello, remoteHello)); err != nil {
 		return Record{}, err
 	}
-	return rec, readProof(ctx, c, mac(key, labelAcceptor, localHello, remoteHello))
+	return rec, readProof(ctx, h.conn, mac(h.key, labelAcceptor, localHello, remoteHello))
 }
 
-func handshakeAsAcceptor(ctx context.Context, c *websocket.Conn, key, localHello []byte) (Record, error) {
-	remoteHello, rec, err := readHello(ctx, c)
+// accept performs the handshake as the acceptor and returns the record of the authenticated
+// remote node.
+func (h *handshaker) accept(ctx context.Context) (Record, error) {
+	localHello, err := h.hello()
+	if err != nil {
+		return Record{}, err
+	}
+	remoteHello, rec, err := h.readHello(ctx)
 	if err != nil {
 		return Record{}, err
 	}
-	if err := c.Write(ctx, websocket.MessageBinary, localHello); err != nil {
+	if err := h.conn.Write(ctx, websocket.MessageBinary, localHello); err != nil {
 		return Record{}, Error.Wrap(err)
 	}
-	if err := readProof(ctx, c, mac(key, labelDialer, remoteHello, localHello)); err != nil {
+	if err := readProof(ctx, h.conn, mac(h.key, labelDialer, remoteHello, localHello)); err != nil {
 		return Record{}, err
 	}
-	return rec, writeProof(ctx, c, mac(key, labelAcceptor, remoteHello, localHello))
+	return rec, writeProof(ctx, h.conn, mac(h.key, labelAcceptor, remoteHello, localHello))
 }
 
-func readHello(ctx context.Context, c *websocket.Conn) ([]byte, Record, error) {
-	_, raw, err := c.Read(ctx)
+func (h *handshaker) readHello(ctx context.Context) ([]byte, Record, error) {
+	_, raw, err := h.conn.Read(ctx)
 	if err != nil {
 		return nil, Record{}, Error.Wrap(err)
 	}
-	var h hello
-	if err := decMode.Unmarshal(raw, &h); err != nil {
+	var remote hello
+	if err := decMode.Unmarshal(raw, &remote); err != nil {
 		return nil, Record{}, Error.Wrap(err)
 	}
-	if h.Protocol != protocolVersion {
-		return nil, Record{}, Error.New("%w: protocol version %d", ErrHandshake, h.Protocol)
+	if remote.Protocol != h.protocol {
+		return nil, Record{}, Error.New("%w: protocol version %d", ErrHandshake, remote.Protocol)
 	}
-	if len(h.Nonce) != nonceBytes {
-		return nil, Record{}, Error.New("%w: nonce of %d bytes", ErrHandshake, len(h.Nonce))
+	if len(remote.Nonce) != nonceBytes {
+		return nil, Record{}, Error.New("%w: nonce of %d bytes", ErrHandshake, len(remote.Nonce))
 	}
-	return raw, h.Record, Error.Wrap(h.Record.check())
+	return raw, remote.Record, Error.Wrap(remote.Record.check())
 }
 
 func writeProof(ctx context.Context, c *websocket.Conn, sum []byte) error {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -29,6 +29,7 @@
 
 	handshakeSlots    chan struct{} // bounds the handshakes of accepted connections
 	callSlots         chan struct{} // bounds the calls that this node runs at once
+	streamSlots       chan struct{} // bounds the streams that other nodes have open
 	floodQueue        chan func()   // received floods for the handlers, in order
 	membershipChanged chan struct{} // signals a change of the membership
 	tickRequested     chan struct{} // requests a tick now
@@ -51,6 +52,7 @@
 	pauseEnd           time.Time
 	floodHandlers      map[string]floodHandler
 	callHandlers       map[string]callHandler
+	streamHandler      func(context.Context, *Stream)
 	onLink             []func(node string)
 	onChange           []func()
 }
@@ -82,6 +84,7 @@
 		metrics:           newMeshMetrics(set),
 		handshakeSlots:    make(chan struct{}, maxHandshakes),
 		callSlots:         make(chan struct{}, cfg.MaxCallsServed),
+		streamSlots:       make(chan struct{}, cfg.MaxStreams),
 		floodQueue:        make(chan func(), floodQueueLength),
 		membershipChanged: make(chan struct{}, 1),
 		tickRequested:     make(chan struct{}, 1),
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -395,7 +395,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.CloseNow() })
-	if _, err := handshake(ctx, c, testKey, m.self, func(Record) error { return nil }); err != nil {
+	hs := handshaker{conn: c, key: testKey, self: m.self, protocol: protocolVersion}
+	if _, err := hs.dial(ctx, func(Record) error { return nil }); err != nil {
 		t.Fatal(err)
 	}
 	return c
--- /dev/null
+++ b/peer/stream.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// streamPath is the URL path at which the peer listener accepts streams. All other paths accept
+// links.
+const streamPath = "/peer/stream/v1"
+
+// streamProtocol is the protocol version in the handshake of a stream. A node that doesn't know
+// streams accepts a link at any path; the other number makes it refuse the handshake.
+const streamProtocol = 1<<16 + 1
+
+// A Stream is an authenticated connection to another node that carries a single exchange. Each
+// stream has a connection of its own, so that the network's flow control applies to it alone and
+// a slow exchange delays no other.
+//
+// Send and Receive may be called at the same time by two goroutines. An error of either closes the
+// stream.
+type Stream struct {
+	Node string // id of the other node
+	conn *websocket.Conn
+}
+
+// HandleStreams registers fn for the streams that other nodes open. The stream is closed when fn
+// returns. HandleStreams must be called before Run.
+func (m *Mesh) HandleStreams(fn func(ctx context.Context, s *Stream)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.streamHandler = fn
+}
+
+// OpenStream opens a stream to a node that listens at addr. An error means that the node has
+// received nothing.
+func (m *Mesh) OpenStream(ctx context.Context, node, addr string) (*Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout)
+	defer cancel()
+	m.mu.Lock()
+	running, self := m.running, m.self
+	m.mu.Unlock()
+	if !running {
+		return nil, Error.Wrap(ErrStopped)
+	}
+	scheme := "ws://"
+	if m.cfg.TLS != nil {
+		scheme = "wss://"
+	}
+	c, _, err := websocket.Dial(ctx, scheme+addr+streamPath, &websocket.DialOptions{HTTPClient: m.client})
+	if err != nil {
+		return nil, Error.New("%w: %w", ErrNoRoute, err)
+	}
+	c.SetReadLimit(maxHandshakeBytes)
+	hs := handshaker{conn: c, key: m.key, self: self, protocol: streamProtocol}
+	rec, err := hs.dial(ctx, func(rec Record) error { return checkIdentity(rec, node) })
+	if err != nil {
+		c.CloseNow()
+		return nil, Error.New("%w: %w", ErrNoRoute, err)
+	}
+	c.SetReadLimit(int64(m.cfg.MaxStreamMessage))
+	return &Stream{Node: rec.ID, conn: c}, nil
+}
+
+// checkIdentity returns an error if a record is not that of the expected node.
+func checkIdentity(rec Record, node string) error {
+	if rec.ID != node {
+		return Error.New("%w: dialled node %s, reached node %s", ErrHandshake, node, rec.ID)
+	}
+	return nil
+}
+
+// serveStream accepts a stream and runs the handler on it.
+func (m *Mesh) serveStream(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	handler := m.streamHandler
+	m.mu.Unlock()
+	if handler == nil {
+		http.NotFound(w, r)
+		return
+	}
+	select {
+	case m.streamSlots <- struct{}{}:
+	default:
+		m.metrics.rejected[rejectBusy].Inc()
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	done := make(chan struct{})
+	started := m.start(func() {
+		defer close(done)
+		defer func() { <-m.streamSlots }()
+		m.runStream(w, r, handler)
+	})
+	if !started {
+		<-m.streamSlots
+		http.Error(w, "not running", http.StatusServiceUnavailable)
+		return
+	}
+	<-done
+}
+
+func (m *Mesh) runStream(w http.ResponseWriter, r *http.Request, handler func(context.Context, *Stream)) {
+	s, err := m.acceptStream(w, r)
+	if err != nil {
+		m.recordHandshakeFailure(r.RemoteAddr, err)
+		return
+	}
+	defer s.Close()
+	// A panic ends this exchange alone, as it does for the handlers of calls.
+	if err := recoverPanic(func() error { handler(m.runCtx, s); return nil }); err != nil {
+		m.recordHandshakeFailure(r.RemoteAddr, err)
+	}
+}
+
+func (m *Mesh) acceptStream(w http.ResponseWriter, r *http.Request) (*Stream, error) {
+	c, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(m.runCtx, m.cfg.DialTimeout)
+	defer cancel()
+	c.SetReadLimit(maxHandshakeBytes)
+	m.mu.Lock()
+	self := m.self
+	m.mu.Unlock()
+	hs := handshaker{conn: c, key: m.key, self: self, protocol: streamProtocol}
+	rec, err := hs.accept(ctx)
+	if err != nil {
+		c.CloseNow()
+		return nil, err
+	}
+	c.SetReadLimit(int64(m.cfg.MaxStreamMessage))
+	return &Stream{Node: rec.ID, conn: c}, nil
+}
+
+// Send encodes v and sends it as one message.
+func (s *Stream) Send(ctx context.Context, v any) error {
+	b, err := encMode.Marshal(v)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return s.SendBytes(ctx, b)
+}
+
+// SendBytes sends b as one message.
+func (s *Stream) SendBytes(ctx context.Context, b []byte) error {
+	return Error.Wrap(s.conn.Write(ctx, websocket.MessageBinary, b))
+}
+
+// Receive receives one message and decodes it into v. It returns context.DeadlineExceeded if none
+// arrives within the timeout; a timeout of 0 means none.
+func (s *Stream) Receive(ctx context.Context, timeout time.Duration, v any) error {
+	b, err := s.ReceiveBytes(ctx, timeout)
+	if err != nil {
+		return err
+	}
+	return Error.Wrap(decMode.Unmarshal(b, v))
+}
+
+// ReceiveBytes receives one message, within the timeout as Receive does.
+func (s *Stream) ReceiveBytes(ctx context.Context, timeout time.Duration) ([]byte, error) {
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	_, b, err := s.conn.Read(ctx)
+	if err != nil && ctx.Err() != nil {
+		err = errors.Join(ctx.Err(), err)
+	}
+	return b, Error.Wrap(err)
+}
+
+// Close closes the stream at once. Further calls do nothing.
+func (s *Stream) Close() {
+	_ = s.conn.CloseNow() // the other node notices the end of the connection in any case
+}
--- a/route/route.go
+++ b/route/route.go
@@ -92,6 +92,16 @@
 	return r.Service
 }
 
+// Allows reports whether requests of the route may go to a service.
+func (r *Route) Allows(service string) bool {
+	for _, s := range r.Split {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return len(r.Split) == 0 && r.Service == service
+}
+
 // Service is the configuration of the replicas of one service.
 type Service struct {
 	Name       string
