reach, forward, generation: tests of cut routers and the second hop; the product's own interface passes generations on

The routers' exchange of who is cut off moves to package reach, so that both interfaces use it. On the product's own interface a router that reaches no engine passes generations on: a started answer goes on from its text, or attaches to its run if it may run only once. Calls of services that are not model engines are not passed on there.

Before: generation.TestAnswerGoesOnAtAnotherRouter named the attempt of the first router in the caller's cursor.

--- a/backend/client.go
+++ b/backend/client.go
@@ -31,6 +31,11 @@
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client { return &Client{rt: newTransport()} }
 
+// SetConnObserver sets the observer of the client's connections. It must be called before use.
+func (c *Client) SetConnObserver(o ConnObserver) {
+	c.rt = NewTransport(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, Connections: o})
+}
+
 // CloseIdle closes connections that carry no request.
 func (c *Client) CloseIdle() { c.rt.CloseIdleConnections() }
 
--- a/ctl/reach.go
+++ b/ctl/reach.go
@@ -16,11 +16,7 @@
 
 // reachState is the part of a node's state dump about the links to backend servers.
 type reachState struct {
-	Reach struct {
-		Services []reach.Report
-		Reported map[string][]string
-		PassedOn map[string]int
-	} `json:"reach"`
+	Reach reach.State `json:"reach"`
 }
 
 func (t *tool) reach(ctx context.Context) error {
--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -17,7 +17,8 @@
 	n.engines = backend.NewClient()
 	n.dir = directory.New(n.log)
 	n.mon = health.NewMonitor(policyOf(set.Policy), n.log, n.set)
-	peerReports{n.mesh}.connect(n.mon, n.dir, n.inv)
+	n.buildCutOff()
+	peerReports{n.mesh, n.unlessCutOff}.connect(n.mon, n.dir, n.inv)
 	n.buildPressure()
 	n.drain = &drain{vm: set.Node.VM, notice: n.notice, log: n.log}
 	lister := &vms{inv: n.inv, mesh: n.mesh, mon: n.mon, drain: n.drain}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -111,6 +111,8 @@
 		Abandon:  n.cancels,
 		Budget:   sharedBudget{budget},
 		Guard:    n.guard,
+
+		Forwarder: n.forwarder,
 	}, generation.Options{
 		Node:           attemptPrefix(set),
 		StartedMaxWait: max(millis(set.Policy.MaxWaitMS), time.Second),
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -15,6 +15,7 @@
 	"wigeondale/directory"
 	"wigeondale/dump"
 	"wigeondale/event"
+	"wigeondale/forward"
 	"wigeondale/generation"
 	"wigeondale/health"
 	"wigeondale/infra"
@@ -25,6 +26,7 @@
 	"wigeondale/order"
 	"wigeondale/peer"
 	"wigeondale/quarantine"
+	"wigeondale/reach"
 	"wigeondale/settings"
 )
 
@@ -43,22 +45,27 @@
 	sizes      *sizes
 	weightRate int64
 
-	mesh      *peer.Mesh
-	keeper    *intent.Keeper
-	claims    *once.Claims
-	inv       *inventory.Inventory
-	dir       *directory.Directory
-	mon       *health.Monitor
-	admit     *admission.Controller
-	engines   *backend.Client
-	cancels   *backend.Canceller
-	runner    *generation.Runner
-	callers   *callerapi.Server
-	orders    *order.Executor
-	poller    *directory.Poller
-	drain     *drain
-	guard     *quarantine.Guard
-	pressure  *backpressure.Tracker
+	mesh     *peer.Mesh
+	keeper   *intent.Keeper
+	claims   *once.Claims
+	inv      *inventory.Inventory
+	dir      *directory.Directory
+	mon      *health.Monitor
+	admit    *admission.Controller
+	engines  *backend.Client
+	cancels  *backend.Canceller
+	runner   *generation.Runner
+	callers  *callerapi.Server
+	orders   *order.Executor
+	poller   *directory.Poller
+	drain    *drain
+	guard    *quarantine.Guard
+	pressure *backpressure.Tracker
+
+	reach      *reach.Monitor
+	reachPeers *reach.Peers
+	forwarder  *forward.Forwarder
+
 	summaries *summaries
 
 	caller, admin, peers *listen.Server
@@ -118,7 +125,7 @@
 // parts returns the background loops that run until the process ends.
 func (n *node) parts() []func(context.Context) error {
 	return []func(context.Context) error{
-		n.mesh.Run, n.keeper.Run, n.inv.Run, n.poller.Run, n.mon.Run, n.claims.Run, n.cancels.Run, n.orders.Run, n.summaries.run, n.syncHolds, n.tickPressure,
+		n.mesh.Run, n.keeper.Run, n.inv.Run, n.poller.Run, n.mon.Run, n.claims.Run, n.cancels.Run, n.orders.Run, n.summaries.run, n.syncHolds, n.tickPressure, n.reach.Run, n.tickCutOff,
 	}
 }
 
@@ -134,6 +141,7 @@
 	n.dumps.Add("cancels_pending", func() any { return n.cancels.Pending() })
 	n.dumps.Add("orders", n.orders.Dump)
 	n.dumps.Add("claims", n.claims.Dump)
+	n.dumps.Add("reach", func() any { return n.reachState() })
 	n.dumps.Add("backpressure", func() any { return n.pressure.Reports(time.Now()) })
 	n.dumps.Add("unknown_headers", func() any { return n.engines.Unknown.State() })
 	n.dumps.Add("quarantine", func() any { return n.guard.List() })
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -22,12 +22,18 @@
 }
 
 // peerReports exchanges reports about backend servers with other routers.
-type peerReports struct{ mesh *peer.Mesh }
+type peerReports struct {
+	mesh *peer.Mesh
+	// unlessCutOff calls report unless this router is cut off from the engines.
+	unlessCutOff func(report func())
+}
 
 func (r peerReports) connect(mon *health.Monitor, dir *directory.Directory, inv *inventory.Inventory) {
 	mon.OnChange = func(id, incarnation string, kind health.PeerReportKind) {
-		// A router that misses the report detects the change itself.
-		_ = r.mesh.Flood(floodHealth, peerReport{id, incarnation, kind})
+		r.unlessCutOff(func() {
+			// A router that misses the report detects the change itself.
+			_ = r.mesh.Flood(floodHealth, peerReport{id, incarnation, kind})
+		})
 	}
 	dir.OnLeaving = func(id, incarnation string, source directory.Source) {
 		if shouldFlood(source, inv.Duty()) {
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -36,7 +36,6 @@
 	suspicionCleared bool      // it has run long enough to clear the request of suspicion
 	confirmed        bool      // the engine has confirmed that the attempt exists
 	forwarded        bool      // another router runs the attempt
-	remoteAttempt    int       // number of the attempt at that router
 }
 
 func (x *run) nextAttemptNumber() int {
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -164,6 +164,7 @@
 	duplicate     bool
 	pause         time.Duration // of the process, between claim and dispatch
 	noBudget      bool
+	forwarder     Forwarder
 
 	watched   int
 	abandoned []backend.AbandonedAttempt
@@ -291,7 +292,7 @@
 	h.released = 0
 	client := backend.NewClient()
 	defer client.CloseIdle()
-	r, err := New(Deps{Admitter: h, Claims: h, Picker: h, Watcher: h, Engines: Native{client}, Abandon: h, Budget: h}, o)
+	r, err := New(Deps{Admitter: h, Claims: h, Picker: h, Watcher: h, Engines: Native{client}, Abandon: h, Budget: h, Forwarder: h.forwarder}, o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -91,9 +91,7 @@
 	x.anySent, x.mayHaveRun = true, true
 	x.opts.Log.Emit(event.RequestPassedOn, "request", x.req.ID, "service", x.service(), "to", s.Router(), "from", x.filter.next,
 		"took_ms", time.Since(a.sentAt).Milliseconds())
-	attempt := a.origin.Attempt
-	a.origin = s.Origin()
-	a.origin.Attempt, a.remoteAttempt = attempt, a.origin.Attempt
+	x.setRemoteOrigin(a, s)
 	return x.makeCurrent(a, s, "opened")
 }
 
@@ -164,10 +162,18 @@
 		return nil
 	}
 	origin := s.Origin()
-	if origin.Backend == a.origin.Backend && origin.Incarnation == a.origin.Incarnation && origin.Attempt == a.remoteAttempt {
+	if origin == a.origin {
 		return nil
 	}
-	a.remoteAttempt = origin.Attempt
-	a.origin.Backend, a.origin.Incarnation = origin.Backend, origin.Incarnation
+	x.setRemoteOrigin(a, s)
+	x.filter.setAttempt(a.origin.Attempt)
+	x.lastOrigin = a.origin
 	return x.sink.Begin(origin, s.Head())
 }
+
+// setRemoteOrigin sets the attempt at the other router that produces the tokens of a. Later attempts
+// of this run get higher numbers.
+func (x *run) setRemoteOrigin(a *attempt, s ForwardedStream) {
+	a.origin = s.Origin()
+	x.attemptNumber = max(x.attemptNumber, a.origin.Attempt)
+}
--- a/health/cutoff.go
+++ b/health/cutoff.go
@@ -1,6 +1,8 @@
 package health
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -31,6 +33,20 @@
 	}
 }
 
+// AbsolveAll makes all backend servers healthy, as Absolve does for those of a service.
+func (m *Monitor) AbsolveAll() {
+	m.mu.RLock()
+	all := slices.Collect(maps.Values(m.engines))
+	domains := slices.Collect(maps.Values(m.domains))
+	m.mu.RUnlock()
+	for _, d := range domains {
+		d.forgetFailures()
+	}
+	for _, e := range all {
+		m.absolve(e)
+	}
+}
+
 func (m *Monitor) absolve(e *engine) {
 	e.mu.Lock()
 	previous := e.state
--- a/hosted/cutoff.go
+++ b/hosted/cutoff.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"wigeondale/backend"
-	"wigeondale/event"
 	"wigeondale/fleet"
 	"wigeondale/forward"
 	"wigeondale/generation"
@@ -23,39 +20,16 @@
 // (package forward), tells them that it is cut off, and reports nothing of replicas: it can't tell
 // which of them work.
 
-const (
-	floodCutOff = "hosted.cut-off"
-	// cutOffInterval is how often a router that is cut off says so, and cutOffTTL how long it
-	// counts as cut off after its last message.
-	cutOffInterval = time.Second
-	cutOffTTL      = 3 * cutOffInterval
-)
-
-// cutOffMessage names the services from which a router is cut off. A message without services ends
-// the earlier ones.
-type cutOffMessage struct {
-	Services []string `cbor:"1,keyasint,omitempty"`
-}
-
-// cutOff combines what this router notices of its own links with what other routers say of theirs.
+// cutOff is what this router notices of its links to replicas, and what the others say of theirs.
 type cutOff struct {
 	reach *reach.Monitor
+	*reach.Peers
 	peers *peers
 	mon   *health.Monitor
-	log   *event.Log
-
-	mu       sync.Mutex
-	reported map[string]reportedCutOff // by router
-	lastSent time.Time
-}
-
-type reportedCutOff struct {
-	services []string
-	at       time.Time
 }
 
 func newCutOff(n *node) *cutOff {
-	c := &cutOff{peers: n.peers, mon: n.mon, log: n.log, reported: map[string]reportedCutOff{}}
+	c := &cutOff{peers: n.peers, mon: n.mon}
 	prober := backend.Prober{Dial: n.dialReplica}
 	c.reach = reach.New(reach.Config{
 		ServiceOf: n.view.serviceAt,
@@ -67,9 +41,17 @@
 		Log:      n.log,
 		Set:      n.meter,
 	})
+	c.Peers = reach.NewPeers(c.reach, c.broadcast, n.log)
 	return c
 }
 
+func (c *cutOff) broadcast(m reach.Message) {
+	if mesh := c.peers.currentMesh(); mesh != nil {
+		// A lost message is repeated; a router that missed it answers that it takes no request.
+		_ = mesh.Flood(reach.FloodCutOff, m)
+	}
+}
+
 // serviceAt returns the id and the service of the replica that has an address.
 func (v *view) serviceAt(addr string) (id, service string, ok bool) {
 	v.mu.Lock()
@@ -96,86 +78,18 @@
 	} else {
 		c.mon.Absolve(service)
 	}
-	c.send(time.Now())
-}
-
-// tick repeats that this router is cut off, and forgets the routers that no longer say so.
-func (c *cutOff) tick(now time.Time) {
-	c.mu.Lock()
-	due := now.Sub(c.lastSent) >= cutOffInterval
-	var ended []string
-	for router, r := range c.reported {
-		if now.Sub(r.at) > cutOffTTL {
-			delete(c.reported, router)
-			ended = append(ended, router)
-		}
-	}
-	c.mu.Unlock()
-	for _, router := range ended {
-		c.log.Emit(event.PeerCutOffEnded, "peer", router, "reason", "not heard")
-	}
-	if due && c.reach.Any() {
-		c.send(now)
-	}
+	c.Send(time.Now())
 }
 
-func (c *cutOff) send(now time.Time) {
-	c.mu.Lock()
-	c.lastSent = now
-	c.mu.Unlock()
-	if mesh := c.peers.currentMesh(); mesh != nil {
-		// A lost message is repeated; a router that missed it answers that it takes no request.
-		_ = mesh.Flood(floodCutOff, cutOffMessage{c.reach.CutOffServices()})
-	}
-}
-
-// handle records what another router says of its links.
-func (c *cutOff) handle(from string, m cutOffMessage) {
-	c.mu.Lock()
-	before, known := c.reported[from]
-	if len(m.Services) == 0 {
-		delete(c.reported, from)
-	} else {
-		c.reported[from] = reportedCutOff{m.Services, time.Now()}
-	}
-	c.mu.Unlock()
-	switch {
-	case len(m.Services) == 0 && known:
-		c.log.Emit(event.PeerCutOffEnded, "peer", from, "reason", "reported")
-	case !slices.Equal(before.services, m.Services):
-		c.log.Emit(event.PeerCutOff, "peer", from, "services", strings.Join(m.Services, ","))
-	}
-}
-
-// reports reports whether another router says that it is cut off from a service, or from any
-// service if service is empty.
-func (c *cutOff) reports(router, service string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r, ok := c.reported[router]
-	return ok && (service == "" || slices.Contains(r.services, service))
-}
-
-// routers returns the other routers that don't say that they are cut off from a service, and how
-// many routers of this failure domain, with this one, are.
-func (c *cutOff) routers(service string) (reaching []forward.Router, cutOffInDomain int) {
+// routers returns the other routers that may take requests of a service, as forward.Candidates does.
+func (c *cutOff) routers(service string) ([]forward.Router, int) {
 	mesh := c.peers.currentMesh()
 	if mesh == nil {
 		return nil, 1
 	}
-	for _, m := range mesh.Members() {
-		switch {
-		case m.Self:
-			cutOffInDomain++
-		case c.reports(m.ID, service):
-			if m.FailureDomain == c.peers.set.Node.FailureDomain {
-				cutOffInDomain++
-			}
-		case m.Alive && !m.Suspect && !m.Leaving:
-			reaching = append(reaching, forward.Router{ID: m.ID, Addr: m.Addr, FailureDomain: m.FailureDomain})
-		}
-	}
-	return reaching, cutOffInDomain
+	return forward.Candidates(mesh.Members(), c.peers.set.Node.FailureDomain, func(router string) bool {
+		return c.CutOff(router, service)
+	})
 }
 
 func (n *node) newForwarder() *forward.Forwarder {
@@ -234,21 +148,6 @@
 	return nil
 }
 
-// cutOffState is the part of the state dump about links to replicas.
-type cutOffState struct {
-	Services []reach.Report
-	// Reported holds the services from which other routers say that they are cut off.
-	Reported map[string][]string
-	// PassedOn is the number of requests that other routers run for this one, by router.
-	PassedOn map[string]int
-}
-
-func (c *cutOff) state(now time.Time, passedOn map[string]int) cutOffState {
-	out := cutOffState{Services: c.reach.Reports(now), Reported: map[string][]string{}, PassedOn: passedOn}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for router, r := range c.reported {
-		out.Reported[router] = r.services
-	}
-	return out
+func (c *cutOff) state(now time.Time, passedOn map[string]int) reach.State {
+	return reach.State{Services: c.reach.Reports(now), Reported: c.Reported(), PassedOn: passedOn}
 }
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -15,6 +15,7 @@
 	"wigeondale/peer"
 	"wigeondale/platform"
 	"wigeondale/quarantine"
+	"wigeondale/reach"
 	"wigeondale/settings"
 )
 
@@ -132,7 +133,7 @@
 
 // handleCrash handles another router's report that a failure domain crashed.
 func (p *peers) handleCrash(from string, m crashMessage) {
-	if !p.cutOff.reports(from, health.ServiceOfDomain(m.Domain)) {
+	if !p.cutOff.CutOff(from, health.ServiceOfDomain(m.Domain)) {
 		p.mon.HandleDomainReport(from, m.Domain)
 	}
 }
@@ -278,7 +279,7 @@
 		p.storeSync.tick(now)
 		p.rollouts.tick(now)
 		p.pressure.Tick(now)
-		p.cutOff.tick(now)
+		p.cutOff.Tick(now)
 	})
 	return mesh.Run(ctx)
 }
@@ -298,7 +299,7 @@
 	}
 	peer.HandleFlood(mesh, msgLoads, p.handleLoads)
 	peer.HandleFlood(mesh, floodCrash, p.handleCrash)
-	peer.HandleFlood(mesh, floodCutOff, p.cutOff.handle)
+	peer.HandleFlood(mesh, reach.FloodCutOff, p.cutOff.Handle)
 	mesh.HandleStreams(p.handleStream)
 	peer.HandleFlood(mesh, floodRemoved, func(_ string, m removedMessage) {
 		p.pressure.MarkLeaving(m.Replica, time.Now())
--- a/hosted/pressure.go
+++ b/hosted/pressure.go
@@ -9,7 +9,7 @@
 	gone := map[string]bool{}
 	if mesh := p.currentMesh(); mesh != nil {
 		for _, m := range mesh.Members() {
-			gone[m.ID] = !m.Self && (!m.Alive || m.Leaving || p.cutOff.reports(m.ID, ""))
+			gone[m.ID] = !m.Self && (!m.Alive || m.Leaving || p.cutOff.AnyCutOff(m.ID))
 		}
 	}
 	p.mu.Lock()
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -252,6 +252,15 @@
 	Failed  int   // backend servers whose connections failed lately
 }
 
+// State is the part of a node's state dump about links to backend servers.
+type State struct {
+	Services []Report
+	// Reported holds the services from which other routers say that they are cut off.
+	Reported map[string][]string
+	// PassedOn is the number of requests that other routers run for this one, by router.
+	PassedOn map[string]int
+}
+
 // Reports returns the state of the links to each service whose connections failed once.
 func (m *Monitor) Reports(now time.Time) []Report {
 	m.mu.Lock()
