generation, reach: a request for which no connection opened waits for the check of its router's links

On a router with little traffic the first request after the cut spent its wait on two dials that timed out and was refused, 0.2 s before the check of the links could tell that the router is cut off.

--- a/daemon/cutoff.go
+++ b/daemon/cutoff.go
@@ -75,6 +75,7 @@
 	n.forwarder = forward.New(forward.Config{
 		FailureDomain: n.config.Node.FailureDomain,
 		CutOff:        n.reach.CutOff,
+		CheckCutOff:   n.reach.CheckCutOff,
 		Routers: func(service string) ([]forward.Router, int) {
 			return forward.Candidates(n.mesh.Members(), n.config.Node.FailureDomain, func(router string) bool {
 				return n.reachPeers.CutOff(router, service)
--- a/fakes/fault/dialer.go
+++ b/fakes/fault/dialer.go
@@ -45,11 +45,28 @@
 	d.mode = mode
 	close(d.changed)
 	d.changed = make(chan struct{})
-	if mode != Resetting {
-		return
+	switch mode {
+	case Resetting:
+		for c := range d.conns {
+			c.fail(syscall.ECONNRESET)
+		}
+	case Hanging:
+		time.AfterFunc(hungTimeout, d.timeOut(d.changed))
 	}
-	for c := range d.conns {
-		c.reset()
+}
+
+// timeOut returns a function that ends the connections which have hung since the change that
+// changed belongs to, as keep-alive probes end idle ones. The caller holds d.mu.
+func (d *Dialer) timeOut(changed chan struct{}) func() {
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.changed != changed {
+			return
+		}
+		for c := range d.conns {
+			c.fail(syscall.ETIMEDOUT)
+		}
 	}
 }
 
@@ -88,7 +105,7 @@
 		if err != nil {
 			return nil, err
 		}
-		cut := &cutConn{Conn: c, dialer: d}
+		cut := &cutConn{Conn: c, dialer: d, closed: make(chan struct{})}
 		d.mu.Lock()
 		d.conns[cut] = struct{}{}
 		d.mu.Unlock()
@@ -100,17 +117,16 @@
 type cutConn struct {
 	net.Conn
 	dialer *Dialer
+	closed chan struct{} // closed when the connection is lost or closed
 	mu     sync.Mutex
 	err    error // why the connection was lost
 }
 
-// reset makes all calls fail as those of a reset connection.
-func (c *cutConn) reset() { c.fail(syscall.ECONNRESET) }
-
 func (c *cutConn) fail(err error) {
 	c.mu.Lock()
 	if c.err == nil {
 		c.err = &net.OpError{Op: "read", Net: "tcp", Err: err}
+		close(c.closed)
 	}
 	c.mu.Unlock()
 	c.Conn.Close()
@@ -119,7 +135,7 @@
 // Read implements net.Conn. What arrived while the connection hangs is withheld.
 func (c *cutConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if lost := c.hang(); lost != nil {
+	if lost := c.awaitLink(); lost != nil {
 		return 0, lost
 	}
 	return n, err
@@ -127,30 +143,24 @@
 
 // Write implements net.Conn. What is written while the connection hangs is delivered after that.
 func (c *cutConn) Write(p []byte) (int, error) {
-	if lost := c.hang(); lost != nil {
+	if lost := c.awaitLink(); lost != nil {
 		return 0, lost
 	}
 	return c.Conn.Write(p)
 }
 
-// hang waits while the connection hangs, and returns why it was lost, or nil.
-func (c *cutConn) hang() error {
-	timeout := time.After(hungTimeout)
+// awaitLink waits while the link hangs, and returns why the connection was lost, or nil.
+func (c *cutConn) awaitLink() error {
 	for {
 		mode, changed := c.dialer.state()
-		if mode != Hanging {
-			break
+		if err := c.lost(); err != nil || mode != Hanging {
+			return err
 		}
 		select {
 		case <-changed:
-		case <-timeout:
-			c.fail(syscall.ETIMEDOUT)
-		}
-		if err := c.lost(); err != nil {
-			return err
+		case <-c.closed:
 		}
 	}
-	return c.lost()
 }
 
 func (c *cutConn) lost() error {
@@ -164,5 +174,6 @@
 	c.dialer.mu.Lock()
 	delete(c.dialer.conns, c)
 	c.dialer.mu.Unlock()
-	return c.Conn.Close()
+	c.fail(net.ErrClosed)
+	return nil
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -59,6 +59,8 @@
 	FailureDomain string
 	// CutOff reports whether this router is cut off from a service.
 	CutOff func(service string) bool
+	// CheckCutOff reports the same after a check, if there is reason for one.
+	CheckCutOff func(ctx context.Context, service string) bool
 	// Routers returns the other routers that are not known to be cut off from a service, and how
 	// many routers of this failure domain, this one included, are cut off from it.
 	Routers func(service string) (reaching []Router, cutOffInDomain int)
@@ -112,6 +114,11 @@
 // CutOff implements generation.Forwarder.
 func (f *Forwarder) CutOff(service string) bool { return f.cfg.CutOff(service) }
 
+// CheckCutOff implements generation.Forwarder.
+func (f *Forwarder) CheckCutOff(ctx context.Context, service string) bool {
+	return f.cfg.CheckCutOff(ctx, service)
+}
+
 // Open returns the number of requests that are passed on and not ended, by router.
 func (f *Forwarder) Open() map[string]int { return f.chooser.counts() }
 
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -115,6 +115,7 @@
 	}
 	a.closeReader()
 	x.attemptsSent--
+	x.unreached = x.unreached || !isRefusal
 	if isRefusal && refused.Code == codeAttemptExists {
 		// Another router already runs this request. This router doesn't know of that run,
 		// since the stored pointer to the run is soft state and was lost. It would be untrue
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -21,6 +21,8 @@
 	// CutOff reports whether this router is cut off from a service, or from the model engines if
 	// service is empty.
 	CutOff(service string) bool
+	// CheckCutOff reports the same after a check, if failures of connections are reason for one.
+	CheckCutOff(ctx context.Context, service string) bool
 	// Forward passes the rest of a request on to another router and returns its answer. If the
 	// request has not run, the error wraps backend.ErrNotSent or is an *Unavailable.
 	Forward(ctx context.Context, h Handover) (ForwardedStream, error)
@@ -58,6 +60,12 @@
 // cutOff reports whether this router is cut off from the backend servers that the request needs.
 func (x *run) cutOff() bool { return x.Forwarder != nil && x.Forwarder.CutOff(x.service()) }
 
+// foundCutOff reports whether this router turns out to be cut off, before a request is given up for
+// which no connection opened.
+func (x *run) foundCutOff() bool {
+	return x.unreached && x.Forwarder != nil && !x.req.Forwarded && x.Forwarder.CheckCutOff(x.ctx, x.service())
+}
+
 // passOn decides what becomes of a request while this router is cut off. A request that another
 // router passed on is not passed on again.
 func (x *run) passOn() string {
--- a/generation/forward_test.go
+++ b/generation/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"time"
 
 	"wigeondale/backend"
 	"wigeondale/fleet"
@@ -18,7 +19,8 @@
 	loseAfter int // tokens after which the stream of the first request is lost; 0 for never
 }
 
-func (o *otherRouter) CutOff(string) bool { return o.cutOff() }
+func (o *otherRouter) CutOff(string) bool                       { return o.cutOff() }
+func (o *otherRouter) CheckCutOff(context.Context, string) bool { return o.cutOff() }
 
 func (o *otherRouter) Forward(ctx context.Context, h Handover) (ForwardedStream, error) {
 	o.handovers = append(o.handovers, h)
@@ -30,7 +32,7 @@
 	}
 	client := backend.NewClient()
 	defer client.CloseIdle()
-	r, err := New(Deps{Admitter: &o.harness, Claims: &o.harness, Picker: &o.harness, Watcher: &o.harness, Engines: Native{client}, Abandon: &o.harness, Budget: &o.harness}, Options{})
+	r, err := New(Deps{Admitter: &o.harness, Claims: &o.harness, Picker: &o.harness, Watcher: &o.harness, Engines: Native{client}, Abandon: &o.harness, Budget: &o.harness}, Options{StartedMaxWait: 50 * time.Millisecond})
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +132,7 @@
 	}
 	h = harness{forwarder: other}
 	other.engines = []*fakeEngine{newFakeEngine(t, behavior{tokens: 2, fault: "close"}, behavior{fault: "none"})}
-	if res := h.run(t, Request{NonIdempotent: true}, &fakeSink{}, Options{}); res.Outcome != fleet.Unknown {
+	if res := h.run(t, Request{NonIdempotent: true}, &fakeSink{}, Options{StartedMaxWait: 50 * time.Millisecond}); res.Outcome != fleet.Unknown {
 		t.Errorf("a request that may have run: %+v", res)
 	}
 }
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -184,6 +184,7 @@
 	firstAfterLoss bool                  // the next attempt is the first since the loss of a started answer
 	needsBudget    bool                  // the next attempt of an opaque request counts as another arrival at its service
 	attemptsSent   int                   // attempts that may have run
+	unreached      bool                  // no connection opened for an attempt
 	anySent        bool                  // an attempt was sent, whether it may have run or not
 	failedAnswer   *backend.FailedAnswer // the latest one; delivered if nothing better arrives
 	backend        fleet.Backend         // picked, or still running the attempt
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -180,6 +180,10 @@
 		return "retry"
 	}
 	left := x.waitLeft()
+	if x.delay > left && x.foundCutOff() {
+		x.delay = 0
+		return "retry"
+	}
 	if x.delay > left {
 		return x.giveUp(CodeNoReplica, x.waitErr)
 	}
--- a/hosted/cutoff.go
+++ b/hosted/cutoff.go
@@ -96,6 +96,7 @@
 	return forward.New(forward.Config{
 		FailureDomain: n.set.Node.FailureDomain,
 		CutOff:        n.cutOff.reach.CutOff,
+		CheckCutOff:   n.cutOff.reach.CheckCutOff,
 		Routers:       n.cutOff.routers,
 		Open: func(ctx context.Context, r forward.Router) (forward.Conn, error) {
 			mesh := n.peers.currentMesh()
--- a/hosted/suspects.go
+++ b/hosted/suspects.go
@@ -21,7 +21,7 @@
 // Probe implements quarantine.Prober.
 func (l crashProber) Probe(ctx context.Context, b fleet.Backend) quarantine.State {
 	state := l.Prober.Probe(ctx, b)
-	if state == quarantine.Exited && l.cutOffFrom(ctx, b.Service) {
+	if state == quarantine.Exited && l.reach.CheckCutOff(ctx, b.Service) {
 		return quarantine.Unreachable // a link that is cut refuses connections like a crashed replica
 	}
 	if state != quarantine.Working || b.Incarnation.StartedAt == 0 || l.querier.replicas == nil {
@@ -33,19 +33,6 @@
 	return state
 }
 
-// cutOffFrom reports whether this router is cut off from a service, after a check if there is
-// reason for one.
-func (l crashProber) cutOffFrom(ctx context.Context, service string) bool {
-	result := make(chan bool, 1)
-	l.reach.AfterCheck(service, func(cutOff bool) { result <- cutOff })
-	select {
-	case cutOff := <-result:
-		return cutOff
-	case <-ctx.Done():
-		return true
-	}
-}
-
 // newCrashProber returns a prober that queries replicas for their runs with querier, if it has
 // one.
 func (n *node) newCrashProber(querier runQuerier) crashProber {
--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -124,6 +124,19 @@
 	fn(cutOff)
 }
 
+// CheckCutOff reports whether this router is cut off from a service, after a check if failures are
+// reason for one. It returns true if ctx ends first.
+func (m *Monitor) CheckCutOff(ctx context.Context, name string) bool {
+	result := make(chan bool, 1)
+	m.AfterCheck(name, func(cutOff bool) { result <- cutOff })
+	select {
+	case cutOff := <-result:
+		return cutOff
+	case <-ctx.Done():
+		return true
+	}
+}
+
 // Run checks services and probes their backend servers until ctx ends.
 func (m *Monitor) Run(ctx context.Context) error {
 	tick := time.NewTicker(tickInterval)
