--- a/fakes/hosted/asks.go
+++ b/fakes/hosted/asks.go
@@ -7,6 +7,9 @@
 	Limit string // requests a second that it takes from all routers, as the header states it; empty for none
 	// Leaving makes it say that it leaves. It goes on to serve what arrives.
 	Leaving bool
+	// Brittle is the number of requests that it may refuse within a second for want of room, as the
+	// header states it; empty if it is not brittle.
+	Brittle string
 	// Rest makes it refuse all requests with 503 and this Retry-After.
 	Rest string
 }
@@ -37,6 +40,10 @@
 func (a Asks) set(h http.Header) {
 	h.Del("Server-Limit")
 	h.Del("Server-Leaving")
+	h.Del("Server-Brittle")
+	if a.Brittle != "" {
+		h.Set("Server-Brittle", a.Brittle)
+	}
 	if a.Limit != "" {
 		h.Set("Server-Limit", a.Limit)
 	}
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -23,6 +23,9 @@
 	KVCapacity = 55000
 )
 
+// defaultRoom is the number of slots that a replica states if its room is not limited.
+const defaultRoom = 8
+
 // CrashMark in the body of a request makes every replica crash that starts to run it.
 const CrashMark = fault.CrashMark
 
@@ -35,6 +38,8 @@
 	Header http.Header
 	Body   string
 	Ran    bool
+	// NoRoom is set if it was refused for want of room.
+	NoRoom bool
 	// Completed is set when the run has completed. It stays false for a run that was
 	// aborted.
 	Completed bool
@@ -54,6 +59,8 @@
 	Listen    string        // address to listen on; empty for any
 	Chunks    int           // number of chunks in a stream
 	ChunkGap  time.Duration // time between two chunks
+	Room      int           // requests that it takes at once; 0 for any number
+	Work      time.Duration // time to serve a request that is not streamed
 	// OnCrash, if set, is called after a request has made the replica crash.
 	OnCrash func(r *Replica)
 
@@ -233,7 +240,7 @@
 	h := w.Header()
 	a.Asks.set(h)
 	h.Set("X-Attempt-Id", a.ID)
-	h.Set("X-Replica-Load", "1,0,8")
+	h.Set("X-Replica-Load", fmt.Sprintf("%d,0,%d", r.OpenRequests(), cmp.Or(r.Room, defaultRoom)))
 	if refuse != 0 {
 		h.Set("X-Not-Executed", "1")
 		if a.Asks.Rest != "" {
@@ -259,6 +266,7 @@
 		r.serveStream(w, req, a, f)
 		return
 	}
+	time.Sleep(r.Work)
 	r.serveComplete(w, a, f)
 }
 
@@ -312,6 +320,10 @@
 	if r.faults.Refuse || a.Asks.Rest != "" {
 		return r.faults, http.StatusServiceUnavailable
 	}
+	if r.Room > 0 && r.openRequests > r.Room {
+		a.NoRoom = true
+		return r.faults, http.StatusServiceUnavailable
+	}
 	if a.Header.Get("Kv-From") != "" && !r.copies[a.ID] {
 		return r.faults, http.StatusServiceUnavailable
 	}
--- a/hosted/backpressure_test.go
+++ b/hosted/backpressure_test.go
@@ -19,9 +19,15 @@
 
 // mostIn returns the largest number of arrivals after since within any window of the given length.
 func mostIn(r *fakes.Replica, since time.Time, window time.Duration) int {
+	return mostArrivals(r, window, func(a fakes.Arrival) bool { return a.At.After(since) })
+}
+
+// mostArrivals returns the largest number of those arrivals that count within any window of the
+// given length.
+func mostArrivals(r *fakes.Replica, window time.Duration, counts func(fakes.Arrival) bool) int {
 	var times []time.Time
 	for _, a := range r.Arrivals() {
-		if a.At.After(since) {
+		if counts(a) {
 			times = append(times, a.At)
 		}
 	}
