--- a/fakes/hosted/store.go
+++ b/fakes/hosted/store.go
@@ -37,24 +37,27 @@
 	failing      bool          // every call fails with 503
 	unresponsive bool          // no call gets a response
 	calls        int
-	leases       int64
+	leases       int64          // number of the latest lease
+	granted      map[int64]bool // leases that exist
+	era          atomic.Int64   // number of times that the store came back from a copy
+	renewals     []Renewal
 }
 
 // NewStore starts a store on loopback.
 func NewStore() *Store {
-	s := &Store{revision: 1, items: map[string]Item{}, changed: make(chan struct{})}
+	s := &Store{revision: 1, items: map[string]Item{}, granted: map[int64]bool{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
 	mux.HandleFunc("POST /kv-txn", s.serveTxn)
 	mux.HandleFunc("POST /kv-lease", s.serveLease)
-	mux.HandleFunc("POST /kv-keep/{lease}", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, map[string]any{"ttl_ms": 1}) })
+	mux.HandleFunc("POST /kv-keep/{lease}", s.serveKeep)
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.awaitAndRefuse(r) {
 			http.Error(w, `{"error":"down"}`, http.StatusServiceUnavailable)
 			return
 		}
-		mux.ServeHTTP(w, r)
+		mux.ServeHTTP(eraWriter{w, s}, r)
 	}))
 	return s
 }
@@ -254,7 +257,7 @@
 	if s.failing || s.unresponsive {
 		return nil, nil, http.StatusServiceUnavailable
 	}
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil, nil, http.StatusGone
 	}
 	var events []Item
@@ -299,6 +302,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leases++
+	s.granted[s.leases] = true
 	writeJSON(w, map[string]any{"lease": s.leases, "ttl_ms": 1})
 }
 
