--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -142,6 +142,7 @@
 	HoldNotStored
 	ReplicasWithdrawn
 	SamplePlanWritten
+	StoreItemRewritten
 )
 
 // Events of the platform's store (20xx).
@@ -153,6 +154,8 @@
 	StoreItemFailed
 	StoreBulkLeft
 	StoreFilterUnreadable
+	StoreWentBack
+	StoreItemKept
 )
 
 // Events of requests that crash backend servers (21xx).
@@ -276,6 +279,7 @@
 	{HoldNotStored, "hold-not-stored", Warning, "The quarantine of a request could not be written to the store, or removed from it, and is retried. Routers that start meanwhile receive it from other routers only. Check the store if it goes on."},
 	{ReplicasWithdrawn, "replicas-withdrawn", Info, "Replicas of large services left the sample that all nodes know. This node sends them no more work; what runs there goes on. Nothing to do."},
 	{SamplePlanWritten, "sample-plan-written", Info, "This node has decided which replicas of large services all nodes know: of a service with n halvings, one replica in 2^n. Nothing to do."},
+	{StoreItemRewritten, "store-item-rewritten", Info, "This node wrote again what the store has lost since it came back from a copy, over the given older revision; written is false if another node was first. Nothing to do."},
 	{StoreLost, "store-lost", Warning, "The platform's store does not answer this node; the last configuration and replicas stay in force. Check the store if it goes on."},
 	{StoreRegained, "store-regained", Info, "The store answers again. Nothing to do."},
 	{StoreHistoryLost, "store-history-lost", Info, "The store no longer has the changes that this node has not seen; everything is read again. Nothing to do."},
@@ -283,6 +287,8 @@
 	{StoreItemFailed, "store-item-failed", Error, "Processing a store item caused a panic and the item was skipped; everything else is in force. Report it with the stack that is given, and find out which program wrote the item."},
 	{StoreBulkLeft, "store-bulk-left", Info, "This node has read the configuration and the nodes from the store, and gets the replicas, of which there are many, from its neighbours. If it is not ready within 20 s, check its links to other nodes."},
 	{StoreFilterUnreadable, "store-filter-unreadable", Warning, "The store's item that says which replicas the nodes know can't be read, and the one before it stays in force. Find out which program wrote the item."},
+	{StoreWentBack, "store-went-back", Warning, "The store has come back from an older copy of its data (era, at), and has lost changes that this node knows. This node keeps what it knows until its owners have written it again. Tell the platform's operators if it was not a drill."},
+	{StoreItemKept, "store-item-kept", Info, "The store that came back lacks an item, or lists it in an older version or although it had been removed. What this node knows counts until the item is written again, or for the time in which that is due. Nothing to do."},
 	{LossExamined, "loss-examined", Info, "An attempt was lost, and its backend server was examined: found is whether it has exited, and alone whether others of its failure domain still work. Lines with one digest are of one request and its repeats. Backend servers that exited on their own, again and again under one digest, were crashed by that request."},
 	{CrashCounted, "crash-counted", Warning, "A backend server exited on its own, early in the run of a request, and that counts against the request; from is the router that observed it. Nothing to do unless request-quarantined follows."},
 	{RequestHeld, "request-quarantined", Error, "Backend servers crashed again and again under one request, as observed here or reported by another router or the store (from). It is refused for an hour, or until an operator lifts the quarantine; its clients get a final answer at once. Find what in the request crashes the backend servers, by its digest, account and the crashes."},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -99,7 +99,7 @@
 	ChecksFence bool `json:"checks_fence"`
 	// Started orders the starts of backend servers: a later start has a higher number. 0 means
 	// that the number isn't known.
-	Started int64 `json:"started,omitempty"`
+	Started Revision `json:"started,omitempty"`
 	// Leaving is true once the VM list shows that the VM is about to be removed.
 	Leaving bool `json:"leaving"`
 }
--- a/hosted/adopt.go
+++ b/hosted/adopt.go
@@ -203,8 +203,8 @@
 
 // latestStart returns the store revision of the latest start of a known replica, or 0 if no
 // replica is known.
-func (v *view) latestStart() int64 {
-	var last int64
+func (v *view) latestStart() fleet.Revision {
+	var last fleet.Revision
 	for _, b := range v.replicas {
 		last = max(last, b.Started)
 	}
--- a/hosted/change_test.go
+++ b/hosted/change_test.go
@@ -4,13 +4,15 @@
 	"fmt"
 	"runtime"
 	"testing"
+
+	"wigeondale/fleet"
 )
 
 // knownReplicas returns a view that knows n replicas.
 func knownReplicas(n int) *view {
 	v := newTestView()
 	for i := range n {
-		v.Put(replicaEntry(fmt.Sprintf("i-%06d", i), fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255), int64(i+1)))
+		v.Put(replicaEntry(fmt.Sprintf("i-%06d", i), fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255), fleet.Revision(i+1)))
 	}
 	v.BatchDone()
 	return v
@@ -20,7 +22,7 @@
 // another id and address appears.
 func replaceOne(v *view, i int) {
 	v.Removed(fmt.Sprintf("servers/i-%06d", i))
-	v.Put(replicaEntry(fmt.Sprintf("i-%06d", 1<<19+i), fmt.Sprintf("11.%d.%d.%d:80", i>>16, i>>8&255, i&255), int64(1<<20+i)))
+	v.Put(replicaEntry(fmt.Sprintf("i-%06d", 1<<19+i), fmt.Sprintf("11.%d.%d.%d:80", i>>16, i>>8&255, i&255), fleet.Revision(1<<20+i)))
 	v.BatchDone()
 }
 
--- a/hosted/era_test.go
+++ b/hosted/era_test.go
@@ -18,7 +18,7 @@
 	}
 	at := f.store.Revision()
 	for _, n := range nodes {
-		await(f.t, "the writes that will be lost", func() bool { return int64(n.mirror.Newest()) >= at })
+		await(f.t, "the writes that will be lost", func() bool { return n.mirror.Newest().Number() >= at })
 	}
 }
 
@@ -74,7 +74,7 @@
 	seen := map[*fakes.Replica]int{leaving: len(leaving.Arrivals()), removed: len(removed.Arrivals())}
 	f.store.GoBack(earlier)
 	for _, n := range nodes {
-		await(t, "the new era", func() bool { return n.storeSync.state() != nil })
+		await(t, "the new era", func() bool { return n.mirror.Newest().Era() == 1 })
 		if _, known := n.dir.Backend("a3"); !known || n.dir.Leaving("a3") {
 			t.Error("a replica that is not in the copy ends at once")
 		}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -30,6 +30,7 @@
 	"wigeondale/forward"
 	"wigeondale/generation"
 	"wigeondale/health"
+	"wigeondale/infra"
 	"wigeondale/listen"
 	"wigeondale/mirror"
 	"wigeondale/placement"
@@ -66,6 +67,7 @@
 	guard     *quarantine.Guard
 	pressure  *backpressure.Tracker
 	holds     *holds
+	rewriter  *rewriter
 	cutOff    *cutOff
 	forwarder *forward.Forwarder
 	runner    *generation.Runner
@@ -128,8 +130,12 @@
 		LargeFleet: listsLargeFleet, IsReader: n.storeSync.readsStore, ReadsBulk: n.storeSync.readsBulk,
 		PeerPrefixes: []string{peerKeyKey, nodePrefix}, NeedsPeers: n.peers.needed,
 		FilterKey: samplePlanKey, NewFilter: newSampleFilter, OnFullRead: n.view.planner.handleFullRead,
-		OnUpdate: n.storeSync.copyChanged, Log: log, Set: n.meter,
+		OnUpdate: n.storeSync.copyChanged, OnReturn: n.storeReturned, OwnPrefix: ownPrefix,
+		Newer: func(known, listed infra.Value) bool { return platform.Supersedes(listed, known) },
+		Log:   log, Set: n.meter,
 	})
+	n.rewriter = &rewriter{store: store, log: log}
+	n.peers.era = func() int64 { return n.mirror.Newest().Era() }
 	n.storeSync.startRank = n.peers.startRank
 	n.storeSync.expectedLinks = n.peers.expectedLinks
 	n.storeSync.afterTick = func(now time.Time) { n.view.planner.look(now, n.view.replicasByService) }
--- a/hosted/incarnation_test.go
+++ b/hosted/incarnation_test.go
@@ -20,7 +20,7 @@
 )
 
 // entryStartedAt returns a store entry of the incarnation of name that started at startedAt.
-func entryStartedAt(name string, startedAt, revision int64, state string) infra.Value {
+func entryStartedAt(name string, startedAt int64, revision fleet.Revision, state string) infra.Value {
 	return infra.Value{
 		Key: "servers/" + name, CreateRev: 5, ModRev: revision,
 		Data: fmt.Appendf(nil, `{"service": "llm", "address": "10.0.0.1:80", "zone": "d0", "version": "v1", "slots": 8, "state": %q,
@@ -224,7 +224,7 @@
 		want := map[string]bool{}
 		for i := range rapid.IntRange(1, 12).Draw(rt, "entries") {
 			key := fmt.Sprintf("i-%d", i)
-			item := replicaEntry(key, fmt.Sprintf("10.0.0.%d:80", i+1), int64(i+1))
+			item := replicaEntry(key, fmt.Sprintf("10.0.0.%d:80", i+1), fleet.Revision(i+1))
 			if rapid.Bool().Draw(rt, "foreign") {
 				item.Data = []byte(bad[rapid.SampledFrom(names).Draw(rt, "which")])
 			} else {
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -41,6 +41,9 @@
 	floodRemoved = "hosted.replica-gone"
 )
 
+// unstored is the era of a key that the store doesn't have.
+const unstored = -1
+
 // peers connects this node with the other nodes. It has no links until the key with which all
 // links authenticate has been read from the store.
 type peers struct {
@@ -68,7 +71,9 @@
 	fullyLinked  func() bool          // reports whether this node is linked to all other nodes; set before run
 	keyKnown     chan struct{}        // closed when the key is known
 	storeRead    chan struct{}        // closed when the store has been read once
+	era          func() int64         // era of this node's copy of the store; set before run
 	firstRead    sync.Once            // guards the closing of storeRead
+	keyEra       int64                // era of the store in which it has the key
 	localEntry   infra.Value          // this node's entry in the store, as last read
 	listedAt     time.Time            // when this node first saw its own entry in the store
 	rankAtStart  int                  // see startRank; unregistered if this node had no entry
@@ -89,9 +94,9 @@
 	p := &peers{
 		set: set, dir: dir, mon: mon, storeSync: n, log: log,
 		addrs: map[string]string{}, received: map[string]peerLoads{}, soon: make(chan struct{}, 1), keyKnown: make(chan struct{}),
-		rankAtStart: unregistered, fullyLinked: func() bool { return false }, storeRead: make(chan struct{}),
+		era: func() int64 { return 0 }, rankAtStart: unregistered, fullyLinked: func() bool { return false }, storeRead: make(chan struct{}),
 	}
-	p.reg = &registration{set: set, store: store, log: log, storeRead: p.storeRead, state: p.registrationState}
+	p.reg = &registration{set: set, store: store, log: log, storeRead: p.storeRead, state: p.registrationState, returned: make(chan struct{}, 1)}
 	mon.OnDomain = p.broadcastCrash
 	dir.OnLeaving = p.broadcastRemoved
 	return p
@@ -151,7 +156,7 @@
 // ignores all other items.
 func (p *peers) put(item infra.Value) {
 	if item.Key == peerKeyKey {
-		p.setKey(item.Data)
+		p.setKey(item.Data, item.ModRev.Era())
 		return
 	}
 	id, ok := strings.CutPrefix(item.Key, nodePrefix)
@@ -186,30 +191,41 @@
 }
 
 func (p *peers) removed(key string) {
+	if key == peerKeyKey {
+		p.mu.Lock()
+		p.keyEra = unstored
+		p.mu.Unlock()
+		p.reg.storeReturned()
+		return
+	}
 	if id, ok := strings.CutPrefix(key, nodePrefix); ok {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.addrs, id)
 		if id == p.set.Node.ID {
 			p.localEntry = infra.Value{}
+			p.reg.storeReturned()
 		}
 	}
 }
 
-// registrationState returns whether the key of the links is known, and the lease of this
-// node's entry, or 0 if no entry has this node's address.
-func (p *peers) registrationState() (key bool, lease infra.LeaseID) {
+// registrationState returns what the registration of this node has to know of the store. What this
+// node knows of an earlier era is not in the store.
+func (p *peers) registrationState() registrationState {
+	era := p.era()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if string(p.localEntry.Data) == p.set.Hosted.PeerAddress {
-		lease = p.localEntry.Lease
+	s := registrationState{key: p.key, keyStored: p.key != nil && p.keyEra == era, nodes: len(p.addrs)}
+	if string(p.localEntry.Data) == p.set.Hosted.PeerAddress && p.localEntry.Lease.Era() == era {
+		s.lease = p.localEntry.Lease
 	}
-	return p.key != nil, lease
+	return s
 }
 
-func (p *peers) setKey(key []byte) {
+func (p *peers) setKey(key []byte, era int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.keyEra = max(p.keyEra, era)
 	if p.key != nil || len(key) < peerKeyBytes {
 		return
 	}
--- a/hosted/registration.go
+++ b/hosted/registration.go
@@ -48,7 +48,26 @@
 	// the key exists, and the lease of this node's entry, or 0 if no entry has this node's
 	// address.
 	storeRead <-chan struct{}
-	state     func() (key bool, lease infra.LeaseID)
+	state     func() registrationState
+	// returned has a value when the store has come back from a copy, which may lack what this node
+	// has written.
+	returned chan struct{}
+}
+
+// registrationState is what a registration has to know of the store.
+type registrationState struct {
+	key       []byte        // of the links; nil if it isn't known
+	keyStored bool          // the store has the key
+	lease     infra.LeaseID // of this node's entry; 0 if no entry has this node's address
+	nodes     int           // registered nodes, with this one
+}
+
+// storeReturned makes the registration write again what the store lacks.
+func (r *registration) storeReturned() {
+	select {
+	case r.returned <- struct{}{}:
+	default:
+	}
 }
 
 // run registers this node and renews its lease until ctx ends.
@@ -84,7 +103,7 @@
 	case <-ctx.Done():
 		return false
 	}
-	if key, _ := r.state(); key {
+	if r.state().key != nil {
 		return true
 	}
 	return clock.Sleep(ctx, rand.N(keySpread))
@@ -97,7 +116,7 @@
 // writes for what is in the store already, while all of them read the store. These writes
 // would be the largest part of the calls to the store.
 func (r *registration) resumeLease(ctx context.Context) (infra.LeaseID, bool) {
-	_, lease := r.state()
+	lease := r.state().lease
 	if lease == 0 {
 		return 0, false
 	}
@@ -109,7 +128,21 @@
 // renew renews the lease. It returns true when the lease may have expired, and false when ctx has
 // ended.
 func (r *registration) renew(ctx context.Context, lease infra.LeaseID) bool {
-	for clock.Sleep(ctx, renewal) {
+	for {
+		due := time.NewTimer(renewal)
+		select {
+		case <-ctx.Done():
+			due.Stop()
+			return false
+		case <-r.returned:
+			due.Stop()
+			var kept bool
+			if lease, kept = r.checkReturned(ctx); !kept {
+				return ctx.Err() == nil
+			}
+			continue
+		case <-due.C:
+		}
 		ctx, stop := context.WithTimeout(ctx, registerTimeout)
 		err := r.store.KeepAlive(ctx, lease)
 		stop()
@@ -118,7 +151,23 @@
 			return true
 		}
 	}
-	return false
+}
+
+// returnSpread is the time for each registered node over which the nodes spread their writes after
+// the store has come back: together they make three writes for each node that it lacks.
+const returnSpread = 10 * time.Millisecond
+
+// checkReturned finds out whether a store that has come back from a copy still has this node's entry and
+// its lease, and the key of the links. It returns false if this node has to register again.
+func (r *registration) checkReturned(ctx context.Context) (infra.LeaseID, bool) {
+	s := r.state()
+	if s.key != nil && !s.keyStored {
+		return 0, false // at once: a node that starts now would create another key
+	}
+	if !clock.Sleep(ctx, rand.N(returnSpread*time.Duration(max(s.nodes, 1)))) {
+		return 0, false
+	}
+	return r.resumeLease(ctx)
 }
 
 // register writes this node's address, and creates the key of the links if necessary. If
@@ -136,13 +185,18 @@
 	return lease, r.store.Put(ctx, nodePrefix+r.set.Node.ID, []byte(r.set.Hosted.PeerAddress), lease)
 }
 
-// createKey creates the key of the links if none is known.
+// createKey creates the key of the links if the store has none. A key that the store has lost is
+// written again.
 func (r *registration) createKey(ctx context.Context) error {
-	if key, _ := r.state(); key {
+	s := r.state()
+	if s.keyStored {
 		return nil
 	}
-	key := make([]byte, peerKeyBytes)
-	crand.Read(key) // never fails: the runtime ends the process instead
+	key := s.key
+	if key == nil {
+		key = make([]byte, peerKeyBytes)
+		crand.Read(key) // never fails: the runtime ends the process instead
+	}
 	_, err := r.store.Create(ctx, peerKeyKey, key)
 	return err
 }
--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -17,6 +17,7 @@
 	"wigeondale/clock"
 	"wigeondale/directory"
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/health"
 	"wigeondale/infra"
 	"wigeondale/platform"
@@ -52,7 +53,7 @@
 // returns false if the record no longer has the given revision, since another node has changed
 // it.
 type rolloutWriter interface {
-	WriteRollout(ctx context.Context, service, key string, rec rollout.Record, revision int64) (bool, error)
+	WriteRollout(ctx context.Context, service, key string, rec rollout.Record, revision fleet.Revision) (bool, error)
 }
 
 // rollouts holds the roll-outs of all services at this node.
--- a/hosted/rollouts_progress.go
+++ b/hosted/rollouts_progress.go
@@ -8,6 +8,7 @@
 
 	"wigeondale/clock"
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/health"
 	"wigeondale/rollout"
 	"wigeondale/routing"
@@ -142,7 +143,7 @@
 	}()
 }
 
-func (s *rollouts) write(ro *serviceRollout, next rollout.Record, revision int64) {
+func (s *rollouts) write(ro *serviceRollout, next rollout.Record, revision fleet.Revision) {
 	ctx, stop := context.WithTimeout(context.Background(), rolloutWrite)
 	defer stop()
 	done, err := s.writer.WriteRollout(ctx, ro.service, rolloutPrefix+ro.service, next, revision)
--- a/hosted/sampling.go
+++ b/hosted/sampling.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/infra"
 	"wigeondale/mirror"
 	"wigeondale/platform"
@@ -66,7 +67,7 @@
 
 // planStore is the part of the store that a planner uses.
 type planStore interface {
-	Replace(ctx context.Context, key string, data []byte, revision int64) (bool, error)
+	Replace(ctx context.Context, key string, data []byte, revision fleet.Revision) (bool, error)
 }
 
 // planner maintains the sample plan in the store. Nodes that read the store write it: when
@@ -81,8 +82,8 @@
 
 	mu        sync.Mutex
 	plan      sample.Plan
-	revision  int64     // of the plan in the store; 0: there is none
-	putAt     time.Time // when this node got to know the plan
+	revision  fleet.Revision // of the plan in the store; 0: there is none
+	putAt     time.Time      // when this node got to know the plan
 	nextLook  time.Time
 	enlarging bool // a write of an enlarged plan is in progress
 }
@@ -155,7 +156,7 @@
 	}()
 }
 
-func (p *planner) adjust(ctx context.Context, plan sample.Plan, revision int64, sampled map[string]int) {
+func (p *planner) adjust(ctx context.Context, plan sample.Plan, revision fleet.Revision, sampled map[string]int) {
 	if next, changed := plan.Adjusted(sampled); changed {
 		p.write(ctx, next, revision)
 	}
@@ -187,7 +188,7 @@
 
 // write writes the plan unless another node has written one meanwhile. A failed write is made
 // up for by another node, or at the next look.
-func (p *planner) write(ctx context.Context, plan sample.Plan, revision int64) {
+func (p *planner) write(ctx context.Context, plan sample.Plan, revision fleet.Revision) {
 	data, err := plan.Encode()
 	if err != nil {
 		return
--- a/hosted/start_size_test.go
+++ b/hosted/start_size_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 	"wigeondale/mirror"
 	"wigeondale/peer/peertest"
@@ -23,7 +24,7 @@
 // largeStore is a store with many replicas, which counts the pages that are read.
 type largeStore struct {
 	items []infra.Value
-	rev   int64
+	rev   fleet.Revision
 	pages *atomic.Int64
 }
 
@@ -61,7 +62,7 @@
 	return page, nil
 }
 
-func (s *largeStore) Changes(ctx context.Context, _ string, _ int64, wait time.Duration) ([]infra.WatchEvent, int64, error) {
+func (s *largeStore) Changes(ctx context.Context, _ string, _ fleet.Revision, wait time.Duration) ([]infra.WatchEvent, fleet.Revision, error) {
 	select {
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
--- a/hosted/store_sync.go
+++ b/hosted/store_sync.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/mirror"
 	"wigeondale/peer"
 	"wigeondale/routing"
@@ -59,8 +60,8 @@
 
 // syncMessage states how current a node's copy of the store is.
 type syncMessage struct {
-	Newest int64 `cbor:"1,keyasint"` // revision of the latest change
-	AgeMS  int64 `cbor:"2,keyasint"` // time since the store last confirmed the copy, directly or through other nodes
+	Newest fleet.Revision `cbor:"1,keyasint"` // revision of the latest change
+	AgeMS  int64          `cbor:"2,keyasint"` // time since the store last confirmed the copy, directly or through other nodes
 	// Lacks reports that the copy lacks items that nodes keep since a change of the sample.
 	Lacks bool `cbor:"3,keyasint,omitempty"`
 }
@@ -114,7 +115,7 @@
 
 type receivedSync struct {
 	receivedAt time.Time
-	newest     int64
+	newest     fleet.Revision
 	age        time.Duration
 }
 
@@ -310,8 +311,8 @@
 func (n *storeSync) state() any {
 	now := time.Now()
 	return struct {
-		Newest int64
+		Newest string
 		AgeMS  int64
 		Reads  bool
-	}{n.mirror.Newest(), n.age(now).Milliseconds(), n.readsStore()}
+	}{n.mirror.Newest().String(), n.age(now).Milliseconds(), n.readsStore()}
 }
--- a/hosted/store_sync_size_test.go
+++ b/hosted/store_sync_size_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 	"wigeondale/mirror"
 	"wigeondale/peer"
@@ -28,13 +29,13 @@
 // changeLog is a store with one item that changes repeatedly.
 type changeLog struct {
 	mu      sync.Mutex
-	rev     int64
-	at      map[int64]time.Time // time of each revision
+	rev     fleet.Revision
+	at      map[fleet.Revision]time.Time // time of each revision
 	changed chan struct{}
 }
 
 func newChangeLog() *changeLog {
-	return &changeLog{rev: 1, at: map[int64]time.Time{1: time.Now()}, changed: make(chan struct{})}
+	return &changeLog{rev: 1, at: map[fleet.Revision]time.Time{1: time.Now()}, changed: make(chan struct{})}
 }
 
 func (c *changeLog) change() {
@@ -71,7 +72,7 @@
 	return infra.Page{Values: []infra.Value{v}, Revision: v.ModRev}, nil
 }
 
-func (s nodeStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]infra.WatchEvent, int64, error) {
+func (s nodeStore) Changes(ctx context.Context, _ string, after fleet.Revision, wait time.Duration) ([]infra.WatchEvent, fleet.Revision, error) {
 	time.Sleep(storeDelay)
 	if s.rejected.Load() {
 		return nil, 0, errRejected
@@ -101,7 +102,7 @@
 type lagRecorder struct {
 	log    *changeLog
 	mu     sync.Mutex
-	latest int64
+	latest fleet.Revision
 	lag    []time.Duration
 }
 
@@ -241,7 +242,7 @@
 	calls *atomic.Int64
 }
 
-func (s countingStore) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]infra.WatchEvent, int64, error) {
+func (s countingStore) Changes(ctx context.Context, prefix string, after fleet.Revision, wait time.Duration) ([]infra.WatchEvent, fleet.Revision, error) {
 	s.calls.Add(1)
 	return s.nodeStore.Changes(ctx, prefix, after, wait)
 }
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -199,7 +199,7 @@
 
 // replaceAtAddress records that a replica has its address. If another replica has the same
 // address, the one with the earlier start (by store revision) is marked as leaving.
-func (v *view) replaceAtAddress(b fleet.Backend, revision int64) {
+func (v *view) replaceAtAddress(b fleet.Backend, revision fleet.Revision) {
 	other, taken := v.replicas[v.byAddr[b.Addr]]
 	if taken && other.ID != b.ID && other.Addr == b.Addr {
 		if other.Started > b.Started {
@@ -283,7 +283,7 @@
 
 // markLeaving marks a replica as leaving. The mark takes effect at once, and not with the next
 // BatchDone.
-func (v *view) markLeaving(id, reason string, revision int64) {
+func (v *view) markLeaving(id, reason string, revision fleet.Revision) {
 	if v.dir.Leaving(id) {
 		if _, known := v.dir.Backend(id); known {
 			return
--- a/hosted/view_test.go
+++ b/hosted/view_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"wigeondale/directory"
+	"wigeondale/fleet"
 	"wigeondale/health"
 	"wigeondale/infra"
 	"wigeondale/route"
@@ -19,7 +20,7 @@
 	return v
 }
 
-func replicaEntry(id, addr string, created int64) infra.Value {
+func replicaEntry(id, addr string, created fleet.Revision) infra.Value {
 	return infra.Value{
 		Key: "servers/" + id, CreateRev: created, ModRev: created,
 		Data: fmt.Appendf(nil, `{"service": "llm", "address": %q, "zone": "d0", "version": "v1", "slots": 8, "state": "ready",
@@ -61,7 +62,7 @@
 func TestReplicaOutsideTheSampleIsNotUsed(t *testing.T) {
 	v := newTestView()
 	for i, id := range []string{"i-a", "i-b"} {
-		v.Put(replicaEntry(id, fmt.Sprintf("10.0.0.%d:80", i), int64(i+1)))
+		v.Put(replicaEntry(id, fmt.Sprintf("10.0.0.%d:80", i), fleet.Revision(i+1)))
 	}
 	v.BatchDone()
 	v.Dropped("servers/i-a")
@@ -80,7 +81,7 @@
 func BenchmarkFirstRead(b *testing.B) {
 	var items []infra.Value
 	for i := range 3000 {
-		items = append(items, replicaEntry(fmt.Sprintf("i-%d", i), fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), int64(i+1)))
+		items = append(items, replicaEntry(fmt.Sprintf("i-%d", i), fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), fleet.Revision(i+1)))
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/infra/etcd.go
+++ b/infra/etcd.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
+	"wigeondale/fleet"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -55,7 +57,7 @@
 }
 
 func (kv keyValue) value() Value {
-	return Value{Key: string(kv.Key), Data: kv.Value, CreateRev: kv.CreateRev, ModRev: kv.ModRev}
+	return Value{Key: string(kv.Key), Data: kv.Value, CreateRev: fleet.Revision(kv.CreateRev), ModRev: fleet.Revision(kv.ModRev)}
 }
 
 type rangeRequest struct {
@@ -162,8 +164,8 @@
 
 // CompareAndSwap writes key if its revision is still modRev; otherwise CompareAndSwap
 // returns the current value.
-func (c *EtcdKV) CompareAndSwap(ctx context.Context, key string, modRev int64, data []byte) (bool, Value, error) {
-	rev := fmt.Sprint(modRev)
+func (c *EtcdKV) CompareAndSwap(ctx context.Context, key string, modRev fleet.Revision, data []byte) (bool, Value, error) {
+	rev := strconv.FormatInt(modRev.Number(), 10)
 	cmp := compare{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRev: &rev}
 	return c.txn(ctx, "cas", cmp, putRequest{Key: []byte(key), Value: data})
 }
@@ -179,7 +181,7 @@
 		return false, Value{}, err
 	}
 	if out.Succeeded {
-		return true, Value{Key: string(put.Key), Data: put.Value, ModRev: out.Header.Revision}, nil
+		return true, Value{Key: string(put.Key), Data: put.Value, ModRev: fleet.Revision(out.Header.Revision)}, nil
 	}
 	if len(out.Responses) == 0 || out.Responses[0].Range == nil || len(out.Responses[0].Range.KVs) == 0 {
 		return false, Value{}, nil
--- a/infra/kv.go
+++ b/infra/kv.go
@@ -13,6 +13,8 @@
 	"errors"
 	"time"
 
+	"wigeondale/fleet"
+
 	"github.com/zeebo/errs"
 )
 
@@ -34,15 +36,34 @@
 	ErrCompacted = errors.New("watch revision compacted")
 )
 
-// LeaseID identifies a lease of the key-value service; zero means no lease.
+// LeaseID identifies a lease of the key-value service; zero means no lease. A service that has come
+// back from an older copy of its data gives out the numbers of leases again, so that a lease has an era
+// as a fleet.Revision has.
 type LeaseID int64
 
+// LeaseOf returns the lease with a number in an era.
+func LeaseOf(era, number int64) LeaseID {
+	if number == 0 {
+		return 0
+	}
+	return LeaseID(fleet.RevisionOf(era, number))
+}
+
+// InEra returns the lease with the same number in another era.
+func (l LeaseID) InEra(era int64) LeaseID { return LeaseOf(era, l.Number()) }
+
+// Era returns the era.
+func (l LeaseID) Era() int64 { return fleet.Revision(l).Era() }
+
+// Number returns the number within the era.
+func (l LeaseID) Number() int64 { return fleet.Revision(l).Number() }
+
 // Value is one key with its data and revisions.
 type Value struct {
 	Key       string
 	Data      []byte
-	CreateRev int64
-	ModRev    int64
+	CreateRev fleet.Revision
+	ModRev    fleet.Revision
 	// Lease is the lease that the key is attached to; 0 means that there is none or that it
 	// isn't known.
 	Lease LeaseID `cbor:",omitempty"`
@@ -59,8 +80,8 @@
 // Page is one part of the values under a prefix, in key order.
 type Page struct {
 	Values   []Value
-	More     bool  // the prefix has further keys after the last one here
-	Revision int64 // revision of the service at the time of the read
+	More     bool           // the prefix has further keys after the last one here
+	Revision fleet.Revision // revision of the service at the time of the read
 }
 
 // KV is a client of the key-value service. Its errors match ErrUnavailable or
@@ -74,7 +95,7 @@
 	CreateWithLease(ctx context.Context, key string, data []byte, lease LeaseID) (bool, Value, error)
 	// CompareAndSwap writes the key if its revision is modRev; otherwise CompareAndSwap
 	// returns the current value, whose Key is empty when the key is absent.
-	CompareAndSwap(ctx context.Context, key string, modRev int64, data []byte) (bool, Value, error)
+	CompareAndSwap(ctx context.Context, key string, modRev fleet.Revision, data []byte) (bool, Value, error)
 	Put(ctx context.Context, key string, data []byte, lease LeaseID) error
 	Delete(ctx context.Context, key string) error
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
@@ -83,7 +104,7 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 	// Watch reports changes under prefix from revision fromRev on (0 means from now
 	// on). The caller opens a new watch when the channel closes.
-	Watch(ctx context.Context, prefix string, fromRev int64) (<-chan WatchEvent, error)
+	Watch(ctx context.Context, prefix string, fromRev fleet.Revision) (<-chan WatchEvent, error)
 }
 
 // RangeDeleter is a KV that deletes a whole range [from, end) in one call.
--- a/infra/watch.go
+++ b/infra/watch.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"wigeondale/fleet"
 )
 
 // watchBuffer is the number of events buffered for a slow receiver. While the buffer is
@@ -38,7 +40,7 @@
 // Watch opens a stream of the changes under prefix. Once the stream is open it has no
 // timeout: on a broken connection the stream delivers nothing and reports no error, so the
 // caller also polls at a low rate.
-func (c *EtcdKV) Watch(ctx context.Context, prefix string, fromRev int64) (<-chan WatchEvent, error) {
+func (c *EtcdKV) Watch(ctx context.Context, prefix string, fromRev fleet.Revision) (<-chan WatchEvent, error) {
 	start := time.Now()
 	resp, cancel, err := c.openWatch(ctx, prefix, fromRev)
 	c.meter.record("watch", start, err)
@@ -59,8 +61,8 @@
 	return events, nil
 }
 
-func (c *EtcdKV) openWatch(ctx context.Context, prefix string, fromRev int64) (*http.Response, func(), error) {
-	in := watchRequest{watchCreate{Key: []byte(prefix), RangeEnd: []byte(PrefixEnd(prefix)), StartRev: fromRev}}
+func (c *EtcdKV) openWatch(ctx context.Context, prefix string, fromRev fleet.Revision) (*http.Response, func(), error) {
+	in := watchRequest{watchCreate{Key: []byte(prefix), RangeEnd: []byte(PrefixEnd(prefix)), StartRev: fromRev.Number()}}
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, nil, wrapFailure(reads, false, err)
--- a/kvlog/kvlog.go
+++ b/kvlog/kvlog.go
@@ -26,6 +26,7 @@
 	"github.com/zeebo/errs"
 
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -73,7 +74,7 @@
 	ID   string
 	Data []byte
 	// Rev is the revision of the key-value service at which the entry was created.
-	Rev int64
+	Rev fleet.Revision
 }
 
 // MaxDataBytes bounds the data of one entry, so that the value including the entry's id
--- a/kvlog/kvtest/controller.go
+++ b/kvlog/kvtest/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -164,7 +165,7 @@
 }
 
 // CompareAndSwap blocks until the call is released, then writes.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, rev int64, data []byte) (bool, infra.Value, error) {
+func (c *Client) CompareAndSwap(ctx context.Context, key string, rev fleet.Revision, data []byte) (bool, infra.Value, error) {
 	type result struct {
 		ok bool
 		v  infra.Value
--- a/kvlog/kvtest/store.go
+++ b/kvlog/kvtest/store.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -23,7 +24,7 @@
 	OnCreate func(key string, data []byte)
 
 	mu       sync.Mutex
-	rev      int64
+	rev      fleet.Revision
 	data     map[string]infra.Value
 	watchers []watcher
 	writes   int
@@ -90,7 +91,7 @@
 }
 
 // CompareAndSwap writes key if its revision is modRev; 0 means that the key is absent.
-func (s *Store) CompareAndSwap(_ context.Context, key string, modRev int64, data []byte) (bool, infra.Value, error) {
+func (s *Store) CompareAndSwap(_ context.Context, key string, modRev fleet.Revision, data []byte) (bool, infra.Value, error) {
 	time.Sleep(s.Latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,7 +151,7 @@
 
 // Watch reports puts from now on. If fromRev is positive, it first reports the keys that
 // still exist and were changed at fromRev or later.
-func (s *Store) Watch(ctx context.Context, prefix string, fromRev int64) (<-chan infra.WatchEvent, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, fromRev fleet.Revision) (<-chan infra.WatchEvent, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := watcher{prefix: prefix, events: make(chan infra.WatchEvent, watchBuffer)}
--- a/kvlog/read.go
+++ b/kvlog/read.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -80,7 +81,7 @@
 type follower struct {
 	log     *Log
 	next    uint64
-	rev     int64 // service revision of the last entry delivered, 0 if none
+	rev     fleet.Revision // service revision of the last entry delivered, 0 if none
 	deliver func(Entry) error
 }
 
@@ -91,7 +92,7 @@
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var start int64
+	var start fleet.Revision
 	if t.rev > 0 {
 		start = t.rev + 1
 	}
--- a/kvlog/snapshot.go
+++ b/kvlog/snapshot.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -30,7 +31,7 @@
 	Chunks int    `cbor:"4,keyasint"`
 	Digest uint64 `cbor:"5,keyasint"`
 
-	rev int64
+	rev fleet.Revision
 }
 
 func (l *Log) readPointer(ctx context.Context) (pointer, error) {
@@ -159,7 +160,7 @@
 	return Error.Wrap(fmt.Errorf("%w: snapshot pointer", ErrUnsettled))
 }
 
-func (l *Log) swap(ctx context.Context, rev int64, data []byte) (bool, infra.Value, error) {
+func (l *Log) swap(ctx context.Context, rev fleet.Revision, data []byte) (bool, infra.Value, error) {
 	if rev == 0 {
 		return l.kv.Create(ctx, l.pointerKey(), data)
 	}
--- a/mirror/config.go
+++ b/mirror/config.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -20,7 +21,7 @@
 	// and the revision up to which they are complete. If there are none yet, Changes waits
 	// up to wait for one. It fails with infra.ErrCompacted if the store no longer has
 	// these changes.
-	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (events []infra.WatchEvent, at int64, err error)
+	Changes(ctx context.Context, prefix string, after fleet.Revision, wait time.Duration) (events []infra.WatchEvent, at fleet.Revision, err error)
 	// Reset drops all connections, so that the next call opens a new one.
 	Reset()
 }
@@ -72,6 +73,14 @@
 	// missing because of the outage may be written again by its owner. During that time,
 	// the removal of a missing item is unconfirmed.
 	ConfirmAfter time.Duration
+	// Newer reports whether an item that a store lists after it has come back from a copy is newer than
+	// the one that this node knows, by their contents. Nil means that contents can't tell.
+	Newer func(known, listed infra.Value) bool
+	// OnReturn, if set, is called when this node knows that the store has come back from a copy. lost is
+	// what the store lacks under OwnPrefix, if this node itself has read the store. OnReturn must not
+	// block.
+	OnReturn  func(lost []Lost)
+	OwnPrefix string
 	// IsReader reports whether this node reads the store; nil means always. A node that
 	// has not yet received all items once reads the store in any case.
 	IsReader func() bool
@@ -156,6 +165,12 @@
 	if c.NeedsPeers == nil {
 		c.NeedsPeers = func() bool { return false }
 	}
+	if c.OnReturn == nil {
+		c.OnReturn = func([]Lost) {}
+	}
+	if c.Newer == nil {
+		c.Newer = neverNewer
+	}
 	if c.OnFullRead == nil {
 		c.OnFullRead = func(context.Context, []infra.Value) {}
 	}
--- a/mirror/delta.go
+++ b/mirror/delta.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -14,8 +15,8 @@
 // Removal reports to a neighbour that the item with the given Key was missing at the
 // revision Rev.
 type Removal struct {
-	Key string `cbor:"1,keyasint"`
-	Rev int64  `cbor:"2,keyasint"`
+	Key string         `cbor:"1,keyasint"`
+	Rev fleet.Revision `cbor:"2,keyasint"`
 	// Unconfirmed is set if the item has been missing since an outage of the store and its
 	// owner may write it again, so that it doesn't count as removed yet.
 	Unconfirmed bool `cbor:"3,keyasint,omitempty"`
@@ -35,14 +36,14 @@
 
 // DeltaRequest requests the changes after a revision.
 type DeltaRequest struct {
-	After int64 `cbor:"1,keyasint"`
+	After fleet.Revision `cbor:"1,keyasint"`
 	// If All is set and the changes since After aren't available, the response is one
 	// page of all items: the page of the items whose keys come after Last.
 	All  bool   `cbor:"2,keyasint,omitempty"`
 	Last string `cbor:"3,keyasint,omitempty"`
 	// Filter is the revision of the last filter for which the requesting node had all items, or
 	// needsAllItems.
-	Filter int64 `cbor:"4,keyasint,omitempty"`
+	Filter fleet.Revision `cbor:"4,keyasint,omitempty"`
 	// Packs reports that the requesting node can decode Delta.Packed.
 	Packs bool `cbor:"5,keyasint,omitempty"`
 }
@@ -51,10 +52,10 @@
 // the Delta holds only the changes up to an earlier revision. The node that applies that
 // Delta then requests the changes after that revision.
 type Delta struct {
-	Newest  int64         `cbor:"1,keyasint"`
-	Full    bool          `cbor:"2,keyasint,omitempty"` // set if the Delta is a page of all items
-	Items   []infra.Value `cbor:"3,keyasint,omitempty"`
-	Removed []Removal     `cbor:"4,keyasint,omitempty"`
+	Newest  fleet.Revision `cbor:"1,keyasint"`
+	Full    bool           `cbor:"2,keyasint,omitempty"` // set if the Delta is a page of all items
+	Items   []infra.Value  `cbor:"3,keyasint,omitempty"`
+	Removed []Removal      `cbor:"4,keyasint,omitempty"`
 	// RemovalsUnknown reports that the responding node doesn't know all removals since
 	// the requested revision, so that it could only send all items.
 	RemovalsUnknown bool `cbor:"5,keyasint,omitempty"`
@@ -64,6 +65,10 @@
 	// FilterItem is the item that defines the responding node's filter. It may be newer than
 	// Newest: the changes before it are filtered already.
 	FilterItem infra.Value `cbor:"9,keyasint,omitzero"`
+	// Held are the items that the responding node holds back since the store has come back from a copy.
+	Held []HeldItem `cbor:"10,keyasint,omitempty"`
+	// Gaps are the gaps in what the responding node knows of the changes since the requested revision.
+	Gaps []Gap `cbor:"11,keyasint,omitempty"`
 	// Packed holds Items and Removed in compressed form, if the request allows it.
 	Packed []byte `cbor:"8,keyasint,omitempty"`
 }
@@ -86,7 +91,9 @@
 	}
 	var d Delta
 	switch {
-	case req.After >= s.removed.floor && s.filter.serves(req.Filter):
+	case req.After.Era() < s.newest.Era() && !s.filter.lacking && req.After != 0:
+		d = s.page(req.Last) // the requesting node compares all that it knows
+	case req.After >= s.removed.floor && s.filter.serves(req.Filter) && !s.inGap(req.After):
 		d = s.changesAfter(req.After)
 	case !req.All:
 		d = Delta{Newest: s.newest, RemovalsUnknown: true}
@@ -95,6 +102,11 @@
 		d = s.page(req.Last)
 	}
 	d.Lacks = s.filter.lacking
+	d.Gaps = s.gapsAfter(req.After)
+	d.Held = s.heldAfter(req.After)
+	if d.Full {
+		d.Held = s.heldAfter(0)
+	}
 	if req.Filter != s.filter.revision {
 		d.FilterItem = s.filterItem()
 	}
@@ -103,7 +115,7 @@
 
 // changesAfter returns the changes in the order of their revisions. If the changes
 // don't fit into one Delta, Newest is the revision before the first change left out.
-func (s *state) changesAfter(after int64) Delta {
+func (s *state) changesAfter(after fleet.Revision) Delta {
 	d := Delta{Newest: s.newest, Items: s.itemsAfter(after)}
 	slices.SortFunc(d.Items, func(a, b infra.Value) int { return cmp.Compare(a.ModRev, b.ModRev) })
 	if n := cutAtRevision(d.Items, countFitting(d.Items, s.pageBytes)); n < len(d.Items) {
@@ -116,11 +128,11 @@
 
 // itemsAfter returns the items that were changed after a revision, in any order. It leaves out
 // a filter item that is newer than the changes known here: the changes before it are unknown.
-func (s *state) itemsAfter(after int64) []infra.Value {
+func (s *state) itemsAfter(after fleet.Revision) []infra.Value {
 	var out []infra.Value
 	if recent, ok := s.recent.after(after); ok {
 		for _, c := range recent {
-			if v := s.items[c.key]; v.ModRev == c.rev && v.ModRev <= s.newest {
+			if v := s.items[c.key]; sameChange(c.rev, v.ModRev) && v.ModRev <= s.newest {
 				out = append(out, v)
 			}
 		}
@@ -137,7 +149,7 @@
 // unconfirmedRemovals returns the unconfirmed removals after a revision. They must be sent
 // with the other changes, because a neighbour that has a newer revision never requests
 // changes of earlier revisions again.
-func (s *state) unconfirmedRemovals(after, upTo int64) []Removal {
+func (s *state) unconfirmedRemovals(after, upTo fleet.Revision) []Removal {
 	var out []Removal
 	for key, d := range s.unconfirmed {
 		if d.rev > after && d.rev <= upTo {
--- a/mirror/fake_test.go
+++ b/mirror/fake_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -19,8 +20,8 @@
 	mu          sync.Mutex
 	items       map[string]infra.Value
 	events      []infra.WatchEvent
-	rev         int64
-	compactedAt int64 // changes up to this revision have been compacted
+	rev         fleet.Revision
+	compactedAt fleet.Revision // changes up to this revision have been compacted
 	err         error
 	resets      int
 	changed     chan struct{}
@@ -89,7 +90,7 @@
 	return page, nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) ([]infra.WatchEvent, int64, error) {
+func (s *fakeStore) Changes(ctx context.Context, _ string, after fleet.Revision, wait time.Duration) ([]infra.WatchEvent, fleet.Revision, error) {
 	end := time.After(wait)
 	for {
 		s.mu.Lock()
@@ -129,7 +130,7 @@
 // recorder records the calls that a Mirror makes to its Receiver.
 type recorder struct {
 	mu    sync.Mutex
-	items map[string]int64
+	items map[string]fleet.Revision
 	calls []string
 }
 
@@ -168,7 +169,7 @@
 }
 
 func startMirrorWith(t *testing.T, s *fakeStore, cfg Config) (*recorder, *Mirror) {
-	out := &recorder{items: map[string]int64{}}
+	out := &recorder{items: map[string]fleet.Revision{}}
 	m := New(s, out, cfg)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/mirror/filter.go
+++ b/mirror/filter.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -30,19 +31,19 @@
 // Filters are named by the revision of their item; 0 is the filter keepAll.
 type filterState struct {
 	Filter
-	revision int64 // of the filter in force
+	revision fleet.Revision // of the filter in force
 	// complete is the last filter for which this node had all items.
-	complete int64
+	complete fleet.Revision
 	// since is the earliest filter from which each filter up to complete kept no item that the
 	// filter before it dropped. A node that was complete for one of these lacks nothing.
-	since int64
+	since fleet.Revision
 	// lacking is set while the filter in force keeps items that this node doesn't have, because
 	// an earlier filter dropped them.
 	lacking bool
 }
 
 // set puts a filter into force.
-func (f *filterState) set(next Filter, revision int64) {
+func (f *filterState) set(next Filter, revision fleet.Revision) {
 	f.lacking = f.lacking || !next.Within(f.Filter)
 	f.Filter, f.revision = next, revision
 	if !f.lacking {
@@ -50,6 +51,15 @@
 	}
 }
 
+// restamp replaces the revision of a filter by that of the same filter in a later era.
+func (f *filterState) restamp(old, now fleet.Revision) {
+	for _, r := range []*fleet.Revision{&f.revision, &f.complete, &f.since} {
+		if *r == old && old != 0 {
+			*r = now
+		}
+	}
+}
+
 // setFromLacking handles a filter that arrived from a node that lacks items: that node may
 // have dropped changes that the filter keeps.
 func (f *filterState) setFromLacking() { f.lacking = true }
@@ -64,7 +74,7 @@
 
 // serves reports whether a node that has the items of the filter complete gets all changes
 // that it needs from the changes that this node knows.
-func (f *filterState) serves(complete int64) bool {
+func (f *filterState) serves(complete fleet.Revision) bool {
 	return complete >= f.since && complete <= f.complete || complete == f.revision
 }
 
--- a/mirror/filter_test.go
+++ b/mirror/filter_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -41,7 +42,7 @@
 
 // revisionOf returns the revision at which the receiver of m knows an item, or 0, and how many
 // items it knows.
-func revisionOf(m *Mirror, out *recorder, key string) (revision int64, items int) {
+func revisionOf(m *Mirror, out *recorder, key string) (revision fleet.Revision, items int) {
 	m.mu.Lock() // held while the receiver is called
 	defer m.mu.Unlock()
 	return out.items[key], len(out.items)
@@ -50,7 +51,7 @@
 // storeModel is the content of a store, with the changes since a reader read it last.
 type storeModel struct {
 	items  map[string]infra.Value
-	rev    int64
+	rev    fleet.Revision
 	events []infra.WatchEvent
 }
 
@@ -86,7 +87,7 @@
 		store := &storeModel{items: map[string]infra.Value{}, rev: 1}
 		var nodes [3]*Mirror
 		for i := range nodes {
-			nodes[i] = New(nil, &recorder{items: map[string]int64{}}, withFilter(Config{}))
+			nodes[i] = New(nil, &recorder{items: map[string]fleet.Revision{}}, withFilter(Config{}))
 			nodes[i].state.pageBytes = rapid.IntRange(1, 30).Draw(t, "page")
 			nodes[i].failing.Store(true) // so that it requests all items where needed
 		}
@@ -120,7 +121,7 @@
 		pull(1)
 		pull(2)
 		filter := nodes[0].state.filter
-		want := map[string]int64{}
+		want := map[string]fleet.Revision{}
 		for key, v := range store.items {
 			if filter.Keeps(v) {
 				want[key] = v.ModRev
@@ -147,7 +148,7 @@
 		store.put("op/config")
 		store.put("z/node")
 		start := func(readsBulk bool) (*Mirror, *recorder, context.CancelFunc) {
-			out := &recorder{items: map[string]int64{}}
+			out := &recorder{items: map[string]fleet.Revision{}}
 			ctx, stop := context.WithCancel(t.Context())
 			m := New(store, out, Config{Parts: []string{"z/", "op/", "servers/"}, PeerPrefixes: []string{"z/"}, Bulk: "servers/", ReadsBulk: func() bool { return readsBulk }, IsReader: func() bool { return readsBulk }})
 			go m.Run(ctx)
@@ -204,7 +205,7 @@
 // the others yet. The node looks for others in the store, and takes the rest from them.
 func TestNodeWithoutNeighboursDoesNotFollowALargeStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store, out := newFakeStore(), &recorder{items: map[string]int64{}}
+		store, out := newFakeStore(), &recorder{items: map[string]fleet.Revision{}}
 		store.put("op/config")
 		ctx, stop := context.WithCancel(t.Context())
 		var found atomic.Bool
@@ -227,7 +228,7 @@
 			t.Error("the node does not find the other node")
 		}
 		found.Store(true)
-		neighbour := newState(&recorder{items: map[string]int64{}})
+		neighbour := newState(&recorder{items: map[string]fleet.Revision{}})
 		for _, v := range store.items {
 			neighbour.put(v)
 		}
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"wigeondale/fleet"
 )
 
 const (
@@ -23,7 +25,7 @@
 // removalLog holds the latest removals, in the order of their arrival.
 type removalLog struct {
 	entries []loggedRemoval
-	floor   int64 // removals up to this revision may be missing
+	floor   fleet.Revision // removals up to this revision may be missing
 	// minKept and keptFor are minRemovals and removalsKept, or smaller values in tests.
 	minKept int
 	keptFor time.Duration
@@ -53,7 +55,7 @@
 }
 
 // between returns the removals with revisions above after and up to upTo.
-func (l *removalLog) between(after, upTo int64) []Removal {
+func (l *removalLog) between(after, upTo fleet.Revision) []Removal {
 	var out []Removal
 	for _, r := range l.entries {
 		if r.Rev > after && r.Rev <= upTo {
@@ -66,24 +68,24 @@
 // recentChanges is an index of the latest changed items by revision, so that a neighbour's
 // request for the latest changes doesn't look at all items.
 type recentChanges struct {
-	entries []changedKey // ordered by revision
-	floor   int64        // changes up to this revision may be missing
-	max     int          // maxRecent, or a smaller value in tests
+	entries []changedKey   // ordered by revision
+	floor   fleet.Revision // changes up to this revision may be missing
+	max     int            // maxRecent, or a smaller value in tests
 }
 
 type changedKey struct {
-	rev int64
+	rev fleet.Revision
 	key string
 }
 
 // add records that an item was changed at a revision.
-func (c *recentChanges) add(key string, rev int64) {
+func (c *recentChanges) add(key string, rev fleet.Revision) {
 	if rev <= c.floor {
 		return
 	}
 	at := len(c.entries)
 	if at > 0 && c.entries[at-1].rev > rev {
-		at, _ = slices.BinarySearchFunc(c.entries, rev, func(e changedKey, rev int64) int { return cmp.Compare(e.rev, rev) })
+		at, _ = slices.BinarySearchFunc(c.entries, rev, func(e changedKey, rev fleet.Revision) int { return cmp.Compare(e.rev, rev) })
 	}
 	c.entries = slices.Insert(c.entries, at, changedKey{rev, key})
 	if len(c.entries) > 2*c.max {
@@ -94,17 +96,17 @@
 }
 
 // reset drops all entries. Changes up to the revision floor are not recorded from now on.
-func (c *recentChanges) reset(floor int64) {
+func (c *recentChanges) reset(floor fleet.Revision) {
 	c.entries = nil
 	c.floor = floor
 }
 
 // after returns the recorded changes above a revision, and false if some of them may be
 // missing.
-func (c *recentChanges) after(rev int64) ([]changedKey, bool) {
+func (c *recentChanges) after(rev fleet.Revision) ([]changedKey, bool) {
 	if rev < c.floor {
 		return nil, false
 	}
-	at, _ := slices.BinarySearchFunc(c.entries, rev+1, func(e changedKey, rev int64) int { return cmp.Compare(e.rev, rev) })
+	at, _ := slices.BinarySearchFunc(c.entries, rev+1, func(e changedKey, rev fleet.Revision) int { return cmp.Compare(e.rev, rev) })
 	return c.entries[at:], true
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -31,6 +31,7 @@
 
 	"wigeondale/clock"
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -58,6 +59,8 @@
 	synced        bool          // the state is complete up to state.newest
 	behind        bool          // the store no longer has the changes after state.newest
 	lastAnswer    time.Time     // when the store last answered
+	era           int64         // latest era of which Config.OnReturn knows
+	started       bool          // this node has received all items, at latest in era
 	missingPolicy removalPolicy // how items that go missing now are treated
 
 	calls, failures *metrics.Counter
@@ -67,7 +70,7 @@
 func New(store Store, out Receiver, cfg Config) *Mirror {
 	cfg = cfg.withDefaults()
 	s := newState(panicGuard{out, cfg.Log})
-	s.filterKey, s.newFilter, s.log = cfg.FilterKey, cfg.NewFilter, cfg.Log
+	s.filterKey, s.newFilter, s.log, s.newer, s.bulk = cfg.FilterKey, cfg.NewFilter, cfg.Log, cfg.Newer, cfg.Bulk
 	return &Mirror{
 		cfg:           cfg,
 		store:         store,
@@ -176,7 +179,7 @@
 
 // apply applies changes that the store returned, which are complete up to the revision
 // upTo.
-func (m *Mirror) apply(events []infra.WatchEvent, upTo int64) {
+func (m *Mirror) apply(events []infra.WatchEvent, upTo fleet.Revision) {
 	m.lastAnswer = time.Now()
 	for _, e := range events {
 		if e.Deleted {
@@ -212,6 +215,7 @@
 	m.mu.Unlock()
 	if advanced {
 		m.cfg.OnUpdate()
+		m.takeReturned()
 	}
 }
 
@@ -224,7 +228,7 @@
 }
 
 // Newest returns the revision up to which this node has all changes.
-func (m *Mirror) Newest() int64 {
+func (m *Mirror) Newest() fleet.Revision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.state.newest
@@ -267,6 +271,22 @@
 	})
 }
 
+// takeReturned calls Config.OnReturn if the store has come back from a copy since the last call.
+func (m *Mirror) takeReturned() {
+	m.mu.Lock()
+	era, read := m.state.newest.Era(), m.state.readReturn
+	var lost []Lost
+	if read {
+		lost = m.state.lost(m.cfg.OwnPrefix)
+	}
+	changed := m.started && era > m.era
+	m.era, m.started, m.state.readReturn = max(m.era, era), m.started || m.synced, false
+	m.mu.Unlock()
+	if changed {
+		m.cfg.OnReturn(lost)
+	}
+}
+
 // confirmRemovals removes the items that were not written again before the end of their
 // unconfirmed removal. When Config.ConfirmAfter has passed since the last outage,
 // confirmRemovals also ends the special treatment of missing items: items that are missing
@@ -277,6 +297,7 @@
 			m.missingPolicy = removalPolicy{}
 		}
 		m.state.confirmExpired(now)
+		m.state.applyHeld(now)
 	})
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -192,7 +193,7 @@
 		s.fail(errors.New("turned away"))
 		m.CatchUp()
 		time.Sleep(time.Second)
-		third := New(nil, &recorder{items: map[string]int64{}}, Config{})
+		third := New(nil, &recorder{items: map[string]fleet.Revision{}}, Config{})
 		third.Merge(Delta{Newest: 90, Full: true, Items: []infra.Value{{Key: "c", ModRev: 80}}})
 		if err := m.Pull("third", func(req DeltaRequest) (Delta, error) { return third.Delta(req), nil }); err != nil {
 			t.Fatal(err)
--- a/mirror/read.go
+++ b/mirror/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -14,8 +15,8 @@
 	startedAt time.Time
 	stale     bool // set if the pages may be seconds old
 	items     []infra.Value
-	revision  int64 // revision of the oldest page; later changes may be missing
-	part      int   // index of the part that is being read
+	revision  fleet.Revision // revision of the oldest page; later changes may be missing
+	part      int            // index of the part that is being read
 	lastKey   string
 	complete  bool // set if all parts were read
 }
@@ -63,7 +64,12 @@
 				m.state.filterFirst([]infra.Value{e.Value})
 			}
 		}
-		m.state.replace(r.items, r.revision, m.missingPolicy)
+		if known := m.state.newest; known != 0 && r.revision.Era() > known.Era() {
+			m.state.returned(r.items, r.revision, time.Now().Add(m.cfg.ConfirmAfter))
+			m.state.readReturn = true
+		} else {
+			m.state.replace(r.items, r.revision, m.missingPolicy)
+		}
 		m.apply(events, now)
 		m.synced, m.behind = true, false
 	})
@@ -72,7 +78,7 @@
 
 // changesSince returns the changes made since the revision of the pages, if the pages
 // may be stale. Otherwise it returns no changes.
-func (m *Mirror) changesSince(ctx context.Context, r *fullRead) ([]infra.WatchEvent, int64, error) {
+func (m *Mirror) changesSince(ctx context.Context, r *fullRead) ([]infra.WatchEvent, fleet.Revision, error) {
 	if !r.stale {
 		return nil, r.revision, nil
 	}
@@ -81,6 +87,9 @@
 	return m.store.Changes(ctx, m.cfg.Prefix, r.revision, 0)
 }
 
+// errEraChanged means that the store came back from a copy while all items were read.
+var errEraChanged = Error.New("the store has come back from a copy during the read")
+
 func (m *Mirror) readPage(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, m.cfg.Timeout*time.Duration(m.timeoutFactor))
 	defer stop()
@@ -92,6 +101,10 @@
 	if err != nil {
 		return err
 	}
+	if r.revision != 0 && page.Revision.Era() != r.revision.Era() {
+		m.partial = nil // pages of two eras don't belong together
+		return errEraChanged
+	}
 	if r.revision == 0 || page.Revision < r.revision {
 		r.revision = page.Revision
 	}
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeondale/event"
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -20,7 +21,7 @@
 // unconfirmedRemoval records that an item is missing because of an outage of the store and
 // may be written again by its owner.
 type unconfirmedRemoval struct {
-	rev   int64 // revision at which the item was missing
+	rev   fleet.Revision // revision at which the item was missing
 	until time.Time
 }
 
@@ -40,9 +41,9 @@
 	items       map[string]infra.Value
 	unconfirmed map[string]unconfirmedRemoval // items missing since an outage and not yet passed on as removed, by key
 	removed     removalLog
-	tombstones  map[string]int64 // revisions of the removals in removed, by key, so that an older item doesn't come back
+	tombstones  map[string]fleet.Revision // revisions of the removals in removed, by key, so that an older item doesn't come back
 	recent      recentChanges
-	newest      int64 // all changes up to this revision are known
+	newest      fleet.Revision // all changes up to this revision are known
 	filter      filterState
 	filterKey   string // key of the item that defines the filter; empty: there is none
 	newFilter   func(data []byte) (Filter, error)
@@ -51,19 +52,32 @@
 	// a smaller value in tests.
 	pageBytes int
 	dirty     bool // set if the receiver was notified since the last flush
+	gaps      []Gap
+	// readReturn is set if this node itself read the store after it had come back from a copy.
+	readReturn bool
+	held       map[string]heldItem // items of a store that has come back which are held back, by key
+	bulk       string              // see Config.Bulk
+	// newer reports whether a listed item is newer than the known one, by their contents.
+	newer func(known, listed infra.Value) bool
 }
 
 func newState(out Receiver) state {
-	return state{receiver: out, removed: removalLog{minKept: minRemovals, keptFor: removalsKept}, recent: recentChanges{max: maxRecent}, filter: filterState{Filter: keepAll{}}, pageBytes: pageBytes, items: map[string]infra.Value{}, unconfirmed: map[string]unconfirmedRemoval{}, tombstones: map[string]int64{}}
+	return state{receiver: out, removed: removalLog{minKept: minRemovals, keptFor: removalsKept}, recent: recentChanges{max: maxRecent}, filter: filterState{Filter: keepAll{}}, pageBytes: pageBytes, items: map[string]infra.Value{}, unconfirmed: map[string]unconfirmedRemoval{}, held: map[string]heldItem{}, newer: neverNewer, tombstones: map[string]fleet.Revision{}}
 }
 
+// neverNewer is used where items have no contents to compare.
+func neverNewer(infra.Value, infra.Value) bool { return false }
+
 // advance records that all changes up to a revision are known. The revision of a single
 // change must not be recorded here before all earlier changes are known: a node
 // requests from its neighbours only changes after the recorded revision, so a node that
 // doesn't read the store would never get the earlier changes.
-func (s *state) advance(rev int64) { s.newest = max(s.newest, rev) }
+func (s *state) advance(rev fleet.Revision) { s.newest = max(s.newest, rev) }
 
 func (s *state) put(v infra.Value) {
+	if h, held := s.held[v.Key]; held && h.item.ModRev >= v.ModRev {
+		return
+	}
 	if s.items[v.Key].ModRev >= v.ModRev || s.tombstones[v.Key] >= v.ModRev {
 		return
 	}
@@ -75,6 +89,7 @@
 		return
 	}
 	delete(s.unconfirmed, v.Key)
+	delete(s.held, v.Key)
 	delete(s.tombstones, v.Key)
 	s.items[v.Key] = v
 	s.recent.add(v.Key, v.ModRev)
@@ -84,11 +99,12 @@
 
 // remove removes an item that was missing at rev. If d is unconfirmed, the item stays and
 // an unconfirmed removal is recorded instead.
-func (s *state) remove(key string, rev int64, d removalPolicy) {
+func (s *state) remove(key string, rev fleet.Revision, d removalPolicy) {
 	current, ok := s.items[key]
 	if current.ModRev > rev {
 		return
 	}
+	delete(s.held, key)
 	if !ok {
 		s.addTombstone(key, rev)
 		return
@@ -105,7 +121,7 @@
 }
 
 // addTombstone remembers that an item was removed at rev.
-func (s *state) addTombstone(key string, rev int64) {
+func (s *state) addTombstone(key string, rev fleet.Revision) {
 	if s.tombstones[key] >= rev {
 		return
 	}
@@ -117,24 +133,33 @@
 	}
 }
 
-// replace applies the complete list of items at a revision. Items that are not in the list
+// replace applies the complete list of items at a revision; alsoListed are the keys of further items. Items that are not in the list
 // are removed, or become unconfirmed removals, as d defines.
-func (s *state) replace(items []infra.Value, at int64, d removalPolicy) {
+func (s *state) replace(items []infra.Value, at fleet.Revision, d removalPolicy, alsoListed ...string) {
 	if s.newest == 0 {
 		s.removed.floor = at
 	}
+	if s.newest != 0 {
+		s.addGap(Gap{s.newest, at})
+	}
 	s.recent.reset(at)
 	s.filterFirst(items)
 	found := make(map[string]bool, len(items))
+	for _, key := range alsoListed {
+		found[key] = true
+	}
 	for _, v := range items {
 		found[v.Key] = true
-		s.put(v)
+		if !s.unsettled(v, at) {
+			s.put(v)
+		}
 	}
 	for _, key := range slices.Collect(maps.Keys(s.items)) {
 		if !found[key] {
 			s.remove(key, at, d)
 		}
 	}
+	maps.DeleteFunc(s.held, func(key string, _ heldItem) bool { return !found[key] })
 	s.filter.completed()
 	s.advance(at)
 }
@@ -169,27 +194,54 @@
 // first to send it to the other nodes. The other nodes would then go on sending work to
 // the replica for two seconds.
 func (s *state) merge(d Delta, end time.Time) {
+	if d.Newest.Era() > s.newest.Era() && s.newest != 0 {
+		if d.Full {
+			s.mergeEra(d, end)
+		}
+		return
+	}
 	completes := d.Full && s.filter.lacking && d.Newest == s.newest
 	if d.Newest <= s.newest && !completes || d.RemovalsUnknown {
 		return
 	}
+	for _, g := range d.Gaps {
+		s.addGap(g)
+	}
 	filter := s.filter.revision
 	s.putFilter(d.FilterItem)
 	if d.Full {
-		s.replace(d.Items, d.Newest, removalPolicy{})
+		s.mergeHeld(d.Held)
+		s.replace(d.Items, d.Newest, removalPolicy{}, keysOf(d.Held)...)
 	}
 	for _, v := range d.Items {
-		s.put(v)
+		if !s.unsettled(v, d.Newest) {
+			s.put(v)
+		}
 	}
 	for _, r := range d.Removed {
 		s.remove(r.Key, r.Rev, removalPolicy{unconfirmed: r.Unconfirmed, until: r.unconfirmedUntil(end)})
 	}
+	s.mergeHeld(d.Held)
 	if d.Lacks && s.filter.revision != filter {
 		s.filter.setFromLacking()
 	}
 	s.advance(d.Newest)
 }
 
+// mergeEra applies a neighbour's delta of a later era.
+func (s *state) mergeEra(d Delta, end time.Time) {
+	for _, g := range d.Gaps {
+		s.addGap(g)
+	}
+	s.putFilter(d.FilterItem)
+	s.returned(d.Items, d.Newest, end, keysOf(d.Held)...)
+	for _, r := range d.Removed {
+		s.remove(r.Key, r.Rev, removalPolicy{unconfirmed: r.Unconfirmed, until: r.unconfirmedUntil(end)})
+	}
+	s.mergeHeld(d.Held)
+	s.advance(d.Newest)
+}
+
 func (s *state) flush() {
 	if !s.dirty {
 		return
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"wigeondale/fleet"
 	"wigeondale/infra"
 )
 
@@ -19,18 +20,18 @@
 // each item, whatever the order of arrival.
 func TestItemsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		out := &recorder{items: map[string]int64{}}
+		out := &recorder{items: map[string]fleet.Revision{}}
 		s := newState(out)
 		n := rapid.IntRange(1, 30).Draw(t, "changes")
-		revs := rapid.Permutation(slices.Collect(func(yield func(int64) bool) {
+		revs := rapid.Permutation(slices.Collect(func(yield func(fleet.Revision) bool) {
 			for i := range n {
-				if !yield(int64(i + 1)) {
+				if !yield(fleet.Revision(i + 1)) {
 					return
 				}
 			}
 		})).Draw(t, "order")
 		keys := rapid.SampledFrom([]string{"a", "b", "c"})
-		newest, want := map[string]int64{}, map[string]int64{}
+		newest, want := map[string]fleet.Revision{}, map[string]fleet.Revision{}
 		for _, rev := range revs {
 			key, removed := keys.Draw(t, "key"), rapid.Bool().Draw(t, "gone")
 			if removed {
@@ -59,16 +60,16 @@
 // pages. Both nodes must end with the same items.
 func TestDifferencesMakeNodesEqual(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		first, second := New(nil, &recorder{items: map[string]int64{}}, Config{}), New(nil, &recorder{items: map[string]int64{}}, Config{})
+		first, second := New(nil, &recorder{items: map[string]fleet.Revision{}}, Config{}), New(nil, &recorder{items: map[string]fleet.Revision{}}, Config{})
 		first.synced = true
 		first.state.removed = removalLog{minKept: 5} // so that a larger lag occurs
 		first.state.recent.max = rapid.IntRange(1, 8).Draw(t, "recent")
 		first.state.pageBytes = rapid.IntRange(1, 30).Draw(t, "page")
 		second.failing.Store(true) // so that it requests all items where needed
-		rev := int64(0)
+		rev := fleet.Revision(0)
 		keys := rapid.Custom(func(t *rapid.T) string { return strconv.Itoa(rapid.IntRange(0, 40).Draw(t, "number")) })
 		change := func() {
-			rev += rapid.Int64Range(1, 3).Draw(t, "gap")
+			rev += fleet.Revision(rapid.Int64Range(1, 3).Draw(t, "gap"))
 			for _, key := range rapid.SliceOfNDistinct(keys, 1, 4, rapid.ID).Draw(t, "keys") { // keys changed by one transaction
 				if rapid.Bool().Draw(t, "put") {
 					first.state.put(infra.Value{Key: key, ModRev: rev})
@@ -109,7 +110,7 @@
 // already read, and then an item changes that wasn't. The revision of the newest item
 // must not count as the revision up to which all changes are known.
 func TestLaterPagesDoNotHideChanges(t *testing.T) {
-	s := newState(&recorder{items: map[string]int64{}})
+	s := newState(&recorder{items: map[string]fleet.Revision{}})
 	s.replace([]infra.Value{{Key: "a", ModRev: 3}, {Key: "z", ModRev: 9}}, 5, removalPolicy{})
 	if s.newest != 5 {
 		t.Errorf("has all changes up to %d, want 5", s.newest)
@@ -125,7 +126,7 @@
 func TestDoubtEndsEverywhereAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const remaining, full = 500 * time.Millisecond, 2 * time.Second
-		reader, out := newState(&recorder{items: map[string]int64{}}), &recorder{items: map[string]int64{}}
+		reader, out := newState(&recorder{items: map[string]fleet.Revision{}}), &recorder{items: map[string]fleet.Revision{}}
 		neighbour := newState(out)
 		for _, s := range []*state{&reader, &neighbour} {
 			s.put(infra.Value{Key: "a", ModRev: 1})
@@ -167,13 +168,13 @@
 // TestItemThatFailsItsReaderEndsNoNode guards against an item that makes the receiver
 // panic and thereby stops every node, and stops it again after each start.
 func TestItemThatFailsItsReaderEndsNoNode(t *testing.T) {
-	out := &panickingReceiver{recorder{items: map[string]int64{}}}
+	out := &panickingReceiver{recorder{items: map[string]fleet.Revision{}}}
 	s := newState(panicGuard{out: out})
 	s.put(infra.Value{Key: "bad", ModRev: 1})
 	s.put(infra.Value{Key: "good", ModRev: 2})
 	s.remove("bad", 3, removalPolicy{})
 	s.flush()
-	if !maps.Equal(out.items, map[string]int64{"good": 2}) {
+	if !maps.Equal(out.items, map[string]fleet.Revision{"good": 2}) {
 		t.Errorf("got %v", out.items)
 	}
 }
@@ -184,13 +185,13 @@
 func TestMassRemovalReachesNeighbours(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const items = 3000
-		s := newState(&recorder{items: map[string]int64{}})
+		s := newState(&recorder{items: map[string]fleet.Revision{}})
 		for i := range items {
-			s.put(infra.Value{Key: strconv.Itoa(i), ModRev: int64(i + 1)})
+			s.put(infra.Value{Key: strconv.Itoa(i), ModRev: fleet.Revision(i + 1)})
 		}
 		s.advance(items)
 		for i := range items - 1 {
-			s.remove(strconv.Itoa(i), int64(items+i+1), removalPolicy{})
+			s.remove(strconv.Itoa(i), fleet.Revision(items+i+1), removalPolicy{})
 		}
 		s.advance(2 * items)
 		if d := s.delta(DeltaRequest{After: items}); d.RemovalsUnknown || len(d.Removed) != items-1 {
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"wigeondale/fleet"
 )
 
 // Aspect is the kind of time that was measured of an answer, and by which the old and the new
@@ -62,12 +64,12 @@
 // report contains the totals so far and replaces the router's previous report, so a lost
 // report does no harm.
 type Report struct {
-	Service     string  `cbor:"1,keyasint"`
-	Order       int64   `cbor:"2,keyasint"` // revision of the order
-	Incarnation uint64  `cbor:"8,keyasint"` // identifies the run of the router process; the router's counts start at zero with each run
-	Sequence    uint64  `cbor:"3,keyasint"` // increases with each report of one run
-	ElapsedMS   int64   `cbor:"4,keyasint"` // time since the order, as the router estimates it
-	New         []Count `cbor:"5,keyasint,omitempty"`
+	Service     string         `cbor:"1,keyasint"`
+	Order       fleet.Revision `cbor:"2,keyasint"` // revision of the order
+	Incarnation uint64         `cbor:"8,keyasint"` // identifies the run of the router process; the router's counts start at zero with each run
+	Sequence    uint64         `cbor:"3,keyasint"` // increases with each report of one run
+	ElapsedMS   int64          `cbor:"4,keyasint"` // time since the order, as the router estimates it
+	New         []Count        `cbor:"5,keyasint,omitempty"`
 	// Old counts the answers of the old version within the last baselineWindow. They are the
 	// baseline for the new version.
 	Old []Count `cbor:"6,keyasint,omitempty"`
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -76,7 +76,7 @@
 	newer         []*simReplica
 	trialSet      map[string]bool
 	record        Record
-	rev           int64
+	rev           fleet.Revision
 	out           outcome
 	fiftiethBadAt time.Duration
 }
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -29,6 +29,7 @@
 	"github.com/zeebo/errs"
 
 	"wigeondale/chart"
+	"wigeondale/fleet"
 )
 
 // Error is the class of this package's errors.
@@ -37,9 +38,15 @@
 // Order is an operator's order to move a service to a version.
 type Order struct {
 	Service  string
-	Target   string        // version that the service is to run
-	Duration time.Duration // time within which the roll-out is to end
-	Revision int64         // store revision of the order; an order with a later revision replaces it
+	Target   string         // version that the service is to run
+	Duration time.Duration  // time within which the roll-out is to end
+	Revision fleet.Revision // store revision of the order; an order with a later revision replaces it
+}
+
+// rewrittenAs reports whether next is the same order, written again after the store has come back from
+// a copy.
+func (o *Order) rewrittenAs(next Order) bool {
+	return o.Revision.Era() < next.Revision.Era() && o.Target == next.Target && o.Duration == next.Duration
 }
 
 // Stage is the progress of a roll-out.
@@ -85,16 +92,22 @@
 // Record is the state of a roll-out that all routers share. It is one item of the store; each
 // change is written on condition that the item is still at the revision that the writer knows.
 type Record struct {
-	Order     int64  `json:"order"` // revision of the order
-	Target    string `json:"target"`
-	Stage     Stage  `json:"stage"`
-	ElapsedMS int64  `json:"elapsed_ms"` // time since the order, when this record was written
+	Order     fleet.Revision `json:"order"` // revision of the order
+	Target    string         `json:"target"`
+	Stage     Stage          `json:"stage"`
+	ElapsedMS int64          `json:"elapsed_ms"` // time since the order, when this record was written
 	// Barred versions get no requests: they are the targets of earlier orders that did not
 	// complete.
 	Barred []string `json:"barred,omitempty"`
 	Reason string   `json:"reason,omitempty"` // why the roll-out was rolled back
 }
 
+// isFor reports whether the record is that of order o. After the store has come back from a copy the
+// operator writes the order again, at a revision of the new era.
+func (r Record) isFor(o Order) bool {
+	return r.Order == o.Revision || r.Order != 0 && r.Order.Era() < o.Revision.Era() && r.Target == o.Target
+}
+
 // forOrder returns the record with which the order o, which follows the order of r, starts.
 // Unless the roll-out of r completed, the target of r stays barred along with the versions
 // barred before.
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -3,13 +3,15 @@
 import (
 	"fmt"
 	"time"
+
+	"wigeondale/fleet"
 )
 
 // NextRecord returns the next state of the record if a change of the record is due now. Which
 // event of the state chart has occurred is decided by what this router knows. The caller must
 // write the change on condition that the record is still at the returned revision, since
 // another router may have changed the record first.
-func (r *Rollout) NextRecord(now time.Duration, ready ReplicaCounts) (next Record, revision int64, due bool) {
+func (r *Rollout) NextRecord(now time.Duration, ready ReplicaCounts) (next Record, revision fleet.Revision, due bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	event, reason := r.event(now, ready)
@@ -17,9 +19,12 @@
 		return Record{}, 0, false
 	}
 	next = r.record
-	if r.order != nil && r.record.Order != r.order.Revision {
+	if r.order != nil && !r.record.isFor(*r.order) {
 		next = r.record.forOrder(*r.order)
 	}
+	if r.order != nil {
+		next.Order = r.order.Revision
+	}
 	to, err := r.cfg.Chart.Next(string(next.Stage), event)
 	if err != nil {
 		return Record{}, 0, false // another router made the change first
@@ -41,7 +46,7 @@
 		}
 		return "", ""
 	}
-	if r.record.Order != r.order.Revision {
+	if !r.record.isFor(*r.order) {
 		return eventBegin, ""
 	}
 	switch {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeondale/chart"
+	"wigeondale/fleet"
 )
 
 // Config holds the parameters of a Rollout.
@@ -34,7 +35,7 @@
 	withdrawn bool
 	orderedAt time.Duration // estimated time at which the order was given
 	record    Record
-	revision  int64 // store revision of record, 0 if there is no record yet
+	revision  fleet.Revision // store revision of record, 0 if there is no record yet
 	stagedAt  time.Duration
 	stale     bool
 	bad       bool // the new version was found bad, by this router or by another router that reported it
@@ -65,6 +66,10 @@
 	if r.order != nil && r.order.Revision == o.Revision {
 		return
 	}
+	if r.order != nil && r.order.rewrittenAs(o) {
+		r.order.Revision = o.Revision
+		return
+	}
 	r.order, r.withdrawn = &o, false
 	r.orderedAt = now - storeLag
 	r.bad, r.verdict, r.quota, r.requests = false, Verdict{}, nil, 0
@@ -86,7 +91,7 @@
 
 // SetRecord applies a record read from the store, unless this router already knows the record
 // at this revision or a later one.
-func (r *Rollout) SetRecord(rec Record, revision int64, now time.Duration) {
+func (r *Rollout) SetRecord(rec Record, revision fleet.Revision, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision <= r.revision {
@@ -103,7 +108,7 @@
 // adjustStart moves the estimated time of the order back if the record reports that more time
 // has elapsed since the order.
 func (r *Rollout) adjustStart(now time.Duration) {
-	if r.order != nil && r.record.Order == r.order.Revision {
+	if r.order != nil && r.record.isFor(*r.order) {
 		r.orderedAt = min(r.orderedAt, now-time.Duration(r.record.ElapsedMS)*time.Millisecond)
 	}
 }
@@ -123,7 +128,7 @@
 	switch {
 	case r.order == nil && r.record.Stage.Open():
 		return RolledBack
-	case r.order != nil && r.record.Order != r.order.Revision:
+	case r.order != nil && !r.record.isFor(*r.order):
 		return Waiting
 	case r.bad && r.record.Stage.Open():
 		return RolledBack
@@ -136,7 +141,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rule := Rule{Epoch: r.epoch, Stage: r.stage(), Target: r.record.Target, Barred: r.record.Barred, Stale: r.stale}
-	if r.order != nil && r.record.Order != r.order.Revision {
+	if r.order != nil && !r.record.isFor(*r.order) {
 		next := r.record.forOrder(*r.order)
 		rule.Target, rule.Barred = next.Target, next.Barred
 	}
@@ -226,7 +231,7 @@
 			delete(r.assigned, id)
 		}
 	}
-	if r.order == nil || !r.record.Stage.Open() || r.record.Order != r.order.Revision {
+	if r.order == nil || !r.record.Stage.Open() || !r.record.isFor(*r.order) {
 		return nil
 	}
 	r.evaluate()
--- a/rollout/rule.go
+++ b/rollout/rule.go
@@ -17,7 +17,7 @@
 	// CompletedRevision is the store revision at which the roll-out was recorded as completed.
 	// Replicas created after this revision may be used whatever their version. Replicas of
 	// other versions created before it have stopped.
-	CompletedRevision int64
+	CompletedRevision fleet.Revision
 	// Stale reports that this router's copy of the store is out of date: the roll-out may have
 	// advanced or ended without this router knowing.
 	Stale bool
