rollout: a completed roll-out keeps the revision of its completion when the store comes back from a copy

Replicas of the old version that start after the completion may be used; the record's revision of the new era would have counted them as started before.

--- a/rollout/order.go
+++ b/rollout/order.go
@@ -108,6 +108,11 @@
 	return r.Order == o.Revision || r.Order != 0 && r.Order.Era() < o.Revision.Era() && r.Target == o.Target
 }
 
+// sameAs reports whether two records say the same.
+func (r Record) sameAs(other Record) bool {
+	return r.Order == other.Order && r.Target == other.Target && r.Stage == other.Stage && slices.Equal(r.Barred, other.Barred)
+}
+
 // forOrder returns the record with which the order o, which follows the order of r, starts.
 // Unless the roll-out of r completed, the target of r stays barred along with the versions
 // barred before.
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -32,19 +32,20 @@
 	epoch uint64
 	order *Order
 	// withdrawn is true after the order in force was removed, until another order is set.
-	withdrawn bool
-	orderedAt time.Duration // estimated time at which the order was given
-	record    Record
-	revision  fleet.Revision // store revision of record, 0 if there is no record yet
-	stagedAt  time.Duration
-	stale     bool
-	bad       bool // the new version was found bad, by this router or by another router that reported it
-	verdict   Verdict
-	domains   int
-	quota     *quota                // nil before the first request of the trial
-	requests  int                   // requests that arrived at this router during the trial
-	assigned  map[string]assignment // requests that are assigned to a version and not sent yet
-	evidence  evidence
+	withdrawn   bool
+	orderedAt   time.Duration // estimated time at which the order was given
+	record      Record
+	completedAt fleet.Revision // at which the record said first that the roll-out has completed
+	revision    fleet.Revision // store revision of record, 0 if there is no record yet
+	stagedAt    time.Duration
+	stale       bool
+	bad         bool // the new version was found bad, by this router or by another router that reported it
+	verdict     Verdict
+	domains     int
+	quota       *quota                // nil before the first request of the trial
+	requests    int                   // requests that arrived at this router during the trial
+	assigned    map[string]assignment // requests that are assigned to a version and not sent yet
+	evidence    evidence
 }
 
 // assignment records whether a request is part of the trial, and when that was decided.
@@ -97,7 +98,14 @@
 	if revision <= r.revision {
 		return
 	}
+	if revision.Era() > r.revision.Era() && rec.sameAs(r.record) {
+		r.revision = revision // the store has come back from a copy, and has the record still or again
+		return
+	}
 	r.record, r.revision, r.stagedAt = rec, revision, now
+	if rec.Stage == Completed {
+		r.completedAt = revision
+	}
 	if rec.Stage == Moving {
 		r.evidence.frozenOld = r.evidence.recentOld(now)
 	}
@@ -146,7 +154,7 @@
 		rule.Target, rule.Barred = next.Target, next.Barred
 	}
 	if rule.Stage == Completed {
-		rule.CompletedRevision = r.revision
+		rule.CompletedRevision = r.completedAt
 	}
 	return rule
 }
