--- a/fakes/hosted/era.go
+++ b/fakes/hosted/era.go
@@ -1,10 +1,12 @@
 package hosted
 
 import (
+	"bytes"
 	"maps"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // Copy is a copy of a store's contents at one moment.
@@ -29,6 +31,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era.Add(1)
+	s.copiedAt = c.revision
 	s.revision, s.items, s.history = c.revision, maps.Clone(c.items), slices.Clone(c.history)
 	s.leases, s.granted = c.leases, maps.Clone(c.granted)
 	s.notifyChanged()
@@ -90,3 +93,26 @@
 		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	}
 }
+
+// Rewrite makes the operator and the replicas write again what the store has lost of its contents at an
+// earlier moment, unless they have written something else since it came back.
+func (s *Store) Rewrite(before Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, i := range before.items {
+		now, ok := s.items[key]
+		if ownedByPlatform(key) && (!ok || now.Revision <= s.copiedAt && !bytes.Equal(now.Value, i.Value)) {
+			s.putLocked(key, i.Value, i.Lease)
+		}
+	}
+	for key, now := range s.items {
+		if _, ok := before.items[key]; ownedByPlatform(key) && !ok && now.Revision <= s.copiedAt {
+			s.deleteLocked(key)
+		}
+	}
+}
+
+// ownedByPlatform reports whether a key is written by the operator or a replica.
+func ownedByPlatform(key string) bool {
+	return strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/")
+}
--- a/fakes/hosted/store.go
+++ b/fakes/hosted/store.go
@@ -40,6 +40,7 @@
 	leases       int64          // number of the latest lease
 	granted      map[int64]bool // leases that exist
 	era          atomic.Int64   // number of times that the store came back from a copy
+	copiedAt     int64          // revision of the copy from which the store came back last
 	renewals     []Renewal
 }
 
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -165,6 +165,7 @@
 // finalChecks compares the replicas' records of the requests that ran with the responses
 // that clients got, and records a violation for each contradiction.
 func (r *platformRun) finalChecks() {
+	r.checkDrills()
 	r.mu.Lock()
 	all := append([]*fakes.Replica(nil), r.formerReplicas...)
 	for _, reps := range r.services {
--- a/soak/command.go
+++ b/soak/command.go
@@ -39,6 +39,7 @@
 	Rollouts         bool          `arg:"--rollouts" help:"new versions of the services are ordered, good and bad ones"`
 	CrashingRequests bool          `arg:"--crashers" help:"requests are sent that make each backend server crash that runs them"`
 	Asks             bool          `arg:"--asks" help:"replicas limit their requests, ask for rest and say that they leave in their answers"`
+	Drills           bool          `arg:"--drills" help:"the store comes back from older copies of its data"`
 	Keep             string        `arg:"--keep" help:"folder for settings and logs; kept only after a failure if not given"`
 }
 
@@ -126,7 +127,7 @@
 	}
 	report, err := run(ctx, Config{
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
-		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, Asks: args.Asks,
+		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, Asks: args.Asks, Drills: args.Drills,
 	})
 	if err != nil {
 		return false, err
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -21,6 +21,7 @@
 	replicas        map[string]*fakes.Replica // by address
 	services        map[string][]*fakes.Replica
 	formerReplicas  []*fakes.Replica // crashed or drained; finalChecks still reads their records
+	copies          []fakes.Copy     // of the store's contents, the latest last
 	startedReplicas int              // number of replicas started so far
 	configVersion   int
 	keys            []string // API keys in force; they are only removed during a run
@@ -32,6 +33,7 @@
 	rolloutMu   sync.Mutex
 	watchers    sync.WaitGroup
 	stopped     atomic.Bool
+	stopCopies  func()
 	faultsEnded atomic.Bool // all faults have ended
 }
 
@@ -50,6 +52,7 @@
 		rollouts: map[string]*rolloutOrder{},
 
 		badVersions: map[string]fakes.Faults{},
+		stopCopies:  func() {},
 	}
 }
 
@@ -90,6 +93,11 @@
 			return err
 		}
 	}
+	if r.cfg.Drills {
+		copying, stop := context.WithCancel(ctx)
+		r.stopCopies = stop
+		r.watchers.Go(func() { r.keepCopies(copying) })
+	}
 	if r.cfg.CrashingRequests {
 		return r.awaitLinks(ctx)
 	}
@@ -158,6 +166,7 @@
 // stop ends every process and fake that the run has started.
 func (r *platformRun) stop() {
 	r.stopped.Store(true)
+	r.stopCopies()
 	r.watchers.Wait()
 	for _, n := range r.nodes {
 		n.kill()
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -51,6 +51,7 @@
 	)
 	all = append(all, r.restartFaults()...)
 	all = append(all, r.askFaults()...)
+	all = append(all, r.drillFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,6 +51,8 @@
 	// Asks adds replicas on the users' platform that ask something of the routers in their
 	// answers.
 	Asks bool
+	// Drills makes the store of the users' platform come back from older copies of its data.
+	Drills bool
 }
 
 // Violation is one observation that breaks a promise of the product.
