--- a/reach/monitor.go
+++ b/reach/monitor.go
@@ -42,6 +42,7 @@
 type Monitor struct {
 	cfg  Config
 	cuts *metrics.Counter
+	wake chan struct{} // signals that a connection has failed
 
 	cutOff atomic.Pointer[map[string]bool] // read without the lock; replaced when it changes
 
@@ -60,7 +61,7 @@
 	if cfg.OnChange == nil {
 		cfg.OnChange = func(string, bool) {}
 	}
-	m := &Monitor{cfg: cfg, services: map[string]*service{}, waiting: map[string][]func(bool){}, cuts: cfg.Set.NewCounter("wigeon_cuts_total")}
+	m := &Monitor{cfg: cfg, services: map[string]*service{}, waiting: map[string][]func(bool){}, wake: make(chan struct{}, 1), cuts: cfg.Set.NewCounter("wigeon_cuts_total")}
 	cfg.Set.NewGauge("wigeon_services_cut_off", func() float64 { return float64(len(m.CutOffServices())) })
 	return m
 }
@@ -105,6 +106,10 @@
 	m.mu.Lock()
 	m.service(name).fail(id, now)
 	m.mu.Unlock()
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
 	m.look(name, now)
 }
 
@@ -137,16 +142,33 @@
 	}
 }
 
-// Run checks services and probes their backend servers until ctx ends.
+// Run checks services and probes their backend servers until ctx ends. It sleeps while all
+// connections work.
 func (m *Monitor) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.wake:
+		}
+		m.watch(ctx)
+	}
+}
+
+// watch decides at intervals whether probes are due, until none can be due.
+func (m *Monitor) watch(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case now := <-tick.C:
-			for _, name := range m.watched() {
+			watched := m.watched()
+			if len(watched) == 0 {
+				return
+			}
+			for _, name := range watched {
 				m.look(name, now)
 			}
 		}
