generation: a request that is passed on keeps the number of attempts of its route

A cut-off router allowed one attempt more, for one that was lost with its links, also where none was. Now only for a started answer. generation.TestAttemptsCountOverTwoRouters: 3 of 2 before.

--- a/generation/forward.go
+++ b/generation/forward.go
@@ -75,11 +75,11 @@
 	return "cut-off"
 }
 
-// maxAttempts returns how many backend servers may run an opaque request. An attempt that was lost
-// with the links of this router does not count.
+// maxAttempts returns how many backend servers may run an opaque request. The attempt of a started
+// answer that was lost with the links of this router does not count.
 func (x *run) maxAttempts() int {
 	n := x.req.Opaque.MaxAttempts
-	if x.cutOff() && !x.req.NonIdempotent {
+	if x.started() && !x.req.NonIdempotent && x.cutOff() {
 		n++
 	}
 	return n
--- a/generation/forward_test.go
+++ b/generation/forward_test.go
@@ -136,3 +136,20 @@
 		t.Errorf("a request that may have run: %+v", res)
 	}
 }
+
+// Guards against a request that runs on more backend servers than its route allows, since the second router
+// counts anew.
+func TestAttemptsCountOverTwoRouters(t *testing.T) {
+	r, err := New(Deps{Forwarder: &otherRouter{cutOff: func() bool { return true }}}, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	req := Request{ID: "q", Opaque: &Opaque{Opaque: &backend.Opaque{}, FirstChunk: 1, MaxAttempts: 2}}
+	for sent, want := range []int{2, 1} {
+		x := newRun(r, t.Context(), req, &fakeSink{})
+		x.attemptsSent = sent
+		if got := x.handover().Request.Opaque.MaxAttempts; got != want {
+			t.Errorf("after %d attempts the other router may make %d, want %d", sent, got, want)
+		}
+	}
+}
