--- a/daemon/cutoff.go
+++ b/daemon/cutoff.go
@@ -115,6 +115,19 @@
 	}
 }
 
+// cutOffProber finds out whether engines have exited. A link that is cut may refuse connections as the
+// host of an exited process does. It implements quarantine.Prober.
+type cutOffProber struct{ reach *reach.Monitor }
+
+// Probe implements quarantine.Prober.
+func (p cutOffProber) Probe(ctx context.Context, b fleet.Backend) quarantine.State {
+	state := backend.Prober{}.Probe(ctx, b)
+	if state == quarantine.Exited && p.reach.CheckCutOff(ctx, engineService) {
+		return quarantine.Unreachable
+	}
+	return state
+}
+
 // unlessCutOff calls report unless this router is cut off from the engines: the fault is in its own
 // links then, and the other routers must not hold it against the engines.
 func (n *node) unlessCutOff(report func()) {
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"wigeondale/backend"
 	"wigeondale/clock"
 	"wigeondale/fleet"
 	"wigeondale/peer"
@@ -26,7 +25,7 @@
 
 func (n *node) buildGuard(set *settings.Settings) {
 	n.guard = quarantine.NewGuard(quarantine.Config{
-		Prober:      backend.Prober{},
+		Prober:      cutOffProber{n.reach},
 		Incarnation: func(b fleet.Backend) string { return b.ID + "@" + n.dir.Incarnation(b.ID) },
 		Leaving:     n.dir.Leaving,
 		Neighbours:  placement.Neighbours(n.dir, n.mon),
