mirror: a list of the first era records no gap

Cause: a node that lists the store records the range it didn't follow as a gap, and neighbours within the range get full pages. At the start of a large deployment nearly all nodes list and are within one another's ranges. The hole of the first era that the property found (an item added and removed between two lists of one node may stay at a neighbour) stays as it was before gaps.

--- a/mirror/state.go
+++ b/mirror/state.go
@@ -139,7 +139,8 @@
 	if s.newest == 0 {
 		s.removed.floor = at
 	}
-	if s.newest != 0 {
+	// In the first era, no gap is recorded: each list would lead to full pages for many neighbours.
+	if s.newest != 0 && at.Era() > 0 {
 		s.addGap(Gap{s.newest, at})
 	}
 	s.recent.reset(at)
