backpressure: rooms of brittle servers that are not used are forgotten after a minute

Cause: a room was kept for each server that a brittle service ever had, for as long as the service is brittle. Found by reading. Before: 1,000 rooms after 1,000 servers, one a second; after: 62 at most.

--- a/backpressure/brittle.go
+++ b/backpressure/brittle.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -29,6 +30,8 @@
 	roomAfterRefusal = 0.5
 	refusalPause     = 500 * time.Millisecond
 	roomGrowth       = 0.1
+	// roomKept is how long a room is remembered that isn't used. It has grown to its whole size by then.
+	roomKept = time.Minute
 	// brittleTTL is how long a service counts as brittle after the last answer that said so, if no
 	// other answer comes.
 	brittleTTL = 10 * time.Second
@@ -285,6 +288,7 @@
 // are due. The caller holds t.mu.
 func (t *Tracker) tickBrittle(now time.Time) (updates []Update) {
 	for service, br := range t.brittle {
+		maps.DeleteFunc(br.rooms, func(_ string, r *room) bool { return now.Sub(r.changedAt) > roomKept })
 		switch {
 		case now.Sub(br.confirmedAt) > brittleTTL:
 			t.endBrittle(service, "no answer", now)
@@ -306,6 +310,7 @@
 	Refusals float64 `json:"refusals"` // that a backend server stands within a second
 	Slots    int     `json:"slots"`    // of a backend server
 	AgeMS    int64   `json:"age_ms"`
+	Rooms    int     `json:"rooms"` // backend servers whose room was used within a minute
 	// Closed is the number of backend servers to which nothing is sent after a refusal.
 	Closed int `json:"closed"`
 }
@@ -316,7 +321,7 @@
 	defer t.mu.Unlock()
 	out := []BrittleReport{}
 	for service, br := range t.brittle {
-		r := BrittleReport{Service: service, Refusals: br.refusals, Slots: br.slots, AgeMS: now.Sub(br.learnedAt).Milliseconds()}
+		r := BrittleReport{Service: service, Refusals: br.refusals, Slots: br.slots, AgeMS: now.Sub(br.learnedAt).Milliseconds(), Rooms: len(br.rooms)}
 		for _, room := range br.rooms {
 			if now.Before(room.closedUntil) {
 				r.Closed++
--- a/backpressure/brittle_test.go
+++ b/backpressure/brittle_test.go
@@ -300,6 +300,22 @@
 	}
 }
 
+// Guards against rooms of servers that are gone, which would be remembered as long as their service is brittle.
+func TestRoomsOfServersThatAreGoneAreForgotten(t *testing.T) {
+	f := newBrittleFleet(1, 1, 0)
+	r, now := f.routers[0].tracker, f.now
+	for i := range 1000 {
+		now = now.Add(time.Second)
+		b := fleet.Backend{ID: fmt.Sprint("b", i), Service: "app"}
+		r.Observe(b, now, now, backend.Statement{HasBrittle: true, Brittle: 2, Slots: 4})
+		r.Accepts(b.ID, now)
+		r.Tick(now)
+	}
+	if rooms := r.BrittleReports(now)[0].Rooms; rooms > 62 {
+		t.Errorf("%d rooms are remembered, in a minute 60 were used", rooms)
+	}
+}
+
 // Guards against brittle servers that fall over when all routers of a larger fleet start again at once under
 // overload: none of them knows that the service is brittle.
 func TestBrittleServersStandARestartOfAll(t *testing.T) {
