--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -80,7 +80,8 @@
 
 func (p *pipe) Close() { p.once.Do(func() { close(p.closed) }) }
 
-func net() error { return errors.New("stream closed") }
+// net is the error of a connection that has closed.
+func net() error { return fmt.Errorf("stream closed: %w", io.EOF) }
 
 type runnerFunc func(ctx context.Context, req generation.Request, sink generation.Sink) generation.Result
 
@@ -228,6 +229,37 @@
 	}
 }
 
+// Guards against an answer that is cut where the other router ends, and counts as whole.
+func TestClosedStreamIsNoEndOfTheAnswer(t *testing.T) {
+	ends := make(chan struct{})
+	f := New(Config{
+		Routers: func(string) ([]Router, int) { return []Router{{ID: "n2"}}, 1 },
+		Open: func(ctx context.Context, _ Router) (Conn, error) {
+			a, b := newPipe()
+			go New(Config{}).Serve(context.WithoutCancel(ctx), "cut", b, runnerFunc(func(_ context.Context, _ generation.Request, sink generation.Sink) generation.Result {
+				sink.Begin(generation.Position{}, &backend.Head{Status: 200})
+				sink.Token(3, []byte("t3"), "")
+				<-ends
+				b.Close()
+				return generation.Result{Outcome: fleet.Failed}
+			}))
+			return a, nil
+		},
+	})
+	s, err := f.Forward(t.Context(), request(false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := s.Next(); err != nil {
+		t.Fatal(err)
+	}
+	close(ends)
+	if _, err := s.Next(); errors.Is(err, io.EOF) || !errors.Is(err, backend.ErrBroken) {
+		t.Errorf("got %v", err)
+	}
+}
+
 // Guards against a run that goes on at the other router after the caller has left.
 func TestRunEndsWithTheCaller(t *testing.T) {
 	ended := make(chan struct{})
