forward: a connection that closes within an answer is not its end

Cause: forward's stream wrapped the error of its connection, which wraps io.EOF when the other router ends, and package generation took any error that wraps io.EOF for the end of the answer. Class: a sentinel that a lower layer's error may wrap. Change: forward names the cause without wrapping it; generation and hosted compare with io.EOF itself, as the interface states. backend and platform return it unwrapped already.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -260,7 +260,8 @@
 	for {
 		var m answerMessage
 		if err := s.conn.Receive(s.ctx, aliveTimeout, &m); err != nil {
-			return nil, Error.New("%w: %w", backend.ErrBroken, err)
+			// Not wrapped: io.EOF of the connection is not the end of the answer.
+			return nil, Error.New("%w: %v", backend.ErrBroken, err)
 		}
 		if m.Kind != answerAlive {
 			return &m, nil
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -300,7 +300,8 @@
 // Stream is the answer of one attempt, implemented by *backend.Stream. It is used by one
 // goroutine only, except that Close may be called from another goroutine.
 type Stream interface {
-	// Next returns the next token, or io.EOF after the end of the answer.
+	// Next returns the next token, or io.EOF itself after the end of the answer. An error that wraps
+	// io.EOF is a loss.
 	Next() (backend.Token, error)
 	// Buffered reports whether another token can be read without waiting.
 	Buffered() bool
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -113,7 +113,7 @@
 // mean that the answer is complete, since an engine that itself ended the attempt early sends
 // an end mark too.
 func (x *run) streamEnded(a *attempt, err error) string {
-	if errors.Is(err, io.EOF) && (x.req.Opaque != nil || x.filter.next >= x.req.MaxTokens) {
+	if err == io.EOF && (x.req.Opaque != nil || x.filter.next >= x.req.MaxTokens) {
 		x.dropCopy(a)
 		if a.accepted > 0 {
 			x.tracked.Answered()
--- a/hosted/observe.go
+++ b/hosted/observe.go
@@ -189,7 +189,7 @@
 		s.run.countChunk(s.rollouts)
 		return t, nil
 	}
-	if errors.Is(err, io.EOF) {
+	if err == io.EOF {
 		s.run.observePace(s.rollouts, minPaceChunks)
 		return t, err
 	}
