backpressure: the cold start of a router ends without requests

Cause: only a second request to a backend server looked whether the time after the start was over, so a router with few requests looked at the room of each server, under a lock, at each choice for ever. Change: Tick ends it. Red before: TestColdStartEndsWithoutRequests.

--- a/backpressure/brittle.go
+++ b/backpressure/brittle.go
@@ -232,17 +232,22 @@
 // isCold reports whether no backend server of a service has answered this router since its start, a
 // short time ago: it can't know yet whether the service is brittle. The caller holds t.mu.
 func (t *Tracker) isCold(service string, now time.Time) bool {
+	t.endColdStart(now)
+	return t.cold.Load() && !t.answered[service]
+}
+
+// endColdStart ends the time after the start in which a service may be cold. The caller holds t.mu.
+func (t *Tracker) endColdStart(now time.Time) {
 	if !t.cold.Load() {
-		return false
+		return
 	}
 	if t.started.IsZero() {
 		t.started = now
 	}
 	if now.Sub(t.started) > coldTime {
 		t.cold.Store(false)
-		return false
+		t.answered = nil
 	}
-	return !t.answered[service]
 }
 
 // hasRoom reports whether one more request of this router has room at a backend server. The caller
@@ -287,6 +292,7 @@
 // tickBrittle ends services of which no answer has come for some time, and returns the updates that
 // are due. The caller holds t.mu.
 func (t *Tracker) tickBrittle(now time.Time) (updates []Update) {
+	t.endColdStart(now)
 	for service, br := range t.brittle {
 		maps.DeleteFunc(br.rooms, func(_ string, r *room) bool { return now.Sub(r.changedAt) > roomKept })
 		switch {
--- a/backpressure/brittle_test.go
+++ b/backpressure/brittle_test.go
@@ -300,6 +300,19 @@
 	}
 }
 
+// Guards against a router that looks at the room of each server at each choice, long after its start.
+func TestColdStartEndsWithoutRequests(t *testing.T) {
+	f := newBrittleFleet(1, 1, 1)
+	r, now := f.routers[0].tracker, f.now
+	if r.Tick(now); r.Filter(now) == nil {
+		t.Error("a router that has just started looks at no room")
+	}
+	now = now.Add(time.Minute)
+	if r.Tick(now); r.Filter(now) != nil {
+		t.Error("a router that started a minute ago looks at the room of each server")
+	}
+}
+
 // Guards against rooms of servers that are gone, which would be remembered as long as their service is brittle.
 func TestRoomsOfServersThatAreGoneAreForgotten(t *testing.T) {
 	f := newBrittleFleet(1, 1, 0)
