--- a/fakes/hosted/store.go
+++ b/fakes/hosted/store.go
@@ -24,6 +24,9 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
+// firstLease is below the first lease's number. The platform promises no small numbers.
+const firstLease = 7 << 59
+
 // Store is a fake of the platform's store.
 type Store struct {
 	*httptest.Server
@@ -37,7 +40,7 @@
 	failing      bool          // every call fails with 503
 	unresponsive bool          // no call gets a response
 	calls        int
-	leases       int64          // number of the latest lease
+	leases       int64          // number of the latest lease; numbers begin at firstLease
 	granted      map[int64]bool // leases that exist
 	era          atomic.Int64   // number of times that the store came back from a copy
 	copiedAt     int64          // revision of the copy from which the store came back last
@@ -46,7 +49,7 @@
 
 // NewStore starts a store on loopback.
 func NewStore() *Store {
-	s := &Store{revision: 1, items: map[string]Item{}, granted: map[int64]bool{}, changed: make(chan struct{})}
+	s := &Store{revision: 1, items: map[string]Item{}, leases: firstLease, granted: map[int64]bool{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
@@ -289,6 +292,12 @@
 			return
 		}
 	}
+	for _, i := range t.Writes {
+		if i.Lease != 0 && !s.granted[i.Lease] {
+			http.Error(w, `{"error":"no such lease"}`, http.StatusNotFound)
+			return
+		}
+	}
 	for _, i := range t.Writes {
 		s.putLocked(i.Key, i.Value, i.Lease)
 	}
