infra, platform, hosted: a lease's number is kept as the store gave it out; its era stands beside it

Cause: infra.LeaseOf packed the era in front of the number into 64 bits. Numbers of leases take more than 44 bits on the platform, so registrations named a lease that doesn't exist, failed, and began again; renewals weren't sent. Nodes stayed unregistered or were registered late. Class: a number of others is narrowed without a check. Ruled out by trials at 31 nodes: eras, the mirror's deltas, roll-outs, the loop of the registration. Change: infra.Lease{ID, Era}; the era of a stored lease is that of its item's revision. Elsewhere: etcd's leases were never packed; revisions are counted up from 1.

--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -216,8 +216,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := registrationState{key: p.key, keyStored: p.key != nil && p.keyEra == era, nodes: len(p.addrs)}
-	if string(p.localEntry.Data) == p.set.Hosted.PeerAddress && p.localEntry.Lease.Era() == era {
-		s.lease = p.localEntry.Lease
+	if string(p.localEntry.Data) == p.set.Hosted.PeerAddress && p.localEntry.ModRev.Era() == era {
+		s.lease = p.localEntry.Leased()
 	}
 	return s
 }
--- a/hosted/registration.go
+++ b/hosted/registration.go
@@ -33,9 +33,9 @@
 // registry is the part of the store that a registration uses.
 type registry interface {
 	Create(ctx context.Context, key string, data []byte) (bool, error)
-	Put(ctx context.Context, key string, data []byte, lease infra.LeaseID) error
-	Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error)
-	KeepAlive(ctx context.Context, lease infra.LeaseID) error
+	Put(ctx context.Context, key string, data []byte, lease infra.Lease) error
+	Grant(ctx context.Context, ttl time.Duration) (infra.Lease, error)
+	KeepAlive(ctx context.Context, lease infra.Lease) error
 }
 
 // registration maintains this node's address in the store, and creates the key with which all
@@ -45,7 +45,7 @@
 	store registry
 	log   *event.Log
 	// storeRead is closed when the store has been read once. After that, state returns whether
-	// the key exists, and the lease of this node's entry, or 0 if no entry has this node's
+	// the key exists, and the lease of this node's entry, if an entry has this node's
 	// address.
 	storeRead <-chan struct{}
 	state     func() registrationState
@@ -56,10 +56,10 @@
 
 // registrationState is what a registration has to know of the store.
 type registrationState struct {
-	key       []byte        // of the links; nil if it isn't known
-	keyStored bool          // the store has the key
-	lease     infra.LeaseID // of this node's entry; 0 if no entry has this node's address
-	nodes     int           // registered nodes, with this one
+	key       []byte      // of the links; nil if it isn't known
+	keyStored bool        // the store has the key
+	lease     infra.Lease // of this node's entry; its ID is 0 if no entry has this node's address
+	nodes     int         // registered nodes, with this one
 }
 
 // storeReturned makes the registration write again what the store lacks.
@@ -115,10 +115,10 @@
 // Without this renewal, when all nodes stop and start again, each of them would make three
 // writes for what is in the store already, while all of them read the store. These writes
 // would be the largest part of the calls to the store.
-func (r *registration) resumeLease(ctx context.Context) (infra.LeaseID, bool) {
+func (r *registration) resumeLease(ctx context.Context) (infra.Lease, bool) {
 	lease := r.state().lease
-	if lease == 0 {
-		return 0, false
+	if lease.ID == 0 {
+		return lease, false
 	}
 	ctx, stop := context.WithTimeout(ctx, registerTimeout)
 	defer stop()
@@ -127,7 +127,7 @@
 
 // renew renews the lease. It returns true when the lease may have expired, and false when ctx has
 // ended.
-func (r *registration) renew(ctx context.Context, lease infra.LeaseID) bool {
+func (r *registration) renew(ctx context.Context, lease infra.Lease) bool {
 	for {
 		due := time.NewTimer(renewal)
 		select {
@@ -159,28 +159,28 @@
 
 // checkReturned finds out whether a store that has come back from a copy still has this node's entry and
 // its lease, and the key of the links. It returns false if this node has to register again.
-func (r *registration) checkReturned(ctx context.Context) (infra.LeaseID, bool) {
+func (r *registration) checkReturned(ctx context.Context) (infra.Lease, bool) {
 	s := r.state()
 	if s.key != nil && !s.keyStored {
-		return 0, false // at once: a node that starts now would create another key
+		return infra.Lease{}, false // at once: a node that starts now would create another key
 	}
 	if !clock.Sleep(ctx, rand.N(returnSpread*time.Duration(max(s.nodes, 1)))) {
-		return 0, false
+		return infra.Lease{}, false
 	}
 	return r.resumeLease(ctx)
 }
 
 // register writes this node's address, and creates the key of the links if necessary. If
 // another node created the key first, that key arrives through the mirror.
-func (r *registration) register(ctx context.Context) (infra.LeaseID, error) {
+func (r *registration) register(ctx context.Context) (infra.Lease, error) {
 	ctx, stop := context.WithTimeout(ctx, registerTimeout)
 	defer stop()
 	if err := r.createKey(ctx); err != nil {
-		return 0, err
+		return infra.Lease{}, err
 	}
 	lease, err := r.store.Grant(ctx, nodeLease)
 	if err != nil {
-		return 0, err
+		return infra.Lease{}, err
 	}
 	return lease, r.store.Put(ctx, nodePrefix+r.set.Node.ID, []byte(r.set.Hosted.PeerAddress), lease)
 }
--- a/hosted/registration_test.go
+++ b/hosted/registration_test.go
@@ -30,19 +30,19 @@
 	return true, nil
 }
 
-func (c *countedRegistry) Put(context.Context, string, []byte, infra.LeaseID) error {
+func (c *countedRegistry) Put(context.Context, string, []byte, infra.Lease) error {
 	c.count("put")
 	return nil
 }
 
-func (c *countedRegistry) Grant(context.Context, time.Duration) (infra.LeaseID, error) {
+func (c *countedRegistry) Grant(context.Context, time.Duration) (infra.Lease, error) {
 	c.count("grant")
-	return 9, nil
+	return infra.Lease{ID: 9}, nil
 }
 
-func (c *countedRegistry) KeepAlive(_ context.Context, lease infra.LeaseID) error {
+func (c *countedRegistry) KeepAlive(_ context.Context, lease infra.Lease) error {
 	c.count("keep")
-	if c.expired && lease != 9 {
+	if c.expired && lease.ID != 9 {
 		return errors.New("the lease has ended")
 	}
 	return nil
--- a/infra/kv.go
+++ b/infra/kv.go
@@ -36,28 +36,17 @@
 	ErrCompacted = errors.New("watch revision compacted")
 )
 
-// LeaseID identifies a lease of the key-value service; zero means no lease. A service that has come
-// back from an older copy of its data gives out the numbers of leases again, so that a lease has an era
-// as a fleet.Revision has.
+// LeaseID identifies a lease of the key-value service; zero means no lease.
 type LeaseID int64
 
-// LeaseOf returns the lease with a number in an era.
-func LeaseOf(era, number int64) LeaseID {
-	if number == 0 {
-		return 0
-	}
-	return LeaseID(fleet.RevisionOf(era, number))
+// Lease is a lease as the service had it in an era (fleet.Revision). A service that has come back from
+// an older copy of its data gives out the ids of leases again. An id may have any value, so that it
+// can't hold the era.
+type Lease struct {
+	ID  LeaseID
+	Era int64
 }
 
-// InEra returns the lease with the same number in another era.
-func (l LeaseID) InEra(era int64) LeaseID { return LeaseOf(era, l.Number()) }
-
-// Era returns the era.
-func (l LeaseID) Era() int64 { return fleet.Revision(l).Era() }
-
-// Number returns the number within the era.
-func (l LeaseID) Number() int64 { return fleet.Revision(l).Number() }
-
 // Value is one key with its data and revisions.
 type Value struct {
 	Key       string
@@ -69,6 +58,9 @@
 	Lease LeaseID `cbor:",omitempty"`
 }
 
+// Leased returns the lease of the item.
+func (v Value) Leased() Lease { return Lease{v.Lease, v.ModRev.Era()} }
+
 // WatchEvent is one change under a watched prefix. Err is set in the last event before the
 // channel closes, unless the watch closed because its context ended.
 type WatchEvent struct {
