--- a/mirror/era_test.go
+++ b/mirror/era_test.go
@@ -132,7 +132,7 @@
 }
 
 // Guards against nodes that end with other contents than a store that has come back from copies, whoever of
-// them reads it and whoever hears of it from a neighbour, and against versions that go back meanwhile.
+// them reads it and whoever receives it from a neighbour, and against versions that go back meanwhile.
 func TestNodesAgreeWithAStoreThatGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &eraStore{items: map[string]infra.Value{}, written: map[string]int{}, number: 1}
