--- a/backend/statement.go
+++ b/backend/statement.go
@@ -45,7 +45,7 @@
 	// Rest is how long it wants no request of this router; 0 means that it asks for no rest.
 	Rest time.Duration
 	// Brittle is the number of requests that it may refuse within a second for want of room before
-	// it falls over, if HasBrittle is set.
+	// it fails, if HasBrittle is set.
 	Brittle    float64
 	HasBrittle bool
 	// NoRoom means that it refused the request for want of room.
--- a/backpressure/brittle_test.go
+++ b/backpressure/brittle_test.go
@@ -15,7 +15,7 @@
 	brittleStep  = time.Millisecond
 	brittleSlots = 6
 	brittleWork  = 60 * time.Millisecond
-	// brittleStands is the number of refusals within a second that a server of the model stands.
+	// brittleStands is the number of refusals within a second that a server of the model tolerates.
 	brittleStands = 2
 	// brittleGrace is how long servers say that they are brittle before their waiting room shrinks.
 	brittleGrace = 3 * time.Second
@@ -217,8 +217,8 @@
 	}
 }
 
-// Guards against brittle servers that fall over in fleets of any size: with more requests than they can take,
-// bursts, routers that start again, and servers that come back empty.
+// Guards against brittle servers that fail in fleets of any size: with more requests than they can take,
+// bursts, routers that start again, and servers that start again.
 func TestBrittleServersStand(t *testing.T) {
 	for _, size := range []struct{ routers, servers int }{{8, 3}, {76, 12}, {300, 40}} {
 		capacity := float64(size.servers) * brittleSlots / brittleWork.Seconds()
@@ -282,7 +282,7 @@
 // Guards against room that is not used since the routers to which it belongs have no work for it.
 func TestRoomIsUsedWhereRoutersAreMany(t *testing.T) { checkRoomUsed(t, 76, 12) }
 
-// Guards against a service that counts as brittle for ever, or again by an older word of another router.
+// Guards against a service that counts as brittle for ever, or again by an older update of another router.
 func TestBrittleEnds(t *testing.T) {
 	f := newBrittleFleet(1, 2, 1)
 	b, now := f.servers[0].b, f.now
@@ -296,11 +296,11 @@
 	r.Observe(b, later, later.Add(time.Millisecond), backend.Statement{})
 	r.HandleUpdate("n1", backpressure.Update{Service: "app", Brittle: &backpressure.BrittleState{Refusals: 2, Slots: 1}, AgeMS: 500}, later.Add(2*time.Millisecond))
 	if !r.Accepts("b0", later.Add(3*time.Millisecond)) {
-		t.Error("an older word of another router begins it again")
+		t.Error("an older update of another router begins it again")
 	}
 }
 
-// Guards against a router that looks at the room of each server at each choice, long after its start.
+// Guards against a router that looks at the room of each server at each choice, a minute after its start.
 func TestColdStartEndsWithoutRequests(t *testing.T) {
 	f := newBrittleFleet(1, 1, 1)
 	r, now := f.routers[0].tracker, f.now
@@ -329,7 +329,7 @@
 	}
 }
 
-// Guards against brittle servers that fall over when all routers of a larger fleet start again at once under
+// Guards against brittle servers that fail when all routers of a larger fleet start again at once under
 // overload: none of them knows that the service is brittle.
 func TestBrittleServersStandARestartOfAll(t *testing.T) {
 	f := newBrittleFleet(0, 76, 12)
--- a/daemon/cutoff.go
+++ b/daemon/cutoff.go
@@ -96,7 +96,7 @@
 
 func (n *node) cutOffChanged(service string, off bool) {
 	if !off {
-		n.mon.AbsolveAll()
+		n.mon.ResetAll()
 	}
 	n.reachPeers.Send(time.Now())
 }
@@ -129,7 +129,7 @@
 }
 
 // unlessCutOff calls report unless this router is cut off from the engines: the fault is in its own
-// links then, and the other routers must not hold it against the engines.
+// links then, and the other routers must not count it as a failure of the engines.
 func (n *node) unlessCutOff(report func()) {
 	n.reach.AfterCheck(engineService, func(cutOff bool) {
 		if !cutOff {
--- a/fakes/fault/dialer.go
+++ b/fakes/fault/dialer.go
@@ -16,7 +16,7 @@
 	Connected    CutMode = iota // not cut
 	Hanging                     // nothing is delivered, and nothing refused
 	Resetting                   // open connections are reset, new ones refused
-	RefusingOnly                // open connections live on, new ones are refused
+	RefusingOnly                // open connections work on, new ones are refused
 )
 
 // hungTimeout is how long a connection may be cut before it counts as timed out, as it does on
@@ -55,7 +55,7 @@
 	}
 }
 
-// timeOut returns a function that ends the connections which have hung since the change that
+// timeOut returns a function that ends the connections to which nothing was delivered since the change that
 // changed belongs to, as keep-alive probes end idle ones. The caller holds d.mu.
 func (d *Dialer) timeOut(changed chan struct{}) func() {
 	return func() {
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -39,7 +39,7 @@
 // and cutOffInDomain is the number of routers of this failure domain that are.
 //
 // Routers of the same failure domain are preferred, since they are near. If most of the domain's
-// routers are cut off, the few others would have to carry the load of all, so that all domains
+// routers are cut off, the few others would get the requests of all, so that all domains
 // are used then.
 func (c *chooser) choose(service string, reaching []Router, cutOffInDomain int, tried map[string]bool, now time.Time) (r Router, release func(), ok bool) {
 	c.mu.Lock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -6,7 +6,7 @@
 // them.
 //
 // A request passes through two routers at most: a router runs a request that was passed on to it or
-// answers at once that it does not. Both routers keep the promises of package generation: a request
+// answers at once that it does not. Both routers guarantee what package generation guarantees: a request
 // has run unless the router that it was passed on to states that it has not. If the stream between
 // them is lost, only a request that may run again is sent once more. When the caller leaves, or the
 // first router ends, the stream closes, and with it ends the run.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -169,7 +169,7 @@
 	}
 }
 
-// Guards against a refusal while another router takes the request, and against a hop too many.
+// Guards against a refusal while another router takes the request, and against a third router.
 func TestNextRouterIsAsked(t *testing.T) {
 	r := newRouters(map[string]runnerFunc{"n2": refuses(generation.CodeCutOff), "n3": nil, "n4": answers(1)})
 	for i := range 3 {
@@ -280,13 +280,13 @@
 	}
 }
 
-// Guards against a zone whose routers are nearly all cut off tipping over its last ones, and against
+// Guards against a zone whose routers are nearly all cut off overloading the few others, and against
 // load that is spread unevenly over those that help.
 func TestLoadIsSpread(t *testing.T) {
 	for _, c := range []struct{ near, far, cutOffNear, most int }{
 		{near: 3, far: 6, cutOffNear: 1, most: 40},  // the near ones take it
 		{near: 1, far: 6, cutOffNear: 3, most: 30},  // all take it
-		{near: 0, far: 1, cutOffNear: 6, most: 100}, // one is left
+		{near: 0, far: 1, cutOffNear: 6, most: 100}, // one router takes requests
 		{near: 0, far: 150, cutOffNear: 150, most: 3},
 	} {
 		ch := newChooser("d0")
--- a/generation/forward_test.go
+++ b/generation/forward_test.go
@@ -81,7 +81,7 @@
 func (s *remoteStream) Router() string      { return "n2" }
 func (s *remoteStream) Origin() Position    { return s.origin }
 
-// Guards against an answer that breaks off when the links of its router are cut, and against one that
+// Guards against an answer that ends early when the links of its router are cut, and against one that
 // the other router begins anew.
 func TestAnswerGoesOnAtAnotherRouter(t *testing.T) {
 	h := harness{engines: []*fakeEngine{newFakeEngine(t, behavior{tokens: 3, fault: "reset"})}}
--- a/health/cutoff.go
+++ b/health/cutoff.go
@@ -7,11 +7,11 @@
 	"time"
 )
 
-// This file keeps what a router that is cut off from backend servers has noticed from being held
-// against them.
+// What a router that is cut off from backend servers has noticed of them must not count as their
+// failure. This file removes it.
 
 // EndSilentStreams ends the streams of a service that are silent, so that their answers go on
-// elsewhere: this router is cut off from the service. Streams on connections that live on aren't
+// elsewhere: this router is cut off from the service. Streams on connections that still work aren't
 // silent.
 func (m *Monitor) EndSilentStreams(service string) {
 	t := m.sinceEpoch(time.Now())
@@ -22,19 +22,19 @@
 	}
 }
 
-// Absolve makes the backend servers of a service healthy and forgets the failures of their
+// ResetService makes the backend servers of a service healthy and forgets the failures of their
 // domains: they were noticed while this router was cut off from the service.
-func (m *Monitor) Absolve(service string) {
+func (m *Monitor) ResetService(service string) {
 	for _, d := range m.domainsOf(service) {
 		d.forgetFailures()
 		for _, e := range d.list() {
-			m.absolve(e)
+			m.reset(e)
 		}
 	}
 }
 
-// AbsolveAll makes all backend servers healthy, as Absolve does for those of a service.
-func (m *Monitor) AbsolveAll() {
+// ResetAll makes all backend servers healthy, as ResetService does for those of a service.
+func (m *Monitor) ResetAll() {
 	m.mu.RLock()
 	all := slices.Collect(maps.Values(m.engines))
 	domains := slices.Collect(maps.Values(m.domains))
@@ -43,11 +43,11 @@
 		d.forgetFailures()
 	}
 	for _, e := range all {
-		m.absolve(e)
+		m.reset(e)
 	}
 }
 
-func (m *Monitor) absolve(e *engine) {
+func (m *Monitor) reset(e *engine) {
 	e.mu.Lock()
 	previous := e.state
 	e.recover()
--- a/hosted/brittle_test.go
+++ b/hosted/brittle_test.go
@@ -9,11 +9,11 @@
 	fakes "wigeondale/fakes/hosted"
 )
 
-// Guards against a brittle replica that falls over, since each router learns by a refusal of its own that it has no
+// Guards against a brittle replica that fails, since each router finds out by a refusal of its own that it has no
 // room.
 func TestBrittleReplicaRefusesFew(t *testing.T) {
 	const (
-		most    = 2 // refusals within a second that the replica stands
+		most    = 2 // refusals within a second that the replica tolerates
 		clients = 30
 	)
 	f := newFleet(t)
--- a/hosted/cut_series_test.go
+++ b/hosted/cut_series_test.go
@@ -18,7 +18,7 @@
 var cutSeeds = flag.Int("cut-seeds", 1, "seeds of TestRoutersAreCutInTurn")
 
 // Guards against lost, doubled or untrue answers while routers are cut from replicas in any number, way and
-// order: some, nearly all and all of them, for moments and for seconds, while requests and streams run.
+// order: some, nearly all and all of them, for milliseconds and for seconds, while requests and streams run.
 func TestRoutersAreCutInTurn(t *testing.T) {
 	for seed := range *cutSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/hosted/cutoff.go
+++ b/hosted/cutoff.go
@@ -76,7 +76,7 @@
 	if off {
 		c.mon.EndSilentStreams(service)
 	} else {
-		c.mon.Absolve(service)
+		c.mon.ResetService(service)
 	}
 	c.Send(time.Now())
 }
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -2,7 +2,7 @@
 //
 // A router may lose its links to backend servers while its callers and the other routers still
 // reach it. Each attempt then fails alone, after a timeout of its own, and looks like the failure of
-// its backend server: requests are refused although other routers could serve them, and sound
+// its backend server: requests are refused although other routers could serve them, and working
 // backend servers are reported to the other routers as crashed. So the failures of connections to
 // different backend servers are counted together. When there are several, this router opens
 // connections to a sample of the service's other backend servers. If none opens, the router counts
