--- a/hosted/tells_test.go
+++ b/hosted/tells_test.go
@@ -41,7 +41,7 @@
 // splitting lists the files that may look at the era or the number of a revision apart, and why.
 var splitting = map[string]string{
 	"../fleet/revision.go":  "defines them",
-	"../infra/kv.go":        "names leases alike",
+	"../infra/kv.go":        "states the era of an item's lease",
 	"../infra/etcd.go":      "client of a store without eras",
 	"../order/lease.go":     "takes whole revisions as fencing numbers, of a store without eras",
 	"../infra/watch.go":     "client of a store without eras",
