mirror: full reads leave gaps in every era

Cause: a node that reads all items twice doesn't know what was added and removed in between, and told a neighbour whose revision lies in between that nothing had changed. Red before: mirror.TestItemBetweenTwoFullReadsLeavesTheNeighbour.

--- a/mirror/state.go
+++ b/mirror/state.go
@@ -133,14 +133,13 @@
 	}
 }
 
-// replace applies the complete list of items at a revision; alsoListed are the keys of further items. Items that are not in the list
-// are removed, or become unconfirmed removals, as d defines.
+// replace applies the complete list of items at a revision; alsoListed are the keys of further
+// items. Items that are not in the list are removed, or become unconfirmed removals, as d defines.
 func (s *state) replace(items []infra.Value, at fleet.Revision, d removalPolicy, alsoListed ...string) {
 	if s.newest == 0 {
 		s.removed.floor = at
 	}
-	// In the first era, no gap is recorded: each list would lead to full pages for many neighbours.
-	if s.newest != 0 && at.Era() > 0 {
+	if s.newest != 0 {
 		s.addGap(Gap{s.newest, at})
 	}
 	s.recent.reset(at)
