generation: logs why no further attempt follows a loss (event 1412)

The log of a cut answer named its last error, not what the search for another server lacked: retry budget, a server, a version or an attempt.

--- a/event/ids.go
+++ b/event/ids.go
@@ -95,6 +95,7 @@
 	CopyDropFailed
 	RunInquired
 	AnswerHeaderUnknown
+	NoFurtherAttempt
 )
 
 // Events of the log and of at-most-once claims (11xx).
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -210,8 +210,22 @@
 	return "lost"
 }
 
+// logNoFurtherAttempt logs why no attempt follows the latest loss yet.
+func (x *run) logNoFurtherAttempt(code string, err error) {
+	if !x.anySent || x.searchLogged {
+		return
+	}
+	x.searchLogged = true
+	if u, ok := errors.AsType[*Unavailable](err); ok && u.Code != "" {
+		code = u.Code
+	}
+	x.opts.Log.Emit(event.NoFurtherAttempt, "request", x.req.ID, "code", code, "sent", x.attemptsSent, "next", x.filter.next,
+		"silent_ms", time.Since(x.lastToken).Milliseconds(), "err", err)
+}
+
 // logLoss logs why an attempt ended, and how long it was silent before that.
 func (x *run) logLoss(a *attempt, cause string, err error) {
+	x.searchLogged = false
 	x.opts.Log.Emit(event.AttemptLost, "request", x.req.ID, "digest", x.tracked.DigestString(), "attempt", a.origin.Attempt,
 		"backend", a.backend.ID, "cause", cause, "accepted", a.accepted, "next", x.filter.next,
 		"silent_ms", time.Since(x.lastToken).Milliseconds(), "err", err)
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -206,6 +206,7 @@
 	pauseEndedAt time.Time // when the last silence longer than PauseGap ended
 	lossCause    string    // set from a loss until the next token
 	lostAt       time.Time // time of that loss
+	searchLogged bool      // it is logged that the search after the latest loss has found nothing yet
 	res          Result
 }
 
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -97,6 +97,7 @@
 		return "none"
 	}
 	if x.req.Opaque != nil && x.attemptsSent >= x.maxAttempts() {
+		x.logNoFurtherAttempt(CodeEngineLost, x.waitErr)
 		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
 	if x.needsBudget && !x.drawBudget() {
@@ -112,6 +113,7 @@
 		return "picked"
 	}
 	x.waitErr = err
+	x.logNoFurtherAttempt(CodeNoReplica, err)
 	u, ok := errors.AsType[*Unavailable](err)
 	retryable := ok && u.Retryable
 	if !retryable && len(x.exclude) == 0 {
@@ -148,6 +150,7 @@
 // address after the other when replicas crash while the store is unreachable, and a service
 // that has lost half of its replicas would receive several times as many arrivals as requests.
 func (x *run) waitForBudget() string {
+	x.logNoFurtherAttempt(CodeRetryBudget, x.waitErr)
 	if !x.started() {
 		return x.giveUp(CodeRetryBudget, x.waitErr)
 	}
