generation: a silent attempt is kept until another server has accepted the request

Cause: on a silence the attempt's connection was closed, which ends the run at the server, and only then were retry budget and another server looked for. Without either of them there was nothing left in hand. Class: a working thing is given up on suspicion, before its replacement is certain.

Change: the stream of each attempt is read in a goroutine of its own (reading). A silence starts a search beside it (takeover): the silent attempt is read on until another server has accepted the request, which ends the old run in the same moment, or until it delivers by itself, which ends the search. Without retry budget, server or attempts left, the request waits for its own server until its deadline (state hold), or without a deadline as long as a started answer waits for a server. What is certain ends an attempt at once, as before: a connection that ends, a restart, a report without the run. One attempt is kept at a time; a further one that falls silent before it has answered is left, as before.

Ruled out: to confirm by queries for longer, since a silent server answers none; to reserve budget and server and then to leave, since the server that was picked may refuse.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -37,6 +37,8 @@
 	{RunInquired, "run-inquired", Info, "An attempt has waited long for its first chunk, and its backend server was asked whether it has the run. If it does not, another attempt follows."},
 	{AnswerHeaderUnknown, "answer-header-unknown", Warning, "Answers of a service carry a header that this program does not know; what the backend servers state in it is ignored. Written once for each name and service; wigeon_unknown_answer_headers_total counts further ones. Find out from the backend servers' documentation what it asks of routers."},
 	{NoFurtherAttempt, "no-further-attempt", Info, "After the loss or silence of an attempt, no other backend server can be tried now, for the reason given (a code, or retry_budget); the search goes on as long as the request may wait. Written once for each loss."},
+	{AttemptSilent, "attempt-silent", Info, "The backend server of an attempt is silent; another one is looked for while the attempt is still read. Nothing to do."},
+	{AttemptDelivers, "attempt-delivers", Info, "A silent attempt delivers before another backend server has accepted the request, and goes on. Nothing to do."},
 	{CursorRefused, "cursor-refused", Warning, "A caller sent a cursor that is forged, of another account, malformed or too old, and was refused. Check that all nodes share the cursor key if it repeats; otherwise the account is trying cursors of others."},
 	{RevisionInForce, "revision-in-force", Info, "A newer revision of the configuration is in force on this node. Nothing to do."},
 	{RevisionUnreadable, "revision-unreadable", Error, "A log entry can't be read and is treated as no change. Find out which program wrote it: a newer build or another program that uses the same prefix."},
--- a/event/ids.go
+++ b/event/ids.go
@@ -96,6 +96,8 @@
 	RunInquired
 	AnswerHeaderUnknown
 	NoFurtherAttempt
+	AttemptSilent
+	AttemptDelivers
 )
 
 // Events of the log and of at-most-once claims (11xx).
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"wigeondale/backend"
 	"wigeondale/fleet"
 	"wigeondale/health"
 	"wigeondale/quarantine"
@@ -24,6 +23,11 @@
 	ctx            context.Context
 	cancel         context.CancelCauseFunc
 	watch          Watch
+	silent         chan error // holds one report of the failure detector that the attempt is silent
+	reading        *reading
+	awaitsResult   bool        // a result of reading is due
+	early          *readResult // result that is handled before those of reading
+	stopPolling    func()      // ends the queries of pollRun; nil if there are none
 	loadShare      LoadShare
 	copy           standbyCopy
 	copyResult     chan standbyCopy // result of makeCopy, which runs alongside the stream; buffers one
@@ -51,6 +55,7 @@
 // registered, since no other attempt could replace it.
 func (x *run) watchAttempt(a *attempt) {
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
+	a.silent = make(chan error, 1)
 	if x.isLastAttempt() {
 		// No other attempt may follow. If the failure detector ended this attempt because of a
 		// silence, an answer that may still arrive would be lost, and no other attempt could
@@ -58,7 +63,7 @@
 		a.watch = noWatch{}
 		return
 	}
-	a.watch = x.Watcher.Watch(a.backend.ID, x.work(), a.cancel)
+	a.watch = x.Watcher.Watch(a.backend.ID, x.work(), a.reportLoss)
 }
 
 // work describes to the failure detector what the next attempt has to do: how much text the
@@ -101,6 +106,10 @@
 // closeReader stops reading a. The engine keeps the attempt for its linger time; only the
 // attempt of an opaque request is cancelled, since it ends with its connection.
 func (a *attempt) closeReader() {
+	if a.stopPolling != nil {
+		a.stopPolling()
+		a.stopPolling = nil
+	}
 	if a.stream != nil {
 		a.stream.Close()
 		a.stream = nil
@@ -158,17 +167,8 @@
 	if a == nil {
 		return
 	}
-	x.detach()
-	if x.req.Opaque != nil {
-		return // closing the connection has already cancelled it
-	}
-	if a.backend.Addr == "" {
-		return // handed over from a backend server that is no longer known
-	}
-	x.Abandon.Add(backend.AbandonedAttempt{
-		Backend: a.backend, Incarnation: a.origin.Incarnation,
-		Request: x.req.ID, Attempt: a.origin.Attempt, Accepted: a.accepted,
-	})
+	x.current = nil
+	x.abandonAttempt(a)
 }
 
 // linger returns how long the engine keeps an attempt without a reader, in general
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -13,9 +13,12 @@
 // dispatch sends the request to the picked engine. It doesn't check the deadline: the state
 // pick has done so, after the claim.
 func (x *run) dispatch() string {
-	if err := x.tracked.Refusal(x.ctx); err != nil {
+	if err := x.tracked.Refusal(x.searching()); err != nil {
 		return x.endQuarantined(err)
 	}
+	if x.interrupted() {
+		return "not-started"
+	}
 	x.tracked.AttemptBegan()
 	a := &attempt{backend: x.backend, loadShare: x.loadShare, copyResult: make(chan standbyCopy, 1)}
 	x.loadShare = nil
@@ -32,20 +35,25 @@
 	if x.mayHaveRun && !copies.FromCopy {
 		x.m.prefill.Add(x.promptBytes())
 	}
-	stopPolling := x.pollRun(a)
+	a.stopPolling = x.pollRun(a)
 	a.sentAt = time.Now()
-	s, err := x.Engines.Open(a.ctx, a.backend, backend.StartRequest{
+	ctx, start := a.ctx, backend.StartRequest{
 		Opaque: x.opaque(), Copies: copies, FirstAttempt: first, LastAttempt: x.isLastAttempt(),
 		ID: x.req.ID, Attempt: a.origin.Attempt, Ref: x.req.Ref,
 		Prompt: x.req.Prompt, MaxTokens: x.req.MaxTokens, Priority: x.req.Priority, Resume: x.started(),
 		ResumeText: string(x.text), ResumeTokens: x.filter.next, Linger: x.linger(),
-	})
-	stopPolling()
-	if err != nil {
+	}
+	a.begin(func() (Stream, error) { return x.Engines.Open(ctx, a.backend, start) })
+	s, ev, err := x.awaitAnswer(a)
+	switch {
+	case ev != "":
+		return ev
+	case err != nil:
 		return x.handleOpenError(a, err)
 	}
 	x.Watcher.Result(a.backend.ID, nil)
 	x.mayHaveRun = true
+	x.replaceKept()
 	return x.makeCurrent(a, s, "opened")
 }
 
@@ -84,12 +92,16 @@
 	if lost.backendID == "" || lost.backendID != b.ID {
 		return backend.Copies{}
 	}
+	x.copyUsed = true
 	return backend.Copies{FromCopy: true, Name: lost.name, Source: lost.source}
 }
 
 // makeCurrent makes a the current attempt: from now on, only its tokens are accepted.
 func (x *run) makeCurrent(a *attempt, s Stream, ev string) string {
 	a.stream = s
+	if a.stopPolling != nil {
+		a.stopPolling()
+	}
 	a.confirmed = true
 	a.origin.Incarnation = s.Incarnation()
 	if stated, ok := s.(softwareStater); ok {
@@ -248,7 +260,7 @@
 // request is not idempotent, or this router never received the text, only the run of the old
 // attempt can deliver the rest, so the router re-attaches to that run.
 func (x *run) suspect() string {
-	x.tracked.AwaitExamination(x.ctx, x.lossExamined)
+	x.tracked.AwaitExamination(x.searching(), x.lossExamined)
 	if x.mustEnd() {
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
@@ -278,17 +290,21 @@
 }
 
 // continueElsewhere has another backend server continue the answer, preferably the one that keeps
-// the standby copy of the lost run.
+// the standby copy of the lost or silent run.
 func (x *run) continueElsewhere() string {
-	if !x.current.forwarded {
-		x.exclude[x.current.origin.Backend] = true
+	a := x.current
+	if !a.forwarded {
+		x.exclude[a.origin.Backend] = true
+	}
+	x.lostDomain = a.backend.FailureDomain
+	a.collectCopyAtLoss()
+	if c := a.copy; x.started() && c.backend.Addr != "" && !x.exclude[c.backend.ID] {
+		x.lostCopy = lostAttemptCopy{backendID: c.backend.ID, name: c.name, source: a.backend}
 	}
-	x.lostDomain = x.current.backend.FailureDomain
-	x.current.collectCopyAtLoss()
-	if c := x.current.copy; x.started() && c.backend.Addr != "" && !x.exclude[c.backend.ID] {
-		x.lostCopy = lostAttemptCopy{backendID: c.backend.ID, name: c.name, source: x.current.backend}
+	x.current = nil
+	if a != x.kept {
+		x.abandonAttempt(a)
 	}
-	x.abandon()
 	x.needsBudget = x.req.Opaque != nil
 	x.firstAfterLoss = x.started()
 	return "continue"
--- a/generation/end.go
+++ b/generation/end.go
@@ -26,6 +26,9 @@
 	if errors.Is(err, ErrCallerDisconnected) {
 		return x.callerDisconnected(err)
 	}
+	if x.mayHold() {
+		return "hold"
+	}
 	if x.failedAnswer != nil && !x.started() {
 		return x.deliverFailedAnswer()
 	}
@@ -128,11 +131,12 @@
 
 // close releases all that the run holds at its end.
 func (x *run) close() {
+	if x.kept != nil {
+		x.abandonAttempt(x.takeKept(silenceLost))
+	}
 	x.abandon()
 	x.tracked.AttemptEnded()
-	if x.loadShare != nil {
-		x.loadShare.End()
-	}
+	x.releaseChoice()
 	if x.release != nil {
 		x.release()
 	}
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -63,7 +63,7 @@
 // foundCutOff reports whether this router turns out to be cut off, before a request is given up for
 // which no connection opened.
 func (x *run) foundCutOff() bool {
-	return x.unreached && x.Forwarder != nil && !x.req.Forwarded && x.Forwarder.CheckCutOff(x.ctx, x.service())
+	return x.unreached && x.Forwarder != nil && !x.req.Forwarded && x.Forwarder.CheckCutOff(x.searching(), x.service())
 }
 
 // passOn decides what becomes of a request while this router is cut off. A request that another
@@ -91,10 +91,17 @@
 	a.origin = Position{Attempt: x.nextAttemptNumber()}
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	a.sentAt = time.Now()
-	s, err := x.Forwarder.Forward(a.ctx, x.handover())
-	if err != nil {
+	ctx, handover := a.ctx, x.handover()
+	a.begin(func() (Stream, error) { return x.Forwarder.Forward(ctx, handover) })
+	opened, ev, err := x.awaitAnswer(a)
+	switch {
+	case ev != "":
+		return ev
+	case err != nil:
 		return x.handleForwardError(a, err)
 	}
+	x.replaceKept()
+	s := opened.(ForwardedStream)
 	x.attemptsSent++
 	x.anySent, x.mayHaveRun = true, true
 	x.opts.Log.Emit(event.RequestPassedOn, "request", x.req.ID, "service", x.service(), "to", s.Router(), "from", x.filter.next,
--- a/generation/meters.go
+++ b/generation/meters.go
@@ -54,6 +54,10 @@
 	m.set.GetOrCreateHistogram(`wigeon_resume_latency_seconds{cause="` + cause + `"}`).Update(d.Seconds())
 }
 
+func (m *meters) silenceEnded(result string) {
+	m.set.GetOrCreateCounter(`wigeon_silent_attempts_total{result="` + result + `"}`).Inc()
+}
+
 func (m *meters) ended(o fleet.Outcome) {
 	m.set.GetOrCreateCounter(`wigeon_generations_total{outcome="` + string(o) + `"}`).Inc()
 }
--- a/generation/resume.go
+++ b/generation/resume.go
@@ -52,9 +52,10 @@
 	cancel := a.cancel
 	t := time.AfterFunc(x.opts.AttachTimeout, func() { cancel(ErrEngineLost) })
 	defer t.Stop()
-	s, err := x.Engines.Attach(a.ctx, a.backend, backend.StreamID{
-		Request: x.req.ID, Attempt: a.origin.Attempt, Ref: x.req.Ref,
-	}, x.filter.next)
+	ctx, from := a.ctx, x.filter.next
+	id := backend.StreamID{Request: x.req.ID, Attempt: a.origin.Attempt, Ref: x.req.Ref}
+	a.begin(func() (Stream, error) { return x.Engines.Attach(ctx, a.backend, id, from) })
+	s, err := a.awaitAttached()
 	if err != nil {
 		return nil, err
 	}
@@ -64,3 +65,13 @@
 	}
 	return s, nil
 }
+
+// awaitAttached waits for the result of attach. A silence of the engine ends the try.
+func (a *attempt) awaitAttached() (Stream, error) {
+	r, silence := a.awaitResult()
+	if silence != nil {
+		a.cancel(silence)
+		r, _ = a.awaitResult()
+	}
+	return r.stream, r.err
+}
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -97,6 +97,7 @@
 		"forward":  (*run).forward,
 		"stream":   (*run).stream,
 		"suspect":  (*run).suspect,
+		"hold":     (*run).hold,
 		"resume":   (*run).resume,
 		"finish":   (*run).finish,
 	}}
@@ -152,7 +153,10 @@
 	defer x.close()
 	m := r.chart.New()
 	for !m.Final() {
-		ev := r.steps[m.State()](x)
+		ev, goesOn := x.checkKept()
+		if !goesOn {
+			ev = r.steps[m.State()](x)
+		}
 		if err := m.Fire(ev); err != nil {
 			x.res.Err, x.res.Code = Error.Wrap(err), codeInternalFlow
 			return x.result(x.incompleteState())
@@ -184,6 +188,7 @@
 	bound          *Binding              // software version at which the answer began; nil before its first chunk
 	lostDomain     string                // failure domain of the most recently lost attempt
 	lostCopy       lostAttemptCopy       // standby copy of the most recently lost attempt
+	copyUsed       bool                  // an attempt was sent to the copy of the kept attempt
 	firstAfterLoss bool                  // the next attempt is the first since the loss of a started answer
 	needsBudget    bool                  // the next attempt of an opaque request counts as another arrival at its service
 	attemptsSent   int                   // attempts that may have run
@@ -193,8 +198,12 @@
 	backend        fleet.Backend         // picked, or still running the attempt
 	loadShare      LoadShare             // in the load of backend
 	current        *attempt              // attempt to read, re-attach to or cancel
-	lastOrigin     Position              // of the latest attempt that delivered
-	attemptNumber  int                   // number of the latest attempt
+	kept           *attempt              // silent attempt that is read while another backend server is looked for; nil if there is none
+	searchCtx      context.Context       // of that search
+	endSearch      context.CancelCauseFunc
+	holdDelay      time.Duration // until the next search, if one had no result
+	lastOrigin     Position      // of the latest attempt that delivered
+	attemptNumber  int           // number of the latest attempt
 	exclude        map[string]bool
 	delay          time.Duration // requested by the state before wait
 	waitErr        error
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -4,24 +4,30 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"wigeondale/backend"
+	"wigeondale/clock"
 	"wigeondale/fleet"
 	"wigeondale/health"
 )
 
 const (
 	silenceDetectedAfter = 300 * time.Millisecond
+	firstDetectedAfter   = time.Second // before the first chunk
 	chunkInterval        = 20 * time.Millisecond
 )
 
 // silentServer is how the backend server of one attempt behaves.
 type silentServer struct {
 	silentAt int           // chunk before which it is silent, 1 for before the head of its answer; 0 for never
+	again    int           // later chunk before which it is silent once more; 0 for never
 	silence  time.Duration // how long
 	crash    error         // with which its connection ends after the silence
 	refusal  error
@@ -30,13 +36,29 @@
 // silentFleet is a fleet in fake time whose servers fall silent. Attempt n reaches servers[n].
 type silentFleet struct {
 	fakeFleet
-	servers    []silentServer
-	pickErr    error // of all choices after the first
-	atWork     atomic.Int32
-	mostAtWork int32
+	servers   []silentServer
+	pickErr   error      // of all choices after the first
+	mu        sync.Mutex // guards opened, backends and streams
+	atWork    atomic.Int32
+	headDelay time.Duration // of each answer
+	streams   []*silentStream
+}
+
+// overlap returns the longest time for which an attempt was at work beside a later one that had been accepted.
+func (w *silentFleet) overlap() (longest time.Duration) {
+	for i, later := range w.streams {
+		for _, s := range w.streams[:i] {
+			if !later.acceptedAt.IsZero() {
+				longest = max(longest, min(s.closedAt.Sub(later.acceptedAt), later.closedAt.Sub(later.acceptedAt)))
+			}
+		}
+	}
+	return longest
 }
 
 func (w *silentFleet) Pick(ctx context.Context, a PickRequest) (fleet.Backend, LoadShare, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.pickErr != nil && len(w.opened) > 0 {
 		return fleet.Backend{}, nil, w.pickErr
 	}
@@ -46,7 +68,7 @@
 func (w *silentFleet) Result(string, error) {}
 
 func (w *silentFleet) Watch(_ string, _ health.Work, cancel context.CancelCauseFunc) Watch {
-	return &silenceWatch{time.AfterFunc(silenceDetectedAfter, func() { cancel(health.ErrSuspect) })}
+	return &silenceWatch{time.AfterFunc(firstDetectedAfter, func() { cancel(health.ErrSuspect) })}
 }
 
 // silenceWatch reports one silence, as a health.Stream does.
@@ -62,26 +84,39 @@
 func (v *silenceWatch) Close()                     { v.timer.Stop() }
 
 func (w *silentFleet) Open(ctx context.Context, b fleet.Backend, r backend.StartRequest) (Stream, error) {
-	server := silentServer{}
-	if n := len(w.opened); n < len(w.servers) {
-		server = w.servers[n]
-	}
-	w.opened = append(w.opened, r)
-	w.backends = append(w.backends, b.ID)
+	s := w.newStream(ctx, b, r)
+	server := s.server
 	if server.refusal != nil {
 		return nil, server.refusal
 	}
-	s := &silentStream{w: w, ctx: ctx, server: server, next: max(r.ResumeTokens, 1)}
-	w.mostAtWork = max(w.mostAtWork, w.atWork.Add(1))
+	w.atWork.Add(1)
+	if !clock.Sleep(ctx, w.headDelay) {
+		s.Close()
+		return nil, context.Cause(ctx)
+	}
 	if server.silentAt == 1 {
 		if err := s.beSilent(); err != nil {
 			s.Close()
 			return nil, err
 		}
 	}
+	s.acceptedAt = time.Now()
 	return s, nil
 }
 
+func (w *silentFleet) newStream(ctx context.Context, b fleet.Backend, r backend.StartRequest) *silentStream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &silentStream{w: w, ctx: ctx, next: max(r.ResumeTokens, 1)}
+	if n := len(w.opened); n < len(w.servers) {
+		s.server = w.servers[n]
+	}
+	w.opened = append(w.opened, r)
+	w.backends = append(w.backends, b.ID)
+	w.streams = append(w.streams, s)
+	return s
+}
+
 // silentStream is the stream of one attempt.
 type silentStream struct {
 	w      *silentFleet
@@ -89,6 +124,8 @@
 	server silentServer
 	next   int
 	closed atomic.Bool
+
+	acceptedAt, closedAt time.Time
 }
 
 func (s *silentStream) beSilent() error {
@@ -101,7 +138,7 @@
 }
 
 func (s *silentStream) Next() (backend.Token, error) {
-	if s.next == s.server.silentAt && s.next > 1 {
+	if s.next > 1 && (s.next == s.server.silentAt || s.next == s.server.again) {
 		if err := s.beSilent(); err != nil {
 			return backend.Token{}, err
 		}
@@ -124,6 +161,7 @@
 func (s *silentStream) Close() error {
 	if !s.closed.Swap(true) {
 		s.w.atWork.Add(-1)
+		s.closedAt = time.Now()
 	}
 	return nil
 }
@@ -206,3 +244,106 @@
 	}
 	w.expectComplete(t)
 }
+
+// Guards against an old run that works on after another server has accepted its answer.
+func TestAcceptedAnswerEndsTheSilentAttempt(t *testing.T) {
+	w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}, servers: []silentServer{{silentAt: 5, silence: time.Minute}}}
+	w.expectComplete(t)
+	if len(w.opened) != 2 || w.opened[1].ResumeTokens != 5 || w.overlap() > 0 {
+		t.Errorf("%d attempts, the silent one was at work for another %v", len(w.opened), w.overlap())
+	}
+}
+
+// Guards against an answer that waits for another server, or has two servers at work, after its own one delivers again.
+func TestSilentAttemptThatDeliversFirstGoesOn(t *testing.T) {
+	w := &silentFleet{
+		fakeFleet: fakeFleet{chunks: 9, budget: 9}, headDelay: 500 * time.Millisecond,
+		servers: []silentServer{{silentAt: 5, silence: 600 * time.Millisecond}},
+	}
+	res, out := w.play(t, nil)
+	if res.Outcome != fleet.Complete || out.text != chunkText(9) || len(w.opened) != 2 || res.Resumes != 0 {
+		t.Errorf("got %s, %q in %d attempts, %d resumes", res.Outcome, out.text, len(w.opened), res.Resumes)
+	}
+	if res.LongestPause > 700*time.Millisecond {
+		t.Errorf("the answer paused for %v", res.LongestPause)
+	}
+}
+
+// Guards against a second silence of the same server that is not noticed.
+func TestServerThatIsSilentAgainIsLeft(t *testing.T) {
+	w := &silentFleet{
+		fakeFleet: fakeFleet{chunks: 9, budget: 9}, headDelay: 500 * time.Millisecond,
+		servers: []silentServer{{silentAt: 3, silence: 600 * time.Millisecond, again: 6}},
+	}
+	w.expectComplete(t)
+	if len(w.opened) != 3 {
+		t.Errorf("%d attempts", len(w.opened))
+	}
+}
+
+// Guards against a takeover that waits for a server whose crash ends its connection during the search.
+func TestCrashDuringTheSearchDelaysNoTakeover(t *testing.T) {
+	w := &silentFleet{
+		fakeFleet: fakeFleet{chunks: 9, budget: 9}, headDelay: 500 * time.Millisecond,
+		servers: []silentServer{{silentAt: 5, silence: 600 * time.Millisecond, crash: errBroken}},
+	}
+	res, out := w.play(t, nil)
+	if res.Outcome != fleet.Complete || out.text != chunkText(9) || len(w.opened) != 2 || res.LongestPause > 900*time.Millisecond {
+		t.Errorf("got %s, %q in %d attempts, paused for %v", res.Outcome, out.text, len(w.opened), res.LongestPause)
+	}
+}
+
+// Guards against work that goes on for a client that has left during a silence.
+func TestClientThatLeavesDuringASilenceEndsAllAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &silentFleet{
+			fakeFleet: fakeFleet{chunks: 9, budget: 9}, headDelay: 900 * time.Millisecond,
+			servers: []silentServer{{silentAt: 5, silence: time.Minute}},
+		}
+		ctx, leave := context.WithTimeout(t.Context(), 1900*time.Millisecond)
+		defer leave()
+		res, _ := w.playFor(t, ctx, nil)
+		synctest.Wait()
+		if res.Outcome == fleet.Complete || len(w.opened) != 2 || w.atWork.Load() != 0 {
+			t.Errorf("got %s, %d attempts, %d at work", res.Outcome, len(w.opened), w.atWork.Load())
+		}
+	})
+}
+
+// Guards against pieces that are lost, doubled or mixed, and against cuts, whatever is silent, crashes or refuses.
+func TestSilencesLoseNoPieceAndCutNoAnswer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := &silentFleet{fakeFleet: fakeFleet{chunks: 8, budget: rapid.IntRange(0, 4).Draw(rt, "budget")}}
+		w.headDelay = time.Duration(rapid.IntRange(0, 1500).Draw(rt, "head ms")) * time.Millisecond
+		if rapid.Bool().Draw(rt, "no other server") {
+			w.pickErr = errNoneLeft
+		}
+		crashes := false
+		for range rapid.IntRange(1, 3).Draw(rt, "servers") {
+			s := silentServer{silentAt: rapid.IntRange(0, 9).Draw(rt, "silent at"), again: rapid.IntRange(0, 9).Draw(rt, "again")}
+			s.silence = time.Duration(rapid.IntRange(50, 3000).Draw(rt, "silence ms")) * time.Millisecond
+			if rapid.IntRange(0, 3).Draw(rt, "crash") == 0 && s.silentAt > 0 {
+				s.crash, crashes = errBroken, true
+			}
+			if rapid.IntRange(0, 3).Draw(rt, "refuses") == 0 {
+				s.refusal = &backend.Refused{Status: 503, Code: "overloaded"}
+			}
+			w.servers = append(w.servers, s)
+		}
+		attempts := rapid.IntRange(1, 4).Draw(rt, "attempts")
+		res, out := w.play(t, func(r *Request) { r.Opaque.MaxAttempts = attempts })
+		complete := chunkText(w.chunks)
+		if len(out.text) > len(complete) || out.text != complete[:len(out.text)] || res.Outcome == fleet.Complete && out.text != complete {
+			rt.Fatalf("%s with %q", res.Outcome, out.text)
+		}
+		if !crashes && len(out.text) > 0 && res.Outcome != fleet.Complete {
+			rt.Fatalf("cut after %q: %s, %v", out.text, res.Code, res.Err)
+		}
+		if !crashes && res.Outcome == fleet.Failed {
+			rt.Fatalf("failed: %s, %v", res.Code, res.Err)
+		}
+		if w.overlap() > 0 {
+			rt.Fatalf("an attempt was at work %v after another server had accepted", w.overlap())
+		}
+	})
+}
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -89,7 +89,7 @@
 	if x.mustEnd() {
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
-	if err := x.tracked.Refusal(x.ctx); err != nil {
+	if err := x.tracked.Refusal(x.searching()); err != nil {
 		return x.endQuarantined(err)
 	}
 	if !x.tracked.MayAttempt() {
@@ -107,11 +107,15 @@
 	if x.cutOff() {
 		return x.passOn()
 	}
-	b, share, err := x.Picker.Pick(x.ctx, x.pickRequest())
+	x.releaseChoice()
+	b, share, err := x.Picker.Pick(x.searching(), x.pickRequest())
 	if err == nil {
 		x.backend, x.loadShare = b, share
 		return "picked"
 	}
+	if x.interrupted() {
+		return "none"
+	}
 	x.waitErr = err
 	x.logNoFurtherAttempt(CodeNoReplica, err)
 	u, ok := errors.AsType[*Unavailable](err)
@@ -200,7 +204,7 @@
 	}
 	d := min(x.delay, maxPickDelay)
 	x.delay = 0
-	if !x.sleep(d) {
+	if !x.sleep(d) && !x.interrupted() {
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
 	return "retry"
@@ -235,7 +239,7 @@
 
 func (x *run) sleep(d time.Duration) bool {
 	jittered := d/2 + time.Duration(x.opts.Rand()*float64(d)/2)
-	return clock.Sleep(x.ctx, jittered)
+	return clock.Sleep(x.searching(), jittered)
 }
 
 // mustEnd reports whether the caller has disconnected or the deadline has passed. It reads the
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -18,7 +18,10 @@
 func (x *run) stream() string {
 	a := x.current
 	for {
-		t, err := a.stream.Next()
+		t, err, silence := a.next()
+		if silence != nil {
+			return x.silence(a, silence)
+		}
 		if err != nil {
 			return x.streamEnded(a, err)
 		}
@@ -79,7 +82,7 @@
 		x.text = append(x.text, t.Text...)
 		x.meterText()
 	}
-	silent := a.ctx.Err() != nil
+	silent := a.ctx.Err() != nil || len(a.silent) > 0
 	if err := x.sink.Token(t.Index, t.Text, t.Finish); err != nil {
 		return err
 	}
@@ -96,6 +99,10 @@
 	// write, the engine isn't at fault and still has the run. The router then re-attaches to
 	// the run instead of paying for a new prefill.
 	x.callerSlow = !silent && a.ctx.Err() != nil
+	if !silent && len(a.silent) > 0 {
+		<-a.silent // the attempt wasn't read
+		x.watchAgain(a)
+	}
 	return err
 }
 
--- a/generation/suspicion.go
+++ b/generation/suspicion.go
@@ -20,6 +20,8 @@
 // undecided.
 func (x *run) endQuarantined(err error) string {
 	switch {
+	case x.mayHold():
+		return "hold"
 	case errors.Is(err, quarantine.ErrPartUndecided):
 		return x.giveUp(CodeAwaitsTurn, errPartUndecided)
 	case errors.Is(err, quarantine.ErrPartQuarantined):
--- /dev/null
+++ b/generation/takeover.go
@@ -0,0 +1,260 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"wigeondale/backend"
+	"wigeondale/event"
+)
+
+// A silent backend server may be sound, so its attempt is kept and read while another backend server is looked
+// for. Whichever delivers first goes on: the kept attempt, or the attempt that another backend server has
+// accepted, with which the kept one ends. If there is no other backend server, the request waits for the kept
+// attempt until its deadline.
+
+// Delays between two searches of a request that waits for its kept attempt.
+const (
+	minHoldDelay = 100 * time.Millisecond
+	maxHoldDelay = time.Second
+)
+
+// Results of a silence, used as labels.
+const (
+	silenceReplaced  = "replaced"
+	silenceDelivered = "delivered"
+	silenceLost      = "lost"
+)
+
+// silenceReport is a cause of the failure detector that may be a mere silence of the backend server. Any other
+// cause states that the run is lost.
+type silenceReport interface {
+	error
+	Silent() bool
+}
+
+// reportLoss is called by the failure detector.
+func (a *attempt) reportLoss(cause error) {
+	if s, ok := errors.AsType[silenceReport](cause); !ok || !s.Silent() {
+		a.cancel(cause)
+		return
+	}
+	select {
+	case a.silent <- cause:
+	default:
+	}
+}
+
+// silence handles the report that the current attempt is silent.
+func (x *run) silence(a *attempt, cause error) string {
+	if x.canContinueElsewhere() {
+		return x.keep(a, cause)
+	}
+	a.cancel(cause)
+	return x.handleLoss(a, cause)
+}
+
+// keep starts the search for another backend server while the silent attempt a is still read.
+func (x *run) keep(a *attempt, cause error) string {
+	if x.ctx.Err() != nil {
+		return x.giveUp(CodeDeadline, x.endCause())
+	}
+	if x.lossCause == "" {
+		x.lostAt = time.Now()
+	}
+	x.lossCause = causeSilence
+	x.searchLogged = false
+	x.mayHaveRun = true
+	x.waitErr = cause
+	x.current, x.kept = a, a
+	x.copyUsed = false
+	x.holdDelay = minHoldDelay
+	x.searchCtx, x.endSearch = context.WithCancelCause(x.ctx)
+	a.reading.interrupt(x.endSearch)
+	x.opts.Log.Emit(event.AttemptSilent, "request", x.req.ID, "attempt", a.origin.Attempt, "backend", a.backend.ID,
+		"accepted", a.accepted, "next", x.filter.next, "silent_ms", time.Since(x.lastToken).Milliseconds(), "cause", cause)
+	x.lossExamined = x.tracked.Lost(a.lossReport(causeSilence))
+	return "lost"
+}
+
+// searching returns the context of the search for another backend server. It ends with the run, and when
+// the kept attempt delivers or ends.
+func (x *run) searching() context.Context {
+	if x.kept != nil {
+		return x.searchCtx
+	}
+	return x.ctx
+}
+
+// interrupted reports whether the kept attempt has a result, which goes before the search.
+func (x *run) interrupted() bool { return x.kept != nil && len(x.kept.reading.results) > 0 }
+
+// checkKept handles a result of the kept attempt. It returns the event with which the kept attempt goes on, or
+// false if the search goes on.
+func (x *run) checkKept() (ev string, goesOn bool) {
+	if !x.interrupted() {
+		return "", false
+	}
+	return x.handleKept(<-x.kept.reading.results)
+}
+
+func (x *run) handleKept(r readResult) (ev string, goesOn bool) {
+	if r.err != nil && r.err != io.EOF {
+		x.loseKept(r.err)
+		return "", false
+	}
+	return x.continueKept(r), true
+}
+
+// keptResults delivers the next result of the kept attempt, if there is one.
+func (x *run) keptResults() <-chan readResult {
+	if x.kept == nil {
+		return nil
+	}
+	return x.kept.reading.results
+}
+
+// continueKept makes the kept attempt the current one again, now that it delivers.
+func (x *run) continueKept(r readResult) string {
+	a := x.takeKept(silenceDelivered)
+	x.releaseChoice()
+	if x.copyUsed {
+		a.copy.release()
+		a.copy = standbyCopy{}
+	}
+	x.opts.Log.Emit(event.AttemptDelivers, "request", x.req.ID, "attempt", a.origin.Attempt, "backend", a.backend.ID,
+		"next", x.filter.next, "silent_ms", time.Since(x.lastToken).Milliseconds())
+	delete(x.exclude, a.backend.ID)
+	x.lossCause, x.lostDomain, x.lostCopy = "", "", lostAttemptCopy{}
+	x.needsBudget, x.firstAfterLoss = false, false
+	x.tracked.AttemptBegan()
+	x.Watcher.Result(a.backend.ID, nil)
+	x.watchAgain(a)
+	a.awaitsResult = false
+	if r.stream != nil {
+		return x.makeCurrent(a, r.stream, "kept-delivers")
+	}
+	a.early = &r
+	x.current, x.lastOrigin = a, a.origin
+	x.filter.setAttempt(a.origin.Attempt)
+	return "kept-delivers"
+}
+
+// releaseChoice releases the load share of a backend server that was chosen for an attempt that isn't sent.
+func (x *run) releaseChoice() {
+	if x.loadShare != nil {
+		x.loadShare.End()
+		x.loadShare = nil
+	}
+}
+
+// watchAgain registers a with the failure detector anew: it reports one silence of each registration.
+func (x *run) watchAgain(a *attempt) {
+	a.watch.Close()
+	a.watch = noWatch{}
+	if o := x.req.Opaque; o != nil && x.attemptsSent >= o.MaxAttempts {
+		return // as the last attempt
+	}
+	a.watch = x.Watcher.Watch(a.backend.ID, x.work(), a.reportLoss)
+	a.watch.SetCopied(a.copy.backend.Addr != "")
+}
+
+// loseKept records that the kept attempt has ended. The search goes on.
+func (x *run) loseKept(err error) {
+	a := x.takeKept(silenceLost)
+	cause := lossCause(a.ctx, err)
+	if !engineLost(a.ctx) {
+		x.Watcher.Result(a.backend.ID, err)
+	}
+	x.lossExamined = x.tracked.Lost(a.lossReport(cause))
+	x.logLoss(a, cause, err)
+	x.abandonAttempt(a)
+}
+
+// replaceKept ends the kept attempt, now that another backend server has accepted the request.
+func (x *run) replaceKept() {
+	if x.kept == nil {
+		return
+	}
+	a := x.takeKept(silenceReplaced)
+	x.logLoss(a, causeSilence, x.waitErr)
+	x.abandonAttempt(a)
+}
+
+// takeKept returns the kept attempt, which is not kept any more.
+func (x *run) takeKept(result string) *attempt {
+	a := x.kept
+	x.kept = nil
+	x.endSearch(nil)
+	a.reading.wake.Store(nil)
+	x.m.silenceEnded(result)
+	return a
+}
+
+// awaitAnswer waits until the answer of a begins or fails. If the kept attempt delivers before, or a is silent,
+// it returns the event that follows instead.
+func (x *run) awaitAnswer(a *attempt) (s Stream, ev string, err error) {
+	for {
+		select {
+		case r := <-a.reading.results:
+			a.awaitsResult = false
+			return r.stream, "", r.err
+		case cause := <-a.silent:
+			return nil, x.silentBeforeAnswer(a, cause), nil
+		case r := <-x.keptResults():
+			if r.err == nil || r.err == io.EOF {
+				x.abandonAttempt(a)
+			}
+			if ev, goesOn := x.handleKept(r); goesOn {
+				return nil, ev, nil
+			}
+		}
+	}
+}
+
+// silentBeforeAnswer handles the silence of an attempt whose answer has not begun. The attempt is kept unless
+// another one is.
+func (x *run) silentBeforeAnswer(a *attempt, cause error) string {
+	if x.kept == nil {
+		return x.keep(a, cause)
+	}
+	a.cancel(cause)
+	x.current = a
+	return x.handleLoss(a, cause)
+}
+
+// mayHold reports whether a request for which no other backend server is found waits for its kept attempt.
+func (x *run) mayHold() bool {
+	if x.kept == nil || x.mustEnd() || x.failedAnswer != nil && !x.started() {
+		return false
+	}
+	return !x.req.Deadline.IsZero() || x.waitLeft() > 0
+}
+
+// hold waits for the kept attempt before the next search.
+func (x *run) hold() string {
+	if x.kept == nil {
+		return "retry"
+	}
+	d := x.holdDelay
+	x.holdDelay = min(2*d, maxHoldDelay)
+	x.sleep(d)
+	return "retry"
+}
+
+// abandonAttempt closes the reader of a and has the attempt cancelled.
+func (x *run) abandonAttempt(a *attempt) {
+	a.closeReader()
+	if x.req.Opaque != nil {
+		return // closing the connection has already cancelled it
+	}
+	if a.backend.Addr == "" {
+		return // handed over from a backend server that is no longer known
+	}
+	x.Abandon.Add(backend.AbandonedAttempt{
+		Backend: a.backend, Incarnation: a.origin.Incarnation,
+		Request: x.req.ID, Attempt: a.origin.Attempt, Accepted: a.accepted,
+	})
+}
--- a/health/health.go
+++ b/health/health.go
@@ -25,26 +25,32 @@
 var Error = errs.Class("health")
 
 // Cause is the reason for which a Monitor cancels a stream.
-type Cause struct{ text string }
+type Cause struct {
+	text   string
+	silent bool
+}
 
 // Error implements error.
 func (c *Cause) Error() string { return "health: " + c.text }
 
+// Silent reports whether the cause may be a mere silence of a sound engine, which may still deliver.
+func (c *Cause) Silent() bool { return c.silent }
+
 // Resume returns true: the answer should be resumed on another engine.
 func (c *Cause) Resume() bool { return true }
 
 // Causes passed to the cancel function of a stream. Compare with errors.Is.
 var (
 	// ErrSuspect means that the whole engine fell silent.
-	ErrSuspect error = &Cause{"engine is silent on all its streams"}
+	ErrSuspect error = &Cause{text: "engine is silent on all its streams", silent: true}
 	// ErrStalled means that one stream fell silent while other streams of its engine did not.
-	ErrStalled error = &Cause{"stream is silent while its engine is alive"}
+	ErrStalled error = &Cause{text: "stream is silent while its engine is alive", silent: true}
 	// ErrRestarted means that the engine has restarted and has lost the runs that it had
 	// before.
-	ErrRestarted error = &Cause{"engine has started again"}
+	ErrRestarted error = &Cause{text: "engine has started again"}
 	// ErrNoFirstToken means that the stream has waited for its first token for longer than the
 	// bound that Policy.PrefillBound sets for the prompt.
-	ErrNoFirstToken error = &Cause{"no first token within the bound for the prompt"}
+	ErrNoFirstToken error = &Cause{text: "no first token within the bound for the prompt", silent: true}
 )
 
 // State is the assumed state of one backend server.
