generation: a silence ends no stream of an unknown software version

What callers saw: a stream that was cut because its server was silent, although no other server may continue it. Cause: a stream whose software version couldn't be confirmed is watched like others. The silence that made the version unknown is the one that then ended the stream. Nothing can replace such an attempt, so a silence is ignored.

--- a/generation/stream.go
+++ b/generation/stream.go
@@ -20,7 +20,10 @@
 	for {
 		t, err, silence := a.next()
 		if silence != nil {
-			return x.silence(a, silence)
+			if ev := x.silence(a, silence); ev != "" {
+				return ev
+			}
+			continue
 		}
 		if err != nil {
 			return x.streamEnded(a, err)
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -47,10 +47,14 @@
 	}
 }
 
-// silence handles the report that the current attempt is silent.
+// silence handles the report that the current attempt is silent. It returns an empty event if the attempt
+// simply goes on.
 func (x *run) silence(a *attempt, cause error) string {
-	if x.canContinueElsewhere() {
+	switch {
+	case x.canContinueElsewhere():
 		return x.keep(a, cause)
+	case x.req.Opaque != nil:
+		return "" // nothing can replace the attempt
 	}
 	a.cancel(cause)
 	return x.handleLoss(a, cause)
