generation: a query without an answer drops no new attempt of a started answer

What callers would see: an answer that is cut because two servers were silent one after the other. An attempt that goes on with an answer has to confirm its software version before its first piece; a server that did not answer this one query within 300 ms was left, although it had just delivered and the attempt before had been ended for it. Now the query is repeated until it is answered, the attempt ends, or the failure detector reports it silent. TestUnansweredQueryDropsNoNewAttempt failed before (engine_lost after 3 attempts).

--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -347,3 +347,15 @@
 		}
 	})
 }
+
+// Guards against a new attempt that is dropped, after the silent one was ended, because its server doesn't answer one query.
+func TestUnansweredQueryDropsNoNewAttempt(t *testing.T) {
+	w := &silentFleet{
+		fakeFleet: fakeFleet{chunks: 9, budget: 9, versions: &versions{unanswered: map[string]int{"b2": 2, "b3": 2}}},
+		servers:   []silentServer{{silentAt: 5, silence: time.Minute}},
+	}
+	w.expectComplete(t)
+	if len(w.opened) != 2 {
+		t.Errorf("%d attempts", len(w.opened))
+	}
+}
--- a/generation/software.go
+++ b/generation/software.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/fleet"
 )
@@ -17,6 +18,9 @@
 	CodeVersionGone = "stream_version_gone"
 )
 
+// confirmInterval is the time between two queries for a version that a backend server hasn't answered.
+const confirmInterval = 100 * time.Millisecond
+
 var errOtherVersion = Error.New("the backend server runs another software version than its list entry states")
 
 // Binding is the software version at which a stream began. The stream goes on at this version only.
@@ -24,6 +28,8 @@
 	Version string
 	// Unknown means that the version could not be found out: the stream ends with its attempt.
 	Unknown bool
+	// Unanswered means that the version is unknown because the backend server gave no answer.
+	Unanswered bool
 }
 
 // StreamVersions knows at which software version streams began. It is not used for requests whose
@@ -107,6 +113,10 @@
 		return Binding{Version: a.origin.Software, Unknown: a.origin.Software == ""}, nil
 	}
 	b, err := x.StreamVersions.Confirm(x.ctx, a.backend)
+	for b.Unanswered && x.bound != nil && len(a.silent) == 0 && clock.Sleep(a.ctx, confirmInterval) {
+		// The answer has begun, and the attempt that delivered it may have been ended for this one.
+		b, err = x.StreamVersions.Confirm(x.ctx, a.backend)
+	}
 	a.origin.Software = b.Version
 	return b, err
 }
--- a/generation/software_test.go
+++ b/generation/software_test.go
@@ -16,11 +16,17 @@
 	found Binding
 	err   error // of Find
 	began []string
+	// unanswered is how many queries of a backend server, by id, get no answer at first.
+	unanswered map[string]int
 }
 
 func (v *versions) Find(context.Context, *Request) (Binding, error) { return v.found, v.err }
 
 func (v *versions) Confirm(_ context.Context, b fleet.Backend) (Binding, error) {
+	if v.unanswered[b.ID] > 0 {
+		v.unanswered[b.ID]--
+		return Binding{Unknown: true, Unanswered: true}, nil
+	}
 	if got, ok := v.at[b.ID]; ok {
 		return got, nil
 	}
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -235,7 +235,7 @@
 	report, err := s.reports.Runs(ctx, b)
 	switch {
 	case err != nil:
-		return generation.Binding{Unknown: true}, nil // the stream goes on as long as its attempt does
+		return generation.Binding{Unknown: true, Unanswered: true}, nil // the stream goes on as long as its attempt does
 	case report.Restarted:
 		return generation.Binding{}, Error.Wrap(errRestarted)
 	}
