generation: a new stream confirms its software version later if a query got no answer

What callers would see: a stream that is cut by a real crash of its server, although other servers of its version are well, because the server didn't answer one query within 300 ms at the first piece. The query is repeated while the stream goes on, at most one at a time and only when pieces arrive; with its answer the stream is bound to its version and may go on elsewhere. TestVersionIsConfirmedAfterAnUnansweredQuery failed before (engine_lost after 49 pieces).

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -33,12 +33,16 @@
 	copyResult     chan standbyCopy // result of makeCopy, which runs alongside the stream; buffers one
 	copyInProgress bool             // makeCopy is running
 
+	confirmed      chan Binding // result of confirmLater; buffers one
+	confirming     bool         // a query of confirmLater is open
+	confirmAskedAt time.Time
+
 	copyCheckedAt    time.Time
 	accepted         int // tokens delivered from this attempt
 	sentAt           time.Time
 	firstAt          time.Time // when its first token arrived
 	suspicionCleared bool      // it has run long enough to clear the request of suspicion
-	confirmed        bool      // the engine has confirmed that the attempt exists
+	exists           bool      // the engine has confirmed that the attempt exists
 	forwarded        bool      // another router runs the attempt
 	reattached       bool      // the run has delivered tokens before
 }
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -20,7 +20,7 @@
 		return "not-started"
 	}
 	x.tracked.AttemptBegan()
-	a := &attempt{backend: x.backend, loadShare: x.loadShare, copyResult: make(chan standbyCopy, 1)}
+	a := &attempt{backend: x.backend, loadShare: x.loadShare, copyResult: make(chan standbyCopy, 1), confirmed: make(chan Binding, 1)}
 	x.loadShare = nil
 	a.origin = Position{Backend: a.backend.ID, Attempt: x.nextAttemptNumber()}
 	x.watchAttempt(a)
@@ -102,7 +102,7 @@
 	if a.stopPolling != nil {
 		a.stopPolling()
 	}
-	a.confirmed = true
+	a.exists = true
 	a.origin.Incarnation = s.Incarnation()
 	if stated, ok := s.(softwareStater); ok {
 		a.origin.Software = stated.Software()
@@ -280,7 +280,7 @@
 	if x.fruitlessTries > 1 && time.Since(x.lostAt) > x.opts.StartedMaxWait {
 		return x.giveUp(CodeEngineLost, errors.Join(ErrNoResume, x.waitErr))
 	}
-	if x.current.origin.Backend == "" || (x.current.confirmed && errors.Is(x.waitErr, backend.ErrUnknownStream)) {
+	if x.current.origin.Backend == "" || (x.current.exists && errors.Is(x.waitErr, backend.ErrUnknownStream)) {
 		return x.giveUp(CodeNoResume, errors.Join(ErrNoResume, x.waitErr))
 	}
 	if x.fruitlessTries > 1 && !x.sleep(minPickDelay<<min(x.fruitlessTries, 5)) {
--- a/generation/resume.go
+++ b/generation/resume.go
@@ -40,8 +40,8 @@
 func (x *run) attemptFromResume() *attempt {
 	p := x.req.Resume
 	return &attempt{
-		origin:    Position{Backend: p.Backend, Incarnation: p.Incarnation, Attempt: p.Attempt},
-		confirmed: true,
+		origin: Position{Backend: p.Backend, Incarnation: p.Incarnation, Attempt: p.Attempt},
+		exists: true,
 	}
 }
 
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -359,3 +359,12 @@
 		t.Errorf("%d attempts", len(w.opened))
 	}
 }
+
+// Guards against a stream that can't be continued after a crash because its server didn't answer a query at its start.
+func TestVersionIsConfirmedAfterAnUnansweredQuery(t *testing.T) {
+	w := &silentFleet{
+		fakeFleet: fakeFleet{chunks: 60, budget: 9, versions: &versions{unanswered: map[string]int{"b1": 2}}},
+		servers:   []silentServer{{silentAt: 50, silence: time.Millisecond, crash: errBroken}},
+	}
+	w.expectComplete(t)
+}
--- a/generation/software.go
+++ b/generation/software.go
@@ -96,6 +96,36 @@
 	return nil
 }
 
+// confirmLater repeats the query for the version of a new stream whose backend server gave no answer, while
+// the stream goes on. Without the version the stream could not be continued after a crash.
+func (x *run) confirmLater(a *attempt, now time.Time) {
+	if x.bound == nil || !x.bound.Unanswered || a.forwarded {
+		return
+	}
+	select {
+	case b := <-a.confirmed:
+		a.confirming = false
+		x.bound = &b
+		if !b.Unknown {
+			a.origin.Software = b.Version
+			x.StreamVersions.Began(&x.req, a.backend, b.Version)
+			return
+		}
+	default:
+	}
+	if a.confirming || now.Sub(a.confirmAskedAt) < confirmInterval {
+		return
+	}
+	a.confirming, a.confirmAskedAt = true, now
+	go func() {
+		b, err := x.StreamVersions.Confirm(a.ctx, a.backend)
+		if err != nil {
+			b = Binding{Unknown: true} // the attempt ends by itself
+		}
+		a.confirmed <- b
+	}()
+}
+
 // announceVersion sends the version of the attempt to the router that has passed the request on.
 func (x *run) announceVersion(a *attempt) error {
 	if a.accepted > 0 || !x.req.Forwarded || x.req.Opaque == nil || !x.bindsVersion() {
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -42,6 +42,7 @@
 		if err := x.bindVersion(a); err != nil {
 			return x.handleLoss(a, err)
 		}
+		x.confirmLater(a, now)
 		if err := x.announceVersion(a); err != nil {
 			return x.callerDisconnected(err)
 		}
