--- a/event/ids.go
+++ b/event/ids.go
@@ -95,6 +95,9 @@
 	CopyDropFailed
 	RunInquired
 	AnswerHeaderUnknown
+	NoFurtherAttempt
+	AttemptSilent
+	AttemptDelivers
 )
 
 // Events of the log and of at-most-once claims (11xx).
--- a/generation/software.go
+++ b/generation/software.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/fleet"
 )
@@ -17,6 +18,9 @@
 	CodeVersionGone = "stream_version_gone"
 )
 
+// confirmInterval is the time between two queries for a version that a backend server hasn't answered.
+const confirmInterval = 100 * time.Millisecond
+
 var errOtherVersion = Error.New("the backend server runs another software version than its list entry states")
 
 // Binding is the software version at which a stream began. The stream goes on at this version only.
@@ -24,6 +28,8 @@
 	Version string
 	// Unknown means that the version could not be found out: the stream ends with its attempt.
 	Unknown bool
+	// Unanswered means that the version is unknown because the backend server gave no answer.
+	Unanswered bool
 }
 
 // StreamVersions knows at which software version streams began. It is not used for requests whose
@@ -90,6 +96,36 @@
 	return nil
 }
 
+// confirmLater repeats the query for the version of a new stream whose backend server gave no answer, while
+// the stream goes on. Without the version the stream could not be continued after a crash.
+func (x *run) confirmLater(a *attempt, now time.Time) {
+	if x.bound == nil || !x.bound.Unanswered || a.forwarded {
+		return
+	}
+	select {
+	case b := <-a.confirmed:
+		a.confirming = false
+		x.bound = &b
+		if !b.Unknown {
+			a.origin.Software = b.Version
+			x.StreamVersions.Began(&x.req, a.backend, b.Version)
+			return
+		}
+	default:
+	}
+	if a.confirming || now.Sub(a.confirmAskedAt) < confirmInterval {
+		return
+	}
+	a.confirming, a.confirmAskedAt = true, now
+	go func() {
+		b, err := x.StreamVersions.Confirm(a.ctx, a.backend)
+		if err != nil {
+			b = Binding{Unknown: true} // the attempt ends by itself
+		}
+		a.confirmed <- b
+	}()
+}
+
 // announceVersion sends the version of the attempt to the router that has passed the request on.
 func (x *run) announceVersion(a *attempt) error {
 	if a.accepted > 0 || !x.req.Forwarded || x.req.Opaque == nil || !x.bindsVersion() {
@@ -107,6 +143,10 @@
 		return Binding{Version: a.origin.Software, Unknown: a.origin.Software == ""}, nil
 	}
 	b, err := x.StreamVersions.Confirm(x.ctx, a.backend)
+	for b.Unanswered && x.bound != nil && len(a.silent) == 0 && clock.Sleep(a.ctx, confirmInterval) {
+		// The answer has begun, and the attempt that delivered it may have been ended for this one.
+		b, err = x.StreamVersions.Confirm(x.ctx, a.backend)
+	}
 	a.origin.Software = b.Version
 	return b, err
 }
