generation: the server of a kept attempt isn't chosen again

What would be seen: two runs of one request at one server. When no other server is found, the list of excluded servers is cleared, since one that was lost may be back; that let the search choose the server whose silent attempt is still read. It stays excluded now. TestSilenceWithoutAnotherServerCutsNoAnswer failed before with the new check. An answer that has begun also goes before a report that its attempt is silent.

--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -36,12 +36,13 @@
 // silentFleet is a fleet in fake time whose servers fall silent. Attempt n reaches servers[n].
 type silentFleet struct {
 	fakeFleet
-	servers   []silentServer
-	pickErr   error      // of all choices after the first
-	mu        sync.Mutex // guards opened, backends and streams
-	atWork    atomic.Int32
-	headDelay time.Duration // of each answer
-	streams   []*silentStream
+	servers      []silentServer
+	pickErr      error      // of all choices after the first
+	mu           sync.Mutex // guards opened, backends and streams
+	atWork       atomic.Int32
+	headDelay    time.Duration // of each answer
+	streams      []*silentStream
+	offersSilent bool // a choice allowed the server of the kept attempt
 }
 
 // overlap returns the longest time for which an attempt was at work beside a later one that had been accepted.
@@ -59,6 +60,7 @@
 func (w *silentFleet) Pick(ctx context.Context, a PickRequest) (fleet.Backend, LoadShare, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.offersSilent = w.offersSilent || len(w.opened) == 1 && !a.Exclude["b1"]
 	if w.pickErr != nil && len(w.opened) > 0 {
 		return fleet.Backend{}, nil, w.pickErr
 	}
@@ -223,6 +225,9 @@
 		t.Run(name, func(t *testing.T) {
 			w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}, pickErr: err, servers: []silentServer{{silentAt: 5, silence: 2 * time.Second}}}
 			w.expectComplete(t)
+			if w.offersSilent {
+				t.Error("the server of the kept attempt could have been chosen again")
+			}
 		})
 	}
 }
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -120,7 +120,7 @@
 	x.logNoFurtherAttempt(CodeNoReplica, err)
 	u, ok := errors.AsType[*Unavailable](err)
 	retryable := ok && u.Retryable
-	if !retryable && len(x.exclude) == 0 {
+	if !retryable && !x.excludesReusable() {
 		return x.giveUp(CodeNoReplica, err)
 	}
 	x.delay = minPickDelay
@@ -130,9 +130,23 @@
 	// An engine that was lost or that refused may be available again, and trying such an
 	// engine is better than having none.
 	clear(x.exclude)
+	if x.kept != nil {
+		x.exclude[x.kept.origin.Backend] = true
+	}
 	return "none"
 }
 
+// excludesReusable reports whether a backend server is excluded that may be tried again, which the one of the
+// kept attempt may not.
+func (x *run) excludesReusable() bool {
+	for id := range x.exclude {
+		if x.kept == nil || id != x.kept.origin.Backend {
+			return true
+		}
+	}
+	return false
+}
+
 // drawBudget draws from the retry budget for one more attempt that arrives at a backend
 // server. The first try to continue a started answer may use more of the budget than other
 // retries, since the answer is truncated if it can't be continued.
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -206,6 +206,9 @@
 			a.awaitsResult = false
 			return r.stream, "", r.err
 		case cause := <-a.silent:
+			if len(a.reading.results) > 0 {
+				continue
+			}
 			return nil, x.silentBeforeAnswer(a, cause), nil
 		case r := <-x.keptResults():
 			if r.err == nil || r.err == io.EOF {
