generation: a delivered failure answer ends the kept attempt

The run went on with the kept attempt after the answer, which the state chart rejected (internal error).

--- a/generation/end.go
+++ b/generation/end.go
@@ -62,6 +62,7 @@
 // deliverFailedAnswer delivers a failure that the backend server itself returned, as the
 // complete answer.
 func (x *run) deliverFailedAnswer() string {
+	x.replaceKept()
 	x.detach()
 	if err := x.sink.Begin(Position{Attempt: x.attemptNumber}, &x.failedAnswer.Head); err != nil {
 		return x.callerDisconnected(err)
