generation: a request that failed at another router counts as sent

A router that is cut off passed a request on again and again, beyond max_attempts, while its own attempt was silent: 16 times in the test.

--- a/generation/forward.go
+++ b/generation/forward.go
@@ -154,6 +154,10 @@
 		x.delay = maxPickDelay // a started answer waits for a router that takes it
 		return "not-started"
 	case ended:
+		if end.Outcome != fleet.NotRun {
+			x.attemptsSent++
+			x.anySent = true
+		}
 		return x.endLikeRemote(end)
 	case unavailable:
 		return x.giveUp(CodeCutOff, err)
