generation: a stream is watched again once its software version is known

The failure detector reports one silence of each registration, and the one that came while nothing could replace the attempt was ignored.

--- a/generation/software.go
+++ b/generation/software.go
@@ -109,6 +109,7 @@
 		if !b.Unknown {
 			a.origin.Software = b.Version
 			x.StreamVersions.Began(&x.req, a.backend, b.Version)
+			x.watchAgain(a)
 			return
 		}
 	default:
