--- a/generation/copy.go
+++ b/generation/copy.go
@@ -128,6 +128,7 @@
 func (a *attempt) collectCopyAtLoss() {
 	select {
 	case c := <-a.copyResult:
+		a.copyInProgress = false
 		c.release()
 		if c.backend.Addr != "" {
 			a.copy = c
