generation: an attempt is cancelled before its stream is closed

The stream is read in a goroutine of its own now, which took the end of its connection for a failure of the server.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -114,6 +114,9 @@
 		a.stopPolling()
 		a.stopPolling = nil
 	}
+	if a.cancel != nil {
+		a.cancel(nil) // before the stream is closed, whose end would look like a failure
+	}
 	if a.stream != nil {
 		a.stream.Close()
 		a.stream = nil
@@ -122,9 +125,6 @@
 		a.watch.Close()
 		a.watch = nil
 	}
-	if a.cancel != nil {
-		a.cancel(nil)
-	}
 	if a.loadShare != nil {
 		a.loadShare.End()
 		a.loadShare = nil
