--- a/hosted/silence_fleet_test.go
+++ b/hosted/silence_fleet_test.go
@@ -176,6 +176,7 @@
 	if q.leaves > 0 {
 		defer time.AfterFunc(q.leaves-r.f.now(), leave).Stop()
 	}
+	q.cameToFull = !slices.ContainsFunc(r.f.servers, func(s *modelServer) bool { return !s.isCrashed() && s.load() < modelSlots })
 	r.budgets.First(modelService)
 	q.res = r.runner.Run(ctx, generation.Request{ID: q.id, Account: "a", Deadline: time.Now().Add(20 * time.Second), Opaque: &generation.Opaque{
 		Opaque: &backend.Opaque{Streaming: true, Resumable: true}, Service: modelService, FirstChunk: 1, MaxAttempts: 4,
--- a/hosted/silence_model_test.go
+++ b/hosted/silence_model_test.go
@@ -255,7 +255,9 @@
 	prefill time.Duration
 	chunks  int
 	leaves  time.Duration // when its client leaves, 0 if it doesn't
-	runs    []*modelRun
+	// cameToFull reports that no server had a free slot when the request came.
+	cameToFull bool
+	runs       []*modelRun
 
 	mu       sync.Mutex
 	received []time.Duration // when the chunks arrived
