generation: the silent server's own failure or refusal is passed on

A server that answers after its silence with a failure of its own, or states that the request has not run, was reported as a broken connection, and the client got 502.

--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -32,7 +32,7 @@
 	copies.Standby = x.chooseStandby(a)
 	x.opts.Log.Emit(event.AttemptBegun, "request", x.req.ID, "attempt", a.origin.Attempt,
 		"backend", a.backend.ID, "software", a.backend.Version, "standby", a.copy.backend.ID, "from_copy", copies.FromCopy, "from", x.filter.next)
-	if x.mayHaveRun && !copies.FromCopy {
+	if x.mayRun() && !copies.FromCopy {
 		x.m.prefill.Add(x.promptBytes())
 	}
 	a.stopPolling = x.pollRun(a)
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -123,7 +123,7 @@
 		rest.MaxAttempts = max(x.maxAttempts()-x.attemptsSent, 1)
 		rest.SinceFirstTry += time.Since(x.startedAt)
 		req.Opaque = &rest
-	} else if x.mayHaveRun {
+	} else if x.mayRun() {
 		req.Resume = x.resumePoint()
 	}
 	return Handover{Request: req, Retry: x.anySent}
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -179,7 +179,7 @@
 func (x *run) pickRequest() PickRequest {
 	a := PickRequest{
 		RequestID: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
-		Exclude: x.exclude, Resume: x.started(), IsRetry: x.anySent, MayHaveRun: x.mayHaveRun, Prefer: x.lostCopy.backendID,
+		Exclude: x.exclude, Resume: x.started(), IsRetry: x.anySent, MayHaveRun: x.mayRun(), Prefer: x.lostCopy.backendID,
 		Stream: x.bindsVersion(), Binding: x.bound,
 	}
 	if o := x.req.Opaque; o != nil {
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -70,7 +70,6 @@
 	}
 	x.lossCause = causeSilence
 	x.searchLogged = false
-	x.mayHaveRun = true
 	x.waitErr = cause
 	x.current, x.kept = a, a
 	x.copyUsed = false
@@ -123,6 +122,7 @@
 // continueKept makes the kept attempt the current one again, now that it delivers.
 func (x *run) continueKept(r readResult) string {
 	a := x.takeKept(silenceDelivered)
+	x.mayHaveRun = true
 	x.releaseChoice()
 	if x.copyUsed {
 		a.copy.release()
@@ -168,6 +168,18 @@
 // loseKept records that the kept attempt has ended. The search goes on.
 func (x *run) loseKept(err error) {
 	a := x.takeKept(silenceLost)
+	_, refused := errors.AsType[*backend.Refused](err)
+	failed, isAnswer := errors.AsType[*backend.FailedAnswer](err)
+	switch {
+	case refused, errors.Is(err, backend.ErrNotSent):
+		x.keptNotRun(a, err)
+		return
+	case isAnswer:
+		x.recordFailedAnswer(a, failed)
+		x.current = nil
+		return
+	}
+	x.mayHaveRun = true
 	cause := lossCause(a.ctx, err)
 	if !engineLost(a.ctx) {
 		x.Watcher.Result(a.backend.ID, err)
@@ -177,12 +189,27 @@
 	x.abandonAttempt(a)
 }
 
+// keptNotRun records that the kept attempt was not sent, or that its backend server has refused it.
+func (x *run) keptNotRun(a *attempt, err error) {
+	a.closeReader()
+	x.attemptsSent--
+	x.waitErr = err
+	x.logLoss(a, causeNotRun, err)
+	if !errors.Is(err, backend.ErrWithheld) {
+		x.Watcher.Result(a.backend.ID, err)
+	}
+}
+
+// mayRun reports whether the request has run, or the kept attempt may run it.
+func (x *run) mayRun() bool { return x.mayHaveRun || x.kept != nil }
+
 // replaceKept ends the kept attempt, now that another backend server has accepted the request.
 func (x *run) replaceKept() {
 	if x.kept == nil {
 		return
 	}
 	a := x.takeKept(silenceReplaced)
+	x.mayHaveRun = true
 	x.logLoss(a, causeSilence, x.waitErr)
 	x.abandonAttempt(a)
 }
