--- a/health/monitor.go
+++ b/health/monitor.go
@@ -129,7 +129,7 @@
 	if e == nil {
 		return
 	}
-	m.cancel(e.selectStreams(ErrRestarted, func(*Stream) bool { return true }))
+	m.cancel(e.openStreams(ErrRestarted))
 }
 
 // Work describes the work of one attempt.
--- a/health/tick.go
+++ b/health/tick.go
@@ -35,6 +35,18 @@
 	return v
 }
 
+// openStreams selects all open streams of e, those that were reported silent too.
+func (e *engine) openStreams(cause error) evaluation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := evaluation{engine: e}
+	for _, s := range e.streams {
+		v.streams = append(v.streams, s)
+		v.causes = append(v.causes, cause)
+	}
+	return v
+}
+
 // Tick evaluates every engine with open streams. Run calls it regularly; tests may call it
 // directly.
 func (m *Monitor) Tick(now time.Time) {
