health: a report without the run is no mere silence

The attempt ends at once, as before the search during a silence. Tokens that the server has made and that have not arrived may still arrive, so that case stays a silence.

--- a/health/health.go
+++ b/health/health.go
@@ -48,6 +48,8 @@
 	// ErrRestarted means that the engine has restarted and has lost the runs that it had
 	// before.
 	ErrRestarted error = &Cause{text: "engine has started again"}
+	// ErrNoRun means that the engine reports that it doesn't have the run of the stream.
+	ErrNoRun error = &Cause{text: "the engine doesn't have the run"}
 	// ErrNoFirstToken means that the stream has waited for its first token for longer than the
 	// bound that Policy.PrefillBound sets for the prompt.
 	ErrNoFirstToken error = &Cause{text: "no first token within the bound for the prompt", silent: true}
--- a/health/query.go
+++ b/health/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"wigeondale/event"
@@ -142,7 +143,16 @@
 			continue
 		}
 		v.streams = append(v.streams, s)
-		v.causes = append(v.causes, ErrStalled)
+		v.causes = append(v.causes, missingRunCause(r, s))
 	}
 	return v
 }
+
+// missingRunCause returns the cause for a stream whose run a report lacks, or of which tokens have not arrived. The
+// latter may still arrive.
+func missingRunCause(r RunReport, s *Stream) error {
+	if r.HasRun(s.work.Request, math.MaxInt) {
+		return ErrStalled
+	}
+	return ErrNoRun
+}
--- a/health/tick.go
+++ b/health/tick.go
@@ -267,7 +267,7 @@
 	switch cause {
 	case ErrSuspect:
 		m.suspects.Inc()
-	case ErrStalled:
+	case ErrStalled, ErrNoRun:
 		m.stalls.Inc()
 	case ErrRestarted:
 		m.restarts.Inc()
