--- a/health/query_test.go
+++ b/health/query_test.go
@@ -107,18 +107,21 @@
 // answer can stop for good while its engine works on. A connection falls silent without a
 // reset, or a run ended and its answer was lost; the engine is queried and answers.
 func TestRunThatAnEngineDoesNotHold(t *testing.T) {
-	for name, w := range map[string]fakeReport{
-		"it has made more than was received": {"q1": 13, "q2": 14},
-		"it has no such run":                 {"q1": 13},
+	for name, w := range map[string]struct {
+		report fakeReport
+		cause  error
+	}{
+		"it has made more than was received": {fakeReport{"q1": 13, "q2": 14}, ErrStalled},
+		"it has no such run":                 {fakeReport{"q1": 13}, ErrNoRun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(m *Monitor) {
-				streams := startThenSilence(m, &fakeQuerier{report: w}, DefaultPolicy().MaxSilence+50*time.Millisecond)
+				streams := startThenSilence(m, &fakeQuerier{report: w.report}, DefaultPolicy().MaxSilence+50*time.Millisecond)
 				if err := streams[0].cause(); err != nil {
 					t.Errorf("the run that it has was cancelled: %v", err)
 				}
-				if !errors.Is(streams[1].cause(), ErrStalled) {
-					t.Errorf("the other was cancelled with %v, want %v", streams[1].cause(), ErrStalled)
+				if !errors.Is(streams[1].cause(), w.cause) {
+					t.Errorf("the other was cancelled with %v, want %v", streams[1].cause(), w.cause)
 				}
 				if got := m.State("e"); got != Healthy {
 					t.Errorf("the engine is %v", got)
