generation: a kept attempt counts among the attempts of a router that is cut off

The attempt that was lost with a router's links doesn't count towards max_attempts, and that exception was made also while the attempt is kept: the request was passed on three times where two are allowed. The stand-in of TestReplacedAttemptIsCancelledBeforeItsStreamIsClosed had a data race of its own, mended.

--- a/generation/forward.go
+++ b/generation/forward.go
@@ -76,10 +76,10 @@
 }
 
 // maxAttempts returns how many backend servers may run an opaque request. The attempt of a started
-// answer that was lost with the links of this router does not count.
+// answer that was lost with the links of this router does not count, but one that is kept does.
 func (x *run) maxAttempts() int {
 	n := x.req.Opaque.MaxAttempts
-	if x.started() && !x.req.NonIdempotent && x.cutOff() {
+	if x.started() && !x.req.NonIdempotent && x.kept == nil && x.cutOff() {
 		n++
 	}
 	return n
--- a/generation/takeover_test.go
+++ b/generation/takeover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,7 +130,7 @@
 		}
 		r.Run(t.Context(), silentRequest(3), &callerAnswer{})
 	})
-	if first == nil || first.closedEarly {
+	if first == nil || first.closedEarly.Load() {
 		t.Error("the stream was closed before its context ended")
 	}
 }
@@ -151,14 +153,12 @@
 type closeObserver struct {
 	Stream
 	ctx         context.Context
-	closedEarly bool
-	closed      bool
+	once        sync.Once
+	closedEarly atomic.Bool
 }
 
 func (c *closeObserver) Close() error {
-	if !c.closed {
-		c.closed, c.closedEarly = true, c.ctx.Err() == nil
-	}
+	c.once.Do(func() { c.closedEarly.Store(c.ctx.Err() == nil) })
 	return c.Stream.Close()
 }
 
