generation: a report of a silence that a token has overtaken starts no search

What would be seen: a retry, and a second server at work, for a client that reads slowly: the failure detector reports a silence while the router waits for its client, and the report was handled after the next token. Such a report is dropped and the attempt registered again.

--- a/generation/stream.go
+++ b/generation/stream.go
@@ -29,6 +29,7 @@
 			return x.streamEnded(a, err)
 		}
 		now := time.Now()
+		x.dropOvertakenReport(a)
 		a.watch.Token(now)
 		a.recordFirstToken(now)
 		x.clearSuspicion(a, now)
@@ -103,9 +104,8 @@
 	// write, the engine isn't at fault and still has the run. The router then re-attaches to
 	// the run instead of paying for a new prefill.
 	x.callerSlow = !silent && a.ctx.Err() != nil
-	if !silent && len(a.silent) > 0 {
-		<-a.silent // the attempt wasn't read
-		x.watchAgain(a)
+	if !silent {
+		x.dropOvertakenReport(a) // the attempt wasn't read
 	}
 	return err
 }
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -60,6 +60,15 @@
 	return x.handleLoss(a, cause)
 }
 
+// dropOvertakenReport drops a report that a is silent, since a has delivered a token meanwhile.
+func (x *run) dropOvertakenReport(a *attempt) {
+	select {
+	case <-a.silent:
+		x.watchAgain(a)
+	default:
+	}
+}
+
 // keep starts the search for another backend server while the silent attempt a is still read.
 func (x *run) keep(a *attempt, cause error) string {
 	if x.ctx.Err() != nil {
--- a/generation/takeover_test.go
+++ b/generation/takeover_test.go
@@ -202,3 +202,46 @@
 type resultRecorder struct{ *silentFleet }
 
 func (w resultRecorder) Result(_ string, err error) { w.results = append(w.results, err) }
+
+// Guards against a search for another server because of a silence that ended with the next chunk, or that was this
+// router's own, while the client read slowly.
+func TestReportThatAChunkHasOvertakenStartsNoSearch(t *testing.T) {
+	w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}}
+	e := wrappingEngines{w, func(s Stream) Stream { return &bufferingStream{Stream: s} }}
+	synctest.Test(t, func(t *testing.T) {
+		r, err := New(Deps{Admitter: w, Picker: w, Watcher: w, Engines: e, Abandon: w, Budget: w}, Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		res := r.Run(t.Context(), silentRequest(3), &callerAnswer{readDelay: 400 * time.Millisecond})
+		if res.Outcome != fleet.Complete || len(w.opened) != 1 {
+			t.Errorf("got %s in %d attempts", res.Outcome, len(w.opened))
+		}
+	})
+}
+
+type wrappingEngines struct {
+	*silentFleet
+	wrap func(Stream) Stream
+}
+
+func (e wrappingEngines) Open(ctx context.Context, b fleet.Backend, r backend.StartRequest) (Stream, error) {
+	s, err := e.silentFleet.Open(ctx, b, r)
+	if err != nil {
+		return nil, err
+	}
+	return e.wrap(s), nil
+}
+
+// bufferingStream has received its second to fourth chunk together with the first.
+type bufferingStream struct {
+	Stream
+	read int
+}
+
+func (s *bufferingStream) Next() (backend.Token, error) {
+	s.read++
+	return s.Stream.Next()
+}
+
+func (s *bufferingStream) Buffered() bool { return s.read > 0 && s.read < 4 }
