quarantine: an attempt that goes on after a silence keeps its turn

What would be seen: a second attempt of a suspected request, at another router, beside one that goes on: the examination of a loss ended the turn of its submission whenever it finished, also after the attempt had delivered again, or a further one had begun. It ends the turn only if no attempt has begun since.

--- a/quarantine/submission.go
+++ b/quarantine/submission.go
@@ -15,6 +15,7 @@
 	account    string
 	submission uint64                       // random id that distinguishes the submissions of one request
 	turns      atomic.Pointer[[]TurnUpdate] // of the attempt in progress
+	attempts   atomic.Int64                 // times that AttemptBegan was called
 	parts      []Digest                     // of the prompt that other requests may share
 	model      string
 }
@@ -75,10 +76,13 @@
 		return done
 	}
 	l.incarnation, l.at = s.guard.cfg.Incarnation(l.Backend), s.guard.cfg.Now()
+	attempts := s.attempts.Load()
 	go func() {
 		defer close(done)
-		defer s.AttemptEnded()
 		s.guard.examine(s, l)
+		if s.attempts.Load() == attempts { // else the turn belongs to the attempt that began since, or goes on
+			s.AttemptEnded()
+		}
 	}()
 	return done
 }
--- a/quarantine/turn.go
+++ b/quarantine/turn.go
@@ -117,7 +117,11 @@
 // AttemptBegan records that an attempt of the request begins. If the attempts of the request take turns, it
 // broadcasts that.
 func (s *Submission) AttemptBegan() {
-	if s == nil || !s.guard.nonEmpty.Load() {
+	if s == nil {
+		return
+	}
+	s.attempts.Add(1)
+	if !s.guard.nonEmpty.Load() {
 		return
 	}
 	var begun []TurnUpdate
