--- a/generation/takeover_test.go
+++ b/generation/takeover_test.go
@@ -245,3 +245,35 @@
 }
 
 func (s *bufferingStream) Buffered() bool { return s.read > 0 && s.read < 4 }
+
+// Guards against a second attempt at the server whose silent attempt is still read, if it is the only one.
+func TestSilentServerGetsNoSecondAttempt(t *testing.T) {
+	for name, first := range map[string]silentServer{
+		"before the answer": {silentAt: 1, silence: 3 * time.Second},
+		"in the answer":     {silentAt: 5, silence: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}, servers: []silentServer{first, {silentAt: 1, silence: 2 * time.Second}}}
+			synctest.Test(t, func(t *testing.T) {
+				r, err := New(Deps{Admitter: w, Picker: onlyServer{w}, Watcher: w, Engines: w, Abandon: w, Budget: w}, Options{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				res := r.Run(t.Context(), silentRequest(3), &callerAnswer{})
+				if res.Outcome != fleet.Complete || len(w.opened) != 1 {
+					t.Errorf("got %s, attempts at %v", res.Outcome, w.backends)
+				}
+			})
+		})
+	}
+}
+
+// onlyServer is a Picker of a service with a single backend server.
+type onlyServer struct{ *silentFleet }
+
+func (onlyServer) Pick(_ context.Context, a PickRequest) (fleet.Backend, LoadShare, error) {
+	if a.Exclude["b1"] {
+		return fleet.Backend{}, nil, &Unavailable{Err: errNoneLeft}
+	}
+	return fleet.Backend{ID: "b1", Addr: "b1"}, &fakeShare{}, nil
+}
