--- a/generation/forward.go
+++ b/generation/forward.go
@@ -76,10 +76,10 @@
 }
 
 // maxAttempts returns how many backend servers may run an opaque request. The attempt of a started
-// answer that was lost with the links of this router does not count.
+// answer that was lost with the links of this router does not count, but one that is kept does.
 func (x *run) maxAttempts() int {
 	n := x.req.Opaque.MaxAttempts
-	if x.started() && !x.req.NonIdempotent && x.cutOff() {
+	if x.started() && !x.req.NonIdempotent && x.kept == nil && x.cutOff() {
 		n++
 	}
 	return n
@@ -123,7 +123,7 @@
 		rest.MaxAttempts = max(x.maxAttempts()-x.attemptsSent, 1)
 		rest.SinceFirstTry += time.Since(x.startedAt)
 		req.Opaque = &rest
-	} else if x.mayHaveRun {
+	} else if x.mayRun() {
 		req.Resume = x.resumePoint()
 	}
 	return Handover{Request: req, Retry: x.anySent}
--- a/generation/takeover_test.go
+++ b/generation/takeover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,7 +130,7 @@
 		}
 		r.Run(t.Context(), silentRequest(3), &callerAnswer{})
 	})
-	if first == nil || first.closedEarly {
+	if first == nil || first.closedEarly.Load() {
 		t.Error("the stream was closed before its context ended")
 	}
 }
@@ -151,14 +153,12 @@
 type closeObserver struct {
 	Stream
 	ctx         context.Context
-	closedEarly bool
-	closed      bool
+	once        sync.Once
+	closedEarly atomic.Bool
 }
 
 func (c *closeObserver) Close() error {
-	if !c.closed {
-		c.closed, c.closedEarly = true, c.ctx.Err() == nil
-	}
+	c.once.Do(func() { c.closedEarly.Store(c.ctx.Err() == nil) })
 	return c.Stream.Close()
 }
 
@@ -202,3 +202,78 @@
 type resultRecorder struct{ *silentFleet }
 
 func (w resultRecorder) Result(_ string, err error) { w.results = append(w.results, err) }
+
+// Guards against a search for another server because of a silence that ended with the next chunk, or that was this
+// router's own, while the client read slowly.
+func TestReportThatAChunkHasOvertakenStartsNoSearch(t *testing.T) {
+	w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}}
+	e := wrappingEngines{w, func(s Stream) Stream { return &bufferingStream{Stream: s} }}
+	synctest.Test(t, func(t *testing.T) {
+		r, err := New(Deps{Admitter: w, Picker: w, Watcher: w, Engines: e, Abandon: w, Budget: w}, Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		res := r.Run(t.Context(), silentRequest(3), &callerAnswer{readDelay: 400 * time.Millisecond})
+		if res.Outcome != fleet.Complete || len(w.opened) != 1 {
+			t.Errorf("got %s in %d attempts", res.Outcome, len(w.opened))
+		}
+	})
+}
+
+type wrappingEngines struct {
+	*silentFleet
+	wrap func(Stream) Stream
+}
+
+func (e wrappingEngines) Open(ctx context.Context, b fleet.Backend, r backend.StartRequest) (Stream, error) {
+	s, err := e.silentFleet.Open(ctx, b, r)
+	if err != nil {
+		return nil, err
+	}
+	return e.wrap(s), nil
+}
+
+// bufferingStream has received its second to fourth chunk together with the first.
+type bufferingStream struct {
+	Stream
+	read int
+}
+
+func (s *bufferingStream) Next() (backend.Token, error) {
+	s.read++
+	return s.Stream.Next()
+}
+
+func (s *bufferingStream) Buffered() bool { return s.read > 0 && s.read < 4 }
+
+// Guards against a second attempt at the server whose silent attempt is still read, if it is the only one.
+func TestSilentServerGetsNoSecondAttempt(t *testing.T) {
+	for name, first := range map[string]silentServer{
+		"before the answer": {silentAt: 1, silence: 3 * time.Second},
+		"in the answer":     {silentAt: 5, silence: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}, servers: []silentServer{first, {silentAt: 1, silence: 2 * time.Second}}}
+			synctest.Test(t, func(t *testing.T) {
+				r, err := New(Deps{Admitter: w, Picker: onlyServer{w}, Watcher: w, Engines: w, Abandon: w, Budget: w}, Options{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				res := r.Run(t.Context(), silentRequest(3), &callerAnswer{})
+				if res.Outcome != fleet.Complete || len(w.opened) != 1 {
+					t.Errorf("got %s, attempts at %v", res.Outcome, w.backends)
+				}
+			})
+		})
+	}
+}
+
+// onlyServer is a Picker of a service with a single backend server.
+type onlyServer struct{ *silentFleet }
+
+func (onlyServer) Pick(_ context.Context, a PickRequest) (fleet.Backend, LoadShare, error) {
+	if a.Exclude["b1"] {
+		return fleet.Backend{}, nil, &Unavailable{Err: errNoneLeft}
+	}
+	return fleet.Backend{ID: "b1", Addr: "b1"}, &fakeShare{}, nil
+}
