forward, hosted, daemon: a router that stops finishes what other routers have passed on to it

What callers saw: an answer that ends in the middle although its backend server and its own router are well: the router that runs it for another one stopped, as its own clients' requests had ended. With further routers the answer goes on there as a retry; where none takes it, it is cut. A working thing is ended before its replacement is certain, at the second hop.

Change: shutdown also waits for the requests of other routers, as long as the platform lets the process run (grace).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -169,6 +169,7 @@
 	n.leaving.Store(true)
 	n.mesh.SetLeaving()
 	err := n.caller.Shutdown(context.Background(), n.notice)
+	n.forwarder.Drain(context.Background())
 	n.runner.Wait()
 	return err
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -86,6 +87,7 @@
 	meters  meters
 	// takenBytes limits the bodies of requests of other routers that are kept at a time.
 	takenBytes byteBudget
+	serving    atomic.Int64 // requests of other routers that have not ended
 }
 
 type meters struct {
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/fleet"
 	"wigeondale/generation"
@@ -36,6 +37,8 @@
 // Serve receives a request that the router from passes on, runs it, and sends its answer. The run
 // ends when the stream closes.
 func (f *Forwarder) Serve(ctx context.Context, from string, conn Conn, runner Runner) {
+	f.serving.Add(1)
+	defer f.serving.Add(-1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var m startMessage
@@ -52,6 +55,15 @@
 	_ = conn.Send(endCtx, end)
 }
 
+// drainPoll is how often Drain checks whether the requests of other routers have ended.
+const drainPoll = 20 * time.Millisecond
+
+// Drain waits until all requests of other routers have ended, or ctx has.
+func (f *Forwarder) Drain(ctx context.Context) {
+	for f.serving.Load() > 0 && clock.Sleep(ctx, drainPoll) {
+	}
+}
+
 // serve runs one request, and returns its result and how long it took.
 func (f *Forwarder) serve(ctx context.Context, cancel context.CancelCauseFunc, conn Conn, m *startMessage, runner Runner) (generation.Result, time.Duration) {
 	startedAt := time.Now()
--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -37,8 +37,8 @@
 	return nil
 }
 
-// shutdown makes the node accept no new connections, and lets the open requests finish for as
-// long as the platform lets the process run.
+// shutdown makes the node accept no new connections, and lets the open requests, those of other routers too,
+// finish for as long as the platform lets the process run.
 func (n *node) shutdown() {
 	n.log.Emit(event.ShutdownBegun)
 	n.leaving.Store(true)
@@ -47,6 +47,7 @@
 	if err := n.front.Shutdown(ctx, millis(n.set.Shutdown.BalancerNoticeMS)); err != nil {
 		n.log.Emit(event.ShutdownCut, "err", err)
 	}
+	n.forwarder.Drain(ctx)
 }
 
 // grace returns how long open requests may take to finish after a signal. The platform ends
