hosted: test that a silence of all servers keeps a tight retry budget (known red)

Cause: each router may send two retries and go six into debt, however many routers share the burst (hosted/budgets.go).

--- a/hosted/silence_judge_test.go
+++ b/hosted/silence_judge_test.go
@@ -227,6 +227,17 @@
 	}
 }
 
+// Guards against more retries than the retry budget of the platform when all servers fall silent and the budget is tight:
+// each router may send a few, whatever their number, and more for answers that have started.
+func TestSilenceOfAllServersKeepsTheRetryBudget(t *testing.T) {
+	for _, c := range []struct {
+		seed    uint64
+		routers int
+	}{{8, 8}, {92, 8}, {52, 76}} {
+		t.Run(fmt.Sprint(c.routers, "/", c.seed), func(t *testing.T) { playSilences(t, c.seed, c.routers) })
+	}
+}
+
 // playSilences plays and judges one fleet.
 func playSilences(t *testing.T, seed uint64, routers int) *silenceResult {
 	var f *silenceFleet
