--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -36,13 +36,17 @@
 // silentFleet is a fleet in fake time whose servers fall silent. Attempt n reaches servers[n].
 type silentFleet struct {
 	fakeFleet
-	servers      []silentServer
-	pickErr      error      // of all choices after the first
-	mu           sync.Mutex // guards opened, backends and streams
-	atWork       atomic.Int32
-	headDelay    time.Duration // of each answer
-	streams      []*silentStream
-	offersSilent bool // a choice allowed the server of the kept attempt
+	servers         []silentServer
+	pickErr         error      // of all choices after the first
+	mu              sync.Mutex // guards opened, backends and streams
+	atWork          atomic.Int32
+	headDelay       time.Duration // of each answer
+	streams         []*silentStream
+	readDelay       time.Duration // time that the client takes to read each chunk
+	buffered        int           // chunks of each attempt that are received together
+	wire            func(*Deps)   // changes the parts of the runner; nil for none
+	failureReported atomic.Bool   // to the failure detector
+	offersSilent    bool          // a choice allowed the server of the kept attempt
 }
 
 // overlap returns the longest time for which an attempt was at work beside a later one that had been accepted.
@@ -67,7 +71,11 @@
 	return w.fakeFleet.Pick(ctx, a)
 }
 
-func (w *silentFleet) Result(string, error) {}
+func (w *silentFleet) Result(_ string, err error) {
+	if err != nil {
+		w.failureReported.Store(true)
+	}
+}
 
 func (w *silentFleet) Watch(_ string, _ health.Work, cancel context.CancelCauseFunc) Watch {
 	return &silenceWatch{time.AfterFunc(firstDetectedAfter, func() { cancel(health.ErrSuspect) })}
@@ -125,7 +133,10 @@
 	ctx    context.Context
 	server silentServer
 	next   int
+	read   int
 	closed atomic.Bool
+	// closedEarly is set if it was closed before its context ended.
+	closedEarly atomic.Bool
 
 	acceptedAt, closedAt time.Time
 }
@@ -154,15 +165,17 @@
 		return backend.Token{}, io.EOF
 	}
 	s.next++
+	s.read++
 	return backend.Token{Index: s.next - 1, Text: []byte(chunkText(s.next - 1)[len(chunkText(s.next-2)):])}, nil
 }
 
-func (s *silentStream) Buffered() bool      { return false }
+func (s *silentStream) Buffered() bool      { return s.read > 0 && s.read < s.w.buffered }
 func (s *silentStream) Incarnation() string { return "" }
 func (s *silentStream) Head() *backend.Head { return &backend.Head{Status: 200} }
 func (s *silentStream) Close() error {
 	if !s.closed.Swap(true) {
 		s.w.atWork.Add(-1)
+		s.closedEarly.Store(s.ctx.Err() == nil)
 		s.closedAt = time.Now()
 	}
 	return nil
@@ -183,6 +196,9 @@
 	if w.versions != nil {
 		d.StreamVersions = w.versions
 	}
+	if w.wire != nil {
+		w.wire(&d)
+	}
 	r, err := New(d, Options{StartedMaxWait: time.Second})
 	if err != nil {
 		t.Fatal(err)
@@ -193,7 +209,7 @@
 	if change != nil {
 		change(&req)
 	}
-	out := &callerAnswer{}
+	out := &callerAnswer{readDelay: w.readDelay}
 	res := r.Run(ctx, req, out)
 	r.Wait()
 	return res, out
