--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -203,9 +203,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	req := Request{ID: "q", Deadline: time.Now().Add(20 * time.Second), Opaque: &Opaque{
-		Opaque: &backend.Opaque{Streaming: true, Resumable: true}, Service: "svc", FirstChunk: 1, MaxAttempts: 3, MaxWait: time.Second,
-	}}
+	req := requestWith(3)
 	if change != nil {
 		change(&req)
 	}
