generation: an attempt that nothing can replace isn't kept before its answer begins

A request that may run once on the product's own interface is attached to again, as before; it was also kept, which leaked its registration with the failure detector. An attempt that is left before its answer now ends with its own result, which tells whether it was sent.

--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -242,10 +242,9 @@
 			a.awaitsResult = false
 			return r.stream, "", r.err
 		case cause := <-a.silent:
-			if len(a.reading.results) > 0 {
-				continue
+			if ev := x.silentBeforeAnswer(a, cause); ev != "" {
+				return nil, ev, nil
 			}
-			return nil, x.silentBeforeAnswer(a, cause), nil
 		case r := <-x.keptResults():
 			if r.err == nil || r.err == io.EOF {
 				x.abandonAttempt(a)
@@ -257,15 +256,17 @@
 	}
 }
 
-// silentBeforeAnswer handles the silence of an attempt whose answer has not begun. The attempt is kept unless
-// another one is.
+// silentBeforeAnswer handles the silence of an attempt whose answer has not begun. It returns an empty event if
+// the result of the attempt is to be awaited.
 func (x *run) silentBeforeAnswer(a *attempt, cause error) string {
-	if x.kept == nil {
+	replaceable := x.canContinueElsewhere()
+	switch {
+	case replaceable && x.kept == nil && len(a.reading.results) == 0:
 		return x.keep(a, cause)
+	case replaceable && x.kept != nil, x.req.Opaque == nil:
+		a.cancel(cause) // one attempt is kept at a time; a run that can't be replaced is attached to again
 	}
-	a.cancel(cause)
-	x.current = a
-	return x.handleLoss(a, cause)
+	return ""
 }
 
 // mayHold reports whether a request for which no other backend server is found waits for its kept attempt.
