generation: no panic if the silent server fails while its silence is recorded

The failure answer of the kept attempt cleared the current attempt, which the state suspect needs: a panic, and so a connection without an answer.

--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -184,8 +184,9 @@
 		x.keptNotRun(a, err)
 		return
 	case isAnswer:
+		current := x.current
 		x.recordFailedAnswer(a, failed)
-		x.current = nil
+		x.current = current
 		return
 	}
 	x.mayHaveRun = true
