--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -241,6 +241,9 @@
 		select {
 		case r := <-a.reading.results:
 			a.awaitsResult = false
+			if r.err == nil {
+				x.dropOvertakenReport(a)
+			}
 			return r.stream, "", r.err
 		case cause := <-a.silent:
 			if ev := x.silentBeforeAnswer(a, cause); ev != "" {
@@ -262,7 +265,9 @@
 func (x *run) silentBeforeAnswer(a *attempt, cause error) string {
 	replaceable := x.canContinueElsewhere()
 	switch {
-	case replaceable && x.kept == nil && len(a.reading.results) == 0:
+	case len(a.reading.results) > 0:
+		x.watchAgain(a) // the answer has begun
+	case replaceable && x.kept == nil:
 		return x.keep(a, cause)
 	case replaceable && x.kept != nil, x.req.Opaque == nil:
 		a.cancel(cause) // one attempt is kept at a time; a run that can't be replaced is attached to again
