--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -172,6 +172,9 @@
 	}
 	a.watch = x.Watcher.Watch(a.backend.ID, x.work(), a.reportLoss)
 	a.watch.SetCopied(a.copy.backend.Addr != "")
+	if a.accepted > 0 {
+		a.watch.Token(time.Now()) // its answer has begun, so a shorter silence counts
+	}
 }
 
 // loseKept records that the kept attempt has ended. The search goes on.
