generation: a search is interrupted only by results that come after it began

A result delivered just before a search could interrupt it later, without a result to handle, and the search then went round without a pause.

--- a/generation/reading.go
+++ b/generation/reading.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 
 	"wigeondale/backend"
 )
@@ -12,7 +12,9 @@
 type reading struct {
 	results chan readResult // holds one
 	wanted  chan struct{}   // holds one: the run wants the next token
-	wake    atomic.Pointer[context.CancelCauseFunc]
+
+	mu   sync.Mutex // held while a result is delivered, so that wake is called for results after interrupt only
+	wake context.CancelCauseFunc
 }
 
 // readResult is the stream of an answer that has begun, its next token, or the error with which it ends.
@@ -53,16 +55,20 @@
 }
 
 func (r *reading) deliver(res readResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.results <- res
-	if wake := r.wake.Load(); wake != nil {
-		(*wake)(errDelivers)
+	if r.wake != nil {
+		r.wake(errDelivers)
 	}
 }
 
-// interrupt has wake called when the next result is there.
+// interrupt has wake called when the next result is there, or never again if wake is nil.
 func (r *reading) interrupt(wake context.CancelCauseFunc) {
-	r.wake.Store(&wake)
-	if len(r.results) > 0 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wake = wake
+	if wake != nil && len(r.results) > 0 {
 		wake(errDelivers)
 	}
 }
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -232,7 +232,7 @@
 	a := x.kept
 	x.kept = nil
 	x.endSearch(nil)
-	a.reading.wake.Store(nil)
+	a.reading.interrupt(nil)
 	x.m.silenceEnded(result)
 	return a
 }
