--- a/generation/forward.go
+++ b/generation/forward.go
@@ -96,6 +96,7 @@
 	opened, ev, err := x.awaitAnswer(a)
 	switch {
 	case ev != "":
+		x.attemptsSent++ // the other router may have sent it
 		return ev
 	case err != nil:
 		return x.handleForwardError(a, err)
