--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -180,7 +180,8 @@
 // loseKept records that the kept attempt has ended. The search goes on.
 func (x *run) loseKept(err error) {
 	a := x.takeKept(silenceLost)
-	_, refused := errors.AsType[*backend.Refused](err)
+	refusal, refused := errors.AsType[*backend.Refused](err)
+	refused = refused && refusal.Code != codeAttemptExists // another router runs the request
 	failed, isAnswer := errors.AsType[*backend.FailedAnswer](err)
 	switch {
 	case refused, errors.Is(err, backend.ErrNotSent):
