--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -37,13 +37,13 @@
 	}
 	a.stopPolling = x.pollRun(a)
 	a.sentAt = time.Now()
-	ctx, start := a.ctx, backend.StartRequest{
+	ctx, to, start := a.ctx, a.backend, backend.StartRequest{
 		Opaque: x.opaque(), Copies: copies, FirstAttempt: first, LastAttempt: x.isLastAttempt(),
 		ID: x.req.ID, Attempt: a.origin.Attempt, Ref: x.req.Ref,
 		Prompt: x.req.Prompt, MaxTokens: x.req.MaxTokens, Priority: x.req.Priority, Resume: x.started(),
 		ResumeText: string(x.text), ResumeTokens: x.filter.next, Linger: x.linger(),
 	}
-	a.begin(func() (Stream, error) { return x.Engines.Open(ctx, a.backend, start) })
+	a.begin(func() (Stream, error) { return x.Engines.Open(ctx, to, start) })
 	s, ev, err := x.awaitAnswer(a)
 	switch {
 	case ev != "":
--- a/generation/resume.go
+++ b/generation/resume.go
@@ -52,9 +52,9 @@
 	cancel := a.cancel
 	t := time.AfterFunc(x.opts.AttachTimeout, func() { cancel(ErrEngineLost) })
 	defer t.Stop()
-	ctx, from := a.ctx, x.filter.next
+	ctx, b, from := a.ctx, a.backend, x.filter.next
 	id := backend.StreamID{Request: x.req.ID, Attempt: a.origin.Attempt, Ref: x.req.Ref}
-	a.begin(func() (Stream, error) { return x.Engines.Attach(ctx, a.backend, id, from) })
+	a.begin(func() (Stream, error) { return x.Engines.Attach(ctx, b, id, from) })
 	s, err := a.awaitAttached()
 	if err != nil {
 		return nil, err
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -236,7 +236,7 @@
 	report, err := s.reports.Runs(ctx, b)
 	switch {
 	case err != nil:
-		withheld := errors.Is(err, backend.ErrWithheld) // a further query would be withheld too
+		withheld := errors.Is(err, backend.ErrWithheld)                      // a further query would be withheld too
 		return generation.Binding{Unknown: true, Unanswered: !withheld}, nil // the stream goes on as long as its attempt does
 	case report.Restarted:
 		return generation.Binding{}, Error.Wrap(errRestarted)
