backend, platform: a connection to a replica outlives two seconds in which its machine is unreachable

What callers saw: a run that ends, also one that may run only once and that nobody may repeat, because the machine of its sound server did not answer for a moment. Its client gets 502, or an answer that breaks off.

Cause: TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. The idle time and interval of 1.1 s and 0.55 s are rounded up to whole seconds, so one lost probe, 2 s after the last byte, had the kernel close the connection at 3 s: with the user timeout of 2.2 s passed, no second probe was sent. A prompt that is read for 2 s, a preempted stream, or a call of more than 2 s has such an idle connection.

Connections to the store stay as they are: no answer depends on them.

--- a/backend/send.go
+++ b/backend/send.go
@@ -30,7 +30,11 @@
 	// connection whose peer is unreachable or lost power fails only minutes later. 0 uses
 	// the defaults of the operating system.
 	UnackedTimeout time.Duration
-	BufferBytes    int // size of the read buffer and of the write buffer, in bytes
+	// Outage, used instead if it is set, is how long the peer's machine may be unreachable at any moment without
+	// that the connection is closed, whether it is idle or not. The connection to a machine that is lost is closed
+	// within two seconds more.
+	Outage      time.Duration
+	BufferBytes int // size of the read buffer and of the write buffer, in bytes
 	// Dial opens the TCP connections. If it is nil, a net.Dialer does.
 	Dial DialFunc
 	// Connections, if set, is notified of connections that open, don't open, or are lost.
@@ -97,18 +101,29 @@
 	return c, nil
 }
 
+const (
+	// probeInterval is the time between keep-alive probes, of which the kernel takes whole seconds.
+	probeInterval = time.Second
+	// userTimeoutMargin lets the probe that is sent when the outage ends be answered: a connection whose user
+	// timeout has passed is closed at the next probe if the one before has no answer, whatever their count.
+	userTimeoutMargin = 100 * time.Millisecond
+)
+
 func (d DialConfig) dialer() *net.Dialer {
 	dialer := &net.Dialer{Timeout: d.Timeout}
-	if d.UnackedTimeout <= 0 {
-		return dialer
+	idle, interval, userTimeout := d.UnackedTimeout/2, d.UnackedTimeout/4, d.UnackedTimeout
+	if d.Outage > 0 {
+		idle, interval = probeInterval, probeInterval
+		userTimeout = (d.Outage + probeInterval - 1).Truncate(probeInterval) + probeInterval + userTimeoutMargin
 	}
-	dialer.KeepAliveConfig = net.KeepAliveConfig{
-		Enable: true, Idle: d.UnackedTimeout / 2, Interval: d.UnackedTimeout / 4, Count: 2,
+	if userTimeout <= 0 {
+		return dialer
 	}
+	dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: idle, Interval: interval, Count: 2}
 	dialer.Control = func(_, _ string, c syscall.RawConn) error {
 		var err error
 		set := func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.UnackedTimeout.Milliseconds()))
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 		}
 		return errors.Join(c.Control(set), err)
 	}
