--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -172,20 +172,25 @@
 	}
 	a.watch = x.Watcher.Watch(a.backend.ID, x.work(), a.reportLoss)
 	a.watch.SetCopied(a.copy.backend.Addr != "")
+	if a.accepted > 0 {
+		a.watch.Token(time.Now()) // its answer has begun, so a shorter silence counts
+	}
 }
 
 // loseKept records that the kept attempt has ended. The search goes on.
 func (x *run) loseKept(err error) {
 	a := x.takeKept(silenceLost)
-	_, refused := errors.AsType[*backend.Refused](err)
+	refusal, refused := errors.AsType[*backend.Refused](err)
+	refused = refused && refusal.Code != codeAttemptExists // another router runs the request
 	failed, isAnswer := errors.AsType[*backend.FailedAnswer](err)
 	switch {
 	case refused, errors.Is(err, backend.ErrNotSent):
 		x.keptNotRun(a, err)
 		return
 	case isAnswer:
+		current := x.current
 		x.recordFailedAnswer(a, failed)
-		x.current = nil
+		x.current = current
 		return
 	}
 	x.mayHaveRun = true
@@ -228,7 +233,7 @@
 	a := x.kept
 	x.kept = nil
 	x.endSearch(nil)
-	a.reading.wake.Store(nil)
+	a.reading.interrupt(nil)
 	x.m.silenceEnded(result)
 	return a
 }
@@ -240,12 +245,14 @@
 		select {
 		case r := <-a.reading.results:
 			a.awaitsResult = false
+			if r.err == nil {
+				x.dropOvertakenReport(a)
+			}
 			return r.stream, "", r.err
 		case cause := <-a.silent:
-			if len(a.reading.results) > 0 {
-				continue
+			if ev := x.silentBeforeAnswer(a, cause); ev != "" {
+				return nil, ev, nil
 			}
-			return nil, x.silentBeforeAnswer(a, cause), nil
 		case r := <-x.keptResults():
 			if r.err == nil || r.err == io.EOF {
 				x.abandonAttempt(a)
@@ -257,15 +264,19 @@
 	}
 }
 
-// silentBeforeAnswer handles the silence of an attempt whose answer has not begun. The attempt is kept unless
-// another one is.
+// silentBeforeAnswer handles the silence of an attempt whose answer has not begun. It returns an empty event if
+// the result of the attempt is to be awaited.
 func (x *run) silentBeforeAnswer(a *attempt, cause error) string {
-	if x.kept == nil {
+	replaceable := x.canContinueElsewhere()
+	switch {
+	case len(a.reading.results) > 0:
+		x.watchAgain(a) // the answer has begun
+	case replaceable && x.kept == nil:
 		return x.keep(a, cause)
+	case replaceable && x.kept != nil, x.req.Opaque == nil:
+		a.cancel(cause) // one attempt is kept at a time; a run that can't be replaced is attached to again
 	}
-	a.cancel(cause)
-	x.current = a
-	return x.handleLoss(a, cause)
+	return ""
 }
 
 // mayHold reports whether a request for which no other backend server is found waits for its kept attempt.
