generation: a search beside a kept attempt doesn't overdraw the retry budget

What would be seen: more retries than the fleet's budget when many servers are silent at once. A started answer may put the budget into debt, since it is cut otherwise; while its silent attempt is kept it isn't, so it doesn't. When the kept attempt ends, it may again. TestSilenceOverdrawsNoBudget failed before.

--- a/generation/steps.go
+++ b/generation/steps.go
@@ -149,9 +149,9 @@
 
 // drawBudget draws from the retry budget for one more attempt that arrives at a backend
 // server. The first try to continue a started answer may use more of the budget than other
-// retries, since the answer is truncated if it can't be continued.
+// retries, since the answer is truncated if it can't be continued. While a silent attempt is kept it may not.
 func (x *run) drawBudget() bool {
-	if x.firstAfterLoss {
+	if x.firstAfterLoss && x.kept == nil {
 		return x.Budget.Continue(x.service())
 	}
 	return x.Budget.Take(x.service())
--- a/generation/takeover_test.go
+++ b/generation/takeover_test.go
@@ -140,3 +140,15 @@
 	}
 	return fleet.Backend{ID: "b1", Addr: "b1"}, &fakeShare{}, nil
 }
+
+// Guards against a silence that puts the retry budget into debt, although the silent attempt may still deliver.
+func TestSilenceOverdrawsNoBudget(t *testing.T) {
+	w := &silentFleet{
+		fakeFleet: fakeFleet{chunks: 9, overdraft: 1},
+		servers:   []silentServer{{silentAt: 5, silence: 2 * time.Second, crash: errBroken}},
+	}
+	res, out := w.play(t, nil)
+	if res.Outcome != fleet.Complete || out.text != chunkText(9) || res.LongestPause < 2*time.Second {
+		t.Errorf("got %s, %q after a pause of %v", res.Outcome, out.text, res.LongestPause)
+	}
+}
