generation: one report without the run fails no request

What callers saw (soak, silences only, tight retry budget): 502 for a request that was sent to a silent server. 1.8 s later the router asks for the run; when the server goes on, it may read that query before the request and reports no such run, which counted as certain.

Change: the first such report starts the search, as a silence does; a second one in a row, 300 ms later, is certain. TestOneReportWithoutTheRunFailsNoRequest failed before (retry_budget). The stand-ins of opaque_test.go lock what they record, since attempts may overlap now.

--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,7 @@
 
 // fakeFleet is a fleet in memory for opaque requests. Attempt n follows scripts[n].
 type fakeFleet struct {
+	recordMu     sync.Mutex // held while a choice or an attempt is recorded, since attempts may overlap
 	scripts      []script
 	chunks       int
 	budget       int // retries left
@@ -71,6 +73,8 @@
 }
 
 func (w *fakeFleet) Pick(_ context.Context, a PickRequest) (fleet.Backend, LoadShare, error) {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
 	w.excluded = append(w.excluded, a.Exclude)
 	w.pickRequests = append(w.pickRequests, a)
 	if w.unavailable {
@@ -84,6 +88,8 @@
 }
 
 func (w *fakeFleet) Standby(_ PickRequest, b fleet.Backend) (fleet.Backend, LoadShare, bool) {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
 	id := fmt.Sprintf("s%d-%d", len(w.opened), w.copies)
 	return fleet.Backend{ID: id, Addr: id, FailureDomain: "other"}, &fakeShare{}, true
 }
@@ -100,14 +106,7 @@
 }
 
 func (w *fakeFleet) Open(ctx context.Context, b fleet.Backend, r backend.StartRequest) (Stream, error) {
-	s := script{}
-	if n := len(w.opened); n < len(w.scripts) {
-		s = w.scripts[n]
-	}
-	w.opened = append(w.opened, r)
-	w.backends = append(w.backends, b.ID)
-	w.watched = append(w.watched, w.watching)
-	w.watching = false
+	s := w.record(b, r)
 	if s.silent > 0 {
 		select {
 		case <-ctx.Done():
@@ -121,6 +120,20 @@
 	return &chunkStream{next: max(r.ResumeTokens-s.resent, 1), last: w.chunks, script: s}, nil
 }
 
+// record records an attempt, and returns its script.
+func (w *fakeFleet) record(b fleet.Backend, r backend.StartRequest) (s script) {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	if n := len(w.opened); n < len(w.scripts) {
+		s = w.scripts[n]
+	}
+	w.opened = append(w.opened, r)
+	w.backends = append(w.backends, b.ID)
+	w.watched = append(w.watched, w.watching)
+	w.watching = false
+	return s
+}
+
 // chunkStream is the stream of one attempt.
 type chunkStream struct {
 	next, last int
@@ -198,6 +211,8 @@
 func (v fleetWatcher) Result(_ string, err error) { v.w.results = append(v.w.results, err) }
 
 func (v fleetWatcher) Watch(string, health.Work, context.CancelCauseFunc) Watch {
+	v.w.recordMu.Lock()
+	defer v.w.recordMu.Unlock()
 	v.w.watching = true
 	return noWatch{}
 }
--- a/generation/runquery.go
+++ b/generation/runquery.go
@@ -15,7 +15,10 @@
 	runQueryDelay = 1800 * time.Millisecond
 	// runQueryInterval is the time between further queries. runQueryTimeout bounds each query.
 	runQueryInterval = 700 * time.Millisecond
-	runQueryTimeout  = 300 * time.Millisecond
+	// runQueryConfirm is the time after which a report without the run is confirmed by another one: a server that
+	// was silent may read the query before the request.
+	runQueryConfirm = 300 * time.Millisecond
+	runQueryTimeout = 300 * time.Millisecond
 )
 
 // RunQuerier queries a backend server for its runs.
@@ -56,9 +59,12 @@
 	return r.mayHave(request)
 }
 
-// runNotFound is the cause with which an attempt is cancelled if its backend server reports
-// that it doesn't have the run of the attempt.
-type runNotFound struct{}
+// runNotFound is the cause reported for an attempt whose backend server states that it doesn't have the run. One
+// report may be a mere silence, two in a row are certain.
+type runNotFound struct{ confirmed bool }
+
+// Silent implements silenceReport.
+func (r runNotFound) Silent() bool { return !r.confirmed }
 
 func (runNotFound) Error() string { return "the backend server has no such run" }
 
@@ -80,17 +86,21 @@
 	ctx, cancel := context.WithCancel(a.ctx)
 	b := a.backend
 	go func() {
-		for wait := runQueryDelay; clock.Sleep(ctx, wait); wait = runQueryInterval {
+		wait, missing := runQueryDelay, false
+		for clock.Sleep(ctx, wait) {
 			running, err := x.queryRun(ctx, b)
 			if ctx.Err() != nil {
 				return
 			}
 			x.opts.Log.Emit(event.RunInquired, "request", x.req.ID, "attempt", a.origin.Attempt,
 				"backend", b.ID, "running", running, "err", err)
-			if err == nil && !running {
-				a.cancel(runNotFound{})
-				return
+			wait = runQueryInterval
+			if err != nil || running {
+				missing = false
+				continue
 			}
+			a.reportLoss(runNotFound{confirmed: missing})
+			wait, missing = runQueryConfirm, true
 		}
 	}()
 	return cancel
--- a/generation/takeover_test.go
+++ b/generation/takeover_test.go
@@ -152,3 +152,12 @@
 		t.Errorf("got %s, %q after a pause of %v", res.Outcome, out.text, res.LongestPause)
 	}
 }
+
+// Guards against a 502 for a request whose server was silent and reads the query for its run before the request.
+func TestOneReportWithoutTheRunFailsNoRequest(t *testing.T) {
+	w := &silentFleet{fakeFleet: fakeFleet{chunks: 9}, servers: []silentServer{{silentAt: 1, silence: 1900 * time.Millisecond}}}
+	reports := 0
+	w.running = func() bool { reports++; return reports > 1 }
+	w.wire = func(d *Deps) { d.RunQuerier = w }
+	w.expectComplete(t)
+}
