health, hosted: an ejected server that was only silent is asked again

Callers saw: after a server, a failure domain or a whole service had been silent for a second, it got no work for three more seconds. The rest of the fleet took the load meanwhile.

What happened to a sound server that is silent for 1 s, step by step, with the platform's values (MinSilence 260 ms, MaxSilence and MassSilence 450 ms, MinBackoff 3 heartbeats = 3.6 s), in fake time at one router with streams at four of six servers in each of three domains; times since the silence began: - one server: asked at about 280 ms, no answer within 100 ms; suspect at 390 ms with a backoff of 3.6 s; probing, i.e. a single request may be sent, at 3.99 s: 2.99 s after it answers again. Nothing else reinstated it: its report isn't asked for again, and its streams are closed, so that no token comes. Other routers are told nothing of one server. - one domain: its decoding members are asked at 220 ms, all members are ejected at 330 ms, idle ones too; probing at 3.93 s. - at a router that is told of the domain (from 300 ms on, through the links, each router passing it on once): all members without activity in the last 100 ms are ejected for 3.6 s although it has no work there; probing at 3.9 s. - the whole service: as the domains; the bound on ejected servers takes back half of them, and the hold of mass suspicion has no effect, since MassSilence equals MaxSilence here. A silence during the probe doubles the backoff, to 7.2 s and then 8 s.

Now a router that used an ejected server within 5 s asks it for its runs each second of its backoff, with the query that is sent before a suspicion. A report of the same incarnation ends the backoff: the state is probing, so the next request decides. A domain that was ejected as a whole is judged by its members: the router asks those that it used, and a sample of up to 5 of the others. If most of them answer, the idle members may be probed too, and the routers are told, as they were told of the crash: to the linked routers, passed on once for each crash. A router that asks nobody (no work there) needs the message.

A server that has crashed is left as before: any error but a timeout (a refusal, a reset, another incarnation) ends the queries, and the backoff stands; a host that answers nothing stays out until the backoff ends. A server that answers queries and fails its probe ("mute"), or whose probe is answered late, isn't asked any more: its doubled backoff stands.

Weighed and not taken: a shorter backoff (each crash would cost more probes, and each probe is an arrival); Healthy on a report (a mute server would get its full share); each router asking all members (985 routers times 3,333 members a second); only the domain message, without asking each used server (a single server tells nobody). Queries per server follow the routers that used it in the last 5 s, at most one per second and router; a router without work there sends none; messages are one per link and crash.

One entry more in the list of TestEveryMessageIsFitForARouterThatIsCutOff for the new message.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -25,6 +25,7 @@
 	{CacheGap, "cache-gap", Info, "Cache events were lost, so the engine's cache map is not trusted for a while. Nothing to do."},
 	{DomainSuspect, "domain-suspect", Warning, "Several backend servers of one failure domain failed together; the whole domain is avoided for a short time."},
 	{EngineAsked, "engine-asked", Info, "An engine that was silent, or failed together with others of its domain, was queried about its runs; lost is the number of runs that it does not have or whose tokens did not arrive. With an error it did not answer and is suspected."},
+	{DomainAnswers, "domain-answers", Info, "The backend servers of a failure domain that was avoided answer again, and may get work before their backoff ends. Nothing to do; look for pauses of these servers if it repeats."},
 	{AttemptMismatch, "attempt-mismatch", Warning, "An engine's answer named another request, attempt or model, skipped a token or was malformed; the attempt was ended. Check that engine if it repeats."},
 	{OutcomeUnknown, "outcome-unknown", Warning, "A request marked as non-idempotent may have run, and its answer was lost. The caller has been notified; check whether the work was done before it is requested again."},
 	{CancelDropped, "cancel-dropped", Warning, "An abandoned attempt will not be cancelled; the engine ends it after its linger time. Check that engine if it repeats."},
--- a/event/ids.go
+++ b/event/ids.go
@@ -80,6 +80,7 @@
 	CacheGap
 	DomainSuspect
 	EngineAsked
+	DomainAnswers
 )
 
 // Events of generations and of calls to backend servers (14xx).
--- a/health/cutoff.go
+++ b/health/cutoff.go
@@ -62,7 +62,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	clear(d.failed)
-	d.crashedAt = 0
+	d.crash = crash{}
 }
 
 // ServiceOfDomain returns the service to which the name of a failure domain belongs.
--- a/health/domain.go
+++ b/health/domain.go
@@ -60,7 +60,7 @@
 	members map[*engine]struct{}
 	failed  map[*engine]int64 // when each member failed last
 
-	crashedAt int64 // 0 if never
+	crash crash
 	// confirming is true while members that failed are queried to find out whether the domain
 	// crashed, so that one confirmation runs at a time.
 	confirming bool
@@ -121,7 +121,7 @@
 		return false
 	}
 	d.failed[e] = t
-	knownCrash := d.crashedAt != 0 && t-d.crashedAt < int64(domainCrashWindow)
+	knownCrash := d.crash.at != 0 && t-d.crash.at < int64(domainCrashWindow)
 	if d.confirming || knownCrash || d.countRecentFailures(t) < minDomainFailures {
 		return false
 	}
@@ -218,16 +218,21 @@
 		return
 	}
 	n := 0
+	var used []*engine
 	for _, e := range d.list() {
 		if e.recentlyActive(t) {
 			continue
 		}
 		n++
+		if e.used(t) {
+			used = append(used, e)
+		}
 		v := e.silentStreams(t)
 		m.ejectEngine(e, Suspect, t)
 		m.cancel(v)
 	}
 	m.log.Emit(event.DomainSuspect, "domain", d.name, "backends", n, "reason", reason, "from", from)
+	m.startDomainRecheck(d, t, used)
 	if m.OnDomain != nil {
 		m.OnDomain(d.name)
 	}
@@ -239,7 +244,7 @@
 }
 
 // recordCrash reports whether a crash noticed at t is a new crash, and records t if so.
-func (d *domain) recordCrash(t int64) bool { return d.due(&d.crashedAt, t, domainCrashWindow) }
+func (d *domain) recordCrash(t int64) bool { return d.due(&d.crash.at, t, domainCrashWindow) }
 
 // due reports whether *last is at least span before t, or 0 because it was never set. If so,
 // due sets *last to t.
--- a/health/engine.go
+++ b/health/engine.go
@@ -36,6 +36,9 @@
 	cachedThreshold        thresholdCache
 	lastTokenBeforeSuspect int64 // time of the last token of the engine before a suspicion, else 0
 	query                  runQuery
+	usedAt                 int64 // when this router last sent work here, 0 if never
+	recheck                recheckKind
+	rechecking             bool // queries are under way: see startRecheck
 }
 
 // silence returns the time since the last token on any stream of the engine, less the time for
@@ -73,6 +76,9 @@
 	} else {
 		e.backoff = min(2*e.backoff, p.MaxBackoff)
 	}
+	if e.probeInFlight && e.isMute(now) {
+		e.recheck = noRecheck
+	}
 	e.state = state
 	e.lateInRow = 0
 	e.probeInFlight = false
@@ -86,6 +92,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.state != Healthy {
+		if e.probeInFlight {
+			e.recheck = noRecheck
+		}
 		return e.probeInFlight
 	}
 	if e.lateInRow == 0 {
@@ -102,6 +111,7 @@
 	e.lateInRow = 0
 	e.probeInFlight = false
 	e.peerReportUntil = 0
+	e.recheck = noRecheck
 }
 
 // currentState returns the state of the engine at now. It is Probing for an ejected engine
@@ -122,9 +132,24 @@
 	return !e.probeInFlight || now >= e.probeUntil
 }
 
+// allow reports whether a request may be sent at now, and records it as the probe if it is one. The
+// caller holds e.mu.
+func (e *engine) allow(now int64, probeTimeout time.Duration) bool {
+	if e.state == Healthy {
+		return true
+	}
+	if now >= e.retryAt && e.probeFree(now) {
+		e.probeInFlight = true
+		e.probeUntil = now + int64(probeTimeout)
+		return true
+	}
+	return now < e.reinstatedUntil
+}
+
 func (e *engine) add(s *Stream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.usedAt = s.openedAt
 	s.slot = len(e.streams)
 	e.streams = append(e.streams, s)
 }
--- a/health/monitor.go
+++ b/health/monitor.go
@@ -27,6 +27,10 @@
 	// have crashed. It must not block.
 	OnDomain func(name string)
 
+	// OnDomainAnswers, set before use, is called once when the members of a failure domain that
+	// was assumed to have crashed answer again. It must not block.
+	OnDomainAnswers func(name string)
+
 	policy Policy
 	log    *event.Log
 	epoch  time.Time
--- a/health/state.go
+++ b/health/state.go
@@ -89,13 +89,17 @@
 // ejectEngine keeps new work from e, without recording a failure in e's failure domain.
 func (m *Monitor) ejectEngine(e *engine, state State, t int64) {
 	e.mu.Lock()
-	previous := e.state
+	previous, probed := e.state, e.probeInFlight
 	e.eject(state, t, &m.policy)
 	if state == Suspect && previous == Healthy {
 		e.lastTokenBeforeSuspect = e.lastToken.Load()
 	}
+	if state == Suspect && (previous == Healthy || (probed && e.recheck == recheckWithDomain)) {
+		e.recheck = m.recheckKindAt(e, t)
+	}
 	incarnation := e.incarnation
 	e.mu.Unlock()
+	m.startRecheck(e)
 	if previous != Healthy {
 		return
 	}
@@ -139,15 +143,11 @@
 	e := m.engine(backend)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.state == Healthy {
-		return true
-	}
-	if t >= e.retryAt && e.probeFree(t) {
-		e.probeInFlight = true
-		e.probeUntil = t + int64(m.policy.ProbeTimeout)
-		return true
+	if !e.allow(t, m.policy.ProbeTimeout) {
+		return false
 	}
-	return t < e.reinstatedUntil
+	e.usedAt = t
+	return true
 }
 
 // HandlePeerReport handles another router's report about one incarnation of a backend server.
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -36,6 +36,7 @@
 // Kinds of messages between routers.
 const (
 	floodCrash   = "hosted.domain-crash"
+	floodAnswers = "hosted.domain-answers"
 	floodRemoved = "hosted.replica-gone"
 )
 
@@ -78,7 +79,7 @@
 	rankAtStart  int                  // see startRank; unregistered if this node had no entry
 }
 
-// crashMessage names a failure domain that a router considers crashed.
+// crashMessage names a failure domain that a router considers crashed, or that answers again.
 type crashMessage struct {
 	Domain string `cbor:"1,keyasint"`
 }
@@ -96,7 +97,7 @@
 		era: func() int64 { return 0 }, rankAtStart: unregistered, fullyLinked: func() bool { return false }, storeRead: make(chan struct{}),
 	}
 	p.reg = &registration{set: set, store: store, log: log, storeRead: p.storeRead, state: p.registrationState, returned: make(chan struct{}, 1)}
-	mon.OnDomain = p.broadcastCrash
+	mon.OnDomain, mon.OnDomainAnswers = p.broadcastCrash, p.broadcastAnswers
 	dir.OnLeaving = p.broadcastRemoved
 	return p
 }
@@ -142,6 +143,19 @@
 	}
 }
 
+// broadcastAnswers broadcasts that a failure domain that was considered crashed answers again. Each
+// router forwards the report once for each crash.
+func (p *peers) broadcastAnswers(domain string) {
+	if mesh := p.currentMesh(); mesh != nil {
+		// A router that misses the message uses the domain after the backoff.
+		_ = mesh.SendToLinked(floodAnswers, crashMessage{domain})
+	}
+}
+
+func (p *peers) handleAnswers(from string, m crashMessage) {
+	p.mon.HandleDomainAnswers(from, m.Domain)
+}
+
 // broadcastAdopted broadcasts adopted replicas to all nodes.
 func (p *peers) broadcastAdopted(m adoptedMessage) {
 	if mesh := p.currentMesh(); mesh != nil {
--- a/hosted/peers_mesh.go
+++ b/hosted/peers_mesh.go
@@ -64,6 +64,7 @@
 	}
 	peer.HandleFlood(mesh, msgLoads, p.handleLoads)
 	peer.HandleFlood(mesh, floodCrash, p.handleCrash)
+	peer.HandleFlood(mesh, floodAnswers, p.handleAnswers)
 	peer.HandleFlood(mesh, reach.FloodCutOff, p.cutOff.Handle)
 	mesh.HandleStreams(p.handleStream)
 	peer.HandleFlood(mesh, floodRemoved, func(_ string, m removedMessage) {
--- a/hosted/tells_test.go
+++ b/hosted/tells_test.go
@@ -12,6 +12,7 @@
 // from replicas.
 var told = map[string]string{
 	"floodCrash":               "only if it is not cut off, after a check",
+	"floodAnswers":             "replicas of the domain have answered",
 	"floodRemoved":             "an answer or a refusal of the replica says so",
 	"floodAdopted":             "the replica has answered at its address",
 	"floodRollout":             "only answers count, and truncated ones only after a probe that rules out a cut",
