hosted: a domain whose replicas are suspected counts among a version's domains

What happened: a version on trial was rolled back because one failure domain had been silent for a second. Bad answers of a single domain are not enough against a version that has replicas in several; but the domains were counted by their healthy replicas. While the silent domain is suspected, a version in two domains counts as one in a single domain, whose evidence is enough, and the evidence is that of the silent domain itself: the requests that waited there were late.

The number of ready replicas, which a trial needs, counts healthy ones as before.

Ruled out: failed answers. An attempt that a router ends for its silence is not rated as failed, and one that breaks off is rated only if the replica is healthy 1.5 s later. Late answers do count; one domain's are bounded by half of the evidence. Not done: keeping the count when a domain's replicas leave the registry; with one domain left the version has to be judged by it.

--- a/hosted/rollouts_progress.go
+++ b/hosted/rollouts_progress.go
@@ -60,22 +60,29 @@
 	s.writeIfDue(ro, now, ready)
 }
 
-// ready counts the replicas of a service that are healthy and not leaving, by version.
+// ready counts the replicas of a service that are healthy and not leaving, by version. The failure
+// domains of the target include those whose replicas are suspected: their evidence must not count
+// as that of a version with a single domain.
 func (s *rollouts) ready(ro *serviceRollout) rollout.ReplicaCounts {
 	rule := ro.Rule()
 	domains := map[string]bool{}
 	var out rollout.ReplicaCounts
 	for _, c := range s.dir.Service(ro.service) {
 		b := c.Backend
-		if s.dir.Leaving(b.ID) || s.mon.State(b.ID) != health.Healthy {
+		if s.dir.Leaving(b.ID) {
 			continue
 		}
-		if b.Version == rule.Target {
-			out.New++
+		isNew := b.Version == rule.Target
+		if isNew {
 			domains[b.FailureDomain] = true
-			continue
 		}
-		out.Old++
+		switch {
+		case s.mon.State(b.ID) != health.Healthy:
+		case isNew:
+			out.New++
+		default:
+			out.Old++
+		}
 	}
 	out.Domains = len(domains)
 	return out
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -20,7 +20,7 @@
 // ReplicaCounts counts the replicas of a service that accept work.
 type ReplicaCounts struct {
 	New, Old int
-	Domains  int // failure domains that have replicas of the new version
+	Domains  int // failure domains that have replicas of the new version, healthy or not
 }
 
 // Rollout is the state of one service's roll-out, as one router knows it. Its methods are safe for
