hosted: replicas whose backoff has ended count as ready for a roll-out

What happened: after a failure domain was silent for a moment, a router that sends it no request keeps its replicas as probing: their backoff is over, but only an answer makes them healthy. Read in the code and seen with a node without requests: 2 of 4 new replicas ready after the end of the suspicion, for as long as nothing is sent; now 4.

A replica that crashed is removed from the registry before its backoff of three heartbeats ends, so it doesn't become ready by this. One that fails its probes is ready between the end of a backoff and the next probe; the answers of the version, not their number of replicas, speak against it then.

--- a/hosted/rollout_silence_test.go
+++ b/hosted/rollout_silence_test.go
@@ -8,9 +8,8 @@
 	"wigeondale/rollout"
 )
 
-// Guards against a version that is rolled back because one failure domain was silent: while its
-// replicas were suspected, the version seemed to have a single domain, whose evidence suffices.
-func TestSilentDomainIsNoFaultOfAVersion(t *testing.T) {
+// startTrial starts a node and the trial of a version with four replicas in two domains.
+func startTrial(t *testing.T) (*testNode, *serviceRollout) {
 	f := newFleet(t)
 	f.startVersion("app", "v1", 2)
 	n := f.startServingNode()
@@ -21,6 +20,27 @@
 		ro = n.rollouts.of("app")
 		return ro != nil && ro.Stage() == rollout.Trial && n.rollouts.ready(ro).New == 4
 	})
+	return n, ro
+}
+
+// Guards against a trial that fails for lack of replicas after a domain was silent: replicas that
+// answer again get work, but a router with few requests sends them none for a long time.
+func TestReplicasThatAnswerAgainAreReady(t *testing.T) {
+	n, ro := startTrial(t)
+	n.mon.HandleDomainReport("elsewhere", "app/d1")
+	if got := n.rollouts.ready(ro).New; got != 2 {
+		t.Errorf("%d replicas of the version are ready while a domain is suspected, want 2", got)
+	}
+	n.mon.HandleDomainAnswers("elsewhere", "app/d1")
+	if got := n.rollouts.ready(ro).New; got != 4 {
+		t.Errorf("%d replicas of the version are ready after the silence, want 4", got)
+	}
+}
+
+// Guards against a version that is rolled back because one failure domain was silent: while its
+// replicas were suspected, the version seemed to have a single domain, whose evidence suffices.
+func TestSilentDomainIsNoFaultOfAVersion(t *testing.T) {
+	n, ro := startTrial(t)
 	observe := func(domain string, ofNew bool, took time.Duration) {
 		key := rollout.CountKey{Route: "look", Domain: domain, Grade: rollout.GradeOf(took)}
 		for range 20 {
--- a/hosted/rollouts_progress.go
+++ b/hosted/rollouts_progress.go
@@ -60,7 +60,7 @@
 	s.writeIfDue(ro, now, ready)
 }
 
-// ready counts the replicas of a service that are healthy and not leaving, by version. The failure
+// ready counts the replicas of a service that may get work, by version. The failure
 // domains of the target include those whose replicas are suspected: their evidence must not count
 // as that of a version with a single domain.
 func (s *rollouts) ready(ro *serviceRollout) rollout.ReplicaCounts {
@@ -76,8 +76,9 @@
 		if isNew {
 			domains[b.FailureDomain] = true
 		}
+		state := s.mon.State(b.ID)
 		switch {
-		case s.mon.State(b.ID) != health.Healthy:
+		case state != health.Healthy && state != health.Probing:
 		case isNew:
 			out.New++
 		default:
