--- a/hosted/silent_probe_test.go
+++ b/hosted/silent_probe_test.go
@@ -1,13 +1,18 @@
 package hosted
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
+	"wigeondale/backend"
+	"wigeondale/fakes/fault"
 	"wigeondale/fleet"
+	"wigeondale/health"
+	"wigeondale/quarantine"
 )
 
 // Guards against the silence of a server that counts as a crash against the request that ran there. A
@@ -26,6 +31,9 @@
 			t.Fatal(err)
 		}
 		defer l.Close()
+		if state := (backend.Prober{}).Probe(t.Context(), fleet.Backend{Addr: l.Addr().String()}); state != quarantine.Working {
+			t.Errorf("its connections are %v: the router takes itself for cut off", state)
+		}
 		for begun := time.Now(); time.Since(begun) < 3*time.Second; {
 			if exited(l.Addr().String()) {
 				t.Fatalf("found exited after %v", time.Since(begun))
@@ -55,3 +63,31 @@
 		}
 	})
 }
+
+// Guards against a router that takes itself for cut off, or its replicas for crashed, for long after the
+// connections to all of them hung for a second.
+func TestSecondWithoutConnectionsIsForgottenSoon(t *testing.T) {
+	f := newFleet(t)
+	f.startEngines(8, 60, 20*time.Millisecond)
+	n := f.startServingNode()
+	for i := range 8 {
+		resp, _ := n.startedGeneration(fmt.Sprint("q", i))
+		defer resp.Body.Close()
+	}
+	n.replicaLinks.Set(fault.Hanging)
+	time.Sleep(time.Second)
+	n.replicaLinks.Set(fault.Connected)
+	avoided := func() (count int) {
+		for _, id := range n.dir.IDs() {
+			if s := n.mon.State(id); s == health.Suspect || s == health.Down {
+				count++
+			}
+		}
+		return count
+	}
+	begun := time.Now()
+	await(t, "the end of the suspicion", func() bool { return avoided() == 0 && !n.cutOff.reach.Any() })
+	if took, most := time.Since(begun), 1500*time.Millisecond; took > most {
+		t.Errorf("replicas are avoided for %v after the silence, at most %v", took, most)
+	}
+}
