--- a/health/recheck.go
+++ b/health/recheck.go
@@ -52,6 +52,13 @@
 	return len(e.streams) > 0 || (e.usedAt != 0 && t-e.usedAt < int64(workWindow))
 }
 
+// used is usedRecently for callers that don't hold e.mu.
+func (e *engine) used(t int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.usedRecently(t)
+}
+
 // isMute reports whether e has just answered a query: then its silence on its streams is not that
 // of the whole server. The caller holds e.mu.
 func (e *engine) isMute(t int64) bool {
@@ -116,9 +123,3 @@
 		e.retryAt = t
 	}
 }
-
-func (e *engine) used(t int64) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.usedRecently(t)
-}
