health: a connection attempt that hangs is no refusal

What happened: a server whose machine is silent answers no connection attempt. When the router ends such an attempt, for the silence or at a timeout, the end was reported like a refused connection: the server became down, its backoff doubled from 3.6 s to 7.2 s, and since servers that are down aren't asked again, it stayed out for all of it. Read in the code: the dispatch of package generation reports each attempt that could not be sent, also one that the monitor ended. Shown in fake time: silent for 1 s, with one attempt that ends at 0.6 s: down at 2 s in 4 of 4 kinds of such ends; now probing in all 4, and a refused connection makes it down as before. Not shown over real connections.

Now only an error that the host itself caused makes a server down. A hung attempt counts as a failure while the server is healthy, as before, but makes it suspect; while it is suspected the attempt says nothing new, unless it is the probe. So a machine that is gone without a refusal, with an attempt under way when it was suspected, may be probed after 3.6 s in place of 7.2 s; on the platform its entry is removed by then.

--- a/health/recheck_test.go
+++ b/health/recheck_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -286,3 +288,31 @@
 }
 
 func suspectNow(m *Monitor, e *engine) { m.ejectEngine(e, Suspect, m.sinceEpoch(time.Now())) }
+
+// Guards against an attempt whose connection hung at a silent server, and whose end counts as a refused
+// connection: the backoff doubled, and the server wasn't queried again.
+func TestHungConnectionIsNoRefusal(t *testing.T) {
+	for name, c := range map[string]struct {
+		err   error
+		state State // soon after the silence
+	}{
+		"ended for the silence": {fmt.Errorf("dial: %w", ErrSuspect), Probing},
+		"canceled":              {fmt.Errorf("dial: %w", context.Canceled), Probing},
+		"deadline":              {fmt.Errorf("dial: %w", context.DeadlineExceeded), Probing},
+		"timed out":             {fmt.Errorf("dial: %w", os.ErrDeadlineExceeded), Probing},
+		"refused":               {fmt.Errorf("dial: %w", syscall.ECONNREFUSED), Down},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, func(fleet *fleetStub, m, _ *Monitor, streams []*attempt) {
+				live := except(streams, []string{"a0"})
+				fleet.silence(time.Second, "a0")
+				timesOut(m, 600*time.Millisecond, live, nil)
+				m.Result("a0", c.err)
+				timesOut(m, 1400*time.Millisecond, live, nil)
+				if got := m.State("a0"); got != c.state {
+					t.Errorf("it is %v, want %v", got, c.state)
+				}
+			})
+		})
+	}
+}
--- a/health/state.go
+++ b/health/state.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
+	"net"
 	"slices"
 	"time"
 
@@ -19,18 +22,34 @@
 		return
 	}
 	t := m.sinceEpoch(time.Now())
+	state := Down
+	if timedOut(err) {
+		state = Suspect
+	}
 	e.mu.Lock()
+	if state == Suspect && e.state != Healthy && !e.probeInFlight {
+		e.mu.Unlock()
+		return // the silence of which the engine is suspected already
+	}
 	e.refusedInRow++
 	failedProbe := e.state != Healthy
-	down := failedProbe || e.refusedInRow >= m.policy.DownAfter
+	out := failedProbe || e.refusedInRow >= m.policy.DownAfter
 	e.mu.Unlock()
-	if down {
-		m.eject(e, Down, t)
+	if out {
+		m.eject(e, state, t)
 		return
 	}
 	m.recordFailure(e, t)
 }
 
+// timedOut reports whether a connection attempt ended without an answer of the host: at a timeout, or
+// by this process, for the silence of the engine or another cause.
+func timedOut(err error) bool {
+	cause, _ := errors.AsType[*Cause](err)
+	netErr, _ := errors.AsType[net.Error](err)
+	return cause != nil || errors.Is(err, context.Canceled) || (netErr != nil && netErr.Timeout())
+}
+
 // Late reports that a call to a service that is not a model engine was abandoned: the call was
 // sent to another backend server long after it was sent to this one, and the other backend
 // server answered first. Such a late answer is weak evidence, since some answers of a healthy
