--- a/hosted/silence_judge_test.go
+++ b/hosted/silence_judge_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	silenceFleets = flag.Int("silence-fleets", 0, "simulated fleets of each size in TestSilencesEndNoAnswer; 0 for a few chosen ones")
+	silenceFleets = flag.Int("silence-fleets", 0, "simulated fleets of each size in TestSilencesEndNoAnswer (with -v for the counts); 0 for a few chosen ones")
 	silenceSeed   = flag.Uint64("silence-seed", 1, "seed of the first of them")
 )
 
