fakes/hosted: overlapping freezes are counted

Two freezes of one replica that overlapped lost the first one's channel: Freeze replaced it, and Thaw closed the newer one only, so that a stream which waited on the older one stayed silent for ever. A soak that freezes single replicas and whole domains had requests that got no end for that reason.

TestOverlappingFreezes, before: no answer after the end of the freeze (1 of 1).

--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -78,7 +78,8 @@
 	faultsSetAt  time.Time // when faults were set
 	asks         Asks
 	openRequests int           // requests in progress
-	frozen       chan struct{} // non-nil while frozen; Thaw closes it
+	freezes      int           // freezes in force
+	thawed       chan struct{} // non-nil while frozen; closed when the last freeze ends
 	replicaAt    func(addr string) *Replica
 }
 
@@ -131,20 +132,26 @@
 // Crash closes all connections and ends the replica.
 func (r *Replica) Crash() { r.server.Close() }
 
-// Freeze stops all streams until Thaw. Their connections stay open without any activity.
+// Freeze stops all streams until Thaw. Their connections stay open without any activity. Of freezes that
+// overlap each needs a Thaw of its own.
 func (r *Replica) Freeze() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.frozen = make(chan struct{})
+	if r.freezes++; r.freezes == 1 {
+		r.thawed = make(chan struct{})
+	}
 }
 
-// Thaw lets a frozen replica continue.
+// Thaw ends one freeze, if there is one. The replica continues when the last one has ended.
 func (r *Replica) Thaw() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.frozen != nil {
-		close(r.frozen)
-		r.frozen = nil
+	if r.freezes == 0 {
+		return
+	}
+	if r.freezes--; r.freezes == 0 {
+		close(r.thawed)
+		r.thawed = nil
 	}
 }
 
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -204,15 +204,15 @@
 	case <-t.C:
 	}
 	r.mu.Lock()
-	frozen := r.frozen
+	thawed := r.thawed
 	r.mu.Unlock()
-	if frozen == nil {
+	if thawed == nil {
 		return true
 	}
 	select {
 	case <-req.Context().Done():
 		return false
-	case <-frozen:
+	case <-thawed:
 		return true
 	}
 }
--- a/fakes/hosted/replica_test.go
+++ b/fakes/hosted/replica_test.go
@@ -1,9 +1,11 @@
 package hosted
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 )
 
 // Two replicas that each start a run with its copy at the other one must not deadlock. When
@@ -25,3 +27,86 @@
 	}
 	group.Wait()
 }
+
+// silence is how long the tests watch that a frozen replica sends nothing.
+const silence = 150 * time.Millisecond
+
+// startEngine starts an engine that needs well less than silence for a stream.
+func startEngine(t *testing.T) *Replica {
+	t.Helper()
+	r := &Replica{ID: "r", Engine: true, Chunks: 10, ChunkGap: time.Millisecond}
+	if err := r.Start(nil); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Crash)
+	return r
+}
+
+// fetch sends a request to a replica and delivers the body of the answer, or an error as text.
+func fetch(t *testing.T, r *Replica, method, path string) <-chan string {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+r.Addr()+path, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Attempt-Id", "q")
+	body := make(chan string, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		if err != nil {
+			b = []byte(err.Error())
+		}
+		body <- string(b)
+	}()
+	return body
+}
+
+func expectSilence(t *testing.T, body <-chan string) {
+	t.Helper()
+	select {
+	case got := <-body:
+		t.Errorf("a frozen replica has answered %q", got)
+	case <-time.After(silence):
+	}
+}
+
+func expectBody(t *testing.T, body <-chan string, want string) {
+	t.Helper()
+	select {
+	case got := <-body:
+		if got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("no answer after the end of the freeze")
+	}
+}
+
+func streamOf(id string, chunks int) (text string) {
+	for n := range chunks {
+		text += Chunk(id, n+1)
+	}
+	return text
+}
+
+// Guards against a stream that stays silent for ever, or goes on too early, when two freezes overlap.
+func TestOverlappingFreezes(t *testing.T) {
+	r := startEngine(t)
+	r.Freeze()
+	body := fetch(t, r, http.MethodPost, "/draft/x")
+	expectSilence(t, body)
+	r.Freeze()
+	r.Thaw()
+	expectSilence(t, body)
+	r.Thaw()
+	expectBody(t, body, streamOf("q", 10))
+	r.Thaw() // without a freeze
+	r.Freeze()
+	expectSilence(t, fetch(t, r, http.MethodPost, "/draft/x"))
+}
