fakes/hosted, fakes/fault: a frozen replica answers nothing

Freeze stopped streams only. A frozen replica went on to answer health checks, reports, lists and copies, refused or ran new requests, and sent unframed streams: a router could always find out that the server was well, which a server that is silent never tells.

Freeze now holds the bytes of all connections of the replica in both directions (fault.Listener.Hold, counted, independent of cuts and heals of the links). Connections are accepted, requests are read after the thaw, also those whose sender has left meanwhile, and what was held back is delivered then. Handlers stand still at their next write, so that a run does not end during a freeze, as before.

--- a/fakes/fault/listener.go
+++ b/fakes/fault/listener.go
@@ -28,6 +28,8 @@
 	ln      net.Listener
 	conns   map[*conn]struct{}
 	in, out gate // for bytes from and to the clients
+	holds   int  // holds in force
+	hold    gate // open unless a hold is in force
 }
 
 // gate is a channel that is closed while bytes may pass.
@@ -55,7 +57,7 @@
 // assign it to an outgoing connection, and the next Start fails. A router then never reached
 // its store again.
 func NewListener(addr string) *Listener {
-	return &Listener{addr: addr, conns: make(map[*conn]struct{}), in: openGate(), out: openGate()}
+	return &Listener{addr: addr, conns: make(map[*conn]struct{}), in: openGate(), out: openGate(), hold: openGate()}
 }
 
 // Start opens the socket and ends any cut, as Heal does. It returns a listener for the
@@ -140,6 +142,28 @@
 	}
 }
 
+// Hold stops the bytes of both directions until Release, whatever cuts begin and end meanwhile. Of holds that
+// overlap each needs a Release of its own.
+func (l *Listener) Hold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holds++; l.holds == 1 {
+		l.hold = make(gate)
+	}
+}
+
+// Release ends one hold, if there is one. Bytes that were stopped pass when the last hold has ended.
+func (l *Listener) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.holds == 0 {
+		return
+	}
+	if l.holds--; l.holds == 0 {
+		close(l.hold)
+	}
+}
+
 // Delay delays each read and write by d.
 func (l *Listener) Delay(d time.Duration) { l.delay.Store(int64(d)) }
 
@@ -183,6 +207,12 @@
 	return l.out
 }
 
+func (l *Listener) holdGate() gate {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hold
+}
+
 func (l *Listener) removeConn(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -228,7 +258,7 @@
 	closed chan struct{}
 }
 
-// wait waits for the listener's delay, and then until the gate is open.
+// wait waits for the listener's delay, and then until the gate is open and no hold is in force.
 func (c *conn) wait(direction func() gate) error {
 	if d := time.Duration(c.owner.delay.Load()); d > 0 {
 		select {
@@ -236,12 +266,14 @@
 		case <-c.closed:
 		}
 	}
-	select {
-	case <-direction():
-		return nil
-	case <-c.closed:
-		return net.ErrClosed
+	for _, g := range []func() gate{direction, c.owner.holdGate} {
+		select {
+		case <-g():
+		case <-c.closed:
+			return net.ErrClosed
+		}
 	}
+	return nil
 }
 
 // Read waits for the delay and the gate after the bytes have arrived, not before. A cut may
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -77,9 +77,7 @@
 	faults       Faults
 	faultsSetAt  time.Time // when faults were set
 	asks         Asks
-	openRequests int           // requests in progress
-	freezes      int           // freezes in force
-	thawed       chan struct{} // non-nil while frozen; closed when the last freeze ends
+	openRequests int // requests in progress
 	replicaAt    func(addr string) *Replica
 }
 
@@ -132,28 +130,13 @@
 // Crash closes all connections and ends the replica.
 func (r *Replica) Crash() { r.server.Close() }
 
-// Freeze stops all streams until Thaw. Their connections stay open without any activity. Of freezes that
-// overlap each needs a Thaw of its own.
-func (r *Replica) Freeze() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.freezes++; r.freezes == 1 {
-		r.thawed = make(chan struct{})
-	}
-}
+// Freeze makes the replica silent until Thaw: it accepts connections, and neither reads nor sends anything. Of
+// freezes that overlap each needs a Thaw of its own.
+func (r *Replica) Freeze() { r.listener.Hold() }
 
-// Thaw ends one freeze, if there is one. The replica continues when the last one has ended.
-func (r *Replica) Thaw() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.freezes == 0 {
-		return
-	}
-	if r.freezes--; r.freezes == 0 {
-		close(r.thawed)
-		r.thawed = nil
-	}
-}
+// Thaw ends one freeze, if there is one. When the last one has ended, the replica reads and sends what was held
+// back.
+func (r *Replica) Thaw() { r.listener.Release() }
 
 // SetFaults replaces the faults.
 func (r *Replica) SetFaults(f Faults) {
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -193,8 +193,7 @@
 	r.markEnded(a)
 }
 
-// waitForChunk waits until the next chunk is due and the replica is not frozen. It returns false if
-// the request ends before.
+// waitForChunk waits until the next chunk is due. It returns false if the request ends before.
 func (r *Replica) waitForChunk(req *http.Request) bool {
 	t := time.NewTimer(r.ChunkGap)
 	defer t.Stop()
@@ -202,17 +201,6 @@
 	case <-req.Context().Done():
 		return false
 	case <-t.C:
-	}
-	r.mu.Lock()
-	thawed := r.thawed
-	r.mu.Unlock()
-	if thawed == nil {
-		return true
-	}
-	select {
-	case <-req.Context().Done():
-		return false
-	case <-thawed:
 		return true
 	}
 }
--- a/fakes/hosted/replica_test.go
+++ b/fakes/hosted/replica_test.go
@@ -110,3 +110,58 @@
 	r.Freeze()
 	expectSilence(t, fetch(t, r, http.MethodPost, "/draft/x"))
 }
+
+// Guards against a replica that answers something while it is frozen, or answers less after that.
+func TestFrozenReplicaAnswersNothing(t *testing.T) {
+	const report = `{"active":0,"kv_total":55000,"queued":0,"runs":[],"stage":"unified"}` + "\n"
+	for name, c := range map[string]struct {
+		method, path, want string
+		faults             Faults
+	}{
+		"health check":  {http.MethodGet, HealthPath, "", Faults{}},
+		"report":        {http.MethodGet, "/report", report, Faults{}},
+		"list of parts": {http.MethodGet, "/kv-list", `{"epoch":1,"held":[],"next":1}` + "\n", Faults{}},
+		"copy of a run": {http.MethodPost, "/kv-move", "EOF\n", Faults{}},
+		"refusal":       {http.MethodPost, "/draft/x", "", Faults{Refuse: true}},
+		"stream":        {http.MethodPost, "/draft/x", streamOf("q", 10), Faults{}},
+		"unframed":      {http.MethodPost, "/draft/x", streamOf("q", 10), Faults{NoLength: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := startEngine(t)
+			r.SetFaults(c.faults)
+			r.Freeze()
+			body := fetch(t, r, c.method, c.path)
+			expectSilence(t, body)
+			r.Thaw()
+			expectBody(t, body, c.want)
+		})
+	}
+}
+
+// Guards against an answer that goes on, or is lost, when its replica freezes after its start.
+func TestFreezeHoldsBackWhatIsInProgress(t *testing.T) {
+	for name, f := range map[string]Faults{"stream": {}, "unframed": {NoLength: true}} {
+		t.Run(name, func(t *testing.T) {
+			r := startEngine(t)
+			r.ChunkGap = silence / 5
+			r.SetFaults(f)
+			body := fetch(t, r, http.MethodPost, "/draft/x")
+			time.Sleep(silence)
+			r.Freeze()
+			expectSilence(t, body)
+			expectSilence(t, body)
+			r.Thaw()
+			expectBody(t, body, streamOf("q", 10))
+		})
+	}
+	t.Run("answer without a stream", func(t *testing.T) {
+		r := startEngine(t)
+		r.Engine, r.Work = false, silence
+		body := fetch(t, r, http.MethodPost, "/look/x")
+		time.Sleep(silence / 2)
+		r.Freeze()
+		expectSilence(t, body)
+		r.Thaw()
+		expectBody(t, body, CompleteResponse("q"))
+	})
+}
