soak: a whole request gets a complete answer or a true failure

On the platform's interface it now records when each router's incarnation (kill, end, pause) and each replica (crash, removal, drain, misbehaviour, harmed links, overwritten entry, bad version) was in trouble, and when each replica was silent, which is no trouble. Three promises, judged after the run:

- no connection of a router that runs ends without an answer;
- an answer that sound replicas began is a complete answer (until the route's time limit);
- no request is left without an answer (502) because its replica is silent.

What counts are the replicas that received the request, by their own record. A silence also counts as harm of the links for the checks of limits and rests: what a frozen replica holds back now arrives late, which it didn't when Freeze stopped streams only.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -23,6 +23,7 @@
 	violations []Violation
 	bookings   bookings
 	asks       *askRecord
+	ends       endRecord
 }
 
 // denial is a response in which a router rejects an API key or an account that it does not
@@ -46,6 +47,7 @@
 // response breaks.
 func (c *checks) checkResult(r result) {
 	c.countOutcome(r.kind, r.outcome())
+	c.ends.add(r)
 	c.mu.Lock()
 	if r.kind == "book" && meansNotRun(r.status) {
 		c.refused[r.id] = r.status
@@ -176,10 +178,11 @@
 		all = append(all, reps...)
 	}
 	r.mu.Unlock()
-	ran := map[string]int{}
+	ran, arrivedAt := map[string]int{}, map[string][]*fakes.Replica{}
 	for _, rep := range all {
 		r.checks.checkAsks(rep)
 		for _, a := range rep.Arrivals() {
+			arrivedAt[a.ID] = append(arrivedAt[a.ID], rep)
 			if !a.Ran {
 				continue
 			}
@@ -201,6 +204,7 @@
 			r.checks.violated("a refusal that says that nothing ran is true", id, fmt.Sprintf("status %d", status))
 		}
 	}
+	r.checks.checkEnds(arrivedAt)
 	r.checks.checkCrashing(crashingArrivals(all))
 	if r.cfg.Herd && r.cfg.Calm {
 		r.checks.checkHerd()
--- /dev/null
+++ b/soak/ends.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	fakes "wigeondale/fakes/hosted"
+)
+
+// timeline records periods by what they concern, such as a router's incarnation or a replica.
+type timeline struct {
+	mu      sync.Mutex
+	periods map[any][]*timePeriod
+}
+
+type timePeriod struct{ from, to time.Time }
+
+// begin records a period that begins now and lasts until the returned function is called.
+func (t *timeline) begin(of any) (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.periods == nil {
+		t.periods = map[any][]*timePeriod{}
+	}
+	p := &timePeriod{from: time.Now()}
+	t.periods[of] = append(t.periods[of], p)
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		p.to = time.Now()
+	}
+}
+
+// overlaps reports whether a period of something has a part between two moments.
+func (t *timeline) overlaps(of any, from, to time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.periods[of] {
+		if p.from.Before(to) && (p.to.IsZero() || p.to.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+// endRecord holds the requests that ended without a complete answer and without a refusal, and what may
+// excuse such an end.
+type endRecord struct {
+	// trouble is everything but a silence that affects a router's incarnation or a *fakes.Replica.
+	trouble  timeline
+	silences timeline // of a *fakes.Replica
+
+	mu    sync.Mutex
+	ended []result
+}
+
+// troubleDelay is how long after its first effect trouble may be recorded.
+const troubleDelay = 200 * time.Millisecond
+
+// add keeps a result for check if its end needs an excuse.
+func (e *endRecord) add(r result) {
+	if r.abandoned || r.err == nil && r.status != http.StatusBadGateway {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = append(e.ended, r)
+}
+
+// brokenPromise returns the promise that the end of a request breaks, or "". arrivedAt are the replicas that
+// received the request.
+func (e *endRecord) brokenPromise(r *result, arrivedAt []*fakes.Replica) string {
+	from, to := r.startedAt, r.startedAt.Add(r.duration)
+	routerFailed := r.incarnation == "" || e.trouble.overlaps(r.incarnation, from, to.Add(troubleDelay))
+	if routerFailed || errors.Is(r.err, syscall.ECONNREFUSED) {
+		return ""
+	}
+	if r.status == 0 && !errors.Is(r.err, context.DeadlineExceeded) { // which checkDuration judges
+		return "no connection of a router that runs ends without an answer"
+	}
+	if r.duration >= routeTimeout {
+		return ""
+	}
+	silent := false
+	for _, rep := range arrivedAt {
+		if e.trouble.overlaps(rep, from, to.Add(troubleDelay)) {
+			return ""
+		}
+		silent = silent || e.silences.overlaps(rep, from, to)
+	}
+	switch {
+	case r.err != nil:
+		return "an answer that sound replicas began is a complete answer"
+	case silent:
+		return "no request is left without an answer because its replica is silent"
+	}
+	return ""
+}
+
+// checkEnds records a violation for each request that should have got a complete answer or a refusal, and
+// got neither.
+func (c *checks) checkEnds(arrivedAt map[string][]*fakes.Replica) {
+	for _, r := range c.ends.ended {
+		promise := c.ends.brokenPromise(&r, arrivedAt[r.id])
+		if promise == "" {
+			continue
+		}
+		var at []string
+		for _, rep := range arrivedAt[r.id] {
+			at = append(at, rep.ID)
+		}
+		detail := fmt.Sprintf("%s through %s: status %d, cut %v, %d bytes, after %v, at replicas %v", r.kind, r.incarnation, r.status, r.err, len(r.body), r.duration, at)
+		c.violated(promise, r.id, detail)
+	}
+}
+
+// silence makes a replica silent until the returned function is called.
+func (r *platformRun) silence(rep *fakes.Replica) (end func()) {
+	// What the replica holds back arrives late, as over harmed links.
+	silent, harmed := r.checks.ends.silences.begin(rep), r.checks.asks.harmed.begin(rep.ID)
+	rep.Freeze()
+	return func() {
+		rep.Thaw()
+		silent()
+		harmed()
+	}
+}
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -141,7 +141,10 @@
 	if r.cfg.Restarts {
 		rep.StartedAt = time.Now().UnixMilli()
 	}
-	rep.SetFaults(r.badVersions[version])
+	if faults, bad := r.badVersions[version]; bad {
+		r.checks.ends.trouble.begin(rep) // never ends
+		rep.SetFaults(faults)
+	}
 	if err := rep.Start(r.replicaAt); err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/soak/platform_asks.go
+++ b/soak/platform_asks.go
@@ -75,9 +75,9 @@
 type askRecord struct {
 	mu        sync.Mutex
 	requests  map[string]askRequest
-	freezes   map[string]time.Time    // last freeze, by router incarnation
-	firstSeen map[string]time.Time    // when a request was first sent through a router incarnation
-	harmed    map[string][]timePeriod // periods in which the links of a replica were harmed, by its id
+	freezes   map[string]time.Time // last freeze, by router incarnation
+	firstSeen map[string]time.Time // when a request was first sent through a router incarnation
+	harmed    timeline             // periods in which the links of a replica were harmed, by its id
 }
 
 type askRequest struct {
@@ -85,10 +85,8 @@
 	sentAt, passedAt time.Time
 }
 
-type timePeriod struct{ from, to time.Time }
-
 func newAskRecord() *askRecord {
-	return &askRecord{requests: map[string]askRequest{}, freezes: map[string]time.Time{}, firstSeen: map[string]time.Time{}, harmed: map[string][]timePeriod{}}
+	return &askRecord{requests: map[string]askRequest{}, freezes: map[string]time.Time{}, firstSeen: map[string]time.Time{}}
 }
 
 // addResult records a request. It counts as passed on if its response arrived completely.
@@ -111,30 +109,6 @@
 	k.freezes[router] = time.Now()
 }
 
-// addHarm records that the links of a replica are harmed from now on, until the returned function is
-// called.
-func (k *askRecord) addHarm(id string) (end func()) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.harmed[id] = append(k.harmed[id], timePeriod{from: time.Now()})
-	n := len(k.harmed[id]) - 1
-	return func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.harmed[id][n].to = time.Now()
-	}
-}
-
-// wasHarmed reports whether the replica's links were harmed at any time from one moment to another.
-func (k *askRecord) wasHarmed(id string, from, to time.Time) bool {
-	for _, p := range k.harmed[id] {
-		if p.from.Before(to) && (p.to.IsZero() || p.to.After(from)) {
-			return true
-		}
-	}
-	return false
-}
-
 // frozenSince reports whether a router was frozen after a moment.
 func (k *askRecord) frozenSince(router string, at time.Time) bool { return k.freezes[router].After(at) }
 
@@ -179,7 +153,7 @@
 		rest, _ := strconv.Atoi(refused.Asks.Rest)
 		router := c.asks.requests[refused.ID].router
 		end := refused.At.Add(time.Duration(rest) * time.Second)
-		if rest == 0 || router == "" || c.asks.frozenSince(router, refused.At) || c.asks.wasHarmed(id, refused.At, end) {
+		if rest == 0 || router == "" || c.asks.frozenSince(router, refused.At) || c.asks.harmed.overlaps(id, refused.At, end) {
 			continue
 		}
 		n := 0
@@ -225,7 +199,7 @@
 			first++
 		}
 		n, most := last-first+1, int(limitFactor*limit*limitWindow.Seconds()+limitSlack)
-		if n > most && !c.asks.wasHarmed(id, counted[first].Add(-limitWindow), counted[last]) {
+		if n > most && !c.asks.harmed.overlaps(id, counted[first].Add(-limitWindow), counted[last]) {
 			c.violated("the limit of a replica holds", "", fmt.Sprintf("%d requests at %s, limit %v, at most %d may arrive", n, id, limit, most))
 			return
 		}
--- a/soak/platform_crashing.go
+++ b/soak/platform_crashing.go
@@ -115,6 +115,7 @@
 // then the crashed replica stays in the list from which faults draw replicas, since the
 // service may have no other replica.
 func (r *platformRun) replaceLater(rep *fakes.Replica) {
+	r.checks.ends.trouble.begin(rep) // never ends
 	if r.stopped.Load() {
 		return
 	}
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -39,11 +39,15 @@
 		}},
 		fault{"replica crashes", func() func() { return r.crash(r.randomReplica()) }},
 		fault{"failure domain crashes", r.crashDomain},
-		fault{"replica freezes", func() func() { rep := r.randomReplica(); rep.Freeze(); return rep.Thaw }},
+		fault{"replica freezes", func() func() { return r.silence(r.randomReplica()) }},
 		fault{"replica misbehaves", func() func() {
 			rep := r.randomReplica()
+			troubled := r.checks.ends.trouble.begin(rep)
 			rep.SetFaults(misbehaviours[r.rng.IntN(len(misbehaviours))])
-			return func() { r.clearMisbehaviour(rep) }
+			return func() {
+				r.clearMisbehaviour(rep)
+				troubled()
+			}
 		}},
 		fault{"replica leaves", func() func() { return r.drain(r.randomReplica()) }},
 		fault{"a key is taken away", func() func() { r.revokeKey(); return nil }},
@@ -62,10 +66,12 @@
 // harmLinks harms the links to a random replica, and records for how long.
 func (r *platformRun) harmLinks(harm func(l *replicaLinks) (heal func())) (end func()) {
 	rep := r.randomReplica()
-	heal, harmed := harm(rep.Listener()), r.checks.asks.addHarm(rep.ID)
+	harmed, troubled := r.checks.asks.harmed.begin(rep.ID), r.checks.ends.trouble.begin(rep)
+	heal := harm(rep.Listener())
 	return func() {
 		heal()
 		harmed()
+		troubled()
 	}
 }
 
@@ -166,6 +172,7 @@
 func (r *platformRun) remove(rep *fakes.Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checks.ends.trouble.begin(rep) // never ends
 	all := r.services[rep.Service]
 	for i, other := range all {
 		if other == rep {
--- a/soak/platform_restarts.go
+++ b/soak/platform_restarts.go
@@ -64,8 +64,10 @@
 // another program would. When the fault ends, the replica writes its entry again if it
 // still serves.
 func (r *platformRun) overwriteEntry(rep *fakes.Replica) func() {
+	troubled := r.checks.ends.trouble.begin(rep)
 	r.store.Put("servers/"+rep.ID, foreignBytes(rep, r.rng.IntN(foreignKinds)))
 	return func() {
+		troubled()
 		if r.isServing(rep) {
 			r.store.Register(rep, false)
 		}
--- a/soak/platform_software.go
+++ b/soak/platform_software.go
@@ -232,6 +232,7 @@
 		stop()
 		res.duration = time.Since(res.startedAt)
 		c.run.checks.countOutcome("draft", res.outcome())
+		c.run.checks.ends.add(res)
 		c.run.checks.checkDuration(res.id, res.duration, maxAnswerTime)
 		if !again {
 			return
@@ -251,6 +252,12 @@
 		res.err = err
 		return false
 	}
+	res.incarnation = n.incarnation()
+	defer func() {
+		if n.incarnation() != res.incarnation {
+			res.incarnation = ""
+		}
+	}()
 	resumed, had := s.id != "", c.run.serving(s.version)
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
--- a/soak/process.go
+++ b/soak/process.go
@@ -30,6 +30,7 @@
 	launches         int            // number of processes started so far
 	endSignal        syscall.Signal // signal that was sent to end the current process; 0 if none was
 	endedBeforeStart bool           // endSignal was sent before the process had logged its start
+	pauses           []func()       // end the records of pauses
 	logStart         int64          // size of the log file when the current process was started
 }
 
@@ -152,13 +153,28 @@
 	if s == syscall.SIGKILL || (s == syscall.SIGTERM && p.endSignal == 0) {
 		p.endSignal, p.endedBeforeStart = s, !p.startedLocked()
 	}
-	if s == syscall.SIGSTOP {
-		p.checks.asks.addFreeze(fmt.Sprintf("%s/%d", p.id, p.launches))
-	}
+	p.recordTrouble(s)
 	// An error means that the process has just exited, which reap handles.
 	_ = p.cmd.Process.Signal(s)
 }
 
+// recordTrouble records what a signal does to the requests of the current process. The caller holds p.mu.
+func (p *process) recordTrouble(s syscall.Signal) {
+	incarnation := fmt.Sprintf("%s/%d", p.id, p.launches)
+	switch s {
+	case syscall.SIGSTOP:
+		p.checks.asks.addFreeze(incarnation)
+		p.pauses = append(p.pauses, p.checks.ends.trouble.begin(incarnation))
+	case syscall.SIGCONT:
+		for _, end := range p.pauses {
+			end()
+		}
+		p.pauses = nil
+	case syscall.SIGKILL, syscall.SIGTERM:
+		p.checks.ends.trouble.begin(incarnation) // until its end
+	}
+}
+
 // hasStarted reports whether the process has logged its start. Before that it may not have
 // installed its handlers, so a signal such as SIGHUP or SIGTERM could kill it by default.
 func (p *process) hasStarted() bool {
