--- a/soak/ends.go
+++ b/soak/ends.go
@@ -118,15 +118,3 @@
 		c.violated(promise, r.id, detail)
 	}
 }
-
-// silence makes a replica silent until the returned function is called.
-func (r *platformRun) silence(rep *fakes.Replica) (end func()) {
-	// What the replica holds back arrives late, as over harmed links.
-	silent, harmed := r.checks.ends.silences.begin(rep), r.checks.asks.harmed.begin(rep.ID)
-	rep.Freeze()
-	return func() {
-		rep.Thaw()
-		silent()
-		harmed()
-	}
-}
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -24,6 +24,7 @@
 	formerReplicas  []*fakes.Replica // crashed or drained; finalChecks still reads their records
 	copies          []fakes.Copy     // of the store's contents, the latest last
 	startedReplicas int              // number of replicas started so far
+	configMu        sync.Mutex       // orders the versions of the configuration
 	configVersion   int
 	keys            []string // API keys in force; they are only removed during a run
 
@@ -37,6 +38,7 @@
 	badVersions map[string]fakes.Faults
 	rolloutMu   sync.Mutex
 	watchers    sync.WaitGroup
+	silences    sync.WaitGroup
 	stopped     atomic.Bool
 	stopCopies  func()
 	faultsEnded atomic.Bool // all faults have ended
@@ -86,6 +88,7 @@
 		r.keys = append(r.keys, fmt.Sprintf("key-%d", i))
 	}
 	r.configure()
+	r.history.add(fmt.Sprintf("retry budget %+v", r.cfg.retryBudget()))
 	for i := range r.cfg.Nodes {
 		n, err := newNode(r, i)
 		if err != nil {
@@ -101,6 +104,9 @@
 			return err
 		}
 	}
+	if !r.cfg.Calm && !r.cfg.NoSilences {
+		r.silences.Go(func() { r.injectSilences(ctx) })
+	}
 	if r.cfg.Drills {
 		copying, stop := context.WithCancel(ctx)
 		r.stopCopies = stop
@@ -162,12 +168,17 @@
 
 // configure writes the next version of the operator's configuration, with the keys in force.
 func (r *platformRun) configure() {
+	r.configMu.Lock()
+	defer r.configMu.Unlock()
 	r.configVersion++
+	r.mu.Lock()
+	keys := r.keys
+	r.mu.Unlock()
 	route := func(name, kind, service string, attempts int) fakes.Route {
 		return fakes.Route{Name: name, Kind: kind, Service: service, Attempts: attempts, Timeout: routeTimeout}
 	}
 	r.store.PutConfig(fakes.Config{
-		Version: r.configVersion, Account: account, Keys: r.keys, EngineService: "llm", OtherService: "app",
+		Version: r.configVersion, Account: account, Keys: keys, EngineService: "llm", OtherService: "app",
 		Routes: []fakes.Route{
 			route("draft", "streaming", "llm", 5), route("book", "non_idempotent", "app", 2), route("look", "idempotent", "app", 2),
 		},
@@ -178,6 +189,7 @@
 func (r *platformRun) stop() {
 	r.stopped.Store(true)
 	r.stopCopies()
+	r.silences.Wait()
 	r.watchers.Wait()
 	for _, n := range r.nodes {
 		n.kill()
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -10,6 +10,10 @@
 
 // faults lists all faults on the users' platform.
 func (r *platformRun) faults() []fault {
+	newVersion := fault{"new version", func() func() { r.configure(); return nil }}
+	if r.cfg.Silences {
+		return []fault{newVersion}
+	}
 	all := append(processFaults(func() *process { return &r.randomNode().process }),
 		fault{"store down", func() func() { r.store.SetFailing(true); return func() { r.store.SetFailing(false) } }},
 		fault{"store silent", func() func() { r.store.SetUnresponsive(true); return func() { r.store.SetUnresponsive(false) } }},
@@ -51,7 +55,7 @@
 		}},
 		fault{"replica leaves", func() func() { return r.drain(r.randomReplica()) }},
 		fault{"a key is taken away", func() func() { r.revokeKey(); return nil }},
-		fault{"new version", func() func() { r.configure(); return nil }},
+		newVersion,
 	)
 	all = append(all, r.restartFaults()...)
 	all = append(all, r.askFaults()...)
@@ -103,6 +107,7 @@
 // endFaults resumes every router and link, waits until all routers are ready, and then until all
 // roll-outs have ended.
 func (r *platformRun) endFaults() {
+	r.silences.Wait()
 	r.history.add("calm")
 	r.endBrittle()
 	r.store.SetFailing(false)
--- a/soak/platform_node.go
+++ b/soak/platform_node.go
@@ -29,9 +29,10 @@
 	if err := n.link.Start(); err != nil {
 		return nil, Error.Wrap(err)
 	}
+	budget := r.cfg.retryBudget()
 	text := fmt.Sprintf(`{"node": {"id": %q, "vm": %q, "failure_domain": "d%d", "region": "r"},
  "shutdown": {"balancer_notice_ms": 300},
  "hosted": {"front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,
-  "store_address": %q, "grace_ms": 10000}}`, id, id, i%2, front, ready, stats, peer, n.link.Addr())
+  "store_address": %q, "grace_ms": 10000, "retry_share": %v, "retry_burst": %v}}`, id, id, i%2, front, ready, stats, peer, n.link.Addr(), budget.share, budget.burst)
 	return n, Error.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600))
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -67,6 +67,10 @@
 	// Brittle adds times on the users' platform in which replicas say that they are brittle, and fall over if they have to
 	// refuse too many requests.
 	Brittle bool
+	// Silences injects nothing but silences of replicas and new versions of the configuration, on the users' platform.
+	Silences bool
+	// NoSilences draws no silences and the larger retry budget, so that a seed is what it was before there were any.
+	NoSilences bool
 }
 
 // Violation is one observation that breaks a promise of the product.
