--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -10,6 +10,10 @@
 
 // faults lists all faults on the users' platform.
 func (r *platformRun) faults() []fault {
+	newVersion := fault{"new version", func() func() { r.configure(); return nil }}
+	if r.cfg.Silences {
+		return []fault{newVersion}
+	}
 	all := append(processFaults(func() *process { return &r.randomNode().process }),
 		fault{"store down", func() func() { r.store.SetFailing(true); return func() { r.store.SetFailing(false) } }},
 		fault{"store silent", func() func() { r.store.SetUnresponsive(true); return func() { r.store.SetUnresponsive(false) } }},
@@ -39,15 +43,19 @@
 		}},
 		fault{"replica crashes", func() func() { return r.crash(r.randomReplica()) }},
 		fault{"failure domain crashes", r.crashDomain},
-		fault{"replica freezes", func() func() { rep := r.randomReplica(); rep.Freeze(); return rep.Thaw }},
+		fault{"replica freezes", func() func() { return r.silence(r.randomReplica()) }},
 		fault{"replica misbehaves", func() func() {
 			rep := r.randomReplica()
+			troubled := r.checks.ends.trouble.begin(rep)
 			rep.SetFaults(misbehaviours[r.rng.IntN(len(misbehaviours))])
-			return func() { r.clearMisbehaviour(rep) }
+			return func() {
+				r.clearMisbehaviour(rep)
+				troubled()
+			}
 		}},
 		fault{"replica leaves", func() func() { return r.drain(r.randomReplica()) }},
 		fault{"a key is taken away", func() func() { r.revokeKey(); return nil }},
-		fault{"new version", func() func() { r.configure(); return nil }},
+		newVersion,
 	)
 	all = append(all, r.restartFaults()...)
 	all = append(all, r.askFaults()...)
@@ -62,10 +70,12 @@
 // harmLinks harms the links to a random replica, and records for how long.
 func (r *platformRun) harmLinks(harm func(l *replicaLinks) (heal func())) (end func()) {
 	rep := r.randomReplica()
-	heal, harmed := harm(rep.Listener()), r.checks.asks.addHarm(rep.ID)
+	harmed, troubled := r.checks.asks.harmed.begin(rep.ID), r.checks.ends.trouble.begin(rep)
+	heal := harm(rep.Listener())
 	return func() {
 		heal()
 		harmed()
+		troubled()
 	}
 }
 
@@ -97,6 +107,7 @@
 // endFaults resumes every router and link, waits until all routers are ready, and then until all
 // roll-outs have ended.
 func (r *platformRun) endFaults() {
+	r.silences.Wait()
 	r.history.add("calm")
 	r.endBrittle()
 	r.store.SetFailing(false)
@@ -166,6 +177,7 @@
 func (r *platformRun) remove(rep *fakes.Replica) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checks.ends.trouble.begin(rep) // never ends
 	all := r.services[rep.Service]
 	for i, other := range all {
 		if other == rep {
