hosted: what a node decides about a quarantine is written again at once

A request is quarantined while the store is down; the write fails (hold-not-stored), and is tried again 2 s later, other nodes try after 3 to 8 s. The store is back after 0.3 s, and 0.6 s later all routers are killed together: the hold is lost, and the request crashes four more servers. With a silent store the first try alone takes a second.

The router that decides now tries for 250 ms and again after 100 ms, both doubling to 1 s and 2 s as they were. Other nodes write as seldom as before, so that a store that is down gets no more from them.

The test fails before the change for a store that is down and for one that is silent. hosted's tests of holds, lifts, crashes and eras pass.

--- a/hosted/holds.go
+++ b/hosted/holds.go
@@ -12,9 +12,14 @@
 )
 
 const (
-	// holdTimeout bounds one write; holdRetry is the pause after a failed write.
-	holdTimeout = time.Second
-	holdRetry   = 2 * time.Second
+	// holdTimeout bounds one write; holdRetry is the pause after a failed write. What this node decided is lost if all
+	// nodes end before it is stored, so its first tries are shorter: they begin with promptTimeout and promptRetry, which
+	// double with each try.
+	holdTimeout   = time.Second
+	holdRetry     = 2 * time.Second
+	promptTimeout = 250 * time.Millisecond
+	promptRetry   = 100 * time.Millisecond
+	maxDoublings  = 5
 	// If another node is to write a record and it isn't in the store yet, this node writes it after
 	// peerHoldWait and a random part of peerHoldSpread. By then the other node has usually done so.
 	peerHoldWait   = 3 * time.Second
@@ -53,6 +58,18 @@
 	local  bool // this node decided what the record states
 	// replace makes the write replace a record that the store has.
 	replace bool
+	failed  int // tries
+}
+
+// timeout returns how long the next try may take, and retry the pause after it if it fails.
+func (t *holdTask) timeout() time.Duration { return t.prompt(promptTimeout, holdTimeout) }
+func (t *holdTask) retry() time.Duration   { return t.prompt(promptRetry, holdRetry) }
+
+func (t *holdTask) prompt(first, usual time.Duration) time.Duration {
+	if !t.local {
+		return usual
+	}
+	return min(first<<min(t.failed, maxDoublings), usual)
 }
 
 func newHolds(store holdStore, log *event.Log) *holds {
@@ -249,7 +266,8 @@
 		delete(h.tasks, k)
 		return
 	}
-	t.due = time.Now().Add(holdRetry)
+	t.due = time.Now().Add(t.retry())
+	t.failed++
 	h.log.Emit(event.HoldNotStored, "key", k.String(), "remove", t.remove, "err", err)
 	if !t.local {
 		return
@@ -263,7 +281,7 @@
 }
 
 func (h *holds) write(ctx context.Context, k recordKey, t *holdTask) error {
-	ctx, stop := context.WithTimeout(ctx, holdTimeout)
+	ctx, stop := context.WithTimeout(ctx, t.timeout())
 	defer stop()
 	if t.remove {
 		return h.store.Remove(ctx, k.String())
--- /dev/null
+++ b/hosted/holds_test.go
@@ -0,0 +1,88 @@
+package hosted
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wigeondale/infra"
+	"wigeondale/quarantine"
+)
+
+// unsteadyStore is a holdStore that fails or doesn't answer until a moment.
+type unsteadyStore struct {
+	mu     sync.Mutex
+	down   time.Time // until then it refuses writes
+	silent time.Time // until then it doesn't answer
+	items  map[string][]byte
+}
+
+func (s *unsteadyStore) commit(ctx context.Context, write func()) error {
+	if time.Now().Before(s.down) {
+		return Error.New("refused")
+	}
+	if time.Now().Before(s.silent) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	write()
+	return nil
+}
+
+func (s *unsteadyStore) Create(ctx context.Context, key string, data []byte) (created bool, err error) {
+	err = s.commit(ctx, func() {
+		if _, known := s.items[key]; !known {
+			s.items[key], created = data, true
+		}
+	})
+	return created, err
+}
+
+func (s *unsteadyStore) Put(ctx context.Context, key string, data []byte, _ infra.Lease) error {
+	return s.commit(ctx, func() { s.items[key] = data })
+}
+
+func (s *unsteadyStore) Remove(ctx context.Context, key string) error {
+	return s.commit(ctx, func() { delete(s.items, key) })
+}
+
+func (s *unsteadyStore) keys() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.items))
+}
+
+// Guards against a hold that is lost because all routers end soon after the store is back: the router that decided wrote it
+// again only seconds later.
+func TestHoldIsStoredSoonAfterTheStoreIsBack(t *testing.T) {
+	const outage, most = 300 * time.Millisecond, 500 * time.Millisecond
+	for name, begin := range map[string]func(*unsteadyStore){
+		"down":   func(s *unsteadyStore) { s.down = time.Now().Add(outage) },
+		"silent": func(s *unsteadyStore) { s.silent = time.Now().Add(outage) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				s := &unsteadyStore{items: map[string][]byte{}}
+				begin(s)
+				h := newHolds(s, nil)
+				h.guard = quarantine.NewGuard(quarantine.Config{})
+				go h.run(ctx)
+				hold := quarantine.HoldUpdate{Digest: heldDigest(t, "ab"), Account: "acc", RemainingMS: 60_000}
+				h.guard.Hold(hold, "test")
+				h.quarantined(hold, true)
+				time.Sleep(outage + most)
+				if len(s.keys()) != 1 {
+					t.Errorf("the hold is not stored %v after the store is back", most)
+				}
+			})
+		})
+	}
+}
