hosted: three stand-ins write a hold or case for a router that has ended

Three nodes, which the digest and the registered nodes decide, now write after 0.3, 0.6 and 0.9 s, unless the record is in the store by then; the others as before. A hold costs three writes more at worst, at any size of the fleet. Their first tries are short as those of the router that decided.

TestStartingNodeLearnsHoldsFromOthers relied on a store that lacks the record for three seconds. An unreadable item now takes the record's key, so that no node can write it: as strict, and without a race.

--- a/hosted/cases.go
+++ b/hosted/cases.go
@@ -33,6 +33,7 @@
 	guard *quarantine.Guard
 	log   *event.Log
 	wake  chan struct{}
+	rank  func(quarantine.Digest) int // see holds
 
 	mu     sync.Mutex
 	stored map[quarantine.Suspect]storedCase
@@ -90,14 +91,22 @@
 	}
 }
 
-// changed schedules the write or the removal of a case.
-func (c *cases) changed(k quarantine.Suspect) {
+// changed schedules the write or the removal of a case. found is false if another node saw what has changed: if that node
+// has ended, the first stand-ins write the case.
+func (c *cases) changed(k quarantine.Suspect, found bool) {
+	var wait time.Duration
+	if !found {
+		var early bool
+		if wait, early = standIn(c.rank(k.Digest)); !early {
+			return
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, known := c.stored[k]; !known && len(c.stored) >= maxCases {
 		return
 	}
-	c.add(k, &caseTask{due: time.Now(), write: true})
+	c.add(k, &caseTask{due: time.Now().Add(wait), write: true})
 }
 
 // add schedules a task. The caller holds c.mu.
--- a/hosted/cases_test.go
+++ b/hosted/cases_test.go
@@ -27,6 +27,7 @@
 
 func startCaseNode(ctx context.Context, store holdStore) *caseNode {
 	c := newCases(store, nil)
+	c.rank = func(quarantine.Digest) int { return 0 }
 	n := &caseNode{cases: c, guard: quarantine.NewGuard(quarantine.Config{
 		Prober: crashedBackend{}, Leaving: func(string) bool { return false }, OnCase: c.changed,
 		Neighbours: func(fleet.Backend, int) []fleet.Backend { return nil },
--- a/hosted/holds.go
+++ b/hosted/holds.go
@@ -13,7 +13,7 @@
 
 const (
 	// holdTimeout bounds one write; holdRetry is the pause after a failed write. What this node decided is lost if all
-	// nodes end before it is stored, so its first tries are shorter: they begin with promptTimeout and promptRetry, which
+	// nodes end before it is stored, so its first tries are shorter, and those of the first stand-ins: they begin with promptTimeout and promptRetry, which
 	// double with each try.
 	holdTimeout   = time.Second
 	holdRetry     = 2 * time.Second
@@ -21,9 +21,12 @@
 	promptRetry   = 100 * time.Millisecond
 	maxDoublings  = 5
 	// If another node is to write a record and it isn't in the store yet, this node writes it after
-	// peerHoldWait and a random part of peerHoldSpread. By then the other node has usually done so.
+	// peerHoldWait and a random part of peerHoldSpread. By then the other node has usually done so. That node may have
+	// ended, and the others may end soon: the first standInRanks nodes wait for standInStep each.
 	peerHoldWait   = 3 * time.Second
 	peerHoldSpread = 5 * time.Second
+	standInRanks   = 3
+	standInStep    = 300 * time.Millisecond
 	// expirySpread is the time over which the nodes spread their removals of a record that has ended. One
 	// removal is enough: a node that sees the record removed cancels its own removal.
 	expirySpread = time.Minute
@@ -44,6 +47,8 @@
 	guard *quarantine.Guard
 	log   *event.Log
 	wake  chan struct{}
+	// rank returns the place of this node in an order of all nodes that the digest decides; set before run.
+	rank func(quarantine.Digest) int
 
 	mu     sync.Mutex
 	stored map[recordKey]time.Time // when the stored record ends
@@ -56,6 +61,7 @@
 	due    time.Time
 	remove bool
 	local  bool // this node decided what the record states
+	hasty  bool // the first tries are short
 	// replace makes the write replace a record that the store has.
 	replace bool
 	failed  int // tries
@@ -66,7 +72,7 @@
 func (t *holdTask) retry() time.Duration   { return t.prompt(promptRetry, holdRetry) }
 
 func (t *holdTask) prompt(first, usual time.Duration) time.Duration {
-	if !t.local {
+	if !t.hasty {
 		return usual
 	}
 	return min(first<<min(t.failed, maxDoublings), usual)
@@ -94,26 +100,36 @@
 func (h *holds) partSettled(hold quarantine.PartHold) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.add(recordKey{partHold, hold.Digest}, &holdTask{due: time.Now(), local: true, replace: true})
+	h.add(recordKey{partHold, hold.Digest}, &holdTask{due: time.Now(), local: true, hasty: true, replace: true})
 }
 
 // schedule schedules the write of a record, unless the store has an unexpired one.
 func (h *holds) schedule(k recordKey, local bool) {
-	due := time.Now()
+	due, hasty := time.Now(), local
 	if !local {
-		due = due.Add(peerHoldWait + rand.N(peerHoldSpread))
+		var wait time.Duration
+		wait, hasty = standIn(h.rank(k.digest))
+		due = due.Add(wait)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	until, known := h.stored[k]
 	switch {
 	case !known:
-		h.add(k, &holdTask{due: due, local: local})
+		h.add(k, &holdTask{due: due, local: local, hasty: hasty})
 	case !time.Now().Before(until):
 		// The expired record prevents the creation of a new record under the same key, so the
 		// expired record is removed first. Its removal triggers the creation.
-		h.add(k, &holdTask{due: due, local: local, remove: true})
+		h.add(k, &holdTask{due: due, local: local, hasty: hasty, remove: true})
+	}
+}
+
+// standIn returns how long a node waits for another one to write a record, and whether it is one of the first to write.
+func standIn(rank int) (wait time.Duration, early bool) {
+	if rank < standInRanks {
+		return time.Duration(rank+1) * standInStep, true
 	}
+	return peerHoldWait + rand.N(peerHoldSpread), false
 }
 
 // lifted writes the record of a lift that this node decided, and removes the record of the request's hold.
@@ -127,7 +143,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.lifts[hold.digest] = newLift("", now)
-	h.add(recordKey{lift, hold.digest}, &holdTask{due: now, local: true, replace: true}) // of an earlier lift
+	h.add(recordKey{lift, hold.digest}, &holdTask{due: now, local: true, hasty: true, replace: true}) // of an earlier lift
 	delete(h.tasks, hold)
 	if _, known := h.stored[hold]; known {
 		h.add(hold, &holdTask{due: now, remove: true})
--- a/hosted/holds_test.go
+++ b/hosted/holds_test.go
@@ -73,6 +73,7 @@
 				s := &unsteadyStore{items: map[string][]byte{}}
 				begin(s)
 				h := newHolds(s, nil)
+				h.rank = func(quarantine.Digest) int { return standInRanks }
 				h.guard = quarantine.NewGuard(quarantine.Config{})
 				go h.run(ctx)
 				hold := quarantine.HoldUpdate{Digest: heldDigest(t, "ab"), Account: "acc", RemainingMS: 60_000}
@@ -86,3 +87,34 @@
 		})
 	}
 }
+
+// Guards against a hold, and the case before it, that are lost because the node that saw the last crash has ended, and all
+// others end a second later.
+func TestOthersWriteSoonForANodeThatEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		s := &unsteadyStore{items: map[string][]byte{}}
+		n := startCaseNode(ctx, s)
+		h := newHolds(s, nil)
+		h.guard, h.rank = n.guard, func(quarantine.Digest) int { return 1 }
+		go h.run(ctx)
+		report := func(incarnation string) quarantine.Update {
+			return quarantine.Update{Crashes: []quarantine.CrashUpdate{{Digest: heldDigest(t, "ab"), Account: "acc", Incarnation: incarnation}}}
+		}
+		n.guard.HandleUpdate("ended", report("i1"))
+		time.Sleep(100 * time.Millisecond)
+		n.guard.HandleUpdate("ended", report("i2"))
+		time.Sleep(time.Second)
+		if len(s.keys()) != 1 {
+			t.Error("the case is not stored")
+		}
+		hold := quarantine.HoldUpdate{Digest: heldDigest(t, "cd"), Account: "acc", RemainingMS: 60_000}
+		n.guard.Hold(hold, "ended")
+		h.quarantined(hold, false)
+		time.Sleep(time.Second)
+		if len(s.keys()) != 2 {
+			t.Error("the hold is not stored")
+		}
+	})
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -121,6 +121,7 @@
 	n.software = newSoftware(n, store)
 	n.peers.software = n.software
 	n.holds, n.cases = newHolds(store, n.log), newCases(store, n.log)
+	n.holds.rank, n.cases.rank = n.peers.rankFor, n.peers.rankFor
 	n.view = newView(n.table, n.dir, n.mon, n.peers, n.rollouts, log)
 	n.view.holds, n.view.cases = n.holds, n.cases
 	n.view.software = n.software
--- a/hosted/lift_test.go
+++ b/hosted/lift_test.go
@@ -73,6 +73,8 @@
 	n := f.startNode("n1")
 	await(t, "readiness of the table", func() bool { return n.table.Get() != nil })
 	d := heldDigest(t, "ef")
+	const unreadable = "not a record" // takes the key of the record, so that no node can write it
+	f.store.Put(partHoldPrefix+d.String(), []byte(unreadable))
 	n.guard.HoldPart(quarantine.PartHold{Digest: d, Accounts: []string{"acc"}, Models: []string{""}, RemainingMS: 60_000}, "test")
 	var others []*testNode
 	for i := range 5 {
@@ -81,7 +83,7 @@
 	for _, other := range others {
 		await(t, "the hold", func() bool { return len(other.guard.PartHolds()) == 1 })
 	}
-	if _, stored := f.store.Get(partHoldPrefix + d.String()); stored {
+	if item, _ := f.store.Get(partHoldPrefix + d.String()); string(item.Value) != unreadable {
 		t.Error("the store had the record, so the test shows nothing")
 	}
 }
--- a/hosted/registered.go
+++ b/hosted/registered.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"wigeondale/quarantine"
 	"wigeondale/routing"
 )
 
@@ -67,6 +68,20 @@
 	return rank
 }
 
+// rankFor returns how many other registered nodes come before this node in an order that a digest decides.
+func (p *peers) rankFor(d quarantine.Digest) (rank int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	key := xxhash.Sum64(d[:])
+	local := routing.Rendezvous(key, p.set.Node.ID)
+	for id := range p.addrs {
+		if id != p.set.Node.ID && routing.Rendezvous(key, id) > local {
+			rank++
+		}
+	}
+	return rank
+}
+
 // registeredNodes returns the number of registered nodes, including this node.
 func (p *peers) registeredNodes() int {
 	p.mu.Lock()
--- a/quarantine/case.go
+++ b/quarantine/case.go
@@ -50,12 +50,12 @@
 	}
 }
 
-// reportCases calls OnCase for what a crash that was seen here has made a case against.
+// reportCases calls OnCase for what a crash has made a case against.
 func (g *Guard) reportCases(c PartCrash) {
 	var near []Suspect
 	g.withTracker(func(t *Tracker, now time.Duration) { near = t.near(c, now) })
 	for _, k := range near {
-		g.cfg.OnCase(k)
+		g.cfg.OnCase(k, c.From == "")
 	}
 }
 
--- a/quarantine/case_test.go
+++ b/quarantine/case_test.go
@@ -22,7 +22,7 @@
 	return b
 }
 
-func (b *caseBook) changed(k Suspect) {
+func (b *caseBook) changed(k Suspect, _ bool) {
 	u, ok := b.guard.CaseOf(k)
 	if delete(b.kept, k); ok {
 		b.kept[k] = u
--- a/quarantine/config.go
+++ b/quarantine/config.go
@@ -38,9 +38,9 @@
 	OnPartLift func(d Digest)
 	// OnPartSettled is called at the router that saw the crash after which no more trials of a part are sent.
 	OnPartSettled func(h PartHold)
-	// OnCase is called when the case against a request or part has changed, at the router that saw the crash or the answer:
-	// CaseOf states it. It must not block.
-	OnCase func(Suspect)
+	// OnCase is called when the case against a request or part has changed: CaseOf states it. found is true if this router
+	// itself saw the crash or the answer. It must not block.
+	OnCase func(k Suspect, found bool)
 	// StartWait is how long after its start the guard has requests wait for the reply of a router that knows what is
 	// quarantined. With 0 they don't wait.
 	StartWait time.Duration
@@ -80,7 +80,7 @@
 		c.OnPartSettled = func(PartHold) {}
 	}
 	if c.OnCase == nil {
-		c.OnCase = func(Suspect) {}
+		c.OnCase = func(Suspect, bool) {}
 	}
 	if c.OnPartLift == nil {
 		c.OnPartLift = func(Digest) {}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -154,9 +154,7 @@
 		g.mu.Lock()
 		g.recentCrashes.add(c)
 		g.mu.Unlock()
-		if c.From == "" {
-			g.reportCases(c)
-		}
+		g.reportCases(c)
 	}
 	return againstRequest, againstParts
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -196,7 +196,7 @@
 		g.cfg.OnLift(d)
 	}
 	if suspected {
-		g.cfg.OnCase(Suspect{d, false})
+		g.cfg.OnCase(Suspect{d, false}, true)
 		g.broadcast(Update{Answers: []AnswerUpdate{{d, (g.cfg.Now() - at).Milliseconds()}}})
 	}
 }
--- a/quarantine/part_guard.go
+++ b/quarantine/part_guard.go
@@ -165,7 +165,7 @@
 	g.confirmLater(pending, pendingParts, true)
 	for _, u := range cleared {
 		g.cfg.Log.Emit(event.PartCleared, "part", u.Digest.String(), "model", s.model, "began_ms", u.AgeMS, "digest", s.digest.String())
-		g.cfg.OnCase(Suspect{u.Digest, true})
+		g.cfg.OnCase(Suspect{u.Digest, true}, true)
 	}
 	for _, d := range lifted {
 		g.cfg.OnPartLift(d)
