hosted: cases wait for no other write

Up to eight cases are written at once, one write for each key. The test fails with writes one after the other. Tests of cases and holds pass with -race.

--- a/hosted/cases.go
+++ b/hosted/cases.go
@@ -23,6 +23,8 @@
 	maxCases = 64
 	// caseCheck is how long after a write the case is looked at again: by then it is known what else explains the crashes.
 	caseCheck = 500 * time.Millisecond
+	// maxCaseWrites is how many writes may wait for the store at once.
+	maxCaseWrites = 8
 )
 
 // cases keeps the evidence against requests and parts that are near a quarantine in the store, so that it is not lost if
@@ -38,7 +40,8 @@
 	mu     sync.Mutex
 	stored map[quarantine.Suspect]storedCase
 	tasks  map[quarantine.Suspect]*caseTask
-	unread []caseRecord // received before the key of the digests
+	busy   map[quarantine.Suspect]bool // tasks that wait for the store
+	unread []caseRecord                // received before the key of the digests
 }
 
 // storedCase is what is known of a case in the store.
@@ -87,7 +90,7 @@
 func newCases(store holdStore, log *event.Log) *cases {
 	return &cases{
 		store: store, log: log, wake: make(chan struct{}, 1),
-		stored: map[quarantine.Suspect]storedCase{}, tasks: map[quarantine.Suspect]*caseTask{},
+		stored: map[quarantine.Suspect]storedCase{}, tasks: map[quarantine.Suspect]*caseTask{}, busy: map[quarantine.Suspect]bool{},
 	}
 }
 
@@ -112,6 +115,10 @@
 // add schedules a task. The caller holds c.mu.
 func (c *cases) add(k quarantine.Suspect, t *caseTask) {
 	c.tasks[k] = t
+	c.wakeRun()
+}
+
+func (c *cases) wakeRun() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -185,30 +192,34 @@
 	}
 }
 
-// step executes the tasks that are due and returns the time until the next one is.
+// step begins the tasks that are due and returns the time until the next one is.
 func (c *cases) step(ctx context.Context) time.Duration {
 	for ctx.Err() == nil {
 		k, t, wait := c.nextTask()
 		if t == nil || wait > 0 {
 			return wait
 		}
-		c.execute(ctx, k, t)
+		go c.execute(ctx, k, t)
 	}
 	return time.Hour
 }
 
+// nextTask returns the task that is due first, and the time until it is. A task that is due is busy from now on.
 func (c *cases) nextTask() (k quarantine.Suspect, first *caseTask, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for one, t := range c.tasks {
-		if first == nil || t.due.Before(first.due) {
+		if !c.busy[one] && (first == nil || t.due.Before(first.due)) {
 			k, first = one, t
 		}
 	}
-	if first == nil {
-		return k, nil, time.Hour // a new task ends the wait of run
+	if first == nil || len(c.busy) >= maxCaseWrites {
+		return k, nil, time.Hour // a new task, or the end of one, ends the wait of run
+	}
+	if wait = time.Until(first.due); wait <= 0 {
+		c.busy[k] = true
 	}
-	return k, first, time.Until(first.due)
+	return k, first, wait
 }
 
 func (c *cases) execute(ctx context.Context, k quarantine.Suspect, t *caseTask) {
@@ -217,6 +228,8 @@
 	written, err := c.write(ctx, k, t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.busy, k)
+	c.wakeRun()
 	switch {
 	case c.tasks[k] != t:
 		// The case has changed during the write.
--- a/hosted/cases_test.go
+++ b/hosted/cases_test.go
@@ -122,6 +122,25 @@
 	})
 }
 
+// Guards against a case that waits for the write of another one, while the store is slow and all routers may end.
+func TestCasesWaitForNoOtherWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		store := &unsteadyStore{items: map[string][]byte{}, hangs: casePrefix}
+		n := startCaseNode(ctx, store)
+		one, two := crashing, crashing
+		one.Content = quarantine.Content{Parts: []string{"part"}, Model: "m"}
+		two.Content, two.Body = one.Content, []byte("another")
+		n.crash(n.guard.Track(one), "r1")
+		n.crash(n.guard.Track(one), "r2")
+		n.crash(n.guard.Track(two), "r3")
+		if got := store.keys(); len(got) != 1 || !strings.HasPrefix(got[0], partCasePrefix) {
+			t.Error("in the store: ", got)
+		}
+	})
+}
+
 // Guards against a store that fills with cases.
 func TestCasesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/hosted/holds_test.go
+++ b/hosted/holds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,14 +19,15 @@
 	mu     sync.Mutex
 	down   time.Time // until then it refuses writes
 	silent time.Time // until then it doesn't answer
+	hangs  string    // it answers no write of keys with this prefix, if set
 	items  map[string][]byte
 }
 
-func (s *unsteadyStore) commit(ctx context.Context, write func()) error {
+func (s *unsteadyStore) commit(ctx context.Context, key string, write func()) error {
 	if time.Now().Before(s.down) {
 		return Error.New("refused")
 	}
-	if time.Now().Before(s.silent) {
+	if time.Now().Before(s.silent) || s.hangs != "" && strings.HasPrefix(key, s.hangs) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -36,7 +38,7 @@
 }
 
 func (s *unsteadyStore) Create(ctx context.Context, key string, data []byte) (created bool, err error) {
-	err = s.commit(ctx, func() {
+	err = s.commit(ctx, key, func() {
 		if _, known := s.items[key]; !known {
 			s.items[key], created = data, true
 		}
@@ -45,11 +47,11 @@
 }
 
 func (s *unsteadyStore) Put(ctx context.Context, key string, data []byte, _ infra.Lease) error {
-	return s.commit(ctx, func() { s.items[key] = data })
+	return s.commit(ctx, key, func() { s.items[key] = data })
 }
 
 func (s *unsteadyStore) Remove(ctx context.Context, key string) error {
-	return s.commit(ctx, func() { delete(s.items, key) })
+	return s.commit(ctx, key, func() { delete(s.items, key) })
 }
 
 func (s *unsteadyStore) keys() []string {
