--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// watchAgain registers a with the failure detector anew: it reports one silence of each registration.
+// watchAgain registers a with the failure detector once more: it reports one silence of each registration.
 func (x *run) watchAgain(a *attempt) {
 	a.watch.Close()
 	a.watch = noWatch{}
--- a/generation/takeover_review_test.go
+++ b/generation/takeover_cases_test.go
@@ -149,7 +149,7 @@
 	}
 }
 
-// Guards against a silence that is noticed late, since the attempt was registered anew with the failure detector and
+// Guards against a silence that is noticed late, since the attempt was registered once more with the failure detector and
 // counts as one whose answer has not begun.
 func TestSilenceAfterTheVersionIsKnownIsNoticedAsSoon(t *testing.T) {
 	for at := 5; at < 30; at++ {
--- a/health/recheck_test.go
+++ b/health/recheck_test.go
@@ -146,7 +146,7 @@
 }
 
 // Guards against a sound server, domain or service that gets no work for the whole backoff after it was
-// silent for a moment, at the router that noticed the silence and at one that was told.
+// silent for a moment, at the router that noticed the silence and at one that received its report.
 func TestSilentServersGetWorkSoonAfterTheyAnswer(t *testing.T) {
 	const most = recheckInterval + 3*queryTimeout
 	for _, silence := range []time.Duration{700 * time.Millisecond, time.Second, 2 * time.Second} {
--- a/hosted/cases.go
+++ b/hosted/cases.go
@@ -287,7 +287,7 @@
 	return held
 }
 
-// crashesOf tells two cases against one suspect apart.
+// crashesOf returns a text that differs between two cases against one suspect.
 func crashesOf(u quarantine.Update) string {
 	var out []string
 	for _, c := range u.Crashes {
--- a/hosted/recheck_test.go
+++ b/hosted/recheck_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against a domain that is well and that routers avoid for a whole backoff, because its reports
-// are not read or the other routers are not told.
+// are not read or not reported to the other routers.
 func TestDomainThatAnswersIsUsedByAllRouters(t *testing.T) {
 	f := newFleet(t)
 	f.startEngines(8, 3, time.Millisecond)
