generation: an engine of the product's own interface may be tried again beside its kept attempt

There the attempt that is replaced is cancelled by its name, so the engine may be tried again if there is no other one, as before the search. On the users' platform the server stays excluded.

--- a/generation/steps.go
+++ b/generation/steps.go
@@ -129,18 +129,19 @@
 	}
 	// An engine that was lost or that refused may be available again, and trying such an
 	// engine is better than having none.
+	kept := x.keptServer()
 	clear(x.exclude)
-	if x.kept != nil {
-		x.exclude[x.kept.origin.Backend] = true
+	if kept != "" {
+		x.exclude[kept] = true
 	}
 	return "none"
 }
 
-// excludesReusable reports whether a backend server is excluded that may be tried again, which the one of the
-// kept attempt may not.
+// excludesReusable reports whether a backend server is excluded that may be tried again.
 func (x *run) excludesReusable() bool {
+	kept := x.keptServer()
 	for id := range x.exclude {
-		if x.kept == nil || id != x.kept.origin.Backend {
+		if id != kept {
 			return true
 		}
 	}
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -128,6 +128,16 @@
 	return x.kept.reading.results
 }
 
+// keptServer returns the backend server of the kept attempt, which may not be tried again, or an empty id. Engines of
+// the product's own interface may be: a stream may be lost while its engine works, and an attempt that is
+// replaced is cancelled by name.
+func (x *run) keptServer() string {
+	if x.kept == nil || x.req.Opaque == nil {
+		return ""
+	}
+	return x.kept.origin.Backend
+}
+
 // continueKept makes the kept attempt the current one again, now that it delivers.
 func (x *run) continueKept(r readResult) string {
 	a := x.takeKept(silenceDelivered)
