--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -307,18 +307,3 @@
 	x.sleep(d)
 	return "retry"
 }
-
-// abandonAttempt closes the reader of a and has the attempt cancelled.
-func (x *run) abandonAttempt(a *attempt) {
-	a.closeReader()
-	if x.req.Opaque != nil {
-		return // closing the connection has already cancelled it
-	}
-	if a.backend.Addr == "" {
-		return // handed over from a backend server that is no longer known
-	}
-	x.Abandon.Add(backend.AbandonedAttempt{
-		Backend: a.backend, Incarnation: a.origin.Incarnation,
-		Request: x.req.ID, Attempt: a.origin.Attempt, Accepted: a.accepted,
-	})
-}
