retrybudget, hosted: routers lend each other retry budget over the platform's window

Cause: the fleet's burst is divided among the routers, with two retries each at least. At 66 routers the answers that a crash interrupts at one router wait although other routers have budget left, and with a tight budget the minimum of each router adds up to more than the fleet may send (TestSilenceOfAllServersKeepsTheRetryBudget: 63 to 71 retries, the budget is 39).

Change: with hosted.retry_window_s, each router has an equal part of the burst, which may be a fraction of a retry, and the share of its own requests. It borrows from others with the call hosted.retry-loan. Retries wait up to 100 ms for a loan, started answers first. Without the setting the budget is the present one.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -113,6 +113,9 @@
 // always allows the retry.
 func (b sharedBudget) Continue(string) bool { return true }
 
+// Await implements generation.RetryBudget. Routers of this interface lend no budget.
+func (b sharedBudget) Await(context.Context, string, bool, time.Duration) bool { return false }
+
 // admitter applies admission control to generations. It also counts first tries, since the
 // retry budget allows a share of their number as retries.
 type admitter struct {
--- a/event/ids.go
+++ b/event/ids.go
@@ -210,3 +210,8 @@
 	StreamVersionGone
 	VersionNotStored
 )
+
+// Events of the retry budget that routers share (25xx).
+const (
+	RetryBudgetShort ID = 2501 + iota
+)
--- a/generation/deps.go
+++ b/generation/deps.go
@@ -170,4 +170,8 @@
 	// Continue draws one retry for a started answer whose attempt was lost. Such a retry may
 	// overdraw the budget, up to a limit.
 	Continue(service string) bool
+	// Await draws one retry as soon as there is budget, for which it may borrow from other
+	// routers. It returns false if there is none within the limit, at the end of ctx, or at once
+	// if it can't borrow.
+	Await(ctx context.Context, service string, started bool, limit time.Duration) bool
 }
--- a/generation/fake_test.go
+++ b/generation/fake_test.go
@@ -221,6 +221,8 @@
 
 func (h *harness) KeepsCopy(string) bool { return false }
 
+func (h *harness) Await(context.Context, string, bool, time.Duration) bool { return false }
+
 func (h *harness) Continue(string) bool { return true }
 
 func (h *harness) Standby(PickRequest, fleet.Backend) (fleet.Backend, LoadShare, bool) {
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -67,6 +67,8 @@
 	return w.budget >= 0
 }
 
+func (w *fakeFleet) Await(context.Context, string, bool, time.Duration) bool { return false }
+
 func (w *fakeFleet) Continue(string) bool {
 	w.overdraft--
 	return w.overdraft >= 0 || w.Take("")
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -101,7 +101,9 @@
 		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
 	if x.needsBudget && !x.drawBudget() {
-		return x.waitForBudget()
+		if ev := x.awaitBudget(); ev != "" {
+			return ev
+		}
 	}
 	x.needsBudget = false
 	if x.cutOff() {
@@ -158,22 +160,31 @@
 	return x.Budget.Take(x.service())
 }
 
-// budgetRetryInterval is how often a started answer tries again to draw from the retry budget.
-// The budget grows with the first try of each other request.
+// budgetRetryInterval is how long a retry waits for a loan of retry budget. If there are no loans,
+// it is how often a started answer tries again to draw from the budget, which grows with the first
+// try of each other request.
 const budgetRetryInterval = 100 * time.Millisecond
 
-// waitForBudget ends or delays an attempt for which the service has no retry budget left. A
-// started answer waits for budget, since it represents work already paid for.
+// awaitBudget waits for retry budget that other routers lend. It returns an empty event if the
+// attempt may go on. Without budget, a request that has not started is given up. A started answer
+// goes on waiting, since it represents work already paid for.
 //
 // If attempts were not bounded by the budget, each router would try one outdated replica
 // address after the other when replicas crash while the store is unreachable, and a service
 // that has lost half of its replicas would receive several times as many arrivals as requests.
-func (x *run) waitForBudget() string {
+func (x *run) awaitBudget() string {
+	begun := time.Now()
+	if x.Budget.Await(x.searching(), x.service(), x.started(), min(budgetRetryInterval, x.waitLeft())) {
+		return ""
+	}
+	if x.interrupted() {
+		return "none"
+	}
 	x.logNoFurtherAttempt(CodeRetryBudget, x.waitErr)
 	if !x.started() {
 		return x.giveUp(CodeRetryBudget, x.waitErr)
 	}
-	x.delay = budgetRetryInterval
+	x.delay = max(budgetRetryInterval-time.Since(begun), minPickDelay)
 	return "none"
 }
 
--- a/hosted/budgets.go
+++ b/hosted/budgets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"wigeondale/admission"
 	"wigeondale/generation"
@@ -16,9 +17,11 @@
 
 // budgets holds one retry budget for each service. The platform bounds the retries of all
 // nodes together: by a share of the requests, and by a burst that is divided among the nodes.
+// If the window is known in which the platform counts, loans keeps the budgets instead.
 type budgets struct {
 	share float64
 	burst func() float64 // burst of one node
+	loans *loans         // nil if the window isn't known
 
 	mu        sync.Mutex
 	byService map[string]*admission.RetryBudget
@@ -60,10 +63,31 @@
 }
 
 // First implements relay.Budgets.
-func (b *budgets) First(service string) { b.of(service).First() }
+func (b *budgets) First(service string) {
+	if b.loans != nil {
+		b.loans.first(service)
+		return
+	}
+	b.of(service).First()
+}
 
-// Continue implements generation.RetryBudget.
-func (b *budgets) Continue(service string) bool { return b.of(service).Overdraw(continueDepth) }
+// Continue implements generation.RetryBudget. Without a window, the budget may go into debt.
+func (b *budgets) Continue(service string) bool {
+	if b.loans != nil {
+		return b.loans.draw(service, true)
+	}
+	return b.of(service).Overdraw(continueDepth)
+}
 
 // Take implements generation.RetryBudget.
-func (b *budgets) Take(service string) bool { return b.of(service).Take() }
+func (b *budgets) Take(service string) bool {
+	if b.loans != nil {
+		return b.loans.draw(service, false)
+	}
+	return b.of(service).Take()
+}
+
+// Await implements generation.RetryBudget. Without a window there are no loans.
+func (b *budgets) Await(ctx context.Context, service string, started bool, limit time.Duration) bool {
+	return b.loans != nil && b.loans.await(ctx, service, started, limit)
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -183,6 +183,9 @@
 	n.forwarder = n.newForwarder()
 	n.peers.handleStream = n.handleStream
 	budgets := newBudgets(n.set.Hosted, n.peers.registeredNodes)
+	budgets.loans = n.newLoans()
+	n.peers.loans = budgets.loans
+	n.dumps.Add("retry_budgets", budgets.loans.state)
 	n.runner, err = generation.New(generation.Deps{
 		Admitter:   admitAll{},
 		Picker:     pick,
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -58,6 +58,7 @@
 	pressure  *backpressure.Tracker // set before run
 	cutOff    *cutOff               // set before run
 	software  *software             // set before run
+	loans     *loans                // set before run; nil if no retry budget is lent
 	// handleStream runs a request that another router passes on; set before run.
 	handleStream func(context.Context, *peer.Stream)
 
--- a/hosted/peers_mesh.go
+++ b/hosted/peers_mesh.go
@@ -85,6 +85,7 @@
 	peer.HandleFlood(mesh, backpressure.FloodUpdate, func(from string, u backpressure.Update) { p.pressure.HandleUpdate(from, u, time.Now()) })
 	p.storeSync.join(mesh)
 	p.software.join(mesh)
+	p.loans.join(mesh)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mesh = mesh
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -22,6 +22,9 @@
 	// nodes together.
 	RetryShare float64 `json:"retry_share"`
 	RetryBurst float64 `json:"retry_burst"`
+	// RetryWindowS is the number of seconds over which the platform counts requests and
+	// retries. If it is 0, the window isn't known, and nodes lend no retry budget.
+	RetryWindowS int `json:"retry_window_s"`
 	// RolloutShare is the share of a service's requests, and RolloutBurst the number of
 	// requests beyond that share, that all nodes together may send to a version on trial.
 	// If that version is bad, only these requests are affected.
@@ -72,6 +75,10 @@
 	}
 }
 
+// maxRetryWindowS bounds the window of the retry budget. A router that has just started has no part
+// of the burst for a window, so a long window would leave it without for long.
+const maxRetryWindowS = 600
+
 func (c *checker) hosted(h *Hosted) {
 	c.address("hosted.front_address", h.FrontAddress)
 	c.address("hosted.readiness_address", h.ReadinessAddress)
@@ -81,6 +88,7 @@
 	inRange(c, "hosted.grace_ms", h.GraceMS, 1000, dayMS)
 	inRange(c, "hosted.retry_share", h.RetryShare, 0, 10)
 	inRange(c, "hosted.retry_burst", h.RetryBurst, 0, 10000)
+	inRange(c, "hosted.retry_window_s", h.RetryWindowS, 0, maxRetryWindowS)
 	inRange(c, "hosted.rollout_share", h.RolloutShare, 0.001, 1)
 	inRange(c, "hosted.rollout_burst", h.RolloutBurst, 0, 10000)
 	inRange(c, "hosted.heartbeat_ms", h.HeartbeatMS, 50, 60000)
