retrybudget, hosted: bound holds in windows of any position, simulations of fleets

Cause: share x requests + part - retries of the window that ends now is exceeded in windows that begin after the requests and before the retries, and with few requests for each router the parts add up to nearly twice the share. Now the bound holds from each moment of the window on, and relies on half of the usual traffic to come; where a router's part of the burst is less than one request allows, half of the share is used instead.

Borrowing: rounds of 10 ms, 256 asks at once and 4 a second, one router more than needed. Waiting retries are woken only if one could be drawn.

--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -34,8 +34,10 @@
 	recordMu     sync.Mutex // held while a choice or an attempt is recorded, since attempts may overlap
 	scripts      []script
 	chunks       int
-	budget       int // retries left
-	overdraft    int // started answers that may be continued beyond it
+	budget       int           // retries left
+	overdraft    int           // started answers that may be continued beyond it
+	loanAfter    time.Duration // after which a waiting retry gets a loan; 0 for never
+	awaited      []time.Duration
 	opened       []backend.StartRequest
 	backends     []string
 	watched      []bool          // by attempt
@@ -67,7 +69,14 @@
 	return w.budget >= 0
 }
 
-func (w *fakeFleet) Await(context.Context, string, bool, time.Duration) bool { return false }
+func (w *fakeFleet) Await(ctx context.Context, _ string, _ bool, limit time.Duration) bool {
+	if w.loanAfter == 0 {
+		return false
+	}
+	from := time.Now()
+	defer func() { w.awaited = append(w.awaited, time.Since(from)) }()
+	return clock.Sleep(ctx, min(w.loanAfter, limit)) && w.loanAfter <= limit
+}
 
 func (w *fakeFleet) Continue(string) bool {
 	w.overdraft--
--- a/hosted/loans_model_test.go
+++ b/hosted/loans_model_test.go
@@ -13,13 +13,20 @@
 // loanFleet connects the retry budgets of simulated routers. A call takes latency each way.
 type loanFleet struct {
 	latency time.Duration
+	dial    time.Duration // in addition, before a call
 	names   []string
 	router  func(name string) *loans // nil if it doesn't run or isn't reached
 	older   func(name string) bool   // of the previous release, which doesn't know the call
+	cut     func(a, b string) bool   // reports whether the link between two routers is cut
+	loses   func() bool              // draws whether a reply is lost
 }
 
 func newLoanFleet(routers int) *loanFleet {
-	f := &loanFleet{latency: 1400 * time.Microsecond, older: func(string) bool { return false }}
+	f := &loanFleet{latency: 1400 * time.Microsecond, older: func(string) bool { return false },
+		cut: func(a, b string) bool { return false }, loses: func() bool { return false }}
+	if routers > 24 { // there are links to a few routers only, so nearly each call opens a connection
+		f.dial = 4 * f.latency
+	}
 	for i := range routers {
 		f.names = append(f.names, fmt.Sprint("r", i))
 	}
@@ -32,17 +39,21 @@
 	others := slices.DeleteFunc(slices.Clone(f.names), func(n string) bool { return n == name })
 	l.others = func() []string { return others }
 	l.ask = func(ctx context.Context, node string, r retrybudget.LoanRequest) (reply retrybudget.LoanReply, err error) {
-		time.Sleep(f.latency)
+		time.Sleep(f.dial + f.latency)
 		to := f.router(node)
 		switch {
 		case f.older(node):
 			return reply, &peer.RemoteError{Code: peer.CodeNoHandler}
-		case to == nil:
+		case to == nil, f.cut(name, node):
 			<-ctx.Done()
 			return reply, ctx.Err()
 		}
 		reply, err = to.lend(r)
 		time.Sleep(f.latency)
+		if f.loses() {
+			<-ctx.Done()
+			return reply, ctx.Err()
+		}
 		return reply, err
 	}
 }
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -115,6 +115,12 @@
 	b.others += n
 }
 
+// Available reports whether a retry of a started answer could be drawn now.
+func (b *Budget) Available(now time.Duration, routers int) bool {
+	credit := b.borrowed(now)
+	return credit >= 1-tolerance || credit+b.own(now, routers).left >= 1-tolerance
+}
+
 // Waiting returns the number of retries that wait for budget.
 func (b *Budget) Waiting() int { return b.started + b.others }
 
--- /dev/null
+++ b/retrybudget/budget_test.go
@@ -0,0 +1,179 @@
+package retrybudget
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const testWindow = 10 * time.Second
+
+// history is what a fleet of budgets did, as its budget is judged.
+type history struct {
+	budgets  []*Budget
+	requests []time.Duration
+	retries  []time.Duration
+}
+
+// most returns the most retries in a window of any position, less share for each request from before the window's beginning
+// on, as far as before says.
+func (h *history) most(share float64, before time.Duration) float64 {
+	most := 0.0
+	for _, from := range h.retries {
+		n := 0.0
+		for _, at := range h.retries {
+			if at >= from && at < from+testWindow {
+				n++
+			}
+		}
+		for _, at := range h.requests {
+			if at >= from-before && at < from+testWindow {
+				n -= share
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// play draws what happens to a few routers: requests, retries, and loans whose replies are lost or late.
+func play(t *rapid.T, share, burst float64) *history {
+	h := &history{}
+	routers := rapid.IntRange(1, 6).Draw(t, "routers")
+	for range routers {
+		h.budgets = append(h.budgets, New(Config{Share: share, Burst: burst, Window: testWindow, Start: -testWindow}))
+	}
+	now := time.Duration(0)
+	router := rapid.IntRange(0, routers-1)
+	for range rapid.IntRange(1, 120).Draw(t, "steps") {
+		now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond
+		b := h.budgets[router.Draw(t, "router")]
+		switch rapid.IntRange(0, 3).Draw(t, "step") {
+		case 0:
+			b.First(now)
+			h.requests = append(h.requests, now)
+		case 1, 2:
+			if b.Draw(now, routers, rapid.Bool().Draw(t, "started")) {
+				h.retries = append(h.retries, now)
+			}
+		default:
+			r := LoanRequest{Service: "s", Count: rapid.Float64Range(0.01, 2).Draw(t, "count"), Started: rapid.Bool().Draw(t, "started")}
+			sent := now
+			granted := h.budgets[router.Draw(t, "lender")].Lend(now, routers, r)
+			now += time.Duration(rapid.IntRange(0, 1200).Draw(t, "latency")) * time.Millisecond
+			if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+				b.Granted(now, sent, r, LoanReply{granted})
+			}
+		}
+	}
+	return h
+}
+
+// Guards against more retries than the fleet's budget in a window of any position, also one that begins after the requests
+// that allowed the retries. Routers have so few requests that none are relied on to come.
+func TestNoWindowExceedsTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		burst := rapid.Float64Range(3, 12).Draw(t, "burst") // at six routers, a part is as much as one request allows
+		h := play(t, 0.5, burst)
+		if got := h.most(0.5, 0); got > burst+1e-6 && !manyRequests(h) {
+			t.Fatalf("%.3f retries beyond the share, the burst is %.3f", got, burst)
+		}
+	})
+}
+
+// manyRequests reports whether some router may have had enough requests in a window to rely on others.
+func manyRequests(h *history) bool {
+	for i, at := range h.requests {
+		if i >= 4 && at-h.requests[i-4] < testWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against more retries than the requests of two windows cover at half of the share, where a router's part of the burst
+// is less than what one request allows.
+func TestHalfOfTheShareIsUsedWithoutABurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := play(t, 0.5, 0.3)
+		if got := h.most(0.25, testWindow); got > 0.3+1e-6 && !manyRequests(h) {
+			t.Fatalf("%.3f retries beyond half of the share", got)
+		}
+	})
+}
+
+// Guards against started answers that are cut because other retries have used the budget.
+func TestOthersLeavePartToStartedAnswers(t *testing.T) {
+	b := New(Config{Burst: 8, Window: testWindow, Start: -testWindow})
+	drawn := 0
+	for b.Draw(0, 1, false) {
+		drawn++
+	}
+	if loan := b.Lend(0, 1, LoanRequest{Service: "s", Count: 1}); drawn != 6 || loan != 0 {
+		t.Errorf("others drew %d of 8, and borrowed %v", drawn, loan)
+	}
+	b.Wait(true, 1)
+	if b.Lend(0, 1, LoanRequest{Service: "s", Count: 2, Started: true}) > 1 {
+		t.Error("lent what a started answer waits for here")
+	}
+	b.Granted(0, 0, LoanRequest{Count: 1}, LoanReply{1})
+	if b.Draw(0, 1, false) || !b.Draw(0, 1, true) {
+		t.Error("another retry went before a started answer")
+	}
+}
+
+// Guards against a router that uses, just after its start, the part that its predecessor may have used just before, and
+// against routers that divide the part of a dead one while its retries still count.
+func TestPartsOfDeadRoutersAreNotUsedTwice(t *testing.T) {
+	b := New(Config{Burst: 8, Window: testWindow, Start: time.Minute})
+	if b.Draw(time.Minute+testWindow-1, 2, true) || !b.Draw(time.Minute+testWindow, 2, true) {
+		t.Error("the burst isn't there from a window after the start on")
+	}
+	if b.Draw(time.Minute+testWindow, 0, true) {
+		t.Error("a part of the burst although no router is known")
+	}
+	r := Routers{Window: testWindow}
+	r.Update(0, 8)
+	if r.Update(time.Second, 7) != 8 || r.Update(testWindow+Keep, 7) != 8 || r.Update(testWindow+Keep+time.Second, 7) != 7 {
+		t.Error("a dead router doesn't count for a window")
+	}
+	for i := range 1000 {
+		r.Update(testWindow*2+time.Duration(i), 1000-i)
+	}
+	if got := r.Update(testWindow*2+1000, 1); got != 1000 || len(r.former) > maxFormer+1 {
+		t.Errorf("got %d, from %d numbers", got, len(r.former))
+	}
+}
+
+// Guards against asks to routers that can't lend, and against asks without bound while the fleet's budget is spent.
+func TestAsksAreBounded(t *testing.T) {
+	var l Lenders
+	all := []string{"a", "b", "c", "d"}
+	for i, a := range []Answer{Lent, LentPart, Silent, Unknown} {
+		l.Record(0, all[i], a)
+	}
+	for at, want := range map[time.Duration]int{0: 1, restSpent: 2, restSilent: 3, restUnknown: 4} {
+		copied := Lenders{rests: map[string]time.Duration{}}
+		for r, until := range l.rests {
+			copied.rests[r] = until
+		}
+		if got := copied.Candidates(at, all); len(got) != want {
+			t.Errorf("after %v: %v may be asked", at, got)
+		}
+	}
+	b := New(Config{Window: testWindow})
+	b.Wait(true, 9)
+	sent := 0
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		n, _ := b.Ask(now, 985, 984)
+		sent += n
+	}
+	if sent > asksAtOnce+60*asksPerSecond {
+		t.Errorf("%d asks in a minute", sent)
+	}
+	if asks, each := plan(1, 0.12, 984, 99); asks != 10 || math.Abs(each*9-1) > tolerance {
+		t.Errorf("%d asks for %v each", asks, each)
+	}
+}
--- a/retrybudget/ledger.go
+++ b/retrybudget/ledger.go
@@ -53,23 +53,35 @@
 
 // level returns how many retries may be drawn now, so that the retries of no window of any position
 // exceed share for each of its requests plus burst. A window may begin after the requests that
-// allowed a retry and contain the retry, so it isn't enough to look at the window that ends now:
-// the bound must hold from each moment of it on. A window that begins late has its other requests
-// still to come, and steadyRequests says how many of them are relied on.
+// allowed a retry and contain the retry, so it isn't enough to look at the window that ends now.
+//
+// If requests are many or the burst is large, the bound must hold from each moment of the window on;
+// a window that begins late has requests still to come, of which steadyRequests are relied on. If
+// the burst of one router is less than what one request allows, that would waste nearly all that
+// requests allow. Then half of the share is used over the window that ends now: any window's retries
+// are covered by the requests of two windows.
 func (l *ledger) level(now time.Duration, share, burst float64) level {
 	newest, oldest := int64((now+Keep)/l.width), int64((now-l.window)/l.width)
-	var requests float64
-	for n := int64(now / l.width); n > oldest; n-- {
-		requests += l.at(n).requests
+	var requests, drawn float64
+	for n := newest; n >= oldest; n-- {
+		s := l.at(n)
+		drawn += s.drawn
+		if n > oldest {
+			requests += s.requests
+		}
+	}
+	most := burst + share*steadyRequests(requests)
+	if most < share {
+		most = burst + share/2*requests
+		return level{left: most - drawn, most: most, drawn: drawn}
 	}
-	out := level{most: burst + share*steadyRequests(requests)}
-	out.left = out.most
-	var since float64 // requests after the slot
-	for n := newest; n >= max(oldest, 0); n-- {
+	out := level{left: most, most: most, drawn: drawn}
+	var since, drawnSince float64 // requests after the slot, retries from the slot on
+	for n := newest; n >= oldest; n-- {
 		s := l.at(n)
-		out.drawn += s.drawn
+		drawnSince += s.drawn
 		ahead := min(1-float64(now-time.Duration(n)*l.width)/float64(l.window), 1)
-		out.left = min(out.left, burst+share*(since+steadyRequests(requests*max(ahead, 0)))-out.drawn)
+		out.left = min(out.left, burst+share*(since+steadyRequests(requests*max(ahead, 0)))-drawnSince)
 		since += s.requests
 	}
 	return out
@@ -77,16 +89,18 @@
 
 // at returns a slot, which is empty if nothing was recorded in it.
 func (l *ledger) at(number int64) slot {
-	if s := l.slots[max(number, 0)%int64(len(l.slots))]; s.number == number {
+	if number < 0 {
+		return slot{}
+	}
+	if s := l.slots[number%int64(len(l.slots))]; s.number == number {
 		return s
 	}
 	return slot{}
 }
 
 // steadyRequests returns how many requests are relied on to come in a time in which as many as
-// requests came before: less by two standard deviations of a Poisson process, so none if there are
-// four or fewer. Over several routers that is far below what comes, unless the traffic of the whole
-// fleet falls.
+// requests came before: half of them, so that no harm is done if the traffic falls to half, and less
+// than comes by two standard deviations of a Poisson process, so none if there are four or fewer.
 func steadyRequests(requests float64) float64 {
-	return max(requests-2*math.Sqrt(requests), 0)
+	return max(min(requests/2, requests-2*math.Sqrt(requests)), 0)
 }
--- a/retrybudget/lenders.go
+++ b/retrybudget/lenders.go
@@ -13,7 +13,7 @@
 	// restSilent is how long a router isn't asked that didn't reply in time.
 	restSilent = 2 * time.Second
 	// restSpent is how long a router isn't asked that lent less than it was asked for.
-	restSpent = 300 * time.Millisecond
+	restSpent = time.Second
 )
 
 // Answer is what became of a request for a loan.
--- a/retrybudget/lending.go
+++ b/retrybudget/lending.go
@@ -28,7 +28,8 @@
 
 	// A router may send asksAtOnce asks at once and asksPerSecond in the long run. An ask and its
 	// reply take about 250 bytes, so a fleet whose budget is spent sends 1 KB/s for each router.
-	asksAtOnce    = 64
+	// With 64 asks at once, 69 of 100 answers at 985 routers had budget within 100 ms.
+	asksAtOnce    = 256
 	asksPerSecond = 4
 )
 
@@ -50,10 +51,12 @@
 
 // plan returns how many routers are asked, and for how much each, if need retries are missing and a
 // router is expected to lend yield. One router more than necessary is asked, because some are dead,
-// cut off, or have nothing left.
+// cut off, or have nothing left. If it lends too, the surplus serves the next retry, or is lost to
+// the fleet for a window; without it, 83 of 100 answers at 985 routers had budget within 100 ms, in
+// place of 100, because they needed more rounds.
 func plan(need, yield float64, routers, allowed int) (asks int, each float64) {
 	asks = min(int(math.Ceil(need/max(yield, minYield)))+1, maxAsks, routers, allowed)
-	if need <= 0 || asks <= 0 {
+	if need <= tolerance || asks <= 0 {
 		return 0, 0
 	}
 	return asks, min(need/float64(max(asks-1, 1)), MaxCount)
--- a/retrybudget/routers.go
+++ b/retrybudget/routers.go
@@ -22,7 +22,12 @@
 		r.former = append(r.former, former{r.current, now + r.Window + Keep})
 	}
 	r.current = count
-	most, kept := count, r.former[:0]
+	return r.Last(now)
+}
+
+// Last returns the number that counts, going by the last update.
+func (r *Routers) Last(now time.Duration) int {
+	most, kept := r.current, r.former[:0]
 	for _, f := range r.former {
 		if f.until > now {
 			kept = append(kept, f)
@@ -35,9 +40,6 @@
 	return most
 }
 
-// Known returns the number that was recorded last.
-func (r *Routers) Known() int { return r.current }
-
 // maxFormer bounds the memory if the number changes all the time.
 const maxFormer = 32
 
