--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -25,11 +25,12 @@
 
 // testFleet is a store, replicas and nodes on the loopback interface.
 type testFleet struct {
-	t        *testing.T
-	store    *fakes.Store
-	mu       sync.Mutex
-	replicas map[string]*fakes.Replica // by address
-	version  int
+	t            *testing.T
+	store        *fakes.Store
+	mu           sync.Mutex
+	replicas     map[string]*fakes.Replica // by address
+	version      int
+	retryWindows map[string]int // settings of nodes, in seconds; 0 for the others
 }
 
 func newFleet(t *testing.T) *testFleet {
@@ -137,7 +138,7 @@
 		"node": {"id": %q, "vm": %q, "failure_domain": "d0", "region": "r", "incarnation": "1"},
 		"shutdown": {"balancer_notice_ms": 200},
 		"hosted": {"front_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0", "metrics_address": "127.0.0.1:0",
-			"peer_address": %q, "store_address": %q, "grace_ms": 8000}}`, id, id, freeAddr(f.t), store))
+			"peer_address": %q, "store_address": %q, "grace_ms": 8000, "retry_window_s": %d}}`, id, id, freeAddr(f.t), store, f.retryWindows[id]))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/hosted/loans_fleet_test.go
+++ b/hosted/loans_fleet_test.go
@@ -311,3 +311,31 @@
 		return rng.Float64() < p
 	}
 }
+
+// Guards against calls without end to routers of the previous release, which answer them with an error.
+func TestOlderRoutersAreAskedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newBudgetFleet(t, 66, 10)
+		defer f.close()
+		var mu sync.Mutex
+		asked := map[string]int{}
+		f.loans.older = func(name string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			asked[name]++
+			return true
+		}
+		for range 5 { // of which the first two find budget of their own
+			f.interrupt(0, true, time.Second, func(time.Duration, bool) {})
+			f.waiting.Wait()
+		}
+		if len(asked) == 0 {
+			t.Error("no router was asked")
+		}
+		for name, n := range asked {
+			if n > 1 {
+				t.Errorf("%s was asked %d times", name, n)
+			}
+		}
+	})
+}
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -93,6 +93,31 @@
 	return false
 }
 
+// Guards against more retries than the budget in windows that begin after the requests that allowed them: of a router with
+// much traffic that falls to half, and of one with little traffic that ends.
+func TestWindowsAfterTheTrafficHaveRoom(t *testing.T) {
+	for _, c := range []struct{ before, after time.Duration }{{100 * time.Millisecond, 200 * time.Millisecond}, {3 * time.Second, time.Hour}} {
+		h := &history{}
+		b := New(Config{Share: 0.5, Burst: 3, Window: testWindow, Start: -testWindow})
+		run := func(from, to, every time.Duration, draw bool) {
+			for now := from; now < to; now += min(every, 100*time.Millisecond) {
+				if (now-from)%every == 0 {
+					b.First(now)
+					h.requests = append(h.requests, now)
+				}
+				for draw && b.Draw(now, 1, true) {
+					h.retries = append(h.retries, now)
+				}
+			}
+		}
+		run(0, 10*time.Second, c.before, false)
+		run(10*time.Second, 30*time.Second, c.after, true)
+		if got := h.most(0.5, 0); got > 3+1e-6 {
+			t.Errorf("%v: %.1f retries beyond the share, the burst is 3, in all %d", c, got, len(h.retries))
+		}
+	}
+}
+
 // Guards against more retries than the requests of two windows cover at half of the share, where a router's part of the burst
 // is less than what one request allows.
 func TestHalfOfTheShareIsUsedWithoutABurst(t *testing.T) {
@@ -147,6 +172,20 @@
 	}
 }
 
+// Guards against a lender that draws a loan's retry again while the borrower's use of it still counts, and a borrower that
+// uses a loan for longer than the lender assumes.
+func TestLoanCountsUntilItsLastUseLeavesTheWindow(t *testing.T) {
+	lender, borrower := New(Config{Burst: 1, Window: testWindow, Start: -testWindow}), New(Config{Window: testWindow})
+	r := LoanRequest{Service: "s", Count: 1, Started: true}
+	borrower.Granted(0, 0, r, LoanReply{lender.Lend(0, 1, r)})
+	if borrower.Draw(Keep, 1, true) || lender.Draw(testWindow+Keep-time.Millisecond, 1, true) {
+		t.Error("a loan was used late, or counted for too short")
+	}
+	if !lender.Draw(testWindow+Keep+2*lender.ledger.width, 1, true) {
+		t.Error("a loan counts for ever")
+	}
+}
+
 // Guards against asks to routers that can't lend, and against asks without bound while the fleet's budget is spent.
 func TestAsksAreBounded(t *testing.T) {
 	var l Lenders
