--- a/hosted/loans.go
+++ b/hosted/loans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -45,7 +46,7 @@
 	}
 	window := time.Duration(h.RetryWindowS) * time.Second
 	return &loans{
-		cfg:       retrybudget.Config{Share: budgetMargin * h.RetryShare, Burst: budgetMargin * h.RetryBurst, Window: window, Start: now()},
+		cfg:       retrybudget.Config{Share: budgetMargin * h.RetryShare, Burst: budgetMargin * h.RetryBurst, Window: window, Start: now(), Rank: rand.Uint32},
 		now:       now,
 		others:    func() []string { return nil },
 		exists:    func(string) bool { return true },
@@ -110,7 +111,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	reply.Granted = l.of(r.Service).Lend(now, l.sharing(now, known), r)
+	reply = l.of(r.Service).Lend(now, l.sharing(now, known), r)
 	l.m.lent.Add(reply.Granted)
 	return reply, nil
 }
--- a/hosted/loans_fleet_test.go
+++ b/hosted/loans_fleet_test.go
@@ -1,194 +1,21 @@
 package hosted
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"wigeondale/settings"
 )
 
-// budgetFleet simulates the retry budgets of a fleet of routers, without requests and servers.
-type budgetFleet struct {
-	t       *testing.T
-	h       *settings.Hosted
-	loans   *loanFleet
-	rng     *rand.Rand
-	start   time.Time
-	weights []float64 // of the routers in the traffic; 0 if not running
-
-	mu       sync.Mutex
-	running  map[string]*budgets // guarded by mu, as what follows
-	requests []time.Duration
-	retries  []time.Duration
-	ctx      context.Context
-	stop     context.CancelFunc
-	waiting  sync.WaitGroup
-}
-
-// newBudgetFleet returns a fleet whose routers run for so long that each has its part of the burst. It must be called in a
-// synctest bubble.
-func newBudgetFleet(t *testing.T, routers int, window int) *budgetFleet {
-	f := &budgetFleet{
-		t: t, h: &settings.Hosted{}, loans: newLoanFleet(routers), rng: rand.New(rand.NewPCG(1, uint64(routers))), start: time.Now(),
-		running: map[string]*budgets{},
-	}
-	f.h.SetDefaults()
-	f.h.RetryWindowS = window
-	f.ctx, f.stop = context.WithCancel(t.Context())
-	f.loans.router = func(name string) *loans {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if b := f.running[name]; b != nil {
-			return b.loans
-		}
-		return nil
-	}
-	for i := range routers {
-		f.boot(i)
-		f.weights = append(f.weights, 1)
-		if l := f.budgets(i).loans; l != nil {
-			l.cfg.Start = 0
-		}
-	}
-	return f
-}
-
-func (f *budgetFleet) now() time.Duration { return time.Since(f.start) + time.Hour }
-
-// boot starts the router i, with nothing left of an earlier life.
-func (f *budgetFleet) boot(i int) {
-	b := newBudgets(f.h, func() int { return len(f.loans.names) })
-	if b.loans = newLoans(f.h, f.now, nil); b.loans != nil {
-		f.loans.join(f.loans.names[i], b.loans)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.running[f.loans.names[i]] = b
-}
-
-func (f *budgetFleet) kill(i int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.running[f.loans.names[i]] = nil
-}
-
-func (f *budgetFleet) budgets(i int) *budgets {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.running[f.loans.names[i]]
-}
-
-// close ends the fleet and waits until it borrows no more.
-func (f *budgetFleet) close() {
-	f.stop()
-	f.waiting.Wait()
-	time.Sleep(time.Second)
-}
-
-// draw returns a router at random, by the weights of the running ones.
-func (f *budgetFleet) draw() int {
-	for {
-		i := f.rng.IntN(len(f.weights))
-		if f.budgets(i) != nil && f.rng.Float64() < f.weights[i] {
-			return i
-		}
-	}
-}
-
-// traffic sends requests at a rate for a time. It calls each with the time since the beginning.
-func (f *budgetFleet) traffic(perSecond float64, d time.Duration, each func(at time.Duration)) {
-	for from := f.now(); ; {
-		time.Sleep(time.Duration(f.rng.ExpFloat64() / perSecond * float64(time.Second)))
-		at := f.now() - from
-		if at > d {
-			return
-		}
-		b := f.budgets(f.draw())
-		f.mu.Lock()
-		f.requests = append(f.requests, f.now())
-		f.mu.Unlock()
-		b.First(modelService)
-		if each != nil {
-			each(at)
-		}
-	}
-}
-
-// interrupt has a retry wait for budget at router i, as generation does. It calls done with the time that it waited.
-func (f *budgetFleet) interrupt(i int, started bool, limit time.Duration, done func(time.Duration, bool)) {
-	b, from, limit := f.budgets(i), f.now(), limit
-	f.waiting.Go(func() {
-		for {
-			got := b.Take(modelService) || b.Await(f.ctx, modelService, started, 100*time.Millisecond)
-			dead := f.budgets(i) != b
-			if got && !dead {
-				f.mu.Lock()
-				f.retries = append(f.retries, f.now())
-				f.mu.Unlock()
-			}
-			if waited := f.now() - from; got || dead || waited >= limit {
-				done(waited, got && !dead)
-				return
-			}
-			if b.loans == nil {
-				time.Sleep(75 * time.Millisecond) // of 100 ms, as drawn by generation
-			}
-		}
-	})
-}
-
-// mostOver returns by how much the retries of any window exceed share for each request plus burst.
-func (f *budgetFleet) mostOver(share, burst float64) (most float64, at time.Duration) {
-	const window = 10 * time.Second
-	most = -burst
-	var r0, r1, q0, q1 int
-	for _, from := range f.retries { // each window that begins just before a retry
-		for ; r0 < len(f.retries) && f.retries[r0] < from; r0++ {
-		}
-		for ; r1 < len(f.retries) && f.retries[r1] < from+window; r1++ {
-		}
-		for ; q0 < len(f.requests) && f.requests[q0] < from; q0++ {
-		}
-		for ; q1 < len(f.requests) && f.requests[q1] < from+window; q1++ {
-		}
-		if over := float64(r1-r0) - share*float64(q1-q0) - burst; over > most {
-			most, at = over, from-time.Hour
-		}
-	}
-	return most, at
-}
-
-// crash interrupts n started answers at random routers at once and returns the share that has budget within 100 ms.
-func (f *budgetFleet) crash(n int) float64 {
-	var mu sync.Mutex
-	inTime, all := 0, 0
-	for range n {
-		f.interrupt(f.draw(), true, time.Second, func(waited time.Duration, got bool) {
-			mu.Lock()
-			defer mu.Unlock()
-			all++
-			if got && waited <= 100*time.Millisecond {
-				inTime++
-			}
-		})
-	}
-	f.waiting.Wait()
-	return float64(inTime) / float64(all)
-}
-
 // loanSizes are numbers of routers.
 var loanSizes = []int{8, 66, 300, 985}
 
 const loanStreams = 31.8 // requests per second of the fleets below
 
 // crashes returns the share of interrupted answers that have budget within 100 ms, in several fleets.
-func crashes(t *testing.T, routers, window, answers int, trouble func(*budgetFleet)) float64 {
-	const fleets = 10
+func crashes(t *testing.T, fleets, routers, window, answers int, trouble func(*budgetFleet)) float64 {
 	sum := 0.0
 	for seed := range fleets {
 		synctest.Test(t, func(t *testing.T) {
@@ -197,7 +24,7 @@
 			defer f.close()
 			f.traffic(loanStreams, 12*time.Second, nil)
 			trouble(f)
-			sum += f.crash(answers) / fleets
+			sum += f.crash(answers) / float64(fleets)
 		})
 	}
 	return sum
@@ -209,8 +36,8 @@
 // other routers. A fifth of the backend servers crashes and interrupts 75 answers, for which the fleet has 120 retries.
 func TestInterruptedAnswersUseTheBudgetOfAllRouters(t *testing.T) {
 	for _, routers := range loanSizes {
-		got := crashes(t, routers, 10, 75, (*budgetFleet).noTrouble)
-		t.Logf("%d routers: %.3f have budget within 100 ms; of 100 answers %.3f", routers, got, crashes(t, routers, 10, 100, (*budgetFleet).noTrouble))
+		got := crashes(t, 10, routers, 10, 75, (*budgetFleet).noTrouble)
+		t.Logf("%d routers: %.3f have budget within 100 ms; of 100 answers %.3f", routers, got, crashes(t, 10, routers, 10, 100, (*budgetFleet).noTrouble))
 		if got < 0.99 {
 			t.Errorf("%d routers: %.3f of the interrupted answers have budget within 100 ms", routers, got)
 		}
@@ -219,7 +46,7 @@
 
 // The cause of the fault above: without a window each router has two retries, and the others wait.
 func TestEvenPartsLeaveBudgetUnused(t *testing.T) {
-	if got := crashes(t, 66, 0, 75, (*budgetFleet).noTrouble); got > 0.95 {
+	if got := crashes(t, 10, 66, 0, 75, (*budgetFleet).noTrouble); got > 0.95 {
 		t.Errorf("%.3f have budget within 100 ms", got)
 	} else {
 		t.Logf("%.3f have budget within 100 ms", got)
@@ -230,7 +57,7 @@
 // died with the servers and isn't known to be dead yet, a fifth is of the previous release, a tenth of the replies are lost.
 func TestInterruptedAnswersFindLendersInTrouble(t *testing.T) {
 	for _, routers := range loanSizes[1:] {
-		got := crashes(t, routers, 10, 25, func(f *budgetFleet) {
+		got := crashes(t, 10, routers, 10, 25, func(f *budgetFleet) {
 			f.loans.older = func(name string) bool { return f.number(name)%5 == 1 }
 			f.loans.loses = f.chance(0.1)
 			for i := 0; i < routers; i += 5 {
@@ -312,6 +139,19 @@
 	}
 }
 
+// Guards against budget that is of no use because each of many routers holds a fraction of a retry: more answers are
+// interrupted than the fleet has budget for.
+func TestFractionsAreCollected(t *testing.T) {
+	for _, routers := range loanSizes {
+		const answers = 400
+		got := answers * crashes(t, 1, routers, 10, answers, (*budgetFleet).noTrouble)
+		t.Logf("%d routers: %.0f answers have budget within 100 ms", routers, got)
+		if burst := 120.0; got < burst/2 {
+			t.Errorf("%d routers: %.0f answers have budget within 100 ms, the burst is %.0f", routers, got, burst)
+		}
+	}
+}
+
 // Guards against calls without end to routers of the previous release, which answer them with an error.
 func TestOlderRoutersAreAskedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -26,6 +26,8 @@
 	// Start is when the router started. In its first window it has no part of the burst, because a
 	// router that died just before, in whose place it may be, may have used that part.
 	Start time.Duration
+	// Rank draws a random rank among the routers that wait at the same time.
+	Rank func() uint32
 }
 
 // Budget is the budget of one service at one router. Times are measured on one clock that never
@@ -36,6 +38,7 @@
 	credits []credit // loans to this router, by the time until which they may be used
 	started int      // waiting retries of started answers
 	others  int      // waiting retries of other requests
+	rank    uint32   // drawn when a first retry of a started answer waits
 	yield   float64  // estimate of what a router lends when it is asked
 	asked   time.Duration
 	allowed float64 // asks that may be sent now
@@ -108,11 +111,14 @@
 
 // Wait records that a retry begins (n is 1) or ends (n is -1) to wait for budget.
 func (b *Budget) Wait(started bool, n int) {
-	if started {
-		b.started += n
+	if !started {
+		b.others += n
 		return
 	}
-	b.others += n
+	if b.started == 0 && b.cfg.Rank != nil {
+		b.rank = b.cfg.Rank()
+	}
+	b.started += n
 }
 
 // Available reports whether a retry of a started answer could be drawn now.
@@ -124,27 +130,45 @@
 // Waiting returns the number of retries that wait for budget.
 func (b *Budget) Waiting() int { return b.started + b.others }
 
-// Lend returns how much this router lends to another router. The loan counts as drawn from now on,
-// whether the reply arrives or not, so a lost reply creates no budget.
-func (b *Budget) Lend(now time.Duration, routers int, r LoanRequest) float64 {
-	own := b.own(now, routers)
+// Lend answers another router's request. The loan counts as drawn from now on, whether the reply
+// arrives or not, so a lost reply creates no budget.
+func (b *Budget) Lend(now time.Duration, routers int, r LoanRequest) (reply LoanReply) {
 	waiting := b.started
 	if !r.Started {
 		waiting += b.others
 	}
-	loan := lendable(own, waiting, b.cfg.Window, r.Count, r.Started)
-	if loan < tolerance {
-		return 0
+	if lendsHoldings(b.started, b.rank, r) {
+		waiting = 0
+		reply = b.passOn(now, r.Count)
+	}
+	loan := lendable(b.own(now, routers), waiting, b.cfg.Window, r.Count-reply.Granted, r.Started)
+	if loan >= tolerance {
+		b.ledger.draw(now+Keep, loan)
+		reply.Granted += loan
+	}
+	b.lent += reply.Granted
+	return reply
+}
+
+// passOn lends loans that this router has borrowed, which may be kept for what is left of their time.
+func (b *Budget) passOn(now time.Duration, count float64) (reply LoanReply) {
+	available := b.borrowed(now)
+	shortest := Keep
+	for _, c := range b.credits {
+		shortest = min(shortest, c.until-now)
+	}
+	if available < tolerance || shortest < minPassOn {
+		return LoanReply{}
 	}
-	b.ledger.draw(now+Keep, loan)
-	b.lent += loan
-	return loan
+	reply = LoanReply{Granted: min(available, count), KeepMS: uint32(shortest / time.Millisecond)}
+	b.useCredits(reply.Granted)
+	return reply
 }
 
 // Ask returns how many of the known other routers to ask now, and for what.
 func (b *Budget) Ask(now time.Duration, routers, known int) (asks int, r LoanRequest) {
 	own := b.own(now, routers)
-	r.Started = b.started > 0
+	r.Started, r.Rank = b.started > 0, b.rank
 	waiting := b.others
 	if r.Started {
 		waiting = b.started
@@ -170,7 +194,7 @@
 	b.yield = nextYield(b.yield, reply.Granted, r.Count)
 	b.loaned += reply.Granted
 	// The lender counts from its reply on, which is later than sent.
-	if until := sent + Keep; until > now && reply.Granted > 0 {
+	if until := sent + reply.keep(); until > now && reply.Granted > 0 {
 		b.credits = append(b.credits, credit{reply.Granted, until})
 		return true
 	}
--- a/retrybudget/budget_test.go
+++ b/retrybudget/budget_test.go
@@ -61,10 +61,15 @@
 		default:
 			r := LoanRequest{Service: "s", Count: rapid.Float64Range(0.01, 2).Draw(t, "count"), Started: rapid.Bool().Draw(t, "started")}
 			sent := now
-			granted := h.budgets[router.Draw(t, "lender")].Lend(now, routers, r)
+			lender := h.budgets[router.Draw(t, "lender")]
+			waits := rapid.IntRange(0, 1).Draw(t, "waits") // then it lends on what it has borrowed
+			lender.Wait(true, waits)
+			lender.rank, r.Rank = 1, 2
+			reply := lender.Lend(now, routers, r)
+			lender.Wait(true, -waits)
 			now += time.Duration(rapid.IntRange(0, 1200).Draw(t, "latency")) * time.Millisecond
 			if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
-				b.Granted(now, sent, r, LoanReply{granted})
+				b.Granted(now, sent, r, reply)
 			}
 		}
 	}
@@ -136,14 +141,14 @@
 	for b.Draw(0, 1, false) {
 		drawn++
 	}
-	if loan := b.Lend(0, 1, LoanRequest{Service: "s", Count: 1}); drawn != 6 || loan != 0 {
+	if loan := b.Lend(0, 1, LoanRequest{Service: "s", Count: 1}); drawn != 6 || loan.Granted != 0 {
 		t.Errorf("others drew %d of 8, and borrowed %v", drawn, loan)
 	}
 	b.Wait(true, 1)
-	if b.Lend(0, 1, LoanRequest{Service: "s", Count: 2, Started: true}) > 1 {
+	if b.Lend(0, 1, LoanRequest{Service: "s", Count: 2, Started: true}).Granted > 1 {
 		t.Error("lent what a started answer waits for here")
 	}
-	b.Granted(0, 0, LoanRequest{Count: 1}, LoanReply{1})
+	b.Granted(0, 0, LoanRequest{Count: 1}, LoanReply{Granted: 1})
 	if b.Draw(0, 1, false) || !b.Draw(0, 1, true) {
 		t.Error("another retry went before a started answer")
 	}
@@ -177,10 +182,19 @@
 func TestLoanCountsUntilItsLastUseLeavesTheWindow(t *testing.T) {
 	lender, borrower := New(Config{Burst: 1, Window: testWindow, Start: -testWindow}), New(Config{Window: testWindow})
 	r := LoanRequest{Service: "s", Count: 1, Started: true}
-	borrower.Granted(0, 0, r, LoanReply{lender.Lend(0, 1, r)})
+	borrower.Granted(0, 0, r, lender.Lend(0, 1, r))
 	if borrower.Draw(Keep, 1, true) || lender.Draw(testWindow+Keep-time.Millisecond, 1, true) {
 		t.Error("a loan was used late, or counted for too short")
 	}
+	last := New(Config{Window: testWindow})
+	borrower.Granted(0, 0, r, LoanReply{Granted: 1})
+	borrower.Wait(true, 1)
+	r.Rank = 1
+	passed := Keep - minPassOn
+	last.Granted(passed, passed, r, borrower.Lend(passed, 1, r))
+	if last.borrowed(Keep-time.Millisecond) != 1 || last.borrowed(Keep) != 0 {
+		t.Error("a loan that was lent on may not be used, or for too long")
+	}
 	if !lender.Draw(testWindow+Keep+2*lender.ledger.width, 1, true) {
 		t.Error("a loan counts for ever")
 	}
--- a/retrybudget/fuzz_test.go
+++ b/retrybudget/fuzz_test.go
@@ -10,7 +10,9 @@
 // FuzzLoan checks that no message of another process, whatever its size and values, lends or credits more than the bounds
 // allow.
 func FuzzLoan(f *testing.F) {
-	for _, r := range []LoanRequest{{"s", 1, true}, {"", -1, false}, {"s", math.NaN(), false}, {"s", math.Inf(1), false}, {"s", MaxCount + 1, true}} {
+	for _, r := range []LoanRequest{
+		{"s", 1, true, 7}, {"", -1, false, 0}, {"s", math.NaN(), false, 0}, {"s", math.Inf(1), false, 0}, {"s", MaxCount + 1, true, 0},
+	} {
 		b, err := cbor.Marshal(r)
 		if err != nil {
 			f.Fatal(err)
@@ -21,7 +23,7 @@
 		var r LoanRequest
 		if cbor.Unmarshal(raw, &r) == nil && r.Check() == nil {
 			lender := New(Config{Burst: 1000, Window: testWindow, Start: -testWindow})
-			if got := lender.Lend(0, 1, r); !(got >= 0 && got <= MaxCount) || len(r.Service) > maxService {
+			if got := lender.Lend(0, 1, r).Granted; !(got >= 0 && got <= MaxCount) || len(r.Service) > maxService {
 				t.Fatalf("lent %v of %+v", got, r)
 			}
 		}
--- a/retrybudget/lending.go
+++ b/retrybudget/lending.go
@@ -23,6 +23,9 @@
 	// burst of 120 in one round, with a reserve for routers that have lent their part already.
 	maxAsks = 16
 
+	// minPassOn is the least time that must be left of a loan that is lent on.
+	minPassOn = 100 * time.Millisecond
+
 	// minYield bounds the estimate of what a router lends, so that the number of asks is finite.
 	minYield = 0.01
 
@@ -49,6 +52,14 @@
 	return max(min(asked, own.left-max(need, reserve(own.most, started))), 0)
 }
 
+// lendsHoldings reports whether a router at which retries of started answers wait lends all that it
+// holds to another such router. If more retries wait than there is budget, and a part is a small
+// fraction, each would hold a fraction that is of no use: of 400 answers at 985 routers, 25 had
+// budget within 100 ms although there was budget for 220. So those of low rank give theirs up.
+func lendsHoldings(started int, rank uint32, r LoanRequest) bool {
+	return started > 0 && r.Started && r.Rank > rank
+}
+
 // plan returns how many routers are asked, and for how much each, if need retries are missing and a
 // router is expected to lend yield. One router more than necessary is asked, because some are dead,
 // cut off, or have nothing left. If it lends too, the surplus serves the next retry, or is lost to
--- a/retrybudget/message.go
+++ b/retrybudget/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -24,11 +25,24 @@
 	Count   float64 `cbor:"2,keyasint"`
 	// Started says that retries of started answers wait. Without it the lender keeps its reserve.
 	Started bool `cbor:"3,keyasint,omitempty"`
+	// Rank orders routers that wait at the same time: the lower one lends what it holds.
+	Rank uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // LoanReply states how much is lent, at most what was asked.
 type LoanReply struct {
 	Granted float64 `cbor:"1,keyasint"`
+	// KeepMS is how long the loan may be kept, if that is shorter than Keep because the lender has
+	// borrowed it.
+	KeepMS uint32 `cbor:"2,keyasint,omitempty"`
+}
+
+// keep returns how long the loan may be kept.
+func (r LoanReply) keep() time.Duration {
+	if r.KeepMS == 0 || r.KeepMS >= uint32(Keep/time.Millisecond) {
+		return Keep
+	}
+	return time.Duration(r.KeepMS) * time.Millisecond
 }
 
 // Check returns an error if a field is out of bounds.
