--- a/hosted/loans_budgets_test.go
+++ b/hosted/loans_budgets_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"wigeondale/settings"
