--- a/generation/steps.go
+++ b/generation/steps.go
@@ -101,7 +101,9 @@
 		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
 	if x.needsBudget && !x.drawBudget() {
-		return x.waitForBudget()
+		if ev := x.awaitBudget(); ev != "" {
+			return ev
+		}
 	}
 	x.needsBudget = false
 	if x.cutOff() {
@@ -148,35 +150,6 @@
 	return false
 }
 
-// drawBudget draws from the retry budget for one more attempt that arrives at a backend
-// server. The first try to continue a started answer may use more of the budget than other
-// retries, since the answer is truncated if it can't be continued. While a silent attempt is kept it may not.
-func (x *run) drawBudget() bool {
-	if x.firstAfterLoss && x.kept == nil {
-		return x.Budget.Continue(x.service())
-	}
-	return x.Budget.Take(x.service())
-}
-
-// budgetRetryInterval is how often a started answer tries again to draw from the retry budget.
-// The budget grows with the first try of each other request.
-const budgetRetryInterval = 100 * time.Millisecond
-
-// waitForBudget ends or delays an attempt for which the service has no retry budget left. A
-// started answer waits for budget, since it represents work already paid for.
-//
-// If attempts were not bounded by the budget, each router would try one outdated replica
-// address after the other when replicas crash while the store is unreachable, and a service
-// that has lost half of its replicas would receive several times as many arrivals as requests.
-func (x *run) waitForBudget() string {
-	x.logNoFurtherAttempt(CodeRetryBudget, x.waitErr)
-	if !x.started() {
-		return x.giveUp(CodeRetryBudget, x.waitErr)
-	}
-	x.delay = budgetRetryInterval
-	return "none"
-}
-
 func (x *run) pickRequest() PickRequest {
 	a := PickRequest{
 		RequestID: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
