Answers without end are given up within bounds of memory and time

Cause: a server in trouble may send bytes that are no answer until the caller closes. net/http reads up to 10 MB of a head, and the body of an answer that switches the protocol (101) ignores the end of the request's context: a health check, a store call or an attempt that got one never returned. Bodies of 64 MB (key-value service), 16 MB (store) and 1 MB (reports, refusals, events) were read before it was seen that they are no JSON; a message of a watch, an event of the client and an answer that isn't streamed had no bound at all. A refusal waited for its body.

Change: package bounded bounds heads to 64 KB, gives up answers that switch the protocol, and decodes JSON as it comes, so that bytes that are no JSON end an answer at the first of them; what is too long is an error instead of a truncated answer. Package fakes/endless sends such answers.

--- a/backend/client.go
+++ b/backend/client.go
@@ -11,18 +11,23 @@
 	"strconv"
 	"time"
 
+	"wigeondale/bounded"
 	"wigeondale/fleet"
 )
 
 const (
 	incarnationHeader = "X-Engine-Incarnation"
 	softwareHeader    = "X-Engine-Software"
-	maxAnswerBytes    = 1 << 20 // of answers that aren't streams
+	// maxAnswerBytes bounds answers that aren't streams. The largest is a page of cache events, of
+	// 60 bytes each.
+	maxAnswerBytes = 1 << 20
+	// maxRefusalBytes bounds a refusal: a code, and a message for people.
+	maxRefusalBytes = 16 << 10
 )
 
 // Client sends requests to model engines. It is safe for concurrent use.
 type Client struct {
-	rt *http.Transport
+	rt bounded.Transport
 	// Gate, if set, decides whether new work may be sent.
 	Gate Gate
 	// Unknown, if set, counts the headers of answers to new work that this package does not know.
@@ -225,21 +230,24 @@
 		return parseRefusal(resp)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		return Error.New("%w: %w", ErrBroken, err)
-	}
-	if err := json.Unmarshal(data, v); err != nil {
-		return Error.New("%w: %w", ErrMismatch, err)
+	if err := bounded.DecodeJSON(resp, maxAnswerBytes, v); err != nil {
+		return Error.New("%w: %w", answerError(err), err)
 	}
 	return nil
 }
 
-func drain(resp *http.Response) {
-	io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
-	resp.Body.Close()
+// answerError returns ErrBroken if an answer ended early, and ErrMismatch if it is no answer.
+func answerError(err error) error {
+	_, syntax := errors.AsType[*json.SyntaxError](err)
+	_, wrongType := errors.AsType[*json.UnmarshalTypeError](err)
+	if syntax || wrongType || errors.Is(err, bounded.ErrTooLong) {
+		return ErrMismatch
+	}
+	return ErrBroken
 }
 
+func drain(resp *http.Response) { bounded.Drain(resp.Body, maxRefusalBytes) }
+
 // parseRefusal converts an answer with a status other than 200 into an error. Only a
 // documented refusal status with an error code becomes *Refused ("not run"). A 500 or a
 // proxy's 503 may come after the request has run, so such an answer becomes ErrBroken.
@@ -251,11 +259,7 @@
 			Code    string `json:"code"`
 		} `json:"error"`
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		return Error.New("%w: %w", ErrBroken, err)
-	}
-	err = errors.Join(json.Unmarshal(data, &body), context.Cause(resp.Request.Context()))
+	err := errors.Join(bounded.DecodeJSON(resp, maxRefusalBytes, &body), context.Cause(resp.Request.Context()))
 	if err != nil || body.Error.Code == "" || !isRefusalStatus(resp.StatusCode) {
 		return Error.New("%w: status %d without a valid refusal", ErrBroken, resp.StatusCode)
 	}
--- /dev/null
+++ b/backend/endless_test.go
@@ -0,0 +1,103 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"wigeondale/fakes/endless"
+	"wigeondale/fleet"
+)
+
+const (
+	endlessDeadline = 400 * time.Millisecond
+	// mostTaken bounds the bytes taken in of what is no answer, with the buffers of both sides.
+	mostTaken = 700 << 10
+)
+
+// checkEnds makes a call to a server that answers without end.
+func checkEnds(t *testing.T, a endless.Answer, call func(ctx context.Context, b fleet.Backend)) {
+	t.Helper()
+	if err := endless.Check(a, endlessDeadline, mostTaken, func(ctx context.Context, addr string) {
+		call(ctx, fleet.Backend{ID: "e1", Addr: addr})
+	}); err != nil {
+		t.Errorf("%s: %v", a.Kind, err)
+	}
+}
+
+// Guards against an engine that sends bytes without end in answer to any call: memory grows with
+// them, or a health check never returns. On 8472d66 it fails at heads and comments at full speed, at
+// a switched protocol of every call, and at bodies of 1 MB.
+func TestEnginesWithoutEnd(t *testing.T) {
+	calls := map[string]func(c *Client, ctx context.Context, b fleet.Backend) error{
+		"open": func(c *Client, ctx context.Context, b fleet.Backend) error {
+			return readAll(c.Open(ctx, b, StartRequest{ID: "q", Attempt: 1, MaxTokens: 5}))
+		},
+		"attach": func(c *Client, ctx context.Context, b fleet.Backend) error {
+			return readAll(c.Attach(ctx, b, StreamID{Request: "q", Attempt: 1}, 0))
+		},
+		"load": func(c *Client, ctx context.Context, b fleet.Backend) error { _, err := c.Load(ctx, b); return err },
+		"events": func(c *Client, ctx context.Context, b fleet.Backend) error {
+			_, err := c.CacheEvents(ctx, b, 0)
+			return err
+		},
+		"cancel": func(c *Client, ctx context.Context, b fleet.Backend) error {
+			_, err := c.Cancel(ctx, b, "q", 1)
+			return err
+		},
+		"order": func(c *Client, ctx context.Context, b fleet.Backend) error {
+			_, err := c.Order(ctx, b, OrderRequest{})
+			return err
+		},
+	}
+	for name, call := range calls {
+		for _, kind := range endless.All {
+			for _, a := range []endless.Answer{{Kind: kind}, {Kind: kind, Gap: time.Millisecond}, {Kind: kind, Status: 503}} {
+				t.Run(name+" "+string(kind), func(t *testing.T) {
+					t.Parallel()
+					checkEnds(t, a, func(ctx context.Context, b fleet.Backend) {
+						err := call(NewClient(), ctx, b)
+						if !errors.Is(err, ErrBroken) && !errors.Is(err, ErrMismatch) {
+							t.Errorf("got %v", err)
+						}
+						if _, refused := errors.AsType[*Refused](err); refused || errors.Is(err, ErrNotSent) {
+							t.Errorf("the request may have run, got %v", err)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// readAll reads a stream to its end. The end mark counts as an error of the test.
+func readAll(s *Stream, err error) error {
+	for err == nil {
+		_, err = s.Next()
+	}
+	if s != nil {
+		s.Close()
+	}
+	return err
+}
+
+// Guards against a plain service whose head never ends, or that switches the protocol, which leaves
+// a connection that no deadline closes. On 8472d66 it fails: 10 MB are read, and a switched protocol
+// is returned as an answer.
+func TestServiceHeadsWithoutEnd(t *testing.T) {
+	for _, kind := range append([]endless.Kind{endless.Switched}, endless.Heads...) {
+		for _, gap := range []time.Duration{0, time.Millisecond} {
+			checkEnds(t, endless.Answer{Kind: kind, Gap: gap}, func(ctx context.Context, b fleet.Backend) {
+				resp, err := NewServiceClient().Do(ctx, b, Call{Method: http.MethodGet, Path: "/"})
+				if err == nil {
+					resp.Body.Close()
+				}
+				if !errors.Is(err, ErrBroken) {
+					t.Errorf("%s: got %v", kind, err)
+				}
+			})
+		}
+	}
+}
--- a/backend/send.go
+++ b/backend/send.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"wigeondale/bounded"
 )
 
 const (
@@ -55,20 +57,20 @@
 }
 
 // newTransport returns the transport for the engine protocol and for services.
-func newTransport() *http.Transport {
+func newTransport() bounded.Transport {
 	return NewTransport(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes})
 }
 
 // NewTransport returns a transport that speaks HTTP/1.1 only, because HTTP/2
-// resends requests after GOAWAY.
-func NewTransport(d DialConfig) *http.Transport {
+// resends requests after GOAWAY. Heads of answers are bounded.
+func NewTransport(d DialConfig) bounded.Transport {
 	dial := d.Dial
 	if dial == nil {
 		dial = d.dialer().DialContext
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return bounded.NewTransport(&http.Transport{
 		Protocols: &protocols,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.open(ctx, dial, network, addr)
@@ -82,7 +84,7 @@
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      d.BufferBytes,
 		WriteBufferSize:     d.BufferBytes,
-	}
+	})
 }
 
 // open opens a connection with dial, within the timeout, and notifies the observer.
--- a/backend/service.go
+++ b/backend/service.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strings"
 
+	"wigeondale/bounded"
 	"wigeondale/fleet"
 )
 
@@ -28,7 +29,7 @@
 // ServiceClient calls services that are not model engines. It is safe for
 // concurrent use.
 type ServiceClient struct {
-	rt *http.Transport
+	rt bounded.Transport
 	// Gate, if set, decides whether a call may be sent.
 	Gate Gate
 }
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -16,7 +16,13 @@
 
 const (
 	streamBufferBytes = 4 << 10
-	maxLineBytes      = 1 << 20
+	// maxLineBytes bounds a line. A chunk holds the text of one token, of a few bytes, and the
+	// names of its request and model, of a few hundred.
+	maxLineBytes = 64 << 10
+	// maxSkippedBytes bounds the comments, blank lines and other fields between two chunks. An
+	// engine that sends a comment of 20 bytes each second while a request waits for five minutes
+	// sends 6 KB.
+	maxSkippedBytes = 64 << 10
 )
 
 var (
@@ -115,14 +121,18 @@
 // ErrBroken if the connection ended before the marker, and ErrMismatch if a
 // chunk is malformed or belongs to another stream.
 func (s *Stream) Next() (Token, error) {
+	skipped := 0
 	for {
 		line, err := s.readLine()
 		if err != nil {
 			return Token{}, err
 		}
 		data, ok := bytes.CutPrefix(line, dataField)
-		if !ok {
-			continue // blank lines, comments and other fields
+		if !ok { // a blank line, a comment or another field
+			if skipped += len(line) + 1; skipped > maxSkippedBytes {
+				return Token{}, Error.New("%w: %d bytes without a chunk", ErrMismatch, skipped)
+			}
+			continue
 		}
 		data = bytes.TrimLeft(data, " ")
 		if bytes.Equal(data, doneData) {
--- a/client/call.go
+++ b/client/call.go
@@ -4,11 +4,11 @@
 	"context"
 	crand "crypto/rand"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"wigeondale/bounded"
 	"wigeondale/clock"
 	"wigeondale/fleet"
 )
@@ -130,7 +130,7 @@
 	if isRefusal(resp) {
 		return res, readRefusal(resp)
 	}
-	res.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	res.Body, err = bounded.ReadAll(resp, maxAnswerBytes)
 	if err != nil {
 		return res, err
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 
 	"github.com/zeebo/errs"
 
+	"wigeondale/bounded"
 	"wigeondale/fleet"
 )
 
@@ -123,7 +124,7 @@
 }
 
 func newHTTPClient(roots *x509.CertPool) *http.Client {
-	t := http.DefaultTransport.(*http.Transport).Clone()
+	t := bounded.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
 	t.Proxy = nil
 	t.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
 	t.MaxIdleConnsPerHost = 64
--- /dev/null
+++ b/client/endless_test.go
@@ -0,0 +1,58 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"wigeondale/fakes/endless"
+	"wigeondale/fleet"
+)
+
+// Guards against a router, or what stands at its address, that answers with bytes without end: the
+// process of the caller would run out of memory. The request must not count as answered, nor as not
+// run. On 8472d66 it fails at heads at full speed (10 MB for each try), at bodies of answers that
+// aren't streamed and at an event of data lines, which have no bound at all, at comment lines, and at
+// a switched protocol, which outlasts the deadline.
+func TestRouterWithoutEnd(t *testing.T) {
+	calls := map[string]func(ctx context.Context, c *Client) (fleet.Outcome, error){
+		"stream": func(ctx context.Context, c *Client) (fleet.Outcome, error) {
+			res, err := c.Generate(ctx, Request{Model: "m", MaxTokens: 5}, nil)
+			return res.Outcome, err
+		},
+		"whole": func(ctx context.Context, c *Client) (fleet.Outcome, error) {
+			res, err := c.GenerateNonStreaming(ctx, Request{Model: "m", MaxTokens: 5})
+			return res.Outcome, err
+		},
+		"call": func(ctx context.Context, c *Client) (fleet.Outcome, error) {
+			res, err := c.Call(ctx, CallRequest{Service: "s", Path: "p", NonIdempotent: true})
+			return res.Outcome, err
+		},
+	}
+	for name, call := range calls {
+		for _, kind := range endless.All {
+			for _, gap := range []time.Duration{0, time.Millisecond} {
+				t.Run(name+" "+string(kind)+" "+gap.String(), func(t *testing.T) {
+					t.Parallel()
+					most := int64(900 << 10)
+					if name != "stream" && !slices.Contains(endless.Heads, kind) {
+						most = 18 << 20 // the answer of a service may have 16 MB
+					}
+					opts := fastRetry()
+					opts.MaxTries = 1
+					err := endless.Check(endless.Answer{Kind: kind, Gap: gap}, 300*time.Millisecond, most, func(ctx context.Context, addr string) {
+						outcome, err := call(ctx, New([]string{"http://" + addr}, "k", opts))
+						if err == nil || outcome == fleet.Complete || outcome == fleet.NotRun || errors.Is(err, ErrNoEndpoint) {
+							t.Errorf("got outcome %q, %v", outcome, err)
+						}
+					})
+					if err != nil {
+						t.Error(err)
+					}
+				})
+			}
+		}
+	}
+}
--- a/client/generate.go
+++ b/client/generate.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"wigeondale/bounded"
 	"wigeondale/clock"
 	"wigeondale/fleet"
 )
@@ -286,7 +287,7 @@
 }
 
 func (r *generateRun) readWhole(body io.Reader) error {
-	data, err := io.ReadAll(body)
+	data, err := io.ReadAll(bounded.NewReader(body, maxAnswerBytes))
 	if err != nil {
 		return err
 	}
--- a/client/sse.go
+++ b/client/sse.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"wigeondale/bounded"
 )
 
-// maxEventLineBytes bounds one line of an event stream.
-const maxEventLineBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, and the comments before it. An event holds one chunk
+// of an engine, of at most 64 KB, of which the escapes of JSON may make six times as much.
+const maxEventBytes = 512 << 10
 
 // sseEvent is one server-sent event. Its fields are valid until the next read.
 type sseEvent struct {
@@ -26,7 +29,7 @@
 
 func newSSEReader(r io.Reader) *sseReader {
 	s := bufio.NewScanner(r)
-	s.Buffer(make([]byte, 0, 4096), maxEventLineBytes)
+	s.Buffer(make([]byte, 0, 4096), maxEventBytes)
 	return &sseReader{s: s}
 }
 
@@ -35,8 +38,12 @@
 func (r *sseReader) next() (*sseEvent, error) {
 	r.ev.id, r.ev.name = "", ""
 	r.ev.data = r.ev.data[:0]
+	size := 0
 	for r.s.Scan() {
 		line := r.s.Bytes()
+		if size += len(line) + 1; size > maxEventBytes {
+			return nil, Error.New("%w: event of more than %d bytes", bounded.ErrTooLong, maxEventBytes)
+		}
 		if len(line) > 0 {
 			r.field(line)
 			continue
--- a/ctl/caller.go
+++ b/ctl/caller.go
@@ -16,14 +16,16 @@
 	"time"
 
 	"wigeondale/adminapi"
+	"wigeondale/bounded"
 	"wigeondale/clock"
 )
 
 const (
-	maxAnswerBytes = 64 << 20 // bytes
-	confirmRounds  = 3        // over all addresses
-	roundPause     = 500 * time.Millisecond
-	dialTimeout    = 2 * time.Second
+	maxAnswerBytes  = 64 << 20 // bytes
+	maxRefusalBytes = 256 << 10
+	confirmRounds   = 3 // over all addresses
+	roundPause      = 500 * time.Millisecond
+	dialTimeout     = 2 * time.Second
 )
 
 // adminClient calls the administration API of one node after another, until a node answers.
@@ -74,7 +76,7 @@
 		}
 		c.token = strings.TrimSpace(string(b))
 	}
-	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	tr := bounded.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext})
 	if a.CAFile != "" {
 		pool, err := readPool(a.CAFile)
 		if err != nil {
@@ -174,23 +176,19 @@
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnreachable, err)
-	}
 	if resp.StatusCode != http.StatusOK {
-		return parseRefusal(addr, resp.StatusCode, b)
+		return parseRefusal(addr, resp)
 	}
-	if err := json.Unmarshal(b, out); err != nil {
+	if err := bounded.DecodeJSON(resp, maxAnswerBytes, out); err != nil {
 		return fmt.Errorf("%w: answer of %s: %w", ErrUnreachable, addr, err)
 	}
 	return nil
 }
 
-func parseRefusal(addr string, status int, b []byte) error {
+func parseRefusal(addr string, resp *http.Response) error {
 	var body adminapi.ProblemBody
-	if err := json.Unmarshal(b, &body); err != nil || body.Error.Code == "" {
-		return fmt.Errorf("%w: %s answered with status %d", ErrUnreachable, addr, status)
+	if err := bounded.DecodeJSON(resp, maxRefusalBytes, &body); err != nil || body.Error.Code == "" {
+		return fmt.Errorf("%w: %s answered with status %d", ErrUnreachable, addr, resp.StatusCode)
 	}
 	return &refusal{body.Error}
 }
--- a/infra/client.go
+++ b/infra/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"wigeondale/bounded"
 )
 
 const (
@@ -36,17 +37,17 @@
 // idempotent, and HTTP/2 resends after GOAWAY. The client would then see one call where the
 // service saw two writes. Therefore the transport uses HTTP/1 only and no proxy, and
 // newPost clears GetBody.
-func newTransport(dialTimeout time.Duration) *http.Transport {
+func newTransport(dialTimeout time.Duration) bounded.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return bounded.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		Protocols:           &protocols,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	})
 }
 
 // newHTTPClient returns a client that doesn't follow redirects, because following a
@@ -97,7 +98,7 @@
 // that the service returns before it proposes a write (400, 404 and 429) prove that nothing
 // was applied; a 5xx response may be sent while the service is still applying the write.
 func statusError(e effect, resp *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	text := bounded.ReadPrefix(resp.Body, maxErrorBytes)
 	err := fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests:
@@ -188,11 +189,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(e, resp)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil {
-		return wrapFailure(e, true, err)
-	}
-	if err := json.Unmarshal(data, out); err != nil {
+	if err := bounded.DecodeJSON(resp, maxResponseBytes, out); err != nil {
 		return wrapFailure(e, true, err)
 	}
 	return nil
--- a/infra/lists.go
+++ b/infra/lists.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/bounded"
 	"wigeondale/fleet"
 )
 
@@ -86,7 +85,7 @@
 		return nil, statusError(reads, resp)
 	}
 	var groups []targetGroup
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxVMListBytes)).Decode(&groups); err != nil {
+	if err := bounded.DecodeJSON(resp, maxVMListBytes, &groups); err != nil {
 		return nil, wrapFailure(reads, true, err)
 	}
 	var vms []VM
--- a/infra/watch.go
+++ b/infra/watch.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
+	"wigeondale/bounded"
 	"wigeondale/fleet"
 )
 
@@ -52,7 +54,7 @@
 		defer cancel()
 		defer close(events)
 		defer resp.Body.Close()
-		err := readWatch(ctx, json.NewDecoder(resp.Body), events)
+		err := readWatch(ctx, resp.Body, events)
 		if ctx.Err() != nil {
 			return
 		}
@@ -88,8 +90,15 @@
 	return resp, cancel, nil
 }
 
-func readWatch(ctx context.Context, dec *json.Decoder, events chan<- WatchEvent) error {
+// maxWatchBytes bounds one message of a watch. A watch that catches up gets up to 1,000 changes in
+// one message, of a few kilobytes each.
+const maxWatchBytes = 16 << 20
+
+func readWatch(ctx context.Context, body io.Reader, events chan<- WatchEvent) error {
+	r := bounded.NewReader(body, maxWatchBytes)
+	dec := json.NewDecoder(r)
 	for {
+		r.Reset()
 		var m watchMessage
 		if err := dec.Decode(&m); err != nil {
 			return wrapFailure(reads, true, err)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/singleflight"
 
+	"wigeondale/bounded"
 	"wigeondale/event"
 )
 
@@ -103,9 +104,10 @@
 	m.metrics.set.GetOrCreateGauge("wigeon_peer_links", func() float64 { return float64(len(m.shuffledLinks(""))) })
 	m.metrics.set.GetOrCreateGauge("wigeon_peer_members_alive", m.countAlive)
 	m.client = &http.Client{Transport: &http.Transport{
-		DialContext:       m.dialTCP,
-		TLSClientConfig:   cfg.TLS,
-		DisableKeepAlives: true,
+		DialContext:            m.dialTCP,
+		TLSClientConfig:        cfg.TLS,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}}
 	return m, nil
 }
