Servers whose answers begin and never end are held responsible, and the soak draws them

Cause: a head that came a byte at a time lasted until the caller's deadline, and nothing was then reported to the failure detector; a plain service whose heads are sound and whose bodies never end stayed healthy, since each head counted as a success ("healthy after 20 calls"); an engine that sent more tokens than asked for was read, and its text kept, until the deadline ("46976 tokens" of 9); messages of another router without a token were read until the deadline (3,380,794 alive messages in 5 s).

Change: backend.RoundTrip gives a head 2 s from its first byte, and takes 8 interim answers; ErrUnfinished tells an answer that began 500 ms or more before the deadline from a short deadline, and is reported. A plain service's result is reported at the end of the body.

Left: a plain answer without a stated length takes up to 8 MB; a replica whose heads are sound and whose streams break stays in use.

--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -101,3 +102,59 @@
 		}
 	}
 }
+
+// Guards against a head that comes a byte at a time and lasts until the caller's deadline, although
+// another server could answer: it must end well before the time for the first chunk (4 s), as a fault
+// of the server. A server that is late with its head, and one that sends an interim answer first, are
+// sound. On 8472d66 it fails: the slow head lasts until the deadline.
+func TestSlowHeadEndsBeforeTheDeadline(t *testing.T) {
+	t.Parallel()
+	for _, kind := range endless.Heads {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			err := endless.Check(endless.Answer{Kind: kind, Gap: 5 * time.Millisecond}, 20*time.Second, mostTaken, func(ctx context.Context, addr string) {
+				began := time.Now()
+				_, err := NewServiceClient().Do(ctx, fleet.Backend{Addr: addr}, Call{Method: http.MethodGet, Path: "/"})
+				if took := time.Since(began); took > maxHeadTime+time.Second || !errors.Is(err, ErrBroken) {
+					t.Errorf("got %v after %v", err, took)
+				}
+				if kind != endless.Interim && !errors.Is(err, ErrUnfinished) {
+					t.Errorf("got %v", err)
+				}
+			})
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	late := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(maxHeadTime * 3 / 4)
+		w.WriteHeader(http.StatusEarlyHints)
+		time.Sleep(maxHeadTime * 3 / 4)
+		w.WriteHeader(http.StatusOK)
+	}))
+	defer late.Close()
+	resp, err := NewServiceClient().Do(t.Context(), fleet.Backend{Addr: late.Listener.Addr().String()}, Call{Method: http.MethodGet, Path: "/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+}
+
+// Guards against a server that is not held responsible because the caller's deadline came first, and
+// against one that is although nothing but the deadline speaks against it. On 8472d66 it fails: the
+// two can't be told apart.
+func TestUnfinishedHeadAtTheDeadline(t *testing.T) {
+	t.Parallel()
+	for limit, want := range map[time.Duration]bool{unfinishedTime / 4: false, 2 * unfinishedTime: true} {
+		err := endless.Check(endless.Answer{Kind: endless.HeaderLine, Gap: 5 * time.Millisecond}, limit, mostTaken, func(ctx context.Context, addr string) {
+			_, err := NewServiceClient().Do(ctx, fleet.Backend{Addr: addr}, Call{Method: http.MethodGet, Path: "/"})
+			if errors.Is(err, ErrUnfinished) != want || !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("after %v: got %v", limit, err)
+			}
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/backend/head.go
@@ -0,0 +1,88 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net/textproto"
+	"sync"
+	"time"
+)
+
+// ErrUnfinished means that an answer began, and was not complete after much more time than a sound
+// backend server needs for that. The backend server is at fault, not the caller's short deadline.
+var ErrUnfinished = errors.New("the answer began and did not end")
+
+const (
+	// maxHeadTime bounds the time from the first byte of a head to its end. A sound backend server
+	// sends its head at once; its machine may be unreachable for 2 s meanwhile. The time for the first
+	// chunk of a stream is 4 s or more, and is left for another backend server.
+	maxHeadTime = 2 * time.Second
+	// unfinishedTime is how long before the caller's deadline an answer must have begun so that its
+	// backend server is at fault for not ending it: two retransmissions of a lost packet.
+	unfinishedTime = 500 * time.Millisecond
+	// maxInterim bounds the number of interim answers (1xx) before an answer.
+	maxInterim = 8
+)
+
+// headWatch ends the request of one answer whose head begins and doesn't end. A head that comes a
+// byte at a time is not noticed by its size, and would last until the caller's deadline.
+type headWatch struct {
+	cancel context.CancelCauseFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	firstAt time.Time // of the first byte; zero before it
+	interim int
+}
+
+var errHeadTime = Error.New("%w: no end of its head after %v", ErrUnfinished, maxHeadTime)
+
+// firstByte is called with the first byte of the head.
+func (w *headWatch) firstByte() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		return
+	}
+	w.firstAt = time.Now()
+	w.timer = time.AfterFunc(maxHeadTime, func() { w.cancel(errHeadTime) })
+}
+
+// gotInterim is called with each interim answer. The error that it returns ends the request.
+func (w *headWatch) gotInterim(int, textproto.MIMEHeader) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.interim++; w.interim > maxInterim {
+		return Error.New("%w: more than %d interim answers", ErrMismatch, maxInterim)
+	}
+	if w.timer != nil {
+		w.timer.Reset(maxHeadTime) // the head of the next answer may come later
+	}
+	return nil
+}
+
+// stop ends the watch when the head has ended or the request has failed.
+func (w *headWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// failure returns err, the error of the request, joined with ErrUnfinished if the head had begun long
+// before.
+func (w *headWatch) failure(err error) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return UnfinishedSince(w.firstAt, err)
+}
+
+// UnfinishedSince returns err, the error of an answer that began at a moment, joined with
+// ErrUnfinished if it began long before now. The moment is zero if the answer didn't begin.
+func UnfinishedSince(began time.Time, err error) error {
+	if began.IsZero() || time.Since(began) < unfinishedTime || errors.Is(err, ErrUnfinished) {
+		return err
+	}
+	return errors.Join(ErrUnfinished, err)
+}
--- a/backend/send.go
+++ b/backend/send.go
@@ -229,15 +229,24 @@
 }
 
 // RoundTrip sends req once, does not follow redirects, and wraps an error in
-// ErrNotSent if no byte was sent, else in ErrBroken.
+// ErrNotSent if no byte was sent, else in ErrBroken. A head that doesn't end after its first byte is
+// an error, which wraps ErrUnfinished.
 func RoundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
 	w := &sendTracker{}
-	trace := &httptrace.ClientTrace{GotConn: w.gotConn}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	resp, err := rt.RoundTrip(req)
+	// The context lasts as long as the body is read, and is released with the caller's.
+	ctx, cancel := context.WithCancelCause(req.Context())
+	head := &headWatch{cancel: cancel}
+	defer head.stop()
+	trace := &httptrace.ClientTrace{GotConn: w.gotConn, GotFirstResponseByte: head.firstByte, Got1xxResponse: head.gotInterim}
+	resp, err := rt.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
 		return resp, nil
 	}
+	defer cancel(nil)
+	if context.Cause(ctx) == errHeadTime {
+		err = errHeadTime
+	}
+	err = head.failure(err)
 	if w.mayHaveSent() {
 		return nil, Error.New("%w: %w", ErrBroken, err)
 	}
--- a/callerapi/service.go
+++ b/callerapi/service.go
@@ -5,11 +5,11 @@
 	"context"
 	"crypto/sha256"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"wigeondale/bounded"
 	"wigeondale/fleet"
 )
 
@@ -189,13 +189,13 @@
 		return nil, serviceFailure(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, s.AnswerBytes+1))
+	body, err := bounded.ReadAll(resp, s.AnswerBytes)
+	if errors.Is(err, bounded.ErrTooLong) {
+		return nil, unknownOutcome(codeAnswerTooLarge, "the answer is larger than this node passes on")
+	}
 	if err != nil {
 		return nil, unknownOutcome("broken_answer", "the answer broke off")
 	}
-	if int64(len(body)) > s.AnswerBytes {
-		return nil, unknownOutcome(codeAnswerTooLarge, "the answer is larger than this node passes on")
-	}
 	return &serviceAnswer{status: resp.StatusCode, header: forwardedHeaders(resp.Header), body: body}, nil
 }
 
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -169,10 +169,13 @@
 	tried.add(b.ID)
 	sentAt := time.Now()
 	resp, err := s.client.Do(ctx, b, toBackend(call))
-	s.reportResult(ctx, b.ID, err, second)
 	if err == nil {
+		resp.Body = &reportedBody{ReadCloser: resp.Body, began: time.Now(), report: func(err error) { s.mon.Result(b.ID, err) }}
 		submission.Answered(0)
-	} else if ctx.Err() == nil && !errors.Is(err, backend.ErrNotSent) {
+		return resp, nil
+	}
+	s.reportResult(ctx, b.ID, err, second)
+	if ctx.Err() == nil && !errors.Is(err, backend.ErrNotSent) {
 		submission.AwaitExamination(ctx, submission.Lost(quarantine.Loss{Backend: b, Ran: time.Since(sentAt), Cause: err.Error()}))
 	}
 	return resp, err
@@ -185,7 +188,7 @@
 		Message: "backend servers crashed under this call: it is not sent on", Outcome: fleet.Failed}
 }
 
-// reportResult reports the result of a try to the failure detector. A try that ran into the
+// reportResult reports the result of a try without an answer to the failure detector. A try that ran into the
 // caller's deadline counts against its backend server. So does, with less weight, a first
 // try that lost to a second try sent long after it. Nothing is reported for a second try
 // that lost, since it had less time, nor for a try that the caller cancelled: neither shows
--- a/fakes/endless/server.go
+++ b/fakes/endless/server.go
@@ -55,6 +55,33 @@
 	s.wg.Wait()
 }
 
+// Respond writes the answer in place of what w would send, until the other side closes the connection
+// or stop is closed.
+func (a Answer) Respond(w http.ResponseWriter, stop <-chan struct{}) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	defer closeAfter(conn, stop)()
+	var sent atomic.Int64
+	a.Write(conn, &sent, stop)
+}
+
+// closeAfter closes conn when stop is closed, so that a write that waits for space ends, until the
+// returned function is called.
+func closeAfter(conn net.Conn, stop <-chan struct{}) (done func()) {
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-stop:
+			conn.Close()
+		case <-ended:
+		}
+	}()
+	return func() { close(ended) }
+}
+
 func (s *Server) accept() {
 	for {
 		conn, err := s.ln.Accept()
@@ -74,15 +101,7 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(sendSpace) // a smaller buffer makes Sent exact, and nothing depends on it
 	}
-	done := make(chan struct{})
-	defer close(done)
-	go func() { // a write that waits for space ends with the server
-		select {
-		case <-s.stop:
-			conn.Close()
-		case <-done:
-		}
-	}()
+	defer closeAfter(conn, s.stop)()
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
--- a/fakes/fault/args.go
+++ b/fakes/fault/args.go
@@ -23,6 +23,7 @@
 	Request string  `json:"request"` // only this request; empty means any
 	Prefix  string  `json:"prefix"`  // only keys with this prefix
 	VM      string  `json:"vm"`
+	Kind    string  `json:"kind"`    // see Server.Apply
 	Limit   string  `json:"limit"`   // see Asks
 	Rest    string  `json:"rest"`    // see Asks
 	Leaving bool    `json:"leaving"` // see Asks
--- a/fakes/fault/server.go
+++ b/fakes/fault/server.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"wigeondale/fakes/endless"
 )
 
 const headerTimeout = 30 * time.Second
@@ -13,6 +15,13 @@
 	Listener *Listener
 	handler  http.Handler
 	delayNS  atomic.Int64
+	endless  atomic.Pointer[endlessFault]
+}
+
+// endlessFault makes all answers endless until stop is closed.
+type endlessFault struct {
+	answer endless.Answer
+	stop   chan struct{}
 }
 
 // NewServer prepares a server at addr that serves handler.
@@ -43,6 +52,10 @@
 	if d := time.Duration(s.delayNS.Load()); d > 0 {
 		Sleep(r, d)
 	}
+	if f := s.endless.Load(); f != nil {
+		f.answer.Respond(w, f.stop)
+		return
+	}
 	s.handler.ServeHTTP(w, r)
 }
 
@@ -57,8 +70,9 @@
 }
 
 // Apply turns a switch that all HTTP fakes share: kill, start, cut, heal, freeze, thaw,
-// slow {ms} and outage {on}. An outage resets and refuses connections like kill, but the
-// fake keeps its state.
+// slow {ms}, outage {on} and endless {on,kind,ms}. An outage resets and refuses connections like
+// kill, but the fake keeps its state. With endless, each answer is one without end of the given kind,
+// with ms between two bytes.
 func (s *Server) Apply(name string, args Args) error {
 	switch name {
 	case "kill":
@@ -71,6 +85,8 @@
 		s.Listener.Heal()
 	case "slow":
 		s.delayNS.Store(int64(args.Duration()))
+	case "endless":
+		s.setEndless(args)
 	case "outage":
 		return s.outage(args.Enabled())
 	default:
@@ -79,6 +95,16 @@
 	return nil
 }
 
+func (s *Server) setEndless(args Args) {
+	var f *endlessFault
+	if args.Enabled() {
+		f = &endlessFault{endless.Answer{Kind: endless.Kind(args.Kind), Gap: args.Duration()}, make(chan struct{})}
+	}
+	if old := s.endless.Swap(f); old != nil {
+		close(old.stop)
+	}
+}
+
 func (s *Server) outage(on bool) error {
 	if !on {
 		return s.Start()
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"wigeondale/fakes/endless"
 	"wigeondale/fakes/fault"
 )
 
@@ -77,7 +78,9 @@
 	faults       Faults
 	faultsSetAt  time.Time // when faults were set
 	asks         Asks
-	openRequests int // requests in progress
+	openRequests int           // requests in progress
+	ended        chan struct{} // closed by Crash
+	endOnce      sync.Once
 	replicaAt    func(addr string) *Replica
 }
 
@@ -95,6 +98,9 @@
 	CrashAfter   int  // with NoLength: the replica crashes after this number of chunks, and the connection ends cleanly; 0 for never
 	NoResponse   bool // reads requests and never responds
 	RepeatChunks bool // sends each chunk of a stream twice
+	// Endless, if its kind is set, makes all responses endless: half of the response, and then bytes
+	// that are no response. Its header and body are not used.
+	Endless endless.Answer
 }
 
 // Start starts the replica. replicaAt returns the replica at an address; it is used to
@@ -108,13 +114,13 @@
 	if err != nil {
 		return err
 	}
-	r.ln, r.replicaAt, r.copies = ln, replicaAt, map[string]bool{}
+	r.ln, r.replicaAt, r.copies, r.ended = ln, replicaAt, map[string]bool{}, make(chan struct{})
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-list", r.serveList)
-	mux.HandleFunc("POST /kv-move", r.serveMove)
-	mux.HandleFunc("GET /report", r.serveReport)
-	mux.HandleFunc("GET "+HealthPath, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Replica-Id", r.ID) })
-	mux.HandleFunc("DELETE /kv-handle/{name}", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /kv-list", r.unlessEndless(r.serveList))
+	mux.HandleFunc("POST /kv-move", r.unlessEndless(r.serveMove))
+	mux.HandleFunc("GET /report", r.unlessEndless(r.serveReport))
+	mux.HandleFunc("GET "+HealthPath, r.unlessEndless(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Replica-Id", r.ID) }))
+	mux.HandleFunc("DELETE /kv-handle/{name}", r.unlessEndless(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
 	mux.HandleFunc("/", r.serve)
 	r.server = &http.Server{Handler: r.withAsks(mux)}
 	go r.server.Serve(ln)
@@ -128,7 +134,10 @@
 func (r *Replica) Listener() *fault.Listener { return r.listener }
 
 // Crash closes all connections and ends the replica.
-func (r *Replica) Crash() { r.server.Close() }
+func (r *Replica) Crash() {
+	r.endOnce.Do(func() { close(r.ended) })
+	r.server.Close()
+}
 
 // Freeze makes the replica silent until Thaw: it accepts connections, and neither reads nor sends anything. Of
 // freezes that overlap each needs a Thaw of its own.
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -46,6 +46,9 @@
 		return
 	}
 	switch {
+	case f.Endless.Kind != "":
+		r.serveEndless(w, a, f.Endless)
+		return
 	case r.Engine && f.NoLength:
 		r.serveUnframed(w, a, f)
 		return
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,8 +15,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -225,91 +223,3 @@
 	}
 	return req.Opaque.Service
 }
-
-// stream is the answer of a request that was passed on. It implements generation.ForwardedStream.
-type stream struct {
-	conn    Conn
-	ctx     context.Context
-	router  string
-	release func() // counts the request as ended; set before the stream is returned
-	ended   sync.Once
-	first   *answerMessage // received before the stream was returned, and not read yet
-	head    *backend.Head
-	origin  generation.Position
-}
-
-// Next implements generation.Stream.
-func (s *stream) Next() (backend.Token, error) {
-	for {
-		m := s.first
-		s.first = nil
-		if m == nil {
-			var err error
-			if m, err = s.receive(); err != nil {
-				return backend.Token{}, err
-			}
-		}
-		switch m.Kind {
-		case answerBegin:
-			s.begin(m)
-		case answerToken:
-			return backend.Token{Index: m.Index, Text: m.Text, Finish: m.Finish}, nil
-		case answerEnd:
-			if m.Outcome == fleet.Complete {
-				return backend.Token{}, io.EOF
-			}
-			return backend.Token{}, m.end()
-		}
-	}
-}
-
-// receive receives the next message that says more than that the request is in progress.
-func (s *stream) receive() (*answerMessage, error) {
-	for {
-		var m answerMessage
-		if err := s.conn.Receive(s.ctx, aliveTimeout, &m); err != nil {
-			// Not wrapped: io.EOF of the connection is not the end of the answer.
-			return nil, Error.New("%w: %v", backend.ErrBroken, err)
-		}
-		if m.Kind != answerAlive {
-			return &m, nil
-		}
-	}
-}
-
-// begin records the attempt that delivers from now on.
-func (s *stream) begin(m *answerMessage) {
-	if m.Kind != answerBegin {
-		return
-	}
-	s.origin = m.position()
-	if h := m.head(); h != nil {
-		s.head = h
-	}
-}
-
-// Buffered implements generation.Stream.
-func (s *stream) Buffered() bool { return false }
-
-// Incarnation implements generation.Stream.
-func (s *stream) Incarnation() string { return s.origin.Incarnation }
-
-// Head implements generation.Stream.
-func (s *stream) Head() *backend.Head { return s.head }
-
-// Router implements generation.ForwardedStream.
-func (s *stream) Router() string { return s.router }
-
-// Origin implements generation.ForwardedStream.
-func (s *stream) Origin() generation.Position { return s.origin }
-
-// Close implements generation.Stream. The other router ends the run if it has not ended.
-func (s *stream) Close() error {
-	s.ended.Do(func() {
-		s.conn.Close()
-		if s.release != nil {
-			s.release()
-		}
-	})
-	return nil
-}
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -188,6 +188,7 @@
 // handleLoss closes the reader of an attempt that ended early and records why.
 func (x *run) handleLoss(a *attempt, err error) string {
 	if x.ctx.Err() != nil {
+		x.reportUnfinished(a, err)
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
 	if end, ok := errors.AsType[*RemoteEnd](err); ok && end.Code != CodeCutOff {
--- a/generation/end.go
+++ b/generation/end.go
@@ -144,3 +144,12 @@
 	x.voidClaim()
 	x.m.textBytes.Add(-x.textCap)
 }
+
+// reportUnfinished reports an answer to the failure detector that had begun long before the deadline
+// and did not end. The deadline alone is no evidence against a backend server, since a caller may
+// choose a short one.
+func (x *run) reportUnfinished(a *attempt, err error) {
+	if errors.Is(err, backend.ErrUnfinished) && !a.forwarded && errors.Is(x.endCause(), ErrDeadline) {
+		x.Watcher.Result(a.backend.ID, err)
+	}
+}
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -47,6 +47,9 @@
 		if err := x.announceVersion(a); err != nil {
 			return x.callerDisconnected(err)
 		}
+		if x.overruns(t.Index) {
+			return x.endOverrun(a)
+		}
 		switch x.filter.check(a.origin.Attempt, t.Index) {
 		case stale:
 			x.m.droppedStale.Inc()
@@ -139,6 +142,20 @@
 	return !a.forwarded && head != nil && head.EndsWithConnection && x.Guard.Exited(a.backend)
 }
 
+// overruns reports whether a token comes after the last one that the caller asked for. Otherwise an
+// engine that doesn't stop would be read, and its text kept, for as long as it sends.
+func (x *run) overruns(index int) bool {
+	return x.req.Opaque == nil && x.filter.next >= x.req.MaxTokens && index >= x.req.MaxTokens
+}
+
+// endOverrun ends an attempt that sent all tokens and goes on. The answer is complete.
+func (x *run) endOverrun(a *attempt) string {
+	x.Watcher.Result(a.backend.ID, Error.New("%w: more than %d tokens", backend.ErrMismatch, x.req.MaxTokens))
+	x.tracked.Answered(a.sinceFirst())
+	x.abandon()
+	return "done"
+}
+
 // streamEnded handles the end of a stream before the last token. An end mark alone doesn't
 // mean that the answer is complete, since an engine that itself ended the attempt early sends
 // an end mark too.
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -44,15 +44,7 @@
 		fault{"replica crashes", func() func() { return r.crash(r.randomReplica()) }},
 		fault{"failure domain crashes", r.crashDomain},
 		fault{"replica freezes", func() func() { return r.silence(r.randomReplica()) }},
-		fault{"replica misbehaves", func() func() {
-			rep := r.randomReplica()
-			troubled := r.checks.ends.trouble.begin(rep)
-			rep.SetFaults(misbehaviours[r.rng.IntN(len(misbehaviours))])
-			return func() {
-				r.clearMisbehaviour(rep)
-				troubled()
-			}
-		}},
+		fault{"replica misbehaves", func() func() { return r.misbehave(misbehaviours[r.rng.IntN(len(misbehaviours))]) }},
 		fault{"replica leaves", func() func() { return r.drain(r.randomReplica()) }},
 		fault{"a key is taken away", func() func() { r.revokeKey(); return nil }},
 		newVersion,
@@ -62,6 +54,7 @@
 	all = append(all, r.drillFaults()...)
 	all = append(all, r.softwareFaults()...)
 	all = append(all, r.brittleFaults()...)
+	all = append(all, r.endlessFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
@@ -83,6 +76,17 @@
 	{Refuse: true}, {FailStatus: 500}, {WrongID: true}, {NoSeal: true}, {Truncated: true}, {NoLength: true}, {NoResponse: true}, {RepeatChunks: true},
 }
 
+// misbehave sets the fault switches of a random replica, and records for how long.
+func (r *platformRun) misbehave(f fakes.Faults) (end func()) {
+	rep := r.randomReplica()
+	troubled := r.checks.ends.trouble.begin(rep)
+	rep.SetFaults(f)
+	return func() {
+		r.clearMisbehaviour(rep)
+		troubled()
+	}
+}
+
 // clearMisbehaviour clears the fault switches of a replica, except the faults that all
 // replicas of its version have because that version is bad.
 func (r *platformRun) clearMisbehaviour(rep *fakes.Replica) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -67,6 +67,9 @@
 	// Brittle adds times on the users' platform in which replicas say that they are brittle, and fall over if they have to
 	// refuse too many requests.
 	Brittle bool
+	// Endless makes backend servers, and on the product's own interface also the platform's services, answer
+	// with bytes without end.
+	Endless bool
 	// Silences injects nothing but silences of replicas and new versions of the configuration, on the users' platform.
 	Silences bool
 	// NoSilences draws no silences and the larger retry budget, so that a seed is what it was before there were any.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -159,3 +159,11 @@
 		t.Errorf("seed %d: %d promises broken", cfg.Seed, len(report.Violations))
 	}
 }
+
+// TestEndlessSeeds makes the same checks as TestSeeds, on both interfaces. In addition to the faults,
+// backend servers and services of the platform answer with bytes without end.
+func TestEndlessSeeds(t *testing.T) {
+	cfg := Config{Seed: 32, Nodes: 3, Engines: 6, Services: 4, Clients: 6, FaultTime: 5 * time.Second, Endless: true}
+	checkSeed(t, Run, cfg)
+	checkSeed(t, RunProduct, cfg)
+}
