--- a/backend/send.go
+++ b/backend/send.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"wigeondale/bounded"
 )
 
 const (
@@ -55,20 +57,20 @@
 }
 
 // newTransport returns the transport for the engine protocol and for services.
-func newTransport() *http.Transport {
+func newTransport() bounded.Transport {
 	return NewTransport(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes})
 }
 
 // NewTransport returns a transport that speaks HTTP/1.1 only, because HTTP/2
-// resends requests after GOAWAY.
-func NewTransport(d DialConfig) *http.Transport {
+// resends requests after GOAWAY. Heads of answers are bounded.
+func NewTransport(d DialConfig) bounded.Transport {
 	dial := d.Dial
 	if dial == nil {
 		dial = d.dialer().DialContext
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return bounded.NewTransport(&http.Transport{
 		Protocols: &protocols,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.open(ctx, dial, network, addr)
@@ -82,7 +84,7 @@
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      d.BufferBytes,
 		WriteBufferSize:     d.BufferBytes,
-	}
+	})
 }
 
 // open opens a connection with dial, within the timeout, and notifies the observer.
@@ -227,15 +229,24 @@
 }
 
 // RoundTrip sends req once, does not follow redirects, and wraps an error in
-// ErrNotSent if no byte was sent, else in ErrBroken.
+// ErrNotSent if no byte was sent, else in ErrBroken. A head that doesn't end after its first byte is
+// an error, which wraps ErrUnfinished.
 func RoundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
 	w := &sendTracker{}
-	trace := &httptrace.ClientTrace{GotConn: w.gotConn}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	resp, err := rt.RoundTrip(req)
+	// The context lasts as long as the body is read, and is released with the caller's.
+	ctx, cancel := context.WithCancelCause(req.Context())
+	head := &headWatch{cancel: cancel}
+	defer head.stop()
+	trace := &httptrace.ClientTrace{GotConn: w.gotConn, GotFirstResponseByte: head.firstByte, Got1xxResponse: head.gotInterim}
+	resp, err := rt.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
 		return resp, nil
 	}
+	defer cancel(nil)
+	if context.Cause(ctx) == errHeadTime {
+		err = errHeadTime
+	}
+	err = head.failure(err)
 	if w.mayHaveSent() {
 		return nil, Error.New("%w: %w", ErrBroken, err)
 	}
