--- /dev/null
+++ b/schedule/shares.go
@@ -0,0 +1,155 @@
+package schedule
+
+import (
+	"math"
+	"time"
+)
+
+// Shares records what each client account has used of the capacity, in virtual time, by start-time fair queuing (Goyal,
+// Vin, Cheng 1996). An account is charged the expected cost at the grant, and the charge is corrected when the real cost
+// is known. The load for which it decides: one account sends ten times as much as each of the others, and more than
+// there is capacity for.
+//
+// Virtual time is kept for each priority: otherwise what is served at one priority would write off the use of accounts
+// at another. A Shares is not safe for concurrent use.
+type Shares struct {
+	now      [Priorities]float64 // virtual time: start tag of the most recently served request
+	accounts map[shareKey]*usage
+	swept    time.Time
+}
+
+type shareKey struct {
+	priority int
+	account  string
+}
+
+// usage is what one account has used at one priority.
+type usage struct {
+	finish  float64 // virtual time at which all charged work of the account ends
+	waiting int
+	idle    time.Time // when its last request stopped waiting
+	charged float64   // all that was charged, corrected
+}
+
+const (
+	// maxAccounts bounds the accounts that are distinguished: more than the 5,600 of the largest fleet. All others share
+	// one record, so that invented names take no memory.
+	maxAccounts = 8192
+	// shareHalfLife is the time in which half of an account's use is written off while none of its requests waits: an
+	// account that sent a burst a minute ago is not behind others now.
+	shareHalfLife = 5 * time.Second
+	// sweepInterval is how often records without use are removed.
+	sweepInterval = time.Second
+	// otherAccounts is the record that accounts beyond maxAccounts share.
+	otherAccounts = "\x00others"
+)
+
+// NewShares returns Shares in which no account has used anything.
+func NewShares() *Shares { return &Shares{accounts: map[shareKey]*usage{}} }
+
+// key returns the key of the record for an account.
+func (s *Shares) key(priority int, account string) shareKey {
+	k := shareKey{priority, account}
+	if _, known := s.accounts[k]; known || len(s.accounts) < maxAccounts {
+		return k
+	}
+	return shareKey{priority, otherAccounts}
+}
+
+func (s *Shares) record(priority int, account string, now time.Time) *usage {
+	k := s.key(priority, account)
+	u := s.accounts[k]
+	if u == nil {
+		u = &usage{finish: s.now[priority], idle: now}
+		s.accounts[k] = u
+	}
+	return u
+}
+
+// start returns the start tag of the next request of an account.
+func (s *Shares) start(k shareKey) float64 {
+	if u := s.accounts[s.key(k.priority, k.account)]; u != nil {
+		return u.finish
+	}
+	return s.now[k.priority]
+}
+
+// Join records that a request of an account begins to wait. An account that had none waiting saves up nothing: it
+// starts at the present virtual time at the earliest.
+func (s *Shares) Join(it *Item, now time.Time) {
+	s.sweep(now)
+	u := s.record(it.Priority, it.Account, now)
+	if u.waiting == 0 {
+		u.finish = s.now[it.Priority] + s.lead(it.Priority, u, now)
+	}
+	u.waiting++
+}
+
+// Leave records that a request of an account no longer waits.
+func (s *Shares) Leave(it *Item, now time.Time) {
+	u := s.record(it.Priority, it.Account, now)
+	if u.waiting = max(u.waiting-1, 0); u.waiting == 0 {
+		u.idle = now
+	}
+}
+
+// lead returns how far an account is ahead of virtual time, after decay.
+func (s *Shares) lead(priority int, u *usage, now time.Time) float64 {
+	lead := max(u.finish-s.now[priority], 0)
+	if u.waiting > 0 {
+		return lead
+	}
+	return lead * math.Exp2(-now.Sub(u.idle).Seconds()/shareHalfLife.Seconds())
+}
+
+// sweep removes the records of accounts that have nothing waiting and no use left.
+func (s *Shares) sweep(now time.Time) {
+	if now.Sub(s.swept) < sweepInterval {
+		return
+	}
+	s.swept = now
+	for k, u := range s.accounts {
+		if u.waiting == 0 && s.lead(k.priority, u, now) < 1 {
+			delete(s.accounts, k)
+		}
+	}
+}
+
+// Charge is what an account was charged for one grant.
+type Charge struct {
+	usage    *usage
+	weight   float64
+	expected float64
+	settled  bool
+}
+
+// Grant charges an account the expected cost of a request that is served now. The request must have joined.
+func (s *Shares) Grant(it *Item, now time.Time) *Charge {
+	u := s.record(it.Priority, it.Account, now)
+	s.now[it.Priority] = max(s.now[it.Priority], u.finish)
+	c := &Charge{usage: u, weight: it.weight(), expected: max(it.Cost, 1)}
+	u.add(c.expected, c.weight)
+	s.Leave(it, now)
+	return c
+}
+
+// Settle corrects a charge when the real cost is known. Further calls do nothing.
+func (c *Charge) Settle(actual float64) {
+	if c == nil || c.settled || math.IsNaN(actual) {
+		return
+	}
+	c.settled = true
+	c.usage.add(max(actual, 0)-c.expected, c.weight)
+}
+
+func (u *usage) add(cost, weight float64) {
+	u.charged += cost
+	u.finish += cost / weight
+}
+
+// OverShare reports whether an account has used more than its share: it is ahead of virtual time by more than the cost
+// of a request.
+func (s *Shares) OverShare(it *Item, now time.Time) bool {
+	u := s.accounts[s.key(it.Priority, it.Account)]
+	return u != nil && s.lead(it.Priority, u, now) > max(it.Cost, 1)/it.weight()
+}
