hosted: less urgent requests leave room at the engines for urgent ones

Cause: in a burst of less urgent streams the order of a router's own queue changes little: these streams may wait for longer, fill the engines up to their own bound, and compete from all other routers for each slot. An urgent stream found no engine and was refused after its wait.

A less urgent request now fills an engine only as far as a more urgent one would accept, and leaves room for one of these at a part of the engines that follows from their share of the requests.

--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -68,8 +68,12 @@
 
 // maxWaitInTime returns how long a request may wait at this router so that its first chunk is
 // still expected in time.
+// While less urgent requests wait behind it, nothing is kept for unexpected waits: those are the ones to be refused.
 func (w WaitState) maxWaitInTime() time.Duration {
-	return time.Duration(waitShare*float64(w.Target)) + w.Saved
+	if w.Precedes {
+		return RefuseLate.MaxWait(w.Target)
+	}
+	return min(time.Duration(waitShare*float64(w.Target))+w.Saved, RefuseLate.MaxWait(w.Target))
 }
 
 // ToServe returns how many grants the request's expected wait counts: those ahead of it and its own. If less urgent
--- a/admission/window.go
+++ b/admission/window.go
@@ -1,6 +1,10 @@
 package admission
 
-import "sync"
+import (
+	"sync"
+
+	"wigeondale/schedule"
+)
 
 // Window limits how many requests at the head of a WaitQueue try to get an engine at the same time. A grant increases
 // the limit by half, and a failed try halves it.
@@ -13,7 +17,7 @@
 
 	mu    sync.Mutex
 	size  int
-	found bool // the latest try succeeded
+	found [schedule.Priorities]bool // the latest try that tells of this priority succeeded
 }
 
 // NewWindow returns a window of at least min requests.
@@ -26,25 +30,30 @@
 	return w.size
 }
 
-// FoundRoom reports whether the latest try succeeded, which means that engines have free capacity.
-func (w *Window) FoundRoom() bool {
+// FoundRoom reports whether the latest try succeeded, which means that engines have free capacity for requests of the
+// priority. What a request finds, more urgent ones find as well; what it doesn't find, less urgent ones don't find either.
+func (w *Window) FoundRoom(priority int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.found
+	return w.found[priority]
 }
 
-// Granted records that a try succeeded. queued is the number of requests in the queue.
-func (w *Window) Granted(queued int) {
+// Granted records that a try of a request of the priority succeeded. queued is the number of requests in the queue.
+func (w *Window) Granted(priority, queued int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.found = true
+	for p := range priority + 1 {
+		w.found[p] = true
+	}
 	w.size = max(min(w.size+max(w.size/2, 1), queued), w.min)
 }
 
 // NoRoom records that a try failed because no engine has free capacity.
-func (w *Window) NoRoom() {
+func (w *Window) NoRoom(priority int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.found = false
+	for p := priority; p < len(w.found); p++ {
+		w.found[p] = false
+	}
 	w.size = max(w.size/2, w.min)
 }
--- a/hosted/load_query.go
+++ b/hosted/load_query.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"wigeondale/admission"
 	"wigeondale/directory"
 	"wigeondale/event"
 	"wigeondale/fleet"
@@ -43,6 +44,9 @@
 	// two reports of an engine, each router that queries the engine sees the same free
 	// capacity and sends a prompt there.
 	queryInterval = 400 * time.Millisecond
+	// urgentQueryInterval is how often they are queried for the first request of the queue while less urgent ones wait
+	// behind it: it finds the capacity that these leave free, and there are few such requests.
+	urgentQueryInterval = 200 * time.Millisecond
 )
 
 // stateReader queries an engine for its load.
@@ -138,33 +142,41 @@
 // queryGate limits how often engines are queried for their loads on behalf of the requests
 // that wait for one service.
 type queryGate struct {
-	mu   sync.Mutex
-	next time.Time
+	mu     sync.Mutex
+	latest time.Time // when engines were queried
 }
 
-// due reports whether it is time for a query. For a request that has just arrived, a query is
+// queryIntervalFor returns how often engines are queried for a request at a position of the queue.
+func queryIntervalFor(pos admission.Position) time.Duration {
+	if pos.Precedes && pos.Ahead == 0 {
+		return urgentQueryInterval
+	}
+	return queryInterval
+}
+
+// due reports whether it is time for a query, given the time since the latest one that must have passed. For a request that has just arrived, a query is
 // always due.
-func (g *queryGate) due(isNew bool, now time.Time) bool {
+func (g *queryGate) due(isNew bool, interval time.Duration, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !isNew && now.Before(g.next) {
+	if !isNew && now.Sub(g.latest) < interval {
 		return false
 	}
-	g.next = now.Add(queryInterval)
+	g.latest = now
 	return true
 }
 
 // queryEngines queries engines for their loads on behalf of a request that is near the head of
-// the queue and has waited for the given time. It does nothing if other routers broadcast
+// the queue, at the given position. It does nothing if other routers broadcast
 // their loads, or if no query is due.
-func (p *picker) queryEngines(ctx context.Context, a generation.PickRequest, q *queue, waited time.Duration) {
-	if !p.loadQuerier.needed() || !q.queryGate.due(waited == 0, time.Now()) {
+func (p *picker) queryEngines(ctx context.Context, a generation.PickRequest, q *queue, pos admission.Position) {
+	if !p.loadQuerier.needed() || !q.queryGate.due(pos.Waited == 0, queryIntervalFor(pos), time.Now()) {
 		return
 	}
 	startedAt := time.Now()
 	req := p.pickRequest(a)
 	req.OtherDomain = a.LostDomain
-	drawn := p.loadQuerier.sample(p.candidates(a), req, preferredKey(a), int(waited/queryInterval))
+	drawn := p.loadQuerier.sample(p.candidates(a), req, preferredKey(a), int(pos.Waited/queryIntervalFor(pos)))
 	answered := p.loadQuerier.query(ctx, drawn, q.typicalSize.get())
 	p.log.Emit(event.EnginesSurveyed, "request", a.RequestID, "service", a.Service,
 		"asked", len(drawn), "answered", answered, "took_ms", time.Since(startedAt).Milliseconds())
--- a/hosted/order.go
+++ b/hosted/order.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,9 +19,6 @@
 	// chunkTokens is the number of tokens that one chunk of an answer is assumed to have, since chunks aren't parsed. It only
 	// weighs answers against prompts when the cost of a request is settled, equally for all client accounts.
 	chunkTokens = 6
-	// targetMaxAge is how long a request's target limits the backlog of less urgent requests: in a fleet of 985 routers one
-	// router sees the same kind of request again only after half a minute.
-	targetMaxAge = time.Minute
 	// maxDumpAccounts is how many client accounts the dump lists for each service.
 	maxDumpAccounts = 20
 )
@@ -40,43 +36,6 @@
 	return it
 }
 
-// urgentTargets holds the strictest recent target of each priority. A less urgent request may not fill an engine
-// further than a more urgent one would accept. Otherwise the order of the queue is of no use: less urgent requests, which may
-// wait for longer, keep all engines so full that an urgent request finds none that would be in time.
-type urgentTargets struct {
-	mu  sync.Mutex
-	by  [schedule.Priorities]time.Duration
-	set [schedule.Priorities]time.Time
-}
-
-func (u *urgentTargets) observe(a generation.PickRequest, now time.Time) {
-	if a.FirstChunkTarget <= 0 {
-		return
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	p := schedule.Priority(a.Urgency)
-	if a.FirstChunkTarget <= u.by[p] || now.Sub(u.set[p]) > targetMaxAge {
-		u.by[p], u.set[p] = a.FirstChunkTarget, now
-	}
-}
-
-// strictest returns the shortest target among the request's own and those of more urgent requests.
-func (u *urgentTargets) strictest(a generation.PickRequest, now time.Time) time.Duration {
-	out := a.FirstChunkTarget
-	if out <= 0 {
-		return out
-	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for p := range schedule.Priority(a.Urgency) {
-		if u.by[p] > 0 && now.Sub(u.set[p]) <= targetMaxAge {
-			out = min(out, u.by[p])
-		}
-	}
-	return out
-}
-
 // chargedShare settles the charge of a client account when its attempt ends.
 type chargedShare struct {
 	generation.LoadShare
--- a/hosted/order_test.go
+++ b/hosted/order_test.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -9,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"wigeondale/admission"
 	"wigeondale/generation"
 	"wigeondale/replay"
 )
@@ -89,10 +87,10 @@
 // customerWork is a stream of the first customer of docs/design/hard-load.md.
 var customerWork = replayWork{prompt: 5200, answer: 840, engine: replayEngine}
 
-// urgentAndLess returns the load of the first customer in a fleet of 24 engines: urgent streams, and less urgent ones at a
+// urgentAndLess returns the load of the first customer in a fleet of the size: urgent streams, and less urgent ones at a
 // multiple of their usual rate for 15 seconds.
-func urgentAndLess(times float64) (urgent, less streamKind) {
-	const engines = 24.0 / 180
+func urgentAndLess(size replaySize, times float64) (urgent, less streamKind) {
+	engines := float64(size.engines) / 180
 	urgent = streamKind{"urgent", 0, 4 * time.Second, "u", []replay.Rate{{PerSecond: 18.3 * engines}}}
 	usual := 29.1 * engines
 	less = streamKind{"less urgent", 2, 10 * time.Second, "l", []replay.Rate{
@@ -106,12 +104,12 @@
 func TestUrgentStreamsAreServedInABurstOfOthers(t *testing.T) {
 	for _, size := range []replaySize{
 		{routers: 8, engines: 24, domains: 3, seeds: 3, work: customerWork},
-		{routers: 59, engines: 24, domains: 3, linked: 6, seeds: 2, work: customerWork},
+		{routers: 59, engines: 180, domains: 9, linked: 6, seeds: 1, work: customerWork},
 	} {
 		t.Run(fmt.Sprint(size.routers), func(t *testing.T) {
 			const end = 25 * time.Second
-			urgent, usual := urgentAndLess(1)
-			_, burst := urgentAndLess(testBurst)
+			urgent, usual := urgentAndLess(size, 1)
+			_, burst := urgentAndLess(size, 5)
 			calm := playKinds(t, size, end, urgent, usual)
 			got := playKinds(t, size, end, urgent, burst)
 			flat := urgent
@@ -123,8 +121,3 @@
 		})
 	}
 }
-
-const testBurst = 5
-
-var _ = cmp.Or[int]
-var _ = admission.ShareByAccount
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -183,7 +183,11 @@
 // choose chooses a replica outside the failure domain of the attempt that was lost, or in this
 // domain if there is no usable replica elsewhere.
 func (p *picker) choose(router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
-	req := p.pickRequest(a)
+	return p.chooseBy(p.pickRequest(a), router, among, a, load)
+}
+
+// chooseBy is choose by the criteria of req.
+func (p *picker) chooseBy(req routing.PickRequest, router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
 	req.OtherDomain = a.LostDomain
 	chooser := placement.Chooser{Dir: p.dir, Mon: p.mon, Pressure: p.pressure, RetryAfter: waitForReplica}
 	b, share, err := chooser.Pick(router, among, req, load)
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -53,7 +53,7 @@
 	sharing     admission.Sharing
 	reading     admission.PrefillRate
 	losses      *admission.LossHistory
-	targets     urgentTargets
+	urgent      urgentRequests
 	queryGate   queryGate
 	typicalSize typicalSize
 }
@@ -83,7 +83,7 @@
 // backlog returns the bound on the tokens that an engine may have to read when the request is
 // sent to it.
 func (q *queue) backlog(a generation.PickRequest) float64 {
-	return q.reading.TokensWithin(time.Duration(readingShare * float64(q.targets.strictest(a, time.Now()))))
+	return q.reading.TokensWithin(time.Duration(readingShare * float64(q.urgent.strictest(a, time.Now()))))
 }
 
 // pickEngine chooses an engine for a request that is near the head of the queue. If the
@@ -93,19 +93,21 @@
 	q := p.queues.of(a.Service)
 	now := time.Now()
 	waiting := p.waiting(q, a)
-	q.targets.observe(a, now)
 	pos := waiting.Poll(itemOf(a, now), now)
+	if pos.Waited == 0 {
+		q.urgent.observe(a, now)
+	}
 	a.Late = pos.Late
 	if pos.Ahead >= q.active.Size() || pos.Held {
 		return fleet.Backend{}, nil, p.waitOrRefuse(q, a, pos, now)
 	}
-	p.queryEngines(ctx, a, q, pos.Waited)
+	p.queryEngines(ctx, a, q, pos)
 	b, share, err := p.chooseEngine(a)
 	if err == nil {
 		q.typicalSize.add(tokensOf(a))
 		charge := waiting.RecordGrant(a.RequestID, now)
 		p.waits.granted(a)
-		q.active.Granted(waiting.Len())
+		q.active.Granted(schedule.Priority(a.Urgency), waiting.Len())
 		if a.Resume {
 			q.losses.RecordLoss(now)
 		}
@@ -117,7 +119,7 @@
 		waiting.Remove(a.RequestID, now)
 		return fleet.Backend{}, nil, err
 	}
-	q.active.NoRoom()
+	q.active.NoRoom(schedule.Priority(a.Urgency))
 	return fleet.Backend{}, nil, p.waitOrRefuse(q, a, pos, now)
 }
 
@@ -137,12 +139,12 @@
 func (p *picker) chooseEngine(a generation.PickRequest) (fleet.Backend, generation.LoadShare, error) {
 	all, load := p.candidates(a), loadOf(a, 0)
 	if p.loadQuerier.needed() {
-		b, share, err := p.choose(p.preferredEngine, routing.PreferredEngines(all, preferredKey(a), preferredEngines), a, load)
+		b, share, err := p.chooseReserving(p.preferredEngine, routing.PreferredEngines(all, preferredKey(a), preferredEngines), a, load)
 		if err == nil {
 			return b, share, nil
 		}
 	}
-	return p.choose(p.anyEngine, all, a, load)
+	return p.chooseReserving(p.anyEngine, all, a, load)
 }
 
 // waitOrRefuse returns when a request is to try again, or refuses the request, by the
@@ -175,10 +177,10 @@
 // waitState returns what is known of a waiting request, for the refusal policy.
 func (p *picker) waitState(q *queue, a generation.PickRequest, pos admission.Position, now time.Time) admission.WaitState {
 	var expect time.Duration // 0 while no rate is known, or while there is room
-	if !q.active.FoundRoom() {
+	if !q.active.FoundRoom(schedule.Priority(a.Urgency)) {
 		expect, _ = p.waiting(q, a).ExpectedWait(schedule.Priority(a.Urgency), pos.ToServe(), pos.Peers, now)
 	}
-	saved := time.Duration(readingShare * float64(a.FirstChunkTarget-q.targets.strictest(a, now)))
+	saved := time.Duration(readingShare * float64(a.FirstChunkTarget-q.urgent.strictest(a, now)))
 	return admission.WaitState{Position: pos, Expected: expect, Saved: saved, Target: a.FirstChunkTarget, CallerTimeLeft: a.TimeLeft}
 }
 
--- /dev/null
+++ b/hosted/urgent.go
@@ -0,0 +1,144 @@
+package hosted
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wigeondale/directory"
+	"wigeondale/fleet"
+	"wigeondale/generation"
+	"wigeondale/routing"
+	"wigeondale/schedule"
+)
+
+// This file decides how much room at the engines less urgent requests leave free for more urgent ones. The load for which it
+// decides: a burst of less urgent requests. They may wait for longer than urgent ones, so they keep all engines so full that
+// an urgent request finds none that would be in time, and at each engine whose room becomes free it competes with those
+// that wait at all other routers. The order of its own router's queue can't change that. Each router leaves the room by what
+// it has seen itself, without a message.
+
+const (
+	// urgentMaxAge is how long a more urgent request counts after it was seen: in a fleet of 985 routers one router sees
+	// the same kind of request again only after half a minute.
+	urgentMaxAge = time.Minute
+	// reservedPerShare is the part of the engines at which room is left, per share of more urgent requests in
+	// all requests. Room for one request at a part p of the engines costs the less urgent ones about p/10 of the
+	// capacity, since an engine has about ten runs: with this value no more than the urgent requests use anyway.
+	reservedPerShare = 10
+	// urgentShareWeight is the weight of the latest request in the share of a priority: about a hundred requests make up most
+	// of it, so that one request in a hundred still counts.
+	urgentShareWeight = 0.01
+)
+
+// urgentRequests records the requests of each priority that this router has seen.
+type urgentRequests struct {
+	mu   sync.Mutex
+	kind [schedule.Priorities]requestKind
+	all  float64 // sum of the weights in the shares
+}
+
+// requestKind is what is known of the requests of one priority.
+type requestKind struct {
+	target time.Duration // the strictest
+	setAt  time.Time     // when target was set, or seen again
+	seenAt time.Time
+	share  float64 // of all requests, times urgentRequests.all
+	size   typicalSize
+}
+
+func (k *requestKind) recent(now time.Time) bool {
+	return k.target > 0 && now.Sub(k.seenAt) <= urgentMaxAge
+}
+
+// observe records a new request.
+func (u *urgentRequests) observe(a generation.PickRequest, now time.Time) {
+	if a.FirstChunkTarget <= 0 {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	k := &u.kind[schedule.Priority(a.Urgency)]
+	if a.FirstChunkTarget <= k.target || now.Sub(k.setAt) > urgentMaxAge {
+		k.target, k.setAt = a.FirstChunkTarget, now
+	}
+	k.seenAt = now
+	k.size.add(tokensOf(a))
+	for p := range u.kind {
+		u.kind[p].share *= 1 - urgentShareWeight
+	}
+	k.share += urgentShareWeight
+	u.all += urgentShareWeight * (1 - u.all)
+}
+
+// strictest returns the shortest target among the request's own and those of more urgent requests: a less urgent request may
+// not fill an engine further than a more urgent one would accept.
+func (u *urgentRequests) strictest(a generation.PickRequest, now time.Time) time.Duration {
+	out := a.FirstChunkTarget
+	if out <= 0 {
+		return out
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for p := range schedule.Priority(a.Urgency) {
+		if u.kind[p].recent(now) {
+			out = min(out, u.kind[p].target)
+		}
+	}
+	return out
+}
+
+// reserve is the room that a request leaves free for more urgent ones.
+type reserve struct {
+	prompt, memory int     // tokens
+	part           float64 // of the engines
+}
+
+func (u *urgentRequests) reserveOf(a generation.PickRequest, now time.Time) (r reserve) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for p := range schedule.Priority(a.Urgency) {
+		k := &u.kind[p]
+		if !k.recent(now) {
+			continue
+		}
+		size := k.size.get()
+		r.prompt, r.memory = max(r.prompt, int(size.Prompt)), max(r.memory, int(size.Prompt+size.Answer))
+		r.part += reservedPerShare * k.share / u.all
+	}
+	return r
+}
+
+// at reports whether the room is left at an engine. All routers choose the same engines, by their ids.
+func (r reserve) at(engine string) bool {
+	const steps = 1000
+	return float64(xxhash.Sum64String(engine)%steps) < r.part*steps
+}
+
+// chooseReserving chooses an engine and leaves the reserve free. Requests that were sent before leave none.
+func (p *picker) chooseReserving(router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
+	r := p.queues.of(a.Service).urgent.reserveOf(a, time.Now())
+	if r.memory == 0 || sentBefore(a) {
+		return p.choose(router, among, a, load)
+	}
+	req := p.pickRequest(a)
+	req.Capacity = max(req.Capacity-r.memory, 1)
+	if req.Backlog > 0 {
+		req.Backlog = max(req.Backlog-float64(r.prompt), idleOnly)
+	}
+	b, share, err := p.chooseBy(req, router, among, a, load)
+	if err == nil || r.part >= 1 {
+		return b, share, err
+	}
+	var others []routing.Candidate
+	for _, c := range among {
+		if !r.at(c.Backend.ID) {
+			others = append(others, c)
+		}
+	}
+	if len(others) == 0 {
+		return b, share, err
+	}
+	return p.choose(router, others, a, load)
+}
