--- a/schedule/reservation.go
+++ b/schedule/reservation.go
@@ -10,27 +10,31 @@
 // A reservation is bounded, since the request may be unable to use what the others could, for example because it
 // excludes a server. The zero value is ready for use.
 type Reservation struct {
-	since   time.Time // when others began to be held; zero while they aren't
-	expired bool      // others were held for reserveFor before
-	passed  int       // requests that went past it since others were last held
+	since  time.Time // when others began to be held; zero while they aren't
+	holds  int       // times that others were held until the end of the reservation
+	passed int       // requests that went past it since others were last held
 }
 
 const (
-	// reserveFor is the longest time for which a reservation holds others: a part of Window, so that the requests that
-	// are held get their grants within Window as well.
+	// reserveFor is the longest time for which a first reservation holds others. Each further one lasts twice as long, up
+	// to maxReserve: where runs last long, little room becomes free in a short time.
 	reserveFor = Window / 5
+	// maxReserve leaves those that are held time to get a grant within Window.
+	maxReserve = Window - DueAfter
 	// maxPassed is how many requests may go past before others are held: about as many as try to get a server at the
 	// same time.
 	maxPassed = 3
+	// maxDoublings bounds the shift that doubles reserveFor; maxReserve is reached before.
+	maxDoublings = 4
 )
 
 // Holds reports whether a request behind must not try to get a server now. fits reports that the waiting request needs
 // no more room than the other, so that it could use whatever the other takes.
 func (r *Reservation) Holds(fits bool, now time.Time) bool {
-	if !r.since.IsZero() && now.Sub(r.since) >= reserveFor {
-		*r = Reservation{expired: true}
+	if !r.since.IsZero() && now.Sub(r.since) >= min(reserveFor<<min(r.holds, maxDoublings), maxReserve) {
+		*r = Reservation{holds: r.holds + 1}
 	}
-	if r.passed < maxPassed && (r.expired || !fits) {
+	if r.passed < maxPassed && (r.holds > 0 || !fits) {
 		return false
 	}
 	if r.since.IsZero() {
