--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -48,6 +48,7 @@
 	running      func() bool // whether a queried backend server has the run
 	unavailable  bool        // no backend server takes the request; try again soon
 	versions     *versions   // nil: all backend servers run one version
+	costs        *[]int      // chunks that each attempt is charged for, -1 for an attempt that did not run; nil: not recorded
 }
 
 func (w *fakeFleet) Runs(context.Context, fleet.Backend) (RunReport, error) {
@@ -84,7 +85,7 @@
 	if id == "" || a.Exclude[id] {
 		id = fmt.Sprintf("b%d", len(w.opened)+1)
 	}
-	return fleet.Backend{ID: id, Addr: id, FailureDomain: "d" + id}, &fakeShare{}, nil
+	return fleet.Backend{ID: id, Addr: id, FailureDomain: "d" + id}, w.newShare(), nil
 }
 
 func (w *fakeFleet) Standby(_ PickRequest, b fleet.Backend) (fleet.Backend, LoadShare, bool) {
