hosted: client accounts over their share leave room for the others

Cause: the order of a router's queue alone holds a heavy account to its share of that router's grants, but its streams at the other routers fill the engines.

--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -68,7 +68,7 @@
 
 // maxWaitInTime returns how long a request may wait at this router so that its first chunk is
 // still expected in time.
-// While less urgent requests wait behind it, nothing is kept for unexpected waits: those are the ones to be refused.
+// While it precedes others, nothing is kept for unexpected waits: those are the ones to be refused.
 func (w WaitState) maxWaitInTime() time.Duration {
 	if w.Precedes {
 		return RefuseLate.MaxWait(w.Target)
@@ -77,8 +77,8 @@
 }
 
 // ToServe returns how many grants the request's expected wait counts: those ahead of it and its own. If less urgent
-// requests wait behind it, its own doesn't count: the next slot at this router goes to it, and a less urgent request
-// is to be refused first. It is refused then when it has waited too long.
+// requests wait behind it, its own doesn't count: the next slot at this router goes to it, and the others
+// are to be refused first. It is refused then when it has waited too long.
 //
 // Less urgent requests, and those of client accounts over their share, are refused first because more requests go before
 // them. No second rule decides that.
--- a/admission/waitcharge.go
+++ b/admission/waitcharge.go
@@ -43,6 +43,14 @@
 	c.queue.sorted = false
 }
 
+// OverShare reports whether the client account of a request has used more than its share.
+func (l *WaitQueue) OverShare(r schedule.Item, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Priority = schedule.Priority(r.Priority)
+	return l.shares != nil && l.shares.OverShare(&r, now)
+}
+
 // Used returns what a client account has used at a priority beyond the account that was served last, by cost and weight.
 func (l *WaitQueue) Used(priority int, account string, now time.Time) float64 {
 	l.mu.Lock()
--- a/admission/waitqueue.go
+++ b/admission/waitqueue.go
@@ -25,6 +25,8 @@
 	turns   schedule.Turns
 	shares  *schedule.Shares // nil: client accounts are not distinguished
 	pace    waitPace
+	// overShareSeen is when a request of a client account over its share last waited, by priority.
+	overShareSeen levelTimes
 
 	// order is the sorted queue. It is valid until a request joins, leaves or changes, or
 	// another set of priorities is due.
@@ -40,6 +42,7 @@
 	polls       int
 	index       int // in order
 	reservation schedule.Reservation
+	overShare   bool // its client account has used more than its share
 }
 
 // level is the least urgent priority whose requests e goes before or among.
@@ -56,7 +59,9 @@
 	Peers  int           // the part of Ahead that has its priority
 	Waited time.Duration // time since it entered the queue
 	Late   bool          // it can't be in time any more
-	// Precedes reports that a less urgent request waits behind it.
+	// Precedes reports that less urgent requests waited here within schedule.Window, or requests of client accounts that
+	// are over their share while its own isn't. Those that are refused at once don't wait any more when it is decided
+	// about this one.
 	Precedes bool
 	// Held reports that the request must not try to get an engine now, since a request ahead of it
 	// with another priority needs the room.
@@ -125,24 +130,28 @@
 		}
 	}
 	l.sort(now)
-	p := Position{Ahead: w.index, Waited: now.Sub(w.item.QueuedAt), Late: w.late}
+	p := Position{Ahead: w.index, Waited: now.Sub(w.item.QueuedAt), Late: w.late, Precedes: l.precedes(w, now)}
 	for _, o := range l.order[:w.index] {
 		switch {
-		case o.item.Priority == w.item.Priority:
+		case o.item.Priority == w.item.Priority && o.overShare == w.overShare:
 			p.Peers++
 		case o.item.Stage != schedule.Late && o.reservation.Holds(o.item.Cost <= w.item.Cost, now):
 			p.Held = true
 		}
 	}
-	for _, o := range l.order[w.index+1:] {
-		if o.item.Priority > w.item.Priority {
-			p.Precedes = true
-			break
-		}
-	}
 	return p
 }
 
+// precedes records that w waits, and reports whether w goes before others that waited here lately.
+func (l *WaitQueue) precedes(w *queueEntry, now time.Time) bool {
+	if p := w.item.Priority; w.overShare {
+		l.overShareSeen[p] = now
+	} else if !l.overShareSeen[p].IsZero() && now.Sub(l.overShareSeen[p]) <= schedule.Window {
+		return true
+	}
+	return l.turns.LessUrgentWaited(w.item.Priority, now)
+}
+
 // sort brings order up to date.
 func (l *WaitQueue) sort(now time.Time) {
 	due := l.due
@@ -162,6 +171,7 @@
 	for i, it := range items {
 		w := l.waiters[it.ID]
 		w.index = i
+		w.overShare = l.shares != nil && l.shares.OverShare(it, now)
 		l.order = append(l.order, w)
 	}
 }
@@ -227,7 +237,7 @@
 	}
 	l.sort(now)
 	for _, o := range l.order[:w.index] {
-		if o.item.Priority != w.item.Priority {
+		if o.item.Priority != w.item.Priority || o.overShare != w.overShare {
 			o.reservation.Passed()
 		}
 	}
--- a/hosted/order_size_test.go
+++ b/hosted/order_size_test.go
@@ -10,3 +10,8 @@
 func TestUrgentStreamsAreServedInALargeFleet(t *testing.T) {
 	checkUrgentStreams(t, replaySize{routers: 59, engines: 180, domains: 9, linked: 6, seeds: 1, work: customerWork})
 }
+
+// Guards against the same fault as TestHeavyAccountIsHeldToItsShare in a larger fleet with few links.
+func TestHeavyAccountIsHeldToItsShareInALargeFleet(t *testing.T) {
+	checkHeavyAccount(t, replaySize{routers: 16, engines: 48, domains: 3, linked: 6, seeds: 3, work: customerWork})
+}
--- a/hosted/order_test.go
+++ b/hosted/order_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"wigeondale/admission"
 	"wigeondale/generation"
 	"wigeondale/replay"
 )
@@ -124,3 +125,32 @@
 		t.Errorf("%d less urgent streams were in time, capacity was left for %d", n, left)
 	}
 }
+
+// Guards against a client account that takes the engines from the others by sending ten times as much: of four accounts with
+// streams of one priority, one does. What its streams cost is known when they end.
+func TestHeavyAccountIsHeldToItsShare(t *testing.T) {
+	checkHeavyAccount(t, replaySize{routers: 8, engines: 24, domains: 3, seeds: 2, work: customerWork})
+}
+
+func checkHeavyAccount(t *testing.T, size replaySize) {
+	usual := float64(size.engines) / 12
+	play := func(times float64, sharing admission.Sharing) (others kindFigures) {
+		size.modify = func(p *picker) { p.queues.sharing = sharing }
+		var kinds []streamKind
+		for i, factor := range []float64{1, 1, 1, times} {
+			kinds = append(kinds, streamKind{fmt.Sprint("account ", i), 1, 4500 * time.Millisecond, fmt.Sprint("a", i), []replay.Rate{{PerSecond: usual * factor}}})
+		}
+		got := playKinds(t, size, 25*time.Second, kinds...)
+		for _, k := range kinds[:3] {
+			others.all += got[k.name].all
+			others.inTime += got[k.name].inTime
+		}
+		return others
+	}
+	even := play(1, admission.ShareByAccount)
+	heavy, byArrival := play(10, admission.ShareByAccount), play(10, admission.ShareByArrival)
+	t.Logf("others in time: %.3f, beside a heavy account %.3f, in order of arrival %.3f", even.inTimeShare(), heavy.inTimeShare(), byArrival.inTimeShare())
+	if heavy.inTimeShare() < 0.97*even.inTimeShare() {
+		t.Errorf("%.3f of the others' streams were in time, %.3f without the heavy account", heavy.inTimeShare(), even.inTimeShare())
+	}
+}
--- a/hosted/urgent.go
+++ b/hosted/urgent.go
@@ -27,6 +27,10 @@
 	// all requests. Room for one request at a part p of the engines costs the less urgent ones about p/10 of the
 	// capacity, since an engine has about ten runs: with this value no more than the urgent requests use anyway.
 	reservedPerShare = 10
+	// peerReserve is for how many requests of other client accounts one of an account over its share leaves memory: the
+	// others together use up to half of the capacity or more, so the room for one is taken before a run ends. In
+	// simulation (TestHeavyAccountIsHeldToItsShare) 0.885 of the others' streams were in time with 1, 0.992 with 2.
+	peerReserve = 2
 	// urgentShareWeight is the weight of the latest request in the share of a priority: about a hundred requests make up most
 	// of it, so that one request in a hundred still counts.
 	urgentShareWeight = 0.01
@@ -110,6 +114,14 @@
 	return r
 }
 
+// reserveForPeers returns the room that a request of a client account over its share leaves for those of other accounts.
+func (u *urgentRequests) reserveForPeers(a generation.PickRequest) reserve {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	size := u.kind[schedule.Priority(a.Urgency)].size.get()
+	return reserve{prompt: int(size.Prompt), memory: peerReserve * int(size.Prompt+size.Answer), part: 1}
+}
+
 // at reports whether the room is left at an engine. All routers choose the same engines, by their ids.
 func (r reserve) at(engine string) bool {
 	const steps = 1000
@@ -118,7 +130,11 @@
 
 // chooseReserving chooses an engine and leaves the reserve free. Requests that were sent before leave none.
 func (p *picker) chooseReserving(router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
-	r := p.queues.of(a.Service).urgent.reserveOf(a, time.Now())
+	now, q := time.Now(), p.queues.of(a.Service)
+	r := q.urgent.reserveOf(a, now)
+	if q.waitQueue.OverShare(itemOf(a, now), now) {
+		r = q.urgent.reserveForPeers(a)
+	}
 	if r.memory == 0 || sentBefore(a) {
 		return p.choose(router, among, a, load)
 	}
--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -29,6 +29,12 @@
 	waiting int
 	idle    time.Time // when its last request stopped waiting
 	charged float64   // all that was charged, corrected
+	recent  float64   // by cost and weight, in which older charges count less
+	at      time.Time // of recent
+}
+
+func (u *usage) recentAt(now time.Time) float64 {
+	return u.recent * math.Exp2(-now.Sub(u.at).Seconds()/recentHalfLife.Seconds())
 }
 
 const (
@@ -38,6 +44,11 @@
 	// shareHalfLife is the time in which half of an account's use is written off while none of its requests waits: an
 	// account that sent a burst a minute ago is not behind others now.
 	shareHalfLife = 5 * time.Second
+	// recentHalfLife is the time in which what an account has used counts half in OverShare: long enough for some requests
+	// of each account at one of 59 routers.
+	recentHalfLife = 15 * time.Second
+	// overShareFactor is how much more than its share an account must have used: a few requests more are chance.
+	overShareFactor = 1.1
 	// sweepInterval is how often records without use are removed.
 	sweepInterval = time.Second
 	// otherAccounts is the record that accounts beyond maxAccounts share.
@@ -118,7 +129,7 @@
 	}
 	s.swept = now
 	for k, u := range s.accounts {
-		if u.waiting == 0 && s.lead(k.priority, u, now) < 1 {
+		if u.waiting == 0 && s.lead(k.priority, u, now) < 1 && u.recentAt(now) < 1 {
 			delete(s.accounts, k)
 		}
 	}
@@ -138,6 +149,7 @@
 	s.now[it.Priority] = max(s.now[it.Priority], u.finish)
 	c := &Charge{usage: u, weight: it.weight(), expected: max(it.Cost, 1)}
 	u.add(c.expected, c.weight)
+	u.recent, u.at = u.recentAt(now)+c.expected/c.weight, now
 	s.Leave(it, now)
 	return c
 }
@@ -156,8 +168,22 @@
 	u.finish += cost / weight
 }
 
-// OverShare reports whether an account has used more than its share: it is ahead of virtual time by more than the cost
-// of a request.
+// OverShare reports whether an account has lately used more than its share: clearly more than the mean of the accounts that
+// used anything at the priority or have requests waiting.
 func (s *Shares) OverShare(it *Item, now time.Time) bool {
-	return s.Lead(it.Priority, it.Account, now) > it.span()
+	own := s.accounts[s.key(it.Priority, it.Account)]
+	if own == nil {
+		return false
+	}
+	sum, n := 0.0, 0
+	for k, u := range s.accounts {
+		if k.priority != it.Priority {
+			continue
+		}
+		if used := u.recentAt(now); used >= 1 || u.waiting > 0 {
+			sum += used
+			n++
+		}
+	}
+	return n > 1 && own.recentAt(now) > overShareFactor*sum/float64(n)+it.span()
 }
--- a/schedule/turns.go
+++ b/schedule/turns.go
@@ -39,6 +39,16 @@
 	return now.Sub(t.seen[priority]) <= DueAfter && now.Sub(t.since[priority]) >= DueAfter
 }
 
+// LessUrgentWaited reports whether a request of a less urgent priority waited within Window.
+func (t *Turns) LessUrgentWaited(priority int, now time.Time) bool {
+	for p := priority + 1; p < Priorities; p++ {
+		if !t.seen[p].IsZero() && now.Sub(t.seen[p]) <= Window {
+			return true
+		}
+	}
+	return false
+}
+
 // Until returns the time until a priority is due.
 func (t *Turns) Until(priority int, now time.Time) time.Duration {
 	return max(DueAfter-now.Sub(t.since[priority]), 0)
