waitorder: less urgent requests leave room for those that wait at other routers

Cause: each router polls engines for its own queue, so that the only waiter at one router, of low priority, takes a free engine while more urgent requests wait elsewhere. Change: routers state over their links which priorities wait (flood hosted.waiting, package waitorder); a request that should yield takes an engine only if the engine has room for another one as well. Where priorities of a service don't differ, nothing is sent.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -134,4 +134,6 @@
 	{StreamVersionUnknown, "stream-version-unknown", Warning, "A client takes a stream up, the service has several software versions, and no router that was reached knows which of them began the stream; the request is refused as not-run. Find stream-began of the attempt that the line names; many lines without a restart of routers show that routers do not reach each other."},
 	{StreamVersionGone, "stream-version-gone", Warning, "A stream can't go on, since no backend server runs the version that began it any more, or that version was rolled back. Nothing to do, unless versions are replaced faster than streams end."},
 	{VersionNotStored, "version-not-stored", Warning, "The note that a service has several software versions could not be written to the store or removed from it; it is tried again. Until then, a router that starts may refuse streams that it could continue."},
+	{YieldBegun, "yield-begun", Info, "Requests of the priority given yield: they leave the last room at an engine to more urgent requests of the service, which have waited here or at other routers (urgent_ms). Nothing to do; if it goes on, the service needs more backend servers."},
+	{YieldEnded, "yield-ended", Info, "No request of the service has yielded for a second. The number of tries that yielded and the time are given. Nothing to do."},
 }
--- a/event/ids.go
+++ b/event/ids.go
@@ -210,3 +210,9 @@
 	StreamVersionGone
 	VersionNotStored
 )
+
+// Events of the order of waiting requests over all routers (27xx).
+const (
+	YieldBegun ID = 2701 + iota
+	YieldEnded
+)
--- a/generation/deps.go
+++ b/generation/deps.go
@@ -58,6 +58,12 @@
 	TimeLeft time.Duration
 	// Late reports that the first chunk can't arrive in time any more.
 	Late bool
+	// Urgency is the priority of an opaque request, from 0, the most urgent, to 9. Account is its client
+	// account, or "" if it has none.
+	Urgency int
+	Account string
+	// Yields reports that more urgent requests wait at other routers. It is set by the Picker.
+	Yields bool
 	// UniquePart is the id of the part of the prompt that no other request shares, or "" if
 	// that part isn't known.
 	UniquePart string
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -186,6 +186,7 @@
 	if o := x.req.Opaque; o != nil {
 		a.Service, a.PromptTokens, a.MaxAnswerTokens = o.Service, o.PromptTokens, o.MaxAnswerTokens
 		a.FirstChunkTarget, a.SinceFirstTry = o.FirstChunkTarget, o.SinceFirstTry
+		a.Urgency, a.Account = o.Urgency, o.Account
 		if !o.Deadline.IsZero() {
 			a.TimeLeft = max(o.Deadline.Remaining(), 1)
 		}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -62,6 +62,7 @@
 	adopter   *adopter
 	rollouts  *rollouts
 	software  *software
+	order     *waitOrder
 	guard     *quarantine.Guard
 	pressure  *backpressure.Tracker
 	holds     *holds
@@ -120,6 +121,8 @@
 	n.peers.rollouts = n.rollouts
 	n.software = newSoftware(n, store)
 	n.peers.software = n.software
+	n.order = newWaitOrder(n.table, log, n.meter)
+	n.peers.order = n.order
 	n.holds, n.cases = newHolds(store, n.log), newCases(store, n.log)
 	n.holds.rank, n.cases.rank = n.peers.rankFor, n.peers.rankFor
 	n.view = newView(n.table, n.dir, n.mon, n.peers, n.rollouts, log)
@@ -176,6 +179,7 @@
 	pick.broadcastSoon = n.peers.broadcastSoon
 	pick.rollouts = n.rollouts
 	pick.software = n.software
+	pick.order = n.order
 	n.software.reports = replicas
 	pick.pressure = n.pressure
 	pick.onNoRoom = n.view.planner.enlarge
@@ -242,6 +246,7 @@
 	n.dumps.Add("reach", func() any { return n.cutOff.state(time.Now(), n.forwarder.Open()) })
 	n.dumps.Add("quarantine", func() any { return n.guard.List() })
 	n.dumps.Add("quarantine_parts", func() any { return n.guard.ListParts() })
+	n.dumps.Add("waiting", func() any { return n.order.state(time.Now()) })
 	n.dumps.Add("peers", func() any { return n.peers.state() })
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/dump", &n.dumps)
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -58,6 +58,7 @@
 	pressure  *backpressure.Tracker // set before run
 	cutOff    *cutOff               // set before run
 	software  *software             // set before run
+	order     *waitOrder            // set before run
 	// handleStream runs a request that another router passes on; set before run.
 	handleStream func(context.Context, *peer.Stream)
 
--- a/hosted/peers_mesh.go
+++ b/hosted/peers_mesh.go
@@ -46,6 +46,7 @@
 		p.pressure.Tick(now)
 		p.cutOff.Tick(now)
 	})
+	go p.order.run(ctx, mesh)
 	return mesh.Run(ctx)
 }
 
@@ -85,6 +86,7 @@
 	peer.HandleFlood(mesh, backpressure.FloodUpdate, func(from string, u backpressure.Update) { p.pressure.HandleUpdate(from, u, time.Now()) })
 	p.storeSync.join(mesh)
 	p.software.join(mesh)
+	p.order.join(mesh)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mesh = mesh
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -55,6 +55,7 @@
 	// software knows the versions at which streams may begin. Nil means that there is one version.
 	software *software
 	refusal  admission.RefusalPolicy
+	order    *waitOrder            // nil: no request yields to requests at other routers
 	pressure *backpressure.Tracker // what replicas ask of the routers
 	// onNoRoom is called when a request of a service is refused, or has waited long, because no
 	// known engine has room for it.
@@ -224,6 +225,9 @@
 	}
 	prompt, answer := tokensOf(a)
 	req.PromptTokens, req.MemoryTokens = prompt, prompt+answer
+	if a.Yields {
+		leaveRoom(&req)
+	}
 	return req
 }
 
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -94,14 +94,17 @@
 	waiting := p.waiting(q, a)
 	pos := waiting.Poll(a.RequestID, rank, a.SinceFirstTry, now)
 	a.Late = pos.Late
+	p.order.recordWaiting(a, now)
 	if pos.Ahead >= q.active.Size() {
 		return fleet.Backend{}, nil, p.waitOrRefuse(q, a, pos, now)
 	}
+	a.Yields = !p.order.mayTake(a, now)
 	p.queryEngines(ctx, a, q, pos.Waited)
 	b, share, err := p.chooseEngine(a)
 	if err == nil {
 		q.typicalSize.add(tokensOf(a))
 		waiting.RecordGrant(a.RequestID, now)
+		p.order.recordGrant(a, now)
 		q.active.Granted(waiting.Len())
 		if a.Resume {
 			q.losses.RecordLoss(now)
@@ -112,9 +115,11 @@
 	u, ok := errors.AsType[*generation.Unavailable](err)
 	if _, withheld := withheld(err); withheld || !ok || !u.Retryable {
 		waiting.Remove(a.RequestID)
+		p.order.remove(a.RequestID)
 		return fleet.Backend{}, nil, err
 	}
 	q.active.NoRoom()
+	p.order.recordYield(a, now)
 	return fleet.Backend{}, nil, p.waitOrRefuse(q, a, pos, now)
 }
 
@@ -150,6 +155,7 @@
 	if !sentBefore(a) {
 		if retryAfter, refused := p.refusal.Refuses(wait); refused {
 			p.waiting(q, a).Remove(a.RequestID)
+			p.order.remove(a.RequestID)
 			p.onNoRoom(a.Service)
 			return p.refuse(a, wait, retryAfter)
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -152,6 +152,7 @@
 	services map[string]Service
 	keys     map[string]*Account
 	streams  map[string]time.Duration // longest timeout of the resumable streams, by service; 0 means no limit
+	urgency  map[string]urgencyRange  // by service
 }
 
 // NewTable builds the Table of one version of the configuration.
@@ -164,12 +165,14 @@
 		services: map[string]Service{},
 		keys:     map[string]*Account{},
 		streams:  map[string]time.Duration{},
+		urgency:  map[string]urgencyRange{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 		t.addStreams(r)
+		t.addPriorities(r, c)
 	}
 	for _, s := range c.Services {
 		t.services[s.Name] = s
