--- a/waitorder/sim_measure_test.go
+++ b/waitorder/sim_measure_test.go
@@ -51,3 +51,36 @@
 	s.res.urgentWait = time.Duration(sum/len(s.waits)) * time.Millisecond
 	s.res.p95Wait = time.Duration(s.waits[len(s.waits)*95/100]) * time.Millisecond
 }
+
+// link links all routers to each other, or each router to about six others.
+func (s *sim) link() {
+	n := len(s.rs)
+	for i, r := range s.rs {
+		if n <= 24 {
+			for j := range n {
+				if j != i {
+					r.links = append(r.links, j)
+				}
+			}
+			continue
+		}
+		for len(r.links) < 3 { // three of its own and about three of others
+			j := s.rnd.IntN(n)
+			if j != i && !slices.Contains(r.links, j) && !slices.Contains(s.rs[j].links, i) {
+				r.links = append(r.links, j)
+			}
+		}
+	}
+	if n <= 24 {
+		return
+	}
+	own := make([][]int, n)
+	for i, r := range s.rs {
+		own[i] = slices.Clone(r.links)
+	}
+	for i := range own {
+		for _, j := range own[i] {
+			s.rs[j].links = append(s.rs[j].links, i)
+		}
+	}
+}
--- a/waitorder/sim_test.go
+++ b/waitorder/sim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -102,38 +101,6 @@
 	return s
 }
 
-func (s *sim) link() {
-	n := len(s.rs)
-	for i, r := range s.rs {
-		if n <= 24 {
-			for j := range n {
-				if j != i {
-					r.links = append(r.links, j)
-				}
-			}
-			continue
-		}
-		for len(r.links) < 3 { // three of its own and about three of others
-			j := s.rnd.IntN(n)
-			if j != i && !slices.Contains(r.links, j) && !slices.Contains(s.rs[j].links, i) {
-				r.links = append(r.links, j)
-			}
-		}
-	}
-	if n <= 24 {
-		return
-	}
-	own := make([][]int, n)
-	for i, r := range s.rs {
-		own[i] = slices.Clone(r.links)
-	}
-	for i := range own {
-		for _, j := range own[i] {
-			s.rs[j].links = append(s.rs[j].links, i)
-		}
-	}
-}
-
 func (s *sim) play() simResult {
 	for s.now = 1; s.now <= s.seconds*1000; s.now++ {
 		if s.now == s.seconds*1000/3 && s.kill {
