--- a/event/ids.go
+++ b/event/ids.go
@@ -215,3 +215,9 @@
 const (
 	RetryBudgetShort ID = 2501 + iota
 )
+
+// Events of the order of waiting requests over all routers (27xx).
+const (
+	YieldBegun ID = 2701 + iota
+	YieldEnded
+)
--- a/generation/deps.go
+++ b/generation/deps.go
@@ -62,6 +62,8 @@
 	TimeLeft time.Duration
 	// Late reports that the first chunk can't arrive in time any more.
 	Late bool
+	// Yields reports that more urgent requests wait at other routers. It is set by the Picker.
+	Yields bool
 	// UniquePart is the id of the part of the prompt that no other request shares, or "" if
 	// that part isn't known.
 	UniquePart string
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -59,6 +59,7 @@
 	cutOff    *cutOff               // set before run
 	software  *software             // set before run
 	loans     *loans                // set before run; nil if no retry budget is lent
+	order     *waitOrder            // set before run
 	// handleStream runs a request that another router passes on; set before run.
 	handleStream func(context.Context, *peer.Stream)
 
--- a/hosted/peers_mesh.go
+++ b/hosted/peers_mesh.go
@@ -46,6 +46,7 @@
 		p.pressure.Tick(now)
 		p.cutOff.Tick(now)
 	})
+	go p.order.run(ctx, mesh)
 	return mesh.Run(ctx)
 }
 
@@ -86,6 +87,7 @@
 	p.storeSync.join(mesh)
 	p.software.join(mesh)
 	p.loans.join(mesh)
+	p.order.join(mesh)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mesh = mesh
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -98,14 +98,17 @@
 		q.urgent.observe(a, now)
 	}
 	a.Late = pos.Late
+	p.order.recordWaiting(a, now)
 	if pos.Ahead >= q.active.Size() || pos.Held {
 		return fleet.Backend{}, nil, p.waitOrRefuse(q, a, pos, now)
 	}
+	a.Yields = !p.order.mayTake(a, now)
 	p.queryEngines(ctx, a, q, pos)
 	b, share, err := p.chooseEngine(a)
 	if err == nil {
 		q.typicalSize.add(tokensOf(a))
 		charge := waiting.RecordGrant(a.RequestID, now)
+		p.order.recordGrant(a, now)
 		p.waits.granted(a)
 		q.active.Granted(schedule.Priority(a.Urgency), waiting.Len())
 		if a.Resume {
@@ -117,9 +120,11 @@
 	u, ok := errors.AsType[*generation.Unavailable](err)
 	if _, withheld := withheld(err); withheld || !ok || !u.Retryable {
 		waiting.Remove(a.RequestID, now)
+		p.order.remove(a.RequestID)
 		return fleet.Backend{}, nil, err
 	}
 	q.active.NoRoom(schedule.Priority(a.Urgency))
+	p.order.recordYield(a, now)
 	return fleet.Backend{}, nil, p.waitOrRefuse(q, a, pos, now)
 }
 
@@ -155,6 +160,7 @@
 	if !sentBefore(a) {
 		if retryAfter, refused := p.refusal.Refuses(wait); refused {
 			p.waits.refused(a, p.waiting(q, a).Remove(a.RequestID, now))
+			p.order.remove(a.RequestID)
 			p.onNoRoom(a.Service)
 			return p.refuse(a, wait, retryAfter)
 		}
