hosted: requests count at engines with what they are expected to need (hosted.decisions.sizing)

Cause: a request is counted with the stated maximum of its answer, so memory of engines stays unused while requests are refused, and X-Length-Hint is read nowhere.

Change: package cost learns the lengths of answers by client account, route, priority and service, from answers that have ended and, as lower bounds, from those that were cut. Hints and the stated maximum are predictors that are weighted by what they were worth for the account. With the setting `learned`, the picker counts the expected tokens and their variance; routing.FilterMemory keeps 2.33 standard deviations free; the load of a run follows its answer; reports of engines are read with the expected rest of each run. Tokens in a chunk are learnt from reports on own runs, and until then the maximum counts. Requests to plain services count by route. With `maximum`, the default, nothing changes.

TestRunIsKnownWithoutItsMemory expects the request and the priority of a run, which RunState now has. TestEveryRunKeepsItsSoftwareVersion lists the new Engines.Open, which passes on what dispatch has picked. event.ranges has range 28.

--- a/directory/observed.go
+++ b/directory/observed.go
@@ -23,7 +23,14 @@
 
 // RequestSize is the size in tokens of a typical request of a service: it is needed
 // because reports list the runs of an engine, but not how large the runs will become.
-type RequestSize struct{ Prompt, Answer float64 }
+type RequestSize struct {
+	Prompt, Answer float64
+	// Spread is the variance of prompt and answer together where they are an estimate.
+	Spread float64
+	// Rest estimates the tokens that a run of the given priority will still generate after so many
+	// chunks, with their variance. If it is nil, a run grows to the size of a typical request.
+	Rest func(priority, chunks int) (mean, variance float64)
+}
 
 // observation is the peers' load derived from one report of an engine.
 type observation struct {
@@ -49,6 +56,9 @@
 	}
 }
 
+// LoadOf returns the load that a router derives from a report, for models of fleets.
+func LoadOf(s fleet.EngineState, size RequestSize) Load { return loadFromState(s, size) }
+
 // loadFromState returns the load that the requests in a report will cause. The tokens
 // of waiting requests, the unread rest of the prompts being read and the rest of the
 // answers being generated are added to the tokens in memory. Reports don't include how
@@ -62,18 +72,39 @@
 	out := Load{
 		Requests: float64(s.Queued + s.Reading + len(s.Runs)),
 		Reading:  queued + float64(s.Reading)*size.Prompt,
-		Running:  float64(len(s.Runs)),
 		Memory:   float64(s.MemoryUsed) + queued + float64(s.Queued)*size.Answer,
 	}
 	beingRead := float64(s.MemoryUsed - s.CopyTokens) // memory taken by the prompts that are being read
 	for _, run := range s.Runs {
-		out.Memory += max(total-float64(run.Memory), 0)
+		mean, variance := size.rest(run)
+		out.Memory += mean
+		out.Spread += variance
+		out.Running += size.share(mean)
 		beingRead -= float64(run.Memory)
 	}
 	out.Memory += max(float64(s.Reading)*total-max(beingRead, 0), 0)
+	out.Spread += float64(s.Queued+s.Reading) * size.Spread
 	return out
 }
 
+// rest returns mean and variance of the tokens by which a run will grow.
+func (z *RequestSize) rest(run fleet.RunState) (mean, variance float64) {
+	if z.Rest == nil {
+		return max(z.Prompt+z.Answer-float64(run.Memory), 0), 0
+	}
+	return z.Rest(run.Priority, run.Chunks)
+}
+
+// share returns how much a run counts among the running ones: where its rest can be estimated, by that
+// rest relative to a typical answer, since a run that is about to end is hardly delayed by a new prompt
+// and hardly delays the new run.
+func (z *RequestSize) share(rest float64) float64 {
+	if z.Rest == nil || z.Answer <= 0 {
+		return 1
+	}
+	return min(rest/z.Answer, 1)
+}
+
 func (r *record) observe(reported Load, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -130,6 +161,8 @@
 		Reading:  max(sum.Reading, 0),
 		Running:  max(sum.Running, 0),
 		Memory:   max(sum.Memory, 0),
+		Spread:   max(sum.Spread, 0),
+		Extra:    sum.Extra,
 	}
 }
 
--- a/directory/observed_test.go
+++ b/directory/observed_test.go
@@ -63,3 +63,19 @@
 		}
 	})
 }
+
+// Guards against runs that count with the size of a typical request although it is known how far they are: an engine whose
+// runs are about to end would seem as full as one whose runs have just begun.
+func TestExpectedRestOfRuns(t *testing.T) {
+	size := RequestSize{Prompt: 5000, Answer: 1000, Spread: 100, Rest: func(priority, chunks int) (float64, float64) {
+		return float64(1000 - 10*chunks + 1000*priority), 9
+	}}
+	s := fleet.EngineState{
+		Queued: 1, Reading: 1, MemoryUsed: 12000, NextPromptTokens: 5000,
+		Runs: []fleet.RunState{{Memory: 5000, Chunks: 90}, {Memory: 6000, Chunks: 10, Priority: 1}},
+	}
+	want := Load{Requests: 4, Reading: 10000, Running: 1.1, Memory: 12000 + 6000 + 100 + 1900 + 5000, Spread: 218}
+	if got := loadFromState(s, size); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/directory/peers.go
+++ b/directory/peers.go
@@ -20,7 +20,7 @@
 // loadCounter is a Load that can be changed with every request without a lock. Each
 // counter holds the field of Load of the same name in thousandths.
 type loadCounter struct {
-	requests, reading, running, memory atomic.Int64
+	requests, reading, running, memory, spread, extra atomic.Int64
 }
 
 func (c *loadCounter) add(l Load) {
@@ -28,6 +28,8 @@
 	c.reading.Add(int64(l.Reading * milli))
 	c.running.Add(int64(l.Running * milli))
 	c.memory.Add(int64(l.Memory * milli))
+	c.spread.Add(int64(l.Spread * milli))
+	c.extra.Add(int64(l.Extra * milli))
 }
 
 func (c *loadCounter) store(l Load) {
@@ -35,6 +37,8 @@
 	c.reading.Store(int64(l.Reading * milli))
 	c.running.Store(int64(l.Running * milli))
 	c.memory.Store(int64(l.Memory * milli))
+	c.spread.Store(int64(l.Spread * milli))
+	c.extra.Store(int64(l.Extra * milli))
 }
 
 func (c *loadCounter) load() Load {
@@ -43,6 +47,8 @@
 		Reading:  float64(c.reading.Load()) / milli,
 		Running:  float64(c.running.Load()) / milli,
 		Memory:   float64(c.memory.Load()) / milli,
+		Spread:   float64(c.spread.Load()) / milli,
+		Extra:    float64(c.extra.Load()) / milli,
 	}
 }
 
--- a/directory/record.go
+++ b/directory/record.go
@@ -160,9 +160,9 @@
 // loads. Otherwise it derives the other routers' load from the engine's last report, and
 // counts that load less the older the report is (fadeTime).
 func (r *record) Load(now time.Time) float64 {
-	local := float64(r.local.requests.Load()) / milli
+	local := float64(r.local.requests.Load()+r.local.extra.Load()) / milli
 	if r.peersSendLoads.Load() {
-		return local + float64(r.peers.requests.Load())/milli
+		return local + float64(r.peers.requests.Load()+r.peers.extra.Load())/milli
 	}
 	peers := math.Float64frombits(r.reportedPeerLoad.Load())
 	if peers == 0 {
@@ -207,6 +207,13 @@
 	}
 }
 
+// resizeLocal changes the memory of a request of this router. Unlike addLocal, it starts no request.
+func (r *record) resizeLocal(change Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.local.add(change)
+}
+
 // Reading is the estimated number of prompt tokens that the engine has yet to read.
 func (r *record) Reading() float64 { return r.estimatedLoad().Reading }
 
@@ -218,6 +225,10 @@
 // engine keeps, count as well.
 func (r *record) Memory() float64 { return r.estimatedLoad().Memory }
 
+// Spread is the variance of Memory where that is an estimate. It is 0 where runs count with their
+// stated maximum.
+func (r *record) Spread() float64 { return r.estimatedLoad().Spread }
+
 func (r *record) serves(ref fleet.ModelRef) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/directory/share.go
+++ b/directory/share.go
@@ -8,16 +8,37 @@
 	Reading  float64 `cbor:"2,keyasint,omitempty"` // tokens of prompts that are yet to be read
 	Running  float64 `cbor:"3,keyasint,omitempty"` // runs that are generating tokens
 	Memory   float64 `cbor:"4,keyasint,omitempty"` // tokens of runs and copies in memory
+	// Spread is the variance of Memory where that is an estimate.
+	Spread float64 `cbor:"5,keyasint,omitempty"`
+	// Extra is the work of the requests beyond that of as many ordinary ones, in units of an ordinary
+	// request. It is negative for light requests. Requests itself stays a count: what backend servers
+	// ask for (package backpressure) is stated in requests.
+	Extra float64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Plus returns the sum of the loads l and o.
 func (l Load) Plus(o Load) Load {
-	return Load{l.Requests + o.Requests, l.Reading + o.Reading, l.Running + o.Running, l.Memory + o.Memory}
+	return Load{l.Requests + o.Requests, l.Reading + o.Reading, l.Running + o.Running, l.Memory + o.Memory, l.Spread + o.Spread, l.Extra + o.Extra}
 }
 
 // Minus returns the load l less the load o.
 func (l Load) Minus(o Load) Load {
-	return Load{l.Requests - o.Requests, l.Reading - o.Reading, l.Running - o.Running, l.Memory - o.Memory}
+	return Load{l.Requests - o.Requests, l.Reading - o.Reading, l.Running - o.Running, l.Memory - o.Memory, l.Spread - o.Spread, l.Extra - o.Extra}
+}
+
+// maxLoad bounds each field of a load that another router states. It is far above the load of an engine;
+// Spread is a square.
+const maxLoad = 1e12
+
+// Bounded reports whether all fields are plausible numbers. A load from another router that is not is
+// dropped: added to the load of a backend server, it could not be subtracted again.
+func (l Load) Bounded() bool {
+	for _, v := range []float64{l.Requests, l.Reading, l.Running, l.Memory, l.Spread, l.Extra} {
+		if !(v >= -maxLoad && v <= maxLoad) {
+			return false
+		}
+	}
+	return true
 }
 
 // Share is one request's part of the load of its backend server. Its methods may be
@@ -78,6 +99,18 @@
 	s.record.addLocal(change)
 }
 
+// Resize replaces the memory that the request is expected to need, and its variance.
+func (s *Share) Resize(memory, spread float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.record == nil || s.ended {
+		return
+	}
+	change := Load{Memory: memory - s.load.Memory, Spread: spread - s.load.Spread}
+	s.load = s.load.Plus(change)
+	s.record.resizeLocal(change)
+}
+
 // End removes the request's load; further calls do nothing.
 func (s *Share) End() {
 	s.mu.Lock()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -134,4 +134,6 @@
 	{StreamVersionUnknown, "stream-version-unknown", Warning, "A client takes a stream up, the service has several software versions, and no router that was reached knows which of them began the stream; the request is refused as not-run. Find stream-began of the attempt that the line names; many lines without a restart of routers show that routers do not reach each other."},
 	{StreamVersionGone, "stream-version-gone", Warning, "A stream can't go on, since no backend server runs the version that began it any more, or that version was rolled back. Nothing to do, unless versions are replaced faster than streams end."},
 	{VersionNotStored, "version-not-stored", Warning, "The note that a service has several software versions could not be written to the store or removed from it; it is tried again. Until then, a router that starts may refuse streams that it could continue."},
+	{SizesKnown, "sizes-known", Info, "This router has seen enough answers of the service to count its requests with what they are expected to need (hosted.decisions.sizing). Nothing to do."},
+	{SizesUnknown, "sizes-unknown", Info, "This router has seen too few answers of the service lately, or no engine has said how many tokens a chunk has; requests count with the stated maximum of their answers. Nothing to do."},
 }
--- a/event/ids.go
+++ b/event/ids.go
@@ -210,3 +210,9 @@
 	StreamVersionGone
 	VersionNotStored
 )
+
+// Events of the expected cost of requests (28xx).
+const (
+	SizesKnown ID = 2801 + iota
+	SizesUnknown
+)
--- a/event/page_test.go
+++ b/event/page_test.go
@@ -55,6 +55,7 @@
 	{22, "What backend servers ask of the routers", []string{"backpressure", "hosted", "daemon"}},
 	{23, "Routers that are cut off from backend servers", []string{"reach", "forward", "generation", "hosted"}},
 	{24, "Software versions of streams", []string{"binding", "generation", "hosted"}},
+	{28, "Expected cost of requests", []string{"cost", "hosted"}},
 }
 
 var severities = map[event.Severity]string{event.Info: "info", event.Warning: "warning", event.Error: "error"}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -146,6 +146,8 @@
 
 // RunState describes one run in an EngineState.
 type RunState struct {
-	Memory int // tokens in memory
-	Chunks int // chunks of its answer
+	Request  string // id of its request
+	Memory   int    // tokens in memory
+	Chunks   int    // chunks of its answer
+	Priority int    // 0 to 9; 5 if the engine doesn't state it
 }
--- a/forward/message.go
+++ b/forward/message.go
@@ -57,6 +57,7 @@
 	BeganAs          string      `cbor:"21,keyasint,omitempty"`
 	Binding          *binding    `cbor:"22,keyasint,omitempty"` // nil before the first chunk
 	Model            string      `cbor:"23,keyasint,omitempty"`
+	LengthHint       int         `cbor:"24,keyasint,omitempty"`
 }
 
 // binding is the software version at which a stream began.
@@ -174,6 +175,7 @@
 		HasPartialAnswer: o.HasPartialAnswer, MaxAttempts: o.MaxAttempts, MaxWaitMS: o.MaxWait.Milliseconds(),
 		TargetMS: o.FirstChunkTarget.Milliseconds(), SinceFirstTryMS: o.SinceFirstTry.Milliseconds(),
 		KeepsCopies: o.Copies.KeptUpToDate, MakesCopies: o.Copies.OnDemand, BeganAs: o.BeganAs, Model: o.Model,
+		LengthHint: o.LengthHint,
 	}
 }
 
@@ -241,6 +243,7 @@
 		PromptParts: o.PromptParts, HasPartialAnswer: o.HasPartialAnswer, MaxAttempts: o.MaxAttempts,
 		MaxWait: fromMS(o.MaxWaitMS), FirstChunkTarget: fromMS(o.TargetMS), SinceFirstTry: fromMS(o.SinceFirstTryMS),
 		Copies: generation.Copying{KeptUpToDate: o.KeepsCopies, OnDemand: o.MakesCopies}, BeganAs: o.BeganAs, Model: o.Model,
+		LengthHint: max(o.LengthHint, 0),
 	}
 	if m.TimeLeftMS > 0 {
 		out.Deadline = clock.DeadlineIn(fromMS(m.TimeLeftMS))
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -93,6 +93,18 @@
 	}
 }
 
+// progressRecorder is implemented by a LoadShare whose load depends on how far the answer is.
+type progressRecorder interface {
+	// Progress records that the chunk of the given number has arrived.
+	Progress(chunk int)
+}
+
+func (a *attempt) recordProgress(chunk int) {
+	if p, ok := a.loadShare.(progressRecorder); ok {
+		p.Progress(chunk)
+	}
+}
+
 // lossReport returns the record of the loss of a that the quarantine guard evaluates.
 func (a *attempt) lossReport(cause string) quarantine.Loss {
 	return quarantine.Loss{
--- a/generation/deps.go
+++ b/generation/deps.go
@@ -48,6 +48,13 @@
 	Service         string // of an opaque request, instead of Ref
 	PromptTokens    int    // estimated tokens of its prompt, 0 if not stated
 	MaxAnswerTokens int    // maximum number of tokens of its answer
+	// Route, Account and LengthHint are what an estimate of the answer's length is made from, in
+	// addition; LengthHint is the client's own estimate in tokens, 0 if not stated.
+	Route      string
+	Account    string
+	LengthHint int
+	// ChunksReceived is the number of chunks of its answer that exist already.
+	ChunksReceived int
 	// FirstChunkTarget is the time from the start of the request after which the first chunk
 	// is late; 0 means that it is never late.
 	FirstChunkTarget time.Duration
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -134,6 +134,7 @@
 	FirstChunk       int           // number of the first chunk that the caller wants
 	PromptTokens     int           // estimated tokens of the prompt
 	MaxAnswerTokens  int           // maximum number of tokens of the answer
+	LengthHint       int           // client's estimate of the tokens of the answer, 0 if not stated
 	PromptParts      []string      // ids of the prompt's parts, in order
 	Model            string        // model that the request names, empty if it names none
 	HasPartialAnswer bool          // the client already has part of the answer, through another router
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -185,6 +185,8 @@
 	}
 	if o := x.req.Opaque; o != nil {
 		a.Service, a.PromptTokens, a.MaxAnswerTokens = o.Service, o.PromptTokens, o.MaxAnswerTokens
+		a.Route, a.Account, a.LengthHint = o.Route, o.Account, o.LengthHint
+		a.ChunksReceived = max(x.filter.next-1, 0)
 		a.FirstChunkTarget, a.SinceFirstTry = o.FirstChunkTarget, o.SinceFirstTry
 		if !o.Deadline.IsZero() {
 			a.TimeLeft = max(o.Deadline.Remaining(), 1)
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -81,6 +81,7 @@
 	x.lastToken = now
 	x.fruitlessTries = 0
 	a.accepted++
+	a.recordProgress(t.Index)
 	x.res.Tokens++
 	x.m.tokens.Inc()
 	if x.keepsText {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -181,13 +181,14 @@
 	pick.onNoRoom = n.view.planner.enlarge
 	pick.refusal = admission.RefusalPolicy(n.set.Hosted.Decisions.RefusalPolicy)
 	n.forwarder = n.newForwarder()
+	engines, onStreamEnd := n.newSizing(pick, replicas)
 	n.peers.handleStream = n.handleStream
 	budgets := newBudgets(n.set.Hosted, n.peers.registeredNodes)
 	n.runner, err = generation.New(generation.Deps{
 		Admitter:   admitAll{},
 		Picker:     pick,
 		Watcher:    placement.Watcher{Monitor: n.mon, Dir: n.dir, LeavingCode: platform.CodeMisdirected},
-		Engines:    observedEngines{replicas, n.rollouts},
+		Engines:    observedEngines{engines, n.rollouts},
 		Budget:     budgets,
 		Copier:     replicas,
 		RunQuerier: replicas,
@@ -208,7 +209,7 @@
 		return nil, err
 	}
 	return relay.New(relay.Config{
-		Table: n.table, Runner: n.runner, Budgets: budgets, StreamMaxWait: pick.refusal.MaxWait, Log: n.log, Set: n.meter,
+		Table: n.table, Runner: n.runner, Budgets: budgets, StreamMaxWait: pick.refusal.MaxWait, OnStreamEnd: onStreamEnd, Log: n.log, Set: n.meter,
 	}), nil
 }
 
--- a/hosted/load_query.go
+++ b/hosted/load_query.go
@@ -165,7 +165,9 @@
 	req := p.pickRequest(a)
 	req.OtherDomain = a.LostDomain
 	drawn := p.loadQuerier.sample(p.candidates(a), req, preferredKey(a), int(waited/queryInterval))
-	answered := p.loadQuerier.query(ctx, drawn, q.typicalSize.get())
+	typical := q.typicalSize.get()
+	typical.Rest = p.sizer.restOf(a.Service)
+	answered := p.loadQuerier.query(ctx, drawn, typical)
 	p.log.Emit(event.EnginesSurveyed, "request", a.RequestID, "service", a.Service,
 		"asked", len(drawn), "answered", answered, "took_ms", time.Since(startedAt).Milliseconds())
 }
--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -134,6 +134,9 @@
 	}
 	change := directory.PeerLoads{}
 	for id, v := range m.Loads {
+		if !v.Bounded() {
+			continue
+		}
 		change[id] = v.Minus(t.loads[id])
 		if v == (directory.Load{}) {
 			delete(t.loads, id)
--- a/hosted/picker.go
+++ b/hosted/picker.go
@@ -56,6 +56,8 @@
 	software *software
 	refusal  admission.RefusalPolicy
 	pressure *backpressure.Tracker // what replicas ask of the routers
+	// sizer knows what requests cost. Nil means that they count with the maximum of their answers.
+	sizer *sizer
 	// onNoRoom is called when a request of a service is refused, or has waited long, because no
 	// known engine has room for it.
 	onNoRoom func(service string)
@@ -174,7 +176,7 @@
 	if p.capacity(a.Service) > 0 {
 		return p.pickEngine(ctx, a)
 	}
-	return p.choose(p.nonEngine, p.candidates(a), a, directory.Load{Requests: 1})
+	return p.choose(p.nonEngine, p.candidates(a), a, p.plainLoad(a))
 }
 
 // choose chooses a replica outside the failure domain of the attempt that was lost, or in this
@@ -222,8 +224,8 @@
 	if a.Late {
 		req.Backlog = idleOnly
 	}
-	prompt, answer := tokensOf(a)
-	req.PromptTokens, req.MemoryTokens = prompt, prompt+answer
+	size := p.sizeOf(a)
+	req.PromptTokens, req.MemoryTokens, req.MemorySpread = size.prompt, size.memory(), size.spread
 	return req
 }
 
@@ -249,11 +251,11 @@
 
 // loadOf returns the load of a run on an engine that has the given number of tokens of its prompt
 // cached.
-func loadOf(a generation.PickRequest, cached int) directory.Load {
-	prompt, answer := tokensOf(a)
+func (z requestSize) loadOf(cached int) directory.Load {
 	return directory.Load{
 		Requests: 1,
-		Reading:  float64(max(prompt-cached, 1)),
-		Memory:   float64(prompt + answer),
+		Reading:  float64(max(z.prompt-cached, 1)),
+		Memory:   float64(z.memory()),
+		Spread:   z.spread,
 	}
 }
--- a/hosted/picker_copies.go
+++ b/hosted/picker_copies.go
@@ -24,9 +24,9 @@
 	if !ok || !p.mayGoOn(a, &b) || p.mon.State(a.Prefer) != health.Healthy || !p.pressure.Accepts(a.Prefer, time.Now()) {
 		return fleet.Backend{}, nil, false
 	}
-	prompt, _ := tokensOf(a)
+	size := p.sizeOf(a)
 	p.queues.of(a.Service).losses.RecordLoss(time.Now())
-	return b, p.dir.Begin(b.ID, loadOf(a, int((1-unreadByCopy)*float64(prompt)))), true
+	return b, p.dir.Begin(b.ID, size.loadOf(int((1-unreadByCopy)*float64(size.prompt)))), true
 }
 
 // replicaWithPrompt returns the replica that still has the prompt of a returning client in its
@@ -50,7 +50,7 @@
 	if !ok {
 		return fleet.Backend{}, nil, false
 	}
-	return b, p.dir.Begin(id, loadOf(a, tokens)), true
+	return b, p.dir.Begin(id, p.sizeOf(a).loadOf(tokens)), true
 }
 
 // cacheCandidates returns the replicas that may have the prompt of a returning client in their
@@ -89,7 +89,7 @@
 	if err != nil {
 		return fleet.Backend{}, nil, false
 	}
-	return *c.Backend, p.dir.Begin(c.Backend.ID, directory.Load{Memory: float64(req.MemoryTokens)}), true
+	return *c.Backend, p.dir.Begin(c.Backend.ID, directory.Load{Memory: float64(req.MemoryTokens), Spread: req.MemorySpread}), true
 }
 
 // standbyReplicas returns the replicas that may keep a copy of a run at b.
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -100,14 +100,15 @@
 	p.queryEngines(ctx, a, q, pos.Waited)
 	b, share, err := p.chooseEngine(a)
 	if err == nil {
-		q.typicalSize.add(tokensOf(a))
+		size := p.sizeOf(a)
+		q.typicalSize.add(size)
 		waiting.RecordGrant(a.RequestID, now)
 		q.active.Granted(waiting.Len())
 		if a.Resume {
 			q.losses.RecordLoss(now)
 		}
 		p.logChoice(a, b.ID, pos, now)
-		return b, p.timed(q, b.ID, share), nil
+		return b, p.timed(q, b.ID, share, p.newProgress(size, a, b.ID)), nil
 	}
 	u, ok := errors.AsType[*generation.Unavailable](err)
 	if _, withheld := withheld(err); withheld || !ok || !u.Retryable {
@@ -132,7 +133,7 @@
 // chooseEngine chooses an engine for a run. Where engines are queried for their loads, it
 // chooses a preferred engine of the request if any of these can take the run.
 func (p *picker) chooseEngine(a generation.PickRequest) (fleet.Backend, generation.LoadShare, error) {
-	all, load := p.candidates(a), loadOf(a, 0)
+	all, load := p.candidates(a), p.sizeOf(a).loadOf(0)
 	if p.loadQuerier.needed() {
 		b, share, err := p.choose(p.preferredEngine, routing.PreferredEngines(all, preferredKey(a), preferredEngines), a, load)
 		if err == nil {
@@ -203,15 +204,16 @@
 	startedAt     time.Time
 	firstChunk    sync.Once // guards the first chunk
 	broadcastSoon func()
+	progress      *progress // nil if the load doesn't depend on the progress of the run
 }
 
-func (p *picker) timed(q *queue, id string, s generation.LoadShare) generation.LoadShare {
+func (p *picker) timed(q *queue, id string, s generation.LoadShare, g *progress) generation.LoadShare {
 	share, ok := s.(*directory.Share)
 	if !ok {
 		return s
 	}
 	p.broadcastSoon()
-	return &timedShare{Share: share, queue: q, tokens: p.dir.Reading(id), startedAt: time.Now(), broadcastSoon: p.broadcastSoon}
+	return &timedShare{Share: share, queue: q, tokens: p.dir.Reading(id), startedAt: time.Now(), broadcastSoon: p.broadcastSoon, progress: g}
 }
 
 // PrefillDone implements generation.LoadShare.
--- /dev/null
+++ b/hosted/sizing_test.go
@@ -0,0 +1,151 @@
+package hosted
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeondale/directory"
+	"wigeondale/generation"
+	"wigeondale/relay"
+)
+
+// sizedStream is a stream as most are in these tests: its answer is far shorter than its maximum.
+func sizedStream(id string) generation.PickRequest {
+	return generation.PickRequest{
+		RequestID: id, Service: "llm", Route: "r", Account: "a", PromptTokens: 5000, MaxAnswerTokens: 4000,
+		FirstChunkTarget: 4 * time.Second,
+	}
+}
+
+// learn makes a sizer see answers of 100 chunks of 6 tokens.
+func learn(s *sizer, calibrated bool) {
+	if calibrated {
+		s.calibration.Observe("llm", 5000, 5000+6*50, 50, time.Now())
+	}
+	for range 40 {
+		s.streamEnded(relay.StreamEnd{Service: "llm", Route: "r", Account: "a", MaxAnswerTokens: 4000, FirstChunk: 1, Chunks: 100, Complete: true})
+	}
+}
+
+// Guards against decisions that change although nothing is learned, or is not to be learned: without a sizer, before
+// the first answers, and while it is not known how many tokens a chunk has, requests count with their stated maximum.
+func TestSizesAreTheMaximumUntilLearned(t *testing.T) {
+	plain := pickerOf(t, engineList(2, 2), 55000)
+	for name, prepare := range map[string]func(*sizer){
+		"nothing seen": func(*sizer) {}, "not calibrated": func(s *sizer) { learn(s, false) },
+	} {
+		p := pickerOf(t, engineList(2, 2), 55000)
+		p.sizer = newSizer(nil)
+		prepare(p.sizer)
+		for _, a := range []generation.PickRequest{sizedStream("q"), {Service: "llm"}, {Service: "other"}} {
+			want, got := plain.pickRequest(a), p.pickRequest(a)
+			if got.MemoryTokens != want.MemoryTokens || got.PromptTokens != want.PromptTokens || got.MemorySpread != 0 {
+				t.Errorf("%s: %d tokens with spread %v, want %d", name, got.MemoryTokens, got.MemorySpread, want.MemoryTokens)
+			}
+			if l := p.sizeOf(a).loadOf(0); l != plain.sizeOf(a).loadOf(0) {
+				t.Errorf("%s: load %+v", name, l)
+			}
+		}
+		if p.sizer.restOf("llm") != nil || plain.sizer.restOf("llm") != nil {
+			t.Errorf("%s: the rest of runs is estimated", name)
+		}
+	}
+}
+
+// Guards against memory that stays unused since each request reserves its stated maximum.
+func TestLearnedSizesUseTheMemory(t *testing.T) {
+	fill := func(p *picker) (n int) {
+		for ; n < 100; n++ {
+			_, share, err := p.chooseEngine(sizedStream(fmt.Sprint("q", n)))
+			if err != nil {
+				break
+			}
+			share.PrefillDone()
+		}
+		return n
+	}
+	p := pickerOf(t, engineList(1, 1), 55000)
+	if n := fill(p); n != 6 {
+		t.Errorf("%d runs with stated maxima, want 6 of 9,000 tokens", n)
+	}
+	p = pickerOf(t, engineList(1, 1), 55000)
+	p.sizer = newSizer(nil)
+	learn(p.sizer, true)
+	if n := fill(p); n < 8 || n > 9 {
+		t.Errorf("%d runs, want 8 or 9 of 5,600 tokens", n)
+	}
+}
+
+// Guards against a run that has outlasted most answers still counting as a typical one, and against loads that
+// remain at an engine after a run whose size was estimated several times.
+func TestLoadFollowsTheRun(t *testing.T) {
+	p := pickerOf(t, engineList(1, 1), 55000)
+	p.sizer = newSizer(nil)
+	learn(p.sizer, true)
+	_, share, err := p.pickEngine(t.Context(), sizedStream("q"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun := p.dir.LocalLoads()["e0"]
+	if begun.Memory < 5500 || begun.Memory > 5900 {
+		t.Errorf("at the start: %+v", begun)
+	}
+	share.PrefillDone()
+	for chunk := 1; chunk <= 300; chunk++ {
+		share.(*timedShare).Progress(chunk)
+	}
+	if late := p.dir.LocalLoads()["e0"]; late.Memory < 6700 || late.Spread <= begun.Spread {
+		t.Errorf("after 300 chunks: %+v, before %+v", late, begun)
+	}
+	share.End()
+	if left, ok := p.dir.LocalLoads()["e0"]; ok {
+		t.Errorf("left after the end: %+v", left)
+	}
+}
+
+// Guards against work of plain services that counts as less than a request where backend servers count
+// requests: more would be sent to them than they have room for.
+func TestLightRequestsStayRequests(t *testing.T) {
+	p := pickerOf(t, engineList(2, 2), 55000)
+	p.sizer = newSizer(nil)
+	for range 100 {
+		p.sizer.work.Observe("plain", "light", 10*time.Millisecond, time.Now())
+		p.sizer.work.Observe("plain", "heavy", 90*time.Millisecond, time.Now())
+	}
+	load := p.plainLoad(generation.PickRequest{Service: "plain", Route: "light"})
+	if load.Requests != 1 || load.Extra >= 0 {
+		t.Errorf("light: %+v", load)
+	}
+	if load = p.plainLoad(generation.PickRequest{Service: "plain", Route: "heavy"}); load.Extra <= 0.3 {
+		t.Errorf("heavy: %+v", load)
+	}
+	share := p.dir.Begin("e0", load)
+	if got := p.dir.LocalRequests("e0"); got != 1 {
+		t.Errorf("%v requests", got)
+	}
+	share.End()
+	if l := p.dir.LocalLoads(); len(l) != 0 {
+		t.Errorf("left: %+v", l)
+	}
+}
+
+// Guards against loads of other routers that are no numbers: one of them would make an engine seem full, or idle, for good.
+func FuzzPeerLoadsAreBounded(f *testing.F) {
+	f.Add(1.0, 5000.0, 6000.0, 1e6, -0.5)
+	f.Add(-1.0, 1e300, -1e300, 1e18, 1e12)
+	f.Fuzz(func(t *testing.T, requests, reading, memory, spread, extra float64) {
+		l := directory.Load{Requests: requests, Reading: reading, Memory: memory, Spread: spread, Extra: extra}
+		if !l.Bounded() {
+			return
+		}
+		d := directory.New(nil)
+		d.Update(engineList(1, 1), time.Now())
+		d.SetPeerLoads(directory.PeerLoads{})
+		d.AddPeerLoads(directory.PeerLoads{"e0": l})
+		d.AddPeerLoads(directory.PeerLoads{"e0": directory.Load{}.Minus(l)})
+		if got, _, _ := d.Estimate("e0", time.Now()); got != (directory.Load{}) {
+			t.Errorf("%+v leaves %+v", l, got)
+		}
+	})
+}
--- a/hosted/software_test.go
+++ b/hosted/software_test.go
@@ -232,6 +232,7 @@
 	"generation/steps.go Picker.Pick":         "pickRequest carries the binding",
 	"generation/forward.go Forwarder.Forward": "the handover carries the binding",
 	"hosted/observe.go Engines.Open":          "passes on what dispatch has picked",
+	"hosted/sizing_state.go Engines.Open":     "passes on what dispatch has picked",
 	"forward/serve.go runner.Run":             "the start message carries the binding",
 	"relay/relay.go Runner.Run":               "the run finds out at which version a stream began that is taken up",
 	"callerapi/generate.go Runner.Run":        "the cursor names the software",
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,7 @@
 	BeganAs         string
 	PromptTokens    int      // tokens of the prompt, 0 if not stated
 	MaxAnswerTokens int      // maximum number of tokens of the answer, 0 if not stated
+	LengthHint      int      // client's estimate of the tokens of the answer, 0 if not stated
 	PromptParts     []string // ids of the prompt's parts, in order
 	Model           string   // model that the request names, empty if it names none
 }
@@ -86,8 +87,33 @@
 	// StreamMaxWait returns how long a stream waits for a backend server, given the stream's
 	// target time. If it is nil, a stream waits for half of the target.
 	StreamMaxWait func(target time.Duration) time.Duration
-	Log           *event.Log
-	Set           *metrics.Set
+	// OnStreamEnd is called with each stream that has ended; it may be nil.
+	OnStreamEnd func(StreamEnd)
+	Log         *event.Log
+	Set         *metrics.Set
+}
+
+// StreamEnd is what is known of a stream that has ended.
+type StreamEnd struct {
+	Service, Route, Account string
+	Priority                int
+	LengthHint              int
+	MaxAnswerTokens         int
+	FirstChunk              int // number of the first chunk that the client wanted
+	Chunks                  int // delivered by this router
+	Complete                bool
+}
+
+// streamEnded passes a stream that has ended on to Config.OnStreamEnd.
+func (r *Relay) streamEnded(j *job, res generation.Result) {
+	if r.cfg.OnStreamEnd == nil || j.route.Kind != route.Stream || res.Tokens == 0 {
+		return
+	}
+	r.cfg.OnStreamEnd(StreamEnd{
+		Service: j.service, Route: j.route.Name, Account: j.account, Priority: j.priority,
+		LengthHint: j.req.LengthHint, MaxAnswerTokens: j.req.MaxAnswerTokens,
+		FirstChunk: j.req.FirstChunk, Chunks: res.Tokens, Complete: res.Outcome == fleet.Complete,
+	})
 }
 
 // Relay serves requests. It is safe for concurrent use.
@@ -144,6 +170,7 @@
 	res := r.cfg.Runner.Run(ctx, j.generation(), sink)
 	v := j.result(res)
 	r.ended(j, res, v, time.Since(startedAt))
+	r.streamEnded(j, res)
 	return v
 }
 
@@ -263,6 +290,7 @@
 			FirstChunk:       j.req.FirstChunk,
 			PromptTokens:     j.req.PromptTokens,
 			MaxAnswerTokens:  j.req.MaxAnswerTokens,
+			LengthHint:       j.req.LengthHint,
 			PromptParts:      j.req.PromptParts,
 			Model:            j.req.Model,
 			HasPartialAnswer: j.req.HasPartialAnswer,
--- a/routing/delay.go
+++ b/routing/delay.go
@@ -108,5 +108,9 @@
 // then preempted and read their prompts again later, for which other runs are preempted in
 // turn. Prefill work is wasted, and answers are late long after a burst has ended.
 func fitsMemory(c *Candidate, req *PickRequest) bool {
-	return req.Capacity <= 0 || c.engineLoad().Memory()+float64(req.MemoryTokens) <= float64(req.Capacity)
+	if req.Capacity <= 0 {
+		return true
+	}
+	need := c.engineLoad().Memory() + float64(req.MemoryTokens)
+	return need+memoryReserve(c.memorySpread()+req.MemorySpread) <= float64(req.Capacity)
 }
--- a/routing/delay_test.go
+++ b/routing/delay_test.go
@@ -163,3 +163,30 @@
 		t.Errorf("drew %d of 10", len(got))
 	}
 }
+
+// spreadEngine is an engine whose memory is an estimate with a variance.
+type spreadEngine struct {
+	fakeEngine
+	spread float64
+}
+
+func (e spreadEngine) Spread() float64 { return e.spread }
+
+// Guards against an engine that overflows since its runs become longer than expected, and against memory that is kept free
+// although the sizes of all runs are bounds.
+func TestMemoryIsKeptForLongerRuns(t *testing.T) {
+	for _, c := range []struct {
+		engine, request float64 // variances
+		need            int
+		fits            bool
+	}{
+		{0, 0, 10000, true}, {0, 0, 10001, false}, {1000 * 1000, 0, 7600, true}, {1000 * 1000, 0, 7700, false},
+		{0, 1000 * 1000, 7700, false}, {800 * 800, 600 * 600, 7600, true}, {800 * 800, 600 * 600, 7700, false},
+	} {
+		candidate := Candidate{Live: spreadEngine{fakeEngine{memory: 45000}, c.engine}}
+		req := PickRequest{Capacity: 55000, MemoryTokens: c.need, MemorySpread: c.request}
+		if got := fitsMemory(&candidate, &req); got != c.fits {
+			t.Errorf("%+v: fits %v", c, got)
+		}
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -85,6 +85,8 @@
 	// tokens that the run occupies in memory at its end. Capacity is the number of tokens that
 	// an engine of the service can hold in memory. Each is 0 when it isn't known.
 	PromptTokens, MemoryTokens, Capacity int
+	// MemorySpread is the variance of MemoryTokens if that is an estimate, and 0 if it is a bound.
+	MemorySpread float64
 	// Backlog bounds the number of prompt tokens that an engine has yet to read, including
 	// this prompt; 0 means no bound.
 	Backlog float64
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -51,8 +51,16 @@
 // implements in several variants.
 type Decisions struct {
 	RefusalPolicy string `json:"refusing"` // name of a refusal policy of package admission
+	// Sizing selects what a request counts as at an engine: SizingMaximum or SizingLearned.
+	Sizing string `json:"sizing"`
 }
 
+// Values of Decisions.Sizing.
+const (
+	SizingMaximum = "maximum" // the stated maximum of the answer
+	SizingLearned = "learned" // what answers like it have turned out to need
+)
+
 // SetDefaults sets the values of fields that a file with this section does not set.
 func (h *Hosted) SetDefaults() {
 	*h = Hosted{
@@ -68,7 +76,7 @@
 		MinPrefillMS:           2500,
 		PrefillTokensPerSecond: 5000,
 		GCPercent:              30,
-		Decisions:              Decisions{RefusalPolicy: string(admission.RefuseLate)},
+		Decisions:              Decisions{RefusalPolicy: string(admission.RefuseLate), Sizing: SizingMaximum},
 	}
 }
 
@@ -91,6 +99,7 @@
 	inRange(c, "hosted.prefill_tokens_per_second", h.PrefillTokensPerSecond, 1, 1e9)
 	inRange(c, "hosted.gc_percent", h.GCPercent, 5, 1000)
 	c.oneOf("hosted.decisions.refusing", h.Decisions.RefusalPolicy, admission.RefusalPolicies())
+	c.oneOf("hosted.decisions.sizing", h.Decisions.Sizing, []string{SizingMaximum, SizingLearned})
 }
 
 // oneOf adds a problem if the value of a field is not one of the names.
