--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -44,6 +44,8 @@
 	// Completed is set when the run has completed. It stays false for a run that was
 	// aborted.
 	Completed bool
+	// Chunks is the number of chunks of a stream that it has sent.
+	Chunks int
 	// Asks is what the replica asked in its answer.
 	Asks Asks
 }
@@ -59,11 +61,14 @@
 	Engine    bool
 	// ShowsVersion makes each chunk of a stream name the version of the replica.
 	ShowsVersion bool
-	Listen       string        // address to listen on; empty for any
-	Chunks       int           // number of chunks in a stream
-	ChunkGap     time.Duration // time between two chunks
-	Room         int           // requests that it takes at once; 0 for any number
-	Work         time.Duration // time to serve a request that is not streamed
+	Listen       string // address to listen on; empty for any
+	// PromptTokens and TokensPerChunk are what runs hold in memory by its reports. With 0, a run is
+	// reported with one token and one chunk.
+	PromptTokens, TokensPerChunk int
+	Chunks                       int           // number of chunks in a stream
+	ChunkGap                     time.Duration // time between two chunks
+	Room                         int           // requests that it takes at once; 0 for any number
+	Work                         time.Duration // time to serve a request that is not streamed
 	// OnCrash, if set, is called after a request has made the replica crash.
 	OnCrash func(r *Replica)
 
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -158,10 +158,17 @@
 			io.WriteString(w, chunk)
 		}
 		w.(http.Flusher).Flush()
+		r.markChunk(a, n)
 	}
 	r.markEnded(a)
 }
 
+func (r *Replica) markChunk(a *Arrival, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.Chunks = n
+}
+
 // serveUnframed serves a stream that has neither a length nor chunks and ends with its connection.
 func (r *Replica) serveUnframed(w http.ResponseWriter, a *Arrival, f Faults) {
 	from, _ := strconv.Atoi(a.Header.Get("Last-Event-Id"))
--- a/fakes/hosted/state.go
+++ b/fakes/hosted/state.go
@@ -46,7 +46,11 @@
 	runs := [][]any{}
 	for _, a := range r.Arrivals() {
 		if a.Ran && !a.Completed {
-			runs = append(runs, []any{a.ID, 1, 1, 5})
+			held, chunks := 1, 1
+			if r.TokensPerChunk > 0 {
+				held, chunks = r.PromptTokens+a.Chunks*r.TokensPerChunk, a.Chunks
+			}
+			runs = append(runs, []any{a.ID, held, chunks, 5})
 		}
 	}
 	writeJSON(w, r.withStartTime(map[string]any{"stage": "unified", "queued": 0, "active": len(runs), "runs": runs, "kv_total": KVCapacity}))
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -30,6 +30,7 @@
 	mu       sync.Mutex
 	replicas map[string]*fakes.Replica // by address
 	version  int
+	sizing   string // hosted.decisions.sizing of the nodes; empty for the default
 }
 
 func newFleet(t *testing.T) *testFleet {
@@ -133,11 +134,15 @@
 // startNodeAt starts a node that reaches the store at the given address.
 func (f *testFleet) startNodeAt(id, store string) *testNode {
 	f.t.Helper()
+	sizing := f.sizing
+	if sizing == "" {
+		sizing = settings.SizingMaximum
+	}
 	set, err := settings.Parse(fmt.Appendf(nil, `{
 		"node": {"id": %q, "vm": %q, "failure_domain": "d0", "region": "r", "incarnation": "1"},
 		"shutdown": {"balancer_notice_ms": 200},
 		"hosted": {"front_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0", "metrics_address": "127.0.0.1:0",
-			"peer_address": %q, "store_address": %q, "grace_ms": 8000}}`, id, id, freeAddr(f.t), store))
+			"peer_address": %q, "store_address": %q, "grace_ms": 8000, "decisions": {"sizing": %q}}}`, id, id, freeAddr(f.t), store, sizing))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/hosted/sizing_test.go
+++ b/hosted/sizing_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math"
+	"net/http"
 	"testing"
 	"time"
 
 	"wigeondale/cost"
 	"wigeondale/directory"
+	fakes "wigeondale/fakes/hosted"
 	"wigeondale/generation"
 	"wigeondale/relay"
 	"wigeondale/settings"
@@ -135,6 +137,36 @@
 	}
 }
 
+// Guards against estimates that are made and tested and don't reach a running router: whether it calibrates by its own
+// runs, learns from answers that end, and then counts requests with what they need.
+func TestRouterLearnsSizes(t *testing.T) {
+	f := newFleet(t)
+	f.sizing = settings.SizingLearned
+	for i := range 2 {
+		f.startReplica(&fakes.Replica{
+			ID: fmt.Sprint("e", i), Service: "llm", Domain: fmt.Sprint("d", i), Engine: true, Chunks: 30, ChunkGap: time.Millisecond,
+			PromptTokens: 100, TokensPerChunk: 6,
+		})
+	}
+	n := f.startServingNode()
+	p := n.runner.Picker.(*picker)
+	a := generation.PickRequest{Service: "llm", Route: "draft", Account: "acc", PromptTokens: 100, MaxAnswerTokens: 280}
+	asked := 0
+	await(t, "learned sizes", func() bool {
+		asked++
+		if status, _ := n.get("/draft/x", fmt.Sprint("q", asked), key); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		return p.sizeOf(a).lengths != nil
+	})
+	if got := p.sizeOf(a); got.answer < 160 || got.answer > 200 {
+		t.Errorf("after %d answers of 180 tokens, an answer is expected to have %d", asked, got.answer)
+	}
+	if per, _ := p.sizer.calibration.PerChunk("llm", time.Now()); math.Abs(per-6) > 0.5 {
+		t.Errorf("%v tokens in a chunk", per)
+	}
+}
+
 // Guards against loads of other routers that are no numbers: one of them would make an engine seem full, or idle, for good.
 func FuzzPeerLoadsAreBounded(f *testing.F) {
 	f.Add(1.0, 5000.0, 6000.0, 1e6, -0.5)
