--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -137,4 +137,6 @@
 	{RetryBudgetShort, "retry-budget-short", Warning, "A retry found no budget of its service at this router, and none to borrow from others in time; started says whether it was to continue a started answer. If wigeon_retry_loans_lent_total stands still at all routers, the fleet's budget is spent: find out why so many attempts fail. Otherwise check this VM's network. Written at most once in 10 s for each service."},
 	{YieldBegun, "yield-begun", Info, "Requests of the priority given yield: they leave the last room at an engine to more urgent requests of the service, which have waited here or at other routers (urgent_ms). Nothing to do; if it goes on, the service needs more backend servers."},
 	{YieldEnded, "yield-ended", Info, "No request of the service has yielded for a second. The number of tries that yielded and the time are given. Nothing to do."},
+	{SizesKnown, "sizes-known", Info, "This router has seen enough answers of the service to count its requests with what they are expected to need (hosted.decisions.sizing). Nothing to do."},
+	{SizesUnknown, "sizes-unknown", Info, "This router has seen too few answers of the service lately, or no engine has said how many tokens a chunk has; requests count with the stated maximum of their answers. Nothing to do."},
 }
--- a/event/ids.go
+++ b/event/ids.go
@@ -221,3 +221,9 @@
 	YieldBegun ID = 2701 + iota
 	YieldEnded
 )
+
+// Events of the expected cost of requests (28xx).
+const (
+	SizesKnown ID = 2801 + iota
+	SizesUnknown
+)
--- a/event/page_test.go
+++ b/event/page_test.go
@@ -57,6 +57,7 @@
 	{24, "Software versions of streams", []string{"binding", "generation", "hosted"}},
 	{25, "Retry budget that routers share", []string{"hosted"}},
 	{27, "Order of waiting requests over all routers", []string{"hosted"}},
+	{28, "Expected cost of requests", []string{"cost", "hosted"}},
 }
 
 var severities = map[event.Severity]string{event.Info: "info", event.Warning: "warning", event.Error: "error"}
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -157,8 +157,10 @@
 		Stream: x.bindsVersion(), Binding: x.bound,
 	}
 	if o := x.req.Opaque; o != nil {
-		a.Urgency, a.Account = o.Urgency, x.req.Account
+		a.Urgency = o.Urgency
 		a.Service, a.PromptTokens, a.MaxAnswerTokens = o.Service, o.PromptTokens, o.MaxAnswerTokens
+		a.Route, a.Account, a.LengthHint = o.Route, o.Account, o.LengthHint
+		a.ChunksReceived = max(x.filter.next-1, 0)
 		a.FirstChunkTarget, a.SinceFirstTry = o.FirstChunkTarget, o.SinceFirstTry
 		if !o.Deadline.IsZero() {
 			a.TimeLeft = max(o.Deadline.Remaining(), 1)
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -31,6 +31,7 @@
 	replicas     map[string]*fakes.Replica // by address
 	version      int
 	retryWindows map[string]int // settings of nodes, in seconds; 0 for the others
+	sizing       string         // hosted.decisions.sizing of the nodes; empty for the default
 }
 
 func newFleet(t *testing.T) *testFleet {
@@ -134,11 +135,15 @@
 // startNodeAt starts a node that reaches the store at the given address.
 func (f *testFleet) startNodeAt(id, store string) *testNode {
 	f.t.Helper()
+	sizing := f.sizing
+	if sizing == "" {
+		sizing = settings.SizingMaximum
+	}
 	set, err := settings.Parse(fmt.Appendf(nil, `{
 		"node": {"id": %q, "vm": %q, "failure_domain": "d0", "region": "r", "incarnation": "1"},
 		"shutdown": {"balancer_notice_ms": 200},
 		"hosted": {"front_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0", "metrics_address": "127.0.0.1:0",
-			"peer_address": %q, "store_address": %q, "grace_ms": 8000, "retry_window_s": %d}}`, id, id, freeAddr(f.t), store, f.retryWindows[id]))
+			"peer_address": %q, "store_address": %q, "grace_ms": 8000, "retry_window_s": %d, "decisions": {"sizing": %q}}}`, id, id, freeAddr(f.t), store, f.retryWindows[id], sizing))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -187,6 +187,7 @@
 	pick.refusal = admission.RefusalPolicy(n.set.Hosted.Decisions.RefusalPolicy)
 	n.connectOrder(pick)
 	n.forwarder = n.newForwarder()
+	engines, onStreamEnd := n.newSizing(pick, replicas)
 	n.peers.handleStream = n.handleStream
 	budgets := newBudgets(n.set.Hosted, n.peers.registeredNodes)
 	budgets.loans = n.newLoans()
@@ -196,7 +197,7 @@
 		Admitter:   admitAll{},
 		Picker:     pick,
 		Watcher:    placement.Watcher{Monitor: n.mon, Dir: n.dir, LeavingCode: platform.CodeMisdirected},
-		Engines:    observedEngines{replicas, n.rollouts},
+		Engines:    observedEngines{engines, n.rollouts},
 		Budget:     budgets,
 		Copier:     replicas,
 		RunQuerier: replicas,
@@ -217,7 +218,7 @@
 		return nil, err
 	}
 	return relay.New(relay.Config{
-		Table: n.table, Runner: n.runner, Budgets: budgets, StreamMaxWait: pick.refusal.MaxWait, Log: n.log, Set: n.meter,
+		Table: n.table, Runner: n.runner, Budgets: budgets, StreamMaxWait: pick.refusal.MaxWait, OnStreamEnd: onStreamEnd, Log: n.log, Set: n.meter,
 	}), nil
 }
 
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -106,7 +106,8 @@
 	p.queryEngines(ctx, a, q, pos)
 	b, share, err := p.chooseEngine(a)
 	if err == nil {
-		q.typicalSize.add(tokensOf(a))
+		size := p.sizeOf(a)
+		q.typicalSize.add(size)
 		charge := waiting.RecordGrant(a.RequestID, now)
 		p.order.recordGrant(a, now)
 		p.waits.granted(a)
@@ -115,7 +116,7 @@
 			q.losses.RecordLoss(now)
 		}
 		p.logChoice(a, b.ID, pos, now)
-		return b, charged(p.timed(q, b.ID, share), charge, a), nil
+		return b, charged(p.timed(q, b.ID, share, p.newProgress(size, a, b.ID)), charge, a), nil
 	}
 	u, ok := errors.AsType[*generation.Unavailable](err)
 	if _, withheld := withheld(err); withheld || !ok || !u.Retryable {
@@ -142,7 +143,7 @@
 // chooseEngine chooses an engine for a run. Where engines are queried for their loads, it
 // chooses a preferred engine of the request if any of these can take the run.
 func (p *picker) chooseEngine(a generation.PickRequest) (fleet.Backend, generation.LoadShare, error) {
-	all, load := p.candidates(a), loadOf(a, 0)
+	all, load := p.candidates(a), p.sizeOf(a).loadOf(0)
 	if p.loadQuerier.needed() {
 		b, share, err := p.chooseReserving(p.preferredEngine, routing.PreferredEngines(all, preferredKey(a), preferredEngines), a, load)
 		if err == nil {
@@ -216,15 +217,16 @@
 	startedAt     time.Time
 	firstChunk    sync.Once // guards the first chunk
 	broadcastSoon func()
+	progress      *progress // nil if the load doesn't depend on the progress of the run
 }
 
-func (p *picker) timed(q *queue, id string, s generation.LoadShare) generation.LoadShare {
+func (p *picker) timed(q *queue, id string, s generation.LoadShare, g *progress) generation.LoadShare {
 	share, ok := s.(*directory.Share)
 	if !ok {
 		return s
 	}
 	p.broadcastSoon()
-	return &timedShare{Share: share, queue: q, tokens: p.dir.Reading(id), startedAt: time.Now(), broadcastSoon: p.broadcastSoon}
+	return &timedShare{Share: share, queue: q, tokens: p.dir.Reading(id), startedAt: time.Now(), broadcastSoon: p.broadcastSoon, progress: g}
 }
 
 // PrefillDone implements generation.LoadShare.
--- a/hosted/urgent.go
+++ b/hosted/urgent.go
@@ -70,7 +70,8 @@
 		k.target, k.setAt = a.FirstChunkTarget, now
 	}
 	k.seenAt = now
-	k.size.add(tokensOf(a))
+	prompt, answer := tokensOf(a)
+	k.size.add(requestSize{prompt: prompt, answer: answer})
 	for p := range u.kind {
 		u.kind[p].share *= 1 - urgentShareWeight
 	}
