route, relay, hosted: among requests of client accounts of equal priority, the priority of the route decides

Change: the order goes by a level among the requests of the service: priority of the account, then that of the route. The header for engines is unchanged. A request that another router passes on brings its level (field 25).

--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -24,6 +24,9 @@
 	// Urgency determines the order of the requests that wait at a backend server; requests
 	// with 0 go first.
 	Urgency int
+	// Level is how urgent the request is among those of its service, by client account and route; 0 is the most urgent. It
+	// determines the order of the requests that wait at the routers.
+	Level int
 }
 
 // Copies states which standby copies of its run an attempt creates and uses.
--- a/forward/message.go
+++ b/forward/message.go
@@ -58,6 +58,8 @@
 	Binding          *binding    `cbor:"22,keyasint,omitempty"` // nil before the first chunk
 	Model            string      `cbor:"23,keyasint,omitempty"`
 	LengthHint       int         `cbor:"24,keyasint,omitempty"`
+	// Level is nil if the router is of a release that doesn't know it.
+	Level *int `cbor:"25,keyasint,omitempty"`
 }
 
 // binding is the software version at which a stream began.
@@ -175,7 +177,7 @@
 		HasPartialAnswer: o.HasPartialAnswer, MaxAttempts: o.MaxAttempts, MaxWaitMS: o.MaxWait.Milliseconds(),
 		TargetMS: o.FirstChunkTarget.Milliseconds(), SinceFirstTryMS: o.SinceFirstTry.Milliseconds(),
 		KeepsCopies: o.Copies.KeptUpToDate, MakesCopies: o.Copies.OnDemand, BeganAs: o.BeganAs, Model: o.Model,
-		LengthHint: o.LengthHint,
+		LengthHint: o.LengthHint, Level: &o.Level,
 	}
 }
 
@@ -237,7 +239,7 @@
 	out := &generation.Opaque{
 		Opaque: &backend.Opaque{
 			Method: o.Method, Target: o.Target, Host: o.Host, Header: o.Header, Body: body, Route: o.Route, Account: m.Account,
-			Streaming: o.Streaming, Resumable: o.Resumable, Urgency: o.Urgency,
+			Streaming: o.Streaming, Resumable: o.Resumable, Urgency: o.Urgency, Level: o.level(),
 		},
 		Service: o.Service, FirstChunk: o.FirstChunk, PromptTokens: o.PromptTokens, MaxAnswerTokens: o.MaxAnswerTokens,
 		PromptParts: o.PromptParts, HasPartialAnswer: o.HasPartialAnswer, MaxAttempts: o.MaxAttempts,
@@ -262,3 +264,13 @@
 }
 
 func fromMS(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// usualLevel is the level of a request from a router that doesn't state it: neither before nor behind all others.
+const usualLevel = 5
+
+func (o *opaqueStart) level() int {
+	if o.Level == nil || *o.Level < 0 {
+		return usualLevel
+	}
+	return *o.Level
+}
--- a/generation/cost_test.go
+++ b/generation/cost_test.go
@@ -39,7 +39,7 @@
 	w := &fakeFleet{chunks: 9, budget: 9, costs: &[]int{}, scripts: []script{
 		{openErr: &backend.Refused{Code: "overloaded"}}, {lastChunk: 4, err: errBroken},
 	}}
-	res, _ := w.run(t, func(r *Request) { r.Account, r.Opaque.Urgency = "acc", 7 })
+	res, _ := w.run(t, func(r *Request) { r.Account, r.Opaque.Level = "acc", 7 })
 	if want := []int{-1, 4, 5}; res.Outcome != fleet.Complete || !slices.Equal(*w.costs, want) {
 		t.Errorf("%s, attempts were charged for %v chunks, want %v", res.Outcome, *w.costs, want)
 	}
--- a/generation/deps.go
+++ b/generation/deps.go
@@ -45,7 +45,7 @@
 	IsRetry    bool // an attempt of the request was sent before
 	MayHaveRun bool // an attempt of the request may have run
 
-	// Urgency is the priority of an opaque request, from 0, the most urgent, to 9.
+	// Urgency is how urgent an opaque request is among those of its service, from 0, the most urgent, to 9.
 	Urgency int
 	Account string // client account, empty if not known
 
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -157,7 +157,7 @@
 		Stream: x.bindsVersion(), Binding: x.bound,
 	}
 	if o := x.req.Opaque; o != nil {
-		a.Urgency = o.Urgency
+		a.Urgency = o.Level
 		a.Service, a.PromptTokens, a.MaxAnswerTokens = o.Service, o.PromptTokens, o.MaxAnswerTokens
 		a.Route, a.Account, a.LengthHint = o.Route, o.Account, o.LengthHint
 		a.ChunksReceived = max(x.filter.next-1, 0)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -181,6 +181,7 @@
 	engine   route.Service
 	account  string
 	priority int
+	level    int // order among the requests of the service
 	version  int64
 	timeout  time.Duration
 	deadline clock.Deadline
@@ -196,6 +197,7 @@
 		timeout:  timeoutOf(req, rt),
 	}
 	j.engine = table.Service(j.service)
+	j.level = table.Level(j.service, account, rt)
 	if account != nil {
 		j.account = account.Name
 		if account.HasPriority {
@@ -262,6 +264,7 @@
 				Resumable: j.route.Replayable(),
 				Deadline:  j.deadline,
 				Urgency:   j.priority,
+				Level:     j.level,
 			},
 			Service:          j.service,
 			FirstChunk:       j.req.FirstChunk,
--- a/route/route.go
+++ b/route/route.go
@@ -145,34 +145,34 @@
 // Table maps hosts and paths to routes, names to services and API keys to client accounts, for
 // one configuration version. It is immutable.
 type Table struct {
-	Version  int64
-	Keyless  bool
-	Limits   Limits
-	hosts    map[string][]*Route
-	services map[string]Service
-	keys     map[string]*Account
-	streams  map[string]time.Duration // longest timeout of the resumable streams, by service; 0 means no limit
-	urgency  map[string]urgencyRange  // by service
+	Version   int64
+	Keyless   bool
+	Limits    Limits
+	hosts     map[string][]*Route
+	services  map[string]Service
+	keys      map[string]*Account
+	streams   map[string]time.Duration // longest timeout of the resumable streams, by service; 0 means no limit
+	urgencies map[string][]urgency     // by service, the most urgent first
 }
 
 // NewTable builds the Table of one version of the configuration.
 func NewTable(c *Config) *Table {
 	t := &Table{
-		Version:  c.Version,
-		Keyless:  c.Keyless,
-		Limits:   c.Limits,
-		hosts:    map[string][]*Route{},
-		services: map[string]Service{},
-		keys:     map[string]*Account{},
-		streams:  map[string]time.Duration{},
-		urgency:  map[string]urgencyRange{},
+		Version:   c.Version,
+		Keyless:   c.Keyless,
+		Limits:    c.Limits,
+		hosts:     map[string][]*Route{},
+		services:  map[string]Service{},
+		keys:      map[string]*Account{},
+		streams:   map[string]time.Duration{},
+		urgencies: map[string][]urgency{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 		t.addStreams(r)
-		t.addPriorities(r, c)
+		t.addUrgencies(r, c)
 	}
 	for _, s := range c.Services {
 		t.services[s.Name] = s
