hosted: leave no more room than an idle engine has

Cause: the room left for more urgent requests was subtracted from the memory of an engine without a bound, so that a large less urgent request found no engine although engines were idle. The room left by a request that yields ignored the reserve for the spread of its answer's length. Change: both are bounded by what the request leaves of an engine without work. Test: go test -run TestLargeRequestThat ./hosted; without the bound the new test fails.

--- a/hosted/urgent.go
+++ b/hosted/urgent.go
@@ -142,7 +142,8 @@
 		return p.choose(router, among, a, load)
 	}
 	req := p.pickRequest(a)
-	req.Capacity = max(req.Capacity-r.memory, 1)
+	// An engine without work is always allowed: the reserve is never more than what the request leaves of it.
+	req.Capacity = min(req.Capacity, max(req.Capacity-r.memory, req.Needs()))
 	if req.Backlog > 0 {
 		req.Backlog = max(req.Backlog-float64(r.prompt), idleOnly)
 	}
--- a/hosted/wait_order.go
+++ b/hosted/wait_order.go
@@ -159,7 +159,8 @@
 // yields leaves the last room at an engine to a more urgent one. An engine without work is never left idle.
 func leaveRoom(req *routing.PickRequest) {
 	if req.Capacity > 0 {
-		req.MemoryTokens = max(req.MemoryTokens, min(2*req.MemoryTokens, req.Capacity))
+		left := max(req.Capacity-req.Needs(), 0) // at an engine without work
+		req.MemoryTokens += min(req.MemoryTokens, left)
 	}
 	if req.Backlog > 0 {
 		req.Backlog = max(req.Backlog-float64(req.PromptTokens), idleOnly)
--- a/hosted/wait_order_test.go
+++ b/hosted/wait_order_test.go
@@ -93,6 +93,23 @@
 	}
 }
 
+// Guards against a less urgent request that finds no engine although engines are idle: together with the room that it leaves
+// for urgent ones it needs more memory than an engine has.
+func TestLargeRequestThatLeavesRoomTakesAnIdleEngine(t *testing.T) {
+	for _, yields := range []bool{false, true} {
+		p := orderedPicker(t, 50000, 0, 2)
+		p.queues.of("llm").urgent.observe(withPriority("urgent", 0), time.Now())
+		if yields {
+			p.order.handle(&waitorder.Message{Entries: []waitorder.Entry{{Service: "llm", WaitedMS: 300, Origin: 1, Stated: 1}}}, time.Now())
+		}
+		a := withPriority("large", 2)
+		a.PromptTokens = 48000
+		if _, _, err := p.Pick(t.Context(), a); err != nil {
+			t.Errorf("yields %v: %v", yields, err)
+		}
+	}
+}
+
 // Guards against messages and yields where the configuration doesn't ask for an order: with one
 // priority, every decision must be as before.
 func TestEqualPrioritiesSendNothing(t *testing.T) {
--- a/routing/reserve.go
+++ b/routing/reserve.go
@@ -19,6 +19,11 @@
 	return overflowDeviations * math.Sqrt(variance)
 }
 
+// Needs returns how many tokens of memory an engine without work must have for the request.
+func (r *PickRequest) Needs() int {
+	return r.MemoryTokens + int(math.Ceil(memoryReserve(r.MemorySpread)))
+}
+
 // spreadLoad is implemented by a Live that knows the variance of the memory that it estimates.
 type spreadLoad interface {
 	Spread() float64
