hosted: a priority that has a turn leaves no room for more urgent requests

Cause: a request that ageing lifts, or whose priority has a turn after it yielded, still left room for more urgent requests at the engines. Where these have room for one request at a time, the priority was never served. Change: admission.Position tells whether ageing lifted the request, and waitorder whether the priority has a turn; these requests leave no room.

--- a/generation/deps.go
+++ b/generation/deps.go
@@ -70,6 +70,9 @@
 	Late bool
 	// Yields reports that more urgent requests wait at other routers. It is set by the Picker.
 	Yields bool
+	// HasTurn reports that the request is served although more urgent ones wait, since its priority was passed over for too
+	// long. It is set by the Picker.
+	HasTurn bool
 	// UniquePart is the id of the part of the prompt that no other request shares, or "" if
 	// that part isn't known.
 	UniquePart string
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -102,7 +102,8 @@
 	if pos.Ahead >= q.active.Size() || pos.Held {
 		return fleet.Backend{}, nil, p.waitOrRefuse(q, a, pos, now)
 	}
-	a.Yields = !p.order.mayTake(a, now)
+	mayTake, turn := p.order.mayTakeInTurn(a, now)
+	a.Yields, a.HasTurn = !mayTake, turn || pos.Due
 	p.queryEngines(ctx, a, q, pos)
 	b, share, err := p.chooseEngine(a)
 	if err == nil {
--- a/hosted/urgent.go
+++ b/hosted/urgent.go
@@ -131,14 +131,15 @@
 	return float64(xxhash.Sum64String(engine)%steps) < r.part*steps
 }
 
-// chooseReserving chooses an engine and leaves the reserve free. Requests that were sent before leave none.
+// chooseReserving chooses an engine and leaves the reserve free. Requests that were sent before leave none, and
+// those of a priority that has a turn: otherwise it could get none for as long as more urgent requests arrive.
 func (p *picker) chooseReserving(router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
 	now, q := time.Now(), p.queues.of(a.Service)
 	r := q.urgent.reserveOf(a, now)
 	if q.waitQueue.OverShare(itemOf(a, now), now) {
 		r = q.urgent.reserveForPeers(a)
 	}
-	if r.memory == 0 || sentBefore(a) {
+	if r.memory == 0 || sentBefore(a) || a.HasTurn {
 		return p.choose(router, among, a, load)
 	}
 	req := p.pickRequest(a)
--- a/hosted/wait_order.go
+++ b/hosted/wait_order.go
@@ -151,7 +151,16 @@
 
 // mayTake reports whether a request may take any engine with room for it. If not, it yields (see leaveRoom).
 func (o *waitOrder) mayTake(a generation.PickRequest, now time.Time) bool {
-	return o == nil || o.table.MayTake(a.Service, route.ValidPriority(a.Urgency), startedAnswer(a), now)
+	may, _ := o.mayTakeInTurn(a, now)
+	return may
+}
+
+// mayTakeInTurn is mayTake. turn reports that the request may take an engine since its priority has a turn.
+func (o *waitOrder) mayTakeInTurn(a generation.PickRequest, now time.Time) (may, turn bool) {
+	if o == nil {
+		return true, false
+	}
+	return o.table.MayTakeInTurn(a.Service, route.ValidPriority(a.Urgency), startedAnswer(a), now)
 }
 
 // leaveRoom changes the request for an engine so that, besides room for the request, the
--- a/hosted/wait_order_test.go
+++ b/hosted/wait_order_test.go
@@ -9,6 +9,7 @@
 
 	"wigeondale/generation"
 	"wigeondale/route"
+	"wigeondale/schedule"
 	"wigeondale/waitorder"
 )
 
@@ -110,6 +111,33 @@
 	}
 }
 
+// Guards against a priority that is never served while urgent requests arrive: engines have room for one request at a time, and the
+// less urgent ones leave it to urgent ones even when ageing lifts one of them, or their priority has a turn.
+func TestPriorityWithTurnLeavesNoRoom(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		p := orderedPicker(t, 6000, 0, 2)
+		q := p.queues.of("llm")
+		var waited time.Duration
+		for begun := time.Now(); waited < schedule.Window; time.Sleep(20 * time.Millisecond) {
+			now := time.Now()
+			for range 3 { // requests that make up the share of all engines
+				q.urgent.observe(withPriority("urgent", 0), now)
+			}
+			if elsewhere {
+				ms := uint32(300 + time.Since(begun).Milliseconds())
+				p.order.handle(&waitorder.Message{Entries: []waitorder.Entry{{Service: "llm", WaitedMS: ms, Origin: 1, Stated: uint64(ms)}}}, now)
+			}
+			waited = time.Since(begun)
+			if _, _, err := p.Pick(t.Context(), withPriority("less", 2)); err == nil {
+				break
+			}
+		}
+		if waited < schedule.DueAfter/2 || waited >= schedule.Window {
+			t.Errorf("urgent requests elsewhere %v: served after %v", elsewhere, waited)
+		}
+	}
+}
+
 // Guards against messages and yields where the configuration doesn't ask for an order: with one
 // priority, every decision must be as before.
 func TestEqualPrioritiesSendNothing(t *testing.T) {
--- a/waitorder/table.go
+++ b/waitorder/table.go
@@ -174,17 +174,24 @@
 
 // MayTake reports whether a request of this router may take a slot now; see the function MayTake.
 func (t *Table) MayTake(service string, priority int, started bool, now time.Time) bool {
+	may, _ := t.MayTakeInTurn(service, priority, started, now)
+	return may
+}
+
+// MayTakeInTurn is MayTake. turn reports that more urgent requests wait, and the priority has a turn.
+func (t *Table) MayTakeInTurn(service string, priority int, started bool, now time.Time) (may, turn bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, differ := t.cfg.Least(service); !differ || started {
-		return true
+		return true, false
 	}
 	urgent := t.urgentWait(service, priority, now)
 	if urgent < UrgentAfter {
-		return true
+		return true, false
 	}
 	s := t.of(key{service, priority})
-	return MayTake(Choice{UrgentWait: urgent, HeldFor: t.heldFor(s, now), TurnAfter: s.turnAfter})
+	turn = MayTake(Choice{UrgentWait: urgent, HeldFor: t.heldFor(s, now), TurnAfter: s.turnAfter})
+	return turn, turn
 }
 
 // heldFor records that a request asks for a slot and would have to yield, and returns Choice.HeldFor.
