admission: a lifted request holds no more urgent one

Cause: the reservation of a less urgent request that ageing lifts and that finds no room held the more urgent requests behind it, which would find some. Change: a reservation holds only requests that are not more urgent than its owner; a started answer still holds all new ones, and within one priority accounts over their share are held as before.

--- a/admission/position.go
+++ b/admission/position.go
@@ -17,7 +17,7 @@
 	// are over their share while its own isn't. They may have been refused since.
 	Precedes bool
 	// Held reports that the request must not try to get an engine now, since a request ahead of it
-	// with another priority needs the room.
+	// that is more urgent, or of a client account not over its share, needs the room.
 	Held bool
 	// Due reports that ageing lifted the request ahead of more urgent ones.
 	Due bool
@@ -32,7 +32,7 @@
 		switch {
 		case o.item.Priority == w.item.Priority && o.overShare == w.overShare:
 			p.Peers++
-		case o.item.Stage != schedule.Late && o.reservation.Holds(o.item.Cost <= w.item.Cost, now):
+		case o.mayHold(w) && o.item.Stage != schedule.Late && o.reservation.Holds(o.item.Cost <= w.item.Cost, now):
 			p.Held = true
 		}
 	}
--- a/admission/waitqueue.go
+++ b/admission/waitqueue.go
@@ -54,6 +54,15 @@
 	return e.item.Priority
 }
 
+// mayHold reports whether a reservation for e, which goes before o, may hold o. A request that ageing lifted holds no more
+// urgent one: it may be unable to use what the other can.
+func (e *queueEntry) mayHold(o *queueEntry) bool {
+	if e.item.Priority == o.item.Priority {
+		return e.overShare != o.overShare
+	}
+	return e.level() <= o.level()
+}
+
 // dropAfter is the time after its last poll at which a request is dropped. It is several
 // times the longest interval between two polls. If the process pauses for longer, only the
 // order of the queue is lost.
@@ -210,7 +219,7 @@
 	}
 	l.sort(now)
 	for _, o := range l.order[:w.index] {
-		if o.item.Priority != w.item.Priority || o.overShare != w.overShare {
+		if o.mayHold(w) {
 			o.reservation.Passed()
 		}
 	}
--- a/schedule/reservation.go
+++ b/schedule/reservation.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Reservation holds the room that a waiting request needs free of requests behind it that have another priority. The
+// Reservation holds the room that a waiting request needs free of requests behind it that are less urgent, or of client accounts
+// over their share. The
 // load for which it decides: several requests at the head of the queue try to get a server, so that a request for
 // which nothing has room blocks nobody. Without a reservation, a large urgent request is passed by small less urgent ones
 // for as long as these arrive, and a less urgent request takes a slot that became free between two tries of an urgent one.
@@ -43,5 +44,5 @@
 	return true
 }
 
-// Passed records that a request behind it with another priority was served.
+// Passed records that a request behind it, of those that it may hold, was served.
 func (r *Reservation) Passed() { r.passed++ }
