generation: pass the account of every request to the picker

Cause: the account was taken from the opaque part of a request only. Change: it is taken from the request; both are equal where relay makes them. Test: go test -run TestEachAttempt ./generation failed before: "chosen for account \"\" with urgency 7".

--- a/generation/steps.go
+++ b/generation/steps.go
@@ -153,13 +153,13 @@
 func (x *run) pickRequest() PickRequest {
 	a := PickRequest{
 		RequestID: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
-		Exclude: x.exclude, Resume: x.started(), IsRetry: x.anySent, MayHaveRun: x.mayRun(), Prefer: x.lostCopy.backendID,
+		Exclude: x.exclude, Resume: x.started(), IsRetry: x.anySent, MayHaveRun: x.mayRun(), Prefer: x.lostCopy.backendID, Account: x.req.Account,
 		Stream: x.bindsVersion(), Binding: x.bound,
 	}
 	if o := x.req.Opaque; o != nil {
 		a.Urgency = o.Urgency
 		a.Service, a.PromptTokens, a.MaxAnswerTokens = o.Service, o.PromptTokens, o.MaxAnswerTokens
-		a.Route, a.Account, a.LengthHint = o.Route, o.Account, o.LengthHint
+		a.Route, a.LengthHint = o.Route, o.LengthHint
 		a.ChunksReceived = max(x.filter.next-1, 0)
 		a.FirstChunkTarget, a.SinceFirstTry = o.FirstChunkTarget, o.SinceFirstTry
 		if !o.Deadline.IsZero() {
