schedule: a lifted request holds more urgent ones once, for 0.2 s

Change: a lifted request holds more urgent ones once, for a fifth of a second, after three went past it. A request that no server can hold holds none (Item.Unservable).

--- a/admission/position.go
+++ b/admission/position.go
@@ -32,7 +32,7 @@
 		switch {
 		case o.item.Priority == w.item.Priority && o.overShare == w.overShare:
 			p.Peers++
-		case o.mayHold(w) && o.item.Stage != schedule.Late && o.reservation.Holds(o.item.Cost <= w.item.Cost, now):
+		case o.holds(w, now):
 			p.Held = true
 		}
 	}
--- a/admission/waitqueue.go
+++ b/admission/waitqueue.go
@@ -54,13 +54,15 @@
 	return e.item.Priority
 }
 
-// mayHold reports whether a reservation for e, which goes before o, may hold o. A request that ageing lifted holds no more
-// urgent one: it may be unable to use what the other can.
-func (e *queueEntry) mayHold(o *queueEntry) bool {
-	if e.item.Priority == o.item.Priority {
-		return e.overShare != o.overShare
+// holds reports whether a reservation for e, which goes before o, holds o now.
+func (e *queueEntry) holds(o *queueEntry, now time.Time) bool {
+	switch {
+	case e.item.Stage == schedule.Late || e.item.Unservable:
+		return false
+	case e.level() > o.level():
+		return e.reservation.HoldsMoreUrgent(now)
 	}
-	return e.level() <= o.level()
+	return e.reservation.Holds(e.item.Cost <= o.item.Cost, now)
 }
 
 // dropAfter is the time after its last poll at which a request is dropped. It is several
@@ -219,7 +221,7 @@
 	}
 	l.sort(now)
 	for _, o := range l.order[:w.index] {
-		if o.mayHold(w) {
+		if o.item.Priority != w.item.Priority || o.overShare != w.overShare {
 			o.reservation.Passed()
 		}
 	}
--- a/schedule/reservation.go
+++ b/schedule/reservation.go
@@ -14,6 +14,7 @@
 	since  time.Time // when others began to be held; zero while they aren't
 	holds  int       // times that others were held until the end of the reservation
 	passed int       // requests that went past it since others were last held
+	urgent time.Time // when more urgent requests began to be held; zero while they weren't
 }
 
 const (
@@ -25,6 +26,9 @@
 	// maxPassed is how many requests may go past before others are held: about as many as try to get a server at the
 	// same time.
 	maxPassed = 3
+	// holdUrgentFor is how long more urgent requests are held, once: some slots become free in this time where 5 or more
+	// do in a second. A request that gets none of them is one that finds no room.
+	holdUrgentFor = Window / 25
 	// maxDoublings bounds the shift that doubles reserveFor; maxReserve is reached before.
 	maxDoublings = 4
 )
@@ -33,7 +37,7 @@
 // no more room than the other, so that it could use whatever the other takes.
 func (r *Reservation) Holds(fits bool, now time.Time) bool {
 	if !r.since.IsZero() && now.Sub(r.since) >= min(reserveFor<<min(r.holds, maxDoublings), maxReserve) {
-		*r = Reservation{holds: r.holds + 1}
+		*r = Reservation{holds: r.holds + 1, urgent: r.urgent}
 	}
 	if r.passed < maxPassed && (r.holds > 0 || !fits) {
 		return false
@@ -44,5 +48,14 @@
 	return true
 }
 
-// Passed records that a request behind it, of those that it may hold, was served.
+// HoldsMoreUrgent is Holds for a more urgent request, past which ageing lifted the waiting one. It is held only after others
+// went past, and for a short time, since the waiting request may find no room for as long as it waits.
+func (r *Reservation) HoldsMoreUrgent(now time.Time) bool {
+	if r.urgent.IsZero() && r.passed >= maxPassed {
+		r.urgent = now
+	}
+	return !r.urgent.IsZero() && now.Sub(r.urgent) < holdUrgentFor
+}
+
+// Passed records that a request behind it, of another priority or of an account over its share, was served.
 func (r *Reservation) Passed() { r.passed++ }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -54,7 +54,9 @@
 	Cost     float64   // expected cost, in tokens or requests
 	FirstTry time.Time // of its client, as far as known
 	QueuedAt time.Time // when it began to wait here
-	Seq      uint64    // order of arrival, where it is to break ties; the same for all items elsewhere
+	// Unservable reports that the item needs more room than any server has. It holds none free.
+	Unservable bool
+	Seq        uint64 // order of arrival, where it is to break ties; the same for all items elsewhere
 }
 
 func (i *Item) weight() float64 {
