hosted: stated sizes are bounded by the memory of an engine

Cause: a request that states 10^9 tokens ruined the mean for which others leave room and the cost of its client account, and the sum could overflow. Change: prompt and answer count as at most the memory of an engine in costs and in the mean; a request larger than every engine counts in no mean, and reserves nothing. Test: go test -run TestStatedSizes ./hosted fails without the check of the size: others leave 100000 tokens.

--- a/hosted/order.go
+++ b/hosted/order.go
@@ -24,18 +24,33 @@
 )
 
 // itemOf returns the waiting request as package schedule orders it.
-func itemOf(a generation.PickRequest, now time.Time) schedule.Item {
+func (p *picker) itemOf(a generation.PickRequest, now time.Time) schedule.Item {
 	it := schedule.Item{
 		ID: a.RequestID, Stage: schedule.New, Priority: a.Urgency, Account: a.Account, FirstTry: now.Add(-a.SinceFirstTry),
 	}
-	if sentBefore(a) || a.Binding != nil {
+	if startedAnswer(a) {
 		it.Stage = schedule.Started
 	}
-	prompt, answer := tokensOf(a)
-	it.Cost = float64(prompt + answer)
+	prompt, answer := p.boundedTokensOf(a)
+	it.Cost, it.Unservable = float64(prompt+answer), p.tooLarge(a)
 	return it
 }
 
+// boundedTokensOf is tokensOf, but each number is at most what an engine can hold: clients state any size.
+func (p *picker) boundedTokensOf(a generation.PickRequest) (prompt, answer int) {
+	prompt, answer = tokensOf(a)
+	if c := p.capacity(a.Service); c > 0 {
+		prompt, answer = min(prompt, c), min(answer, c)
+	}
+	return prompt, max(answer, 0)
+}
+
+// tooLarge reports whether a request needs more memory than an engine has.
+func (p *picker) tooLarge(a generation.PickRequest) bool {
+	c := p.capacity(a.Service)
+	return c > 0 && p.sizeOf(a).memory() > c
+}
+
 // chargedShare settles the charge of a client account when its attempt ends.
 type chargedShare struct {
 	generation.LoadShare
@@ -45,11 +60,11 @@
 }
 
 // charged returns a share that settles the charge, or s if there is no charge.
-func charged(s generation.LoadShare, c *admission.Charge, a generation.PickRequest) generation.LoadShare {
+func (p *picker) charged(s generation.LoadShare, c *admission.Charge, a generation.PickRequest) generation.LoadShare {
 	if c == nil {
 		return s
 	}
-	prompt, _ := tokensOf(a)
+	prompt, _ := p.boundedTokensOf(a)
 	return &chargedShare{LoadShare: s, charge: c, prompt: prompt}
 }
 
@@ -66,7 +81,7 @@
 func (p *picker) chargeDirect(s generation.LoadShare, a generation.PickRequest) generation.LoadShare {
 	now := time.Now()
 	p.waits.granted(a)
-	return charged(s, p.queues.of(a.Service).waitQueue.Charge(itemOf(a, now), now), a)
+	return p.charged(s, p.queues.of(a.Service).waitQueue.Charge(p.itemOf(a, now), now), a)
 }
 
 // all returns the queues by service.
--- a/hosted/queue.go
+++ b/hosted/queue.go
@@ -93,9 +93,11 @@
 	q := p.queues.of(a.Service)
 	now := time.Now()
 	waiting := p.waiting(q, a)
-	pos := waiting.Poll(itemOf(a, now), now)
-	if pos.Waited == 0 {
-		q.urgent.observe(a, now)
+	pos := waiting.Poll(p.itemOf(a, now), now)
+	if pos.Waited == 0 && !p.tooLarge(a) {
+		seen := a
+		seen.PromptTokens, seen.MaxAnswerTokens = p.boundedTokensOf(a)
+		q.urgent.observe(seen, now)
 	}
 	a.Late = pos.Late
 	p.order.recordWaiting(a, now)
@@ -117,7 +119,7 @@
 			q.losses.RecordLoss(now)
 		}
 		p.logChoice(a, b.ID, pos, now)
-		return b, charged(p.timed(q, b.ID, share, p.newProgress(size, a, b.ID)), charge, a), nil
+		return b, p.charged(p.timed(q, b.ID, share, p.newProgress(size, a, b.ID)), charge, a), nil
 	}
 	u, ok := errors.AsType[*generation.Unavailable](err)
 	if _, withheld := withheld(err); withheld || !ok || !u.Retryable {
--- a/hosted/sizing.go
+++ b/hosted/sizing.go
@@ -46,6 +46,9 @@
 // sizeOf returns what a request counts as at an engine.
 func (p *picker) sizeOf(a generation.PickRequest) requestSize {
 	prompt, answer := tokensOf(a)
+	if c := p.capacity(a.Service); c > 0 { // the sum must not overflow, and stay too large
+		prompt, answer = min(prompt, c+1), min(answer, c+1)
+	}
 	z := requestSize{prompt: prompt, answer: answer}
 	if p.sizer != nil && a.PromptTokens > 0 && a.MaxAnswerTokens > 0 {
 		p.sizer.refine(&z, a, time.Now())
--- a/hosted/urgent.go
+++ b/hosted/urgent.go
@@ -58,7 +58,7 @@
 	return k.target > 0 && now.Sub(k.seenAt) <= urgentMaxAge
 }
 
-// observe records a new request.
+// observe records a new request that engines have room for.
 func (u *urgentRequests) observe(a generation.PickRequest, now time.Time) {
 	if a.FirstChunkTarget <= 0 {
 		return
@@ -136,7 +136,7 @@
 func (p *picker) chooseReserving(router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
 	now, q := time.Now(), p.queues.of(a.Service)
 	r := q.urgent.reserveOf(a, now)
-	if q.waitQueue.OverShare(itemOf(a, now), now) {
+	if q.waitQueue.OverShare(p.itemOf(a, now), now) {
 		r = q.urgent.reserveForPeers(a)
 	}
 	if r.memory == 0 || sentBefore(a) || a.HasTurn {
