hosted, admission: a started answer is never held and leaves no room

Cause: an answer that is bound to a software version left room for more urgent requests like a new one, and reservations held started answers. Change: both are excluded. Test: go test -run TestBoundAnswer ./hosted; go test -run TestStartedAnswersAre ./admission; both fail without the change.

--- a/admission/lifted_test.go
+++ b/admission/lifted_test.go
@@ -42,3 +42,12 @@
 		t.Error("a new request is not held")
 	}
 }
+
+// Guards against started answers that wait behind others for which room is reserved: their clients already read.
+func TestStartedAnswersAreNotHeld(t *testing.T) {
+	q, now := NewWaitQueue(), time.Unix(1000, 0)
+	q.Poll(schedule.Item{ID: "urgent", Stage: schedule.Started, Cost: 1}, now)
+	if q.Poll(schedule.Item{ID: "less", Stage: schedule.Started, Priority: 2, Cost: 1}, now).Held {
+		t.Error("a started answer is held")
+	}
+}
--- a/admission/waitqueue.go
+++ b/admission/waitqueue.go
@@ -57,7 +57,7 @@
 // holds reports whether a reservation for e, which goes before o, holds o now.
 func (e *queueEntry) holds(o *queueEntry, now time.Time) bool {
 	switch {
-	case e.item.Stage == schedule.Late || e.item.Unservable:
+	case e.item.Stage == schedule.Late || e.item.Unservable || o.item.Stage == schedule.Started:
 		return false
 	case e.level() > o.level():
 		return e.reservation.HoldsMoreUrgent(now)
--- a/hosted/urgent.go
+++ b/hosted/urgent.go
@@ -131,7 +131,7 @@
 	return float64(xxhash.Sum64String(engine)%steps) < r.part*steps
 }
 
-// chooseReserving chooses an engine and leaves the reserve free. Requests that were sent before leave none, and
+// chooseReserving chooses an engine and leaves the reserve free. Started answers and requests that were sent before leave none, and
 // those of a priority that has a turn: otherwise it could get none for as long as more urgent requests arrive.
 func (p *picker) chooseReserving(router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
 	now, q := time.Now(), p.queues.of(a.Service)
@@ -139,7 +139,7 @@
 	if q.waitQueue.OverShare(p.itemOf(a, now), now) {
 		r = q.urgent.reserveForPeers(a)
 	}
-	if r.memory == 0 || sentBefore(a) || a.HasTurn {
+	if r.memory == 0 || startedAnswer(a) || a.HasTurn {
 		return p.choose(router, among, a, load)
 	}
 	req := p.pickRequest(a)
--- a/hosted/wait_order_test.go
+++ b/hosted/wait_order_test.go
@@ -138,6 +138,22 @@
 	}
 }
 
+// Guards against a started answer that stays at its software version, and leaves room for new requests of others.
+func TestBoundAnswerLeavesNoRoom(t *testing.T) {
+	p := orderedPicker(t, 6000, 0, 2)
+	for range 3 {
+		p.queues.of("llm").urgent.observe(withPriority("urgent", 0), time.Now())
+	}
+	a, all := withPriority("bound", 2), p.candidates(withPriority("bound", 2))
+	if _, _, err := p.chooseReserving(p.anyEngine, all, a, p.sizeOf(a).loadOf(0)); err == nil {
+		t.Error("a new request leaves no room")
+	}
+	a.Binding = &generation.Binding{}
+	if _, _, err := p.chooseReserving(p.anyEngine, all, a, p.sizeOf(a).loadOf(0)); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against messages and yields where the configuration doesn't ask for an order: with one
 // priority, every decision must be as before.
 func TestEqualPrioritiesSendNothing(t *testing.T) {
