platform, forward: engines get the configured priority

Cause: a missing or invalid priority became 5 in the header to engines too, and a request without one that a router of the previous release passes on came with 0, the most urgent priority. Change: StatedPriority is the configured number, 0 when missing, for the header and for messages between routers, as before; a router that gets a request derives the priority of the order from its own routes and accounts. Test: go test ./forward ./route ./relay ./platform; with the priority of the order in the header: "none: header \"5\", want \"0\"".

--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -21,9 +21,10 @@
 	Streaming bool
 	Resumable bool           // another backend server may continue the answer
 	Deadline  clock.Deadline // the time left is sent to the backend server
-	// Urgency determines the order of the requests that wait at a backend server; requests
-	// with 0 go first.
+	// Urgency determines the order of the requests that wait at routers; requests with 0 go first.
 	Urgency int
+	// StatedPriority is the configured priority, which is sent to backend servers; 0 if there is none.
+	StatedPriority int
 }
 
 // Copies states which standby copies of its run an attempt creates and uses.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -70,6 +70,9 @@
 	// Check returns an error if, by this router's configuration, a request that another router
 	// passed on must not run. version is the other router's. Nil allows all.
 	Check func(req *generation.Request, version int64) error
+	// Priority returns the priority of a request by this router's configuration, and false if that doesn't have the route. The
+	// message has only the configured number, in which a missing priority is 0, the most urgent one.
+	Priority func(route, account string) (int, bool)
 	// OneSoftware reports whether all backend servers of a service run one software version. Nil
 	// means that they do.
 	OneSoftware func(service string) bool
--- a/forward/message.go
+++ b/forward/message.go
@@ -42,7 +42,7 @@
 	Service          string      `cbor:"6,keyasint"`
 	Streaming        bool        `cbor:"7,keyasint,omitempty"`
 	Resumable        bool        `cbor:"8,keyasint,omitempty"`
-	Urgency          int         `cbor:"9,keyasint,omitempty"`
+	Urgency          int         `cbor:"9,keyasint,omitempty"` // the configured one, 0 if there is none
 	FirstChunk       int         `cbor:"10,keyasint"`
 	PromptTokens     int         `cbor:"11,keyasint,omitempty"`
 	MaxAnswerTokens  int         `cbor:"12,keyasint,omitempty"`
@@ -170,7 +170,7 @@
 func encodeOpaque(o *generation.Opaque) *opaqueStart {
 	return &opaqueStart{
 		Method: o.Method, Target: o.Target, Host: o.Host, Header: o.Header, Route: o.Route, Service: o.Service,
-		Streaming: o.Streaming, Resumable: o.Resumable, Urgency: o.Urgency, FirstChunk: o.FirstChunk,
+		Streaming: o.Streaming, Resumable: o.Resumable, Urgency: o.StatedPriority, FirstChunk: o.FirstChunk,
 		PromptTokens: o.PromptTokens, MaxAnswerTokens: o.MaxAnswerTokens, PromptParts: o.PromptParts,
 		HasPartialAnswer: o.HasPartialAnswer, MaxAttempts: o.MaxAttempts, MaxWaitMS: o.MaxWait.Milliseconds(),
 		TargetMS: o.FirstChunkTarget.Milliseconds(), SinceFirstTryMS: o.SinceFirstTry.Milliseconds(),
@@ -237,7 +237,7 @@
 	out := &generation.Opaque{
 		Opaque: &backend.Opaque{
 			Method: o.Method, Target: o.Target, Host: o.Host, Header: o.Header, Body: body, Route: o.Route, Account: m.Account,
-			Streaming: o.Streaming, Resumable: o.Resumable, Urgency: o.Urgency,
+			Streaming: o.Streaming, Resumable: o.Resumable, Urgency: o.Urgency, StatedPriority: o.Urgency,
 		},
 		Service: o.Service, FirstChunk: o.FirstChunk, PromptTokens: o.PromptTokens, MaxAnswerTokens: o.MaxAnswerTokens,
 		PromptParts: o.PromptParts, HasPartialAnswer: o.HasPartialAnswer, MaxAttempts: o.MaxAttempts,
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -82,6 +82,7 @@
 		}
 	}
 	req := m.request(body)
+	f.derivePriority(&req)
 	if err := f.cfg.Check(&req, m.Version); err != nil {
 		return f.reject(codeOutdated), 0
 	}
@@ -179,3 +180,12 @@
 	defer b.mu.Unlock()
 	b.left += n
 }
+
+func (f *Forwarder) derivePriority(req *generation.Request) {
+	if req.Opaque == nil || f.cfg.Priority == nil {
+		return
+	}
+	if p, known := f.cfg.Priority(req.Opaque.Route, req.Account); known {
+		req.Opaque.Urgency = p
+	}
+}
--- a/hosted/cutoff.go
+++ b/hosted/cutoff.go
@@ -105,8 +105,9 @@
 			}
 			return mesh.OpenStream(ctx, r.ID, r.Addr)
 		},
-		Version: n.tableVersion,
-		Check:   n.checkForwarded,
+		Version:  n.tableVersion,
+		Check:    n.checkForwarded,
+		Priority: n.priorityOf,
 		OneSoftware: func(service string) bool {
 			return !n.software.several(service)
 		},
@@ -120,6 +121,14 @@
 	n.forwarder.Serve(ctx, s.Node, s, n.runner)
 }
 
+func (n *node) priorityOf(route, account string) (int, bool) {
+	t := n.table.Get()
+	if t == nil {
+		return 0, false
+	}
+	return t.PriorityOf(route, account)
+}
+
 func (n *node) tableVersion() int64 {
 	if t := n.table.Get(); t != nil {
 		return t.Version
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -181,6 +181,7 @@
 	engine   route.Service
 	account  string
 	priority int
+	stated   int // the configured priority
 	version  int64
 	timeout  time.Duration
 	deadline clock.Deadline
@@ -192,6 +193,7 @@
 		route:    rt,
 		service:  rt.Pick(rand.Uint64()),
 		priority: rt.Priority,
+		stated:   rt.StatedPriority,
 		version:  table.Version,
 		timeout:  timeoutOf(req, rt),
 	}
@@ -199,7 +201,7 @@
 	if account != nil {
 		j.account = account.Name
 		if account.HasPriority {
-			j.priority = account.Priority
+			j.priority, j.stated = account.Priority, account.StatedPriority
 		}
 	}
 	if j.timeout > 0 {
@@ -251,17 +253,18 @@
 		NonIdempotent: !j.route.Replayable(),
 		Opaque: &generation.Opaque{
 			Opaque: &backend.Opaque{
-				Method:    j.req.Method,
-				Target:    j.req.Target,
-				Host:      j.req.Host,
-				Header:    j.req.Header,
-				Body:      j.req.Body,
-				Route:     j.route.Name,
-				Account:   j.account,
-				Streaming: j.route.Kind == route.Stream,
-				Resumable: j.route.Replayable(),
-				Deadline:  j.deadline,
-				Urgency:   j.priority,
+				Method:         j.req.Method,
+				Target:         j.req.Target,
+				Host:           j.req.Host,
+				Header:         j.req.Header,
+				Body:           j.req.Body,
+				Route:          j.route.Name,
+				Account:        j.account,
+				Streaming:      j.route.Kind == route.Stream,
+				Resumable:      j.route.Replayable(),
+				Deadline:       j.deadline,
+				Urgency:        j.priority,
+				StatedPriority: j.stated,
 			},
 			Service:          j.service,
 			FirstChunk:       j.req.FirstChunk,
--- a/route/priorities.go
+++ b/route/priorities.go
@@ -53,6 +53,24 @@
 	t.urgency[service] = urgencyRange{min(u.most, p), max(u.least, p)}
 }
 
+// PriorityOf returns the priority of the requests of a client account on a route, by their names. The bool is false if the
+// configuration doesn't have the route, and the account has no priority of its own.
+func (t *Table) PriorityOf(route, account string) (int, bool) {
+	for _, a := range t.keys {
+		if a.Name == account && a.HasPriority {
+			return ValidPriority(a.Priority), true
+		}
+	}
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Name == route {
+				return ValidPriority(r.Priority), true
+			}
+		}
+	}
+	return 0, false
+}
+
 // LeastUrgent returns the least urgent priority that requests of a service can have. The bool is
 // false if all of them have the same priority.
 func (t *Table) LeastUrgent(service string) (int, bool) {
--- a/route/route.go
+++ b/route/route.go
@@ -62,8 +62,10 @@
 	Timeout     time.Duration // time within which a request gets its final answer; 0 means no limit
 	Target      time.Duration // deadline for an answer, or for a stream's first chunk, to be on time
 	MaxAttempts int
-	Priority    int  // 0 is the highest
-	Open        bool // no key is needed
+	Priority    int // of waiting requests; 0 is the highest
+	// StatedPriority is the configured number, 0 if there is none; backend servers are sent this one.
+	StatedPriority int
+	Open           bool // no key is needed
 }
 
 // Replayable reports whether more than one backend server may run the same request of this
@@ -121,8 +123,9 @@
 	Name string
 	Keys []string
 	// Priority replaces the priority of the route if HasPriority is true.
-	Priority    int
-	HasPriority bool
+	Priority       int
+	StatedPriority int
+	HasPriority    bool
 }
 
 // Limits bounds what a client may send.
