schedule: the real cost corrects recent use, and a refund gives no credit

Cause: OverShare compared stated maxima, since the real cost corrected only the virtual time of an account; and a refund after the account's lead had decayed put it behind virtual time, ahead of all others. Change: recent use is corrected by the difference, decayed since the grant; a refund takes an account back to virtual time at most.

--- a/schedule/shares.go
+++ b/schedule/shares.go
@@ -144,13 +144,16 @@
 	weight   float64
 	expected float64
 	settled  bool
+	shares   *Shares
+	priority int
+	at       time.Time // of the grant
 }
 
 // Grant charges an account the expected cost of a request that is served now. The request must have joined.
 func (s *Shares) Grant(it *Item, now time.Time) *Charge {
 	u := s.record(it.Priority, it.Account, now)
 	s.now[it.Priority] = max(s.now[it.Priority], u.finish)
-	c := &Charge{usage: u, weight: it.weight(), expected: max(it.Cost, 1)}
+	c := &Charge{usage: u, weight: it.weight(), expected: max(it.Cost, 1), shares: s, priority: it.Priority, at: now}
 	u.add(c.expected, c.weight)
 	u.recent, u.at = u.recentAt(now)+c.expected/c.weight, now
 	s.Leave(it, now)
@@ -163,7 +166,14 @@
 		return
 	}
 	c.settled = true
-	c.usage.add(max(actual, 0)-c.expected, c.weight)
+	u, off := c.usage, max(actual, 0)-c.expected
+	before, now := u.finish, c.shares.now[c.priority]
+	u.add(off, c.weight)
+	// The account's lead may have decayed since the grant: a refund of what was written off would be credit.
+	u.finish = max(u.finish, min(before, now))
+	// recent is as of u.at, by which the charge has decayed since the grant.
+	decayed := math.Exp2(-u.at.Sub(c.at).Seconds() / recentHalfLife.Seconds())
+	u.recent = max(u.recent+off/c.weight*decayed, 0)
 }
 
 func (u *usage) add(cost, weight float64) {
