waitorder: holding back begins when a request begins to wait

Cause: the time of yielding began when the request first asked for a slot. A request behind many others at its router got its turn later than 5 s. Change: each poll of a waiting request counts (Table.RecordWaiting). Test: go test -run TestHoldingBack ./waitorder; without the change "no turn after 4.1 s".

--- a/hosted/wait_order.go
+++ b/hosted/wait_order.go
@@ -109,6 +109,7 @@
 	}
 	w.lastPoll = now
 	o.waiters[a.RequestID] = w
+	o.table.RecordWaiting(w.service, w.priority, now)
 }
 
 // remove forgets a request that doesn't wait any more.
--- a/waitorder/table.go
+++ b/waitorder/table.go
@@ -194,6 +194,16 @@
 	return turn, turn
 }
 
+// RecordWaiting records that a request waits, also one that is too far back in its queue to ask for a slot: if more urgent
+// requests wait, its priority is held back from now on.
+func (t *Table) RecordWaiting(service string, priority int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, differ := t.cfg.Least(service); differ && t.urgentWait(service, priority, now) >= UrgentAfter {
+		t.heldFor(t.of(key{service, priority}), now)
+	}
+}
+
 // heldFor records that a request asks for a slot and would have to yield, and returns Choice.HeldFor.
 func (t *Table) heldFor(s *state, now time.Time) time.Duration {
 	if now.Sub(s.lastHeld) > holdGap {
--- a/waitorder/table_test.go
+++ b/waitorder/table_test.go
@@ -146,6 +146,21 @@
 	}
 }
 
+// Guards against a priority whose time of yielding begins only when its request has come to the head of a queue of more urgent
+// ones: together with the wait before, it would get nothing for more than 5 s.
+func TestHoldingBackBeginsWithTheWait(t *testing.T) {
+	a, b := newTable(1), newTable(2)
+	for now := 0; now < 4100; now += 10 {
+		waitsHere(a, 300, now)
+		a.RecordGrant("llm", 0, false, false, at(now))
+		pass(t, now, a, b)
+		b.RecordWaiting("llm", 2, at(now))
+	}
+	if !b.MayTake("llm", 2, false, at(4100)) {
+		t.Error("no turn after 4.1 s")
+	}
+}
+
 // Guards against engines that stay idle because a request waits that can't use them, such as one that
 // needs more memory than any engine has.
 func TestStuckRequestHoldsUpNobody(t *testing.T) {
