--- a/relay/relay.go
+++ b/relay/relay.go
@@ -180,8 +180,8 @@
 	service  string
 	engine   route.Service
 	account  string
-	priority int
-	level    int // order among the requests of the service
+	urgency  int // level among the requests of the service
+	stated   int // the configured priority
 	version  int64
 	timeout  time.Duration
 	deadline clock.Deadline
@@ -192,18 +192,18 @@
 		req:      req,
 		route:    rt,
 		service:  rt.Pick(rand.Uint64()),
-		priority: rt.Priority,
+		stated:   rt.StatedPriority,
 		version:  table.Version,
 		timeout:  timeoutOf(req, rt),
 	}
 	j.engine = table.Service(j.service)
-	j.level = table.Level(j.service, account, rt)
 	if account != nil {
 		j.account = account.Name
 		if account.HasPriority {
-			j.priority = account.Priority
+			j.stated = account.StatedPriority
 		}
 	}
+	j.urgency = table.Level(j.service, account, rt)
 	if j.timeout > 0 {
 		j.deadline = clock.DeadlineIn(j.timeout)
 	}
@@ -253,18 +253,18 @@
 		NonIdempotent: !j.route.Replayable(),
 		Opaque: &generation.Opaque{
 			Opaque: &backend.Opaque{
-				Method:    j.req.Method,
-				Target:    j.req.Target,
-				Host:      j.req.Host,
-				Header:    j.req.Header,
-				Body:      j.req.Body,
-				Route:     j.route.Name,
-				Account:   j.account,
-				Streaming: j.route.Kind == route.Stream,
-				Resumable: j.route.Replayable(),
-				Deadline:  j.deadline,
-				Urgency:   j.priority,
-				Level:     j.level,
+				Method:         j.req.Method,
+				Target:         j.req.Target,
+				Host:           j.req.Host,
+				Header:         j.req.Header,
+				Body:           j.req.Body,
+				Route:          j.route.Name,
+				Account:        j.account,
+				Streaming:      j.route.Kind == route.Stream,
+				Resumable:      j.route.Replayable(),
+				Deadline:       j.deadline,
+				Urgency:        j.urgency,
+				StatedPriority: j.stated,
 			},
 			Service:          j.service,
 			FirstChunk:       j.req.FirstChunk,
--- a/route/urgency.go
+++ b/route/urgency.go
@@ -81,3 +81,23 @@
 	least := min(max(len(t.urgencies[service])-1, 0), maxPriority)
 	return least, least > 0
 }
+
+// LevelOf returns the level of the requests of a client account on a route, by their names. The bool is false if the
+// configuration doesn't have the route.
+func (t *Table) LevelOf(service, route, account string) (int, bool) {
+	var known *Account
+	for _, a := range t.keys {
+		if a.Name == account {
+			known = a
+			break
+		}
+	}
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Name == route {
+				return t.Level(service, known, r), true
+			}
+		}
+	}
+	return 0, false
+}
