--- a/hosted/urgent.go
+++ b/hosted/urgent.go
@@ -58,7 +58,7 @@
 	return k.target > 0 && now.Sub(k.seenAt) <= urgentMaxAge
 }
 
-// observe records a new request.
+// observe records a new request that engines have room for.
 func (u *urgentRequests) observe(a generation.PickRequest, now time.Time) {
 	if a.FirstChunkTarget <= 0 {
 		return
@@ -131,18 +131,20 @@
 	return float64(xxhash.Sum64String(engine)%steps) < r.part*steps
 }
 
-// chooseReserving chooses an engine and leaves the reserve free. Requests that were sent before leave none.
+// chooseReserving chooses an engine and leaves the reserve free. Started answers and requests that were sent before leave none, and
+// those of a priority that has a turn: otherwise it could get none for as long as more urgent requests arrive.
 func (p *picker) chooseReserving(router *routing.Router, among []routing.Candidate, a generation.PickRequest, load directory.Load) (fleet.Backend, generation.LoadShare, error) {
 	now, q := time.Now(), p.queues.of(a.Service)
 	r := q.urgent.reserveOf(a, now)
-	if q.waitQueue.OverShare(itemOf(a, now), now) {
+	if q.waitQueue.OverShare(p.itemOf(a, now), now) {
 		r = q.urgent.reserveForPeers(a)
 	}
-	if r.memory == 0 || sentBefore(a) {
+	if r.memory == 0 || startedAnswer(a) || a.HasTurn {
 		return p.choose(router, among, a, load)
 	}
 	req := p.pickRequest(a)
-	req.Capacity = max(req.Capacity-r.memory, 1)
+	// An engine without work is always allowed: the reserve is never more than what the request leaves of it.
+	req.Capacity = min(req.Capacity, max(req.Capacity-r.memory, req.Needs()))
 	if req.Backlog > 0 {
 		req.Backlog = max(req.Backlog-float64(r.prompt), idleOnly)
 	}
--- a/hosted/wait_order_test.go
+++ b/hosted/wait_order_test.go
@@ -9,6 +9,7 @@
 
 	"wigeondale/generation"
 	"wigeondale/route"
+	"wigeondale/schedule"
 	"wigeondale/waitorder"
 )
 
@@ -93,6 +94,66 @@
 	}
 }
 
+// Guards against a less urgent request that finds no engine although engines are idle: together with the room that it leaves
+// for urgent ones it needs more memory than an engine has.
+func TestLargeRequestThatLeavesRoomTakesAnIdleEngine(t *testing.T) {
+	for _, yields := range []bool{false, true} {
+		p := orderedPicker(t, 50000, 0, 2)
+		p.queues.of("llm").urgent.observe(withPriority("urgent", 0), time.Now())
+		if yields {
+			p.order.handle(&waitorder.Message{Entries: []waitorder.Entry{{Service: "llm", WaitedMS: 300, Origin: 1, Stated: 1}}}, time.Now())
+		}
+		a := withPriority("large", 2)
+		a.PromptTokens = 48000
+		if _, _, err := p.Pick(t.Context(), a); err != nil {
+			t.Errorf("yields %v: %v", yields, err)
+		}
+	}
+}
+
+// Guards against a priority that is never served while urgent requests arrive: engines have room for one request at a time, and the
+// less urgent ones leave it to urgent ones even when ageing lifts one of them, or their priority has a turn.
+func TestPriorityWithTurnLeavesNoRoom(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		p := orderedPicker(t, 6000, 0, 2)
+		q := p.queues.of("llm")
+		var waited time.Duration
+		for begun := time.Now(); waited < schedule.Window; time.Sleep(20 * time.Millisecond) {
+			now := time.Now()
+			for range 3 { // requests that make up the share of all engines
+				q.urgent.observe(withPriority("urgent", 0), now)
+			}
+			if elsewhere {
+				ms := uint32(300 + time.Since(begun).Milliseconds())
+				p.order.handle(&waitorder.Message{Entries: []waitorder.Entry{{Service: "llm", WaitedMS: ms, Origin: 1, Stated: uint64(ms)}}}, now)
+			}
+			waited = time.Since(begun)
+			if _, _, err := p.Pick(t.Context(), withPriority("less", 2)); err == nil {
+				break
+			}
+		}
+		if waited < schedule.DueAfter/2 || waited >= schedule.Window {
+			t.Errorf("urgent requests elsewhere %v: served after %v", elsewhere, waited)
+		}
+	}
+}
+
+// Guards against a started answer that stays at its software version, and leaves room for new requests of others.
+func TestBoundAnswerLeavesNoRoom(t *testing.T) {
+	p := orderedPicker(t, 6000, 0, 2)
+	for range 3 {
+		p.queues.of("llm").urgent.observe(withPriority("urgent", 0), time.Now())
+	}
+	a, all := withPriority("bound", 2), p.candidates(withPriority("bound", 2))
+	if _, _, err := p.chooseReserving(p.anyEngine, all, a, p.sizeOf(a).loadOf(0)); err == nil {
+		t.Error("a new request leaves no room")
+	}
+	a.Binding = &generation.Binding{}
+	if _, _, err := p.chooseReserving(p.anyEngine, all, a, p.sizeOf(a).loadOf(0)); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against messages and yields where the configuration doesn't ask for an order: with one
 // priority, every decision must be as before.
 func TestEqualPrioritiesSendNothing(t *testing.T) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -29,7 +29,7 @@
 
 func serve(t *testing.T, res generation.Result, req *Request, change func(*route.Config)) (Result, generation.Request) {
 	t.Helper()
-	cfg := &route.Config{Version: 1, Accounts: []route.Account{{Name: "acc", Keys: []string{"k"}, Priority: 3, HasPriority: true}}, Routes: []route.Route{
+	cfg := &route.Config{Version: 1, Accounts: []route.Account{{Name: "acc", Keys: []string{"k"}, Priority: 3, StatedPriority: 3, HasPriority: true}}, Routes: []route.Route{
 		{Host: "h", Prefix: "/p/", Service: "svc", Kind: route.Once, Timeout: 2 * time.Second, MaxAttempts: 1, Priority: 7},
 		{Host: "h", Prefix: "/open/", Service: "svc", Open: true},
 	}}
@@ -109,7 +109,7 @@
 func TestRouteDecidesWhatMayBeRepeated(t *testing.T) {
 	_, got := serve(t, generation.Result{Outcome: fleet.Complete}, &Request{Host: "h", Path: "/p/x", Key: "k", ClientTimeout: time.Hour}, nil)
 	left := got.Opaque.Deadline.Remaining()
-	if !got.NonIdempotent || got.Opaque.Urgency != 3 || got.Account != "acc" || left > 2*time.Second || left < time.Second {
+	if !got.NonIdempotent || got.Opaque.StatedPriority != 3 || got.Account != "acc" || left > 2*time.Second || left < time.Second {
 		t.Errorf("got %+v with %v left", got, left)
 	}
 }
--- a/relay/stream_end.go
+++ b/relay/stream_end.go
@@ -23,7 +23,7 @@
 		return
 	}
 	r.cfg.OnStreamEnd(StreamEnd{
-		Service: j.service, Route: j.route.Name, Account: j.account, Priority: j.priority,
+		Service: j.service, Route: j.route.Name, Account: j.account, Priority: j.stated,
 		LengthHint: j.req.LengthHint, MaxAnswerTokens: j.req.MaxAnswerTokens,
 		FirstChunk: j.req.FirstChunk, Chunks: res.Tokens, Complete: res.Outcome == fleet.Complete,
 	})
