backend: let a late head follow an interim answer

The timer of a head kept running after an interim answer (102, 103), so that a sound answer whose head came more than 2 s later was cut, and the 9th heartbeat ended it. An interim answer now stops the timer; 32 of them, the size and the caller's deadline bound the rest. net/http doesn't report the first byte of the next head, so a slow head after an interim answer lasts until the deadline.

--- a/backend/head.go
+++ b/backend/head.go
@@ -20,8 +20,9 @@
 	// unfinishedTime is how long before the caller's deadline an answer must have begun so that its
 	// backend server is at fault for not ending it: two retransmissions of a lost packet.
 	unfinishedTime = 500 * time.Millisecond
-	// maxInterim bounds the number of interim answers (1xx) before an answer.
-	maxInterim = 8
+	// maxInterim bounds the number of interim answers (1xx) before an answer. A sound backend server may
+	// send one of them each second as a heartbeat, and 25 s pass until a slow answer begins.
+	maxInterim = 32
 )
 
 // headWatch ends the request of one answer whose head begins and doesn't end. A head that comes a
@@ -55,9 +56,12 @@
 	if w.interim++; w.interim > maxInterim {
 		return Error.New("%w: more than %d interim answers", ErrMismatch, maxInterim)
 	}
+	// The next head may come much later. Its first byte isn't reported by net/http: from here on, the
+	// number of interim answers and the caller's deadline bound the time.
 	if w.timer != nil {
-		w.timer.Reset(maxHeadTime) // the head of the next answer may come later
+		w.timer.Stop()
 	}
+	w.firstAt = time.Time{}
 	return nil
 }
 
