--- a/backend/head.go
+++ b/backend/head.go
@@ -17,8 +17,8 @@
 	// sends its head at once; its machine may be unreachable for 2 s meanwhile. The time for the first
 	// chunk of a stream is 4 s or more, and is left for another backend server.
 	maxHeadTime = 2 * time.Second
-	// unfinishedTime is how long before the caller's deadline an answer must have begun so that its
-	// backend server is at fault for not ending it: two retransmissions of a lost packet.
+	// unfinishedTime is how long before the caller's deadline a head must have begun, or a body
+	// stopped, so that its backend server is at fault for not ending it: two retransmissions of a lost packet.
 	unfinishedTime = 500 * time.Millisecond
 	// maxInterim bounds the number of interim answers (1xx) before an answer. A sound backend server may
 	// send one of them each second as a heartbeat, and 25 s pass until a slow answer begins.
@@ -79,12 +79,12 @@
 func (w *headWatch) failure(err error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return UnfinishedSince(w.firstAt, err)
+	return unfinishedSince(w.firstAt, err)
 }
 
-// UnfinishedSince returns err, the error of an answer that began at a moment, joined with
-// ErrUnfinished if it began long before now. The moment is zero if the answer didn't begin.
-func UnfinishedSince(began time.Time, err error) error {
+// unfinishedSince returns err, the error of an answer that is waited for since a moment, joined with
+// ErrUnfinished if that is long before now. The moment is zero if the answer didn't begin.
+func unfinishedSince(began time.Time, err error) error {
 	if began.IsZero() || time.Since(began) < unfinishedTime || errors.Is(err, ErrUnfinished) {
 		return err
 	}
--- a/daemon/service_body.go
+++ b/daemon/service_body.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"sync"
-	"time"
 
 	"wigeondale/backend"
 	"wigeondale/bounded"
@@ -17,8 +16,7 @@
 // If the head alone counted as a success, a backend server would stay healthy whose bodies break off
 // or never end, and each call that it gets would fail.
 type reportedBody struct {
-	io.ReadCloser
-	began  time.Time // when the head came
+	*backend.WatchedBody
 	read   bool
 	once   sync.Once
 	report func(err error)
@@ -26,7 +24,7 @@
 
 // Read implements io.Reader.
 func (b *reportedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.WatchedBody.Read(p)
 	b.read = b.read || n > 0
 	switch {
 	case err == io.EOF:
@@ -37,12 +35,12 @@
 	return n, err
 }
 
-// failure returns err, or nil if nothing but the caller's end or short deadline caused it.
+// failure returns err, or nil if nothing but the caller's end caused it, or its deadline while the body made progress.
 func (b *reportedBody) failure(err error) error {
 	if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
-	if err = backend.UnfinishedSince(b.began, err); errors.Is(err, backend.ErrUnfinished) && errors.Is(err, context.DeadlineExceeded) {
+	if err = b.WatchedBody.Failure(err); errors.Is(err, backend.ErrUnfinished) && errors.Is(err, context.DeadlineExceeded) {
 		return err
 	}
 	return nil
@@ -50,7 +48,7 @@
 
 // Close implements io.Closer. A body that was read and not to its end is longer than an answer may be.
 func (b *reportedBody) Close() error {
-	err := b.ReadCloser.Close()
+	err := b.WatchedBody.Close()
 	if b.read {
 		b.result(Error.Wrap(bounded.ErrTooLong))
 	}
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -170,7 +170,7 @@
 	sentAt := time.Now()
 	resp, err := s.client.Do(ctx, b, toBackend(call))
 	if err == nil {
-		resp.Body = &reportedBody{ReadCloser: resp.Body, began: time.Now(), report: func(err error) { s.mon.Result(b.ID, err) }}
+		resp.Body = &reportedBody{WatchedBody: backend.WatchBody(resp.Body), report: func(err error) { s.mon.Result(b.ID, err) }}
 		submission.Answered(0)
 		return resp, nil
 	}
--- a/generation/end.go
+++ b/generation/end.go
@@ -145,8 +145,8 @@
 	x.m.textBytes.Add(-x.textCap)
 }
 
-// reportUnfinished reports an answer to the failure detector that had begun long before the deadline
-// and did not end. The deadline alone is no evidence against a backend server, since a caller may
+// reportUnfinished reports an answer to the failure detector that began, and whose head or body
+// didn't go on before the deadline (see backend.WatchedBody). The deadline alone is no evidence against a backend server, since a caller may
 // choose a short one.
 func (x *run) reportUnfinished(a *attempt, err error) {
 	if errors.Is(err, backend.ErrUnfinished) && !a.forwarded && errors.Is(x.endCause(), ErrDeadline) {
