backend, client: accept chunks of up to 128 KB

The bound of a line of an engine's stream had gone from 1 MB to 64 KB, so that a sound event of 100 KB was refused on the product's interface and taken on the platform's.

--- a/backend/chunk_test.go
+++ b/backend/chunk_test.go
@@ -129,3 +129,14 @@
 		}
 	}
 }
+
+// Guards against a sound chunk that is refused for its size, and a line without end that is read.
+func TestLongLinesAreRead(t *testing.T) {
+	got, err := readStream(chunk(testID, 0, strings.Repeat("x", 100<<10), "")).Next()
+	if err != nil || len(got.Text) != 100<<10 {
+		t.Errorf("a chunk of 100 KB: got %d bytes, %v", len(got.Text), err)
+	}
+	if _, err := readStream(chunk(testID, 0, strings.Repeat("x", 2*maxLineBytes), "")).Next(); !errors.Is(err, ErrMismatch) {
+		t.Errorf("a chunk of %d bytes: got %v", 2*maxLineBytes, err)
+	}
+}
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -16,9 +16,10 @@
 
 const (
 	streamBufferBytes = 4 << 10
-	// maxLineBytes bounds a line. A chunk holds the text of one token, of a few bytes, and the
-	// names of its request and model, of a few hundred.
-	maxLineBytes = 64 << 10
+	// maxLineBytes bounds a line, as on the platform's path. A chunk holds the text of one token, of a
+	// few bytes, and the names of its request and model, of a few hundred; one that reports details of
+	// each token has more.
+	maxLineBytes = 128 << 10
 	// maxSkippedBytes bounds the comments, blank lines and other fields between two chunks. An
 	// engine that sends a comment of 20 bytes each second while a request waits for five minutes
 	// sends 6 KB.
--- a/client/sse.go
+++ b/client/sse.go
@@ -9,8 +9,8 @@
 )
 
 // maxEventBytes bounds one event of a stream, and the comments before it. An event holds one chunk
-// of an engine, of at most 64 KB, of which the escapes of JSON may make six times as much.
-const maxEventBytes = 512 << 10
+// of an engine, of at most 128 KB, of which the escapes of JSON may make six times as much, and of its names.
+const maxEventBytes = 784 << 10
 
 // sseEvent is one server-sent event. Its fields are valid until the next read.
 type sseEvent struct {
