backend: bound the sum of interim answers, and give a head 3.5 s

net/http applies its limit of 64 KB to each interim answer anew; their sizes are now summed. A head had 2 s from its first byte, as long as the outage that it must outlast: TCP sends the lost rest again up to 3 s after the first time, so it has 3.5 s.

go test -race ./backend ./bounded: ok; with the sum not counted, TestInterimHeartbeat fails: "interim answers of 80 KB: got <nil>".

--- a/backend/head.go
+++ b/backend/head.go
@@ -6,6 +6,8 @@
 	"net/textproto"
 	"sync"
 	"time"
+
+	"wigeondale/bounded"
 )
 
 // ErrUnfinished means that an answer began, and was not complete after much more time than a sound
@@ -14,9 +16,10 @@
 
 const (
 	// maxHeadTime bounds the time from the first byte of a head to its end. A sound backend server
-	// sends its head at once; its machine may be unreachable for 2 s meanwhile. The time for the first
-	// chunk of a stream is 4 s or more, and is left for another backend server.
-	maxHeadTime = 2 * time.Second
+	// sends its head at once; its machine may be unreachable for 2 s meanwhile, after which TCP sends
+	// the lost rest again up to 3 s after the first time (at 0.2, 0.6, 1.4 and 3 s). Half a second more
+	// is for a busy machine. The time for the first chunk of a stream is 4 s or more.
+	maxHeadTime = 3500 * time.Millisecond
 	// unfinishedTime is how long before the caller's deadline a head must have begun, or a body
 	// stopped, so that its backend server is at fault for not ending it: two retransmissions of a lost packet.
 	unfinishedTime = 500 * time.Millisecond
@@ -33,7 +36,8 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	firstAt time.Time // of the first byte; zero before it
-	interim int
+	// interim is the number of interim answers, and interimBytes the size of their headers.
+	interim, interimBytes int
 }
 
 var errHeadTime = Error.New("%w: no end of its head after %v", ErrUnfinished, maxHeadTime)
@@ -50,12 +54,18 @@
 }
 
 // gotInterim is called with each interim answer. The error that it returns ends the request.
-func (w *headWatch) gotInterim(int, textproto.MIMEHeader) error {
+//
+// net/http bounds the size of each of them by itself, so their sum is bounded here.
+func (w *headWatch) gotInterim(_ int, header textproto.MIMEHeader) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.interim++; w.interim > maxInterim {
 		return Error.New("%w: more than %d interim answers", ErrMismatch, maxInterim)
 	}
+	w.interimBytes += headerBytes(header)
+	if w.interimBytes > bounded.MaxHeadBytes {
+		return Error.New("%w: more than %d bytes of interim answers", ErrMismatch, bounded.MaxHeadBytes)
+	}
 	// The next head may come much later. Its first byte isn't reported by net/http: from here on, the
 	// number of interim answers and the caller's deadline bound the time.
 	if w.timer != nil {
@@ -65,6 +75,16 @@
 	return nil
 }
 
+// headerBytes returns the size of a header as it is sent, with the separators of its lines.
+func headerBytes(header textproto.MIMEHeader) (n int) {
+	for name, values := range header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // stop ends the watch when the head has ended or the request has failed.
 func (w *headWatch) stop() {
 	w.mu.Lock()
--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -1,7 +1,7 @@
 // Package bounded bounds what this program reads from HTTP servers.
 //
 // A server in trouble may send bytes that are no answer, without end. Three defaults of net/http
-// let it: the head of an answer, interim answers included, may have 10 MB; the body of an answer
+// let it: the head of an answer, and each interim answer, may have 10 MB; the body of an answer
 // that switches the protocol (101) ignores the end of the request's context; and a body is read
 // for as long as it lasts. Memory then grows by megabytes for each such answer, or a goroutine and
 // a connection stay for good, which would be noticed only as a slow leak.
@@ -28,7 +28,8 @@
 	ErrSwitched = errors.New("answer switches the protocol")
 )
 
-// MaxHeadBytes bounds the head of an answer: status line, header and all interim answers before it.
+// MaxHeadBytes bounds the head of an answer: status line and header. net/http applies it anew to each
+// interim answer; package backend bounds their sum by it.
 // Our own heads and those of the platform have less than 2 KB. A plain service may add cookies and
 // policies, of which web browsers and common proxies take 8 to 32 KB.
 const MaxHeadBytes = 64 << 10
