hosted: bound estimates by the stated maximum of the answer

Where chunks are smaller than calibrated, chunks times tokens per chunk exceeded the stated maximum, at the start and in progress, so that memory of engines stayed unused.

go test -race ./hosted -run 'EstimateStays|Size|Sizing|Learned|LightReq|LoadFollows': ok; without the bound: "taken up again: 6000 tokens".

--- a/hosted/sizing.go
+++ b/hosted/sizing.go
@@ -39,6 +39,7 @@
 	// lengths is the distribution of the answer's length. perChunk is the number of tokens in a chunk, 0 if it isn't known.
 	lengths  *cost.Distribution
 	perChunk float64
+	maximum  int // of the answer as stated, which no estimate exceeds
 }
 
 func (z requestSize) memory() int { return z.prompt + z.answer }
@@ -63,16 +64,20 @@
 	if !calibrated || !ok {
 		return
 	}
-	z.lengths, z.perChunk = &d, perChunk
+	z.lengths, z.perChunk, z.maximum = &d, perChunk, a.MaxAnswerTokens
 	z.answer, z.spread = z.expect(a.ChunksReceived)
 }
 
 // expect returns the expected length of the answer and its variance once the given number of chunks
-// has been generated. Both are whole numbers, so that sums of loads cancel out exactly.
+// has been generated. Both are whole numbers, so that sums of loads cancel out exactly. Where chunks
+// are smaller than calibrated, more seems to be generated than the maximum allows.
 func (z *requestSize) expect(chunks int) (answer int, spread float64) {
 	generated := float64(chunks) * z.perChunk
+	if generated >= float64(z.maximum) {
+		return z.maximum, 0
+	}
 	rest, variance := z.lengths.Rest(generated)
-	return int(math.Ceil(generated + rest)), math.Ceil(variance)
+	return min(int(math.Ceil(generated+rest)), z.maximum), math.Ceil(variance)
 }
 
 // noteKnown logs when the lengths of a service become known, or are unknown again.
--- a/hosted/sizing_test.go
+++ b/hosted/sizing_test.go
@@ -111,6 +111,29 @@
 	}
 }
 
+// Guards against runs that count with more than the stated maximum of their answers, since their chunks
+// are smaller than calibrated: memory of the engines would stay unused.
+func TestEstimateStaysWithinTheMaximum(t *testing.T) {
+	p := pickerOf(t, engineList(1, 1), 55000)
+	p.sizer = newSizer(nil)
+	learn(p.sizer)
+	a := sizedStream("q")
+	a.ChunksReceived = 1000 // 6,000 tokens as calibrated, of at most 4,000
+	if z := p.sizeOf(a); z.answer != 4000 || z.spread != 0 {
+		t.Errorf("taken up again: %d tokens, spread %v", z.answer, z.spread)
+	}
+	_, share, err := p.pickEngine(t.Context(), sizedStream("q"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for chunk := 1; chunk <= 1000; chunk++ {
+		share.(*timedShare).Progress(chunk)
+		if l := p.dir.LocalLoads()["e0"]; l.Memory > 9000 {
+			t.Fatalf("after %d chunks: %+v", chunk, l)
+		}
+	}
+}
+
 // Guards against work of plain services that counts as less than a request where backend servers count
 // requests: more would be sent to them than they have room for.
 func TestLightRequestsStayRequests(t *testing.T) {
