hosted, directory: drop messages with implausible loads

Negative loads of other routers were accepted and made full engines seem idle. All fields but Extra must be 0 or more, Extra at least -0.75 for each request, with rounding; the whole message is dropped otherwise. A router keeps to the bound of Extra although it reads the fields one after the other. Where requests count with their maxima, Extra and Spread of other routers are ignored.

FuzzPeerLoadsAreBounded now asks for fields of 0 or more, and runs with learned sizes.

--- a/directory/peers.go
+++ b/directory/peers.go
@@ -82,6 +82,8 @@
 			delete(d.loads.busy, r)
 			continue
 		}
+		// The fields are read one after the other, while requests begin and end.
+		l.Extra = max(l.Extra, leastExtra*l.Requests)
 		out[r.id] = l
 	}
 	return out
--- a/directory/share.go
+++ b/directory/share.go
@@ -30,15 +30,23 @@
 // Spread is a square.
 const maxLoad = 1e12
 
-// Bounded reports whether all fields are plausible numbers. A load from another router that is not is
-// dropped: added to the load of a backend server, it could not be subtracted again.
+const (
+	// leastExtra is Extra of the lightest request: one counts as a quarter of an ordinary request.
+	leastExtra = -0.75
+	// extraRounding is by how much Extra of one request may be off, as it is counted in thousandths.
+	extraRounding = 1.0 / milli
+)
+
+// Bounded reports whether all fields are plausible. A message with a load that is not is dropped: a
+// negative load would make a full backend server seem idle, and one that is no number could not be
+// subtracted again.
 func (l Load) Bounded() bool {
-	for _, v := range []float64{l.Requests, l.Reading, l.Running, l.Memory, l.Spread, l.Extra} {
-		if !(v >= -maxLoad && v <= maxLoad) {
+	for _, v := range []float64{l.Requests, l.Reading, l.Running, l.Memory, l.Spread} {
+		if !(v >= 0 && v <= maxLoad) {
 			return false
 		}
 	}
-	return true
+	return l.Extra >= leastExtra*l.Requests-extraRounding*(l.Requests+1) && l.Extra <= maxLoad
 }
 
 // Share is one request's part of the load of its backend server. Its methods may be
--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeondale/directory"
+	"wigeondale/settings"
 )
 
 // Routers that are all linked to each other broadcast their open requests at each replica;
@@ -122,7 +123,12 @@
 // the message about their end may have been lost. Otherwise such requests would count at their
 // engines until the other router used the same engine again; where that is rare, more and more
 // idle engines would seem busy.
+//
+// A message with a load that can't be is dropped as a whole: its sender counts wrongly.
 func (p *peers) handleLoads(from string, m loadsMessage) {
+	if !p.acceptable(m.Loads) {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.received[from]
@@ -134,9 +140,6 @@
 	}
 	change := directory.PeerLoads{}
 	for id, v := range m.Loads {
-		if !v.Bounded() {
-			continue
-		}
 		change[id] = v.Minus(t.loads[id])
 		if v == (directory.Load{}) {
 			delete(t.loads, id)
@@ -149,6 +152,22 @@
 	p.received[from] = t
 }
 
+// acceptable reports whether all loads are plausible. Where requests count with their maxima, it removes
+// what only estimates need, so that routers that estimate change no decision of this one.
+func (p *peers) acceptable(loads directory.PeerLoads) bool {
+	learned := p.set.Hosted.Decisions.Sizing == settings.SizingLearned
+	for id, v := range loads {
+		if !v.Bounded() {
+			return false
+		}
+		if !learned {
+			v.Extra, v.Spread = 0, 0
+			loads[id] = v
+		}
+	}
+	return true
+}
+
 // applyPeerLoads passes the sum of the other routers' loads to the directory, if this router
 // is linked to all other routers.
 //
--- a/hosted/loads_test.go
+++ b/hosted/loads_test.go
@@ -83,3 +83,24 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a message of which only the implausible part is dropped, and against estimates of other
+// routers that change decisions of one that doesn't estimate.
+func TestLoadsOfOtherRoutersAreChecked(t *testing.T) {
+	stated := directory.Load{Requests: 4, Reading: 5000, Memory: 6000, Spread: 1e6, Extra: -3}
+	for sizing, want := range map[string]directory.Load{
+		settings.SizingLearned: stated, settings.SizingMaximum: {Requests: 4, Reading: 5000, Memory: 6000},
+	} {
+		pick := pickerOf(t, engineList(2, 2), 50000)
+		h := &settings.Hosted{Decisions: settings.Decisions{Sizing: sizing}}
+		p := newPeers(&settings.Settings{Hosted: h}, nil, pick.dir, pick.mon, newStoreSync("n", "d", nil), nil)
+		p.fullyLinked = func() bool { return true }
+		p.handleLoads("a", loadsMessage{All: true, Loads: directory.PeerLoads{"e0": stated}})
+		for _, bad := range []directory.Load{{Reading: -1}, {Requests: 1, Extra: -0.8}, {Memory: -1}, {Spread: -1}, {Running: -1}, {Requests: -1}} {
+			p.handleLoads("a", loadsMessage{Loads: directory.PeerLoads{"e0": {}, "e1": bad}})
+		}
+		if got := p.received["a"].loads; len(got) != 1 || got["e0"] != want {
+			t.Errorf("%s: got %+v, want %+v", sizing, got, want)
+		}
+	}
+}
--- a/hosted/sizing_test.go
+++ b/hosted/sizing_test.go
@@ -193,19 +193,22 @@
 // Guards against loads of other routers that are no numbers: one of them would make an engine seem full, or idle, for good.
 func FuzzPeerLoadsAreBounded(f *testing.F) {
 	f.Add(1.0, 5000.0, 6000.0, 1e6, -0.5)
+	f.Add(0.0, 0.0, -6000.0, 0.0, 0.0)
+	f.Add(1.0, 0.0, 0.0, 0.0, -1.5)
 	f.Add(-1.0, 1e300, -1e300, 1e18, 1e12)
 	f.Add(1.0, 5000.0, 6000.0, 2e12, 0.0)
 	f.Add(1.0, math.NaN(), 6000.0, math.Inf(1), math.Inf(-1))
 	f.Fuzz(func(t *testing.T, requests, reading, memory, spread, extra float64) {
 		l := directory.Load{Requests: requests, Reading: reading, Memory: memory, Spread: spread, Extra: extra}
 		p := pickerOf(t, engineList(1, 1), 55000)
-		to := newPeers(&settings.Settings{Hosted: &settings.Hosted{}}, nil, p.dir, p.mon, newStoreSync("n", "d", nil), nil)
+		learned := &settings.Hosted{Decisions: settings.Decisions{Sizing: settings.SizingLearned}}
+		to := newPeers(&settings.Settings{Hosted: learned}, nil, p.dir, p.mon, newStoreSync("n", "d", nil), nil)
 		to.fullyLinked = func() bool { return true }
 		to.handleLoads("other", loadsMessage{All: true, Loads: directory.PeerLoads{"e0": l}})
 		to.applyPeerLoads(time.Now())
 		got, _, _ := p.dir.Estimate("e0", time.Now())
-		for _, v := range []float64{got.Requests, got.Reading, got.Memory, got.Spread, got.Extra} {
-			if !(v >= -1e12 && v <= 1e12) {
+		for _, v := range []float64{got.Requests, got.Reading, got.Memory, got.Spread, got.Requests + got.Extra + 0.001} {
+			if !(v >= 0 && v <= 2e12) {
 				t.Fatalf("%+v counts as %+v", l, got)
 			}
 		}
