--- a/relay/relay.go
+++ b/relay/relay.go
@@ -189,12 +189,12 @@
 
 func newJob(req *Request, rt *route.Route, account *route.Account, table *route.Table) *job {
 	j := &job{
-		req:      req,
-		route:    rt,
-		service:  rt.Pick(rand.Uint64()),
-		stated:   rt.StatedPriority,
-		version:  table.Version,
-		timeout:  timeoutOf(req, rt),
+		req:     req,
+		route:   rt,
+		service: rt.Pick(rand.Uint64()),
+		stated:  rt.StatedPriority,
+		version: table.Version,
+		timeout: timeoutOf(req, rt),
 	}
 	j.engine = table.Service(j.service)
 	if account != nil {
