--- a/admission/waitorder_test.go
+++ b/admission/waitorder_test.go
@@ -13,7 +13,7 @@
 )
 
 // orderSim plays requests against a WaitQueue and a server with slots and memory, on a clock of its own. Each waiting
-// request polls every pollStep, in an order drawn anew each time.
+// request polls every pollStep, in a new random order each time.
 type orderSim struct {
 	queue   *WaitQueue
 	now     time.Time
--- a/admission/window.go
+++ b/admission/window.go
@@ -17,7 +17,7 @@
 
 	mu    sync.Mutex
 	size  int
-	found [schedule.Priorities]bool // the latest try that tells of this priority succeeded
+	found [schedule.Priorities]bool // the latest try that shows whether this priority finds room succeeded
 }
 
 // NewWindow returns a window of at least min requests.
--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -181,7 +181,7 @@
 
 // Guards against a server that is not held responsible because the caller's deadline came first, and
 // against one that is although nothing but the deadline speaks against it. On 8472d66 it fails: the
-// two can't be told apart.
+// two can't be distinguished.
 func TestUnfinishedHeadAtTheDeadline(t *testing.T) {
 	t.Parallel()
 	for limit, want := range map[time.Duration]bool{unfinishedTime / 4: false, 2 * unfinishedTime: true} {
--- a/backend/progress.go
+++ b/backend/progress.go
@@ -10,7 +10,7 @@
 // for which 25 s may pass.
 const steadyTime = 30 * time.Second
 
-// WatchedBody reads a body and tells, when the caller's deadline ends it, whether its backend server is
+// WatchedBody reads a body and reports, when the caller's deadline ends it, whether its backend server is
 // at fault. It is not at fault for a body that makes progress: the caller may have chosen a short deadline.
 type WatchedBody struct {
 	io.ReadCloser
--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -28,7 +28,7 @@
 	ErrSwitched = errors.New("answer switches the protocol")
 )
 
-// MaxHeadBytes bounds the head of an answer: status line and header. net/http applies it anew to each
+// MaxHeadBytes bounds the head of an answer: status line and header. net/http applies it again to each
 // interim answer; package backend bounds their sum by it.
 // Our own heads and those of the platform have less than 2 KB. A plain service may add cookies and
 // policies, of which web browsers and common proxies take 8 to 32 KB.
--- a/cost/cost.go
+++ b/cost/cost.go
@@ -28,7 +28,7 @@
 	// minObservations is the weight of the observations of a service below which the stated
 	// maximum is used.
 	minObservations = 8
-	// MaxLength is the largest length in tokens that is told apart.
+	// MaxLength is the largest length in tokens that is distinguished.
 	MaxLength = 1 << octaves
 )
 
--- a/generation/deps.go
+++ b/generation/deps.go
@@ -112,7 +112,7 @@
 	End()
 }
 
-// CostShare is a LoadShare that is told what the attempt cost.
+// CostShare is a LoadShare that records what the attempt cost.
 type CostShare interface {
 	LoadShare
 	// SetCost is called at most once, before End, if the attempt was sent and the backend server did not refuse it. chunks
--- a/hosted/silence_judge_test.go
+++ b/hosted/silence_judge_test.go
@@ -104,7 +104,7 @@
 	}
 	for n, r := range f.routers {
 		b := r.budgets.loans.state().(map[string]retrybudget.State)[modelService]
-		windows := 1 + float64(f.length()/r.budgets.loans.cfg.Window) // the burst is there anew in each
+		windows := 1 + float64(f.length()/r.budgets.loans.cfg.Window) // each has the whole burst
 		most := r.budgets.share*float64(requests[n]) + windows*r.budgets.loans.cfg.Burst/float64(f.plan.routers) + b.Borrowed - b.Lent
 		if float64(retries[n]) > most+1e-6 {
 			s.find("router over budget", "%d retries of router %d, at most %.1f", retries[n], n, most)
--- a/hosted/sizing.go
+++ b/hosted/sizing.go
@@ -154,7 +154,7 @@
 // from their beginnings would count long answers as typical ones.
 type progress struct {
 	size    requestSize
-	next    int // number of the chunk at which the load is estimated anew
+	next    int // number of the chunk at which the load is estimated again
 	request generation.PickRequest
 	backend fleet.Backend
 	picker  *picker
--- a/hosted/wait_order_test.go
+++ b/hosted/wait_order_test.go
@@ -185,7 +185,7 @@
 }
 
 // Guards against requests that wait at a router which reaches no engine, and for which other routers keep
-// room that nobody uses.
+// room that no request uses.
 func TestRouterThatIsCutOffAsksNobodyToYield(t *testing.T) {
 	cut, other := orderedPicker(t, 1000, 0, 2), orderedPicker(t, 6000, 0, 2)
 	cut.order.cutOff = func(string) bool { return true }
--- a/schedule/lane.go
+++ b/schedule/lane.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Lane is a queue of items of one stage and priority. It gives the same order as Sort, without sorting anew for each
+// Lane is a queue of items of one stage and priority. It gives the same order as Sort, without sorting again for each
 // grant, for queues of a thousand requests. A Lane is not safe for concurrent use.
 type Lane struct {
 	shares  *Shares
--- a/schedule/reservation.go
+++ b/schedule/reservation.go
@@ -5,7 +5,7 @@
 // Reservation holds the room that a waiting request needs free of requests behind it that are less urgent, or of client accounts
 // over their share. The
 // load for which it decides: several requests at the head of the queue try to get a server, so that a request for
-// which nothing has room blocks nobody. Without a reservation, a large urgent request is passed by small less urgent ones
+// which nothing has room blocks no other request. Without a reservation, a large urgent request is passed by small less urgent ones
 // for as long as these arrive, and a less urgent request takes a slot that became free between two tries of an urgent one.
 //
 // A reservation is bounded, since the request may be unable to use what the others could, for example because it
--- a/waitorder/send.go
+++ b/waitorder/send.go
@@ -8,7 +8,7 @@
 
 // Next returns the message that is to be sent now over all links, or false if none is. links, which is
 // called only if there may be something to send, returns the number of links, and whether all routers are
-// linked to each other: then each hears each statement from its origin, and none is passed on.
+// linked to each other: then each receives each statement from its origin, and none is passed on.
 func (t *Table) Next(now time.Time, links func() (count int, full bool)) (Message, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -83,7 +83,7 @@
 	return out
 }
 
-// forget drops what is known about priorities of which nothing was heard and nothing has waited for some time.
+// forget drops what is known about priorities of which no statement has arrived and no request has waited for some time.
 func (t *Table) forget(now time.Time) {
 	for k, s := range t.states {
 		last := s.lastGrant
--- a/waitorder/waitorder.go
+++ b/waitorder/waitorder.go
@@ -50,7 +50,7 @@
 	// before most of them take one too.
 	turnAfter  = 3 * time.Second
 	turnSpread = time.Second
-	// holdGap is the time without a waiter that yields after which the time of yielding starts anew.
+	// holdGap is the time without a waiter that yields after which the time of yielding starts again.
 	holdGap = time.Second
 )
 
