--- a/waitorder/order_test.go
+++ b/waitorder/order_test.go
@@ -35,7 +35,7 @@
 // 3 KB/s. Urgent requests come in bursts, and a fifth of the routers gets four fifths of them.
 //
 // Where a router must find free slots by asking three engines, the order costs slots: each engine keeps its last one for an urgent
-// request. For what is tolerated here, docs/design/order-over-routers.md has the figures.
+// request. docs/design/order-over-routers.md has the figures behind the bounds.
 func TestOrderOverRouters(t *testing.T) {
 	for _, size := range simSizes() {
 		for _, urgent := range size.urgent {
