--- a/backend/head.go
+++ b/backend/head.go
@@ -16,10 +16,10 @@
 
 const (
 	// maxHeadTime bounds the time from the first byte of a head to its end. A sound backend server
-	// sends its head at once; its machine may be unreachable for 2 s meanwhile, after which TCP sends
-	// the lost rest again up to 3 s after the first time (at 0.2, 0.6, 1.4 and 3 s). Half a second more
-	// is for a busy machine. The time for the first chunk of a stream is 4 s or more.
-	maxHeadTime = 3500 * time.Millisecond
+	// sends its head at once; its machine may be unreachable for 2 s meanwhile. Half a second more is for a busy
+	// machine. Callers of requests that run once may wait for no more than 3 s, and a server with an endless
+	// head must be found before that: with 3.5 s such a request had its deadline as the only bound.
+	maxHeadTime = 2500 * time.Millisecond
 	// unfinishedTime is how long before the caller's deadline a head must have begun, or a body
 	// stopped, so that its backend server is at fault for not ending it: two retransmissions of a lost packet.
 	unfinishedTime = 500 * time.Millisecond
--- a/hosted/loads.go
+++ b/hosted/loads.go
@@ -126,9 +126,11 @@
 //
 // A message with a load that can't be is dropped as a whole: its sender counts wrongly.
 func (p *peers) handleLoads(from string, m loadsMessage) {
-	if !p.acceptable(m.Loads) {
+	loads, ok := p.acceptable(m.Loads)
+	if !ok {
 		return
 	}
+	m.Loads = loads
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.received[from]
@@ -152,20 +154,22 @@
 	p.received[from] = t
 }
 
-// acceptable reports whether all loads are plausible. Where requests count with their maxima, it removes
-// what only estimates need, so that routers that estimate change no decision of this one.
-func (p *peers) acceptable(loads directory.PeerLoads) bool {
+// acceptable returns the loads of a message, and false unless all are plausible. Where requests count with
+// their maxima, it leaves out what only estimates need, so that routers that estimate change no decision of
+// this one. It doesn't change the message.
+func (p *peers) acceptable(loads directory.PeerLoads) (directory.PeerLoads, bool) {
 	learned := p.set.Hosted.Decisions.Sizing == settings.SizingLearned
+	out := make(directory.PeerLoads, len(loads))
 	for id, v := range loads {
 		if !v.Bounded() {
-			return false
+			return nil, false
 		}
 		if !learned {
 			v.Extra, v.Spread = 0, 0
-			loads[id] = v
 		}
+		out[id] = v
 	}
-	return true
+	return out, true
 }
 
 // applyPeerLoads passes the sum of the other routers' loads to the directory, if this router
