--- a/admission/waitpace.go
+++ b/admission/waitpace.go
@@ -33,7 +33,7 @@
 	// average, grantPace.interval.
 	intervalWeight = 0.2
 	// intervalMaxAge is the time since the last grant after which grantPace.interval is no longer
-	// valid, since it was measured in an earlier burst.
+	// valid, since it dates from an earlier burst.
 	intervalMaxAge = 5 * time.Second
 	// maxUrgentShare bounds the part of the slots that more urgent requests are expected to use, so
 	// that the expected wait stays finite.
--- a/admission/waitqueue.go
+++ b/admission/waitqueue.go
@@ -83,7 +83,7 @@
 }
 
 // Poll adds a request to the queue, or records that a request in the queue still waits, and
-// returns its position. The first try of its client counts from the first poll: a client that was told to come
+// returns its position. The first try of its client counts from the first poll: a client that was advised to come
 // back goes before requests that arrived since its first try. QueuedAt is set by the queue.
 func (l *WaitQueue) Poll(r schedule.Item, now time.Time) Position {
 	l.mu.Lock()
--- a/hosted/order_state_test.go
+++ b/hosted/order_state_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// Guards against a less urgent request that leaves room where no more urgent one was seen, or fills an engine further than an
+// Guards against a less urgent request that leaves room where no more urgent one has arrived, or fills an engine further than an
 // urgent one accepts.
 func TestRoomIsLeftForWhatWasSeen(t *testing.T) {
 	var u urgentRequests
--- a/hosted/urgent.go
+++ b/hosted/urgent.go
@@ -21,7 +21,7 @@
 // (see waitOrder): room that is always left costs the less urgent requests a fourteenth of what they get in such a burst.
 
 const (
-	// urgentMaxAge is how long a more urgent request counts after it was seen: in a fleet of 985 routers one router sees
+	// urgentMaxAge is how long a more urgent request counts after its arrival: in a fleet of 985 routers one router sees
 	// the same kind of request again only after half a minute.
 	urgentMaxAge = time.Minute
 	// reservedPerShare is the part of the engines at which room is left, per share of more urgent requests in all
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -30,7 +30,7 @@
 	Rank func() uint32
 }
 
-// Budget is the budget of one service at one router. Times are measured on one clock that never
+// Budget is the budget of one service at one router. Times are taken from one clock that never
 // goes back. A Budget isn't safe for concurrent use.
 type Budget struct {
 	cfg     Config
--- a/waitorder/budget.go
+++ b/waitorder/budget.go
@@ -16,7 +16,7 @@
 	minGap = 10 * time.Millisecond
 )
 
-// budget limits the bytes that this router sends over its links. It is a token bucket that is measured in
+// budget limits the bytes that this router sends over its links. It is a token bucket in units of
 // time: paidUntil is the time at which all messages sent so far will have been paid for.
 type budget struct {
 	paidUntil, last time.Time
