review: add case 1, replicas whose entries lapse get no requests any more

The entries of sound replicas that lose the store for 5 s expire and come back. The routers keep the replicas marked as leaving, and refuse all requests for their services for good.

--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -28,6 +28,10 @@
 	mu   sync.Mutex
 	open int // requests that run or wait
 	runs map[string]int
+	// of the entry in the store
+	silent bool
+	beats  int
+	beatAt time.Time
 }
 
 // StartReplica starts r and registers it in the store.
@@ -38,13 +42,43 @@
 	}
 	r.rig, r.ln, r.slots, r.runs = rig, ln, make(chan struct{}, r.Slots), map[string]int{}
 	go r.accept()
-	rig.Store.PutJSON("servers/"+r.ID, map[string]any{
-		"service": r.Service, "address": ln.Addr().String(), "zone": r.Zone, "version": "v1",
-		"slots": r.Slots, "state": "ready", "cold_left_ms": 0, "sequence": 1,
-	})
+	r.Heartbeat()
 	return nil
 }
 
+// Heartbeat writes the entry of r, unless r is cut off from the store.
+func (r *Replica) Heartbeat() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent {
+		return
+	}
+	r.beats++
+	r.beatAt = time.Now()
+	r.rig.Store.PutJSON("servers/"+r.ID, map[string]any{
+		"service": r.Service, "address": r.ln.Addr().String(), "zone": r.Zone, "version": "v1",
+		"slots": r.Slots, "state": "ready", "cold_left_ms": 0, "sequence": r.beats,
+	})
+}
+
+// SetSilent cuts r off from the store, or ends that.
+func (r *Replica) SetSilent(silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = silent
+}
+
+// Expire removes the entry of r if its last heartbeat is longer ago than the given time, as the store does.
+func (r *Replica) Expire(after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, listed := r.rig.Store.Get("servers/" + r.ID); !listed || time.Since(r.beatAt) < after {
+		return
+	}
+	r.rig.Store.Delete("servers/" + r.ID)
+	r.rig.Recordf("the entry of %s has expired", r.ID)
+}
+
 // Runs returns how often each request has run.
 func (r *Replica) Runs() map[string]int {
 	r.mu.Lock()
