backend, platform: log answers that name another request

Event 1415 (answer-misplaced) names the request that was sent, the one that the answer names, its status, and whether it states that its request was not run. No logic is changed.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -40,6 +40,7 @@
 	{NoFurtherAttempt, "no-further-attempt", Info, "After the loss or silence of an attempt, no other backend server can be tried now, for the reason given (a code, or retry_budget); the search goes on as long as the request may wait. Written once for each loss."},
 	{AttemptSilent, "attempt-silent", Info, "The backend server of an attempt is silent; another one is looked for while the attempt is still read. Nothing to do."},
 	{AttemptDelivers, "attempt-delivers", Info, "A silent attempt delivers before another backend server has accepted the request, and goes on. Nothing to do."},
+	{AnswerMisplaced, "answer-misplaced", Warning, "An answer of a backend server arrived where the answer to another request was due: answer_to is the request that it names, not_run whether it states that that one was not run. Check that server and the proxies before it if it repeats."},
 	{CursorRefused, "cursor-refused", Warning, "A caller sent a cursor that is forged, of another account, malformed or too old, and was refused. Check that all nodes share the cursor key if it repeats; otherwise the account is trying cursors of others."},
 	{RevisionInForce, "revision-in-force", Info, "A newer revision of the configuration is in force on this node. Nothing to do."},
 	{RevisionUnreadable, "revision-unreadable", Error, "A log entry can't be read and is treated as no change. Find out which program wrote it: a newer build or another program that uses the same prefix."},
--- a/event/ids.go
+++ b/event/ids.go
@@ -99,6 +99,7 @@
 	NoFurtherAttempt
 	AttemptSilent
 	AttemptDelivers
+	AnswerMisplaced
 )
 
 // Events of the log and of at-most-once claims (11xx).
