backend, platform: an answer counts only for the request that it names

Others got 502 without a fault of their own.

Cause: a replica sends a second copy of a refusal where the answer to the next request on the connection is due. Open looked for a refusal before it compared the attempt id, so the copy counted as the refusal of the request that waited, which was sent elsewhere while the first replica ran it. The body of a refusal is empty: net/http had the connection back in its pool before the answer was looked at, and closing the body didn't close it. The next request on it got the answer to the one before (502). And the id alone does not settle it: a request that is refused, tried elsewhere and comes back to the same replica meets copies of its own earlier refusal.

Every request that ran twice had a misplaced 503 with X-Not-Executed for the attempt that its replica then ran.

Change: backend.Conns replaces net/http's pool for replicas, on top of net/http's ClientConn. It sends a request over no connection that has carried the same id; a connection carries another request only after the answer to its latest one is known to belong to it, and is closed if it doesn't. What an answer states of the replica (load, limit, rest, leaving) is passed on only after that.

Tests: TestRefusalOfAnotherRequestIsNoRefusal, TestEarlierRefusalOfThe- SameRequestIsNoRefusal, TestRefusalsAreTrueInAnyOrder (property). Without the comparison the first and third fail, without the choice by id the second and third do. TestStatementsAreReadFromAllAnswersOfTheReplica wanted statements of an answer to another request to be believed; a late copy states what held at another time (a limit that has been lifted, a rest that is over), so it now wants none. The stand-ins' listener can send answers twice (fault.SetRepeats).

Tests of backend, platform, generation, forward, relay, hosted passed.

--- /dev/null
+++ b/backend/conns.go
@@ -0,0 +1,300 @@
+package backend
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wigeondale/bounded"
+)
+
+const (
+	idleTimeout     = 30 * time.Second
+	idleConnsPerSrv = 256
+	// maxCarried is the number of requests after which a connection is closed. It bounds the memory for their keys.
+	maxCarried = 256
+)
+
+// Conns sends requests to backend servers, over HTTP/1.1 connections that it keeps open, and chooses the connection of
+// each request so that the answer can be attributed to it. It is safe for concurrent use.
+//
+// A server, or a proxy before it, may send an answer twice. The second copy arrives where the answer to the next request
+// on the connection is due. If that request takes the copy of a refusal for its own answer, it is sent to another server,
+// and both run it. An answer that names its request tells most copies apart, but not the copy of an answer to an earlier
+// try of the same request; an answer that names none can be the copy of any. Two rules exclude both:
+//   - A request isn't sent over a connection that has carried a request with the same key (see Exchange).
+//   - A connection carries no further request before the answer to its latest one is found to belong to that request, and
+//     is closed if it doesn't: all later answers on it would be misplaced as well.
+type Conns struct {
+	transport bounded.Transport // opens the connections
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by address; the latest used is the last
+}
+
+// Exchange is a request, and what is needed to recognize its answer.
+type Exchange struct {
+	Request *http.Request
+	// Key is the same for two requests if Check can't tell their answers apart. It is empty if no other answer passes
+	// Check.
+	Key string
+	// Check returns an error if the answer belongs to another request. It may read the body. The answer is then closed
+	// together with its connection, and the error returned.
+	Check func(*http.Response) error
+	// Last, if set, reports that no other request may follow an answer on its connection.
+	Last func(*http.Response) bool
+}
+
+// NewConns returns Conns whose connections are opened as configured.
+func NewConns(d DialConfig) *Conns {
+	return &Conns{transport: NewTransport(d), idle: map[string][]*conn{}}
+}
+
+// RoundTrip sends the request of x once, and follows no redirects. An error is that of Check, or wraps ErrNotSent if no
+// byte was sent and ErrBroken otherwise. A head that doesn't end after its first byte is an error, which wraps
+// ErrUnfinished.
+func (p *Conns) RoundTrip(x Exchange) (*http.Response, error) {
+	// The context lasts as long as the body is read, and is released with the caller's.
+	ctx, cancel := context.WithCancelCause(x.Request.Context())
+	head := &headWatch{cancel: cancel}
+	trace := &httptrace.ClientTrace{GotFirstResponseByte: head.firstByte, Got1xxResponse: head.gotInterim}
+	resp, c, sent, err := p.send(x.Request.WithContext(httptrace.WithClientTrace(ctx, trace)), x.Key, head)
+	head.stop()
+	switch {
+	case err == nil:
+		return c.check(resp, x)
+	case context.Cause(ctx) == errHeadTime:
+		err = errHeadTime
+	}
+	cancel(nil)
+	err = head.failure(err)
+	if sent {
+		return nil, Error.New("%w: %w", ErrBroken, err)
+	}
+	return nil, Error.New("%w: %w", ErrNotSent, err)
+}
+
+// send sends req over a connection that has not carried key. A replayable request is sent again if a connection that was
+// idle ends without an answer. sent reports, for an error, whether a byte of the request may have been sent.
+func (p *Conns) send(req *http.Request, key string, head *headWatch) (resp *http.Response, c *conn, sent bool, err error) {
+	for {
+		c, reused, err := p.take(req.Context(), req.URL.Host, key)
+		if err != nil {
+			return nil, nil, sent, err
+		}
+		written := c.sealed.writtenBytes()
+		resp, err := bounded.CheckSwitch(c.client.RoundTrip(req))
+		if err == nil {
+			return resp, c, true, nil
+		}
+		// Without the seal the request might be reported as not sent while the writer goroutine of the connection
+		// still sends it.
+		sent = c.sealed.seal(written) || sent
+		c.client.Close()
+		if !reused || !replayable(req) || head.hasBegun() || req.Context().Err() != nil {
+			return nil, nil, sent, err
+		}
+	}
+}
+
+// replayable reports whether net/http regards a request as one that may be sent twice; see ForbidReplay.
+func replayable(req *http.Request) bool {
+	switch req.Method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return req.Body == nil || req.Body == http.NoBody
+	}
+	return false
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (p *Conns) CloseIdleConnections() {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, idle := range all {
+		for _, c := range idle {
+			c.client.Close()
+		}
+	}
+}
+
+// take returns a connection to addr that has not carried key, and whether it has been used before.
+func (p *Conns) take(ctx context.Context, addr, key string) (c *conn, reused bool, err error) {
+	digest := keyDigest(key)
+	c, others := p.takeIdle(addr, digest)
+	if c != nil {
+		return c, true, nil
+	}
+	if c, err = p.open(ctx, addr); err != nil {
+		return nil, false, err
+	}
+	c.carries(digest)
+	c.last = others // the idle ones are enough for requests with other keys
+	return c, false, nil
+}
+
+// takeIdle returns the idle connection to addr that was used last and has not carried the key with a digest, or nil. others
+// reports that there are idle connections that have.
+func (p *Conns) takeIdle(addr string, digest uint32) (c *conn, others bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[addr]
+	for i := len(idle) - 1; i >= 0; i-- {
+		if c := idle[i]; digest == 0 || !slices.Contains(c.carried, digest) {
+			p.remove(c)
+			c.carries(digest)
+			return c, false
+		}
+	}
+	return nil, len(idle) > 0
+}
+
+// remove removes c from the idle connections. The caller holds p.mu.
+func (p *Conns) remove(c *conn) {
+	if !c.isIdle {
+		return
+	}
+	c.isIdle = false
+	c.expiry.Stop()
+	idle := p.idle[c.addr]
+	if i := slices.Index(idle, c); i >= 0 {
+		idle = slices.Delete(idle, i, i+1)
+	}
+	if p.idle[c.addr] = idle; len(idle) == 0 {
+		delete(p.idle, c.addr)
+	}
+}
+
+// open opens a connection. One that is opened after ctx has ended is kept for other requests.
+func (p *Conns) open(ctx context.Context, addr string) (*conn, error) {
+	type result struct {
+		c   *conn
+		err error
+	}
+	opened := make(chan result)
+	go func() {
+		c, err := p.dial(addr)
+		select {
+		case opened <- result{c, err}:
+		case <-ctx.Done():
+			if err == nil {
+				c.verify()
+			}
+		}
+	}()
+	select {
+	case r := <-opened:
+		return r.c, r.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (p *Conns) dial(addr string) (*conn, error) {
+	c := &conn{pool: p, addr: addr}
+	ctx := context.WithValue(context.Background(), dialedKey{}, &c.sealed)
+	client, err := p.transport.NewClientConn(ctx, "http", addr)
+	if err != nil {
+		return nil, err
+	}
+	c.client = client
+	client.SetStateHook(func(*http.ClientConn) { c.settle() })
+	return c, nil
+}
+
+// dialedKey is the key of a context value of type **sealConn, in which NewTransport stores a connection that it opens.
+type dialedKey struct{}
+
+// conn is a connection to a backend server.
+type conn struct {
+	pool   *Conns
+	addr   string
+	client *http.ClientConn
+	sealed *sealConn
+	last   bool // it carries no request after the present one
+
+	// The following fields are guarded by pool.mu.
+	carried  []uint32 // digests of the keys of the requests that it has carried
+	verified bool     // the answer to its latest request belongs to that request
+	isIdle   bool
+	expiry   *time.Timer // closes it when it has been idle for idleTimeout
+}
+
+// keyDigest returns a digest of a key. It is 0 for the empty key only.
+func keyDigest(key string) uint32 {
+	if key == "" {
+		return 0
+	}
+	return max(uint32(xxhash.Sum64String(key)), 1)
+}
+
+// carries records that c carries a request whose key has a digest.
+func (c *conn) carries(digest uint32) {
+	c.verified = false
+	if digest != 0 {
+		c.carried = append(c.carried, digest)
+	}
+}
+
+// check returns the answer to the latest request of c if it belongs to that request.
+func (c *conn) check(resp *http.Response, x Exchange) (*http.Response, error) {
+	if err := x.Check(resp); err != nil {
+		// Close of a body that is empty or was read does not close the connection.
+		c.client.Close()
+		resp.Body.Close()
+		return nil, err
+	}
+	if x.Last != nil && x.Last(resp) {
+		c.last = true
+	}
+	c.verify()
+	return resp, nil
+}
+
+// verify records that the answer to the latest request belongs to that request.
+func (c *conn) verify() {
+	c.pool.mu.Lock()
+	c.verified = true
+	c.pool.mu.Unlock()
+	c.settle()
+}
+
+// settle makes c available to other requests when it can carry one, or closes it if it isn't kept. It is called at each
+// change of the connection's state, also when it is closed.
+func (c *conn) settle() {
+	p := c.pool
+	p.mu.Lock()
+	drop := false
+	switch idle := p.idle[c.addr]; {
+	case c.client.Err() != nil:
+		p.remove(c)
+	case !c.verified || c.isIdle || c.client.Available() == 0:
+	case c.last || len(c.carried) >= maxCarried || len(idle) >= idleConnsPerSrv:
+		drop = true
+	default:
+		c.isIdle = true
+		c.expiry = time.AfterFunc(idleTimeout, c.expire)
+		p.idle[c.addr] = append(idle, c)
+	}
+	p.mu.Unlock()
+	if drop {
+		c.client.Close()
+	}
+}
+
+// expire closes c if it is still idle.
+func (c *conn) expire() {
+	c.pool.mu.Lock()
+	idle := c.isIdle
+	c.pool.remove(c)
+	c.pool.mu.Unlock()
+	if idle {
+		c.client.Close()
+	}
+}
--- a/backend/head.go
+++ b/backend/head.go
@@ -85,6 +85,13 @@
 	return n
 }
 
+// hasBegun reports whether a byte of the answer has arrived.
+func (w *headWatch) hasBegun() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.firstAt.IsZero() || w.interim > 0
+}
+
 // stop ends the watch when the head has ended or the request has failed.
 func (w *headWatch) stop() {
 	w.mu.Lock()
--- a/backend/send.go
+++ b/backend/send.go
@@ -18,8 +18,6 @@
 
 const (
 	dialTimeout     = 2 * time.Second
-	idleTimeout     = 30 * time.Second
-	idleConnsPerSrv = 256
 	readBufferBytes = 8 << 10
 )
 
@@ -77,7 +75,11 @@
 			if err != nil {
 				return nil, err
 			}
-			return &sealConn{Conn: c, addr: addr, observer: d.Connections}, nil
+			sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections}
+			if dialed, ok := ctx.Value(dialedKey{}).(**sealConn); ok {
+				*dialed = sealed
+			}
+			return sealed, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerSrv,
--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -50,7 +50,11 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(req)
+	return CheckSwitch(t.Transport.RoundTrip(req))
+}
+
+// CheckSwitch returns its arguments, or an error for an answer that switches the protocol.
+func CheckSwitch(resp *http.Response, err error) (*http.Response, error) {
 	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
 		_ = resp.Body.Close() // the connection is given up, whatever Close returns
 		return nil, Error.Wrap(ErrSwitched)
--- a/fakes/fault/listener.go
+++ b/fakes/fault/listener.go
@@ -30,6 +30,7 @@
 	in, out gate // for bytes from and to the clients
 	holds   int  // holds in force
 	hold    gate // open unless a hold is in force
+	repeats func() Repeat
 }
 
 // gate is a channel that is closed while bytes may pass.
@@ -256,6 +257,7 @@
 	owner  *Listener
 	once   sync.Once
 	closed chan struct{}
+	repeater
 }
 
 // wait waits for the listener's delay, and then until the gate is open and no hold is in force.
@@ -283,6 +285,14 @@
 	if waitErr := c.wait(c.owner.inGate); waitErr != nil {
 		return 0, waitErr
 	}
+	if n == 0 {
+		return n, err
+	}
+	if copied := c.requestArrived(); len(copied) > 0 {
+		if _, err := c.Conn.Write(copied); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
@@ -290,7 +300,14 @@
 	if err := c.wait(c.owner.outGate); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		return n, err
+	}
+	if copied := c.written(b, c.owner.drawRepeat); len(copied) > 0 {
+		_, err = c.Conn.Write(copied)
+	}
+	return n, err
 }
 
 func (c *conn) Close() error {
