generation, quarantine: an answer that ends with its connection is complete only if its server works on

Cause: the end of the connection is the end of such an answer unless the replica has exited, which a probe decides. If all replicas refuse connections, the router takes itself for cut off, and the prober turns 'exited' into 'unreachable', since a cut link may refuse connections too. Guard.Exited took 'unreachable' for 'works on'.

Change: Guard.StateAtEnd returns the state, and only 'working' in both probes confirms the end. Anything else counts as a broken connection: the stream goes on elsewhere, or ends visibly broken; the error in attempt-lost (1406) names the state.

The stand-in's unframed streams end with the replica. The stand-in of TestSilentServerIsNotFoundExited sends a whole report, with its stage.

--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -172,7 +172,8 @@
 	a.Chunks = n
 }
 
-// serveUnframed serves a stream that has neither a length nor chunks and ends with its connection.
+// serveUnframed serves a stream that has neither a length nor chunks and ends with its connection, also when the replica
+// crashes.
 func (r *Replica) serveUnframed(w http.ResponseWriter, a *Arrival, f Faults) {
 	from, _ := strconv.Atoi(a.Header.Get("Last-Event-Id"))
 	conn, buf, err := w.(http.Hijacker).Hijack()
@@ -184,7 +185,11 @@
 	w.Header().Write(buf)
 	fmt.Fprint(buf, "Connection: close\r\n\r\n")
 	for n := from + 1; n <= r.Chunks; n++ {
-		time.Sleep(r.ChunkGap)
+		select {
+		case <-r.ended:
+			return
+		case <-time.After(r.ChunkGap):
+		}
 		if f.Truncated && n == r.Chunks/2 {
 			chunk := r.chunk(a.ID, n)
 			buf.WriteString(chunk[:len(chunk)/2])
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -7,11 +7,12 @@
 
 	"wigeondale/backend"
 	"wigeondale/event"
+	"wigeondale/quarantine"
 )
 
 var (
-	errGap          = errors.New("token missing")
-	errCrashedAtEnd = errors.New("the backend server exited with the end of its connection")
+	errGap            = errors.New("token missing")
+	errEndUnconfirmed = errors.New("the connection has ended, and the backend server is not known to work on")
 )
 
 // stream delivers the tokens of the current attempt until the attempt ends.
@@ -34,8 +35,10 @@
 		a.recordFirstToken(now)
 		x.clearSuspicion(a, now)
 		x.maintainCopy(a, now)
-		if t.Finish != "" && x.crashedAtEnd(a) {
-			return x.handleLoss(a, Error.New("%w: %w", backend.ErrBroken, errCrashedAtEnd))
+		if t.Finish != "" {
+			if err := x.unconfirmedEnd(a); err != nil {
+				return x.handleLoss(a, err)
+			}
 		}
 		if err := x.followOrigin(a); err != nil {
 			return x.callerDisconnected(err)
@@ -136,11 +139,18 @@
 	return "done"
 }
 
-// crashedAtEnd reports whether an answer that ends with its connection may be incomplete, since its backend server has
-// exited.
-func (x *run) crashedAtEnd(a *attempt) bool {
+// unconfirmedEnd returns an error if an answer that ends with its connection may be incomplete, since its backend server
+// is not known to work on. If all backend servers of a service crash, this router can't tell that from a cut of its own
+// links.
+func (x *run) unconfirmedEnd(a *attempt) error {
 	head := a.stream.Head()
-	return !a.forwarded && head != nil && head.EndsWithConnection && x.Guard.Exited(a.backend)
+	if a.forwarded || head == nil || !head.EndsWithConnection {
+		return nil
+	}
+	if state := x.Guard.StateAtEnd(a.backend); state != quarantine.Working {
+		return Error.New("%w: %w: it is %v", backend.ErrBroken, errEndUnconfirmed, state)
+	}
+	return nil
 }
 
 // overruns reports whether a token comes after the last one that the caller asked for. Otherwise an
@@ -161,8 +171,10 @@
 // mean that the answer is complete, since an engine that itself ended the attempt early sends
 // an end mark too.
 func (x *run) streamEnded(a *attempt, err error) string {
-	if err == io.EOF && x.crashedAtEnd(a) {
-		return x.handleLoss(a, Error.New("%w: %w", backend.ErrBroken, errCrashedAtEnd))
+	if err == io.EOF {
+		if err := x.unconfirmedEnd(a); err != nil {
+			return x.handleLoss(a, err)
+		}
 	}
 	if err == io.EOF && (x.req.Opaque != nil || x.filter.next >= x.req.MaxTokens) {
 		x.dropCopy(a)
--- a/hosted/silent_probe_test.go
+++ b/hosted/silent_probe_test.go
@@ -22,7 +22,7 @@
 	const startedAt = 1000
 	exited := func(addr string) bool {
 		inc := fleet.Incarnation{Name: "e0", StartedAt: startedAt}
-		return n.guard.Exited(fleet.Backend{ID: inc.ID(), Incarnation: inc, Service: "llm", FailureDomain: "d0", Addr: addr})
+		return n.guard.StateAtEnd(fleet.Backend{ID: inc.ID(), Incarnation: inc, Service: "llm", FailureDomain: "d0", Addr: addr}) != quarantine.Working
 	}
 	t.Run("nothing is read", func(t *testing.T) {
 		t.Parallel()
@@ -46,7 +46,7 @@
 			begun := time.Now()
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				time.Sleep(time.Until(begun.Add(silence)))
-				_, _ = w.Write([]byte(`{"born": 1000, "runs": []}`))
+				_, _ = w.Write([]byte(`{"stage": "unified", "born": 1000, "runs": []}`))
 			}))
 			defer s.Close()
 			for time.Since(begun) < silence+500*time.Millisecond {
--- a/quarantine/examine.go
+++ b/quarantine/examine.go
@@ -77,17 +77,18 @@
 	}
 }
 
-// Exited reports whether a backend server exited with the end of a connection that looks like the end of an answer.
-// It probes the backend server twice, since a process that crashes may still listen at first.
-func (g *Guard) Exited(b fleet.Backend) bool {
+// StateAtEnd returns the state of a backend server at the end of a connection that looks like the end of an answer. It
+// probes the backend server twice, since a process that crashes may still listen at first. Working means that both probes
+// found it working; any other result leaves open whether the answer is complete.
+func (g *Guard) StateAtEnd(b fleet.Backend) State {
 	if g == nil {
-		return false
+		return Working
 	}
-	if g.probeOnce(b) == Exited {
-		return true
+	if state := g.probeOnce(b); state != Working {
+		return state
 	}
 	time.Sleep(probeInterval)
-	return g.probeOnce(b) == Exited
+	return g.probeOnce(b)
 }
 
 // probe probes a backend server up to maxProbes times to find out whether it has exited.
