hosted: a replica that is leaving when it is first read has its address

What callers could see: requests that go to an address whose replica has ended, and get 421 first.

Cause: addReplica marked a new replica that is draining, or recorded that it has its address, but not both. Both are done now.

Test: TestLeavingReplicaHasItsAddress; before, the ended replica is used.

--- a/hosted/view.go
+++ b/hosted/view.go
@@ -140,10 +140,10 @@
 	v.store(b)
 	v.mon.SetFailureDomain(b.ID, b.Service, b.FailureDomain)
 	v.changed[b.ID] = struct{}{}
-	switch {
-	case b.Leaving && !old.Leaving:
+	if b.Leaving && !old.Leaving {
 		v.markLeaving(b.ID, "announced by the replica", item.ModRev)
-	case !known:
+	}
+	if !known {
 		v.added = append(v.added, b)
 		v.replaceAtAddress(b, item.ModRev)
 	}
--- a/hosted/view_test.go
+++ b/hosted/view_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -92,3 +93,17 @@
 		v.BatchDone()
 	}
 }
+
+// Guards against requests that go to a replica that has ended, because the replica that has its address was already leaving
+// when the router started.
+func TestLeavingReplicaHasItsAddress(t *testing.T) {
+	v := newTestView()
+	leaving := replicaEntry("i-b", "10.0.0.1:80", 9)
+	leaving.Data = bytes.Replace(leaving.Data, []byte("ready"), []byte("draining"), 1)
+	v.Put(leaving)
+	v.Put(replicaEntry("i-a", "10.0.0.1:80", 5))
+	v.BatchDone()
+	if !v.dir.Leaving("i-a") || !v.dir.Leaving("i-b") {
+		t.Errorf("leaving: ended %v, successor %v", v.dir.Leaving("i-a"), v.dir.Leaving("i-b"))
+	}
+}
