hosted, directory: a replica whose entry lapses is used again when the entry is back

Cause: a removed entry marked the replica as leaving, a mark that only a new lifetime clears.

Ruled out: the entry doesn't come back to the view (it does), backoff of the failure detector (Forget drops it), a statement of the replica (none).

Change: Directory.Unlist stops the use of a replica at once and until it is listed again, as for replicas outside the sample. Marks stay for what a replica has said itself, another lifetime, and another replica at its address. The lapse has an event of its own (1928, replica-unlisted), and replica-known names a mark. Adopted replicas that the store does not list in time had the same fault, and are unlisted too.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -232,6 +232,13 @@
 	}
 }
 
+// Marked reports whether the current incarnation of a backend server is marked as leaving, by MarkLeaving or another source.
+// A backend server may also count as leaving without a mark, for as long as it isn't listed or by the configuration.
+func (d *Directory) Marked(id string) bool {
+	r := d.index.get(id)
+	return r != nil && r.marked()
+}
+
 // SetIntent sets which VMs should leave according to the configuration in force. Unlike
 // MarkLeaving, SetIntent does not mark incarnations. A VM that is missing from the set at
 // a later call gets work again, unless another source reports that VM as leaving.
--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -42,6 +42,13 @@
 	return r.updateLeaving()
 }
 
+// marked reports whether the current incarnation is marked as leaving.
+func (r *record) marked() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.marks, r.last.Incarnation)
+}
+
 // withdraw makes the backend server count as leaving until it is listed again.
 func (r *record) withdraw() {
 	r.mu.Lock()
--- a/directory/list.go
+++ b/directory/list.go
@@ -43,14 +43,20 @@
 	d.applyChanges(changed, missing, now)
 }
 
+// Unlist stops the use of a backend server that the list no longer names, at once and until Apply names it again. That it
+// is missing does not mean that it is leaving: its registration may have lapsed. Apply must be called with its id as well.
+func (d *Directory) Unlist(id string) {
+	if r := d.index.get(id); r != nil {
+		r.withdraw()
+	}
+}
+
 // Withdraw stops the use of backend servers of which no more changes become known, until they
 // are listed again. Their requests in progress go on, and they are kept as those that were
 // removed from the list; no router is notified.
 func (d *Directory) Withdraw(ids []string, now time.Time) {
 	for _, id := range ids {
-		if r := d.index.get(id); r != nil {
-			r.withdraw()
-		}
+		d.Unlist(id)
 	}
 	d.Apply(nil, ids, now)
 }
--- a/event/ids.go
+++ b/event/ids.go
@@ -148,6 +148,7 @@
 	ReplicasWithdrawn
 	SamplePlanWritten
 	StoreItemRewritten
+	ReplicaUnlisted
 )
 
 // Events of the platform's store (20xx).
--- a/hosted/adopt.go
+++ b/hosted/adopt.go
@@ -228,9 +228,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id := range v.adopted {
-		name := v.replicas[id].Incarnation.Name
-		v.drop(id, "the store does not list it")
-		v.incarnations.forget(name)
+		v.unlist(v.replicas[id].Incarnation, "the store does not list it")
 	}
 	v.settle()
 }
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -196,8 +196,11 @@
 // the runs of the earlier incarnation are lost, and what is known about it does not apply to
 // its successor.
 func (v *view) endIncarnation(inc fleet.Incarnation) {
-	v.mon.Restarted(inc.ID())
-	v.drop(inc.ID(), "restarted")
+	id := inc.ID()
+	v.mon.Restarted(id)
+	v.markLeaving(id, "restarted", 0)
+	v.forget(id)
+	v.changed[id] = struct{}{}
 }
 
 // replaceAtAddress records that a replica has its address. If another replica has the same
@@ -230,17 +233,19 @@
 	delete(v.unknownServices, name)
 	v.release(name)
 	if inc, known := v.incarnations.get(name); known {
-		v.drop(inc.ID(), "its entry was removed")
-		v.incarnations.forget(name)
+		v.unlist(inc, "its entry was removed")
 	}
 }
 
-// drop marks a replica as leaving, for the given reason, and removes it from the view and from
-// the failure detector.
-func (v *view) drop(id, reason string) {
-	v.markLeaving(id, reason, 0)
+// unlist removes a replica without an entry from the view and from the failure detector. The replica gets no new work
+// until it is listed again: it may have left, but its entry also lapses while it can't reach the store.
+func (v *view) unlist(inc fleet.Incarnation, reason string) {
+	id := inc.ID()
+	v.log.Emit(event.ReplicaUnlisted, "backend", id, "reason", reason)
+	v.dir.Unlist(id)
 	v.forget(id)
 	v.changed[id] = struct{}{}
+	v.incarnations.forget(inc.Name)
 }
 
 // store records a replica in the view.
@@ -286,13 +291,11 @@
 	v.withdrawn = append(v.withdrawn, inc.ID())
 }
 
-// markLeaving marks a replica as leaving. The mark takes effect at once, and not with the next
+// markLeaving marks a replica as leaving for good. The mark takes effect at once, and not with the next
 // BatchDone.
 func (v *view) markLeaving(id, reason string, revision fleet.Revision) {
-	if v.dir.Leaving(id) {
-		if _, known := v.dir.Backend(id); known {
-			return
-		}
+	if v.dir.Marked(id) {
+		return
 	}
 	v.log.Emit(event.ReplicaLeaving, "backend", id, "reason", reason, "revision", revision)
 	// The directory may not know the replica yet; then the next BatchDone passes the mark to
--- a/hosted/view_settle.go
+++ b/hosted/view_settle.go
@@ -62,7 +62,7 @@
 		v.added = nil
 	}
 	for _, b := range v.added {
-		v.log.Emit(event.ReplicaKnown, "backend", b.ID, "service", b.Service, "domain", b.FailureDomain, "addr", b.Addr)
+		v.log.Emit(event.ReplicaKnown, "backend", b.ID, "service", b.Service, "domain", b.FailureDomain, "addr", b.Addr, "leaving", b.Leaving || v.dir.Marked(b.ID))
 	}
 	v.added = v.added[:0]
 }
