soak, fakes: answers sent twice, entries that lapse, all engines that crash at once

After the faults each router must serve each service.

backend: a connection's first key is recorded under the lock (found by reading).

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(GO) test ./soak -run TestSeeds -count=1 -v
 
 soak-many: build
-	./bin/wigeonsoak --seed $(SEED) --seeds 50 --length 8s --lifetimes --crashers --asks --drills --engines 10 --services 8
+	./bin/wigeonsoak --seed $(SEED) --seeds 50 --length 8s --lifetimes --crashers --asks --drills --repeats --outages --engines 10 --services 8
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
--- a/backend/conns.go
+++ b/backend/conns.go
@@ -134,6 +134,8 @@
 	if c, err = p.open(ctx, addr); err != nil {
 		return nil, false, err
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	c.carries(digest)
 	c.last = others // the idle ones are enough for requests with other keys
 	return c, false, nil
@@ -234,7 +236,7 @@
 	return max(uint32(xxhash.Sum64String(key)), 1)
 }
 
-// carries records that c carries a request whose key has a digest.
+// carries records that c carries a request whose key has a digest. The caller holds pool.mu.
 func (c *conn) carries(digest uint32) {
 	c.verified = false
 	if digest != 0 {
--- a/fakes/fault/repeat.go
+++ b/fakes/fault/repeat.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 )
 
 // Repeat is when an answer is sent a second time.
@@ -37,6 +38,23 @@
 	return draw()
 }
 
+// repeatedEvery is the number of answers of which RepeatSome repeats one.
+const repeatedEvery = 5
+
+// RepeatSome returns a function for SetRepeats that repeats answers of all kinds, at both times by turns.
+func RepeatSome() func() Repeat {
+	var answers atomic.Int64
+	return func() Repeat {
+		switch answers.Add(1) % (2 * repeatedEvery) {
+		case 0:
+			return AtOnce
+		case repeatedEvery:
+			return AtNextRequest
+		}
+		return Never
+	}
+}
+
 // repeater sends answers of one connection twice. The server serves one request after the other, so that what is written
 // between two reads is an answer.
 type repeater struct {
--- a/fakes/fault/server.go
+++ b/fakes/fault/server.go
@@ -70,7 +70,7 @@
 }
 
 // Apply turns a switch that all HTTP fakes share: kill, start, cut, heal, freeze, thaw,
-// slow {ms}, outage {on} and endless {on,kind,ms}. An outage resets and refuses connections like
+// slow {ms}, outage {on}, endless {on,kind,ms} and repeat {on}, which sends some answers twice. An outage resets and refuses connections like
 // kill, but the fake keeps its state. With endless, each answer is one without end of the given kind,
 // with ms between two bytes.
 func (s *Server) Apply(name string, args Args) error {
@@ -87,6 +87,11 @@
 		s.delayNS.Store(int64(args.Duration()))
 	case "endless":
 		s.setEndless(args)
+	case "repeat":
+		s.Listener.SetRepeats(nil)
+		if args.Enabled() {
+			s.Listener.SetRepeats(RepeatSome())
+		}
 	case "outage":
 		return s.outage(args.Enabled())
 	default:
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -172,6 +172,7 @@
 		r.checkSoftware()
 	}
 	r.checkBrittle()
+	r.checkServed()
 	r.mu.Lock()
 	all := append([]*fakes.Replica(nil), r.formerReplicas...)
 	for _, reps := range r.services {
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -144,13 +144,16 @@
 		ID: fmt.Sprintf("i-%d", r.startedReplicas), Service: service, Domain: fmt.Sprintf("d%d", domain), Version: version,
 		Engine: engine, ShowsVersion: engine && r.cfg.Software, Chunks: chunkCount, ChunkGap: chunkGap, OnCrash: r.replaceLater,
 	}
+	if r.cfg.Repeats && !engine {
+		rep.Room, rep.Work = littleRoom, slowWork
+	}
 	if r.cfg.Restarts {
 		rep.StartedAt = time.Now().UnixMilli()
 	}
-	if faults, bad := r.badVersions[version]; bad {
+	if _, bad := r.badVersions[version]; bad {
 		r.checks.ends.trouble.begin(rep) // never ends
-		rep.SetFaults(faults)
 	}
+	rep.SetFaults(r.baseFaults(rep))
 	if err := rep.Start(r.replicaAt); err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -55,6 +55,8 @@
 	all = append(all, r.softwareFaults()...)
 	all = append(all, r.brittleFaults()...)
 	all = append(all, r.endlessFaults()...)
+	all = append(all, r.repeatFaults()...)
+	all = append(all, r.outageFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
@@ -87,12 +89,11 @@
 	}
 }
 
-// clearMisbehaviour clears the fault switches of a replica, except the faults that all
-// replicas of its version have because that version is bad.
+// clearMisbehaviour clears the fault switches of a replica, except the faults that it always has.
 func (r *platformRun) clearMisbehaviour(rep *fakes.Replica) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rep.SetFaults(r.badVersions[rep.Version])
+	rep.SetFaults(r.baseFaults(rep))
 }
 
 // crashDomain crashes all engines of one failure domain at once.
--- a/soak/product_faults.go
+++ b/soak/product_faults.go
@@ -12,7 +12,8 @@
 
 // faults lists all faults on the product's own interface.
 func (r *productRun) faults() []fault {
-	return append(append(processFaults(func() *process { return &r.randomRouter().process }), r.endlessFaults()...),
+	all := append(r.endlessFaults(), r.repeatFaults()...)
+	return append(append(processFaults(func() *process { return &r.randomRouter().process }), all...),
 		r.switchFault("key-value service down", func() string { return "kv" }, "outage", `{"on":true}`, "outage", `{"on":false}`),
 		r.switchFault("key-value service silent", func() string { return "kv" }, "cut", "", "heal", ""),
 		r.switchFault("VM list silent", func() string { return "vms" }, "cut", "", "heal", ""),
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -70,6 +70,12 @@
 	// Endless makes backend servers, and on the product's own interface also the platform's services, answer
 	// with bytes without end.
 	Endless bool
+	// Repeats makes backend servers send some of their answers twice, refusals and reports included, and leaves plain
+	// services little room.
+	Repeats bool
+	// Outages makes entries of sound replicas lapse, of one and of all of a service, and all engines crash at once. The
+	// streams of engines end with their connections.
+	Outages bool
 	// Silences injects nothing but silences of replicas and new versions of the configuration, on the users' platform.
 	Silences bool
 	// NoSilences draws no silences and the larger retry budget, so that a seed is what it was before there were any.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,20 @@
 	checkSeed(t, Run, Config{Seed: 4, Nodes: 3, Engines: 6, Services: 4, Clients: 24, FaultTime: 4 * time.Second, Silences: true})
 }
 
+// TestRepeatSeeds makes the same checks as TestSeeds, on both interfaces, while backend servers send answers twice. Guards
+// against an answer that is taken for the answer to another request.
+func TestRepeatSeeds(t *testing.T) {
+	cfg := Config{Seed: 41, Nodes: 3, Engines: 6, Services: 4, Clients: 16, FaultTime: 6 * time.Second, Repeats: true}
+	checkSeed(t, Run, cfg)
+	checkSeed(t, RunProduct, cfg)
+}
+
+// TestOutageSeeds makes the same checks as TestSeeds while entries of sound replicas lapse and all engines crash at once.
+// Guards against a service that is refused for good, and against streams that end as complete in the middle.
+func TestOutageSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 51, Nodes: 3, Engines: 6, Services: 4, Clients: 10, FaultTime: 6 * time.Second, Outages: true})
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
