--- a/backend/conns.go
+++ b/backend/conns.go
@@ -28,8 +28,8 @@
 // and both run it. An answer that names its request tells most copies apart, but not the copy of an answer to an earlier
 // try of the same request; an answer that names none can be the copy of any. Two rules exclude both:
 //   - A request isn't sent over a connection that has carried a request with the same key (see Exchange).
-//   - A connection carries no further request before the answer to its latest one is found to belong to that request, and
-//     is closed if it doesn't: all later answers on it would be misplaced as well.
+//   - A connection carries its next request only when the answer to the latest one is known to belong to it. Otherwise it
+//     is closed, since all later answers on it would be misplaced as well.
 type Conns struct {
 	transport bounded.Transport // opens the connections
 
--- a/hosted/lapse_test.go
+++ b/hosted/lapse_test.go
@@ -18,6 +18,7 @@
 // from the store for some seconds.
 func TestReplicaIsUsedAgainWhenItsEntryIsBack(t *testing.T) {
 	v := newTestView()
+	v.dir.OnLeaving = func(id, _ string, _ directory.Source) { t.Errorf("the other routers are told that %s leaves", id) }
 	v.apply(replicaEntry("i-a", "10.0.0.1:80", 5))
 	for lapse := range fleet.Revision(3) {
 		v.Removed("servers/i-a")
@@ -30,6 +31,7 @@
 			t.Error("a replica whose entry is back gets no work")
 		}
 	}
+	v.dir.OnLeaving = nil
 	v.dir.MarkLeaving("i-a", "", directory.FromAnswer)
 	v.Removed("servers/i-a")
 	v.Put(replicaEntry("i-a", "10.0.0.1:80", 20))
