--- a/backend/conns.go
+++ b/backend/conns.go
@@ -25,8 +25,8 @@
 //
 // A server, or a proxy before it, may send an answer twice. The second copy arrives where the answer to the next request
 // on the connection is due. If that request takes the copy of a refusal for its own answer, it is sent to another server,
-// and both run it. An answer that names its request tells most copies apart, but not the copy of an answer to an earlier
-// try of the same request; an answer that names none can be the copy of any. Two rules exclude both:
+// and both run it. The name of the request in an answer identifies most copies, but not the copy of an answer to an
+// earlier try of the same request, and some answers name no request. Two rules exclude these as well:
 //   - A request isn't sent over a connection that has carried a request with the same key (see Exchange).
 //   - A connection carries its next request only when the answer to the latest one is known to belong to it. Otherwise it
 //     is closed, since all later answers on it would be misplaced as well.
