generation: the log says what proves that an attempt did not run

A request whose attempt was lost without a proof and that ends as "not-run" is refused untruly. No decision is changed.

--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -237,11 +237,11 @@
 		"silent_ms", time.Since(x.lastToken).Milliseconds(), "err", err)
 }
 
-// logLoss logs why an attempt ended, and how long it was silent before that.
+// logLoss logs why an attempt ended, what proves that it did not run, if anything does, and how long it was silent.
 func (x *run) logLoss(a *attempt, cause string, err error) {
 	x.searchLogged = false
 	x.opts.Log.Emit(event.AttemptLost, "request", x.req.ID, "digest", x.tracked.DigestString(), "attempt", a.origin.Attempt,
-		"backend", a.backend.ID, "cause", cause, "accepted", a.accepted, "next", x.filter.next,
+		"backend", a.backend.ID, "cause", cause, "not_run", proofOfNotRun(a, err), "accepted", a.accepted, "next", x.filter.next,
 		"silent_ms", time.Since(x.lastToken).Milliseconds(), "err", err)
 }
 
