generation: an attempt may have run from before its first byte until a proof that it did not

Cause: handleForwardError left at the deadline before it noted that the other router may have run the request. The class: "has not run" was the default, and each way out of a function had to remember to say otherwise.

Change: fates holds the attempts of a run whose fate is unknown. dispatch and forward record an attempt before its first byte can leave; only a proof in its error takes it out (nothing sent on a sealed connection, a refusal that belongs to it, the other router's "not-run"). mayHaveRun and attemptsSent, which were set at eleven places, are gone: "refused" and a freed claim are possible only if the record is empty, whatever way the run ended.

TestAttemptsCountOverTwoRouters sets the attempts through the record now; it checks the same.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -153,7 +153,7 @@
 // attempt.
 func (x *run) isLastAttempt() bool {
 	o := x.req.Opaque
-	return o != nil && (x.req.NonIdempotent || x.attemptsSent+1 >= o.MaxAttempts)
+	return o != nil && (x.req.NonIdempotent || x.fates.count()+1 >= o.MaxAttempts)
 }
 
 // noWatch is a Watch that does nothing. It is used for an attempt that must not be ended
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -25,14 +25,14 @@
 	a.origin = Position{Backend: a.backend.ID, Attempt: x.nextAttemptNumber()}
 	x.watchAttempt(a)
 	x.m.attempts.Inc()
-	x.attemptsSent++
-	first := !x.anySent
+	first, again := !x.anySent, x.fates.mayHaveRun()
+	x.fates.sending(a)
 	x.anySent = true
 	copies := x.copiesFor(a.backend)
 	copies.Standby = x.chooseStandby(a)
 	x.opts.Log.Emit(event.AttemptBegun, "request", x.req.ID, "attempt", a.origin.Attempt,
 		"backend", a.backend.ID, "software", a.backend.Version, "standby", a.copy.backend.ID, "from_copy", copies.FromCopy, "from", x.filter.next)
-	if x.mayRun() && !copies.FromCopy {
+	if again && !copies.FromCopy {
 		x.m.prefill.Add(x.promptBytes())
 	}
 	a.stopPolling = x.pollRun(a)
@@ -52,7 +52,6 @@
 		return x.handleOpenError(a, err)
 	}
 	x.Watcher.Result(a.backend.ID, nil)
-	x.mayHaveRun = true
 	x.replaceKept()
 	return x.makeCurrent(a, s, "opened")
 }
@@ -120,26 +119,27 @@
 }
 
 func (x *run) handleOpenError(a *attempt, err error) string {
-	refused, isRefusal := errors.AsType[*backend.Refused](err)
 	if failed, ok := errors.AsType[*backend.FailedAnswer](err); ok {
 		return x.recordFailedAnswer(a, failed)
 	}
-	if !isRefusal && !errors.Is(err, backend.ErrNotSent) {
-		x.mayHaveRun = true
+	refused, isRefusal := errors.AsType[*backend.Refused](err)
+	if isRefusal && refused.Code == codeAttemptExists {
+		// Another router already runs this request. This router doesn't know of that run,
+		// since the stored pointer to the run is soft state and was lost. It would be untrue
+		// to report that the request was refused and has not run.
+		a.refused = true
+		a.closeReader()
+		x.tracked.AttemptEnded()
+		return x.end("lose", CodeDuplicate, ErrDuplicate)
+	}
+	if !x.fates.settle(a, err) {
 		x.current = a
 		return x.handleLoss(a, err)
 	}
 	a.refused = true
 	a.closeReader()
 	x.tracked.AttemptEnded()
-	x.attemptsSent--
 	x.unreached = x.unreached || !isRefusal
-	if isRefusal && refused.Code == codeAttemptExists {
-		// Another router already runs this request. This router doesn't know of that run,
-		// since the stored pointer to the run is soft state and was lost. It would be untrue
-		// to report that the request was refused and has not run.
-		return x.end("lose", CodeDuplicate, ErrDuplicate)
-	}
 	if x.mustEnd() {
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
@@ -176,7 +176,6 @@
 // recordFailedAnswer keeps a failure that the backend server itself returned as its answer.
 // That failure becomes the final answer unless another attempt is allowed and succeeds.
 func (x *run) recordFailedAnswer(a *attempt, failed *backend.FailedAnswer) string {
-	x.mayHaveRun = true
 	x.failedAnswer = failed
 	x.waitErr = failed
 	x.Watcher.Result(a.backend.ID, nil)
@@ -233,7 +232,7 @@
 	if u, ok := errors.AsType[*Unavailable](err); ok && u.Code != "" {
 		code = u.Code
 	}
-	x.opts.Log.Emit(event.NoFurtherAttempt, "request", x.req.ID, "code", code, "sent", x.attemptsSent, "next", x.filter.next,
+	x.opts.Log.Emit(event.NoFurtherAttempt, "request", x.req.ID, "code", code, "sent", x.fates.count(), "next", x.filter.next,
 		"silent_ms", time.Since(x.lastToken).Milliseconds(), "err", err)
 }
 
--- a/generation/end.go
+++ b/generation/end.go
@@ -51,7 +51,7 @@
 	switch {
 	case x.req.NonIdempotent && errors.Is(context.Cause(x.ctx), ErrSuperseded):
 		return "unknown"
-	case !x.mayRun():
+	case !x.fates.mayHaveRun():
 		return "refused"
 	case x.req.NonIdempotent:
 		return "unknown"
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -92,19 +92,18 @@
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	a.sentAt = time.Now()
 	ctx, handover := a.ctx, x.handover()
+	x.fates.sending(a)
 	a.begin(func() (Stream, error) { return x.Forwarder.Forward(ctx, handover) })
 	opened, ev, err := x.awaitAnswer(a)
 	switch {
 	case ev != "":
-		x.attemptsSent++ // the other router may have sent it
 		return ev
 	case err != nil:
 		return x.handleForwardError(a, err)
 	}
 	x.replaceKept()
 	s := opened.(ForwardedStream)
-	x.attemptsSent++
-	x.anySent, x.mayHaveRun = true, true
+	x.anySent = true
 	x.opts.Log.Emit(event.RequestPassedOn, "request", x.req.ID, "service", x.service(), "to", s.Router(), "from", x.filter.next,
 		"took_ms", time.Since(a.sentAt).Milliseconds())
 	x.setRemoteOrigin(a, s)
@@ -121,10 +120,10 @@
 		rest.FirstChunk = x.filter.next
 		rest.BeganAs = x.req.BeganAs()
 		rest.HasPartialAnswer = rest.HasPartialAnswer || x.started()
-		rest.MaxAttempts = max(x.maxAttempts()-x.attemptsSent, 1)
+		rest.MaxAttempts = max(x.maxAttempts()-x.fates.count(), 1)
 		rest.SinceFirstTry += time.Since(x.startedAt)
 		req.Opaque = &rest
-	} else if x.mayRun() {
+	} else if x.fates.mayHaveRun() {
 		req.Resume = x.resumePoint()
 	}
 	return Handover{Request: req, Retry: x.anySent}
@@ -143,39 +142,29 @@
 // did not begin.
 func (x *run) handleForwardError(a *attempt, err error) string {
 	a.closeReader()
+	notRun := x.fates.settle(a, err)
+	x.anySent = x.anySent || !notRun
 	x.waitErr = err
 	x.logLoss(a, causeRouter, err)
 	if x.mustEnd() {
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
 	end, ended := errors.AsType[*RemoteEnd](err)
-	_, unavailable := errors.AsType[*Unavailable](err)
 	switch {
-	case x.started() && (unavailable || ended && end.Outcome == fleet.NotRun):
+	case x.started() && notRun:
 		x.delay = maxPickDelay // a started answer waits for a router that takes it
 		return "not-started"
 	case ended:
-		if end.Outcome != fleet.NotRun {
-			x.attemptsSent++
-			x.anySent = true
-		}
 		return x.endLikeRemote(end)
-	case unavailable:
+	case notRun:
 		return x.giveUp(CodeCutOff, err)
 	}
-	x.attemptsSent++
-	x.anySent, x.mayHaveRun = true, true
 	x.current = a
 	return x.handleLoss(a, err)
 }
 
 // endLikeRemote ends the run as it ended at the other router.
-func (x *run) endLikeRemote(end *RemoteEnd) string {
-	if end.Outcome != fleet.NotRun {
-		x.mayHaveRun = true
-	}
-	return x.giveUp(end.Code, end)
-}
+func (x *run) endLikeRemote(end *RemoteEnd) string { return x.giveUp(end.Code, end) }
 
 // followOrigin tells the sink which attempt at the other router produces the tokens, if that has
 // changed.
--- a/generation/forward_test.go
+++ b/generation/forward_test.go
@@ -147,7 +147,9 @@
 	req := Request{ID: "q", Opaque: &Opaque{Opaque: &backend.Opaque{}, FirstChunk: 1, MaxAttempts: 2}}
 	for sent, want := range []int{2, 1} {
 		x := newRun(r, t.Context(), req, &fakeSink{})
-		x.attemptsSent = sent
+		for range sent {
+			x.fates.sending(&attempt{})
+		}
 		if got := x.handover().Request.Opaque.MaxAttempts; got != want {
 			t.Errorf("after %d attempts the other router may make %d, want %d", sent, got, want)
 		}
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -183,7 +183,7 @@
 	keepsText  bool
 	release    func() // ends the admission; nil before it
 	claimOwner string // name under which the request was claimed; empty without a claim
-	mayHaveRun bool   // a byte may have reached an engine that hasn't refused the request
+	fates      fates
 
 	bound          *Binding              // software version at which the answer began; nil before its first chunk
 	lostDomain     string                // failure domain of the most recently lost attempt
@@ -191,7 +191,6 @@
 	copyUsed       bool                  // an attempt was sent to the copy of the kept attempt
 	firstAfterLoss bool                  // the next attempt is the first since the loss of a started answer
 	needsBudget    bool                  // the next attempt of an opaque request counts as another arrival at its service
-	attemptsSent   int                   // attempts that may have run
 	unreached      bool                  // no connection opened for an attempt
 	anySent        bool                  // an attempt was sent, whether it may have run or not
 	failedAnswer   *backend.FailedAnswer // the latest one; delivered if nothing better arrives
@@ -232,7 +231,7 @@
 	}
 	if p := req.Resume; p != nil {
 		x.bound = &Binding{Version: p.Software}
-		x.mayHaveRun = true
+		x.fates.earlier = true
 		x.filter.next = p.Offset
 		x.attemptNumber = p.Attempt
 		x.keepsText = x.keepsText && p.HaveText
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -96,7 +96,7 @@
 		x.waitErr, x.delay = errAwaitsTurn, turnPoll
 		return "none"
 	}
-	if x.req.Opaque != nil && x.attemptsSent >= x.maxAttempts() {
+	if x.req.Opaque != nil && x.fates.count() >= x.maxAttempts() {
 		x.logNoFurtherAttempt(CodeEngineLost, x.waitErr)
 		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
@@ -153,7 +153,7 @@
 func (x *run) pickRequest() PickRequest {
 	a := PickRequest{
 		RequestID: x.req.ID, Ref: x.req.Ref, Priority: x.req.Priority, Prompt: x.req.Prompt,
-		Exclude: x.exclude, Resume: x.started(), IsRetry: x.anySent, MayHaveRun: x.mayRun(), Prefer: x.lostCopy.backendID, Account: x.req.Account,
+		Exclude: x.exclude, Resume: x.started(), IsRetry: x.anySent, MayHaveRun: x.fates.mayHaveRun(), Prefer: x.lostCopy.backendID, Account: x.req.Account,
 		Stream: x.bindsVersion(), Binding: x.bound,
 	}
 	if o := x.req.Opaque; o != nil {
@@ -168,7 +168,7 @@
 		if len(o.PromptParts) > 0 {
 			a.UniquePart = o.PromptParts[len(o.PromptParts)-1]
 		}
-		if o.HasPartialAnswer && x.attemptsSent == 0 {
+		if o.HasPartialAnswer && x.fates.count() == 0 {
 			a.PromptParts = o.PromptParts
 		}
 		a.LostDomain = x.lostDomain
@@ -272,7 +272,7 @@
 }
 
 func (x *run) voidClaim() {
-	if x.claimOwner == "" || x.mayHaveRun {
+	if x.claimOwner == "" || x.fates.mayHaveRun() {
 		return
 	}
 	account, key, name := x.req.Account, x.req.ID, x.claimOwner
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -141,7 +141,6 @@
 // continueKept makes the kept attempt the current one again, now that it delivers.
 func (x *run) continueKept(r readResult) string {
 	a := x.takeKept(silenceDelivered)
-	x.mayHaveRun = true
 	x.releaseChoice()
 	if x.copyUsed {
 		a.copy.release()
@@ -177,7 +176,7 @@
 func (x *run) watchAgain(a *attempt) {
 	a.watch.Close()
 	a.watch = noWatch{}
-	if o := x.req.Opaque; o != nil && x.attemptsSent >= o.MaxAttempts {
+	if o := x.req.Opaque; o != nil && x.fates.count() >= o.MaxAttempts {
 		return // as the last attempt
 	}
 	a.watch = x.Watcher.Watch(a.backend.ID, x.work(), a.reportLoss)
@@ -190,11 +189,9 @@
 // loseKept records that the kept attempt has ended. The search goes on.
 func (x *run) loseKept(err error) {
 	a := x.takeKept(silenceLost)
-	refusal, refused := errors.AsType[*backend.Refused](err)
-	refused = refused && refusal.Code != codeAttemptExists // another router runs the request
 	failed, isAnswer := errors.AsType[*backend.FailedAnswer](err)
 	switch {
-	case refused, errors.Is(err, backend.ErrNotSent):
+	case x.fates.settle(a, err):
 		x.keptNotRun(a, err)
 		return
 	case isAnswer:
@@ -203,7 +200,6 @@
 		x.current = current
 		return
 	}
-	x.mayHaveRun = true
 	cause := lossCause(a.ctx, err)
 	if !engineLost(a.ctx) {
 		x.Watcher.Result(a.backend.ID, err)
@@ -217,7 +213,6 @@
 func (x *run) keptNotRun(a *attempt, err error) {
 	a.refused = true
 	a.closeReader()
-	x.attemptsSent--
 	x.waitErr = err
 	x.logLoss(a, causeNotRun, err)
 	if !errors.Is(err, backend.ErrWithheld) {
@@ -225,16 +220,12 @@
 	}
 }
 
-// mayRun reports whether the request has run, or the kept attempt may run it.
-func (x *run) mayRun() bool { return x.mayHaveRun || x.kept != nil }
-
 // replaceKept ends the kept attempt, now that another backend server has accepted the request.
 func (x *run) replaceKept() {
 	if x.kept == nil {
 		return
 	}
 	a := x.takeKept(silenceReplaced)
-	x.mayHaveRun = true
 	x.logLoss(a, causeSilence, x.waitErr)
 	x.abandonAttempt(a)
 }
