backend, platform: a request that is given up is not delivered by the kernel afterwards

Change: a connection to a replica, or to a plain service, that is closed while it carries a request is reset, which drops what is not sent yet. Connections that carry none, and those to engines of the product's own interface, which keep attempts for a caller that comes back, close as before.

The stand-in of cut links held back the write itself, so no test could see this; now it takes the bytes and delivers them after the cut, also of a connection that was closed and not reset.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -239,6 +239,7 @@
 // carries records that c carries a request whose key has a digest. The caller holds pool.mu.
 func (c *conn) carries(digest uint32) {
 	c.verified = false
+	c.sealed.carries.Store(true)
 	if digest != 0 {
 		c.carried = append(c.carried, digest)
 	}
@@ -278,8 +279,10 @@
 		p.remove(c)
 	case !c.verified || c.isIdle || c.client.Available() == 0:
 	case c.last || len(c.carried) >= maxCarried || len(idle) >= idleConnsPerSrv:
+		c.sealed.carries.Store(false)
 		drop = true
 	default:
+		c.sealed.carries.Store(false)
 		c.isIdle = true
 		c.expiry = time.AfterFunc(idleTimeout, c.expire)
 		p.idle[c.addr] = append(idle, c)
--- a/backend/send.go
+++ b/backend/send.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,8 +33,11 @@
 	// Outage, used instead if it is set, is how long the peer's machine may be unreachable at any moment without
 	// that the connection is closed, whether it is idle or not. The connection to a machine that is lost is closed
 	// within two seconds more.
-	Outage      time.Duration
-	BufferBytes int // size of the read buffer and of the write buffer, in bytes
+	Outage time.Duration
+	// ResetUnfinished has a connection reset if it is closed while it carries a request. The kernel then drops what it
+	// has not sent yet. Otherwise it delivers a request that was given up as soon as a link that was cut is back.
+	ResetUnfinished bool
+	BufferBytes     int // size of the read buffer and of the write buffer, in bytes
 	// Dial opens the TCP connections. If it is nil, a net.Dialer does.
 	Dial DialFunc
 	// Connections, if set, is notified of connections that open, don't open, or are lost.
@@ -53,7 +57,7 @@
 	ConnFailed(addr string, err error)
 }
 
-// newConns returns the connections for the engine protocol and for services.
+// newConns returns the connections for the engine protocol.
 func newConns(o ConnObserver) *Conns {
 	return NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, Connections: o})
 }
@@ -74,7 +78,7 @@
 			if err != nil {
 				return nil, err
 			}
-			sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections}
+			sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections, resetUnfinished: d.ResetUnfinished}
 			if dialed, ok := ctx.Value(dialedKey{}).(**sealConn); ok {
 				*dialed = sealed
 			}
@@ -142,6 +146,9 @@
 	addr     string
 	observer ConnObserver // nil: none
 
+	resetUnfinished bool        // see DialConfig
+	carries         atomic.Bool // a request has been assigned to it and its answer has not been read
+
 	mu      sync.Mutex
 	sealed  bool
 	written int64
@@ -183,6 +190,16 @@
 	return c.written
 }
 
+// Close implements net.Conn.
+func (c *sealConn) Close() error {
+	if c.resetUnfinished && c.carries.Load() {
+		if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+			_ = l.SetLinger(0) // fails only if it is closed already
+		}
+	}
+	return c.Conn.Close()
+}
+
 // seal prevents all further writes and reports whether any byte was written since
 // writtenBytes returned writtenBefore.
 func (c *sealConn) seal(writtenBefore int64) bool {
--- a/backend/service.go
+++ b/backend/service.go
@@ -34,7 +34,9 @@
 }
 
 // NewServiceClient returns a client with its own connection pool.
-func NewServiceClient() *ServiceClient { return &ServiceClient{conns: newConns(nil)} }
+func NewServiceClient() *ServiceClient {
+	return &ServiceClient{conns: NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, ResetUnfinished: true})}
+}
 
 // CloseIdle closes connections that carry no request.
 func (c *ServiceClient) CloseIdle() { c.conns.CloseIdleConnections() }
--- a/fakes/fault/dialer.go
+++ b/fakes/fault/dialer.go
@@ -14,7 +14,7 @@
 // The modes of a cut.
 const (
 	Connected    CutMode = iota // not cut
-	Hanging                     // nothing is delivered, and nothing refused
+	Hanging                     // nothing is delivered until the cut ends, and nothing refused
 	Resetting                   // open connections are reset, new ones refused
 	RefusingOnly                // open connections work on, new ones are refused
 )
@@ -113,23 +113,78 @@
 	}
 }
 
-// cutConn is a connection of a Dialer.
+// maxHeld is how much a connection takes while it hangs, as the send buffer of a kernel does.
+const maxHeld = 256 << 10
+
+// cutConn is a connection of a Dialer. As with a kernel, what is written while the link hangs is delivered when the link
+// is back, even if the connection has been closed meanwhile. It is dropped if the connection was reset, or timed out.
 type cutConn struct {
 	net.Conn
 	dialer *Dialer
 	closed chan struct{} // closed when the connection is lost or closed
 	mu     sync.Mutex
-	err    error // why the connection was lost
+	err    error  // why the connection was lost
+	held   []byte // written while the link hangs
+	resets bool   // Close resets the connection
 }
 
-func (c *cutConn) fail(err error) {
+func (c *cutConn) fail(err error) { c.end(err, true) }
+
+// end ends the connection. What it holds is delivered later unless it is dropped.
+func (c *cutConn) end(err error, drop bool) {
 	c.mu.Lock()
 	if c.err == nil {
 		c.err = &net.OpError{Op: "read", Net: "tcp", Err: err}
 		close(c.closed)
 	}
+	if drop {
+		c.held = nil
+	}
+	held := len(c.held) > 0
 	c.mu.Unlock()
-	c.Conn.Close()
+	if !held {
+		c.Conn.Close()
+	}
+}
+
+// hold takes p if the link hangs, and reports whether it does.
+func (c *cutConn) hold(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	mode, changed := c.dialer.state()
+	if c.err != nil || len(c.held) == 0 && mode != Hanging || len(c.held)+len(p) > maxHeld {
+		return false
+	}
+	if len(c.held) == 0 {
+		go c.deliverLater(mode, changed)
+	}
+	c.held = append(c.held, p...)
+	return true
+}
+
+// deliverLater delivers what the connection holds when the link doesn't hang any more.
+func (c *cutConn) deliverLater(mode CutMode, changed <-chan struct{}) {
+	for mode == Hanging {
+		<-changed
+		mode, changed = c.dialer.state()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.held) > 0 && mode != Resetting {
+		_, _ = c.Conn.Write(c.held) // an error shows at the next read or write
+	}
+	c.held = nil
+	if c.err != nil {
+		c.Conn.Close()
+	}
+}
+
+// SetLinger has Close reset the connection if sec is 0, as it does for a TCP connection.
+func (c *cutConn) SetLinger(sec int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = sec == 0
+	return nil
 }
 
 // Read implements net.Conn. What arrived while the connection hangs is withheld.
@@ -141,8 +196,11 @@
 	return n, err
 }
 
-// Write implements net.Conn. What is written while the connection hangs is delivered after that.
+// Write implements net.Conn.
 func (c *cutConn) Write(p []byte) (int, error) {
+	if c.hold(p) {
+		return len(p), nil
+	}
 	if lost := c.awaitLink(); lost != nil {
 		return 0, lost
 	}
@@ -174,6 +232,9 @@
 	c.dialer.mu.Lock()
 	delete(c.dialer.conns, c)
 	c.dialer.mu.Unlock()
-	c.fail(net.ErrClosed)
+	c.mu.Lock()
+	resets := c.resets
+	c.mu.Unlock()
+	c.end(net.ErrClosed, resets)
 	return nil
 }
--- a/hosted/cut_test.go
+++ b/hosted/cut_test.go
@@ -1,12 +1,15 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
 	"wigeondale/fakes/fault"
+	fakes "wigeondale/fakes/hosted"
 )
 
 // cutNoticed is how long after its begin a cut may go unnoticed by a router: the stable window of
@@ -70,3 +73,37 @@
 		})
 	}
 }
+
+// Guards against a request that runs after its caller has the final answer: its router is cut off, gives it up, and the
+// kernel delivers it when the link is back.
+func TestRequestGivenUpInACutDoesNotRunAfterIt(t *testing.T) {
+	f := newFleet(t)
+	f.startEngines(1, 3, time.Millisecond)
+	apps := []*fakes.Replica{f.startApp("a0", "d0"), f.startApp("a1", "d1")}
+	n := f.startServingNode()
+	for i := range 8 {
+		n.get("/book/x", fmt.Sprint("before", i), key) // opens connections to both
+	}
+	n.replicaLinks.Set(fault.Hanging)
+	for i := range 4 {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		if resp, err := n.send(ctx, "/book/x", fmt.Sprint("cut", i), key); err == nil {
+			resp.Body.Close()
+		}
+		cancel()
+	}
+	await(t, "the end of the requests", func() bool { return n.meter.GetOrCreateGauge("wigeon_generations_open", nil).Get() == 0 })
+	n.replicaLinks.Set(fault.Connected)
+	await(t, "a request after the cut", func() bool {
+		status, _ := n.get("/book/x", "after", key)
+		return status == 200
+	})
+	time.Sleep(200 * time.Millisecond) // what the links held is delivered by then
+	for _, a := range apps {
+		for _, got := range a.Arrivals() {
+			if strings.HasPrefix(got.ID, "cut") {
+				t.Errorf("%s got request %s, which was given up", a.ID, got.ID)
+			}
+		}
+	}
+}
