peer: a message of a closed stream is not delivered afterwards

Connections of streams are reset when the node that opened them closes them. That node sends nothing that has to arrive after it has closed the stream; the other node's last message is sent before it closes its own side, which is not reset.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -216,6 +216,22 @@
 	return m.cfg.Dial(ctx, network, addr)
 }
 
+// dialStream opens the connection of a stream. Closing it resets it: the kernel then drops what it has not sent yet, so
+// that a request that was given up doesn't reach the other node later.
+func (m *Mesh) dialStream(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := m.dialTCP(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		if err := l.SetLinger(0); err != nil {
+			c.Close()
+			return nil, Error.Wrap(err)
+		}
+	}
+	return c, nil
+}
+
 func (m *Mesh) dialOnce(addr, wantID string) (*link, error) {
 	ctx, cancel := context.WithTimeout(m.runCtx, m.cfg.DialTimeout)
 	defer cancel()
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -26,7 +27,9 @@
 	key     []byte
 	log     *event.Log
 	metrics *meshMetrics
-	client  *http.Client
+	client  *http.Client // of links
+
+	streamClient *http.Client
 
 	handshakeSlots    chan struct{} // bounds the handshakes of accepted connections
 	callSlots         chan struct{} // bounds the calls that this node runs at once
@@ -103,13 +106,18 @@
 	m.table.merge(time.Now(), self)
 	m.metrics.set.GetOrCreateGauge("wigeon_peer_links", func() float64 { return float64(len(m.shuffledLinks(""))) })
 	m.metrics.set.GetOrCreateGauge("wigeon_peer_members_alive", m.countAlive)
-	m.client = &http.Client{Transport: &http.Transport{
-		DialContext:            m.dialTCP,
-		TLSClientConfig:        cfg.TLS,
+	m.client = m.newClient(m.dialTCP)
+	m.streamClient = m.newClient(m.dialStream)
+	return m, nil
+}
+
+func (m *Mesh) newClient(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:            dial,
+		TLSClientConfig:        m.cfg.TLS,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 	}}
-	return m, nil
 }
 
 // Run maintains the links and the membership until ctx ends. Then it announces
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -51,7 +51,7 @@
 	if m.cfg.TLS != nil {
 		scheme = "wss://"
 	}
-	c, _, err := websocket.Dial(ctx, scheme+addr+streamPath, &websocket.DialOptions{HTTPClient: m.client})
+	c, _, err := websocket.Dial(ctx, scheme+addr+streamPath, &websocket.DialOptions{HTTPClient: m.streamClient})
 	if err != nil {
 		return nil, Error.New("%w: %w", ErrNoRoute, err)
 	}
--- a/peer/stream_test.go
+++ b/peer/stream_test.go
@@ -7,8 +7,12 @@
 	"strings"
 	"testing"
 	"time"
+
+	"wigeondale/fakes/fault"
 )
 
+const testWait = 10 * time.Second // bound of a wait; no result depends on it
+
 // streamMesh starts a mesh whose streams echo one message.
 func streamMesh(t *testing.T, id string, key []byte) (*Mesh, string) {
 	t.Helper()
@@ -66,3 +70,31 @@
 	}
 	s.Close()
 }
+
+// Guards against a request that reaches another router after the stream that carried it was given up, since the kernel
+// delivers it when the link between the two is back.
+func TestMessageOfAClosedStreamIsNotDelivered(t *testing.T) {
+	key := []byte(strings.Repeat("k", 32))
+	n2, addr := streamMesh(t, "n2", key)
+	received := make(chan error, 1)
+	n2.HandleStreams(func(ctx context.Context, s *Stream) {
+		_, err := s.ReceiveBytes(ctx, testWait)
+		received <- err
+	})
+	n1, _ := streamMesh(t, "n1", key)
+	links := fault.NewDialer()
+	n1.cfg.Dial = links.DialContext
+	s, err := n1.OpenStream(t.Context(), "n2", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	links.Set(fault.Hanging)
+	if err := s.Send(t.Context(), "request"); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	links.Set(fault.Connected)
+	if err := <-received; err == nil {
+		t.Error("the message was delivered")
+	}
+}
