--- a/daemon/services.go
+++ b/daemon/services.go
@@ -145,9 +145,7 @@
 			return !submission.Suspected() && len(s.pick.dir.Service(call.Service)) > tried.len()
 		},
 		Try: func(tryCtx context.Context, second bool) (*http.Response, error) {
-			resp, err := s.tryOne(tryCtx, call, tried, submission, second)
-			tried.recordError(err)
-			return resp, err
+			return s.tryOne(tryCtx, call, tried, submission, second)
 		},
 		Discard: func(resp *http.Response) { resp.Body.Close() },
 	})
@@ -166,7 +164,7 @@
 		return nil, err
 	}
 	defer share.End()
-	tried.add(b.ID)
+	tried.sending(b.ID)
 	sentAt := time.Now()
 	resp, err := s.client.Do(ctx, b, toBackend(call))
 	if err == nil {
@@ -174,6 +172,7 @@
 		submission.Answered(0)
 		return resp, nil
 	}
+	tried.settle(b.ID, err)
 	s.reportResult(ctx, b.ID, err, second)
 	if ctx.Err() == nil && !errors.Is(err, backend.ErrNotSent) {
 		submission.AwaitExamination(ctx, submission.Lost(quarantine.Loss{Backend: b, Ran: time.Since(sentAt), Cause: err.Error()}))
@@ -232,21 +231,23 @@
 	}
 }
 
-// lostFailure returns the answer to a call that got no answer from its backend server.
-func lostFailure(call callerapi.ServiceCall, err error) *callerapi.Failure {
+// lostFailure returns the answer to a call that got no answer from its backend server, which may have run it.
+func lostFailure(call callerapi.ServiceCall) *callerapi.Failure {
 	f := &callerapi.Failure{Status: http.StatusBadGateway, Code: codeLost,
 		Message: "the connection to the backend server broke", Outcome: fleet.Unknown, RetryAfter: unknownRetryAfter}
-	switch {
-	case errors.Is(err, backend.ErrNotSent):
-		f.Status, f.Code = http.StatusServiceUnavailable, codeNoReplica
-		f.Message, f.Outcome, f.RetryAfter = "no backend server could be reached", fleet.NotRun, replicaRetryAfter
-	case expired(call.Deadline):
+	if expired(call.Deadline) {
 		f.Status, f.Code = http.StatusGatewayTimeout, codeDeadline
 		f.Message = "the deadline passed before the answer came"
 	}
 	return f
 }
 
+// unreachableFailure returns the answer to a call of which no byte was sent.
+func unreachableFailure() *callerapi.Failure {
+	return &callerapi.Failure{Status: http.StatusServiceUnavailable, Code: codeNoReplica,
+		Message: "no backend server could be reached", Outcome: fleet.NotRun, RetryAfter: replicaRetryAfter}
+}
+
 // refusalFailure returns the answer to a call that was not sent, for the reason in err.
 func refusalFailure(status int, err error) *callerapi.Failure {
 	f := &callerapi.Failure{Status: status, Code: codeNoReplica, Message: err.Error(), Outcome: fleet.NotRun, RetryAfter: replicaRetryAfter}
--- a/daemon/services_test.go
+++ b/daemon/services_test.go
@@ -152,3 +152,19 @@
 		resp.Body.Close()
 	}
 }
+
+// Guards against "not run" for a call that a backend server may be running, because only the results of tries are
+// recorded, and one try has none.
+func TestCallWithAnOpenTryMayHaveRun(t *testing.T) {
+	tried := &triedSet{}
+	tried.sending("a")
+	tried.sending("b")
+	tried.settle("b", backend.ErrNotSent)
+	if f := tried.failure(testCall(true), backend.ErrNotSent); f.Outcome != fleet.Unknown {
+		t.Errorf("with an open try: %+v", f)
+	}
+	tried.settle("a", backend.ErrNotSent)
+	if f := tried.failure(testCall(true), backend.ErrNotSent); f.Outcome != fleet.NotRun {
+		t.Errorf("no byte was sent: %+v", f)
+	}
+}
--- a/daemon/tried.go
+++ b/daemon/tried.go
@@ -11,49 +11,50 @@
 	"wigeondale/placement"
 )
 
-// triedSet records the backend servers to which a call was sent, possibly two at once, and
-// the first error after which the call may have run.
+// triedSet records the backend servers to which a call was sent, possibly two at once, and those of them that may have
+// run it.
 //
-// That error is kept for calls that are sent to several servers. Suppose that one server
-// reads the call and disconnects, and that the next server can't be reached. The last error
-// says that the call did not run. Without the first error, the caller would get this last
-// one, although the first server may have run the call.
+// A server counts as one that may have run the call from before the call is sent until a proof that nothing was sent.
+// Suppose that one server reads the call and disconnects, and that the next one can't be reached. The last error says that
+// the call did not run, but the first server may have run it.
 type triedSet struct {
 	mu         sync.Mutex
 	ids        map[string]bool
-	mayHaveRun error // first error of a try that may have run
+	mayHaveRun map[string]struct{}
 }
 
-func (t *triedSet) recordError(err error) {
-	if err == nil || errors.Is(err, backend.ErrNotSent) {
-		return
+// sending records that the call is about to be sent to a backend server.
+func (t *triedSet) sending(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ids = placement.WithID(t.ids, id) // a copy, since the old map may be in use
+	if t.mayHaveRun == nil {
+		t.mayHaveRun = map[string]struct{}{}
 	}
-	if _, notSent := errors.AsType[*generation.Unavailable](err); notSent {
+	t.mayHaveRun[id] = struct{}{}
+}
+
+// settle records the error of the try at a backend server.
+func (t *triedSet) settle(id string, err error) {
+	if !errors.Is(err, backend.ErrNotSent) || errors.Is(err, backend.ErrBroken) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.mayHaveRun == nil {
-		t.mayHaveRun = err
-	}
+	delete(t.mayHaveRun, id)
 }
 
+// failure returns the answer to a call that no backend server has answered. last is the error of its last try.
 func (t *triedSet) failure(call callerapi.ServiceCall, last error) *callerapi.Failure {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.mayHaveRun != nil {
-		return lostFailure(call, t.mayHaveRun)
+	if len(t.mayHaveRun) > 0 {
+		return lostFailure(call)
 	}
 	if unavailable, ok := errors.AsType[*generation.Unavailable](last); ok {
 		return refusalFailure(http.StatusServiceUnavailable, unavailable)
 	}
-	return lostFailure(call, last)
-}
-
-func (t *triedSet) add(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.ids = placement.WithID(t.ids, id) // a copy, since the old map may be in use
+	return unreachableFailure()
 }
 
 func (t *triedSet) all() map[string]bool {
