linger, backend, peer: the end of a run that is given up in a cut is not lost

A kernel repeats the end of a connection (FIN) until it is acknowledged, but sends a reset once. If that is lost in a cut, a replica works on for a caller that has left, and holds a slot. Finished connections, of answers with "Connection: close", were reset too.

A connection is reset now only if it holds bytes that the other side has not acknowledged (SIOCOUTQ), which is what must not be delivered later; otherwise it is closed as before. The same for the streams between routers.

The stand-in of cut links ended the connection at once, during the cut; now a close is delivered after the cut, and a reset is lost until the other side sends something. It could also deadlock between a change of the mode and a write, since their locks were taken in different orders.

--- a/backend/send.go
+++ b/backend/send.go
@@ -13,6 +13,8 @@
 
 	"golang.org/x/sys/unix"
 
+	"wigeondale/linger"
+
 	"wigeondale/bounded"
 )
 
@@ -34,10 +36,9 @@
 	// that the connection is closed, whether it is idle or not. The connection to a machine that is lost is closed
 	// within two seconds more.
 	Outage time.Duration
-	// ResetUnfinished has a connection reset if it is closed while it carries a request. The kernel then drops what it
-	// has not sent yet. Otherwise it delivers a request that was given up as soon as a link that was cut is back.
-	ResetUnfinished bool
-	BufferBytes     int // size of the read buffer and of the write buffer, in bytes
+	// DropUnsent has a connection drop what it still holds if it is closed while it carries a request, see package linger.
+	DropUnsent  bool
+	BufferBytes int // size of the read buffer and of the write buffer, in bytes
 	// Dial opens the TCP connections. If it is nil, a net.Dialer does.
 	Dial DialFunc
 	// Connections, if set, is notified of connections that open, don't open, or are lost.
@@ -78,7 +79,7 @@
 			if err != nil {
 				return nil, err
 			}
-			sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections, resetUnfinished: d.ResetUnfinished}
+			sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections, dropUnsent: d.DropUnsent}
 			if dialed, ok := ctx.Value(dialedKey{}).(**sealConn); ok {
 				*dialed = sealed
 			}
@@ -146,8 +147,8 @@
 	addr     string
 	observer ConnObserver // nil: none
 
-	resetUnfinished bool        // see DialConfig
-	carries         atomic.Bool // a request has been assigned to it and its answer has not been read
+	dropUnsent bool        // see DialConfig
+	carries    atomic.Bool // a request has been assigned to it, and it is not idle since
 
 	mu      sync.Mutex
 	sealed  bool
@@ -192,10 +193,8 @@
 
 // Close implements net.Conn.
 func (c *sealConn) Close() error {
-	if c.resetUnfinished && c.carries.Load() {
-		if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-			_ = l.SetLinger(0) // fails only if it is closed already
-		}
+	if c.dropUnsent && c.carries.Load() {
+		linger.DropUnsent(c.Conn)
 	}
 	return c.Conn.Close()
 }
--- a/backend/service.go
+++ b/backend/service.go
@@ -35,7 +35,7 @@
 
 // NewServiceClient returns a client with its own connection pool.
 func NewServiceClient() *ServiceClient {
-	return &ServiceClient{conns: NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, ResetUnfinished: true})}
+	return &ServiceClient{conns: NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, DropUnsent: true})}
 }
 
 // CloseIdle closes connections that carry no request.
--- a/fakes/fault/dialer.go
+++ b/fakes/fault/dialer.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -41,32 +43,33 @@
 // Set changes the mode.
 func (d *Dialer) Set(mode CutMode) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.mode = mode
 	close(d.changed)
 	d.changed = make(chan struct{})
+	changed, open := d.changed, slices.Collect(maps.Keys(d.conns))
+	d.mu.Unlock()
 	switch mode {
 	case Resetting:
-		for c := range d.conns {
-			c.fail(syscall.ECONNRESET)
-		}
+		failAll(open, syscall.ECONNRESET)
 	case Hanging:
-		time.AfterFunc(hungTimeout, d.timeOut(d.changed))
+		time.AfterFunc(hungTimeout, func() { d.timeOut(changed) })
 	}
 }
 
-// timeOut returns a function that ends the connections to which nothing was delivered since the change that
-// changed belongs to, as keep-alive probes end idle ones. The caller holds d.mu.
-func (d *Dialer) timeOut(changed chan struct{}) func() {
-	return func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.changed != changed {
-			return
-		}
-		for c := range d.conns {
-			c.fail(syscall.ETIMEDOUT)
-		}
+func failAll(conns []*cutConn, err error) {
+	for _, c := range conns {
+		c.fail(err)
+	}
+}
+
+// timeOut ends the connections to which nothing was delivered since the change that changed belongs to, as keep-alive
+// probes end idle ones.
+func (d *Dialer) timeOut(changed chan struct{}) {
+	d.mu.Lock()
+	same, open := d.changed == changed, slices.Collect(maps.Keys(d.conns))
+	d.mu.Unlock()
+	if same {
+		failAll(open, syscall.ETIMEDOUT)
 	}
 }
 
@@ -117,7 +120,8 @@
 const maxHeld = 256 << 10
 
 // cutConn is a connection of a Dialer. As with a kernel, what is written while the link hangs is delivered when the link
-// is back, even if the connection has been closed meanwhile. It is dropped if the connection was reset, or timed out.
+// is back, and so is the end of a connection that was closed meanwhile. A reset is sent only once: if it is lost in the cut,
+// what the connection holds is dropped, and the other side learns of it when it sends something.
 type cutConn struct {
 	net.Conn
 	dialer *Dialer
@@ -128,25 +132,48 @@
 	resets bool   // Close resets the connection
 }
 
+// fail ends the connection without a word to the other side if the link hangs.
 func (c *cutConn) fail(err error) { c.end(err, true) }
 
-// end ends the connection. What it holds is delivered later unless it is dropped.
-func (c *cutConn) end(err error, drop bool) {
+func (c *cutConn) end(err error, reset bool) {
 	c.mu.Lock()
-	if c.err == nil {
-		c.err = &net.OpError{Op: "read", Net: "tcp", Err: err}
-		close(c.closed)
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return
 	}
-	if drop {
+	c.err = &net.OpError{Op: "read", Net: "tcp", Err: err}
+	close(c.closed)
+	c.resets = reset
+	if reset {
 		c.held = nil
 	}
-	held := len(c.held) > 0
-	c.mu.Unlock()
-	if !held {
+	_ = c.Conn.SetReadDeadline(time.Now()) // ends a Read that waits; an error shows that the connection has ended
+	switch mode, changed := c.dialer.state(); {
+	case mode == Hanging && reset:
+		go c.endWhenUsed(changed)
+	case mode == Hanging && len(c.held) == 0:
+		go c.deliverLater(changed)
+	case len(c.held) == 0:
 		c.Conn.Close()
 	}
 }
 
+// endWhenUsed ends a connection whose reset is lost when the other side sends something after the cut.
+func (c *cutConn) endWhenUsed(changed <-chan struct{}) {
+	c.awaitEndOfCut(changed)
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	_, _ = c.Conn.Read(make([]byte, 1)) // an error ends the connection as well
+	c.Conn.Close()
+}
+
+func (c *cutConn) awaitEndOfCut(changed <-chan struct{}) (mode CutMode) {
+	for mode = Hanging; mode == Hanging; {
+		<-changed
+		mode, changed = c.dialer.state()
+	}
+	return mode
+}
+
 // hold takes p if the link hangs, and reports whether it does.
 func (c *cutConn) hold(p []byte) bool {
 	c.mu.Lock()
@@ -156,29 +183,33 @@
 		return false
 	}
 	if len(c.held) == 0 {
-		go c.deliverLater(mode, changed)
+		go c.deliverLater(changed)
 	}
 	c.held = append(c.held, p...)
 	return true
 }
 
-// deliverLater delivers what the connection holds when the link doesn't hang any more.
-func (c *cutConn) deliverLater(mode CutMode, changed <-chan struct{}) {
-	for mode == Hanging {
-		<-changed
-		mode, changed = c.dialer.state()
-	}
+// deliverLater delivers what the connection holds, and its end if it was closed, when the cut has ended.
+func (c *cutConn) deliverLater(changed <-chan struct{}) {
+	mode := c.awaitEndOfCut(changed)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.held) > 0 && mode != Resetting {
 		_, _ = c.Conn.Write(c.held) // an error shows at the next read or write
 	}
 	c.held = nil
-	if c.err != nil {
+	if c.err != nil && !c.resets {
 		c.Conn.Close()
 	}
 }
 
+// Unacknowledged returns how many bytes the connection holds.
+func (c *cutConn) Unacknowledged() (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.held), nil
+}
+
 // SetLinger has Close reset the connection if sec is 0, as it does for a TCP connection.
 func (c *cutConn) SetLinger(sec int) error {
 	c.mu.Lock()
--- a/hosted/cut_test.go
+++ b/hosted/cut_test.go
@@ -107,3 +107,26 @@
 		}
 	}
 }
+
+// Guards against a run that goes on for nobody, since the end of its connection is lost in a cut: a reset is sent only once.
+func TestRunGivenUpInACutEndsAfterIt(t *testing.T) {
+	f := newFleet(t)
+	engine := f.startEngines(1, 3, testTimeout)[0]
+	n := f.startServingNode()
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		if resp, err := n.send(ctx, "/draft/x", "q", key); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	await(t, "the run", func() bool { return engine.OpenRequests() == 1 })
+	n.replicaLinks.Set(fault.Hanging)
+	leave()
+	await(t, "the end of the request", func() bool { return n.meter.GetOrCreateGauge("wigeon_generations_open", nil).Get() == 0 })
+	n.replicaLinks.Set(fault.Connected)
+	for end := time.Now().Add(testTimeout / 2); engine.OpenRequests() > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the replica works on")
+		}
+	}
+}
--- /dev/null
+++ b/linger/linger.go
@@ -0,0 +1,62 @@
+// Package linger decides what becomes of the bytes that a connection still holds when it is closed.
+//
+// A kernel goes on to send what was written to a connection after the connection has been closed. If the link is cut, a
+// request that was given up is delivered seconds later. A reset drops such bytes, but it is sent only once: if it is lost,
+// the other side never learns that the connection has ended, and works on for nobody. So a connection is reset only if it
+// holds bytes that the other side hasn't acknowledged; otherwise it is closed as usual, which the kernel repeats until it
+// is acknowledged.
+package linger
+
+import (
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is a connection that can be reset, such as *net.TCPConn.
+type conn interface{ SetLinger(sec int) error }
+
+// holder is a connection that knows itself how many bytes it holds.
+type holder interface{ Unacknowledged() (int, error) }
+
+// DropUnsent has the next Close of c drop what the other side has not acknowledged.
+func DropUnsent(c net.Conn) {
+	tcp, ok := c.(conn)
+	if !ok {
+		return
+	}
+	if n, err := unacknowledged(c); err == nil && n == 0 {
+		return
+	}
+	_ = tcp.SetLinger(0) // fails only if c is closed already
+}
+
+// unacknowledged returns how many of the bytes written to c the other side has not acknowledged.
+func unacknowledged(c net.Conn) (n int, err error) {
+	if h, ok := c.(holder); ok {
+		return h.Unacknowledged()
+	}
+	sys, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errors.ErrUnsupported
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if ctl := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); ctl != nil {
+		return 0, ctl
+	}
+	return n, err
+}
+
+// Conn is a connection whose Close drops what the other side has not acknowledged.
+type Conn struct{ net.Conn }
+
+// Close implements net.Conn.
+func (c Conn) Close() error {
+	DropUnsent(c.Conn)
+	return c.Conn.Close()
+}
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -12,6 +12,7 @@
 	"github.com/coder/websocket"
 
 	"wigeondale/event"
+	"wigeondale/linger"
 )
 
 // initialBackoffDivisor is the divisor of the heartbeat interval that gives the
@@ -216,20 +217,14 @@
 	return m.cfg.Dial(ctx, network, addr)
 }
 
-// dialStream opens the connection of a stream. Closing it resets it: the kernel then drops what it has not sent yet, so
-// that a request that was given up doesn't reach the other node later.
+// dialStream opens the connection of a stream, whose end drops what the other node has not received: a request that was
+// given up must not reach it later.
 func (m *Mesh) dialStream(ctx context.Context, network, addr string) (net.Conn, error) {
 	c, err := m.dialTCP(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
-	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
-		if err := l.SetLinger(0); err != nil {
-			c.Close()
-			return nil, Error.Wrap(err)
-		}
-	}
-	return c, nil
+	return linger.Conn{Conn: c}, nil
 }
 
 func (m *Mesh) dialOnce(addr, wantID string) (*link, error) {
