daemon: two tries of a call at one server count as two

After a pause of the process both tries of a hedged call can choose the same server. It counts tries now. TestCallWithAnOpenTryMayHaveRun has the case; the tests of daemon pass.

--- a/daemon/services.go
+++ b/daemon/services.go
@@ -172,7 +172,7 @@
 		submission.Answered(0)
 		return resp, nil
 	}
-	tried.settle(b.ID, err)
+	tried.settle(err)
 	s.reportResult(ctx, b.ID, err, second)
 	if ctx.Err() == nil && !errors.Is(err, backend.ErrNotSent) {
 		submission.AwaitExamination(ctx, submission.Lost(quarantine.Loss{Backend: b, Ran: time.Since(sentAt), Cause: err.Error()}))
--- a/daemon/services_test.go
+++ b/daemon/services_test.go
@@ -154,17 +154,19 @@
 }
 
 // Guards against "not run" for a call that a backend server may be running, because only the results of tries are
-// recorded, and one try has none.
+// recorded and one try has none, or because two tries at the same server count as one.
 func TestCallWithAnOpenTryMayHaveRun(t *testing.T) {
-	tried := &triedSet{}
-	tried.sending("a")
-	tried.sending("b")
-	tried.settle("b", backend.ErrNotSent)
-	if f := tried.failure(testCall(true), backend.ErrNotSent); f.Outcome != fleet.Unknown {
-		t.Errorf("with an open try: %+v", f)
-	}
-	tried.settle("a", backend.ErrNotSent)
-	if f := tried.failure(testCall(true), backend.ErrNotSent); f.Outcome != fleet.NotRun {
-		t.Errorf("no byte was sent: %+v", f)
+	for _, second := range []string{"a", "b"} {
+		tried := &triedSet{}
+		tried.sending("a")
+		tried.sending(second)
+		tried.settle(backend.ErrNotSent)
+		if f := tried.failure(testCall(true), backend.ErrNotSent); f.Outcome != fleet.Unknown {
+			t.Errorf("with an open try at a, the other at %s: %+v", second, f)
+		}
+		tried.settle(backend.ErrNotSent)
+		if f := tried.failure(testCall(true), backend.ErrNotSent); f.Outcome != fleet.NotRun {
+			t.Errorf("no byte was sent: %+v", f)
+		}
 	}
 }
