generation: the loss of a replaced attempt is logged with its own cause

Found in the review of: attempt-lost of a silent attempt that another one replaced took its error from the latest attempt, and named "refused" as the proof that it did not run if another server had refused the request meanwhile. No outcome depends on it. TestReplacedAttemptIsNotLoggedAsNotRun failed before: attempt 1 "refused".

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -25,6 +25,7 @@
 	cancel         context.CancelCauseFunc
 	watch          Watch
 	silent         chan error // holds one report of the failure detector that the attempt is silent
+	silence        error      // the report for which the attempt is kept
 	reading        *reading
 	awaitsResult   bool        // a result of reading is due
 	early          *readResult // result that is handled before those of reading
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -14,6 +14,7 @@
 
 	"wigeondale/backend"
 	"wigeondale/clock"
+	"wigeondale/event"
 	"wigeondale/fleet"
 	"wigeondale/health"
 )
@@ -36,6 +37,7 @@
 // silentFleet is a fleet in fake time whose servers fall silent. Attempt n reaches servers[n].
 type silentFleet struct {
 	fakeFleet
+	log             *event.Log
 	servers         []silentServer
 	pickErr         error      // of all choices after the first
 	mu              sync.Mutex // guards opened, backends and streams
@@ -199,7 +201,7 @@
 	if w.wire != nil {
 		w.wire(&d)
 	}
-	r, err := New(d, Options{StartedMaxWait: time.Second})
+	r, err := New(d, Options{StartedMaxWait: time.Second, Log: w.log})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -79,7 +79,7 @@
 	}
 	x.lossCause = causeSilence
 	x.searchLogged = false
-	x.waitErr = cause
+	x.waitErr, a.silence = cause, cause
 	x.current, x.kept = a, a
 	x.copyUsed = false
 	x.holdDelay = minHoldDelay
@@ -226,7 +226,7 @@
 		return
 	}
 	a := x.takeKept(silenceReplaced)
-	x.logLoss(a, causeSilence, x.waitErr)
+	x.logLoss(a, causeSilence, a.silence)
 	x.abandonAttempt(a)
 }
 
--- a/generation/takeover_test.go
+++ b/generation/takeover_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"regexp"
+	"strings"
 	"testing"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"wigeondale/backend"
+	"wigeondale/event"
 	"wigeondale/fleet"
 )
 
@@ -161,3 +167,24 @@
 	w.wire = func(d *Deps) { d.RunQuerier = w }
 	w.expectComplete(t)
 }
+
+// Guards against a log line by which a silent attempt that was replaced did not run, since another server refused the
+// request meanwhile.
+func TestReplacedAttemptIsNotLoggedAsNotRun(t *testing.T) {
+	var log strings.Builder
+	event.LogTo(&log, 0)
+	t.Cleanup(klog.ClearLogger)
+	w := &silentFleet{
+		fakeFleet: fakeFleet{chunks: 9, budget: 9}, log: event.New("n"),
+		servers: []silentServer{{silentAt: 3, silence: 10 * time.Second}, {refusal: &backend.Refused{Code: "overloaded"}}, {}},
+	}
+	w.expectComplete(t)
+	lines := regexp.MustCompile(`attempt-lost.* attempt=(\d).* not_run="(.*?)"`).FindAllStringSubmatch(log.String(), -1)
+	got := map[string]string{}
+	for _, l := range lines {
+		got[l[1]] = l[2]
+	}
+	if want := map[string]string{"1": "", "2": proofRefused}; !maps.Equal(got, want) {
+		t.Errorf("proofs by attempt: %q, want %q", got, want)
+	}
+}
