generation: the test of exits plays only exits that do something, and attempts with different fates

TestAttemptIsRecordedBeforeItIsSent pins the order, which no test did (a mutation of the review survived).

--- a/generation/fate_test.go
+++ b/generation/fate_test.go
@@ -53,14 +53,15 @@
 // fateRun is a run with one attempt, which is at a stage when the run ends. Nothing is sent after it.
 type fateRun struct {
 	harness
-	stage     stage
-	forwarded bool
-	sent      int
-	reached   chan struct{} // closed when the attempt is sent
-	released  chan struct{} // closed when its result may come
-	report    context.CancelCauseFunc
-	isCutOff  bool
-	panics    bool
+	stage       stage
+	forwarded   bool
+	sent        int
+	reached     chan struct{} // closed when the attempt is sent
+	released    chan struct{} // closed when its result may come
+	report      context.CancelCauseFunc
+	isCutOff    bool
+	panics      bool
+	ineffective bool // the exit did nothing
 }
 
 func (f *fateRun) Pick(context.Context, PickRequest) (fleet.Backend, LoadShare, error) {
@@ -174,14 +175,40 @@
 }
 
 func (f *fateRun) reportLoss(cause error) {
-	if f.report != nil {
-		f.report(cause)
+	if f.report == nil {
+		f.ineffective = true
+		return
 	}
+	f.report(cause)
+}
+
+// plays reports whether an exit differs from the result of the attempt or the deadline for a request. An attempt that no
+// other may follow, and one at another router, isn't under the failure detector, and the detector, which is what panics, isn't
+// told of attempts that are passed on, withheld or refused as a repeat.
+func plays(exit string, s stage, forwarded bool, req *Request) bool {
+	switch exit {
+	case "silence", "run lost", "cut off", "silence, then the deadline":
+		return !forwarded && (req.Opaque == nil || !req.NonIdempotent)
+	case "panic":
+		return !forwarded && s.name != "withheld" && s.name != "refused as a repeat"
+	}
+	return true
 }
 
 // play runs req until its attempt is at the stage, ends it, and returns the result. It returns false if the run panics.
 func (f *fateRun) play(t *testing.T, req Request, exit func(*fateRun, context.CancelCauseFunc)) (res Result, ok bool) {
-	r, err := New(Deps{Admitter: f, Claims: f, Picker: f, Watcher: f, Engines: f, Abandon: f, Budget: f, Forwarder: f},
+	return f.playWith(t, f, req, exit)
+}
+
+// fateParts are the parts of a run that the tests replace.
+type fateParts interface {
+	Picker
+	Engines
+	Forwarder
+}
+
+func (f *fateRun) playWith(t *testing.T, p fateParts, req Request, exit func(*fateRun, context.CancelCauseFunc)) (res Result, ok bool) {
+	r, err := New(Deps{Admitter: f, Claims: f, Picker: p, Watcher: f, Engines: p, Abandon: f, Budget: f, Forwarder: p},
 		Options{MaxWait: 50 * time.Millisecond, StartedMaxWait: 50 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
@@ -224,6 +251,9 @@
 		for _, s := range stages {
 			for exit, end := range exits {
 				for kind, req := range requests {
+					if !plays(exit, s, forwarded, &req) {
+						continue
+					}
 					name := fmt.Sprintf("%s/%s/%s, forwarded %t", kind, exit, s.name, forwarded)
 					var fault string
 					synctest.Test(t, func(t *testing.T) { fault = checkFate(t, s, forwarded, exit, end, req) })
@@ -241,6 +271,9 @@
 	f := &fateRun{stage: s, forwarded: forwarded, reached: make(chan struct{}), released: make(chan struct{})}
 	req.ID, req.Ref, req.Prompt, req.MaxTokens, req.Deadline = "r", ref, "prompt", 100, time.Now().Add(fateDeadline)
 	res, ok := f.play(t, req, end)
+	if f.ineffective || ok == (exit == "panic") {
+		return "the exit is not played"
+	}
 	if !s.proof && len(f.voided) > 0 {
 		return "the claim is freed"
 	}
@@ -263,3 +296,77 @@
 	}
 	return ""
 }
+
+// Guards against a record that is made after the first byte of an attempt may have left: a way out in between would find
+// nothing.
+func TestAttemptIsRecordedBeforeItIsSent(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		f := &recordedRun{fateRun: fateRun{forwarded: forwarded}}
+		r, err := New(Deps{Admitter: f, Claims: f, Picker: f, Watcher: f, Engines: f, Abandon: f, Budget: f, Forwarder: f}, Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.run = newRun(r, t.Context(), Request{ID: "r", Ref: ref, NonIdempotent: true}, &fakeSink{})
+		if forwarded {
+			f.run.forward()
+		} else {
+			f.run.backend = fleet.Backend{ID: "b", Addr: "b"}
+			f.run.dispatch()
+		}
+		if f.recorded != 1 || f.run.fates.mayHaveRun() {
+			t.Errorf("forwarded %t: %d attempts are recorded when it is sent, %d after the proof that it did not run", forwarded, f.recorded, f.run.fates.count())
+		}
+	}
+}
+
+// recordedRun looks at the record of a run when its attempt is sent.
+type recordedRun struct {
+	fateRun
+	run      *run
+	recorded int
+}
+
+func (f *recordedRun) Open(context.Context, fleet.Backend, backend.StartRequest) (Stream, error) {
+	f.recorded = f.run.fates.count()
+	return nil, backend.ErrNotSent
+}
+
+func (f *recordedRun) Forward(context.Context, Handover) (ForwardedStream, error) {
+	f.recorded = f.run.fates.count()
+	return nil, &Unavailable{Code: CodeCutOff}
+}
+
+// Guards against "not run" where the first attempts of a request did not run and the last one may have: two servers are out
+// of reach, the router finds out that it is cut off, and passes the request on shortly before the deadline.
+func TestFatesOfSeveralAttemptsAreKeptApart(t *testing.T) {
+	for _, last := range forwardStages {
+		synctest.Test(t, func(t *testing.T) {
+			f := &cutRun{fateRun: fateRun{stage: last, reached: make(chan struct{}), released: make(chan struct{})}, dials: 2}
+			req := Request{ID: "r", Ref: ref, NonIdempotent: true, Deadline: time.Now().Add(fateDeadline),
+				Opaque: &Opaque{Opaque: &backend.Opaque{}, MaxAttempts: 3, MaxWait: fateDeadline}}
+			res, _ := f.playWith(t, f, req, exits["deadline"])
+			if want := map[bool]fleet.Outcome{true: fleet.NotRun, false: fleet.Unknown}[last.proof]; res.Outcome != want {
+				t.Errorf("%s: %s (%s), want %s", last.name, res.Outcome, res.Code, want)
+			}
+		})
+	}
+}
+
+// cutRun is a run whose connections don't open, of a router that then turns out to be cut off.
+type cutRun struct {
+	fateRun
+	dials int
+}
+
+func (f *cutRun) CutOff(string) bool { return f.dials == 0 }
+
+func (f *cutRun) Pick(context.Context, PickRequest) (fleet.Backend, LoadShare, error) {
+	id := fmt.Sprint("b", f.dials)
+	return fleet.Backend{ID: id, Addr: id}, nil, nil
+}
+
+func (f *cutRun) Open(context.Context, fleet.Backend, backend.StartRequest) (Stream, error) {
+	time.Sleep(fateDeadline / 4)
+	f.dials--
+	return nil, backend.ErrNotSent
+}
