soak: a request that its silent replicas have refused is not left without an answer for a silence

The same end without a silence is allowed, and the routers don't end it sooner (generation.TestRefusalAfterASilenceEndsLikeOneAtOnce).

The check was wrong: it asked whether a replica that got the request was silent at any moment of it. Now such an end is allowed only if all arrivals at silent replicas were refused before it, the last one 200 ms before it at most. Everything else breaks the promise as before: a replica that runs the request, one that reads it after the end, and a refusal long before the end.

What neither check can see is a replica that never read the request. One given up there just after another silent replica refused it was reported before, and isn't now.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -179,11 +179,11 @@
 		all = append(all, reps...)
 	}
 	r.mu.Unlock()
-	ran, arrivedAt := map[string]int{}, map[string][]*fakes.Replica{}
+	ran, visits := map[string]int{}, map[string][]visit{}
 	for _, rep := range all {
 		r.checks.checkAsks(rep)
 		for _, a := range rep.Arrivals() {
-			arrivedAt[a.ID] = append(arrivedAt[a.ID], rep)
+			visits[a.ID] = append(visits[a.ID], visit{rep, a.At, !a.Ran})
 			if !a.Ran {
 				continue
 			}
@@ -205,7 +205,7 @@
 			r.checks.violated("a refusal that says that nothing ran is true", id, fmt.Sprintf("status %d", status))
 		}
 	}
-	r.checks.checkEnds(arrivedAt)
+	r.checks.checkEnds(visits)
 	r.checks.checkCrashing(crashingArrivals(all))
 	if r.cfg.Herd && r.cfg.Calm {
 		r.checks.checkHerd()
--- a/soak/ends.go
+++ b/soak/ends.go
@@ -59,8 +59,20 @@
 	ended []result
 }
 
-// troubleDelay is how long after its first effect trouble may be recorded.
-const troubleDelay = 200 * time.Millisecond
+const (
+	// troubleDelay is how long after its first effect trouble may be recorded.
+	troubleDelay = 200 * time.Millisecond
+	// refusalDelay is how long after the refusal that ends a request the client may have its final answer. It covers
+	// a wait for retry budget.
+	refusalDelay = 200 * time.Millisecond
+)
+
+// visit is the arrival of a request at a replica.
+type visit struct {
+	replica *fakes.Replica
+	at      time.Time
+	refused bool // with the statement that the request has not run
+}
 
 // add keeps a result for check if its end needs an excuse.
 func (e *endRecord) add(r result) {
@@ -72,9 +84,8 @@
 	e.ended = append(e.ended, r)
 }
 
-// brokenPromise returns the promise that the end of a request breaks, or "". arrivedAt are the replicas that
-// received the request.
-func (e *endRecord) brokenPromise(r *result, arrivedAt []*fakes.Replica) string {
+// brokenPromise returns the promise that the end of a request breaks, or "". visits are its arrivals at replicas.
+func (e *endRecord) brokenPromise(r *result, visits []visit) string {
 	from, to := r.startedAt, r.startedAt.Add(r.duration)
 	routerFailed := r.incarnation == "" || e.trouble.overlaps(r.incarnation, from, to.Add(troubleDelay))
 	if routerFailed || errors.Is(r.err, syscall.ECONNREFUSED) {
@@ -86,33 +97,50 @@
 	if r.duration >= routeTimeout {
 		return ""
 	}
-	silent := false
-	for _, rep := range arrivedAt {
-		if e.trouble.overlaps(rep, from, to.Add(troubleDelay)) {
+	var silent []visit
+	for _, v := range visits {
+		if e.trouble.overlaps(v.replica, from, to.Add(troubleDelay)) {
 			return ""
 		}
-		silent = silent || e.silences.overlaps(rep, from, to)
+		if e.silences.overlaps(v.replica, from, to) {
+			silent = append(silent, v)
+		}
 	}
 	switch {
 	case r.err != nil:
 		return "an answer that sound replicas began is a complete answer"
-	case silent:
+	case len(silent) > 0 && !endedByRefusal(silent, to):
 		return "no request is left without an answer because its replica is silent"
 	}
 	return ""
 }
 
+// endedByRefusal reports whether a request that ended at a moment was ended by a refusal and not by a silence: each of the
+// replicas that were silent had refused it by then, the last one just before.
+func endedByRefusal(silent []visit, end time.Time) bool {
+	var last time.Time
+	for _, v := range silent {
+		if !v.refused || v.at.After(end) {
+			return false
+		}
+		if v.at.After(last) {
+			last = v.at
+		}
+	}
+	return end.Sub(last) <= refusalDelay
+}
+
 // checkEnds records a violation for each request that should have got a complete answer or a refusal, and
 // got neither.
-func (c *checks) checkEnds(arrivedAt map[string][]*fakes.Replica) {
+func (c *checks) checkEnds(visits map[string][]visit) {
 	for _, r := range c.ends.ended {
-		promise := c.ends.brokenPromise(&r, arrivedAt[r.id])
+		promise := c.ends.brokenPromise(&r, visits[r.id])
 		if promise == "" {
 			continue
 		}
 		var at []string
-		for _, rep := range arrivedAt[r.id] {
-			at = append(at, rep.ID)
+		for _, v := range visits[r.id] {
+			at = append(at, v.replica.ID)
 		}
 		detail := fmt.Sprintf("%s through %s: status %d, cut %v, %d bytes, after %v, at replicas %v", r.kind, r.incarnation, r.status, r.err, len(r.body), r.duration, at)
 		c.violated(promise, r.id, detail)
