backend, platform: answers on idle connections have an event, misplaced ones a counter

An answer that is sent twice and arrives on an idle connection was a line of net/http only, without event number, backend server or request, although it is the main evidence of such a fault. Event 1416 (answer-unsolicited) names the backend server, address, status, the request that the answer names and whether it states that it was not run; bytes that are no answer give it without the last three, and their text is not logged. A connection records what it reads while it carries no request, or while net/http has read the answer to its latest request to the end, which may be before that answer has been checked. A 408 that names no request is the notice of a server that closes an idle connection, as net/http regards it, and gives no event. On platform.Replicas, backend.Client and backend.ServiceClient.

Counters: wigeon_answers_misplaced_total (event 1415, platform.Replicas only, as the event) and wigeon_answers_unsolicited_total. The page of operations leads from both events to the requests that may be harmed.

NewReplicas takes what records them, since TestEveryPathToAReplicaPassesTheGate allows no methods that send nothing.

Not covered: a copy that arrives in the same read as the answer itself. net/http has it buffered, and only its own line tells of it.

Run: go test -race ./platform ./backend: passed (11.6 s, 19.0 s). With nothing, or every read, recorded TestUnsolicitedAnswersAreRecorded fails ("counted 0", "counted 1"); without the look at net/http's state TestCopyBeforeTheCheckIsRecorded does ("counted 0").

--- a/backend/client.go
+++ b/backend/client.go
@@ -42,7 +42,9 @@
 
 // SetConnObserver sets the observer of the client's connections. It must be called before use.
 func (c *Client) SetConnObserver(o ConnObserver) {
+	misplaced := c.conns.misplaced
 	c.conns = newConns(o)
+	c.SetMisplaced(misplaced)
 }
 
 // CloseIdle closes connections that carry no request.
@@ -84,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := sendWork(c.conns, c.Gate, c.Unknown, b, c.identified(req, true))
+	resp, err := sendWork(c.conns, c.Gate, c.Unknown, b, c.identified(b, req, true))
 	if err != nil {
 		return nil, err
 	}
@@ -203,15 +205,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.conns.RoundTrip(c.identified(req, streamed))
+	return c.conns.RoundTrip(c.identified(b, req, streamed))
 }
 
 // identified gives a request an id of its own, which its answer must name. A refusal, a report and the result of a cancel
 // name no attempt, so that without the id they could be those of any other request. In a stream each chunk names it.
-func (c *Client) identified(req *http.Request, streamed bool) Exchange {
+func (c *Client) identified(b fleet.Backend, req *http.Request, streamed bool) Exchange {
 	id := c.ids.next()
 	req.Header.Set(requestIDHeader, id)
-	return Exchange{Request: req, Check: func(resp *http.Response) error {
+	return Exchange{Request: req, Server: b.ID, Check: func(resp *http.Response) error {
 		echo := resp.Header.Get(requestIDHeader)
 		if echo == id || echo == "" && streamed && resp.StatusCode == http.StatusOK {
 			return nil
--- a/backend/conns.go
+++ b/backend/conns.go
@@ -32,6 +32,8 @@
 //     is closed, since all later answers on it would be misplaced as well.
 type Conns struct {
 	transport bounded.Transport // opens the connections
+	named     NamedRequest
+	misplaced *Misplaced
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the latest used is the last
@@ -40,6 +42,7 @@
 // Exchange is a request, and what is needed to recognize its answer.
 type Exchange struct {
 	Request *http.Request
+	Server  string // id of the backend server
 	// Key is the same for two requests if Check can't tell their answers apart. It is empty if no other answer passes
 	// Check.
 	Key string
@@ -52,7 +55,7 @@
 
 // NewConns returns Conns whose connections are opened as configured.
 func NewConns(d DialConfig) *Conns {
-	return &Conns{transport: NewTransport(d), idle: map[string][]*conn{}}
+	return &Conns{transport: NewTransport(d), named: d.Named, idle: map[string][]*conn{}}
 }
 
 // RoundTrip sends the request of x once, and follows no redirects. An error is that of Check, or wraps ErrNotSent if no
@@ -186,7 +189,7 @@
 		case opened <- result{c, err}:
 		case <-ctx.Done():
 			if err == nil {
-				c.verify()
+				c.verify("")
 			}
 		}
 	}()
@@ -200,7 +203,7 @@
 
 func (p *Conns) dial(addr string) (*conn, error) {
 	c := &conn{pool: p, addr: addr}
-	ctx := context.WithValue(context.Background(), dialedKey{}, &c.sealed)
+	ctx := context.WithValue(context.Background(), dialedKey{}, c)
 	client, err := p.transport.NewClientConn(ctx, "http", addr)
 	if err != nil {
 		return nil, err
@@ -210,7 +213,7 @@
 	return c, nil
 }
 
-// dialedKey is the key of a context value of type **sealConn, in which NewTransport stores a connection that it opens.
+// dialedKey is the key of a context value of type *conn, in which NewTransport stores the connection that it opens.
 type dialedKey struct{}
 
 // conn is a connection to a backend server.
@@ -223,6 +226,7 @@
 
 	// The following fields are guarded by pool.mu.
 	carried  []uint32 // digests of the keys of the requests that it has carried
+	server   string   // the backend server of its latest answer
 	verified bool     // the answer to its latest request belongs to that request
 	isIdle   bool
 	expiry   *time.Timer // closes it when it has been idle for idleTimeout
@@ -256,13 +260,14 @@
 	if x.Last != nil && x.Last(resp) {
 		c.last = true
 	}
-	c.verify()
+	c.verify(x.Server)
 	return resp, nil
 }
 
-// verify records that the answer to the latest request belongs to that request.
-func (c *conn) verify() {
+// verify records that the answer to the latest request, which was sent to server, belongs to that request.
+func (c *conn) verify(server string) {
 	c.pool.mu.Lock()
+	c.server = server
 	c.verified = true
 	c.pool.mu.Unlock()
 	c.settle()
--- a/backend/send.go
+++ b/backend/send.go
@@ -42,6 +42,8 @@
 	Dial DialFunc
 	// Connections, if set, is notified of connections that open, don't open, or are lost.
 	Connections ConnObserver
+	// Named reads the answers that arrive on idle connections. It is needed for Conns.SetMisplaced.
+	Named NamedRequest
 }
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -59,7 +61,7 @@
 
 // newConns returns the connections for the engine protocol.
 func newConns(o ConnObserver) *Conns {
-	return NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, Connections: o})
+	return NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, Connections: o, Named: namedRequest})
 }
 
 // NewTransport returns a transport that speaks HTTP/1.1 only, because HTTP/2
@@ -79,8 +81,8 @@
 				return nil, err
 			}
 			sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections, resetUnfinished: d.ResetUnfinished}
-			if dialed, ok := ctx.Value(dialedKey{}).(**sealConn); ok {
-				*dialed = sealed
+			if dialed, ok := ctx.Value(dialedKey{}).(*conn); ok {
+				dialed.sealed, sealed.received = sealed, dialed.received
 			}
 			return sealed, nil
 		},
@@ -146,8 +148,9 @@
 	addr     string
 	observer ConnObserver // nil: none
 
-	resetUnfinished bool        // see DialConfig
-	carries         atomic.Bool // a request has been assigned to it and its answer has not been read
+	received        func([]byte) // called with the bytes of each read; nil: not called
+	resetUnfinished bool         // see DialConfig
+	carries         atomic.Bool  // a request has been assigned to it and its answer has not been read
 
 	mu      sync.Mutex
 	sealed  bool
@@ -158,6 +161,9 @@
 // observer is notified when an idle connection is lost.
 func (c *sealConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.received != nil {
+		c.received(p[:n])
+	}
 	if err != nil && c.observer != nil && connectionLost(err) {
 		c.observer.ConnFailed(c.addr, err)
 	}
--- a/backend/service.go
+++ b/backend/service.go
@@ -35,7 +35,7 @@
 
 // NewServiceClient returns a client with its own connection pool.
 func NewServiceClient() *ServiceClient {
-	return &ServiceClient{conns: NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, ResetUnfinished: true})}
+	return &ServiceClient{conns: NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, ResetUnfinished: true, Named: namedCall})}
 }
 
 // CloseIdle closes connections that carry no request.
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, Error.New("%w: %w", ErrNotSent, err)
 	}
-	x := Exchange{Request: req, Key: call.RequestID, Check: func(resp *http.Response) error {
+	x := Exchange{Request: req, Server: b.ID, Key: call.RequestID, Check: func(resp *http.Response) error {
 		if echo := resp.Header.Get(requestIDHeader); echo != "" && echo != call.RequestID {
 			return Error.New("%w: it names request %q", ErrMismatch, echo)
 		}
--- a/daemon/backends.go
+++ b/daemon/backends.go
@@ -15,6 +15,7 @@
 
 func (n *node) buildBackends(set *settings.Settings) error {
 	n.engines = backend.NewClient()
+	n.engines.SetMisplaced(backend.NewMisplaced(n.log, n.set))
 	n.dir = directory.New(n.log)
 	n.mon = health.NewMonitor(policyOf(set.Policy), n.log, n.set)
 	n.buildCutOff()
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -125,6 +125,7 @@
 
 func (n *node) newServices(set *settings.Settings, pick *picker, budget *admission.RetryBudget) *services {
 	client := backend.NewServiceClient()
+	client.SetMisplaced(backend.NewMisplaced(n.log, n.set))
 	client.Gate = gate{n.pressure, n.dir}
 	return &services{
 		node:   attemptPrefix(set),
--- a/event/ids.go
+++ b/event/ids.go
@@ -100,6 +100,7 @@
 	AttemptSilent
 	AttemptDelivers
 	AnswerMisplaced
+	AnswerUnsolicited
 )
 
 // Events of the log and of at-most-once claims (11xx).
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -155,9 +155,9 @@
 }
 
 func (n *node) newRelay() (*relay.Relay, error) {
-	replicas := platform.NewReplicas(n.dialReplica, newConnectionMeters(n.cutOff.reach, n.meter))
+	replicas := platform.NewReplicas(n.dialReplica, newConnectionMeters(n.cutOff.reach, n.meter), backend.NewMisplaced(n.log, n.meter))
 	replicas.OnLoad = n.view.recordLoad
-	replicas.Gate, replicas.Log = n.pressure, n.log
+	replicas.Gate = n.pressure
 	replicas.Unknown = backend.NewUnknownHeaders(platform.AnswerHeaders, n.log, n.meter)
 	n.dumps.Add("backpressure", func() any { return n.pressure.Reports(time.Now()) })
 	n.dumps.Add("brittle", func() any { return n.pressure.BrittleReports(time.Now()) })
