daemon: lines that libraries write to the standard logger are events

net/http logs panics of handlers, failed TLS handshakes and answers on idle connections to Go's standard logger: lines on standard error without number, node or bound, which an alert can't name.

The start of the process makes each such line event 1709 (library-line), through the same bounded output as all events: at most 400 bytes of a line and 40 lines of a message.

Run: go test -race ./daemon -run 'Library|Check' and go test -race ./event ./docs: passed. Not run before the commit: the whole suite.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	stdlog "log"
 	"math/rand/v2"
 	"os"
 	"runtime/debug"
@@ -110,6 +111,9 @@
 	defer out.Close()
 	event.LogTo(out, set.Log.Verbosity)
 	log := event.New(set.Node.ID)
+	// Servers without an ErrorLog write to the standard logger too.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{log})
 	out.OnDropped = func(n int) { log.Emit(event.LinesDropped, "lines", n) }
 	run := runNative
 	if set.Hosted != nil {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -64,6 +64,7 @@
 	{LinesDropped, "lines-dropped", Warning, "Log lines were dropped to keep their volume bounded; the number is given."},
 	{Reloaded, "reloaded", Info, "The settings file was read and checked again after a hangup signal; its values take effect at the next start. If it is not valid, correct it before then."},
 	{ShutdownCut, "shutdown-cut", Warning, "Requests were still open when the time before the platform's kill ran out; they are aborted with the process. Look for replicas that answer slowly."},
+	{LibraryLine, "library-line", Warning, "A library wrote a line to Go's standard logger, such as net/http about a panic, a failed TLS handshake or an answer on an idle connection. Look at the text; event 1416 has the details of most unsolicited answers."},
 	{InventoryHeld, "inventory-held", Warning, "Readings of the VM list lack more than half of the known VMs, or are empty, and nothing is removed because of them. Check the VM list; the next event reports if this lasts."},
 	{InventoryShrunk, "inventory-shrunk", Warning, "Readings continued to lack more than half of the known VMs, so the missing ones were removed. Nothing to do if that many VMs were removed; otherwise check the VM list."},
 	{InventoryAlone, "inventory-alone", Warning, "No reading of the VM list arrived from another node for a minute, so this node occasionally reads it itself. Check the VM list and the links between nodes."},
--- a/event/ids.go
+++ b/event/ids.go
@@ -61,6 +61,7 @@
 	LinesDropped
 	Reloaded
 	ShutdownCut
+	LibraryLine
 )
 
 // Events of the inventory of VMs (18xx).
