--- a/event/ids.go
+++ b/event/ids.go
@@ -61,6 +61,7 @@
 	LinesDropped
 	Reloaded
 	ShutdownCut
+	LibraryLine
 )
 
 // Events of the inventory of VMs (18xx).
@@ -100,6 +101,7 @@
 	AttemptSilent
 	AttemptDelivers
 	AnswerMisplaced
+	AnswerUnsolicited
 )
 
 // Events of the log and of at-most-once claims (11xx).
