soak: sizes of plain services and streams, and faults of one kind alone

The soak couldn't be run at the deployment's sizes: plain services took one request at a time, streams had 40 chunks, and other faults were always drawn.

A replica's entry states its slots, and a replica that starts again keeps its room and time. The check that each router serves each service asks all routers at once: one after the other, 59 routers took longer than the run's limit of 150 s. What each must serve, and within what time, is unchanged.

go test ./soak -run 'TestBroken|TestCheck|TestEnd|TestSeeds$|TestOutage|TestRepeat' -count=1: passed, 54 s, beside other runs (load 55 to 205). go vet ./soak ./fakes/... and staticcheck of ./soak and ./fakes/hosted: clean. The other tests were not run.

--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -70,6 +70,7 @@
 	ChunkGap                     time.Duration // time between two chunks
 	Room                         int           // requests that it takes at once; 0 for any number
 	Work                         time.Duration // time to serve a request that is not streamed
+	Slots                        int           // that its entry states; 0 for defaultRoom
 	// OnCrash, if set, is called after a request has made the replica crash.
 	OnCrash func(r *Replica)
 
@@ -177,7 +178,7 @@
 func (r *Replica) Entry(state string) map[string]any {
 	entry := map[string]any{
 		"service": r.Service, "address": r.Addr(), "zone": r.Domain, "version": r.VersionName(),
-		"slots": 8, "state": state, "cold_left_ms": 0, "sequence": 1,
+		"slots": cmp.Or(r.Slots, defaultRoom), "state": state, "cold_left_ms": 0, "sequence": 1,
 	}
 	return r.withStartTime(entry)
 }
@@ -202,6 +203,7 @@
 	restarted := &Replica{
 		ID: r.ID, StartedAt: startedAt, Service: r.Service, Domain: r.Domain, Version: version, Engine: r.Engine,
 		ShowsVersion: r.ShowsVersion, Listen: r.Addr(), Chunks: r.Chunks, ChunkGap: r.ChunkGap, OnCrash: r.OnCrash,
+		Room: r.Room, Work: r.Work, Slots: r.Slots,
 	}
 	return restarted, restarted.Start(r.replicaAt)
 }
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -92,7 +93,7 @@
 	want := fakes.CompleteResponse(r.id)
 	if r.kind == "draft" {
 		var b strings.Builder
-		for n := 1; n <= chunkCount; n++ {
+		for n := 1; n <= cmp.Or(r.chunks, chunkCount); n++ {
 			b.WriteString(fakes.Chunk(r.id, n))
 		}
 		want = b.String()
--- a/soak/command.go
+++ b/soak/command.go
@@ -50,6 +50,10 @@
 	Outages          bool          `arg:"--outages" help:"entries of sound replicas lapse, all engines crash at once, and streams end with their connections"`
 	Silences         bool          `arg:"--silences" help:"nothing but silences of replicas and new versions of the configuration is injected"`
 	NoSilences       bool          `arg:"--no-silences" help:"no silences of replicas are drawn beside the other faults, and the larger retry budget"`
+	Room             int           `arg:"--room" help:"requests that a plain service takes at once"`
+	Work             time.Duration `arg:"--work" help:"time of a plain service to serve a request"`
+	Chunks           int           `arg:"--chunks" default:"40" help:"chunks of a stream, 12 ms apart"`
+	Alone            bool          `arg:"--alone" help:"only the faults of --repeats and --outages are injected"`
 	Keep             string        `arg:"--keep" help:"folder for settings and logs; kept only after a failure if not given"`
 }
 
@@ -143,6 +147,7 @@
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
 		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Silences: args.Silences, NoSilences: args.NoSilences,
+		Room: args.Room, Work: args.Work, Chunks: args.Chunks, Alone: args.Alone,
 	})
 	if err != nil {
 		return false, err
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -104,7 +104,7 @@
 			return err
 		}
 	}
-	if !r.cfg.Calm && !r.cfg.NoSilences {
+	if !r.cfg.Calm && !r.cfg.NoSilences && !r.cfg.Alone {
 		r.silences.Go(func() { r.injectSilences(ctx) })
 	}
 	if r.cfg.Drills {
@@ -142,10 +142,10 @@
 	r.startedReplicas++
 	rep := &fakes.Replica{
 		ID: fmt.Sprintf("i-%d", r.startedReplicas), Service: service, Domain: fmt.Sprintf("d%d", domain), Version: version,
-		Engine: engine, ShowsVersion: engine && r.cfg.Software, Chunks: chunkCount, ChunkGap: chunkGap, OnCrash: r.replaceLater,
+		Engine: engine, ShowsVersion: engine && r.cfg.Software, Chunks: r.cfg.chunks(), ChunkGap: chunkGap, OnCrash: r.replaceLater,
 	}
-	if r.cfg.Repeats && !engine {
-		rep.Room, rep.Work = littleRoom, slowWork
+	if !engine {
+		rep.Room, rep.Work, rep.Slots = r.cfg.room(), r.cfg.work(), r.cfg.Room
 	}
 	if r.cfg.Restarts {
 		rep.StartedAt = time.Now().UnixMilli()
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -49,6 +49,7 @@
 type result struct {
 	id, kind, key string
 	incarnation   string // of the router to which the request was sent; empty if the router restarted during the request
+	chunks        int    // of the stream that answers it; 0 for chunkCount
 	status        int
 	body          string
 	err           error // the connection failed before the response was complete
@@ -94,7 +95,7 @@
 
 // newResult returns the record of a request that is about to be sent.
 func (c *platformClient) newResult(kind, id string) result {
-	return result{id: id, kind: kind, key: fmt.Sprintf("key-%d", c.rng.IntN(firstKeys)), startedAt: time.Now()}
+	return result{id: id, kind: kind, chunks: c.run.cfg.chunks(), key: fmt.Sprintf("key-%d", c.rng.IntN(firstKeys)), startedAt: time.Now()}
 }
 
 func (c *platformClient) send(ctx context.Context, t *http.Transport, n *node, res *result) (status int, body string, abandoned bool, err error) {
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -14,6 +14,9 @@
 	if r.cfg.Silences {
 		return []fault{newVersion}
 	}
+	if r.cfg.Alone {
+		return append(r.repeatFaults(), r.outageFaults()...)
+	}
 	all := append(processFaults(func() *process { return &r.randomNode().process }),
 		fault{"store down", func() func() { r.store.SetFailing(true); return func() { r.store.SetFailing(false) } }},
 		fault{"store silent", func() func() { r.store.SetUnresponsive(true); return func() { r.store.SetUnresponsive(false) } }},
--- a/soak/platform_outages.go
+++ b/soak/platform_outages.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	fakes "wigeondale/fakes/hosted"
@@ -81,19 +82,25 @@
 	}
 	transport := r.newTransport()
 	defer transport.CloseIdleConnections()
+	var routers sync.WaitGroup
 	for _, n := range r.nodes {
-		c := &platformClient{run: r, rng: rand.New(rand.NewPCG(r.cfg.Seed, 0)), name: "served-" + n.id}
-		for _, kind := range []string{"draft", "look"} {
-			last := 0
-			for end := time.Now().Add(servedWithin); last != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-				c.sent++
-				res := c.newResult(kind, fmt.Sprintf("%s-%d", c.name, c.sent))
-				res.key = r.keys[0]
-				last, _, _, _ = c.send(context.Background(), transport, n, &res)
-			}
-			if last != http.StatusOK {
-				r.checks.violated("a service whose replicas are listed is served", "", fmt.Sprintf("%s by %s: the last status is %d", kind, n.id, last))
-			}
+		routers.Go(func() { r.checkServedBy(n, transport) })
+	}
+	routers.Wait()
+}
+
+func (r *platformRun) checkServedBy(n *node, transport *http.Transport) {
+	c := &platformClient{run: r, rng: rand.New(rand.NewPCG(r.cfg.Seed, 0)), name: "served-" + n.id}
+	for _, kind := range []string{"draft", "look"} {
+		last := 0
+		for end := time.Now().Add(servedWithin); last != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			c.sent++
+			res := c.newResult(kind, fmt.Sprintf("%s-%d", c.name, c.sent))
+			res.key = r.keys[0]
+			last, _, _, _ = c.send(context.Background(), transport, n, &res)
+		}
+		if last != http.StatusOK {
+			r.checks.violated("a service whose replicas are listed is served", "", fmt.Sprintf("%s by %s: the last status is %d", kind, n.id, last))
 		}
 	}
 }
--- a/soak/platform_software.go
+++ b/soak/platform_software.go
@@ -277,9 +277,9 @@
 
 // readStream reads pieces until the stream ends or the client leaves. It reports whether pieces are missing.
 func (c *platformClient) readStream(body io.Reader, s *softwareStream, res *result) bool {
-	leaveAt := chunkCount + 1
+	leaveAt := c.run.cfg.chunks() + 1
 	if c.rng.IntN(leaveEvery) == 0 {
-		leaveAt = s.last + 1 + c.rng.IntN(chunkCount)
+		leaveAt = s.last + 1 + c.rng.IntN(c.run.cfg.chunks())
 	}
 	lines := bufio.NewReader(body)
 	for s.last < leaveAt {
@@ -300,11 +300,11 @@
 	switch {
 	case res.err == nil:
 		res.abandoned = true
-	case res.err == io.EOF && s.last < chunkCount:
+	case res.err == io.EOF && s.last < c.run.cfg.chunks():
 		c.run.checks.violated("an answer that ends early does not look whole", res.id, fmt.Sprintf("%d pieces", s.last))
 		return false
 	case res.err == io.EOF:
 		res.err = nil
 	}
-	return s.last < chunkCount
+	return s.last < c.run.cfg.chunks()
 }
--- a/soak/repeats.go
+++ b/soak/repeats.go
@@ -1,16 +1,6 @@
 package soak
 
-import (
-	"time"
-
-	fakefault "wigeondale/fakes/fault"
-)
-
-// With Config.Repeats a plain service takes littleRoom requests at once, and each takes slowWork, so that many are refused.
-const (
-	littleRoom = 1
-	slowWork   = 15 * time.Millisecond
-)
+import fakefault "wigeondale/fakes/fault"
 
 // repeatFaults lists the faults of Config.Repeats.
 func (r *platformRun) repeatFaults() []fault {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,6 +80,13 @@
 	Silences bool
 	// NoSilences draws no silences and the larger retry budget, so that a seed is what it was before there were any.
 	NoSilences bool
+	// Room and Work are the room of a plain service and its time to serve a request; 0 for what the other fields imply.
+	Room int
+	Work time.Duration
+	// Chunks is the number of chunks of a stream; 0 for chunkCount.
+	Chunks int
+	// Alone injects only the faults of Repeats and Outages.
+	Alone bool
 }
 
 // Violation is one observation that breaks a promise of the product.
