backend, settings: backend servers are reached through an HTTP CONNECT proxy if one is set

Cause: the links between one router and backend servers can't be cut while the other routers reach them, if all of them dial the same address.

Change: the optional setting node.backend_proxy_address, on both interfaces. Work, load reports and probes go through the proxy then. Without the setting nothing changes.

--- a/backend/client.go
+++ b/backend/client.go
@@ -38,11 +38,12 @@
 }
 
 // NewClient returns a client with its own connection pool.
-func NewClient() *Client { return &Client{conns: newConns(nil), ids: newRequestIDs()} }
+func NewClient() *Client { return &Client{conns: newConns(nil, nil), ids: newRequestIDs()} }
 
-// SetConnObserver sets the observer of the client's connections. It must be called before use.
-func (c *Client) SetConnObserver(o ConnObserver) {
-	c.conns = newConns(o)
+// SetConnections sets what opens the client's connections, a net.Dialer if dial is nil, and their
+// observer. It must be called before use.
+func (c *Client) SetConnections(dial DialFunc, o ConnObserver) {
+	c.conns = newConns(dial, o)
 }
 
 // CloseIdle closes connections that carry no request.
--- a/backend/send.go
+++ b/backend/send.go
@@ -58,8 +58,8 @@
 }
 
 // newConns returns the connections for the engine protocol.
-func newConns(o ConnObserver) *Conns {
-	return NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, Connections: o})
+func newConns(dial DialFunc, o ConnObserver) *Conns {
+	return NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, Dial: dial, Connections: o})
 }
 
 // NewTransport returns a transport that speaks HTTP/1.1 only, because HTTP/2
--- a/backend/service.go
+++ b/backend/service.go
@@ -34,8 +34,12 @@
 }
 
 // NewServiceClient returns a client with its own connection pool.
-func NewServiceClient() *ServiceClient {
-	return &ServiceClient{conns: NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, ResetUnfinished: true})}
+func NewServiceClient() *ServiceClient { return NewServiceClientWith(nil) }
+
+// NewServiceClientWith returns a client that opens its connections with dial, or with a net.Dialer if
+// dial is nil.
+func NewServiceClientWith(dial DialFunc) *ServiceClient {
+	return &ServiceClient{conns: NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, ResetUnfinished: true, Dial: dial})}
 }
 
 // CloseIdle closes connections that carry no request.
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -124,7 +124,7 @@
 }
 
 func (n *node) newServices(set *settings.Settings, pick *picker, budget *admission.RetryBudget) *services {
-	client := backend.NewServiceClient()
+	client := backend.NewServiceClientWith(n.dialBackend())
 	client.Gate = gate{n.pressure, n.dir}
 	return &services{
 		node:   attemptPrefix(set),
--- a/daemon/cutoff.go
+++ b/daemon/cutoff.go
@@ -54,21 +54,28 @@
 	return out
 }
 
+// dialBackend returns what opens connections to backend servers; nil stands for a net.Dialer.
+func (n *node) dialBackend() backend.DialFunc {
+	return backend.ProxyDial(n.config.Node.BackendProxyAddress)
+}
+
+func (n *node) newProber() backend.Prober { return backend.Prober{Dial: n.dialBackend()} }
+
 // buildCutOff creates what finds out whether this router is cut off from the engines, and passes
 // generations on while it is.
 func (n *node) buildCutOff() {
-	addrs := &engineAddrs{dir: n.dir}
+	addrs, prober := &engineAddrs{dir: n.dir}, n.newProber()
 	n.reach = reach.New(reach.Config{
 		ServiceOf: addrs.serviceOf,
 		Backends:  addrs.engines,
 		Probe: func(ctx context.Context, b fleet.Backend) bool {
-			return backend.Prober{}.Probe(ctx, b) == quarantine.Working
+			return prober.Probe(ctx, b) == quarantine.Working
 		},
 		OnChange: n.cutOffChanged,
 		Log:      n.log,
 		Set:      n.set,
 	})
-	n.engines.SetConnObserver(n.reach)
+	n.engines.SetConnections(n.dialBackend(), n.reach)
 	// A lost message is repeated; a router that missed it answers that it takes no request.
 	n.reachPeers = reach.NewPeers(n.reach, func(m reach.Message) { _ = n.mesh.Flood(reach.FloodCutOff, m) }, n.log)
 	peer.HandleFlood(n.mesh, reach.FloodCutOff, n.reachPeers.Handle)
@@ -117,11 +124,14 @@
 
 // cutOffProber finds out whether engines have exited. A link that is cut may refuse connections as the
 // host of an exited process does. It implements quarantine.Prober.
-type cutOffProber struct{ reach *reach.Monitor }
+type cutOffProber struct {
+	backend.Prober
+	reach *reach.Monitor
+}
 
 // Probe implements quarantine.Prober.
 func (p cutOffProber) Probe(ctx context.Context, b fleet.Backend) quarantine.State {
-	state := backend.Prober{}.Probe(ctx, b)
+	state := p.Prober.Probe(ctx, b)
 	if state == quarantine.Exited && p.reach.CheckCutOff(ctx, engineService) {
 		return quarantine.Unreachable
 	}
--- a/daemon/quarantine.go
+++ b/daemon/quarantine.go
@@ -12,7 +12,7 @@
 
 func (n *node) buildGuard(set *settings.Settings) {
 	n.guard = quarantine.NewGuard(quarantine.Config{
-		Prober:      cutOffProber{n.reach},
+		Prober:      cutOffProber{n.newProber(), n.reach},
 		Incarnation: func(b fleet.Backend) string { return b.ID + "@" + n.dir.Incarnation(b.ID) },
 		Leaving:     n.dir.Leaving,
 		Neighbours:  placement.Neighbours(n.dir, n.mon),
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -88,7 +88,7 @@
 }
 
 func newNode(set *settings.Settings, log *event.Log) (*node, error) {
-	return newNodeWith(set, log, nil)
+	return newNodeWith(set, log, backend.ProxyDial(set.Node.BackendProxyAddress))
 }
 
 // newNodeWith returns a node that opens its connections to replicas with dial, or with a
--- a/settings/check.go
+++ b/settings/check.go
@@ -99,6 +99,9 @@
 	c.name("node.failure_domain", n.FailureDomain)
 	c.name("node.region", n.Region)
 	c.name("node.incarnation", n.Incarnation)
+	if n.BackendProxyAddress != "" {
+		c.address("node.backend_proxy_address", n.BackendProxyAddress)
+	}
 }
 
 func (c *checker) listen(l *Listen) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,9 @@
 	VM            string `json:"vm"`
 	FailureDomain string `json:"failure_domain"`
 	Region        string `json:"region"`
+	// BackendProxyAddress is the host:port of an HTTP CONNECT proxy through which this process connects to
+	// backend servers; if empty, it connects to them directly.
+	BackendProxyAddress string `json:"backend_proxy_address"`
 	// Incarnation differs at each start. "auto" generates a random one.
 	Incarnation string `json:"incarnation"`
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -26,7 +26,7 @@
 func TestParseNamesEachFault(t *testing.T) {
 	text := demo(t)
 	for old, now := range map[string]string{
-		`"region": "co-centro"`:              `"region": 7, "zone": "x"`,
+		`"region": "co-centro"`:              `"region": 7, "zone": "x", "backend_proxy_address": "nowhere"`,
 		`"min_suspect_ms": 50`:               `"min_suspect_ms": "50ms"`,
 		`"max_suspect_ms": 1000`:             `"max_suspect_ms": 0.5`,
 		`"role": "confirmer"`:                `"role": "owner", "name": "demo"`,
@@ -55,7 +55,7 @@
 		}
 	}
 	for _, path := range []string{
-		"node.region", "node.zone", "policy.min_suspect_ms", "policy.max_suspect_ms", "operators[0].role", "operators[0].name",
+		"node.region", "node.zone", "node.backend_proxy_address", "policy.min_suspect_ms", "policy.max_suspect_ms", "operators[0].role", "operators[0].name",
 		"listen.admin.address", "cursor.max_age_s", "cursor.key_file", "platform.kv_url",
 		"peers.heartbeat_ms", "shutdown.balancer_notice_ms", "directory.load_poll_ms",
 	} {
