soak: routers are cut from backend servers that the others reach

One or more routers are cut from all replicas of a service or from one, for 0.2 to 4 s, on both interfaces; the draws of the other faults stay the same. Half of the requests that may run once state a budget of 0.6 to 4 s then, so that their time ends within a cut. Whether a request had its whole time is judged by its own budget; the checks are otherwise the same, and a cut is recorded as harm of its replicas' links as the other link faults are.

--- a/soak/command.go
+++ b/soak/command.go
@@ -49,6 +49,7 @@
 	Repeats          bool          `arg:"--repeats" help:"backend servers send answers twice, and plain services have little room"`
 	Outages          bool          `arg:"--outages" help:"entries of sound replicas lapse, all engines crash at once, and streams end with their connections"`
 	Silences         bool          `arg:"--silences" help:"nothing but silences of replicas and new versions of the configuration is injected"`
+	Cuts             bool          `arg:"--cuts" help:"routers are cut from a service, or from one replica of it, while the others reach it"`
 	NoSilences       bool          `arg:"--no-silences" help:"no silences of replicas are drawn beside the other faults, and the larger retry budget"`
 	Keep             string        `arg:"--keep" help:"folder for settings and logs; kept only after a failure if not given"`
 }
@@ -142,7 +143,7 @@
 	report, err := run(ctx, Config{
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
-		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Silences: args.Silences, NoSilences: args.NoSilences,
+		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
 	})
 	if err != nil {
 		return false, err
--- a/soak/ends.go
+++ b/soak/ends.go
@@ -83,7 +83,7 @@
 	if r.status == 0 && !errors.Is(r.err, context.DeadlineExceeded) { // which checkDuration judges
 		return "no connection of a router that runs ends without an answer"
 	}
-	if r.duration >= routeTimeout {
+	if r.duration >= r.timeLimit() {
 		return ""
 	}
 	silent := false
@@ -102,6 +102,14 @@
 	return ""
 }
 
+// timeLimit returns when the router may end the request for want of time.
+func (r *result) timeLimit() time.Duration {
+	if r.budget == 0 {
+		return routeTimeout
+	}
+	return min(r.budget, routeTimeout)
+}
+
 // checkEnds records a violation for each request that should have got a complete answer or a refusal, and
 // got neither.
 func (c *checks) checkEnds(arrivedAt map[string][]*fakes.Replica) {
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -39,6 +39,7 @@
 	rolloutMu   sync.Mutex
 	watchers    sync.WaitGroup
 	silences    sync.WaitGroup
+	cuts        *cuts
 	stopped     atomic.Bool
 	stopCopies  func()
 	faultsEnded atomic.Bool // all faults have ended
@@ -51,7 +52,7 @@
 }
 
 func newPlatformRun(cfg Config) *platformRun {
-	return &platformRun{
+	r := &platformRun{
 		run:   newRun(cfg, platformStream),
 		store: fakes.NewStore(), startedAt: time.Now(),
 		replicas: map[string]*fakes.Replica{},
@@ -61,6 +62,8 @@
 		badVersions: map[string]fakes.Faults{},
 		stopCopies:  func() {},
 	}
+	r.cuts = newCuts(&r.run, r.drawCutServers)
+	return r
 }
 
 func (r *platformRun) newClient(i int) trafficClient {
@@ -107,6 +110,7 @@
 	if !r.cfg.Calm && !r.cfg.NoSilences {
 		r.silences.Go(func() { r.injectSilences(ctx) })
 	}
+	r.cuts.start(ctx)
 	if r.cfg.Drills {
 		copying, stop := context.WithCancel(ctx)
 		r.stopCopies = stop
@@ -193,11 +197,13 @@
 	r.stopped.Store(true)
 	r.stopCopies()
 	r.silences.Wait()
+	r.cuts.end()
 	r.watchers.Wait()
 	for _, n := range r.nodes {
 		n.kill()
 		n.link.Close()
 	}
+	r.cuts.close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, rep := range r.replicas {
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -18,6 +18,8 @@
 	// latest. Routes have a timeout of 8 s.
 	budget        = 9 * time.Second
 	maxAnswerTime = 14 * time.Second
+	// minBudget is the shortest budget of a request that may run once, with Config.Cuts.
+	minBudget = 600 * time.Millisecond
 	// One in abandonEvery generations is abandoned: its client disconnects before the end.
 	abandonEvery = 12
 )
@@ -55,6 +57,7 @@
 	abandoned     bool  // the client disconnected before the end
 	startedAt     time.Time
 	duration      time.Duration
+	budget        time.Duration // the time limit that the client stated
 }
 
 func (c *platformClient) loop(ctx context.Context) {
@@ -81,6 +84,9 @@
 		kinds = kinds[1:] // clients take drafts up
 	}
 	res := c.newResult(kinds[c.rng.IntN(len(kinds))], fmt.Sprintf("%s-%d", c.name, c.sent))
+	if c.run.cfg.Cuts && res.kind == "book" && c.rng.IntN(2) == 0 {
+		res.budget = minBudget + time.Duration(c.rng.Int64N(int64(maxCut-minBudget))) // may end within a cut
+	}
 	res.incarnation = n.incarnation()
 	ctx, stop := context.WithTimeout(context.Background(), maxAnswerTime)
 	defer stop()
@@ -94,11 +100,11 @@
 
 // newResult returns the record of a request that is about to be sent.
 func (c *platformClient) newResult(kind, id string) result {
-	return result{id: id, kind: kind, key: fmt.Sprintf("key-%d", c.rng.IntN(firstKeys)), startedAt: time.Now()}
+	return result{id: id, kind: kind, key: fmt.Sprintf("key-%d", c.rng.IntN(firstKeys)), startedAt: time.Now(), budget: budget}
 }
 
 func (c *platformClient) send(ctx context.Context, t *http.Transport, n *node, res *result) (status int, body string, abandoned bool, err error) {
-	request := fakes.ClientRequest{Addr: n.front, Path: "/" + res.kind + "/x", ID: res.id, Key: res.key, Budget: budget, Prompt: "aa:40," + res.id + ":60"}
+	request := fakes.ClientRequest{Addr: n.front, Path: "/" + res.kind + "/x", ID: res.id, Key: res.key, Budget: res.budget, Prompt: "aa:40," + res.id + ":60"}
 	if c.run.cfg.CrashingParts {
 		request.Prompt = fmt.Sprintf("aa:40,d%d:20,%s:60", c.rng.IntN(sharedParts), res.id)
 	}
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -65,10 +65,18 @@
 // harmLinks harms the links to a random replica, and records for how long.
 func (r *platformRun) harmLinks(harm func(l *replicaLinks) (heal func())) (end func()) {
 	rep := r.randomReplica()
-	harmed, troubled := r.checks.asks.harmed.begin(rep.ID), r.checks.ends.trouble.begin(rep)
+	recorded := r.recordHarm(rep)
 	heal := harm(rep.Listener())
 	return func() {
 		heal()
+		recorded()
+	}
+}
+
+// recordHarm records that links to a replica are harmed until the returned function is called.
+func (r *platformRun) recordHarm(rep *fakes.Replica) (end func()) {
+	harmed, troubled := r.checks.asks.harmed.begin(rep.ID), r.checks.ends.trouble.begin(rep)
+	return func() {
 		harmed()
 		troubled()
 	}
@@ -113,6 +121,7 @@
 // roll-outs have ended.
 func (r *platformRun) endFaults() {
 	r.silences.Wait()
+	r.cuts.running.Wait()
 	r.history.add("calm")
 	r.endBrittle()
 	r.store.SetFailing(false)
--- a/soak/platform_node.go
+++ b/soak/platform_node.go
@@ -13,12 +13,14 @@
 	process
 	front string
 	link  *relay.Relay
+	proxy string // to the replicas; empty without Config.Cuts
 }
 
 func newNode(r *platformRun, i int) (*node, error) {
 	id := fmt.Sprintf("n%d", i)
 	var front, ready, stats, peer string
-	if err := reserveAddrs(&front, &ready, &stats, &peer); err != nil {
+	err := reserveAddrs(&front, &ready, &stats, &peer)
+	if err != nil {
 		return nil, err
 	}
 	n := &node{
@@ -29,10 +31,13 @@
 	if err := n.link.Start(); err != nil {
 		return nil, Error.Wrap(err)
 	}
+	if n.proxy, err = r.cuts.newProxy(); err != nil {
+		return nil, err
+	}
 	budget := r.cfg.retryBudget()
-	text := fmt.Sprintf(`{"node": {"id": %q, "vm": %q, "failure_domain": "d%d", "region": "r"},
+	text := fmt.Sprintf(`{"node": {"id": %q, "vm": %q, "failure_domain": "d%d", "region": "r", "backend_proxy_address": %q},
  "shutdown": {"balancer_notice_ms": 300},
  "hosted": {"front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,
-  "store_address": %q, "grace_ms": 10000, "retry_share": %v, "retry_burst": %v}}`, id, id, i%2, front, ready, stats, peer, n.link.Addr(), budget.share, budget.burst)
+  "store_address": %q, "grace_ms": 10000, "retry_share": %v, "retry_burst": %v}}`, id, id, i%2, n.proxy, front, ready, stats, peer, n.link.Addr(), budget.share, budget.burst)
 	return n, Error.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600))
 }
--- a/soak/product.go
+++ b/soak/product.go
@@ -40,6 +40,7 @@
 type router struct {
 	process
 	caller, admin, peer, advertisedPeer string // host:port; advertisedPeer is the relay to peer
+	proxy                               string // to the backend servers; empty without Config.Cuts
 }
 
 // productRun is the state of one run on the product's own interface.
@@ -48,11 +49,13 @@
 	fakes        *control.Set
 	routers      []*router
 	accountsLeft int // accounts that have not been removed
+	cuts         *cuts
 }
 
 // RunProduct runs one seed on the product's own interface.
 func RunProduct(ctx context.Context, cfg Config) (*Report, error) {
 	r := &productRun{run: newRun(cfg, productStream), accountsLeft: productAccounts}
+	r.cuts = newCuts(&r.run, r.drawCutServers)
 	return r.execute(ctx, r)
 }
 
@@ -99,6 +102,7 @@
 			return err
 		}
 	}
+	r.cuts.start(ctx)
 	return nil
 }
 
@@ -107,6 +111,10 @@
 	if err := reserveAddrs(&rt.caller, &rt.admin, &rt.peer, &rt.advertisedPeer); err != nil {
 		return nil, err
 	}
+	var err error
+	if rt.proxy, err = r.cuts.newProxy(); err != nil {
+		return nil, err
+	}
 	rt.process.ready = "http://" + rt.admin + "/readyz"
 	return rt, nil
 }
@@ -156,7 +164,7 @@
 	listenAt := func(addr string) map[string]string { return map[string]string{"address": addr} }
 	tokenHash := sha256.Sum256([]byte(productToken))
 	data, err := json.MarshalIndent(map[string]any{
-		"node":   settings.Node{ID: rt.id, VM: "vm-" + rt.id, FailureDomain: productDomains[i%len(productDomains)], Region: "r", Incarnation: "auto"},
+		"node":   settings.Node{ID: rt.id, VM: "vm-" + rt.id, FailureDomain: productDomains[i%len(productDomains)], Region: "r", Incarnation: "auto", BackendProxyAddress: rt.proxy},
 		"listen": map[string]any{"caller": listenAt(rt.caller), "admin": listenAt(rt.admin), "peer": listenAt(rt.peer), "advertise_peer": rt.advertisedPeer},
 		"platform": settings.Platform{
 			KVURL: "http://" + addrs["kv-"+rt.id], VMsURL: "http://" + addrs["vms-"+rt.id], WeightsURL: "http://" + addrs["weights"], CallTimeoutMS: 1000,
@@ -216,6 +224,7 @@
 
 // endFaults resumes stopped routers and waits until all routers are ready.
 func (r *productRun) endFaults() {
+	r.cuts.running.Wait()
 	r.history.add("calm")
 	for _, rt := range r.routers {
 		rt.signal(syscall.SIGCONT)
@@ -225,9 +234,11 @@
 
 // stop ends every process and fake that the run has started.
 func (r *productRun) stop() {
+	r.cuts.end()
 	for _, rt := range r.routers {
 		rt.kill()
 	}
+	r.cuts.close()
 	if r.fakes != nil {
 		r.fakes.Close()
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -78,6 +78,9 @@
 	Outages bool
 	// Silences injects nothing but silences of replicas and new versions of the configuration, on the users' platform.
 	Silences bool
+	// Cuts has each router connect to backend servers through a proxy of its own, and cuts routers from a service or
+	// from one replica of it while the others reach it.
+	Cuts bool
 	// NoSilences draws no silences and the larger retry budget, so that a seed is what it was before there were any.
 	NoSilences bool
 }
