--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -16,7 +16,7 @@
 	cutStream = 13
 	// cutGap is the mean time between the beginnings of two cuts.
 	cutGap = 700 * time.Millisecond
-	// A cut lasts from minCut to maxCut.
+	// A cut lasts from minCut to maxCut, at most until the other faults end.
 	minCut = 200 * time.Millisecond
 	maxCut = 4 * time.Second
 )
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -121,7 +121,7 @@
 // roll-outs have ended.
 func (r *platformRun) endFaults() {
 	r.silences.Wait()
-	r.cuts.running.Wait()
+	r.cuts.end()
 	r.history.add("calm")
 	r.endBrittle()
 	r.store.SetFailing(false)
--- a/soak/product.go
+++ b/soak/product.go
@@ -224,7 +224,7 @@
 
 // endFaults resumes stopped routers and waits until all routers are ready.
 func (r *productRun) endFaults() {
-	r.cuts.running.Wait()
+	r.cuts.end()
 	r.history.add("calm")
 	for _, rt := range r.routers {
 		rt.signal(syscall.SIGCONT)
