--- a/backend/send.go
+++ b/backend/send.go
@@ -61,8 +61,8 @@
 }
 
 // newConns returns the connections for the engine protocol.
-func newConns(o ConnObserver) *Conns {
-	return NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, Connections: o, Named: namedRequest})
+func newConns(dial DialFunc, o ConnObserver) *Conns {
+	return NewConns(DialConfig{Timeout: dialTimeout, BufferBytes: readBufferBytes, Dial: dial, Connections: o, Named: namedRequest})
 }
 
 // NewTransport returns a transport that speaks HTTP/1.1 only, because HTTP/2
