--- a/generation/generation.go
+++ b/generation/generation.go
@@ -9,8 +9,8 @@
 //   - Tokens arrive late, twice, out of order or with a gap (type tokenFilter).
 //   - A request that is not idempotent runs twice: therefore the request is claimed before
 //     dispatch, and after that the router only re-attaches to the request's one run.
-//   - An untrue "not-run": it is reported only while no byte can have reached an engine, or if
-//     every engine that was reached refused before it started.
+//   - An untrue "not-run": an attempt may have run from before its first byte is sent until a proof
+//     that it did not (type fates).
 //
 // When the caller's connection is lost (an error of the Sink, or the end of the caller's context)
 // the attempt is not cancelled: its reader is closed and the engine keeps the attempt for the
