--- a/backend/send.go
+++ b/backend/send.go
@@ -13,9 +13,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"wigeondale/linger"
-
 	"wigeondale/bounded"
+	"wigeondale/linger"
 )
 
 const (
