--- a/fakes/fault/dialer.go
+++ b/fakes/fault/dialer.go
@@ -132,7 +132,7 @@
 	resets bool   // Close resets the connection
 }
 
-// fail ends the connection without a word to the other side if the link hangs.
+// fail ends the connection. If the link hangs, the other side isn't notified.
 func (c *cutConn) fail(err error) { c.end(err, true) }
 
 func (c *cutConn) end(err error, reset bool) {
--- a/generation/fate_test.go
+++ b/generation/fate_test.go
@@ -183,8 +183,8 @@
 }
 
 // plays reports whether an exit differs from the result of the attempt or the deadline for a request. An attempt that no
-// other may follow, and one at another router, isn't under the failure detector, and the detector, which is what panics, isn't
-// told of attempts that are passed on, withheld or refused as a repeat.
+// other may follow, and one at another router, isn't under the failure detector. The detector, which is what panics, gets no
+// result of attempts that are passed on, withheld or refused as a repeat.
 func plays(exit string, s stage, forwarded bool, req *Request) bool {
 	switch exit {
 	case "silence", "run lost", "cut off", "silence, then the deadline":
--- a/hosted/cut_test.go
+++ b/hosted/cut_test.go
@@ -108,7 +108,8 @@
 	}
 }
 
-// Guards against a run that goes on for nobody, since the end of its connection is lost in a cut: a reset is sent only once.
+// Guards against a replica that goes on with a run that was given up, since the end of its connection is lost in a cut: a
+// reset is sent only once.
 func TestRunGivenUpInACutEndsAfterIt(t *testing.T) {
 	f := newFleet(t)
 	engine := f.startEngines(1, 3, testTimeout)[0]
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -2,7 +2,7 @@
 //
 // A kernel goes on to send what was written to a connection after the connection has been closed. If the link is cut, a
 // request that was given up is delivered seconds later. A reset drops such bytes, but it is sent only once: if it is lost,
-// the other side never learns that the connection has ended, and works on for nobody. So a connection is reset only if it
+// the other side goes on with a request that was given up. So a connection is reset only if it
 // holds bytes that the other side hasn't acknowledged; otherwise it is closed as usual, which the kernel repeats until it
 // is acknowledged.
 package linger
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -175,8 +175,8 @@
 }
 
 // TestCutSeeds makes the same checks as TestSeeds, on both interfaces. In addition to the faults, routers are cut from
-// a service, or from one replica of it, while the others reach it. Guards against requests that run although
-// their callers were told that they never will.
+// a service, or from one replica of it, while the others reach it. Guards against requests that run after a
+// refusal.
 func TestCutSeeds(t *testing.T) {
 	cfg := Config{Seed: 21, Nodes: 4, Engines: 6, Services: 4, Clients: 12, FaultTime: 3 * time.Second, Cuts: true}
 	checkSeed(t, Run, cfg)
