fakes/hosted: a stream without a length begins with its head

It asked others for the rest, and the stand-in closed these connections without an answer, as it sent the head together with the first chunk, of which there was none. TestUnframedStreamWithoutARestHasAHead failed before (EOF).

--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -184,6 +184,9 @@
 	fmt.Fprint(buf, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n")
 	w.Header().Write(buf)
 	fmt.Fprint(buf, "Connection: close\r\n\r\n")
+	if err := buf.Flush(); err != nil {
+		return
+	}
 	for n := from + 1; n <= r.Chunks; n++ {
 		select {
 		case <-r.ended:
--- a/fakes/hosted/replica_test.go
+++ b/fakes/hosted/replica_test.go
@@ -166,3 +166,27 @@
 		})
 	}
 }
+
+// Guards against a stand-in that gives no answer to a client that has all chunks of a stream and asks for the rest.
+func TestUnframedStreamWithoutARestHasAHead(t *testing.T) {
+	r := &Replica{ID: "e", Service: "llm", Engine: true, Chunks: 3}
+	r.SetFaults(Faults{NoLength: true})
+	if err := r.Start(func(string) *Replica { return nil }); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Crash)
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.Addr()+"/draft/x", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Attempt-Id", "q")
+	req.Header.Set("Last-Event-Id", "3")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || len(body) != 0 {
+		t.Errorf("status %d, %q, %v", resp.StatusCode, body, err)
+	}
+}
