infra: the check of a watch message without end doesn't count what the kernel holds

A watch reads 16 MiB at most (maxWatchBytes).

The test of package client uses it in place of its own copy.

--- a/client/endless_test.go
+++ b/client/endless_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"slices"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -48,7 +46,7 @@
 					opts.MaxTries = 1
 					err := endless.Check(endless.Answer{Kind: kind, Gap: gap}, 300*time.Millisecond, most, func(ctx context.Context, addr string) {
 						c := New([]string{"http://" + addr}, "k", opts)
-						limitReceiveSpace(c)
+						c.opts.HTTP.Transport.(bounded.Transport).DialContext = endless.Dial
 						outcome, err := call(ctx, c)
 						if err == nil || outcome == fleet.Complete || outcome == fleet.NotRun || errors.Is(err, ErrNoEndpoint) {
 							t.Errorf("got outcome %q, %v", outcome, err)
@@ -63,19 +61,6 @@
 	}
 }
 
-// receiveSpace limits the bytes that the kernel holds for the client, which the server counts as sent.
-const receiveSpace = 16 << 10
-
-func limitReceiveSpace(c *Client) {
-	dialer := &net.Dialer{Control: func(_, _ string, conn syscall.RawConn) error {
-		var err error
-		return errors.Join(conn.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveSpace)
-		}), err)
-	}}
-	c.opts.HTTP.Transport.(bounded.Transport).DialContext = dialer.DialContext
-}
-
 // Guards against an event that is refused although the router may send it: a chunk of 128 KB whose bytes
 // are all escaped.
 func TestLargestEventIsRead(t *testing.T) {
--- a/fakes/endless/check.go
+++ b/fakes/endless/check.go
@@ -4,13 +4,29 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
 // checkSlack is how much later than its deadline a call may end, on a busy machine.
 const checkSlack = 2 * time.Second
 
+// receiveSpace limits the bytes that the kernel holds for a client, which a server counts as sent.
+const receiveSpace = 16 << 10
+
+// Dial opens connections for clients of a server, for which the kernel holds few bytes that the client hasn't read.
+func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := &net.Dialer{Control: func(_, _ string, conn syscall.RawConn) error {
+		var err error
+		return errors.Join(conn.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveSpace)
+		}), err)
+	}}
+	return dialer.DialContext(ctx, network, addr)
+}
+
 // Check starts a server of answer, and makes a call to it that has the given time. It returns an
 // error if the call doesn't end by its deadline, leaves its connection open, or has the client take
 // in more than most bytes.
--- a/infra/endless_test.go
+++ b/infra/endless_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"wigeondale/bounded"
 	"wigeondale/fakes/endless"
 	"wigeondale/fleet"
 )
@@ -67,7 +68,9 @@
 	for _, body := range []string{"", `{"result":{"events":[{"type":"`} {
 		a := endless.Answer{Kind: endless.Unframed, Body: body, Header: http.Header{"Content-Type": {"application/json"}}}
 		err := endless.Check(a, 5*time.Second, 17<<20, func(ctx context.Context, addr string) {
-			events, err := newKV("http://"+addr, time.Second).Watch(ctx, "p/", 0)
+			kv := newKV("http://"+addr, time.Second)
+			kv.watcher.Transport.(bounded.Transport).DialContext = endless.Dial
+			events, err := kv.Watch(ctx, "p/", 0)
 			if err != nil {
 				t.Error(err)
 				return
