--- a/client/endless_test.go
+++ b/client/endless_test.go
@@ -46,7 +46,7 @@
 					opts.MaxTries = 1
 					err := endless.Check(endless.Answer{Kind: kind, Gap: gap}, 300*time.Millisecond, most, func(ctx context.Context, addr string) {
 						c := New([]string{"http://" + addr}, "k", opts)
-						c.opts.HTTP.Transport.(bounded.Transport).DialContext = endless.Dial
+						c.opts.HTTP.Transport.(bounded.Transport).DialContext = endless.Dial(16 << 10)
 						outcome, err := call(ctx, c)
 						if err == nil || outcome == fleet.Complete || outcome == fleet.NotRun || errors.Is(err, ErrNoEndpoint) {
 							t.Errorf("got outcome %q, %v", outcome, err)
--- a/fakes/endless/check.go
+++ b/fakes/endless/check.go
@@ -13,18 +13,16 @@
 // checkSlack is how much later than its deadline a call may end, on a busy machine.
 const checkSlack = 2 * time.Second
 
-// receiveSpace limits the bytes that the kernel holds for a client, which a server counts as sent.
-const receiveSpace = 16 << 10
-
-// Dial opens connections for clients of a server, for which the kernel holds few bytes that the client hasn't read.
-func Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+// Dial returns a function that opens connections for the clients of a server, for which the kernel holds about space
+// bytes at most that the client hasn't read. The server counts these as sent.
+func Dial(space int) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	dialer := &net.Dialer{Control: func(_, _ string, conn syscall.RawConn) error {
 		var err error
 		return errors.Join(conn.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveSpace)
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, space)
 		}), err)
 	}}
-	return dialer.DialContext(ctx, network, addr)
+	return dialer.DialContext
 }
 
 // Check starts a server of answer, and makes a call to it that has the given time. It returns an
--- a/infra/endless_test.go
+++ b/infra/endless_test.go
@@ -69,7 +69,7 @@
 		a := endless.Answer{Kind: endless.Unframed, Body: body, Header: http.Header{"Content-Type": {"application/json"}}}
 		err := endless.Check(a, 5*time.Second, 17<<20, func(ctx context.Context, addr string) {
 			kv := newKV("http://"+addr, time.Second)
-			kv.watcher.Transport.(bounded.Transport).DialContext = endless.Dial
+			kv.watcher.Transport.(bounded.Transport).DialContext = endless.Dial(256 << 10)
 			events, err := kv.Watch(ctx, "p/", 0)
 			if err != nil {
 				t.Error(err)
