--- a/fakes/hosted/store.go
+++ b/fakes/hosted/store.go
@@ -42,6 +42,7 @@
 	era          atomic.Int64   // number of times that the store came back from a copy
 	copiedAt     int64          // revision of the copy from which the store came back last
 	renewals     []Renewal
+	refused      []string // prefixes of keys whose writes fail with 503
 }
 
 // NewStore starts a store on loopback.
@@ -112,6 +113,13 @@
 	s.notifyChanged()
 }
 
+// RefuseWrites makes writes of keys with one of the prefixes fail with 503, and no others.
+func (s *Store) RefuseWrites(prefixes ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = prefixes
+}
+
 // Compact drops the history, so that watches from an earlier revision fail with 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
--- a/fakes/hosted/store_serve.go
+++ b/fakes/hosted/store_serve.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -102,6 +103,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if slices.ContainsFunc(t.Writes, s.refusesWrite) {
+		http.Error(w, `{"error":"busy"}`, http.StatusServiceUnavailable)
+		return
+	}
 	for _, p := range t.Precondition {
 		if s.items[p.Key].Revision != p.Revision {
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -124,6 +129,11 @@
 	writeJSON(w, map[string]any{"revision": s.revision})
 }
 
+// refusesWrite reports whether writes of an item's key fail. The caller holds s.mu.
+func (s *Store) refusesWrite(i Item) bool {
+	return slices.ContainsFunc(s.refused, func(prefix string) bool { return strings.HasPrefix(i.Key, prefix) })
+}
+
 // serveLease grants leases that never expire.
 func (s *Store) serveLease(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
