--- a/binding/report.go
+++ b/binding/report.go
@@ -44,6 +44,24 @@
 	return out
 }
 
+// Evidence is what an inference of a stream's version, or its refusal, rests on, for logs.
+type Evidence struct {
+	Versions []string      // listed recently, or named by the store
+	Followed time.Duration // how long this router has followed the list without a pause
+	ListAge  time.Duration
+}
+
+// Evidence returns what this router knows of the versions of a service.
+func (t *Tracker) Evidence(service string, now time.Duration) Evidence {
+	e := Evidence{ListAge: t.cfg.CopyAge()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.services[service]; h != nil {
+		e.Versions, e.Followed = h.recent(now, t.cfg.Lifetime(service)), now-h.coveredSince
+	}
+	return e
+}
+
 // count returns the numbers of own and other records of a version.
 func (s *records) count(service, version string) (own, kept int) {
 	for _, r := range s.byKey {
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -206,12 +206,15 @@
 		s.tick(clock.SinceBoot()) // this node has just started
 	}
 	f, err := s.tracker.Find(ctx, keyOf(r), service, clock.SinceBoot())
+	e := s.tracker.Evidence(service, clock.SinceBoot())
 	if err != nil {
+		err = Error.New("%w (versions %q, list followed for %d ms, list age %d ms)", err, e.Versions, e.Followed.Milliseconds(), e.ListAge.Milliseconds())
 		return generation.Binding{}, &generation.Unavailable{Code: generation.CodeVersionUnknown, RetryAfter: unknownRetry, Err: err}
 	}
 	s.found.Inc()
 	s.log.Emit(event.StreamVersionFound, "request", r.ID, "began_as", r.BeganAs(), "service", service,
-		"software", f.Version, "source", string(f.Source), "age_ms", f.Age.Milliseconds())
+		"software", f.Version, "source", string(f.Source), "age_ms", f.Age.Milliseconds(),
+		"versions", e.Versions, "followed_ms", e.Followed.Milliseconds(), "list_age_ms", e.ListAge.Milliseconds())
 	return generation.Binding{Version: f.Version}, nil
 }
 
