binding, hosted: what is known of a stream's software version outlives all routers, and an absent note proves nothing

What callers saw.

A router that had just started inferred the version from a current list that names one, since no note named another. Notes are written behind, and nothing waits for them: the evidence was missing, and that counted as proof. What the routers did know of streams were records at other routers, which end with them.

A router infers from what it has seen itself for as long as a stream lasts, and from nothing less. Else it needs - a record of the stream in the store. The router that passes the first chunk writes it, in batches, a key each, under a lease. Records never change, so old, late and doubled writes do no harm; one that is missing leads to a refusal. - or the store's statement that the service has had one sole version, read anew at the take-up. It is one item, replaced on condition; a router makes it on evidence only (it has followed a current list and reached all routers for as long as a stream lasts, or since the deployment's first start), it holds in one era of the store, and no stream begins at another version until the item names that. While it holds, streams need no records, and nothing is written.

TestOldListProvesNothing expected that a router that has run for 5 s of a 20 s lifetime infers from a current list. That is the fault; its router runs for 25 s now, and TestAbsentNoteProvesNothing keeps the other half.

--- a/binding/binding.go
+++ b/binding/binding.go
@@ -5,10 +5,12 @@
 // when the client takes the stream up at another router.
 //
 // The router that passes the first chunk of a stream to its client records the version, and sends
-// the record to a few routers in different failure domains, chosen by a hash of the stream's id. A
-// router that doesn't have the record of a stream asks these routers. Nothing is sent while a
-// service has one version only: the version of a stream follows from that then (type history). If
-// the version can't be found out, the stream is refused and not placed at a version that is likely.
+// the record to a few routers in different failure domains, chosen by a hash of the stream's id, and to the store. A
+// router that doesn't have the record of a stream asks these routers, then the store. Nothing is sent while a
+// service has one version only, provided that the store states so (Statement): the version of a stream follows from that
+// statement, or from what the router itself has seen for as long as a stream lasts (type history). If
+// the version can't be found out, the stream is refused and not placed at a version that is likely: a record or a
+// statement that is missing proves nothing.
 //
 // A record is sent once the version is certain, and never changes, so records need no order. A lost
 // record leads to a refusal.
@@ -19,6 +21,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,7 +72,16 @@
 	Send func(to Router, records []Record)
 	// Ask asks a router for the record of a stream.
 	Ask func(ctx context.Context, router string, q Query) (Reply, error)
-	Log *event.Log
+	// Whole reports whether this router is linked, directly or through others, to each router that is registered or was
+	// seen lately and didn't leave by itself.
+	Whole func() bool
+	// Lookup reads from the store what it has of a stream.
+	Lookup func(ctx context.Context, service string, key Key) (Stored, error)
+	// Era returns the era of this router's copy of the store.
+	Era func() int64
+	// FirstStart means that this router was started with the deployment's first start: no stream began before.
+	FirstStart bool
+	Log        *event.Log
 }
 
 // Router is a router that may keep records. It loses them when it starts again.
@@ -93,6 +105,8 @@
 	completedAt    time.Duration // when it was last checked that the own records are where they belong
 	membership     uint64        // digest of the routers at that time
 	wokeAt         time.Duration // end of the latest time in which this process did not run
+	wholeSince     time.Duration // as connectedSince, for Config.Whole
+	firstStart     bool          // this router has not been paused since the deployment's first start
 }
 
 const (
@@ -110,25 +124,23 @@
 
 // New returns a Tracker that knows no service yet.
 func New(cfg Config) *Tracker {
-	return &Tracker{cfg: cfg, services: map[string]*history{}, records: newRecords(), connectedSince: notConnected, lastTick: never, wokeAt: never}
+	return &Tracker{cfg: cfg, services: map[string]*history{}, records: newRecords(), connectedSince: notConnected, wholeSince: notConnected,
+		lastTick: never, wokeAt: never, firstStart: cfg.FirstStart}
 }
 
 // Tick updates what depends on the time, and takes in the versions of the listed backend servers
 // of each service. The list was current at asOf.
 func (t *Tracker) Tick(now, asOf time.Duration, listed map[string][]string) {
-	connected := t.cfg.Connected()
+	connected, whole := t.cfg.Connected(), t.cfg.Whole()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lastTick != never && now-t.lastTick > maxTickGap {
-		t.wokeAt = now
+		t.wokeAt, t.firstStart = now, false
+		connected, whole = false, false
 	}
 	t.lastTick = now
-	switch {
-	case !connected:
-		t.connectedSince = notConnected
-	case t.connectedSince == notConnected:
-		t.connectedSince = now
-	}
+	t.connectedSince = since(t.connectedSince, connected, now)
+	t.wholeSince = since(t.wholeSince, whole, now)
 	for service, versions := range listed {
 		t.observe(service, versions, asOf, now)
 	}
@@ -139,12 +151,24 @@
 	}
 }
 
+// since returns since when a condition holds that held since before, or notConnected.
+func since(before time.Duration, holds bool, now time.Duration) time.Duration {
+	switch {
+	case !holds:
+		return notConnected
+	case before == notConnected:
+		return now
+	}
+	return before
+}
+
 // observe takes in the versions of the listed backend servers of a service. When a second version
 // appears, the records of the streams that this router began are sent.
 func (t *Tracker) observe(service string, versions []string, asOf, now time.Duration) {
 	h := t.history(service, now)
 	if t.lastTick == t.wokeAt || len(h.seen) == 0 {
-		h.coveredSince = now
+		h.coveredSince, h.currentSince = now, notConnected
+		h.sinceFirstStart = t.firstStart
 	}
 	before := h.several(now, t.cfg.Lifetime(service))
 	h.observe(versions, asOf, now)
@@ -203,7 +227,7 @@
 }
 
 // MayBegin reports whether streams of a service may begin at a version: all other routers whose
-// lists are current know it, or it is the only version.
+// lists are current know it, or it is the only version, and the store names it if it names any.
 func (t *Tracker) MayBegin(service, version string, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -211,7 +235,8 @@
 	if h == nil || len(h.seen) == 0 {
 		return true // the list has not been read yet
 	}
-	return h.seen[version].established
+	named := len(h.statement.Versions) == 0 || slices.Contains(h.statement.Versions, version)
+	return h.seen[version].established && named
 }
 
 // LastListed returns how long ago a backend server of a version was listed, and false if that was
--- a/binding/binding_test.go
+++ b/binding/binding_test.go
@@ -16,6 +16,10 @@
 	age     time.Duration
 	members []Router
 	sent    map[string][]Record
+	whole   bool
+	alone   bool
+	stored  Stored
+	era     int64
 }
 
 func newPair() *pair {
@@ -24,9 +28,12 @@
 		Lifetime:  func(string) time.Duration { return 20 * time.Second },
 		CopyAge:   func() time.Duration { return p.age },
 		Routers:   func() []Router { return p.members },
-		Connected: func() bool { return true },
+		Connected: func() bool { return !p.alone },
 		Send:      func(to Router, rs []Record) { p.sent[to.ID] = append(p.sent[to.ID], rs...) },
 		Ask:       func(context.Context, string, Query) (Reply, error) { return Reply{}, nil },
+		Whole:     func() bool { return p.whole },
+		Lookup:    func(context.Context, string, Key) (Stored, error) { return p.stored, nil },
+		Era:       func() int64 { return p.era },
 	})
 	return p
 }
@@ -61,16 +68,17 @@
 // Guards against a router with an old list, or one that was paused, that takes the only version that it knows for the only one.
 func TestOldListProvesNothing(t *testing.T) {
 	p := newPair()
-	p.list(testStart, testStart+5*time.Second, "v1")
-	now := testStart + 5*time.Second
+	p.list(testStart, testStart+25*time.Second, "v1")
+	now := testStart + 25*time.Second
 	if v, err := p.find("x", now); err != nil || v != "v1" {
 		t.Fatalf("with a current list: %q, %v", v, err)
 	}
-	p.age = maxCopyAge + time.Second
+	p.age, p.alone = maxCopyAge+time.Second, true
+	p.list(now, now, "v1")
 	if v, err := p.find("x", now); err == nil {
 		t.Errorf("with an old list: %q", v)
 	}
-	p.age = 0
+	p.age, p.alone = 0, false
 	now += 10 * time.Second
 	p.list(now, now, "v1") // nothing ran for ten seconds, and the age of the list does not show it
 	if v, err := p.find("x", now); err == nil {
@@ -97,6 +105,81 @@
 	}
 }
 
+// Guards against a router that has started, has a current list of one version and no note of another, and takes that for a proof
+// that a stream began there.
+func TestAbsentNoteProvesNothing(t *testing.T) {
+	p := newPair()
+	p.list(testStart, testStart+15*time.Second, "v2")
+	if v, err := p.find("x", testStart+15*time.Second); err == nil {
+		t.Errorf("the stream is taken for one of %q", v)
+	}
+	p.stored = Stored{Recorded: true, Version: "v1"}
+	if v, err := p.find("x", testStart+15*time.Second); err != nil || v != "v1" {
+		t.Errorf("with a record in the store: %q, %v", v, err)
+	}
+	p.stored = Stored{Sole: true, Version: "v1"}
+	if v, err := p.find("y", testStart+15*time.Second); err == nil {
+		t.Errorf("the store states that v1 is the only version, v2 is listed: %q", v)
+	}
+}
+
+// Guards against a statement that a version is the only one, made by a router that didn't see all of a stream's life, or did not
+// reach all others, or of an earlier era; and against streams at a version that such a statement excludes.
+func TestSoleVersionIsStatedOnEvidence(t *testing.T) {
+	p := newPair()
+	state := func(now time.Duration) (Statement, bool) {
+		s, due := p.NextStatement("s", now)
+		if due {
+			p.SetStatement("s", s, now)
+		}
+		return s, due
+	}
+	now := testStart
+	step := func(length time.Duration, versions ...string) {
+		p.list(now, now+length, versions...)
+		now += length
+	}
+	step(time.Second, "v1")
+	if s, due := state(now); !due || s.Sole || !slices.Equal(s.Versions, []string{"v1"}) {
+		t.Fatalf("first statement: %+v, %v", s, due)
+	}
+	step(25*time.Second, "v1")
+	if s, due := state(now); due {
+		t.Errorf("a router is out of reach: %+v", s)
+	}
+	p.whole = true
+	step(10*time.Second, "v1")
+	if s, due := state(now); due {
+		t.Errorf("a router was out of reach within a stream's life: %+v", s)
+	}
+	step(11*time.Second, "v1")
+	if s, due := state(now); !due || !s.Sole {
+		t.Errorf("no statement although one version was seen by all: %+v, %v", s, due)
+	}
+	if p.Excluded("s", "v1") || !p.Excluded("s", "v2") {
+		t.Error("streams may begin beside the only version, or not there")
+	}
+	p.Began(NewKey("s", "acc", "x"), "s", "v1", 15*time.Second, now)
+	if r := p.Unstored(10, now); len(r) != 0 {
+		t.Errorf("records although the store states the version: %v", r)
+	}
+	p.era++
+	if r := p.Unstored(10, now); len(r) != 1 || p.Excluded("s", "v2") {
+		t.Errorf("in a later era: records %v", r)
+	}
+	step(3*time.Second, "v1", "v2")
+	if s, due := state(now); !due || s.Sole || len(s.Versions) != 2 {
+		t.Errorf("with a second version: %+v, %v", s, due)
+	}
+	if r := p.Unstored(10, now); len(r) != 1 {
+		t.Errorf("records with a second version: %v", r)
+	}
+	step(15*time.Second, "v2")
+	if s, due := state(now); due {
+		t.Errorf("the other version left within a stream's life: %+v", s)
+	}
+}
+
 // Guards against records that are lost while a router is cut off or starts again.
 func TestRecordsReachRoutersThatReturn(t *testing.T) {
 	p := newPair()
--- a/binding/find.go
+++ b/binding/find.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -20,9 +21,20 @@
 const (
 	FromRecord Source = "record"      // this router has a record of the stream
 	FromRouter Source = "router"      // another router has one
-	FromList   Source = "one-version" // the service has had one version for as long as a stream lasts
+	FromList   Source = "one-version" // this router has seen one version for as long as a stream lasts
+	FromStore  Source = "store"       // the store has a record, or states that there was one version
 )
 
+// Stored is what the store has of a stream.
+type Stored struct {
+	Recorded bool // it has a record of the stream
+	Sole     bool // it has none, and states the one version at which all streams without a record began
+	Version  string
+}
+
+// ErrNotStored means that the store has no record of the stream, and states no sole version of the service.
+var ErrNotStored = errors.New("the store has no record of the stream")
+
 // Find finds out at which version a stream began.
 func (t *Tracker) Find(ctx context.Context, key Key, service string, now time.Duration) (Found, error) {
 	if f, ok := t.findRecord(key, now); ok {
@@ -37,7 +49,35 @@
 			return f, nil
 		}
 	}
-	return f, err
+	if err == nil {
+		return f, nil
+	}
+	f, unstored := t.lookUp(ctx, key, service, now)
+	if unstored != nil {
+		return Found{}, Error.New("%w; %w", err, unstored)
+	}
+	return f, nil
+}
+
+// lookUp finds the version of a stream in the store. A sole version counts only if this router has not seen another one: streams
+// may begin at a version that is found while the store is away.
+func (t *Tracker) lookUp(ctx context.Context, key Key, service string, now time.Duration) (Found, error) {
+	s, err := t.cfg.Lookup(ctx, service, key)
+	if err != nil {
+		return Found{}, err
+	}
+	keep := t.cfg.Lifetime(service)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch h := t.services[service]; {
+	case s.Recorded:
+		t.records.put(Record{Key: key, Service: service, Version: s.Version, KeepMS: keep.Milliseconds()}, false, now)
+		t.records.setStored(key)
+		return Found{Version: s.Version, Source: FromStore}, nil
+	case s.Sole && h != nil && !slices.ContainsFunc(h.listed(now, keep), func(v string) bool { return v != s.Version }):
+		return Found{Version: s.Version, Source: FromStore}, nil
+	}
+	return Found{}, ErrNotStored
 }
 
 func (t *Tracker) findRecord(key Key, now time.Duration) (Found, bool) {
@@ -60,8 +100,8 @@
 	keep := t.cfg.Lifetime(service)
 	version, one := only(h, now, keep)
 	current := age <= maxCopyAge && now-t.wokeAt > maxCopyAge
-	covered := now-h.coveredSince >= keep && t.connectedFor(now) >= settleTime
-	return Found{Version: version, Source: FromList, Age: age}, one && (current || covered)
+	covered := now-h.coveredSince >= keep || h.sinceFirstStart
+	return Found{Version: version, Source: FromList, Age: age}, one && covered && (current || t.connectedFor(now) >= settleTime)
 }
 
 func (t *Tracker) connectedFor(now time.Duration) time.Duration {
--- a/binding/fleet_test.go
+++ b/binding/fleet_test.go
@@ -27,6 +27,7 @@
 	at       time.Duration
 	replicas map[string]int  // number by version
 	notes    map[string]bool // versions that the store names
+	simStatement
 }
 
 type simRouter struct {
@@ -41,6 +42,7 @@
 	paused     time.Duration // until then
 	members    uint64        // digest of the routers that it reaches
 	troubledAt time.Duration // end of the latest trouble
+	era        int64         // of its copy
 }
 
 type simStream struct {
@@ -59,6 +61,7 @@
 	routers []*simRouter
 	states  []storeState
 	storeUp time.Duration // the store is away until then
+	simStore
 	streams []*simStream
 	nextKey int
 	pending []func()
@@ -70,7 +73,8 @@
 }
 
 func newSimFleet(t *testing.T, seed uint64, routers int) *simFleet {
-	f := &simFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100 * time.Second, version: 1}
+	f := &simFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: 100 * time.Second, version: 1, simStore: simStore{records: map[Key]simRecord{}}}
+	f.firstStart = seed%2 == 0
 	f.states = []storeState{{replicas: map[string]int{"v1": simReplicas}, notes: map[string]bool{}}}
 	for i := range routers {
 		r := &simRouter{id: fmt.Sprint("r", i), domain: fmt.Sprint("d", i%3), lag: time.Duration(50+f.rng.IntN(1450)) * time.Millisecond}
@@ -121,6 +125,12 @@
 			}
 			return o.tracker.Reply(q, f.now), nil
 		},
+		Whole: func() bool {
+			return !slices.ContainsFunc(f.routers, func(o *simRouter) bool { return o != r && !f.linked(r, o) })
+		},
+		Lookup:     func(_ context.Context, _ string, k Key) (Stored, error) { return f.lookup(r, k) },
+		Era:        func() int64 { return r.era },
+		FirstStart: f.firstStart && at == f.now && f.began == 0,
 	})
 }
 
@@ -149,7 +159,7 @@
 
 // change appends a state of the store.
 func (f *simFleet) change(edit func(s *storeState)) {
-	next := storeState{at: f.now, replicas: map[string]int{}, notes: map[string]bool{}}
+	next := storeState{at: f.now, replicas: map[string]int{}, notes: map[string]bool{}, simStatement: f.current().simStatement}
 	for v, n := range f.current().replicas {
 		next.replicas[v] = n
 	}
@@ -227,6 +237,7 @@
 	if at == r.applied {
 		return
 	}
+	f.applyStatement(r, f.states[at])
 	var before map[string]bool
 	if r.applied >= 0 {
 		before = f.states[r.applied].notes
@@ -258,15 +269,17 @@
 			continue
 		}
 		listed, all := r.tracker.Listed(simService, f.now)
-		f.change(func(s *storeState) {
-			for v := range s.notes {
-				if all && !slices.Contains(listed, v) {
-					delete(s.notes, v)
+		f.write(func() {
+			f.change(func(s *storeState) {
+				for v := range s.notes {
+					if all && !slices.Contains(listed, v) {
+						delete(s.notes, v)
+					}
 				}
-			}
-			for _, v := range listed {
-				s.notes[v] = true
-			}
+				for _, v := range listed {
+					s.notes[v] = true
+				}
+			})
 		})
 		return
 	}
@@ -286,7 +299,10 @@
 		}
 	}
 	if len(may) == 0 {
-		may = f.listed(r)
+		may = slices.DeleteFunc(f.listed(r), func(v string) bool { return r.tracker.Excluded(simService, v) })
+	}
+	if len(may) == 0 {
+		return
 	}
 	f.nextKey++
 	s := &simStream{key: NewKey(simService, "acc", fmt.Sprint(f.nextKey)), version: may[f.rng.IntN(len(may))], router: i}
@@ -309,7 +325,7 @@
 		}
 		s.tries++
 		found, err := r.tracker.Find(f.t.Context(), s.key, simService, f.now)
-		inTouch := f.now-max(r.upAt, r.troubledAt, f.storeUp) >= stableWindow && f.current().replicas[s.version] >= 2
+		inTouch := f.now-max(r.upAt, r.troubledAt, f.storeUp, f.refusing, f.lossy) >= stableWindow && f.current().replicas[s.version] >= 2
 		if inTouch {
 			f.inTouch++
 		}
@@ -353,7 +369,7 @@
 	i := f.rng.IntN(len(f.routers))
 	r := f.routers[i]
 	until := f.now + time.Duration(1+f.rng.IntN(8))*time.Second
-	switch f.rng.IntN(9) {
+	switch f.rng.IntN(12) {
 	case 0, 1:
 		f.kill(i)
 	case 2:
@@ -376,6 +392,15 @@
 	case 8:
 		f.goBack()
 		return
+	case 9:
+		f.refusing = until
+		return
+	case 10:
+		f.lossy = until
+		return
+	case 11:
+		f.finishRelease()
+		return
 	}
 	r.troubledAt = max(r.troubledAt, until)
 }
@@ -394,14 +419,19 @@
 		for v := range old.notes {
 			s.notes[v] = true
 		}
+		era := s.simStatement.storeEra + 1
+		s.simStatement = old.simStatement
+		s.simStatement.storeEra = era
+		f.loseRecords(old.at)
 	})
 }
 
 func (f *simFleet) play() {
 	end := f.now + simLength
-	killAll := f.now + time.Duration(10+f.rng.IntN(40))*time.Second
+	killAll := f.now + time.Duration(10+f.rng.IntN(30))*time.Second
 	var step func()
 	for ; f.now < end; f.now += simStep {
+		f.applyLate()
 		for _, deliver := range f.pending {
 			deliver()
 		}
@@ -409,6 +439,10 @@
 		if f.rng.IntN(300) == 0 {
 			step = f.release()
 			f.troubleAt = f.now + time.Duration(f.rng.IntN(6000))*time.Millisecond
+			f.troubleStore()
+			if f.rng.IntN(2) == 0 {
+				killAll = f.now + time.Duration(f.rng.IntN(8000))*time.Millisecond
+			}
 		}
 		if step != nil && f.rng.IntN(4) == 0 {
 			step()
@@ -422,7 +456,10 @@
 			f.trouble()
 		}
 		if f.now >= killAll {
-			killAll = end
+			killAll = f.now + time.Duration(3+f.rng.IntN(20))*time.Second
+			if f.rng.IntN(2) == 0 {
+				f.finishRelease()
+			}
 			for i := range f.routers {
 				f.kill(i)
 			}
@@ -439,6 +476,7 @@
 				}
 			}
 			f.note()
+			f.writeVersions()
 		}
 		f.begin()
 		f.takeUps()
--- a/binding/history.go
+++ b/binding/history.go
@@ -8,14 +8,20 @@
 // history is what a router knows of the versions that a service has had.
 //
 // A version counts as long as a stream that began there may be taken up. A router that has started
-// since, or was paused, did not see all of that time; therefore the store names the versions that
-// were listed recently if they are several.
+// since, or was paused, did not see all of that time, and infers nothing from what it doesn't know of: it needs a
+// record of the stream, or the store's statement.
 type history struct {
 	seen   map[string]seen
 	stored map[string]bool
 	// coveredSince is since when this router has seen all changes of the list.
 	coveredSince time.Duration
 	asOf         time.Duration // of the latest list
+	listedNow    []string      // the versions on it
+	// currentSince is since when the list was current at each tick, or notConnected. sinceFirstStart
+	// means that it was so since before any stream of the deployment began.
+	currentSince    time.Duration
+	sinceFirstStart bool
+	statement       Statement
 }
 
 // seen is when backend servers of a version were listed.
@@ -26,7 +32,7 @@
 }
 
 func newHistory(now time.Duration) *history {
-	return &history{seen: map[string]seen{}, stored: map[string]bool{}, coveredSince: now, asOf: never}
+	return &history{seen: map[string]seen{}, stored: map[string]bool{}, coveredSince: now, asOf: never, currentSince: notConnected}
 }
 
 // observe takes in the versions on a list that was current at asOf.
@@ -39,7 +45,12 @@
 		s.last = now
 		h.seen[v] = s
 	}
-	h.asOf = max(h.asOf, asOf)
+	h.asOf, h.listedNow = max(h.asOf, asOf), versions
+	if now-asOf > maxCopyAge {
+		h.currentSince, h.sinceFirstStart = notConnected, false
+	} else if h.currentSince == notConnected {
+		h.currentSince = now
+	}
 }
 
 func (h *history) setStored(version string, stored bool) {
--- a/binding/publish.go
+++ b/binding/publish.go
@@ -1,6 +1,10 @@
 package binding
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // completeInterval is how often a router checks that the records of its streams are at the routers
 // that are to keep them. Others have become these since, have started again, or did not receive them.
@@ -53,6 +57,29 @@
 	}
 }
 
+// Unstored returns up to n records of this router's streams that the store is to have and may lack. While the store
+// states that a service has one version, it needs no records of the streams that began there.
+func (t *Tracker) Unstored(n int, now time.Duration) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Record
+	for _, service := range slices.Sorted(maps.Keys(t.services)) {
+		if _, sole := t.services[service].statement.SoleVersion(t.cfg.Era()); !sole {
+			out = append(out, t.records.unstored(service, n-len(out), now)...)
+		}
+	}
+	return out
+}
+
+// RecordsStored records that the store has records.
+func (t *Tracker) RecordsStored(records []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range records {
+		t.records.setStored(records[i].Key)
+	}
+}
+
 // Recheck makes the next tick check that the records of this router's streams are where they belong. It is
 // called when routers come or go.
 func (t *Tracker) Recheck() {
--- a/binding/records.go
+++ b/binding/records.go
@@ -1,6 +1,8 @@
 package binding
 
 import (
+	"bytes"
+	"cmp"
 	"slices"
 	"time"
 )
@@ -50,6 +52,7 @@
 type storedRecord struct {
 	Record
 	own         bool // this router has passed chunks of the stream to its client
+	stored      bool // the store has it
 	at, expires time.Duration
 	sent        []delivery // of an own record
 }
@@ -130,6 +133,38 @@
 	return r.Record, true
 }
 
+// unstored returns up to n own records of a service that the store may lack, those first that began first.
+func (s *records) unstored(service string, n int, now time.Duration) []Record {
+	var out []storedRecord
+	for _, r := range s.byKey {
+		if r.own && !r.stored && r.Service == service && now < r.expires {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b storedRecord) int { return cmp.Or(cmp.Compare(a.at, b.at), bytes.Compare(a.Key[:], b.Key[:])) })
+	records := make([]Record, 0, min(n, len(out)))
+	for _, r := range out[:min(n, len(out))] {
+		r.KeepMS = (r.expires - now).Milliseconds()
+		records = append(records, r.Record)
+	}
+	return records
+}
+
+func (s *records) setStored(key Key) {
+	if r, ok := s.byKey[key]; ok {
+		r.stored = true
+		s.byKey[key] = r
+	}
+}
+
+// unstore records that the store may lack all records.
+func (s *records) unstore() {
+	for key, r := range s.byKey {
+		r.stored = false
+		s.byKey[key] = r
+	}
+}
+
 func (s *records) failed(key Key, to Router) {
 	r := s.byKey[key]
 	for i := range r.sent {
--- a/event/ids.go
+++ b/event/ids.go
@@ -213,6 +213,7 @@
 	StreamVersionUnknown
 	StreamVersionGone
 	VersionNotStored
+	StreamRecordsNotStored
 )
 
 // Events of the retry budget that routers share (25xx).
--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -14,7 +14,7 @@
 
 func (n *node) run(sigs <-chan os.Signal) error {
 	var g run.Group
-	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run, n.adopter.run, n.holds.run, n.cases.run, n.syncHolds, n.cutOff.reach.Run, n.software.run} {
+	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run, n.adopter.run, n.holds.run, n.cases.run, n.syncHolds, n.cutOff.reach.Run, n.software.run, n.software.records.run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
--- a/hosted/rewrite.go
+++ b/hosted/rewrite.go
@@ -87,4 +87,5 @@
 func (n *node) storeReturned(lost []mirror.Lost) {
 	n.rewriter.rewrite(lost)
 	n.peers.reg.storeReturned()
+	n.software.storeReturned()
 }
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -54,6 +54,10 @@
 	rollouts *rollouts
 	copyAge  func() time.Duration
 	notes    *versionNotes
+	store    versionStore
+	records  *streamRecords
+	// statements are what the store states of the versions of services.
+	statements *statements
 	log      *event.Log
 	// reports queries a replica for its start time; set before the first request.
 	reports generation.RunQuerier
@@ -67,8 +71,9 @@
 	began, found, sendFailed *metrics.Counter
 }
 
-func newSoftware(n *node, store noteStore) *software {
+func newSoftware(n *node, store versionStore) *software {
 	s := &software{
+		store: store,
 		table: n.table, dir: n.dir, peers: n.peers, rollouts: n.rollouts, log: n.log,
 		pending: map[binding.Router][]binding.Record{}, sending: map[binding.Router]bool{},
 		began:      n.meter.NewCounter("wigeon_streams_bound_total"),
@@ -84,8 +89,20 @@
 		Connected: s.connected,
 		Send:      s.send,
 		Ask:       s.ask,
+		Whole:     s.whole,
+		Lookup:    s.lookup,
+		Era:       func() int64 { return n.mirror.Newest().Era() },
 		Log:       n.log,
+
+		FirstStart: n.set.Hosted.FirstStart,
 	})
+	s.statements = &statements{store: store, tracker: s.tracker, log: n.log, stated: map[string]statedItem{}, due: map[string]*dueNote{}}
+	s.records = &streamRecords{
+		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
+		lifetime: s.longestLifetime, nodes: n.peers.registeredNodes, writes: n.set.Hosted.StoreWritesPerS,
+		written: n.meter.NewCounter("wigeon_stream_records_stored_total"),
+		failed:  n.meter.NewCounter("wigeon_stream_record_writes_failed_total"),
+	}
 	return s
 }
 
@@ -101,6 +118,36 @@
 	return defaultLifetime
 }
 
+// longestLifetime returns the longest lifetime of the streams of any service.
+func (s *software) longestLifetime() time.Duration {
+	longest := time.Duration(0)
+	if t := s.table.Get(); t != nil {
+		for service := range t.Streams() {
+			longest = max(longest, s.lifetime(service))
+		}
+	}
+	return longest
+}
+
+// whole reports whether this node is connected with each node that is registered, and with each that it knew and that did
+// not leave by itself.
+func (s *software) whole() bool {
+	mesh := s.peers.currentMesh()
+	if mesh == nil {
+		return s.peers.registeredNodes() <= 1
+	}
+	alive := 0
+	for _, m := range mesh.Members() {
+		switch {
+		case m.Alive && !m.Suspect:
+			alive++
+		case !m.Leaving:
+			return false
+		}
+	}
+	return alive >= s.peers.registeredNodes()
+}
+
 // routers returns the other nodes that are considered working.
 func (s *software) routers() []binding.Router {
 	mesh := s.peers.currentMesh()
@@ -156,7 +203,9 @@
 	for service := range listed {
 		var k knownVersions
 		k.listed, k.all = s.tracker.Listed(service, now)
-		s.notes.update(service, k, func() int { return s.noteRank(service) }, now)
+		rank := func() int { return s.noteRank(service) }
+		s.notes.update(service, k, rank, now)
+		s.statements.update(service, rank, now)
 	}
 }
 
@@ -261,6 +310,7 @@
 		keep = left + takeUpMargin
 	}
 	s.tracker.Began(keyOf(r), service, version, keep, now)
+	s.records.began()
 	if s.tracker.Several(service, now) {
 		s.began.Inc()
 		s.log.Emit(event.StreamBegan, "request", r.ID, "began_as", r.BeganAs(), "service", service, "backend", b.ID, "software", version)
@@ -270,14 +320,29 @@
 // notePrefix starts the keys of the notes about versions; service and version follow.
 const notePrefix = ownPrefix + "versions/"
 
-// put reports whether an item of the store is a note that a version was listed recently, and takes
-// it in if it is.
+// put reports whether an item of the store is about the versions of a service, and takes it in if it is.
 func (s *software) put(item infra.Value) bool {
+	if s != nil && strings.HasPrefix(item.Key, statementPrefix) {
+		s.statements.put(item)
+		return true
+	}
 	return s.takeNote(item.Key, true)
 }
 
-// removed takes in that a note was removed from the store.
-func (s *software) removed(key string) { s.takeNote(key, false) }
+// removed takes in that an item was removed from the store.
+func (s *software) removed(key string) {
+	if s != nil && strings.HasPrefix(key, statementPrefix) {
+		s.statements.removed(key)
+		return
+	}
+	s.takeNote(key, false)
+}
+
+// storeReturned is called when the store has come back from a copy.
+func (s *software) storeReturned() {
+	s.tracker.StoreReturned()
+	s.records.began()
+}
 
 func (s *software) takeNote(key string, stored bool) bool {
 	if s == nil || !strings.HasPrefix(key, notePrefix) {
@@ -290,4 +355,4 @@
 	return true
 }
 
-var _ noteStore = (*platform.Store)(nil)
+var _ versionStore = (*platform.Store)(nil)
--- a/hosted/software_lists.go
+++ b/hosted/software_lists.go
@@ -60,6 +60,9 @@
 
 // except returns the replicas of all versions but some.
 func (l *versionList) except(versions []string) []routing.Candidate {
+	if len(versions) == 0 {
+		return l.of
+	}
 	key := strings.Join(versions, "\x00")
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -121,6 +124,9 @@
 		return among
 	}
 	l := p.software.lists.of(among)
+	if among = l.except(p.excluded(a.Service, l)); len(among) < len(l.of) {
+		l = p.software.lists.of(among)
+	}
 	if len(l.names) < 2 {
 		return among
 	}
@@ -131,6 +137,18 @@
 	return p.without(l, func(v string) bool { return l.usable[v] < minLasting || p.boundWaitFor(a.Service, v) })
 }
 
+// excluded returns the versions at which no stream may begin yet, even if no other version is left: a router that starts would
+// take its streams for those of another version.
+func (p *picker) excluded(service string, l *versionList) []string {
+	var out []string
+	for _, v := range l.names {
+		if p.software.tracker.Excluded(service, v) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
 // without returns the replicas of all versions but the unsuitable ones, or all if all are
 // unsuitable.
 func (p *picker) without(l *versionList, unsuitable func(version string) bool) []routing.Candidate {
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -30,6 +30,11 @@
 	// If that version is bad, only these requests are affected.
 	RolloutShare float64 `json:"rollout_share"`
 	RolloutBurst float64 `json:"rollout_burst"`
+	// StoreWritesPerS is how many writes a second the store takes from all nodes together.
+	StoreWritesPerS float64 `json:"store_writes_per_s"`
+	// FirstStart states that the whole deployment starts for the first time: no node has served before. It must not stay
+	// set for later starts of a node.
+	FirstStart bool `json:"first_start"`
 	// HeartbeatMS is the interval at which replicas renew their store entries.
 	HeartbeatMS int `json:"heartbeat_ms"`
 	// FailuresPerHour is the assumed failure rate of a replica before any failure is
@@ -73,6 +78,7 @@
 		RetryBurst:             150,
 		RolloutShare:           0.1,
 		RolloutBurst:           50,
+		StoreWritesPerS:        400,
 		HeartbeatMS:            1200,
 		FailuresPerHour:        200,
 		MinSilenceMS:           260,
@@ -100,6 +106,7 @@
 	inRange(c, "hosted.retry_window_s", h.RetryWindowS, 0, maxRetryWindowS)
 	inRange(c, "hosted.rollout_share", h.RolloutShare, 0.001, 1)
 	inRange(c, "hosted.rollout_burst", h.RolloutBurst, 0, 10000)
+	inRange(c, "hosted.store_writes_per_s", h.StoreWritesPerS, 1, 1e9)
 	inRange(c, "hosted.heartbeat_ms", h.HeartbeatMS, 50, 60000)
 	inRange(c, "hosted.failures_per_hour", h.FailuresPerHour, 0.001, 100000)
 	inRange(c, "hosted.min_silence_ms", h.MinSilenceMS, 10, maxSuspectMS)
