binding: the era of the store is asked for without the tracker's lock

A router hung for good, also at its shutdown: the copy of the store passes items on while it holds its own lock, and the tracker asked it for the era while it held its lock. TestEraIsAskedForWithoutTheLock fails with the order of before.

--- a/binding/binding.go
+++ b/binding/binding.go
@@ -77,8 +77,8 @@
 	Whole func() bool
 	// Lookup reads from the store what it has of a stream.
 	Lookup func(ctx context.Context, service string, key Key) (Stored, error)
-	// Era returns the era of this router's copy of the store.
-	Era func() int64
+	// StoreEra returns the era of this router's copy of the store. It may wait for a call of SetStatement.
+	StoreEra func() int64
 	// FirstStart means that this router was started with the deployment's first start: no stream began before.
 	FirstStart bool
 	Log        *event.Log
--- a/binding/binding_test.go
+++ b/binding/binding_test.go
@@ -13,13 +13,14 @@
 // pair is a tracker with two other routers, and what it sends.
 type pair struct {
 	*Tracker
-	age     time.Duration
-	members []Router
-	sent    map[string][]Record
-	whole   bool
-	alone   bool
-	stored  Stored
-	era     int64
+	age       time.Duration
+	members   []Router
+	sent      map[string][]Record
+	whole     bool
+	alone     bool
+	stored    Stored
+	era       int64
+	deadlocks int
 }
 
 func newPair() *pair {
@@ -33,11 +34,35 @@
 		Ask:       func(context.Context, string, Query) (Reply, error) { return Reply{}, nil },
 		Whole:     func() bool { return p.whole },
 		Lookup:    func(context.Context, string, Key) (Stored, error) { return p.stored, nil },
-		Era:       func() int64 { return p.era },
+		StoreEra:  p.storeEra,
 	})
 	return p
 }
 
+// storeEra takes the time of a copy of the store that passes on an item meanwhile.
+func (p *pair) storeEra() int64 {
+	done := make(chan struct{})
+	go func() { p.Knows("s"); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(time.Second):
+		p.deadlocks++
+	}
+	return p.era
+}
+
+// Guards against a deadlock of a router whose copy of the store passes on an item while the router asks for the era.
+func TestEraIsAskedForWithoutTheLock(t *testing.T) {
+	p := newPair()
+	p.list(testStart, testStart+time.Second, "v1")
+	p.NextStatement("s", testStart+time.Second)
+	p.Excluded("s", "v1")
+	p.Unstored(1, testStart+time.Second)
+	if p.deadlocks > 0 {
+		t.Errorf("%d calls hold the lock", p.deadlocks)
+	}
+}
+
 // list lists versions for a time, in ticks.
 func (p *pair) list(from, until time.Duration, versions ...string) {
 	for now := from; now <= until; now += 200 * time.Millisecond {
--- a/binding/fleet_test.go
+++ b/binding/fleet_test.go
@@ -129,7 +129,7 @@
 			return !slices.ContainsFunc(f.routers, func(o *simRouter) bool { return o != r && !f.linked(r, o) })
 		},
 		Lookup:     func(_ context.Context, _ string, k Key) (Stored, error) { return f.lookup(r, k) },
-		Era:        func() int64 { return r.era },
+		StoreEra:   func() int64 { return r.era },
 		FirstStart: f.firstStart && at == f.now && f.began == 0,
 	})
 }
--- a/binding/publish.go
+++ b/binding/publish.go
@@ -60,11 +60,12 @@
 // Unstored returns up to n records of this router's streams that the store is to have and may lack. While the store
 // states that a service has one version, it needs no records of the streams that began there.
 func (t *Tracker) Unstored(n int, now time.Duration) []Record {
+	era := t.cfg.StoreEra()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Record
 	for _, service := range slices.Sorted(maps.Keys(t.services)) {
-		if _, sole := t.services[service].statement.SoleVersion(t.cfg.Era()); !sole {
+		if _, sole := t.services[service].statement.SoleVersion(era); !sole {
 			out = append(out, t.records.unstored(service, n-len(out), now)...)
 		}
 	}
--- a/binding/statement.go
+++ b/binding/statement.go
@@ -51,23 +51,25 @@
 // Excluded reports whether no stream may begin at a version until the store states that others than the sole
 // version serve.
 func (t *Tracker) Excluded(service, version string) bool {
+	era := t.cfg.StoreEra()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.services[service]
-	return h != nil && h.statement.excludes(version, t.cfg.Era())
+	return h != nil && h.statement.excludes(version, era)
 }
 
 // NextStatement returns the statement about a service that the store should have, and false if it has that already
 // or this router doesn't know enough. The first statement about a service, and each that names one more version, is never a
 // sole one: streams may begin at a version that is named before the statement is certain.
 func (t *Tracker) NextStatement(service string, now time.Duration) (Statement, bool) {
+	era := t.cfg.StoreEra()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.services[service]
 	if h == nil || len(h.listedNow) == 0 {
 		return Statement{}, false
 	}
-	stated, keep, era := h.statement, t.cfg.Lifetime(service), t.cfg.Era()
+	stated, keep := h.statement, t.cfg.Lifetime(service)
 	unnamed := slices.ContainsFunc(h.listedNow, func(v string) bool { return !slices.Contains(stated.Versions, v) })
 	switch sole, one := single(h.recent(now, keep)); {
 	case unnamed:
