generation: the version of a stream is recorded by the router that has the client, and by no other

At a second hop, the second router recorded the version of its run before its first chunk. Now the first router records it, with the version that the second one announces. TestOnlyTheRouterOfTheClientRecordsTheVersion fails before: began [b1 v1].

--- a/generation/software.go
+++ b/generation/software.go
@@ -90,12 +90,25 @@
 	} else if got.Unknown || got.Version != x.bound.Version {
 		return Error.New("%w: %w", backend.ErrMismatch, errOtherVersion)
 	}
-	if x.req.Opaque != nil && !got.Unknown && !a.forwarded {
-		x.StreamVersions.Began(&x.req, a.backend, got.Version)
+	if x.req.Opaque != nil && !got.Unknown {
+		x.recordVersion(a, got.Version)
 	}
 	return nil
 }
 
+// recordVersion records the version of a new stream, at the router that has the client. A router that was passed the request
+// doesn't know whether its chunks get there; if they don't, the stream may begin at another version.
+func (x *run) recordVersion(a *attempt, version string) {
+	if x.req.Forwarded {
+		return
+	}
+	b := a.backend
+	if a.forwarded {
+		b = fleet.Backend{ID: a.origin.Backend}
+	}
+	x.StreamVersions.Began(&x.req, b, version)
+}
+
 // confirmLater repeats the query for the version of a new stream whose backend server gave no answer, while
 // the stream goes on. Without the version the stream could not be continued after a crash.
 func (x *run) confirmLater(a *attempt, now time.Time) {
@@ -108,7 +121,7 @@
 		x.bound = &b
 		if !b.Unknown {
 			a.origin.Software = b.Version
-			x.StreamVersions.Began(&x.req, a.backend, b.Version)
+			x.recordVersion(a, b.Version)
 			x.watchAgain(a)
 			return
 		}
--- a/generation/software_test.go
+++ b/generation/software_test.go
@@ -109,3 +109,14 @@
 		t.Errorf("got %s, %q, began %v", res.Outcome, out.text, v.began)
 	}
 }
+
+// Guards against a record of the version of a run whose first chunk never reached the client: the router that passed the
+// request on goes on at another version then.
+func TestOnlyTheRouterOfTheClientRecordsTheVersion(t *testing.T) {
+	v := &versions{}
+	w := &fakeFleet{chunks: 9, budget: 9, versions: v}
+	res, _ := w.run(t, func(r *Request) { resumable(r); r.Forwarded = true })
+	if res.Outcome != fleet.Complete || len(v.began) != 0 {
+		t.Errorf("the second router: %s, began %v", res.Outcome, v.began)
+	}
+}
