--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -210,6 +210,7 @@
 // that the prompt is not read again.
 func TestReturningClientFindsItsPrompt(t *testing.T) {
 	f := newFleet(t)
+	f.firstStart = true // the version of q2 is known without a record
 	engines := f.startEngines(6, 5, 0)
 	f.configure(key)
 	n := f.startNode("n1")
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -58,7 +58,7 @@
 	records  *streamRecords
 	// statements are what the store states of the versions of services.
 	statements *statements
-	log      *event.Log
+	log        *event.Log
 	// reports queries a replica for its start time; set before the first request.
 	reports generation.RunQuerier
 
@@ -91,7 +91,7 @@
 		Ask:       s.ask,
 		Whole:     s.whole,
 		Lookup:    s.lookup,
-		Era:       func() int64 { return n.mirror.Newest().Era() },
+		StoreEra:  func() int64 { return n.mirror.Newest().Era() },
 		Log:       n.log,
 
 		FirstStart: n.set.Hosted.FirstStart,
