--- a/fakes/hosted/store_serve.go
+++ b/fakes/hosted/store_serve.go
@@ -42,9 +42,17 @@
 		}
 	}
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
-	const page = 50
-	more := len(items) > page
-	writeJSON(w, map[string]any{"items": items[:min(len(items), page)], "has_more": more, "at": s.revision})
+	n := pageOf(items)
+	writeJSON(w, map[string]any{"items": items[:n], "has_more": n < len(items), "at": s.revision})
+}
+
+// pageOf returns how many items fit into a page.
+func pageOf(items []Item) (n int) {
+	const maxItems, maxBytes = 50, 1 << 20
+	for bytes := 0; n < min(len(items), maxItems) && (n == 0 || bytes+len(items[n].Value) <= maxBytes); n++ {
+		bytes += len(items[n].Value)
+	}
+	return n
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -69,7 +69,7 @@
 // New returns a Mirror that passes items to out once Run is called.
 func New(store Store, out Receiver, cfg Config) *Mirror {
 	cfg = cfg.withDefaults()
-	s := newState(panicGuard{out, cfg.Log})
+	s := newState(panicGuard{out, cfg.Log, cfg.Set.GetOrCreateCounter("wigeon_mirror_items_failed_total")})
 	s.filterKey, s.newFilter, s.log, s.newer, s.bulk = cfg.FilterKey, cfg.NewFilter, cfg.Log, cfg.Newer, cfg.Bulk
 	return &Mirror{
 		cfg:           cfg,
--- a/mirror/panicguard.go
+++ b/mirror/panicguard.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"runtime/debug"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"wigeondale/event"
 	"wigeondale/infra"
 )
@@ -12,8 +14,9 @@
 // Otherwise an item that makes the Receiver panic would stop every node, and stop it
 // again after each start.
 type panicGuard struct {
-	out Receiver
-	log *event.Log
+	out    Receiver
+	log    *event.Log
+	failed *metrics.Counter
 }
 
 // Put implements Receiver.
@@ -42,6 +45,7 @@
 
 func (g panicGuard) recoverPanic(key string) {
 	if p := recover(); p != nil {
+		g.failed.Inc()
 		g.log.Emit(event.StoreItemFailed, "key", key, "err", fmt.Sprint(p), "stack", string(debug.Stack()))
 	}
 }
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -10,6 +10,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"wigeondale/fleet"
 	"wigeondale/infra"
 )
@@ -169,7 +171,7 @@
 // panic and thereby stops every node, and stops it again after each start.
 func TestItemThatFailsItsReaderEndsNoNode(t *testing.T) {
 	out := &panickingReceiver{recorder{items: map[string]fleet.Revision{}}}
-	s := newState(panicGuard{out: out})
+	s := newState(panicGuard{out: out, failed: metrics.NewSet().NewCounter("failed")})
 	s.put(infra.Value{Key: "bad", ModRev: 1})
 	s.put(infra.Value{Key: "good", ModRev: 2})
 	s.remove("bad", 3, removalPolicy{})
