--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -178,6 +180,11 @@
 	if !ok {
 		return
 	}
+	if err := checkNodeAddress(string(item.Data)); err != nil {
+		p.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
+		p.removed(item.Key)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.addrs[id] = string(item.Data)
@@ -190,6 +197,18 @@
 	}
 }
 
+// checkNodeAddress returns an error if text is not the address of a node's peer listener.
+func checkNodeAddress(text string) error {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return Error.New("unusable address %.40q of a node", text)
+	}
+	return nil
+}
+
 // settled applies the items of a complete series of calls of put and removed: it passes
 // changed addresses of nodes to the mesh. Its first call reports to the registration of this
 // node that the store has been read.
