hosted: an engine is asked for its start time also if the list names one version

An engine that starts again under its name with other software serves under the old entry until it writes the next one. While the list was current and named one version, the entry's version was taken for that of the run: the absence of a second version counted as a proof. TestOnlyListedVersionIsNotThatOfARestartedEngine fails before: 'the run counts as one of {v1}'. Now every engine whose entry states a start time is asked before the first chunk, one report a stream; engines without one have a new name after each start.

--- a/hosted/software.go
+++ b/hosted/software.go
@@ -279,8 +279,7 @@
 		return generation.Binding{Unknown: true}, nil
 	}
 	known := generation.Binding{Version: b.Version}
-	listCurrent := s.copyAge() <= staleAfter
-	if b.Incarnation.StartedAt == 0 || listCurrent && !s.several(b.Service) {
+	if b.Incarnation.StartedAt == 0 {
 		return known, nil
 	}
 	ctx, stop := context.WithTimeout(ctx, confirmTimeout)
--- a/hosted/software_end_test.go
+++ b/hosted/software_end_test.go
@@ -92,3 +92,26 @@
 		})
 	}
 }
+
+// Guards against a stream that is bound to the version in a current list that names one, although its engine has started again with
+// other software under its name and the list doesn't say so yet.
+func TestOnlyListedVersionIsNotThatOfARestartedEngine(t *testing.T) {
+	f := newFleet(t)
+	engine := f.startSoftware("v1", 1, 400)[0]
+	engine.StartedAt = 1000
+	f.store.Register(engine, false)
+	f.configure(key)
+	n := f.startNode("n1")
+	await(t, "readiness", n.ready)
+	await(t, "the engine", func() bool { _, ok := n.dir.Backend("v1-0@1000"); return ok })
+	b, _ := n.dir.Backend("v1-0@1000")
+	engine.Crash()
+	restarted, err := engine.RestartAs("v2", 2000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(restarted.Crash)
+	if got, err := n.software.Confirm(t.Context(), b); err == nil {
+		t.Errorf("the run counts as one of %+v", got)
+	}
+}
