--- a/fakes/engine/fault.go
+++ b/fakes/engine/fault.go
@@ -60,7 +60,7 @@
 //   - clock {ms}: sets the clock ahead, or behind if ms is negative
 //   - stall {request,on}: stops the request's streams
 //   - late {request,ms}: a stall that ends after ms
-//   - endless {on,kind,ms}: see fault.Server.Apply
+//   - endless {on,kind,ms}, cut-heads {on}: see fault.Server.Apply
 //   - leave {on}: the engine refuses new requests since it is leaving
 //   - ask {limit,rest,leaving}: what it asks of the routers in its answers
 //   - lag {ms}: the lag of load reports and cache events
@@ -80,7 +80,7 @@
 		e.Freeze()
 	case "thaw":
 		e.Thaw()
-	case "cut", "heal", "endless":
+	case "cut", "heal", "endless", "cut-heads":
 		return e.server.Apply(name, args)
 	case "slow":
 		e.extraStep.Store(int64(args.Duration()))
--- a/fakes/fault/conn.go
+++ b/fakes/fault/conn.go
@@ -55,6 +55,12 @@
 	if err := c.wait(c.owner.outGate); err != nil {
 		return 0, err
 	}
+	if len(b) == 0 {
+		return 0, nil
+	}
+	if c.cutHead(b) {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Write(b)
 	if err != nil {
 		return n, err
--- a/fakes/fault/listener.go
+++ b/fakes/fault/listener.go
@@ -23,14 +23,15 @@
 type Listener struct {
 	delay atomic.Int64 // of each read and write, in nanoseconds
 
-	mu      sync.Mutex
-	addr    string
-	ln      net.Listener
-	conns   map[*conn]struct{}
-	in, out gate // for bytes from and to the clients
-	holds   int  // holds in force
-	hold    gate // open unless a hold is in force
-	repeats func() Repeat
+	mu       sync.Mutex
+	addr     string
+	ln       net.Listener
+	conns    map[*conn]struct{}
+	in, out  gate       // for bytes from and to the clients
+	holds    int        // holds in force
+	hold     gate       // open unless a hold is in force
+	headCuts func() int // see SetHeadCuts
+	repeats  func() Repeat
 }
 
 // gate is a channel that is closed while bytes may pass.
--- a/fakes/fault/repeat.go
+++ b/fakes/fault/repeat.go
@@ -74,6 +74,13 @@
 	return copied
 }
 
+// begins reports whether no byte of the answer was written yet.
+func (r *repeater) begins() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.answer) == 0
+}
+
 // written returns what is to be sent after bytes of an answer.
 func (r *repeater) written(p []byte, draw func() Repeat) (copied []byte) {
 	r.mu.Lock()
--- a/fakes/fault/server.go
+++ b/fakes/fault/server.go
@@ -70,7 +70,8 @@
 }
 
 // Apply turns a switch that all HTTP fakes share: kill, start, cut, heal, freeze, thaw,
-// slow {ms}, outage {on}, endless {on,kind,ms} and repeat {on}, which sends some answers twice. An outage resets and refuses connections like
+// slow {ms}, outage {on}, endless {on,kind,ms}, repeat {on}, which sends some answers twice, and
+// cut-heads {on}, which closes connections within the heads of some answers. An outage resets and refuses connections like
 // kill, but the fake keeps its state. With endless, each answer is one without end of the given kind,
 // with ms between two bytes.
 func (s *Server) Apply(name string, args Args) error {
@@ -92,6 +93,11 @@
 		if args.Enabled() {
 			s.Listener.SetRepeats(RepeatSome())
 		}
+	case "cut-heads":
+		s.Listener.SetHeadCuts(nil)
+		if args.Enabled() {
+			s.Listener.SetHeadCuts(CutSomeHeads())
+		}
 	case "outage":
 		return s.outage(args.Enabled())
 	default:
--- a/fakes/hosted/store.go
+++ b/fakes/hosted/store.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Item is one item of the store or, if Deleted is set, the event of its deletion.
@@ -43,6 +44,7 @@
 	copiedAt     int64          // revision of the copy from which the store came back last
 	renewals     []Renewal
 	refused      []string // prefixes of keys whose writes fail with 503
+	writeFate    func() WriteFate
 }
 
 // NewStore starts a store on loopback.
@@ -120,6 +122,21 @@
 	s.refused = prefixes
 }
 
+// WriteFate is what becomes of a transaction; the zero value means that it is made and answered.
+type WriteFate struct {
+	Refused    bool          // answered with 503
+	Lost       bool          // neither made nor answered
+	AnswerLost bool          // made and not answered
+	Late       time.Duration // made after this time, on its condition, and not answered
+}
+
+// SetWriteFate makes the store ask fate what becomes of each transaction; nil ends that. The calls don't overlap.
+func (s *Store) SetWriteFate(fate func() WriteFate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeFate = fate
+}
+
 // Compact drops the history, so that watches from an earlier revision fail with 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
--- a/fakes/hosted/store_serve.go
+++ b/fakes/hosted/store_serve.go
@@ -99,33 +99,54 @@
 	return events, s.changed, http.StatusOK
 }
 
+type storeTxn struct {
+	Precondition []Item   `json:"precondition"`
+	Writes       []Item   `json:"writes"`
+	Deletes      []string `json:"deletes"`
+}
+
 func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
-	var t struct {
-		Precondition []Item   `json:"precondition"`
-		Writes       []Item   `json:"writes"`
-		Deletes      []string `json:"deletes"`
-	}
+	var t storeTxn
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if slices.ContainsFunc(t.Writes, s.refusesWrite) {
+	fate := s.fateOf(t)
+	switch {
+	case fate.Refused:
 		http.Error(w, `{"error":"busy"}`, http.StatusServiceUnavailable)
 		return
+	case fate.Late > 0:
+		time.AfterFunc(fate.Late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.commit(t)
+		})
+		panic(http.ErrAbortHandler)
+	case fate.Lost:
+		panic(http.ErrAbortHandler)
 	}
+	status, body := s.commit(t)
+	if fate.AnswerLost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	writeJSON(w, body)
+}
+
+// commit applies a transaction if its precondition holds. The caller holds s.mu.
+func (s *Store) commit(t storeTxn) (status int, body any) {
 	for _, p := range t.Precondition {
 		if s.items[p.Key].Revision != p.Revision {
-			w.WriteHeader(http.StatusPreconditionFailed)
-			writeJSON(w, map[string]any{"items": []Item{s.items[p.Key]}})
-			return
+			return http.StatusPreconditionFailed, map[string]any{"items": []Item{s.items[p.Key]}}
 		}
 	}
 	for _, i := range t.Writes {
 		if i.Lease != 0 && !s.granted[i.Lease] {
-			http.Error(w, `{"error":"no such lease"}`, http.StatusNotFound)
-			return
+			return http.StatusNotFound, map[string]any{"error": "no such lease"}
 		}
 	}
 	for _, i := range t.Writes {
@@ -134,7 +155,18 @@
 	for _, key := range t.Deletes {
 		s.deleteLocked(key)
 	}
-	writeJSON(w, map[string]any{"revision": s.revision})
+	return http.StatusOK, map[string]any{"revision": s.revision}
+}
+
+// fateOf returns what becomes of a transaction. The caller holds s.mu.
+func (s *Store) fateOf(t storeTxn) WriteFate {
+	if slices.ContainsFunc(t.Writes, s.refusesWrite) {
+		return WriteFate{Refused: true}
+	}
+	if s.writeFate != nil {
+		return s.writeFate()
+	}
+	return WriteFate{}
 }
 
 // refusesWrite reports whether writes of an item's key fail. The caller holds s.mu.
--- a/hosted/odd_entries_test.go
+++ b/hosted/odd_entries_test.go
@@ -4,26 +4,9 @@
 	"fmt"
 	"strings"
 	"testing"
-)
 
-// oddValues are contents that no program of the deployment writes.
-var oddValues = map[string]string{
-	"empty":             "",
-	"null":              "null",
-	"list":              "[]",
-	"nested, closed":    strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000),
-	"nested, unclosed":  strings.Repeat(`{"a":[`, 170_000),
-	"large number":      `{"version":12345678901234567890123,"until_unix_ms":12345678901234567890123,"era":1e999}`,
-	"largest int64":     `{"version":9223372036854775807,"born":-9223372036854775808,"era":9223372036854775807}`,
-	"not UTF-8":         "{\"versions\":[\"\xff\xfe\"],\"service\":\"\xff\"}",
-	"1 MB":              strings.Repeat("x", 1<<20),
-	"fields twice":      `{"versions":["a"],"versions":null,"sole":true,"sole":true}`,
-	"nested CBOR":       strings.Repeat("\x81", 100_000),
-	"CBOR with a size":  "\x9b\x7f\xff\xff\xff\xff\xff\xff\xff",
-	"port out of range": "10.0.0.1:70000",
-	"odd replica": `{"service":"app","address":"10.0.0.1:70000","zone":"d0","version":"v1","slots":12345678901234567890123,` +
-		`"state":"ready","cold_left_ms":0,"sequence":1}`,
-}
+	fakes "wigeondale/fakes/hosted"
+)
 
 // oddPrefixes are those of all keys that routers follow.
 var oddPrefixes = []string{
@@ -42,7 +25,7 @@
 	f.startApp("a0", "d0")
 	n := f.startServingNode()
 	put := 0
-	for name, value := range oddValues {
+	for name, value := range fakes.OddValues {
 		for i, prefix := range oddPrefixes {
 			f.store.Put(fmt.Sprintf("%sodd-%d-%d", prefix, i, put), []byte(value))
 			put++
--- a/soak/command.go
+++ b/soak/command.go
@@ -48,6 +48,7 @@
 	Endless          bool          `arg:"--endless" help:"backend servers and services of the platform answer with bytes without end"`
 	Repeats          bool          `arg:"--repeats" help:"backend servers send answers twice, and plain services have little room"`
 	Outages          bool          `arg:"--outages" help:"entries of sound replicas lapse, all engines crash at once, and streams end with their connections"`
+	Evidence         bool          `arg:"--evidence" help:"all routers end at once, also while versions change, the platform's store refuses, loses or delays writes, odd entries are written to it, and heads of answers are cut"`
 	Silences         bool          `arg:"--silences" help:"nothing but silences of replicas and new versions of the configuration is injected"`
 	Cuts             bool          `arg:"--cuts" help:"routers are cut from a service, or from one replica of it, while the others reach it"`
 	NoSilences       bool          `arg:"--no-silences" help:"no silences of replicas are drawn beside the other faults, and the larger retry budget"`
@@ -147,7 +148,7 @@
 	report, err := run(ctx, Config{
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
-		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
+		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Evidence: args.Evidence, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
 		Room: args.Room, Work: args.Work, Chunks: args.Chunks, Alone: args.Alone,
 	})
 	if err != nil {
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -60,6 +60,7 @@
 	all = append(all, r.endlessFaults()...)
 	all = append(all, r.repeatFaults()...)
 	all = append(all, r.outageFaults()...)
+	all = append(all, r.evidenceFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
@@ -129,6 +130,7 @@
 	r.endBrittle()
 	r.store.SetFailing(false)
 	r.store.SetUnresponsive(false)
+	r.store.SetWriteFate(nil)
 	for _, n := range r.nodes {
 		n.signal(syscall.SIGCONT)
 		r.setLinkFault(n, "heal", "")
--- a/soak/product_faults.go
+++ b/soak/product_faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 
 // faults lists all faults on the product's own interface.
 func (r *productRun) faults() []fault {
-	all := append(r.endlessFaults(), r.repeatFaults()...)
+	all := slices.Concat(r.endlessFaults(), r.repeatFaults(), r.evidenceFaults())
 	return append(append(processFaults(func() *process { return &r.randomRouter().process }), all...),
 		r.switchFault("key-value service down", func() string { return "kv" }, "outage", `{"on":true}`, "outage", `{"on":false}`),
 		r.switchFault("key-value service silent", func() string { return "kv" }, "cut", "", "heal", ""),
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -76,6 +76,9 @@
 	// Outages makes entries of sound replicas lapse, of one and of all of a service, and all engines crash at once. The
 	// streams of engines end with their connections.
 	Outages bool
+	// Evidence ends all routers at once, also while versions change, makes the platform's store refuse, lose or delay writes,
+	// writes odd entries to it, and cuts the heads of answers.
+	Evidence bool
 	// Silences injects nothing but silences of replicas and new versions of the configuration, on the users' platform.
 	Silences bool
 	// Cuts has each router connect to backend servers through a proxy of its own, and cuts routers from a service or
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -135,6 +135,15 @@
 	checkSeed(t, Run, Config{Seed: 51, Nodes: 3, Engines: 6, Services: 4, Clients: 10, FaultTime: 6 * time.Second, Outages: true})
 }
 
+// TestEvidenceSeeds makes the same checks as TestSeeds, on both interfaces, while all routers end at once and versions change,
+// the store refuses, loses or delays writes, odd entries are written to it, and heads of answers are cut. Guards against streams that
+// are joined from two versions or don't go on, against routers that follow the store no more, and against cut answers that look whole.
+func TestEvidenceSeeds(t *testing.T) {
+	cfg := Config{Seed: 23001, Nodes: 3, Engines: 8, Services: 4, Clients: 8, FaultTime: 8 * time.Second, Software: true, Evidence: true}
+	checkSeed(t, Run, cfg)
+	checkSeed(t, RunProduct, cfg)
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
