--- a/binding/report.go
+++ b/binding/report.go
@@ -20,6 +20,9 @@
 	// MayBegin reports whether streams may begin at the version. Noted means that the store names it.
 	MayBegin bool `json:"may_begin"`
 	Noted    bool `json:"noted"`
+	// Named means that the store's statement about the service names the version, and Sole that it is the only one.
+	Named bool `json:"named"`
+	Sole  bool `json:"sole"`
 	// Own is the number of records of streams of this router's clients, and Kept of those of other routers.
 	Own  int `json:"own_streams"`
 	Kept int `json:"kept_records"`
@@ -27,6 +30,7 @@
 
 // Reports returns a report on each recent version of each service.
 func (t *Tracker) Reports(now time.Duration) []Report {
+	era := t.cfg.StoreEra()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Report
@@ -37,6 +41,8 @@
 			if s, ok := h.seen[v]; ok {
 				r.ListedMS = (now - s.last).Milliseconds()
 			}
+			sole, stated := h.statement.SoleVersion(era)
+			r.Named, r.Sole = slices.Contains(h.statement.Versions, v), stated && sole == v
 			r.Own, r.Kept = t.records.count(service, v)
 			out = append(out, r)
 		}
--- a/hosted/tells_test.go
+++ b/hosted/tells_test.go
@@ -42,23 +42,23 @@
 
 // splitting lists the files that may look at the era or the number of a revision apart, and why.
 var splitting = map[string]string{
-	"../fleet/revision.go":  "defines them",
-	"../infra/kv.go":        "states the era of an item's lease",
-	"../infra/etcd.go":      "client of a store without eras",
-	"../order/lease.go":     "takes whole revisions as fencing numbers, of a store without eras",
-	"../infra/watch.go":     "client of a store without eras",
-	"../platform/store.go":  "client of the store: states and reads numbers of its era",
-	"../mirror/era.go":      "compares the contents of a copy with what is known of an earlier era",
-	"../mirror/state.go":    "finds that a delta is of a later era",
-	"../mirror/delta.go":    "finds that a request is of an earlier era",
-	"../mirror/read.go":     "finds that the store has come back during or since a read",
-	"../mirror/merge.go":    "tells the receiver of a new era",
-	"../hosted/hosted.go":   "era of the copy, for the registration",
-	"../hosted/peers.go":    "whether the store has this node's entry and the key in this era",
+	"../fleet/revision.go":        "defines them",
+	"../infra/kv.go":              "states the era of an item's lease",
+	"../infra/etcd.go":            "client of a store without eras",
+	"../order/lease.go":           "takes whole revisions as fencing numbers, of a store without eras",
+	"../infra/watch.go":           "client of a store without eras",
+	"../platform/store.go":        "client of the store: states and reads numbers of its era",
+	"../mirror/era.go":            "compares the contents of a copy with what is known of an earlier era",
+	"../mirror/state.go":          "finds that a delta is of a later era",
+	"../mirror/delta.go":          "finds that a request is of an earlier era",
+	"../mirror/read.go":           "finds that the store has come back during or since a read",
+	"../mirror/merge.go":          "tells the receiver of a new era",
+	"../hosted/hosted.go":         "era of the copy, for the registration",
+	"../hosted/peers.go":          "whether the store has this node's entry and the key in this era",
 	"../hosted/software.go":       "era of the copy, in which statements hold",
 	"../hosted/software_store.go": "era of the answer that a statement is read from",
-	"../rollout/order.go":   "finds that an order was written again in a later era",
-	"../rollout/rollout.go": "finds that a record is the same in a later era",
+	"../rollout/order.go":         "finds that an order was written again in a later era",
+	"../rollout/rollout.go":       "finds that a record is the same in a later era",
 }
 
 // Guards against a comparison of the numbers of revisions of different eras.
