hosted, platform: an engine whose report states no start time has an unknown version

Where the entry states a start time and the report doesn't, the report counted as one of the same process. That is no proof; the stream goes on as long as its attempt does, and is bound to no version. The test of restarted engines fails without it: 'a report without a start time: {v1}'.

--- a/generation/runquery.go
+++ b/generation/runquery.go
@@ -36,6 +36,8 @@
 	// Restarted reports that the backend server was restarted, so that it has none of its earlier
 	// runs.
 	Restarted bool
+	// StartUnstated reports that the backend server doesn't state when it started: it may have restarted.
+	StartUnstated bool
 }
 
 // mayHave reports whether the backend server may have a run of the request. A request that
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -291,6 +291,8 @@
 		return generation.Binding{Unknown: true, Unanswered: !withheld}, nil // the stream goes on as long as its attempt does
 	case report.Restarted:
 		return generation.Binding{}, Error.Wrap(errRestarted)
+	case report.StartUnstated:
+		return generation.Binding{Unknown: true}, nil
 	}
 	return known, nil
 }
--- a/hosted/software_end_test.go
+++ b/hosted/software_end_test.go
@@ -1,10 +1,14 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
+
+	"wigeondale/fleet"
+	"wigeondale/generation"
 )
 
 // versionKeys are the prefixes of what routers write to the store about software versions.
@@ -105,6 +109,15 @@
 	await(t, "readiness", n.ready)
 	await(t, "the engine", func() bool { _, ok := n.dir.Backend("v1-0@1000"); return ok })
 	b, _ := n.dir.Backend("v1-0@1000")
+	if got, err := n.software.Confirm(t.Context(), b); err != nil || got.Version != "v1" {
+		t.Errorf("before: %+v, %v", got, err)
+	}
+	stated := n.software.reports
+	n.software.reports = unstatedStart{stated}
+	if got, err := n.software.Confirm(t.Context(), b); err != nil || !got.Unknown {
+		t.Errorf("a report without a start time: %+v, %v", got, err)
+	}
+	n.software.reports = stated
 	engine.Crash()
 	restarted, err := engine.RestartAs("v2", 2000)
 	if err != nil {
@@ -115,3 +128,12 @@
 		t.Errorf("the run counts as one of %+v", got)
 	}
 }
+
+// unstatedStart drops the start time from the reports of engines.
+type unstatedStart struct{ generation.RunQuerier }
+
+func (u unstatedStart) Runs(ctx context.Context, b fleet.Backend) (generation.RunReport, error) {
+	r, err := u.RunQuerier.Runs(ctx, b)
+	r.StartUnstated = true
+	return r, err
+}
