--- a/hosted/registration_test.go
+++ b/hosted/registration_test.go
@@ -61,18 +61,18 @@
 		"the first start": {nil, false, map[string]int{"create": 1, "grant": 1, "put": 1}},
 		"another was first": {[]infra.Value{{Key: peerKeyKey, Data: make([]byte, peerKeyBytes)}}, false,
 			map[string]int{"grant": 1, "put": 1}},
-		"its entry is there": {[]infra.Value{{Key: peerKeyKey, Data: make([]byte, peerKeyBytes)}, {Key: nodePrefix + "n", Data: []byte("addr"), Lease: 5}}, false,
+		"its entry is there": {[]infra.Value{{Key: peerKeyKey, Data: make([]byte, peerKeyBytes)}, {Key: nodePrefix + "n", Data: []byte("10.0.0.1:7200"), Lease: 5}}, false,
 			map[string]int{"keep": 1}},
-		"its lease has ended": {[]infra.Value{{Key: peerKeyKey, Data: make([]byte, peerKeyBytes)}, {Key: nodePrefix + "n", Data: []byte("addr"), Lease: 5}}, true,
+		"its lease has ended": {[]infra.Value{{Key: peerKeyKey, Data: make([]byte, peerKeyBytes)}, {Key: nodePrefix + "n", Data: []byte("10.0.0.1:7200"), Lease: 5}}, true,
 			map[string]int{"keep": 1, "grant": 1, "put": 1}},
-		"it has moved": {[]infra.Value{{Key: peerKeyKey, Data: make([]byte, peerKeyBytes)}, {Key: nodePrefix + "n", Data: []byte("old"), Lease: 5}}, false,
+		"it has moved": {[]infra.Value{{Key: peerKeyKey, Data: make([]byte, peerKeyBytes)}, {Key: nodePrefix + "n", Data: []byte("10.0.0.2:7200"), Lease: 5}}, false,
 			map[string]int{"grant": 1, "put": 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
 				pick := pickerOf(t, engineList(1, 1), 1)
-				set := &settings.Settings{Node: settings.Node{ID: "n"}, Hosted: &settings.Hosted{PeerAddress: "addr"}}
+				set := &settings.Settings{Node: settings.Node{ID: "n"}, Hosted: &settings.Hosted{PeerAddress: "10.0.0.1:7200"}}
 				p := newPeers(set, nil, pick.dir, pick.mon, newStoreSync("n", "d", nil), nil)
 				store := &countedRegistry{calls: map[string]int{}, expired: c.ended}
 				p.reg.store = store
