--- a/soak/platform_software.go
+++ b/soak/platform_software.go
@@ -22,6 +22,11 @@
 	calmSettle = 3 * time.Second
 	// minTakeUps is the number of such streams from which on the share that goes on is checked.
 	minTakeUps = 12
+	// minOutlived is the same for the streams that run when all routers end in the calm. They count if they began recordTime
+	// before; a client waits downTime after a connection that fails.
+	minOutlived = 4
+	recordTime  = 500 * time.Millisecond
+	downTime    = 500 * time.Millisecond
 	// maxTakeUps is how often a client takes up one stream.
 	maxTakeUps = 4
 	// One in leaveEvery responses of a stream is left by its client, which takes the stream up.
@@ -153,17 +158,44 @@
 		end()
 	}
 	r.software.calm(time.Now().Add(calmSettle))
+	if r.cfg.Evidence {
+		r.endAllInCalm(ctx)
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(calmTime):
 	}
 }
 
+// endAllInCalm ends all routers while streams of two versions or more run.
+func (r *platformRun) endAllInCalm(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(calmSettle):
+	}
+	r.software.allEnd(time.Now())
+	r.endAllRouters(nil)()
+	for _, n := range r.nodes {
+		n.awaitRecovery()
+	}
+}
+
 // softwareRecord counts the streams that clients begin and take up.
 type softwareRecord struct {
 	mu           sync.Mutex
 	calmFrom     time.Time // zero before the calm
 	took, wentOn int       // streams taken up in the calm, and those that went on
+	endedAt      time.Time // of all routers in the calm; zero before
+	// outlived is whether a stream that began before that went on, for those that clients took up afterwards.
+	outlived map[string]bool
+}
+
+// allEnd records when all routers end in the calm.
+func (s *softwareRecord) allEnd(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endedAt, s.outlived = at, map[string]bool{}
 }
 
 func (s *softwareRecord) calm(from time.Time) {
@@ -173,9 +205,12 @@
 }
 
 // takenUp counts a stream that a client took up.
-func (s *softwareRecord) takenUp(at time.Time, wentOn bool) {
+func (s *softwareRecord) takenUp(one *softwareStream, at time.Time, wentOn bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.endedAt.IsZero() && one.beganAt.Before(s.endedAt.Add(-recordTime)) && at.After(s.endedAt) {
+		s.outlived[one.id] = s.outlived[one.id] || wentOn
+	}
 	if s.calmFrom.IsZero() || at.Before(s.calmFrom) {
 		return
 	}
@@ -193,12 +228,23 @@
 	if s.took >= minTakeUps && 2*s.wentOn < s.took {
 		r.checks.violated("streams that clients take up go on", "", fmt.Sprintf("%d of %d", s.wentOn, s.took))
 	}
+	outlived := 0
+	for _, wentOn := range s.outlived {
+		if wentOn {
+			outlived++
+		}
+	}
+	if len(s.outlived) >= minOutlived && 2*outlived < len(s.outlived) {
+		r.checks.violated("streams go on after the end of all routers", "", fmt.Sprintf("%d of %d", outlived, len(s.outlived)))
+	}
+	r.history.add(fmt.Sprintf("after the end of all routers %d of %d streams went on", outlived, len(s.outlived)))
 	r.history.add(fmt.Sprintf("in the calm %d of %d streams that clients took up went on", s.wentOn, s.took))
 }
 
 // softwareStream is one stream as its client has received it, over all tries.
 type softwareStream struct {
 	id      string // of the try that brought the first piece; empty before it
+	beganAt time.Time
 	last    int
 	version string
 }
@@ -212,7 +258,7 @@
 		return "no piece is missing, repeated, or another answer's"
 	}
 	if s.id == "" {
-		s.id, s.version = try, version
+		s.id, s.version, s.beganAt = try, version, time.Now()
 	}
 	s.last = n
 	if version != s.version {
@@ -238,6 +284,9 @@
 			return
 		}
 		time.Sleep(time.Duration(20+c.rng.IntN(300)) * time.Millisecond)
+		if c.run.cfg.Evidence && res.status == 0 {
+			time.Sleep(downTime) // all routers may be down
+		}
 	}
 }
 
@@ -267,7 +316,7 @@
 	defer resp.Body.Close()
 	res.status = resp.StatusCode
 	if resumed && had >= minReplicas && c.run.serving(s.version) >= minReplicas {
-		c.run.software.takenUp(res.startedAt, res.status == http.StatusOK)
+		c.run.software.takenUp(s, res.startedAt, res.status == http.StatusOK)
 	}
 	if res.status != http.StatusOK {
 		return res.status != http.StatusUnauthorized
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -139,7 +139,7 @@
 // the store refuses, loses or delays writes, odd entries are written to it, and heads of answers are cut. Guards against streams that
 // are joined from two versions or don't go on, against routers that follow the store no more, and against cut answers that look whole.
 func TestEvidenceSeeds(t *testing.T) {
-	cfg := Config{Seed: 23001, Nodes: 3, Engines: 8, Services: 4, Clients: 8, FaultTime: 8 * time.Second, Software: true, Evidence: true}
+	cfg := Config{Seed: 23001, Nodes: 3, Engines: 10, Services: 4, Clients: 12, Chunks: 150, FaultTime: 6 * time.Second, Software: true, Evidence: true}
 	checkSeed(t, Run, cfg)
 	checkSeed(t, RunProduct, cfg)
 }
