--- a/hosted/software_records.go
+++ b/hosted/software_records.go
@@ -43,7 +43,7 @@
 )
 
 // streamRecords writes the records of this router's streams to the store, several in one call, so that they outlive all
-// routers. They end with a lease, which nobody renews.
+// routers. They end with a lease that is not renewed.
 type streamRecords struct {
 	store    versionStore
 	tracker  *binding.Tracker
