--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -41,7 +41,7 @@
 func (p *pipe) SendBytes(ctx context.Context, b []byte) error {
 	select {
 	case <-p.closed:
-		return net()
+		return errClosed()
 	case <-ctx.Done():
 		return ctx.Err()
 	case p.out <- b:
@@ -70,7 +70,7 @@
 	case b := <-p.in:
 		return b, nil
 	case <-p.closed:
-		return nil, net()
+		return nil, errClosed()
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-time.After(timeout):
@@ -80,8 +80,8 @@
 
 func (p *pipe) Close() { p.once.Do(func() { close(p.closed) }) }
 
-// net is the error of a connection that has closed.
-func net() error { return fmt.Errorf("stream closed: %w", io.EOF) }
+// errClosed is the error of a connection that has closed.
+func errClosed() error { return fmt.Errorf("stream closed: %w", io.EOF) }
 
 type runnerFunc func(ctx context.Context, req generation.Request, sink generation.Sink) generation.Result
 
