--- a/fakes/raw/raw.go
+++ b/fakes/raw/raw.go
@@ -14,6 +14,8 @@
 	// Answers are the answers on one connection. "{id}" in them stands for the value of the request's header IDHeader.
 	Answers  []string
 	IDHeader string
+	// Later are the answers on each connection after the first, if there are any.
+	Later []string
 	// Reset makes the server reset its connections; otherwise it closes them.
 	Reset bool
 
@@ -26,12 +28,16 @@
 		return "", err
 	}
 	go func() {
+		answers := s.Answers
 		for {
 			conn, err := s.ln.Accept()
 			if err != nil {
 				return
 			}
-			go s.serve(conn.(*net.TCPConn))
+			go s.serve(conn.(*net.TCPConn), answers)
+			if len(s.Later) > 0 {
+				answers = s.Later
+			}
 		}
 	}()
 	return s.ln.Addr().String(), nil
@@ -40,10 +46,10 @@
 // Close ends the listener.
 func (s *Server) Close() { s.ln.Close() }
 
-func (s *Server) serve(conn *net.TCPConn) {
+func (s *Server) serve(conn *net.TCPConn, answers []string) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
-	for _, answer := range s.Answers {
+	for _, answer := range answers {
 		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
