binding: no stream begins at a version that the store's statement doesn't name, also before the list is taken in

What callers would see: a stream joined from two versions.

Cause: MayBegin allowed all versions while the tracker had not taken in a list, also if it had the store's statement of a sole version. The trace of fleet 24 of 76 routers: the statement names v1 alone, the store refuses the routers' writes, r32 has just started and begins a stream at v3, and r72 takes it for one of v1. The picker leaves out excluded versions before it asks MayBegin, so that callers are hit only where that order changes; the rule stands in one place more now.

--- a/binding/binding.go
+++ b/binding/binding.go
@@ -232,11 +232,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.services[service]
-	if h == nil || len(h.seen) == 0 {
-		return true // the list has not been read yet
+	switch {
+	case h == nil:
+		return true // nothing has been read yet
+	case len(h.statement.Versions) > 0 && !slices.Contains(h.statement.Versions, version):
+		return false
 	}
-	named := len(h.statement.Versions) == 0 || slices.Contains(h.statement.Versions, version)
-	return h.seen[version].established && named
+	return len(h.seen) == 0 || h.seen[version].established
 }
 
 // LastListed returns how long ago a backend server of a version was listed, and false if that was
--- /dev/null
+++ b/binding/starting_test.go
@@ -0,0 +1,14 @@
+package binding
+
+import "testing"
+
+// Guards against streams at a version that the store's statement excludes, begun by a router that has read the statement and has
+// not taken in the list yet: they are taken for streams of the sole version.
+func TestRouterThatStartsHeedsTheStatement(t *testing.T) {
+	t.Parallel()
+	f := newSimFleet(t, 24, 76)
+	f.play()
+	if f.wrong > 0 {
+		t.Errorf("%d of %d streams at another version", f.wrong, f.began)
+	}
+}
