--- a/binding/starting_test.go
+++ b/binding/starting_test.go
@@ -12,3 +12,13 @@
 		t.Errorf("%d of %d streams at another version", f.wrong, f.began)
 	}
 }
+
+// Guards against refusals of most streams that could go on, in a fleet whose store refuses writes while versions change.
+func TestStreamsGoOnInAFleetInTouch(t *testing.T) {
+	t.Parallel()
+	f := newSimFleet(t, 64, 76)
+	f.play()
+	if 2*f.inTouchFound < f.inTouch {
+		t.Errorf("%d of %d streams went on", f.inTouchFound, f.inTouch)
+	}
+}
