--- a/binding/fleet_test.go
+++ b/binding/fleet_test.go
@@ -43,6 +43,7 @@
 	members    uint64        // digest of the routers that it reaches
 	troubledAt time.Duration // end of the latest trouble
 	era        int64         // of its copy
+	outOfStep
 }
 
 type simStream struct {
@@ -62,10 +63,11 @@
 	states  []storeState
 	storeUp time.Duration // the store is away until then
 	simStore
-	streams []*simStream
-	nextKey int
-	pending []func()
-	version int // number of the newest version
+	streams    []*simStream
+	nextKey    int
+	pending    []func()
+	version    int  // number of the newest version
+	lateNotice bool // lost links are noticed late, and requests are read before a router that was paused ticks
 	// troubleAt is when routers are killed soon after the begin of a release.
 	troubleAt time.Duration
 
@@ -89,11 +91,11 @@
 	r.upAt, r.asOf, r.applied = at, at, -1
 	r.tracker = New(Config{
 		Lifetime: func(string) time.Duration { return simLifetime },
-		CopyAge:  func() time.Duration { return f.now - r.asOf },
+		CopyAge:  func() time.Duration { return f.apparentAge(r) },
 		Routers: func() []Router {
 			var out []Router
 			for _, o := range f.routers {
-				if o != r && f.linked(r, o) {
+				if o != r && f.considersLinked(r, o) {
 					out = append(out, f.member(o))
 				}
 			}
@@ -102,7 +104,7 @@
 		Connected: func() bool {
 			n := 1
 			for _, o := range f.routers {
-				if o != r && f.linked(r, o) {
+				if o != r && f.considersLinked(r, o) {
 					n++
 				}
 			}
@@ -126,7 +128,7 @@
 			return o.tracker.Reply(q, f.now), nil
 		},
 		Whole: func() bool {
-			return !slices.ContainsFunc(f.routers, func(o *simRouter) bool { return o != r && !f.linked(r, o) })
+			return !slices.ContainsFunc(f.routers, func(o *simRouter) bool { return o != r && !f.considersLinked(r, o) })
 		},
 		Lookup:     func(_ context.Context, _ string, k Key) (Stored, error) { return f.lookup(r, k) },
 		StoreEra:   func() int64 { return r.era },
@@ -214,7 +216,7 @@
 		}
 	}
 	for _, r := range f.routers {
-		if !f.up(r) || f.now < r.paused {
+		if !f.up(r) || f.now < r.paused || f.resumes(r) {
 			continue
 		}
 		if f.hasStore(r) {
@@ -318,7 +320,7 @@
 		if s.takeUpAt == 0 || f.now < s.takeUpAt || s.tries > 1 {
 			continue
 		}
-		i := f.rng.IntN(len(f.routers))
+		i := f.routerOfTakeUp()
 		r := f.routers[i]
 		if !f.up(r) || f.now < r.paused {
 			continue
@@ -431,11 +433,7 @@
 	killAll := f.now + time.Duration(10+f.rng.IntN(30))*time.Second
 	var step func()
 	for ; f.now < end; f.now += simStep {
-		f.applyLate()
-		for _, deliver := range f.pending {
-			deliver()
-		}
-		f.pending = nil
+		f.deliver()
 		if f.rng.IntN(300) == 0 {
 			step = f.release()
 			f.troubleAt = f.now + time.Duration(f.rng.IntN(6000))*time.Millisecond
@@ -464,23 +462,37 @@
 				f.kill(i)
 			}
 		}
-		f.sync()
-		if f.now%(200*time.Millisecond) == 0 {
-			for _, r := range f.routers {
-				if members := digest(r.tracker.cfg.Routers()); members != r.members {
-					r.members = members
-					r.tracker.Recheck()
-				}
-				if f.up(r) && f.now >= r.paused && r.applied >= 0 {
-					r.tracker.Tick(f.now, r.asOf, map[string][]string{simService: f.listed(r)})
-				}
+		f.step()
+	}
+}
+
+// deliver passes on what routers have sent, and applies late writes.
+func (f *simFleet) deliver() {
+	f.applyLate()
+	for _, deliver := range f.pending {
+		deliver()
+	}
+	f.pending = nil
+}
+
+// step lets the routers and clients do what they do in one step of time.
+func (f *simFleet) step() {
+	f.sync()
+	if f.now%(200*time.Millisecond) == 0 {
+		for _, r := range f.routers {
+			if members := digest(r.tracker.cfg.Routers()); members != r.members {
+				r.members = members
+				r.tracker.Recheck()
+			}
+			if f.up(r) && f.now >= r.paused && !f.resumes(r) && r.applied >= 0 {
+				r.tracker.Tick(f.now, f.now-f.apparentAge(r), map[string][]string{simService: f.listed(r)})
 			}
-			f.note()
-			f.writeVersions()
 		}
-		f.begin()
-		f.takeUps()
+		f.note()
+		f.writeVersions()
 	}
+	f.begin()
+	f.takeUps()
 }
 
 // Guards against a router that takes up a stream at another version than the one that began it, in fleets in
