binding, hosted: the version of a stream follows only from what the store states after its request arrived

Cause: an inference rested on what was true at the latest tick. A link counts as alive for four heartbeats, a pause is noticed at the next tick, and messages that waited meanwhile make an old list appear current. The router that begins streams waits 2 s from its own first sight, the one that infers trusts for 1.7 s from its own: no lengths of the two make that sound. A second hole: a version that was the only one listed began streams before the store's statement named it.

Change: - A version is inferred only if the store's statement, read after the request arrived, names it alone. Requests that arrive together share a read. If the store doesn't answer this router, another router is asked to make the read. - No stream begins at a version that the statement of the present era doesn't name. A new version is named 1.5 s after it was listed; until then the statement still proves the other one, while routers send each other their records. - While a router's list is not current, the records of all its streams go to other routers: without the store nobody can infer. - A sole version in the store counts only after the record of the stream was read as it is now, not as it was. - The lines of found and unknown versions say what the store named and when the router last ticked.

--- a/binding/binding.go
+++ b/binding/binding.go
@@ -7,12 +7,16 @@
 // The router that passes the first chunk of a stream to its client records the version, and sends
 // the record to a few routers in different failure domains, chosen by a hash of the stream's id, and to the store. A
 // router that doesn't have the record of a stream asks these routers, then the store. Nothing is sent while a
-// service has one version only, provided that the store states so (Statement): the version of a stream follows from that
-// statement, or from what the router itself has seen for as long as a stream lasts (type history). If
+// service has one version only, provided that the store states so (Statement) and answers: the version of a stream follows from that
+// statement, alone or together with what the router itself has seen for as long as a stream lasts (type history). If
 // the version can't be found out, the stream is refused and not placed at a version that is likely: a record or a
 // statement that is missing proves nothing.
 //
-// A record is sent once the version is certain, and never changes, so records need no order. A lost
+// A router may have been paused or cut off without knowing it yet, so neither its list nor its links say what holds now. No stream
+// begins at a version that the statement doesn't name, and a statement is evidence only if the store was asked after the
+// client's request arrived.
+//
+// A record is sent once the version is certain, and doesn't change then, so records need no order. A lost
 // record leads to a refusal.
 package binding
 
@@ -75,6 +79,9 @@
 	// Whole reports whether this router is linked, directly or through others, to each router that is registered or was
 	// seen lately and didn't leave by itself.
 	Whole func() bool
+	// Statement reads the statement about a service from the store, as it is after the call began. It returns the zero value if
+	// there is none in the present era.
+	Statement func(ctx context.Context, service string) (Statement, error)
 	// Lookup reads from the store what it has of a stream.
 	Lookup func(ctx context.Context, service string, key Key) (Stored, error)
 	// StoreEra returns the era of this router's copy of the store. It may wait for a call of SetStatement.
@@ -106,6 +113,7 @@
 	membership     uint64        // digest of the routers at that time
 	wokeAt         time.Duration // end of the latest time in which this process did not run
 	wholeSince     time.Duration // as connectedSince, for Config.Whole
+	unconfirmed    bool          // the list was not current at the latest tick: the store may be away
 	firstStart     bool          // this router has not been paused since the deployment's first start
 }
 
@@ -120,6 +128,8 @@
 	// settleTime is how long after this router has first seen a version streams may begin there.
 	// It is longer than maxCopyAge: each router whose list is current knows the version then.
 	settleTime = 2 * time.Second
+	// announceTime is how long a version is listed beside another one before the store's statement names it.
+	announceTime = settleTime - 500*time.Millisecond
 )
 
 // New returns a Tracker that knows no service yet.
@@ -131,7 +141,7 @@
 // Tick updates what depends on the time, and takes in the versions of the listed backend servers
 // of each service. The list was current at asOf.
 func (t *Tracker) Tick(now, asOf time.Duration, listed map[string][]string) {
-	connected, whole := t.cfg.Connected(), t.cfg.Whole()
+	connected, whole, era := t.cfg.Connected(), t.cfg.Whole(), t.cfg.StoreEra()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lastTick != never && now-t.lastTick > maxTickGap {
@@ -142,7 +152,11 @@
 	t.connectedSince = since(t.connectedSince, connected, now)
 	t.wholeSince = since(t.wholeSince, whole, now)
 	for service, versions := range listed {
-		t.observe(service, versions, asOf, now)
+		t.observe(service, versions, asOf, era, now)
+	}
+	if unconfirmed := now-asOf > maxCopyAge; unconfirmed != t.unconfirmed {
+		t.unconfirmed = unconfirmed
+		t.completedAt, t.membership = never, 0
 	}
 	t.records.expire(now)
 	if now-t.completedAt >= completeInterval {
@@ -164,9 +178,10 @@
 
 // observe takes in the versions of the listed backend servers of a service. When a second version
 // appears, the records of the streams that this router began are sent.
-func (t *Tracker) observe(service string, versions []string, asOf, now time.Duration) {
+func (t *Tracker) observe(service string, versions []string, asOf time.Duration, era int64, now time.Duration) {
 	h := t.history(service, now)
-	if t.lastTick == t.wokeAt || len(h.seen) == 0 {
+	missed := h.asOf != never && asOf-h.asOf > maxCopyAge && !h.statement.holds(era)
+	if t.lastTick == t.wokeAt || len(h.seen) == 0 || missed {
 		h.coveredSince, h.currentSince = now, notConnected
 		h.sinceFirstStart = t.firstStart
 	}
--- a/binding/find.go
+++ b/binding/find.go
@@ -11,7 +11,8 @@
 type Found struct {
 	Version string
 	Source  Source
-	Age     time.Duration // of the record
+	Age     time.Duration // of the record, or of the list
+	Named   []string      // the versions that the store named when it was asked, if the version follows from that
 }
 
 // Source states how the version of a stream is known.
@@ -21,7 +22,7 @@
 const (
 	FromRecord Source = "record"      // this router has a record of the stream
 	FromRouter Source = "router"      // another router has one
-	FromList   Source = "one-version" // this router has seen one version for as long as a stream lasts
+	FromList   Source = "one-version" // this router has seen one version for as long as a stream lasts, and the store names no other now
 	FromStore  Source = "store"       // the store has a record, or states that there was one version
 )
 
@@ -35,32 +36,44 @@
 // ErrNotStored means that the store has no record of the stream, and states no sole version of the service.
 var ErrNotStored = errors.New("the store has no record of the stream")
 
+// ErrUnknownVersion means that the router of the stream could not find out at which version it began.
+var ErrUnknownVersion = errors.New("the version at which the stream began was not known")
+
 // Find finds out at which version a stream began.
 func (t *Tracker) Find(ctx context.Context, key Key, service string, now time.Duration) (Found, error) {
-	if f, ok := t.findRecord(key, now); ok {
-		return f, nil
+	f, err := t.find(ctx, key, service, now)
+	if err == nil && f.Version == UnknownVersion {
+		return Found{}, Error.Wrap(ErrUnknownVersion)
 	}
-	if f, ok := t.infer(service, now, (*history).only); ok {
+	return f, err
+}
+
+func (t *Tracker) find(ctx context.Context, key Key, service string, now time.Duration) (Found, error) {
+	if f, ok := t.findRecord(key, now); ok {
 		return f, nil
 	}
+	inferred := make(chan inference, 1)
+	go func() { inferred <- t.infer(ctx, service, now) }()
 	f, err := t.ask(ctx, key, service, now)
-	if errors.Is(err, ErrNoRecord) {
-		if f, ok := t.infer(service, now, (*history).onlyUnrecorded); ok {
-			return f, nil
-		}
-	}
 	if err == nil {
 		return f, nil
 	}
+	only := <-inferred
+	if only.proved && errors.Is(err, ErrNoRecord) {
+		return only.Found, nil
+	}
 	f, unstored := t.lookUp(ctx, key, service, now)
-	if unstored != nil {
-		return Found{}, Error.New("%w; %w", err, unstored)
+	switch {
+	case unstored == nil:
+		return f, nil
+	case only.proved && errors.Is(unstored, ErrNotStored):
+		return only.Found, nil
 	}
-	return f, nil
+	return Found{}, Error.New("%w; %w", err, unstored)
 }
 
-// lookUp finds the version of a stream in the store. A sole version counts only if this router has not seen another one: streams
-// may begin at a version that is found while the store is away.
+// lookUp finds the version of a stream in the store. A sole version counts only if this router has not seen another one for longer
+// than it takes until streams begin there: routers of earlier builds don't wait for its name.
 func (t *Tracker) lookUp(ctx context.Context, key Key, service string, now time.Duration) (Found, error) {
 	s, err := t.cfg.Lookup(ctx, service, key)
 	if err != nil {
@@ -74,7 +87,7 @@
 		t.records.put(Record{Key: key, Service: service, Version: s.Version, KeepMS: keep.Milliseconds()}, false, now)
 		t.records.setStored(key)
 		return Found{Version: s.Version, Source: FromStore}, nil
-	case s.Sole && h != nil && !slices.ContainsFunc(h.listed(now, keep), func(v string) bool { return v != s.Version }):
+	case s.Sole && h != nil && !slices.ContainsFunc(h.beginnable(now, keep), func(v string) bool { return v != s.Version }):
 		return Found{Version: s.Version, Source: FromStore}, nil
 	}
 	return Found{}, ErrNotStored
@@ -87,21 +100,39 @@
 	return Found{Version: r.Version, Source: FromRecord, Age: now - r.at}, ok
 }
 
-// infer returns the version of a stream that follows from the history of its service, if this
-// router knows that history.
-func (t *Tracker) infer(service string, now time.Duration, only func(h *history, now, keep time.Duration) (string, bool)) (Found, bool) {
-	age := t.cfg.CopyAge()
+// inference is the version of a stream without a record, if it is proved.
+type inference struct {
+	Found
+	proved bool
+}
+
+// infer returns the version of a stream that has no record: the only one that this router has seen, if the store names no
+// other now. Streams that began before the store had a statement are covered by what this router has seen, and those that
+// began since by the statement, also if this router's list is old.
+func (t *Tracker) infer(ctx context.Context, service string, now time.Duration) inference {
+	version, ok := t.onlySeen(service, now)
+	if !ok {
+		return inference{}
+	}
+	stated, err := t.cfg.Statement(ctx, service)
+	return inference{
+		Found:  Found{Version: version, Source: FromList, Age: t.cfg.CopyAge(), Named: stated.Versions},
+		proved: err == nil && stated.namesOnly(version),
+	}
+}
+
+// onlySeen returns the only version at which streams without a record may have begun by what this router has seen, and false
+// if there may be several or it has not followed the list for as long as a stream lasts.
+func (t *Tracker) onlySeen(service string, now time.Duration) (string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.services[service]
-	if h == nil {
-		return Found{}, false
+	if h == nil || now-t.lastTick > maxTickGap {
+		return "", false
 	}
 	keep := t.cfg.Lifetime(service)
-	version, one := only(h, now, keep)
-	current := age <= maxCopyAge && now-t.wokeAt > maxCopyAge
-	covered := now-h.coveredSince >= keep || h.sinceFirstStart
-	return Found{Version: version, Source: FromList, Age: age}, one && covered && (current || t.connectedFor(now) >= settleTime)
+	version, one := h.onlyUnrecorded(now, keep)
+	return version, one && (now-h.coveredSince >= keep || h.sinceFirstStart)
 }
 
 func (t *Tracker) connectedFor(now time.Duration) time.Duration {
--- a/binding/fleet_test.go
+++ b/binding/fleet_test.go
@@ -131,6 +131,7 @@
 			return !slices.ContainsFunc(f.routers, func(o *simRouter) bool { return o != r && !f.considersLinked(r, o) })
 		},
 		Lookup:     func(_ context.Context, _ string, k Key) (Stored, error) { return f.lookup(r, k) },
+		Statement:  func(context.Context, string) (Statement, error) { return f.readStatement(r) },
 		StoreEra:   func() int64 { return r.era },
 		FirstStart: f.firstStart && at == f.now && f.began == 0,
 	})
--- a/binding/history.go
+++ b/binding/history.go
@@ -103,10 +103,18 @@
 // onlyUnrecorded returns the only version at which a stream can have begun that has no record, and false if there
 // may be several: no stream begins at a version without a record until settleTime after it was listed.
 func (h *history) onlyUnrecorded(now, keep time.Duration) (string, bool) {
-	return single(slices.DeleteFunc(h.recent(now, keep), func(v string) bool {
-		s, known := h.seen[v]
-		return known && now-s.absentAt < settleTime
-	}))
+	return single(slices.DeleteFunc(h.recent(now, keep), func(v string) bool { return h.settling(v, now) }))
+}
+
+// beginnable returns the versions that were listed within keep, but those that are too new for streams.
+func (h *history) beginnable(now, keep time.Duration) []string {
+	return slices.DeleteFunc(h.listed(now, keep), func(v string) bool { return h.settling(v, now) })
+}
+
+// settling reports whether a version was absent less than settleTime ago.
+func (h *history) settling(version string, now time.Duration) bool {
+	s, known := h.seen[version]
+	return known && now-s.absentAt < settleTime
 }
 
 func single(versions []string) (string, bool) {
--- a/binding/publish.go
+++ b/binding/publish.go
@@ -11,25 +11,25 @@
 const completeInterval = time.Second
 
 func (t *Tracker) complete(now time.Duration) {
-	var services []string
+	services := map[string]bool{}
 	for service, h := range t.services {
-		if h.several(now, t.cfg.Lifetime(service)) {
-			services = append(services, service)
+		if t.unconfirmed || h.several(now, t.cfg.Lifetime(service)) {
+			services[service] = true
 		}
 	}
-	if len(services) == 0 {
+	if len(services) == 0 && !t.records.ownUnknown {
 		return
 	}
 	live := t.cfg.Routers()
 	members := digest(live)
 	changed := members != t.membership
 	t.membership = members
-	for _, service := range services {
-		t.publish(t.records.unsent(service, changed, now), live, now)
-	}
+	published := func(r *storedRecord) bool { return services[r.Service] || r.Version == UnknownVersion }
+	t.publish(t.records.unsent(published, changed, now), live, now)
 }
 
-// Began records that a stream began at a version. keep is how long the client may take it up.
+// Began records that a stream began at a version. keep is how long the client may take it up. Other routers get the record if
+// they could not conclude the version without it: there are several versions, the store may be away, or the version isn't known.
 func (t *Tracker) Began(key Key, service, version string, keep, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -37,7 +37,8 @@
 	if !t.records.put(r, true, now) {
 		return
 	}
-	if h := t.services[service]; h != nil && h.several(now, t.cfg.Lifetime(service)) {
+	h := t.services[service]
+	if t.unconfirmed || version == UnknownVersion || h != nil && h.several(now, t.cfg.Lifetime(service)) {
 		t.publish([]Key{key}, t.cfg.Routers(), now)
 	}
 }
@@ -58,16 +59,15 @@
 }
 
 // Unstored returns up to n records of this router's streams that the store is to have and may lack. While the store
-// states that a service has one version, it needs no records of the streams that began there.
+// states that a service has one version, it needs records only of the streams that did not begin there.
 func (t *Tracker) Unstored(n int, now time.Duration) []Record {
 	era := t.cfg.StoreEra()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Record
 	for _, service := range slices.Sorted(maps.Keys(t.services)) {
-		if _, sole := t.services[service].statement.SoleVersion(era); !sole {
-			out = append(out, t.records.unstored(service, n-len(out), now)...)
-		}
+		sole, _ := t.services[service].statement.SoleVersion(era)
+		out = append(out, t.records.unstored(service, sole, n-len(out), now)...)
 	}
 	return out
 }
--- a/binding/records.go
+++ b/binding/records.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// UnknownVersion is the version in the record of a stream that began at a version that its router could not find out. No
+// backend server runs it, so a router that doesn't know this value refuses the stream too.
+const UnknownVersion = "?"
+
 // Record states at which version a stream began.
 type Record struct {
 	Key     Key    `cbor:"1,keyasint"`
@@ -45,8 +49,9 @@
 
 // records is a bounded set of records that expire.
 type records struct {
-	byKey     map[Key]storedRecord
-	expiredAt time.Duration
+	byKey      map[Key]storedRecord
+	expiredAt  time.Duration
+	ownUnknown bool // there may be an own record of UnknownVersion
 }
 
 type storedRecord struct {
@@ -70,23 +75,26 @@
 func newRecords() records { return records{byKey: map[Key]storedRecord{}} }
 
 // put adds a record, and reports whether it is new, or new as a record of this router's own
-// streams. The version of the first record of a stream stays.
+// streams. The version of the first record of a stream stays, unless it is UnknownVersion.
 func (s *records) put(r Record, own bool, now time.Duration) bool {
 	keep := time.Duration(r.KeepMS) * time.Millisecond
 	if keep <= 0 || r.Version == "" {
 		return false
 	}
-	if old, ok := s.byKey[r.Key]; ok && now < old.expires {
+	s.ownUnknown = s.ownUnknown || own && r.Version == UnknownVersion
+	old, ok := s.byKey[r.Key]
+	known := ok && now < old.expires && (old.Version != UnknownVersion || r.Version == UnknownVersion)
+	if known {
 		added := own && !old.own
 		old.own = old.own || own
 		old.expires = max(old.expires, now+min(keep, maxKeep))
 		s.byKey[r.Key] = old
 		return added
 	}
-	if len(s.byKey) >= maxRecords {
+	if !ok && len(s.byKey) >= maxRecords {
 		return false
 	}
-	s.byKey[r.Key] = storedRecord{Record: r, own: own, at: now, expires: now + min(keep, maxKeep)}
+	s.byKey[r.Key] = storedRecord{Record: r, own: own || ok && old.own, at: now, expires: now + min(keep, maxKeep)}
 	return true
 }
 
@@ -95,12 +103,12 @@
 	return r, ok && now < r.expires
 }
 
-// unsent returns the keys of the own records of a service that were not received by all routers to which
-// they were sent, or of all own records.
-func (s *records) unsent(service string, all bool, now time.Duration) []Key {
+// unsent returns the keys of the published own records that were not received by all routers to which
+// they were sent, or of all published own records.
+func (s *records) unsent(published func(*storedRecord) bool, all bool, now time.Duration) []Key {
 	var out []Key
 	for key, r := range s.byKey {
-		if !r.own || r.Service != service || now >= r.expires {
+		if !r.own || now >= r.expires || !published(&r) {
 			continue
 		}
 		if all || slices.ContainsFunc(r.sent, func(d delivery) bool { return !d.received }) {
@@ -133,11 +141,12 @@
 	return r.Record, true
 }
 
-// unstored returns up to n own records of a service that the store may lack, those first that began first.
-func (s *records) unstored(service string, n int, now time.Duration) []Record {
+// unstored returns up to n own records of a service, but those of one version, that the store may lack, those first that
+// began first.
+func (s *records) unstored(service, except string, n int, now time.Duration) []Record {
 	var out []storedRecord
 	for _, r := range s.byKey {
-		if r.own && !r.stored && r.Service == service && now < r.expires {
+		if r.own && !r.stored && r.Service == service && r.Version != except && now < r.expires {
 			out = append(out, r)
 		}
 	}
@@ -187,10 +196,12 @@
 	if now-s.expiredAt < expireInterval {
 		return
 	}
-	s.expiredAt = now
+	s.expiredAt, s.ownUnknown = now, false
 	for k, r := range s.byKey {
 		if now >= r.expires {
 			delete(s.byKey, k)
+			continue
 		}
+		s.ownUnknown = s.ownUnknown || r.own && r.Version == UnknownVersion
 	}
 }
--- a/binding/report.go
+++ b/binding/report.go
@@ -54,6 +54,7 @@
 type Evidence struct {
 	Versions []string      // listed recently, or named by the store
 	Followed time.Duration // how long this router has followed the list without a pause
+	TickAge  time.Duration // since this router looked at the list and the time
 	ListAge  time.Duration
 }
 
@@ -62,6 +63,7 @@
 	e := Evidence{ListAge: t.cfg.CopyAge()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e.TickAge = now - t.lastTick
 	if h := t.services[service]; h != nil {
 		e.Versions, e.Followed = h.recent(now, t.cfg.Lifetime(service)), now-h.coveredSince
 	}
--- a/binding/statement.go
+++ b/binding/statement.go
@@ -28,10 +28,17 @@
 	return s.Versions[0], true
 }
 
-// excludes reports whether streams may not begin at a version, since the store states that all began at another one.
+// holds reports whether the statement names the versions at which streams may begin.
+func (s Statement) holds(era int64) bool { return len(s.Versions) > 0 && s.Era == era }
+
+// excludes reports whether no stream may begin at a version, since the statement doesn't name it.
 func (s Statement) excludes(version string, era int64) bool {
-	sole, stated := s.SoleVersion(era)
-	return stated && sole != version
+	return s.holds(era) && !slices.Contains(s.Versions, version)
+}
+
+// namesOnly reports whether streams may have begun at one version only since the statement was made.
+func (s Statement) namesOnly(version string) bool {
+	return len(s.Versions) == 1 && s.Versions[0] == version
 }
 
 // SetStatement takes in what the store states of a service. The zero value means that it states nothing.
@@ -48,8 +55,7 @@
 	t.records.unstore()
 }
 
-// Excluded reports whether no stream may begin at a version until the store states that others than the sole
-// version serve.
+// Excluded reports whether no stream may begin at a version until the store's statement names it.
 func (t *Tracker) Excluded(service, version string) bool {
 	era := t.cfg.StoreEra()
 	t.mu.Lock()
@@ -70,13 +76,13 @@
 		return Statement{}, false
 	}
 	stated, keep := h.statement, t.cfg.Lifetime(service)
-	unnamed := slices.ContainsFunc(h.listedNow, func(v string) bool { return !slices.Contains(stated.Versions, v) })
 	switch sole, one := single(h.recent(now, keep)); {
-	case unnamed:
+	case h.lacksName(now), len(stated.Versions) > 0 && stated.Era != era:
 		names := map[string]bool{}
 		for _, v := range slices.Concat(stated.Versions, h.recent(now, keep)) {
-			names[v] = true
+			names[v] = names[v] || slices.Contains(stated.Versions, v) || !h.announced(v, now)
 		}
+		maps.DeleteFunc(names, func(_ string, named bool) bool { return !named })
 		return Statement{Versions: slices.Sorted(maps.Keys(names)), Era: era}, true
 	case !one || !t.provesSole(h, keep, now):
 		return Statement{}, false
@@ -86,6 +92,20 @@
 	}
 }
 
+// lacksName reports whether the statement has to name one more of the listed versions.
+func (h *history) lacksName(now time.Duration) bool {
+	return slices.ContainsFunc(h.listedNow, func(v string) bool { return !slices.Contains(h.statement.Versions, v) && !h.announced(v, now) })
+}
+
+// announced reports whether a version was listed a short time ago, beside one that is named. It is named later: streams can't begin
+// there yet, and until it is named streams without a record are known to be of the other version. Meanwhile the routers send the
+// records of their streams to each other.
+func (h *history) announced(version string, now time.Duration) bool {
+	s, seen := h.seen[version]
+	served := slices.ContainsFunc(h.listedNow, func(v string) bool { return slices.Contains(h.statement.Versions, v) })
+	return seen && served && now-s.first < announceTime
+}
+
 // provesSole reports whether this router has followed a current list, and was connected with each other router, for as
 // long as a stream lasts, or since the first start of the deployment. A router out of reach may begin streams at a version that
 // is listed no more.
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -56,6 +56,7 @@
 	records  *streamRecords
 	// statements are what the store states of the versions of services.
 	statements *statements
+	reads      *statementReads
 	log        *event.Log
 	// reports queries a replica for its start time; set before the first request.
 	reports generation.RunQuerier
@@ -88,6 +89,7 @@
 		Send:      s.send,
 		Ask:       s.ask,
 		Whole:     s.whole,
+		Statement: func(ctx context.Context, service string) (binding.Statement, error) { return s.reads.get(ctx, service) },
 		Lookup:    s.lookup,
 		StoreEra:  func() int64 { return n.mirror.Newest().Era() },
 		Log:       n.log,
@@ -95,6 +97,7 @@
 		FirstStart: n.set.Hosted.FirstStart,
 	})
 	s.statements = &statements{store: store, tracker: s.tracker, log: n.log, stated: map[string]statedItem{}, due: map[string]*dueNote{}}
+	s.reads = &statementReads{read: s.readStatement, next: map[string]*statementRead{}, busy: map[string]*statementRead{}}
 	s.records = &streamRecords{
 		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
 		lifetime: s.longestLifetime, nodes: n.peers.registeredNodes, writes: n.set.Hosted.StoreWritesPerS,
@@ -255,13 +258,15 @@
 	f, err := s.tracker.Find(ctx, keyOf(r), service, clock.SinceBoot())
 	e := s.tracker.Evidence(service, clock.SinceBoot())
 	if err != nil {
-		err = Error.New("%w (versions %q, list followed for %d ms, list age %d ms)", err, e.Versions, e.Followed.Milliseconds(), e.ListAge.Milliseconds())
+		err = Error.New("%w (versions %q, list followed for %d ms, list age %d ms, last tick %d ms ago)", err, e.Versions, e.Followed.Milliseconds(),
+			e.ListAge.Milliseconds(), e.TickAge.Milliseconds())
 		return generation.Binding{}, &generation.Unavailable{Code: generation.CodeVersionUnknown, RetryAfter: unknownRetry, Err: err}
 	}
 	s.found.Inc()
 	s.log.Emit(event.StreamVersionFound, "request", r.ID, "began_as", r.BeganAs(), "service", service,
 		"software", f.Version, "source", string(f.Source), "age_ms", f.Age.Milliseconds(),
-		"versions", e.Versions, "followed_ms", e.Followed.Milliseconds(), "list_age_ms", e.ListAge.Milliseconds())
+		"versions", e.Versions, "followed_ms", e.Followed.Milliseconds(), "list_age_ms", e.ListAge.Milliseconds(),
+		"tick_age_ms", e.TickAge.Milliseconds(), "named", f.Named)
 	return generation.Binding{Version: f.Version}, nil
 }
 
--- a/hosted/software_mesh.go
+++ b/hosted/software_mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"wigeondale/binding"
 	"wigeondale/clock"
@@ -18,6 +19,14 @@
 	peer.HandleCall(mesh, callBinding, func(_ context.Context, _ string, q binding.Query) (binding.Reply, error) {
 		return s.tracker.Reply(q, clock.SinceBoot()), nil
 	})
+	peer.HandleCall(mesh, callItem, s.handleItemQuery)
+}
+
+func (s *software) handleItemQuery(ctx context.Context, _ string, q itemQuery) (itemReply, error) {
+	if !strings.HasPrefix(q.Key, streamPrefix) && !strings.HasPrefix(q.Key, statementPrefix) {
+		return itemReply{}, Error.New("item %q has nothing to do with the versions of streams", q.Key)
+	}
+	return s.readOwn(ctx, q.Key, q.Stale)
 }
 
 func (s *software) ask(ctx context.Context, node string, q binding.Query) (binding.Reply, error) {
--- a/hosted/software_records.go
+++ b/hosted/software_records.go
@@ -141,39 +141,19 @@
 
 func streamKey(k binding.Key) string { return streamPrefix + hex.EncodeToString(k[:]) }
 
-// lookup reads what the store has of a stream. A record never changes, so an old one counts too. What the store
-// states of the service counts only as it is now.
+// lookup reads what the store has of a stream. A record of a known version never changes, so an old one counts too. What the store
+// states of the service counts only as it is now, and only for streams without a record.
 func (s *software) lookup(ctx context.Context, service string, key binding.Key) (binding.Stored, error) {
 	ctx, stop := context.WithTimeout(ctx, lookupTimeout)
 	defer stop()
-	if record, ok, err := s.readItem(ctx, streamKey(key), true); err == nil && ok {
+	if record, ok, err := s.readItem(ctx, streamKey(key), true); err == nil && ok && string(record.Data) != binding.UnknownVersion {
 		return binding.Stored{Recorded: true, Version: string(record.Data)}, nil
 	}
-	if s.statements.sole(service) {
-		item, ok, err := s.readItem(ctx, statementKey(service), false)
-		if err != nil {
-			return binding.Stored{}, err
-		}
-		if st, err := parseStatement(item.Data); ok && err == nil {
-			if version, sole := st.SoleVersion(item.ModRev.Era()); sole {
-				return binding.Stored{Sole: true, Version: version}, nil
-			}
-		}
-	}
 	record, ok, err := s.readItem(ctx, streamKey(key), false)
-	return binding.Stored{Recorded: ok, Version: string(record.Data)}, err
-}
-
-// readItem reads one item of the store. Its revision is of the era of the answer.
-func (s *software) readItem(ctx context.Context, key string, stale bool) (infra.Value, bool, error) {
-	page, err := s.store.Page(ctx, key, "", stale)
-	if err != nil {
-		return infra.Value{}, false, err
-	}
-	for _, item := range page.Values {
-		if item.Key == key {
-			return item, true, nil
-		}
+	if err != nil || ok || !s.statements.sole(service) {
+		return binding.Stored{Recorded: ok, Version: string(record.Data)}, err
 	}
-	return infra.Value{}, false, nil
+	st, err := s.reads.get(ctx, service)
+	version, sole := st.SoleVersion(st.Era)
+	return binding.Stored{Sole: sole, Version: version}, err
 }
