generation, hosted: a stream of an unknown software version has a record that says so

Callers saw streams joined from two versions: an engine starts again under its name with other software, the list names one version still, and the engine doesn't answer the question for its start time. The router of the stream knew that the version is unknown; the one at which the stream was taken up inferred that of the list.

Cause: what one router doesn't know was nowhere for the others to see; a missing record counted as an ordinary stream.

Change: such a stream gets a record of an unknown version, at other routers and in the store, before its first chunk passes.

--- a/generation/software.go
+++ b/generation/software.go
@@ -43,7 +43,7 @@
 	// address does not deliver any more.
 	Confirm(ctx context.Context, b fleet.Backend) (Binding, error)
 	// Began records that a stream began at a version. It is called before the first chunk is
-	// passed on, and doesn't wait.
+	// passed on, and doesn't wait. An empty version is one that isn't known (yet).
 	Began(r *Request, b fleet.Backend, version string)
 }
 
@@ -90,7 +90,7 @@
 	} else if got.Unknown || got.Version != x.bound.Version {
 		return Error.New("%w: %w", backend.ErrMismatch, errOtherVersion)
 	}
-	if x.req.Opaque != nil && !got.Unknown {
+	if x.req.Opaque != nil {
 		x.recordVersion(a, got.Version)
 	}
 	return nil
--- a/generation/software_test.go
+++ b/generation/software_test.go
@@ -65,8 +65,8 @@
 	v := &versions{at: map[string]Binding{"b1": {Unknown: true}}}
 	w := &fakeFleet{chunks: 9, budget: 9, versions: v, scripts: []script{{lastChunk: 4, err: errBroken}}}
 	res, out := w.run(t, resumable)
-	if res.Outcome != fleet.Failed || out.text != chunkText(4) || len(w.opened) != 1 || len(v.began) != 0 {
-		t.Errorf("got %s, %q after %d attempts", res.Outcome, out.text, len(w.opened))
+	if res.Outcome != fleet.Failed || out.text != chunkText(4) || len(w.opened) != 1 || fmt.Sprint(v.began) != "[b1 ]" {
+		t.Errorf("got %s, %q after %d attempts, began %q", res.Outcome, out.text, len(w.opened), v.began)
 	}
 }
 
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -307,6 +307,9 @@
 
 // Began implements generation.StreamVersions.
 func (s *software) Began(r *generation.Request, b fleet.Backend, version string) {
+	if version == "" {
+		version = binding.UnknownVersion
+	}
 	now := clock.SinceBoot()
 	service := r.Opaque.Service
 	keep := s.lifetime(service)
