stopping, generation, hosted: no request begins that can't end before a planned stop ends the process

Callers of a router in a planned stop saw their connections close without an answer although their requests ran, among them requests that may not be repeated; requests that another router had passed on got 502 (LOST).

Cause: nothing compared the time left with what a request needs, other routers didn't know of the stop, and the only end of an open request was that of the process.

Change: package stopping knows the end of the process. Whenever an attempt is about to begin (when a request is read, after it waited, again after a loss, or passed on by another router) its end is compared with that time: the caller's deadline for a request that may run once, else the time that 95 in 100 recent ones took. What can't end is refused as not run, with the time after which the balancer sends it elsewhere; a wait in the queue ends then too. What is still open 250 ms before the process ends gets its answer. The router says that it leaves, so nothing is passed on to it, and a router whose passed-on request ends there goes on elsewhere if it may. Connections that are idle are closed when the last request has ended, no longer right after the notice. Logs say router_stopping where they blamed the caller.

Ways weighed: a longer margin before the kill (a larger constant: longer requests are cut all the same); refusing all from the signal on (refuses what could be served for most of the grace); deadlines alone for all requests (streams have 25 s and take 2 to 5: all would be refused from the signal on).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -174,7 +174,7 @@
 		return false
 	}
 	switch end.Code {
-	case generation.CodeCutOff, generation.CodeNoReplica, codeBusy, codeOutdated:
+	case generation.CodeCutOff, generation.CodeNoReplica, generation.CodeStopping, codeBusy, codeOutdated:
 		f.chooser.avoid(r.ID, service, now.Add(notTakenFor), now)
 		return true
 	}
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -37,6 +37,9 @@
 	}
 	a.stopPolling = x.pollRun(a)
 	a.sentAt = time.Now()
+	if x.firstSentAt.IsZero() {
+		x.firstSentAt = a.sentAt
+	}
 	ctx, to, start := a.ctx, a.backend, backend.StartRequest{
 		Opaque: x.opaque(), Copies: copies, FirstAttempt: first, LastAttempt: x.isLastAttempt(),
 		ID: x.req.ID, Attempt: a.origin.Attempt, Ref: x.req.Ref,
@@ -191,7 +194,7 @@
 		x.reportUnfinished(a, err)
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
-	if end, ok := errors.AsType[*RemoteEnd](err); ok && end.Code != CodeCutOff {
+	if end, ok := errors.AsType[*RemoteEnd](err); ok && end.Code != CodeCutOff && end.Code != CodeStopping {
 		a.closeReader()
 		return x.endLikeRemote(end)
 	}
--- a/generation/end.go
+++ b/generation/end.go
@@ -8,6 +8,7 @@
 	"wigeondale/backend"
 	"wigeondale/event"
 	"wigeondale/fleet"
+	"wigeondale/stopping"
 )
 
 // finalOutcome maps every final state of the chart to an outcome. The outcome of a cancelled
@@ -26,6 +27,9 @@
 	if errors.Is(err, ErrCallerDisconnected) {
 		return x.callerDisconnected(err)
 	}
+	if errors.Is(err, stopping.ErrStopping) {
+		code = CodeStopping
+	}
 	if x.mayHold() {
 		return "hold"
 	}
@@ -126,6 +130,9 @@
 	if res.Outcome == fleet.Unknown {
 		x.opts.Log.Emit(event.OutcomeUnknown, "account", x.req.Account, "request", x.req.ID, "code", res.Code)
 	}
+	if res.Outcome == fleet.Complete {
+		x.recordDuration()
+	}
 	x.m.ended(res.Outcome)
 	return res
 }
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -56,7 +56,8 @@
 	CodeDeadline           = "deadline"
 	CodeCallerDisconnected = "caller_gone"
 	CodeDuplicate          = "duplicate_key"
-	CodeKeyReused          = "key_reused" // the key is claimed by a request with another body
+	CodeKeyReused          = "key_reused"      // the key is claimed by a request with another body
+	CodeStopping           = "router_stopping" // the router is about to end, and the request could not end before
 	CodeNoClaim            = "claims_unavailable"
 	CodeNoReplica          = "no_replica"
 	CodeNotAdmitted        = "not_admitted"
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -7,6 +7,7 @@
 
 	"wigeondale/clock"
 	"wigeondale/event"
+	"wigeondale/stopping"
 )
 
 const (
@@ -89,6 +90,9 @@
 	if x.mustEnd() {
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
+	if !x.Stop.MayBegin(x.stoppingWork()) {
+		return x.giveUp(CodeStopping, x.stops())
+	}
 	if err := x.tracked.Refusal(x.searching()); err != nil {
 		return x.endQuarantined(err)
 	}
@@ -110,7 +114,9 @@
 		return x.passOn()
 	}
 	x.releaseChoice()
-	b, share, err := x.Picker.Pick(x.searching(), x.pickRequest())
+	ctx, done := x.Stop.UntilLatestBegin(x.searching(), x.stoppingWork())
+	b, share, err := x.Picker.Pick(ctx, x.pickRequest())
+	done()
 	if err == nil {
 		x.backend, x.loadShare = b, share
 		return "picked"
@@ -118,6 +124,9 @@
 	if x.interrupted() {
 		return "none"
 	}
+	if !x.Stop.MayBegin(x.stoppingWork()) {
+		return x.giveUp(CodeStopping, x.stops())
+	}
 	x.waitErr = err
 	x.logNoFurtherAttempt(CodeNoReplica, err)
 	u, ok := errors.AsType[*Unavailable](err)
@@ -256,6 +265,8 @@
 func (x *run) endCause() error {
 	cause := context.Cause(x.ctx)
 	switch {
+	case errors.Is(cause, stopping.ErrStopping):
+		return cause
 	case cause == nil, errors.Is(cause, ErrDeadline):
 		return ErrDeadline
 	case errors.Is(cause, context.DeadlineExceeded):
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -39,6 +39,7 @@
 	"wigeondale/route"
 	"wigeondale/routing"
 	"wigeondale/settings"
+	"wigeondale/stopping"
 )
 
 // Error is the class of this package's errors.
@@ -71,6 +72,7 @@
 	cutOff    *cutOff
 	forwarder *forward.Forwarder
 	runner    *generation.Runner
+	stop      *stopping.Gate
 	dumps     dump.Registry
 	mirror    *mirror.Mirror
 
@@ -97,6 +99,7 @@
 	n := &node{
 		dialReplica: dial,
 
+		stop:  stopping.New(),
 		set:   set,
 		log:   log,
 		meter: metrics.NewSet(),
@@ -196,6 +199,8 @@
 	n.runner, err = generation.New(generation.Deps{
 		Admitter:   admitAll{},
 		Picker:     pick,
+		Stop:       n.stop,
+		Durations:  stopping.NewDurations(),
 		Watcher:    placement.Watcher{Monitor: n.mon, Dir: n.dir, LeavingCode: platform.CodeMisdirected},
 		Engines:    observedEngines{engines, n.rollouts},
 		Budget:     budgets,
--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -7,6 +7,7 @@
 
 	"github.com/oklog/run"
 
+	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/listen"
 	"wigeondale/signals"
@@ -38,10 +39,16 @@
 }
 
 // shutdown makes the node accept no new connections, and lets the open requests, those of other routers too,
-// finish for as long as the platform lets the process run.
+// finish for as long as the platform lets the process run. Requests that could not end in that time don't begin, and those that have
+// not ended shortly before get their final answer.
 func (n *node) shutdown() {
-	n.log.Emit(event.ShutdownBegun)
+	now := clock.SinceBoot()
+	n.stop.Begin(now+millis(n.set.Shutdown.BalancerNoticeMS), now+n.grace()-answerTime)
+	n.log.Emit(event.ShutdownBegun, "grace_ms", n.grace().Milliseconds())
 	n.leaving.Store(true)
+	if mesh := n.peers.currentMesh(); mesh != nil {
+		mesh.SetLeaving()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.grace())
 	defer cancel()
 	if err := n.front.Shutdown(ctx, millis(n.set.Shutdown.BalancerNoticeMS)); err != nil {
@@ -50,6 +57,9 @@
 	n.forwarder.Drain(ctx)
 }
 
+// answerTime is the time for the final answers of requests that have not ended when the node stops.
+const answerTime = 250 * time.Millisecond
+
 // grace returns how long open requests may take to finish after a signal. The platform ends
 // the process by force killMargin later.
 func (n *node) grace() time.Duration {
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -13,11 +13,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"wigeondale/clock"
 	"wigeondale/settings"
 )
 
@@ -44,6 +46,7 @@
 	srv      *http.Server
 	ln       net.Listener
 	draining atomic.Bool
+	open     atomic.Int64 // requests
 }
 
 // New binds the address of a listener, so that an address that is in use is reported
@@ -57,7 +60,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	s := &Server{ln: ln}
+	s := &Server{ln: &onceClosed{Listener: ln}}
 	s.srv = &http.Server{
 		Handler:           s.wrap(handler, cfg.BodyBytes),
 		TLSConfig:         tlsConfig,
@@ -70,13 +73,26 @@
 	return s, nil
 }
 
+// onceClosed is a listener that Shutdown closes before http.Server does.
+type onceClosed struct {
+	net.Listener
+	once sync.Once
+	err  error
+}
+
+// Close implements net.Listener.
+func (l *onceClosed) Close() error {
+	l.once.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
 // Addr returns the bound address.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
 // Serve serves until Shutdown is called, and then returns nil.
 func (s *Server) Serve() error {
 	err := s.serve()
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return Error.Wrap(err)
@@ -97,9 +113,9 @@
 // ran. Instead, every answer from now on closes its connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown calls Drain, keeps accepting requests for the duration of notice (the time that
+// Shutdown calls Drain, keeps accepting connections for the duration of notice (the time that
 // a load balancer needs to notice the failing readiness probe), and then waits until the
-// last request has ended. If ctx ends earlier, Shutdown returns while requests are still
+// last request has ended. Until then a request on a connection that was idle is answered too. If ctx ends earlier, Shutdown returns while requests are still
 // running, and these may then be aborted; the daemon passes a ctx that doesn't end.
 // Connections hijacked for WebSocket must be closed by the code that hijacked them.
 func (s *Server) Shutdown(ctx context.Context, notice time.Duration) error {
@@ -108,9 +124,16 @@
 	case <-time.After(notice):
 	case <-ctx.Done():
 	}
+	// Serve returns, and the error says no more.
+	_ = s.ln.Close()
+	for s.open.Load() > 0 && clock.Sleep(ctx, drainPoll) {
+	}
 	return Error.Wrap(s.srv.Shutdown(ctx))
 }
 
+// drainPoll is how often Shutdown checks whether the open requests have ended.
+const drainPoll = 10 * time.Millisecond
+
 // Close closes the listener and its connections at once. It is meant for tests and
 // failed starts.
 func (s *Server) Close() error {
@@ -120,6 +143,8 @@
 
 func (s *Server) wrap(next http.Handler, bodyBytes int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.open.Add(1)
+		defer s.open.Add(-1)
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- /dev/null
+++ b/stopping/stopping.go
@@ -0,0 +1,128 @@
+// Package stopping decides which work a process that stops still begins.
+//
+// A process that was told to stop has a fixed time until it is killed. Work that it begins and can't end in that time is cut:
+// its caller gets no answer, and doesn't know whether a request that may not be repeated has run. The package compares the time
+// that is left with what a piece of work needs, whenever the work is about to begin, and ends what is still open shortly before the
+// process does, so that each caller gets a true answer.
+package stopping
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"wigeondale/clock"
+)
+
+// ErrStopping is the cause of the end of work that the process can't end before it is killed.
+var ErrStopping = errors.New("the router stops before the request could end")
+
+// Work states how long a piece of work takes from its begin.
+type Work struct {
+	// EndsBy is when the work has ended in any case, as time since the machine's start; 0 if it has no such time.
+	EndsBy time.Duration
+	// Expected is how long it takes; 0 if only EndsBy counts.
+	Expected time.Duration
+}
+
+// Gate knows whether the process stops, and until when. A nil Gate is that of a process that lets all work end. It is safe for
+// concurrent use.
+type Gate struct {
+	mu      sync.Mutex
+	end     time.Duration // 0 while the process doesn't stop
+	unused  time.Duration // when no new connections arrive any more
+	pending map[*waiter]struct{}
+}
+
+// waiter is work that may end, or has to begin, before the process stops.
+type waiter struct {
+	last   func(end time.Duration) time.Duration // when the context ends at the latest
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+}
+
+// New returns the Gate of a process that doesn't stop.
+func New() *Gate { return &Gate{pending: map[*waiter]struct{}{}} }
+
+// Begin states that the process stops: load balancers send it no new connections from unused on, and all work has to have ended
+// at end. Both are times since the machine's start.
+func (g *Gate) Begin(unused, end time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unused, g.end = unused, end
+	for w := range g.pending {
+		w.start(end)
+	}
+}
+
+// MayBegin reports whether work that begins now ends before the process does.
+func (g *Gate) MayBegin(w Work) bool {
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.end == 0 || clock.SinceBoot() <= w.latestBegin(g.end)
+}
+
+// minElsewhereAfter is the least time after which a caller is told to come back.
+const minElsewhereAfter = 20 * time.Millisecond
+
+// ElsewhereAfter returns after which time a caller that comes back reaches another process.
+func (g *Gate) ElsewhereAfter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.unused-clock.SinceBoot(), minElsewhereAfter)
+}
+
+// latestBegin returns until when the work may begin if it has to have ended at end; 0 means that it may not.
+func (w Work) latestBegin(end time.Duration) time.Duration {
+	switch {
+	case w.EndsBy > 0 && w.EndsBy <= end:
+		return end
+	case w.Expected > 0:
+		return end - w.Expected
+	}
+	return 0
+}
+
+// UntilEnd returns a context that ends, with ErrStopping as its cause, when all work has to have ended.
+func (g *Gate) UntilEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	return g.limit(ctx, func(end time.Duration) time.Duration { return end })
+}
+
+// UntilLatestBegin returns a context for the wait of work that has not begun. It ends, with ErrStopping as its cause, when
+// the work can't begin any more.
+func (g *Gate) UntilLatestBegin(ctx context.Context, work Work) (context.Context, context.CancelFunc) {
+	return g.limit(ctx, work.latestBegin)
+}
+
+func (g *Gate) limit(ctx context.Context, last func(end time.Duration) time.Duration) (context.Context, context.CancelFunc) {
+	if g == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &waiter{last: last, cancel: cancel}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pending[w] = struct{}{}
+	if g.end > 0 {
+		w.start(g.end)
+	}
+	return ctx, func() { g.done(w) }
+}
+
+func (w *waiter) start(end time.Duration) {
+	w.timer = time.AfterFunc(w.last(end)-clock.SinceBoot(), func() { w.cancel(ErrStopping) })
+}
+
+func (g *Gate) done(w *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.pending, w)
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.cancel(nil)
+}
