bounded, platform, callerapi, peer, forward: all answers and bodies together hold a bounded amount of memory

Cause: a bound for one is no bound for all. Each answer might have 8 MB, and nothing counted the sum; a body of a request the same.

Change: bounded.Pool. An eighth of the process's memory is for answers, a sixteenth for bodies of requests (setting limits.memory_mb, which the platform's template fills in). Messages up to 16 KB are always read. Of the larger ones each sender may use half of the pool; when it is used up they wait, which slows their senders down. The oldest may use a reserve, so one is always read to its end. When a message turns out to be longer than allowed, those of the same sender that wait are given up as broken, in place of being read to the same length one after the other. A body that finds no memory within a second is refused as not run. The memory counts until the answer is delivered, also that of a failure that is kept for later, of messages between routers and of their encoding. The garbage collector keeps to three quarters of the memory.

Ways weighed: a smaller bound for each answer (a larger constant the other way round: 985 routers with 500 open requests need 16 KB); to fail whoever finds the pool full (sound large answers at once fail each other); to pass an answer on before it is whole (a failure could not be replaced any more).

Not counted: single events of streams (128 KB at most each), reports (512 KB), answers of the store (16 MB, one at a time) and the store's copies.

--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -56,6 +56,8 @@
 type FailedAnswer struct {
 	Head
 	Body []byte
+	// Release, if set, is called when the answer isn't needed any more.
+	Release func()
 }
 
 func (e *FailedAnswer) Error() string {
--- a/callerapi/body.go
+++ b/callerapi/body.go
@@ -1,12 +1,16 @@
 package callerapi
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"strings"
+	"time"
+
+	"wigeondale/bounded"
 )
 
 // format is one of the two formats of a generation's request and answer.
@@ -35,8 +39,23 @@
 	Content string `json:"content"`
 }
 
+// bodyWait is how long a body waits for the memory that other requests hold.
+const bodyWait = time.Second
+
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Failure) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.BodyBytes))
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		host = r.RemoteAddr
+	}
+	held := s.Bodies.Hold(host)
+	context.AfterFunc(r.Context(), held.Close)
+	ctx, stop := context.WithTimeout(r.Context(), bodyWait)
+	defer stop()
+	stated := r.ContentLength
+	if stated > s.BodyBytes {
+		stated = -1 // MaxBytesReader refuses it
+	}
+	raw, err := bounded.ReadHeld(ctx, http.MaxBytesReader(w, r.Body, s.BodyBytes), stated, s.BodyBytes, held)
 	if err != nil {
 		return nil, bodyFailure(err)
 	}
--- a/callerapi/errors.go
+++ b/callerapi/errors.go
@@ -9,6 +9,7 @@
 
 	"github.com/zeebo/errs"
 
+	"wigeondale/bounded"
 	"wigeondale/fleet"
 	"wigeondale/generation"
 )
@@ -154,6 +155,11 @@
 		return refuse(http.StatusRequestEntityTooLarge, codeBodyTooLarge,
 			"the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 	}
+	if errors.Is(err, bounded.ErrNoMemory) {
+		f := refuse(http.StatusServiceUnavailable, CodeOverloaded, "the bodies of other requests hold as much memory as they may")
+		f.RetryAfter = bodyWait
+		return f
+	}
 	f := refuse(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive whole in time")
 	f.RetryAfter = retrySoon
 	return f
--- a/callerapi/server.go
+++ b/callerapi/server.go
@@ -26,6 +26,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/bounded"
 	"wigeondale/cursor"
 	"wigeondale/event"
 	"wigeondale/fleet"
@@ -85,17 +86,19 @@
 	KeptAnswerTime  time.Duration // how long a finished answer is kept; 2 min
 }
 
-// Config configures a Server. KeyRegistry, Services, Log and Metrics may be nil.
+// Config configures a Server. KeyRegistry, Services, Answers, Bodies, Log and Metrics may be nil.
 type Config struct {
 	Options
-	Gate        Gate
-	Accounts    Accounts
-	Runner      Runner
-	Services    Services
-	KeyRegistry KeyRegistry
-	Sealer      *cursor.Sealer
-	Log         *event.Log
-	Metrics     *metrics.Set
+	// Answers and Bodies bound the memory of the answers of services, and of the bodies of requests, all together.
+	Answers, Bodies *bounded.Pool
+	Gate            Gate
+	Accounts        Accounts
+	Runner          Runner
+	Services        Services
+	KeyRegistry     KeyRegistry
+	Sealer          *cursor.Sealer
+	Log             *event.Log
+	Metrics         *metrics.Set
 }
 
 // Server handles the requests of callers.
--- a/callerapi/service.go
+++ b/callerapi/service.go
@@ -69,7 +69,9 @@
 	}
 	call := s.serviceCall(r, &id, body)
 	if call.Idempotent {
-		answer, f := s.callService(r.Context(), call)
+		held := s.Answers.Hold(call.Service)
+		defer held.Close()
+		answer, f := s.callService(r.Context(), call, held)
 		if f != nil {
 			return f
 		}
@@ -157,7 +159,9 @@
 	// The call ends at its deadline, not when the caller disconnects. The backend server
 	// may have run the call, and only the answer that is kept here can show that to the
 	// caller when the caller repeats the call.
-	answer, f := s.callService(context.WithoutCancel(r.Context()), call)
+	held := s.Answers.Hold(call.Service)
+	defer held.Close()
+	answer, f := s.callService(context.WithoutCancel(r.Context()), call, held)
 	if f != nil {
 		return f
 	}
@@ -181,7 +185,7 @@
 // callService runs the call and reads the complete answer before any of it is sent
 // to the caller. If the backend server crashes in the middle of its answer, the
 // caller then gets a status and an outcome instead of a truncated answer.
-func (s *Server) callService(ctx context.Context, call ServiceCall) (*serviceAnswer, *Failure) {
+func (s *Server) callService(ctx context.Context, call ServiceCall, held *bounded.Hold) (*serviceAnswer, *Failure) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	resp, err := s.Services.Do(ctx, call)
@@ -189,8 +193,8 @@
 		return nil, serviceFailure(err)
 	}
 	defer resp.Body.Close()
-	body, err := bounded.ReadAll(resp, s.AnswerBytes)
-	if errors.Is(err, bounded.ErrTooLong) {
+	body, err := bounded.ReadAllHeld(ctx, resp, s.AnswerBytes, held)
+	if errors.Is(err, bounded.ErrTooLong) || errors.Is(err, bounded.ErrEndless) {
 		return nil, unknownOutcome(codeAnswerTooLarge, "the answer is larger than this node passes on")
 	}
 	if err != nil {
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -6,6 +6,7 @@
 
 	"wigeondale/admission"
 	"wigeondale/backend"
+	"wigeondale/bounded"
 	"wigeondale/callerapi"
 	"wigeondale/cursor"
 	"wigeondale/generation"
@@ -63,6 +64,8 @@
 		Gate:        n,
 		Accounts:    accs,
 		Runner:      n.runner,
+		Answers:     n.answers,
+		Bodies:      bounded.NewPool(set.Limits.BodiesBytes(), "requests", n.set),
 		Services:    n.newServices(set, pick, budget),
 		KeyRegistry: newPointers(n.mesh, n.id),
 		Sealer:      sealer,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,6 +138,9 @@
 // runHosted serves on the users' platform.
 func runHosted(set *settings.Settings, signalled <-chan os.Signal, log *event.Log) error {
 	debug.SetGCPercent(set.Hosted.GCPercent)
+	if m := set.Limits.MemoryMB; m > 0 {
+		debug.SetMemoryLimit(int64(m) << 20 / 4 * 3) // the collector works harder before the process is killed
+	}
 	return hosted.Run(set, signalled, log)
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -11,6 +11,7 @@
 	"wigeondale/admission"
 	"wigeondale/backend"
 	"wigeondale/backpressure"
+	"wigeondale/bounded"
 	"wigeondale/callerapi"
 	"wigeondale/directory"
 	"wigeondale/dump"
@@ -39,6 +40,7 @@
 	dumps   *dump.Registry
 	leaving atomic.Bool
 	notice  time.Duration
+	answers *bounded.Pool
 
 	kv         infra.KV
 	vmList     *infra.VMList
@@ -106,6 +108,7 @@
 	if err != nil {
 		return err
 	}
+	n.answers = bounded.NewPool(set.Limits.AnswersBytes(), "answers", n.set)
 	n.mesh, err = peer.New(peer.Config{
 		ID:            set.Node.ID,
 		Addr:          addr,
@@ -113,6 +116,7 @@
 		Seeds:         set.Peers.Seeds,
 		TLS:           tlsConfig,
 		Heartbeat:     millis(set.Peers.HeartbeatMS),
+		StreamPool:    n.answers,
 		Topology: peer.Topology{
 			FullMeshLimit:    set.Peers.FullMeshLimit,
 			SameDomainLinks:  set.Peers.SameDomainLinks,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/errs"
 
 	"wigeondale/backend"
+	"wigeondale/bounded"
 	"wigeondale/event"
 	"wigeondale/fleet"
 	"wigeondale/generation"
@@ -76,8 +77,10 @@
 	// OneSoftware reports whether all backend servers of a service run one software version. Nil
 	// means that they do.
 	OneSoftware func(service string) bool
-	Log         *event.Log
-	Set         *metrics.Set
+	// Answers bounds the memory of the answers that are sent to other routers; nil means no bound.
+	Answers *bounded.Pool
+	Log     *event.Log
+	Set     *metrics.Set
 }
 
 // Forwarder passes requests on and runs those of other routers. It implements
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/bounded"
 	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/fleet"
@@ -45,7 +46,7 @@
 	if err := conn.Receive(ctx, startTimeout, &m); err != nil {
 		return // the other router has ended the stream or doesn't send: nothing has run
 	}
-	res, took := f.serve(ctx, cancel, conn, &m, runner)
+	res, took := f.serve(ctx, cancel, conn, from, &m, runner)
 	f.cfg.Log.Emit(event.RequestTakenOver, "request", m.ID, "from", from, "outcome", string(res.Outcome), "code", res.Code,
 		"pieces", res.Tokens, "took_ms", took.Milliseconds())
 	end := answerMessage{Kind: answerEnd, Outcome: res.Outcome, Code: res.Code, RetryAfterMS: res.RetryAfter.Milliseconds()}
@@ -65,7 +66,7 @@
 }
 
 // serve runs one request, and returns its result and how long it took.
-func (f *Forwarder) serve(ctx context.Context, cancel context.CancelCauseFunc, conn Conn, m *startMessage, runner Runner) (generation.Result, time.Duration) {
+func (f *Forwarder) serve(ctx context.Context, cancel context.CancelCauseFunc, conn Conn, from string, m *startMessage, runner Runner) (generation.Result, time.Duration) {
 	startedAt := time.Now()
 	if !m.valid() {
 		return f.reject(codeInvalid), 0
@@ -90,7 +91,7 @@
 	go watchClose(ctx, conn, cancel)
 	stopAlive := keepAlive(ctx, conn)
 	defer stopAlive()
-	res := runner.Run(ctx, req, &remoteSink{ctx: ctx, conn: conn})
+	res := runner.Run(ctx, req, &remoteSink{ctx: ctx, conn: conn, from: from, answers: f.cfg.Answers})
 	return res, time.Since(startedAt)
 }
 
@@ -137,8 +138,10 @@
 // remoteSink sends an answer to the router that passed the request on. It implements
 // generation.Sink.
 type remoteSink struct {
-	ctx  context.Context
-	conn Conn
+	ctx     context.Context
+	conn    Conn
+	from    string // the other router
+	answers *bounded.Pool
 }
 
 // Begin implements generation.Sink.
@@ -152,6 +155,11 @@
 
 // Token implements generation.Sink.
 func (s *remoteSink) Token(index int, text []byte, finish string) error {
+	held := s.answers.Hold(s.from) // the encoded message
+	defer held.Close()
+	if err := held.Grow(s.ctx, int64(len(text))); err != nil {
+		return err
+	}
 	return s.conn.Send(s.ctx, answerMessage{Kind: answerToken, Index: index, Text: text, Finish: finish})
 }
 
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -179,6 +179,7 @@
 // recordFailedAnswer keeps a failure that the backend server itself returned as its answer.
 // That failure becomes the final answer unless another attempt is allowed and succeeds.
 func (x *run) recordFailedAnswer(a *attempt, failed *backend.FailedAnswer) string {
+	x.releaseFailedAnswer()
 	x.failedAnswer = failed
 	x.waitErr = failed
 	x.Watcher.Result(a.backend.ID, nil)
--- a/generation/end.go
+++ b/generation/end.go
@@ -77,6 +77,13 @@
 	return "failed-answer"
 }
 
+// releaseFailedAnswer frees the memory of a failure that is not needed any more.
+func (x *run) releaseFailedAnswer() {
+	if x.failedAnswer != nil && x.failedAnswer.Release != nil {
+		x.failedAnswer.Release()
+	}
+}
+
 // finishComplete is the finish mark of the only chunk of an answer that is delivered in one
 // part.
 const finishComplete = "whole"
@@ -143,6 +150,7 @@
 		x.abandonAttempt(x.takeKept(silenceLost))
 	}
 	x.abandon()
+	x.releaseFailedAnswer()
 	x.tracked.AttemptEnded()
 	x.releaseChoice()
 	if x.release != nil {
--- a/hosted/cutoff.go
+++ b/hosted/cutoff.go
@@ -105,6 +105,7 @@
 			}
 			return mesh.OpenStream(ctx, r.ID, r.Addr)
 		},
+		Answers:  n.answers,
 		Version:  n.tableVersion,
 		Check:    n.checkForwarded,
 		Priority: n.priorityOf,
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -21,6 +21,7 @@
 	"wigeondale/admission"
 	"wigeondale/backend"
 	"wigeondale/backpressure"
+	"wigeondale/bounded"
 	"wigeondale/cachelookup"
 	"wigeondale/directory"
 	"wigeondale/dump"
@@ -73,6 +74,7 @@
 	forwarder *forward.Forwarder
 	runner    *generation.Runner
 	stop      *stopping.Gate
+	answers   *bounded.Pool
 	dumps     dump.Registry
 	mirror    *mirror.Mirror
 
@@ -158,7 +160,10 @@
 }
 
 func (n *node) newRelay() (*relay.Relay, error) {
+	n.answers = bounded.NewPool(n.set.Limits.AnswersBytes(), "answers", n.meter)
+	n.peers.answers = n.answers
 	replicas := platform.NewReplicas(n.dialReplica, newConnectionMeters(n.cutOff.reach, n.meter), backend.NewMisplaced(n.log, n.meter))
+	replicas.Answers = n.answers
 	replicas.OnLoad = n.view.recordLoad
 	replicas.Gate = n.pressure
 	replicas.Unknown = backend.NewUnknownHeaders(platform.AnswerHeaders, n.log, n.meter)
@@ -235,7 +240,8 @@
 		}, h)
 	}
 	var err error
-	if n.front, err = open(n.set.Hosted.FrontAddress, &platform.ClientHandler{Relay: r, Table: n.table}); err != nil {
+	bodies := bounded.NewPool(n.set.Limits.BodiesBytes(), "requests", n.meter)
+	if n.front, err = open(n.set.Hosted.FrontAddress, &platform.ClientHandler{Relay: r, Table: n.table, Bodies: bodies}); err != nil {
 		return err
 	}
 	if n.ready, err = open(n.set.Hosted.ReadinessAddress, platform.ReadinessHandler{Ready: n.readiness}); err != nil {
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wigeondale/backpressure"
+	"wigeondale/bounded"
 	"wigeondale/directory"
 	"wigeondale/event"
 	"wigeondale/health"
@@ -62,6 +63,7 @@
 	software  *software             // set before run
 	loans     *loans                // set before run; nil if no retry budget is lent
 	order     *waitOrder            // set before run
+	answers   *bounded.Pool         // memory of answers; set before run
 	// handleStream runs a request that another router passes on; set before run.
 	handleStream func(context.Context, *peer.Stream)
 
--- a/hosted/peers_mesh.go
+++ b/hosted/peers_mesh.go
@@ -58,6 +58,7 @@
 		Heartbeat:     peerHeartbeat,
 		DialTimeout:   peerDialTimeout,
 		MaxBackoff:    peerMaxBackoff,
+		StreamPool:    p.answers,
 		Topology:      peer.Topology{FullMeshLimit: p.set.Peers.FullMeshLimit, SameDomainLinks: p.set.Peers.SameDomainLinks, OtherDomainLinks: p.set.Peers.OtherDomainLinks},
 	}, p.key, p.log, nil)
 	if err != nil {
--- a/peer/config.go
+++ b/peer/config.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"net"
 	"time"
+
+	"wigeondale/bounded"
 )
 
 // Topology bounds the number of links that a node keeps.
@@ -39,6 +41,8 @@
 
 	MaxStreams       int // streams that other nodes may have open here; default 256
 	MaxStreamMessage int // size of a message of a stream in bytes; default 16 MiB
+	// StreamPool bounds the memory of the received messages of all streams; nil means no bound.
+	StreamPool *bounded.Pool
 
 	// Dial opens the TCP connections. If it is nil, the mesh uses a net.Dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
+
+	"wigeondale/bounded"
 )
 
 // streamPath is the URL path at which the peer listener accepts streams. All other paths accept
@@ -26,6 +29,12 @@
 type Stream struct {
 	Node string // id of the other node
 	conn *websocket.Conn
+	most int64 // size of a message
+	pool *bounded.Pool
+
+	mu     sync.Mutex
+	held   *bounded.Hold // the latest message
+	closed bool
 }
 
 // HandleStreams registers fn for the streams that other nodes open. The stream is closed when fn
@@ -62,8 +71,12 @@
 		c.CloseNow()
 		return nil, Error.New("%w: %w", ErrNoRoute, err)
 	}
+	return m.newStream(rec.ID, c), nil
+}
+
+func (m *Mesh) newStream(node string, c *websocket.Conn) *Stream {
 	c.SetReadLimit(int64(m.cfg.MaxStreamMessage))
-	return &Stream{Node: rec.ID, conn: c}, nil
+	return &Stream{Node: node, conn: c, most: int64(m.cfg.MaxStreamMessage), pool: m.cfg.StreamPool}
 }
 
 // checkIdentity returns an error if a record is not that of the expected node.
@@ -134,8 +147,7 @@
 		c.CloseNow()
 		return nil, err
 	}
-	c.SetReadLimit(int64(m.cfg.MaxStreamMessage))
-	return &Stream{Node: rec.ID, conn: c}, nil
+	return m.newStream(rec.ID, c), nil
 }
 
 // Send encodes v and sends it as one message.
@@ -152,7 +164,7 @@
 	return Error.Wrap(s.conn.Write(ctx, websocket.MessageBinary, b))
 }
 
-// Receive receives one message and decodes it into v. It returns context.DeadlineExceeded if none
+// Receive receives one message and decodes it into v, whose memory counts until the next message or the end of the stream. It returns context.DeadlineExceeded if none
 // arrives within the timeout; a timeout of 0 means none.
 func (s *Stream) Receive(ctx context.Context, timeout time.Duration, v any) error {
 	b, err := s.ReceiveBytes(ctx, timeout)
@@ -169,14 +181,46 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	_, b, err := s.conn.Read(ctx)
+	b, err := s.read(ctx)
 	if err != nil && ctx.Err() != nil {
 		err = errors.Join(ctx.Err(), err)
 	}
 	return b, Error.Wrap(err)
 }
 
+func (s *Stream) read(ctx context.Context) ([]byte, error) {
+	_, message, err := s.conn.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	held := s.hold()
+	b, err := bounded.ReadHeld(ctx, message, -1, s.most, held)
+	if err == nil {
+		err = held.Grow(ctx, int64(len(b))) // the decoded message
+	}
+	if err != nil {
+		held.Close()
+	}
+	return b, err
+}
+
+// hold returns the memory of the next message.
+func (s *Stream) hold() *bounded.Hold {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held.Close()
+	s.held = s.pool.Hold(s.Node)
+	if s.closed {
+		s.held.Close()
+	}
+	return s.held
+}
+
 // Close closes the stream at once. Further calls do nothing.
 func (s *Stream) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.held.Close()
+	s.mu.Unlock()
 	_ = s.conn.CloseNow() // the other node notices the end of the connection in any case
 }
