soak: draws routers out of step, planned stops under load, and floods of answers without end

They run in series of their own beside the other faults, with a generator of their own, so that old seeds draw as before.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	$(GO) test -race -timeout 20m $(HOSTED_SKIPFLAG) ./hosted -rapid.seed=1
 	$(if $(BUBBLES),$(GO) test -timeout 20m $(SKIPFLAG) ./hosted -run '$(BUBBLE_TESTS)' -rapid.seed=1)
 	$(GO) test $(SKIPFLAG) ./waitorder -run '^TestOrderOverRouters$$'
+	$(GO) test $(SKIPFLAG) ./soak -run '^TestFloodSeeds$$'
 	$(GO) test $(SKIPFLAG) ./hosted -run '^(TestNewsReach|TestStartOfAll|TestFarNodes)'
 
 measure: build
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -25,6 +25,7 @@
 	bookings   bookings
 	asks       *askRecord
 	ends       endRecord
+	stops      stopRecord
 }
 
 // denial is a response in which a router rejects an API key or an account that it does not
@@ -207,6 +208,7 @@
 		}
 	}
 	r.checks.checkEnds(visits)
+	r.checks.checkStops(ran)
 	r.checks.checkCrashing(crashingArrivals(all))
 	if r.cfg.Herd && r.cfg.Calm {
 		r.checks.checkHerd()
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -40,6 +40,7 @@
 	watchers    sync.WaitGroup
 	silences    sync.WaitGroup
 	cuts        *cuts
+	series      *series
 	stopped     atomic.Bool
 	stopCopies  func()
 	faultsEnded atomic.Bool // all faults have ended
@@ -63,6 +64,7 @@
 		stopCopies:  func() {},
 	}
 	r.cuts = newCuts(&r.run, r.drawCutServers)
+	r.series = newSeries(&r.run)
 	return r
 }
 
@@ -106,11 +108,15 @@
 		if err := n.awaitReady(ctx); err != nil {
 			return err
 		}
+		if err := n.rewrite(); err != nil {
+			return err
+		}
 	}
 	if !r.cfg.Calm && !r.cfg.NoSilences && !r.cfg.Alone {
 		r.silences.Go(func() { r.injectSilences(ctx) })
 	}
 	r.cuts.start(ctx)
+	r.series.start(ctx, r.seriesFaults())
 	if r.cfg.Drills {
 		copying, stop := context.WithCancel(ctx)
 		r.stopCopies = stop
@@ -197,6 +203,7 @@
 	r.stopped.Store(true)
 	r.stopCopies()
 	r.silences.Wait()
+	r.series.end()
 	r.cuts.end()
 	r.watchers.Wait()
 	for _, n := range r.nodes {
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -85,6 +85,9 @@
 		kinds = kinds[1:] // clients take drafts up
 	}
 	res := c.newResult(kinds[c.rng.IntN(len(kinds))], fmt.Sprintf("%s-%d", c.name, c.sent))
+	if c.run.cfg.Stops && res.kind != "draft" {
+		res.budget = stopWork + time.Duration(c.rng.Int64N(int64(stopGrace))) // may not end in the rest of a grace
+	}
 	if c.run.cfg.Cuts && res.kind == "book" && c.rng.IntN(2) == 0 {
 		res.budget = minBudget + time.Duration(c.rng.Int64N(int64(maxCut-minBudget))) // may end within a cut
 	}
@@ -93,6 +96,7 @@
 	defer stop()
 	res.status, res.body, res.abandoned, res.err = c.send(ctx, transport, n, &res)
 	res.duration = time.Since(res.startedAt)
+	c.run.checks.stops.add(res, res.incarnation)
 	if n.incarnation() != res.incarnation {
 		res.incarnation = "" // the router has restarted: another process may have responded
 	}
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -125,6 +125,7 @@
 // roll-outs have ended.
 func (r *platformRun) endFaults() {
 	r.silences.Wait()
+	r.series.end()
 	r.cuts.end()
 	r.history.add("calm")
 	r.endBrittle()
--- a/soak/platform_node.go
+++ b/soak/platform_node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"wigeondale/fakes/relay"
 )
@@ -14,6 +15,8 @@
 	front string
 	link  *relay.Relay
 	proxy string // to the replicas; empty without Config.Cuts
+	// rewrite writes the settings again: the next start is not the deployment's first one.
+	rewrite func() error
 }
 
 func newNode(r *platformRun, i int) (*node, error) {
@@ -34,10 +37,19 @@
 	if n.proxy, err = r.cuts.newProxy(); err != nil {
 		return nil, err
 	}
-	budget := r.cfg.retryBudget()
+	return n, n.writeSettings(r, i, peer, front, ready, stats)
+}
+
+// writeSettings writes the settings of the node's next process.
+func (n *node) writeSettings(r *platformRun, i int, peer, front, ready, stats string) error {
+	budget, grace := r.cfg.retryBudget(), 10*time.Second
+	if r.cfg.Stops {
+		grace = stopGrace
+	}
 	text := fmt.Sprintf(`{"node": {"id": %q, "vm": %q, "failure_domain": "d%d", "region": "r", "backend_proxy_address": %q},
  "shutdown": {"balancer_notice_ms": 300},
- "hosted": {"front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,
-  "store_address": %q, "grace_ms": 10000, "retry_share": %v, "retry_burst": %v}}`, id, id, i%2, n.proxy, front, ready, stats, peer, n.link.Addr(), budget.share, budget.burst)
-	return n, Error.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600))
+ "hosted": {"first_start": %t, "front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,
+  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.OutOfStep && n.launches == 0, front, ready, stats, peer, n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
+	n.rewrite = func() error { return n.writeSettings(r, i, peer, front, ready, stats) }
+	return Error.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600))
 }
--- a/soak/platform_software.go
+++ b/soak/platform_software.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -70,15 +71,20 @@
 
 // releaseSoftware starts engines of a version, and lets as many others leave.
 func (r *platformRun) releaseSoftware(version string) func() {
-	for i := range releasedEngines {
+	return r.replaceSoftware(r.rng, version, releasedEngines)
+}
+
+// replaceSoftware does the same with n engines.
+func (r *platformRun) replaceSoftware(rng *rand.Rand, version string, n int) func() {
+	for i := range n {
 		if _, err := r.startReplica("llm", i%2, true, version); err != nil {
 			r.checks.violated("the soak's own replica starts", "", err.Error())
 			return nil
 		}
 	}
 	var leaving []*fakes.Replica
-	for range releasedEngines {
-		rep := r.randomEngineExcept(version)
+	for range n {
+		rep := r.randomEngineExcept(rng, version)
 		if rep == nil || !r.remove(rep) {
 			continue
 		}
@@ -95,7 +101,7 @@
 }
 
 // randomEngineExcept returns an engine of another version that may leave, or nil.
-func (r *platformRun) randomEngineExcept(version string) *fakes.Replica {
+func (r *platformRun) randomEngineExcept(rng *rand.Rand, version string) *fakes.Replica {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var others []*fakes.Replica
@@ -107,13 +113,13 @@
 	if len(others) == 0 || len(r.services["llm"]) <= r.cfg.Engines {
 		return nil
 	}
-	return others[r.rng.IntN(len(others))]
+	return others[rng.IntN(len(others))]
 }
 
 // restartWithOtherSoftware restarts an engine under its name and address with another version.
 func (r *platformRun) restartWithOtherSoftware() func() {
 	version := r.anySoftware()
-	rep := r.randomEngineExcept(version)
+	rep := r.randomEngineExcept(r.rng, version)
 	if rep == nil {
 		return nil
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -161,6 +161,7 @@
 // recordTrouble records what a signal does to the requests of the current process. The caller holds p.mu.
 func (p *process) recordTrouble(s syscall.Signal) {
 	incarnation := fmt.Sprintf("%s/%d", p.id, p.launches)
+	p.checks.stops.signalled(incarnation, s)
 	switch s {
 	case syscall.SIGSTOP:
 		p.checks.asks.addFreeze(incarnation)
--- a/soak/product.go
+++ b/soak/product.go
@@ -50,12 +50,14 @@
 	routers      []*router
 	accountsLeft int // accounts that have not been removed
 	cuts         *cuts
+	series       *series
 }
 
 // RunProduct runs one seed on the product's own interface.
 func RunProduct(ctx context.Context, cfg Config) (*Report, error) {
 	r := &productRun{run: newRun(cfg, productStream), accountsLeft: productAccounts}
 	r.cuts = newCuts(&r.run, r.drawCutServers)
+	r.series = newSeries(&r.run)
 	return r.execute(ctx, r)
 }
 
@@ -103,6 +105,7 @@
 		}
 	}
 	r.cuts.start(ctx)
+	r.series.start(ctx, r.seriesFaults())
 	return nil
 }
 
@@ -224,6 +227,7 @@
 
 // endFaults resumes stopped routers and waits until all routers are ready.
 func (r *productRun) endFaults() {
+	r.series.end()
 	r.cuts.end()
 	r.history.add("calm")
 	for _, rt := range r.routers {
@@ -234,6 +238,7 @@
 
 // stop ends every process and fake that the run has started.
 func (r *productRun) stop() {
+	r.series.end()
 	r.cuts.end()
 	for _, rt := range r.routers {
 		rt.kill()
--- a/soak/sizes.go
+++ b/soak/sizes.go
@@ -24,6 +24,9 @@
 	if c.Repeats {
 		return cmp.Or(c.Work, slowWork)
 	}
+	if c.Stops {
+		return cmp.Or(c.Work, stopWork)
+	}
 	return c.Work
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -79,6 +79,12 @@
 	// Evidence ends all routers at once, also while versions change, makes the platform's store refuse, lose or delay writes,
 	// writes odd entries to it, and cuts the heads of answers.
 	Evidence bool
+	// OutOfStep lets a router stand still, or cuts it off, while others end, and with Software while versions change.
+	OutOfStep bool
+	// Stops tells routers to end under load, with a short grace and plain services that take much of it.
+	Stops bool
+	// Floods makes all plain services answer many requests at once without end.
+	Floods bool
 	// Silences injects nothing but silences of replicas and new versions of the configuration, on the users' platform.
 	Silences bool
 	// Cuts has each router connect to backend servers through a proxy of its own, and cuts routers from a service or
@@ -190,7 +196,7 @@
 		clients.Go(func() { c.loop(clientCtx) })
 	}
 	faults := bed.faults()
-	if r.cfg.Calm {
+	if r.cfg.Calm || len(faults) == 0 {
 		faults = []fault{{"nothing", func() func() { return nil }}}
 	}
 	injectFaults(ctx, r.rng, r.cfg.FaultTime, faults, r.history.add)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -144,6 +144,20 @@
 	checkSeed(t, RunProduct, cfg)
 }
 
+// TestOutOfStepSeeds makes the same checks as TestSeeds, on both interfaces, while a router stands still or is cut off, versions change
+// and other routers end. Guards against streams that are joined from two versions by a router that doesn't know the new one.
+func TestOutOfStepSeeds(t *testing.T) {
+	cfg := Config{Seed: 24002, Nodes: 4, Engines: 8, Services: 2, Clients: 20, Chunks: 140, FaultTime: 4 * time.Second, Software: true, OutOfStep: true, Alone: true}
+	checkSeed(t, Run, cfg)
+	checkSeed(t, RunProduct, cfg)
+}
+
+// TestStopSeeds makes the same checks as TestSeeds while routers are told to end under load. Guards against requests that run and
+// whose connections end without an answer.
+func TestStopSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 25002, Nodes: 4, Engines: 6, Services: 4, Clients: 20, FaultTime: 5 * time.Second, Stops: true, Cuts: true, Alone: true})
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
