binding, stopping, generation: a take-up ends at once when nobody reads the store; no estimates while nothing stops

Cause: a router that had asked for the statement in vain (1 s, through another router too) went on to ask for the record (1.5 s) before it refused. And each attempt computed the expected duration of the request although the process didn't stop.

Change: the refusal follows the failed read; what a request needs is computed only in a stop.

--- a/binding/find.go
+++ b/binding/find.go
@@ -59,8 +59,11 @@
 		return f, nil
 	}
 	only := <-inferred
-	if only.proved && errors.Is(err, ErrNoRecord) {
+	switch {
+	case only.proved && errors.Is(err, ErrNoRecord):
 		return only.Found, nil
+	case only.err != nil:
+		return Found{}, Error.New("%w; %w", err, only.err) // the store answers no other router either
 	}
 	f, unstored := t.lookUp(ctx, key, service, now)
 	switch {
@@ -104,6 +107,7 @@
 type inference struct {
 	Found
 	proved bool
+	err    error // the store gave no answer
 }
 
 // infer returns the version of a stream that has no record: the only one that this router has seen, if the store names no
@@ -118,6 +122,7 @@
 	return inference{
 		Found:  Found{Version: version, Source: FromList, Age: t.cfg.CopyAge(), Named: stated.Versions},
 		proved: err == nil && stated.namesOnly(version),
+		err:    err,
 	}
 }
 
--- a/generation/stopping.go
+++ b/generation/stopping.go
@@ -8,7 +8,7 @@
 )
 
 // stoppingWork states how long the request takes from now on. A request that may run once has to have ended for certain before the
-// process does, so that only its deadline counts.
+// process does, so that only its deadline counts. It reads only what doesn't change during the run.
 func (x *run) stoppingWork() stopping.Work {
 	w := stopping.Work{EndsBy: x.endsBy()}
 	if !x.req.NonIdempotent && x.Durations != nil {
--- a/stopping/stopping.go
+++ b/stopping/stopping.go
@@ -56,14 +56,15 @@
 	}
 }
 
-// MayBegin reports whether work that begins now ends before the process does.
-func (g *Gate) MayBegin(w Work) bool {
+// MayBegin reports whether work that begins now ends before the process does. work is called only if the process stops.
+func (g *Gate) MayBegin(work func() Work) bool {
 	if g == nil {
 		return true
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.end == 0 || clock.SinceBoot() <= w.latestBegin(g.end)
+	end := g.end
+	g.mu.Unlock()
+	return end == 0 || clock.SinceBoot() <= work().latestBegin(end)
 }
 
 // minElsewhereAfter is the least time after which a caller is told to come back.
@@ -93,9 +94,9 @@
 }
 
 // UntilLatestBegin returns a context for the wait of work that has not begun. It ends, with ErrStopping as its cause, when
-// the work can't begin any more.
-func (g *Gate) UntilLatestBegin(ctx context.Context, work Work) (context.Context, context.CancelFunc) {
-	return g.limit(ctx, work.latestBegin)
+// the work can't begin any more. work may be called by another goroutine until the context is cancelled.
+func (g *Gate) UntilLatestBegin(ctx context.Context, work func() Work) (context.Context, context.CancelFunc) {
+	return g.limit(ctx, func(end time.Duration) time.Duration { return work().latestBegin(end) })
 }
 
 func (g *Gate) limit(ctx context.Context, last func(end time.Duration) time.Duration) (context.Context, context.CancelFunc) {
--- a/stopping/stopping_test.go
+++ b/stopping/stopping_test.go
@@ -35,14 +35,14 @@
 		g := New()
 		ctx, done := g.UntilEnd(t.Context())
 		defer done()
-		wait, doneWaiting := g.UntilLatestBegin(t.Context(), Work{Expected: 2 * time.Second})
+		wait, doneWaiting := g.UntilLatestBegin(t.Context(), func() Work { return Work{Expected: 2 * time.Second} })
 		defer doneWaiting()
-		if !g.MayBegin(Work{}) || ctx.Err() != nil || wait.Err() != nil {
+		if !g.MayBegin(func() Work { return Work{} }) || ctx.Err() != nil || wait.Err() != nil {
 			t.Fatal("limited before the stop")
 		}
 		now := clock.SinceBoot()
 		g.Begin(now+time.Second, now+5*time.Second)
-		never, doneNever := g.UntilLatestBegin(t.Context(), Work{})
+		never, doneNever := g.UntilLatestBegin(t.Context(), func() Work { return Work{} })
 		defer doneNever()
 		synctest.Wait()
 		if !errors.Is(context.Cause(never), ErrStopping) || wait.Err() != nil {
