--- a/soak/series.go
+++ b/soak/series.go
@@ -17,7 +17,6 @@
 	cfg     *Config
 	rng     *rand.Rand
 	history *history
-	faults  []seriesFault
 	begun   bool // a router was out of step before
 	stop    func()
 	running sync.WaitGroup
