binding: a take-up waits for the read that it has begun

Cause: where another router had a record, Find returned while its read of the statement went on.

Change: the read ends with the question, and Find returns after it.

Run: go test -race ./binding, 106 s, passed.

--- a/binding/find.go
+++ b/binding/find.go
@@ -52,14 +52,18 @@
 	if f, ok := t.findRecord(key, now); ok {
 		return f, nil
 	}
+	inferring, stop := context.WithCancel(ctx)
+	defer stop()
 	inferred := make(chan inference, 1)
-	go func() { inferred <- t.infer(ctx, service, now) }()
+	go func() { inferred <- t.infer(inferring, service, now) }()
 	f, err := t.ask(ctx, key, service, now)
 	if err == nil {
-		return f, nil
+		stop()
 	}
 	only := <-inferred
 	switch {
+	case err == nil:
+		return f, nil
 	case only.proved && errors.Is(err, ErrNoRecord):
 		return only.Found, nil
 	case only.err != nil:
