--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -176,19 +176,6 @@
 	return "not-started"
 }
 
-// recordFailedAnswer keeps a failure that the backend server itself returned as its answer.
-// That failure becomes the final answer unless another attempt is allowed and succeeds.
-func (x *run) recordFailedAnswer(a *attempt, failed *backend.FailedAnswer) string {
-	x.releaseFailedAnswer()
-	x.failedAnswer = failed
-	x.waitErr = failed
-	x.Watcher.Result(a.backend.ID, nil)
-	x.current = a
-	x.logLoss(a, causeAnswer, failed)
-	a.closeReader()
-	return "lost"
-}
-
 // handleLoss closes the reader of an attempt that ended early and records why.
 func (x *run) handleLoss(a *attempt, err error) string {
 	if x.ctx.Err() != nil {
--- a/generation/end.go
+++ b/generation/end.go
@@ -77,6 +77,19 @@
 	return "failed-answer"
 }
 
+// recordFailedAnswer keeps a failure that the backend server itself returned as its answer.
+// That failure becomes the final answer unless another attempt is allowed and succeeds.
+func (x *run) recordFailedAnswer(a *attempt, failed *backend.FailedAnswer) string {
+	x.releaseFailedAnswer()
+	x.failedAnswer = failed
+	x.waitErr = failed
+	x.Watcher.Result(a.backend.ID, nil)
+	x.current = a
+	x.logLoss(a, causeAnswer, failed)
+	a.closeReader()
+	return "lost"
+}
+
 // releaseFailedAnswer frees the memory of a failure that is not needed any more.
 func (x *run) releaseFailedAnswer() {
 	if x.failedAnswer != nil && x.failedAnswer.Release != nil {
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -305,23 +305,4 @@
 	return len(s.lists.of(s.dir.Service(service)).names) > 1 || s.tracker.Several(service, clock.SinceBoot())
 }
 
-// Began implements generation.StreamVersions.
-func (s *software) Began(r *generation.Request, b fleet.Backend, version string) {
-	if version == "" {
-		version = binding.UnknownVersion
-	}
-	now := clock.SinceBoot()
-	service := r.Opaque.Service
-	keep := s.lifetime(service)
-	if left := r.ClientTimeLeft(); left > 0 {
-		keep = left + takeUpMargin
-	}
-	s.tracker.Began(keyOf(r), service, version, keep, now)
-	s.records.began()
-	if s.tracker.Several(service, now) {
-		s.began.Inc()
-		s.log.Emit(event.StreamBegan, "request", r.ID, "began_as", r.BeganAs(), "service", service, "backend", b.ID, "software", version)
-	}
-}
-
 var _ versionStore = (*platform.Store)(nil)
--- a/hosted/software_records.go
+++ b/hosted/software_records.go
@@ -12,6 +12,7 @@
 	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/fleet"
+	"wigeondale/generation"
 	"wigeondale/infra"
 	"wigeondale/platform"
 )
@@ -157,3 +158,22 @@
 	version, sole := st.SoleVersion(st.Era)
 	return binding.Stored{Sole: sole, Version: version}, err
 }
+
+// Began implements generation.StreamVersions.
+func (s *software) Began(r *generation.Request, b fleet.Backend, version string) {
+	if version == "" {
+		version = binding.UnknownVersion
+	}
+	now := clock.SinceBoot()
+	service := r.Opaque.Service
+	keep := s.lifetime(service)
+	if left := r.ClientTimeLeft(); left > 0 {
+		keep = left + takeUpMargin
+	}
+	s.tracker.Began(keyOf(r), service, version, keep, now)
+	s.records.began()
+	if s.tracker.Several(service, now) {
+		s.began.Inc()
+		s.log.Emit(event.StreamBegan, "request", r.ID, "began_as", r.BeganAs(), "service", service, "backend", b.ID, "software", version)
+	}
+}
--- a/soak/series.go
+++ b/soak/series.go
@@ -182,7 +182,7 @@
 	}
 }
 
-// stopUnderLoad tells a router to end while requests are open that need much of its grace.
+// stopUnderLoad sends a router SIGTERM while requests are open that need much of its grace.
 func (r *platformRun) stopUnderLoad(ctx context.Context, rng *rand.Rand) {
 	stopOne(ctx, rng, &r.nodes[rng.IntN(len(r.nodes))].process)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -81,7 +81,7 @@
 	Evidence bool
 	// OutOfStep lets a router stand still, or cuts it off, while others end, and with Software while versions change.
 	OutOfStep bool
-	// Stops tells routers to end under load, with a short grace and plain services that take much of it.
+	// Stops sends routers SIGTERM under load, with a short grace and plain services that take much of it.
 	Stops bool
 	// Floods makes all plain services answer many requests at once without end.
 	Floods bool
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -152,7 +152,7 @@
 	checkSeed(t, RunProduct, cfg)
 }
 
-// TestStopSeeds makes the same checks as TestSeeds while routers are told to end under load. Guards against requests that run and
+// TestStopSeeds makes the same checks as TestSeeds while routers get SIGTERM under load. Guards against requests that run and
 // whose connections end without an answer.
 func TestStopSeeds(t *testing.T) {
 	checkSeed(t, Run, Config{Seed: 25002, Nodes: 4, Engines: 6, Services: 4, Clients: 20, FaultTime: 5 * time.Second, Stops: true, Cuts: true, Alone: true})
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -17,21 +17,21 @@
 // stopRecord holds the requests that ended without an answer, and how the processes ended.
 type stopRecord struct {
 	mu sync.Mutex
-	// told are the incarnations that got SIGTERM; harmed those that were killed or paused.
-	told, harmed map[string]bool
-	unanswered   []result
+	// terminated are the incarnations that got SIGTERM; harmed those that were killed or paused.
+	terminated, harmed map[string]bool
+	unanswered         []result
 }
 
 // signalled records a signal to an incarnation of a router.
 func (s *stopRecord) signalled(incarnation string, sig syscall.Signal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.told == nil {
-		s.told, s.harmed = map[string]bool{}, map[string]bool{}
+	if s.terminated == nil {
+		s.terminated, s.harmed = map[string]bool{}, map[string]bool{}
 	}
 	switch sig {
 	case syscall.SIGTERM:
-		s.told[incarnation] = true
+		s.terminated[incarnation] = true
 	case syscall.SIGKILL, syscall.SIGSTOP:
 		s.harmed[incarnation] = true
 	}
@@ -54,7 +54,7 @@
 	c.stops.mu.Lock()
 	defer c.stops.mu.Unlock()
 	for _, r := range c.stops.unanswered {
-		if ran[r.id] > 0 && c.stops.told[r.incarnation] && !c.stops.harmed[r.incarnation] && r.duration < maxAnswerTime {
+		if ran[r.id] > 0 && c.stops.terminated[r.incarnation] && !c.stops.harmed[r.incarnation] && r.duration < maxAnswerTime {
 			c.violated("a request that runs in a planned stop gets an answer", r.id, fmt.Sprintf("%s through %s, after %v", r.kind, r.incarnation, r.duration))
 		}
 	}
--- a/stopping/stopping.go
+++ b/stopping/stopping.go
@@ -1,6 +1,6 @@
 // Package stopping decides which work a process that stops still begins.
 //
-// A process that was told to stop has a fixed time until it is killed. Work that it begins and can't end in that time is cut:
+// A process that gets a signal to stop has a fixed time until it is killed. Work that it begins and can't end in that time is cut:
 // its caller gets no answer, and doesn't know whether a request that may not be repeated has run. The package compares the time
 // that is left with what a piece of work needs, whenever the work is about to begin, and ends what is still open shortly before the
 // process does, so that each caller gets a true answer.
@@ -67,7 +67,7 @@
 	return end == 0 || clock.SinceBoot() <= work().latestBegin(end)
 }
 
-// minElsewhereAfter is the least time after which a caller is told to come back.
+// minElsewhereAfter is the least time after which a caller is advised to come back.
 const minElsewhereAfter = 20 * time.Millisecond
 
 // ElsewhereAfter returns after which time a caller that comes back reaches another process.
