binding, hosted: a take-up that names no stream goes on only while there is one version

What callers saw: a stream that was taken up with Last-Event-Id alone went on with pieces of another software version.

Cause: without Resumes the id of the stream is empty, and all such streams of an account and a service shared one record. A missing name was used as a name.

Change: such a take-up reads and writes no record. It goes on by the inference from the list and the store's statement, or by the statement of a sole version, each read after the request arrived; else it is refused as not run.

--- a/binding/find.go
+++ b/binding/find.go
@@ -36,6 +36,9 @@
 // ErrNotStored means that the store has no record of the stream, and states no sole version of the service.
 var ErrNotStored = errors.New("the store has no record of the stream")
 
+// ErrUnnamed means that the client doesn't name its stream, and streams of the service may have begun at several versions.
+var ErrUnnamed = errors.New("the client does not name the stream, and the service has, or recently had, several versions")
+
 // ErrUnknownVersion means that the router of the stream could not find out at which version it began.
 var ErrUnknownVersion = errors.New("the version at which the stream began was not known")
 
@@ -48,6 +51,35 @@
 	return f, err
 }
 
+// FindUnnamed finds out at which version a stream began whose client doesn't name it. No record can be attributed to such a stream, so
+// that its version is known only if all streams of the service that may still be taken up began at one version.
+func (t *Tracker) FindUnnamed(ctx context.Context, service string, now time.Duration) (Found, error) {
+	if only := t.infer(ctx, service, now); only.proved {
+		return only.Found, nil
+	}
+	st, err := t.cfg.Statement(ctx, service)
+	if err != nil {
+		return Found{}, err
+	}
+	version, sole := st.SoleVersion(st.Era)
+	if !sole || !t.beginsOnly(service, version, now) {
+		return Found{}, Error.Wrap(ErrUnnamed)
+	}
+	return Found{Version: version, Source: FromStore, Named: st.Versions}, nil
+}
+
+// beginsOnly reports whether this router has seen no other version of a service for long enough that streams begin there.
+func (t *Tracker) beginsOnly(service, version string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.beginsOnlyLocked(service, version, now)
+}
+
+func (t *Tracker) beginsOnlyLocked(service, version string, now time.Duration) bool {
+	h := t.services[service]
+	return h != nil && !slices.ContainsFunc(h.beginnable(now, t.cfg.Lifetime(service)), func(v string) bool { return v != version })
+}
+
 func (t *Tracker) find(ctx context.Context, key Key, service string, now time.Duration) (Found, error) {
 	if f, ok := t.findRecord(key, now); ok {
 		return f, nil
@@ -89,12 +121,12 @@
 	keep := t.cfg.Lifetime(service)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch h := t.services[service]; {
+	switch {
 	case s.Recorded:
 		t.records.put(Record{Key: key, Service: service, Version: s.Version, KeepMS: keep.Milliseconds()}, false, now)
 		t.records.setStored(key)
 		return Found{Version: s.Version, Source: FromStore}, nil
-	case s.Sole && h != nil && !slices.ContainsFunc(h.beginnable(now, keep), func(v string) bool { return v != s.Version }):
+	case s.Sole && t.beginsOnlyLocked(service, s.Version, now):
 		return Found{Version: s.Version, Source: FromStore}, nil
 	}
 	return Found{}, ErrNotStored
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -255,7 +255,7 @@
 	if !s.tracker.Knows(service) {
 		s.tick(clock.SinceBoot()) // this node has just started
 	}
-	f, err := s.tracker.Find(ctx, keyOf(r), service, clock.SinceBoot())
+	f, err := s.find(ctx, r)
 	e := s.tracker.Evidence(service, clock.SinceBoot())
 	if err != nil {
 		err = Error.New("%w (versions %q, list followed for %d ms, list age %d ms, last tick %d ms ago)", err, e.Versions, e.Followed.Milliseconds(),
@@ -270,6 +270,13 @@
 	return generation.Binding{Version: f.Version}, nil
 }
 
+func (s *software) find(ctx context.Context, r *generation.Request) (binding.Found, error) {
+	if r.BeganAs() == "" {
+		return s.tracker.FindUnnamed(ctx, r.Opaque.Service, clock.SinceBoot())
+	}
+	return s.tracker.Find(ctx, keyOf(r), r.Opaque.Service, clock.SinceBoot())
+}
+
 var errRestarted = errors.New("the replica has started again since it was listed")
 
 // Confirm implements generation.StreamVersions. A replica without a start time in its entry has a
--- a/hosted/software_records.go
+++ b/hosted/software_records.go
@@ -170,8 +170,10 @@
 	if left := r.ClientTimeLeft(); left > 0 {
 		keep = left + takeUpMargin
 	}
-	s.tracker.Began(keyOf(r), service, version, keep, now)
-	s.records.began()
+	if r.BeganAs() != "" { // a stream without a name shares its key with others
+		s.tracker.Began(keyOf(r), service, version, keep, now)
+		s.records.began()
+	}
 	if s.tracker.Several(service, now) {
 		s.began.Inc()
 		s.log.Emit(event.StreamBegan, "request", r.ID, "began_as", r.BeganAs(), "service", service, "backend", b.ID, "software", version)
