soak: crowds of clients that don't behave against one router

Cause: no test lets many clients hold unfinished heads, bodies and chunks, idle connections or unread answers at a router, so its memory and descriptors are bounded for one client only, and no test shows it. Stand-ins record bounded bodies and give large answers for them.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	$(GO) test $(SKIPFLAG) ./waitorder -run '^TestOrderOverRouters$$'
 	$(GO) test $(SKIPFLAG) ./soak -run '^TestFloodSeeds$$'
 	$(GO) test $(SKIPFLAG) ./hosted -run '^(TestNewsReach|TestStartOfAll|TestFarNodes)'
+	$(GO) test -timeout 20m $(SKIPFLAG) ./soak -run '^TestCrowd'
 
 measure: build
 	./scripts/measure.sh full
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -71,6 +71,9 @@
 	Room                         int           // requests that it takes at once; 0 for any number
 	Work                         time.Duration // time to serve a request that is not streamed
 	Slots                        int           // that its entry states; 0 for defaultRoom
+	// RecordBytes bounds what is recorded of a body; 0 for no bound. LargeAnswer is the number of bytes added to answers to paths
+	// that end in LargePath.
+	RecordBytes, LargeAnswer int
 	// OnCrash, if set, is called after a request has made the replica crash.
 	OnCrash func(r *Replica)
 
@@ -253,5 +256,8 @@
 // VersionName returns the version in the replica's entry.
 func (r *Replica) VersionName() string { return cmp.Or(r.Version, "v1") }
 
+// LargePath is the end of paths with large answers.
+const LargePath = "/large"
+
 // CompleteResponse returns the complete response to a request from a service that is not a model engine.
 func CompleteResponse(id string) string { return "answer to " + id }
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -15,6 +16,9 @@
 	if err != nil {
 		return
 	}
+	if r.RecordBytes > 0 {
+		body = body[:min(len(body), r.RecordBytes)]
+	}
 	a := &Arrival{
 		At: time.Now(), ID: req.Header.Get("X-Attempt-Id"), Method: req.Method, Target: req.RequestURI,
 		Header: req.Header.Clone(), Body: string(body),
@@ -123,6 +127,9 @@
 
 func (r *Replica) serveComplete(w http.ResponseWriter, a *Arrival, f Faults) {
 	text := CompleteResponse(a.ID)
+	if strings.HasSuffix(a.Target, LargePath) {
+		text += strings.Repeat("x", r.LargeAnswer)
+	}
 	switch {
 	case f.NoLength:
 		conn, buf, err := w.(http.Hijacker).Hijack()
--- a/fakes/service/service.go
+++ b/fakes/service/service.go
@@ -22,7 +22,7 @@
 var Error = errs.Class("fake service")
 
 const (
-	maxBody         = 1 << 20 // bytes
+	maxBody         = 8 << 20 // bytes
 	requestIDHeader = "X-Request-Id"
 )
 
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -156,6 +156,9 @@
 	}
 	if !engine {
 		rep.Room, rep.Work, rep.Slots = r.cfg.room(), r.cfg.work(), r.cfg.Room
+		if r.cfg.Crowds {
+			rep.RecordBytes, rep.LargeAnswer = crowdRecordBytes, crowdLargeAnswer
+		}
 	}
 	if r.cfg.Restarts {
 		rep.StartedAt = time.Now().UnixMilli()
--- a/soak/product.go
+++ b/soak/product.go
@@ -55,10 +55,15 @@
 
 // RunProduct runs one seed on the product's own interface.
 func RunProduct(ctx context.Context, cfg Config) (*Report, error) {
+	r := newProductRun(cfg)
+	return r.execute(ctx, r)
+}
+
+func newProductRun(cfg Config) *productRun {
 	r := &productRun{run: newRun(cfg, productStream), accountsLeft: productAccounts}
 	r.cuts = newCuts(&r.run, r.drawCutServers)
 	r.series = newSeries(&r.run)
-	return r.execute(ctx, r)
+	return r
 }
 
 func (r *productRun) newClient(i int) trafficClient { return newProductClient(r, i) }
@@ -164,11 +169,16 @@
 			peers.Seeds = append(peers.Seeds, other.advertisedPeer)
 		}
 	}
-	listenAt := func(addr string) map[string]string { return map[string]string{"address": addr} }
+	listenAt := func(addr string) map[string]any { return map[string]any{"address": addr} }
+	caller := listenAt(rt.caller)
+	if r.cfg.CallerTLS != nil {
+		caller["tls"] = r.cfg.CallerTLS
+	}
 	tokenHash := sha256.Sum256([]byte(productToken))
 	data, err := json.MarshalIndent(map[string]any{
 		"node":   settings.Node{ID: rt.id, VM: "vm-" + rt.id, FailureDomain: productDomains[i%len(productDomains)], Region: "r", Incarnation: "auto", BackendProxyAddress: rt.proxy},
-		"listen": map[string]any{"caller": listenAt(rt.caller), "admin": listenAt(rt.admin), "peer": listenAt(rt.peer), "advertise_peer": rt.advertisedPeer},
+		"limits": r.cfg.limits(),
+		"listen": map[string]any{"caller": caller, "admin": listenAt(rt.admin), "peer": listenAt(rt.peer), "advertise_peer": rt.advertisedPeer},
 		"platform": settings.Platform{
 			KVURL: "http://" + addrs["kv-"+rt.id], VMsURL: "http://" + addrs["vms-"+rt.id], WeightsURL: "http://" + addrs["weights"], CallTimeoutMS: 1000,
 		},
--- a/soak/sizes.go
+++ b/soak/sizes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"time"
 )
 
@@ -11,6 +12,12 @@
 	slowWork   = 15 * time.Millisecond
 )
 
+// With Config.Crowds plain services record this much of a body, and their large answers have this length.
+const (
+	crowdRecordBytes = 4 << 10
+	crowdLargeAnswer = 2 << 20
+)
+
 // room returns how many requests a plain service takes at once; 0 for any number.
 func (c *Config) room() int {
 	if c.Repeats {
@@ -30,5 +37,8 @@
 	return c.Work
 }
 
+// limits returns the section "limits" of the routers' settings.
+func (c *Config) limits() json.RawMessage { return json.RawMessage(cmp.Or(c.Limits, "{}")) }
+
 // chunks returns the number of chunks of a stream.
 func (c *Config) chunks() int { return cmp.Or(c.Chunks, chunkCount) }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"wigeondale/settings"
 )
 
 // Error is the class of this package's errors.
@@ -99,6 +101,12 @@
 	Chunks int
 	// Alone injects only the faults of Repeats and Outages.
 	Alone bool
+	// Crowds has plain services give large answers on paths that end so, and record little of bodies.
+	Crowds bool
+	// Limits is the section "limits" of the routers' settings, in JSON; empty for the defaults.
+	Limits string
+	// CallerTLS is for the caller listener on the product's own interface; nil for none.
+	CallerTLS *settings.TLS
 }
 
 // Violation is one observation that breaks a promise of the product.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
+	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,11 +18,31 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(childEnv) != "" {
+		limitDescriptors()
 		os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
 
+// descriptorsEnv is the environment variable with the limit of the child's descriptors, if it has one.
+const descriptorsEnv = "WIGEON_SOAK_DESCRIPTORS"
+
+// limitDescriptors applies descriptorsEnv.
+func limitDescriptors() {
+	text := os.Getenv(descriptorsEnv)
+	if text == "" {
+		return
+	}
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err == nil {
+		err = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n})
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "descriptors:", err)
+		os.Exit(1)
+	}
+}
+
 // seeds run in CI: a few that cover every kind of fault, and those that once failed, each with a
 // line on the cause.
 var (
