listen, bounded: the requests of all clients share memory, connections and turns

What callers saw: a crowd of clients whose heads and bodies don't end takes the memory and descriptors of a router, and the router ends.

Cause: each request had a bound, and all together had none; bytes were counted, and not what they take in memory. A head of short lines takes many times its length, the kernel holds what isn't read, connections had no bound at all, and a body that stood still kept its memory while newcomers were refused.

Change: a listener accounts for each request from its first byte, heads with their parsed form, in one pool of an eighth of the memory. When it is used up, incomplete messages that arrive most slowly are given up, not newcomers; a quarter is only for small ones. Connections have a bound by the descriptors, and the longest idle or slowest one is closed for a new one. Receive buffers are an eighth of the memory divided by the connections, larger for a long request that has memory. Long requests take turns, so that chunks of one byte don't keep the processor. The configuration's limits for heads and idle connections count where they are larger than the defaults. Bodies are no longer held by remote host: behind a load balancer all clients may have one.

--- a/bounded/pool.go
+++ b/bounded/pool.go
@@ -1,13 +1,11 @@
 package bounded
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"io"
-	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -18,35 +16,32 @@
 	// ErrEndless means that a message was given up while it waited for memory, since another one from the same sender was longer
 	// than a message may be.
 	ErrEndless = errors.New("another message of the sender has no end")
+	// ErrGivenUp means that an incomplete message was given up, since it arrived more slowly than others that need its memory.
+	ErrGivenUp = errors.New("the message arrives too slowly while others need its memory")
 )
 
-// smallMessage is the size up to which a message waits for no other one.
+// smallMessage is the size up to which a message may use the part of the pool that larger ones leave free.
 const smallMessage = 16 << 10
 
 // Pool bounds the memory that messages hold together while they are read and passed on. A bound of each message alone bounds nothing
 // when a faulty server answers many requests at once.
 //
-// Small messages are always read. Of the larger ones each sender may use half of the pool. When it is used up, messages wait, which slows
+// Messages larger than smallMessage leave a quarter of the pool to small ones, and each sender may use half of it. When it is used up,
+// incomplete messages that arrive more slowly than the one that needs memory are given up. If there is none, messages wait, which slows
 // their senders down; the oldest may use a reserve, so that it can always be read to its end, and the others follow as memory
 // becomes free. A nil Pool bounds nothing. It is safe for concurrent use.
 type Pool struct {
 	limit, perSender int64
 
-	mu       sync.Mutex
-	used     int64
-	bySender map[string]int64
-	holds    uint64    // number of holds so far
-	oldest   *Hold     // it may use the reserve
-	waiting  []*growth // of the oldest holds first
-}
-
-// Hold is the memory of one message. A nil Hold has no bound.
-type Hold struct {
-	pool   *Pool
-	sender string
-	number uint64
-	bytes  int64
-	closed bool
+	mu         sync.Mutex
+	used       int64
+	releasing  int64 // held by messages that were given up and are not closed yet
+	bySender   map[string]int64
+	holds      uint64             // number of holds so far
+	oldest     *Hold              // it may use the reserve
+	waiting    []*growth          // of the oldest holds first
+	incomplete map[*Hold]struct{} // messages that may be given up
+	givenUp    *metrics.Counter
 }
 
 // growth is a Hold that waits for memory.
@@ -59,8 +54,9 @@
 // NewPool returns a Pool of limit bytes, and in addition those that the largest message takes while it grows. name and set are those
 // of its metrics; set may be nil.
 func NewPool(limit int64, name string, set *metrics.Set) *Pool {
-	p := &Pool{limit: limit, perSender: limit / 2, bySender: map[string]int64{}}
+	p := &Pool{limit: limit, perSender: limit / 2, bySender: map[string]int64{}, incomplete: map[*Hold]struct{}{}}
 	if set != nil {
+		p.givenUp = set.NewCounter(`wigeon_messages_given_up_total{of="` + name + `"}`)
 		set.NewGauge(`wigeon_buffered_bytes{of="`+name+`"}`, func() float64 { used, _ := p.Usage(); return float64(used) })
 		set.NewGauge(`wigeon_buffers_waiting{of="`+name+`"}`, func() float64 { _, waiting := p.Usage(); return float64(waiting) })
 	}
@@ -74,7 +70,7 @@
 	return p.used, len(p.waiting)
 }
 
-// Hold returns the memory of a new message, which has to be closed.
+// Hold returns the memory of a new message of a sender, which has to be closed.
 func (p *Pool) Hold(sender string) *Hold {
 	if p == nil {
 		return nil
@@ -85,41 +81,72 @@
 	return &Hold{pool: p, sender: sender, number: p.holds}
 }
 
-// Grow adds n bytes. It waits until they are free or ctx ends.
-func (h *Hold) Grow(ctx context.Context, n int64) error {
-	if h == nil {
+// HoldInput returns the memory of a new message that its sender may leave incomplete. It counts for no sender: behind a load balancer
+// all clients may have one address.
+func (p *Pool) HoldInput(in Input) *Hold {
+	if p == nil {
 		return nil
 	}
-	p := h.pool
 	p.mu.Lock()
-	if h.closed {
-		p.mu.Unlock()
-		return Error.New("the message was given up")
+	defer p.mu.Unlock()
+	p.holds++
+	h := &Hold{pool: p, number: p.holds, input: in}
+	p.incomplete[h] = struct{}{}
+	return h
+}
+
+// isOvertaking reports whether n more bytes of a hold would be taken from messages that wait. Small ones don't wait for larger ones.
+func (p *Pool) isOvertaking(h *Hold, n int64) bool {
+	if h.bytes+n > smallMessage {
+		return len(p.waiting) > 0
 	}
-	if h.bytes+n <= smallMessage || len(p.waiting) == 0 && p.fits(h, n) {
-		p.add(h, n)
-		p.mu.Unlock()
-		return nil
+	return slices.ContainsFunc(p.waiting, func(g *growth) bool { return g.isSmall() })
+}
+
+func (g *growth) isSmall() bool { return g.hold.bytes+g.bytes <= smallMessage }
+
+// reclaim gives up incomplete messages that arrive more slowly than h does, the slowest first, until n bytes will be free for h.
+func (p *Pool) reclaim(h *Hold, n int64) {
+	if len(p.incomplete) == 0 {
+		return
 	}
-	g := &growth{hold: h, bytes: n, done: make(chan error, 1)}
-	at, _ := slices.BinarySearchFunc(p.waiting, g, func(a, b *growth) int { return cmp.Compare(a.hold.number, b.hold.number) })
-	p.waiting = slices.Insert(p.waiting, at, g)
-	p.serve()
-	p.mu.Unlock()
-	select {
-	case err := <-g.done:
-		return err
-	case <-ctx.Done():
-		return p.withdraw(g, ctx)
+	now := time.Now()
+	progress := h.arrival.progress(now)
+	for p.used-p.releasing+n > p.limitOf(h, n) {
+		slowest, least := (*Hold)(nil), progress
+		for c := range p.incomplete {
+			if c == h || c.waits || c.bytes == 0 {
+				continue
+			}
+			if v := c.arrival.progress(now); v < least {
+				slowest, least = c, v
+			}
+		}
+		if slowest == nil {
+			return
+		}
+		p.drop(slowest)
 	}
 }
 
+// drop gives a message up.
+func (p *Pool) drop(h *Hold) {
+	delete(p.incomplete, h)
+	h.dropped = true
+	p.releasing += h.bytes
+	if p.givenUp != nil {
+		p.givenUp.Inc()
+	}
+	go h.input.GiveUp()
+}
+
 // withdraw ends a wait, unless it has just ended.
 func (p *Pool) withdraw(g *growth, ctx context.Context) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if i := slices.Index(p.waiting, g); i >= 0 {
 		p.waiting = slices.Delete(p.waiting, i, i+1)
+		g.hold.waits = false
 		p.serve()
 		return Error.New("%w: %w", ErrNoMemory, context.Cause(ctx))
 	}
@@ -128,133 +155,48 @@
 
 // fits reports whether n more bytes of a hold are free.
 func (p *Pool) fits(h *Hold, n int64) bool {
-	return h == p.oldest || p.used+n <= p.limit && p.bySender[h.sender]+n <= p.perSender
+	return h == p.oldest || p.used+n <= p.limitOf(h, n) && (h.sender == "" || p.bySender[h.sender]+n <= p.perSender)
+}
+
+// limitOf returns how much of the pool may be in use after n more bytes of a hold.
+func (p *Pool) limitOf(h *Hold, n int64) int64 {
+	if h.bytes+n <= smallMessage {
+		return p.limit
+	}
+	return p.limit / 4 * 3
 }
 
 func (p *Pool) add(h *Hold, n int64) {
 	h.bytes += n
 	p.used += n
+	if h.dropped {
+		p.releasing += n
+	}
+	if h.sender == "" {
+		return
+	}
 	if p.bySender[h.sender] += n; p.bySender[h.sender] == 0 {
 		delete(p.bySender, h.sender)
 	}
 }
 
-// serve grants what is free, to the oldest first. A large message is not overtaken by younger ones of its sender.
+// serve grants what is free, to the oldest first. A large message is not overtaken by younger large ones of its sender.
 func (p *Pool) serve() {
-	if p.oldest == nil && len(p.waiting) > 0 {
+	if len(p.waiting) == 0 {
+		return
+	}
+	if p.oldest == nil {
 		p.oldest = p.waiting[0].hold
 	}
 	blocked := map[string]bool{}
 	p.waiting = slices.DeleteFunc(p.waiting, func(g *growth) bool {
-		if g.hold != p.oldest && (blocked[g.hold.sender] || !p.fits(g.hold, g.bytes)) {
+		if g.hold != p.oldest && (blocked[g.hold.sender] && !g.isSmall() || !p.fits(g.hold, g.bytes)) {
 			blocked[g.hold.sender] = true
 			return false
 		}
+		g.hold.waits = false
 		p.add(g.hold, g.bytes)
 		g.done <- nil
 		return true
 	})
 }
-
-// Shrink gives n bytes back.
-func (h *Hold) Shrink(n int64) {
-	if h == nil {
-		return
-	}
-	h.pool.mu.Lock()
-	defer h.pool.mu.Unlock()
-	if !h.closed {
-		h.pool.add(h, -n)
-		h.pool.serve()
-	}
-}
-
-// Close gives all bytes back. Further calls do nothing.
-func (h *Hold) Close() {
-	if h == nil {
-		return
-	}
-	p := h.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if h.closed {
-		return
-	}
-	h.closed = true
-	p.add(h, -h.bytes)
-	p.waiting = slices.DeleteFunc(p.waiting, func(g *growth) bool {
-		if g.hold != h {
-			return false
-		}
-		g.done <- Error.New("the message was given up")
-		return true
-	})
-	if p.oldest == h {
-		p.oldest = nil
-	}
-	p.serve()
-}
-
-// Endless states that the message is longer than a message may be. Others of the same sender that wait for memory are given up:
-// they would each be read to that length before the ones of sound senders that came later.
-func (h *Hold) Endless() {
-	if h == nil {
-		return
-	}
-	p := h.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.waiting = slices.DeleteFunc(p.waiting, func(g *growth) bool {
-		if g.hold.sender != h.sender || g.hold == h {
-			return false
-		}
-		g.done <- Error.Wrap(ErrEndless)
-		return true
-	})
-}
-
-// minBuffer is the first size of the buffer of a message.
-const minBuffer = 2 << 10
-
-// ReadHeld reads r, which may have limit bytes, and accounts for the memory in h. stated is the stated length, or -1.
-func ReadHeld(ctx context.Context, r io.Reader, stated, limit int64, h *Hold) ([]byte, error) {
-	if stated > limit {
-		return nil, Error.New("%w: %d bytes, more than %d", ErrTooLong, stated, limit)
-	}
-	most := limit + 1
-	if stated >= 0 {
-		most = stated + 1 // one byte more shows the end of the message without another buffer
-	}
-	in := NewReader(r, limit)
-	var buf []byte
-	for {
-		if len(buf) == cap(buf) {
-			size := min(max(2*int64(cap(buf)), minBuffer), most)
-			if size <= int64(cap(buf)) {
-				size = int64(cap(buf)) + minBuffer
-			}
-			if err := h.Grow(ctx, size); err != nil {
-				return nil, err
-			}
-			grown := append(make([]byte, 0, size), buf...)
-			h.Shrink(int64(cap(buf)))
-			buf = grown
-		}
-		n, err := in.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return buf, nil
-		case errors.Is(err, ErrTooLong):
-			h.Endless()
-			return nil, Error.Wrap(err)
-		case err != nil:
-			return nil, Error.Wrap(err)
-		}
-	}
-}
-
-// ReadAllHeld reads the body of resp as ReadHeld does.
-func ReadAllHeld(ctx context.Context, resp *http.Response, limit int64, h *Hold) ([]byte, error) {
-	return ReadHeld(ctx, resp.Body, resp.ContentLength, limit, h)
-}
--- a/callerapi/body.go
+++ b/callerapi/body.go
@@ -1,16 +1,15 @@
 package callerapi
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"wigeondale/bounded"
+	"wigeondale/listen"
 )
 
 // format is one of the two formats of a generation's request and answer.
@@ -39,24 +38,17 @@
 	Content string `json:"content"`
 }
 
-// bodyWait is how long a body waits for the memory that other requests hold.
-const bodyWait = time.Second
+// bodyRetry is when a caller may repeat a request whose body found no memory.
+const bodyRetry = time.Second
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *Failure) {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		host = r.RemoteAddr
-	}
-	held := s.Bodies.Hold(host)
-	context.AfterFunc(r.Context(), held.Close)
-	ctx, stop := context.WithTimeout(r.Context(), bodyWait)
-	defer stop()
 	stated := r.ContentLength
 	if stated > s.BodyBytes {
 		stated = -1 // MaxBytesReader refuses it
 	}
-	raw, err := bounded.ReadHeld(ctx, http.MaxBytesReader(w, r.Body, s.BodyBytes), stated, s.BodyBytes, held)
+	raw, err := bounded.ReadHeld(r.Context(), http.MaxBytesReader(w, r.Body, s.BodyBytes), stated, s.BodyBytes, listen.Hold(r))
 	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body isn't read
 		return nil, bodyFailure(err)
 	}
 	return raw, nil
--- a/callerapi/errors.go
+++ b/callerapi/errors.go
@@ -155,9 +155,9 @@
 		return refuse(http.StatusRequestEntityTooLarge, codeBodyTooLarge,
 			"the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 	}
-	if errors.Is(err, bounded.ErrNoMemory) {
-		f := refuse(http.StatusServiceUnavailable, CodeOverloaded, "the bodies of other requests hold as much memory as they may")
-		f.RetryAfter = bodyWait
+	if errors.Is(err, bounded.ErrNoMemory) || errors.Is(err, bounded.ErrGivenUp) {
+		f := refuse(http.StatusServiceUnavailable, CodeOverloaded, "other requests hold as much memory as they may")
+		f.RetryAfter = bodyRetry
 		return f
 	}
 	f := refuse(http.StatusRequestTimeout, codeBodyTimeout, "the body did not arrive whole in time")
--- a/callerapi/server.go
+++ b/callerapi/server.go
@@ -86,19 +86,18 @@
 	KeptAnswerTime  time.Duration // how long a finished answer is kept; 2 min
 }
 
-// Config configures a Server. KeyRegistry, Services, Answers, Bodies, Log and Metrics may be nil.
+// Config configures a Server. KeyRegistry, Services, Answers, Log and Metrics may be nil.
 type Config struct {
 	Options
-	// Answers and Bodies bound the memory of the answers of services, and of the bodies of requests, all together.
-	Answers, Bodies *bounded.Pool
-	Gate            Gate
-	Accounts        Accounts
-	Runner          Runner
-	Services        Services
-	KeyRegistry     KeyRegistry
-	Sealer          *cursor.Sealer
-	Log             *event.Log
-	Metrics         *metrics.Set
+	Answers     *bounded.Pool // bounds the memory of the answers of services, all together
+	Gate        Gate
+	Accounts    Accounts
+	Runner      Runner
+	Services    Services
+	KeyRegistry KeyRegistry
+	Sealer      *cursor.Sealer
+	Log         *event.Log
+	Metrics     *metrics.Set
 }
 
 // Server handles the requests of callers.
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -6,7 +6,6 @@
 
 	"wigeondale/admission"
 	"wigeondale/backend"
-	"wigeondale/bounded"
 	"wigeondale/callerapi"
 	"wigeondale/cursor"
 	"wigeondale/generation"
@@ -65,7 +64,6 @@
 		Accounts:    accs,
 		Runner:      n.runner,
 		Answers:     n.answers,
-		Bodies:      bounded.NewPool(set.Limits.BodiesBytes(), "requests", n.set),
 		Services:    n.newServices(set, pick, budget),
 		KeyRegistry: newPointers(n.mesh, n.id),
 		Sealer:      sealer,
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"wigeondale/bounded"
 	"wigeondale/listen"
 	"wigeondale/settings"
 )
@@ -13,13 +14,17 @@
 const adminWrite = time.Minute
 
 func (n *node) buildListeners(set *settings.Settings) error {
-	open := func(l settings.Listener, h http.Handler, write time.Duration) (*listen.Server, error) {
-		return listen.New(listen.Config{Listener: l, HeaderBytes: set.Limits.HeaderBytes, WriteTimeout: write}, h)
+	requests := bounded.NewPool(set.Limits.RequestsBytes(), "requests", n.set)
+	open := func(name string, l settings.Listener, conns int, h http.Handler, write time.Duration) (*listen.Server, error) {
+		return listen.New(listen.Config{
+			Listener: l, Name: name, HeaderBytes: set.Limits.HeaderBytes, WriteTimeout: write,
+			MaxConns: conns, ReceiveBytes: set.Limits.ReceiveBytes(), Requests: requests, Log: n.log, Metrics: n.set,
+		}, h)
 	}
 	var errCaller, errAdmin, errPeer error
-	n.caller, errCaller = open(set.Listen.Caller, n.callers, 0)
-	n.admin, errAdmin = open(set.Listen.Admin, n.adminHandler(set), adminWrite)
-	n.peers, errPeer = open(set.Listen.Peer, n.mesh, adminWrite)
+	n.caller, errCaller = open("caller", set.Listen.Caller, set.Limits.ClientConns(), n.callers, 0)
+	n.admin, errAdmin = open("admin", set.Listen.Admin, set.Limits.OperatorConns(), n.adminHandler(set), adminWrite)
+	n.peers, errPeer = open("peer", set.Listen.Peer, set.Limits.PeerConns(), n.mesh, adminWrite)
 	return errors.Join(errCaller, errAdmin, errPeer)
 }
 
--- a/event/ids.go
+++ b/event/ids.go
@@ -62,6 +62,7 @@
 	Reloaded
 	ShutdownCut
 	LibraryLine
+	ClientsDropped
 )
 
 // Events of the inventory of VMs (18xx).
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -233,24 +233,41 @@
 }
 
 func (n *node) listen(r *relay.Relay) error {
-	open := func(addr string, h http.Handler) (*listen.Server, error) {
-		return listen.New(listen.Config{
-			Listener:    settings.Listener{Address: addr},
-			HeaderBytes: n.set.Limits.HeaderBytes,
-		}, h)
+	limits := n.set.Limits
+	open := func(name, addr string, conns int, h http.Handler) (*listen.Server, error) {
+		cfg := n.peers.listener
+		cfg.Name, cfg.Address, cfg.MaxConns = name, addr, conns
+		if name == frontListener {
+			cfg.ClientLimits = n.clientLimits
+		}
+		return listen.New(cfg, h)
+	}
+	n.peers.listener = listen.Config{
+		HeaderBytes: limits.HeaderBytes, ReceiveBytes: limits.ReceiveBytes(), Log: n.log, Metrics: n.meter,
+		Requests: bounded.NewPool(limits.RequestsBytes(), "requests", n.meter),
 	}
 	var err error
-	bodies := bounded.NewPool(n.set.Limits.BodiesBytes(), "requests", n.meter)
-	if n.front, err = open(n.set.Hosted.FrontAddress, &platform.ClientHandler{Relay: r, Table: n.table, Bodies: bodies}); err != nil {
+	if n.front, err = open(frontListener, n.set.Hosted.FrontAddress, limits.ClientConns(), &platform.ClientHandler{Relay: r, Table: n.table}); err != nil {
 		return err
 	}
-	if n.ready, err = open(n.set.Hosted.ReadinessAddress, platform.ReadinessHandler{Ready: n.readiness}); err != nil {
+	if n.ready, err = open("readiness", n.set.Hosted.ReadinessAddress, limits.OperatorConns(), platform.ReadinessHandler{Ready: n.readiness}); err != nil {
 		return err
 	}
-	n.stats, err = open(n.set.Hosted.MetricsAddress, n.inspection())
+	n.stats, err = open("metrics", n.set.Hosted.MetricsAddress, limits.OperatorConns(), n.inspection())
 	return err
 }
 
+const frontListener = "front"
+
+// clientLimits returns what the configuration in force allows clients.
+func (n *node) clientLimits() listen.ClientLimits {
+	t := n.table.Get()
+	if t == nil {
+		return listen.ClientLimits{}
+	}
+	return listen.ClientLimits{HeaderBytes: t.Limits.HeaderBytes, HeaderTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout}
+}
+
 // inspection returns the handler for metrics and the state dump.
 func (n *node) inspection() http.Handler {
 	n.dumps.Add("settings", func() any { return json.RawMessage(n.set.Printable()) })
--- a/hosted/peers.go
+++ b/hosted/peers.go
@@ -14,6 +14,7 @@
 	"wigeondale/event"
 	"wigeondale/health"
 	"wigeondale/infra"
+	"wigeondale/listen"
 	"wigeondale/peer"
 	"wigeondale/platform"
 	"wigeondale/quarantine"
@@ -49,6 +50,7 @@
 // peers connects this node with the other nodes. It has no links until the key with which all
 // links authenticate has been read from the store.
 type peers struct {
+	listener  listen.Config // limits of the listener for other routers
 	set       *settings.Settings
 	reg       *registration
 	dir       *directory.Directory
--- a/hosted/peers_mesh.go
+++ b/hosted/peers_mesh.go
@@ -11,7 +11,6 @@
 	"wigeondale/peer"
 	"wigeondale/quarantine"
 	"wigeondale/reach"
-	"wigeondale/settings"
 )
 
 // run registers this node and maintains its links until ctx ends.
@@ -26,7 +25,9 @@
 	if err != nil {
 		return err
 	}
-	l, err := listen.New(listen.Config{Listener: settings.Listener{Address: p.set.Hosted.PeerAddress}}, mesh)
+	cfg := p.listener
+	cfg.Name, cfg.Address, cfg.MaxConns = "peer", p.set.Hosted.PeerAddress, p.set.Limits.PeerConns()
+	l, err := listen.New(cfg, mesh)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/listen/conn.go
@@ -0,0 +1,287 @@
+package listen
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"wigeondale/bounded"
+)
+
+const (
+	// memoryWait is how long a request waits for the memory that others hold.
+	memoryWait = time.Second
+	// lingerTime is how long a connection stays open after a refusal, so that a reset does not discard the answer.
+	lingerTime = 500 * time.Millisecond
+	// longRequest is the size from which a request takes turns with others, and has a larger receive buffer.
+	longRequest = 16 << 10
+	// longReceiveBuffer is the receive buffer of a long request, in bytes.
+	longReceiveBuffer = 64 << 10
+)
+
+// The memory of a parsed head is that of its bytes, once as text and once in the copy that is passed on, and of the header's map, slices
+// and strings. A short line takes many times its length.
+const (
+	memoryPerByte = 2
+	memoryPerLine = 256
+	// shortestLine is the length of the shortest header line. Of an encrypted head only the length is known.
+	shortestLine = 5
+)
+
+var (
+	errHeadTooLong = errors.New("header too long")
+	errStopped     = errors.New("connection given up")
+)
+
+// phase is what a connection waits for.
+type phase int
+
+const (
+	idle   phase = iota // the first byte of a request
+	head                // the rest of its head
+	active              // the body, or the end of the handler
+	taken               // nothing: another protocol uses the connection
+)
+
+// conn accounts for the requests of one connection while they arrive.
+type conn struct {
+	net.Conn
+	clients *clients
+	turn    turn
+
+	mu       sync.Mutex
+	phase    phase
+	since    time.Time // of the phase
+	hold     *bounded.Hold
+	received int       // bytes of the current request
+	readBy   time.Time // the deadline that http.Server has set, which counts while the connection is active
+	stopped  bool
+	enlarged bool // the receive buffer
+
+	closeOnce sync.Once
+	closeErr  error
+}
+
+func newConn(raw net.Conn, c *clients, now time.Time) *conn {
+	n := &conn{Conn: raw, clients: c, since: now}
+	n.turn.turns = c.turns
+	_ = raw.SetReadDeadline(now.Add(c.cfg.limits().IdleTimeout)) // an error shows at the next read
+	return n
+}
+
+// Read implements net.Conn.
+func (n *conn) Read(p []byte) (int, error) {
+	n.turn.end()
+	read, err := n.Conn.Read(p)
+	if read == 0 {
+		return 0, err
+	}
+	if accountErr := n.account(p[:read]); accountErr != nil {
+		// http.Server closes the connection without an answer of its own after this type of error.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: accountErr}
+	}
+	return read, err
+}
+
+// account records bytes that have arrived.
+func (n *conn) account(data []byte) error {
+	n.mu.Lock()
+	if n.phase == taken {
+		n.mu.Unlock()
+		return nil
+	}
+	if n.phase == idle {
+		n.beginHead(time.Now())
+	}
+	n.received += len(data)
+	hold, inHead, received := n.hold, n.phase == head, n.received
+	n.mu.Unlock()
+	hold.Received(int64(len(data)))
+	if inHead {
+		return n.accountHead(hold, data, received)
+	}
+	if received > longRequest {
+		n.enlarge(hold)
+		n.turn.begin()
+	}
+	return nil
+}
+
+// beginHead starts the time of a head at its first byte.
+func (n *conn) beginHead(now time.Time) {
+	n.phase, n.since, n.received = head, now, 0
+	n.hold = n.clients.hold(n)
+	if !n.stopped {
+		_ = n.Conn.SetReadDeadline(now.Add(n.clients.cfg.limits().HeaderTimeout))
+	}
+}
+
+func (n *conn) accountHead(hold *bounded.Hold, data []byte, received int) error {
+	if received > n.clients.cfg.limits().HeaderBytes+headSlack {
+		n.clients.countDrop(reasonTooLong)
+		n.refuse(http.StatusRequestHeaderFieldsTooLarge, 0)
+		return errHeadTooLong
+	}
+	lines := bytes.Count(data, []byte{'\n'})
+	if n.clients.cfg.TLS != nil {
+		lines = len(data)/shortestLine + 1
+	}
+	err := hold.Grow(context.Background(), int64(len(data))*memoryPerByte+int64(lines)*memoryPerLine)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, bounded.ErrNoMemory):
+		n.clients.countDrop(reasonMemory)
+		n.refuse(http.StatusServiceUnavailable, memoryWait)
+	}
+	return err
+}
+
+// enlarge gives a long request a larger receive buffer, if there is memory for it.
+func (n *conn) enlarge(hold *bounded.Hold) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.enlarged || n.clients.cfg.ReceiveBytes == 0 || n.clients.cfg.ReceiveBytes >= longReceiveBuffer || !hold.TryGrow(longReceiveBuffer) {
+		return
+	}
+	n.enlarged = true
+	n.setReceiveBuffer(longReceiveBuffer)
+}
+
+func (n *conn) setReceiveBuffer(size int) {
+	if tcp, ok := n.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(size) // the size before stays
+	}
+}
+
+// refuse answers a request whose head isn't complete, and so has not run. An encrypted connection is closed without an answer.
+func (n *conn) refuse(status int, retryAfter time.Duration) {
+	if n.clients.cfg.TLS != nil {
+		return
+	}
+	retry := ""
+	if retryAfter > 0 {
+		retry = fmt.Sprintf("Retry-After: %d\r\n", int(retryAfter.Seconds()))
+	}
+	_ = n.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
+	if _, err := fmt.Fprintf(n.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), retry); err != nil {
+		return
+	}
+	if n.CloseWrite() == nil {
+		time.Sleep(lingerTime)
+	}
+}
+
+// setState follows the states of http.Server.
+func (n *conn) setState(s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		n.mu.Lock()
+		n.phase, n.since = active, time.Now()
+		if !n.stopped {
+			_ = n.Conn.SetReadDeadline(n.readBy)
+		}
+		n.mu.Unlock()
+	case http.StateIdle:
+		n.turn.end()
+		n.endRequest(idle)
+	case http.StateHijacked:
+		n.endRequest(taken)
+	}
+}
+
+// endRequest frees what the request that has ended held.
+func (n *conn) endRequest(next phase) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.phase, n.since, n.received = next, now, 0
+	n.hold.Close()
+	n.hold = nil
+	if n.enlarged {
+		n.enlarged = false
+		n.setReceiveBuffer(n.clients.cfg.ReceiveBytes)
+	}
+	switch {
+	case n.stopped:
+	case next == idle:
+		_ = n.Conn.SetReadDeadline(now.Add(n.clients.cfg.limits().IdleTimeout))
+	default:
+		_ = n.Conn.SetReadDeadline(n.readBy)
+	}
+}
+
+// SetReadDeadline implements net.Conn. Before a head is complete, the limits of the listener count, which may follow the configuration
+// in force.
+func (n *conn) SetReadDeadline(t time.Time) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.readBy = t
+	if n.stopped || n.phase == idle || n.phase == head {
+		return nil
+	}
+	return n.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (n *conn) SetDeadline(t time.Time) error {
+	return errors.Join(n.SetReadDeadline(t), n.Conn.SetWriteDeadline(t))
+}
+
+// activity returns since when the connection is idle, or the memory of the request that arrives.
+func (n *conn) activity() (since time.Time, hold *bounded.Hold, isIdle bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.since, n.hold, n.phase == idle
+}
+
+// giveUp ends the reading of a request that arrives too slowly. The handler can still answer.
+func (n *conn) giveUp() {
+	n.clients.countDrop(reasonSlow)
+	n.stop()
+}
+
+func (n *conn) stop() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopped = true
+	_ = n.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only once the connection is closed
+}
+
+// drop closes the connection for another one.
+func (n *conn) drop() {
+	n.stop()
+	_ = n.Close() // the client sees the end of the connection
+}
+
+// Write implements net.Conn.
+func (n *conn) Write(p []byte) (int, error) {
+	n.turn.end()
+	return n.Conn.Write(p)
+}
+
+// CloseWrite closes the sending side. http.Server calls it before it closes a connection whose client may still be sending.
+func (n *conn) CloseWrite() error {
+	if tcp, ok := n.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// Close implements net.Conn.
+func (n *conn) Close() error {
+	n.closeOnce.Do(func() {
+		n.turn.end()
+		n.clients.remove(n)
+		n.closeErr = n.Conn.Close()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.hold.Close()
+	})
+	return n.closeErr
+}
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -6,20 +6,30 @@
 // clients. The limits in this package apply to all listeners. There is no common
 // limit for answers, because a generation may stream for minutes; a handler that
 // streams sets the deadline of each write itself.
+//
+// The limits of one request don't bound what a crowd of clients holds. Therefore all requests of a listener share a bounded memory,
+// its connections have a bound, and small receive buffers bound what the kernel holds for them. When one of these is used up, an
+// idle connection or the request that arrives most slowly is given up, and not a new one.
 package listen
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeebo/errs"
 
+	"wigeondale/bounded"
 	"wigeondale/clock"
+	"wigeondale/event"
 	"wigeondale/settings"
 )
 
@@ -32,19 +42,54 @@
 	idleTimeout   = 120 * time.Second // between two requests of a connection
 )
 
+// headSlack is how much longer than the limit a head may be, as in http.Server, which reads it through a buffer of this size.
+const headSlack = 4096
+
+// maxStreams is the number of concurrent requests on an HTTP/2 connection.
+const maxStreams = 100
+
 // Config configures one listener. If BodyBytes is 0, the listener sets no limit for bodies,
 // and the handler sets its own.
 type Config struct {
 	settings.Listener
+	Name         string // in metrics and log lines
 	HeaderBytes  int
 	BodyBytes    int64
 	WriteTimeout time.Duration // 0: the handler sets the deadline of each write
+	MaxConns     int           // open at once; 0: no bound
+	ReceiveBytes int           // receive buffer of a connection that sends no long request; 0: the system's default
+	// Requests bounds the memory of all requests while they arrive and are handled. It may be nil.
+	Requests *bounded.Pool
+	// ClientLimits, if set, returns what the configuration in force allows clients. Values above those of the listener count.
+	ClientLimits func() ClientLimits
+	Log          *event.Log   // may be nil
+	Metrics      *metrics.Set // may be nil
+}
+
+// ClientLimits are limits of what a client may send, and of its time for it. A zero field sets none.
+type ClientLimits struct {
+	HeaderBytes                int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// limits returns the limits in force.
+func (c Config) limits() ClientLimits {
+	out := ClientLimits{HeaderBytes: cmp.Or(c.HeaderBytes, http.DefaultMaxHeaderBytes), HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	if c.ClientLimits == nil {
+		return out
+	}
+	l := c.ClientLimits()
+	out.HeaderBytes = min(max(out.HeaderBytes, l.HeaderBytes), http.DefaultMaxHeaderBytes)
+	out.HeaderTimeout = max(out.HeaderTimeout, l.HeaderTimeout)
+	out.IdleTimeout = max(out.IdleTimeout, l.IdleTimeout)
+	return out
 }
 
 // Server serves HTTP on one bound address.
 type Server struct {
 	srv      *http.Server
 	ln       net.Listener
+	clients  *clients
 	draining atomic.Bool
 	open     atomic.Int64 // requests
 }
@@ -56,11 +101,12 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	ln, err := net.Listen("tcp", cfg.Address)
+	ln, err := listenTCP(cfg.Address, cfg.ReceiveBytes)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	s := &Server{ln: &onceClosed{Listener: ln}}
+	s := &Server{clients: newClients(cfg)}
+	s.ln = &onceClosed{Listener: acceptor{ln, s.clients}}
 	s.srv = &http.Server{
 		Handler:           s.wrap(handler, cfg.BodyBytes),
 		TLSConfig:         tlsConfig,
@@ -69,10 +115,35 @@
 		WriteTimeout:      cfg.WriteTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    cfg.HeaderBytes,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ConnContext:       connContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if n := connOf(c); n != nil {
+				n.setState(state)
+			}
+		},
+	}
+	if cfg.ClientLimits != nil {
+		s.srv.MaxHeaderBytes = http.DefaultMaxHeaderBytes // conn applies the limit in force
 	}
 	return s, nil
 }
 
+// listenTCP binds an address. Accepted connections inherit the receive buffer, which has to be known before their first window is
+// advertised.
+func listenTCP(addr string, receiveBytes int) (net.Listener, error) {
+	var lc net.ListenConfig
+	if receiveBytes > 0 {
+		lc.Control = func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			return errors.Join(raw.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+			}), err)
+		}
+	}
+	return lc.Listen(context.Background(), "tcp", addr)
+}
+
 // onceClosed is a listener that Shutdown closes before http.Server does.
 type onceClosed struct {
 	net.Listener
@@ -148,9 +219,22 @@
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		end, ok := s.begin(r)
+		if !ok {
+			refuse(w)
+			return
+		}
+		defer end()
 		if bodyBytes > 0 {
 			r.Body = http.MaxBytesReader(w, r.Body, bodyBytes)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+// refuse answers a request that has not run for want of memory.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", strconv.Itoa(int(memoryWait.Seconds())))
+	w.Header().Set("Connection", "close")
+	http.Error(w, http.StatusText(http.StatusServiceUnavailable), http.StatusServiceUnavailable)
+}
--- a/route/route.go
+++ b/route/route.go
@@ -130,7 +130,9 @@
 
 // Limits bounds what a client may send.
 type Limits struct {
-	BodyBytes int64
+	BodyBytes                  int64
+	HeaderBytes                int
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Config is the content of one version of the configuration.
--- /dev/null
+++ b/settings/capacity.go
@@ -0,0 +1,56 @@
+package settings
+
+import (
+	"cmp"
+	"syscall"
+)
+
+const (
+	assumedMemoryMB    = 512  // counts if the memory isn't known
+	assumedDescriptors = 1024 // counts if the operating system states no limit
+	// connBytes is the memory of an open connection besides its request: its goroutine and the buffers of http.Server.
+	connBytes = 16 << 10
+	// minDescriptors is the least number of descriptors that can be set: fewer leave no connections for backend servers.
+	minDescriptors = 128
+	// minConns is the least number of connections of a listener.
+	minConns = 16
+	// minReceiveBytes and maxReceiveBytes bound the receive buffer of a connection.
+	minReceiveBytes = 4 << 10
+	maxReceiveBytes = 128 << 10
+)
+
+// AnswersBytes returns the memory for answers while they are read and passed on.
+func (l Limits) AnswersBytes() int64 { return l.memory() / 8 }
+
+// RequestsBytes returns the memory for requests while they arrive and are handled.
+func (l Limits) RequestsBytes() int64 { return l.memory() / 8 }
+
+// ClientConns returns how many connections clients may have open at once. Each may need a connection to a backend server, so that
+// clients get less than half of the descriptors.
+func (l Limits) ClientConns() int {
+	return max(min(l.descriptors()/8*3, int(l.memory()/4/connBytes)), minConns)
+}
+
+// PeerConns returns how many connections other routers may have open at once.
+func (l Limits) PeerConns() int { return max(l.descriptors()/8, minConns) }
+
+// OperatorConns returns how many connections may be open at once to a listener for operators, metrics or readiness checks.
+func (l Limits) OperatorConns() int { return max(l.descriptors()/32, minConns) }
+
+// ReceiveBytes returns the receive buffer of a connection of a client, in bytes.
+func (l Limits) ReceiveBytes() int {
+	return min(max(int(l.memory()/8)/l.ClientConns(), minReceiveBytes), maxReceiveBytes)
+}
+
+func (l Limits) memory() int64 { return int64(cmp.Or(l.MemoryMB, assumedMemoryMB)) << 20 }
+
+func (l Limits) descriptors() int {
+	if l.Descriptors > 0 {
+		return l.Descriptors
+	}
+	var r syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r); err != nil {
+		return assumedDescriptors
+	}
+	return int(min(r.Cur, 1<<20))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,8 +5,6 @@
 // and the expected value, and all of them are reported at once.
 package settings
 
-import "cmp"
-
 // Settings holds all settings of one daemon. Names of durations end with their unit.
 type Settings struct {
 	Node      Node       `json:"node"`
@@ -164,8 +162,10 @@
 	HeaderBytes int   `json:"header_bytes"`
 	BodyBytes   int64 `json:"body_bytes"`
 	// MemoryMB is the memory that the process may use; 0 means that it isn't known. An eighth of it is for answers
-	// while they are read and passed on, and a sixteenth for the bodies of requests.
-	MemoryMB        int `json:"memory_mb"`
+	// while they are read and passed on, an eighth for requests, and an eighth for the receive buffers of clients.
+	MemoryMB int `json:"memory_mb"`
+	// Descriptors is the number of files and connections that the process may have open; 0 means the limit of the operating system.
+	Descriptors     int `json:"descriptors"`
 	MaxOpenRequests int `json:"max_open_requests"`
 	Queue           int `json:"queue"` // requests
 	// RequestsPerEngine is the number of requests that one engine gets at once from all
@@ -176,17 +176,6 @@
 	ReservePercent int `json:"reserve_percent"`
 }
 
-// assumedMemoryMB counts if the memory isn't known.
-const assumedMemoryMB = 512
-
-// AnswersBytes returns the memory for answers while they are read and passed on.
-func (l Limits) AnswersBytes() int64 { return l.memory() / 8 }
-
-// BodiesBytes returns the memory for the bodies of requests.
-func (l Limits) BodiesBytes() int64 { return l.memory() / 16 }
-
-func (l Limits) memory() int64 { return int64(cmp.Or(l.MemoryMB, assumedMemoryMB)) << 20 }
-
 // Claims configures the claims of keys, by which a request that must not be repeated runs
 // at most once.
 type Claims struct {
