--- a/bounded/pool.go
+++ b/bounded/pool.go
@@ -1,6 +1,7 @@
 package bounded
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -105,27 +106,37 @@
 
 func (g *growth) isSmall() bool { return g.hold.bytes+g.bytes <= smallMessage }
 
-// reclaim gives up incomplete messages that arrive more slowly than h does, the slowest first, until n bytes will be free for h.
+// reclaim gives up incomplete messages that arrive more slowly than h does, the slowest first, until n bytes will be free for h. It
+// gives none up if that is not enough.
 func (p *Pool) reclaim(h *Hold, n int64) {
-	if len(p.incomplete) == 0 {
+	missing := p.shared() - p.releasing + n - p.limitOf(h, n)
+	if missing <= 0 || len(p.incomplete) == 0 {
 		return
 	}
+	type candidate struct {
+		hold     *Hold
+		progress float64
+	}
 	now := time.Now()
-	progress := h.arrival.progress(now)
-	for p.used-p.releasing+n > p.limitOf(h, n) {
-		slowest, least := (*Hold)(nil), progress
-		for c := range p.incomplete {
-			if c == h || c.waits || c.bytes == 0 {
-				continue
-			}
-			if v := c.arrival.progress(now); v < least {
-				slowest, least = c, v
-			}
+	most := h.arrival.progress(now)
+	var slower []candidate
+	for c := range p.incomplete {
+		if c == h || c.waits || c.bytes == 0 {
+			continue
+		}
+		if v := c.arrival.progress(now); v < most {
+			slower = append(slower, candidate{c, v})
 		}
-		if slowest == nil {
-			return
+	}
+	slices.SortFunc(slower, func(a, b candidate) int { return cmp.Compare(a.progress, b.progress) })
+	for i, c := range slower {
+		if missing -= c.hold.bytes; missing > 0 {
+			continue
 		}
-		p.drop(slowest)
+		for _, c := range slower[:i+1] {
+			p.drop(c.hold)
+		}
+		return
 	}
 }
 
@@ -134,6 +145,9 @@
 	delete(p.incomplete, h)
 	h.dropped = true
 	p.releasing += h.bytes
+	if p.oldest == h {
+		p.oldest = nil
+	}
 	if p.givenUp != nil {
 		p.givenUp.Inc()
 	}
@@ -155,7 +169,15 @@
 
 // fits reports whether n more bytes of a hold are free.
 func (p *Pool) fits(h *Hold, n int64) bool {
-	return h == p.oldest || p.used+n <= p.limitOf(h, n) && (h.sender == "" || p.bySender[h.sender]+n <= p.perSender)
+	return h == p.oldest || p.shared()+n <= p.limitOf(h, n) && (h.sender == "" || p.bySender[h.sender]+n <= p.perSender)
+}
+
+// shared returns the bytes in use without those of the message that may use the reserve.
+func (p *Pool) shared() int64 {
+	if p.oldest == nil {
+		return p.used
+	}
+	return p.used - p.oldest.bytes
 }
 
 // limitOf returns how much of the pool may be in use after n more bytes of a hold.
