--- a/listen/conn.go
+++ b/listen/conn.go
@@ -192,6 +192,9 @@
 		n.endRequest(idle)
 	case http.StateHijacked:
 		n.endRequest(taken)
+		if n.clients.cfg.ReceiveBytes > 0 {
+			n.setReceiveBuffer(longReceiveBuffer)
+		}
 	}
 }
 
