bounded, listen: an answer that its client doesn't read makes room for others

Cause: an answer keeps its memory until the write deadline if its client doesn't read; meanwhile other answers wait. Change: while one waits, the connection whose client has taken no bytes for longest is closed, if that is more than a second.

--- a/bounded/hold.go
+++ b/bounded/hold.go
@@ -66,12 +66,7 @@
 		ctx, stop = context.WithTimeout(ctx, h.input.MaxWait)
 		defer stop()
 	}
-	select {
-	case err := <-g.done:
-		return err
-	case <-ctx.Done():
-		return p.withdraw(g, ctx)
-	}
+	return p.await(ctx, g)
 }
 
 // TryGrow adds n bytes if they are free.
--- a/bounded/pool.go
+++ b/bounded/pool.go
@@ -43,6 +43,7 @@
 	waiting    []*growth          // of the oldest holds first
 	incomplete map[*Hold]struct{} // messages that may be given up
 	givenUp    *metrics.Counter
+	onShortage func()
 }
 
 // growth is a Hold that waits for memory.
@@ -64,6 +65,35 @@
 	return p
 }
 
+// OnShortage registers a function that is called, again and again, while a message waits for memory. It must be called before the pool
+// is used.
+func (p *Pool) OnShortage(f func()) {
+	if p != nil {
+		p.onShortage = f
+	}
+}
+
+// shortageInterval is the time between two calls of the function of OnShortage.
+const shortageInterval = 200 * time.Millisecond
+
+// await waits until a growth has ended or ctx has.
+func (p *Pool) await(ctx context.Context, g *growth) error {
+	tick := time.NewTicker(shortageInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case err := <-g.done:
+			return err
+		case <-ctx.Done():
+			return p.withdraw(g, ctx)
+		case <-tick.C:
+			if p.onShortage != nil {
+				p.onShortage()
+			}
+		}
+	}
+}
+
 // Usage returns the bytes in use and the number of messages that wait.
 func (p *Pool) Usage() (bytes int64, waiting int) {
 	p.mu.Lock()
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -10,19 +10,25 @@
 	"wigeondale/settings"
 )
 
+const callerListener = "caller"
+
 // adminWrite is the time limit for writing one response on the admin and peer listeners.
 const adminWrite = time.Minute
 
 func (n *node) buildListeners(set *settings.Settings) error {
 	requests := bounded.NewPool(set.Limits.RequestsBytes(), "requests", n.set)
 	open := func(name string, l settings.Listener, conns int, h http.Handler, write time.Duration) (*listen.Server, error) {
-		return listen.New(listen.Config{
+		cfg := listen.Config{
 			Listener: l, Name: name, HeaderBytes: set.Limits.HeaderBytes, WriteTimeout: write,
 			MaxConns: conns, ReceiveBytes: set.Limits.ReceiveBytes(), Requests: requests, Log: n.log, Metrics: n.set,
-		}, h)
+		}
+		if name == callerListener {
+			cfg.Answers = n.answers
+		}
+		return listen.New(cfg, h)
 	}
 	var errCaller, errAdmin, errPeer error
-	n.caller, errCaller = open("caller", set.Listen.Caller, set.Limits.ClientConns(), n.callers, 0)
+	n.caller, errCaller = open(callerListener, set.Listen.Caller, set.Limits.ClientConns(), n.callers, 0)
 	n.admin, errAdmin = open("admin", set.Listen.Admin, set.Limits.OperatorConns(), n.adminHandler(set), adminWrite)
 	n.peers, errPeer = open("peer", set.Listen.Peer, set.Limits.PeerConns(), n.mesh, adminWrite)
 	return errors.Join(errCaller, errAdmin, errPeer)
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -238,7 +238,7 @@
 		cfg := n.peers.listener
 		cfg.Name, cfg.Address, cfg.MaxConns = name, addr, conns
 		if name == frontListener {
-			cfg.ClientLimits = n.clientLimits
+			cfg.ClientLimits, cfg.Answers = n.clientLimits, n.answers
 		}
 		return listen.New(cfg, h)
 	}
--- a/listen/clients.go
+++ b/listen/clients.go
@@ -16,6 +16,7 @@
 	reasonFull    = "full"            // a new connection, since all others have complete requests
 	reasonMemory  = "no-memory"       // a request whose head finds no memory
 	reasonTooLong = "header-too-long" // a head over the limit
+	reasonUnread  = "unread"          // an answer that its client doesn't read, for another answer
 )
 
 // logInterval is the shortest time between two log lines about closed connections.
@@ -34,6 +35,7 @@
 
 func newClients(cfg Config) *clients {
 	c := &clients{cfg: cfg, turns: newTurns(), conns: map[*conn]struct{}{}, dropped: map[string]int{}}
+	cfg.Answers.OnShortage(c.dropUnread)
 	if cfg.Metrics != nil {
 		cfg.Metrics.NewGauge(`wigeon_connections{listener="`+cfg.Name+`"}`, func() float64 { return float64(c.count()) })
 	}
@@ -94,6 +96,26 @@
 	return slowest, reasonSlow
 }
 
+// dropUnread closes the connection that has taken no bytes of its answer for longest, if that is longer than unreadTime.
+func (c *clients) dropUnread() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var longest *conn
+	since := now.Add(-unreadTime).UnixNano()
+	for n := range c.conns {
+		if at := n.writingSince.Load(); at != 0 && at < since {
+			longest, since = n, at
+		}
+	}
+	if longest == nil {
+		return
+	}
+	delete(c.conns, longest)
+	c.countLocked(reasonUnread, now)
+	go longest.drop()
+}
+
 func (c *clients) remove(n *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,7 +140,7 @@
 	c.loggedAt = now
 	c.cfg.Log.Emit(event.ClientsDropped, "listener", c.cfg.Name, "open", len(c.conns),
 		"idle", c.dropped[reasonIdle], "slow", c.dropped[reasonSlow], "full", c.dropped[reasonFull],
-		"no_memory", c.dropped[reasonMemory], "header_too_long", c.dropped[reasonTooLong])
+		"no_memory", c.dropped[reasonMemory], "header_too_long", c.dropped[reasonTooLong], "unread", c.dropped[reasonUnread])
 	clear(c.dropped)
 }
 
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wigeondale/bounded"
@@ -22,6 +23,10 @@
 	longRequest = 16 << 10
 	// longReceiveBuffer is the receive buffer of a long request, in bytes.
 	longReceiveBuffer = 64 << 10
+	// writePiece is the most that is written at a time, so that slow progress differs from none.
+	writePiece = 64 << 10
+	// unreadTime is how long a client may take no bytes of its answer while other answers wait for memory.
+	unreadTime = time.Second
 )
 
 // The memory of a parsed head is that of its bytes, once as text and once in the copy that is passed on, and of the header's map, slices
@@ -63,6 +68,8 @@
 	stopped  bool
 	enlarged bool // the receive buffer
 
+	writingSince atomic.Int64 // Unix time of the piece that is being written, in ns; 0: none
+
 	closeOnce sync.Once
 	closeErr  error
 }
@@ -265,7 +272,14 @@
 // Write implements net.Conn.
 func (n *conn) Write(p []byte) (int, error) {
 	n.turn.end()
-	return n.Conn.Write(p)
+	for written := 0; ; {
+		n.writingSince.Store(time.Now().UnixNano())
+		k, err := n.Conn.Write(p[written:min(len(p), written+writePiece)])
+		n.writingSince.Store(0)
+		if written += k; err != nil || written >= len(p) {
+			return written, err
+		}
+	}
 }
 
 // CloseWrite closes the sending side. http.Server calls it before it closes a connection whose client may still be sending.
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -60,6 +60,9 @@
 	ReceiveBytes int           // receive buffer of a connection that sends no long request; 0: the system's default
 	// Requests bounds the memory of all requests while they arrive and are handled. It may be nil.
 	Requests *bounded.Pool
+	// Answers is the memory of the answers that this listener's clients read. While answers wait for it, a connection whose client doesn't
+	// read is closed. It may be nil.
+	Answers *bounded.Pool
 	// ClientLimits, if set, returns what the configuration in force allows clients. Values above those of the listener count.
 	ClientLimits func() ClientLimits
 	Log          *event.Log   // may be nil
