--- a/bounded/incomplete_test.go
+++ b/bounded/incomplete_test.go
@@ -59,6 +59,7 @@
 		slow, still, complete := input(p, &lost), input(p, &stalled), input(p, &lost)
 		arrive(t, complete, 200<<10)
 		complete.Complete()
+		time.Sleep(time.Second)
 		arrive(t, still, 300<<10)
 		for range 60 {
 			arrive(t, slow, 100)
@@ -85,11 +86,15 @@
 			arrive(t, h, 250<<10)
 			h.Complete()
 		}
-		for range 2 {
-			go input(p, &lost).Grow(context.Background(), 500<<10)
+		for range 40 {
+			h := input(p, &lost)
+			h.Complete()
+			go h.Grow(context.Background(), smallMessage+1)
 		}
 		synctest.Wait()
-		arrive(t, input(p, &lost), 2<<10)
+		for range 100 {
+			arrive(t, input(p, &lost), 2<<10)
+		}
 		if _, waiting := p.Usage(); waiting == 0 {
 			t.Error("no large message waits")
 		}
