--- a/listen/crowd_test.go
+++ b/listen/crowd_test.go
@@ -127,7 +127,7 @@
 		c := write(t, addr, lines)
 		go io.Copy(io.Discard, c)
 	}
-	awaitUsage(t, pool, memory/4)
+	awaitUsage(t, pool, memory/2)
 	for range 3 {
 		write(t, addr, smallRequest).readAnswer(t)
 	}
