--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -115,6 +115,9 @@
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{log})
 	out.OnDropped = func(n int) { log.Emit(event.LinesDropped, "lines", n) }
+	if m := set.Limits.MemoryMB; m > 0 {
+		debug.SetMemoryLimit(int64(m) << 20 / 4 * 3) // the collector works harder before the process is killed
+	}
 	run := runNative
 	if set.Hosted != nil {
 		run = runHosted
@@ -138,9 +141,6 @@
 // runHosted serves on the users' platform.
 func runHosted(set *settings.Settings, signalled <-chan os.Signal, log *event.Log) error {
 	debug.SetGCPercent(set.Hosted.GCPercent)
-	if m := set.Limits.MemoryMB; m > 0 {
-		debug.SetMemoryLimit(int64(m) << 20 / 4 * 3) // the collector works harder before the process is killed
-	}
 	return hosted.Run(set, signalled, log)
 }
 
