listen: TLS ends below the accounting of requests

Cause: with TLS the accounting saw the length of encrypted bytes only. It took each head for one of shortest lines, and kept that charge until the request ended; the handshake counted as a part of the head, in its memory and in its length. An open request held 51 times its head, a client with a long certificate chain could send no head of the largest size, and a head over the limit ended without an answer. An ordinary head over TLS was no small message, and so waited behind large ones.

Change: the connection decrypts before it counts lines and bytes, with the HTTP/2 preface recognized by http.Server on the decrypted connection. A handshake counts apart, with the time limit of a head, and is given up for new connections as before. A client of plain HTTP gets the same 400 as before.

--- a/listen/clients.go
+++ b/listen/clients.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 // clients holds the open connections of one listener, and bounds their number.
 type clients struct {
 	cfg   Config
+	tls   *tls.Config // nil without TLS
 	turns turns
 
 	mu       sync.Mutex
@@ -33,8 +35,8 @@
 	loggedAt time.Time
 }
 
-func newClients(cfg Config) *clients {
-	c := &clients{cfg: cfg, turns: newTurns(), conns: map[*conn]struct{}{}, dropped: map[string]int{}}
+func newClients(cfg Config, tlsConfig *tls.Config) *clients {
+	c := &clients{cfg: cfg, tls: tlsConfig, turns: newTurns(), conns: map[*conn]struct{}{}, dropped: map[string]int{}}
 	cfg.Answers.OnShortage(c.dropUnread)
 	if cfg.Metrics != nil {
 		cfg.Metrics.NewGauge(`wigeon_connections{listener="`+cfg.Name+`"}`, func() float64 { return float64(c.count()) })
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -34,8 +35,6 @@
 const (
 	memoryPerByte = 2
 	memoryPerLine = 256
-	// shortestLine is the length of the shortest header line. Of an encrypted head only the length is known.
-	shortestLine = 5
 )
 
 var (
@@ -47,17 +46,20 @@
 type phase int
 
 const (
-	idle   phase = iota // the first byte of a request
-	head                // the rest of its head
-	active              // the body, or the end of the handler
-	taken               // nothing: another protocol uses the connection
+	idle      phase = iota // the first byte of a request
+	handshake              // the end of the TLS handshake
+	head                   // the rest of its head
+	active                 // the body, or the end of the handler
+	taken                  // nothing: another protocol uses the connection
 )
 
 // conn accounts for the requests of one connection while they arrive.
 type conn struct {
-	net.Conn
-	clients *clients
-	turn    turn
+	net.Conn           // decrypted
+	raw      net.Conn  // as accepted
+	tls      *tls.Conn // nil without TLS
+	clients  *clients
+	turn     turn
 
 	mu       sync.Mutex
 	phase    phase
@@ -67,6 +69,7 @@
 	readBy   time.Time // the deadline that http.Server has set, which counts while the connection is active
 	stopped  bool
 	enlarged bool // the receive buffer
+	shaken   bool // the TLS handshake is complete; of the goroutine that reads
 
 	writingSince atomic.Int64 // Unix time of the piece that is being written, in ns; 0: none
 
@@ -75,7 +78,11 @@
 }
 
 func newConn(raw net.Conn, c *clients, now time.Time) *conn {
-	n := &conn{Conn: raw, clients: c, since: now}
+	n := &conn{Conn: raw, raw: raw, clients: c, since: now}
+	if c.tls != nil {
+		n.tls = tls.Server(encrypted{raw, n}, c.tls)
+		n.Conn, n.phase = n.tls, handshake
+	}
 	n.turn.turns = c.turns
 	_ = raw.SetReadDeadline(now.Add(c.cfg.limits().IdleTimeout)) // an error shows at the next read
 	return n
@@ -84,6 +91,9 @@
 // Read implements net.Conn.
 func (n *conn) Read(p []byte) (int, error) {
 	n.turn.end()
+	if err := n.shake(); err != nil {
+		return 0, err
+	}
 	read, err := n.Conn.Read(p)
 	if read == 0 {
 		return 0, err
@@ -135,9 +145,6 @@
 		return errHeadTooLong
 	}
 	lines := bytes.Count(data, []byte{'\n'})
-	if n.clients.cfg.TLS != nil {
-		lines = len(data)/shortestLine + 1
-	}
 	err := hold.Grow(context.Background(), int64(len(data))*memoryPerByte+int64(lines)*memoryPerLine)
 	switch {
 	case err == nil:
@@ -161,16 +168,13 @@
 }
 
 func (n *conn) setReceiveBuffer(size int) {
-	if tcp, ok := n.Conn.(*net.TCPConn); ok {
+	if tcp, ok := n.raw.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(size) // the size before stays
 	}
 }
 
-// refuse answers a request whose head isn't complete, and so has not run. An encrypted connection is closed without an answer.
+// refuse answers a request whose head isn't complete, and so has not run.
 func (n *conn) refuse(status int, retryAfter time.Duration) {
-	if n.clients.cfg.TLS != nil {
-		return
-	}
 	retry := ""
 	if retryAfter > 0 {
 		retry = fmt.Sprintf("Retry-After: %d\r\n", int(retryAfter.Seconds()))
@@ -232,7 +236,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.readBy = t
-	if n.stopped || n.phase == idle || n.phase == head {
+	if n.stopped || n.phase < active {
 		return nil
 	}
 	return n.Conn.SetReadDeadline(t)
@@ -247,7 +251,7 @@
 func (n *conn) activity() (since time.Time, hold *bounded.Hold, isIdle bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.since, n.hold, n.phase == idle
+	return n.since, n.hold, n.phase == idle || n.phase == handshake && n.received == 0
 }
 
 // giveUp ends the reading of a request that arrives too slowly. The handler can still answer.
@@ -266,7 +270,8 @@
 // drop closes the connection for another one.
 func (n *conn) drop() {
 	n.stop()
-	_ = n.Close() // the client sees the end of the connection
+	_ = n.raw.Close() // the client sees the end of the connection
+	_ = n.Close()
 }
 
 // Write implements net.Conn.
@@ -294,8 +299,8 @@
 func (n *conn) Close() error {
 	n.closeOnce.Do(func() {
 		n.turn.end()
-		n.clients.remove(n)
 		n.closeErr = n.Conn.Close()
+		n.clients.remove(n)
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.hold.Close()
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -108,11 +108,17 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	s := &Server{clients: newClients(cfg)}
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	if tlsConfig != nil {
+		tlsConfig.NextProtos = []string{"h2", "http/1.1"}
+		protocols.SetUnencryptedHTTP2(true) // conn decrypts
+	}
+	s := &Server{clients: newClients(cfg, tlsConfig)}
 	s.ln = &onceClosed{Listener: acceptor{ln, s.clients}}
 	s.srv = &http.Server{
 		Handler:           s.wrap(handler, cfg.BodyBytes),
-		TLSConfig:         tlsConfig,
+		Protocols:         &protocols,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
 		WriteTimeout:      cfg.WriteTimeout,
@@ -121,7 +127,7 @@
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ConnContext:       connContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
-			if n := connOf(c); n != nil {
+			if n, ok := c.(*conn); ok {
 				n.setState(state)
 			}
 		},
@@ -165,20 +171,13 @@
 
 // Serve serves until Shutdown is called, and then returns nil.
 func (s *Server) Serve() error {
-	err := s.serve()
+	err := s.srv.Serve(s.ln)
 	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return Error.Wrap(err)
 }
 
-func (s *Server) serve() error {
-	if s.srv.TLSConfig != nil {
-		return s.srv.ServeTLS(s.ln, "", "")
-	}
-	return s.srv.Serve(s.ln)
-}
-
 // Drain makes clients send their next request on a new connection, and so through the load
 // balancer to another node. Open requests continue.
 //
--- a/listen/request.go
+++ b/listen/request.go
@@ -14,21 +14,12 @@
 
 // connContext makes the connection known to the handlers of its requests.
 func connContext(ctx context.Context, c net.Conn) context.Context {
-	if n := connOf(c); n != nil {
+	if n, ok := c.(*conn); ok {
 		return context.WithValue(ctx, connKey{}, n)
 	}
 	return ctx
 }
 
-// connOf returns the conn below a connection of http.Server, or nil.
-func connOf(c net.Conn) *conn {
-	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = t.NetConn()
-	}
-	n, _ := c.(*conn)
-	return n
-}
-
 // Hold returns the memory of the request that a listener of this package passed to a handler. The listener closes it when the request
 // has ended. It is nil for other requests.
 func Hold(r *http.Request) *bounded.Hold {
