listen: an HTTP/2 connection counts by its streams

Cause: the accounting took an HTTP/2 connection for one request. Its first bytes made it a head, which never became complete: an open answer made no progress, so that its connection was closed as slow for a new one or for memory, with all of its answers, and a frame that arrived while no request was open (PING, WINDOW_UPDATE) set the 10 s of a head. A frame could have 1 MB, which http.Server buffers whole, and a connection could leave 1 MB of bodies unread. Giving a stream up closed its body beside a blocked read, a data race in http.Server.

Change: each stream has its own memory until its answer has been sent, and is given up alone, by its read deadline. A connection with streams has the progress of the fastest and is never closed for memory; the HTTP/2 server sets its deadlines. An unfinished header block counts, by following the frames. Frames have 16 KB, unread bodies of a connection 64 KB, the least that HTTP/2 allows; what a handler leaves buffered at its end is written within 10 s.

--- a/listen/clients.go
+++ b/listen/clients.go
@@ -78,18 +78,15 @@
 	var since time.Time
 	least := 1.0
 	for n := range c.conns {
-		at, hold, isIdle := n.activity()
+		at, progress, isIdle := n.activity(now)
 		if isIdle {
 			if idlest == nil || at.Before(since) {
 				idlest, since = n, at
 			}
 			continue
 		}
-		if hold == nil || idlest != nil {
-			continue
-		}
-		if v := hold.Progress(now); v < least {
-			slowest, least = n, v
+		if progress < least {
+			slowest, least = n, progress
 		}
 	}
 	if idlest != nil {
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -6,8 +6,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,10 +39,7 @@
 	memoryPerLine = 256
 )
 
-var (
-	errHeadTooLong = errors.New("header too long")
-	errStopped     = errors.New("connection given up")
-)
+var errHeadTooLong = errors.New("header too long")
 
 // phase is what a connection waits for.
 type phase int
@@ -65,8 +64,9 @@
 	phase    phase
 	since    time.Time // of the phase
 	hold     *bounded.Hold
-	received int       // bytes of the current request
-	readBy   time.Time // the deadline that http.Server has set, which counts while the connection is active
+	multi    *multiplexed // nil unless the connection carries several requests
+	received int          // bytes of the current request
+	readBy   time.Time    // the deadline that http.Server has set, which counts while the connection is active
 	stopped  bool
 	enlarged bool // the receive buffer
 	shaken   bool // the TLS handshake is complete; of the goroutine that reads
@@ -112,6 +112,10 @@
 		n.mu.Unlock()
 		return nil
 	}
+	if n.multi != nil {
+		n.mu.Unlock()
+		return n.accountFrames(data)
+	}
 	if n.phase == idle {
 		n.beginHead(time.Now())
 	}
@@ -215,6 +219,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.phase, n.since, n.received = next, now, 0
+	if n.multi != nil {
+		return
+	}
 	n.hold.Close()
 	n.hold = nil
 	if n.enlarged {
@@ -236,7 +243,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.readBy = t
-	if n.stopped || n.phase < active {
+	if n.stopped || n.phase < active && n.multi == nil {
 		return nil
 	}
 	return n.Conn.SetReadDeadline(t)
@@ -247,15 +254,31 @@
 	return errors.Join(n.SetReadDeadline(t), n.Conn.SetWriteDeadline(t))
 }
 
-// activity returns since when the connection is idle, or the memory of the request that arrives.
-func (n *conn) activity() (since time.Time, hold *bounded.Hold, isIdle bool) {
+// activity returns since when the connection is idle, or the progress of what arrives. A connection with several requests has the progress
+// of the fastest, since all of them end with it.
+func (n *conn) activity(now time.Time) (since time.Time, progress float64, isIdle bool) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.since, n.hold, n.phase == idle || n.phase == handshake && n.received == 0
+	since, hold := n.since, n.hold
+	isIdle = n.phase == idle && hold == nil || n.phase == handshake && n.received == 0
+	var streams []*stream
+	if n.multi != nil {
+		streams = slices.Collect(maps.Keys(n.multi.streams))
+	}
+	n.mu.Unlock()
+	if len(streams) == 0 {
+		return since, hold.Progress(now), isIdle
+	}
+	for _, s := range streams {
+		progress = max(progress, s.progress(now))
+	}
+	return since, progress, false
 }
 
 // giveUp ends the reading of a request that arrives too slowly. The handler can still answer.
 func (n *conn) giveUp() {
+	if n.hasStreams() {
+		return // the header block has ended meanwhile
+	}
 	n.clients.countDrop(reasonSlow)
 	n.stop()
 }
--- a/listen/encrypted.go
+++ b/listen/encrypted.go
@@ -60,6 +60,9 @@
 	n.shaken = true
 	_ = n.Conn.SetWriteDeadline(time.Time{}) // an error shows at the next write
 	n.endRequest(idle)
+	if n.tls.ConnectionState().NegotiatedProtocol == "h2" {
+		n.multiplex()
+	}
 	return nil
 }
 
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -124,8 +124,11 @@
 		WriteTimeout:      cfg.WriteTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    cfg.HeaderBytes,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
-		ConnContext:       connContext,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrameBytes,
+			MaxReceiveBufferPerConnection: windowBytes, MaxReceiveBufferPerStream: windowBytes,
+		},
+		ConnContext: connContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if n, ok := c.(*conn); ok {
 				n.setState(state)
@@ -221,7 +224,7 @@
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		end, ok := s.begin(r)
+		end, ok := s.begin(w, r)
 		if !ok {
 			refuse(w)
 			return
--- /dev/null
+++ b/listen/multiplexed.go
@@ -0,0 +1,142 @@
+package listen
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"wigeondale/bounded"
+)
+
+const (
+	// streamBytes is the memory of an open HTTP/2 stream besides its header: its goroutine and the buffers of http.Server.
+	streamBytes = 12 << 10
+	// memoryPerBlockByte is the memory of a byte of an unfinished header block: a header field may take a single byte of it.
+	memoryPerBlockByte = 80
+	// maxFrameBytes is the largest frame that a client may send, which HTTP/2 requires at least. http.Server keeps a buffer of this size.
+	maxFrameBytes = 16 << 10
+	// windowBytes is how much of the bodies of a connection http.Server buffers until handlers read it, the least that HTTP/2 allows.
+	windowBytes = 64<<10 - 1
+	// lastWriteTime bounds the write of what a handler leaves buffered at its end.
+	lastWriteTime = 10 * time.Second
+)
+
+// multiplexed is the state of a connection that carries several requests at once, by HTTP/2.
+type multiplexed struct {
+	frames  frames
+	block   int64 // memory of the unfinished header block
+	streams map[*stream]struct{}
+}
+
+// stream is one request of a multiplexed connection. It exists until the whole answer has been sent.
+type stream struct {
+	hold *bounded.Hold
+
+	mu      sync.Mutex
+	answer  *http.ResponseController // nil when the handler has ended
+	endedAt time.Time                // of the handler
+}
+
+// multiplex states that HTTP/2 is spoken on the connection. Its server sets the deadlines.
+func (n *conn) multiplex() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.multi != nil {
+		return
+	}
+	n.multi = &multiplexed{streams: map[*stream]struct{}{}, frames: frames{left: len(http2Preface)}}
+	if !n.stopped {
+		_ = n.Conn.SetReadDeadline(n.readBy) // an error shows at the next read
+	}
+}
+
+// accountFrames accounts for the memory of an unfinished header block. It waits for it as long as requests are open, whose answers must
+// not be cut.
+func (n *conn) accountFrames(data []byte) error {
+	n.mu.Lock()
+	m := n.multi
+	m.frames.add(data)
+	if m.frames.block == 0 {
+		n.hold.Close()
+		n.hold, m.block = nil, 0
+		n.mu.Unlock()
+		return nil
+	}
+	if n.hold == nil {
+		n.hold = n.clients.hold(n)
+	}
+	hold, hasStreams := n.hold, len(m.streams) > 0
+	missing := int64(m.frames.block)*memoryPerBlockByte - m.block
+	m.block += missing
+	n.mu.Unlock()
+	hold.Received(int64(len(data)))
+	if hasStreams {
+		hold.Complete()
+	}
+	for {
+		err := hold.Grow(context.Background(), missing)
+		if err == nil || !hasStreams || !errors.Is(err, bounded.ErrNoMemory) {
+			return err
+		}
+	}
+}
+
+// beginStream accounts for a request. It returns nil if there is no memory for it.
+func (n *conn) beginStream(w http.ResponseWriter, r *http.Request) *stream {
+	n.multiplex()
+	s := &stream{answer: http.NewResponseController(w)}
+	s.hold = n.clients.cfg.Requests.HoldInput(bounded.Input{MaxWait: memoryWait, GiveUp: s.giveUp})
+	if err := s.hold.Grow(r.Context(), streamBytes+headMemory(r.Header)); err != nil {
+		s.hold.Close()
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.multi.streams[s] = struct{}{}
+	return s
+}
+
+// giveUp ends the reading of the body. The handler can still answer.
+func (s *stream) giveUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answer != nil {
+		_ = s.answer.SetReadDeadline(time.Unix(1, 0)) // HTTP/2 always supports it
+	}
+}
+
+// endStream frees the memory of a request whose handler has ended, once its answer has been sent.
+func (n *conn) endStream(s *stream, ctx context.Context) {
+	s.mu.Lock()
+	if n.clients.cfg.WriteTimeout == 0 {
+		_ = s.answer.SetWriteDeadline(time.Now().Add(lastWriteTime)) // HTTP/2 always supports it
+	}
+	s.answer, s.endedAt = nil, time.Now()
+	s.mu.Unlock()
+	context.AfterFunc(ctx, func() {
+		n.mu.Lock()
+		delete(n.multi.streams, s)
+		n.mu.Unlock()
+		s.hold.Close()
+	})
+}
+
+// progress returns the progress of the request. An answer that its client doesn't read makes none.
+func (s *stream) progress(now time.Time) float64 {
+	s.mu.Lock()
+	endedAt := s.endedAt
+	s.mu.Unlock()
+	if !endedAt.IsZero() && now.Sub(endedAt) > unreadTime {
+		return 0
+	}
+	return s.hold.Progress(now)
+}
+
+// hasStreams reports whether the connection carries requests by HTTP/2.
+func (n *conn) hasStreams() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.multi != nil && len(n.multi.streams) > 0
+}
--- a/listen/request.go
+++ b/listen/request.go
@@ -56,21 +56,27 @@
 
 // begin accounts for the memory of a request whose head is complete, and returns a function that ends the request. ok is false if there is
 // no memory for it.
-func (s *Server) begin(r *http.Request) (end func(), ok bool) {
+func (s *Server) begin(w http.ResponseWriter, r *http.Request) (end func(), ok bool) {
 	n, _ := r.Context().Value(connKey{}).(*conn)
 	if n == nil || s.clients.cfg.Requests == nil {
 		return func() {}, true
 	}
 	end = func() {}
-	hold, counted := n.requestHold(), r.ProtoMajor >= 2
+	var hold *bounded.Hold
+	counted := r.ProtoMajor >= 2
 	if counted {
-		hold = s.clients.cfg.Requests.HoldInput(bounded.Input{MaxWait: memoryWait, GiveUp: func() { _ = r.Body.Close() }})
-		end = hold.Close
-	}
-	if err := hold.SetAtLeast(r.Context(), headMemory(r.Header)); err != nil {
-		s.clients.countDrop(reasonMemory)
-		end()
-		return nil, false
+		ctx, stream := r.Context(), n.beginStream(w, r)
+		if stream == nil {
+			s.clients.countDrop(reasonMemory)
+			return nil, false
+		}
+		hold, end = stream.hold, func() { n.endStream(stream, ctx) }
+	} else {
+		hold = n.requestHold()
+		if err := hold.SetAtLeast(r.Context(), headMemory(r.Header)); err != nil {
+			s.clients.countDrop(reasonMemory)
+			return nil, false
+		}
 	}
 	if r.ContentLength == 0 {
 		hold.Complete()
