bounded, listen: a request that was given up does not run

Cause: a message could be given up in the moment when its last bytes were read. It then counted as complete and its request ran, while the reading of its connection was stopped, which http.Server takes for the end of the client: it cancels the request.

Change: Complete reports whether the message was given up before. Its request is then refused with 503 as not run.

TestMessageThatWasGivenUpIsNotComplete needs the result of Complete, which did not exist before: it could not be seen red at run time.

--- a/bounded/hold.go
+++ b/bounded/hold.go
@@ -167,14 +167,15 @@
 	h.arrival.add(n, now)
 }
 
-// Complete states that the whole message has arrived. It is not given up from now on.
-func (h *Hold) Complete() {
+// Complete states that the whole message has arrived. It is not given up from now on. Complete reports false if it was given up before.
+func (h *Hold) Complete() bool {
 	if h == nil {
-		return
+		return true
 	}
 	h.pool.mu.Lock()
 	defer h.pool.mu.Unlock()
 	delete(h.pool.incomplete, h)
+	return !h.dropped
 }
 
 // GivenUp reports whether the message was given up.
--- a/bounded/incomplete_test.go
+++ b/bounded/incomplete_test.go
@@ -124,3 +124,23 @@
 		}
 	})
 }
+
+// Guards against a message that counts as complete after it was given up, so that its request runs while its connection ends.
+func TestMessageThatWasGivenUpIsNotComplete(t *testing.T) {
+	p := NewPool(1<<20, "test", nil)
+	given := make(chan struct{})
+	h := p.HoldInput(Input{GiveUp: func() { close(given) }})
+	if !h.Complete() {
+		t.Error("a message that has arrived isn't complete")
+	}
+	h = p.HoldInput(Input{GiveUp: func() { close(given) }})
+	arrive(t, h, 700<<10)
+	time.Sleep(time.Millisecond)
+	other := p.HoldInput(Input{})
+	go other.Grow(t.Context(), 700<<10)
+	<-given
+	if h.Complete() {
+		t.Error("a message that was given up is complete")
+	}
+	h.Close()
+}
--- a/listen/request.go
+++ b/listen/request.go
@@ -46,12 +46,10 @@
 	if err == nil {
 		return n, nil
 	}
-	if errors.Is(err, io.EOF) {
-		b.hold.Complete()
-	} else if b.hold.GivenUp() {
-		err = bounded.Error.Wrap(bounded.ErrGivenUp)
+	if isEnd := errors.Is(err, io.EOF); isEnd && b.hold.Complete() || !isEnd && !b.hold.GivenUp() {
+		return n, err
 	}
-	return n, err
+	return n, bounded.Error.Wrap(bounded.ErrGivenUp)
 }
 
 // begin accounts for the memory of a request whose head is complete, and returns a function that ends the request. ok is false if there is
@@ -78,8 +76,9 @@
 			return nil, false
 		}
 	}
-	if r.ContentLength == 0 {
-		hold.Complete()
+	if r.ContentLength == 0 && !hold.Complete() {
+		end()
+		return nil, false
 	}
 	r.Body = &body{ReadCloser: r.Body, hold: hold, counted: counted}
 	return end, true
