listen: an HTTP/2 answer that is not read keeps no memory from others

Cause: http.Server writes what a handler has left buffered after the handler has ended. Over HTTP/2 that waits for the window of the client, for as long as the client likes if no deadline is set, with its goroutine and buffers, and nothing accounted for it: the memory of a request was freed at the end of its handler. A crowd that opens 100 streams a connection and no window needs no key for it, since a refusal is an answer.

Change: the listener flushes the answer before it frees the memory of the request, within 10 s unless the handler was aborted. While requests wait for memory, the connection whose streams have all ended so for longest is closed, if that is longer than a second; the same holds for a client of HTTP/1.1 that does not read, which holds the memory of its request. Small answers over HTTP/2 therefore have no Content-Length unless the handler sets it.

Without the part in clients.go (go test -run TestUnreadAnswers ./listen): "EOF", the ordinary request found no memory.

--- a/bounded/pool.go
+++ b/bounded/pool.go
@@ -43,7 +43,7 @@
 	waiting    []*growth          // of the oldest holds first
 	incomplete map[*Hold]struct{} // messages that may be given up
 	givenUp    *metrics.Counter
-	onShortage func()
+	onShortage []func()
 }
 
 // growth is a Hold that waits for memory.
@@ -65,12 +65,14 @@
 	return p
 }
 
-// OnShortage registers a function that is called, again and again, while a message waits for memory. It must be called before the pool
-// is used.
+// OnShortage registers one more function that is called, again and again, while a message waits for memory.
 func (p *Pool) OnShortage(f func()) {
-	if p != nil {
-		p.onShortage = f
+	if p == nil {
+		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onShortage = append(p.onShortage, f)
 }
 
 // shortageInterval is the time between two calls of the function of OnShortage.
@@ -87,8 +89,11 @@
 		case <-ctx.Done():
 			return p.withdraw(g, ctx)
 		case <-tick.C:
-			if p.onShortage != nil {
-				p.onShortage()
+			p.mu.Lock()
+			fs := p.onShortage
+			p.mu.Unlock()
+			for _, f := range fs {
+				f()
 			}
 		}
 	}
--- a/listen/clients.go
+++ b/listen/clients.go
@@ -38,6 +38,7 @@
 func newClients(cfg Config, tlsConfig *tls.Config) *clients {
 	c := &clients{cfg: cfg, tls: tlsConfig, turns: newTurns(), conns: map[*conn]struct{}{}, dropped: map[string]int{}}
 	cfg.Answers.OnShortage(c.dropUnread)
+	cfg.Requests.OnShortage(c.dropUnread)
 	if cfg.Metrics != nil {
 		cfg.Metrics.NewGauge(`wigeon_connections{listener="`+cfg.Name+`"}`, func() float64 { return float64(c.count()) })
 	}
@@ -103,7 +104,7 @@
 	var longest *conn
 	since := now.Add(-unreadTime).UnixNano()
 	for n := range c.conns {
-		if at := n.writingSince.Load(); at != 0 && at < since {
+		if at := n.unreadSince(); at != 0 && at < since {
 			longest, since = n, at
 		}
 	}
--- a/listen/http2_test.go
+++ b/listen/http2_test.go
@@ -18,7 +18,7 @@
 
 // Types and flags of frames.
 const (
-	frameData, frameHeaders, framePing = 0, 1, 6
+	frameData, frameHeaders, frameSettings, framePing = 0, 1, 4, 6
 
 	endStream, endHeaders = 1, 4
 )
@@ -149,3 +149,23 @@
 	c.Write([]byte(frame(frameHeaders, 0, 101, h2Post+string(bytes.Repeat([]byte{0x90}, 900)))))
 	awaitUsage(t, pool, before+30<<10)
 }
+
+// Guards against answers over HTTP/2 that their clients don't read and that keep the memory from others.
+func TestUnreadAnswersOverHTTP2AreGivenUpForMemory(t *testing.T) {
+	pool := bounded.NewPool(1<<20, "test", nil)
+	addr, client := encryptedServer(t, listen.Config{Requests: pool}, answerWhole)
+	noWindow := frame(frameSettings, 0, 0, "\x00\x04\x00\x00\x00\x00")
+	for range 2 {
+		c := dialHTTP2(t, addr, client, noWindow)
+		for id := uint32(1); id < 200; id += 2 {
+			c.Write([]byte(frame(frameHeaders, endHeaders|endStream, id, h2Post)))
+		}
+	}
+	awaitUsage(t, pool, 1000<<10)
+	for {
+		c := dialHTTP2(t, addr, client, frame(frameHeaders, endHeaders|endStream, 1, h2Post))
+		if got := c.readFrame(t, frameData, 0); string(got) == "whole" {
+			return
+		}
+	}
+}
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -229,11 +229,13 @@
 			refuse(w)
 			return
 		}
-		defer end()
+		aborted := true
+		defer func() { end(aborted) }()
 		if bodyBytes > 0 {
 			r.Body = http.MaxBytesReader(w, r.Body, bodyBytes)
 		}
 		next.ServeHTTP(w, r)
+		aborted = false
 	})
 }
 
--- a/listen/multiplexed.go
+++ b/listen/multiplexed.go
@@ -35,8 +35,8 @@
 	hold *bounded.Hold
 
 	mu      sync.Mutex
-	answer  *http.ResponseController // nil when the handler has ended
-	endedAt time.Time                // of the handler
+	answer  *http.ResponseController // nil when the request has ended
+	endedAt time.Time                // of the handler; zero while it runs
 }
 
 // multiplex states that HTTP/2 is spoken on the connection. Its server sets the deadlines.
@@ -107,20 +107,50 @@
 	}
 }
 
-// endStream frees the memory of a request whose handler has ended, once its answer has been sent.
-func (n *conn) endStream(s *stream, ctx context.Context) {
+// endStream writes what the handler has left buffered, unless it was aborted, and frees the memory of the request.
+func (n *conn) endStream(s *stream, aborted bool) {
 	s.mu.Lock()
+	s.endedAt = time.Now()
+	s.mu.Unlock()
 	if n.clients.cfg.WriteTimeout == 0 {
 		_ = s.answer.SetWriteDeadline(time.Now().Add(lastWriteTime)) // HTTP/2 always supports it
 	}
-	s.answer, s.endedAt = nil, time.Now()
+	if !aborted {
+		_ = s.answer.Flush() // an error means that the client has disconnected or doesn't read
+	}
+	s.mu.Lock()
+	s.answer = nil
 	s.mu.Unlock()
-	context.AfterFunc(ctx, func() {
-		n.mu.Lock()
-		delete(n.multi.streams, s)
-		n.mu.Unlock()
-		s.hold.Close()
-	})
+	n.mu.Lock()
+	delete(n.multi.streams, s)
+	n.mu.Unlock()
+	s.hold.Close()
+}
+
+// unreadSince returns the Unix time in ns since when no client reads: that of the piece that is being written, or that of the first
+// handler that has ended if the handlers of all streams have and their answers aren't read. It returns 0 otherwise.
+func (n *conn) unreadSince() int64 {
+	if at := n.writingSince.Load(); at != 0 {
+		return at
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.multi == nil {
+		return 0
+	}
+	first := int64(0)
+	for s := range n.multi.streams {
+		s.mu.Lock()
+		endedAt := s.endedAt
+		s.mu.Unlock()
+		if endedAt.IsZero() {
+			return 0
+		}
+		if first == 0 || endedAt.UnixNano() < first {
+			first = endedAt.UnixNano()
+		}
+	}
+	return first
 }
 
 // progress returns the progress of the request. An answer that its client doesn't read makes none.
--- a/listen/request.go
+++ b/listen/request.go
@@ -52,23 +52,23 @@
 	return n, bounded.Error.Wrap(bounded.ErrGivenUp)
 }
 
-// begin accounts for the memory of a request whose head is complete, and returns a function that ends the request. ok is false if there is
-// no memory for it.
-func (s *Server) begin(w http.ResponseWriter, r *http.Request) (end func(), ok bool) {
+// begin accounts for the memory of a request whose head is complete, and returns a function that ends the request, and has to know
+// whether its handler was aborted. ok is false if there is no memory for it.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request) (end func(aborted bool), ok bool) {
 	n, _ := r.Context().Value(connKey{}).(*conn)
 	if n == nil || s.clients.cfg.Requests == nil {
-		return func() {}, true
+		return func(bool) {}, true
 	}
-	end = func() {}
+	end = func(bool) {}
 	var hold *bounded.Hold
 	counted := r.ProtoMajor >= 2
 	if counted {
-		ctx, stream := r.Context(), n.beginStream(w, r)
+		stream := n.beginStream(w, r)
 		if stream == nil {
 			s.clients.countDrop(reasonMemory)
 			return nil, false
 		}
-		hold, end = stream.hold, func() { n.endStream(stream, ctx) }
+		hold, end = stream.hold, func(aborted bool) { n.endStream(stream, aborted) }
 	} else {
 		hold = n.requestHold()
 		if err := hold.SetAtLeast(r.Context(), headMemory(r.Header)); err != nil {
@@ -77,7 +77,7 @@
 		}
 	}
 	if r.ContentLength == 0 && !hold.Complete() {
-		end()
+		end(true)
 		return nil, false
 	}
 	r.Body = &body{ReadCloser: r.Body, hold: hold, counted: counted}
