settings: a connection with TLS counts with its buffers

Cause: the number of client connections was a quarter of the memory divided by 16 KB, the same with and without TLS.

Change: a connection to a listener with TLS counts with 48 KB.

--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -28,7 +28,7 @@
 		return listen.New(cfg, h)
 	}
 	var errCaller, errAdmin, errPeer error
-	n.caller, errCaller = open(callerListener, set.Listen.Caller, set.Limits.ClientConns(), n.callers, 0)
+	n.caller, errCaller = open(callerListener, set.Listen.Caller, set.Limits.ClientConns(set.Listen.Caller.TLS != nil), n.callers, 0)
 	n.admin, errAdmin = open("admin", set.Listen.Admin, set.Limits.OperatorConns(), n.adminHandler(set), adminWrite)
 	n.peers, errPeer = open("peer", set.Listen.Peer, set.Limits.PeerConns(), n.mesh, adminWrite)
 	return errors.Join(errCaller, errAdmin, errPeer)
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -10,6 +10,8 @@
 	assumedDescriptors = 1024 // counts if the operating system states no limit
 	// connBytes is the memory of an open connection besides its request: its goroutine and the buffers of http.Server.
 	connBytes = 16 << 10
+	// encryptedConnBytes is the same for a connection with TLS, which keeps the buffers of its records, and of HTTP/2.
+	encryptedConnBytes = 48 << 10
 	// minDescriptors is the least number of descriptors that can be set: fewer leave no connections for backend servers.
 	minDescriptors = 128
 	// minConns is the least number of connections of a listener.
@@ -27,8 +29,12 @@
 
 // ClientConns returns how many connections clients may have open at once. Each may need a connection to a backend server, so that
 // clients get less than half of the descriptors.
-func (l Limits) ClientConns() int {
-	return max(min(l.descriptors()/8*3, int(l.memory()/4/connBytes)), minConns)
+func (l Limits) ClientConns(encrypted bool) int {
+	size := int64(connBytes)
+	if encrypted {
+		size = encryptedConnBytes
+	}
+	return max(min(l.descriptors()/8*3, int(l.memory()/4/size)), minConns)
 }
 
 // PeerConns returns how many connections other routers may have open at once.
@@ -39,7 +45,7 @@
 
 // ReceiveBytes returns the receive buffer of a connection of a client, in bytes.
 func (l Limits) ReceiveBytes() int {
-	return min(max(int(l.memory()/8)/l.ClientConns(), minReceiveBytes), maxReceiveBytes)
+	return min(max(int(l.memory()/8)/l.ClientConns(false), minReceiveBytes), maxReceiveBytes)
 }
 
 func (l Limits) memory() int64 { return int64(cmp.Or(l.MemoryMB, assumedMemoryMB)) << 20 }
