peer: connections without the key keep no other node out

Cause: a stream took one of 256 slots, and a link one of 32, when its connection was upgraded to WebSocket, and kept it without any proof of the key for up to 2 s. A crowd that upgrades and then sends nothing had all of them; streams and links of other routers got 503. The slots were also more than the connections of the listener where few descriptors are allowed.

Change: handshakes have a bound of their own, an eighth of the connections of the listener, and the oldest is given up for a new one. A stream takes its slot once the dialler has proved the key and before the acceptor does, so that a refused stream has still received nothing. Streams have at most half of the connections.

Before (go test -run TestCrowdWithoutKey ./peer): "stream: peer: no route to node: failed to WebSocket dial: expected handshake response status code 101 but got 503".

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -117,6 +117,8 @@
 		TLS:           tlsConfig,
 		Heartbeat:     millis(set.Peers.HeartbeatMS),
 		StreamPool:    n.answers,
+		MaxStreams:    set.Limits.PeerStreams(),
+		MaxHandshakes: set.Limits.PeerHandshakes(),
 		Topology: peer.Topology{
 			FullMeshLimit:    set.Peers.FullMeshLimit,
 			SameDomainLinks:  set.Peers.SameDomainLinks,
--- a/hosted/peers_mesh.go
+++ b/hosted/peers_mesh.go
@@ -60,6 +60,8 @@
 		DialTimeout:   peerDialTimeout,
 		MaxBackoff:    peerMaxBackoff,
 		StreamPool:    p.answers,
+		MaxStreams:    p.set.Limits.PeerStreams(),
+		MaxHandshakes: p.set.Limits.PeerHandshakes(),
 		Topology:      peer.Topology{FullMeshLimit: p.set.Peers.FullMeshLimit, SameDomainLinks: p.set.Peers.SameDomainLinks, OtherDomainLinks: p.set.Peers.OtherDomainLinks},
 	}, p.key, p.log, nil)
 	if err != nil {
--- a/peer/config.go
+++ b/peer/config.go
@@ -39,6 +39,7 @@
 	MaxCallLinks   int           // links dialled on demand for calls; default 8
 	MaxCallsServed int           // calls that this node runs at once; default 128
 
+	MaxHandshakes    int // accepted connections that have not proved the key; default 32
 	MaxStreams       int // streams that other nodes may have open here; default 256
 	MaxStreamMessage int // size of a message of a stream in bytes; default 16 MiB
 	// StreamPool bounds the memory of the received messages of all streams; nil means no bound.
@@ -56,7 +57,6 @@
 	linkQueueLength        = 256
 	maxConcurrentDials     = 8
 	maxConcurrentSeedDials = 3 // seeds that a node without links dials in one tick
-	maxHandshakes          = 32
 	maxHandshakeBytes      = 4 << 10
 	maxDemandPerHeartbeat  = 64
 	maxDemandAccounts      = 8192
@@ -81,6 +81,7 @@
 	setDefault(&c.MaxLinks, 64)
 	setDefault(&c.MaxCallLinks, 8)
 	setDefault(&c.MaxCallsServed, 128)
+	setDefault(&c.MaxHandshakes, 32)
 	setDefault(&c.MaxStreams, 256)
 	setDefault(&c.MaxStreamMessage, 16<<20)
 	setDefault(&c.Topology.FullMeshLimit, 16)
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -58,31 +58,21 @@
 		m.serveStream(w, r)
 		return
 	}
-	select {
-	case m.handshakeSlots <- struct{}{}:
-	default:
-		m.metrics.rejected[rejectBusy].Inc()
-		http.Error(w, "busy", http.StatusServiceUnavailable)
-		return
-	}
 	done := make(chan struct{})
 	accepted := m.start(func() {
 		defer close(done)
 		m.accept(w, r)
 	})
 	if !accepted {
-		<-m.handshakeSlots
 		http.Error(w, "not running", http.StatusServiceUnavailable)
 		return
 	}
 	<-done
 }
 
-// accept performs the handshake and runs the link. The caller has acquired a slot
-// in handshakeSlots, which accept releases after the handshake.
+// accept performs the handshake and runs the link.
 func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
 	l, err := m.acceptLink(w, r)
-	<-m.handshakeSlots
 	if err != nil {
 		m.recordHandshakeFailure(r.RemoteAddr, err)
 		return
@@ -91,15 +81,26 @@
 }
 
 func (m *Mesh) acceptLink(w http.ResponseWriter, r *http.Request) (*link, error) {
+	ctx, end := m.handshakes.begin(m.runCtx)
+	defer end()
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout)
+	defer cancel()
 	c, err := websocket.Accept(w, r, &websocket.AcceptOptions{
 		CompressionMode: compression, CompressionThreshold: compressionThreshold,
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(m.runCtx, m.cfg.DialTimeout)
-	defer cancel()
-	return m.establish(ctx, c, nil)
+	l, err := m.establish(ctx, c, nil)
+	return l, withCause(ctx, err)
+}
+
+// withCause returns err, or the reason why ctx ended it.
+func withCause(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errTooManyHandshakes) {
+		return errTooManyHandshakes
+	}
+	return err
 }
 
 // establish performs the handshake on a connection and registers the link. Until
@@ -155,6 +156,10 @@
 	if errors.Is(err, errDuplicateLink) || errors.Is(err, ErrStopped) {
 		return
 	}
+	if errors.Is(err, errTooManyHandshakes) || errors.Is(err, errTooManyStreams) {
+		m.metrics.rejected[rejectBusy].Inc()
+		return
+	}
 	m.metrics.rejected[rejectHandshake].Inc()
 	m.log.Emit(event.PeerHandshakeRefused, "remote", remote, "error", err.Error())
 }
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -41,6 +41,9 @@
 	key      []byte
 	self     Record
 	protocol int // version that both sides must have
+	// admit, if set, returns an error if this node takes no more connections of other nodes. It is called once the dialler has proved the
+	// key, and before this side does.
+	admit func() error
 }
 
 // hello returns this side's first message.
@@ -92,6 +95,11 @@
 	if err := readProof(ctx, h.conn, mac(h.key, labelDialer, remoteHello, localHello)); err != nil {
 		return Record{}, err
 	}
+	if h.admit != nil {
+		if err := h.admit(); err != nil {
+			return Record{}, err
+		}
+	}
 	return rec, writeProof(ctx, h.conn, mac(h.key, labelAcceptor, remoteHello, localHello))
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -31,7 +31,7 @@
 
 	streamClient *http.Client
 
-	handshakeSlots    chan struct{} // bounds the handshakes of accepted connections
+	handshakes        handshakes    // of accepted connections
 	callSlots         chan struct{} // bounds the calls that this node runs at once
 	streamSlots       chan struct{} // bounds the streams that other nodes have open
 	floodQueue        chan func()   // received floods for the handlers, in order
@@ -86,7 +86,7 @@
 		key:               key,
 		log:               log,
 		metrics:           newMeshMetrics(set),
-		handshakeSlots:    make(chan struct{}, maxHandshakes),
+		handshakes:        handshakes{most: cfg.MaxHandshakes},
 		callSlots:         make(chan struct{}, cfg.MaxCallsServed),
 		streamSlots:       make(chan struct{}, cfg.MaxStreams),
 		floodQueue:        make(chan func(), floodQueueLength),
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -96,21 +96,12 @@
 		http.NotFound(w, r)
 		return
 	}
-	select {
-	case m.streamSlots <- struct{}{}:
-	default:
-		m.metrics.rejected[rejectBusy].Inc()
-		http.Error(w, "busy", http.StatusServiceUnavailable)
-		return
-	}
 	done := make(chan struct{})
 	started := m.start(func() {
 		defer close(done)
-		defer func() { <-m.streamSlots }()
 		m.runStream(w, r, handler)
 	})
 	if !started {
-		<-m.streamSlots
 		http.Error(w, "not running", http.StatusServiceUnavailable)
 		return
 	}
@@ -123,6 +114,7 @@
 		m.recordHandshakeFailure(r.RemoteAddr, err)
 		return
 	}
+	defer func() { <-m.streamSlots }()
 	defer s.Close()
 	// A panic ends this exchange alone, as it does for the handlers of calls.
 	if err := recoverPanic(func() error { handler(m.runCtx, s); return nil }); err != nil {
@@ -130,22 +122,46 @@
 	}
 }
 
+// errTooManyStreams means that other nodes have as many streams open here as they may.
+var errTooManyStreams = errors.New("too many streams")
+
+// takeSlot takes one of streamSlots.
+func (m *Mesh) takeSlot() error {
+	select {
+	case m.streamSlots <- struct{}{}:
+		return nil
+	default:
+		return errTooManyStreams
+	}
+}
+
+// acceptStream returns a stream that has taken one of streamSlots. Without the key none is taken.
 func (m *Mesh) acceptStream(w http.ResponseWriter, r *http.Request) (*Stream, error) {
+	ctx, end := m.handshakes.begin(m.runCtx)
+	defer end()
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.DialTimeout)
+	defer cancel()
 	c, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	ctx, cancel := context.WithTimeout(m.runCtx, m.cfg.DialTimeout)
-	defer cancel()
 	c.SetReadLimit(maxHandshakeBytes)
 	m.mu.Lock()
 	self := m.self
 	m.mu.Unlock()
-	hs := handshaker{conn: c, key: m.key, self: self, protocol: streamProtocol}
+	admitted := false
+	hs := handshaker{conn: c, key: m.key, self: self, protocol: streamProtocol, admit: func() error {
+		err := m.takeSlot()
+		admitted = err == nil
+		return err
+	}}
 	rec, err := hs.accept(ctx)
 	if err != nil {
 		c.CloseNow()
-		return nil, err
+		if admitted {
+			<-m.streamSlots
+		}
+		return nil, withCause(ctx, err)
 	}
 	return m.newStream(rec.ID, c), nil
 }
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -16,6 +16,10 @@
 	minDescriptors = 128
 	// minConns is the least number of connections of a listener.
 	minConns = 16
+	// A stream has a goroutine for each direction and a message of up to 16 MB, which more streams would not speed up.
+	maxPeerStreams = 256
+	// minPeerHandshakes is that of a few routers that start together; maxPeerHandshakes bounds what connections without the key hold.
+	minPeerHandshakes, maxPeerHandshakes = 4, 256
 	// minReceiveBytes and maxReceiveBytes bound the receive buffer of a connection.
 	minReceiveBytes = 4 << 10
 	maxReceiveBytes = 128 << 10
@@ -40,6 +44,14 @@
 // PeerConns returns how many connections other routers may have open at once.
 func (l Limits) PeerConns() int { return max(l.descriptors()/8, minConns) }
 
+// PeerStreams returns how many requests other routers may pass on at once, each on a connection of its own.
+func (l Limits) PeerStreams() int { return min(l.PeerConns()/2, maxPeerStreams) }
+
+// PeerHandshakes returns how many connections to the listener for other routers may be without the proof of the key.
+func (l Limits) PeerHandshakes() int {
+	return min(max(l.PeerConns()/8, minPeerHandshakes), maxPeerHandshakes)
+}
+
 // OperatorConns returns how many connections may be open at once to a listener for operators, metrics or readiness checks.
 func (l Limits) OperatorConns() int { return max(l.descriptors()/32, minConns) }
 
