forward: the headers of passed on requests count

Cause: requests of other routers had 16 MB for their bodies, whatever the memory of the process, and nothing for their headers, whose decoded form takes many times the message if the lines are short: 6,000 lines are 1.5 MB, and 256 streams may bring them at once.

Change: they share a sixteenth of the memory, in which a header counts as on the listeners (moved to bounded.HeaderMemory). A single request is always taken. One that finds no memory is answered with router_busy, as not run, as before.

--- a/daemon/cutoff.go
+++ b/daemon/cutoff.go
@@ -91,7 +91,8 @@
 		Open: func(ctx context.Context, r forward.Router) (forward.Conn, error) {
 			return n.mesh.OpenStream(ctx, r.ID, r.Addr)
 		},
-		Answers: n.answers,
+		Answers:    n.answers,
+		TakenBytes: n.config.Limits.TakenBytes(),
 
 		Log: n.log,
 		Set: n.set,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -79,8 +80,10 @@
 	OneSoftware func(service string) bool
 	// Answers bounds the memory of the answers that are sent to other routers; nil means no bound.
 	Answers *bounded.Pool
-	Log     *event.Log
-	Set     *metrics.Set
+	// TakenBytes bounds the memory of the requests of other routers that run here; 0 means 16 MB.
+	TakenBytes int64
+	Log        *event.Log
+	Set        *metrics.Set
 }
 
 // Forwarder passes requests on and runs those of other routers. It implements
@@ -89,7 +92,7 @@
 	cfg     Config
 	chooser *chooser
 	meters  meters
-	// takenBytes limits the bodies of requests of other routers that are kept at a time.
+	// takenBytes limits the memory of the requests of other routers.
 	takenBytes byteBudget
 	serving    atomic.Int64 // requests of other routers that have not ended
 }
@@ -113,7 +116,7 @@
 		cfg.Check = func(*generation.Request, int64) error { return nil }
 	}
 	return &Forwarder{
-		cfg: cfg, chooser: newChooser(cfg.FailureDomain), takenBytes: byteBudget{left: maxTakenBytes},
+		cfg: cfg, chooser: newChooser(cfg.FailureDomain), takenBytes: byteBudget{most: cmp.Or(cfg.TakenBytes, maxTakenBytes)},
 		meters: meters{
 			passedOn:  cfg.Set.NewCounter("wigeon_requests_passed_on_total"),
 			notTaken:  cfg.Set.NewCounter("wigeon_requests_not_taken_total"),
--- a/forward/message.go
+++ b/forward/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/bounded"
 	"wigeondale/clock"
 	"wigeondale/fleet"
 	"wigeondale/generation"
@@ -251,6 +252,18 @@
 	return out
 }
 
+// memory returns the memory of the request while it runs.
+func (m *startMessage) memory() int64 {
+	sum := int64(m.BodyBytes)
+	if o := m.opaqueStart(); o != nil {
+		sum += bounded.HeaderMemory(o.Header)
+	}
+	if m.Resume != nil {
+		sum += int64(len(m.Resume.Text))
+	}
+	return sum
+}
+
 func (m *startMessage) valid() bool {
 	kinds := 0
 	for _, given := range []bool{m.Opaque != nil, m.Stream != nil, m.Model != nil, m.Answer != nil} {
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	// maxTakenBytes limits the bodies of requests of other routers that this router keeps at a
-	// time.
+	// maxTakenBytes is the default of Config.TakenBytes.
 	maxTakenBytes = 16 << 20
 	// startTimeout bounds the wait for the request on an accepted stream.
 	startTimeout = 2 * time.Second
@@ -25,7 +24,7 @@
 
 // Codes of requests that this router did not take. None of them has run.
 const (
-	codeBusy     = "router_busy"     // it keeps as many bodies as it may
+	codeBusy     = "router_busy"     // requests of other routers have as much memory as they may
 	codeOutdated = "router_outdated" // by its configuration the request must not run
 	codeInvalid  = "invalid_request" // the message is malformed
 )
@@ -71,10 +70,11 @@
 	if !m.valid() {
 		return f.reject(codeInvalid), 0
 	}
-	if !f.takenBytes.take(m.BodyBytes) {
+	taken := m.memory()
+	if !f.takenBytes.take(taken) {
 		return f.reject(codeBusy), 0
 	}
-	defer f.takenBytes.give(m.BodyBytes)
+	defer f.takenBytes.give(taken)
 	var body []byte
 	if m.BodyBytes > 0 {
 		var err error
@@ -166,27 +166,29 @@
 // Flush implements generation.Sink. Each message is sent at once.
 func (s *remoteSink) Flush() error { return nil }
 
-// byteBudget counts bytes that are still free. It is safe for concurrent use.
+// byteBudget counts bytes that are in use. It is safe for concurrent use.
 type byteBudget struct {
+	most int64
+
 	mu   sync.Mutex
-	left int
+	used int64
 }
 
-// take reserves n bytes, and reports false if so many are not free.
-func (b *byteBudget) take(n int) bool {
+// take reserves n bytes, and reports false if so many are not free. If none is in use, any number is free.
+func (b *byteBudget) take(n int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n > b.left {
+	if b.used > 0 && b.used+n > b.most {
 		return false
 	}
-	b.left -= n
+	b.used += n
 	return true
 }
 
-func (b *byteBudget) give(n int) {
+func (b *byteBudget) give(n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.left += n
+	b.used -= n
 }
 
 func (f *Forwarder) derivePriority(req *generation.Request) {
--- a/hosted/cutoff.go
+++ b/hosted/cutoff.go
@@ -105,10 +105,11 @@
 			}
 			return mesh.OpenStream(ctx, r.ID, r.Addr)
 		},
-		Answers:  n.answers,
-		Version:  n.tableVersion,
-		Check:    n.checkForwarded,
-		Priority: n.priorityOf,
+		Answers:    n.answers,
+		TakenBytes: n.set.Limits.TakenBytes(),
+		Version:    n.tableVersion,
+		Check:      n.checkForwarded,
+		Priority:   n.priorityOf,
 		OneSoftware: func(service string) bool {
 			return !n.software.several(service)
 		},
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -32,13 +32,6 @@
 	unreadTime = time.Second
 )
 
-// The memory of a parsed head is that of its bytes, once as text and once in the copy that is passed on, and of the header's map, slices
-// and strings. A short line takes many times its length.
-const (
-	memoryPerByte = 2
-	memoryPerLine = 256
-)
-
 var errHeadTooLong = errors.New("header too long")
 
 // phase is what a connection waits for.
@@ -149,7 +142,7 @@
 		return errHeadTooLong
 	}
 	lines := bytes.Count(data, []byte{'\n'})
-	err := hold.Grow(context.Background(), int64(len(data))*memoryPerByte+int64(lines)*memoryPerLine)
+	err := hold.Grow(context.Background(), int64(len(data))*bounded.MemoryPerByte+int64(lines)*bounded.MemoryPerLine)
 	switch {
 	case err == nil:
 		return nil
--- a/listen/encrypted.go
+++ b/listen/encrypted.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"time"
+
+	"wigeondale/bounded"
 )
 
 // encrypted is the connection below TLS. It accounts for a handshake while it arrives.
@@ -44,7 +46,7 @@
 	hold := n.hold
 	n.mu.Unlock()
 	hold.Received(int64(size))
-	return hold.Grow(context.Background(), int64(size)*memoryPerByte)
+	return hold.Grow(context.Background(), int64(size)*bounded.MemoryPerByte)
 }
 
 // shake completes the TLS handshake at the first read.
--- a/listen/multiplexed.go
+++ b/listen/multiplexed.go
@@ -88,7 +88,7 @@
 	n.multiplex()
 	s := &stream{answer: http.NewResponseController(w)}
 	s.hold = n.clients.cfg.Requests.HoldInput(bounded.Input{MaxWait: memoryWait, GiveUp: s.giveUp})
-	if err := s.hold.Grow(r.Context(), streamBytes+headMemory(r.Header)); err != nil {
+	if err := s.hold.Grow(r.Context(), streamBytes+bounded.HeaderMemory(r.Header)); err != nil {
 		s.hold.Close()
 		return nil
 	}
--- a/listen/request.go
+++ b/listen/request.go
@@ -71,7 +71,7 @@
 		hold, end = stream.hold, func(aborted bool) { n.endStream(stream, aborted) }
 	} else {
 		hold = n.requestHold()
-		if err := hold.SetAtLeast(r.Context(), headMemory(r.Header)); err != nil {
+		if err := hold.SetAtLeast(r.Context(), bounded.HeaderMemory(r.Header)); err != nil {
 			s.clients.countDrop(reasonMemory)
 			return nil, false
 		}
@@ -84,17 +84,6 @@
 	return end, true
 }
 
-// headMemory returns the memory of a parsed head.
-func headMemory(h http.Header) int64 {
-	sum := int64(0)
-	for name, values := range h {
-		for _, v := range values {
-			sum += memoryPerLine + int64(len(name)+len(v))*memoryPerByte
-		}
-	}
-	return sum
-}
-
 // requestHold returns the memory of the current request. A pipelined request that arrived together with the one before has none yet.
 func (n *conn) requestHold() *bounded.Hold {
 	n.mu.Lock()
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -31,6 +31,9 @@
 // RequestsBytes returns the memory for requests while they arrive and are handled.
 func (l Limits) RequestsBytes() int64 { return l.memory() / 8 }
 
+// TakenBytes returns the memory for requests that other routers pass on.
+func (l Limits) TakenBytes() int64 { return l.memory() / 16 }
+
 // ClientConns returns how many connections clients may have open at once. Each may need a connection to a backend server, so that
 // clients get less than half of the descriptors.
 func (l Limits) ClientConns(encrypted bool) int {
