listen: an unread answer over HTTP/2 ends before who waits for its memory does

Cause: an HTTP/2 connection whose answers are not read was closed after one second of shortage at the earliest, and a request waits for memory for one second. One that came right after the crowd was refused.

Change: it is closed after half the wait for memory. What is left to write then is what a handler left buffered, 4 KB at most.

--- a/listen/clients.go
+++ b/listen/clients.go
@@ -96,15 +96,15 @@
 	return slowest, reasonSlow
 }
 
-// dropUnread closes the connection that has taken no bytes of its answer for longest, if that is longer than unreadTime.
+// dropUnread closes the connection that has taken no bytes of its answers for longest, if that is long.
 func (c *clients) dropUnread() {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var longest *conn
-	since := now.Add(-unreadTime).UnixNano()
+	since := now.UnixNano()
 	for n := range c.conns {
-		if at := n.unreadSince(); at != 0 && at < since {
+		if at := n.unreadSince(now); at != 0 && at < since {
 			longest, since = n, at
 		}
 	}
--- a/listen/multiplexed.go
+++ b/listen/multiplexed.go
@@ -21,6 +21,8 @@
 	windowBytes = 64<<10 - 1
 	// lastWriteTime bounds the write of what a handler leaves buffered at its end.
 	lastWriteTime = 10 * time.Second
+	// endedTime is how long that may take while requests wait for memory, which must outlast it.
+	endedTime = memoryWait / 2
 )
 
 // multiplexed is the state of a connection that carries several requests at once, by HTTP/2.
@@ -127,18 +129,18 @@
 	s.hold.Close()
 }
 
-// unreadSince returns the Unix time in ns since when no client reads: that of the piece that is being written, or that of the first
-// handler that has ended if the handlers of all streams have and their answers aren't read. It returns 0 otherwise.
-func (n *conn) unreadSince() int64 {
-	if at := n.writingSince.Load(); at != 0 {
+// unreadSince returns the Unix time in ns since when the client doesn't read, or 0 if it reads or that is not long. That is the time of
+// the piece that is being written, or, if the handlers of all streams have ended and their answers aren't read, that of the first end.
+func (n *conn) unreadSince(now time.Time) int64 {
+	if at := n.writingSince.Load(); at != 0 && at < now.Add(-unreadTime).UnixNano() {
 		return at
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.multi == nil {
+	if n.multi == nil || len(n.multi.streams) == 0 {
 		return 0
 	}
-	first := int64(0)
+	first := now.Add(-endedTime)
 	for s := range n.multi.streams {
 		s.mu.Lock()
 		endedAt := s.endedAt
@@ -146,11 +148,14 @@
 		if endedAt.IsZero() {
 			return 0
 		}
-		if first == 0 || endedAt.UnixNano() < first {
-			first = endedAt.UnixNano()
+		if endedAt.Before(first) {
+			first = endedAt
 		}
 	}
-	return first
+	if first.Equal(now.Add(-endedTime)) {
+		return 0
+	}
+	return first.UnixNano()
 }
 
 // progress returns the progress of the request. An answer that its client doesn't read makes none.
@@ -158,7 +163,7 @@
 	s.mu.Lock()
 	endedAt := s.endedAt
 	s.mu.Unlock()
-	if !endedAt.IsZero() && now.Sub(endedAt) > unreadTime {
+	if !endedAt.IsZero() && now.Sub(endedAt) > endedTime {
 		return 0
 	}
 	return s.hold.Progress(now)
