listen: an unread answer ends for a new connection

Cause: a connection whose request was complete was never closed for a new one, and a write had no deadline on the listeners for readiness checks and metrics. A crowd of clients that do not read, a thirty-second of the descriptors large, kept the readiness check out for good. Nor did the memory of a whole answer (state dump, metrics page) count.

Change: if no connection is idle and no request arrives slowly, the one whose client has taken no bytes for longest is closed, if that is more than a second. WriteHeld counts an answer that a handler makes as a whole with its request.

--- a/listen/clients.go
+++ b/listen/clients.go
@@ -14,10 +14,10 @@
 const (
 	reasonIdle    = "idle"            // the longest idle connection, for a new one
 	reasonSlow    = "slow"            // a request that arrives slowly, for a new connection or another request
-	reasonFull    = "full"            // a new connection, since all others have complete requests
+	reasonFull    = "full"            // a new connection, since all others have complete requests whose answers are read
 	reasonMemory  = "no-memory"       // a request whose head finds no memory
 	reasonTooLong = "header-too-long" // a head over the limit
-	reasonUnread  = "unread"          // an answer that its client doesn't read, for another answer
+	reasonUnread  = "unread"          // an answer that its client doesn't read, for another answer or a new connection
 )
 
 // logInterval is the shortest time between two log lines about closed connections.
@@ -72,8 +72,8 @@
 	return n
 }
 
-// leastActive returns the connection that has been idle for longest, or else the one whose request arrives most slowly, and nil if
-// all requests are complete.
+// leastActive returns the connection that has been idle for longest, or else the one whose request arrives most slowly, or else the one
+// whose answer has not been read for longest, and nil if there is none of these.
 func (c *clients) leastActive(now time.Time) (*conn, string) {
 	var idlest, slowest *conn
 	var since time.Time
@@ -90,17 +90,17 @@
 			slowest, least = n, progress
 		}
 	}
-	if idlest != nil {
+	switch {
+	case idlest != nil:
 		return idlest, reasonIdle
+	case slowest != nil:
+		return slowest, reasonSlow
 	}
-	return slowest, reasonSlow
+	return c.longestUnread(now), reasonUnread
 }
 
-// dropUnread closes the connection that has taken no bytes of its answers for longest, if that is long.
-func (c *clients) dropUnread() {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// longestUnread returns the connection whose client has taken no bytes of its answers for longest, or nil if that is not long.
+func (c *clients) longestUnread(now time.Time) *conn {
 	var longest *conn
 	since := now.UnixNano()
 	for n := range c.conns {
@@ -108,6 +108,15 @@
 			longest, since = n, at
 		}
 	}
+	return longest
+}
+
+// dropUnread closes the connection of longestUnread.
+func (c *clients) dropUnread() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	longest := c.longestUnread(now)
 	if longest == nil {
 		return
 	}
--- a/listen/request.go
+++ b/listen/request.go
@@ -29,6 +29,15 @@
 	return nil
 }
 
+// WriteHeld writes an answer that a handler has made as a whole. Its memory counts with that of the request.
+func WriteHeld(w http.ResponseWriter, r *http.Request, data []byte) {
+	if err := Hold(r).Grow(r.Context(), int64(len(data))); err != nil {
+		refuse(w)
+		return
+	}
+	_, _ = w.Write(data) // an error means that the client has disconnected or doesn't read
+}
+
 // body is the body of a request, which records when it has arrived.
 type body struct {
 	io.ReadCloser
