--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
@@ -13,6 +14,7 @@
 	"wigeondale/adminapi"
 	"wigeondale/fleet"
 	"wigeondale/intent"
+	"wigeondale/listen"
 	"wigeondale/settings"
 )
 
@@ -40,9 +42,11 @@
 	return mux
 }
 
-func (n *node) metrics(w http.ResponseWriter, _ *http.Request) {
-	n.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
+func (n *node) metrics(w http.ResponseWriter, r *http.Request) {
+	var page bytes.Buffer
+	n.set.WritePrometheus(&page)
+	metrics.WriteProcessMetrics(&page)
+	listen.WriteHeld(w, r, page.Bytes())
 }
 
 // readyz answers the balancer's readiness check. When the node shuts down, this check is
--- a/dump/dump.go
+++ b/dump/dump.go
@@ -6,6 +6,7 @@
 package dump
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,8 @@
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/singleflight"
+
+	"wigeondale/listen"
 )
 
 // Error is the class of this package's errors.
@@ -123,7 +126,9 @@
 		body = selected
 	}
 	w.Header().Set("Content-Type", "application/json")
-	enc := json.NewEncoder(w)
+	var text bytes.Buffer
+	enc := json.NewEncoder(&text)
 	enc.SetIndent("", "  ")
-	_ = enc.Encode(body) // fails only if the client has disconnected
+	_ = enc.Encode(body) // the sections are valid JSON
+	listen.WriteHeld(w, req, text.Bytes())
 }
