hosted, daemon: operators, readiness checks and other routers have memory of their own

Cause: all listeners shared the memory of requests. Complete requests of clients can use it up, since each may have up to 16 KB and none of them is given up; a readiness check then waits a second and gets 503, and so do the links and streams of other routers, so that a crowd of clients takes the node out of service. The reverse holds for a crowd at the other listeners.

Change: they have a thirty-second of the memory apart from that of clients, metric label "operator_requests".

--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -16,14 +16,14 @@
 const adminWrite = time.Minute
 
 func (n *node) buildListeners(set *settings.Settings) error {
-	requests := bounded.NewPool(set.Limits.RequestsBytes(), "requests", n.set)
+	operators := bounded.NewPool(set.Limits.OperatorBytes(), "operator_requests", n.set)
 	open := func(name string, l settings.Listener, conns int, h http.Handler, write time.Duration) (*listen.Server, error) {
 		cfg := listen.Config{
 			Listener: l, Name: name, HeaderBytes: set.Limits.HeaderBytes, WriteTimeout: write,
-			MaxConns: conns, ReceiveBytes: set.Limits.ReceiveBytes(), Requests: requests, Log: n.log, Metrics: n.set,
+			MaxConns: conns, ReceiveBytes: set.Limits.ReceiveBytes(), Requests: operators, Log: n.log, Metrics: n.set,
 		}
 		if name == callerListener {
-			cfg.Answers = n.answers
+			cfg.Answers, cfg.Requests = n.answers, bounded.NewPool(set.Limits.RequestsBytes(), "requests", n.set)
 		}
 		return listen.New(cfg, h)
 	}
--- a/hosted/listeners.go
+++ b/hosted/listeners.go
@@ -19,6 +19,7 @@
 		cfg.Name, cfg.Address, cfg.MaxConns = name, addr, conns
 		if name == frontListener {
 			cfg.ClientLimits, cfg.Answers = n.clientLimits, n.answers
+			cfg.Requests = bounded.NewPool(limits.RequestsBytes(), "requests", n.meter)
 		} else {
 			cfg.WriteTimeout = operatorWrite
 		}
@@ -26,7 +27,7 @@
 	}
 	n.peers.listener = listen.Config{
 		HeaderBytes: limits.HeaderBytes, ReceiveBytes: limits.ReceiveBytes(), Log: n.log, Metrics: n.meter,
-		Requests: bounded.NewPool(limits.RequestsBytes(), "requests", n.meter),
+		Requests: bounded.NewPool(limits.OperatorBytes(), "operator_requests", n.meter),
 	}
 	var err error
 	if n.front, err = open(frontListener, n.set.Hosted.FrontAddress, limits.ClientConns(false), &platform.ClientHandler{Relay: r, Table: n.table}); err != nil {
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -31,6 +31,10 @@
 // RequestsBytes returns the memory for requests while they arrive and are handled.
 func (l Limits) RequestsBytes() int64 { return l.memory() / 8 }
 
+// OperatorBytes returns the memory for requests of operators, readiness checks and other routers. It isn't that of RequestsBytes, so that
+// these are answered while clients have used that up.
+func (l Limits) OperatorBytes() int64 { return l.memory() / 32 }
+
 // TakenBytes returns the memory for requests that other routers pass on.
 func (l Limits) TakenBytes() int64 { return l.memory() / 16 }
 
