listen: a handler behind a limit for bodies sees the memory of its request

Cause: a listener with BodyBytes hid the body that knows the memory of the request behind the one that has the limit.

Change: the limit applies below. The test also covers that aborted requests, over HTTP/1.1 and HTTP/2, connections taken for another protocol and bodies that are not read hold no memory afterwards, in which no fault was found.

Before (go test -run TestEndedRequests ./listen): "a handler sees no memory of its request".

--- a/listen/http2_test.go
+++ b/listen/http2_test.go
@@ -18,7 +18,7 @@
 
 // Types and flags of frames.
 const (
-	frameData, frameHeaders, frameSettings, framePing = 0, 1, 4, 6
+	frameData, frameHeaders, frameReset, frameSettings, framePing = 0, 1, 3, 4, 6
 
 	endStream, endHeaders = 1, 4
 )
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -224,6 +224,9 @@
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		if bodyBytes > 0 {
+			r.Body = http.MaxBytesReader(w, r.Body, bodyBytes)
+		}
 		end, ok := s.begin(w, r)
 		if !ok {
 			refuse(w)
@@ -231,9 +234,6 @@
 		}
 		aborted := true
 		defer func() { end(aborted) }()
-		if bodyBytes > 0 {
-			r.Body = http.MaxBytesReader(w, r.Body, bodyBytes)
-		}
 		next.ServeHTTP(w, r)
 		aborted = false
 	})
