listen: a client that awaits an interim answer gets the answer

Cause: the listener replaced the body in the request that http.Server itself looks at, to see whether the client awaits 100 Continue. A handler that reads no body (404, 401, not ready) then waits for a body that the client holds back, for up to 60 s, before its answer is sent.

Change: the body is replaced in a copy of the request.

Before (go test -run TestInterimAnswer ./listen): "got <nil>, i/o timeout".

--- a/listen/ends_test.go
+++ b/listen/ends_test.go
@@ -7,6 +7,7 @@
 
 	"wigeondale/bounded"
 	"wigeondale/listen"
+	"wigeondale/settings"
 )
 
 // Guards against requests that hold memory after their end: aborted ones, connections taken for another protocol, bodies that the handler
@@ -42,6 +43,21 @@
 	awaitNoUsage(t, "aborted over HTTP/2", pool)
 }
 
+// Guards against a client that awaits an interim answer before it sends a body, and gets no answer from a handler that reads none.
+func TestInterimAnswerIsNotAwaited(t *testing.T) {
+	s, err := listen.New(listen.Config{Listener: settings.Listener{Address: "127.0.0.1:0"}, BodyBytes: 99, Requests: bounded.NewPool(1<<20, "test", nil)}, http.NotFoundHandler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Serve()
+	t.Cleanup(func() { s.Close() })
+	c := write(t, s.Addr().String(), "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n")
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if resp, err := http.ReadResponse(c.r, nil); err != nil || resp.StatusCode != http.StatusNotFound {
+		t.Errorf("got %v, %v", resp, err)
+	}
+}
+
 // awaitNoUsage waits until requests have taken memory of a pool and given all back.
 func awaitNoUsage(t *testing.T, name string, p *bounded.Pool) {
 	t.Helper()
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -224,6 +224,7 @@
 		if s.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		r = r.WithContext(r.Context()) // http.Server looks at the body of its own request, to see whether the client awaits an interim answer
 		if bodyBytes > 0 {
 			r.Body = http.MaxBytesReader(w, r.Body, bodyBytes)
 		}
