listen: a failed TLS handshake is logged again

Cause: with TLS below the accounting http.Server no longer sees handshakes, and its line about one that fails was lost. The scenario tls_fleet waits for that line: "hung: r1 logs client didn't provide a certificate".

Change: the listener logs it with the same words, unless it has given the connection up itself.

--- a/listen/encrypted.go
+++ b/listen/encrypted.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"time"
 
@@ -56,6 +57,7 @@
 	}
 	if err := n.tls.Handshake(); err != nil {
 		n.answerPlain(err)
+		n.logHandshake(err)
 		// http.Server closes the connection without an answer of its own after this type of error.
 		return &net.OpError{Op: "read", Net: "tcp", Err: err}
 	}
@@ -68,6 +70,15 @@
 	return nil
 }
 
+// logHandshake logs a handshake that has failed, as http.Server does, unless the connection was given up.
+func (n *conn) logHandshake(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.stopped {
+		log.Printf("http: TLS handshake error from %s: %v", n.raw.RemoteAddr(), err)
+	}
+}
+
 // answerPlain answers a client that speaks HTTP without TLS, as http.Server does.
 func (n *conn) answerPlain(err error) {
 	header, ok := errors.AsType[tls.RecordHeaderError](err)
