settings: hosted.peer_proxy_address, the proxy to other nodes

Cause: on the users' platform a process registers the address at which it listens, so nothing can stand between two routers, and no run of real processes can cut a router from its peers alone.

Change: peer.Config.Dial is set from an optional setting, as node.backend_proxy_address does for replicas. Unset, nothing changes. It covers links and the streams of passed requests; handshake and key are the same.

Test: settings.TestParseChecksPeerProxy.

--- a/hosted/peers_mesh.go
+++ b/hosted/peers_mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wigeondale/backend"
 	"wigeondale/backpressure"
 	"wigeondale/directory"
 	"wigeondale/event"
@@ -62,6 +63,7 @@
 		StreamPool:    p.answers,
 		MaxStreams:    p.set.Limits.PeerStreams(),
 		MaxHandshakes: p.set.Limits.PeerHandshakes(),
+		Dial:          backend.ProxyDial(p.set.Hosted.PeerProxyAddress),
 		Topology:      peer.Topology{FullMeshLimit: p.set.Peers.FullMeshLimit, SameDomainLinks: p.set.Peers.SameDomainLinks, OtherDomainLinks: p.set.Peers.OtherDomainLinks},
 	}, p.key, p.log, nil)
 	if err != nil {
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -14,6 +14,9 @@
 	ReadinessAddress string `json:"readiness_address"` // for the platform's balancer
 	MetricsAddress   string `json:"metrics_address"`
 	PeerAddress      string `json:"peer_address"` // for other nodes
+	// PeerProxyAddress is the host:port of an HTTP CONNECT proxy through which this process connects to other
+	// nodes; if empty, it connects to them directly.
+	PeerProxyAddress string `json:"peer_proxy_address"`
 	StoreAddress     string `json:"store_address"`
 	// GraceMS is the time between the shutdown signal and the platform's kill.
 	GraceMS int `json:"grace_ms"`
@@ -100,6 +103,9 @@
 	c.address("hosted.metrics_address", h.MetricsAddress)
 	c.address("hosted.store_address", h.StoreAddress)
 	c.address("hosted.peer_address", h.PeerAddress)
+	if h.PeerProxyAddress != "" {
+		c.address("hosted.peer_proxy_address", h.PeerProxyAddress)
+	}
 	inRange(c, "hosted.grace_ms", h.GraceMS, 1000, dayMS)
 	inRange(c, "hosted.retry_share", h.RetryShare, 0, 10)
 	inRange(c, "hosted.retry_burst", h.RetryBurst, 0, 10000)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -69,6 +70,17 @@
 	}
 }
 
+// Guards against an address of the proxy to other nodes that is only found to be unusable when the links fail.
+func TestParseChecksPeerProxy(t *testing.T) {
+	const field = "hosted.peer_proxy_address"
+	for value, wrong := range map[string]bool{"nowhere": true, "127.0.0.1:70000": true, "127.0.0.1:1": false, "": false} {
+		_, err := settings.Parse(fmt.Appendf(nil, `{"hosted": {"peer_proxy_address": %q}}`, value))
+		if err == nil || strings.Contains(err.Error(), field) != wrong {
+			t.Errorf("%q: %v", value, err)
+		}
+	}
+}
+
 func TestParseWholeText(t *testing.T) {
 	for _, text := range []string{"", "{", "[]", "null", "7", demo(t) + "x", `{"node":`, "{} {}"} {
 		if _, err := settings.Parse([]byte(text)); err == nil {
