--- a/soak/platform.go
+++ b/soak/platform.go
@@ -212,6 +212,9 @@
 	for _, n := range r.nodes {
 		n.kill()
 		n.link.Close()
+		if n.peerProxy != nil {
+			n.peerProxy.Close()
+		}
 	}
 	r.cuts.close()
 	r.mu.Lock()
--- a/soak/platform_node.go
+++ b/soak/platform_node.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"wigeondale/fakes/proxy"
 	"wigeondale/fakes/relay"
 )
 
@@ -15,6 +16,9 @@
 	front string
 	link  *relay.Relay
 	proxy string // to the replicas; empty without Config.Cuts
+	peer  string // address at which the other routers dial it
+	// peerProxy is the proxy through which it dials the other routers; nil without Config.PeerCuts.
+	peerProxy *proxy.Proxy
 	// rewrite writes the settings again: the next start is not the deployment's first one.
 	rewrite func() error
 }
@@ -29,6 +33,7 @@
 	n := &node{
 		process: process{id: id, cfg: &r.cfg, checks: r.checks, ready: "http://" + ready + "/readyz"},
 		front:   front,
+		peer:    peer,
 		link:    relay.New(id, "127.0.0.1:0", r.store.Addr()),
 	}
 	if err := n.link.Start(); err != nil {
@@ -37,19 +42,24 @@
 	if n.proxy, err = r.cuts.newProxy(); err != nil {
 		return nil, err
 	}
-	return n, n.writeSettings(r, i, peer, front, ready, stats)
+	if r.cfg.PeerCuts {
+		if n.peerProxy, err = proxy.Start(); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	return n, n.writeSettings(r, i, front, ready, stats)
 }
 
 // writeSettings writes the settings of the node's next process.
-func (n *node) writeSettings(r *platformRun, i int, peer, front, ready, stats string) error {
+func (n *node) writeSettings(r *platformRun, i int, front, ready, stats string) error {
 	budget, grace := r.cfg.retryBudget(), 10*time.Second
 	if r.cfg.Stops {
 		grace = stopGrace
 	}
 	text := fmt.Sprintf(`{"node": {"id": %q, "vm": %q, "failure_domain": "d%d", "region": "r", "backend_proxy_address": %q},
  "limits": %s, "shutdown": {"balancer_notice_ms": 300},
- "hosted": {"first_start": %t, "front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,
-  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.limits(), r.cfg.OutOfStep && n.launches == 0, front, ready, stats, peer, n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
-	n.rewrite = func() error { return n.writeSettings(r, i, peer, front, ready, stats) }
+ "hosted": {"first_start": %t, "front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,%s
+  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.limits(), (r.cfg.OutOfStep || r.cfg.PeerCuts) && n.launches == 0, front, ready, stats, n.peer, n.peerProxySetting(), n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
+	n.rewrite = func() error { return n.writeSettings(r, i, front, ready, stats) }
 	return Error.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600))
 }
--- a/soak/series.go
+++ b/soak/series.go
@@ -64,12 +64,15 @@
 	s.running.Wait()
 }
 
-// seriesFaults lists the faults of Config.OutOfStep, Config.Stops and Config.Floods.
+// seriesFaults lists the faults of Config.OutOfStep, Config.PeerCuts, Config.Stops and Config.Floods.
 func (r *platformRun) seriesFaults() []seriesFault {
 	var all []seriesFault
 	if r.cfg.OutOfStep {
 		all = append(all, seriesFault{"a router is out of step while versions change and others end", r.outOfStep})
 	}
+	if r.cfg.PeerCuts {
+		all = append(all, seriesFault{"routers are cut from their peers", r.peerCut})
+	}
 	if r.cfg.Stops {
 		all = append(all, seriesFault{"a router is told to end under load", r.stopUnderLoad})
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,6 +83,8 @@
 	Evidence bool
 	// OutOfStep lets a router stand still, or cuts it off, while others end, and with Software while versions change.
 	OutOfStep bool
+	// PeerCuts cuts routers from their peers, on the users' platform, while versions change and others end.
+	PeerCuts bool
 	// Stops sends routers SIGTERM under load, with a short grace and plain services that take much of it.
 	Stops bool
 	// Floods makes all plain services answer many requests at once without end.
