--- a/soak/command.go
+++ b/soak/command.go
@@ -51,6 +51,7 @@
 	Evidence         bool          `arg:"--evidence" help:"all routers end at once, also while versions change, the platform's store refuses, loses or delays writes, odd entries are written to it, and heads of answers are cut"`
 	OutOfStep        bool          `arg:"--out-of-step" help:"a router stands still or is cut off while others end, and while versions change"`
 	PeerCuts         bool          `arg:"--peer-cuts" help:"routers are cut from other routers on the platform's interface, and not from the store, while versions change and others end"`
+	TakeUps          bool          `arg:"--take-ups" help:"clients of the platform's interface take a stream up at several routers at once, also behind what they have, while they read its first answer on"`
 	Stops            bool          `arg:"--stops" help:"routers are told to end under load, with a short grace"`
 	Floods           bool          `arg:"--floods" help:"all plain services answer many requests at once without end"`
 	Silences         bool          `arg:"--silences" help:"nothing but silences of replicas and new versions of the configuration is injected"`
@@ -153,7 +154,7 @@
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
 		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Evidence: args.Evidence, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
-		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, Stops: args.Stops, Floods: args.Floods,
+		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Stops: args.Stops, Floods: args.Floods,
 		Room: args.Room, Work: args.Work, Chunks: args.Chunks, Alone: args.Alone,
 	})
 	if err != nil {
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -45,6 +45,7 @@
 	rng  *rand.Rand
 	name string
 	sent int
+	kind string // of its streams in the counts; "draft" if empty
 }
 
 // result holds what a client observed of one request.
@@ -65,6 +66,11 @@
 	transport := c.run.newTransport()
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
+		if c.run.cfg.TakeUps && c.rng.IntN(takeUpsEvery) == 0 {
+			c.sent++
+			c.takeUps(transport)
+			continue
+		}
 		if c.run.cfg.Software && c.rng.IntN(2) == 0 {
 			c.sent++
 			c.stream(transport)
--- a/soak/platform_software.go
+++ b/soak/platform_software.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -192,6 +193,7 @@
 	beganAt time.Time
 	last    int
 	version string
+	reached func() // called after each piece; may be nil
 }
 
 // add takes in one piece, and returns the promise that it breaks, or "".
@@ -209,20 +211,30 @@
 	if version != s.version {
 		return "a stream goes on at the software version that began it"
 	}
+	if s.reached != nil {
+		s.reached()
+	}
 	return ""
 }
 
 // stream requests a stream and takes it up at other routers until it is whole.
 func (c *platformClient) stream(transport *http.Transport) {
-	var s softwareStream
-	name := fmt.Sprintf("%s-%d", c.name, c.sent)
+	c.follow(transport, &softwareStream{}, fmt.Sprintf("%s-%d", c.name, c.sent), nil)
+}
+
+// follow requests the rest of a stream, first at one router and then at any, until it is whole. If first is nil, the first one is any, too.
+func (c *platformClient) follow(transport *http.Transport, s *softwareStream, name string, first *node) {
 	for try := range maxTakeUps + 1 {
 		res := c.newResult("draft", fmt.Sprintf("%s.%d", name, try))
 		ctx, stop := context.WithTimeout(context.Background(), maxAnswerTime)
-		again := c.streamOnce(ctx, transport, &s, &res)
+		n := first
+		if n == nil || try > 0 {
+			n = c.run.nodes[c.rng.IntN(len(c.run.nodes))]
+		}
+		again := c.streamOnce(ctx, transport, n, s, &res)
 		stop()
 		res.duration = time.Since(res.startedAt)
-		c.run.checks.countOutcome("draft", res.outcome())
+		c.run.checks.countOutcome(cmp.Or(c.kind, "draft"), res.outcome())
 		c.run.checks.ends.add(res)
 		c.run.checks.checkDuration(res.id, res.duration, maxAnswerTime)
 		if !again {
@@ -236,8 +248,7 @@
 }
 
 // streamOnce sends one request for the rest of a stream. It reports whether the client tries again.
-func (c *platformClient) streamOnce(ctx context.Context, transport *http.Transport, s *softwareStream, res *result) bool {
-	n := c.run.nodes[c.rng.IntN(len(c.run.nodes))]
+func (c *platformClient) streamOnce(ctx context.Context, transport *http.Transport, n *node, s *softwareStream, res *result) bool {
 	req, err := fakes.ClientRequest{
 		Addr: n.front, Path: "/draft/x", ID: res.id, Key: res.key, Budget: budget, Prompt: "aa:40," + c.name + ":60",
 		LastChunk: s.last, BeganAs: s.id,
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -85,6 +85,9 @@
 	OutOfStep bool
 	// PeerCuts cuts routers from their peers, on the users' platform, while versions change and others end.
 	PeerCuts bool
+	// TakeUps has clients of the users' platform take one stream up at several routers at once, from different chunks, while
+	// they read its first answer on.
+	TakeUps bool
 	// Stops sends routers SIGTERM under load, with a short grace and plain services that take much of it.
 	Stops bool
 	// Floods makes all plain services answer many requests at once without end.
