--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -175,6 +175,18 @@
 	checkSeed(t, RunProduct, cfg)
 }
 
+// TestPeerCutSeeds makes the same checks as TestSeeds while routers are cut from their peers, versions change and others end.
+// Guards against streams that are joined from two versions by a router that no other router answers.
+func TestPeerCutSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 27001, Nodes: 4, Engines: 8, Services: 2, Clients: 16, Chunks: 140, FaultTime: 5 * time.Second, Software: true, PeerCuts: true, Alone: true})
+}
+
+// TestTakeUpSeeds makes the same checks as TestSeeds while clients take one stream up at several routers at once, also behind
+// what they have, and read its first answer on. Guards against an answer to a take-up that isn't one run from the piece it asks for.
+func TestTakeUpSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 27101, Nodes: 4, Engines: 8, Services: 2, Clients: 8, Chunks: 100, FaultTime: 4 * time.Second, Software: true, TakeUps: true})
+}
+
 // TestStopSeeds makes the same checks as TestSeeds while routers get SIGTERM under load. Guards against requests that run and
 // whose connections end without an answer.
 func TestStopSeeds(t *testing.T) {
