binding: a take-up that names no stream is refused beside records of other versions

Cause: the inference and the store's sole statement hold for streams without a record, and a stream that isn't named may have one. A review showed it: beside a record of an unknown version such a take-up went on at the listed one, and after a shortened timeout at a later version than its stream began at.

Change: a record of this router at another or an unknown version refuses the take-up. Records that only other routers have are not looked for: open.

Evidence: TestUnnamedTakeUpBesideAStreamOfUnknownVersion and TestUnnamedTakeUpAfterAShorterTimeout failed before ("v1" and "v2" by one-version).

--- a/binding/find.go
+++ b/binding/find.go
@@ -54,7 +54,7 @@
 // FindUnnamed finds out at which version a stream began whose client doesn't name it. No record can be attributed to such a stream, so
 // that its version is known only if all streams of the service that may still be taken up began at one version.
 func (t *Tracker) FindUnnamed(ctx context.Context, service string, now time.Duration) (Found, error) {
-	if only := t.infer(ctx, service, now); only.proved {
+	if only := t.infer(ctx, service, now); only.proved && t.recordsOnly(service, only.Version, now) {
 		return only.Found, nil
 	}
 	st, err := t.cfg.Statement(ctx, service)
@@ -62,12 +62,25 @@
 		return Found{}, err
 	}
 	version, sole := st.SoleVersion(st.Era)
-	if !sole || !t.beginsOnly(service, version, now) {
+	if !sole || !t.beginsOnly(service, version, now) || !t.recordsOnly(service, version, now) {
 		return Found{}, Error.Wrap(ErrUnnamed)
 	}
 	return Found{Version: version, Source: FromStore, Named: st.Versions}, nil
 }
 
+// recordsOnly reports whether this router has no record of a stream of a service at another version, or at an unknown one. The proofs
+// that need no record hold for streams without one, and a stream that isn't named may have one.
+func (t *Tracker) recordsOnly(service, version string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records.byKey {
+		if r.Service == service && r.Version != version && now < r.expires {
+			return false
+		}
+	}
+	return true
+}
+
 // beginsOnly reports whether this router has seen no other version of a service for long enough that streams begin there.
 func (t *Tracker) beginsOnly(service, version string, now time.Duration) bool {
 	t.mu.Lock()
