bounded: a message is slow only by its client's doing

Cause: a complete message that needed memory ranked itself by how long ago it had arrived, and one that had waited for memory had decayed meanwhile; a long upload at a steady rate ranked below a crowd that sends a byte and begins again.

Evidence: TestCompleteMessageTakesMemoryOfSlowOnes and TestMessageThatWaitedForMemoryIsNotSlow failed before.

--- a/bounded/hold.go
+++ b/bounded/hold.go
@@ -54,6 +54,7 @@
 	g := &growth{hold: h, bytes: n, done: make(chan error, 1)}
 	at, _ := slices.BinarySearchFunc(p.waiting, g, func(a, b *growth) int { return cmp.Compare(a.hold.number, b.hold.number) })
 	p.waiting = slices.Insert(p.waiting, at, g)
+	h.arrival.pause(time.Now())
 	h.waits = true
 	p.reclaim(h, n)
 	p.serve()
@@ -178,6 +179,23 @@
 	return !h.dropped
 }
 
+// GiveUp gives the message up, and reports false if it is complete.
+func (h *Hold) GiveUp() bool {
+	if h == nil {
+		return false
+	}
+	h.pool.mu.Lock()
+	defer h.pool.mu.Unlock()
+	if h.dropped {
+		return true
+	}
+	if _, ok := h.pool.incomplete[h]; !ok {
+		return false
+	}
+	h.pool.drop(h)
+	return true
+}
+
 // GivenUp reports whether the message was given up.
 func (h *Hold) GivenUp() bool {
 	if h == nil {
--- a/bounded/pool.go
+++ b/bounded/pool.go
@@ -153,7 +153,10 @@
 		progress float64
 	}
 	now := time.Now()
-	most := h.arrival.progress(now)
+	most := 1.0
+	if _, ok := p.incomplete[h]; ok {
+		most = h.arrival.progress(now)
+	}
 	var slower []candidate
 	for c := range p.incomplete {
 		if c == h || c.waits || c.bytes == 0 {
@@ -252,6 +255,7 @@
 			return false
 		}
 		g.hold.waits = false
+		g.hold.arrival.at = time.Now() // its sender could make no progress while it waited
 		p.add(g.hold, g.bytes)
 		g.done <- nil
 		return true
