settings: connections of operators and other routers are bounded by memory too

Cause: their numbers followed the descriptors alone; with 32 MB and 1,048,576 descriptors other routers might have 131,072 connections (computed). Change: the smaller of both shares, as for clients.

--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -49,7 +49,9 @@
 }
 
 // PeerConns returns how many connections other routers may have open at once.
-func (l Limits) PeerConns() int { return max(l.descriptors()/8, minConns) }
+func (l Limits) PeerConns() int {
+	return max(min(l.descriptors()/8, int(l.memory()/8/connBytes)), minConns)
+}
 
 // PeerStreams returns how many requests other routers may pass on at once, each on a connection of its own.
 func (l Limits) PeerStreams() int { return min(l.PeerConns()/2, maxPeerStreams) }
@@ -60,7 +62,9 @@
 }
 
 // OperatorConns returns how many connections may be open at once to a listener for operators, metrics or readiness checks.
-func (l Limits) OperatorConns() int { return max(l.descriptors()/32, minConns) }
+func (l Limits) OperatorConns() int {
+	return max(min(l.descriptors()/32, int(l.memory()/32/connBytes)), minConns)
+}
 
 // ReceiveBytes returns the receive buffer of a connection of a client, in bytes.
 func (l Limits) ReceiveBytes() int {
