listen: a connection is closed for a new one only while its request is incomplete

Cause: the choice of a connection and its end were two steps, and a request could become complete between them. A write counted as blocked until much of the send buffer was free. Requests of closed connections end a little later, and their connections to backend servers came on top.

Change: a connection is claimed under its lock, and a claimed one runs no further request. It is closed before the new one is taken in. The bytes in the send buffer show whether an answer is read. After a new connection was turned away each answer closes its connection for a second. A listener runs no more requests than it may have connections; others are refused as not run.

--- a/listen/clients.go
+++ b/listen/clients.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wigeondale/bounded"
@@ -33,6 +34,9 @@
 	conns    map[*conn]struct{}
 	dropped  map[string]int // by reason, since the last log line
 	loggedAt time.Time
+	unreadAt time.Time // when the last connection was closed whose answer wasn't read
+
+	turnedAway atomic.Int64 // Unix time at which a new connection was closed for want of room, in ns
 }
 
 func newClients(cfg Config, tlsConfig *tls.Config) *clients {
@@ -54,22 +58,55 @@
 // admit returns the connection for raw, or nil if there is no room for it.
 func (c *clients) admit(raw net.Conn) *conn {
 	now := time.Now()
+	victim, ok := c.makeRoom(now)
+	if !ok {
+		_ = raw.Close() // the client sees the end of the connection
+		return nil
+	}
+	if victim != nil {
+		victim.drop()
+	}
+	n := newConn(raw, c, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cfg.MaxConns > 0 && len(c.conns) >= c.cfg.MaxConns {
+	c.conns[n] = struct{}{}
+	return n
+}
+
+// makeRoom returns the connection that has to be closed for a new one, or nil if none has to. ok is false if none can be closed.
+func (c *clients) makeRoom(now time.Time) (victim *conn, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cfg.MaxConns == 0 || len(c.conns) < c.cfg.MaxConns {
+		return nil, true
+	}
+	for range claimTries {
 		victim, reason := c.leastActive(now)
 		if victim == nil {
-			c.countLocked(reasonFull, now)
-			_ = raw.Close() // the client sees the end of the connection
-			return nil
+			break
+		}
+		if reason != reasonUnread && !victim.claim(reason) {
+			continue // its request has become complete
 		}
 		delete(c.conns, victim)
 		c.countLocked(reason, now)
-		go victim.drop()
+		return victim, true
 	}
-	n := newConn(raw, c, now)
-	c.conns[n] = struct{}{}
-	return n
+	c.turnedAway.Store(now.UnixNano())
+	c.countLocked(reasonFull, now)
+	return nil, false
+}
+
+// claimTries is how many connections are tried for a new one, since a request may become complete meanwhile.
+const claimTries = 4
+
+// crowdedTime is how long each answer closes its connection after a new connection was turned away.
+const crowdedTime = time.Second
+
+// crowded reports whether a new connection was turned away a short time ago. Connections whose clients always send another request
+// are never idle, and would keep new ones out for good.
+func (c *clients) crowded() bool {
+	return time.Now().UnixNano()-c.turnedAway.Load() < int64(crowdedTime)
 }
 
 // leastActive returns the connection that has been idle for longest, or else the one whose request arrives most slowly, or else the one
@@ -111,15 +148,22 @@
 	return longest
 }
 
+// unreadInterval is the time between two connections that are closed since their answers aren't read.
+const unreadInterval = 100 * time.Millisecond
+
 // dropUnread closes the connection of longestUnread.
 func (c *clients) dropUnread() {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now.Sub(c.unreadAt) < unreadInterval {
+		return // each message that waits calls for it
+	}
 	longest := c.longestUnread(now)
 	if longest == nil {
 		return
 	}
+	c.unreadAt = now
 	delete(c.conns, longest)
 	c.countLocked(reasonUnread, now)
 	go longest.drop()
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -32,7 +32,10 @@
 	unreadTime = time.Second
 )
 
-var errHeadTooLong = errors.New("header too long")
+var (
+	errHeadTooLong = errors.New("header too long")
+	errClaimed     = errors.New("connection closed for another one")
+)
 
 // phase is what a connection waits for.
 type phase int
@@ -61,9 +64,12 @@
 	received int          // bytes of the current request
 	readBy   time.Time    // the deadline that http.Server has set, which counts while the connection is active
 	stopped  bool
+	claimed  bool // it is being closed for another one, and runs no further request
 	enlarged bool // the receive buffer
 	shaken   bool // the TLS handshake is complete; of the goroutine that reads
 
+	unsent       int          // bytes in the send buffer while a write is blocked
+	unsentAt     int64        // Unix time at which unsent changed, in ns
 	writingSince atomic.Int64 // Unix time of the piece that is being written, in ns; 0: none
 
 	closeOnce sync.Once
@@ -101,6 +107,10 @@
 // account records bytes that have arrived.
 func (n *conn) account(data []byte) error {
 	n.mu.Lock()
+	if n.claimed {
+		n.mu.Unlock()
+		return errClaimed
+	}
 	if n.phase == taken {
 		n.mu.Unlock()
 		return nil
@@ -276,6 +286,24 @@
 	n.stop()
 }
 
+// claim marks a connection that is idle, or whose request arrives slowly, as closed for another one. It reports false if a complete
+// request has arrived since it was chosen.
+func (n *conn) claim(reason string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isIdle := n.phase == idle && n.hold == nil || n.phase == handshake && n.received == 0
+	switch {
+	case n.claimed, reason == reasonIdle && !isIdle:
+		return false
+	case reason == reasonSlow && n.multi == nil && !n.hold.GiveUp():
+		return false
+	case reason == reasonSlow && n.multi != nil && !n.multi.giveUp():
+		return false
+	}
+	n.claimed = true
+	return true
+}
+
 func (n *conn) stop() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -219,11 +219,17 @@
 
 func (s *Server) wrap(next http.Handler, bodyBytes int64) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.open.Add(1)
+		open := s.open.Add(1)
 		defer s.open.Add(-1)
-		if s.draining.Load() {
+		if s.draining.Load() || s.clients.crowded() {
 			w.Header().Set("Connection", "close")
 		}
+		// Requests of closed connections end a little later, and each may have a connection to a backend server.
+		if most := s.clients.cfg.MaxConns; most > 0 && open > int64(most) {
+			s.clients.countDrop(reasonFull)
+			refuse(w)
+			return
+		}
 		r = r.WithContext(r.Context()) // http.Server looks at the body of its own request, to see whether the client awaits an interim answer
 		if bodyBytes > 0 {
 			r.Body = http.MaxBytesReader(w, r.Body, bodyBytes)
--- a/listen/multiplexed.go
+++ b/listen/multiplexed.go
@@ -133,7 +133,7 @@
 // the piece that is being written, or, if the handlers of all streams have ended and their answers aren't read, that of the first end.
 func (n *conn) unreadSince(now time.Time) int64 {
 	if at := n.writingSince.Load(); at != 0 && at < now.Add(-unreadTime).UnixNano() {
-		return at
+		return n.unsentSince(at, now)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -175,3 +175,13 @@
 	defer n.mu.Unlock()
 	return n.multi != nil && len(n.multi.streams) > 0
 }
+
+// giveUp gives up all requests of the connection, and reports false if one of them is complete.
+func (m *multiplexed) giveUp() bool {
+	for s := range m.streams {
+		if !s.hold.GiveUp() {
+			return false
+		}
+	}
+	return true
+}
--- a/listen/request.go
+++ b/listen/request.go
@@ -85,7 +85,7 @@
 			return nil, false
 		}
 	}
-	if r.ContentLength == 0 && !hold.Complete() {
+	if n.isClaimed() || r.ContentLength == 0 && !hold.Complete() {
 		end(true)
 		return nil, false
 	}
@@ -93,6 +93,12 @@
 	return end, true
 }
 
+func (n *conn) isClaimed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.claimed
+}
+
 // requestHold returns the memory of the current request. A pipelined request that arrived together with the one before has none yet.
 func (n *conn) requestHold() *bounded.Hold {
 	n.mu.Lock()
