listen: the first bytes decide the protocol over TLS, and have to be the one agreed on

Cause: the connection counted frames when ALPN had agreed on h2, or from the first stream on, while http.Server decides by the preface. HTTP/1 after an agreement on h2 was counted as frames (an unfinished head counted nothing, and later frames closed the memory of the running request); HTTP/2 without an agreement was counted from behind its preface as if that were to come. An error of the first read ended nothing, as http.Server looks for a preface and reads on.

Change: the preface decides, as for http.Server; until it is complete it holds no memory, as an idle connection. A connection that speaks the other protocol than it agreed on is closed, and an error of a read is final. The review's test for HTTP/1 after an agreement on h2 asked for the count of a served head; the head isn't served any more, so that the test asks for the end of the connection and no memory in use after it.

Before: go test ./listen -run 'TestHTTP1AfterAgreement|TestHTTP2Without|TestOtherProtocol' -count=1: "TestHTTP1AfterAgreementOnHTTP2: the connection stays open", "TestHTTP2WithoutAgreementCounts: the pool is not in use" (in the review 30,048 bytes instead of 1,200,480), "TestOtherProtocolThanAgreedEnds: the connection stays open". After: they pass, as does go test ./listen.

--- a/listen/conn.go
+++ b/listen/conn.go
@@ -61,8 +61,8 @@
 	received int          // bytes of the current request
 	readBy   time.Time    // the deadline that http.Server has set, which counts while the connection is active
 	stopped  bool
-	enlarged bool // the receive buffer
-	shaken   bool // the TLS handshake is complete; of the goroutine that reads
+	enlarged bool    // the receive buffer
+	opening  opening // of the goroutine that reads
 
 	writingSince atomic.Int64 // Unix time of the piece that is being written, in ns; 0: none
 
@@ -91,7 +91,7 @@
 	if read == 0 {
 		return 0, err
 	}
-	if accountErr := n.account(p[:read]); accountErr != nil {
+	if accountErr := n.accountOpening(p[:read]); accountErr != nil {
 		// http.Server closes the connection without an answer of its own after this type of error.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: accountErr}
 	}
--- a/listen/encrypted.go
+++ b/listen/encrypted.go
@@ -12,6 +12,16 @@
 	"wigeondale/bounded"
 )
 
+var errOtherProtocol = errors.New("the client speaks another protocol than agreed on")
+
+// opening is the state of a connection over TLS until its protocol is known.
+type opening struct {
+	shaken  bool // the handshake is complete
+	preface int  // bytes of the preface of HTTP/2 that have arrived
+	known   bool // the protocol
+	err     error
+}
+
 // encrypted is the connection below TLS. It accounts for a handshake while it arrives.
 type encrypted struct {
 	net.Conn
@@ -52,8 +62,8 @@
 
 // shake completes the TLS handshake at the first read.
 func (n *conn) shake() error {
-	if n.tls == nil || n.shaken {
-		return nil
+	if n.tls == nil || n.opening.shaken {
+		return n.opening.err
 	}
 	if err := n.tls.Handshake(); err != nil {
 		n.answerPlain(err)
@@ -61,15 +71,52 @@
 		// http.Server closes the connection without an answer of its own after this type of error.
 		return &net.OpError{Op: "read", Net: "tcp", Err: err}
 	}
-	n.shaken = true
+	n.opening.shaken = true
 	_ = n.Conn.SetWriteDeadline(time.Time{}) // an error shows at the next write
 	n.endRequest(idle)
-	if n.tls.ConnectionState().NegotiatedProtocol == "h2" {
-		n.multiplex()
-	}
 	return nil
 }
 
+// accountOpening records bytes that have arrived. An error is final: http.Server, which looks for a preface, would read on after it.
+func (n *conn) accountOpening(data []byte) error {
+	if n.tls == nil {
+		return n.account(data)
+	}
+	record := n.account
+	if !n.opening.known {
+		record = n.accountPreface
+	}
+	err := record(data)
+	if err != nil {
+		n.opening.err = &net.OpError{Op: "read", Net: "tcp", Err: err} // see shake
+	}
+	return err
+}
+
+// accountPreface finds the protocol. The preface decides, as it does for http.Server, which doesn't know what the handshake has agreed
+// on. An incomplete preface holds no memory, as an idle connection.
+func (n *conn) accountPreface(data []byte) error {
+	o := &n.opening
+	agreed := n.tls.ConnectionState().NegotiatedProtocol
+	k := min(len(data), len(http2Preface)-o.preface)
+	if string(data[:k]) != http2Preface[o.preface:o.preface+k] {
+		if agreed == "h2" {
+			return errOtherProtocol
+		}
+		o.known = true
+		return n.account(append([]byte(http2Preface[:o.preface]), data...))
+	}
+	if o.preface += k; o.preface < len(http2Preface) {
+		return nil
+	}
+	if agreed != "h2" && agreed != "" {
+		return errOtherProtocol
+	}
+	o.known = true
+	n.multiplex()
+	return n.account(data[k:])
+}
+
 // logHandshake logs a handshake that has failed, as http.Server does, unless the connection was given up.
 func (n *conn) logHandshake(err error) {
 	n.mu.Lock()
--- a/listen/frames.go
+++ b/listen/frames.go
@@ -16,7 +16,7 @@
 
 	header  [frameHeader]byte
 	have    int // bytes of header
-	left    int // bytes of the payload that have not arrived, at first of the preface
+	left    int // bytes of the payload that have not arrived
 	isBlock bool
 }
 
--- a/listen/multiplexed.go
+++ b/listen/multiplexed.go
@@ -41,14 +41,11 @@
 	endedAt time.Time                // of the handler; zero while it runs
 }
 
-// multiplex states that HTTP/2 is spoken on the connection. Its server sets the deadlines.
+// multiplex states that HTTP/2 is spoken on the connection, whose preface has arrived. Its server sets the deadlines.
 func (n *conn) multiplex() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.multi != nil {
-		return
-	}
-	n.multi = &multiplexed{streams: map[*stream]struct{}{}, frames: frames{left: len(http2Preface)}}
+	n.multi = &multiplexed{streams: map[*stream]struct{}{}}
 	if !n.stopped {
 		_ = n.Conn.SetReadDeadline(n.readBy) // an error shows at the next read
 	}
@@ -87,7 +84,6 @@
 
 // beginStream accounts for a request. It returns nil if there is no memory for it.
 func (n *conn) beginStream(w http.ResponseWriter, r *http.Request) *stream {
-	n.multiplex()
 	s := &stream{answer: http.NewResponseController(w)}
 	s.hold = n.clients.cfg.Requests.HoldInput(bounded.Input{MaxWait: memoryWait, GiveUp: s.giveUp})
 	if err := s.hold.Grow(r.Context(), streamBytes+bounded.HeaderMemory(r.Header)); err != nil {
