listen: an unfinished HTTP/2 header block can be given up, and has the time of a head

Cause: beside an open request the memory of a header block was no candidate for being given up any more, whether requests were open was read once, and nothing bounded the time of a block. A client that left one open request and one block kept the memory from others.

Change: the block stays a candidate; giving it up closes the connection with its requests. The same happens when the block isn't complete within the time for a header, without the time of waits for memory. The end of the connection ends its time, too.

Before: go test ./listen -run TestUnfinishedHeaderBlock -count=1: "beside a request: got [503 503 503 503]", "the connection stays open". After: it passes, as does go test ./listen.

--- a/listen/conn.go
+++ b/listen/conn.go
@@ -269,8 +269,8 @@
 
 // giveUp ends the reading of a request that arrives too slowly. The handler can still answer.
 func (n *conn) giveUp() {
-	if n.hasStreams() {
-		return // the header block has ended meanwhile
+	if n.giveUpBlock() {
+		return
 	}
 	n.clients.countDrop(reasonSlow)
 	n.stop()
@@ -319,7 +319,7 @@
 		n.clients.remove(n)
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.hold.Close()
+		n.endBlock()
 	})
 	return n.closeErr
 }
--- a/listen/multiplexed.go
+++ b/listen/multiplexed.go
@@ -28,7 +28,9 @@
 // multiplexed is the state of a connection that carries several requests at once, by HTTP/2.
 type multiplexed struct {
 	frames  frames
-	block   int64 // memory of the unfinished header block
+	block   int64       // memory of the unfinished header block
+	blockBy time.Time   // when that has to be finished
+	late    *time.Timer // closes the connection at that time; nil without a block
 	streams map[*stream]struct{}
 }
 
@@ -52,36 +54,96 @@
 }
 
 // accountFrames accounts for the memory of an unfinished header block. It waits for it as long as requests are open, whose answers must
-// not be cut.
+// not be cut for want of memory. A block that arrives too slowly ends the connection with its requests, as no frame can follow before
+// its end.
 func (n *conn) accountFrames(data []byte) error {
 	n.mu.Lock()
 	m := n.multi
 	m.frames.add(data)
 	if m.frames.block == 0 {
-		n.hold.Close()
-		n.hold, m.block = nil, 0
+		n.endBlock()
 		n.mu.Unlock()
 		return nil
 	}
-	if n.hold == nil {
-		n.hold = n.clients.hold(n)
+	if m.late == nil {
+		n.beginBlock()
 	}
-	hold, hasStreams := n.hold, len(m.streams) > 0
-	missing := int64(m.frames.block)*memoryPerBlockByte - m.block
+	m.late.Stop()
+	hold, missing := n.hold, int64(m.frames.block)*memoryPerBlockByte-m.block
 	m.block += missing
 	n.mu.Unlock()
 	hold.Received(int64(len(data)))
-	if hasStreams {
-		hold.Complete()
+	start := time.Now()
+	err := n.growBlock(hold, missing)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err == nil && m.late != nil {
+		m.blockBy = m.blockBy.Add(time.Since(start)) // the client can't send during the wait
+		m.late.Reset(time.Until(m.blockBy))
+	}
+	return err
+}
+
+// beginBlock starts the time of a header block, which is that of a head.
+func (n *conn) beginBlock() {
+	limit := n.clients.cfg.limits().HeaderTimeout
+	n.hold = n.clients.hold(n)
+	n.multi.blockBy = time.Now().Add(limit)
+	n.multi.late = time.AfterFunc(limit, n.endLate)
+}
+
+// endBlock frees the memory of the header block that has ended, or of a connection.
+func (n *conn) endBlock() {
+	n.hold.Close()
+	if n.multi == nil {
+		return
 	}
+	if n.multi.late != nil {
+		n.multi.late.Stop()
+	}
+	n.hold, n.multi.block, n.multi.late = nil, 0, nil
+}
+
+func (n *conn) growBlock(hold *bounded.Hold, missing int64) error {
 	for {
 		err := hold.Grow(context.Background(), missing)
-		if err == nil || !hasStreams || !errors.Is(err, bounded.ErrNoMemory) {
+		if err == nil || !errors.Is(err, bounded.ErrNoMemory) || !n.hasStreams() {
 			return err
 		}
 	}
 }
 
+// endLate closes the connection if its header block is overdue.
+func (n *conn) endLate() {
+	n.mu.Lock()
+	overdue := n.multi.late != nil && !time.Now().Before(n.multi.blockBy)
+	n.mu.Unlock()
+	if overdue {
+		n.dropBlock()
+	}
+}
+
+// giveUpBlock closes the connection if its header block was given up and has not ended meanwhile. It reports whether HTTP/2 is spoken.
+func (n *conn) giveUpBlock() bool {
+	n.mu.Lock()
+	hold, isMultiplexed := n.hold, n.multi != nil
+	n.mu.Unlock()
+	if isMultiplexed && hold.GivenUp() {
+		n.dropBlock()
+	}
+	return isMultiplexed
+}
+
+func (n *conn) dropBlock() {
+	if n.raw.SetReadDeadline(time.Unix(1, 0)) == nil { // fails only once the connection is closed
+		n.clients.countDrop(reasonSlow)
+	}
+	n.drop()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.endBlock() // a block that was read while the connection was closed
+}
+
 // beginStream accounts for a request. It returns nil if there is no memory for it.
 func (n *conn) beginStream(w http.ResponseWriter, r *http.Request) *stream {
 	s := &stream{answer: http.NewResponseController(w)}
