callerapi: a body has at most 65,536 JSON values

Change: the pass that finds the nesting depth counts the values, and a body of more than 65,536 is refused with 400 before it is decoded. The first invalid message ends the reading of messages. The memory of the parsed values isn't counted yet.

--- a/callerapi/body.go
+++ b/callerapi/body.go
@@ -20,7 +20,10 @@
 	chat
 )
 
-const maxDepth = 32 // maximum nesting depth of a body
+const (
+	maxDepth  = 32      // maximum nesting depth of a body
+	maxValues = 1 << 16 // maximum number of JSON values in a body
+)
 
 // params contains the fields of a body that this package uses. Other fields, such as
 // temperature, are accepted because common clients send them, and have no effect.
@@ -62,8 +65,11 @@
 // the hash of the body is computed over the exact names.
 func (s *Server) parseBody(raw []byte, form format) (params, *Failure) {
 	out := params{MaxTokens: s.DefaultTokens}
-	if tooDeep(raw) {
+	switch depth, values := measure(raw); {
+	case depth > maxDepth:
 		return out, invalidBody(fmt.Sprintf("the body is nested deeper than %d", maxDepth))
+	case values > maxValues:
+		return out, invalidBody(fmt.Sprintf("the body has more than %d values", maxValues))
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(raw, &fields); err != nil || fields == nil {
@@ -142,6 +148,7 @@
 	for i, m := range list {
 		if m.Role != "system" && m.Role != "user" && m.Role != "assistant" {
 			p.fail(fmt.Sprintf("messages[%d].role: want system, user or assistant", i))
+			return ""
 		}
 		b.WriteString("<|" + m.Role + "|>\n" + m.Content + "\n")
 	}
@@ -163,24 +170,32 @@
 	return [16]byte(sum[:16])
 }
 
-// tooDeep reports whether the body is nested deeper than maxDepth. It is called before any
-// decoder that recurses over the body.
-func tooDeep(raw []byte) bool {
-	depth := 0
-	for i := 0; i < len(raw); i++ {
-		switch raw[i] {
+// measure returns the nesting depth of a body and the number of its JSON values, up to the first that is too many. It is called before
+// any decoder, which recurses over the body and allocates for each value.
+func measure(raw []byte) (most, values int) {
+	depth, isFirst := 0, true // of a container
+	for i := 0; i < len(raw) && most <= maxDepth && values <= maxValues; i++ {
+		c := raw[i]
+		if c == ' ' || c == '\t' || c == '\r' || c == '\n' {
+			continue
+		}
+		if isFirst && c != '}' && c != ']' {
+			values++
+		}
+		isFirst = false
+		switch c {
 		case '"':
 			i = stringEnd(raw, i)
 		case '{', '[':
 			depth++
+			most, isFirst = max(most, depth), true
 		case '}', ']':
 			depth--
-		}
-		if depth > maxDepth {
-			return true
+		case ',':
+			values++
 		}
 	}
-	return false
+	return most, values
 }
 
 // stringEnd returns the index of the closing quote of the string that starts at
