--- a/listen/conn.go
+++ b/listen/conn.go
@@ -64,9 +64,9 @@
 	received int          // bytes of the current request
 	readBy   time.Time    // the deadline that http.Server has set, which counts while the connection is active
 	stopped  bool
-	claimed  bool // it is being closed for another one, and runs no further request
-	enlarged bool // the receive buffer
-	shaken   bool // the TLS handshake is complete; of the goroutine that reads
+	claimed  bool    // it is being closed for another one, and runs no further request
+	enlarged bool    // the receive buffer
+	opening  opening // of the goroutine that reads
 
 	unsent       int          // bytes in the send buffer while a write is blocked
 	unsentAt     int64        // Unix time at which unsent changed, in ns
@@ -97,7 +97,7 @@
 	if read == 0 {
 		return 0, err
 	}
-	if accountErr := n.account(p[:read]); accountErr != nil {
+	if accountErr := n.accountOpening(p[:read]); accountErr != nil {
 		// http.Server closes the connection without an answer of its own after this type of error.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: accountErr}
 	}
@@ -279,8 +279,8 @@
 
 // giveUp ends the reading of a request that arrives too slowly. The handler can still answer.
 func (n *conn) giveUp() {
-	if n.hasStreams() {
-		return // the header block has ended meanwhile
+	if n.giveUpBlock() {
+		return
 	}
 	n.clients.countDrop(reasonSlow)
 	n.stop()
@@ -326,7 +326,7 @@
 		n.clients.remove(n)
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.hold.Close()
+		n.endBlock()
 	})
 	return n.closeErr
 }
