--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -5,21 +5,32 @@
 	"net/http"
 	"time"
 
+	"wigeondale/bounded"
 	"wigeondale/listen"
 	"wigeondale/settings"
 )
 
+const callerListener = "caller"
+
 // adminWrite is the time limit for writing one response on the admin and peer listeners.
 const adminWrite = time.Minute
 
 func (n *node) buildListeners(set *settings.Settings) error {
-	open := func(l settings.Listener, h http.Handler, write time.Duration) (*listen.Server, error) {
-		return listen.New(listen.Config{Listener: l, HeaderBytes: set.Limits.HeaderBytes, WriteTimeout: write}, h)
+	requests := bounded.NewPool(set.Limits.RequestsBytes(), "requests", n.set)
+	open := func(name string, l settings.Listener, conns int, h http.Handler, write time.Duration) (*listen.Server, error) {
+		cfg := listen.Config{
+			Listener: l, Name: name, HeaderBytes: set.Limits.HeaderBytes, WriteTimeout: write,
+			MaxConns: conns, ReceiveBytes: set.Limits.ReceiveBytes(), Requests: requests, Log: n.log, Metrics: n.set,
+		}
+		if name == callerListener {
+			cfg.Answers = n.answers
+		}
+		return listen.New(cfg, h)
 	}
 	var errCaller, errAdmin, errPeer error
-	n.caller, errCaller = open(set.Listen.Caller, n.callers, 0)
-	n.admin, errAdmin = open(set.Listen.Admin, n.adminHandler(set), adminWrite)
-	n.peers, errPeer = open(set.Listen.Peer, n.mesh, adminWrite)
+	n.caller, errCaller = open(callerListener, set.Listen.Caller, set.Limits.ClientConns(), n.callers, 0)
+	n.admin, errAdmin = open("admin", set.Listen.Admin, set.Limits.OperatorConns(), n.adminHandler(set), adminWrite)
+	n.peers, errPeer = open("peer", set.Listen.Peer, set.Limits.PeerConns(), n.mesh, adminWrite)
 	return errors.Join(errCaller, errAdmin, errPeer)
 }
 
