--- a/soak/command.go
+++ b/soak/command.go
@@ -52,6 +52,7 @@
 	OutOfStep        bool          `arg:"--out-of-step" help:"a router stands still or is cut off while others end, and while versions change"`
 	Stops            bool          `arg:"--stops" help:"routers are told to end under load, with a short grace"`
 	Floods           bool          `arg:"--floods" help:"all plain services answer many requests at once without end"`
+	Crowds           bool          `arg:"--crowds" help:"crowds of clients that don't behave connect to one router while another ends and starts again"`
 	Silences         bool          `arg:"--silences" help:"nothing but silences of replicas and new versions of the configuration is injected"`
 	Cuts             bool          `arg:"--cuts" help:"routers are cut from a service, or from one replica of it, while the others reach it"`
 	NoSilences       bool          `arg:"--no-silences" help:"no silences of replicas are drawn beside the other faults, and the larger retry budget"`
@@ -152,7 +153,7 @@
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
 		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Evidence: args.Evidence, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
-		OutOfStep: args.OutOfStep, Stops: args.Stops, Floods: args.Floods,
+		OutOfStep: args.OutOfStep, Stops: args.Stops, Floods: args.Floods, Crowds: args.Crowds,
 		Room: args.Room, Work: args.Work, Chunks: args.Chunks, Alone: args.Alone,
 	})
 	if err != nil {
--- a/soak/crowd_measure_test.go
+++ b/soak/crowd_measure_test.go
@@ -140,6 +140,11 @@
 		t.Errorf("in calm a body of the largest legal size is not answered: %v", err)
 	}
 	before := s.calmUsage()
+	defer func() {
+		if t.Failed() {
+			t.Logf("the router's log ends with:\n%s", s.process.logTail())
+		}
+	}()
 	measured := startSampler(pid, s.ports())
 	c, err := crowd.Start(cfg)
 	if err != nil {
--- a/soak/flood_test.go
+++ b/soak/flood_test.go
@@ -15,3 +15,11 @@
 	checkSeed(t, Run, cfg)
 	checkSeed(t, RunProduct, cfg)
 }
+
+// TestCrowdSeeds makes the same checks as TestSeeds, on both interfaces, while crowds of clients that don't behave connect to one router
+// and another one ends and starts again. Guards against routers that end, or take more memory than their machines have, under such clients.
+func TestCrowdSeeds(t *testing.T) {
+	cfg := Config{Seed: 28001, Nodes: 3, Engines: 4, Services: 4, Clients: 6, FaultTime: 5 * time.Second, Crowds: true, Alone: true}
+	checkSeed(t, Run, cfg)
+	checkSeed(t, RunProduct, cfg)
+}
--- a/soak/series.go
+++ b/soak/series.go
@@ -64,7 +64,7 @@
 	s.running.Wait()
 }
 
-// seriesFaults lists the faults of Config.OutOfStep, Config.Stops and Config.Floods.
+// seriesFaults lists the faults of Config.OutOfStep, Config.Stops, Config.Floods and Config.Crowds.
 func (r *platformRun) seriesFaults() []seriesFault {
 	var all []seriesFault
 	if r.cfg.OutOfStep {
@@ -76,10 +76,13 @@
 	if r.cfg.Floods {
 		all = append(all, seriesFault{"all replicas of a service answer many requests without end", r.flood})
 	}
+	if r.cfg.Crowds {
+		all = append(all, seriesFault{"a router has a crowd of clients that don't behave while another ends", r.crowd})
+	}
 	return all
 }
 
-// seriesFaults lists the faults of Config.OutOfStep, Config.Stops and Config.Floods.
+// seriesFaults lists the faults of Config.OutOfStep, Config.Stops, Config.Floods and Config.Crowds.
 func (r *productRun) seriesFaults() []seriesFault {
 	var all []seriesFault
 	processes := make([]*process, 0, len(r.routers))
@@ -101,6 +104,9 @@
 	if r.cfg.Floods {
 		all = append(all, seriesFault{"all plain services answer many requests without end", r.flood})
 	}
+	if r.cfg.Crowds {
+		all = append(all, seriesFault{"a router has a crowd of clients that don't behave while another ends", r.crowd})
+	}
 	return all
 }
 
--- a/soak/sizes.go
+++ b/soak/sizes.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"time"
 )
 
@@ -38,7 +39,12 @@
 }
 
 // limits returns the section "limits" of the routers' settings.
-func (c *Config) limits() json.RawMessage { return json.RawMessage(cmp.Or(c.Limits, "{}")) }
+func (c *Config) limits() json.RawMessage {
+	if c.Crowds && c.Limits == "" {
+		return json.RawMessage(fmt.Sprintf(`{"memory_mb": %d}`, machineMemory>>20))
+	}
+	return json.RawMessage(cmp.Or(c.Limits, "{}"))
+}
 
 // chunks returns the number of chunks of a stream.
 func (c *Config) chunks() int { return cmp.Or(c.Chunks, chunkCount) }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -101,7 +101,8 @@
 	Chunks int
 	// Alone injects only the faults of Repeats and Outages.
 	Alone bool
-	// Crowds has plain services give large answers on paths that end so, and record little of bodies.
+	// Crowds has crowds of clients that don't behave connect to one router while another one ends and starts again. The routers know the
+	// memory of their machines.
 	Crowds bool
 	// Limits is the section "limits" of the routers' settings, in JSON; empty for the defaults.
 	Limits string
