--- a/listen/clients.go
+++ b/listen/clients.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -13,10 +14,10 @@
 const (
 	reasonIdle    = "idle"            // the longest idle connection, for a new one
 	reasonSlow    = "slow"            // a request that arrives slowly, for a new connection or another request
-	reasonFull    = "full"            // a new connection, since all others have complete requests
+	reasonFull    = "full"            // a new connection, since all others have complete requests whose answers are read
 	reasonMemory  = "no-memory"       // a request whose head finds no memory
 	reasonTooLong = "header-too-long" // a head over the limit
-	reasonUnread  = "unread"          // an answer that its client doesn't read, for another answer
+	reasonUnread  = "unread"          // an answer that its client doesn't read, for another answer or a new connection
 )
 
 // logInterval is the shortest time between two log lines about closed connections.
@@ -25,6 +26,7 @@
 // clients holds the open connections of one listener, and bounds their number.
 type clients struct {
 	cfg   Config
+	tls   *tls.Config // nil without TLS
 	turns turns
 
 	mu       sync.Mutex
@@ -33,9 +35,10 @@
 	loggedAt time.Time
 }
 
-func newClients(cfg Config) *clients {
-	c := &clients{cfg: cfg, turns: newTurns(), conns: map[*conn]struct{}{}, dropped: map[string]int{}}
+func newClients(cfg Config, tlsConfig *tls.Config) *clients {
+	c := &clients{cfg: cfg, tls: tlsConfig, turns: newTurns(), conns: map[*conn]struct{}{}, dropped: map[string]int{}}
 	cfg.Answers.OnShortage(c.dropUnread)
+	cfg.Requests.OnShortage(c.dropUnread)
 	if cfg.Metrics != nil {
 		cfg.Metrics.NewGauge(`wigeon_connections{listener="`+cfg.Name+`"}`, func() float64 { return float64(c.count()) })
 	}
@@ -69,45 +72,51 @@
 	return n
 }
 
-// leastActive returns the connection that has been idle for longest, or else the one whose request arrives most slowly, and nil if
-// all requests are complete.
+// leastActive returns the connection that has been idle for longest, or else the one whose request arrives most slowly, or else the one
+// whose answer has not been read for longest, and nil if there is none of these.
 func (c *clients) leastActive(now time.Time) (*conn, string) {
 	var idlest, slowest *conn
 	var since time.Time
 	least := 1.0
 	for n := range c.conns {
-		at, hold, isIdle := n.activity()
+		at, progress, isIdle := n.activity(now)
 		if isIdle {
 			if idlest == nil || at.Before(since) {
 				idlest, since = n, at
 			}
 			continue
 		}
-		if hold == nil || idlest != nil {
-			continue
-		}
-		if v := hold.Progress(now); v < least {
-			slowest, least = n, v
+		if progress < least {
+			slowest, least = n, progress
 		}
 	}
-	if idlest != nil {
+	switch {
+	case idlest != nil:
 		return idlest, reasonIdle
+	case slowest != nil:
+		return slowest, reasonSlow
 	}
-	return slowest, reasonSlow
+	return c.longestUnread(now), reasonUnread
 }
 
-// dropUnread closes the connection that has taken no bytes of its answer for longest, if that is longer than unreadTime.
-func (c *clients) dropUnread() {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// longestUnread returns the connection whose client has taken no bytes of its answers for longest, or nil if that is not long.
+func (c *clients) longestUnread(now time.Time) *conn {
 	var longest *conn
-	since := now.Add(-unreadTime).UnixNano()
+	since := now.UnixNano()
 	for n := range c.conns {
-		if at := n.writingSince.Load(); at != 0 && at < since {
+		if at := n.unreadSince(now); at != 0 && at < since {
 			longest, since = n, at
 		}
 	}
+	return longest
+}
+
+// dropUnread closes the connection of longestUnread.
+func (c *clients) dropUnread() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	longest := c.longestUnread(now)
 	if longest == nil {
 		return
 	}
--- a/listen/conn.go
+++ b/listen/conn.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,44 +32,37 @@
 	unreadTime = time.Second
 )
 
-// The memory of a parsed head is that of its bytes, once as text and once in the copy that is passed on, and of the header's map, slices
-// and strings. A short line takes many times its length.
-const (
-	memoryPerByte = 2
-	memoryPerLine = 256
-	// shortestLine is the length of the shortest header line. Of an encrypted head only the length is known.
-	shortestLine = 5
-)
-
-var (
-	errHeadTooLong = errors.New("header too long")
-	errStopped     = errors.New("connection given up")
-)
+var errHeadTooLong = errors.New("header too long")
 
 // phase is what a connection waits for.
 type phase int
 
 const (
-	idle   phase = iota // the first byte of a request
-	head                // the rest of its head
-	active              // the body, or the end of the handler
-	taken               // nothing: another protocol uses the connection
+	idle      phase = iota // the first byte of a request
+	handshake              // the end of the TLS handshake
+	head                   // the rest of its head
+	active                 // the body, or the end of the handler
+	taken                  // nothing: another protocol uses the connection
 )
 
 // conn accounts for the requests of one connection while they arrive.
 type conn struct {
-	net.Conn
-	clients *clients
-	turn    turn
+	net.Conn           // decrypted
+	raw      net.Conn  // as accepted
+	tls      *tls.Conn // nil without TLS
+	clients  *clients
+	turn     turn
 
 	mu       sync.Mutex
 	phase    phase
 	since    time.Time // of the phase
 	hold     *bounded.Hold
-	received int       // bytes of the current request
-	readBy   time.Time // the deadline that http.Server has set, which counts while the connection is active
+	multi    *multiplexed // nil unless the connection carries several requests
+	received int          // bytes of the current request
+	readBy   time.Time    // the deadline that http.Server has set, which counts while the connection is active
 	stopped  bool
 	enlarged bool // the receive buffer
+	shaken   bool // the TLS handshake is complete; of the goroutine that reads
 
 	writingSince atomic.Int64 // Unix time of the piece that is being written, in ns; 0: none
 
@@ -75,7 +71,11 @@
 }
 
 func newConn(raw net.Conn, c *clients, now time.Time) *conn {
-	n := &conn{Conn: raw, clients: c, since: now}
+	n := &conn{Conn: raw, raw: raw, clients: c, since: now}
+	if c.tls != nil {
+		n.tls = tls.Server(encrypted{raw, n}, c.tls)
+		n.Conn, n.phase = n.tls, handshake
+	}
 	n.turn.turns = c.turns
 	_ = raw.SetReadDeadline(now.Add(c.cfg.limits().IdleTimeout)) // an error shows at the next read
 	return n
@@ -84,6 +84,9 @@
 // Read implements net.Conn.
 func (n *conn) Read(p []byte) (int, error) {
 	n.turn.end()
+	if err := n.shake(); err != nil {
+		return 0, err
+	}
 	read, err := n.Conn.Read(p)
 	if read == 0 {
 		return 0, err
@@ -102,6 +105,10 @@
 		n.mu.Unlock()
 		return nil
 	}
+	if n.multi != nil {
+		n.mu.Unlock()
+		return n.accountFrames(data)
+	}
 	if n.phase == idle {
 		n.beginHead(time.Now())
 	}
@@ -135,10 +142,7 @@
 		return errHeadTooLong
 	}
 	lines := bytes.Count(data, []byte{'\n'})
-	if n.clients.cfg.TLS != nil {
-		lines = len(data)/shortestLine + 1
-	}
-	err := hold.Grow(context.Background(), int64(len(data))*memoryPerByte+int64(lines)*memoryPerLine)
+	err := hold.Grow(context.Background(), int64(len(data))*bounded.MemoryPerByte+int64(lines)*bounded.MemoryPerLine)
 	switch {
 	case err == nil:
 		return nil
@@ -161,16 +165,13 @@
 }
 
 func (n *conn) setReceiveBuffer(size int) {
-	if tcp, ok := n.Conn.(*net.TCPConn); ok {
+	if tcp, ok := n.raw.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(size) // the size before stays
 	}
 }
 
-// refuse answers a request whose head isn't complete, and so has not run. An encrypted connection is closed without an answer.
+// refuse answers a request whose head isn't complete, and so has not run.
 func (n *conn) refuse(status int, retryAfter time.Duration) {
-	if n.clients.cfg.TLS != nil {
-		return
-	}
 	retry := ""
 	if retryAfter > 0 {
 		retry = fmt.Sprintf("Retry-After: %d\r\n", int(retryAfter.Seconds()))
@@ -211,6 +212,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.phase, n.since, n.received = next, now, 0
+	if n.multi != nil {
+		return
+	}
 	n.hold.Close()
 	n.hold = nil
 	if n.enlarged {
@@ -232,7 +236,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.readBy = t
-	if n.stopped || n.phase == idle || n.phase == head {
+	if n.stopped || n.phase < active && n.multi == nil {
 		return nil
 	}
 	return n.Conn.SetReadDeadline(t)
@@ -243,15 +247,31 @@
 	return errors.Join(n.SetReadDeadline(t), n.Conn.SetWriteDeadline(t))
 }
 
-// activity returns since when the connection is idle, or the memory of the request that arrives.
-func (n *conn) activity() (since time.Time, hold *bounded.Hold, isIdle bool) {
+// activity returns since when the connection is idle, or the progress of what arrives. A connection with several requests has the progress
+// of the fastest, since all of them end with it.
+func (n *conn) activity(now time.Time) (since time.Time, progress float64, isIdle bool) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.since, n.hold, n.phase == idle
+	since, hold := n.since, n.hold
+	isIdle = n.phase == idle && hold == nil || n.phase == handshake && n.received == 0
+	var streams []*stream
+	if n.multi != nil {
+		streams = slices.Collect(maps.Keys(n.multi.streams))
+	}
+	n.mu.Unlock()
+	if len(streams) == 0 {
+		return since, hold.Progress(now), isIdle
+	}
+	for _, s := range streams {
+		progress = max(progress, s.progress(now))
+	}
+	return since, progress, false
 }
 
 // giveUp ends the reading of a request that arrives too slowly. The handler can still answer.
 func (n *conn) giveUp() {
+	if n.hasStreams() {
+		return // the header block has ended meanwhile
+	}
 	n.clients.countDrop(reasonSlow)
 	n.stop()
 }
@@ -266,7 +286,8 @@
 // drop closes the connection for another one.
 func (n *conn) drop() {
 	n.stop()
-	_ = n.Close() // the client sees the end of the connection
+	_ = n.raw.Close() // the client sees the end of the connection
+	_ = n.Close()
 }
 
 // Write implements net.Conn.
@@ -294,8 +315,8 @@
 func (n *conn) Close() error {
 	n.closeOnce.Do(func() {
 		n.turn.end()
-		n.clients.remove(n)
 		n.closeErr = n.Conn.Close()
+		n.clients.remove(n)
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.hold.Close()
--- a/listen/request.go
+++ b/listen/request.go
@@ -14,21 +14,12 @@
 
 // connContext makes the connection known to the handlers of its requests.
 func connContext(ctx context.Context, c net.Conn) context.Context {
-	if n := connOf(c); n != nil {
+	if n, ok := c.(*conn); ok {
 		return context.WithValue(ctx, connKey{}, n)
 	}
 	return ctx
 }
 
-// connOf returns the conn below a connection of http.Server, or nil.
-func connOf(c net.Conn) *conn {
-	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = t.NetConn()
-	}
-	n, _ := c.(*conn)
-	return n
-}
-
 // Hold returns the memory of the request that a listener of this package passed to a handler. The listener closes it when the request
 // has ended. It is nil for other requests.
 func Hold(r *http.Request) *bounded.Hold {
@@ -38,6 +29,15 @@
 	return nil
 }
 
+// WriteHeld writes an answer that a handler has made as a whole. Its memory counts with that of the request.
+func WriteHeld(w http.ResponseWriter, r *http.Request, data []byte) {
+	if err := Hold(r).Grow(r.Context(), int64(len(data))); err != nil {
+		refuse(w)
+		return
+	}
+	_, _ = w.Write(data) // an error means that the client has disconnected or doesn't read
+}
+
 // body is the body of a request, which records when it has arrived.
 type body struct {
 	io.ReadCloser
@@ -55,50 +55,44 @@
 	if err == nil {
 		return n, nil
 	}
-	if errors.Is(err, io.EOF) {
-		b.hold.Complete()
-	} else if b.hold.GivenUp() {
-		err = bounded.Error.Wrap(bounded.ErrGivenUp)
+	if isEnd := errors.Is(err, io.EOF); isEnd && b.hold.Complete() || !isEnd && !b.hold.GivenUp() {
+		return n, err
 	}
-	return n, err
+	return n, bounded.Error.Wrap(bounded.ErrGivenUp)
 }
 
-// begin accounts for the memory of a request whose head is complete, and returns a function that ends the request. ok is false if there is
-// no memory for it.
-func (s *Server) begin(r *http.Request) (end func(), ok bool) {
+// begin accounts for the memory of a request whose head is complete, and returns a function that ends the request, and has to know
+// whether its handler was aborted. ok is false if there is no memory for it.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request) (end func(aborted bool), ok bool) {
 	n, _ := r.Context().Value(connKey{}).(*conn)
 	if n == nil || s.clients.cfg.Requests == nil {
-		return func() {}, true
+		return func(bool) {}, true
 	}
-	end = func() {}
-	hold, counted := n.requestHold(), r.ProtoMajor >= 2
+	end = func(bool) {}
+	var hold *bounded.Hold
+	counted := r.ProtoMajor >= 2
 	if counted {
-		hold = s.clients.cfg.Requests.HoldInput(bounded.Input{MaxWait: memoryWait, GiveUp: func() { _ = r.Body.Close() }})
-		end = hold.Close
+		stream := n.beginStream(w, r)
+		if stream == nil {
+			s.clients.countDrop(reasonMemory)
+			return nil, false
+		}
+		hold, end = stream.hold, func(aborted bool) { n.endStream(stream, aborted) }
+	} else {
+		hold = n.requestHold()
+		if err := hold.SetAtLeast(r.Context(), bounded.HeaderMemory(r.Header)); err != nil {
+			s.clients.countDrop(reasonMemory)
+			return nil, false
+		}
 	}
-	if err := hold.SetAtLeast(r.Context(), headMemory(r.Header)); err != nil {
-		s.clients.countDrop(reasonMemory)
-		end()
+	if r.ContentLength == 0 && !hold.Complete() {
+		end(true)
 		return nil, false
 	}
-	if r.ContentLength == 0 {
-		hold.Complete()
-	}
 	r.Body = &body{ReadCloser: r.Body, hold: hold, counted: counted}
 	return end, true
 }
 
-// headMemory returns the memory of a parsed head.
-func headMemory(h http.Header) int64 {
-	sum := int64(0)
-	for name, values := range h {
-		for _, v := range values {
-			sum += memoryPerLine + int64(len(name)+len(v))*memoryPerByte
-		}
-	}
-	return sum
-}
-
 // requestHold returns the memory of the current request. A pipelined request that arrived together with the one before has none yet.
 func (n *conn) requestHold() *bounded.Hold {
 	n.mu.Lock()
