soak: tests of crowds sample every 2 ms and hold the crowd for a second

A burst that takes all descriptors was seen by chance only. Change: memory and descriptors are sampled every 2 ms, bytes unread every 20 ms as before, and the crowd holds its connections for a second before the ordinary client comes. Crowds and bounds are as they were; a test can only see more than before.

--- a/soak/crowd_measure_test.go
+++ b/soak/crowd_measure_test.go
@@ -22,8 +22,12 @@
 	"wigeondale/fakes/crowd"
 )
 
-// sampleGap is the time between two samples of a process.
-const sampleGap = 20 * time.Millisecond
+const (
+	// sampleGap is the time between two samples of a process, and unreadGap that between two readings of the kernel's table, which
+	// takes longer.
+	sampleGap = 2 * time.Millisecond
+	unreadGap = 20 * time.Millisecond
+)
 
 // usage is what a process used at its peaks: memory with its bytes unread in the kernel at that moment, and descriptors.
 type usage struct {
@@ -37,6 +41,9 @@
 	ports map[string]bool
 	end   chan struct{}
 	done  chan usage
+
+	unread   int64
+	unreadAt time.Time
 }
 
 func startSampler(pid int, ports map[string]bool) *sampler {
@@ -86,7 +93,10 @@
 	if err != nil {
 		return usage{}
 	}
-	return usage{rss: pages * int64(os.Getpagesize()), unread: unreadBytes(s.ports), descriptors: len(files)}
+	if time.Since(s.unreadAt) >= unreadGap {
+		s.unread, s.unreadAt = unreadBytes(s.ports), time.Now()
+	}
+	return usage{rss: pages * int64(os.Getpagesize()), unread: s.unread, descriptors: len(files)}
 }
 
 // tcpListening is the state of a listening socket in /proc/net/tcp, whose queue counts connections.
@@ -125,8 +135,12 @@
 	return p.cmd.Process.Pid
 }
 
-// sendTime bounds the wait until the crowd has sent all that the router takes.
-const sendTime = 5 * time.Second
+const (
+	// sendTime bounds the wait until the crowd has sent all that the router takes.
+	sendTime = 5 * time.Second
+	// holdTime is how long the crowd holds its connections then, before an ordinary client comes.
+	holdTime = time.Second
+)
 
 // checkCrowd lets a crowd connect to a router and checks that the router lives, stays within its memory and descriptors, and answers
 // ordinary requests: large ones in calm, and a small one beside the crowd and after it.
@@ -151,6 +165,7 @@
 		t.Fatal(err)
 	}
 	c.AwaitSent(sendTime)
+	time.Sleep(holdTime)
 	open, sent := c.Open(), c.Sent()
 	readiness := make(chan error, 1)
 	go func() { readiness <- s.awaitReadiness() }()
