--- a/soak/platform_node.go
+++ b/soak/platform_node.go
@@ -59,7 +59,7 @@
 	text := fmt.Sprintf(`{"node": {"id": %q, "vm": %q, "failure_domain": "d%d", "region": "r", "backend_proxy_address": %q},
  "limits": %s, "shutdown": {"balancer_notice_ms": 300},
  "hosted": {"first_start": %t, "front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,%s
-  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.limits(), (r.cfg.OutOfStep || r.cfg.PeerCuts) && n.launches == 0, front, ready, stats, n.peer, n.peerProxySetting(), n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
+  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.limits(), (r.cfg.OutOfStep || r.cfg.PeerCuts || r.cfg.Unnamed) && n.launches == 0, front, ready, stats, n.peer, n.peerProxySetting(), n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
 	n.rewrite = func() error { return n.writeSettings(r, i, front, ready, stats) }
 	return Error.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600))
 }
--- a/soak/platform_software.go
+++ b/soak/platform_software.go
@@ -194,6 +194,7 @@
 	last    int
 	version string
 	reached func() // called after each piece; may be nil
+	unnamed bool   // its client doesn't state id
 }
 
 // add takes in one piece, and returns the promise that it breaks, or "".
@@ -249,10 +250,13 @@
 
 // streamOnce sends one request for the rest of a stream. It reports whether the client tries again.
 func (c *platformClient) streamOnce(ctx context.Context, transport *http.Transport, n *node, s *softwareStream, res *result) bool {
-	req, err := fakes.ClientRequest{
-		Addr: n.front, Path: "/draft/x", ID: res.id, Key: res.key, Budget: budget, Prompt: "aa:40," + c.name + ":60",
-		LastChunk: s.last, BeganAs: s.id,
-	}.HTTPRequest()
+	request := fakes.ClientRequest{
+		Addr: n.front, Path: "/draft/x", ID: res.id, Key: res.key, Budget: budget, Prompt: "aa:40," + c.name + ":60", LastChunk: s.last,
+	}
+	if !s.unnamed {
+		request.BeganAs = s.id
+	}
+	req, err := request.HTTPRequest()
 	if err != nil {
 		res.err = err
 		return false
@@ -263,7 +267,7 @@
 			res.incarnation = ""
 		}
 	}()
-	resumed, had := s.id != "", c.run.serving(s.version)
+	resumed, had := s.id != "" && !s.unnamed, c.run.serving(s.version)
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		res.err = err
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -88,6 +88,8 @@
 	// TakeUps has clients of the users' platform take one stream up at several routers at once, from different chunks, while
 	// they read its first answer on.
 	TakeUps bool
+	// Unnamed has half of the take-ups of TakeUps state Last-Event-Id alone.
+	Unnamed bool
 	// Stops sends routers SIGTERM under load, with a short grace and plain services that take much of it.
 	Stops bool
 	// Floods makes all plain services answer many requests at once without end.
--- a/soak/take_ups.go
+++ b/soak/take_ups.go
@@ -18,6 +18,8 @@
 	client *platformClient
 	router *node
 	behind int // pieces that the client has and asks for once more
+	// unnamed is whether the client states Last-Event-Id alone, and not which try brought the first piece.
+	unnamed bool
 }
 
 // takeUps requests a stream and, once some pieces have arrived, takes it up at several routers at once while it reads the
@@ -32,7 +34,7 @@
 			return
 		}
 		for i, b := range branches {
-			rest := softwareStream{id: first.id, beganAt: first.beganAt, version: first.version, last: at - b.behind}
+			rest := softwareStream{id: first.id, beganAt: first.beganAt, version: first.version, last: at - b.behind, unnamed: b.unnamed}
 			running.Go(func() { b.client.follow(transport, &rest, fmt.Sprintf("%s-%d.b%d", c.name, c.sent, i), b.router) })
 		}
 	}
@@ -51,6 +53,9 @@
 		if c.rng.IntN(2) == 0 && have > 1 {
 			b.behind, b.client.kind = 1+c.rng.IntN(have-1), "take-up behind"
 		}
+		if c.run.cfg.Unnamed && c.rng.IntN(2) == 0 {
+			b.unnamed, b.client.kind = true, "take-up unnamed"
+		}
 		out = append(out, b)
 	}
 	return out
