--- a/soak/crowd_series.go
+++ b/soak/crowd_series.go
@@ -45,7 +45,7 @@
 	c.Stop()
 }
 
-// endOne kills a router or tells it to end, and starts it again.
+// endOne kills a router or sends it SIGTERM, and starts it again.
 func endOne(ctx context.Context, rng *rand.Rand, p *process) {
 	if rng.IntN(2) == 0 {
 		p.kill()
