listen, relay, callerapi: a client of HTTP/1.0 gets answers with a length only

Callers saw a stream that was cut as a whole one. Cause: HTTP/1.0 has no chunks, so the answer has no length, and its client takes the end of the connection, which is clean whatever ends the answer, for the end of the answer. Class: unknown counts as a value, no end seen counts as the end.

Change: package listen gives each answer over HTTP/1.0 a length. An answer without a stated one is sent when its handler has ended, and not at all if the handler is aborted; a flush before fails. A stream is refused before it is run, on both interfaces: 426 with Upgrade: HTTP/1.1, not run. 505 was weighed: it says that the major version isn't served, and balancers repeat 5xx. Plain answers, the metrics page and the dump state their length. relay-ended and relay-refused name the protocol.

Run: go test ./listen ./relay ./platform ./callerapi ./dump ./daemon ./docs.

--- a/callerapi/errors.go
+++ b/callerapi/errors.go
@@ -85,6 +85,10 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(headerOutcome, string(f.Outcome))
+	if f.Status == http.StatusUpgradeRequired {
+		h.Set("Upgrade", "HTTP/1.1")
+		h.Set("Connection", "Upgrade")
+	}
 	if f.RetryAfter > 0 {
 		h.Set(headerRetryAfter, retrySeconds(f.RetryAfter))
 	}
@@ -133,6 +137,7 @@
 	codeForbidden      = "model_not_allowed"
 	codeNotFound       = "not_found"
 	codeMethod         = "method_not_allowed"
+	codeNoStreams      = "no_streams_over_protocol"
 	codeKeyReused      = "key_reused"
 	codeInProgress     = "in_progress"
 	codeCursorInvalid  = "cursor_invalid"
--- a/callerapi/generate.go
+++ b/callerapi/generate.go
@@ -9,6 +9,7 @@
 	"wigeondale/cursor"
 	"wigeondale/fleet"
 	"wigeondale/generation"
+	"wigeondale/listen"
 )
 
 // generationCall is one validated request for a generation.
@@ -54,6 +55,9 @@
 	if c.params, f = s.parseBody(raw, form); f != nil {
 		return c, f
 	}
+	if c.params.Stream && !listen.CanStream(r) {
+		return c, refuse(http.StatusUpgradeRequired, codeNoStreams, "a stream needs HTTP/1.1 or later")
+	}
 	if c.resumeFrom, f = s.openCursor(r, &c.id, &c.params); f != nil {
 		return c, f
 	}
--- a/callerapi/service.go
+++ b/callerapi/service.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -228,6 +229,9 @@
 		h[name] = values
 	}
 	h.Set(headerOutcome, string(fleet.Complete))
+	if len(a.body) > 0 {
+		h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	setWriteDeadline(w)
 	w.WriteHeader(a.status)
 	_, _ = w.Write(a.body) // an error means that the caller has disconnected
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -241,7 +241,13 @@
 		}
 		aborted := true
 		defer func() { end(aborted) }()
-		next.ServeHTTP(w, r)
+		if CanStream(r) {
+			next.ServeHTTP(w, r)
+		} else {
+			framed, complete := frame(w, r)
+			next.ServeHTTP(framed, r)
+			complete()
+		}
 		aborted = false
 	})
 }
--- a/listen/request.go
+++ b/listen/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 
 	"wigeondale/bounded"
 )
@@ -35,6 +36,7 @@
 		refuse(w)
 		return
 	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	_, _ = w.Write(data) // an error means that the client has disconnected or doesn't read
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,9 @@
 	LengthHint      int      // client's estimate of the tokens of the answer, 0 if not stated
 	PromptParts     []string // ids of the prompt's parts, in order
 	Model           string   // model that the request names, empty if it names none
+	Protocol        string   // of the client's connection, such as HTTP/1.1
+	// NoStreams reports that the client can't tell a stream that was cut from a whole one.
+	NoStreams bool
 }
 
 // Result states what still has to be sent to the client when a request has ended.
@@ -137,6 +140,9 @@
 	if !known && !rt.Open && !table.Keyless {
 		return r.refuse(req, table, http.StatusUnauthorized, "unknown key", 0)
 	}
+	if rt.Kind == route.Stream && req.NoStreams {
+		return r.refuse(req, table, http.StatusUpgradeRequired, "no streams over this protocol", 0)
+	}
 	j := newJob(req, rt, account, table)
 	j.cfg = &r.cfg
 	r.cfg.Budgets.First(j.service)
--- a/relay/report.go
+++ b/relay/report.go
@@ -34,7 +34,7 @@
 	}
 	r.m.set.GetOrCreateCounter(`wigeon_relay_refused_total{status="` + strconv.Itoa(status) + `"}`).Inc()
 	r.cfg.Log.Emit(event.RelayRefused, "request", req.ID, "status", status, "reason", reason,
-		"host", req.Host, "path", req.Path, "version", version)
+		"host", req.Host, "path", req.Path, "protocol", req.Protocol, "version", version)
 	if status == http.StatusServiceUnavailable && req.ClientTimeout > 0 {
 		retry = min(retry, req.ClientTimeout/retryAfterDivisor)
 	}
@@ -46,7 +46,7 @@
 	r.m.ended(j.route.Kind.String(), string(res.Outcome), took)
 	kv := []any{
 		"request", j.req.ID, "digest", res.Digest, "route", j.route.Name, "service", j.service, "account", j.account,
-		"version", j.version, "outcome", string(res.Outcome), "pieces", res.Tokens, "resumes", res.Resumes,
+		"version", j.version, "protocol", j.req.Protocol, "outcome", string(res.Outcome), "pieces", res.Tokens, "resumes", res.Resumes,
 		"first_ms", res.TimeToFirstToken.Milliseconds(), "pause_ms", res.LongestPause.Milliseconds(), "took_ms", took.Milliseconds(),
 	}
 	if j.req.HasPartialAnswer {
