platform, relay: a Last-Event-Id that can't be read refuses the request

Callers that have 12 pieces got them again: a Last-Event-Id that is no number counted as none, and the stream began at piece 1. Of two headers the first counted; the largest number overflowed. Class: unknown counts as a value.

Change: the id is what replicas write, digits without sign or leading zeros. Another value, several values, or a number above the tokens that the request allows is refused with 400 before it is run. An empty value is none (HTML standard, server-sent events). A take-up on a route whose streams can't be resumed is refused too: it was passed on, and its version not bound.

Run: go test ./platform ./relay ./docs.

--- a/hosted/unread_values_test.go
+++ b/hosted/unread_values_test.go
@@ -87,6 +87,10 @@
 	const chunks = 40
 	engines := f.startEngines(2, chunks, 0)
 	n := f.startServingNode()
+	await(t, "the statement about the versions", func() bool {
+		st, err := n.software.reads.get(t.Context(), "llm")
+		return err == nil && len(st.Versions) == 1
+	})
 	for i, values := range [][]string{
 		{"12x"}, {"-1"}, {"+12"}, {"012"}, {"1e1"}, {"0x0c"}, {"12,30"}, {"12, 12"}, {`"12"`}, {"12 "}, {"1 2"}, {"\xe2\x80\x8b12"}, {"12.0"}, {"00"},
 		{"99999999999999999999"}, {"9223372036854775807"}, {"9223372036854775806"}, {"12", "30"}, {"12", "12"}, {"", "12"}, {"12", ""},
@@ -97,7 +101,7 @@
 			lines = append(lines, "Last-Event-Id: "+v)
 		}
 		got := n.sendRaw("HTTP/1.1", "/draft/x", id, 5*time.Second, lines...)
-		if trimmed := len(values) == 1 && values[0] == "12 "; trimmed { // white space around a value is not part of it
+		if len(values) == 1 && values[0] == "12 " { // white space around a value is not part of it
 			if got.status != http.StatusOK || !strings.HasPrefix(got.body, fakes.Chunk(id, 13)) {
 				t.Errorf("%q: status %d, %.40q", values, got.status, got.body)
 			}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,9 @@
 	PromptParts     []string // ids of the prompt's parts, in order
 	Model           string   // model that the request names, empty if it names none
 	Protocol        string   // of the client's connection, such as HTTP/1.1
+	// Unreadable names a header without which it isn't known what the client asks for, and that can't be read; "" if there is none.
+	// ResumeUnreadable does the same for the part of a stream that it asks for.
+	Unreadable, ResumeUnreadable string
 	// NoStreams reports that the client can't tell a stream that was cut from a whole one.
 	NoStreams bool
 }
@@ -140,8 +143,8 @@
 	if !known && !rt.Open && !table.Keyless {
 		return r.refuse(req, table, http.StatusUnauthorized, "unknown key", 0)
 	}
-	if rt.Kind == route.Stream && req.NoStreams {
-		return r.refuse(req, table, http.StatusUpgradeRequired, "no streams over this protocol", 0)
+	if status, reason := unservable(req, rt); status != 0 {
+		return r.refuse(req, table, status, reason, 0)
 	}
 	j := newJob(req, rt, account, table)
 	j.cfg = &r.cfg
@@ -153,6 +156,22 @@
 	return v
 }
 
+// unservable returns the status and the reason with which a request is refused that no backend server can serve, or 0.
+func unservable(req *Request, rt *route.Route) (status int, reason string) {
+	stream := rt.Kind == route.Stream
+	switch {
+	case req.Unreadable != "":
+		return http.StatusBadRequest, "unreadable " + req.Unreadable
+	case stream && req.NoStreams:
+		return http.StatusUpgradeRequired, "no streams over this protocol"
+	case stream && req.ResumeUnreadable != "":
+		return http.StatusBadRequest, "unreadable " + req.ResumeUnreadable
+	case stream && req.HasPartialAnswer && !rt.Resumable:
+		return http.StatusBadRequest, "streams of the route can't be resumed"
+	}
+	return 0, ""
+}
+
 // table returns the route table in force, or nil if there is none. Just after the start of
 // the router it waits for the first table.
 //
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -151,3 +151,37 @@
 		})
 	}
 }
+
+// Guards against a request that runs although it can't be known which request, or which part of a stream, its client means.
+func TestRequestThatCannotBeReadIsNotRun(t *testing.T) {
+	streams := func(c *route.Config) {
+		c.Routes = []route.Route{
+			{Host: "h", Prefix: "/p/", Service: "svc", Kind: route.Stream, Resumable: true, MaxAttempts: 1},
+			{Host: "h", Prefix: "/once/", Service: "svc", Kind: route.Stream, MaxAttempts: 1},
+			{Host: "h", Prefix: "/plain/", Service: "svc", Kind: route.Repeatable, MaxAttempts: 1},
+		}
+	}
+	for _, c := range []struct {
+		path   string
+		change func(*Request)
+		want   int
+	}{
+		{"/p/x", func(*Request) {}, 0},
+		{"/p/x", func(r *Request) { r.Unreadable = "X-Id" }, http.StatusBadRequest},
+		{"/plain/x", func(r *Request) { r.Unreadable = "X-Id" }, http.StatusBadRequest},
+		{"/p/x", func(r *Request) { r.ResumeUnreadable = "X-Last" }, http.StatusBadRequest},
+		{"/plain/x", func(r *Request) { r.ResumeUnreadable = "X-Last" }, 0},
+		{"/p/x", func(r *Request) { r.FirstChunk, r.HasPartialAnswer = 13, true }, 0},
+		{"/once/x", func(r *Request) { r.FirstChunk, r.HasPartialAnswer = 13, true }, http.StatusBadRequest},
+		{"/plain/x", func(r *Request) { r.FirstChunk, r.HasPartialAnswer = 13, true }, 0},
+		{"/p/x", func(r *Request) { r.NoStreams = true }, http.StatusUpgradeRequired},
+		{"/plain/x", func(r *Request) { r.NoStreams = true }, 0},
+	} {
+		req := &Request{Host: "h", Path: c.path, Key: "k"}
+		c.change(req)
+		v, got := serve(t, generation.Result{Outcome: fleet.Complete}, req, streams)
+		if ran := got.Opaque != nil; v.Status != c.want || ran != (c.want == 0) {
+			t.Errorf("%+v: status %d, ran %v, want %d", req, v.Status, ran, c.want)
+		}
+	}
+}
