forward: what another router doesn't state is no position and no end

Cause: a request that was passed on without the number of its first chunk ran from chunk 0, one with a part of the answer and no position from chunk 1; an answer counted as complete without an attempt, and a message of an unknown kind was passed over. Class: unknown counts as a value.

Change: a start message has to say which part of the answer is wanted, and that its stream may be resumed; otherwise it is rejected as not run. A token or an end before an attempt, an index below 0 or an unknown kind breaks the stream.

Run: go test ./forward.

--- a/forward/message.go
+++ b/forward/message.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -271,7 +272,30 @@
 			kinds++
 		}
 	}
-	return m.ID != "" && kinds == 1 && m.BodyBytes >= 0
+	if m.ID == "" || kinds != 1 || m.BodyBytes < 0 || m.TimeLeftMS < 0 {
+		return false
+	}
+	if o := m.opaqueStart(); o != nil {
+		return o.valid()
+	}
+	return m.Resume == nil || m.Resume.Offset >= 0 && m.Resume.Attempt >= 0
+}
+
+// maxChunk is the largest number of a chunk of an opaque answer, so that the one after it is a number, too.
+const maxChunk = math.MaxInt32 - 1
+
+// valid reports whether the message states which part of an answer is wanted. Without that, chunks that the client has would count
+// as missing, or missing ones as present.
+func (o *opaqueStart) valid() bool {
+	switch {
+	case !o.Streaming:
+		return true
+	case o.FirstChunk < 1 || o.FirstChunk > maxChunk+1:
+		return false
+	case o.FirstChunk == 1:
+		return !o.HasPartialAnswer // the other router could not read where the client wants to go on
+	}
+	return o.HasPartialAnswer && o.Resumable
 }
 
 func fromMS(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -31,6 +31,7 @@
 	first   *answerMessage // received before the stream was returned, and not read yet
 	head    *backend.Head
 	origin  generation.Position
+	begun   bool // an attempt delivers
 }
 
 // Next implements generation.Stream.
@@ -51,12 +52,20 @@
 		case answerBegin:
 			s.begin(m)
 		case answerToken:
+			if m.Index < 0 || !s.begun {
+				return backend.Token{}, Error.New("%w: token %d of no attempt", backend.ErrBroken, m.Index)
+			}
 			return backend.Token{Index: m.Index, Text: m.Text, Finish: m.Finish}, nil
 		case answerEnd:
-			if m.Outcome == fleet.Complete {
-				return backend.Token{}, io.EOF
+			if m.Outcome != fleet.Complete {
+				return backend.Token{}, m.end()
+			}
+			if !s.begun {
+				return backend.Token{}, Error.New("%w: an answer without an attempt is complete", backend.ErrBroken)
 			}
-			return backend.Token{}, m.end()
+			return backend.Token{}, io.EOF
+		default:
+			return backend.Token{}, Error.New("%w: message of the unknown kind %d", backend.ErrBroken, m.Kind)
 		}
 	}
 }
@@ -84,7 +93,7 @@
 	if m.Kind != answerBegin {
 		return
 	}
-	s.origin = m.position()
+	s.origin, s.begun = m.position(), true
 	if h := m.head(); h != nil {
 		s.head = h
 	}
