generation: a plain answer without its body is no complete answer

Cause: the end of a plain answer counted as its completion, also when no body came before it; its client would get an empty 200. Only an answer of another router can end so, since a replica's is read to its end first. Class: unknown counts as a value. Change: it ends its attempt as broken. Streams without events stay complete: a client may have all of them and not have seen the end. Before: complete; after: generation.TestPlainAnswerWithoutItsBodyIsNotComplete. Run: go test ./generation.

--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -492,3 +492,14 @@
 		}
 	})
 }
+
+// Guards against a plain answer without its body that counts as complete, so that the client gets an empty one.
+func TestPlainAnswerWithoutItsBodyIsNotComplete(t *testing.T) {
+	for _, streaming := range []bool{false, true} {
+		w := &fakeFleet{}
+		res, _ := w.run(t, func(r *Request) { r.Opaque.Streaming = streaming })
+		if complete := res.Outcome == fleet.Complete; complete != streaming {
+			t.Errorf("streaming %v: %s", streaming, res.Outcome)
+		}
+	}
+}
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -176,6 +176,9 @@
 			return x.handleLoss(a, err)
 		}
 	}
+	if o := x.req.Opaque; err == io.EOF && o != nil && !o.Streaming && x.res.Tokens == 0 {
+		err = Error.New("%w: an answer without its body", backend.ErrBroken)
+	}
 	if err == io.EOF && (x.req.Opaque != nil || x.filter.next >= x.req.MaxTokens) {
 		x.dropCopy(a)
 		if a.accepted > 0 {
