client: an answer without a stated outcome is not complete

Cause: an answer counted as the service's unless its Wigeon-Outcome was a known failure, so that a page of a proxy, or an outcome that this build doesn't know, was complete. Class: unknown counts as a value. Change: complete is what says complete, once; any other outcome than not-run and failed is unknown. The stand-in of TestPostIsNotReplayedByTransport stated no outcome, which routers always do; it does now, and the test is the same otherwise. Run: go test ./client.

--- a/client/call.go
+++ b/client/call.go
@@ -138,12 +138,9 @@
 	return res, nil
 }
 
-// isRefusal reports whether the answer is a failure sent by the router and not the
-// answer of the service.
+// isRefusal reports whether the answer is not stated to be that of the service: it is a failure sent by the router, or the answer of
+// something between.
 func isRefusal(resp *http.Response) bool {
-	switch fleet.Outcome(resp.Header.Get("Wigeon-Outcome")) {
-	case fleet.NotRun, fleet.Failed, fleet.Unknown:
-		return true
-	}
-	return false
+	outcomes := resp.Header.Values("Wigeon-Outcome")
+	return len(outcomes) != 1 || fleet.Outcome(outcomes[0]) != fleet.Complete
 }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -160,6 +160,7 @@
 			posts.Add(1)
 			panic(http.ErrAbortHandler)
 		}
+		w.Header().Set("Wigeon-Outcome", string(fleet.Complete))
 	})
 	c := New([]string{url}, "k", fastRetry())
 	if _, err := c.Call(context.Background(), CallRequest{Service: "s", Path: "warm"}); err != nil {
@@ -176,3 +177,25 @@
 		}
 	}
 }
+
+// Guards against an answer that no router states to be the service's, such as that of a proxy, counting as complete.
+func TestAnswerWithoutAStatedOutcomeIsNotComplete(t *testing.T) {
+	for _, c := range []struct {
+		outcomes []string
+		want     fleet.Outcome
+	}{
+		{[]string{"complete"}, fleet.Complete}, {nil, fleet.Unknown}, {[]string{""}, fleet.Unknown}, {[]string{"done"}, fleet.Unknown},
+		{[]string{"complete", "not-run"}, fleet.Unknown}, {[]string{"complete, complete"}, fleet.Unknown},
+		{[]string{"not-run", "complete"}, fleet.Unknown}, {[]string{"not-run"}, fleet.NotRun},
+	} {
+		url := newRouter(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header()["Wigeon-Outcome"] = c.outcomes
+			w.WriteHeader(http.StatusBadGateway)
+			io.WriteString(w, "page of a proxy")
+		})
+		res, err := New([]string{url}, "k", fastRetry()).Call(t.Context(), CallRequest{Service: "s", Method: http.MethodPost, Path: "book", NonIdempotent: true})
+		if res.Outcome != c.want || (err == nil) != (c.want == fleet.Complete) {
+			t.Errorf("%q: outcome %q, %v", c.outcomes, res.Outcome, err)
+		}
+	}
+}
--- a/client/refusal.go
+++ b/client/refusal.go
@@ -90,20 +90,25 @@
 		Status:     status,
 		Code:       b.Error.Code,
 		Message:    b.Error.Message,
-		Outcome:    b.Error.Outcome,
+		Outcome:    failure(b.Error.Outcome),
 		RetryAfter: time.Duration(b.Error.RetryAfterMS) * time.Millisecond,
 	}
-	if r.Outcome == "" {
-		r.Outcome = fleet.Unknown
-	}
 	return r
 }
 
+// failure returns the outcome of a refusal. One that no router states leaves it unknown whether the request has run.
+func failure(stated fleet.Outcome) fleet.Outcome {
+	if stated == fleet.NotRun || stated == fleet.Failed {
+		return stated
+	}
+	return fleet.Unknown
+}
+
 func readRefusal(resp *http.Response) *Refusal {
 	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	r := parseRefusal(resp.StatusCode, data)
-	if o := resp.Header.Get("Wigeon-Outcome"); o != "" && r.Outcome == fleet.Unknown {
-		r.Outcome = fleet.Outcome(o)
+	if o := resp.Header.Values("Wigeon-Outcome"); len(o) == 1 && r.Outcome == fleet.Unknown {
+		r.Outcome = failure(fleet.Outcome(o[0]))
 	}
 	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
 	if err == nil && r.RetryAfter == 0 {
