callerapi: a header that is sent twice is refused

Cause: of two values of Last-Event-ID, Idempotency-Key and the other headers of a caller the first counted: with an empty first Last-Event-ID a second answer began for a caller that has a part of one. Two Authorization headers let the first account pay. Class: unknown counts as a value. Change: 400 (401 for keys); with a Last-Event-ID the outcome is unknown, as for any reconnect. Run: go test ./callerapi.

--- a/callerapi/callerapi_test.go
+++ b/callerapi/callerapi_test.go
@@ -398,3 +398,39 @@
 		}
 	})
 }
+
+// Guards against a header that is sent twice, of which the first value counts: a second answer would begin for a caller that has a part
+// of one, or another key would be charged.
+func TestHeaderSentTwiceIsRefused(t *testing.T) {
+	s := newServer(t, neverRuns(t))
+	for name, values := range map[string][2]string{
+		"Last-Event-ID": {"", "AQ"}, "Idempotency-Key": {"k1", "k2"}, "Wigeon-Non-Idempotent": {"false", "true"},
+		"Wigeon-Priority": {"batch", "interactive"}, "Wigeon-Timeout-Ms": {"1000", "2000"},
+	} {
+		resp := post(s, "/v1/completions", `{"model":"m","prompt":"p","stream":true}`, name+": "+values[0], name+": "+values[1])
+		got := failureIn(t, resp)
+		want := fleet.NotRun
+		if name == "Last-Event-ID" {
+			want = fleet.Unknown // the answer was begun
+		}
+		if resp.StatusCode != http.StatusBadRequest || got.Outcome != string(want) {
+			t.Errorf("%s: status %d, %+v", name, resp.StatusCode, got)
+		}
+	}
+	if resp := post(s, "/v1/completions", "{}", "Authorization: Bearer sk-acme", "Authorization: Bearer other"); resp.StatusCode != http.StatusUnauthorized {
+		t.Errorf("two keys: status %d", resp.StatusCode)
+	}
+}
+
+// Guards against a stream for a client of HTTP/1.0, which can't tell a part of it from the whole.
+func TestStreamOverHTTP10IsRefused(t *testing.T) {
+	s := newServer(t, neverRuns(t))
+	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"m","prompt":"p","stream":true}`))
+	r.Header.Set("Authorization", "Bearer sk-acme")
+	r.Proto, r.ProtoMinor = "HTTP/1.0", 0
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	if got := failureIn(t, w.Result()); w.Code != http.StatusUpgradeRequired || got.Outcome != string(fleet.NotRun) || w.Header().Get("Upgrade") != "HTTP/1.1" {
+		t.Errorf("status %d, %+v", w.Code, got)
+	}
+}
--- a/callerapi/fake_test.go
+++ b/callerapi/fake_test.go
@@ -108,13 +108,15 @@
 	return callerapi.New(cfg)
 }
 
-// post sends body with headers in the form "Name: value".
+// post sends body with headers in the form "Name: value". Without an Authorization among them it sends the key of an account.
 func post(s http.Handler, path, body string, headers ...string) *http.Response {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
-	r.Header.Set("Authorization", "Bearer sk-acme")
 	for _, h := range headers {
 		name, value, _ := strings.Cut(h, ": ")
-		r.Header.Set(name, value)
+		r.Header.Add(name, value)
+	}
+	if len(r.Header.Values("Authorization")) == 0 {
+		r.Header.Set("Authorization", "Bearer sk-acme")
 	}
 	w := httptest.NewRecorder()
 	s.ServeHTTP(w, r)
--- a/callerapi/identity.go
+++ b/callerapi/identity.go
@@ -28,8 +28,16 @@
 	Timeout       time.Duration // 0: not sent
 }
 
+// singleHeaders are the headers of which the first value must not be taken for the one that is meant.
+var singleHeaders = []string{headerKey, headerNonIdempotent, headerPriority, headerTimeout, headerLastEvent}
+
 func readIdentity(r *http.Request, account string) (identity, *Failure) {
 	id := identity{Account: account, Key: r.Header.Get(headerKey)}
+	for _, name := range singleHeaders {
+		if len(r.Header.Values(name)) > 1 {
+			return id, badHeader(name, "one value")
+		}
+	}
 	if id.Key == "" {
 		id.Key = newKey()
 		id.KeyGenerated = true
--- a/callerapi/server.go
+++ b/callerapi/server.go
@@ -20,6 +20,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -160,7 +161,7 @@
 		open := s.open.Add(1)
 		defer s.open.Add(-1)
 		if f := s.dispatch(w, r, open, h); f != nil {
-			if r.Header.Get(headerLastEvent) != "" && !strings.HasPrefix(r.URL.Path, servicesPath) {
+			if slices.ContainsFunc(r.Header.Values(headerLastEvent), isStated) && !strings.HasPrefix(r.URL.Path, servicesPath) {
 				f.weakenForReconnect()
 			}
 			s.countFailure(f)
@@ -169,6 +170,8 @@
 	})
 }
 
+func isStated(value string) bool { return value != "" }
+
 func (s *Server) dispatch(w http.ResponseWriter, r *http.Request, open int64, h handler) *Failure {
 	if err := s.Gate.Ready(); err != nil {
 		f := refuse(http.StatusServiceUnavailable, CodeNotReady, "this node is not ready")
@@ -188,7 +191,11 @@
 }
 
 func (s *Server) account(r *http.Request) (string, bool) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	values := r.Header.Values("Authorization")
+	if len(values) != 1 {
+		return "", false
+	}
+	key, ok := strings.CutPrefix(values[0], "Bearer ")
 	if !ok || key == "" {
 		return "", false
 	}
