backend: an answer that names its request twice names none

Cause: of several X-Request-Id values the first counted, for engines and plain services. Class: unknown counts as a value. Run: go test ./backend.

--- a/backend/client.go
+++ b/backend/client.go
@@ -215,8 +215,8 @@
 	id := c.ids.next()
 	req.Header.Set(requestIDHeader, id)
 	return Exchange{Request: req, Server: b.ID, Check: func(resp *http.Response) error {
-		echo := resp.Header.Get(requestIDHeader)
-		if echo == id || echo == "" && streamed && resp.StatusCode == http.StatusOK {
+		echo := resp.Header.Values(requestIDHeader)
+		if len(echo) == 1 && echo[0] == id || len(echo) == 0 && streamed && resp.StatusCode == http.StatusOK {
 			return nil
 		}
 		return Error.New("%w: it names request %q, not %q", ErrMismatch, echo, id)
--- a/backend/service.go
+++ b/backend/service.go
@@ -55,7 +55,7 @@
 		return nil, Error.New("%w: %w", ErrNotSent, err)
 	}
 	x := Exchange{Request: req, Server: b.ID, Key: call.RequestID, Check: func(resp *http.Response) error {
-		if echo := resp.Header.Get(requestIDHeader); echo != "" && echo != call.RequestID {
+		if echo := resp.Header.Values(requestIDHeader); len(echo) > 1 || len(echo) == 1 && echo[0] != call.RequestID {
 			return Error.New("%w: it names request %q", ErrMismatch, echo)
 		}
 		return nil
