relay, route: a stream that is taken up stays at the service that began it

Callers whose route is split, or was moved while they read, could get the rest of their stream from another service. Cause: each take-up drew the service anew, and nothing bound the stream to the one that began it.

Change: the service of a stream is picked by the id of the attempt that began it, without a record. route.Current keeps how stream routes led before, while a stream of that time may be taken up; a take-up whose service may have been another one is refused as not run (503). Ways weighed: records at routers and in the store (a write a stream), refusing all take-ups for a while after a move (ends streams that needn't end).

Open: a router that has started since the move doesn't know of it. Run: go test ./relay ./route ./docs.

--- a/relay/job.go
+++ b/relay/job.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -27,11 +26,11 @@
 	deadline clock.Deadline
 }
 
-func newJob(req *Request, rt *route.Route, account *route.Account, table *route.Table) *job {
+func newJob(req *Request, rt *route.Route, account *route.Account, table *route.Table, service string) *job {
 	j := &job{
 		req:     req,
 		route:   rt,
-		service: rt.Pick(rand.Uint64()),
+		service: service,
 		stated:  rt.StatedPriority,
 		version: table.Version,
 		timeout: timeoutOf(req, rt),
--- /dev/null
+++ b/relay/moved_test.go
@@ -0,0 +1,151 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wigeondale/fleet"
+	"wigeondale/generation"
+	"wigeondale/route"
+)
+
+// lastService is a Runner that records the service of the latest request.
+type lastService string
+
+func (s *lastService) Run(_ context.Context, req generation.Request, _ generation.Sink) generation.Result {
+	*s = lastService(req.Opaque.Service)
+	return generation.Result{Outcome: fleet.Complete}
+}
+
+// movable is a relay whose only stream routes change.
+type movable struct {
+	t       *testing.T
+	relay   *Relay
+	table   *route.Current
+	version int64
+	runner  lastService
+}
+
+func newMovable(t *testing.T, routes ...route.Route) *movable {
+	m := &movable{t: t, table: &route.Current{}}
+	m.relay = New(Config{Table: m.table, Runner: &m.runner, Budgets: noBudgets{}})
+	m.install(routes...)
+	return m
+}
+
+func (m *movable) install(routes ...route.Route) {
+	m.version++
+	for i := range routes {
+		r := &routes[i]
+		r.Host, r.Kind, r.Resumable, r.Open, r.Timeout = "h", route.Stream, true, true, 20*time.Second
+		if r.Prefix == "" {
+			r.Prefix = "/p/"
+		}
+	}
+	m.table.Install(route.NewTable(&route.Config{Version: m.version, Routes: routes}))
+}
+
+// send returns the service to which a request goes, or the status of its refusal.
+func (m *movable) send(id, beganAs string, last int) string {
+	m.runner = ""
+	v := m.relay.Serve(m.t.Context(), &Request{ID: id, Host: "h", Path: "/p/q/x", FirstChunk: last + 1, HasPartialAnswer: last > 0, BeganAs: beganAs}, nil)
+	if v.Status != 0 {
+		return http.StatusText(v.Status)
+	}
+	return string(m.runner)
+}
+
+var (
+	toA   = route.Route{Service: "a"}
+	toB   = route.Route{Service: "b"}
+	split = route.Route{Split: []route.WeightedService{{Service: "a", Weight: 60}, {Service: "b", Weight: 40}}}
+)
+
+// Guards against a stream that goes on at another service of its route than the one that began it.
+func TestTakeUpGoesToTheServiceThatBeganTheStream(t *testing.T) {
+	shifted := route.Route{Split: []route.WeightedService{{Service: "a", Weight: 50}, {Service: "b", Weight: 50}}}
+	longer := toB
+	longer.Prefix = "/p/q/"
+	for name, c := range map[string]struct {
+		before, after []route.Route
+		streams       int // that go on, of 200 named ones and of 200 unnamed ones
+		unnamed       int
+	}{
+		"one service":          {[]route.Route{toA}, nil, 200, 200},
+		"split route":          {[]route.Route{split}, nil, 200, 0},
+		"moved route":          {[]route.Route{toA}, []route.Route{toB}, 0, 0},
+		"longer prefix":        {[]route.Route{toA}, []route.Route{toA, longer}, 0, 0},
+		"route becomes split":  {[]route.Route{toA}, []route.Route{split}, 100, 0},
+		"weights are shifted":  {[]route.Route{split}, []route.Route{shifted}, 150, 0},
+		"removed and put back": {[]route.Route{toA}, []route.Route{}, 0, 0},
+		"another route":        {[]route.Route{toA}, []route.Route{toA, {Service: "b", Prefix: "/other/"}}, 200, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMovable(t, c.before...)
+				services := map[string]string{}
+				for i := range 200 {
+					id := fmt.Sprint("q", i)
+					services[id] = m.send(id, "", 0)
+				}
+				if c.after != nil {
+					m.install(c.after...)
+				}
+				goOn := map[bool]int{}
+				for id, service := range services {
+					for _, named := range []bool{true, false} {
+						beganAs := id
+						if !named {
+							beganAs = ""
+						}
+						switch got := m.send(id+"-again", beganAs, 12); got {
+						case service:
+							goOn[named]++
+						case "Service Unavailable", "Not Found":
+						default:
+							t.Errorf("%s, named %v: began at %s, goes on at %s", id, named, service, got)
+						}
+					}
+				}
+				if goOn[true] < c.streams || goOn[false] < c.unnamed {
+					t.Errorf("%d named and %d unnamed streams go on, want %d and %d", goOn[true], goOn[false], c.streams, c.unnamed)
+				}
+			})
+		})
+	}
+}
+
+// Guards against streams that are refused for a move that no stream has outlived.
+func TestMoveIsForgottenWithTheLastOfItsStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMovable(t, toA)
+		m.install(toB)
+		if got := m.send("again", "q", 12); got != "Service Unavailable" {
+			t.Errorf("got %s", got)
+		}
+		time.Sleep(time.Minute)
+		m.install(toB)
+		if got := m.send("again", "q", 12); got != "b" {
+			t.Errorf("got %s", got)
+		}
+	})
+}
+
+// Guards against a history of moves that grows with the number of configurations.
+func TestManyMovesAreNotKept(t *testing.T) {
+	m := newMovable(t, toA)
+	for range 1000 {
+		m.install(toB)
+		m.install(toA)
+	}
+	if n := m.table.Moves(); n > 100 {
+		t.Errorf("%d moves are kept", n)
+	}
+	if got := m.send("again", "q", 12); got != "Service Unavailable" {
+		t.Errorf("got %s", got)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -146,7 +147,11 @@
 	if status, reason := unservable(req, rt); status != 0 {
 		return r.refuse(req, table, status, reason, 0)
 	}
-	j := newJob(req, rt, account, table)
+	service, certain := r.service(req, rt)
+	if !certain {
+		return r.refuse(req, table, http.StatusServiceUnavailable, "the stream may have begun at another service", 0)
+	}
+	j := newJob(req, rt, account, table, service)
 	j.cfg = &r.cfg
 	r.cfg.Budgets.First(j.service)
 	res := r.cfg.Runner.Run(ctx, j.generation(), sink)
@@ -172,6 +177,18 @@
 	return 0, ""
 }
 
+// service returns the service for a request. certain is false for a stream that is taken up if it may have begun at another service of
+// its route.
+func (r *Relay) service(req *Request, rt *route.Route) (service string, certain bool) {
+	switch {
+	case rt.Kind != route.Stream:
+		return rt.Pick(rand.Uint64()), true
+	case req.HasPartialAnswer:
+		return r.cfg.Table.BeganAt(rt, req.Host, req.Path, req.BeganAs)
+	}
+	return rt.PickStream(req.ID), true
+}
+
 // table returns the route table in force, or nil if there is none. Just after the start of
 // the router it waits for the first table.
 //
--- a/route/current.go
+++ b/route/current.go
@@ -1,12 +1,19 @@
 package route
 
-import "sync/atomic"
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 // Current holds the Table in force in this process. The version of the table in force only
 // grows: a stale read of the store, a restarted watch or another router may deliver an older
 // table after a newer one.
 type Current struct {
 	table atomic.Pointer[Table]
+
+	mu    sync.Mutex // held while a table is installed
+	moves moves
 }
 
 // Get returns the table in force, or nil before the first table is installed.
@@ -15,13 +22,13 @@
 // Install puts a newer table into force. It returns false, and changes nothing, if the
 // version of t isn't higher than the version of the table in force.
 func (c *Current) Install(t *Table) bool {
-	for {
-		old := c.table.Load()
-		if old != nil && old.Version >= t.Version {
-			return false
-		}
-		if c.table.CompareAndSwap(old, t) {
-			return true
-		}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.table.Load()
+	if old != nil && old.Version >= t.Version {
+		return false
 	}
+	c.moves.add(old, t, time.Now())
+	c.table.Store(t)
+	return true
 }
--- a/route/route.go
+++ b/route/route.go
@@ -158,6 +158,8 @@
 	keys      map[string]*Account
 	streams   map[string]time.Duration // longest timeout of the resumable streams, by service; 0 means no limit
 	urgencies map[string][]urgency     // by service, the most urgent first
+	// streamRoutes are the routes of streams.
+	streamRoutes []Route
 }
 
 // NewTable builds the Table of one version of the configuration.
@@ -174,8 +176,7 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
+		t.addHost(r)
 		t.addStreams(r)
 		t.addUrgencies(r, c)
 	}
@@ -191,6 +192,14 @@
 	return t
 }
 
+func (t *Table) addHost(r *Route) {
+	host := strings.ToLower(r.Host)
+	t.hosts[host] = append(t.hosts[host], r)
+	if r.Kind == Stream {
+		t.streamRoutes = append(t.streamRoutes, *r)
+	}
+}
+
 // addStreams takes in the timeout of a route of resumable streams.
 func (t *Table) addStreams(r *Route) {
 	if r.Kind != Stream || !r.Resumable {
