--- a/soak/checks.go
+++ b/soak/checks.go
@@ -26,6 +26,8 @@
 	asks       *askRecord
 	ends       endRecord
 	stops      stopRecord
+	// unservable are requests that no router may run, with what is odd about them.
+	unservable map[string]string
 }
 
 // denial is a response in which a router rejects an API key or an account that it does not
@@ -209,6 +211,7 @@
 	}
 	r.checks.checkEnds(visits)
 	r.checks.checkStops(ran)
+	r.checks.checkOdd(ran)
 	r.checks.checkCrashing(crashingArrivals(all))
 	if r.cfg.Herd && r.cfg.Calm {
 		r.checks.checkHerd()
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -260,3 +260,17 @@
 		t.Errorf("%d found, want the one request that is held back", len(k.violations))
 	}
 }
+
+// Guards against a request that can't be served, and is answered or run, counting as right.
+func TestOddDraftsAreJudged(t *testing.T) {
+	for name, c := range map[string]struct {
+		status, ran, broken int
+	}{"refused": {426, 0, 0}, "no answer": {0, 0, 0}, "answered": {200, 0, 1}, "run": {503, 1, 1}, "answered and run": {200, 1, 2}} {
+		checks := newChecks(false)
+		checks.addOdd(&result{id: "q", status: c.status}, "odd")
+		checks.checkOdd(map[string]int{"q": c.ran})
+		if got := len(checks.violations); got != c.broken {
+			t.Errorf("%s: %d violations, want %d", name, got, c.broken)
+		}
+	}
+}
--- a/soak/command.go
+++ b/soak/command.go
@@ -53,6 +53,7 @@
 	PeerCuts         bool          `arg:"--peer-cuts" help:"routers are cut from other routers on the platform's interface, and not from the store, while versions change and others end"`
 	TakeUps          bool          `arg:"--take-ups" help:"clients of the platform's interface take a stream up at several routers at once, also behind what they have, while they read its first answer on"`
 	Unnamed          bool          `arg:"--unnamed" help:"with --take-ups: half of the take-ups don't name the try that brought the first chunk"`
+	OddClients       bool          `arg:"--odd-clients" help:"some clients of the platform's interface speak HTTP/1.0, or state a Last-Event-Id that names no piece"`
 	Stops            bool          `arg:"--stops" help:"routers are told to end under load, with a short grace"`
 	Floods           bool          `arg:"--floods" help:"all plain services answer many requests at once without end"`
 	Crowds           bool          `arg:"--crowds" help:"crowds of clients that don't behave connect to one router while another ends and starts again"`
@@ -156,7 +157,7 @@
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
 		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Evidence: args.Evidence, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
-		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Unnamed: args.Unnamed, Stops: args.Stops, Floods: args.Floods, Crowds: args.Crowds,
+		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Unnamed: args.Unnamed, OddClients: args.OddClients, Stops: args.Stops, Floods: args.Floods, Crowds: args.Crowds,
 		Room: args.Room, Work: args.Work, Chunks: args.Chunks, Alone: args.Alone,
 	})
 	if err != nil {
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -66,6 +66,10 @@
 	transport := c.run.newTransport()
 	defer transport.CloseIdleConnections()
 	for ctx.Err() == nil {
+		if c.run.cfg.OddClients && c.rng.IntN(oddEvery) == 0 {
+			c.sendOdd()
+			continue
+		}
 		if c.run.cfg.TakeUps && c.rng.IntN(takeUpsEvery) == 0 {
 			c.sent++
 			c.takeUps(transport)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -90,6 +90,8 @@
 	TakeUps bool
 	// Unnamed has half of the take-ups of TakeUps state Last-Event-Id alone.
 	Unnamed bool
+	// OddClients has clients of the users' platform speak HTTP/1.0, or state a Last-Event-Id that names no piece.
+	OddClients bool
 	// Stops sends routers SIGTERM under load, with a short grace and plain services that take much of it.
 	Stops bool
 	// Floods makes all plain services answer many requests at once without end.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -193,6 +193,12 @@
 	checkSeed(t, Run, Config{Seed: 25002, Nodes: 4, Engines: 6, Services: 4, Clients: 20, FaultTime: 5 * time.Second, Stops: true, Cuts: true, Alone: true})
 }
 
+// TestOddClientSeeds makes the same checks as TestSeeds while clients speak HTTP/1.0 or state a Last-Event-Id that names no piece.
+// Guards against streams that look whole to such clients, or begin again for them.
+func TestOddClientSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 31001, Nodes: 3, Engines: 6, Services: 2, Clients: 12, FaultTime: 5 * time.Second, OddClients: true, Outages: true, Repeats: true})
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
