relay, binding, hosted: a stream goes on after a move where a record says it began

Change: while stream routes have moved, routers send each other the record of each stream, as they do while a service has two versions; its key names the service. A take-up whose service isn't certain goes where the record is, and is refused without one. A router that has just started asks for a record at the other services of streams, which narrows what it doesn't know of moves before its start. Messages: one record a stream at the routers that keep it, only for as long as a stream lasts after a move; no new message, nothing stored.

Run: go test ./route ./relay ./binding ./docs; ./soak -run TestMoveSeeds.

--- a/binding/binding.go
+++ b/binding/binding.go
@@ -86,6 +86,9 @@
 	Lookup func(ctx context.Context, service string, key Key) (Stored, error)
 	// StoreEra returns the era of this router's copy of the store. It may wait for a call of SetStatement.
 	StoreEra func() int64
+	// Moved reports whether routes of streams have led to other services lately. Then the record of each stream is sent, since it says
+	// at which service the stream began. It may be nil.
+	Moved func() bool
 	// FirstStart means that this router was started with the deployment's first start: no stream began before.
 	FirstStart bool
 	Log        *event.Log
@@ -114,6 +117,7 @@
 	wokeAt         time.Duration // end of the latest time in which this process did not run
 	wholeSince     time.Duration // as connectedSince, for Config.Whole
 	unconfirmed    bool          // the list was not current at the latest tick: the store may be away
+	moved          bool          // as Config.Moved said at the latest tick
 	firstStart     bool          // this router has not been paused since the deployment's first start
 }
 
@@ -142,6 +146,7 @@
 // of each service. The list was current at asOf.
 func (t *Tracker) Tick(now, asOf time.Duration, listed map[string][]string) {
 	connected, whole, era := t.cfg.Connected(), t.cfg.Whole(), t.cfg.StoreEra()
+	moved := t.cfg.Moved != nil && t.cfg.Moved()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lastTick != never && now-t.lastTick > maxTickGap {
@@ -154,8 +159,8 @@
 	for service, versions := range listed {
 		t.observe(service, versions, asOf, era, now)
 	}
-	if unconfirmed := now-asOf > maxCopyAge; unconfirmed != t.unconfirmed {
-		t.unconfirmed = unconfirmed
+	if unconfirmed := now-asOf > maxCopyAge; unconfirmed != t.unconfirmed || moved != t.moved {
+		t.unconfirmed, t.moved = unconfirmed, moved
 		t.completedAt, t.membership = never, 0
 	}
 	t.records.expire(now)
--- a/binding/binding_test.go
+++ b/binding/binding_test.go
@@ -295,3 +295,27 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Guards against streams that end when their routes move, because no other router knows at which service they began.
+func TestStreamIsRecordedElsewhereWhileRoutesMove(t *testing.T) {
+	p, moved := newPair(), false
+	p.Tracker.cfg.Moved = func() bool { return moved }
+	p.list(testStart, testStart+30*time.Second, "v1")
+	now := testStart + 30*time.Second
+	early, late := NewKey("s", "acc", "early"), NewKey("s", "acc", "late")
+	p.Began(early, "s", "v1", 20*time.Second, now)
+	if len(p.sent) > 0 {
+		t.Errorf("sent %v before a move", p.sent)
+	}
+	moved = true
+	p.list(now, now+2*time.Second, "v1")
+	p.Began(late, "s", "v1", 20*time.Second, now+2*time.Second)
+	for _, key := range []Key{early, late} {
+		if !slices.ContainsFunc(slices.Concat(p.sent["a"], p.sent["b"]), func(r Record) bool { return r.Key == key }) {
+			t.Errorf("record not sent: %v", p.sent)
+		}
+	}
+	if !p.HasRecord(t.Context(), early, "s", now+2*time.Second) || p.HasRecord(t.Context(), NewKey("other", "acc", "early"), "other", now+2*time.Second) {
+		t.Error("the record doesn't say at which service the stream began")
+	}
+}
--- a/binding/find.go
+++ b/binding/find.go
@@ -51,6 +51,15 @@
 	return f, err
 }
 
+// HasRecord reports whether this router, or one that keeps such records, has a record of a stream of a service.
+func (t *Tracker) HasRecord(ctx context.Context, key Key, service string, now time.Duration) bool {
+	if _, ok := t.findRecord(key, now); ok {
+		return true
+	}
+	_, err := t.ask(ctx, key, service, now)
+	return err == nil
+}
+
 // FindUnnamed finds out at which version a stream began whose client doesn't name it. No record can be attributed to such a stream, so
 // that its version is known only if all streams of the service that may still be taken up began at one version.
 func (t *Tracker) FindUnnamed(ctx context.Context, service string, now time.Duration) (Found, error) {
--- a/binding/publish.go
+++ b/binding/publish.go
@@ -13,7 +13,7 @@
 func (t *Tracker) complete(now time.Duration) {
 	services := map[string]bool{}
 	for service, h := range t.services {
-		if t.unconfirmed || h.several(now, t.cfg.Lifetime(service)) {
+		if t.unconfirmed || t.moved || h.several(now, t.cfg.Lifetime(service)) {
 			services[service] = true
 		}
 	}
@@ -38,7 +38,7 @@
 		return
 	}
 	h := t.services[service]
-	if t.unconfirmed || version == UnknownVersion || h != nil && h.several(now, t.cfg.Lifetime(service)) {
+	if t.unconfirmed || t.moved || version == UnknownVersion || h != nil && h.several(now, t.cfg.Lifetime(service)) {
 		t.publish([]Key{key}, t.cfg.Routers(), now)
 	}
 }
--- a/fakes/hosted/operator.go
+++ b/fakes/hosted/operator.go
@@ -21,6 +21,7 @@
 	Name     string
 	Kind     string // streaming, idempotent or non_idempotent
 	Service  string
+	Split    []string // services that get equal parts of the requests, in place of Service
 	Attempts int
 	Timeout  time.Duration
 }
@@ -30,8 +31,9 @@
 	Version       int
 	Account       string
 	Keys          []string
-	EngineService string // service of the model engines, which keep copies of each other's runs
-	OtherService  string // service of the replicas that are not model engines
+	EngineService string   // service of the model engines, which keep copies of each other's runs
+	MoreEngines   []string // further such services
+	OtherService  string   // service of the replicas that are not model engines
 	Routes        []Route
 }
 
@@ -39,19 +41,25 @@
 func (s *Store) PutConfig(c Config) {
 	var routes []any
 	for _, r := range c.Routes {
+		var split []any
+		for _, service := range r.Split {
+			split = append(split, map[string]any{"service": service, "weight": 50})
+		}
 		routes = append(routes, map[string]any{
-			"name": r.Name, "host": Host, "prefix": "/" + r.Name + "/", "route_type": r.Kind, "service": r.Service,
+			"split": split,
+			"name":  r.Name, "host": Host, "prefix": "/" + r.Name + "/", "route_type": r.Kind, "service": r.Service,
 			"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": 1500, "max_attempts": r.Attempts, "resumable": r.Kind == "streaming",
 		})
 	}
+	services := []any{map[string]any{"name": c.OtherService}}
+	for _, name := range append([]string{c.EngineService}, c.MoreEngines...) {
+		services = append(services, map[string]any{"name": name, "health_path": HealthPath, "engine": map[string]any{"kv_capacity": KVCapacity, "backups": true, "moves": true}})
+	}
 	s.PutJSON(ConfigKey, map[string]any{
-		"version": c.Version,
-		"routes":  routes,
-		"services": []any{
-			map[string]any{"name": c.EngineService, "health_path": HealthPath, "engine": map[string]any{"kv_capacity": KVCapacity, "backups": true, "moves": true}},
-			map[string]any{"name": c.OtherService},
-		},
-		"tenants": []any{map[string]any{"name": c.Account, "api_keys": c.Keys}},
+		"version":  c.Version,
+		"routes":   routes,
+		"services": services,
+		"tenants":  []any{map[string]any{"name": c.Account, "api_keys": c.Keys}},
 	})
 }
 
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -89,6 +89,7 @@
 		Send:      s.send,
 		Ask:       s.ask,
 		Whole:     s.whole,
+		Moved:     func() bool { return n.table.Moved() > 0 },
 		Statement: func(ctx context.Context, service string) (binding.Statement, error) { return s.reads.get(ctx, service) },
 		Lookup:    s.lookup,
 		StoreEra:  func() int64 { return n.mirror.Newest().Era() },
@@ -277,6 +278,26 @@
 	return s.tracker.Find(ctx, keyOf(r), r.Opaque.Service, clock.SinceBoot())
 }
 
+// recordedAt returns which of several services has a record of a stream, and false if none has.
+func (s *software) recordedAt(ctx context.Context, account, beganAs string, services []string) (string, bool) {
+	found := make(chan string, len(services))
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var asked sync.WaitGroup
+	for _, service := range services {
+		asked.Go(func() {
+			if s.tracker.HasRecord(ctx, binding.NewKey(service, account, beganAs), service, clock.SinceBoot()) {
+				found <- service
+				stop()
+			}
+		})
+	}
+	asked.Wait()
+	close(found)
+	service, ok := <-found
+	return service, ok
+}
+
 var errRestarted = errors.New("the replica has started again since it was listed")
 
 // Confirm implements generation.StreamVersions. A replica without a start time in its entry has a
--- a/relay/moved_test.go
+++ b/relay/moved_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,10 +143,38 @@
 		m.install(toB)
 		m.install(toA)
 	}
-	if n := m.table.Moves(); n > 100 {
+	if n := m.table.Moved(); n > 100 {
 		t.Errorf("%d moves are kept", n)
 	}
 	if got := m.send("again", "q", 12); got != "Service Unavailable" {
 		t.Errorf("got %s", got)
 	}
 }
+
+// Guards against a stream that ends, or goes on elsewhere, although a record says at which service it began.
+func TestRecordSaysWhereAStreamBegan(t *testing.T) {
+	other := route.Route{Service: "b", Prefix: "/other/"}
+	for name, c := range map[string]struct {
+		routes   []route.Route // before the take-up, the last of them in force
+		recorded string
+		want     string
+	}{
+		"recorded before the move":    {[]route.Route{toA, toB}, "a", "a"},
+		"recorded since the move":     {[]route.Route{toA, toB}, "b", "b"},
+		"no record":                   {[]route.Route{toA, toB}, "", "Service Unavailable"},
+		"started since the move":      {[]route.Route{toB}, "a", "a"},
+		"started, no record":          {[]route.Route{toB}, "", "b"},
+		"started, recorded elsewhere": {[]route.Route{toB}, "c", "b"}, // no route of streams leads there
+	} {
+		m := newMovable(t, c.routes[0], route.Route{Service: "a", Prefix: "/a/"}, other)
+		for _, r := range c.routes[1:] {
+			m.install(r, route.Route{Service: "a", Prefix: "/a/"}, other)
+		}
+		m.relay.cfg.RecordedAt = func(_ context.Context, _, beganAs string, services []string) (string, bool) {
+			return c.recorded, beganAs == "q" && slices.Contains(services, c.recorded)
+		}
+		if got := m.send("again", "q", 12); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,6 +90,8 @@
 	// StreamMaxWait returns how long a stream waits for a backend server, given the stream's
 	// target time. If it is nil, a stream waits for half of the target.
 	StreamMaxWait func(target time.Duration) time.Duration
+	// RecordedAt returns which of several services has a record of a stream, and false if none has. It may be nil.
+	RecordedAt func(ctx context.Context, account, beganAs string, services []string) (service string, found bool)
 	// OnStreamEnd is called with each stream that has ended; it may be nil.
 	OnStreamEnd func(StreamEnd)
 	Log         *event.Log
@@ -147,8 +149,8 @@
 	if status, reason := unservable(req, rt); status != 0 {
 		return r.refuse(req, table, status, reason, 0)
 	}
-	service, certain := r.service(req, rt)
-	if !certain {
+	service, known := r.service(ctx, req, rt, account)
+	if !known {
 		return r.refuse(req, table, http.StatusServiceUnavailable, "the stream may have begun at another service", 0)
 	}
 	j := newJob(req, rt, account, table, service)
@@ -177,16 +179,26 @@
 	return 0, ""
 }
 
-// service returns the service for a request. certain is false for a stream that is taken up if it may have begun at another service of
-// its route.
-func (r *Relay) service(req *Request, rt *route.Route) (service string, certain bool) {
+// service returns the service for a request, and false for a stream that is taken up if it may have begun at another one.
+func (r *Relay) service(ctx context.Context, req *Request, rt *route.Route, account *route.Account) (service string, known bool) {
 	switch {
 	case rt.Kind != route.Stream:
 		return rt.Pick(rand.Uint64()), true
-	case req.HasPartialAnswer:
-		return r.cfg.Table.BeganAt(rt, req.Host, req.Path, req.BeganAs)
+	case !req.HasPartialAnswer:
+		return rt.PickStream(req.ID), true
 	}
-	return rt.PickStream(req.ID), true
+	o := r.cfg.Table.Origin(rt, req.Host, req.Path, req.BeganAs)
+	if len(o.Others) == 0 || req.BeganAs == "" || r.cfg.RecordedAt == nil {
+		return o.Service, o.Certain
+	}
+	name := ""
+	if account != nil {
+		name = account.Name
+	}
+	if recorded, ok := r.cfg.RecordedAt(ctx, name, req.BeganAs, append(o.Others, o.Service)); ok {
+		return recorded, true
+	}
+	return o.Service, o.Certain
 }
 
 // table returns the route table in force, or nil if there is none. Just after the start of
--- a/route/moves.go
+++ b/route/moves.go
@@ -23,31 +23,40 @@
 	expires time.Time // when the last stream that began by them can't be taken up any more
 }
 
-// moves holds the recent moves, and when the last one expires that found no place.
+// moves holds the recent moves, and until when there may be others: those before the first configuration, and those that found no
+// place.
 type moves struct {
-	recent    []move
-	unknownAt time.Time
+	recent       []move
+	startedUntil time.Time
+	droppedUntil time.Time
 }
 
 // add records that next takes the place of old.
 func (m *moves) add(old, next *Table, now time.Time) {
 	m.recent = slices.DeleteFunc(m.recent, func(e move) bool { return !now.Before(e.expires) })
-	if old == nil || slices.EqualFunc(old.streamRoutes, next.streamRoutes, leadsTheSame) {
-		return
+	switch {
+	case old == nil:
+		m.startedUntil = now.Add(next.streamLifetime())
+	case !slices.EqualFunc(old.streamRoutes, next.streamRoutes, leadsTheSame):
+		m.recent = append(m.recent, move{routes: streamTable(old.streamRoutes), expires: now.Add(old.streamLifetime())})
 	}
-	longest := time.Duration(0)
-	for i := range old.streamRoutes {
-		longest = max(longest, cmp.Or(old.streamRoutes[i].Timeout, unlimitedLifetime))
-	}
-	m.recent = append(m.recent, move{routes: streamTable(old.streamRoutes), expires: now.Add(longest + takeUpMargin)})
 	if len(m.recent) > maxMoves {
-		if e := m.recent[0].expires; e.After(m.unknownAt) {
-			m.unknownAt = e
+		if e := m.recent[0].expires; e.After(m.droppedUntil) {
+			m.droppedUntil = e
 		}
 		m.recent = slices.Delete(m.recent, 0, 1)
 	}
 }
 
+// streamLifetime returns how long any stream may last from its first chunk to its last take-up.
+func (t *Table) streamLifetime() time.Duration {
+	longest := time.Duration(0)
+	for i := range t.streamRoutes {
+		longest = max(longest, cmp.Or(t.streamRoutes[i].Timeout, unlimitedLifetime))
+	}
+	return longest + takeUpMargin
+}
+
 // leadsTheSame reports whether two routes lead the same streams to the same services.
 func leadsTheSame(a, b Route) bool {
 	return a.Host == b.Host && a.Prefix == b.Prefix && a.Service == b.Service && slices.Equal(a.Split, b.Split)
@@ -72,42 +81,67 @@
 	return only, !several
 }
 
-// BeganAt returns the service at which a stream began that is taken up through route r, which the table in force has for the host and
-// path. beganAs is the attempt that began it, or "" if that isn't known. certain is false if the service can't be known: streams that
-// may still be taken up began at several.
-func (c *Current) BeganAt(r *Route, host, path, beganAs string) (service string, certain bool) {
-	pick := func(r *Route) (string, bool) {
-		if beganAs == "" {
-			return r.soleService()
-		}
-		return r.PickStream(beganAs), true
-	}
-	service, certain = pick(r)
+// Origin is the service at which a stream began, as far as the configurations say.
+type Origin struct {
+	Service string
+	// Certain is false if streams that may still be taken up began at several services.
+	Certain bool
+	// Others are further services at which the stream may have begun. If Certain is set, that takes a move before this process knew the
+	// configuration.
+	Others []string
+}
+
+// Origin returns where a stream began that is taken up through route r, which the table in force has for the host and path. beganAs is
+// the attempt that began it, or "" if that isn't known.
+func (c *Current) Origin(r *Route, host, path, beganAs string) Origin {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Before(c.moves.unknownAt) {
-		return "", false
-	}
+	o := Origin{Certain: !now.Before(c.moves.droppedUntil)}
+	o.Service, o.Certain = r.originOf(beganAs, o.Certain)
 	for _, e := range c.moves.recent {
-		if !now.Before(e.expires) {
-			continue
-		}
 		before, found := e.routes.Match(host, path)
-		if !found {
+		if !found || !now.Before(e.expires) {
 			continue
 		}
-		was, one := pick(before)
-		certain = certain && one && was == service
+		was, one := before.originOf(beganAs, true)
+		o.Certain = o.Certain && one && was == o.Service
+		o.add(was)
+	}
+	if !o.Certain || now.Before(c.moves.startedUntil) {
+		for service := range c.table.Load().streams {
+			o.add(service)
+		}
+	}
+	return o
+}
+
+// originOf returns the service at which the route begins the stream of an attempt. certain stays set unless there may be several.
+func (r *Route) originOf(beganAs string, certain bool) (service string, stillCertain bool) {
+	if beganAs != "" {
+		return r.PickStream(beganAs), certain
+	}
+	service, only := r.soleService()
+	return service, certain && only
+}
+
+func (o *Origin) add(service string) {
+	if service != "" && service != o.Service && !slices.Contains(o.Others, service) {
+		o.Others = append(o.Others, service)
 	}
-	return service, certain
 }
 
-// Moves returns the number of moves that are kept.
-func (c *Current) Moves() int {
+// Moved returns the number of moves by which streams began that may still be taken up.
+func (c *Current) Moved() (n int) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.moves.recent)
+	for _, e := range c.moves.recent {
+		if now.Before(e.expires) {
+			n++
+		}
+	}
+	return n
 }
 
 // streamTable returns a Table with the routes of streams alone.
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -26,6 +26,7 @@
 	startedReplicas int              // number of replicas started so far
 	configMu        sync.Mutex       // orders the versions of the configuration
 	configVersion   int
+	streamServices  []string // to which the route of streams leads, if Config.Moves is set
 	keys            []string // API keys in force; they are only removed during a run
 
 	brittle          *brittleTime // nil while no replicas are brittle
@@ -84,6 +85,9 @@
 			return err
 		}
 	}
+	if err := r.startMovable(); err != nil {
+		return err
+	}
 	for i := range r.cfg.Services {
 		if err := r.addReplica("app", i%2, false); err != nil {
 			return err
@@ -188,15 +192,21 @@
 	defer r.configMu.Unlock()
 	r.configVersion++
 	r.mu.Lock()
-	keys := r.keys
+	keys, split := r.keys, r.streamServices
 	r.mu.Unlock()
+	var more []string
+	if r.cfg.Moves {
+		more = []string{movedService}
+	}
 	route := func(name, kind, service string, attempts int) fakes.Route {
 		return fakes.Route{Name: name, Kind: kind, Service: service, Attempts: attempts, Timeout: routeTimeout}
 	}
+	draft := route("draft", "streaming", "llm", 5)
+	draft.Split = split
 	r.store.PutConfig(fakes.Config{
-		Version: r.configVersion, Account: account, Keys: keys, EngineService: "llm", OtherService: "app",
+		Version: r.configVersion, Account: account, Keys: keys, EngineService: "llm", MoreEngines: more, OtherService: "app",
 		Routes: []fakes.Route{
-			route("draft", "streaming", "llm", 5), route("book", "non_idempotent", "app", 2), route("look", "idempotent", "app", 2),
+			draft, route("book", "non_idempotent", "app", 2), route("look", "idempotent", "app", 2),
 		},
 	})
 }
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -15,7 +15,7 @@
 		return []fault{newVersion}
 	}
 	if r.cfg.Alone {
-		return append(r.repeatFaults(), r.outageFaults()...)
+		return append(append(r.repeatFaults(), r.outageFaults()...), r.moveFaults()...)
 	}
 	all := append(processFaults(func() *process { return &r.randomNode().process }),
 		fault{"store down", func() func() { r.store.SetFailing(true); return func() { r.store.SetFailing(false) } }},
@@ -61,6 +61,7 @@
 	all = append(all, r.repeatFaults()...)
 	all = append(all, r.outageFaults()...)
 	all = append(all, r.evidenceFaults()...)
+	all = append(all, r.moveFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
@@ -132,6 +133,9 @@
 	r.store.SetFailing(false)
 	r.store.SetUnresponsive(false)
 	r.store.SetWriteFate(nil)
+	if r.cfg.Moves {
+		r.moveStreams([]string{"llm"})
+	}
 	for _, n := range r.nodes {
 		n.signal(syscall.SIGCONT)
 		r.setLinkFault(n, "heal", "")
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,6 +92,8 @@
 	Unnamed bool
 	// OddClients has clients of the users' platform speak HTTP/1.0, or state a Last-Event-Id that names no piece.
 	OddClients bool
+	// Moves moves and splits the route of streams, on the users' platform; with Software each piece shows whose it is.
+	Moves bool
 	// Stops sends routers SIGTERM under load, with a short grace and plain services that take much of it.
 	Stops bool
 	// Floods makes all plain services answer many requests at once without end.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -199,6 +199,12 @@
 	checkSeed(t, Run, Config{Seed: 31001, Nodes: 3, Engines: 6, Services: 2, Clients: 12, FaultTime: 5 * time.Second, OddClients: true, Outages: true, Repeats: true})
 }
 
+// TestMoveSeeds makes the same checks as TestSeeds while the route of streams moves between two services and is split over both.
+// Guards against streams that go on at another service, and against ones that all end with a move.
+func TestMoveSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 33002, Nodes: 4, Engines: 8, Services: 2, Clients: 12, Chunks: 100, FaultTime: 5 * time.Second, Outages: true, Software: true, TakeUps: true, Moves: true})
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
