--- a/fakes/hosted/store.go
+++ b/fakes/hosted/store.go
@@ -45,6 +45,14 @@
 	renewals     []Renewal
 	refused      []string // prefixes of keys whose writes fail with 503
 	writeFate    func() WriteFate
+	stale        *Copy // that answers reads which may be stale; nil for the present contents
+}
+
+// SetStale makes the store answer reads that may be stale from a copy; nil ends that.
+func (s *Store) SetStale(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = c
 }
 
 // NewStore starts a store on loopback.
@@ -74,6 +82,49 @@
 type Endpoint struct {
 	*httptest.Server
 	closed atomic.Bool
+
+	mu     sync.Mutex
+	refuse func() int
+	acked  func()
+}
+
+// SetRefusals makes calls at this address fail with the status that refuse returns, or be answered if that is 0. Nil ends that.
+func (e *Endpoint) SetRefusals(refuse func() int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refuse = refuse
+}
+
+// OnAcknowledged has acked called once, when the next transaction at this address has been acknowledged. Nil ends that.
+func (e *Endpoint) OnAcknowledged(acked func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.acked = acked
+}
+
+// serve refuses a call, or passes it on and reports its acknowledgement.
+func (e *Endpoint) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	refuse := e.refuse
+	e.mu.Unlock()
+	if refuse != nil {
+		if status := refuse(); status != 0 {
+			http.Error(w, `{"error":"not now"}`, status)
+			return
+		}
+	}
+	next.ServeHTTP(w, r)
+	if r.URL.Path != "/kv-txn" {
+		return
+	}
+	_ = http.NewResponseController(w).Flush() // an error means that the caller has left
+	e.mu.Lock()
+	acked := e.acked
+	e.acked = nil
+	e.mu.Unlock()
+	if acked != nil {
+		acked()
+	}
 }
 
 // NewEndpoint opens an additional address of the store.
@@ -84,7 +135,7 @@
 			http.Error(w, `{"error":"not you"}`, http.StatusServiceUnavailable)
 			return
 		}
-		s.Config.Handler.ServeHTTP(w, r)
+		e.serve(s.Config.Handler, w, r)
 	}))
 	return e
 }
--- a/fakes/hosted/store_serve.go
+++ b/fakes/hosted/store_serve.go
@@ -35,15 +35,18 @@
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := []Item{}
-	for key, i := range s.items {
+	items, all, at := []Item{}, s.items, s.revision
+	if s.stale != nil && r.URL.Query().Get("stale_read") == "1" {
+		all, at = s.stale.items, s.stale.revision
+	}
+	for key, i := range all {
 		if strings.HasPrefix(key, prefix) && key > after {
 			items = append(items, i)
 		}
 	}
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
 	n := pageOf(items)
-	writeJSON(w, map[string]any{"items": items[:n], "has_more": n < len(items), "at": s.revision})
+	writeJSON(w, map[string]any{"items": items[:n], "has_more": n < len(items), "at": at})
 }
 
 // pageOf returns how many items fit into a page.
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -26,8 +26,10 @@
 	startedReplicas int              // number of replicas started so far
 	configMu        sync.Mutex       // orders the versions of the configuration
 	configVersion   int
-	streamServices  []string // to which the route of streams leads, if Config.Moves is set
-	keys            []string // API keys in force; they are only removed during a run
+	bursts          int              // of clients so far
+	dark            []*fakes.Replica // that hold their connections until the faults end
+	streamServices  []string         // to which the route of streams leads, if Config.Moves is set
+	keys            []string         // API keys in force; they are only removed during a run
 
 	brittle          *brittleTime // nil while no replicas are brittle
 	brittleTimes     []*brittleTime
@@ -151,11 +153,16 @@
 // startReplica starts and registers a replica of a version of a service. An empty version
 // stands for the service's first version.
 func (r *platformRun) startReplica(service string, domain int, engine bool, version string) (*fakes.Replica, error) {
+	return r.startReplicaAt("", service, domain, engine, version)
+}
+
+// startReplicaAt starts and registers a replica at an address, or at any if that is empty.
+func (r *platformRun) startReplicaAt(addr, service string, domain int, engine bool, version string) (*fakes.Replica, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.startedReplicas++
 	rep := &fakes.Replica{
-		ID: fmt.Sprintf("i-%d", r.startedReplicas), Service: service, Domain: fmt.Sprintf("d%d", domain), Version: version,
+		ID: fmt.Sprintf("i-%d", r.startedReplicas), Service: service, Domain: fmt.Sprintf("d%d", domain), Version: version, Listen: addr,
 		Engine: engine, ShowsVersion: engine && r.cfg.Software, Chunks: r.cfg.chunks(), ChunkGap: chunkGap, OnCrash: r.replaceLater,
 	}
 	if !engine {
@@ -222,6 +229,7 @@
 	for _, n := range r.nodes {
 		n.kill()
 		n.link.Close()
+		n.store.CloseClientConnections()
 		if n.peerProxy != nil {
 			n.peerProxy.Close()
 		}
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -62,6 +62,7 @@
 	all = append(all, r.outageFaults()...)
 	all = append(all, r.evidenceFaults()...)
 	all = append(all, r.moveFaults()...)
+	all = append(all, r.rareFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
@@ -133,6 +134,7 @@
 	r.store.SetFailing(false)
 	r.store.SetUnresponsive(false)
 	r.store.SetWriteFate(nil)
+	r.endRare()
 	if r.cfg.Moves {
 		r.moveStreams([]string{"llm"})
 	}
--- a/soak/platform_node.go
+++ b/soak/platform_node.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	fakes "wigeondale/fakes/hosted"
 	"wigeondale/fakes/proxy"
 	"wigeondale/fakes/relay"
 )
@@ -15,8 +16,9 @@
 	process
 	front string
 	link  *relay.Relay
-	proxy string // to the replicas; empty without Config.Cuts
-	peer  string // address at which the other routers dial it
+	store *fakes.Endpoint // to which link leads
+	proxy string          // to the replicas; empty without Config.Cuts
+	peer  string          // address at which the other routers dial it
 	// peerProxy is the proxy through which it dials the other routers; nil without Config.PeerCuts.
 	peerProxy *proxy.Proxy
 	// rewrite writes the settings again: the next start is not the deployment's first one.
@@ -34,8 +36,9 @@
 		process: process{id: id, cfg: &r.cfg, checks: r.checks, ready: "http://" + ready + "/readyz"},
 		front:   front,
 		peer:    peer,
-		link:    relay.New(id, "127.0.0.1:0", r.store.Addr()),
+		store:   r.store.NewEndpoint(),
 	}
+	n.link = relay.New(id, "127.0.0.1:0", n.store.Addr())
 	if err := n.link.Start(); err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -94,6 +94,9 @@
 	OddClients bool
 	// Moves moves and splits the route of streams, on the users' platform; with Software each piece shows whose it is.
 	Moves bool
+	// Rare injects, on the users' platform, bursts of clients, machines that go dark, addresses that go to another service, a store that
+	// refuses some calls of a router or answers stale reads late, and kills after an acknowledgement.
+	Rare bool
 	// Stops sends routers SIGTERM under load, with a short grace and plain services that take much of it.
 	Stops bool
 	// Floods makes all plain services answer many requests at once without end.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -205,6 +205,12 @@
 	checkSeed(t, Run, Config{Seed: 33002, Nodes: 4, Engines: 8, Services: 2, Clients: 12, Chunks: 100, FaultTime: 5 * time.Second, Outages: true, Software: true, TakeUps: true, Moves: true})
 }
 
+// TestRareSeeds makes the same checks as TestSeeds beside bursts, dark machines, reused addresses, refusals and old reads of the store,
+// and kills after acknowledgements. Guards against streams that are joined or end early there.
+func TestRareSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 34002, Nodes: 4, Engines: 8, Services: 4, Clients: 12, Chunks: 60, FaultTime: 5 * time.Second, Software: true, TakeUps: true, Restarts: true, Rare: true})
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
