--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -242,7 +242,10 @@
 	if t == nil {
 		return nil
 	}
-	return struct{ Version int64 }{t.Version}
+	return struct {
+		Version     int64
+		RecentMoves int // of routes of streams, while streams of before may be taken up
+	}{t.Version, n.table.RecentMoves()}
 }
 
 // readiness returns why this node accepts no new connections, or nil if it accepts them.
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -89,7 +89,7 @@
 		Send:      s.send,
 		Ask:       s.ask,
 		Whole:     s.whole,
-		Moved:     func() bool { return n.table.Moved() > 0 },
+		Moved:     func() bool { return n.table.RecentMoves() > 0 },
 		Statement: func(ctx context.Context, service string) (binding.Statement, error) { return s.reads.get(ctx, service) },
 		Lookup:    s.lookup,
 		StoreEra:  func() int64 { return n.mirror.Newest().Era() },
--- a/relay/moved_test.go
+++ b/relay/moved_test.go
@@ -143,7 +143,7 @@
 		m.install(toB)
 		m.install(toA)
 	}
-	if n := m.table.Moved(); n > 100 {
+	if n := m.table.RecentMoves(); n > 100 {
 		t.Errorf("%d moves are kept", n)
 	}
 	if got := m.send("again", "q", 12); got != "Service Unavailable" {
--- a/route/moves.go
+++ b/route/moves.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// Moved returns the number of moves by which streams began that may still be taken up.
-func (c *Current) Moved() (n int) {
+// RecentMoves returns the number of moves by which streams began that may still be taken up.
+func (c *Current) RecentMoves() (n int) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
