route: only streams that are led elsewhere count as moved

Each added or removed stream route, and a new order of them, counted as a move, so that routers would send each other every stream's record for a stream's time after most configurations. Compared are now the paths that both configurations lead; a route that is removed is remembered, since it may come back elsewhere, and causes no messages. An unchanged list of routes is compared once over.

--- a/route/moves.go
+++ b/route/moves.go
@@ -21,6 +21,8 @@
 type move struct {
 	routes  *Table    // those of streams only
 	expires time.Time // when the last stream that began by them can't be taken up any more
+	// redirected reports that streams that began by them are led elsewhere now. Otherwise routes were removed only.
+	redirected bool
 }
 
 // moves holds the recent moves, and until when there may be others: those before the first configuration, and those that found no
@@ -38,7 +40,10 @@
 	case old == nil:
 		m.startedUntil = now.Add(next.streamLifetime())
 	case !slices.EqualFunc(old.streamRoutes, next.streamRoutes, leadsTheSame):
-		m.recent = append(m.recent, move{routes: streamTable(old.streamRoutes), expires: now.Add(old.streamLifetime())})
+		redirected, removed := compareStreams(streamTable(old.streamRoutes), streamTable(next.streamRoutes))
+		if redirected || removed {
+			m.recent = append(m.recent, move{streamTable(old.streamRoutes), now.Add(old.streamLifetime()), redirected})
+		}
 	}
 	if len(m.recent) > maxMoves {
 		if e := m.recent[0].expires; e.After(m.droppedUntil) {
@@ -57,11 +62,27 @@
 	return longest + takeUpMargin
 }
 
-// leadsTheSame reports whether two routes lead the same streams to the same services.
+// leadsTheSame reports whether two routes lead the same paths to the same services.
 func leadsTheSame(a, b Route) bool {
 	return a.Host == b.Host && a.Prefix == b.Prefix && a.Service == b.Service && slices.Equal(a.Split, b.Split)
 }
 
+// compareStreams reports whether paths that old leads to services are led to others by next, or nowhere. Both have routes of streams
+// only. The paths at which that can change are the prefixes of both.
+func compareStreams(old, next *Table) (redirected, removed bool) {
+	for _, r := range slices.Concat(old.streamRoutes, next.streamRoutes) {
+		before, wasLed := old.Match(r.Host, r.Prefix)
+		after, isLed := next.Match(r.Host, r.Prefix)
+		switch {
+		case wasLed && isLed:
+			redirected = redirected || before.Service != after.Service || !slices.Equal(before.Split, after.Split)
+		case wasLed:
+			removed = true
+		}
+	}
+	return redirected, removed
+}
+
 // PickStream returns the service for a stream. It depends on the id of the attempt that begins the stream only, so that a later attempt
 // goes to the same service through any router.
 func (r *Route) PickStream(id string) string { return r.Pick(xxhash.Sum64String(id)) }
@@ -131,13 +152,13 @@
 	}
 }
 
-// RecentMoves returns the number of moves by which streams began that may still be taken up.
+// RecentMoves returns the number of configurations since which streams that may still be taken up are led elsewhere.
 func (c *Current) RecentMoves() (n int) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, e := range c.moves.recent {
-		if now.Before(e.expires) {
+		if e.redirected && now.Before(e.expires) {
 			n++
 		}
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -82,3 +83,34 @@
 		}
 	}
 }
+
+// Guards against records of all streams that are sent since routes were added or removed, and against a move that isn't noticed.
+func TestOnlyStreamsThatAreLedElsewhereCountAsMoved(t *testing.T) {
+	stream := func(prefix, service string) Route {
+		return Route{Host: "h", Prefix: prefix, Service: service, Kind: Stream, Timeout: time.Minute}
+	}
+	plain := Route{Host: "h", Prefix: "/plain/", Service: "app", Kind: Repeatable}
+	shorter := stream("/a/", "s")
+	shorter.Timeout = time.Second
+	for name, c := range map[string]struct {
+		next []Route
+		want int
+	}{
+		"the same":              {[]Route{stream("/a/", "s"), stream("/b/", "s")}, 0},
+		"in another order":      {[]Route{stream("/b/", "s"), stream("/a/", "s")}, 0},
+		"another timeout":       {[]Route{shorter, stream("/b/", "s")}, 0},
+		"one is added":          {[]Route{stream("/a/", "s"), stream("/b/", "s"), stream("/c/", "t")}, 0},
+		"a plain one is added":  {[]Route{stream("/a/", "s"), stream("/b/", "s"), plain}, 0},
+		"one is removed":        {[]Route{stream("/a/", "s")}, 0},
+		"one moves":             {[]Route{stream("/a/", "s"), stream("/b/", "t")}, 1},
+		"one is split off":      {[]Route{stream("/a/", "s"), stream("/a/x/", "t"), stream("/b/", "s")}, 1},
+		"split off to the same": {[]Route{stream("/a/", "s"), stream("/a/x/", "s"), stream("/b/", "s")}, 0},
+	} {
+		var cur Current
+		cur.Install(NewTable(&Config{Version: 1, Routes: []Route{stream("/a/", "s"), stream("/b/", "s")}}))
+		cur.Install(NewTable(&Config{Version: 2, Routes: c.next}))
+		if got := cur.RecentMoves(); got != c.want {
+			t.Errorf("%s: %d moves, want %d", name, got, c.want)
+		}
+	}
+}
