relay, binding, hosted, soak: where a stream began is asked of the store, too

Class: unknown counts as a value.

Change: while routes have moved, the records of streams are stored as well; a router that doesn't know of earlier moves takes the present route only if the store has no record, and refuses if the store doesn't answer.

Run: go test ./relay ./binding ./docs, ./soak -run Move|Rare|OddClient.

--- a/binding/binding_test.go
+++ b/binding/binding_test.go
@@ -315,7 +315,16 @@
 			t.Errorf("record not sent: %v", p.sent)
 		}
 	}
-	if !p.HasRecord(t.Context(), early, "s", now+2*time.Second) || p.HasRecord(t.Context(), NewKey("other", "acc", "early"), "other", now+2*time.Second) {
-		t.Error("the record doesn't say at which service the stream began")
+	if len(p.Unstored(9, now+2*time.Second)) != 2 {
+		t.Error("the store doesn't get the records")
+	}
+	for service, want := range map[string]bool{"s": true, "other": false} {
+		if has, err := p.HasRecord(t.Context(), NewKey(service, "acc", "early"), service, now+2*time.Second); has != want || err != nil {
+			t.Errorf("%s: record %v, %v", service, has, err)
+		}
+	}
+	p.storeErr = errors.New("the store is away")
+	if _, err := p.HasRecord(t.Context(), NewKey("other", "acc", "early"), "other", now+2*time.Second); err == nil {
+		t.Error("no record is known to be there, without the store")
 	}
 }
--- a/binding/find.go
+++ b/binding/find.go
@@ -51,13 +51,17 @@
 	return f, err
 }
 
-// HasRecord reports whether this router, or one that keeps such records, has a record of a stream of a service.
-func (t *Tracker) HasRecord(ctx context.Context, key Key, service string, now time.Duration) bool {
+// HasRecord reports whether this router, one that keeps such records, or the store has a record of a stream of a service. The error is
+// that of the store.
+func (t *Tracker) HasRecord(ctx context.Context, key Key, service string, now time.Duration) (bool, error) {
 	if _, ok := t.findRecord(key, now); ok {
-		return true
+		return true, nil
 	}
-	_, err := t.ask(ctx, key, service, now)
-	return err == nil
+	if _, err := t.ask(ctx, key, service, now); err == nil {
+		return true, nil
+	}
+	s, err := t.cfg.Lookup(ctx, service, key)
+	return s.Recorded, err
 }
 
 // FindUnnamed finds out at which version a stream began whose client doesn't name it. No record can be attributed to such a stream, so
--- a/binding/publish.go
+++ b/binding/publish.go
@@ -67,6 +67,9 @@
 	var out []Record
 	for _, service := range slices.Sorted(maps.Keys(t.services)) {
 		sole, _ := t.services[service].statement.SoleVersion(era)
+		if t.moved {
+			sole = "" // the records also say at which service the streams began
+		}
 		out = append(out, t.records.unstored(service, sole, n-len(out), now)...)
 	}
 	return out
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -278,24 +278,31 @@
 	return s.tracker.Find(ctx, keyOf(r), r.Opaque.Service, clock.SinceBoot())
 }
 
-// recordedAt returns which of several services has a record of a stream, and false if none has.
-func (s *software) recordedAt(ctx context.Context, account, beganAs string, services []string) (string, bool) {
-	found := make(chan string, len(services))
+// recordedAt returns which of several services has a record of a stream, or "" if none has. It fails if that isn't known.
+func (s *software) recordedAt(ctx context.Context, account, beganAs string, services []string) (string, error) {
+	type result struct {
+		service string
+		found   bool
+		err     error
+	}
+	results := make(chan result, len(services))
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	var asked sync.WaitGroup
 	for _, service := range services {
-		asked.Go(func() {
-			if s.tracker.HasRecord(ctx, binding.NewKey(service, account, beganAs), service, clock.SinceBoot()) {
-				found <- service
-				stop()
-			}
-		})
+		go func() {
+			found, err := s.tracker.HasRecord(ctx, binding.NewKey(service, account, beganAs), service, clock.SinceBoot())
+			results <- result{service, found, err}
+		}()
+	}
+	var failed error
+	for range services {
+		r := <-results
+		if r.found {
+			return r.service, nil
+		}
+		failed = errors.Join(failed, r.err)
 	}
-	asked.Wait()
-	close(found)
-	service, ok := <-found
-	return service, ok
+	return "", Error.Wrap(failed)
 }
 
 var errRestarted = errors.New("the replica has started again since it was listed")
--- a/relay/moved_test.go
+++ b/relay/moved_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -164,17 +165,34 @@
 		"no record":                   {[]route.Route{toA, toB}, "", "Service Unavailable"},
 		"started since the move":      {[]route.Route{toB}, "a", "a"},
 		"started, no record":          {[]route.Route{toB}, "", "b"},
+		"started, records unknown":    {[]route.Route{toB}, "unknown", "Service Unavailable"},
 		"started, recorded elsewhere": {[]route.Route{toB}, "c", "b"}, // no route of streams leads there
 	} {
 		m := newMovable(t, c.routes[0], route.Route{Service: "a", Prefix: "/a/"}, other)
 		for _, r := range c.routes[1:] {
 			m.install(r, route.Route{Service: "a", Prefix: "/a/"}, other)
 		}
-		m.relay.cfg.RecordedAt = func(_ context.Context, _, beganAs string, services []string) (string, bool) {
-			return c.recorded, beganAs == "q" && slices.Contains(services, c.recorded)
+		m.relay.cfg.RecordedAt = func(_ context.Context, _, beganAs string, services []string) (string, error) {
+			switch {
+			case c.recorded == "unknown":
+				return "", errors.New("the store is away")
+			case beganAs == "q" && slices.Contains(services, c.recorded):
+				return c.recorded, nil
+			}
+			return "", nil
 		}
 		if got := m.send("again", "q", 12); got != c.want {
 			t.Errorf("%s: %s, want %s", name, got, c.want)
 		}
 	}
 }
+
+// Guards against a stream that goes on at another service at a router whose configuration is older than that of the router that began it.
+func TestTakeUpByAnOldConfigurationIsNotLedElsewhere(t *testing.T) {
+	current, old := newMovable(t, toA), newMovable(t, toA)
+	current.install(toB)
+	began := current.send("q", "", 0)
+	if got := old.send("again", "q", 12); got != began && got != "Service Unavailable" {
+		t.Errorf("began at %s, goes on at %s", began, got)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -90,8 +90,9 @@
 	// StreamMaxWait returns how long a stream waits for a backend server, given the stream's
 	// target time. If it is nil, a stream waits for half of the target.
 	StreamMaxWait func(target time.Duration) time.Duration
-	// RecordedAt returns which of several services has a record of a stream, and false if none has. It may be nil.
-	RecordedAt func(ctx context.Context, account, beganAs string, services []string) (service string, found bool)
+	// RecordedAt returns which of several services has a record of a stream, or "" if none has. It fails if that isn't known. It may be
+	// nil.
+	RecordedAt func(ctx context.Context, account, beganAs string, services []string) (service string, err error)
 	// OnStreamEnd is called with each stream that has ended; it may be nil.
 	OnStreamEnd func(StreamEnd)
 	Log         *event.Log
@@ -124,6 +125,8 @@
 	// unreachable then, and a client that sends its request again too soon is refused
 	// again.
 	noConfigRetryAfter = 2 * time.Second
+	// unknownServiceRetry is the time to come back for a client whose stream may have begun at another service: a record may arrive.
+	unknownServiceRetry = 500 * time.Millisecond
 	// A client is told to send its request again after at most its remaining time divided by
 	// retryAfterDivisor. A request that is sent again later could not be served in time any
 	// more.
@@ -151,7 +154,7 @@
 	}
 	service, known := r.service(ctx, req, rt, account)
 	if !known {
-		return r.refuse(req, table, http.StatusServiceUnavailable, "the stream may have begun at another service", 0)
+		return r.refuse(req, table, http.StatusServiceUnavailable, "the stream may have begun at another service", unknownServiceRetry)
 	}
 	j := newJob(req, rt, account, table, service)
 	j.cfg = &r.cfg
@@ -195,10 +198,11 @@
 	if account != nil {
 		name = account.Name
 	}
-	if recorded, ok := r.cfg.RecordedAt(ctx, name, req.BeganAs, append(o.Others, o.Service)); ok {
+	recorded, err := r.cfg.RecordedAt(ctx, name, req.BeganAs, append(o.Others, o.Service))
+	if recorded != "" {
 		return recorded, true
 	}
-	return o.Service, o.Certain
+	return o.Service, o.Certain && err == nil
 }
 
 // table returns the route table in force, or nil if there is none. Just after the start of
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -26,7 +26,8 @@
 	startedReplicas int              // number of replicas started so far
 	configMu        sync.Mutex       // orders the versions of the configuration
 	configVersion   int
-	bursts          int              // of clients so far
+	bursts          int // of clients so far
+	burstClients    sync.WaitGroup
 	dark            []*fakes.Replica // that hold their connections until the faults end
 	streamServices  []string         // to which the route of streams leads, if Config.Moves is set
 	keys            []string         // API keys in force; they are only removed during a run
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -145,6 +145,7 @@
 		r.setLinkFault(n, "delay", fastLink)
 		n.awaitRecovery()
 	}
+	r.burstClients.Wait()
 	r.faultsEnded.Store(true)
 	r.awaitRollouts()
 }
--- a/soak/rare.go
+++ b/soak/rare.go
@@ -46,16 +46,12 @@
 // burst lets as many clients again send requests.
 func (r *platformRun) burst() (end func()) {
 	ctx, stop := context.WithCancel(context.Background())
-	var clients sync.WaitGroup
 	r.bursts++
 	for i := range r.cfg.Clients {
 		c := r.newClient(r.bursts*1000 + i)
-		clients.Go(func() { c.loop(ctx) })
-	}
-	return func() {
-		stop()
-		clients.Wait()
+		r.burstClients.Go(func() { c.loop(ctx) })
 	}
+	return stop // their last requests may go to a router that another fault has paused
 }
 
 // goDark makes a replica's machine lose its power: its connections stay open and nothing is answered.
