--- a/soak/command.go
+++ b/soak/command.go
@@ -53,7 +53,7 @@
 	PeerCuts         bool          `arg:"--peer-cuts" help:"routers are cut from other routers on the platform's interface, and not from the store, while versions change and others end"`
 	TakeUps          bool          `arg:"--take-ups" help:"clients of the platform's interface take a stream up at several routers at once, also behind what they have, while they read its first answer on"`
 	Unnamed          bool          `arg:"--unnamed" help:"with --take-ups: half of the take-ups don't name the try that brought the first chunk"`
-	OddClients       bool          `arg:"--odd-clients" help:"some clients of the platform's interface speak HTTP/1.0, or state a Last-Event-Id that names no piece"`
+	OddClients       bool          `arg:"--odd-clients" help:"some clients speak HTTP/1.0, also reading large answers slowly, or state a Last-Event-Id that names no piece"`
 	Moves            bool          `arg:"--moves" help:"the route of streams moves between two services and is split over both"`
 	Rare             bool          `arg:"--rare" help:"bursts of clients, machines that go dark, addresses that go to another service, a store that refuses some calls of a router or answers stale reads from an older state, and kills after an acknowledgement"`
 	Stops            bool          `arg:"--stops" help:"routers are told to end under load, with a short grace"`
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -168,6 +168,9 @@
 	}
 	if !engine {
 		rep.Room, rep.Work, rep.Slots = r.cfg.room(), r.cfg.work(), r.cfg.Room
+		if r.cfg.OddClients {
+			rep.LargeAnswer = oddLargeAnswer
+		}
 		if r.cfg.Crowds {
 			rep.RecordBytes, rep.LargeAnswer = crowdRecordBytes, crowdLargeAnswer
 		}
--- a/soak/product_client.go
+++ b/soak/product_client.go
@@ -52,6 +52,9 @@
 		c.sent++
 		id := fmt.Sprintf("%s-%d", c.name, c.sent)
 		send := []func(string) string{c.generate, c.generate, c.book, c.lookUp}[c.rng.IntN(4)]
+		if c.run.cfg.OddClients && c.rng.IntN(oddEvery) == 0 {
+			send = c.generateOverHTTP10
+		}
 		request := send(id)
 		c.run.checks.checkDuration(request, time.Since(c.startedAt), productMaxAnswerTime)
 		time.Sleep(time.Duration(c.rng.IntN(40)) * time.Millisecond)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -90,7 +90,8 @@
 	TakeUps bool
 	// Unnamed has half of the take-ups of TakeUps state Last-Event-Id alone.
 	Unnamed bool
-	// OddClients has clients of the users' platform speak HTTP/1.0, or state a Last-Event-Id that names no piece.
+	// OddClients has clients speak HTTP/1.0, also reading large answers slowly, or, on the users' platform, state a Last-Event-Id that
+	// names no piece.
 	OddClients bool
 	// Moves moves and splits the route of streams, on the users' platform; with Software each piece shows whose it is.
 	Moves bool
