--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -39,6 +39,11 @@
 }
 
 func (p *pipe) SendBytes(ctx context.Context, b []byte) error {
+	select {
+	case <-p.closed:
+		return errClosed()
+	default:
+	}
 	select {
 	case <-p.closed:
 		return errClosed()
