--- a/soak/ends.go
+++ b/soak/ends.go
@@ -87,7 +87,8 @@
 // brokenPromise returns the promise that the end of a request breaks, or "". visits are its arrivals at replicas.
 func (e *endRecord) brokenPromise(r *result, visits []visit) string {
 	from, to := r.startedAt, r.startedAt.Add(r.duration)
-	routerFailed := r.incarnation == "" || e.trouble.overlaps(r.incarnation, from, to.Add(troubleDelay))
+	endedBefore := r.connection != "" && r.connection != r.incarnation // an idle connection to a process that has ended
+	routerFailed := r.incarnation == "" || endedBefore || e.trouble.overlaps(r.incarnation, from, to.Add(troubleDelay))
 	if routerFailed || errors.Is(r.err, syscall.ECONNREFUSED) {
 		return ""
 	}
@@ -150,7 +151,7 @@
 		for _, v := range visits[r.id] {
 			at = append(at, v.replica.ID)
 		}
-		detail := fmt.Sprintf("%s through %s: status %d, cut %v, %d bytes, after %v, at replicas %v", r.kind, r.incarnation, r.status, r.err, len(r.body), r.duration, at)
+		detail := fmt.Sprintf("%s through %s (connection of %q): status %d, cut %v, %d bytes, after %v, at replicas %v", r.kind, r.incarnation, r.connection, r.status, r.err, len(r.body), r.duration, at)
 		c.violated(promise, r.id, detail)
 	}
 }
--- a/soak/ends_test.go
+++ b/soak/ends_test.go
@@ -29,7 +29,9 @@
 		replicas []*fakes.Replica
 		broken   string // part of the promise
 	}{
-		"complete":                       {result{status: 200}, nil, []*fakes.Replica{silent}, ""},
+		"complete": {result{status: 200}, nil, []*fakes.Replica{silent}, ""},
+		"no answer on a connection to an earlier process": {result{err: reset, connection: "n0/0"}, nil, nil, ""},
+		"no answer on a connection to this process":       {result{err: reset, connection: router}, nil, nil, "no connection"},
 		"client left":                    {result{status: 200, abandoned: true, err: reset}, nil, []*fakes.Replica{sound}, ""},
 		"cut":                            {result{status: 200, err: reset}, nil, []*fakes.Replica{sound}, "complete answer"},
 		"cut, replica silent":            {result{status: 200, err: reset}, nil, []*fakes.Replica{silent}, "complete answer"},
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	fakes "wigeondale/fakes/hosted"
@@ -36,9 +38,39 @@
 func (r *platformRun) newTransport() *http.Transport {
 	t := newTransport()
 	t.DisableKeepAlives = r.cfg.Herd
+	t.DialContext = r.dialRouter
 	return t
 }
 
+// routerConn is a connection to a process of a router.
+type routerConn struct {
+	net.Conn
+	incarnation string // when it was dialled
+}
+
+func (r *platformRun) dialRouter(ctx context.Context, network, addr string) (net.Conn, error) {
+	incarnation := ""
+	for _, n := range r.nodes {
+		if n.front == addr {
+			incarnation = n.incarnation()
+		}
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &routerConn{conn, incarnation}, nil
+}
+
+// connectionOf records in used which process of a router the connection leads to that carries a request.
+func connectionOf(ctx context.Context, used *string) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*routerConn); ok {
+			*used = c.incarnation
+		}
+	}})
+}
+
 // platformClient sends one request after the other, over keep-alive connections.
 type platformClient struct {
 	run  *platformRun
@@ -52,6 +84,7 @@
 type result struct {
 	id, kind, key string
 	incarnation   string // of the router to which the request was sent; empty if the router restarted during the request
+	connection    string // incarnation of the router to which the request's connection was opened
 	chunks        int    // of the stream that answers it; 0 for chunkCount
 	status        int
 	body          string
@@ -127,8 +160,7 @@
 	if err != nil {
 		return 0, "", false, err
 	}
-	req = req.WithContext(ctx)
-	resp, err := t.RoundTrip(req)
+	resp, err := t.RoundTrip(req.WithContext(connectionOf(ctx, &res.connection)))
 	if err != nil {
 		return 0, "", false, err
 	}
