--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 ifeq ($(shell uname -m),aarch64)
 empty =
 space = $(empty) $(empty)
-BUBBLES = $(shell grep -l '"testing/synctest"' $$(grep -L '^//go:build !race' hosted/*_test.go) | xargs sed -n 's/^func \(Test[A-Za-z0-9_]*\).t .*/\1/p')
+BUBBLES = $(shell grep -l '"wigeondale/fakes/bubble"' $$(grep -L '^//go:build !race' hosted/*_test.go) | xargs sed -n 's/^func \(Test[A-Za-z0-9_]*\).t .*/\1/p')
 BUBBLE_TESTS = ^($(subst $(space),|,$(BUBBLES)))$$
 HOSTED_SKIPFLAG = -skip '$(if $(SKIP),^$(subst |,$$|^,$(subst /,$$/^,$(SKIP)))$$|)$(BUBBLE_TESTS)'
 else
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -109,7 +110,7 @@
 // because of batch requests, and batch requests must still run. There is one slot; one ticket
 // of each class is queued in the worst order.
 func TestOrderOfClasses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newTestController(1, map[string]Limit{"a": noLimit})
 		served := make(chan string, 10)
 		admitInBackground(c, Ticket{Account: "a", Cost: 1}, "first", served)
@@ -135,7 +136,7 @@
 // too, but never because the queue is full or for lack of tokens. An interactive request with
 // the same deadline must be served.
 func TestHopelessIsRefusedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newTestController(1, map[string]Limit{"a": noLimit})
 		served := make(chan string, 20)
 		admitInBackground(c, Ticket{Account: "a", Cost: 1}, "warm", served)
@@ -171,7 +172,7 @@
 // Here the contexts and deadlines of the tickets end at the very moment at which the tickets
 // are admitted.
 func TestNothingLeaksWhenWaitersGiveUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newTestController(2, map[string]Limit{"a": {TokensPerSecond: 1e-9, Burst: 1000}})
 		for i := range 40 {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i%7)*50*time.Millisecond)
@@ -202,7 +203,7 @@
 // no capacity and a ticket waits for it. A ticket of another pool must run at once, and the
 // waiting ticket must run when capacity returns, even without any release.
 func TestSaturatedPoolHoldsUpNoOther(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var capacity atomic.Int64
 		c := NewController(Config{Capacity: func(p string) int {
 			if p == "idle" {
@@ -228,7 +229,7 @@
 // A queue that one account has filled must not keep all other accounts out: the ticket with
 // the highest start tag is dropped for a ticket that would be served before it.
 func TestFullQueueMakesRoomByTurn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := NewController(Config{MaxQueue: 5, Capacity: func(string) int { return 1 }}, nil, nil)
 		c.SetLimits(map[string]Limit{"big": noLimit, "small": noLimit})
 		served := make(chan string, 20)
@@ -254,7 +255,7 @@
 // generation must be admitted eventually. When the work ends, the router charges its actual
 // cost. A resulting debt must delay the account's next new request.
 func TestBucketSettles(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newTestController(9, map[string]Limit{"a": {TokensPerSecond: 100, Burst: 200}})
 		release, err := c.Admit(t.Context(), Ticket{Account: "a", Cost: 150})
 		if err != nil {
@@ -336,7 +337,7 @@
 }
 
 func TestDemandFollowsAndSplits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newTestController(1000, map[string]Limit{"a": {TokensPerSecond: 1000}})
 		for range 200 {
 			time.Sleep(100 * time.Millisecond)
--- a/admission/overload_test.go
+++ b/admission/overload_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -20,7 +21,7 @@
 	interactive := Ticket{Account: "a", Cost: 1, Priority: fleet.Interactive}
 	batch := Ticket{Account: "a", Cost: 1}
 	resume := Ticket{Account: "a", Cost: 1, Resume: true}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		defer time.Sleep(time.Minute) // until all have ended
 		c := newReservingController()
 		served := make(chan string, 40)
@@ -36,7 +37,7 @@
 			t.Errorf("%d of 10 slots used: an interactive request or a resume waits", len(served))
 		}
 	})
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		defer time.Sleep(time.Minute)
 		c := newReservingController()
 		interactiveServed, batchServed := make(chan string, 60), make(chan string, 60)
@@ -71,7 +72,7 @@
 // that a batch request needs. Batch requests of two seconds, with a deadline of five, arrive
 // at twice the rate at which they can be served, and interactive requests run alongside.
 func TestRefusalsComeAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const service, deadline = 2 * time.Second, 5 * time.Second
 		c := newTestController(28, map[string]Limit{"a": noLimit})
 		c.cfg.BatchCapacity = func(string) int { return 24 }
@@ -114,7 +115,7 @@
 // queue keeps the slots just as full. Batch requests of two seconds with a deadline of five
 // arrive at twice the rate at which they can be served, then at three quarters of that rate.
 func TestQueueIsNoLongerThanOfUse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const service, deadline, slots = 2 * time.Second, 5 * time.Second, 24
 		c := newTestController(slots, map[string]Limit{"a": noLimit})
 		var during, after, late atomic.Int32
@@ -158,7 +159,7 @@
 // The fault is that the router keeps the reserve empty although interactive requests already
 // use as many slots.
 func TestReserveHoldsLookupsThatRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		defer time.Sleep(time.Minute)
 		c := newReservingController()
 		interactiveServed, batchServed := make(chan string, 10), make(chan string, 20)
@@ -178,7 +179,7 @@
 // requests need more slots than there are, and so do batch requests, which don't end. Batch
 // requests must not get their whole share while interactive requests wait.
 func TestDraftsYieldWhileLookupsWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newReservingController()
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -214,7 +215,7 @@
 // its deadline, for a free slot that there can't be. A ticket is queued while the pool has no
 // capacity; another one arrives later, and one after capacity is back.
 func TestPoolWithoutReplicas(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		defer time.Sleep(time.Minute)
 		var capacity atomic.Int64
 		c := NewController(Config{Capacity: func(string) int { return int(capacity.Load()) }}, nil, nil)
--- a/backend/progress_test.go
+++ b/backend/progress_test.go
@@ -5,8 +5,9 @@
 	"errors"
 	"io"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"wigeondale/fakes/bubble"
 )
 
 // timedBody sends a byte after each gap until its end, and then nothing until the deadline.
@@ -40,7 +41,7 @@
 		{5 * time.Millisecond, 0, 600 * time.Millisecond, true},
 		{5 * time.Millisecond, time.Hour, steadyTime + time.Second, true},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			body := WatchBody(timedBody{c.gap, time.Now().Add(c.flows), time.Now().Add(c.deadline)})
 			_, err := io.ReadAll(body)
 			if err = body.Failure(err); errors.Is(err, ErrUnfinished) != c.fault || !errors.Is(err, context.DeadlineExceeded) {
@@ -52,7 +53,7 @@
 
 // Guards against a caller that reads slowly and whose deadline counts against the server.
 func TestSlowReaderIsNoFaultOfTheServer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		body := WatchBody(timedBody{time.Millisecond, time.Now(), time.Now().Add(time.Second)})
 		time.Sleep(2 * time.Second)
 		_, err := body.Read(make([]byte, 1))
--- a/backend/send_test.go
+++ b/backend/send_test.go
@@ -16,6 +16,7 @@
 	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -257,7 +258,7 @@
 		{"restarted before it was abandoned", "i2", "i2", never, 5, 20, 0},
 		{"the reported incarnation lags: i0 is before i1", "i0", "i0", 5, 6, 6, 7},
 	} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			api := &fakeCancelAPI{failures: tc.fails}
 			reported := tc.first
 			c := NewCanceller(api, CancellerOptions{Incarnation: func(string) string { return reported }, Max: 1})
--- a/bounded/incomplete_test.go
+++ b/bounded/incomplete_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"wigeondale/fakes/bubble"
 )
 
 // input returns the Hold of a message that is closed when it is given up, as its reader does.
@@ -32,7 +34,7 @@
 func TestMessageThatStandsStillIsGivenUp(t *testing.T) {
 	for name, size := range map[string]int64{"small": 8 << 10, "large": 300 << 10} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				p, stalled := NewPool(1<<20, "test", nil), atomic.Int64{}
 				for p.used+15<<10 <= p.limit {
 					arrive(t, input(p, &stalled), 15<<10)
@@ -54,7 +56,7 @@
 // Guards against a slow message within the limits that is given up although nothing needs its memory, and against the loss of one that is
 // complete or still arrives while another one stands still.
 func TestOnlyTheSlowestMessageIsGivenUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p, lost, stalled := NewPool(1<<20, "test", nil), atomic.Int64{}, atomic.Int64{}
 		slow, still, complete := input(p, &lost), input(p, &stalled), input(p, &lost)
 		arrive(t, complete, 200<<10)
@@ -79,7 +81,7 @@
 
 // Guards against small messages that wait behind large ones which hold or await all memory.
 func TestSmallMessagePassesLargeOnes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p, lost := NewPool(1<<20, "test", nil), atomic.Int64{}
 		for range 3 {
 			h := input(p, &lost)
@@ -104,7 +106,7 @@
 
 // Guards against a wait for memory that counts the time of the client: a message that has arrived for long may still wait as long as others.
 func TestWaitForMemoryBeginsWithTheWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p, lost := NewPool(1<<20, "test", nil), atomic.Int64{}
 		slow, other := input(p, &lost), input(p, &lost)
 		arrive(t, slow, 20<<10)
--- a/cachelookup/cachelookup_test.go
+++ b/cachelookup/cachelookup_test.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -64,7 +64,7 @@
 // once for many clients: if each client caused a query of every engine, the queries would slow
 // down the engines.
 func TestEachIsAskedOnceForMany(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := &fakeLister{queries: map[string]int{}, cached: map[string]map[string]int{"a": {"p": 1}}, delay: 5 * time.Millisecond}
 		f := New(l, Config{})
 		var wg sync.WaitGroup
@@ -86,7 +86,7 @@
 // A client that reconnected must not wait longer than the timeout of one query for an engine
 // that doesn't answer.
 func TestSilentOneIsNotWaitedFor(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		l := &fakeLister{queries: map[string]int{}, cached: map[string]map[string]int{"a": {"p": 1}}, delay: time.Hour}
 		start := time.Now()
 		New(l, Config{}).Find(t.Context(), ids("a"), []string{"p"})
--- a/callerapi/callerapi_test.go
+++ b/callerapi/callerapi_test.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"wigeondale/callerapi"
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/generation"
 )
@@ -298,7 +299,7 @@
 // answer was lost. The caller also sends another body with the same key. The node must mark
 // the key as running while the first request runs, and keep the key afterwards.
 func TestOneDraftPerKey(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var runs atomic.Int32
 		release := make(chan struct{})
 		s := newServer(t, countRuns(&runs, func(_ context.Context, _ generation.Request, sink generation.Sink) generation.Result {
@@ -369,7 +370,7 @@
 // connection. The earlier run therefore still occupies the key when the caller reconnects to
 // the same node.
 func TestReconnectSupersedes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var runs atomic.Int32
 		first := &stuckConn{ResponseRecorder: httptest.NewRecorder()}
 		s := newServer(t, countRuns(&runs, func(ctx context.Context, req generation.Request, sink generation.Sink) generation.Result {
--- a/callerapi/http2_test.go
+++ b/callerapi/http2_test.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/generation"
 )
 
@@ -45,7 +45,7 @@
 // the next write.
 func TestSilentStreamOutlivesWriteDeadline(t *testing.T) {
 	for _, http2 := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			ended := make(chan struct{})
 			s := newServer(t, func(_ context.Context, _ generation.Request, sink generation.Sink) generation.Result {
 				defer close(ended)
--- a/daemon/drain_test.go
+++ b/daemon/drain_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"wigeondale/event"
+	"wigeondale/fakes/bubble"
 	"wigeondale/intent"
 )
 
@@ -15,7 +15,7 @@
 // lagging list shows it as live later: otherwise a VM that was given back to the platform
 // takes work again.
 func TestDrainGivesNotice(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const notice = 5 * time.Second
 		d := &drain{vm: "vm1", notice: notice, log: event.New("n1")}
 		expect := func(leaving, closed bool) {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -9,11 +9,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -33,7 +33,7 @@
 // the report arrives a second late, and in that second this router sends 5 more and 2
 // of its requests end.
 func TestEstimateBringsLateReportsForward(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := New(nil)
 		d.Update([]fleet.Backend{engine("e0")}, time.Now())
 		var done []func()
@@ -90,7 +90,7 @@
 // its reports show a queue, or it runs 200. Then it restarts.
 func TestReportsShowHowManyAnEngineTakes(t *testing.T) {
 	for _, actual := range []int{20, 200} {
-		synctest.Test(t, func(t *testing.T) { checkLearnedCapacity(t, actual) })
+		bubble.Test(t, func(t *testing.T) { checkLearnedCapacity(t, actual) })
 	}
 }
 
@@ -287,7 +287,7 @@
 // polling every engine. The fleet has 200 engines and one frozen engine; once the
 // router knows the fleet, one VM leaves.
 func TestPollerKeepsItsBounds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := &fakePlatform{polled: map[string]int{}, fleet: []fleet.Backend{engine("frozen")}}
 		for i := range 200 {
 			p.fleet = append(p.fleet, engine(fmt.Sprint("e", i)))
@@ -360,7 +360,7 @@
 // then still gets work when it leaves, its load stays as it was an hour ago, and it is
 // polled in every round in place of other engines.
 func TestEngineClockIsSetBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := New(nil)
 		d.Update([]fleet.Backend{engine("e0"), engine("e1")}, time.Now())
 		d.Report("e1", report("i1", time.Now(), 1), time.Now())
@@ -389,7 +389,7 @@
 // engine that has reported that it is leaving. A report that arrives after a newer
 // report must not change the load, but its leaving flag must still count.
 func TestOvertakenReport(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := New(nil)
 		d.Update([]fleet.Backend{engine("e0")}, time.Now())
 		first := report("i1", time.Now(), 40)
--- a/directory/observed_test.go
+++ b/directory/observed_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -36,7 +36,7 @@
 // router twice, or not at all. Reports are old when they arrive: some already include
 // the request and some don't. Then the request ends, and its load must no longer count.
 func TestReportAndOwnRequestsAreCountedOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := New(nil)
 		d.Update([]fleet.Backend{{ID: "e", Kind: fleet.Service, Service: "llm"}}, time.Now())
 		r := d.index.get("e")
--- a/directory/withdraw_test.go
+++ b/directory/withdraw_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -12,7 +12,7 @@
 // this router would not get to know, and against a replica that stays unused after it is
 // listed again. A request that runs there goes on.
 func TestWithdrawnBackendIsNotUsed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		d := New(nil)
 		b := fleet.Backend{ID: "e", Kind: fleet.Service, Service: "llm"}
 		d.Apply([]fleet.Backend{b}, nil, time.Now())
--- /dev/null
+++ b/fakes/bubble/race_on.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package bubble
+
+const raceDetector = true
--- a/generation/endless_test.go
+++ b/generation/endless_test.go
@@ -5,10 +5,10 @@
 	"errors"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -28,7 +28,7 @@
 // alone. On 8472d66 it fails: nothing is reported to the failure detector.
 func TestUnfinishedAnswerAtTheDeadlineIsReported(t *testing.T) {
 	for _, cause := range []error{nil, backend.ErrUnfinished} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			w := &fakeFleet{}
 			r, err := New(Deps{Admitter: w, Picker: w, Watcher: fleetWatcher{w}, Engines: unfinishedEngines{w, cause}, Abandon: w, Budget: w}, Options{})
 			if err != nil {
--- a/generation/fate_test.go
+++ b/generation/fate_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/health"
 )
@@ -256,7 +257,7 @@
 					}
 					name := fmt.Sprintf("%s/%s/%s, forwarded %t", kind, exit, s.name, forwarded)
 					var fault string
-					synctest.Test(t, func(t *testing.T) { fault = checkFate(t, s, forwarded, exit, end, req) })
+					bubble.Test(t, func(t *testing.T) { fault = checkFate(t, s, forwarded, exit, end, req) })
 					if fault != "" {
 						t.Errorf("%s: %s", name, fault)
 					}
@@ -340,7 +341,7 @@
 // of reach, the router finds out that it is cut off, and passes the request on shortly before the deadline.
 func TestFatesOfSeveralAttemptsAreKeptApart(t *testing.T) {
 	for _, last := range forwardStages {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			f := &cutRun{fateRun: fateRun{stage: last, reached: make(chan struct{}), released: make(chan struct{})}, dials: 2}
 			req := Request{ID: "r", Ref: ref, NonIdempotent: true, Deadline: time.Now().Add(fateDeadline),
 				Opaque: &Opaque{Opaque: &backend.Opaque{}, MaxAttempts: 3, MaxWait: fateDeadline}}
--- a/generation/maxwait_test.go
+++ b/generation/maxwait_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"wigeondale/fakes/bubble"
 )
 
 // The machine is busy. The engine paused before, so the failure detector tolerates the
@@ -11,7 +12,7 @@
 // counted as part of this wait, the answer would be truncated with "no replica" as soon as the
 // silence is detected, although its engine would accept the next attempt.
 func TestSilenceIsNoWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		r := &Runner{opts: Options{StartedMaxWait: 4 * time.Second}}
 		x := newRun(r, t.Context(), Request{ID: "q"}, &fakeSink{})
 		x.filter.next = 30
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -8,13 +8,13 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"wigeondale/backend"
 	"wigeondale/clock"
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/health"
 )
@@ -270,7 +270,7 @@
 }
 
 func synctestRun(t *testing.T, f func()) {
-	synctest.Test(t, func(*testing.T) { f() })
+	bubble.Test(t, func(*testing.T) { f() })
 }
 
 // A run is lost while another backend server has a copy of it. If the run were started over
@@ -484,7 +484,7 @@
 // 20 ms. If the client were told to come back after the interval until the router's own next
 // try, refused clients would come back at once, only to be refused again.
 func TestAdviceIsNotTheRoutersOwnWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := &fakeFleet{unavailable: true}
 		res, _ := w.run(t, func(*Request) {})
 		if res.Outcome != fleet.NotRun || res.RetryAfter < defaultRetryAfter {
--- a/generation/silence_refusal_test.go
+++ b/generation/silence_refusal_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -18,7 +18,7 @@
 			reset := silentServer{silentAt: 1, crash: errBroken}
 			refuses := silentServer{silentAt: 1, silence: silence, crash: refusal}
 			w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 1}, servers: []silentServer{reset, refuses}}
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				began := time.Now()
 				res, _ := w.playFor(t, t.Context(), func(r *Request) { r.Opaque.MaxAttempts = 5 })
 				took := time.Since(began)
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -15,6 +15,7 @@
 	"wigeondale/backend"
 	"wigeondale/clock"
 	"wigeondale/event"
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/health"
 )
@@ -186,7 +187,7 @@
 // play runs one request in fake time.
 func (w *silentFleet) play(t *testing.T, change func(*Request)) (res Result, out *callerAnswer) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { res, out = w.playFor(t, t.Context(), change) })
+	bubble.Test(t, func(t *testing.T) { res, out = w.playFor(t, t.Context(), change) })
 	if w.atWork.Load() != 0 {
 		t.Errorf("%d attempts are at work after the end", w.atWork.Load())
 	}
@@ -316,7 +317,7 @@
 
 // Guards against work that goes on for a client that has left during a silence.
 func TestClientThatLeavesDuringASilenceEndsAllAttempts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := &silentFleet{
 			fakeFleet: fakeFleet{chunks: 9, budget: 9}, headDelay: 900 * time.Millisecond,
 			servers: []silentServer{{silentAt: 5, silence: time.Minute}},
--- a/generation/takeover_cases_test.go
+++ b/generation/takeover_cases_test.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/health"
 	"wigeondale/quarantine"
@@ -17,7 +17,7 @@
 func TestSilenceBeforeTheAnswerOfARequestThatRunsOnce(t *testing.T) {
 	for name, silence := range map[string]time.Duration{"long": 10 * time.Second, "short": 1500 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}, servers: []silentServer{{silentAt: 1, silence: silence}}}
 				e := &attachableFleet{silentFleet: w, readyAt: time.Now().Add(silence)}
 				watches := &watchCounter{silentFleet: w}
@@ -106,7 +106,7 @@
 func TestFailureAnswerWhileTheSilenceIsRecorded(t *testing.T) {
 	failed := &backend.FailedAnswer{Head: backend.Head{Status: 500}, Body: []byte("failed")}
 	w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}, servers: []silentServer{{silentAt: 1, silence: 1100 * time.Millisecond, crash: failed}}}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		began := time.Now()
 		guard := quarantine.NewGuard(quarantine.Config{
 			Now:        func() time.Duration { return time.Since(began) },
--- a/health/monitor_test.go
+++ b/health/monitor_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"wigeondale/fakes/bubble"
 )
 
 // step is the duration of a decode step of the engines in these tests.
@@ -30,7 +32,7 @@
 
 // run calls f with a running Monitor in a synctest bubble.
 func run(t *testing.T, f func(m *Monitor)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := NewMonitor(DefaultPolicy(), nil, nil)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -121,7 +123,7 @@
 // nothing could be received. The pause must also not enter the histogram of gaps: otherwise
 // the Monitor would accept such a long silence after later failures.
 func TestOwnPauseIsForgiven(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := NewMonitor(DefaultPolicy(), nil, nil)
 		s := start(m, "e0", 100)
 		tick := func(n int) {
@@ -304,7 +306,7 @@
 // itself: a silent stream is cancelled when the timeout has passed, and not before, although
 // another stream of its engine is alive.
 func TestFixedTimeoutJudgesEachStream(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := DefaultPolicy()
 		p.FixedTimeout = time.Second
 		m := NewMonitor(p, nil, nil)
--- a/health/recheck_test.go
+++ b/health/recheck_test.go
@@ -9,8 +9,9 @@
 	"sync"
 	"syscall"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"wigeondale/fakes/bubble"
 )
 
 // fleetStub answers the queries of routers for servers that are silent until some time, refuse
@@ -90,7 +91,7 @@
 // the same three domains of six servers. The first router has streams at four servers of each.
 func runFleet(t *testing.T, f func(fleet *fleetStub, m, other *Monitor, streams []*attempt)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		fleet := newFleetStub()
 		ctx, cancel := context.WithCancel(t.Context())
 		var routers []*Monitor
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"wigeondale/fakes/bubble"
 )
 
 const pool = "service/tags"
@@ -102,7 +104,7 @@
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				budget := &fakeBudget{left: row.left}
 				h := newHedger(budget)
 				a := row.plan
@@ -135,7 +137,7 @@
 // the latency of the second try instead of the whole wait, each win would lower the
 // percentile, and the share of hedged calls would grow until only the budget limits it.
 func TestWinsDoNotShortenTheDelay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		h := newHedger(&fakeBudget{left: 1000})
 		for range 200 {
 			a := fakeBackends{took: [2]time.Duration{time.Minute, time.Millisecond}}
@@ -155,7 +157,7 @@
 // an unrecovered panic of a try ends the router process. A call that makes a try panic must
 // not end every router to which its caller sends it.
 func TestPanicOfATryFailsTheCallOnly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		a := &fakeBackends{}
 		call := a.call(true)
 		call.Try = func(context.Context, bool) (string, error) { panic("as asked") }
--- a/hosted/cases_test.go
+++ b/hosted/cases_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/infra"
 	"wigeondale/quarantine"
@@ -55,7 +55,7 @@
 
 // Guards against evidence that is lost because all routers end between the crashes under a request and its quarantine.
 func TestCaseIsReadByAStartingNode(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		key := []byte("shared key")
@@ -88,7 +88,7 @@
 
 // Guards against cases that stay in the store after an answer, or after their time.
 func TestCaseIsRemoved(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		store := &unsteadyStore{items: map[string][]byte{}}
@@ -124,7 +124,7 @@
 
 // Guards against a case that waits for the write of another one, while the store is slow and all routers may end.
 func TestCasesWaitForNoOtherWrite(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		store := &unsteadyStore{items: map[string][]byte{}, hangs: casePrefix}
@@ -143,7 +143,7 @@
 
 // Guards against a store that fills with cases.
 func TestCasesAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		store := &unsteadyStore{items: map[string][]byte{}}
--- a/hosted/herd_test.go
+++ b/hosted/herd_test.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"wigeondale/directory"
+	"wigeondale/fakes/bubble"
 	"wigeondale/generation"
 )
 
@@ -31,7 +31,7 @@
 
 // simulate sends the requests of a load through a picker, each as a run of package generation does.
 func (l herdLoad) simulate(t *testing.T) (out herdResult) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := pickerOf(t, engineList(l.engines, 4), 50000)
 		rng := rand.New(rand.NewPCG(1, uint64(l.perSecond)))
 		type end struct {
--- a/hosted/holds_test.go
+++ b/hosted/holds_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/infra"
 	"wigeondale/quarantine"
 )
@@ -69,7 +69,7 @@
 		"silent": func(s *unsteadyStore) { s.silent = time.Now().Add(outage) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
 				defer stop()
 				s := &unsteadyStore{items: map[string][]byte{}}
@@ -93,7 +93,7 @@
 // Guards against a hold, and the case before it, that are lost because the node that saw the last crash has ended, and all
 // others end a second later.
 func TestOthersWriteSoonForANodeThatEnded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		s := &unsteadyStore{items: map[string][]byte{}}
--- a/hosted/loads_test.go
+++ b/hosted/loads_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wigeondale/directory"
+	"wigeondale/fakes/bubble"
 	"wigeondale/settings"
 )
 
@@ -18,7 +19,7 @@
 func TestWhatEndedIsForgottenByTheOthers(t *testing.T) {
 	for name, lost := range map[string]bool{"ends before a repetition": false, "its message is lost": true} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
 				list := engineList(1, 1)
 				local, remote := pickerOf(t, list, 50000), pickerOf(t, list, 50000)
@@ -62,7 +63,7 @@
 // routers must not count for the loads of all routers; engines must be queried. Otherwise
 // prompts are placed for six seconds as if most engines were idle.
 func TestWordOfAFewIsDroppedWhenThereAreMany(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		pick := pickerOf(t, engineList(1, 1), 50000)
 		p := newPeers(&settings.Settings{Hosted: &settings.Hosted{}}, nil, pick.dir, pick.mon, newStoreSync("n", "d", nil), nil)
--- a/hosted/loans_fleet_test.go
+++ b/hosted/loans_fleet_test.go
@@ -5,8 +5,9 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"wigeondale/fakes/bubble"
 )
 
 // loanSizes are numbers of routers.
@@ -18,7 +19,7 @@
 func crashes(t *testing.T, fleets, routers, window, answers int, trouble func(*budgetFleet)) float64 {
 	sum := 0.0
 	for seed := range fleets {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			f := newBudgetFleet(t, routers, window)
 			f.rng = rand.New(rand.NewPCG(uint64(seed), uint64(routers)))
 			defer f.close()
@@ -81,7 +82,7 @@
 			if perSecond*float64(routers) > maxScarcity {
 				continue // takes half a minute
 			}
-			synctest.Test(t, func(t *testing.T) { playScarcity(t, routers, perSecond) })
+			bubble.Test(t, func(t *testing.T) { playScarcity(t, routers, perSecond) })
 		}
 	}
 }
@@ -154,7 +155,7 @@
 
 // Guards against calls without end to routers of the previous release, which answer them with an error.
 func TestOlderRoutersAreAskedOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newBudgetFleet(t, 66, 10)
 		defer f.close()
 		var mu sync.Mutex
--- a/hosted/order_test.go
+++ b/hosted/order_test.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"wigeondale/admission"
+	"wigeondale/fakes/bubble"
 	"wigeondale/generation"
 	"wigeondale/replay"
 )
@@ -34,7 +34,7 @@
 func playKinds(t *testing.T, size replaySize, end time.Duration, kinds ...streamKind) map[string]*kindFigures {
 	out := map[string]*kindFigures{}
 	for seed := range size.seeds {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			ctx, stop := context.WithCancel(t.Context())
 			f := newReplayFleet(t, ctx, size)
 			var group sync.WaitGroup
--- a/hosted/registration_test.go
+++ b/hosted/registration_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/infra"
 	"wigeondale/settings"
 )
@@ -69,7 +70,7 @@
 			map[string]int{"grant": 1, "put": 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
 				pick := pickerOf(t, engineList(1, 1), 1)
 				set := &settings.Settings{Node: settings.Node{ID: "n"}, Hosted: &settings.Hosted{PeerAddress: "10.0.0.1:7200"}}
--- a/hosted/replay_fleet_test.go
+++ b/hosted/replay_fleet_test.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/generation"
 	"wigeondale/replay"
@@ -290,7 +290,7 @@
 	for seed := range size.seeds {
 		arrivals := replay.Arrivals(uint64(seed+1), l.end, l.rates...)
 		all += len(arrivals)
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			ctx, stop := context.WithCancel(t.Context())
 			f := newReplayFleet(t, ctx, size)
 			f.play(ctx, arrivals, l.crashes)
--- a/hosted/silence_judge_test.go
+++ b/hosted/silence_judge_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/generation"
 	"wigeondale/retrybudget"
@@ -284,7 +284,7 @@
 // playSilences plays and judges one fleet.
 func playSilences(t *testing.T, seed uint64, routers int) *silenceResult {
 	var f *silenceFleet
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f = newSilenceFleet(seed, routers)
 		if err := f.play(t.Context()); err != nil {
 			t.Error(err)
--- a/hosted/software_notes_test.go
+++ b/hosted/software_notes_test.go
@@ -5,8 +5,9 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"wigeondale/fakes/bubble"
 )
 
 // notesStore counts the writes of each key.
@@ -35,7 +36,7 @@
 
 // Guards against a write by each of many nodes for one note, and against notes that stay for good.
 func TestNotesOfVersionsAreFewWrites(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const nodes = 300
 		start := time.Now()
 		store := &notesStore{writes: map[string]int{}}
--- a/hosted/start_size_test.go
+++ b/hosted/start_size_test.go
@@ -10,11 +10,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/infra"
 	"wigeondale/mirror"
@@ -91,7 +91,7 @@
 		"start again": {true, bulkReaders, 6 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, stop := context.WithCancel(t.Context())
 				network, store := peertest.NewNetwork(), newLargeStore(replicas)
 				var seeds []string
--- a/hosted/store_sync_size_test.go
+++ b/hosted/store_sync_size_test.go
@@ -14,11 +14,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/infra"
 	"wigeondale/mirror"
@@ -187,7 +187,7 @@
 func TestNewsReachNodesThatTheStoreTurnsAway(t *testing.T) {
 	for _, size := range []int{95, 300} {
 		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testRejectedNodes(t, size, 5) })
+			bubble.Test(t, func(t *testing.T) { testRejectedNodes(t, size, 5) })
 		})
 	}
 }
@@ -251,7 +251,7 @@
 // the way the age of the confirmation grew by an interval, and in a large fleet the farthest
 // copies counted as stale. Calls to the store would grow faster than the fleet.
 func TestFarNodesDoNotReadTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const size, domains = 400, 2
 		ctx, stop := context.WithCancel(t.Context())
 		network, log := peertest.NewNetwork(), newChangeLog()
--- a/hosted/wait_order_mesh_test.go
+++ b/hosted/wait_order_mesh_test.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/peer"
 	"wigeondale/peer/peertest"
 )
@@ -18,7 +18,7 @@
 func TestStatementsReachAllRouters(t *testing.T) {
 	for _, size := range []int{5, 40} {
 		t.Run(fmt.Sprint(size, " routers"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { testStatements(t, size) })
+			bubble.Test(t, func(t *testing.T) { testStatements(t, size) })
 		})
 	}
 }
--- a/intent/keeper_test.go
+++ b/intent/keeper_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"wigeondale/fakes/bubble"
 )
 
 // TestStateOnlyForwards guards against a node that routes by an older configuration than
@@ -51,7 +53,7 @@
 // run. The router must check the clock, and a peer that was paused as well must not confirm
 // the router's state.
 func TestFreshAfterPause(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		log := filledLog(t, 1)
 		a := NewKeeper(Config{Node: "a", Log: log, PeerClient: fakePeers{}})
@@ -94,7 +96,7 @@
 // unavailable, a router starts, then its last peer is lost. A router must be ready while it
 // has contact with the service or a peer, and must not be ready without either.
 func TestOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		log := filledLog(t, 3)
 		oldNode := NewKeeper(Config{Node: "old", Log: log, PeerClient: fakePeers{}})
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -7,12 +7,12 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"wigeondale/directory"
+	"wigeondale/fakes/bubble"
 	"wigeondale/peer"
 )
 
@@ -143,7 +143,7 @@
 // leaving and must send that update at once. Then another VM leaves while all floods are
 // lost, and digests must deliver the update.
 func TestLeavingIsKnownWithinItsBound(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFakeNetwork(10, engines(20))
 		defer w.run(t)()
 		time.Sleep(30 * time.Second)
@@ -170,7 +170,7 @@
 // that is alive counts as able to read, or if a node that receives no updates polls at
 // the readers' rate.
 func TestSilentReadersAreReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFakeNetwork(10, engines(20))
 		defer w.run(t)()
 		time.Sleep(30 * time.Second)
@@ -225,7 +225,7 @@
 // large. One node knows 10,000 entries; a new node starts and can't read the list. The
 // new node must get the inventory from its neighbour in several messages.
 func TestStartTakesInventoryFromNeighbour(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFakeNetwork(2, engines(10_000))
 		old, started := w.nodes["n0"], w.nodes["n1"]
 		old.readIfDue(t.Context())
@@ -250,7 +250,7 @@
 // before they connect; if each node gave the same entries a version of its own, all
 // records would differ.
 func TestStartsAgreeWithoutExchange(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFakeNetwork(2, engines(100))
 		w.lossy = true
 		w.nodes["n0"].readIfDue(t.Context())
--- a/kvlog/kvlog_test.go
+++ b/kvlog/kvlog_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/kvlog"
 	"wigeondale/kvlog/kvtest"
 )
@@ -20,7 +21,7 @@
 // beyond the position at which a follower that was not running starts again: Follow must
 // return a *TruncatedError, because a follower that skips truncated entries misses them.
 func TestFollowWithoutWatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		store := kvtest.New()
 		log := kvlog.New(store, "l/", kvlog.Options{Window: 2, Poll: time.Second, PageEntries: 2})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -107,7 +108,7 @@
 // it calls Append for the first id again. The appender must still know the first id's
 // position, although the first id is outside the window by then.
 func TestLandedPastTheWindow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		controller := kvtest.NewController()
 		opts := kvlog.Options{Window: 2, SettleTries: 1}
 		log := kvlog.New(controller.Client(), "l/", opts)
--- a/kvlog/property_test.go
+++ b/kvlog/property_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/kvlog"
 	"wigeondale/kvlog/kvtest"
 )
@@ -269,7 +270,7 @@
 		window := rapid.SampledFrom([]uint64{2, 1000}).Draw(rt, "window")
 		applyDelayedFirst := rapid.Bool().Draw(rt, "land rest early")
 		var problems []string
-		synctest.Test(t, func(*testing.T) {
+		bubble.Test(t, func(*testing.T) {
 			h := newHarness(window)
 			for _, m := range actions {
 				h.step(m)
--- a/mirror/filter_test.go
+++ b/mirror/filter_test.go
@@ -7,11 +7,11 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/infra"
 )
@@ -140,7 +140,7 @@
 // uses only those by which it finds a neighbour, takes the rest from that one, and reads it itself only if no
 // neighbour sends it.
 func TestBulkIsReadByFewNodes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		for i := range 95 {
 			store.put("servers/" + strconv.Itoa(i))
@@ -204,7 +204,7 @@
 // fleet in which every node follows the registration of every replica, because none has found
 // the others yet. The node looks for others in the store, and takes the rest from them.
 func TestNodeWithoutNeighboursDoesNotFollowALargeStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		store, out := newFakeStore(), &recorder{items: map[string]fleet.Revision{}}
 		store.put("op/config")
 		ctx, stop := context.WithCancel(t.Context())
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -4,9 +4,9 @@
 	"errors"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/infra"
 )
@@ -16,7 +16,7 @@
 // The failure occurs if the node continues from the newest revision: it would miss the
 // changes made before that revision, such as the removal of the route.
 func TestLostHistoryIsReadAnew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		s.put("a")
 		s.put("b")
@@ -37,7 +37,7 @@
 // the outage and are written again within two seconds after it. Items missing from the
 // first read after the outage must not be removed at once.
 func TestLapsedEntriesMayComeBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		s.put("back")
 		s.put("lost")
@@ -65,7 +65,7 @@
 // changes after a connection broke. The failure occurs if the call after a failed call
 // uses the same connection, which stays silent.
 func TestFailedCallGetsAFreshConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		out := startMirror(t, s)
 		s.fail(errors.New("silent"))
@@ -84,7 +84,7 @@
 // nodes; keys are revoked, and a neighbour sends the change. The node must apply the
 // change without waiting for the store.
 func TestNeighbourIsHeardWhileTheStoreTurnsAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		s.put("kept")
 		s.put("taken")
@@ -102,7 +102,7 @@
 // a store that no node calls. Before each call, the node must check again whether it is
 // a reader of the store.
 func TestOnlyReadersCallTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		s.put("a")
 		var reads atomic.Bool
@@ -130,7 +130,7 @@
 // that has a newer revision doesn't request earlier changes again, so the reader must
 // send the unconfirmed removal together with the later changes.
 func TestDoubtReachesNeighbours(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		for _, key := range []string{"lost", "back"} {
 			s.put(key)
@@ -171,7 +171,7 @@
 // before its start. The node must get the few changes from the store, and all items
 // from the neighbour only while the store is unavailable.
 func TestStoreIsAskedWhereNeighbourKnowsNoRemovals(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		s.put("a")
 		out, m := startMirrorWith(t, s, Config{IsReader: func() bool { return false }})
--- a/mirror/read_test.go
+++ b/mirror/read_test.go
@@ -5,9 +5,9 @@
 	"slices"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/infra"
 )
 
@@ -16,7 +16,7 @@
 // store's bandwidth, so that no node gets all pages in time. After a failed read, a
 // node must keep the pages it has and not start again.
 func TestFailedReadGoesOnWhereItStopped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		for i := range 100 {
 			s.put(strconv.Itoa(i))
@@ -35,7 +35,7 @@
 // made since the first page was read. Pages may be used only while the changes made
 // since they were read are available.
 func TestOldPagesAreNotUsed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		for i := range 20 {
 			s.put(strconv.Itoa(i))
@@ -63,7 +63,7 @@
 func TestFirstReadIsBroughtUpToDate(t *testing.T) {
 	for name, compacted := range map[string]bool{"changes known": false, "changes dropped": true} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				s := newFakeStore()
 				s.put("taken")
 				s.put("config")
--- a/mirror/state_test.go
+++ b/mirror/state_test.go
@@ -5,13 +5,13 @@
 	"slices"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/infra"
 )
@@ -126,7 +126,7 @@
 // send the removal to its neighbours. The neighbours must also treat the removal as
 // unconfirmed for only that half second, not for the whole time again.
 func TestDoubtEndsEverywhereAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const remaining, full = 500 * time.Millisecond, 2 * time.Second
 		reader, out := newState(&recorder{items: map[string]fleet.Revision{}}), &recorder{items: map[string]fleet.Revision{}}
 		neighbour := newState(out)
@@ -185,7 +185,7 @@
 // crash of a failure domain: the removals of its thousands of replicas were forgotten before
 // the neighbours had requested them.
 func TestMassRemovalReachesNeighbours(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		const items = 3000
 		s := newState(&recorder{items: map[string]fleet.Revision{}})
 		for i := range items {
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -7,9 +7,9 @@
 	"runtime"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/infra"
 	"wigeondale/kvlog/kvtest"
 )
@@ -48,7 +48,7 @@
 // again. The test makes the service refuse calls, claims keys, and restores the
 // service.
 func TestOutageRefusesAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		kv := &downStore{Store: kvtest.New()}
 		c := newSoleOwner(kv)
 		claim := func(attempt string) (ClaimResult, error) {
@@ -113,7 +113,7 @@
 // the log that its own number of shards selects. The test claims each key at one node
 // after the other; the first answer of the key-value service is lost.
 func TestShardsAreAgreed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		store := kvtest.New()
 		node := func(kv infra.KV, shards int) *Claims {
 			return New(Config{Node: fmt.Sprint(shards), Incarnation: "i", KV: kv, Prefix: "c/", Shards: shards}, soleOwner{})
@@ -151,7 +151,7 @@
 // test takes snapshots within the window, one of them with a clock that runs ahead, and
 // claims the key again.
 func TestWindow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := newSoleOwner(kvtest.New())
 		claim := func(key, attempt string) bool {
 			v, err := c.Claim(t.Context(), "acme", key, [16]byte{}, attempt)
--- a/once/property_test.go
+++ b/once/property_test.go
@@ -13,6 +13,7 @@
 
 	"pgregory.net/rapid"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/kvlog/kvtest"
 )
 
@@ -255,7 +256,7 @@
 		})
 		moves := rapid.SliceOfN(gen, 10, 120).Draw(rt, "moves")
 		var problems []string
-		synctest.Test(t, func(*testing.T) {
+		bubble.Test(t, func(*testing.T) {
 			f := newFleet()
 			for _, m := range moves {
 				f.step(m)
--- a/order/next_test.go
+++ b/order/next_test.go
@@ -5,9 +5,9 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/intent"
 )
@@ -100,7 +100,7 @@
 // four engines. The holder must not order all loads at once, and must not unload v1 as soon
 // as v2 is ordered.
 func TestWavesKeepOldVersions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet("a", "b", "c", "d")
 		state := intent.NewState()
 		for _, b := range f.list {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/coder/websocket"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/peer/peertest"
 )
 
@@ -131,7 +132,7 @@
 // again because each side considers the other side dead. The test first removes the seeds.
 // Then it drops all bytes to and from n02 for a minute while the connections stay open.
 func TestCutAndHeal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		nodes := startNodes(t, f, 4, nil)
 		defer stopAll(nodes)
@@ -167,7 +168,7 @@
 // n01 can detect the loss, so n01 must close the link for both nodes. Both must stay
 // members through the third node, which also relays calls between them.
 func TestOneWayCutRelays(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		nodes := startNodes(t, f, 3, nil)
 		defer stopAll(nodes)
@@ -196,7 +197,7 @@
 // distinguish a call to an unreachable node from a call whose callee is cut off while
 // the call runs.
 func TestCallErrorsTellWhetherItRan(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		nodes := startNodes(t, f, 3, nil)
 		defer stopAll(nodes)
@@ -225,7 +226,7 @@
 // because its handler panics. The failure reaches every node because each node forwards
 // the message before it runs the handler.
 func TestPanicOfAHandlerEndsNoNode(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		nodes := startNodes(t, f, 3, nil)
 		defer stopAll(nodes)
@@ -253,7 +254,7 @@
 // with its previous incarnation. n01 stops and starts again without a configuration in
 // force. The failure occurs if its peers keep the state of its old incarnation.
 func TestRestartWithNewIncarnation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		nodes := startNodes(t, f, 3, nil)
 		settle(10 * time.Second)
@@ -280,7 +281,7 @@
 // member of the fleet. The failure occurs if the dialler or the acceptor does not check
 // the proof of the other side.
 func TestWrongKeyIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		nodes := startNodes(t, f, 2, nil)
 		nodes = append(nodes, startNodeOn(t, f, 2, 1, []byte("another key, same length"), nil))
@@ -302,7 +303,7 @@
 // as a node. A node dials the process. The process sends its own hello and then sends the
 // node's proof back. The failure occurs if the proofs of both sides are the same.
 func TestReflectedProofIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		srv := &http.Server{Handler: http.HandlerFunc(reflectProof)}
 		go srv.Serve(f.Listen("n09"))
@@ -341,7 +342,7 @@
 // dialled again and again, and the acceptor treats each new connection of a dialler as
 // the end of the old link.
 func TestSeedAliasKeepsTheLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		nodes := startNodes(t, f, 2, func(c *Config) { c.Seeds = []string{"n00:80"} })
 		defer stopAll(nodes)
@@ -362,7 +363,7 @@
 		rejectOversized: make([]byte, 65<<10),
 	}
 	for reason, payload := range cases {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			f := peertest.NewNetwork()
 			n := startNodeOn(t, f, 0, 1, testKey, func(c *Config) { c.MaxMessage = 64 << 10 })
 			defer n.stop()
@@ -407,7 +408,7 @@
 // sent and the queue is unbounded. The link must be closed when the queue reaches its
 // limit.
 func TestSlowLinkIsDropped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		n := startNodeOn(t, f, 0, 1, testKey, func(c *Config) { c.MaxQueueBytes = 1 << 20 })
 		defer n.stop()
@@ -433,7 +434,7 @@
 // nodes, more than the full-mesh limit, sends a flood and disconnects one node without an
 // announcement.
 func TestSparseMesh(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		nodes := startNodes(t, f, 40, nil)
 		defer stopAll(nodes)
@@ -482,7 +483,7 @@
 // large pages of similar entries to their neighbours over slow network links without
 // compression.
 func TestLongMessagesAreCompressed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := peertest.NewNetwork()
 		var passed atomic.Int64
 		nodes := startNodes(t, f, 2, func(c *Config) {
--- a/quarantine/case_test.go
+++ b/quarantine/case_test.go
@@ -3,8 +3,9 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"wigeondale/fakes/bubble"
 )
 
 // caseBook keeps the cases of a router as the store does.
@@ -64,7 +65,7 @@
 // Guards against requests and parts that crash as many servers again after all routers have ended between their crashes
 // and the hold.
 func TestCasesOutliveAllRouters(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newCaseBook()
 		b.see("bad", "i1", 1)
 		b.see("bad", "i2", 1)
@@ -86,7 +87,7 @@
 
 // Guards against a case for crashes of which an answer, a lift, or another cause has cleared the suspect.
 func TestCasesAreDroppedByWhatClears(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newCaseBook()
 		for n := range 2 {
 			b.see("answered", fmt.Sprint("a", n), 1, "sound")
@@ -113,7 +114,7 @@
 
 // Guards against a hold that ends because a starting router takes the few crashes of a case for all that is known.
 func TestCaseEndsNoHold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newCaseBook()
 		for n := range 2 {
 			b.see("one", fmt.Sprint("a", n), 1, "part")
@@ -131,7 +132,7 @@
 
 // Guards against a part whose crashes under a quarantined request are forgotten, so that as many others must crash servers again.
 func TestCaseKeepsCrashesOfQuarantinedRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newCaseBook()
 		b.see("bad", "a0", 1, "part")
 		b.see("bad", "a1", 1, "part")
@@ -152,7 +153,7 @@
 
 // Guards against a case that names only some of the parts which explain the crashes equally well.
 func TestCaseNamesAllLikelyParts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		b := newCaseBook()
 		var parts []string
 		for n := range caseParts + 1 {
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -4,8 +4,9 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"wigeondale/fakes/bubble"
 )
 
 // startedGuard returns a guard that has the shared key.
@@ -37,7 +38,7 @@
 // Guards against a router that counts the crashes under a request from the start again after a restart, although its
 // neighbours know them.
 func TestStartingRouterLearnsTheCrashes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		known := startedGuard()
 		time.Sleep(time.Second)
 		reportCrash(known, "bad", "i1", 1)
@@ -57,7 +58,7 @@
 // Guards against a starting router that quarantines a request for crashes of which an answer, an operator, or other exits at
 // the same moment have cleared it.
 func TestStartingRouterLearnsWhatClears(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		known := startedGuard()
 		time.Sleep(time.Second)
 		for n := range 3 {
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -7,9 +7,9 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -94,7 +94,7 @@
 // the router that saw the crashes sends the request before it has decided, or that only this
 // router refuses.
 func TestAllRoutersHoldARequestBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFakeRouters(3, 20*time.Millisecond)
 		first := w.all[0].Track(subject("bad"))
 		w.exitDuring(first, "e0")
@@ -151,7 +151,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				w := newFakeRouters(1, 0)
 				c := w.all[0].Track(subject("good"))
 				for i := range 6 {
@@ -174,7 +174,7 @@
 // again. The fault is that only this router ends the hold, or that the request can never be
 // sent again. One more crash under the request must quarantine it anew.
 func TestLiftReachesAllRouters(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFakeRouters(2, 20*time.Millisecond)
 		c := w.all[0].Track(subject("bad"))
 		for i := range 3 {
@@ -203,7 +203,7 @@
 // A burst of crashes must not saturate the connections between routers: updates are batched,
 // and the rate of messages and the number of waiting updates are bounded.
 func TestNewsAreFewAndBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		var messages, items atomic.Int64
 		began := time.Now()
 		g := NewGuard(Config{
@@ -231,7 +231,7 @@
 // that crashed earlier as a sign that the whole domain crashed, so that the request keeps
 // being sent.
 func TestSmallDomainIsNotTakenForLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFakeRouters(1, 0)
 		c := w.all[0].Track(subject("bad"))
 		for k := range 3 {
@@ -263,7 +263,7 @@
 // Guards against a starting router that sends a held request before another router has reported the hold, or after a reply
 // of a router that has just started too.
 func TestStartingRouterWaitsForTheHolds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		start := func() *Guard {
 			g := NewGuard(Config{StartWait: 500 * time.Millisecond})
 			g.SetKey([]byte("key"))
--- a/quarantine/silence_test.go
+++ b/quarantine/silence_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -22,7 +22,7 @@
 
 // Guards against a second attempt of a request beside one that goes on after a silence, which ended its turn.
 func TestAttemptThatGoesOnAfterASilenceKeepsItsTurn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		p := silentProber{&fakeProber{results: map[string]State{}}}
 		startedAt := time.Now()
 		g := NewGuard(Config{
--- a/quarantine/turn_test.go
+++ b/quarantine/turn_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -50,7 +50,7 @@
 
 // Guards against turns that other routers don't learn of, or that end with none of them knowing.
 func TestTurnsReachAllRouters(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newFakeRouters(3, 5*time.Millisecond)
 		subject := Subject{Account: "acc", Target: "/x", Body: []byte("body")}
 		first, second := w.all[0].Track(subject), w.all[1].Track(subject)
--- a/relay/moved_test.go
+++ b/relay/moved_test.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/generation"
 	"wigeondale/route"
@@ -87,7 +87,7 @@
 		"another route":        {[]route.Route{toA}, []route.Route{toA, {Service: "b", Prefix: "/other/"}}, 200, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				m := newMovable(t, c.before...)
 				services := map[string]string{}
 				for i := range 200 {
@@ -123,7 +123,7 @@
 
 // Guards against streams that are refused for a move that no stream has outlived.
 func TestMoveIsForgottenWithTheLastOfItsStreams(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := newMovable(t, toA)
 		m.install(toB)
 		if got := m.send("again", "q", 12); got != "Service Unavailable" {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 	"wigeondale/generation"
 	"wigeondale/route"
@@ -130,7 +130,7 @@
 		"long after a start": {time.Hour, time.Minute, http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				table := &route.Current{}
 				var got generation.Request
 				r := New(Config{Table: table, Runner: fixedResult{generation.Result{Outcome: fleet.Complete}, &got}, Budgets: noBudgets{}})
--- a/replacement/replacement_test.go
+++ b/replacement/replacement_test.go
@@ -6,8 +6,8 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 
+	"wigeondale/fakes/bubble"
 	"wigeondale/fleet"
 )
 
@@ -41,7 +41,7 @@
 // address belongs to another service now. If the restarted replicas were not found, a third of
 // the engines would get no work.
 func TestSuccessorsAreFoundAtTheirAddresses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		prober := &fakeProber{replicas: map[string]Replica{
 			"h:1": {Incarnation: fleet.Incarnation{Name: "n1"}, MemoryTokens: 55000},
 			"h:2": {Incarnation: fleet.Incarnation{Name: "o2"}, MemoryTokens: 55000},
@@ -65,7 +65,7 @@
 // While the registry is unavailable, routers must not probe dead machines all the time. They do
 // if each call of Find probes an address again that has just been probed.
 func TestAddressIsLeftAloneForAWhile(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		prober := &fakeProber{replicas: map[string]Replica{"h:1": {}}}
 		s := New(prober)
 		lost := []fleet.Backend{{ID: "o1", Addr: "h:1"}}
--- a/stopping/stopping_test.go
+++ b/stopping/stopping_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wigeondale/clock"
+	"wigeondale/fakes/bubble"
 )
 
 // Guards against work that begins although it ends after the process, and against refusals of work that ends before.
@@ -31,7 +32,7 @@
 
 // Guards against requests that wait for a server when they can't end any more, and against runs that are open when the process ends.
 func TestContextsEndBeforeTheProcess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		g := New()
 		ctx, done := g.UntilEnd(t.Context())
 		defer done()
