hosted, relay: without a record, a take-up goes by the newest configuration only

Cause: the version of such a stream follows from the store's statement, read after the request arrived; its service followed from the configuration in force here, however old. Class: what isn't known counts as the present.

Change: without a record of the stream, the store is asked, after the request arrived, whether the configuration has changed since the revision up to which this router has all changes; the request names the configuration that chose its service. If it changed, or that isn't known, the take-up is refused as not run. Requests share a call, and another router makes it if the store doesn't answer this one. New call between routers, hosted.config_unchanged; routers of before don't know it, which is no answer. A reply or a query that lacks its field proves nothing.

--- a/binding/find.go
+++ b/binding/find.go
@@ -15,6 +15,11 @@
 	Named   []string      // the versions that the store named when it was asked, if the version follows from that
 }
 
+// Recorded reports whether there is a record of the stream. It says at which service the stream began, too.
+func (f Found) Recorded() bool {
+	return f.Source == FromRecord || f.Source == FromRouter || f.Source == FromStore
+}
+
 // Source states how the version of a stream is known.
 type Source string
 
@@ -23,7 +28,8 @@
 	FromRecord Source = "record"      // this router has a record of the stream
 	FromRouter Source = "router"      // another router has one
 	FromList   Source = "one-version" // this router has seen one version for as long as a stream lasts, and the store names no other now
-	FromStore  Source = "store"       // the store has a record, or states that there was one version
+	FromStore  Source = "store"       // the store has a record
+	FromSole   Source = "sole"        // the store states that there was one version
 )
 
 // Stored is what the store has of a stream.
@@ -78,7 +84,7 @@
 	if !sole || !t.beginsOnly(service, version, now) || !t.recordsOnly(service, version, now) {
 		return Found{}, Error.Wrap(ErrUnnamed)
 	}
-	return Found{Version: version, Source: FromStore, Named: st.Versions}, nil
+	return Found{Version: version, Source: FromSole, Named: st.Versions}, nil
 }
 
 // recordsOnly reports whether this router has no record of a stream of a service at another version, or at an unknown one. The proofs
@@ -153,7 +159,7 @@
 		t.records.setStored(key)
 		return Found{Version: s.Version, Source: FromStore}, nil
 	case s.Sole && t.beginsOnlyLocked(service, s.Version, now):
-		return Found{Version: s.Version, Source: FromStore}, nil
+		return Found{Version: s.Version, Source: FromSole}, nil
 	}
 	return Found{}, ErrNotStored
 }
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -132,6 +132,7 @@
 type Opaque struct {
 	*backend.Opaque
 	Service          string
+	ConfigVersion    int64         // version of the configuration by which the service was chosen
 	FirstChunk       int           // number of the first chunk that the caller wants
 	PromptTokens     int           // estimated tokens of the prompt
 	MaxAnswerTokens  int           // maximum number of tokens of the answer
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -56,8 +56,13 @@
 	records  *streamRecords
 	// statements are what the store states of the versions of services.
 	statements *statements
-	reads      *statementReads
-	log        *event.Log
+	reads      *sharedReads[binding.Statement]
+	// configs reads the version of the newest configuration. newest is the revision up to which this node has all changes, and
+	// catchUp makes it read later ones soon.
+	configs *sharedReads[int64]
+	newest  func() fleet.Revision
+	catchUp func()
+	log     *event.Log
 	// reports queries a replica for its start time; set before the first request.
 	reports generation.RunQuerier
 
@@ -80,6 +85,8 @@
 		sendFailed: n.meter.NewCounter("wigeon_stream_records_unsent_total"),
 	}
 	s.copyAge = func() time.Duration { return n.storeSync.age(time.Now()) }
+	s.newest = func() fleet.Revision { return n.mirror.Newest() }
+	s.catchUp = func() { n.mirror.CatchUp() }
 	s.notes = &versionNotes{store: store, log: n.log, present: map[string]bool{}, due: map[string]*dueNote{}}
 	s.tracker = binding.New(binding.Config{
 		Lifetime:  s.lifetime,
@@ -98,7 +105,7 @@
 		FirstStart: n.set.Hosted.FirstStart,
 	})
 	s.statements = &statements{store: store, tracker: s.tracker, log: n.log, stated: map[string]statedItem{}, due: map[string]*dueNote{}}
-	s.reads = &statementReads{read: s.readStatement, next: map[string]*statementRead{}, busy: map[string]*statementRead{}}
+	s.reads, s.configs = newSharedReads(s.readStatement), newSharedReads(s.readConfigVersion)
 	s.records = &streamRecords{
 		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
 		lifetime: s.longestLifetime, nodes: n.peers.registeredNodes, writes: n.set.Hosted.StoreWritesPerS,
--- /dev/null
+++ b/hosted/software_config_test.go
@@ -0,0 +1,120 @@
+package hosted
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wigeondale/fakes/hosted"
+	"wigeondale/generation"
+)
+
+// storeWithoutNews is an address of the store at which changes are not reported while it is silent. Reads are answered.
+type storeWithoutNews struct {
+	*httptest.Server
+	silent atomic.Bool
+}
+
+func (f *testFleet) newStoreWithoutNews() *storeWithoutNews {
+	s := &storeWithoutNews{}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: f.store.Addr()})
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.silent.Load() && r.URL.Path == "/kv-watch" && r.URL.Query().Get("wait_ms") != "0" {
+			<-r.Context().Done()
+			return
+		}
+		proxy.ServeHTTP(w, r)
+	}))
+	f.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s
+}
+
+// moveDrafts writes a configuration that leads the route of streams to a service.
+func (f *testFleet) moveDrafts(service string) {
+	f.version++
+	f.store.PutConfig(hosted.Config{
+		Version: f.version, Account: "acc", Keys: []string{key}, EngineService: "llm", MoreEngines: []string{"llm2"}, OtherService: "app",
+		Routes: []hosted.Route{{Name: "draft", Kind: "streaming", Service: service, Attempts: 5, Timeout: 20 * time.Second}},
+	})
+}
+
+// Guards against a stream that goes on at another service at a router whose configuration is older than that of the router that began it.
+func TestTakeUpByAnOldConfigurationIsNotLedElsewhere(t *testing.T) {
+	f := newFleet(t)
+	f.firstStart = true
+	store := f.newStoreWithoutNews()
+	f.startSoftware("v1", 2, 400)
+	f.moveDrafts("llm")
+	n := f.startNodeAt("n1", store.Listener.Addr().String())
+	await(t, "readiness", n.ready)
+	takeUp := func(id, beganAs string) int {
+		g, status := n.resume(id, beganAs, 3)
+		g.leave()
+		return status
+	}
+	await(t, "take-ups by the newest configuration", func() bool { return takeUp("named", "q") == http.StatusOK && takeUp("unnamed", "") == http.StatusOK })
+
+	store.silent.Store(true)
+	store.CloseClientConnections()
+	f.moveDrafts("llm2") // and another router begins q2 there
+	for _, beganAs := range []string{"q2", ""} {
+		if status := takeUp("late"+beganAs, beganAs); status != http.StatusServiceUnavailable {
+			t.Errorf("took up %q: status %d, want 503", beganAs, status)
+		}
+	}
+	if v := n.table.Get().Version; v != int64(f.version-1) {
+		t.Errorf("the router has configuration %d, the test is about one before %d", v, f.version)
+	}
+}
+
+// Guards against a record that is refused because it is asked for at a router with an old configuration: it says where the stream began.
+func TestRecordedStreamGoesOnByAnOldConfiguration(t *testing.T) {
+	f := newFleet(t)
+	f.firstStart = true
+	store := f.newStoreWithoutNews()
+	f.startSoftware("v1", 2, 400)
+	f.moveDrafts("llm")
+	n := f.startNodeAt("n1", store.Listener.Addr().String())
+	await(t, "readiness", n.ready)
+	g := n.begin("q")
+	g.leave()
+	store.silent.Store(true)
+	store.CloseClientConnections()
+	f.moveDrafts("llm2")
+	if next, status := n.resume("q-again", "q", len(g.pieces)); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	} else {
+		next.leave()
+	}
+}
+
+// Guards against a configuration that counts as the newest one although the store has not said so.
+func TestConfigurationIsTheNewestOnlyIfTheStoreSaysSo(t *testing.T) {
+	f := newFleet(t)
+	f.startEngines(1, 1, 0)
+	n := f.startServingNode()
+	inForce := int64(f.version)
+	newest := func(version int64) bool {
+		return n.software.checkConfig(t.Context(), &generation.Request{Opaque: &generation.Opaque{Service: "llm", ConfigVersion: version}}) == nil
+	}
+	if !newest(inForce) {
+		t.Error("the configuration in force counts as an old one")
+	}
+	if newest(inForce - 1) {
+		t.Error("an earlier configuration counts as the newest")
+	}
+	f.store.SetFailing(true)
+	if newest(inForce) {
+		t.Error("without an answer of the store, the configuration counts as the newest")
+	}
+	f.store.SetFailing(false)
+	f.store.Compact()
+	await(t, "the changes since the compaction", func() bool { return newest(inForce) })
+	if reply, err := n.software.handleConfigQuery(t.Context(), "n2", configQuery{}); err == nil || reply.Unchanged {
+		t.Errorf("a query without a revision gets %+v, %v", reply, err)
+	}
+}
--- a/hosted/software_find.go
+++ b/hosted/software_find.go
@@ -38,6 +38,14 @@
 }
 
 func (s *software) find(ctx context.Context, r *generation.Request) (binding.Found, error) {
+	f, err := s.findVersion(ctx, r)
+	if err != nil || f.Recorded() {
+		return f, err
+	}
+	return f, s.checkConfig(ctx, r)
+}
+
+func (s *software) findVersion(ctx context.Context, r *generation.Request) (binding.Found, error) {
 	if r.BeganAs() == "" {
 		return s.tracker.FindUnnamed(ctx, r.Opaque.Service, clock.SinceBoot())
 	}
--- a/hosted/software_mesh.go
+++ b/hosted/software_mesh.go
@@ -20,6 +20,7 @@
 		return s.tracker.Reply(q, clock.SinceBoot()), nil
 	})
 	peer.HandleCall(mesh, callItem, s.handleItemQuery)
+	peer.HandleCall(mesh, callConfig, s.handleConfigQuery)
 }
 
 func (s *software) handleItemQuery(ctx context.Context, _ string, q itemQuery) (itemReply, error) {
--- a/hosted/software_reads.go
+++ b/hosted/software_reads.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,8 +16,8 @@
 	// otherReadDelay is how long a read waits for the store before another router is asked to make it too: this router may be the
 	// only one that the store doesn't answer.
 	otherReadDelay = 250 * time.Millisecond
-	// statementTimeout bounds one read of a statement.
-	statementTimeout = time.Second
+	// sharedReadTimeout bounds one read that requests share.
+	sharedReadTimeout = time.Second
 )
 
 // itemQuery asks another router to read an item of the store that concerns the versions of streams.
@@ -35,47 +35,66 @@
 // readItem reads one item of the store, if the store is slow or away also through another router. Its revision is of the era of the
 // answer.
 func (s *software) readItem(ctx context.Context, key string, stale bool) (infra.Value, bool, error) {
+	r, err := readEither(ctx,
+		func(ctx context.Context) (itemReply, error) { return s.readOwn(ctx, key, stale) },
+		func(ctx context.Context, node string) (itemReply, error) {
+			return peer.Call[itemQuery, itemReply](ctx, s.peers.currentMesh(), node, callItem, itemQuery{Key: key, Stale: stale})
+		}, s.anyRouter)
+	return r.Item, r.Exists, err
+}
+
+// readEither reads from the store, and through another router as soon as the store fails or is slow. It returns the first answer.
+func readEither[T any](ctx context.Context, own func(context.Context) (T, error), through func(ctx context.Context, node string) (T, error),
+	other func() (node string, ok bool)) (T, error) {
 	type result struct {
-		itemReply
-		err error
+		value T
+		err   error
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	own, other := make(chan result, 1), make(chan result, 1)
+	results, ownFailed := make(chan result, 2), make(chan struct{})
 	go func() {
-		r, err := s.readOwn(ctx, key, stale)
-		own <- result{r, err}
+		v, err := own(ctx)
+		if err != nil {
+			close(ownFailed)
+		}
+		results <- result{v, err}
 	}()
-	askOther := time.NewTimer(otherReadDelay)
-	defer askOther.Stop()
-	pending := 1
-	var failed error
-	ask := func() {
-		pending++
-		go func() {
-			r, err := s.readThroughOther(ctx, itemQuery{Key: key, Stale: stale})
-			other <- result{r, err}
-		}()
-	}
-	for pending > 0 {
+	go func() {
 		var r result
-		select {
-		case <-askOther.C:
-			ask()
-			continue
-		case r = <-own:
-			if r.err != nil && askOther.Stop() {
-				ask()
+		if r.err = waitToAsk(ctx, ownFailed); r.err == nil {
+			node, ok := other()
+			if ok {
+				r.value, r.err = through(ctx, node)
+			} else {
+				r.err = errNoOtherRouter
 			}
-		case r = <-other:
 		}
-		if r.err == nil {
-			return r.Item, r.Exists, nil
-		}
-		pending--
-		failed = r.err
+		results <- r
+	}()
+	first := <-results
+	if first.err == nil {
+		return first.value, nil
+	}
+	second := <-results
+	if second.err == nil {
+		return second.value, nil
 	}
-	return infra.Value{}, false, failed
+	return second.value, errors.Join(first.err, second.err)
+}
+
+var errNoOtherRouter = Error.New("no other router to read from the store")
+
+// waitToAsk waits until another router is to be asked.
+func waitToAsk(ctx context.Context, ownFailed <-chan struct{}) error {
+	slow := time.NewTimer(otherReadDelay)
+	defer slow.Stop()
+	select {
+	case <-slow.C:
+	case <-ownFailed:
+	case <-ctx.Done():
+	}
+	return ctx.Err()
 }
 
 func (s *software) readOwn(ctx context.Context, key string, stale bool) (itemReply, error) {
@@ -91,67 +110,64 @@
 	return itemReply{}, nil
 }
 
-func (s *software) readThroughOther(ctx context.Context, q itemQuery) (itemReply, error) {
-	others := s.routers()
-	if len(others) == 0 {
-		return itemReply{}, Error.New("no other router to read from the store")
-	}
-	return peer.Call[itemQuery, itemReply](ctx, s.peers.currentMesh(), others[rand.IntN(len(others))].ID, callItem, q)
-}
-
-// statementReads lets requests that arrive while a statement is being read share the next read: each needs one that began after it
+// sharedReads lets requests that arrive while a key is being read share the next read: each needs one that began after it
 // arrived. It is safe for concurrent use.
-type statementReads struct {
-	read func(ctx context.Context, service string) (binding.Statement, error)
+type sharedReads[T any] struct {
+	read func(ctx context.Context, key string) (T, error)
 
 	mu   sync.Mutex
-	next map[string]*statementRead // reads that have not begun, by service
-	busy map[string]*statementRead // reads in progress
+	next map[string]*sharedRead[T] // reads that have not begun, by key
+	busy map[string]*sharedRead[T] // reads in progress
+}
+
+type sharedRead[T any] struct {
+	done  chan struct{}
+	value T
+	err   error
 }
 
-type statementRead struct {
-	done      chan struct{}
-	statement binding.Statement
-	err       error
+func newSharedReads[T any](read func(ctx context.Context, key string) (T, error)) *sharedReads[T] {
+	return &sharedReads[T]{read: read, next: map[string]*sharedRead[T]{}, busy: map[string]*sharedRead[T]{}}
 }
 
-// get returns the statement about a service as it is in the store after the call began.
-func (s *statementReads) get(ctx context.Context, service string) (binding.Statement, error) {
+// get returns what is read of a key after the call began.
+func (s *sharedReads[T]) get(ctx context.Context, key string) (T, error) {
 	s.mu.Lock()
-	r := s.next[service]
+	r := s.next[key]
 	if r == nil {
-		r = &statementRead{done: make(chan struct{})}
-		s.next[service] = r
-		if s.busy[service] == nil {
-			s.begin(service)
+		r = &sharedRead[T]{done: make(chan struct{})}
+		s.next[key] = r
+		if s.busy[key] == nil {
+			s.begin(key)
 		}
 	}
 	s.mu.Unlock()
 	select {
 	case <-r.done:
-		return r.statement, r.err
+		return r.value, r.err
 	case <-ctx.Done():
-		return binding.Statement{}, ctx.Err()
+		var none T
+		return none, ctx.Err()
 	}
 }
 
-// begin begins the next read of a service. The caller holds mu.
-func (s *statementReads) begin(service string) {
-	r := s.next[service]
-	s.busy[service] = r
-	delete(s.next, service)
+// begin begins the next read of a key. The caller holds mu.
+func (s *sharedReads[T]) begin(key string) {
+	r := s.next[key]
+	s.busy[key] = r
+	delete(s.next, key)
 	if r == nil {
-		delete(s.busy, service)
+		delete(s.busy, key)
 		return
 	}
 	go func() {
-		ctx, stop := context.WithTimeout(context.Background(), statementTimeout)
+		ctx, stop := context.WithTimeout(context.Background(), sharedReadTimeout)
 		defer stop()
-		r.statement, r.err = s.read(ctx, service)
+		r.value, r.err = s.read(ctx, key)
 		close(r.done)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.begin(service)
+		s.begin(key)
 	}()
 }
 
--- a/hosted/software_records.go
+++ b/hosted/software_records.go
@@ -21,6 +21,7 @@
 type versionStore interface {
 	noteStore
 	Page(ctx context.Context, prefix, after string, stale bool) (infra.Page, error)
+	Changes(ctx context.Context, prefix string, after fleet.Revision, wait time.Duration) ([]infra.WatchEvent, fleet.Revision, error)
 	Replace(ctx context.Context, key string, data []byte, revision fleet.Revision) (bool, error)
 	PutAll(ctx context.Context, items []infra.Value, lease infra.Lease) error
 	Grant(ctx context.Context, ttl time.Duration) (infra.Lease, error)
--- a/relay/job.go
+++ b/relay/job.go
@@ -106,6 +106,7 @@
 				StatedPriority: j.stated,
 			},
 			Service:          j.service,
+			ConfigVersion:    j.version,
 			FirstChunk:       j.req.FirstChunk,
 			PromptTokens:     j.req.PromptTokens,
 			MaxAnswerTokens:  j.req.MaxAnswerTokens,
--- a/relay/moved_test.go
+++ b/relay/moved_test.go
@@ -187,12 +187,16 @@
 	}
 }
 
-// Guards against a stream that goes on at another service at a router whose configuration is older than that of the router that began it.
-func TestTakeUpByAnOldConfigurationIsNotLedElsewhere(t *testing.T) {
-	current, old := newMovable(t, toA), newMovable(t, toA)
-	current.install(toB)
-	began := current.send("q", "", 0)
-	if got := old.send("again", "q", 12); got != began && got != "Service Unavailable" {
-		t.Errorf("began at %s, goes on at %s", began, got)
+// Guards against a service that counts as chosen by another configuration than the one that chose it.
+func TestRequestNamesTheConfigurationThatChoseItsService(t *testing.T) {
+	m := newMovable(t, toA)
+	var got generation.Request
+	m.relay.cfg.Runner = fixedResult{generation.Result{Outcome: fleet.Complete}, &got}
+	for _, r := range []route.Route{toA, toB} {
+		m.install(r)
+		m.send("q", "", 0)
+		if got.Opaque.ConfigVersion != m.version || got.Opaque.Service != r.Service {
+			t.Errorf("service %s by configuration %d, want %s by %d", got.Opaque.Service, got.Opaque.ConfigVersion, r.Service, m.version)
+		}
 	}
 }
