route, hosted, relay: a started router knows the routes of streams by a statement

Cause: a router that starts doesn't know of earlier moves, and counted that as none; no record at the routers that it reached counted as no stream. Class: unknown counts as a value.

Change: the store states one version of the configuration by whose routes all streams that may be taken up began. It follows each later version that moves no stream, and is established again after a move when a stream's life has passed. A started router goes by its routes only if the statement covers them, else by a record, else the take-up is refused as not run. Ways weighed: refuse for a stream's life after each start (the end of all routers would cost each stream that needs no record now); the store's history of the configuration (20 s at most, and it may be discarded). hosted.first_start says that no stream began before, as for versions.

Tests changed: TestRecordSaysWhereAStreamBegan wanted a started router without a record to take the present route, which is the fault; it wants the refusal now, and the present route where the store states it. Other tests of package relay and docs start as at a deployment's first start.

--- a/binding/statement.go
+++ b/binding/statement.go
@@ -106,6 +106,17 @@
 	return seen && served && now-s.first < announceTime
 }
 
+// ReachedAll reports whether this router was connected with each other router for the time keep, or for a short time since the
+// deployment's first start. A router out of reach may follow an older list or configuration.
+func (t *Tracker) ReachedAll(keep, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.firstStart {
+		keep = settleTime
+	}
+	return t.wholeSince != notConnected && now-t.wholeSince >= keep
+}
+
 // provesSole reports whether this router has followed a current list, and was connected with each other router, for as
 // long as a stream lasts, or since the first start of the deployment. A router out of reach may begin streams at a version that
 // is listed no more.
--- a/docs/values_test.go
+++ b/docs/values_test.go
@@ -164,7 +164,7 @@
 
 func sendToPlatform(t *testing.T, version, path string, values map[string][]string, describe func(*generation.Request) string, lines ...string) string {
 	t.Helper()
-	table := &route.Current{}
+	table := &route.Current{FirstStart: true}
 	table.Install(route.NewTable(&route.Config{Version: 1, Accounts: []route.Account{{Name: "acc", Keys: []string{"k"}}}, Routes: []route.Route{
 		{Host: "h", Prefix: "/stream/", Service: "llm", Kind: route.Stream, Resumable: true, Timeout: time.Minute, MaxAttempts: 1},
 		{Host: "h", Prefix: "/once/", Service: "llm", Kind: route.Stream, Timeout: time.Minute, MaxAttempts: 1},
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -103,7 +103,7 @@
 		set:   set,
 		log:   log,
 		meter: metrics.NewSet(),
-		table: &route.Current{},
+		table: &route.Current{FirstStart: set.Hosted.FirstStart},
 		dir:   directory.New(log),
 	}
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -57,6 +57,7 @@
 	// statements are what the store states of the versions of services.
 	statements *statements
 	reads      *sharedReads[binding.Statement]
+	routes     *routesStatements
 	// configs reads the version of the newest configuration. newest is the revision up to which this node has all changes, and
 	// catchUp makes it read later ones soon.
 	configs *sharedReads[int64]
@@ -105,6 +106,7 @@
 		FirstStart: n.set.Hosted.FirstStart,
 	})
 	s.statements = &statements{store: store, tracker: s.tracker, log: n.log, stated: map[string]statedItem{}, due: map[string]*dueNote{}}
+	s.routes = &routesStatements{store: store, table: n.table, log: n.log, era: func() int64 { return n.mirror.Newest().Era() }}
 	s.reads, s.configs = newSharedReads(s.readStatement), newSharedReads(s.readConfigVersion)
 	s.records = &streamRecords{
 		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
@@ -216,6 +218,7 @@
 		s.notes.update(service, k, rank, now)
 		s.statements.update(service, rank, now)
 	}
+	s.routes.update(func() int { return s.noteRank(routesKey) }, s.tracker.ReachedAll(s.longestLifetime(), now), now)
 }
 
 // noteRank returns the rank of this node among the nodes that may note the versions of a service in
--- a/hosted/software_config_test.go
+++ b/hosted/software_config_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -118,3 +119,47 @@
 		t.Errorf("a query without a revision gets %+v, %v", reply, err)
 	}
 }
+
+// Guards against a stream that goes on at another service at a router that has started since its route moved, and takes the routes that
+// it finds for those that there always were.
+func TestTakeUpAtAStartedRouterIsNotLedElsewhere(t *testing.T) {
+	f := newFleet(t)
+	f.firstStart = true
+	f.startSoftware("v1", 2, 400)
+	f.moveDrafts("llm")
+	first := f.startNode("n1")
+	await(t, "readiness", first.ready)
+	stated := func() (st routesStatement) {
+		if item, ok := f.store.Get(routesKey); ok {
+			if err := json.Unmarshal(item.Value, &st); err != nil {
+				t.Error(err)
+			}
+		}
+		return st
+	}
+	await(t, "the statement about the routes", func() bool { return stated().Version == int64(f.version) })
+	f.configure(key)
+	await(t, "a statement of the next configuration", func() bool { return stated().Version == int64(f.version) })
+	first.stop()
+
+	f.firstStart = false
+	takeUps := func(n *testNode, want int) {
+		t.Helper()
+		for _, beganAs := range []string{"q", ""} {
+			g, status := n.resume("again"+beganAs, beganAs, 3)
+			g.leave()
+			if status != want {
+				t.Errorf("took up %q: status %d, want %d", beganAs, status, want)
+			}
+		}
+	}
+	second := f.startNode("n1")
+	await(t, "readiness", second.ready)
+	takeUps(second, http.StatusOK)
+	second.stop()
+	f.moveDrafts("llm2")
+	f.moveDrafts("llm")
+	third := f.startNode("n1")
+	await(t, "readiness", third.ready)
+	takeUps(third, http.StatusServiceUnavailable)
+}
--- a/hosted/software_notes.go
+++ b/hosted/software_notes.go
@@ -145,7 +145,11 @@
 
 // put reports whether an item of the store is about the versions of a service, and takes it in if it is.
 func (s *software) put(item infra.Value) bool {
-	if s != nil && strings.HasPrefix(item.Key, statementPrefix) {
+	switch {
+	case s != nil && item.Key == routesKey:
+		s.routes.put(item)
+		return true
+	case s != nil && strings.HasPrefix(item.Key, statementPrefix):
 		s.statements.put(item)
 		return true
 	}
@@ -154,7 +158,11 @@
 
 // removed takes in that an item was removed from the store.
 func (s *software) removed(key string) {
-	if s != nil && strings.HasPrefix(key, statementPrefix) {
+	switch {
+	case s != nil && key == routesKey:
+		s.routes.set(routesStatement{}, 0)
+		return
+	case s != nil && strings.HasPrefix(key, statementPrefix):
 		s.statements.removed(key)
 		return
 	}
@@ -164,6 +172,7 @@
 // storeReturned is called when the store has come back from a copy.
 func (s *software) storeReturned() {
 	s.tracker.StoreReturned()
+	s.routes.storeReturned()
 	s.records.began()
 }
 
--- /dev/null
+++ b/hosted/software_routes.go
@@ -0,0 +1,104 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"wigeondale/event"
+	"wigeondale/fleet"
+	"wigeondale/infra"
+	"wigeondale/route"
+)
+
+// routesKey is the key of what the store states of the routes of streams.
+const routesKey = ownPrefix + "stream-routes"
+
+// routesStatement states that all streams that may still be taken up began by routes that lead as those of a version of the
+// configuration do. It holds in one era of the store: one that has come back from a copy states what held when the copy was made.
+type routesStatement struct {
+	Version int64 `json:"version"`
+	Era     int64 `json:"era"`
+}
+
+// routesStatements keeps the store's statement about the routes of streams up to date. By it, a router that has started knows that
+// there were no moves before that concern streams. It is safe for concurrent use.
+type routesStatements struct {
+	store versionStore
+	table *route.Current
+	log   *event.Log
+	era   func() int64
+
+	mu       sync.Mutex
+	stated   routesStatement // guarded by mu, as what follows
+	revision fleet.Revision  // of the item; 0 if there is none
+	due      *dueNote
+}
+
+// put takes in the statement of the store. One that can't be read, or is of an earlier era, states nothing, and is replaced.
+func (s *routesStatements) put(item infra.Value) {
+	var st routesStatement
+	if err := json.Unmarshal(item.Data, &st); err != nil {
+		s.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
+		st = routesStatement{}
+	}
+	if st.Era != item.ModRev.Era() {
+		st = routesStatement{}
+	}
+	s.set(st, item.ModRev)
+}
+
+func (s *routesStatements) set(st routesStatement, revision fleet.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stated, s.revision = st, revision
+	s.table.SetStated(st.Version)
+}
+
+// storeReturned takes in that the store has come back from a copy.
+func (s *routesStatements) storeReturned() {
+	era := s.era()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stated.Era != era {
+		s.stated = routesStatement{}
+		s.table.SetStated(0)
+	}
+}
+
+// update replaces the statement if it is no longer right and that is the task of the node with the given rank. connected means that this
+// node has reached each other one for as long as a stream lasts.
+func (s *routesStatements) update(rank func() int, connected bool, now time.Duration) {
+	version, due := s.table.NextStated(connected)
+	era := s.era() // takes the lock of the copy of the store, under which put is called
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !due {
+		s.due = nil
+		return
+	}
+	if s.due == nil {
+		s.due = &dueNote{since: now, next: now}
+	}
+	if now < s.due.next {
+		return
+	}
+	if r := rank(); r >= noteRanks || now-s.due.since < time.Duration(r)*statementStep {
+		return
+	}
+	s.due.next = now + statementRetry
+	go s.write(routesStatement{Version: version, Era: era}, s.revision)
+}
+
+func (s *routesStatements) write(st routesStatement, over fleet.Revision) {
+	ctx, stop := context.WithTimeout(context.Background(), noteTimeout)
+	defer stop()
+	data, err := json.Marshal(st)
+	if err == nil {
+		_, err = s.store.Replace(ctx, routesKey, data, over)
+	}
+	if err != nil {
+		s.log.Emit(event.VersionNotStored, "key", routesKey, "remove", false, "err", err)
+	}
+}
--- a/relay/moved_test.go
+++ b/relay/moved_test.go
@@ -33,7 +33,11 @@
 }
 
 func newMovable(t *testing.T, routes ...route.Route) *movable {
-	m := &movable{t: t, table: &route.Current{}}
+	return newMovableWith(t, &route.Current{FirstStart: true}, routes...)
+}
+
+func newMovableWith(t *testing.T, table *route.Current, routes ...route.Route) *movable {
+	m := &movable{t: t, table: table}
 	m.relay = New(Config{Table: m.table, Runner: &m.runner, Budgets: noBudgets{}})
 	m.install(routes...)
 	return m
@@ -154,21 +158,31 @@
 
 // Guards against a stream that ends, or goes on elsewhere, although a record says at which service it began.
 func TestRecordSaysWhereAStreamBegan(t *testing.T) {
+	const refused = "Service Unavailable"
 	other := route.Route{Service: "b", Prefix: "/other/"}
 	for name, c := range map[string]struct {
 		routes   []route.Route // before the take-up, the last of them in force
+		started  bool          // the router started after streams had begun
+		stated   int64         // version of which the store states that streams began by its routes
 		recorded string
 		want     string
 	}{
-		"recorded before the move":    {[]route.Route{toA, toB}, "a", "a"},
-		"recorded since the move":     {[]route.Route{toA, toB}, "b", "b"},
-		"no record":                   {[]route.Route{toA, toB}, "", "Service Unavailable"},
-		"started since the move":      {[]route.Route{toB}, "a", "a"},
-		"started, no record":          {[]route.Route{toB}, "", "b"},
-		"started, records unknown":    {[]route.Route{toB}, "unknown", "Service Unavailable"},
-		"started, recorded elsewhere": {[]route.Route{toB}, "c", "b"}, // no route of streams leads there
+		"recorded before the move":           {[]route.Route{toA, toB}, false, 0, "a", "a"},
+		"recorded since the move":            {[]route.Route{toA, toB}, false, 0, "b", "b"},
+		"no record":                          {[]route.Route{toA, toB}, false, 0, "", refused},
+		"started since the move":             {[]route.Route{toB}, true, 0, "a", "a"},
+		"started, no record":                 {[]route.Route{toB}, true, 0, "", refused},
+		"started, records unknown":           {[]route.Route{toB}, true, 0, "unknown", refused},
+		"started, recorded elsewhere":        {[]route.Route{toB}, true, 0, "c", refused}, // no route of streams leads there
+		"started, routes stated":             {[]route.Route{toB}, true, 1, "", "b"},
+		"started, stated before a move":      {[]route.Route{toA, toB}, true, 1, "", refused},
+		"started, stated since a move":       {[]route.Route{toA, toB, toB}, true, 2, "b", "b"},
+		"started, stated of a later version": {[]route.Route{toB}, true, 2, "", refused},
+		"stated, no record of a move":        {[]route.Route{toA, toB}, false, 1, "", refused},
 	} {
-		m := newMovable(t, c.routes[0], route.Route{Service: "a", Prefix: "/a/"}, other)
+		table := &route.Current{FirstStart: !c.started}
+		table.SetStated(c.stated)
+		m := newMovableWith(t, table, c.routes[0], route.Route{Service: "a", Prefix: "/a/"}, other)
 		for _, r := range c.routes[1:] {
 			m.install(r, route.Route{Service: "a", Prefix: "/a/"}, other)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -191,7 +191,7 @@
 		return rt.PickStream(req.ID), true
 	}
 	o := r.cfg.Table.Origin(rt, req.Host, req.Path, req.BeganAs)
-	if len(o.Others) == 0 || req.BeganAs == "" || r.cfg.RecordedAt == nil {
+	if o.Certain || req.BeganAs == "" || r.cfg.RecordedAt == nil {
 		return o.Service, o.Certain
 	}
 	name := ""
@@ -199,10 +199,7 @@
 		name = account.Name
 	}
 	recorded, err := r.cfg.RecordedAt(ctx, name, req.BeganAs, append(o.Others, o.Service))
-	if recorded != "" {
-		return recorded, true
-	}
-	return o.Service, o.Certain && err == nil
+	return recorded, err == nil && recorded != ""
 }
 
 // table returns the route table in force, or nil if there is none. Just after the start of
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -36,7 +36,7 @@
 	if change != nil {
 		change(cfg)
 	}
-	table := &route.Current{}
+	table := &route.Current{FirstStart: true}
 	table.Install(route.NewTable(cfg))
 	var got generation.Request
 	r := New(Config{Table: table, Runner: fixedResult{res, &got}, Budgets: noBudgets{}})
--- a/route/current.go
+++ b/route/current.go
@@ -10,6 +10,10 @@
 // grows: a stale read of the store, a restarted watch or another router may deliver an older
 // table after a newer one.
 type Current struct {
+	// FirstStart means that the first table is in force since before any stream of the deployment began. It is set before that table is
+	// installed.
+	FirstStart bool
+
 	table atomic.Pointer[Table]
 
 	mu    sync.Mutex // held while a table is installed
@@ -28,7 +32,7 @@
 	if old != nil && old.Version >= t.Version {
 		return false
 	}
-	c.moves.add(old, t, time.Now())
+	c.moves.add(old, t, c.FirstStart, time.Now())
 	c.table.Store(t)
 	return true
 }
--- a/route/moves.go
+++ b/route/moves.go
@@ -31,17 +31,24 @@
 	recent       []move
 	startedUntil time.Time
 	droppedUntil time.Time
+	// sameSince is the first version since which this process has seen no move. stated is the version of which the store states that all
+	// streams that may be taken up began by routes that lead as its routes do; 0 if there is none.
+	sameSince, stated int64
 }
 
 // add records that next takes the place of old.
-func (m *moves) add(old, next *Table, now time.Time) {
+func (m *moves) add(old, next *Table, firstStart bool, now time.Time) {
 	m.recent = slices.DeleteFunc(m.recent, func(e move) bool { return !now.Before(e.expires) })
 	switch {
 	case old == nil:
-		m.startedUntil = now.Add(next.streamLifetime())
+		m.sameSince = next.Version
+		if !firstStart {
+			m.startedUntil = now.Add(next.streamLifetime())
+		}
 	case !slices.EqualFunc(old.streamRoutes, next.streamRoutes, leadsTheSame):
 		redirected, removed := compareStreams(streamTable(old.streamRoutes), streamTable(next.streamRoutes))
 		if redirected || removed {
+			m.sameSince = next.Version
 			m.recent = append(m.recent, move{streamTable(old.streamRoutes), now.Add(old.streamLifetime()), redirected})
 		}
 	}
@@ -53,6 +60,41 @@
 	}
 }
 
+// covered reports whether the store states that all streams began by routes that lead as those of a version do, and this process has
+// seen no move since that version. inForce is the version in force: a later one, which the store may state, can have moved routes.
+func (m *moves) covered(inForce int64) bool {
+	return m.stated > 0 && m.stated >= m.sameSince && m.stated <= inForce
+}
+
+// startUnknown reports whether there may have been moves before this process knew the configuration.
+func (m *moves) startUnknown(inForce int64, now time.Time) bool {
+	return now.Before(m.startedUntil) && !m.covered(inForce)
+}
+
+// SetStated takes in that the store states that all streams that may still be taken up began by routes that lead as those of a version
+// do; 0 means that it states nothing.
+func (c *Current) SetStated(version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.moves.stated = version
+}
+
+// NextStated returns the version that the store should state, and false if it states that already or this process doesn't know enough.
+// connected means that no other router can have begun streams by earlier routes for as long as a stream lasts.
+func (c *Current) NextStated(connected bool) (version int64, due bool) {
+	t := c.table.Load()
+	if t == nil {
+		return 0, false
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &c.moves
+	settled := !now.Before(m.startedUntil) && !now.Before(m.droppedUntil) &&
+		!slices.ContainsFunc(m.recent, func(e move) bool { return now.Before(e.expires) })
+	return t.Version, m.stated != t.Version && (m.covered(t.Version) || connected && settled)
+}
+
 // streamLifetime returns how long any stream may last from its first chunk to its last take-up.
 func (t *Table) streamLifetime() time.Duration {
 	longest := time.Duration(0)
@@ -105,10 +147,9 @@
 // Origin is the service at which a stream began, as far as the configurations say.
 type Origin struct {
 	Service string
-	// Certain is false if streams that may still be taken up began at several services.
+	// Certain is false if streams that may still be taken up may have begun at several services.
 	Certain bool
-	// Others are further services at which the stream may have begun. If Certain is set, that takes a move before this process knew the
-	// configuration.
+	// Others are further services at which the stream may have begun.
 	Others []string
 }
 
@@ -118,7 +159,8 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o := Origin{Certain: !now.Before(c.moves.droppedUntil)}
+	table := c.table.Load()
+	o := Origin{Certain: !now.Before(c.moves.droppedUntil) && !c.moves.startUnknown(table.Version, now)}
 	o.Service, o.Certain = r.originOf(beganAs, o.Certain)
 	for _, e := range c.moves.recent {
 		before, found := e.routes.Match(host, path)
@@ -129,8 +171,8 @@
 		o.Certain = o.Certain && one && was == o.Service
 		o.add(was)
 	}
-	if !o.Certain || now.Before(c.moves.startedUntil) {
-		for service := range c.table.Load().streams {
+	if !o.Certain {
+		for service := range table.streams {
 			o.add(service)
 		}
 	}
--- /dev/null
+++ b/route/moves_test.go
@@ -0,0 +1,57 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"wigeondale/fakes/bubble"
+)
+
+func routed(c *Current, version int64, service string) {
+	c.Install(NewTable(&Config{Version: version, Routes: []Route{{Host: "h", Prefix: "/p/", Service: service, Kind: Stream, Resumable: true, Timeout: 20 * time.Second}}}))
+}
+
+// Guards against a statement about the routes of streams that this process doesn't know to be true.
+func TestRoutesAreStatedOnEvidence(t *testing.T) {
+	type step func(c *Current)
+	install := func(version int64, service string) step { return func(c *Current) { routed(c, version, service) } }
+	stated := func(version int64) step { return func(c *Current) { c.SetStated(version) } }
+	wait := func(*Current) { time.Sleep(26 * time.Second) }
+	const none = 0
+	for name, c := range map[string]struct {
+		first, connected bool
+		steps            []step
+		want             int64
+	}{
+		"before the first configuration":             {true, true, nil, none},
+		"first start":                                {true, true, []step{install(1, "a")}, 1},
+		"first start, others out of reach":           {true, false, []step{install(1, "a")}, none},
+		"first start, stated":                        {true, true, []step{install(1, "a"), stated(1)}, none},
+		"started":                                    {false, true, []step{install(5, "a")}, none},
+		"started, a stream's life ago":               {false, true, []step{install(5, "a"), wait}, 5},
+		"started, others out of reach":               {false, false, []step{install(5, "a"), wait}, none},
+		"next version":                               {false, false, []step{stated(5), install(5, "a"), install(7, "a")}, 7},
+		"moved":                                      {true, true, []step{stated(1), install(1, "a"), install(2, "b")}, none},
+		"moved, a stream's life ago":                 {true, true, []step{stated(1), install(1, "a"), install(2, "b"), wait}, 2},
+		"moved and back":                             {true, true, []step{stated(1), install(1, "a"), install(2, "b"), install(3, "a")}, none},
+		"stated since the move":                      {false, false, []step{install(1, "a"), install(2, "b"), stated(2), install(3, "b")}, 3},
+		"stated of an earlier version than is known": {false, true, []step{stated(4), install(5, "a")}, none},
+		"stated of a later version than is known":    {false, true, []step{stated(6), install(5, "a")}, none},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				current := &Current{FirstStart: c.first}
+				for _, s := range c.steps {
+					s(current)
+				}
+				got, due := current.NextStated(c.connected)
+				if !due {
+					got = none
+				}
+				if got != c.want {
+					t.Errorf("version %d is to be stated, want %d", got, c.want)
+				}
+			})
+		})
+	}
+}
