route, hosted, relay: a started router learns the moves since the stated configuration

Change: before a take-up is refused for that, the configurations since the stated one are read from the store's history, one shared call, and their moves are compared as if this router had seen them. History that is gone, or doesn't reach, leaves the moves unknown (event 2408, moves-unknown). The statement names the revision of its configuration for that.

--- a/event/ids.go
+++ b/event/ids.go
@@ -215,6 +215,7 @@
 	StreamVersionGone
 	VersionNotStored
 	StreamRecordsNotStored
+	MovesUnknown
 )
 
 // Events of the retry budget that routers share (25xx).
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -61,6 +61,7 @@
 	// configs reads the version of the newest configuration. newest is the revision up to which this node has all changes, and
 	// catchUp makes it read later ones soon.
 	configs *sharedReads[int64]
+	moves   *sharedReads[struct{}]
 	newest  func() fleet.Revision
 	catchUp func()
 	log     *event.Log
@@ -107,7 +108,7 @@
 	})
 	s.statements = &statements{store: store, tracker: s.tracker, log: n.log, stated: map[string]statedItem{}, due: map[string]*dueNote{}}
 	s.routes = &routesStatements{store: store, table: n.table, log: n.log, era: func() int64 { return n.mirror.Newest().Era() }}
-	s.reads, s.configs = newSharedReads(s.readStatement), newSharedReads(s.readConfigVersion)
+	s.reads, s.configs, s.moves = newSharedReads(s.readStatement), newSharedReads(s.readConfigVersion), newSharedReads(s.routes.readMoves)
 	s.records = &streamRecords{
 		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
 		lifetime: s.longestLifetime, nodes: n.peers.registeredNodes, writes: n.set.Hosted.StoreWritesPerS,
--- a/hosted/software_config_test.go
+++ b/hosted/software_config_test.go
@@ -143,6 +143,7 @@
 	first.stop()
 
 	f.firstStart = false
+	f.configure(key) // while no router runs
 	takeUps := func(n *testNode, want int) {
 		t.Helper()
 		for _, beganAs := range []string{"q", ""} {
@@ -156,10 +157,17 @@
 	second := f.startNode("n1")
 	await(t, "readiness", second.ready)
 	takeUps(second, http.StatusOK)
+	await(t, "a statement of the configuration after the start", func() bool { return stated().Version == int64(f.version) })
 	second.stop()
-	f.moveDrafts("llm2")
-	f.moveDrafts("llm")
-	third := f.startNode("n1")
-	await(t, "readiness", third.ready)
-	takeUps(third, http.StatusServiceUnavailable)
+	for what, change := range map[string]func(){
+		"moved and back":            func() { f.moveDrafts("llm2"); f.moveDrafts("llm") },
+		"history of the store gone": func() { f.configure(key); f.store.Compact() },
+	} {
+		t.Log(what)
+		change()
+		third := f.startNode("n1")
+		await(t, "readiness", third.ready)
+		takeUps(third, http.StatusServiceUnavailable)
+		third.stop()
+	}
 }
--- a/hosted/software_find.go
+++ b/hosted/software_find.go
@@ -52,6 +52,12 @@
 	return s.tracker.Find(ctx, keyOf(r), r.Opaque.Service, clock.SinceBoot())
 }
 
+// learnMoves makes this node know how routes led before its start, if the store has that. Without it, a stream that is taken up needs a
+// record.
+func (s *software) learnMoves(ctx context.Context) {
+	_, _ = s.moves.get(ctx, routesKey) // without an answer, the moves stay unknown
+}
+
 // recordedAt returns which of several services has a record of a stream, or "" if none has. It fails if that isn't known.
 func (s *software) recordedAt(ctx context.Context, account, beganAs string, services []string) (string, error) {
 	type result struct {
--- a/hosted/software_routes.go
+++ b/hosted/software_routes.go
@@ -9,6 +9,7 @@
 	"wigeondale/event"
 	"wigeondale/fleet"
 	"wigeondale/infra"
+	"wigeondale/platform"
 	"wigeondale/route"
 )
 
@@ -18,8 +19,9 @@
 // routesStatement states that all streams that may still be taken up began by routes that lead as those of a version of the
 // configuration do. It holds in one era of the store: one that has come back from a copy states what held when the copy was made.
 type routesStatement struct {
-	Version int64 `json:"version"`
-	Era     int64 `json:"era"`
+	Version  int64          `json:"version"`
+	Revision fleet.Revision `json:"revision"` // of that version in the store
+	Era      int64          `json:"era"`
 }
 
 // routesStatements keeps the store's statement about the routes of streams up to date. By it, a router that has started knows that
@@ -70,7 +72,7 @@
 // update replaces the statement if it is no longer right and that is the task of the node with the given rank. connected means that this
 // node has reached each other one for as long as a stream lasts.
 func (s *routesStatements) update(rank func() int, connected bool, now time.Duration) {
-	version, due := s.table.NextStated(connected)
+	t, due := s.table.NextStated(connected)
 	era := s.era() // takes the lock of the copy of the store, under which put is called
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,9 +90,47 @@
 		return
 	}
 	s.due.next = now + statementRetry
-	go s.write(routesStatement{Version: version, Era: era}, s.revision)
+	go s.write(routesStatement{Version: t.Version, Revision: t.Revision, Era: era}, s.revision)
 }
 
+// readMoves makes this router know the moves between the version that the store states and the first version that it had in force, as
+// long as the store still has them in its history.
+func (s *routesStatements) readMoves(ctx context.Context, _ string) (struct{}, error) {
+	err := s.learnMoves(ctx)
+	if err != nil {
+		s.log.Emit(event.MovesUnknown, "err", err)
+	}
+	return struct{}{}, err
+}
+
+func (s *routesStatements) learnMoves(ctx context.Context) error {
+	s.mu.Lock()
+	st := s.stated
+	s.mu.Unlock()
+	if st.Revision.Era() != st.Era || st.Revision.Number() == 0 {
+		return errNoRevision
+	}
+	before := fleet.RevisionOf(st.Era, st.Revision.Number()-1)
+	changes, _, err := s.store.Changes(ctx, platform.ConfigKey, before, 0)
+	if err != nil {
+		return err
+	}
+	var earlier []*route.Table
+	for _, c := range changes {
+		cfg, err := platform.DecodeConfig(c.Value.Data)
+		if err != nil {
+			return err
+		}
+		earlier = append(earlier, route.NewTable(cfg))
+	}
+	if !s.table.LearnMoves(earlier) {
+		return errOtherConfigs
+	}
+	return nil
+}
+
+var errOtherConfigs = Error.New("the store's history does not reach from the stated configuration to the first one of this router")
+
 func (s *routesStatements) write(st routesStatement, over fleet.Revision) {
 	ctx, stop := context.WithTimeout(context.Background(), noteTimeout)
 	defer stop()
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -86,6 +86,7 @@
 		v.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
 		return
 	}
+	cfg.Revision = item.ModRev
 	if v.table.Install(route.NewTable(cfg)) {
 		v.log.Emit(event.TableInForce, "version", cfg.Version, "revision", item.ModRev,
 			"routes", len(cfg.Routes), "accounts", len(cfg.Accounts))
--- a/route/moves.go
+++ b/route/moves.go
@@ -31,9 +31,9 @@
 	recent       []move
 	startedUntil time.Time
 	droppedUntil time.Time
-	// sameSince is the first version since which this process has seen no move. stated is the version of which the store states that all
+	// first is the first version that this process had in force. sameSince is the first version since which this process has seen no move. stated is the version of which the store states that all
 	// streams that may be taken up began by routes that lead as its routes do; 0 if there is none.
-	sameSince, stated int64
+	first, sameSince, stated int64
 }
 
 // add records that next takes the place of old.
@@ -41,18 +41,31 @@
 	m.recent = slices.DeleteFunc(m.recent, func(e move) bool { return !now.Before(e.expires) })
 	switch {
 	case old == nil:
-		m.sameSince = next.Version
+		m.first, m.sameSince = next.Version, next.Version
 		if !firstStart {
 			m.startedUntil = now.Add(next.streamLifetime())
 		}
-	case !slices.EqualFunc(old.streamRoutes, next.streamRoutes, leadsTheSame):
-		redirected, removed := compareStreams(streamTable(old.streamRoutes), streamTable(next.streamRoutes))
-		if redirected || removed {
-			m.sameSince = next.Version
-			m.recent = append(m.recent, move{streamTable(old.streamRoutes), now.Add(old.streamLifetime()), redirected})
-		}
+	case m.compare(old, next, now):
+		m.sameSince = next.Version
 	}
-	if len(m.recent) > maxMoves {
+	m.bound()
+}
+
+// compare records the move, if there is one, that next makes after old.
+func (m *moves) compare(old, next *Table, now time.Time) (moved bool) {
+	if slices.EqualFunc(old.streamRoutes, next.streamRoutes, leadsTheSame) {
+		return false
+	}
+	redirected, removed := compareStreams(streamTable(old.streamRoutes), streamTable(next.streamRoutes))
+	if redirected || removed {
+		m.recent = append(m.recent, move{streamTable(old.streamRoutes), now.Add(old.streamLifetime()), redirected})
+	}
+	return redirected || removed
+}
+
+// bound drops the earliest of too many moves.
+func (m *moves) bound() {
+	for len(m.recent) > maxMoves {
 		if e := m.recent[0].expires; e.After(m.droppedUntil) {
 			m.droppedUntil = e
 		}
@@ -79,12 +92,34 @@
 	c.moves.stated = version
 }
 
-// NextStated returns the version that the store should state, and false if it states that already or this process doesn't know enough.
+// LearnMoves takes in the configurations that were in force before this process started: all of them from the one that the store states
+// to the first one that this process had, in order. It returns false, and learns nothing, if they are others.
+func (c *Current) LearnMoves(earlier []*Table) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &c.moves
+	known := slices.IndexFunc(earlier, func(t *Table) bool { return t.Version == m.first })
+	if known < 0 || earlier[0].Version != m.stated {
+		return false
+	}
+	now, moved := time.Now(), false
+	for i := range known {
+		moved = m.compare(earlier[i], earlier[i+1], now) || moved
+	}
+	m.bound()
+	m.startedUntil = time.Time{}
+	if !moved && m.sameSince == m.first {
+		m.sameSince = m.stated
+	}
+	return true
+}
+
+// NextStated returns the configuration that the store should state, and false if it states that already or this process doesn't know enough.
 // connected means that no other router can have begun streams by earlier routes for as long as a stream lasts.
-func (c *Current) NextStated(connected bool) (version int64, due bool) {
-	t := c.table.Load()
+func (c *Current) NextStated(connected bool) (t *Table, due bool) {
+	t = c.table.Load()
 	if t == nil {
-		return 0, false
+		return nil, false
 	}
 	now := time.Now()
 	c.mu.Lock()
@@ -92,7 +127,7 @@
 	m := &c.moves
 	settled := !now.Before(m.startedUntil) && !now.Before(m.droppedUntil) &&
 		!slices.ContainsFunc(m.recent, func(e move) bool { return now.Before(e.expires) })
-	return t.Version, m.stated != t.Version && (m.covered(t.Version) || connected && settled)
+	return t, m.stated != t.Version && (m.covered(t.Version) || connected && settled)
 }
 
 // streamLifetime returns how long any stream may last from its first chunk to its last take-up.
@@ -151,6 +186,8 @@
 	Certain bool
 	// Others are further services at which the stream may have begun.
 	Others []string
+	// StartUnknown reports that there may have been moves before this process knew the configuration.
+	StartUnknown bool
 }
 
 // Origin returns where a stream began that is taken up through route r, which the table in force has for the host and path. beganAs is
@@ -160,7 +197,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	table := c.table.Load()
-	o := Origin{Certain: !now.Before(c.moves.droppedUntil) && !c.moves.startUnknown(table.Version, now)}
+	o := Origin{StartUnknown: c.moves.startUnknown(table.Version, now)}
+	o.Certain = !o.StartUnknown && !now.Before(c.moves.droppedUntil)
 	o.Service, o.Certain = r.originOf(beganAs, o.Certain)
 	for _, e := range c.moves.recent {
 		before, found := e.routes.Match(host, path)
--- a/route/moves_test.go
+++ b/route/moves_test.go
@@ -7,15 +7,18 @@
 	"wigeondale/fakes/bubble"
 )
 
-func routed(c *Current, version int64, service string) {
-	c.Install(NewTable(&Config{Version: version, Routes: []Route{{Host: "h", Prefix: "/p/", Service: service, Kind: Stream, Resumable: true, Timeout: 20 * time.Second}}}))
+func routed(version int64, service string) *Table {
+	return NewTable(&Config{Version: version, Routes: []Route{{Host: "h", Prefix: "/p/", Service: service, Kind: Stream, Resumable: true, Timeout: 20 * time.Second}}})
 }
 
 // Guards against a statement about the routes of streams that this process doesn't know to be true.
 func TestRoutesAreStatedOnEvidence(t *testing.T) {
 	type step func(c *Current)
-	install := func(version int64, service string) step { return func(c *Current) { routed(c, version, service) } }
+	install := func(version int64, service string) step {
+		return func(c *Current) { c.Install(routed(version, service)) }
+	}
 	stated := func(version int64) step { return func(c *Current) { c.SetStated(version) } }
+	learn := func(tables ...*Table) step { return func(c *Current) { c.LearnMoves(tables) } }
 	wait := func(*Current) { time.Sleep(26 * time.Second) }
 	const none = 0
 	for name, c := range map[string]struct {
@@ -35,6 +38,13 @@
 		"moved, a stream's life ago":                 {true, true, []step{stated(1), install(1, "a"), install(2, "b"), wait}, 2},
 		"moved and back":                             {true, true, []step{stated(1), install(1, "a"), install(2, "b"), install(3, "a")}, none},
 		"stated since the move":                      {false, false, []step{install(1, "a"), install(2, "b"), stated(2), install(3, "b")}, 3},
+		"learned that there was no move":             {false, false, []step{stated(4), install(5, "a"), learn(routed(4, "a"), routed(5, "a"))}, 5},
+		"learned of a move":                          {false, true, []step{stated(4), install(5, "a"), learn(routed(4, "b"), routed(5, "a"))}, none},
+		"learned of a move and back":                 {false, true, []step{stated(3), install(5, "a"), learn(routed(3, "a"), routed(4, "b"), routed(5, "a"))}, none},
+		"learned since a later version only":         {false, true, []step{stated(3), install(5, "a"), learn(routed(4, "a"), routed(5, "a"))}, none},
+		"learned up to an earlier version only":      {false, true, []step{stated(3), install(5, "a"), learn(routed(3, "a"), routed(4, "a"))}, none},
+		"learned nothing":                            {false, true, []step{stated(3), install(5, "a"), learn()}, none},
+		"moved after what was learned":               {false, true, []step{stated(4), install(5, "a"), install(6, "b"), learn(routed(4, "a"), routed(5, "a"))}, none},
 		"stated of an earlier version than is known": {false, true, []step{stated(4), install(5, "a")}, none},
 		"stated of a later version than is known":    {false, true, []step{stated(6), install(5, "a")}, none},
 	} {
@@ -44,9 +54,9 @@
 				for _, s := range c.steps {
 					s(current)
 				}
-				got, due := current.NextStated(c.connected)
-				if !due {
-					got = none
+				got := int64(none)
+				if next, due := current.NextStated(c.connected); due {
+					got = next.Version
 				}
 				if got != c.want {
 					t.Errorf("version %d is to be stated, want %d", got, c.want)
--- a/route/route.go
+++ b/route/route.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"wigeondale/fleet"
 )
 
 // Error is the class of this package's errors.
@@ -138,6 +140,7 @@
 // Config is the content of one version of the configuration.
 type Config struct {
 	Version  int64
+	Revision fleet.Revision // of the item in the store; 0 if not known
 	Routes   []Route
 	Services []Service
 	Accounts []Account
@@ -151,6 +154,7 @@
 // one configuration version. It is immutable.
 type Table struct {
 	Version   int64
+	Revision  fleet.Revision
 	Keyless   bool
 	Limits    Limits
 	hosts     map[string][]*Route
@@ -166,6 +170,7 @@
 func NewTable(c *Config) *Table {
 	t := &Table{
 		Version:   c.Version,
+		Revision:  c.Revision,
 		Keyless:   c.Keyless,
 		Limits:    c.Limits,
 		hosts:     map[string][]*Route{},
