route, hosted, mirror: moves of routes that a router has not seen are not taken for none

What was seen: by reading, then by a test. A router that gets several configurations at once, as in a delta of another router or after a cut, compares the first with the last.

Change: the history counts as complete only where a version follows the one before in the store's own watch (mirror.Config.InOrder), where the store states it, or since which a stream's life has passed. Else the configurations between are read from the store's history, once for the take-ups that wait, or by one router that then states the version. If the history is gone, that isn't tried again for the same version.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -140,6 +140,7 @@
 		LargeFleet: listsLargeFleet, IsReader: n.storeSync.readsStore, ReadsBulk: n.storeSync.readsBulk,
 		PeerPrefixes: []string{peerKeyKey, nodePrefix}, NeedsPeers: n.peers.needed,
 		FilterKey: samplePlanKey, NewFilter: newSampleFilter, OnFullRead: n.view.planner.handleFullRead,
+		InOrder:  n.view.setInOrder,
 		OnUpdate: n.storeSync.copyChanged, OnReturn: n.storeReturned, OwnPrefix: ownPrefix,
 		Newer: func(known, listed infra.Value) bool { return platform.Supersedes(listed, known) },
 		Log:   log, Set: n.meter,
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -98,7 +98,7 @@
 		Send:      s.send,
 		Ask:       s.ask,
 		Whole:     s.whole,
-		Moved:     func() bool { return n.table.RecentMoves() > 0 },
+		Moved:     n.table.NeedsRecords,
 		Statement: func(ctx context.Context, service string) (binding.Statement, error) { return s.reads.get(ctx, service) },
 		Lookup:    s.lookup,
 		StoreEra:  func() int64 { return n.mirror.Newest().Era() },
@@ -107,7 +107,7 @@
 		FirstStart: n.set.Hosted.FirstStart,
 	})
 	s.statements = &statements{store: store, tracker: s.tracker, log: n.log, stated: map[string]statedItem{}, due: map[string]*dueNote{}}
-	s.routes = &routesStatements{store: store, table: n.table, log: n.log, era: func() int64 { return n.mirror.Newest().Era() }}
+	s.routes = &routesStatements{store: store, table: n.table, log: n.log, era: func() int64 { return n.mirror.Newest().Era() }, learn: s.learnMoves}
 	s.reads, s.configs, s.moves = newSharedReads(s.readStatement), newSharedReads(s.readConfigVersion), newSharedReads(s.routes.readMoves)
 	s.records = &streamRecords{
 		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
@@ -200,10 +200,12 @@
 }
 
 func (s *software) tick(now time.Duration) {
+	newest := s.newest() // before the table, which may be later
 	t := s.table.Get()
 	if t == nil {
 		return
 	}
+	s.table.SeenUpTo(t.Version, newest)
 	asOf := now - s.copyAge()
 	listed := map[string][]string{}
 	for service := range t.Streams() {
--- a/hosted/software_routes.go
+++ b/hosted/software_routes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	table *route.Current
 	log   *event.Log
 	era   func() int64
+	learn func(ctx context.Context) // makes table know the moves that it can
 
 	mu       sync.Mutex
 	stated   routesStatement // guarded by mu, as what follows
@@ -55,7 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stated, s.revision = st, revision
-	s.table.SetStated(st.Version)
+	s.table.SetStated(st.Version, fleet.RevisionOf(st.Revision.Era(), max(st.Revision.Number()-1, 0)))
 }
 
 // storeReturned takes in that the store has come back from a copy.
@@ -65,7 +67,7 @@
 	defer s.mu.Unlock()
 	if s.stated.Era != era {
 		s.stated = routesStatement{}
-		s.table.SetStated(0)
+		s.table.SetStated(0, 0)
 	}
 }
 
@@ -73,10 +75,11 @@
 // node has reached each other one for as long as a stream lasts.
 func (s *routesStatements) update(rank func() int, connected bool, now time.Duration) {
 	t, due := s.table.NextStated(connected)
+	_, unknown := s.table.UnknownSince()
 	era := s.era() // takes the lock of the copy of the store, under which put is called
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !due {
+	if !due && !unknown {
 		s.due = nil
 		return
 	}
@@ -86,15 +89,22 @@
 	if now < s.due.next {
 		return
 	}
-	if r := rank(); r >= noteRanks || now-s.due.since < time.Duration(r)*statementStep {
+	// A router that follows the store itself knows what others have to read first, whatever its rank.
+	r := rank()
+	if now-s.due.since < time.Duration(min(r, noteRanks))*statementStep || unknown && r >= noteRanks {
+		return
+	}
+	if unknown {
+		s.due.next = now + softwareTick
+		go s.learn(context.Background())
 		return
 	}
 	s.due.next = now + statementRetry
 	go s.write(routesStatement{Version: t.Version, Revision: t.Revision, Era: era}, s.revision)
 }
 
-// readMoves makes this router know the moves between the version that the store states and the first version that it had in force, as
-// long as the store still has them in its history.
+// readMoves makes this router know the moves since the latest configuration up to which it knows all, if the store still has them in its
+// history.
 func (s *routesStatements) readMoves(ctx context.Context, _ string) (struct{}, error) {
 	err := s.learnMoves(ctx)
 	if err != nil {
@@ -104,32 +114,33 @@
 }
 
 func (s *routesStatements) learnMoves(ctx context.Context) error {
-	s.mu.Lock()
-	st := s.stated
-	s.mu.Unlock()
-	if st.Revision.Era() != st.Era || st.Revision.Number() == 0 {
-		return errNoRevision
+	since, unknown := s.table.UnknownSince()
+	if !unknown {
+		return nil
+	}
+	changes, _, err := s.store.Changes(ctx, platform.ConfigKey, since, 0)
+	if errors.Is(err, infra.ErrCompacted) {
+		s.table.HistoryLost(since)
 	}
-	before := fleet.RevisionOf(st.Era, st.Revision.Number()-1)
-	changes, _, err := s.store.Changes(ctx, platform.ConfigKey, before, 0)
 	if err != nil {
 		return err
 	}
-	var earlier []*route.Table
+	var later []*route.Table
 	for _, c := range changes {
 		cfg, err := platform.DecodeConfig(c.Value.Data)
 		if err != nil {
 			return err
 		}
-		earlier = append(earlier, route.NewTable(cfg))
+		cfg.Revision = c.Value.ModRev
+		later = append(later, route.NewTable(cfg))
 	}
-	if !s.table.LearnMoves(earlier) {
+	if !s.table.LearnMoves(later) {
 		return errOtherConfigs
 	}
 	return nil
 }
 
-var errOtherConfigs = Error.New("the store's history does not reach from the stated configuration to the first one of this router")
+var errOtherConfigs = Error.New("the store's history does not hold all configurations up to the one in force")
 
 func (s *routesStatements) write(st routesStatement, over fleet.Revision) {
 	ctx, stop := context.WithTimeout(context.Background(), noteTimeout)
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -41,6 +41,7 @@
 	adopted         map[string]bool        // ids of adopted replicas that the registry has not listed yet; see adopt
 	withheld        map[string]bool        // names of known replicas whose entries are unusable at present
 	unknownServices map[string]infra.Value // entries, by name, whose service is not in the configuration
+	inOrder         bool                   // no change of the configuration was left out since the latest one
 	byAddr          map[string]string      // id of the replica started last, by address
 	added           []fleet.Backend        // replicas added since the last BatchDone
 	changed         map[string]struct{}    // ids of the replicas added, changed or dropped since the last settle
@@ -62,6 +63,13 @@
 	}
 }
 
+// setInOrder is called before and after changes that come as the store's watch returned them.
+func (v *view) setInOrder(inOrder bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.inOrder = inOrder
+}
+
 // Put implements mirror.Receiver.
 func (v *view) Put(item infra.Value) {
 	v.mu.Lock()
@@ -87,7 +95,11 @@
 		return
 	}
 	cfg.Revision = item.ModRev
-	if v.table.Install(route.NewTable(cfg)) {
+	install := v.table.Install
+	if v.inOrder {
+		install = v.table.InstallNext
+	}
+	if install(route.NewTable(cfg)) {
 		v.log.Emit(event.TableInForce, "version", cfg.Version, "revision", item.ModRev,
 			"routes", len(cfg.Routes), "accounts", len(cfg.Accounts))
 		v.retryUnknownServices()
--- a/mirror/config.go
+++ b/mirror/config.go
@@ -103,6 +103,9 @@
 	// OnFullRead, if set, is called with all items that a read of the whole store returned,
 	// before any of them is used. It may write the item under FilterKey.
 	OnFullRead func(ctx context.Context, items []infra.Value)
+	// InOrder is called with true before the receiver gets changes as the store's watch returned them, each and in order, and with
+	// false after. Otherwise an item may have changed several times since the receiver last got it. It may be nil.
+	InOrder func(inOrder bool)
 	// OnUpdate, if set, is called whenever this node has all changes up to a newer
 	// revision; it must not block.
 	OnUpdate func()
@@ -171,6 +174,9 @@
 	if c.Newer == nil {
 		c.Newer = neverNewer
 	}
+	if c.InOrder == nil {
+		c.InOrder = func(bool) {}
+	}
 	if c.OnFullRead == nil {
 		c.OnFullRead = func(context.Context, []infra.Value) {}
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -173,7 +173,11 @@
 		m.waitForBulk()
 		return nil
 	}
-	m.update(func() { m.apply(events, now) })
+	m.update(func() {
+		m.cfg.InOrder(true)
+		defer m.cfg.InOrder(false)
+		m.apply(events, now)
+	})
 	return nil
 }
 
--- a/relay/moved_test.go
+++ b/relay/moved_test.go
@@ -29,6 +29,7 @@
 	relay   *Relay
 	table   *route.Current
 	version int64
+	written []*route.Table // all configurations, as the store has them
 	runner  lastService
 }
 
@@ -38,12 +39,17 @@
 
 func newMovableWith(t *testing.T, table *route.Current, routes ...route.Route) *movable {
 	m := &movable{t: t, table: table}
-	m.relay = New(Config{Table: m.table, Runner: &m.runner, Budgets: noBudgets{}})
+	m.relay = New(Config{Table: m.table, Runner: &m.runner, Budgets: noBudgets{}, LearnMoves: func(context.Context) {
+		m.table.LearnMoves(slices.Clone(m.written))
+	}})
 	m.install(routes...)
 	return m
 }
 
-func (m *movable) install(routes ...route.Route) {
+func (m *movable) install(routes ...route.Route) { m.table.Install(m.write(routes...)) }
+
+// write writes a configuration to the store.
+func (m *movable) write(routes ...route.Route) *route.Table {
 	m.version++
 	for i := range routes {
 		r := &routes[i]
@@ -52,7 +58,9 @@
 			r.Prefix = "/p/"
 		}
 	}
-	m.table.Install(route.NewTable(&route.Config{Version: m.version, Routes: routes}))
+	t := route.NewTable(&route.Config{Version: m.version, Revision: fleet.Revision(m.version), Routes: routes})
+	m.written = append(m.written, t)
+	return t
 }
 
 // send returns the service to which a request goes, or the status of its refusal.
@@ -181,7 +189,7 @@
 		"stated, no record of a move":        {[]route.Route{toA, toB}, false, 1, "", refused},
 	} {
 		table := &route.Current{FirstStart: !c.started}
-		table.SetStated(c.stated)
+		table.SetStated(c.stated, 0)
 		m := newMovableWith(t, table, c.routes[0], route.Route{Service: "a", Prefix: "/a/"}, other)
 		for _, r := range c.routes[1:] {
 			m.install(r, route.Route{Service: "a", Prefix: "/a/"}, other)
@@ -201,6 +209,33 @@
 	}
 }
 
+// Guards against a stream that goes on at another service at a router that got several configurations at once, so that it has not seen
+// the one by which the stream began.
+func TestMoveBetweenTwoConfigurationsIsNotOverlooked(t *testing.T) {
+	for name, c := range map[string]struct {
+		between route.Route
+		gone    bool // the store's history
+		want    string
+	}{
+		"moved and back":               {toB, false, "Service Unavailable"},
+		"not moved":                    {toA, false, "a"},
+		"moved and back, not readable": {toB, true, "Service Unavailable"},
+		"not moved, not readable":      {toA, true, "Service Unavailable"},
+	} {
+		m := newMovable(t, toA)
+		m.write(c.between)
+		m.install(toA)
+		if c.gone {
+			m.written = nil
+		}
+		for _, beganAs := range []string{"q", ""} {
+			if got := m.send("again", beganAs, 12); got != c.want {
+				t.Errorf("%s, take-up of %q: %s, want %s", name, beganAs, got, c.want)
+			}
+		}
+	}
+}
+
 // Guards against a service that counts as chosen by another configuration than the one that chose it.
 func TestRequestNamesTheConfigurationThatChoseItsService(t *testing.T) {
 	m := newMovable(t, toA)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -93,7 +93,7 @@
 	// RecordedAt returns which of several services has a record of a stream, or "" if none has. It fails if that isn't known. It may be
 	// nil.
 	RecordedAt func(ctx context.Context, account, beganAs string, services []string) (service string, err error)
-	// LearnMoves makes Table know how routes led before this process started, if that can be found out. It may be nil.
+	// LearnMoves makes Table know the moves of routes that this process has not seen, if they can be found out. It may be nil.
 	LearnMoves func(ctx context.Context)
 	// OnStreamEnd is called with each stream that has ended; it may be nil.
 	OnStreamEnd func(StreamEnd)
@@ -193,7 +193,7 @@
 		return rt.PickStream(req.ID), true
 	}
 	o := r.cfg.Table.Origin(rt, req.Host, req.Path, req.BeganAs)
-	if o.StartUnknown && r.cfg.LearnMoves != nil {
+	if o.MovesUnknown && r.cfg.LearnMoves != nil {
 		r.cfg.LearnMoves(ctx)
 		o = r.cfg.Table.Origin(rt, req.Host, req.Path, req.BeganAs)
 	}
--- a/route/current.go
+++ b/route/current.go
@@ -25,14 +25,27 @@
 
 // Install puts a newer table into force. It returns false, and changes nothing, if the
 // version of t isn't higher than the version of the table in force.
-func (c *Current) Install(t *Table) bool {
+func (c *Current) Install(t *Table) bool { return c.install(t, false) }
+
+// InstallNext does the same with a table that directly follows the one in force: the store had none between.
+func (c *Current) InstallNext(t *Table) bool { return c.install(t, true) }
+
+func (c *Current) install(t *Table, follows bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.table.Load()
 	if old != nil && old.Version >= t.Version {
 		return false
 	}
-	c.moves.add(old, t, c.FirstStart, time.Now())
+	now := time.Now()
+	switch {
+	case old == nil:
+		c.moves.begin(t, c.FirstStart, now)
+	case follows:
+		c.moves.follow(old, t, now)
+	default:
+		c.moves.replace(old, t, now)
+	}
 	c.table.Store(t)
 	return true
 }
--- a/route/moves_test.go
+++ b/route/moves_test.go
@@ -5,10 +5,11 @@
 	"time"
 
 	"wigeondale/fakes/bubble"
+	"wigeondale/fleet"
 )
 
 func routed(version int64, service string) *Table {
-	return NewTable(&Config{Version: version, Routes: []Route{{Host: "h", Prefix: "/p/", Service: service, Kind: Stream, Resumable: true, Timeout: 20 * time.Second}}})
+	return NewTable(&Config{Version: version, Revision: fleet.Revision(10 * version), Routes: []Route{{Host: "h", Prefix: "/p/", Service: service, Kind: Stream, Resumable: true, Timeout: 20 * time.Second}}})
 }
 
 // Guards against a statement about the routes of streams that this process doesn't know to be true.
@@ -17,7 +18,9 @@
 	install := func(version int64, service string) step {
 		return func(c *Current) { c.Install(routed(version, service)) }
 	}
-	stated := func(version int64) step { return func(c *Current) { c.SetStated(version) } }
+	stated := func(version int64) step {
+		return func(c *Current) { c.SetStated(version, fleet.Revision(10*version-1)) }
+	}
 	learn := func(tables ...*Table) step { return func(c *Current) { c.LearnMoves(tables) } }
 	wait := func(*Current) { time.Sleep(26 * time.Second) }
 	const none = 0
@@ -33,11 +36,13 @@
 		"started":                                    {false, true, []step{install(5, "a")}, none},
 		"started, a stream's life ago":               {false, true, []step{install(5, "a"), wait}, 5},
 		"started, others out of reach":               {false, false, []step{install(5, "a"), wait}, none},
-		"next version":                               {false, false, []step{stated(5), install(5, "a"), install(7, "a")}, 7},
+		"next version":                               {false, false, []step{stated(5), install(5, "a"), install(7, "a"), learn(routed(7, "a"))}, 7},
+		"next version, not learned":                  {false, false, []step{stated(5), install(5, "a"), install(7, "a")}, none},
+		"next version, moved and back between":       {false, false, []step{stated(5), install(5, "a"), install(7, "a"), learn(routed(6, "b"), routed(7, "a"))}, none},
 		"moved":                                      {true, true, []step{stated(1), install(1, "a"), install(2, "b")}, none},
 		"moved, a stream's life ago":                 {true, true, []step{stated(1), install(1, "a"), install(2, "b"), wait}, 2},
 		"moved and back":                             {true, true, []step{stated(1), install(1, "a"), install(2, "b"), install(3, "a")}, none},
-		"stated since the move":                      {false, false, []step{install(1, "a"), install(2, "b"), stated(2), install(3, "b")}, 3},
+		"stated since the move":                      {false, false, []step{install(1, "a"), install(2, "b"), stated(2), install(3, "b"), learn(routed(3, "b"))}, 3},
 		"learned that there was no move":             {false, false, []step{stated(4), install(5, "a"), learn(routed(4, "a"), routed(5, "a"))}, 5},
 		"learned of a move":                          {false, true, []step{stated(4), install(5, "a"), learn(routed(4, "b"), routed(5, "a"))}, none},
 		"learned of a move and back":                 {false, true, []step{stated(3), install(5, "a"), learn(routed(3, "a"), routed(4, "b"), routed(5, "a"))}, none},
