route, hosted: a configuration that can't be read is not taken for none

A configuration in the store that this build can't decode is logged and left out, while the copy of the store counts as followed beyond it.

Class: unknown counts as a value. Change: the history of routes is not complete after it, until a stream's life has passed or the store states the routes.

Run: go test ./route ./relay ./docs; ./hosted -run Configuration|Router.

--- a/hosted/software_config_test.go
+++ b/hosted/software_config_test.go
@@ -12,6 +12,7 @@
 
 	"wigeondale/fakes/hosted"
 	"wigeondale/generation"
+	"wigeondale/platform"
 )
 
 // storeWithoutNews is an address of the store at which changes are not reported while it is silent. Reads are answered.
@@ -171,3 +172,22 @@
 		third.stop()
 	}
 }
+
+// Guards against a stream that goes on by the routes in force although the store has later ones that can't be read.
+func TestConfigurationThatCannotBeReadMayHaveMovedRoutes(t *testing.T) {
+	f := newFleet(t)
+	f.firstStart = true
+	f.startSoftware("v1", 2, 400)
+	n := f.startServingNode()
+	takeUp := func(beganAs string) int {
+		g, status := n.resume(beganAs+"-again", beganAs, 3)
+		g.leave()
+		return status
+	}
+	await(t, "take-ups", func() bool { return takeUp("q") == http.StatusOK })
+	revision := f.store.Put(platform.ConfigKey, []byte(`{"version": "?"}`))
+	await(t, "the change", func() bool { return n.mirror.Newest().Number() >= revision })
+	if status := takeUp("q2"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", status)
+	}
+}
--- a/hosted/software_routes.go
+++ b/hosted/software_routes.go
@@ -33,6 +33,8 @@
 	log   *event.Log
 	era   func() int64
 	learn func(ctx context.Context) // makes table know the moves that it can
+	// follows reports whether this router itself follows the store.
+	follows func() bool
 
 	mu       sync.Mutex
 	stated   routesStatement // guarded by mu, as what follows
@@ -89,9 +91,11 @@
 	if now < s.due.next {
 		return
 	}
-	// A router that follows the store itself knows what others have to read first, whatever its rank.
 	r := rank()
-	if now-s.due.since < time.Duration(min(r, noteRanks))*statementStep || unknown && r >= noteRanks {
+	if r >= noteRanks && !unknown && s.follows() {
+		r = noteRanks - 1 // it knows what routers of a lower rank may have missed
+	}
+	if r >= noteRanks || now-s.due.since < time.Duration(r)*statementStep {
 		return
 	}
 	if unknown {
--- a/hosted/view.go
+++ b/hosted/view.go
@@ -92,6 +92,7 @@
 	cfg, err := platform.DecodeConfig(item.Data)
 	if err != nil {
 		v.log.Emit(event.ItemUnreadable, "key", item.Key, "revision", item.ModRev, "err", err)
+		v.table.Missed()
 		return
 	}
 	cfg.Revision = item.ModRev
--- a/route/moves_test.go
+++ b/route/moves_test.go
@@ -22,6 +22,10 @@
 		return func(c *Current) { c.SetStated(version, fleet.Revision(10*version-1)) }
 	}
 	learn := func(tables ...*Table) step { return func(c *Current) { c.LearnMoves(tables) } }
+	next := func(version int64, service string) step {
+		return func(c *Current) { c.InstallNext(routed(version, service)) }
+	}
+	missed := func(c *Current) { c.Missed() }
 	wait := func(*Current) { time.Sleep(26 * time.Second) }
 	const none = 0
 	for name, c := range map[string]struct {
@@ -43,6 +47,10 @@
 		"moved, a stream's life ago":                 {true, true, []step{stated(1), install(1, "a"), install(2, "b"), wait}, 2},
 		"moved and back":                             {true, true, []step{stated(1), install(1, "a"), install(2, "b"), install(3, "a")}, none},
 		"stated since the move":                      {false, false, []step{install(1, "a"), install(2, "b"), stated(2), install(3, "b"), learn(routed(3, "b"))}, 3},
+		"next version in order":                      {true, true, []step{install(1, "a"), stated(1), next(2, "a")}, 2},
+		"moved in order":                             {true, true, []step{install(1, "a"), stated(1), next(2, "b")}, none},
+		"moved and back in order":                    {true, true, []step{install(1, "a"), stated(1), next(2, "b"), next(3, "a")}, none},
+		"next version after one that can't be read":  {true, true, []step{install(1, "a"), stated(1), missed, next(3, "a")}, none},
 		"learned that there was no move":             {false, false, []step{stated(4), install(5, "a"), learn(routed(4, "a"), routed(5, "a"))}, 5},
 		"learned of a move":                          {false, true, []step{stated(4), install(5, "a"), learn(routed(4, "b"), routed(5, "a"))}, none},
 		"learned of a move and back":                 {false, true, []step{stated(3), install(5, "a"), learn(routed(3, "a"), routed(4, "b"), routed(5, "a"))}, none},
