hosted: unread moves are asked for at the pace of statements

A router that can't read the moves from the store asked again five times a second, and each call is priced; 0.6 s now, as after a write. Run: go test ./hosted -run 'StartedRouter|OldConfig|Configuration'.

--- a/hosted/software_routes.go
+++ b/hosted/software_routes.go
@@ -99,7 +99,7 @@
 		return
 	}
 	if unknown {
-		s.due.next = now + softwareTick
+		s.due.next = now + statementRetry
 		go s.learn(context.Background())
 		return
 	}
