--- a/hosted/software_config_test.go
+++ b/hosted/software_config_test.go
@@ -35,6 +35,23 @@
 	return s
 }
 
+func (s *storeWithoutNews) silence() {
+	s.silent.Store(true)
+	s.CloseClientConnections()
+}
+
+// startNodeWithoutNews starts a node, whose route of streams leads to a service with two engines, at such an address.
+func (f *testFleet) startNodeWithoutNews() (*testNode, *storeWithoutNews) {
+	f.t.Helper()
+	f.firstStart = true
+	store := f.newStoreWithoutNews()
+	f.startSoftware("v1", 2, 400)
+	f.moveDrafts("llm")
+	n := f.startNodeAt("n1", store.Listener.Addr().String())
+	await(f.t, "readiness", n.ready)
+	return n, store
+}
+
 // moveDrafts writes a configuration that leads the route of streams to a service.
 func (f *testFleet) moveDrafts(service string) {
 	f.version++
@@ -47,12 +64,7 @@
 // Guards against a stream that goes on at another service at a router whose configuration is older than that of the router that began it.
 func TestTakeUpByAnOldConfigurationIsNotLedElsewhere(t *testing.T) {
 	f := newFleet(t)
-	f.firstStart = true
-	store := f.newStoreWithoutNews()
-	f.startSoftware("v1", 2, 400)
-	f.moveDrafts("llm")
-	n := f.startNodeAt("n1", store.Listener.Addr().String())
-	await(t, "readiness", n.ready)
+	n, store := f.startNodeWithoutNews()
 	takeUp := func(id, beganAs string) int {
 		g, status := n.resume(id, beganAs, 3)
 		g.leave()
@@ -60,8 +72,7 @@
 	}
 	await(t, "take-ups by the newest configuration", func() bool { return takeUp("named", "q") == http.StatusOK && takeUp("unnamed", "") == http.StatusOK })
 
-	store.silent.Store(true)
-	store.CloseClientConnections()
+	store.silence()
 	f.moveDrafts("llm2") // and another router begins q2 there
 	for _, beganAs := range []string{"q2", ""} {
 		if status := takeUp("late"+beganAs, beganAs); status != http.StatusServiceUnavailable {
@@ -76,16 +87,10 @@
 // Guards against a record that is refused because it is asked for at a router with an old configuration: it says where the stream began.
 func TestRecordedStreamGoesOnByAnOldConfiguration(t *testing.T) {
 	f := newFleet(t)
-	f.firstStart = true
-	store := f.newStoreWithoutNews()
-	f.startSoftware("v1", 2, 400)
-	f.moveDrafts("llm")
-	n := f.startNodeAt("n1", store.Listener.Addr().String())
-	await(t, "readiness", n.ready)
+	n, store := f.startNodeWithoutNews()
 	g := n.begin("q")
 	g.leave()
-	store.silent.Store(true)
-	store.CloseClientConnections()
+	store.silence()
 	f.moveDrafts("llm2")
 	if next, status := n.resume("q-again", "q", len(g.pieces)); status != http.StatusOK {
 		t.Errorf("status %d", status)
--- a/hosted/software_routes.go
+++ b/hosted/software_routes.go
@@ -98,12 +98,11 @@
 	if r >= noteRanks || now-s.due.since < time.Duration(r)*statementStep {
 		return
 	}
+	s.due.next = now + statementRetry
 	if unknown {
-		s.due.next = now + statementRetry
 		go s.learn(context.Background())
 		return
 	}
-	s.due.next = now + statementRetry
 	go s.write(routesStatement{Version: t.Version, Revision: t.Revision, Era: era}, s.revision)
 }
 
