--- a/hosted/software_config_test.go
+++ b/hosted/software_config_test.go
@@ -196,3 +196,20 @@
 		t.Errorf("status %d, want 503", status)
 	}
 }
+
+// Guards against streams that are refused at a router whose calls alone the store refuses.
+func TestConfigurationIsConfirmedThroughAnotherRouter(t *testing.T) {
+	f := newFleet(t)
+	f.startEngines(1, 1, 0)
+	f.configure(key)
+	address := f.store.NewEndpoint()
+	t.Cleanup(address.Close)
+	first, second := f.startNode("n1"), f.startNodeAt("n2", address.Addr())
+	await(t, "readiness", func() bool { return first.ready() && second.ready() })
+	await(t, "links", func() bool { return len(second.software.routers()) == 1 })
+	address.SetRefusals(func() int { return http.StatusServiceUnavailable })
+	request := &generation.Request{Opaque: &generation.Opaque{Service: "llm", ConfigVersion: int64(f.version)}}
+	if err := second.software.checkConfig(t.Context(), request); err != nil {
+		t.Error(err)
+	}
+}
