binding, hosted, route: while moves are unknown, records go to routers only

Cause: while a router doesn't know the moves of routes for over 2 s, wrote the records of all streams to the store.

Change: in that time records go to other routers, which is cheap and covers the end of single routers, and to the store only after a move, as before.

Run: go test ./docs ./binding ./route ./relay.

--- a/binding/binding.go
+++ b/binding/binding.go
@@ -89,6 +89,8 @@
 	// Moved reports whether routes of streams have led to other services lately. Then the record of each stream is sent, since it says
 	// at which service the stream began. It may be nil.
 	Moved func() bool
+	// Unsure reports whether they may have without this router knowing it. Then other routers get the record of each stream. It may be nil.
+	Unsure func() bool
 	// FirstStart means that this router was started with the deployment's first start: no stream began before.
 	FirstStart bool
 	Log        *event.Log
@@ -116,7 +118,7 @@
 	membership     uint64        // digest of the routers at that time
 	wokeAt         time.Duration // end of the latest time in which this process did not run
 	wholeSince     time.Duration // as connectedSince, for Config.Whole
-	unconfirmed    bool          // the list was not current at the latest tick: the store may be away
+	unconfirmed    bool          // the list was not current at the latest tick, so that the store may be away, or Config.Unsure said so
 	moved          bool          // as Config.Moved said at the latest tick
 	firstStart     bool          // this router has not been paused since the deployment's first start
 }
@@ -146,7 +148,7 @@
 // of each service. The list was current at asOf.
 func (t *Tracker) Tick(now, asOf time.Duration, listed map[string][]string) {
 	connected, whole, era := t.cfg.Connected(), t.cfg.Whole(), t.cfg.StoreEra()
-	moved := t.cfg.Moved != nil && t.cfg.Moved()
+	moved, unsure := t.cfg.Moved != nil && t.cfg.Moved(), t.cfg.Unsure != nil && t.cfg.Unsure()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lastTick != never && now-t.lastTick > maxTickGap {
@@ -159,7 +161,7 @@
 	for service, versions := range listed {
 		t.observe(service, versions, asOf, era, now)
 	}
-	if unconfirmed := now-asOf > maxCopyAge; unconfirmed != t.unconfirmed || moved != t.moved {
+	if unconfirmed := now-asOf > maxCopyAge || unsure; unconfirmed != t.unconfirmed || moved != t.moved {
 		t.unconfirmed, t.moved = unconfirmed, moved
 		t.completedAt, t.membership = never, 0
 	}
--- a/route/history.go
+++ b/route/history.go
@@ -153,12 +153,8 @@
 // learnTime is how long it takes at most, while the store answers, until a process that has missed configurations knows them.
 const learnTime = 2 * time.Second
 
-// NeedsRecords reports whether it takes a record to know at which service a stream began: routes have moved, or may have moved without
-// this process knowing it for some time.
-func (c *Current) NeedsRecords() bool {
-	if c.RecentMoves() > 0 {
-		return true
-	}
+// Unsure reports whether routes may have moved without this process knowing it, for longer than it takes to learn of it.
+func (c *Current) Unsure() bool {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
