hosted, route, binding: routers confirm routes of which the store has lost the history

Change: a stream begins by routes that some router has in force. If the history is gone, one router by rank asks all others how their routes have led streams since the gap began, and the history is complete if all have led them in one way, as its own. It proves something only if each router that may have begun a stream answers: connected with each registered one all the time, none leaving, each up for as long. New call hosted.leads; routers of before don't know it, which is no answer. Cost: one call a router for each configuration that comes while the history is lost.

--- a/binding/statement.go
+++ b/binding/statement.go
@@ -114,7 +114,21 @@
 	if t.firstStart {
 		keep = settleTime
 	}
-	return t.wholeSince != notConnected && now-t.wholeSince >= keep
+	return t.reachedAllFor(now) >= keep
+}
+
+// ReachedAllFor returns for how long this router has been connected with each other router.
+func (t *Tracker) ReachedAllFor(now time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reachedAllFor(now)
+}
+
+func (t *Tracker) reachedAllFor(now time.Duration) time.Duration {
+	if t.wholeSince == notConnected {
+		return -1
+	}
+	return now - t.wholeSince
 }
 
 // provesSole reports whether this router has followed a current list, and was connected with each other router, for as
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -108,7 +108,7 @@
 		FirstStart: n.set.Hosted.FirstStart,
 	})
 	s.statements = &statements{store: store, tracker: s.tracker, log: n.log, stated: map[string]statedItem{}, due: map[string]*dueNote{}}
-	s.routes = &routesStatements{store: store, table: n.table, log: n.log, era: func() int64 { return n.mirror.Newest().Era() }, learn: s.learnMoves, follows: n.storeSync.readsStore}
+	s.routes = &routesStatements{store: store, table: n.table, log: n.log, era: func() int64 { return n.mirror.Newest().Era() }, learn: s.learnMoves, confirm: s.confirmMoves, follows: n.storeSync.readsStore}
 	s.reads, s.configs, s.moves = newSharedReads(s.readStatement), newSharedReads(s.readConfigVersion), newSharedReads(s.routes.readMoves)
 	s.records = &streamRecords{
 		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
@@ -206,7 +206,7 @@
 	if t == nil {
 		return
 	}
-	s.table.SeenUpTo(t.Version, newest)
+	s.table.SeenUpTo(t.Version, newest, time.Now().Add(-s.copyAge()))
 	asOf := now - s.copyAge()
 	listed := map[string][]string{}
 	for service := range t.Streams() {
--- a/hosted/software_config_test.go
+++ b/hosted/software_config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -10,9 +11,11 @@
 	"testing"
 	"time"
 
+	"wigeondale/clock"
 	"wigeondale/fakes/hosted"
 	"wigeondale/generation"
 	"wigeondale/platform"
+	"wigeondale/route"
 )
 
 // storeWithoutNews is an address of the store at which changes are not reported while it is silent. Reads are answered.
@@ -213,3 +216,55 @@
 		t.Error(err)
 	}
 }
+
+// Guards against streams that are refused for a stream's life because the store has lost its history while the configuration changed, and
+// against streams that go on although a router has led them elsewhere meanwhile.
+func TestRoutersConfirmRoutesThatTheStoreHasLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		moved bool // at the other router
+		want  int
+	}{
+		"no router moved them": {false, http.StatusOK},
+		"another router did":   {true, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			first, store := f.startNodeWithoutNews()
+			second := f.startNodeAt("n2", store.Listener.Addr().String())
+			await(t, "readiness", second.ready)
+			n := 0
+			takeUp := func() int {
+				n++
+				g, status := first.resume(fmt.Sprint("again", n), fmt.Sprint("q", n), 3)
+				g.leave()
+				return status
+			}
+			await(t, "take-ups", func() bool { return takeUp() == http.StatusOK })
+			await(t, "links for as long as is asked for", func() bool {
+				return first.software.tracker.ReachedAllFor(clock.SinceBoot()) > leadsMargin+time.Second
+			})
+			if c.moved {
+				f.version++
+				second.table.Install(route.NewTable(&route.Config{Version: int64(f.version), Routes: []route.Route{
+					{Host: hosted.Host, Prefix: "/draft/", Service: "llm2", Kind: route.Stream, Resumable: true, Timeout: 20 * time.Second},
+				}}))
+			}
+			store.silence()
+			f.moveDrafts("llm")
+			f.store.Compact()
+			store.silent.Store(false)
+			await(t, "the configuration", func() bool {
+				return first.table.Get().Version == int64(f.version) && second.table.Get().Version == int64(f.version)
+			})
+			if c.want == http.StatusOK {
+				await(t, "take-ups after the loss", func() bool { return takeUp() == http.StatusOK })
+				return
+			}
+			for end := time.Now().Add(2 * confirmRetry); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				if status := takeUp(); status != c.want {
+					t.Fatalf("status %d, want %d", status, c.want)
+				}
+			}
+		})
+	}
+}
--- a/hosted/software_mesh.go
+++ b/hosted/software_mesh.go
@@ -21,6 +21,7 @@
 	})
 	peer.HandleCall(mesh, callItem, s.handleItemQuery)
 	peer.HandleCall(mesh, callConfig, s.handleConfigQuery)
+	peer.HandleCall(mesh, callLeads, s.handleLeadsQuery)
 }
 
 func (s *software) handleItemQuery(ctx context.Context, _ string, q itemQuery) (itemReply, error) {
--- a/hosted/software_routes.go
+++ b/hosted/software_routes.go
@@ -14,6 +14,9 @@
 	"wigeondale/route"
 )
 
+// confirmRetry is the pause after a question to all routers.
+const confirmRetry = 2 * time.Second
+
 // routesKey is the key of what the store states of the routes of streams.
 const routesKey = ownPrefix + "stream-routes"
 
@@ -32,7 +35,9 @@
 	table *route.Current
 	log   *event.Log
 	era   func() int64
-	learn func(ctx context.Context) // makes table know the moves that it can
+	learn func(ctx context.Context) // makes table know the moves that the store has in its history
+	// confirm makes it know that there were none, by the other routers.
+	confirm func(ctx context.Context) error
 	// follows reports whether this router itself follows the store.
 	follows func() bool
 
@@ -77,7 +82,9 @@
 // node has reached each other one for as long as a stream lasts.
 func (s *routesStatements) update(rank func() int, connected bool, now time.Duration) {
 	t, due := s.table.NextStated(connected)
-	_, unknown := s.table.UnknownSince()
+	_, unread := s.table.UnknownSince()
+	_, _, unconfirmed := s.table.Unconfirmed()
+	unknown := unread || unconfirmed
 	era := s.era() // takes the lock of the copy of the store, under which put is called
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,13 +106,24 @@
 		return
 	}
 	s.due.next = now + statementRetry
-	if unknown {
+	switch {
+	case unconfirmed:
+		s.due.next = now + confirmRetry
+		go s.confirmMoves()
+		return
+	case unread:
 		go s.learn(context.Background())
 		return
 	}
 	go s.write(routesStatement{Version: t.Version, Revision: t.Revision, Era: era}, s.revision)
 }
 
+func (s *routesStatements) confirmMoves() {
+	if err := s.confirm(context.Background()); err != nil {
+		s.log.Emit(event.MovesUnknown, "err", err)
+	}
+}
+
 // readMoves makes this router know the moves since the latest configuration up to which it knows all, if the store still has them in its
 // history.
 func (s *routesStatements) readMoves(ctx context.Context, _ string) (struct{}, error) {
--- a/route/current.go
+++ b/route/current.go
@@ -16,8 +16,9 @@
 
 	table atomic.Pointer[Table]
 
-	mu    sync.Mutex // held while a table is installed
-	moves moves
+	mu      sync.Mutex // held while a table is installed
+	moves   moves
+	tenures tenures
 }
 
 // Get returns the table in force, or nil before the first table is installed.
@@ -46,6 +47,7 @@
 	default:
 		c.moves.replace(old, t, now)
 	}
+	c.tenures.add(t, now)
 	c.table.Store(t)
 	return true
 }
--- a/route/history.go
+++ b/route/history.go
@@ -36,6 +36,7 @@
 	sameSince int64
 	stated    base
 	lost      fleet.Revision // of a base after which the store's history is gone
+	unread    bool           // the store has a later configuration than the one in force, which can't be read
 }
 
 // base is a version to which later ones are compared.
@@ -44,19 +45,20 @@
 	table   *Table // nil if only the version is known
 	// since is a revision up to which the store has no later configuration; if there is no table, one before that of the version.
 	since fleet.Revision
+	at    time.Time // when the store had no later one; zero if that isn't known
 }
 
 // begin records the first table. firstStart means that no stream began before.
 func (m *moves) begin(first *Table, firstStart bool, now time.Time) {
 	m.unknownFrom, m.unknownUntil = now, now.Add(first.streamLifetime())
 	if firstStart {
-		m.completeAt(first)
+		m.completeAt(first, now)
 		m.sameSince = first.Version
 	}
-	m.useStated(first)
+	m.useStated(first, now)
 }
 
-// miss records that a table that took the place of the one in force is not known.
+// miss records that there may be tables after the one in force that are not known.
 func (m *moves) miss(inForce *Table, now time.Time) {
 	m.age(inForce, now)
 	if m.complete {
@@ -68,23 +70,25 @@
 
 // follow records that next takes the place of old, with no table between.
 func (m *moves) follow(old, next *Table, now time.Time) {
+	m.unread = false
 	m.age(old, now)
 	moved := m.change(old, next, now)
 	if m.complete {
-		m.completeAt(next)
+		m.completeAt(next, now)
 		if moved {
 			m.sameSince = next.Version
 		}
 	}
-	m.useStated(next)
+	m.useStated(next, now)
 }
 
 // replace records that next takes the place of old, and that there may have been others between.
 func (m *moves) replace(old, next *Table, now time.Time) {
+	m.unread = false
 	m.miss(old, now)
 	m.change(old, next, now)
 	m.unknownUntil = now.Add(next.streamLifetime())
-	m.useStated(next)
+	m.useStated(next, now)
 }
 
 // change forgets the moves that no stream outlived, and records the one that next makes after old, if it makes one.
@@ -98,23 +102,23 @@
 // age makes the history complete up to the table in force when all streams that began before have ended.
 func (m *moves) age(inForce *Table, now time.Time) {
 	if !m.complete && !m.unknown(now) {
-		m.completeAt(inForce)
+		m.completeAt(inForce, now)
 		m.sameSince = inForce.Version
 	}
 }
 
 // completeAt records that the history is complete up to the table in force.
-func (m *moves) completeAt(inForce *Table) {
+func (m *moves) completeAt(inForce *Table, now time.Time) {
 	m.complete = true
-	m.base = base{inForce.Version, inForce, max(inForce.Revision, m.base.since)}
+	m.base = base{inForce.Version, inForce, max(inForce.Revision, m.base.since), now}
 }
 
 // useStated uses what the store states if that is later than what this process knows.
-func (m *moves) useStated(inForce *Table) {
+func (m *moves) useStated(inForce *Table, now time.Time) {
 	switch {
 	case m.stated.version > inForce.Version || m.stated.version <= m.base.version:
 	case m.stated.version == inForce.Version:
-		m.completeAt(inForce)
+		m.completeAt(inForce, now)
 		m.sameSince = inForce.Version
 	default:
 		m.base, m.sameSince = m.stated, m.stated.version
@@ -122,7 +126,9 @@
 }
 
 // unknown reports whether there may have been moves that this process doesn't know.
-func (m *moves) unknown(now time.Time) bool { return !m.complete && now.Before(m.unknownUntil) }
+func (m *moves) unknown(now time.Time) bool {
+	return m.unread || !m.complete && now.Before(m.unknownUntil)
+}
 
 // compare records the move, if there is one, that next makes after old.
 func (m *moves) compare(old, next *Table, now time.Time) (moved bool) {
@@ -168,12 +174,12 @@
 	defer c.mu.Unlock()
 	c.moves.stated = base{version: version, since: before}
 	if t := c.table.Load(); t != nil {
-		c.moves.useStated(t)
+		c.moves.useStated(t, time.Now())
 	}
 }
 
-// SeenUpTo takes in that a version is the latest one up to a revision of the store.
-func (c *Current) SeenUpTo(version int64, revision fleet.Revision) {
+// SeenUpTo takes in that a version is the latest one up to a revision of the store, which is what the store had at a time.
+func (c *Current) SeenUpTo(version int64, revision fleet.Revision, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table.Load()
@@ -181,8 +187,11 @@
 		return
 	}
 	c.moves.age(t, time.Now())
-	if c.moves.complete {
-		c.moves.base.since = max(c.moves.base.since, revision)
+	if b := &c.moves.base; c.moves.complete {
+		b.since = max(b.since, revision)
+		if at.After(b.at) {
+			b.at = at
+		}
 	}
 }
 
@@ -192,6 +201,7 @@
 	defer c.mu.Unlock()
 	if t := c.table.Load(); t != nil {
 		c.moves.miss(t, time.Now())
+		c.moves.unread = true
 	}
 }
 
@@ -232,7 +242,7 @@
 		}
 	}
 	m.bound()
-	m.completeAt(t)
+	m.completeAt(t, now)
 	return true
 }
 
@@ -248,7 +258,7 @@
 	defer c.mu.Unlock()
 	m := &c.moves
 	m.age(t, now)
-	if m.stated.version == t.Version || !m.complete {
+	if m.stated.version == t.Version || !m.complete || m.unread {
 		return t, false
 	}
 	follows := m.stated.version >= m.sameSince && m.stated.version < t.Version
