route: a time without a later configuration is taken from the copy of the store only

A statement or an answer of other routers was taken for news as of its arrival, so that a gap could have been asked for too late. Run: go test ./route ./relay; ./hosted -run 'RoutersConfirm|StartedRouter'.

--- a/route/history.go
+++ b/route/history.go
@@ -45,17 +45,17 @@
 	table   *Table // nil if only the version is known
 	// since is a revision up to which the store has no later configuration; if there is no table, one before that of the version.
 	since fleet.Revision
-	at    time.Time // when the store had no later one; zero if that isn't known
+	at    time.Time // when the store had no later one, as SeenUpTo said; zero if that isn't known
 }
 
 // begin records the first table. firstStart means that no stream began before.
 func (m *moves) begin(first *Table, firstStart bool, now time.Time) {
 	m.unknownFrom, m.unknownUntil = now, now.Add(first.streamLifetime())
 	if firstStart {
-		m.completeAt(first, now)
+		m.completeAt(first)
 		m.sameSince = first.Version
 	}
-	m.useStated(first, now)
+	m.useStated(first)
 }
 
 // miss records that there may be tables after the one in force that are not known.
@@ -74,12 +74,12 @@
 	m.age(old, now)
 	moved := m.change(old, next, now)
 	if m.complete {
-		m.completeAt(next, now)
+		m.completeAt(next)
 		if moved {
 			m.sameSince = next.Version
 		}
 	}
-	m.useStated(next, now)
+	m.useStated(next)
 }
 
 // replace records that next takes the place of old, and that there may have been others between.
@@ -88,7 +88,7 @@
 	m.miss(old, now)
 	m.change(old, next, now)
 	m.unknownUntil = now.Add(next.streamLifetime())
-	m.useStated(next, now)
+	m.useStated(next)
 }
 
 // change forgets the moves that no stream outlived, and records the one that next makes after old, if it makes one.
@@ -102,23 +102,23 @@
 // age makes the history complete up to the table in force when all streams that began before have ended.
 func (m *moves) age(inForce *Table, now time.Time) {
 	if !m.complete && !m.unknown(now) {
-		m.completeAt(inForce, now)
+		m.completeAt(inForce)
 		m.sameSince = inForce.Version
 	}
 }
 
 // completeAt records that the history is complete up to the table in force.
-func (m *moves) completeAt(inForce *Table, now time.Time) {
+func (m *moves) completeAt(inForce *Table) {
 	m.complete = true
-	m.base = base{inForce.Version, inForce, max(inForce.Revision, m.base.since), now}
+	m.base = base{version: inForce.Version, table: inForce, since: max(inForce.Revision, m.base.since)}
 }
 
 // useStated uses what the store states if that is later than what this process knows.
-func (m *moves) useStated(inForce *Table, now time.Time) {
+func (m *moves) useStated(inForce *Table) {
 	switch {
 	case m.stated.version > inForce.Version || m.stated.version <= m.base.version:
 	case m.stated.version == inForce.Version:
-		m.completeAt(inForce, now)
+		m.completeAt(inForce)
 		m.sameSince = inForce.Version
 	default:
 		m.base, m.sameSince = m.stated, m.stated.version
@@ -174,7 +174,7 @@
 	defer c.mu.Unlock()
 	c.moves.stated = base{version: version, since: before}
 	if t := c.table.Load(); t != nil {
-		c.moves.useStated(t, time.Now())
+		c.moves.useStated(t)
 	}
 }
 
@@ -242,7 +242,7 @@
 		}
 	}
 	m.bound()
-	m.completeAt(t, now)
+	m.completeAt(t)
 	return true
 }
 
--- a/route/leads.go
+++ b/route/leads.go
@@ -97,6 +97,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t := c.table.Load(); t != nil && t.Version == version && !c.moves.unread {
-		c.moves.completeAt(t, time.Now())
+		c.moves.completeAt(t)
 	}
 }
