--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -107,6 +107,7 @@
 	CrashAfter   int  // with NoLength: the replica crashes after this number of chunks, and the connection ends cleanly; 0 for never
 	NoResponse   bool // reads requests and never responds
 	RepeatChunks bool // sends each chunk of a stream twice
+	SlowBy       int  // factor of the times Work and ChunkGap; 0 for 1
 	// Endless, if its kind is set, makes all responses endless: half of the response, and then bytes
 	// that are no response. Its header and body are not used.
 	Endless endless.Answer
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -60,7 +60,7 @@
 		r.serveStream(w, req, a, f)
 		return
 	}
-	time.Sleep(r.Work)
+	time.Sleep(r.slowed(r.Work))
 	r.serveComplete(w, a, f)
 }
 
@@ -198,7 +198,7 @@
 		select {
 		case <-r.ended:
 			return
-		case <-time.After(r.ChunkGap):
+		case <-time.After(r.slowed(r.ChunkGap)):
 		}
 		if f.Truncated && n == r.Chunks/2 {
 			chunk := r.chunk(a.ID, n)
@@ -220,7 +220,7 @@
 
 // waitForChunk waits until the next chunk is due. It returns false if the request ends before.
 func (r *Replica) waitForChunk(req *http.Request) bool {
-	t := time.NewTimer(r.ChunkGap)
+	t := time.NewTimer(r.slowed(r.ChunkGap))
 	defer t.Stop()
 	select {
 	case <-req.Context().Done():
@@ -235,3 +235,10 @@
 	defer r.mu.Unlock()
 	a.Completed = true
 }
+
+// slowed returns how long work takes that takes d without faults.
+func (r *Replica) slowed(d time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return d * time.Duration(max(r.faults.SlowBy, 1))
+}
--- a/hosted/stopping_test.go
+++ b/hosted/stopping_test.go
@@ -17,8 +17,9 @@
 // lateRequest is a request in a planned stop, with what its client got.
 type lateRequest struct {
 	id, path string
-	after    time.Duration // since the signal; negative before it
-	slow     time.Duration // until its body is complete
+	after    time.Duration     // since the signal; negative before it
+	slow     time.Duration     // until its body is complete
+	kept     http.RoundTripper // an open connection; nil for a new one
 
 	status int
 	err    error
@@ -41,7 +42,11 @@
 			rest.Close()
 		}()
 	}
-	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	var through http.RoundTripper = &http.Transport{DisableKeepAlives: true}
+	if r.kept != nil {
+		through = r.kept
+	}
+	resp, err := through.RoundTrip(req)
 	if err != nil {
 		r.err = err
 		return
@@ -76,6 +81,32 @@
 	all.Wait()
 }
 
+// keptConnections opens connections to the node by a request each, and returns clients that go on to use them.
+func (n *testNode) keptConnections(number int) []http.RoundTripper {
+	out := make([]http.RoundTripper, number)
+	var all sync.WaitGroup
+	for i := range out {
+		tr := &http.Transport{MaxConnsPerHost: 1}
+		n.t.Cleanup(tr.CloseIdleConnections)
+		out[i] = tr
+		all.Go(func() {
+			first := &lateRequest{id: fmt.Sprint("kept", i), path: "/look/x", kept: tr}
+			if first.send(n); first.err != nil {
+				n.t.Error(first.err)
+			}
+		})
+	}
+	all.Wait()
+	return out
+}
+
+func arrivals(replicas []*fakes.Replica) (all []fakes.Arrival) {
+	for _, r := range replicas {
+		all = append(all, r.Arrivals()...)
+	}
+	return all
+}
+
 // checkAnswers checks that each request got a true answer.
 func checkAnswers(t *testing.T, requests []*lateRequest, replicas ...*fakes.Replica) (served int) {
 	t.Helper()
@@ -166,3 +197,64 @@
 		t.Errorf("%d of %d requests were served", served, len(requests))
 	}
 }
+
+// Guards against requests that begin in a planned stop since earlier ones were short enough, take longer, and are given up.
+func TestRequestsThatBeginInAStopEnd(t *testing.T) {
+	t.Parallel()
+	const before, within = 48, 60
+	for _, c := range []struct {
+		name, path string
+		slow       func(i int) bool // replicas that turn slow
+		slowBy     int
+		always     bool // they are slow from the start, not from the signal on
+	}{
+		{name: "all engines turn slow", path: "/draft/x", slow: func(int) bool { return true }, slowBy: 4},
+		{name: "one engine is slow", path: "/draft/x", slow: func(i int) bool { return i == 0 }, slowBy: 5, always: true},
+		{name: "plain service turns slow", path: "/look/x", slow: func(int) bool { return true }, slowBy: 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.graceMS = 3000
+			replicas := f.startEngines(24, 40, 15*time.Millisecond)
+			for i := range 4 {
+				replicas = append(replicas, f.startReplica(&fakes.Replica{ID: fmt.Sprint("a", i), Service: "app", Domain: "d0", Work: 200 * time.Millisecond}))
+			}
+			turnSlow := func() {
+				for i, r := range replicas {
+					if c.slow(i) {
+						r.SetFaults(fakes.Faults{SlowBy: c.slowBy})
+					}
+				}
+			}
+			if c.always {
+				turnSlow()
+			}
+			n := f.startServingNode()
+			n.warmUp(4)
+			kept := n.keptConnections(within)
+			var requests []*lateRequest
+			for i := range within {
+				after := 300*time.Millisecond + time.Duration(i)*1900*time.Millisecond/within
+				requests = append(requests, &lateRequest{id: fmt.Sprint("within", i), path: c.path, after: after, kept: kept[i]})
+			}
+			var earlier sync.WaitGroup
+			for i := range before {
+				earlier.Go(func() { n.get(c.path, fmt.Sprint("earlier", i), key) })
+			}
+			earlier.Wait()
+			if !c.always {
+				turnSlow()
+			}
+			// Its upload keeps the process.
+			requests = append(requests, &lateRequest{id: "upload", path: "/look/x", after: -100 * time.Millisecond, slow: 2300 * time.Millisecond})
+			playStop(t, requests, n, n)
+			for _, a := range arrivals(replicas) {
+				if a.Ran && !a.Completed && strings.HasPrefix(a.ID, "within") {
+					t.Errorf("%s began in the stop and was given up after %d chunks", a.ID, a.Chunks)
+				}
+			}
+			checkAnswers(t, requests, replicas...)
+		})
+	}
+}
