stopping, peer, hosted: refused callers of a router that stops return to one that stays

Callers whose requests can't end in a planned stop were told to return at the end of the router's own notice.

Change: the refusing router counts which other routers of its failure domain are known to leave (peer.Member.LeavingSince, no new message). If none does, callers return at once; else when the last of them gets no new connections. A caller whose answer that wait makes late returns at once if more stay than leave. If none of the domain stays, routers of the other domains count, too.

--- a/generation/stopping.go
+++ b/generation/stopping.go
@@ -38,5 +38,14 @@
 
 // stops returns the error of a request that can't end before the process does.
 func (x *run) stops() error {
-	return &Unavailable{Code: CodeStopping, RetryAfter: x.Stop.ElsewhereAfter(), Err: stopping.ErrStopping}
+	return &Unavailable{Code: CodeStopping, RetryAfter: x.Stop.ElsewhereAfter(x.patience()), Err: stopping.ErrStopping}
+}
+
+// patience returns how much longer the answer may take to begin without being late, as far as known.
+func (x *run) patience() time.Duration {
+	o := x.req.Opaque
+	if o == nil {
+		return 0
+	}
+	return o.FirstChunkTarget - o.SinceFirstTry - time.Since(x.startedAt)
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -110,6 +110,7 @@
 	store := platform.NewStore(set.Hosted.StoreAddress)
 	n.storeSync = newStoreSync(set.Node.ID, set.Node.FailureDomain, log)
 	n.peers = newPeers(set, store, n.dir, n.mon, n.storeSync, log)
+	n.stop.Others = n.otherRouters
 	var err error
 	if n.rollouts, err = newRollouts(set.Hosted, store, n.dir, n.mon, log, n.meter); err != nil {
 		return nil, err
--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -11,6 +11,7 @@
 	"wigeondale/event"
 	"wigeondale/listen"
 	"wigeondale/signals"
+	"wigeondale/stopping"
 )
 
 func (n *node) run(sigs <-chan os.Signal) error {
@@ -57,6 +58,26 @@
 	n.forwarder.Drain(ctx)
 }
 
+// otherRouters returns the other routers of the fleet, for the times at which refused callers come back.
+func (n *node) otherRouters() []stopping.Router {
+	mesh := n.peers.currentMesh()
+	if mesh == nil {
+		return nil
+	}
+	var out []stopping.Router
+	for _, m := range mesh.Members() {
+		if m.Self || !m.Alive {
+			continue
+		}
+		r := stopping.Router{Near: m.FailureDomain == n.set.Node.FailureDomain}
+		if m.Leaving {
+			r.Unused = clock.SinceBoot() - time.Since(m.LeavingSince) + millis(n.set.Shutdown.BalancerNoticeMS)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
 // answerTime is the time for the final answers of requests that have not ended when the node stops.
 const answerTime = 250 * time.Millisecond
 
--- a/hosted/stopping_test.go
+++ b/hosted/stopping_test.go
@@ -258,3 +258,21 @@
 		})
 	}
 }
+
+// Guards against refused callers that return to a router of which this one could know that it stops.
+func TestRoutersKnowWhichOthersStop(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.startEngines(1, 2000, 10*time.Millisecond)
+	nodes := f.startServingNodes(2)
+	known := func(stopping bool) func() bool {
+		return func() bool {
+			others := nodes[0].otherRouters()
+			return len(others) == 1 && others[0].Near && others[0].Unused != 0 == stopping
+		}
+	}
+	await(t, "a router that serves", known(false))
+	nodes[1].startedGeneration("long") // it keeps the router
+	nodes[1].signals <- syscall.SIGTERM
+	await(t, "a router that stops", known(true))
+}
--- a/peer/members.go
+++ b/peer/members.go
@@ -28,6 +28,7 @@
 	Alive         bool // not dead; a suspect member counts as alive
 	Suspect       bool
 	Leaving       bool
+	LeavingSince  time.Time // when this node learned that it is leaving; zero if it isn't
 	Self          bool
 	Linked        bool
 	Summary       Summary // Revision may be outdated for members that are not linked
@@ -82,6 +83,7 @@
 		Alive:         r.Status != Dead,
 		Suspect:       r.Status == Suspect,
 		Leaving:       r.Leaving,
+		LeavingSince:  e.leavingSince,
 		Self:          r.ID == m.cfg.ID,
 		Linked:        linked,
 		Summary:       Summary{Revision: e.revision, Ready: r.Ready, Demand: maps.Clone(e.demand)},
--- a/peer/table.go
+++ b/peer/table.go
@@ -17,6 +17,7 @@
 	rec            Record
 	hash           uint64
 	statusSince    time.Time
+	leavingSince   time.Time // zero if the member isn't leaving
 	lastReceived   time.Time
 	neighbourSince time.Time
 	neighbour      bool
@@ -48,7 +49,7 @@
 		}
 		e = &entry{statusSince: now}
 		t.byID[r.ID] = e
-		t.setRecord(e, r)
+		t.setRecord(now, e, r)
 		t.ids = nil
 		return true
 	}
@@ -67,7 +68,7 @@
 		t.ids = nil
 	}
 	t.removeHash(e)
-	t.setRecord(e, out)
+	t.setRecord(now, e, out)
 	return true
 }
 
@@ -82,7 +83,13 @@
 	t.ids = nil
 }
 
-func (t *table) setRecord(e *entry, r Record) {
+func (t *table) setRecord(now time.Time, e *entry, r Record) {
+	switch {
+	case !r.Leaving:
+		e.leavingSince = time.Time{}
+	case e.leavingSince.IsZero():
+		e.leavingSince = now
+	}
 	e.rec = r
 	e.hash = recordHash(r)
 	t.buckets[bucketOf(r.ID)] ^= e.hash
--- a/stopping/stopping.go
+++ b/stopping/stopping.go
@@ -21,6 +21,9 @@
 // Gate knows whether the process stops, and until when. A nil Gate is that of a process that lets all work end. It is safe for
 // concurrent use.
 type Gate struct {
+	// Others returns the other routers that are known; nil if there are none. It is set before the first use.
+	Others func() []Router
+
 	mu      sync.Mutex
 	end     time.Duration // 0 while the process doesn't stop
 	unused  time.Duration // when no new connections arrive any more
@@ -60,16 +63,6 @@
 	return end == 0 || clock.SinceBoot() <= latestBegin(endsBy(), end)
 }
 
-// minElsewhereAfter is the least time after which a caller is advised to come back.
-const minElsewhereAfter = 20 * time.Millisecond
-
-// ElsewhereAfter returns after which time a caller that comes back reaches another process.
-func (g *Gate) ElsewhereAfter() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return max(g.unused-clock.SinceBoot(), minElsewhereAfter)
-}
-
 // latestBegin returns until when work may begin that has ended by endsBy, if it has to have ended at end; 0 means that it may not.
 func latestBegin(endsBy, end time.Duration) time.Duration {
 	if endsBy > 0 && endsBy <= end {
