generation, stopping: attempts that begin in a planned stop log the time left and their end

relay-ended named router_stopping alike for what was open at the signal and for what began after it, and no line said how much time was left when an attempt began. attempt-begun (1405) has stops_in_ms and ends_in_ms now, in a stop only. go test ./generation ./stopping ./event ./docs: passed.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -30,7 +30,7 @@
 	{OutcomeUnknown, "outcome-unknown", Warning, "A request marked as non-idempotent may have run, and its answer was lost. The caller has been notified; check whether the work was done before it is requested again."},
 	{CancelDropped, "cancel-dropped", Warning, "An abandoned attempt will not be cancelled; the engine ends it after its linger time. Check that engine if it repeats."},
 	{VoidFailed, "void-failed", Warning, "The claim of a request that did not run could not be freed: repeats of its key are answered as unknown until the claim expires. Check the key-value service."},
-	{AttemptBegun, "attempt-begun", Info, "An attempt is sent to a backend server; the line names the standby that stores a copy of the run."},
+	{AttemptBegun, "attempt-begun", Info, "An attempt is sent to a backend server; the line names the standby that stores a copy of the run and, if the router stops, in how many ms it does and the request has ended in any case (0: not known)."},
 	{AttemptLost, "attempt-lost", Warning, "An attempt ended before its answer was complete; not_run is what proves that it did not run (not-sent, refused, other-router), empty if it may have run. The following lines of the request say what was done."},
 	{AttemptResumed, "attempt-resumed", Info, "Another attempt delivers the next chunk of an answer whose earlier attempt was lost; the pause for the caller is given."},
 	{CopyMade, "copy-made", Info, "The copy of a run was lost or is outdated; another one was made, or could not be made for the reason given."},
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wigeondale/backend"
+	"wigeondale/clock"
 	"wigeondale/event"
 	"wigeondale/fleet"
 )
@@ -30,8 +31,7 @@
 	x.anySent = true
 	copies := x.copiesFor(a.backend)
 	copies.Standby = x.chooseStandby(a)
-	x.opts.Log.Emit(event.AttemptBegun, "request", x.req.ID, "attempt", a.origin.Attempt,
-		"backend", a.backend.ID, "software", a.backend.Version, "standby", a.copy.backend.ID, "from_copy", copies.FromCopy, "from", x.filter.next)
+	x.logBegun(a, copies)
 	if again && !copies.FromCopy {
 		x.m.prefill.Add(x.promptBytes())
 	}
@@ -56,6 +56,15 @@
 	return x.makeCurrent(a, s, "opened")
 }
 
+func (x *run) logBegun(a *attempt, copies backend.Copies) {
+	fields := []any{"request", x.req.ID, "attempt", a.origin.Attempt, "backend", a.backend.ID, "software", a.backend.Version,
+		"standby", a.copy.backend.ID, "from_copy", copies.FromCopy, "from", x.filter.next}
+	if left, stops := x.Stop.Left(); stops {
+		fields = append(fields, "stops_in_ms", left.Milliseconds(), "ends_in_ms", max(x.endsBy()-clock.SinceBoot(), 0).Milliseconds())
+	}
+	x.opts.Log.Emit(event.AttemptBegun, fields...)
+}
+
 func (x *run) opaque() *backend.Opaque {
 	if x.req.Opaque == nil {
 		return nil
--- a/stopping/stopping.go
+++ b/stopping/stopping.go
@@ -71,6 +71,16 @@
 	return 0
 }
 
+// Left returns the time until all work has to have ended, and false if the process doesn't stop.
+func (g *Gate) Left() (time.Duration, bool) {
+	if g == nil {
+		return 0, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.end - clock.SinceBoot(), g.end > 0
+}
+
 // UntilEnd returns a context that ends, with ErrStopping as its cause, when all work has to have ended.
 func (g *Gate) UntilEnd(ctx context.Context) (context.Context, context.CancelFunc) {
 	return g.limit(ctx, func(end time.Duration) time.Duration { return end })
