generation: a request that waits when its router gets the signal to stop doesn't begin without a bound

Callers of a router that had got SIGTERM could still get a stream that breaks off: their request waited for a choice of a server or for retry budget at the signal, and was sent, or passed on to another router, after it.

Cause: pick compares the deadline with the end of the process before these waits only. The wait for a choice ends at the signal, but a choice whose survey of engines or search for a prompt is cut short still returns a server. Class: a check that a later wait makes out of date.

The check stands now also right before the sending, in dispatch and in forward.

--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -11,7 +11,7 @@
 )
 
 // dispatch sends the request to the picked engine. It doesn't check the deadline: the state
-// pick has done so, after the claim.
+// pick has done so, after the claim. The process may have begun to stop since.
 func (x *run) dispatch() string {
 	if err := x.tracked.Refusal(x.searching()); err != nil {
 		return x.endQuarantined(err)
@@ -19,6 +19,9 @@
 	if x.interrupted() {
 		return "not-started"
 	}
+	if !x.mayBegin() {
+		return x.giveUp(CodeStopping, x.stops())
+	}
 	x.tracked.AttemptBegan()
 	a := &attempt{backend: x.backend, loadShare: x.loadShare, copyResult: make(chan standbyCopy, 1), confirmed: make(chan Binding, 1)}
 	x.loadShare = nil
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -87,6 +87,9 @@
 
 // forward passes the rest of the request on to another router.
 func (x *run) forward() string {
+	if !x.mayBegin() {
+		return x.giveUp(CodeStopping, x.stops())
+	}
 	a := &attempt{watch: noWatch{}, copyResult: make(chan standbyCopy, 1), forwarded: true}
 	a.origin = Position{Attempt: x.nextAttemptNumber()}
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
