peer: a member that has started again leaves since its own stop

A router counts another one as out of use when the load balancers' notice has passed since it learned that the other one leaves. If the other one started again and stopped once more, and no record between the two arrived, the time of the first stop stayed, and refused callers were sent back at once to a router that still gets connections.

Cause: the time was kept over a change of the incarnation, unlike the revision and the demand.

TestLeavingSinceIsOfTheIncarnation failed before, 20 s too early, and passes.

--- a/peer/table.go
+++ b/peer/table.go
@@ -64,6 +64,7 @@
 	if out.Incarnation != e.rec.Incarnation {
 		e.revision = 0
 		e.demand = nil
+		e.leavingSince = time.Time{}
 		e.neighbourSince = now
 		t.ids = nil
 	}
