stopping: a hurried caller doesn't wait for other failure domains to settle

A refused caller whose answer the wait makes late returns at once if more routers stay than leave, but not where no other router of the failure domain stays: there it waited until the last leaving router of the whole fleet gets no connections any more. In a rolling restart of a large fleet that is a whole notice again and again.

The same rule holds in both cases now. Without another router of the domain, the least wait is the rest of this router's own notice.

TestRefusedCallersReturnToARouterThatStays, with the new case, failed before (4 s, want 2 s) and passes.

--- a/stopping/elsewhere.go
+++ b/stopping/elsewhere.go
@@ -36,14 +36,15 @@
 }
 
 func elsewhereAfter(now, unused, patience time.Duration, others []Router) time.Duration {
+	least := minElsewhereAfter
 	staying, leaving, last := count(now, others, true)
 	if staying == 0 {
-		_, _, last = count(now, others, false)
-		return max(unused-now, last-now, minElsewhereAfter)
+		least = max(unused-now, least)
+		staying, leaving, last = count(now, others, false)
 	}
-	wait := max(last-now, minElsewhereAfter)
+	wait := max(last-now, least)
 	if wait > patience && staying > leaving {
-		return minElsewhereAfter
+		return least
 	}
 	return wait
 }
--- a/stopping/elsewhere_test.go
+++ b/stopping/elsewhere_test.go
@@ -26,6 +26,7 @@
 		{"none of the failure domain stays", time.Second, []Router{leaves, far}, 3 * time.Second},
 		{"none of the failure domain stays, others leave", time.Second, []Router{far, farLeaves}, 4 * time.Second},
 		{"alone in the failure domain", time.Second, []Router{far}, 2 * time.Second},
+		{"alone in the failure domain, few others leave, and the caller is in a hurry", time.Second, []Router{far, far, farLeaves}, 2 * time.Second},
 	} {
 		if got := elsewhereAfter(now, unused, c.patience, c.others); got != c.want {
 			t.Errorf("%s: after %v, want %v", c.name, got, c.want)
