--- a/hosted/stopping_test.go
+++ b/hosted/stopping_test.go
@@ -259,6 +259,43 @@
 	}
 }
 
+// Guards against refusals of requests whose deadline is within a planned stop, and against ones that get no answer by their deadline.
+func TestRequestsWithADeadlineWithinAStopBegin(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		work time.Duration
+		want int
+	}{
+		{"replica answers in time", 20 * time.Millisecond, http.StatusOK},
+		{"replica answers later", time.Minute, http.StatusGatewayTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.graceMS = 4000
+			app := f.startReplica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0", Work: 20 * time.Millisecond})
+			n := f.startServingNode()
+			n.warmUp(1)
+			const within = 12
+			kept := n.keptConnections(within)
+			app.SetFaults(fakes.Faults{SlowBy: int(c.work / app.Work)})
+			// Its upload keeps the process, and is refused.
+			upload := &lateRequest{id: "upload", path: "/look/x", after: -100 * time.Millisecond, slow: 3 * time.Second}
+			var requests []*lateRequest
+			for i := range within {
+				requests = append(requests, &lateRequest{id: fmt.Sprint("short", i), path: "/short/x", after: time.Duration(i+1) * 150 * time.Millisecond, kept: kept[i]})
+			}
+			playStop(t, append(requests, upload), n, n)
+			for _, r := range requests {
+				if r.err != nil || r.status != c.want {
+					t.Errorf("%s: %d, %v, want %d", r.id, r.status, r.err, c.want)
+				}
+			}
+		})
+	}
+}
+
 // Guards against refused callers that return to a router of which this one could know that it stops.
 func TestRoutersKnowWhichOthersStop(t *testing.T) {
 	t.Parallel()
