--- a/hosted/software_config_test.go
+++ b/hosted/software_config_test.go
@@ -268,3 +268,18 @@
 		})
 	}
 }
+
+// Guards against a take-up that waits for the store when its router ends, and whose connection closes without an answer.
+func TestTakeUpThatWaitsForTheStoreIsAnsweredInAStop(t *testing.T) {
+	f := newFleet(t)
+	f.graceMS = 1000
+	n, _ := f.startNodeWithoutNews()
+	f.moveDrafts("llm2")
+	await(t, "the new configuration", func() bool { return n.table.Get().Version == int64(f.version) })
+	f.store.SetUnresponsive(true)
+	late := &lateRequest{id: "late", path: "/draft/x", takesUp: "q2", after: -100 * time.Millisecond}
+	playStop(t, []*lateRequest{late}, n, n)
+	if late.err != nil || late.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, %v, want 503", late.status, late.err)
+	}
+}
--- a/hosted/stopping_test.go
+++ b/hosted/stopping_test.go
@@ -20,6 +20,7 @@
 	after    time.Duration     // since the signal; negative before it
 	slow     time.Duration     // until its body is complete
 	kept     http.RoundTripper // an open connection; nil for a new one
+	takesUp  string            // id of the attempt whose stream it takes up after its third chunk; empty for none
 
 	status int
 	err    error
@@ -27,7 +28,11 @@
 
 // send sends the request, and reads its whole answer.
 func (r *lateRequest) send(n *testNode) {
-	req, err := fakes.ClientRequest{Addr: n.front.Addr().String(), Path: r.path, ID: r.id, Key: key, Budget: 15 * time.Second}.HTTPRequest()
+	c := fakes.ClientRequest{Addr: n.front.Addr().String(), Path: r.path, ID: r.id, Key: key, Budget: 15 * time.Second}
+	if r.takesUp != "" {
+		c.BeganAs, c.LastChunk = r.takesUp, 3
+	}
+	req, err := c.HTTPRequest()
 	if err != nil {
 		r.err = err
 		return
