relay: what a request waits for before its run ends with the process

A caller that took up a stream got a closed connection without an answer if its router got the signal to stop while the service of the stream was looked up in a store that didn't answer.

Cause: only runs end shortly before the process does. The lookups of a take-up, and the wait for a first configuration, come before the run. Class: a wait that the end of the process doesn't bound.

relay bounds the whole request by the gate now; a lookup that ends so is refused as not run, as one that fails.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -227,7 +227,7 @@
 		return nil, err
 	}
 	return relay.New(relay.Config{
-		Table: n.table, RecordedAt: n.software.recordedAt, LearnMoves: n.software.learnMoves, Runner: n.runner, Budgets: budgets, StreamMaxWait: pick.refusal.MaxWait, OnStreamEnd: onStreamEnd, Log: n.log, Set: n.meter,
+		Table: n.table, RecordedAt: n.software.recordedAt, LearnMoves: n.software.learnMoves, Runner: n.runner, Stop: n.stop, Budgets: budgets, StreamMaxWait: pick.refusal.MaxWait, OnStreamEnd: onStreamEnd, Log: n.log, Set: n.meter,
 	}), nil
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,6 +23,7 @@
 	"wigeondale/event"
 	"wigeondale/generation"
 	"wigeondale/route"
+	"wigeondale/stopping"
 )
 
 // Error is the class of this package's errors.
@@ -95,6 +96,8 @@
 	RecordedAt func(ctx context.Context, account, beganAs string, services []string) (service string, err error)
 	// LearnMoves makes Table know the moves of routes that this process has not seen, if they can be found out. It may be nil.
 	LearnMoves func(ctx context.Context)
+	// Stop ends what requests wait for shortly before the process ends; nil if the process lets all of them end.
+	Stop *stopping.Gate
 	// OnStreamEnd is called with each stream that has ended; it may be nil.
 	OnStreamEnd func(StreamEnd)
 	Log         *event.Log
@@ -139,6 +142,8 @@
 // client disconnects.
 func (r *Relay) Serve(ctx context.Context, req *Request, sink generation.Sink) Result {
 	startedAt := time.Now()
+	ctx, done := r.cfg.Stop.UntilEnd(ctx)
+	defer done()
 	table := r.table(ctx)
 	if table == nil {
 		return r.refuse(req, nil, http.StatusServiceUnavailable, "no configuration yet", noConfigRetryAfter)
