--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -64,11 +64,9 @@
 	if mesh == nil {
 		return nil
 	}
-	var out []stopping.Router
-	for _, m := range mesh.Members() {
-		if m.Self || !m.Alive {
-			continue
-		}
+	others := mesh.Others()
+	out := make([]stopping.Router, 0, len(others))
+	for _, m := range others {
 		r := stopping.Router{Near: m.FailureDomain == n.set.Node.FailureDomain}
 		if m.Leaving {
 			r.Unused = clock.SinceBoot() - time.Since(m.LeavingSince) + millis(n.set.Shutdown.BalancerNoticeMS)
--- a/peer/members.go
+++ b/peer/members.go
@@ -47,6 +47,26 @@
 	return out
 }
 
+// Other is another member, as far as it matters to callers that may be sent to it.
+type Other struct {
+	FailureDomain string
+	Leaving       bool
+	LeavingSince  time.Time // see Member
+}
+
+// Others returns the other members that are neither dead nor suspect, in any order. It is cheaper than Members.
+func (m *Mesh) Others() []Other {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Other, 0, len(m.table.byID))
+	for id, e := range m.table.byID {
+		if id != m.cfg.ID && e.rec.Status == Alive {
+			out = append(out, Other{FailureDomain: e.rec.FailureDomain, Leaving: e.rec.Leaving, LeavingSince: e.leavingSince})
+		}
+	}
+	return out
+}
+
 // FailureDomainOf returns the failure domain of a known node.
 func (m *Mesh) FailureDomainOf(id string) (string, bool) {
 	m.mu.Lock()
--- a/stopping/elsewhere.go
+++ b/stopping/elsewhere.go
@@ -9,7 +9,8 @@
 // minElsewhereAfter is the least time after which a caller is advised to come back.
 const minElsewhereAfter = 20 * time.Millisecond
 
-// Router is another router, to which a load balancer may send a caller that comes back.
+// Router is another router, to which a load balancer may send a caller that comes back. The router that refused it isn't one: the load
+// balancer is assumed to send a retry elsewhere.
 type Router struct {
 	// Near reports that the router is in this one's failure domain. Load balancers choose a router of the caller's failure domain, or
 	// of another one if none is left there.
