--- a/bounded/framing_test.go
+++ b/bounded/framing_test.go
@@ -180,3 +180,18 @@
 		t.Errorf("got %v, %v", resp, err)
 	}
 }
+
+// BenchmarkAnswer checks an answer of 100 chunks of 100 bytes, as a stream has them.
+func BenchmarkAnswer(b *testing.B) {
+	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\nDate: Mon, 07 Dec 2026 00:00:00 GMT\r\n" +
+		"Transfer-Encoding: chunked\r\n\r\n"
+	answer := []byte(head + strings.Repeat("64\r\n"+strings.Repeat("x", 100)+"\r\n", 100) + "0\r\n\r\n")
+	b.SetBytes(int64(len(answer)))
+	b.ReportAllocs()
+	var f framing
+	for b.Loop() {
+		if _, err := f.check(answer); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
