fakes/hosted: the length of a replica's work can differ by request, and it can turn slow beside other faults

The soak needs requests of drawn lengths, and replicas that turn slow while they have other faults (SetSlow leaves those as they are). Without Length nothing changes: TestStopSeeds and the tests of hosted's stops use the same stand-in.

--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -71,6 +71,8 @@
 	Room                         int           // requests that it takes at once; 0 for any number
 	Work                         time.Duration // time to serve a request that is not streamed
 	Slots                        int           // that its entry states; 0 for defaultRoom
+	// Length returns the factor of Work and ChunkGap for a request. With nil, all are equally long.
+	Length func(id string) float64
 	// RecordBytes bounds what is recorded of a body; 0 for no bound. LargeAnswer is the number of bytes added to answers to paths
 	// that end in LargePath.
 	RecordBytes, LargeAnswer int
@@ -164,6 +166,13 @@
 	r.faults, r.faultsSetAt = f, time.Now()
 }
 
+// SetSlow sets SlowBy and leaves the other faults as they are.
+func (r *Replica) SetSlow(by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults.SlowBy = by
+}
+
 // failsRequest reports whether the replica responds to a request with FailStatus. If
 // FailShare is set, only that share of the requests fails, selected by a hash of the
 // request's id.
@@ -207,7 +216,7 @@
 	restarted := &Replica{
 		ID: r.ID, StartedAt: startedAt, Service: r.Service, Domain: r.Domain, Version: version, Engine: r.Engine,
 		ShowsVersion: r.ShowsVersion, Listen: r.Addr(), Chunks: r.Chunks, ChunkGap: r.ChunkGap, OnCrash: r.OnCrash,
-		Room: r.Room, Work: r.Work, Slots: r.Slots,
+		Room: r.Room, Work: r.Work, Slots: r.Slots, Length: r.Length,
 	}
 	return restarted, restarted.Start(r.replicaAt)
 }
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -60,7 +60,7 @@
 		r.serveStream(w, req, a, f)
 		return
 	}
-	time.Sleep(r.slowed(r.Work))
+	time.Sleep(r.slowed(r.Work, a.ID))
 	r.serveComplete(w, a, f)
 }
 
@@ -198,7 +198,7 @@
 		select {
 		case <-r.ended:
 			return
-		case <-time.After(r.slowed(r.ChunkGap)):
+		case <-time.After(r.slowed(r.ChunkGap, a.ID)):
 		}
 		if f.Truncated && n == r.Chunks/2 {
 			chunk := r.chunk(a.ID, n)
@@ -220,7 +220,7 @@
 
 // waitForChunk waits until the next chunk is due. It returns false if the request ends before.
 func (r *Replica) waitForChunk(req *http.Request) bool {
-	t := time.NewTimer(r.slowed(r.ChunkGap))
+	t := time.NewTimer(r.slowed(r.ChunkGap, req.Header.Get("X-Attempt-Id")))
 	defer t.Stop()
 	select {
 	case <-req.Context().Done():
@@ -237,7 +237,10 @@
 }
 
 // slowed returns how long work takes that takes d without faults.
-func (r *Replica) slowed(d time.Duration) time.Duration {
+func (r *Replica) slowed(d time.Duration, id string) time.Duration {
+	if r.Length != nil {
+		d = time.Duration(float64(d) * r.Length(id))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return d * time.Duration(max(r.faults.SlowBy, 1))
