--- a/fakes/fault/conn.go
+++ b/fakes/fault/conn.go
@@ -77,6 +77,14 @@
 	return c.Conn.Close()
 }
 
+// SetLinger is SetLinger of the TCP connection: with 0, Close resets it.
+func (c *conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
 // reset closes the connection with a TCP reset instead of an orderly shutdown.
 func (c *conn) reset() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/fakes/hosted/operator.go
+++ b/fakes/hosted/operator.go
@@ -35,6 +35,7 @@
 	MoreEngines   []string // further such services
 	OtherService  string   // service of the replicas that are not model engines
 	Routes        []Route
+	MaxBody       int // bytes of a request's body; 0 for the routers' default
 }
 
 // PutConfig writes a configuration.
@@ -55,8 +56,13 @@
 	for _, name := range append([]string{c.EngineService}, c.MoreEngines...) {
 		services = append(services, map[string]any{"name": name, "health_path": HealthPath, "engine": map[string]any{"kv_capacity": KVCapacity, "backups": true, "moves": true}})
 	}
+	limits := map[string]any{}
+	if c.MaxBody > 0 {
+		limits["max_body_bytes"] = c.MaxBody
+	}
 	s.PutJSON(ConfigKey, map[string]any{
 		"version":  c.Version,
+		"limits":   limits,
 		"routes":   routes,
 		"services": services,
 		"tenants":  []any{map[string]any{"name": c.Account, "api_keys": c.Keys}},
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -104,12 +104,14 @@
 	WrongID      bool          // responds with another request's id
 	NoSeal       bool
 	Encoded      bool
-	Truncated    bool // closes the connection in the middle of the response
-	NoLength     bool // neither a length nor chunks: the end of the connection ends the response, a stream too
-	CrashAfter   int  // with NoLength: the replica crashes after this number of chunks, and the connection ends cleanly; 0 for never
-	NoResponse   bool // reads requests and never responds
-	RepeatChunks bool // sends each chunk of a stream twice
-	SlowBy       int  // factor of the times Work and ChunkGap; 0 for 1
+	Truncated    bool   // closes the connection in the middle of the response
+	NoLength     bool   // neither a length nor chunks: the end of the connection ends the response, a stream too
+	CrashAfter   int    // with NoLength: the replica crashes after this number of chunks, and the connection ends cleanly; 0 for never
+	NoResponse   bool   // reads requests and never responds
+	RepeatChunks bool   // sends each chunk of a stream twice
+	SlowBy       int    // factor of the times Work and ChunkGap; 0 for 1
+	ResetUploads bool   // answers long uploads early, without a length, and resets the connection
+	Malformed    string // one of MalformedHeads, which it sends for each answer; empty for none
 	// Endless, if its kind is set, makes all responses endless: half of the response, and then bytes
 	// that are no response. Its header and body are not used.
 	Endless endless.Answer
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -12,6 +12,9 @@
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	r.addOpen(1)
 	defer r.addOpen(-1)
+	if r.resetsUpload(w, req) {
+		return
+	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
@@ -50,6 +53,9 @@
 		return
 	}
 	switch {
+	case f.Malformed != "":
+		serveMalformed(w, a.ID, f.Malformed)
+		return
 	case f.Endless.Kind != "":
 		r.serveEndless(w, a, f.Endless)
 		return
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -63,10 +63,16 @@
 	if promise := r.brokenPromise(); promise != "" {
 		c.violated(promise, r.id, fmt.Sprintf("%s: status %d, cut %v, body %.80q", r.kind, r.status, r.err, r.body))
 	}
+	if r.err == nil && !r.abandoned && (r.status < http.StatusOK || r.status > maxStatus) {
+		c.violated("an answer has a status that HTTP knows", r.id, fmt.Sprintf("%s: status %d", r.kind, r.status))
+	}
 	c.checkDuration(r.id, r.duration, maxAnswerTime)
 	c.checkKey(r)
 }
 
+// maxStatus is the last final status of HTTP.
+const maxStatus = 599
+
 func meansNotRun(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/soak/command.go
+++ b/soak/command.go
@@ -57,6 +57,7 @@
 	Moves            bool          `arg:"--moves" help:"the route of streams moves between two services and is split over both"`
 	Rare             bool          `arg:"--rare" help:"bursts of clients, machines that go dark, addresses that go to another service, a store that refuses some calls of a router or answers stale reads from an older state, and kills after an acknowledgement"`
 	Stops            bool          `arg:"--stops" help:"routers are told to end under load, with a short grace, on the platform's interface several at once while backend servers turn slow"`
+	Malformed        bool          `arg:"--malformed" help:"backend servers of the platform reset long uploads after a part of an answer, and send malformed heads"`
 	Floods           bool          `arg:"--floods" help:"all plain services answer many requests at once without end"`
 	Crowds           bool          `arg:"--crowds" help:"crowds of clients that don't behave connect to one router while another ends and starts again"`
 	Silences         bool          `arg:"--silences" help:"nothing but silences of replicas and new versions of the configuration is injected"`
@@ -159,7 +160,7 @@
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
 		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Evidence: args.Evidence, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
-		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Unnamed: args.Unnamed, OddClients: args.OddClients, Moves: args.Moves, Rare: args.Rare, Stops: args.Stops, Floods: args.Floods, Crowds: args.Crowds,
+		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Unnamed: args.Unnamed, OddClients: args.OddClients, Moves: args.Moves, Rare: args.Rare, Stops: args.Stops, Malformed: args.Malformed, Floods: args.Floods, Crowds: args.Crowds,
 		Room: args.Room, Work: args.Work, Chunks: args.Chunks, Alone: args.Alone,
 	})
 	if err != nil {
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -171,6 +171,9 @@
 		if r.cfg.OddClients {
 			rep.LargeAnswer = oddLargeAnswer
 		}
+		if r.cfg.Malformed {
+			rep.RecordBytes = malformedRecordBytes
+		}
 		if r.cfg.Crowds {
 			rep.RecordBytes, rep.LargeAnswer = crowdRecordBytes, crowdLargeAnswer
 		}
@@ -218,6 +221,7 @@
 	draft := route("draft", "streaming", "llm", 5)
 	draft.Split = split
 	r.store.PutConfig(fakes.Config{
+		MaxBody: r.cfg.maxBody(),
 		Version: r.configVersion, Account: account, Keys: keys, EngineService: "llm", MoreEngines: more, OtherService: "app",
 		Routes: []fakes.Route{
 			draft, route("book", "non_idempotent", "app", 2), route("look", "idempotent", "app", 2),
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -163,6 +163,9 @@
 	if c.run.cfg.CrashingParts {
 		request.Prompt = fmt.Sprintf("aa:40,d%d:20,%s:60", c.rng.IntN(sharedParts), res.id)
 	}
+	if c.run.cfg.Malformed && res.kind != "draft" {
+		request.Body = c.drawBody()
+	}
 	req, err := request.HTTPRequest()
 	if err != nil {
 		return 0, "", false, err
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"syscall"
 
 	fakefault "wigeondale/fakes/fault"
@@ -15,7 +16,7 @@
 		return []fault{newVersion}
 	}
 	if r.cfg.Alone {
-		return append(append(r.repeatFaults(), r.outageFaults()...), r.moveFaults()...)
+		return slices.Concat(r.repeatFaults(), r.outageFaults(), r.moveFaults(), r.malformedFaults())
 	}
 	all := append(processFaults(func() *process { return &r.randomNode().process }),
 		fault{"store down", func() func() { r.store.SetFailing(true); return func() { r.store.SetFailing(false) } }},
@@ -63,6 +64,7 @@
 	all = append(all, r.evidenceFaults()...)
 	all = append(all, r.moveFaults()...)
 	all = append(all, r.rareFaults()...)
+	all = append(all, r.malformedFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -101,6 +101,8 @@
 	// Stops sends routers SIGTERM under load, with a short grace and requests of drawn lengths. On the users' platform several routers stop
 	// in series or overlap, replicas turn slow meanwhile, and clients use their connections to a router until it is gone.
 	Stops bool
+	// Malformed makes replicas of the users' platform answer long uploads early and reset them, and send malformed heads.
+	Malformed bool
 	// Floods makes all plain services answer many requests at once without end.
 	Floods bool
 	// Silences injects nothing but silences of replicas and new versions of the configuration, on the users' platform.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -212,6 +212,12 @@
 	checkSeed(t, Run, Config{Seed: 34002, Nodes: 4, Engines: 8, Services: 4, Clients: 12, Chunks: 60, FaultTime: 5 * time.Second, Software: true, TakeUps: true, Restarts: true, Rare: true})
 }
 
+// TestMalformedSeeds makes the same checks as TestSeeds while replicas reset long uploads after a part of an answer, and send malformed
+// heads. Guards against parts of answers that look whole, and malformed ones that are passed on.
+func TestMalformedSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 32001, Nodes: 4, Engines: 6, Services: 4, Clients: 12, FaultTime: 5 * time.Second, Malformed: true, Alone: true})
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
