--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -71,6 +71,8 @@
 	Room                         int           // requests that it takes at once; 0 for any number
 	Work                         time.Duration // time to serve a request that is not streamed
 	Slots                        int           // that its entry states; 0 for defaultRoom
+	// Length returns the factor of Work and ChunkGap for a request. With nil, all are equally long.
+	Length func(id string) float64
 	// RecordBytes bounds what is recorded of a body; 0 for no bound. LargeAnswer is the number of bytes added to answers to paths
 	// that end in LargePath.
 	RecordBytes, LargeAnswer int
@@ -102,12 +104,14 @@
 	WrongID      bool          // responds with another request's id
 	NoSeal       bool
 	Encoded      bool
-	Truncated    bool // closes the connection in the middle of the response
-	NoLength     bool // neither a length nor chunks: the end of the connection ends the response, a stream too
-	CrashAfter   int  // with NoLength: the replica crashes after this number of chunks, and the connection ends cleanly; 0 for never
-	NoResponse   bool // reads requests and never responds
-	RepeatChunks bool // sends each chunk of a stream twice
-	SlowBy       int  // factor of the times Work and ChunkGap; 0 for 1
+	Truncated    bool   // closes the connection in the middle of the response
+	NoLength     bool   // neither a length nor chunks: the end of the connection ends the response, a stream too
+	CrashAfter   int    // with NoLength: the replica crashes after this number of chunks, and the connection ends cleanly; 0 for never
+	NoResponse   bool   // reads requests and never responds
+	RepeatChunks bool   // sends each chunk of a stream twice
+	SlowBy       int    // factor of the times Work and ChunkGap; 0 for 1
+	ResetUploads bool   // answers long uploads early, without a length, and resets the connection
+	Malformed    string // one of MalformedHeads, which it sends for each answer; empty for none
 	// Endless, if its kind is set, makes all responses endless: half of the response, and then bytes
 	// that are no response. Its header and body are not used.
 	Endless endless.Answer
@@ -164,6 +168,13 @@
 	r.faults, r.faultsSetAt = f, time.Now()
 }
 
+// SetSlow sets SlowBy and leaves the other faults as they are.
+func (r *Replica) SetSlow(by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults.SlowBy = by
+}
+
 // failsRequest reports whether the replica responds to a request with FailStatus. If
 // FailShare is set, only that share of the requests fails, selected by a hash of the
 // request's id.
@@ -207,7 +218,7 @@
 	restarted := &Replica{
 		ID: r.ID, StartedAt: startedAt, Service: r.Service, Domain: r.Domain, Version: version, Engine: r.Engine,
 		ShowsVersion: r.ShowsVersion, Listen: r.Addr(), Chunks: r.Chunks, ChunkGap: r.ChunkGap, OnCrash: r.OnCrash,
-		Room: r.Room, Work: r.Work, Slots: r.Slots,
+		Room: r.Room, Work: r.Work, Slots: r.Slots, Length: r.Length,
 	}
 	return restarted, restarted.Start(r.replicaAt)
 }
