bounded: the loss of a connection that a write was told of is no end of an answer

Callers got a part of an answer without a length as the complete one, when the backend server answered a long upload early and reset the connection while the upload was still being written.

Cause: the kernel reports the loss of a connection once. The write of the body consumes the report, and the read after it finds a clean end; net/http drops the write's error once a head has arrived. Class: one direction of a connection acts on an end without what the other direction knows of it.

Change: bounded.NewTransport, which all clients of HTTP servers use, returns connections (bounded.Conn) that keep the first failure of a write. A read that finds the end first ends a write in progress by its deadline and waits for it: that write may be the one with the report. If a write failed, the read gets an error instead of io.EOF, which each reader treats as a broken answer: it may have run. HTTP/1.1 reads to the end of a connection only where it gives it up, so answers with a length or chunks don't change. Below TLS the same holds, whose end without a close_notify net/http takes for an end. A failure counts whatever it is: reset, broken pipe, time-out, unreachable host. linger looks through the wrapper.

Without the wait for the write in progress TestLossThatAWriteReportsIsNoEnd fails with "the read got EOF"; without its deadline TestEndDuringAWriteIsAnEnd hangs. TestOnlyConnectionsThatHoldBytesAreReset asks for wrapped connections, too.

--- a/backend/send.go
+++ b/backend/send.go
@@ -73,25 +73,32 @@
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	return bounded.NewTransport(&http.Transport{
-		Protocols: &protocols,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.open(ctx, dial, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections, dropUnsent: d.DropUnsent}
-			if dialed, ok := ctx.Value(dialedKey{}).(*conn); ok {
-				dialed.sealed, sealed.received = sealed, dialed.received
-			}
-			return sealed, nil
-		},
+	t := bounded.NewTransport(&http.Transport{
+		Protocols:           &protocols,
+		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerSrv,
 		IdleConnTimeout:     idleTimeout,
 		ReadBufferSize:      d.BufferBytes,
 		WriteBufferSize:     d.BufferBytes,
 	})
+	t.DialContext = d.sealing(t.DialContext)
+	return t
+}
+
+// sealing returns a DialFunc that opens connections with dial as configured, and returns each as a sealConn.
+func (d DialConfig) sealing(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.open(ctx, dial, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections, dropUnsent: d.DropUnsent}
+		if dialed, ok := ctx.Value(dialedKey{}).(*conn); ok {
+			dialed.sealed, sealed.received = sealed, dialed.received
+		}
+		return sealed, nil
+	}
 }
 
 // open opens a connection with dial, within the timeout, and notifies the observer.
--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -1,4 +1,4 @@
-// Package bounded bounds what this program reads from HTTP servers.
+// Package bounded bounds what this program reads from HTTP servers, and confirms where it ends.
 //
 // A server in trouble may send bytes that are no answer, without end. Three defaults of net/http
 // let it: the head of an answer, and each interim answer, may have 10 MB; the body of an answer
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -42,9 +43,13 @@
 // Transport is an http.Transport that returns no answer that switches the protocol.
 type Transport struct{ *http.Transport }
 
-// NewTransport bounds the heads of the answers that t receives.
+// NewTransport bounds the heads of the answers that t receives, and has its connections end as Conn does.
 func NewTransport(t *http.Transport) Transport {
 	t.MaxResponseHeaderBytes = MaxHeadBytes
+	if t.DialContext == nil {
+		t.DialContext = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = confirmEnds(t.DialContext)
 	return Transport{t}
 }
 
--- /dev/null
+++ b/bounded/end_test.go
@@ -0,0 +1,160 @@
+package bounded
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// endedConn is a connection whose reads find a clean end, and whose writes fail when failing is closed, or at their deadline.
+type endedConn struct {
+	net.Conn
+	failing  chan struct{}
+	failure  error
+	begun    chan struct{} // closed when a write has begun
+	deadline chan struct{} // closed when the writes' deadline has passed
+	once     sync.Once     // closes deadline
+}
+
+func newEndedConn(failure error) *endedConn {
+	return &endedConn{failing: make(chan struct{}), failure: failure, begun: make(chan struct{}), deadline: make(chan struct{})}
+}
+
+func (c *endedConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *endedConn) Write([]byte) (int, error) {
+	close(c.begun)
+	select {
+	case <-c.failing:
+		return 0, c.failure
+	case <-c.deadline:
+	}
+	// The kernel's report may have come at the same moment.
+	select {
+	case <-c.failing:
+		return 0, c.failure
+	default:
+		return 0, os.ErrDeadlineExceeded
+	}
+}
+
+func (c *endedConn) SetWriteDeadline(time.Time) error {
+	c.once.Do(func() { close(c.deadline) })
+	return nil
+}
+
+var connectionLosses = []error{syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH}
+
+// Guards against the loss of a connection that a write was told of counting as the end of an answer, whether the write has
+// returned before the read or not.
+func TestLossThatAWriteReportsIsNoEnd(t *testing.T) {
+	for _, failure := range connectionLosses {
+		for _, returned := range []bool{false, true} {
+			below := newEndedConn(failure)
+			c := &Conn{Conn: below}
+			written := make(chan error, 1)
+			go func() {
+				_, err := c.Write([]byte("body"))
+				written <- err
+			}()
+			<-below.begun
+			close(below.failing)
+			if returned {
+				<-written
+			}
+			if _, err := c.Read(make([]byte, 1)); err == io.EOF || !errors.Is(err, ErrEndUnconfirmed) || !errors.Is(err, failure) {
+				t.Errorf("%v, returned %v: the read got %v", failure, returned, err)
+			}
+		}
+	}
+}
+
+// Guards against a read that hangs because its peer has ended its answer and takes no more of the request, and against that
+// end counting as a loss.
+func TestEndDuringAWriteIsAnEnd(t *testing.T) {
+	below := newEndedConn(nil)
+	c := &Conn{Conn: below}
+	go c.Write([]byte("body"))
+	<-below.begun
+	for range 2 {
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("got %v, want EOF", err)
+		}
+	}
+	if _, err := c.Write([]byte("more")); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("a write after the end got %v", err)
+	}
+}
+
+// answerAndReset accepts connections, answers the head of a request with a part of an answer without a length, and resets.
+func answerAndReset(ln net.Listener, config *tls.Config) {
+	for {
+		tcp, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		conn := tcp
+		if config != nil {
+			conn = tls.Server(tcp, config)
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(2 * time.Millisecond)
+		}
+		tcp.(*net.TCPConn).SetLinger(0)
+		tcp.Close()
+	}
+}
+
+// Guards against a part of an answer that counts as the whole when its connection is reset under an upload, in the clear and
+// over TLS, whose end without a close_notify net/http takes for an end.
+func TestAnswerResetUnderAnUploadIsNotWhole(t *testing.T) {
+	const runs = 20
+	tlsServer := httptest.NewUnstartedServer(nil)
+	tlsServer.StartTLS()
+	defer tlsServer.Close()
+	for scheme, config := range map[string]*tls.Config{"http": nil, "https": tlsServer.TLS} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		if config != nil {
+			config = config.Clone()
+			config.NextProtos = nil
+		}
+		go answerAndReset(ln, config)
+		client := http.Client{Timeout: 20 * time.Second, Transport: NewTransport(&http.Transport{
+			DisableKeepAlives: true, TLSClientConfig: tlsServer.Client().Transport.(*http.Transport).TLSClientConfig,
+		})}
+		whole := 0
+		for range runs {
+			req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, scheme+"://"+ln.Addr().String(), bytes.NewReader(make([]byte, 8<<20)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := client.Do(req)
+			if err != nil {
+				continue
+			}
+			if _, err := ReadAll(resp, 1<<20); err == nil {
+				whole++
+			}
+			resp.Body.Close()
+		}
+		if whole > 0 {
+			t.Errorf("%s: %d of %d count as whole", scheme, whole, runs)
+		}
+	}
+}
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -21,8 +21,14 @@
 // holder is a connection that knows itself how many bytes it holds.
 type holder interface{ Unacknowledged() (int, error) }
 
+// wrapper is a connection around another one, such as *bounded.Conn.
+type wrapper interface{ NetConn() net.Conn }
+
 // DropUnsent has the next Close of c drop what the other side has not acknowledged.
 func DropUnsent(c net.Conn) {
+	if w, ok := c.(wrapper); ok {
+		c = w.NetConn()
+	}
 	tcp, ok := c.(conn)
 	if !ok {
 		return
--- a/linger/linger_test.go
+++ b/linger/linger_test.go
@@ -7,15 +7,20 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"wigeondale/bounded"
 )
 
 // Guards against bytes that are delivered after their connection was closed, and against a reset, which may be lost, of a
 // connection that holds nothing.
 func TestOnlyConnectionsThatHoldBytesAreReset(t *testing.T) {
 	for name, c := range map[string]struct {
-		held bool
-		want error
-	}{"holds bytes": {true, syscall.ECONNRESET}, "holds none": {false, io.EOF}} {
+		held, wrapped bool
+		want          error
+	}{
+		"holds bytes": {true, false, syscall.ECONNRESET}, "holds none": {false, false, io.EOF},
+		"wrapped, holds bytes": {true, true, syscall.ECONNRESET}, "wrapped, holds none": {false, true, io.EOF},
+	} {
 		t.Run(name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -26,6 +31,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if c.wrapped {
+				client = &bounded.Conn{Conn: client}
+			}
 			server, err := ln.Accept()
 			if err != nil {
 				t.Fatal(err)
