--- a/backend/send.go
+++ b/backend/send.go
@@ -74,21 +74,8 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return bounded.NewTransport(&http.Transport{
-		Protocols: &protocols,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.open(ctx, dial, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections, dropUnsent: d.DropUnsent}
-			checked := bounded.NewAnswerConn(sealed)
-			if dialed, ok := ctx.Value(dialedKey{}).(*conn); ok {
-				dialed.sealed, sealed.received = sealed, dialed.received
-				dialed.answers = checked.AnswerReader
-				checked.OnMalformed(dialed.malformed)
-			}
-			return checked, nil
-		},
+		Protocols:           &protocols,
+		DialContext:         d.sealing(bounded.ConfirmEnds(dial)),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerSrv,
 		IdleConnTimeout:     idleTimeout,
@@ -97,6 +84,24 @@
 	})
 }
 
+// sealing returns a DialFunc that opens connections with dial as configured. Each is a sealConn, and its answers are checked.
+func (d DialConfig) sealing(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.open(ctx, dial, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		sealed := &sealConn{Conn: c, addr: addr, observer: d.Connections, dropUnsent: d.DropUnsent}
+		checked := bounded.NewAnswerConn(sealed)
+		if dialed, ok := ctx.Value(dialedKey{}).(*conn); ok {
+			dialed.sealed, sealed.received = sealed, dialed.received
+			dialed.answers = checked.AnswerReader
+			checked.OnMalformed(dialed.malformed)
+		}
+		return checked, nil
+	}
+}
+
 // open opens a connection with dial, within the timeout, and notifies the observer.
 func (d DialConfig) open(ctx context.Context, dial DialFunc, network, addr string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -1,4 +1,4 @@
-// Package bounded bounds what this program reads from HTTP servers.
+// Package bounded bounds what this program reads from HTTP servers, and confirms where it ends.
 //
 // A server in trouble may send bytes that are no answer, without end. Three defaults of net/http
 // let it: the head of an answer, and each interim answer, may have 10 MB; the body of an answer
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -44,9 +45,13 @@
 // Transport is an http.Transport that returns no malformed answer, and none that switches the protocol.
 type Transport struct{ *http.Transport }
 
-// NewTransport bounds and checks the heads of the answers that t receives.
+// NewTransport bounds and checks the heads of the answers that t receives, and has its connections end as Conn does.
 func NewTransport(t *http.Transport) Transport {
 	t.MaxResponseHeaderBytes = MaxHeadBytes
+	if t.DialContext == nil {
+		t.DialContext = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = ConfirmEnds(t.DialContext)
 	CheckAnswers(t)
 	return Transport{t}
 }
