soak: planned stops are judged by logs that drop no lines

checkStops reads from a router's log when it began to stop. With Config.Stops the routers' settings now allow a million lines a second.

TestStopSeeds passes.

--- a/soak/platform_node.go
+++ b/soak/platform_node.go
@@ -53,16 +53,19 @@
 	return n, n.writeSettings(r, i, front, ready, stats)
 }
 
+// wholeLog is the section "log" of the settings with which no lines are dropped: checkStops reads when a process began to stop.
+const wholeLog = `{"lines_per_second": 1000000}`
+
 // writeSettings writes the settings of the node's next process.
 func (n *node) writeSettings(r *platformRun, i int, front, ready, stats string) error {
-	budget, grace := r.cfg.retryBudget(), 10*time.Second
+	budget, grace, log := r.cfg.retryBudget(), 10*time.Second, "{}"
 	if r.cfg.Stops {
-		grace = stopGrace
+		grace, log = stopGrace, wholeLog
 	}
 	text := fmt.Sprintf(`{"node": {"id": %q, "vm": %q, "failure_domain": "d%d", "region": "r", "backend_proxy_address": %q},
- "limits": %s, "shutdown": {"balancer_notice_ms": 300},
+ "limits": %s, "log": %s, "shutdown": {"balancer_notice_ms": 300},
  "hosted": {"first_start": %t, "front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,%s
-  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.limits(), (r.cfg.OutOfStep || r.cfg.PeerCuts || r.cfg.Unnamed) && n.launches == 0, front, ready, stats, n.peer, n.peerProxySetting(), n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
+  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.limits(), log, (r.cfg.OutOfStep || r.cfg.PeerCuts || r.cfg.Unnamed) && n.launches == 0, front, ready, stats, n.peer, n.peerProxySetting(), n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
 	n.rewrite = func() error { return n.writeSettings(r, i, front, ready, stats) }
 	return Error.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600))
 }
