--- a/fakes/hosted/malformed.go
+++ b/fakes/hosted/malformed.go
@@ -16,7 +16,7 @@
 	maxBeforeReset = 16 * time.Millisecond
 )
 
-// MalformedHeads are answers that break HTTP, whose bodies are no answer to any request. Each takes the id of an attempt.
+// MalformedHeads are answers that break HTTP, by what is wrong, with bodies that answer no request. Each takes the id of an attempt.
 var MalformedHeads = map[string]string{
 	"status 000":                 "HTTP/1.1 000 Zero\r\n" + malformedFields + "Content-Length: 9\r\n\r\nmalformed",
 	"blank in a field's name":    "HTTP/1.1 200 OK\r\n" + malformedFields + "X Foo: 1\r\nContent-Length: 9\r\n\r\nmalformed",
