platform, hosted: an upload that still arrives when its router's grace ends is refused

Clients that were still sending a body got a closed connection without an answer, although their request can't have run.

Cause: the wait for the rest of a body comes before what ends with the gate. The class is that of the lookups before a run: a wait that the end of the process doesn't bound.

--- a/hosted/listeners.go
+++ b/hosted/listeners.go
@@ -30,7 +30,7 @@
 		Requests: bounded.NewPool(limits.OperatorBytes(), "operator_requests", n.meter),
 	}
 	var err error
-	if n.front, err = open(frontListener, n.set.Hosted.FrontAddress, limits.ClientConns(false), &platform.ClientHandler{Relay: r, Table: n.table}); err != nil {
+	if n.front, err = open(frontListener, n.set.Hosted.FrontAddress, limits.ClientConns(false), &platform.ClientHandler{Relay: r, Table: n.table, Stop: n.stop}); err != nil {
 		return err
 	}
 	if n.ready, err = open("readiness", n.set.Hosted.ReadinessAddress, limits.OperatorConns(), platform.ReadinessHandler{Ready: n.readiness}); err != nil {
--- a/hosted/stopping_test.go
+++ b/hosted/stopping_test.go
@@ -318,3 +318,26 @@
 	nodes[1].signals <- syscall.SIGTERM
 	await(t, "a router that stops", known(true))
 }
+
+// Guards against uploads that still arrive when a router reaches the end of its grace, and whose connections close without an answer.
+func TestUploadsOpenAtTheEndOfAStopAreRefused(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.graceMS = 1500
+	app := f.startReplica(&fakes.Replica{ID: "a0", Service: "app", Domain: "d0"})
+	f.startEngines(1, 40, time.Millisecond)
+	n := f.startServingNode()
+	n.warmUp(1)
+	requests := []*lateRequest{
+		{id: "once", path: "/book/x", after: -100 * time.Millisecond, slow: 4 * time.Second},
+		{id: "again", path: "/look/x", after: -100 * time.Millisecond, slow: 4 * time.Second},
+		{id: "stream", path: "/draft/x", after: -100 * time.Millisecond, slow: 4 * time.Second},
+	}
+	playStop(t, requests, n, n)
+	for _, r := range requests {
+		if r.err != nil || r.status != http.StatusServiceUnavailable {
+			t.Errorf("%s: %d, %v, want 503", r.id, r.status, r.err)
+		}
+	}
+	checkAnswers(t, requests, app)
+}
