--- a/soak/malformed.go
+++ b/soak/malformed.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 
 	fakes "wigeondale/fakes/hosted"
 )
@@ -16,7 +17,8 @@
 	malformedRecordBytes = 4 << 10
 )
 
-var uploadBody = strings.Repeat("u", maxUpload)
+// uploadBody is made at its first use: the routers of tests run the same program, and their memory is measured.
+var uploadBody = sync.OnceValue(func() string { return strings.Repeat("u", maxUpload) })
 
 // malformedFaults lists the faults of Config.Malformed.
 func (r *platformRun) malformedFaults() []fault {
@@ -35,7 +37,7 @@
 	if c.rng.IntN(uploadEvery) > 0 {
 		return ""
 	}
-	return uploadBody[:maxUpload/2+c.rng.IntN(maxUpload/2)]
+	return uploadBody()[:maxUpload/2+c.rng.IntN(maxUpload/2)]
 }
 
 // maxBody returns the limit of a request's body; 0 for the routers' default.
