--- a/bounded/answers.go
+++ b/bounded/answers.go
@@ -29,7 +29,7 @@
 // OnMalformed sets a function that is called at the malformed line, once.
 func (a *AnswerReader) OnMalformed(f func(error)) { a.onMalformed = f }
 
-// Expect states the method of the request that is sent next. It tells whether the answer has a body.
+// Expect states the method of the request that is sent next. Whether the answer has a body depends on it.
 func (a *AnswerReader) Expect(method string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/bounded/end_test.go
+++ b/bounded/end_test.go
@@ -56,7 +56,7 @@
 
 var connectionLosses = []error{syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH}
 
-// Guards against the loss of a connection that a write was told of counting as the end of an answer, whether the write has
+// Guards against the loss of a connection that a failed write reports counting as the end of an answer, whether the write has
 // returned before the read or not.
 func TestLossThatAWriteReportsIsNoEnd(t *testing.T) {
 	for _, failure := range connectionLosses {
--- a/bounded/framing_test.go
+++ b/bounded/framing_test.go
@@ -156,7 +156,7 @@
 }
 
 // Guards against a request that runs once and is sent again by net/http because its malformed answer came on a connection that was idle, and
-// against a method that is not told to the connection, over plain text and HTTP/2.
+// against a connection that does not know the method, over plain text and HTTP/2.
 func TestTransportTellsTheMethod(t *testing.T) {
 	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
 	s := &raw.Server{Answers: []string{whole, whole + "ok", "HTTP/1.1 000 X\r\n\r\n"}, Later: []string{whole + "b1"}}
--- a/soak/malformed.go
+++ b/soak/malformed.go
@@ -17,7 +17,7 @@
 	malformedRecordBytes = 4 << 10
 )
 
-// uploadBody is made at its first use: the routers of tests run the same program, and their memory is measured.
+// uploadBody is made at its first use: the routers of tests run the same program, and a test bounds their memory.
 var uploadBody = sync.OnceValue(func() string { return strings.Repeat("u", maxUpload) })
 
 // malformedFaults lists the faults of Config.Malformed.
