--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -110,6 +110,8 @@
 	NoResponse   bool   // reads requests and never responds
 	RepeatChunks bool   // sends each chunk of a stream twice
 	SlowBy       int    // factor of the times Work and ChunkGap; 0 for 1
+	BreaksOff    bool   // breaks streams from the first chunk on off in their middle
+	Continuation string // complete answer to requests that continue a stream, {id} being the id of the attempt; empty for the rest of the stream
 	ResetUploads bool   // answers long uploads early, without a length, and resets the connection
 	Malformed    string // one of MalformedHeads, which it sends for each answer; empty for none
 	// Endless, if its kind is set, makes all responses endless: half of the response, and then bytes
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -53,6 +53,8 @@
 		return
 	}
 	switch {
+	case serveContinuation(w, a, f):
+		return
 	case f.Malformed != "":
 		serveMalformed(w, a.ID, f.Malformed)
 		return
@@ -163,7 +165,7 @@
 			return
 		}
 		chunk := r.chunk(a.ID, n)
-		if f.Truncated && n == r.Chunks/2 {
+		if (f.Truncated || f.BreaksOff && from == 0) && n == r.Chunks/2 {
 			io.WriteString(w, chunk[:len(chunk)/2])
 			panic(http.ErrAbortHandler)
 		}
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	key         = "key-of-acc"
-	testTimeout = 10 * time.Second // bound of every wait; no result depends on it
+	key           = "key-of-acc"
+	draftAttempts = 5
+	testTimeout   = 10 * time.Second // bound of every wait; no result depends on it
 )
 
 // testFleet is a store, replicas and nodes on the loopback interface.
@@ -104,7 +105,7 @@
 	f.store.PutConfig(fakes.Config{
 		Version: f.version, Account: "acc", Keys: keys, EngineService: "llm", OtherService: "app",
 		Routes: []fakes.Route{
-			route("draft", "streaming", "llm", 20*time.Second, 5),
+			route("draft", "streaming", "llm", 20*time.Second, draftAttempts),
 			route("book", "non_idempotent", "app", 3*time.Second, 1),
 			route("look", "idempotent", "app", 3*time.Second, 2),
 			route("short", "idempotent", "app", 300*time.Millisecond, 2),
