generation, event: a log line names the answer that goes on with a stream

The log couldn't tell a sound continuation from an error that was joined to a stream: relay-ended has the outcome and the number of events, attempt-begun where an attempt goes on. answer-continues (1418) has status and content type. One line for each further attempt and each take-up.

--- a/event/ids.go
+++ b/event/ids.go
@@ -104,6 +104,7 @@
 	AnswerMisplaced
 	AnswerUnsolicited
 	AnswerMalformed
+	AnswerContinues
 )
 
 // Events of the log and of at-most-once claims (11xx).
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -120,6 +120,7 @@
 	}
 	x.current, x.lastOrigin = a, a.origin
 	x.filter.setAttempt(a.origin.Attempt)
+	x.logContinues(a, s.Head())
 	if err := x.sink.Begin(a.origin, s.Head()); err != nil {
 		return x.callerDisconnected(err)
 	}
@@ -130,6 +131,15 @@
 	return ev
 }
 
+// logContinues logs which answer goes on with an opaque answer of which the caller has a part.
+func (x *run) logContinues(a *attempt, head *backend.Head) {
+	if o := x.req.Opaque; o == nil || head == nil || !x.started() && !o.HasPartialAnswer {
+		return
+	}
+	x.opts.Log.Emit(event.AnswerContinues, "request", x.req.ID, "attempt", a.origin.Attempt, "backend", a.origin.Backend,
+		"status", head.Status, "type", head.Header.Get("Content-Type"), "from", x.filter.next)
+}
+
 func (x *run) handleOpenError(a *attempt, err error) string {
 	if failed, ok := errors.AsType[*backend.FailedAnswer](err); ok {
 		return x.recordFailedAnswer(a, failed)
