generation, backend, forward: only the rest of a stream goes on with a stream, and ends it

Seen by callers: a stream breaks off, the next backend server answers with an error, and they get its text behind their events and a proper end; or the stream ends as complete after 11 of 24 events. Also over the second hop.

Cause: what an answer means depends on what the caller has, and that was asked nowhere. The reader of answers gave a complete answer the number of the chunk that was due, and a clean end counted as the end of the stream whoever sent it.

Change: a run keeps the form (status and media type) of the answer whose first chunk its caller got. A further answer goes on only with the same form and numbered chunks, and only an attempt that has delivered a chunk of the rest can end the stream. All else is a failed try of a sound backend server: another follows, up to MaxAttempts, and the stream is broken off if none is left. Asked where an answer is joined: at each further attempt, for the answer of a silent attempt that is kept, for each chunk that another router delivers (an earlier build may have joined answers), and at the other router, which is told the form. A silent attempt is now replaced by an attempt that delivers, not by one that was accepted: the accepted one may have nothing to add, and the silent one the rest. A client that takes a stream up and is told that nothing is left gets that once a second backend server agrees, or if none can be asked. First answers are passed on unchanged, errors too.

TestAcceptedAnswerEndsTheSilentAttempt asked that the silent attempt ends when another is accepted, which cuts a stream whose server is silent before its end (TestSilencesLoseNoPieceAndCutNoAnswer found it). It and the property ask the same of the first chunk that another attempt delivers, with the same bound, 0.

--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"mime"
 	"net/http"
+	"strings"
 
 	"wigeondale/clock"
 	"wigeondale/fleet"
@@ -51,6 +53,26 @@
 	EndsWithConnection bool
 }
 
+// EventStream is the media type of a stream of server-sent events.
+const EventStream = "text/event-stream"
+
+// Form is what the parts of one answer have in common if several backend servers deliver them.
+type Form struct {
+	Status    int
+	MediaType string // without parameters; empty if not stated
+}
+
+// Form returns the form of the answer.
+func (h *Head) Form() Form {
+	stated := strings.Join(h.Header.Values("Content-Type"), ", ")
+	if media, _, err := mime.ParseMediaType(stated); err == nil {
+		stated = media
+	}
+	return Form{Status: h.Status, MediaType: stated}
+}
+
+func (f Form) String() string { return fmt.Sprintf("status %d, type %q", f.Status, f.MediaType) }
+
 // FailedAnswer is a complete answer by which a backend server reports that the request ran
 // and failed.
 type FailedAnswer struct {
--- a/forward/message.go
+++ b/forward/message.go
@@ -60,6 +60,13 @@
 	Binding          *binding    `cbor:"22,keyasint,omitempty"` // nil before the first chunk
 	Model            string      `cbor:"23,keyasint,omitempty"`
 	LengthHint       int         `cbor:"24,keyasint,omitempty"`
+	Form             *answerForm `cbor:"25,keyasint,omitempty"` // nil before the first chunk
+}
+
+// answerForm is the form of the answer of which the caller has a part.
+type answerForm struct {
+	Status    int    `cbor:"1,keyasint"`
+	MediaType string `cbor:"2,keyasint,omitempty"`
 }
 
 // binding is the software version at which a stream began.
@@ -150,6 +157,9 @@
 		if b := req.Binding; b != nil {
 			start.Binding = &binding{b.Version, b.Unknown}
 		}
+		if o.Form != nil {
+			start.Form = &answerForm{o.Form.Status, o.Form.MediaType}
+		}
 		if o.Streaming && o.Resumable && !oneVersion {
 			m.Stream = start
 		} else {
@@ -247,6 +257,9 @@
 		Copies: generation.Copying{KeptUpToDate: o.KeepsCopies, OnDemand: o.MakesCopies}, BeganAs: o.BeganAs, Model: o.Model,
 		LengthHint: max(o.LengthHint, 0),
 	}
+	if o.Form != nil {
+		out.Form = &backend.Form{Status: o.Form.Status, MediaType: o.Form.MediaType}
+	}
 	if m.TimeLeftMS > 0 {
 		out.Deadline = clock.DeadlineIn(fromMS(m.TimeLeftMS))
 	}
--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -40,7 +40,8 @@
 	confirmAskedAt time.Time
 
 	copyCheckedAt    time.Time
-	accepted         int // tokens delivered from this attempt
+	fits             *backend.Head // of its answer, which was found to fit the stream that it continues
+	accepted         int           // tokens delivered from this attempt
 	sentAt           time.Time
 	firstAt          time.Time // when its first token arrived
 	suspicionCleared bool      // it has run long enough to clear the request of suspicion
--- /dev/null
+++ b/generation/continuation.go
@@ -0,0 +1,115 @@
+package generation
+
+import (
+	"errors"
+	"net/http"
+
+	"wigeondale/backend"
+	"wigeondale/event"
+)
+
+// An answer that is right as a first one may be wrong behind a part of another: its text would become part of a stream, and its end would
+// be taken for the end of the stream. A broken stream is taken up by its client, which loses little; a stream that ends as complete is not.
+// So what goes on with a stream has the stream's own form, and only a backend server that has delivered a part of the rest can end it.
+
+var (
+	errOtherForm = errors.New("the answer is no continuation of the stream")
+	errNoChunk   = errors.New("the answer ended without a chunk, which doesn't prove that the stream is complete")
+)
+
+// joins reports whether the next chunk is joined to chunks that the caller has from this answer, also through the router that passed the
+// request on.
+func (x *run) joins() bool { return x.form != nil }
+
+// unfit returns an error if the answer with the given head can't go on with the stream of which the caller has a part.
+func (x *run) unfit(head *backend.Head) error {
+	switch {
+	case head == nil || x.req.Opaque == nil:
+		return nil // the chunks of such an answer name what they belong to
+	case x.joins():
+		if form := head.Form(); form != *x.form {
+			return Error.New("%w: %w: %v after %v", backend.ErrMismatch, errOtherForm, form, *x.form)
+		}
+	case x.req.Opaque.Streaming && x.req.Opaque.HasPartialAnswer:
+		// The client sees any other status. What it has is known to be a stream of events.
+		if form := head.Form(); form.Status == http.StatusOK && form.MediaType != "" && form.MediaType != backend.EventStream {
+			return Error.New("%w: %w: %v", backend.ErrMismatch, errOtherForm, form)
+		}
+	}
+	return nil
+}
+
+// begun records the form of the stream of which the caller gets the first chunk.
+func (x *run) begun(a *attempt) {
+	head := a.stream.Head()
+	if x.joins() || head == nil || x.req.Opaque == nil {
+		return
+	}
+	form := head.Form()
+	x.form = &form
+}
+
+// unprovenEnd returns an error if the end of the answer of a doesn't prove that the stream is complete. If a client has taken a stream up,
+// it is complete if two backend servers have nothing to add, or if one has and no other can be asked.
+func (x *run) unprovenEnd(a *attempt) error {
+	o := x.req.Opaque
+	if err := x.unconfirmedEnd(a); err != nil || o == nil || !o.Streaming || a.accepted > 0 {
+		return err
+	}
+	asksAnother := o.HasPartialAnswer && !a.forwarded && x.emptyAnswer == nil
+	if !x.joins() && !asksAnother {
+		return nil
+	}
+	if !x.joins() {
+		x.emptyAnswer = a.stream.Head()
+	}
+	return Error.New("%w: %w", backend.ErrBroken, errNoChunk)
+}
+
+// recordUnusable records an answer of a sound backend server that can't be used. Another attempt follows.
+func (x *run) recordUnusable(a *attempt, cause string, err error) string {
+	x.waitErr = err
+	if !a.forwarded {
+		x.Watcher.Result(a.backend.ID, nil)
+	}
+	x.current = a
+	x.logLoss(a, cause, err)
+	a.closeReader()
+	return "lost"
+}
+
+// deliverEmptyAnswer delivers the head of an answer without chunks to a client that has taken a stream up.
+func (x *run) deliverEmptyAnswer() string {
+	x.replaceKept()
+	x.detach()
+	if err := x.sink.Begin(Position{Attempt: x.attemptNumber}, x.emptyAnswer); err != nil {
+		return x.callerDisconnected(err)
+	}
+	return "failed-answer"
+}
+
+// logContinues logs which answer goes on with an opaque answer of which the caller has a part.
+func (x *run) logContinues(a *attempt, head *backend.Head) {
+	if o := x.req.Opaque; o == nil || head == nil || !x.joins() && !o.HasPartialAnswer {
+		return
+	}
+	x.opts.Log.Emit(event.AnswerContinues, "request", x.req.ID, "attempt", a.origin.Attempt, "backend", a.origin.Backend,
+		"status", head.Status, "type", head.Header.Get("Content-Type"), "from", x.filter.next)
+}
+
+// misfit returns an error if a chunk of a can't be joined to the part of the stream that the caller has.
+func (x *run) misfit(a *attempt, t backend.Token) error {
+	if !x.joins() {
+		return nil
+	}
+	if t.Finish != "" {
+		return Error.New("%w: %w: a complete answer", backend.ErrMismatch, errOtherForm)
+	}
+	if head := a.stream.Head(); head != a.fits {
+		if err := x.unfit(head); err != nil {
+			return err
+		}
+		a.fits = head
+	}
+	return nil
+}
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -131,16 +131,10 @@
 	return ev
 }
 
-// logContinues logs which answer goes on with an opaque answer of which the caller has a part.
-func (x *run) logContinues(a *attempt, head *backend.Head) {
-	if o := x.req.Opaque; o == nil || head == nil || !x.started() && !o.HasPartialAnswer {
-		return
-	}
-	x.opts.Log.Emit(event.AnswerContinues, "request", x.req.ID, "attempt", a.origin.Attempt, "backend", a.origin.Backend,
-		"status", head.Status, "type", head.Header.Get("Content-Type"), "from", x.filter.next)
-}
-
 func (x *run) handleOpenError(a *attempt, err error) string {
+	if errors.Is(err, errOtherForm) || errors.Is(err, errNoChunk) {
+		return x.recordUnusable(a, causeUnfit, err)
+	}
 	if failed, ok := errors.AsType[*backend.FailedAnswer](err); ok {
 		return x.recordFailedAnswer(a, failed)
 	}
--- a/generation/end.go
+++ b/generation/end.go
@@ -33,7 +33,11 @@
 	if x.mayHold() {
 		return "hold"
 	}
-	if x.failedAnswer != nil && !x.started() {
+	switch {
+	case x.joins():
+	case x.emptyAnswer != nil:
+		return x.deliverEmptyAnswer()
+	case x.failedAnswer != nil:
 		return x.deliverFailedAnswer()
 	}
 	switch x.incompleteState() {
@@ -82,12 +86,7 @@
 func (x *run) recordFailedAnswer(a *attempt, failed *backend.FailedAnswer) string {
 	x.releaseFailedAnswer()
 	x.failedAnswer = failed
-	x.waitErr = failed
-	x.Watcher.Result(a.backend.ID, nil)
-	x.current = a
-	x.logLoss(a, causeAnswer, failed)
-	a.closeReader()
-	return "lost"
+	return x.recordUnusable(a, causeAnswer, failed)
 }
 
 // releaseFailedAnswer frees the memory of a failure that is not needed any more.
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -122,6 +122,7 @@
 		rest := *o
 		rest.FirstChunk = x.filter.next
 		rest.BeganAs = x.req.BeganAs()
+		rest.Form = x.form
 		rest.HasPartialAnswer = rest.HasPartialAnswer || x.started()
 		rest.MaxAttempts = max(x.maxAttempts()-x.fates.count(), 1)
 		rest.SinceFirstTry += time.Since(x.startedAt)
@@ -147,6 +148,9 @@
 	a.closeReader()
 	notRun := x.fates.settle(a, err)
 	x.anySent = x.anySent || !notRun
+	if errors.Is(err, errOtherForm) || errors.Is(err, errNoChunk) {
+		return x.recordUnusable(a, causeUnfit, err)
+	}
 	x.waitErr = err
 	x.logLoss(a, causeRouter, err)
 	if x.mustEnd() {
--- a/generation/generation.go
+++ b/generation/generation.go
@@ -140,6 +140,7 @@
 	PromptParts      []string      // ids of the prompt's parts, in order
 	Model            string        // model that the request names, empty if it names none
 	HasPartialAnswer bool          // the client already has part of the answer, through another router
+	Form             *backend.Form // of the answer of which the caller got a part through the router that passed the request on; nil if it got none
 	BeganAs          string        // id of the client's attempt that brought the first chunk of that part; empty if not stated
 	MaxAttempts      int           // maximum number of backend servers that may run it
 	MaxWait          time.Duration // longest wait for a backend server
--- a/generation/meters.go
+++ b/generation/meters.go
@@ -17,6 +17,7 @@
 	causeGap      = "gap"
 	causeRouter   = "router"
 	causeAnswer   = "failed-answer" // the backend server itself answered with a failure
+	causeUnfit    = "unfit-answer"  // its answer, or the end of it, is not that of the stream which it was to continue
 	causeNotRun   = "not-run"
 )
 
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +28,8 @@
 	resent    int           // chunks before the requested one that it sends once more
 	lastChunk int           // last chunk delivered; 0 means all
 	err       error
+	head      *backend.Head // of the answer; nil for status 200
+	complete  string        // text of an answer that isn't a stream; empty for a stream
 }
 
 // fakeFleet is a fleet in memory for opaque requests. Attempt n follows scripts[n].
@@ -153,6 +156,10 @@
 }
 
 func (p *chunkStream) Next() (backend.Token, error) {
+	if text := p.script.complete; text != "" {
+		p.script.complete, p.next = "", p.last+1
+		return backend.Token{Text: []byte(text), Finish: "whole"}, nil
+	}
 	if p.script.lastChunk > 0 && p.next > p.script.lastChunk {
 		return backend.Token{}, p.script.err
 	}
@@ -165,9 +172,11 @@
 
 func (p *chunkStream) Buffered() bool      { return false }
 func (p *chunkStream) Incarnation() string { return "" }
-func (p *chunkStream) Head() *backend.Head { return &backend.Head{Status: 200} }
+func (p *chunkStream) Head() *backend.Head { return cmp.Or(p.script.head, &okHead) }
 func (p *chunkStream) Close() error        { return nil }
 
+var okHead = backend.Head{Status: 200}
+
 // callerAnswer collects what the caller received.
 type callerAnswer struct {
 	status    int
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -189,6 +189,8 @@
 	claimOwner string // name under which the request was claimed; empty without a claim
 	fates      fates
 
+	form           *backend.Form         // of the stream of which the caller has a part; nil before its first chunk
+	emptyAnswer    *backend.Head         // of an answer without chunks to a client that has taken a stream up
 	bound          *Binding              // software version at which the answer began; nil before its first chunk
 	lostDomain     string                // failure domain of the most recently lost attempt
 	lostCopy       lostAttemptCopy       // standby copy of the most recently lost attempt
@@ -231,6 +233,7 @@
 	x.keepsText = !req.NonIdempotent
 	if req.Opaque != nil {
 		x.filter.next = req.Opaque.FirstChunk
+		x.form = req.Opaque.Form
 		x.keepsText = false
 	}
 	if p := req.Resume; p != nil {
--- a/generation/silence_test.go
+++ b/generation/silence_test.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -33,6 +34,7 @@
 	silence  time.Duration // how long
 	crash    error         // with which its connection ends after the silence
 	refusal  error
+	head     *backend.Head // of its answer; nil for status 200
 }
 
 // silentFleet is a fleet in fake time whose servers fall silent. Attempt n reaches servers[n].
@@ -52,12 +54,12 @@
 	offersSilent    bool          // a choice allowed the server of the kept attempt
 }
 
-// overlap returns the longest time for which an attempt was at work beside a later one that had been accepted.
+// overlap returns the longest time for which an attempt was at work beside a later one that had delivered.
 func (w *silentFleet) overlap() (longest time.Duration) {
 	for i, later := range w.streams {
 		for _, s := range w.streams[:i] {
-			if !later.acceptedAt.IsZero() {
-				longest = max(longest, min(s.closedAt.Sub(later.acceptedAt), later.closedAt.Sub(later.acceptedAt)))
+			if !later.deliveredAt.IsZero() {
+				longest = max(longest, min(s.closedAt.Sub(later.deliveredAt), later.closedAt.Sub(later.deliveredAt)))
 			}
 		}
 	}
@@ -113,7 +115,6 @@
 			return nil, err
 		}
 	}
-	s.acceptedAt = time.Now()
 	return s, nil
 }
 
@@ -141,7 +142,7 @@
 	// closedEarly is set if it was closed before its context ended.
 	closedEarly atomic.Bool
 
-	acceptedAt, closedAt time.Time
+	deliveredAt, closedAt time.Time // of its first chunk, and of its end
 }
 
 func (s *silentStream) beSilent() error {
@@ -168,13 +169,15 @@
 		return backend.Token{}, io.EOF
 	}
 	s.next++
-	s.read++
+	if s.read++; s.read == 1 {
+		s.deliveredAt = time.Now()
+	}
 	return backend.Token{Index: s.next - 1, Text: []byte(chunkText(s.next - 1)[len(chunkText(s.next-2)):])}, nil
 }
 
 func (s *silentStream) Buffered() bool      { return s.read > 0 && s.read < s.w.buffered }
 func (s *silentStream) Incarnation() string { return "" }
-func (s *silentStream) Head() *backend.Head { return &backend.Head{Status: 200} }
+func (s *silentStream) Head() *backend.Head { return cmp.Or(s.server.head, &okHead) }
 func (s *silentStream) Close() error {
 	if !s.closed.Swap(true) {
 		s.w.atWork.Add(-1)
@@ -267,8 +270,8 @@
 	w.expectComplete(t)
 }
 
-// Guards against an old run that works on after another server has accepted its answer.
-func TestAcceptedAnswerEndsTheSilentAttempt(t *testing.T) {
+// Guards against an old run that works on after another server has delivered a chunk of its answer.
+func TestDeliveredChunkEndsTheSilentAttempt(t *testing.T) {
 	w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: 9}, servers: []silentServer{{silentAt: 5, silence: time.Minute}}}
 	w.expectComplete(t)
 	if len(w.opened) != 2 || w.opened[1].ResumeTokens != 5 || w.overlap() > 0 {
@@ -365,7 +368,7 @@
 			rt.Fatalf("failed: %s, %v", res.Code, res.Err)
 		}
 		if w.overlap() > 0 {
-			rt.Fatalf("an attempt was at work %v after another server had accepted", w.overlap())
+			rt.Fatalf("an attempt was at work %v after another server had delivered", w.overlap())
 		}
 	})
 }
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -40,6 +40,9 @@
 				return x.handleLoss(a, err)
 			}
 		}
+		if err := x.misfit(a, t); err != nil {
+			return x.recordUnusable(a, causeUnfit, err)
+		}
 		if err := x.followOrigin(a); err != nil {
 			return x.callerDisconnected(err)
 		}
@@ -50,6 +53,9 @@
 		if err := x.announceVersion(a); err != nil {
 			return x.callerDisconnected(err)
 		}
+		if x.req.Opaque != nil && t.Finish != "" {
+			t.Index = x.filter.next // a complete answer has no number
+		}
 		if x.overruns(t.Index) {
 			return x.endOverrun(a)
 		}
@@ -94,6 +100,7 @@
 		x.text = append(x.text, t.Text...)
 		x.meterText()
 	}
+	x.begun(a)
 	silent := a.ctx.Err() != nil || len(a.silent) > 0
 	if err := x.sink.Token(t.Index, t.Text, t.Finish); err != nil {
 		return err
@@ -172,8 +179,11 @@
 // an end mark too.
 func (x *run) streamEnded(a *attempt, err error) string {
 	if err == io.EOF {
-		if err := x.unconfirmedEnd(a); err != nil {
-			return x.handleLoss(a, err)
+		switch unproven := x.unprovenEnd(a); {
+		case errors.Is(unproven, errNoChunk):
+			return x.recordUnusable(a, causeUnfit, unproven)
+		case unproven != nil:
+			return x.handleLoss(a, unproven)
 		}
 	}
 	if o := x.req.Opaque; err == io.EOF && o != nil && !o.Streaming && x.res.Tokens == 0 {
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -12,7 +12,7 @@
 
 // A silent backend server may be sound, so its attempt is kept and read while another backend server is looked
 // for. Whichever delivers first goes on: the kept attempt, or the attempt that another backend server has
-// accepted, with which the kept one ends. If there is no other backend server, the request waits for the kept
+// accepted and that delivers, with which the kept one ends. If there is no other backend server, the request waits for the kept
 // attempt until its deadline.
 
 // Delays between two searches of a request that waits for its kept attempt.
@@ -109,7 +109,7 @@
 	if !x.interrupted() {
 		return "", false
 	}
-	return x.handleKept(<-x.kept.reading.results)
+	return x.handleKept(x.fittingResult(<-x.kept.reading.results))
 }
 
 func (x *run) handleKept(r readResult) (ev string, goesOn bool) {
@@ -120,6 +120,14 @@
 	return x.continueKept(r), true
 }
 
+// fittingResult returns r, or an error in its place if it is an answer that can't go on with what the caller has.
+func (x *run) fittingResult(r readResult) readResult {
+	if r.stream != nil {
+		r.err = x.unfit(r.stream.Head())
+	}
+	return r
+}
+
 // keptResults delivers the next result of the kept attempt, if there is one.
 func (x *run) keptResults() <-chan readResult {
 	if x.kept == nil {
@@ -199,6 +207,11 @@
 		x.recordFailedAnswer(a, failed)
 		x.current = current
 		return
+	case errors.Is(err, errOtherForm):
+		current := x.current
+		x.recordUnusable(a, causeUnfit, err)
+		x.current = current
+		return
 	}
 	cause := lossCause(a.ctx, err)
 	if !engineLost(a.ctx) {
@@ -240,9 +253,35 @@
 	return a
 }
 
-// awaitAnswer waits until the answer of a begins or fails. If the kept attempt delivers before, or a is silent,
-// it returns the event that follows instead.
+// awaitAnswer waits until the answer of a begins or fails, and until it delivers if another attempt is kept. If the kept attempt delivers
+// before, or a is silent, it returns the event that follows instead.
 func (x *run) awaitAnswer(a *attempt) (s Stream, ev string, err error) {
+	r, ev := x.awaitEither(a)
+	if ev != "" || r.err != nil {
+		return nil, ev, r.err
+	}
+	s = r.stream
+	if err := x.unfit(s.Head()); err != nil || x.kept == nil {
+		return s, "", err
+	}
+	// An accepted request need not bring a chunk: until it does, only the kept attempt is known to have the rest of the answer.
+	a.stream = s
+	a.reading.wanted <- struct{}{}
+	a.awaitsResult = true
+	if r, ev = x.awaitEither(a); ev != "" {
+		return nil, ev, nil
+	}
+	if r.err == io.EOF {
+		err = x.unprovenEnd(a)
+	} else {
+		err = r.err
+	}
+	a.early = &r
+	return s, "", err
+}
+
+// awaitEither waits for the next result of a. If the kept attempt delivers before, or a is silent, it returns the event that follows.
+func (x *run) awaitEither(a *attempt) (r readResult, ev string) {
 	for {
 		select {
 		case r := <-a.reading.results:
@@ -250,17 +289,18 @@
 			if r.err == nil {
 				x.dropOvertakenReport(a)
 			}
-			return r.stream, "", r.err
+			return r, ""
 		case cause := <-a.silent:
 			if ev := x.silentBeforeAnswer(a, cause); ev != "" {
-				return nil, ev, nil
+				return readResult{}, ev
 			}
 		case r := <-x.keptResults():
+			r = x.fittingResult(r)
 			if r.err == nil || r.err == io.EOF {
 				x.abandonAttempt(a)
 			}
 			if ev, goesOn := x.handleKept(r); goesOn {
-				return nil, ev, nil
+				return readResult{}, ev
 			}
 		}
 	}
@@ -283,7 +323,7 @@
 
 // mayHold reports whether a request for which no other backend server is found waits for its kept attempt.
 func (x *run) mayHold() bool {
-	if x.kept == nil || x.mustEnd() || x.failedAnswer != nil && !x.started() {
+	if x.kept == nil || x.mustEnd() || x.failedAnswer != nil && !x.joins() {
 		return false
 	}
 	return !x.req.Deadline.IsZero() || x.waitLeft() > 0
