hosted: errors in place of the rest of a stream count for a version

Cause: an error below 500 with which a replica answered a client that takes a stream up counted as an answer in time, and one at a later attempt not at all, so that a version that can't take streams up was sound. Change: an answer that isn't 200 to a request that continues a stream is rated as failed. Of later attempts nothing else is rated, as before: they often follow a crash.

--- a/hosted/observe.go
+++ b/hosted/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,7 @@
 )
 
 // observedEngines wraps the access to the replicas for roll-outs: it counts the result of each
-// first attempt, and the streams that run.
+// first attempt, the errors with which replicas answer requests that continue a stream, and the streams that run.
 type observedEngines struct {
 	generation.Engines
 	rollouts *rollouts
@@ -58,6 +59,11 @@
 		run.end(o.rollouts)
 		return s, nil
 	}
+	if head := s.Head(); run.continues && head != nil && head.Status != http.StatusOK {
+		run.timeCounted.Store(true)
+		run.observe(o.rollouts, run.aspect, rollout.Failed)
+		run.rollout = nil
+	}
 	return &observedStream{Stream: s, run: run, rollouts: o.rollouts}, nil
 }
 
@@ -67,11 +73,13 @@
 	b         fleet.Backend
 	route     string
 	streaming bool
+	continues bool // the client has a part of the stream
 	ctx       context.Context
 
 	// rollout is set if the attempt counts for a roll-out. The fields after it
 	// are used only then.
 	rollout     *serviceRollout
+	onlyErrors  bool // only an answer of the replica that is an error counts
 	startedAt   time.Duration
 	aspect      rollout.Aspect // aspect of the answer that is rated next
 	timeCounted atomic.Bool    // the time to the answer, or to its first chunk, was counted
@@ -81,10 +89,13 @@
 
 // newObservedRun returns the record of an attempt. The attempt is rated only if it is the
 // first attempt of a request while a roll-out is open: a later attempt goes to the old
-// version, and often follows a crash.
+// version, and often follows a crash. Of a later one that continues a stream, and so stays at its version, only an
+// answer that is an error is counted.
 func newObservedRun(b fleet.Backend, r *backend.StartRequest, ro *serviceRollout) *observedRun {
 	run := &observedRun{b: b, route: r.Opaque.Route, streaming: r.Opaque.Streaming}
-	if ro == nil || !r.FirstAttempt || r.Copies.FromCopy || !ro.Stage().Open() {
+	run.continues = run.streaming && r.ResumeTokens > 1
+	run.onlyErrors = !r.FirstAttempt
+	if ro == nil || run.onlyErrors && !run.continues || r.Copies.FromCopy || !ro.Stage().Open() {
 		return run
 	}
 	run.rollout, run.startedAt = ro, clock.SinceBoot()
@@ -97,7 +108,7 @@
 // observe adds one rating of the attempt to the roll-out's counts: the grade of the given
 // aspect. It does nothing if the attempt doesn't count for a roll-out.
 func (r *observedRun) observe(s *rollouts, aspect rollout.Aspect, grade rollout.Grade) {
-	if r.rollout == nil {
+	if r.rollout == nil || r.onlyErrors && grade != rollout.Failed {
 		return
 	}
 	rule := r.rollout.Rule()
@@ -139,8 +150,8 @@
 	case answered || errors.Is(err, backend.ErrMismatch):
 		r.timeCounted.Store(true)
 		r.observe(s, r.aspect, rollout.Failed)
-	case refused || errors.Is(err, backend.ErrNotSent) || r.ctx.Err() != nil:
-		// The replica did not run the attempt, or this router ended it.
+	case refused || errors.Is(err, backend.ErrNotSent) || r.ctx.Err() != nil || r.onlyErrors:
+		// The replica did not run the attempt, or this router ended it, or it doesn't count.
 	default:
 		time.AfterFunc(cutOffCheck, func() { r.observeCutOff(s) })
 	}
