--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -120,6 +120,7 @@
 	}
 	x.current, x.lastOrigin = a, a.origin
 	x.filter.setAttempt(a.origin.Attempt)
+	x.logContinues(a, s.Head())
 	if err := x.sink.Begin(a.origin, s.Head()); err != nil {
 		return x.callerDisconnected(err)
 	}
@@ -131,6 +132,9 @@
 }
 
 func (x *run) handleOpenError(a *attempt, err error) string {
+	if errors.Is(err, errOtherForm) || errors.Is(err, errNoChunk) {
+		return x.recordUnusable(a, causeUnfit, err)
+	}
 	if failed, ok := errors.AsType[*backend.FailedAnswer](err); ok {
 		return x.recordFailedAnswer(a, failed)
 	}
