--- a/forward/unread_test.go
+++ b/forward/unread_test.go
@@ -98,3 +98,19 @@
 		}
 	}
 }
+
+// Guards against a router that joins an answer of another form to a stream, since it isn't told what its caller has.
+func TestFormOfTheStreamIsPassedOn(t *testing.T) {
+	for _, want := range []*backend.Form{nil, {Status: 200}, {Status: 200, MediaType: backend.EventStream}} {
+		for _, oneVersion := range []bool{true, false} {
+			req := generation.Request{ID: "q", Opaque: &generation.Opaque{
+				Opaque: &backend.Opaque{Streaming: true, Resumable: true}, FirstChunk: 4, HasPartialAnswer: true, Form: want,
+			}}
+			start, body := encode(generation.Handover{Request: req}, 1, oneVersion)
+			got := start.request(body).Opaque.Form
+			if (got == nil) != (want == nil) || got != nil && *got != *want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		}
+	}
+}
