generation: a run ends with its context while a further attempt's first chunk is awaited

Callers saw no answer, not even at their deadline, and their work and admission were held: if a request's context ended between the head of a further attempt and the wait for its first chunk, the run never ended. Cause: the reader of an attempt ends with its context without a result, and the wait beside a silent attempt expected one. The failure detector ended the wait, except for the last attempt, which it doesn't watch. Change: that wait ends with the attempt's context, as the one for all later chunks does. Before the stream is open, the reader always has a result. TestCallerThatLeavesAsATakeoverBeginsEndsTheRun failed before; 20 of 20 pass with the race detector.

--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -282,6 +282,10 @@
 
 // awaitEither waits for the next result of a. If the kept attempt delivers before, or a is silent, it returns the event that follows.
 func (x *run) awaitEither(a *attempt) (r readResult, ev string) {
+	var ended <-chan struct{}
+	if a.stream != nil {
+		ended = a.ctx.Done() // a reader that has opened its stream may end without a result
+	}
 	for {
 		select {
 		case r := <-a.reading.results:
@@ -290,6 +294,8 @@
 				x.dropOvertakenReport(a)
 			}
 			return r, ""
+		case <-ended:
+			return readResult{err: Error.New("%w: %w", backend.ErrBroken, context.Cause(a.ctx))}, ""
 		case cause := <-a.silent:
 			if ev := x.silentBeforeAnswer(a, cause); ev != "" {
 				return readResult{}, ev
