generation: a kept attempt that never was the current one brings its head

Callers could see a connection that breaks off (the sink has no head and panics), or chunks behind the head of another attempt. Cause: since a further attempt beside a silent one is made the current one with its first chunk. If the silent one is lost meanwhile and the further one falls silent, that one is kept and goes on with a chunk, and never was current. Change: it is made the current one then. TestAcceptedAttemptThatIsKeptBringsItsHead failed before.

--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -167,6 +167,9 @@
 		return x.makeCurrent(a, r.stream, "kept-delivers")
 	}
 	a.early = &r
+	if !a.exists { // it fell silent between the head and the first chunk, beside another attempt
+		return x.makeCurrent(a, a.stream, "kept-delivers")
+	}
 	x.current, x.lastOrigin = a, a.origin
 	x.filter.setAttempt(a.origin.Attempt)
 	return "kept-delivers"
