generation: the empty end of a silent attempt replaces no other one

Callers saw a stream broken off although a backend server was about to deliver the rest, if the silent attempt beside it ended without a chunk. Cause: each clean end of a kept attempt gave up the attempt beside it; only then was it asked whether that end proves anything. Change: it is asked first. An end that proves nothing is the loss of the kept attempt, and the other goes on. TestEmptyEndOfTheSilentAttemptReplacesNoOther failed before.

--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -120,10 +120,16 @@
 	return x.continueKept(r), true
 }
 
-// fittingResult returns r, or an error in its place if it is an answer that can't go on with what the caller has.
+// fittingResult returns the result r of the kept attempt, or an error in its place if it is an answer that can't go on with what the caller
+// has, or an end that proves nothing.
 func (x *run) fittingResult(r readResult) readResult {
-	if r.stream != nil {
+	switch {
+	case r.stream != nil:
 		r.err = x.unfit(r.stream.Head())
+	case r.err == io.EOF:
+		if err := x.unprovenEnd(x.kept); err != nil {
+			r.err = err
+		}
 	}
 	return r
 }
@@ -210,7 +216,7 @@
 		x.recordFailedAnswer(a, failed)
 		x.current = current
 		return
-	case errors.Is(err, errOtherForm):
+	case errors.Is(err, errOtherForm), errors.Is(err, errNoChunk):
 		current := x.current
 		x.recordUnusable(a, causeUnfit, err)
 		x.current = current
