generation: a stream goes on after a router that stops before its first chunk

Callers saw a stream broken off if the router to which it was passed on beside a silent attempt began to stop between its head and its first chunk, and the silent attempt was lost meanwhile. Cause: since that end was handled as that of a request which the other router never began: it ended the run. Change: once the answer has begun its end is handled as any loss behind a head. TestStreamGoesOnAfterARouterThatStopsBeforeItsFirstChunk failed before.

--- a/generation/forward.go
+++ b/generation/forward.go
@@ -143,14 +143,19 @@
 }
 
 // handleForwardError handles an error of a request that could not be passed on, or whose answer
-// did not begin.
+// brought no chunk.
 func (x *run) handleForwardError(a *attempt, err error) string {
+	switch {
+	case errors.Is(err, errOtherForm), errors.Is(err, errNoChunk):
+		x.anySent = true
+		return x.recordUnusable(a, causeUnfit, err)
+	case a.stream != nil: // its answer has begun
+		x.anySent, x.current = true, a
+		return x.handleLoss(a, err)
+	}
 	a.closeReader()
 	notRun := x.fates.settle(a, err)
 	x.anySent = x.anySent || !notRun
-	if errors.Is(err, errOtherForm) || errors.Is(err, errNoChunk) {
-		return x.recordUnusable(a, causeUnfit, err)
-	}
 	x.waitErr = err
 	x.logLoss(a, causeRouter, err)
 	if x.mustEnd() {
