backend: parameters of a media type are no part of an answer's form

Clients that take a stream up got errors in place of the rest if their backend server states a type with a malformed or repeated parameter, such as "text/event-stream; charset", although its first answers are passed on. Cause: mime.ParseMediaType returns an error for it, and the whole field counted as the media type. Change: the media type is what stands before the parameters. TestParametersOfATypeAreIgnored failed before.

--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"mime"
 	"net/http"
 	"strings"
 
@@ -64,11 +63,12 @@
 
 // Form returns the form of the answer.
 func (h *Head) Form() Form {
-	stated := strings.Join(h.Header.Values("Content-Type"), ", ")
-	if media, _, err := mime.ParseMediaType(stated); err == nil {
-		stated = media
+	var types []string
+	for _, stated := range h.Header.Values("Content-Type") {
+		media, _, _ := strings.Cut(stated, ";")
+		types = append(types, strings.ToLower(strings.TrimSpace(media)))
 	}
-	return Form{Status: h.Status, MediaType: stated}
+	return Form{Status: h.Status, MediaType: strings.Join(types, ", ")}
 }
 
 func (f Form) String() string { return fmt.Sprintf("status %d, type %q", f.Status, f.MediaType) }
