--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -111,6 +111,7 @@
 	RepeatChunks bool   // sends each chunk of a stream twice
 	SlowBy       int    // factor of the times Work and ChunkGap; 0 for 1
 	BreaksOff    bool   // breaks streams from the first chunk on off in their middle
+	NoEnd        bool   // breaks streams from the first chunk on off behind their last one
 	Continuation string // complete answer to requests that continue a stream, {id} being the id of the attempt; empty for the rest of the stream
 	ResetUploads bool   // answers long uploads early, without a length, and resets the connection
 	Malformed    string // one of MalformedHeads, which it sends for each answer; empty for none
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -178,6 +178,9 @@
 		w.(http.Flusher).Flush()
 		r.markChunk(a, n)
 	}
+	if f.NoEnd && from == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	r.markEnded(a)
 }
 
