--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -120,10 +120,16 @@
 	return x.continueKept(r), true
 }
 
-// fittingResult returns r, or an error in its place if it is an answer that can't go on with what the caller has.
+// fittingResult returns the result r of the kept attempt, or an error in its place if it is an answer that can't go on with what the caller
+// has, or an end that proves nothing.
 func (x *run) fittingResult(r readResult) readResult {
-	if r.stream != nil {
+	switch {
+	case r.stream != nil:
 		r.err = x.unfit(r.stream.Head())
+	case r.err == io.EOF:
+		if err := x.unprovenEnd(x.kept); err != nil {
+			r.err = err
+		}
 	}
 	return r
 }
@@ -167,6 +173,9 @@
 		return x.makeCurrent(a, r.stream, "kept-delivers")
 	}
 	a.early = &r
+	if !a.exists { // it fell silent between the head and the first chunk, beside another attempt
+		return x.makeCurrent(a, a.stream, "kept-delivers")
+	}
 	x.current, x.lastOrigin = a, a.origin
 	x.filter.setAttempt(a.origin.Attempt)
 	return "kept-delivers"
@@ -207,7 +216,7 @@
 		x.recordFailedAnswer(a, failed)
 		x.current = current
 		return
-	case errors.Is(err, errOtherForm):
+	case errors.Is(err, errOtherForm), errors.Is(err, errNoChunk):
 		current := x.current
 		x.recordUnusable(a, causeUnfit, err)
 		x.current = current
@@ -282,6 +291,10 @@
 
 // awaitEither waits for the next result of a. If the kept attempt delivers before, or a is silent, it returns the event that follows.
 func (x *run) awaitEither(a *attempt) (r readResult, ev string) {
+	var ended <-chan struct{}
+	if a.stream != nil {
+		ended = a.ctx.Done() // a reader that has opened its stream may end without a result
+	}
 	for {
 		select {
 		case r := <-a.reading.results:
@@ -290,6 +303,8 @@
 				x.dropOvertakenReport(a)
 			}
 			return r, ""
+		case <-ended:
+			return readResult{err: Error.New("%w: %w", backend.ErrBroken, context.Cause(a.ctx))}, ""
 		case cause := <-a.silent:
 			if ev := x.silentBeforeAnswer(a, cause); ev != "" {
 				return readResult{}, ev
