generation: a server that is silent about its version is kept like any silent one

What callers saw: a client took a stream up at another router and got 502 after 1.7 to 3.2 s, although the engine that had sent the first chunk was sound, only silent for a moment.

Cause: before the first chunk of such a stream is passed on, its engine is asked for its software version. While the query went unanswered, the run waited without reading, and the failure detector's report of a silence ended the wait. The unknown version then counted as another one, the attempt as lost ("the backend server runs another software version than its list entry states"), and the sound engine as failed. Without retry budget or another engine the request ended. It is no rule of planned stops: none of the four requests went through a router in its stop.

Each log has attempt-mismatch, attempt-lost (mismatch), no-further-attempt (retry_budget), 502; one has attempt-silent and attempt-delivers before.

Change: the first chunk is held back in the background until the query is answered, and counts as delivered then. A silence meanwhile keeps the attempt and starts a search beside it, as for any other silence. An answer that names another version still ends the attempt.

Without a deadline or another engine, a stream whose engine never answers the query waits as long as any other whose engine is silent.

--- a/generation/software.go
+++ b/generation/software.go
@@ -21,7 +21,10 @@
 // confirmInterval is the time between two queries for a version that a backend server hasn't answered.
 const confirmInterval = 100 * time.Millisecond
 
-var errOtherVersion = Error.New("the backend server runs another software version than its list entry states")
+var (
+	errOtherVersion      = Error.New("the backend server runs another software version than its list entry states")
+	errVersionUnanswered = Error.New("the backend server has not answered the query for its software version")
+)
 
 // Binding is the software version at which a stream began. The stream goes on at this version only.
 type Binding struct {
@@ -76,7 +79,7 @@
 
 // bindVersion is called before the first chunk of an attempt is passed on. It binds a new stream to
 // the version that runs the attempt. It returns an error if the attempt of a stream that has begun
-// runs at another version, or at one that can't be found out.
+// runs at another version, or at one that can't be found out, and errVersionUnanswered if the query has to be repeated first.
 func (x *run) bindVersion(a *attempt) error {
 	if a.accepted > 0 || !x.bindsVersion() {
 		return nil
@@ -85,6 +88,9 @@
 	if err != nil {
 		return Error.New("%w: %w", backend.ErrMismatch, err)
 	}
+	if got.Unanswered && x.bound != nil && !x.lostVersion() {
+		return errVersionUnanswered
+	}
 	if x.bound == nil || a.reattached && !got.Unknown {
 		x.bound = &got
 	} else if got.Unknown || got.Version != x.bound.Version {
@@ -157,14 +163,26 @@
 		return Binding{Version: a.origin.Software, Unknown: a.origin.Software == ""}, nil
 	}
 	b, err := x.StreamVersions.Confirm(x.ctx, a.backend)
-	for b.Unanswered && x.bound != nil && len(a.silent) == 0 && clock.Sleep(a.ctx, confirmInterval) {
-		// The answer has begun, and the attempt that delivered it may have been ended for this one.
-		b, err = x.StreamVersions.Confirm(x.ctx, a.backend)
-	}
 	a.origin.Software = b.Version
 	return b, err
 }
 
+// awaitVersion delivers the first chunk of a once more when its backend server answers the query for its version. Until then a may be
+// reported silent and kept like any other attempt.
+func (x *run) awaitVersion(a *attempt, first backend.Token) {
+	a.awaitsResult = true
+	go func() {
+		for clock.Sleep(a.ctx, confirmInterval) {
+			b, err := x.StreamVersions.Confirm(a.ctx, a.backend)
+			if err != nil || !b.Unanswered {
+				a.reading.deliver(readResult{token: first})
+				return
+			}
+		}
+		a.reading.deliver(readResult{err: Error.New("%w: %w", backend.ErrBroken, context.Cause(a.ctx))})
+	}()
+}
+
 // lostVersion reports whether the answer has begun at a version that isn't known, so that no other
 // backend server may continue it.
 func (x *run) lostVersion() bool { return x.bound != nil && x.bound.Unknown }
--- a/generation/software_test.go
+++ b/generation/software_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,12 +18,15 @@
 	err   error // of Find
 	began []string
 	// unanswered is how many queries of a backend server, by id, get no answer at first.
+	mu         sync.Mutex
 	unanswered map[string]int
 }
 
 func (v *versions) Find(context.Context, *Request) (Binding, error) { return v.found, v.err }
 
 func (v *versions) Confirm(_ context.Context, b fleet.Backend) (Binding, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	if v.unanswered[b.ID] > 0 {
 		v.unanswered[b.ID]--
 		return Binding{Unknown: true, Unanswered: true}, nil
@@ -120,3 +124,35 @@
 		t.Errorf("the second router: %s, began %v", res.Outcome, v.began)
 	}
 }
+
+// Guards against an answer that is given up since its server sends its first chunk and is then silent when asked for its version.
+func TestSilenceAboutTheVersionEndsNoAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		unanswered int
+		pickErr    error
+		budget     int
+		want       string // backend server that completes the answer
+	}{
+		{name: "without retry budget", unanswered: 20, want: "b1"},
+		{name: "without another server", unanswered: 20, budget: 9, pickErr: errNoneLeft, want: "b1"},
+		{name: "another server goes on", unanswered: 1000, budget: 9, want: "b2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := &versions{found: Binding{Version: "v1"}, unanswered: map[string]int{"b1": c.unanswered}}
+			w := &silentFleet{fakeFleet: fakeFleet{chunks: 9, budget: c.budget, versions: v}, pickErr: c.pickErr, servers: []silentServer{{silentAt: 6, silence: 2 * time.Second}}}
+			res, out := w.play(t, func(r *Request) {
+				r.Opaque.Resumable, r.Opaque.HasPartialAnswer, r.Opaque.FirstChunk, r.Opaque.BeganAs = true, true, 5, "first"
+			})
+			if last := w.backends[len(w.backends)-1]; res.Outcome != fleet.Complete || chunkText(4)+out.text != chunkText(9) || last != c.want {
+				t.Errorf("got %s (%s, %v), %q, the last of %d attempts at %s", res.Outcome, res.Code, res.Err, out.text, len(w.opened), last)
+			}
+			if w.failureReported.Load() {
+				t.Error("a sound server counts as failed")
+			}
+			if w.overlap() > 0 {
+				t.Errorf("the silent attempt was at work for another %v", w.overlap())
+			}
+		})
+	}
+}
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -43,7 +43,11 @@
 		if err := x.followOrigin(a); err != nil {
 			return x.callerDisconnected(err)
 		}
-		if err := x.bindVersion(a); err != nil {
+		switch err := x.bindVersion(a); {
+		case errors.Is(err, errVersionUnanswered):
+			x.awaitVersion(a, t)
+			continue
+		case err != nil:
 			return x.handleLoss(a, err)
 		}
 		x.confirmLater(a, now)
