soak: a client that has no piece of a stream any more requests a new one

Cause: a client of planned stops that asks for the rest of a stream once more forgets one to three pieces first. If none was left it sent a request without Last-Event-Id, but was judged as if its stream had begun.

The check is as strict as before: such a stream is judged as a new one, by its own first piece, and one of which a piece is left by the version of that. TestStreamWithoutAnyPieceBeginsAnew asks for both, and for the number of the first piece.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -38,6 +38,7 @@
 	confirmed      chan Binding // result of confirmLater; buffers one
 	confirming     bool         // a query of confirmLater is open
 	confirmAskedAt time.Time
+	announced      string // version that announceVersion sent last
 
 	copyCheckedAt    time.Time
 	accepted         int // tokens delivered from this attempt
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -180,6 +180,7 @@
 	if origin == a.origin {
 		return nil
 	}
+	x.bindAnnounced(a, origin)
 	x.setRemoteOrigin(a, s)
 	x.filter.setAttempt(a.origin.Attempt)
 	x.lastOrigin = a.origin
--- a/generation/software.go
+++ b/generation/software.go
@@ -146,14 +146,24 @@
 	}()
 }
 
-// announceVersion sends the version of the attempt to the router that has passed the request on.
+// announceVersion sends the version of the attempt to the router that has passed the request on, at first and when it is confirmed later.
 func (x *run) announceVersion(a *attempt) error {
-	if a.accepted > 0 || !x.req.Forwarded || x.req.Opaque == nil || !x.bindsVersion() {
+	if !x.req.Forwarded || x.req.Opaque == nil || !x.bindsVersion() || a.accepted > 0 && a.announced == a.origin.Software {
 		return nil
 	}
+	a.announced = a.origin.Software
 	return x.sink.Begin(a.origin, a.stream.Head())
 }
 
+// bindAnnounced binds a stream whose version was unknown to the one that the other router has confirmed since for the same attempt.
+func (x *run) bindAnnounced(a *attempt, origin Position) {
+	if !x.lostVersion() || origin.Software == "" || origin.Attempt != a.origin.Attempt || origin.Backend != a.origin.Backend || a.accepted == 0 {
+		return
+	}
+	x.bound = &Binding{Version: origin.Software}
+	x.recordVersion(a, origin.Software)
+}
+
 // attemptVersion returns the software version that runs an attempt.
 func (x *run) attemptVersion(a *attempt) (Binding, error) {
 	if x.req.Opaque == nil {
--- a/soak/platform_software.go
+++ b/soak/platform_software.go
@@ -218,6 +218,15 @@
 	return ""
 }
 
+// without returns the stream of a client that has lost its last n pieces. Without any piece it begins anew, at any version.
+func (s softwareStream) without(n int) softwareStream {
+	if s.last <= n {
+		return softwareStream{unnamed: s.unnamed}
+	}
+	s.last -= n
+	return s
+}
+
 // stream requests a stream and takes it up at other routers until it is whole.
 func (c *platformClient) stream(transport *http.Transport) {
 	c.follow(transport, &softwareStream{}, fmt.Sprintf("%s-%d", c.name, c.sent), nil)
--- a/soak/stop_clients.go
+++ b/soak/stop_clients.go
@@ -79,7 +79,7 @@
 
 // rest asks for few pieces of a stream once more.
 func (c *platformClient) rest(transport *http.Transport, n *node, s softwareStream, id string) {
-	s.last = max(s.last-1-c.rng.IntN(maxRestChunks), 0)
+	s = s.without(1 + c.rng.IntN(maxRestChunks))
 	res := c.newResult("draft", id)
 	ctx, stop := context.WithTimeout(context.Background(), maxAnswerTime)
 	defer stop()
--- a/soak/stops_test.go
+++ b/soak/stops_test.go
@@ -56,3 +56,26 @@
 		}
 	}
 }
+
+// Guards against a client that has no piece of a stream any more, and is taken for one whose stream has to stay at a software version.
+func TestStreamWithoutAnyPieceBeginsAnew(t *testing.T) {
+	for _, c := range []struct {
+		lost          int
+		piece, want   string
+		statedBeganAs string
+	}{
+		{lost: 2, piece: "again/2@v2", want: "a stream goes on at the software version that began it", statedBeganAs: "first"},
+		{lost: 2, piece: "again/2@v1", statedBeganAs: "first"},
+		{lost: 3, piece: "again/1@v2"},
+		{lost: 4, piece: "again/1@v2"},
+		{lost: 3, piece: "again/2@v2", want: "no piece is missing, repeated, or another answer's"},
+	} {
+		s := softwareStream{id: "first", version: "v1", last: 3}.without(c.lost)
+		if s.id != c.statedBeganAs {
+			t.Errorf("%d pieces lost: states that it began as %q", c.lost, s.id)
+		}
+		if got := s.add("again", c.piece); got != c.want {
+			t.Errorf("%d pieces lost, then %s: %q, want %q", c.lost, c.piece, got, c.want)
+		}
+	}
+}
