quarantine: losses of one server at one moment share their probes

Cause: each lost or silent attempt is examined by up to three probes of its server, and each probe opened a connection of its own. A server that falls silent loses all its requests in one tick of the failure detector, so that a router with a full listener opened as many connections as it has requests, at one moment and outside every bound: with 400 clients and 512 descriptors, the descriptors rose from 402 or 416 to 475 and 512 for some ms, 112 of them sockets without a connection yet, between 192 lines attempt-silent and 192 lines loss-examined.

Change: probes of one server that begin within 50 ms of one another are one. 50 ms is less than the pause between the probes after a loss, so that the second and third probe of each loss begin after it.

Evidence: TestLossesOfOneServerShareProbes, 200 losses at one moment: before 600 probes, 200 at a time; now 3, one at a time, and no loss is examined later than before. TestLaterLossIsProbedAnew holds the other side.

Left: servers that all lose requests at one moment have one probe each, and their neighbours; these follow the number of servers, not of requests, and no share of the descriptors bounds them.

--- a/quarantine/examine.go
+++ b/quarantine/examine.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -105,12 +104,6 @@
 	return state
 }
 
-func (g *Guard) probeOnce(b fleet.Backend) State {
-	ctx, stop := context.WithTimeout(context.Background(), ProbeTimeout)
-	defer stop()
-	return g.cfg.Prober.Probe(ctx, b)
-}
-
 // domainExited reports whether the other backend servers of the failure domain (a sample of up
 // to maxNeighbours) exited together with the backend server of l. If so, no request that was
 // running at the backend server of l is the cause. Backend servers that had exited on their
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -36,6 +36,7 @@
 	// informed is true once a router that knows what is quarantined has replied, and after Config.StartWait.
 	informed       atomic.Bool
 	evidenceClaims evidenceClaims
+	probes         probes
 
 	mu            sync.Mutex
 	tracker       *Tracker
