generation, listen: second attempts of silent requests take the places of clients

Cause: a bound for one connection is none for two. A listener has three eighths of the descriptors, so that each of its requests may have a connection to a backend server. Since a silent attempt is kept while another server is tried, a request may have two, bounded only by the retry budget. With a full listener (192 of 512 descriptors) and all servers silent, 192 + 304 connections took all descriptors: none was left to accept readiness checks or to open a file.

Change: a search beside a kept attempt takes a place before it draws retry budget. The listener gives places from a thirty-second of the descriptors, and beyond it those of clients that aren't connected; an idle connection is closed for one. While there is none, the silent attempt is read on and the search waits. The bounds of clients and of the test are unchanged. Both interfaces.

Left, not traced: idle connections to backend servers (up to 256 each for 30 s) have no share of the descriptors.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -114,6 +114,7 @@
 		Guard:    n.guard,
 
 		Forwarder: n.forwarder,
+		TakePlace: func() (func(), bool) { return n.caller.TakePlace() },
 	}, generation.Options{
 		Node:           attemptPrefix(set),
 		StartedMaxWait: max(millis(set.Policy.MaxWaitMS), time.Second),
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -24,6 +24,7 @@
 		}
 		if name == callerListener {
 			cfg.Answers, cfg.Requests = n.answers, bounded.NewPool(set.Limits.RequestsBytes(), "requests", n.set)
+			cfg.SparePlaces = set.Limits.SecondConns()
 		}
 		return listen.New(cfg, h)
 	}
--- a/generation/deps.go
+++ b/generation/deps.go
@@ -20,6 +20,9 @@
 	Resume   bool // continues an answer that was started through another router
 }
 
+// TakePlace takes a place for one more connection under a request whose attempt is kept. ok is false if there is none.
+type TakePlace func() (release func(), ok bool)
+
 // Admitter applies the limits of client accounts. The returned release, if it is not nil, is
 // called at the end of the run.
 type Admitter interface {
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -65,6 +65,7 @@
 	Copier     Copier            // nil if backend servers make no copies on demand
 	Guard      *quarantine.Guard // nil if crashes aren't attributed to requests
 	Forwarder  Forwarder         // nil if no requests are passed on to other routers
+	TakePlace  TakePlace         // nil if the connections of searches beside kept attempts are not bounded
 	// StreamVersions is nil if all backend servers run the same software version.
 	StreamVersions StreamVersions
 	Stop           *stopping.Gate // nil if the process ends only when all requests have ended
@@ -206,6 +207,7 @@
 	kept           *attempt              // silent attempt that is read while another backend server is looked for; nil if there is none
 	searchCtx      context.Context       // of that search
 	endSearch      context.CancelCauseFunc
+	releasePlace   func()        // of the search; nil if it has no place
 	holdDelay      time.Duration // until the next search, if one had no result
 	lastOrigin     Position      // of the latest attempt that delivered
 	attemptNumber  int           // number of the latest attempt
--- a/generation/steps.go
+++ b/generation/steps.go
@@ -104,6 +104,11 @@
 		x.logNoFurtherAttempt(CodeEngineLost, x.waitErr)
 		return x.giveUp(CodeEngineLost, x.waitErr)
 	}
+	if !x.takePlace() {
+		x.waitErr, x.delay = errNoPlace, minHoldDelay
+		x.logNoFurtherAttempt(CodeNoReplica, errNoPlace)
+		return "none"
+	}
 	if x.needsBudget && !x.drawBudget() {
 		if ev := x.awaitBudget(); ev != "" {
 			return ev
@@ -188,6 +193,7 @@
 // wait sleeps until the next pick. If the delay until then is longer than the time left until
 // the caller's deadline, or than the rest of the maximum wait, wait ends the run at once.
 func (x *run) wait() string {
+	x.endPlace()
 	if x.mustEnd() {
 		return x.giveUp(CodeDeadline, x.endCause())
 	}
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -248,6 +248,7 @@
 	a := x.kept
 	x.kept = nil
 	x.endSearch(nil)
+	x.endPlace()
 	a.reading.interrupt(nil)
 	x.m.silenceEnded(result)
 	return a
@@ -331,6 +332,7 @@
 
 // hold waits for the kept attempt before the next search.
 func (x *run) hold() string {
+	x.endPlace()
 	if x.kept == nil {
 		return "retry"
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -212,6 +212,7 @@
 		RunQuerier: replicas,
 		Guard:      n.guard,
 		Forwarder:  n.forwarder,
+		TakePlace:  func() (func(), bool) { return n.front.TakePlace() },
 
 		StreamVersions: n.software,
 	}, generation.Options{
--- a/hosted/listeners.go
+++ b/hosted/listeners.go
@@ -18,7 +18,7 @@
 		cfg := n.peers.listener
 		cfg.Name, cfg.Address, cfg.MaxConns = name, addr, conns
 		if name == frontListener {
-			cfg.ClientLimits, cfg.Answers = n.clientLimits, n.answers
+			cfg.ClientLimits, cfg.Answers, cfg.SparePlaces = n.clientLimits, n.answers, limits.SecondConns()
 			cfg.Requests = bounded.NewPool(limits.RequestsBytes(), "requests", n.meter)
 		} else {
 			cfg.WriteTimeout = operatorWrite
--- a/listen/clients.go
+++ b/listen/clients.go
@@ -32,6 +32,7 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	places   int            // taken by TakePlace
 	dropped  map[string]int // by reason, since the last log line
 	loggedAt time.Time
 	unreadAt time.Time // when the last connection was closed whose answer wasn't read
@@ -77,7 +78,7 @@
 func (c *clients) makeRoom(now time.Time) (victim *conn, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cfg.MaxConns == 0 || len(c.conns) < c.cfg.MaxConns {
+	if !c.full() {
 		return nil, true
 	}
 	for range claimTries {
--- a/listen/listen.go
+++ b/listen/listen.go
@@ -57,6 +57,7 @@
 	BodyBytes    int64
 	WriteTimeout time.Duration // 0: the handler sets the deadline of each write
 	MaxConns     int           // open at once; 0: no bound
+	SparePlaces  int           // for TakePlace, beyond MaxConns
 	ReceiveBytes int           // receive buffer of a connection that sends no long request; 0: the system's default
 	// Requests bounds the memory of all requests while they arrive and are handled. It may be nil.
 	Requests *bounded.Pool
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -48,6 +48,10 @@
 	return max(min(l.descriptors()/8*3, int(l.memory()/4/size)), minConns)
 }
 
+// SecondConns returns how many second connections to backend servers are allowed beside a full listener, under requests whose first
+// backend server is silent. More take the places of clients.
+func (l Limits) SecondConns() int { return l.descriptors() / 32 }
+
 // PeerConns returns how many connections other routers may have open at once.
 func (l Limits) PeerConns() int {
 	return max(min(l.descriptors()/8, int(l.memory()/8/connBytes)), minConns)
--- a/soak/crowd_measure_test.go
+++ b/soak/crowd_measure_test.go
@@ -160,12 +160,20 @@
 		}
 	}()
 	measured := startSampler(pid, s.ports())
+	endSilence := func() {}
+	if s.silence != nil {
+		endSilence = s.silence()
+	}
 	c, err := crowd.Start(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if s.silence != nil {
+		s.awaitSilences(t)
+	}
 	c.AwaitSent(sendTime)
 	time.Sleep(holdTime)
+	endSilence()
 	open, sent := c.Open(), c.Sent()
 	readiness := make(chan error, 1)
 	go func() { readiness <- s.awaitReadiness() }()
--- a/soak/crowd_site_test.go
+++ b/soak/crowd_site_test.go
@@ -37,6 +37,8 @@
 	// attemptBound ends an attempt, after which the client comes back.
 	attemptBound = 10 * time.Second
 	attemptGap   = 100 * time.Millisecond
+	// manySilences is the number of silent requests of which each has had time for a second attempt when the servers go on.
+	manySilences = 100
 )
 
 // crowdSite is one router with its stand-ins.
@@ -44,9 +46,10 @@
 	process *process
 	checks  *checks
 	set     *settings.Settings
-	caller  string            // host:port
-	others  map[string]string // addresses of the other listeners, by name
-	crowd   crowd.Config      // of a crowd at the caller listener
+	caller  string              // host:port
+	others  map[string]string   // addresses of the other listeners, by name
+	crowd   crowd.Config        // of a crowd at the caller listener
+	silence func() (end func()) // of the servers that the crowd's requests reach; nil for none
 	// request builds an ordinary request with a body and in addition the lines of a head.
 	request func(id string, body []byte) (*http.Request, error)
 	tls     *tls.Config
@@ -69,7 +72,48 @@
 // newPlatformSite starts a router on the users' platform.
 func newPlatformSite(t *testing.T, l crowdLimits) *crowdSite {
 	t.Helper()
-	r := newPlatformRun(crowdConfig(t, l))
+	return startPlatformSite(t, newPlatformRun(crowdConfig(t, l)))
+}
+
+// newSilentSite starts a router whose servers of a crowd are silent from the crowd's first request on, until it has noticed that of most
+// requests. Its retry budget allows each of them a second attempt.
+func newSilentSite(t *testing.T, l crowdLimits) *crowdSite {
+	t.Helper()
+	cfg := crowdConfig(t, l)
+	cfg.NoSilences = true // for the larger retry budget
+	r := newPlatformRun(cfg)
+	s := startPlatformSite(t, r)
+	s.silence = func() (end func()) {
+		var ends []func()
+		for _, rep := range r.services["app"] {
+			ends = append(ends, r.silence(rep))
+		}
+		return func() {
+			for _, end := range ends {
+				end()
+			}
+		}
+	}
+	return s
+}
+
+// awaitSilences waits until the router has noticed the silence of many requests.
+func (s *crowdSite) awaitSilences(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(afterBound); time.Now().Before(deadline); time.Sleep(attemptGap) {
+		log, err := os.ReadFile(s.process.logPath())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if bytes.Count(log, []byte(`"attempt-silent"`)) >= manySilences {
+			return
+		}
+	}
+	t.Fatal("the router did not notice the silence")
+}
+
+func startPlatformSite(t *testing.T, r *platformRun) *crowdSite {
+	t.Helper()
 	t.Cleanup(r.stop)
 	if err := r.start(t.Context()); err != nil {
 		t.Fatal(err)
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -109,6 +109,14 @@
 	checkPlatformCrowd(t, crowdBounds, crowd.UnreadAnswer, crowdCount)
 }
 
+// Guards against second attempts of silent requests that take all descriptors.
+func TestCrowdOfSilentRequests(t *testing.T) {
+	s := newSilentSite(t, crowdBounds)
+	cfg := s.crowd
+	cfg.Kind, cfg.Count = crowd.UnreadAnswer, crowdCount
+	checkCrowd(t, s, crowdBounds, cfg)
+}
+
 // Guards against requests that the kernel holds while the answers before them are not read.
 func TestCrowdOfPipelinedRequests(t *testing.T) {
 	checkPlatformCrowd(t, crowdBounds, crowd.UnreadPipeline, crowdCount)
