quarantine: the end of an answer is confirmed by probes that begin after it

Losses of one server share probes that begin up to 50 ms before them. The end of an answer without a length is the answer's proof, so its probes stay its own. TestEndOfAnAnswerIsConfirmedByItsOwnProbes fails with shared ones by reading; it counts 3 probes.

--- a/quarantine/examine.go
+++ b/quarantine/examine.go
@@ -83,11 +83,11 @@
 	if g == nil {
 		return Working
 	}
-	if state := g.probeOnce(b); state != Working {
+	if state := g.probeAlone(b); state != Working {
 		return state
 	}
 	time.Sleep(probeInterval)
-	return g.probeOnce(b)
+	return g.probeAlone(b)
 }
 
 // probe probes a backend server up to maxProbes times to find out whether it has exited.
--- a/quarantine/shared_probe.go
+++ b/quarantine/shared_probe.go
@@ -34,14 +34,19 @@
 		<-p.done
 		return p.state
 	}
-	ctx, stop := context.WithTimeout(context.Background(), ProbeTimeout)
-	defer stop()
-	p.state = g.cfg.Prober.Probe(ctx, b)
+	p.state = g.probeAlone(b)
 	close(p.done)
 	g.probes.end(key, p)
 	return p.state
 }
 
+// probeAlone probes a backend server for one answer whose end has to be confirmed: a probe that began before that end doesn't count.
+func (g *Guard) probeAlone(b fleet.Backend) State {
+	ctx, stop := context.WithTimeout(context.Background(), ProbeTimeout)
+	defer stop()
+	return g.cfg.Prober.Probe(ctx, b)
+}
+
 // join returns the probe of a backend server to wait for, or a new one of the caller's own.
 func (s *probes) join(key probed, now time.Duration) (p *sharedProbe, own bool) {
 	s.mu.Lock()
--- a/quarantine/shared_probe_test.go
+++ b/quarantine/shared_probe_test.go
@@ -72,3 +72,17 @@
 		}
 	})
 }
+
+// Guards against the end of an answer being confirmed by a probe that began before it.
+func TestEndOfAnAnswerIsConfirmedByItsOwnProbes(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		p := &countingProber{took: ProbeTimeout, state: Working}
+		g := NewGuard(Config{Now: func() time.Duration { return time.Since(startedAt) }, Prober: p})
+		go g.probeOnce(fleet.Backend{ID: "s"})
+		time.Sleep(sharedProbeAge / 2)
+		if g.StateAtEnd(fleet.Backend{ID: "s"}) != Working || p.sent.Load() != 3 {
+			t.Errorf("%d probes, want 3", p.sent.Load())
+		}
+	})
+}
