--- a/backend/opaque.go
+++ b/backend/opaque.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"wigeondale/clock"
 	"wigeondale/fleet"
@@ -51,6 +52,27 @@
 	EndsWithConnection bool
 }
 
+// EventStream is the media type of a stream of server-sent events.
+const EventStream = "text/event-stream"
+
+// Form is what the parts of one answer have in common if several backend servers deliver them.
+type Form struct {
+	Status    int
+	MediaType string // without parameters; empty if not stated
+}
+
+// Form returns the form of the answer.
+func (h *Head) Form() Form {
+	var types []string
+	for _, stated := range h.Header.Values("Content-Type") {
+		media, _, _ := strings.Cut(stated, ";")
+		types = append(types, strings.ToLower(strings.TrimSpace(media)))
+	}
+	return Form{Status: h.Status, MediaType: strings.Join(types, ", ")}
+}
+
+func (f Form) String() string { return fmt.Sprintf("status %d, type %q", f.Status, f.MediaType) }
+
 // FailedAnswer is a complete answer by which a backend server reports that the request ran
 // and failed.
 type FailedAnswer struct {
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -53,6 +53,8 @@
 		return
 	}
 	switch {
+	case serveContinuation(w, a, f):
+		return
 	case f.Malformed != "":
 		serveMalformed(w, a.ID, f.Malformed)
 		return
@@ -128,6 +130,9 @@
 		return r.faults, http.StatusServiceUnavailable
 	}
 	a.Ran = true
+	if a.chunksBefore() > 0 {
+		a.Unfit = r.faults.Unfit
+	}
 	return r.faults, 0
 }
 
@@ -163,7 +168,7 @@
 			return
 		}
 		chunk := r.chunk(a.ID, n)
-		if f.Truncated && n == r.Chunks/2 {
+		if (f.Truncated || f.BreaksOff && from == 0) && n == r.Chunks/2 {
 			io.WriteString(w, chunk[:len(chunk)/2])
 			panic(http.ErrAbortHandler)
 		}
@@ -176,6 +181,9 @@
 		w.(http.Flusher).Flush()
 		r.markChunk(a, n)
 	}
+	if f.NoEnd && from == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	r.markEnded(a)
 }
 
@@ -206,7 +214,7 @@
 			return
 		case <-time.After(r.slowed(r.ChunkGap, a.ID)):
 		}
-		if f.Truncated && n == r.Chunks/2 {
+		if (f.Truncated || f.BreaksOff && from == 0) && n == r.Chunks/2 {
 			chunk := r.chunk(a.ID, n)
 			buf.WriteString(chunk[:len(chunk)/2])
 			buf.Flush()
--- a/generation/forward.go
+++ b/generation/forward.go
@@ -122,6 +122,7 @@
 		rest := *o
 		rest.FirstChunk = x.filter.next
 		rest.BeganAs = x.req.BeganAs()
+		rest.Form = x.form
 		rest.HasPartialAnswer = rest.HasPartialAnswer || x.started()
 		rest.MaxAttempts = max(x.maxAttempts()-x.fates.count(), 1)
 		rest.SinceFirstTry += time.Since(x.startedAt)
@@ -142,8 +143,16 @@
 }
 
 // handleForwardError handles an error of a request that could not be passed on, or whose answer
-// did not begin.
+// brought no chunk.
 func (x *run) handleForwardError(a *attempt, err error) string {
+	switch {
+	case errors.Is(err, errOtherForm), errors.Is(err, errNoChunk):
+		x.anySent = true
+		return x.recordUnusable(a, causeUnfit, err)
+	case a.stream != nil: // its answer has begun
+		x.anySent, x.current = true, a
+		return x.handleLoss(a, err)
+	}
 	a.closeReader()
 	notRun := x.fates.settle(a, err)
 	x.anySent = x.anySent || !notRun
