soak: streams break off while engines answer unfit

--unfit draws, on the platform's interface, one of the answers of fakes/hosted.UnfitAnswers for one, half or all of the engines, while streams break off at one, half or all, all connections are reset, or an engine crashes. Clients take half of their streams up.

What is judged in addition: each line of a stream that is taken up belongs to a chunk (text and heads between chunks were skipped); an answer that is no stream has to be one that a replica gave to this request, status and body; a new stream doesn't get the answer to a request that continues one.

--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -26,6 +26,7 @@
 	server      *fault.Server
 	chunkFaults chunkFaults
 	extraStep   atomic.Int64 // nanoseconds added to each step
+	unfit       atomic.Pointer[unfitAnswer]
 	clockOffset atomic.Int64 // milliseconds by which the engine's clock is ahead; negative if behind
 
 	mu          sync.Mutex
--- a/fakes/engine/fault.go
+++ b/fakes/engine/fault.go
@@ -61,6 +61,8 @@
 //   - stall {request,on}: stops the request's streams
 //   - late {request,ms}: a stall that ends after ms
 //   - endless {on,kind,ms}, cut-heads {on}: see fault.Server.Apply
+//   - unfit {on,kind}: answers requests that continue a stream with one of UnfitAnswers
+//   - break: resets all connections
 //   - leave {on}: the engine refuses new requests since it is leaving
 //   - ask {limit,rest,leaving}: what it asks of the routers in its answers
 //   - lag {ms}: the lag of load reports and cache events
@@ -91,6 +93,10 @@
 	case "late":
 		e.setStalled(args.Request, true)
 		time.AfterFunc(args.Duration(), func() { e.setStalled(args.Request, false) })
+	case "unfit":
+		e.setUnfit(args)
+	case "break":
+		e.server.Listener.Reset()
 	case "leave":
 		e.setLeaving(args.Enabled())
 	case "ask":
--- a/fakes/engine/http.go
+++ b/fakes/engine/http.go
@@ -102,6 +102,9 @@
 		refuse(w, refusal{http.StatusBadRequest, "bad_request", msg})
 		return
 	}
+	if req.Ext.ResumeTokens > 0 && e.serveUnfit(w) {
+		return
+	}
 	rd := newReader()
 	s := newStream(req)
 	s.attach(rd)
@@ -184,6 +187,9 @@
 }
 
 func (e *Engine) getStream(w http.ResponseWriter, r *http.Request) {
+	if e.serveUnfit(w) {
+		return
+	}
 	s, incarnation := e.findStream(r)
 	if s == nil {
 		refuse(w, refusal{http.StatusNotFound, "no_stream", "no such stream"})
--- a/fakes/hosted/continuations.go
+++ b/fakes/hosted/continuations.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -61,18 +63,36 @@
 	return out
 }
 
-// serveContinuation answers a request that continues a stream with Faults.Continuation, if that is set, and closes the connection. It
-// reports whether it did.
+// NothingLeft reports whether one of UnfitAnswers is a complete stream without an event that its client lacks.
+func NothingLeft(name string) bool {
+	return slices.Contains([]string{"stream, empty", "stream, a comment", "stream, events of the client"}, name)
+}
+
+// chunksBefore returns how many chunks of a stream the request states that its sender has; 0 if it states none.
+func (a *Arrival) chunksBefore() int {
+	n, err := strconv.Atoi(a.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// serveContinuation answers a request that continues a stream with Faults.Continuation or Faults.Unfit, if one is set, and closes the
+// connection. It reports whether it did.
 func serveContinuation(w http.ResponseWriter, a *Arrival, f Faults) bool {
-	if f.Continuation == "" || a.Header.Get("Last-Event-Id") == "" {
+	if f.Continuation == "" && a.Unfit == "" || a.Header.Get("Last-Event-Id") == "" {
 		return false
 	}
+	answer := f.Continuation
+	if a.Unfit != "" {
+		answer = UnfitAnswers(a.chunksBefore() + 1)[a.Unfit]
+	}
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return true
 	}
 	defer conn.Close()
 	// A router that has left gets nothing.
-	_, _ = io.WriteString(conn, strings.ReplaceAll(f.Continuation, "{id}", a.ID))
+	_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "{id}", a.ID))
 	return true
 }
--- a/fakes/hosted/replica.go
+++ b/fakes/hosted/replica.go
@@ -47,6 +47,8 @@
 	Completed bool
 	// Chunks is the number of chunks of a stream that it has sent.
 	Chunks int
+	// Unfit is the one of UnfitAnswers that it got; empty for none.
+	Unfit string
 	// Asks is what the replica asked in its answer.
 	Asks Asks
 }
@@ -112,6 +114,7 @@
 	SlowBy       int    // factor of the times Work and ChunkGap; 0 for 1
 	BreaksOff    bool   // breaks streams from the first chunk on off in their middle
 	Continuation string // complete answer to requests that continue a stream, {id} being the id of the attempt; empty for the rest of the stream
+	Unfit        string // name of one of UnfitAnswers, which answers requests that continue a stream; empty for none
 	ResetUploads bool   // answers long uploads early, without a length, and resets the connection
 	Malformed    string // one of MalformedHeads, which it sends for each answer; empty for none
 	// Endless, if its kind is set, makes all responses endless: half of the response, and then bytes
--- a/fakes/hosted/replica_serve.go
+++ b/fakes/hosted/replica_serve.go
@@ -130,6 +130,9 @@
 		return r.faults, http.StatusServiceUnavailable
 	}
 	a.Ran = true
+	if a.chunksBefore() > 0 {
+		a.Unfit = r.faults.Unfit
+	}
 	return r.faults, 0
 }
 
@@ -208,7 +211,7 @@
 			return
 		case <-time.After(r.slowed(r.ChunkGap, a.ID)):
 		}
-		if f.Truncated && n == r.Chunks/2 {
+		if (f.Truncated || f.BreaksOff && from == 0) && n == r.Chunks/2 {
 			chunk := r.chunk(a.ID, n)
 			buf.WriteString(chunk[:len(chunk)/2])
 			buf.Flush()
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -26,6 +26,7 @@
 	asks       *askRecord
 	ends       endRecord
 	stops      stopRecord
+	unfit      unfitRecord
 	// unservable are requests that no router may run, with what is odd about them.
 	unservable map[string]string
 }
@@ -94,8 +95,11 @@
 }
 
 // brokenPromise returns the promise that the body of a successful response breaks, or "" if
-// it breaks none. It checks no other responses.
+// it breaks none. Of other responses it checks that no draft has the text of an answer to a request that continues a stream.
 func (r *result) brokenPromise() string {
+	if r.kind == "draft" && strings.Contains(r.body, fakes.ErrorText) {
+		return "no piece is missing, repeated, or another answer's"
+	}
 	if r.status != http.StatusOK {
 		return ""
 	}
@@ -193,7 +197,7 @@
 	for _, rep := range all {
 		r.checks.checkAsks(rep)
 		for _, a := range rep.Arrivals() {
-			visits[a.ID] = append(visits[a.ID], visit{rep, a.At, !a.Ran})
+			visits[a.ID] = append(visits[a.ID], visit{rep, a.At, !a.Ran, a.Unfit})
 			if !a.Ran {
 				continue
 			}
@@ -217,6 +221,7 @@
 	}
 	r.checks.checkEnds(visits)
 	r.checks.checkStops(visits)
+	r.checks.checkUnfit(visits)
 	r.checks.checkOdd(ran)
 	r.checks.checkCrashing(crashingArrivals(all))
 	if r.cfg.Herd && r.cfg.Calm {
--- a/soak/command.go
+++ b/soak/command.go
@@ -58,6 +58,7 @@
 	Rare             bool          `arg:"--rare" help:"bursts of clients, machines that go dark, addresses that go to another service, a store that refuses some calls of a router or answers stale reads from an older state, and kills after an acknowledgement"`
 	Stops            bool          `arg:"--stops" help:"routers are told to end under load, with a short grace, on the platform's interface several at once while backend servers turn slow"`
 	Malformed        bool          `arg:"--malformed" help:"backend servers of the platform reset long uploads after a part of an answer, and send malformed heads"`
+	Unfit            bool          `arg:"--unfit" help:"streams break off, and engines answer requests that continue one with errors and other answers that aren't its rest; clients of the platform's interface take streams up"`
 	Floods           bool          `arg:"--floods" help:"all plain services answer many requests at once without end"`
 	Crowds           bool          `arg:"--crowds" help:"crowds of clients that don't behave connect to one router while another ends and starts again"`
 	Silences         bool          `arg:"--silences" help:"nothing but silences of replicas and new versions of the configuration is injected"`
@@ -66,7 +67,7 @@
 	Room             int           `arg:"--room" help:"requests that a plain service takes at once"`
 	Work             time.Duration `arg:"--work" help:"time of a plain service to serve a request"`
 	Chunks           int           `arg:"--chunks" default:"40" help:"chunks of a stream, 12 ms apart"`
-	Alone            bool          `arg:"--alone" help:"only the faults of --repeats and --outages are injected"`
+	Alone            bool          `arg:"--alone" help:"only the faults of --repeats, --outages, --moves, --malformed and --unfit are injected; on the product's own interface only with --unfit"`
 	Keep             string        `arg:"--keep" help:"folder for settings and logs; kept only after a failure if not given"`
 }
 
@@ -160,7 +161,7 @@
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
 		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Evidence: args.Evidence, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
-		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Unnamed: args.Unnamed, OddClients: args.OddClients, Moves: args.Moves, Rare: args.Rare, Stops: args.Stops, Malformed: args.Malformed, Floods: args.Floods, Crowds: args.Crowds,
+		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Unnamed: args.Unnamed, OddClients: args.OddClients, Moves: args.Moves, Rare: args.Rare, Stops: args.Stops, Malformed: args.Malformed, Unfit: args.Unfit, Floods: args.Floods, Crowds: args.Crowds,
 		Room: args.Room, Work: args.Work, Chunks: args.Chunks, Alone: args.Alone,
 	})
 	if err != nil {
--- a/soak/ends.go
+++ b/soak/ends.go
@@ -71,7 +71,8 @@
 type visit struct {
 	replica *fakes.Replica
 	at      time.Time
-	refused bool // with the statement that the request has not run
+	refused bool   // with the statement that the request has not run
+	unfit   string // the one of fakes.UnfitAnswers that it got, if any
 }
 
 // add keeps a result for check if its end needs an excuse.
--- a/soak/ends_test.go
+++ b/soak/ends_test.go
@@ -77,7 +77,7 @@
 	start := time.Now()
 	first, second := &fakes.Replica{ID: "first"}, &fakes.Replica{ID: "second"}
 	at := func(rep *fakes.Replica, after time.Duration, refused bool) visit {
-		return visit{rep, start.Add(after), refused}
+		return visit{replica: rep, at: start.Add(after), refused: refused}
 	}
 	for name, c := range map[string]struct {
 		visits []visit
--- a/soak/platform_client.go
+++ b/soak/platform_client.go
@@ -109,7 +109,7 @@
 			c.takeUps(transport)
 			continue
 		}
-		if c.run.cfg.Software && c.rng.IntN(2) == 0 {
+		if (c.run.cfg.Software || c.run.cfg.Unfit) && c.rng.IntN(2) == 0 {
 			c.sent++
 			c.stream(transport)
 			continue
--- a/soak/platform_faults.go
+++ b/soak/platform_faults.go
@@ -16,7 +16,7 @@
 		return []fault{newVersion}
 	}
 	if r.cfg.Alone {
-		return slices.Concat(r.repeatFaults(), r.outageFaults(), r.moveFaults(), r.malformedFaults())
+		return slices.Concat(r.repeatFaults(), r.outageFaults(), r.moveFaults(), r.malformedFaults(), r.unfitFaults())
 	}
 	all := append(processFaults(func() *process { return &r.randomNode().process }),
 		fault{"store down", func() func() { r.store.SetFailing(true); return func() { r.store.SetFailing(false) } }},
@@ -65,6 +65,7 @@
 	all = append(all, r.moveFaults()...)
 	all = append(all, r.rareFaults()...)
 	all = append(all, r.malformedFaults()...)
+	all = append(all, r.unfitFaults()...)
 	return append(all, r.rolloutFaults()...)
 }
 
@@ -96,7 +97,11 @@
 
 // misbehave sets the fault switches of a random replica, and records for how long.
 func (r *platformRun) misbehave(f fakes.Faults) (end func()) {
-	rep := r.randomReplica()
+	return r.misbehaveAt(r.randomReplica(), f)
+}
+
+// misbehaveAt does the same with one replica.
+func (r *platformRun) misbehaveAt(rep *fakes.Replica, f fakes.Faults) (end func()) {
 	troubled := r.checks.ends.trouble.begin(rep)
 	rep.SetFaults(f)
 	return func() {
--- a/soak/platform_software.go
+++ b/soak/platform_software.go
@@ -279,7 +279,8 @@
 	if resumed && had >= minReplicas && c.run.serving(s.version) >= minReplicas {
 		c.run.software.takenUp(s, res.startedAt, res.status == http.StatusOK)
 	}
-	if res.status != http.StatusOK {
+	if !isStream(resp) {
+		c.run.checks.unfit.addAnswer(resp, res.id, s.last)
 		return res.status != http.StatusUnauthorized
 	}
 	return c.readStream(resp.Body, s, res)
@@ -291,9 +292,13 @@
 	if c.rng.IntN(leaveEvery) == 0 {
 		leaveAt = s.last + 1 + c.rng.IntN(c.run.cfg.chunks())
 	}
-	lines := bufio.NewReader(body)
+	lines, had := bufio.NewReader(body), s.last
 	for s.last < leaveAt {
 		line, err := lines.ReadString('\n')
+		if !belongsToChunk(strings.TrimSpace(line)) {
+			c.run.checks.violated("no piece is missing, repeated, or another answer's", res.id, fmt.Sprintf("began as %s, line %.80q after %d", s.id, line, s.last))
+			return false
+		}
 		if err != nil {
 			res.err = err
 			break
@@ -310,6 +315,10 @@
 	switch {
 	case res.err == nil:
 		res.abandoned = true
+	case res.err == io.EOF && had > 0 && s.last == had && c.run.cfg.Unfit:
+		res.err = nil
+		c.run.checks.unfit.addEmpty(res.id, had)
+		return true
 	case res.err == io.EOF && s.last < c.run.cfg.chunks():
 		c.run.checks.violated("an answer that ends early does not look whole", res.id, fmt.Sprintf("%d pieces", s.last))
 		return false
--- a/soak/product_faults.go
+++ b/soak/product_faults.go
@@ -13,7 +13,10 @@
 
 // faults lists all faults on the product's own interface.
 func (r *productRun) faults() []fault {
-	all := slices.Concat(r.endlessFaults(), r.repeatFaults(), r.evidenceFaults())
+	if r.cfg.Alone && r.cfg.Unfit {
+		return slices.Concat(r.repeatFaults(), r.unfitFaults())
+	}
+	all := slices.Concat(r.endlessFaults(), r.repeatFaults(), r.evidenceFaults(), r.unfitFaults())
 	return append(append(processFaults(func() *process { return &r.randomRouter().process }), all...),
 		r.switchFault("key-value service down", func() string { return "kv" }, "outage", `{"on":true}`, "outage", `{"on":false}`),
 		r.switchFault("key-value service silent", func() string { return "kv" }, "cut", "", "heal", ""),
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -103,6 +103,9 @@
 	Stops bool
 	// Malformed makes replicas of the users' platform answer long uploads early and reset them, and send malformed heads.
 	Malformed bool
+	// Unfit breaks streams off, and has engines answer requests that continue one with answers that aren't its rest. Clients of the users'
+	// platform take streams up.
+	Unfit bool
 	// Floods makes all plain services answer many requests at once without end.
 	Floods bool
 	// Silences injects nothing but silences of replicas and new versions of the configuration, on the users' platform.
@@ -117,7 +120,7 @@
 	Work time.Duration
 	// Chunks is the number of chunks of a stream; 0 for chunkCount.
 	Chunks int
-	// Alone injects only the faults of Repeats and Outages.
+	// Alone injects only the faults of Repeats, Outages, Moves, Malformed and Unfit, on the product's own interface if Unfit is set.
 	Alone bool
 	// Crowds has crowds of clients that don't behave connect to one router while another one ends and starts again. The routers know the
 	// memory of their machines.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -218,6 +218,15 @@
 	checkSeed(t, Run, Config{Seed: 32001, Nodes: 4, Engines: 6, Services: 4, Clients: 12, FaultTime: 5 * time.Second, Malformed: true, Alone: true})
 }
 
+// TestUnfitSeeds makes the same checks as TestSeeds, on both interfaces, while streams break off and engines answer requests that continue
+// them with errors. Guards against answers that are joined to streams, or end them as complete.
+func TestUnfitSeeds(t *testing.T) {
+	cfg := Config{Seed: 2, Nodes: 4, Engines: 6, Services: 4, Clients: 12, FaultTime: 4 * time.Second, Unfit: true, Alone: true}
+	checkSeed(t, Run, cfg)
+	cfg.FaultTime = 2 * time.Second
+	checkSeed(t, RunProduct, cfg)
+}
+
 // TestProductSeeds runs fixed seeds on the product's own interface (not the one of the
 // users' platform).
 func TestProductSeeds(t *testing.T) {
