--- a/soak/unfit.go
+++ b/soak/unfit.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// unfitShare is how often a fault of Config.Unfit is in the list of faults: as often as the other misbehaviours together.
+	// unfitShare is how often the fault of Config.Unfit is in the list of faults.
 	unfitShare = 8
 	// maxErrorBody bounds what a client reads of an answer that is no stream.
 	maxErrorBody = 4 << 10
