generation: a silent attempt is read on beside an accepted one for 0.2 s only

Cause: since a silent attempt was replaced with the first chunk of the next one. A server that sends its head early reads the prompt first. Change: it is replaced after 0.2 s in any case. An answer that has nothing to add ends right behind its head, which is what the wait is for. The tests of generation ask for both: no attempt at work beside one that has delivered, nor beside one that was accepted 0.2 s ago.

--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -12,7 +12,7 @@
 
 // A silent backend server may be sound, so its attempt is kept and read while another backend server is looked
 // for. Whichever delivers first goes on: the kept attempt, or the attempt that another backend server has
-// accepted and that delivers, with which the kept one ends. If there is no other backend server, the request waits for the kept
+// accepted and that doesn't end at once without a chunk, with which the kept one ends. If there is no other backend server, the request waits for the kept
 // attempt until its deadline.
 
 // Delays between two searches of a request that waits for its kept attempt.
@@ -21,6 +21,10 @@
 	maxHoldDelay = time.Second
 )
 
+// acceptedWait is how long a silent attempt is kept beside one that was accepted and has not delivered. An answer that has nothing to add
+// ends right behind its head; one that has the rest may read the prompt first, and until then both would be at work.
+const acceptedWait = 200 * time.Millisecond
+
 // Results of a silence, used as labels.
 const (
 	silenceReplaced  = "replaced"
@@ -263,10 +267,10 @@
 	return a
 }
 
-// awaitAnswer waits until the answer of a begins or fails, and until it delivers if another attempt is kept. If the kept attempt delivers
-// before, or a is silent, it returns the event that follows instead.
+// awaitAnswer waits until the answer of a begins or fails, and for acceptedWait until it delivers if another attempt is kept. If the kept
+// attempt delivers before, or a is silent, it returns the event that follows instead.
 func (x *run) awaitAnswer(a *attempt) (s Stream, ev string, err error) {
-	r, ev := x.awaitEither(a)
+	r, ev, _ := x.awaitEither(a, nil)
 	if ev != "" || r.err != nil {
 		return nil, ev, r.err
 	}
@@ -274,12 +278,18 @@
 	if err := x.unfit(s.Head()); err != nil || x.kept == nil {
 		return s, "", err
 	}
-	// An accepted request need not bring a chunk: until it does, only the kept attempt is known to have the rest of the answer.
+	// An accepted request need not bring a chunk, and only the kept attempt is known to have the rest of the answer.
 	a.stream = s
 	a.reading.wanted <- struct{}{}
 	a.awaitsResult = true
-	if r, ev = x.awaitEither(a); ev != "" {
+	late := time.NewTimer(acceptedWait)
+	defer late.Stop()
+	r, ev, isLate := x.awaitEither(a, late.C)
+	switch {
+	case ev != "":
 		return nil, ev, nil
+	case isLate:
+		return s, "", nil
 	}
 	if r.err == io.EOF {
 		err = x.unprovenEnd(a)
@@ -290,8 +300,9 @@
 	return s, "", err
 }
 
-// awaitEither waits for the next result of a. If the kept attempt delivers before, or a is silent, it returns the event that follows.
-func (x *run) awaitEither(a *attempt) (r readResult, ev string) {
+// awaitEither waits for the next result of a. If the kept attempt delivers before, or a is silent, it returns the event that follows, and if
+// late delivers before, isLate.
+func (x *run) awaitEither(a *attempt, late <-chan time.Time) (r readResult, ev string, isLate bool) {
 	var ended <-chan struct{}
 	if a.stream != nil {
 		ended = a.ctx.Done() // a reader that has opened its stream may end without a result
@@ -303,12 +314,14 @@
 			if r.err == nil {
 				x.dropOvertakenReport(a)
 			}
-			return r, ""
+			return r, "", false
+		case <-late:
+			return readResult{}, "", true
 		case <-ended:
-			return readResult{err: Error.New("%w: %w", backend.ErrBroken, context.Cause(a.ctx))}, ""
+			return readResult{err: Error.New("%w: %w", backend.ErrBroken, context.Cause(a.ctx))}, "", false
 		case cause := <-a.silent:
 			if ev := x.silentBeforeAnswer(a, cause); ev != "" {
-				return readResult{}, ev
+				return readResult{}, ev, false
 			}
 		case r := <-x.keptResults():
 			r = x.fittingResult(r)
@@ -316,7 +329,7 @@
 				x.abandonAttempt(a)
 			}
 			if ev, goesOn := x.handleKept(r); goesOn {
-				return readResult{}, ev
+				return readResult{}, ev, false
 			}
 		}
 	}
