generation, bounded, platform: an end that a stream's first server has stated, and streams that begin without a type

Streams whose trailer section doesn't end were broken off behind their last chunk, and streams that began without a media type could go on at no server that states one. Cause: an empty answer proves no end, whatever was known of the attempt before it; and a type that isn't stated counted as a type of its own. Change: an error behind the last chunk of a body says so (bounded.ErrTrailers, backend.ErrBehindEnd). If the attempt that delivered the latest chunk ended so, an empty answer of another server confirms the end. A stream that began without a type goes on as text/event-stream. Tried and dropped: the end counts if all attempts that are allowed have nothing to add, which ends streams of 24 events after 11 where all engines answer with an empty stream.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -33,6 +33,8 @@
 	// ErrBroken means that the exchange ended early, after bytes of the request
 	// may have been sent.
 	ErrBroken = errors.New("connection broken")
+	// ErrBehindEnd means that a stream broke off behind the end of its body. An error that wraps it also wraps ErrBroken.
+	ErrBehindEnd = fmt.Errorf("%w behind the end of the body", ErrBroken)
 	// ErrMismatch means that an answer names another request, attempt, model,
 	// version or adapter, or that a chunk is not well formed.
 	ErrMismatch = errors.New("answer does not match the request")
--- a/bounded/answers.go
+++ b/bounded/answers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -70,25 +71,48 @@
 // checkedBody is the body of an answer, whose errors tell whether the answer is malformed.
 type checkedBody struct {
 	io.ReadCloser
+	ctx     context.Context // of the request
 	answers *AnswerReader
 }
 
 // CheckBody has the body of resp, an answer that was read from a, return the error of a if the answer is malformed.
 func (a *AnswerReader) CheckBody(resp *http.Response) {
-	if resp.Body != http.NoBody && resp.StatusCode != http.StatusSwitchingProtocols {
-		resp.Body = checkedBody{ReadCloser: resp.Body, answers: a}
+	if resp.Body == http.NoBody || resp.StatusCode == http.StatusSwitchingProtocols {
+		return
 	}
+	ctx := context.Background()
+	if resp.Request != nil {
+		ctx = resp.Request.Context()
+	}
+	resp.Body = checkedBody{ReadCloser: resp.Body, ctx: ctx, answers: a}
 }
 
+// ErrTrailers means that the body of an answer was read to its last chunk, and the trailer section behind it could not be read.
+var ErrTrailers = errors.New("the trailer section of the answer can't be read")
+
 // Read implements io.Reader.
 func (b checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && err != io.EOF {
-		err = cmp.Or(b.answers.Err(), err)
+	if err == nil || err == io.EOF {
+		return n, err
+	}
+	if malformed := b.answers.Err(); malformed != nil {
+		return n, malformed
+	}
+	if b.ctx.Err() == nil && b.answers.inTrailers() {
+		// The chunks are buffered by then, so an error of the connection comes behind them.
+		err = Error.New("%w: %w", ErrTrailers, err)
 	}
 	return n, err
 }
 
+// inTrailers reports whether the last chunk of an answer has arrived, and the end of its trailer section has not.
+func (a *AnswerReader) inTrailers() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.framing.part == trailerLines
+}
+
 // CheckHead returns an error if the head of the answer at the begin of b is malformed, or isn't whole.
 func CheckHead(b []byte) error {
 	var f framing
--- a/generation/continuation.go
+++ b/generation/continuation.go
@@ -27,7 +27,11 @@
 	case head == nil || x.req.Opaque == nil:
 		return nil // the chunks of such an answer name what they belong to
 	case x.joins():
-		if form := head.Form(); form != *x.form {
+		form, typed := head.Form(), *x.form
+		if typed.MediaType == "" {
+			typed.MediaType = backend.EventStream // a stream has no other type
+		}
+		if form != *x.form && form != typed {
 			return Error.New("%w: %w: %v after %v", backend.ErrMismatch, errOtherForm, form, *x.form)
 		}
 	case x.req.Opaque.Streaming && x.req.Opaque.HasPartialAnswer:
@@ -39,8 +43,9 @@
 	return nil
 }
 
-// begun records the form of the stream of which the caller gets the first chunk.
+// begun records that the caller gets a chunk, and the form of the stream if it is the first one.
 func (x *run) begun(a *attempt) {
+	x.endStated = false
 	head := a.stream.Head()
 	if x.joins() || head == nil || x.req.Opaque == nil {
 		return
@@ -49,11 +54,12 @@
 	x.form = &form
 }
 
-// unprovenEnd returns an error if the end of the answer of a doesn't prove that the stream is complete. If a client has taken a stream up,
-// it is complete if two backend servers have nothing to add, or if one has and no other can be asked.
+// unprovenEnd returns an error if the end of the answer of a doesn't prove that the stream is complete. An answer without a chunk does if
+// the attempt before it broke off behind the end of its body. If a client has taken a stream up, two such answers do, or one if no other
+// backend server can be asked.
 func (x *run) unprovenEnd(a *attempt) error {
 	o := x.req.Opaque
-	if err := x.unconfirmedEnd(a); err != nil || o == nil || !o.Streaming || a.accepted > 0 {
+	if err := x.unconfirmedEnd(a); err != nil || o == nil || !o.Streaming || a.accepted > 0 || x.endStated {
 		return err
 	}
 	asksAnother := o.HasPartialAnswer && !a.forwarded && x.emptyAnswer == nil
@@ -85,7 +91,7 @@
 	if err := x.sink.Begin(Position{Attempt: x.attemptNumber}, x.emptyAnswer); err != nil {
 		return x.callerDisconnected(err)
 	}
-	return "failed-answer"
+	return "kept-answer"
 }
 
 // logContinues logs which answer goes on with an opaque answer of which the caller has a part.
--- a/generation/continuation_test.go
+++ b/generation/continuation_test.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// Guards against a stream that is broken off although its first backend server has stated its end, and a second one that nothing is left.
+func TestStatedEndIsConfirmedByASecondServer(t *testing.T) {
+	empty := script{lastChunk: 4, err: io.EOF}
+	w := &fakeFleet{chunks: 9, budget: 9, scripts: []script{{lastChunk: 4, err: backend.ErrBehindEnd}, empty}}
+	if res, out := w.run(t, nil); res.Outcome != fleet.Complete || out.text != chunkText(4) || len(w.opened) != 2 {
+		t.Errorf("%s with %q in %d attempts", res.Outcome, out.text, len(w.opened))
+	}
+	w = &fakeFleet{chunks: 9, budget: 9, scripts: []script{{lastChunk: 4, err: backend.ErrBehindEnd}, {lastChunk: 6, err: errBroken}, empty, empty, empty}}
+	w.scripts[2].lastChunk, w.scripts[3].lastChunk, w.scripts[4].lastChunk = 6, 6, 6
+	if res, out := w.run(t, nil); res.Outcome != fleet.Failed || out.text != chunkText(6) {
+		t.Errorf("a later attempt has more: %s with %q", res.Outcome, out.text)
+	}
+}
+
 // Guards against a stream that a client takes up and that one backend server ends with nothing, although others have the rest; and against a
 // client that has all chunks and never gets the end.
 func TestEmptyTakeUpIsConfirmed(t *testing.T) {
--- a/generation/dispatch.go
+++ b/generation/dispatch.go
@@ -199,6 +199,9 @@
 		a.closeReader()
 		return x.endLikeRemote(end)
 	}
+	if a.accepted > 0 {
+		x.endStated = errors.Is(err, backend.ErrBehindEnd)
+	}
 	if x.lossCause == "" {
 		x.lostAt = time.Now()
 	}
--- a/generation/end.go
+++ b/generation/end.go
@@ -78,7 +78,7 @@
 	if err := x.sink.Token(x.filter.next, x.failedAnswer.Body, finishComplete); err != nil {
 		return x.callerDisconnected(err)
 	}
-	return "failed-answer"
+	return "kept-answer"
 }
 
 // recordFailedAnswer keeps a failure that the backend server itself returned as its answer.
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -192,6 +192,7 @@
 
 	form           *backend.Form         // of the stream of which the caller has a part; nil before its first chunk
 	emptyAnswer    *backend.Head         // of an answer without chunks to a client that has taken a stream up
+	endStated      bool                  // the latest attempt that delivered a chunk broke off behind the end of its body
 	bound          *Binding              // software version at which the answer began; nil before its first chunk
 	lostDomain     string                // failure domain of the most recently lost attempt
 	lostCopy       lostAttemptCopy       // standby copy of the most recently lost attempt
