--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -41,7 +41,7 @@
 	announced      string // version that announceVersion sent last
 
 	copyCheckedAt    time.Time
-	fits             *backend.Head // of its answer, which was found to fit the stream that it continues
+	checkedHead      *backend.Head // of its answer, which may go on with what the caller has
 	accepted         int           // tokens delivered from this attempt
 	sentAt           time.Time
 	firstAt          time.Time // when its first token arrived
--- a/generation/continuation.go
+++ b/generation/continuation.go
@@ -21,8 +21,8 @@
 // request on.
 func (x *run) joins() bool { return x.form != nil }
 
-// unfit returns an error if the answer with the given head can't go on with the stream of which the caller has a part.
-func (x *run) unfit(head *backend.Head) error {
+// checkHead returns an error if the answer with the given head can't go on with the stream of which the caller has a part.
+func (x *run) checkHead(head *backend.Head) error {
 	switch {
 	case head == nil || x.req.Opaque == nil:
 		return nil // the chunks of such an answer name what they belong to
@@ -43,8 +43,8 @@
 	return nil
 }
 
-// begun records that the caller gets a chunk, and the form of the stream if it is the first one.
-func (x *run) begun(a *attempt) {
+// recordDelivery records that the caller gets a chunk, and the form of the stream if it is the first one.
+func (x *run) recordDelivery(a *attempt) {
 	x.endStated = false
 	head := a.stream.Head()
 	if x.joins() || head == nil || x.req.Opaque == nil {
@@ -103,19 +103,19 @@
 		"status", head.Status, "type", head.Header.Get("Content-Type"), "from", x.filter.next)
 }
 
-// misfit returns an error if a chunk of a can't be joined to the part of the stream that the caller has.
-func (x *run) misfit(a *attempt, t backend.Token) error {
+// checkChunk returns an error if a chunk of a can't be joined to the part of the stream that the caller has.
+func (x *run) checkChunk(a *attempt, t backend.Token) error {
 	if !x.joins() {
 		return nil
 	}
 	if t.Finish != "" {
 		return Error.New("%w: %w: a complete answer", backend.ErrMismatch, errOtherForm)
 	}
-	if head := a.stream.Head(); head != a.fits {
-		if err := x.unfit(head); err != nil {
+	if head := a.stream.Head(); head != a.checkedHead {
+		if err := x.checkHead(head); err != nil {
 			return err
 		}
-		a.fits = head
+		a.checkedHead = head
 	}
 	return nil
 }
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -40,7 +40,7 @@
 				return x.handleLoss(a, err)
 			}
 		}
-		if err := x.misfit(a, t); err != nil {
+		if err := x.checkChunk(a, t); err != nil {
 			return x.recordUnusable(a, causeUnfit, err)
 		}
 		if err := x.followOrigin(a); err != nil {
@@ -104,7 +104,7 @@
 		x.text = append(x.text, t.Text...)
 		x.meterText()
 	}
-	x.begun(a)
+	x.recordDelivery(a)
 	silent := a.ctx.Err() != nil || len(a.silent) > 0
 	if err := x.sink.Token(t.Index, t.Text, t.Finish); err != nil {
 		return err
