generation: a stream of a router that states no form is not joined

Seen by reading (review): a router of an earlier build passes a broken stream on without the form of what its caller has. Its second router took a 404 for the first answer to a take-up, and the first one joined it. Cause: no statement counted as a caller that has nothing from this answer. Change: an answer that began as the request itself, which another router has passed on, has been delivered in part by that router. TestStreamOfARouterThatStatesNoFormIsNotJoined fails before: 'not found'.

--- a/generation/continuation.go
+++ b/generation/continuation.go
@@ -17,6 +17,16 @@
 	errNoChunk   = errors.New("the answer ended without a chunk, which doesn't prove that the stream is complete")
 )
 
+// formBefore returns the form of the answer of which the caller has a part before the run begins, or nil if it has none. A router of a build
+// that doesn't state the form has delivered a part if the answer began as this request.
+func formBefore(req *Request) *backend.Form {
+	o := req.Opaque
+	if o.Form == nil && req.Forwarded && o.HasPartialAnswer && o.BeganAs == req.ID {
+		return &backend.Form{Status: http.StatusOK}
+	}
+	return o.Form
+}
+
 // joins reports whether the next chunk is joined to chunks that the caller has from this answer, also through the router that passed the
 // request on.
 func (x *run) joins() bool { return x.form != nil }
--- a/generation/continuation_test.go
+++ b/generation/continuation_test.go
@@ -151,6 +151,21 @@
 	}
 }
 
+// Guards against an answer that a router of an earlier build joins to its stream, since the router to which it passes the stream on takes it
+// for a first answer.
+func TestStreamOfARouterThatStatesNoFormIsNotJoined(t *testing.T) {
+	notFound := script{head: headOf(404, "text/plain"), complete: "not found"}
+	for beganAs, want := range map[string]string{"q": "5 6 7 8 9 ", "another": "not found"} {
+		w := &fakeFleet{chunks: 9, budget: 9, scripts: []script{notFound, {head: headOf(200, backend.EventStream)}}}
+		res, out := w.run(t, func(r *Request) {
+			r.Forwarded, r.Opaque.FirstChunk, r.Opaque.HasPartialAnswer, r.Opaque.BeganAs = true, 5, true, beganAs
+		})
+		if res.Outcome != fleet.Complete || out.text != want {
+			t.Errorf("began as %s: %s with %q, want %q", beganAs, res.Outcome, out.text, want)
+		}
+	}
+}
+
 // joinedPart is what another router delivers from one of its attempts: a chunk, or none if it has no text.
 type joinedPart struct {
 	head  *backend.Head
--- a/generation/runner.go
+++ b/generation/runner.go
@@ -236,7 +236,7 @@
 	x.keepsText = !req.NonIdempotent
 	if req.Opaque != nil {
 		x.filter.next = req.Opaque.FirstChunk
-		x.form = req.Opaque.Form
+		x.form = formBefore(&req)
 		x.keepsText = false
 	}
 	if p := req.Resume; p != nil {
