generation: chunks of a stream that breaks off reach its caller

Cause: chunks that are received together are flushed with the last of them. If the attempt is lost before, they wait for the next attempt, and go with the connection if none delivers. Change: what an attempt has delivered is flushed when it is lost. TestChunksBeforeABreakAreFlushed fails before: the caller has ''.

--- a/generation/continuation_test.go
+++ b/generation/continuation_test.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// Guards against a connection that ends without the head and the chunks of a stream that broke off while they were received together.
+func TestChunksBeforeABreakAreFlushed(t *testing.T) {
+	w := &fakeFleet{chunks: 9, budget: 9, scripts: []script{{lastChunk: 4, err: errBroken, buffered: true}, {openErr: errBroken}}}
+	res, out := w.run(t, func(r *Request) { r.Opaque.MaxAttempts = 2 })
+	if res.Outcome != fleet.Failed || out.flushed != chunkText(4) {
+		t.Errorf("%s, the caller has %q", res.Outcome, out.flushed)
+	}
+}
+
 // joinedPart is what another router delivers from one of its attempts: a chunk, or none if it has no text.
 type joinedPart struct {
 	head  *backend.Head
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -29,6 +29,7 @@
 	lastChunk int           // last chunk delivered; 0 means all
 	err       error
 	head      *backend.Head // of the answer; nil for status 200
+	buffered  bool          // its chunks are received together
 	complete  string        // text of an answer that isn't a stream; empty for a stream
 }
 
@@ -170,7 +171,7 @@
 	return backend.Token{Index: p.next - 1, Text: fmt.Appendf(nil, "%d ", p.next-1)}, nil
 }
 
-func (p *chunkStream) Buffered() bool      { return false }
+func (p *chunkStream) Buffered() bool      { return p.script.buffered }
 func (p *chunkStream) Incarnation() string { return "" }
 func (p *chunkStream) Head() *backend.Head { return cmp.Or(p.script.head, &okHead) }
 func (p *chunkStream) Close() error        { return nil }
@@ -181,6 +182,7 @@
 type callerAnswer struct {
 	status    int
 	text      string
+	flushed   string        // part of text that the caller has
 	readDelay time.Duration // time that the caller takes to read each chunk
 }
 
@@ -197,7 +199,10 @@
 	return nil
 }
 
-func (a *callerAnswer) Flush() error { return nil }
+func (a *callerAnswer) Flush() error {
+	a.flushed = a.text
+	return nil
+}
 
 func (w *fakeFleet) run(t testing.TB, change func(*Request)) (Result, *callerAnswer) {
 	out := &callerAnswer{}
--- a/generation/stream.go
+++ b/generation/stream.go
@@ -112,12 +112,7 @@
 	if a.stream.Buffered() {
 		return nil
 	}
-	// While the caller reads slowly, this goroutine reads no tokens. If the failure detector
-	// weren't notified, a healthy engine would seem silent, and this router would give up all
-	// streams of that engine.
-	a.watch.SetBlocked(true, now)
-	err := x.sink.Flush()
-	a.watch.SetBlocked(false, time.Now())
+	err := x.flush(a, now)
 	// The sink can also block within Token, but rarely. If the attempt was ended during such a
 	// write, the engine isn't at fault and still has the run. The router then re-attaches to
 	// the run instead of paying for a new prefill.
@@ -128,6 +123,18 @@
 	return err
 }
 
+// flush sends the caller what a has delivered.
+//
+// While the caller reads slowly, this goroutine reads no tokens. If the failure detector
+// weren't notified, a healthy engine would seem silent, and this router would give up all
+// streams of that engine.
+func (x *run) flush(a *attempt, now time.Time) error {
+	a.watch.SetBlocked(true, now)
+	err := x.sink.Flush()
+	a.watch.SetBlocked(false, time.Now())
+	return err
+}
+
 // recordDelay records how long a token took to arrive. Before the first token, lastToken is
 // the time at which the run started.
 func (x *run) recordDelay(now time.Time) {
@@ -182,6 +189,12 @@
 // mean that the answer is complete, since an engine that itself ended the attempt early sends
 // an end mark too.
 func (x *run) streamEnded(a *attempt, err error) string {
+	if a.accepted > 0 && err != io.EOF {
+		// Chunks that were received together aren't flushed yet, and no other attempt may follow.
+		if err := x.flush(a, time.Now()); err != nil {
+			return x.callerDisconnected(err)
+		}
+	}
 	if err == io.EOF {
 		switch unproven := x.unprovenEnd(a); {
 		case errors.Is(unproven, errNoChunk):
