docs: the table of values says what goes on with a stream, and its test asks

Six rows (type, status, receipt and next event behind a part of a stream, type and next event to a client that takes one up) in the four forms, each sent by a replica to a runner with a further sound replica.

--- a/docs/values_test.go
+++ b/docs/values_test.go
@@ -80,6 +80,7 @@
 	add("`Content-Length`", forms{none, {"x"}, {"1", "2"}, {"99999999999"}}, clientProbe("/stream/x", "Content-Length", firstChunk))
 	addReplicaProbes(add)
 	addHeadProbes(add)
+	addContinuationProbes(add)
 	addRouterProbes(add)
 	addCallerProbes(add)
 	addEngineProbes(add)
