--- a/generation/await.go
+++ b/generation/await.go
@@ -8,8 +8,8 @@
 	"wigeondale/backend"
 )
 
-// acceptedWait is how long a silent attempt is kept beside one that was accepted and has not delivered. An answer that has nothing to add
-// ends right behind its head; one that has the rest may read the prompt first, and until then both would be at work.
+// acceptedWait bounds the time for which a silent attempt is read beside one that was accepted and has sent no chunk. An empty answer ends
+// together with its head. Any other answer may begin only after the prefill, and both backend servers would work until then.
 const acceptedWait = 200 * time.Millisecond
 
 // awaitAnswer waits until the answer of a begins or fails, and for acceptedWait until it delivers if another attempt is kept. If the kept
--- a/generation/continuation.go
+++ b/generation/continuation.go
@@ -8,9 +8,9 @@
 	"wigeondale/event"
 )
 
-// An answer that is right as a first one may be wrong behind a part of another: its text would become part of a stream, and its end would
-// be taken for the end of the stream. A broken stream is taken up by its client, which loses little; a stream that ends as complete is not.
-// So what goes on with a stream has the stream's own form, and only a backend server that has delivered a part of the rest can end it.
+// An answer that is valid as a first one may be invalid behind a part of a stream: its text would become part of the stream, and its end
+// would count as the end of the stream. A client resumes a stream that is broken off, but not one that ends as complete. Therefore an answer
+// continues a stream only if it has the same form, and ends it only if its attempt has delivered a chunk of the rest.
 
 var (
 	errOtherForm = errors.New("the answer is no continuation of the stream")
--- a/generation/deps.go
+++ b/generation/deps.go
@@ -20,7 +20,7 @@
 	Resume   bool // continues an answer that was started through another router
 }
 
-// TakePlace takes a place for one more connection under a request whose attempt is kept. ok is false if there is none.
+// TakePlace reserves a connection for a second attempt of a request whose first attempt is kept. ok is false if the limit is reached.
 type TakePlace func() (release func(), ok bool)
 
 // Admitter applies the limits of client accounts. The returned release, if it is not nil, is
--- a/generation/place.go
+++ b/generation/place.go
@@ -1,6 +1,6 @@
 package generation
 
-// errNoPlace is the error of a search that waits since its attempt would be a connection too many.
+// errNoPlace is the error of a search that waits because the limit of connections is reached.
 var errNoPlace = Error.New("no connection is left for an attempt beside a silent one")
 
 // takePlace takes the place of a search beside a kept attempt, unless it has one. Without it, backend servers that fall silent under
--- a/soak/unfit.go
+++ b/soak/unfit.go
@@ -74,7 +74,7 @@
 // drawPart draws one, half or all of n.
 func drawPart(rng *rand.Rand, n int) int { return []int{1, (n + 1) / 2, n}[rng.IntN(3)] }
 
-// drawUnfit draws the name of an answer, half of the time one that isn't a status with or without a body.
+// drawUnfit draws the name of an answer. Half of the draws exclude answers that differ by their status alone.
 func drawUnfit[A any](rng *rand.Rand, answers map[string]A) string {
 	names := slices.Sorted(maps.Keys(answers))
 	if rng.IntN(2) == 0 {
