--- a/review/rig2/rig2.go
+++ b/review/rig2/rig2.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -90,14 +91,19 @@
 	ended    chan struct{}
 }
 
+// Ports of routers are below those that the system gives to connections, so that a router finds its ports free when it starts again.
+const firstPort, lastPort = 15000, 30000
+
 // FreeAddr returns an address on loopback that is free now.
 func FreeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var ln net.Listener
+		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))); err == nil {
+			return ln.Addr().String(), ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", err
 }
 
 // AddRouter starts a router that reaches the store at an address, and waits until it is ready. Extra is put into the section
@@ -428,3 +434,8 @@
 	out.Body = body.Bytes()
 	return out
 }
+
+// WriteSettings replaces the settings that the process gets at its next start.
+func (n *Router) WriteSettings(text string) error {
+	return os.WriteFile(n.settings, []byte(text), 0o600)
+}
