--- a/review/rig2/rig2.go
+++ b/review/rig2/rig2.go
@@ -106,8 +106,7 @@
 	return "", err
 }
 
-// AddRouter starts a router that reaches the store at an address, and waits until it is ready. Extra is put into the section
-// "hosted" of its settings, after the fields that the users' template has.
+// AddRouter starts a router that reaches the store at an address, and waits until it is ready.
 func (r *Rig) AddRouter(id, domain, store string, first bool) (*Router, error) {
 	n := &Router{ID: id, rig: r, store: store}
 	for _, a := range []*string{&n.Front, &n.Ready, &n.Stats, &n.Peer} {
@@ -237,7 +236,6 @@
 	mu       sync.Mutex
 	arrivals []*Arrival
 	conns    map[net.Conn]struct{}
-	stopped  bool
 }
 
 // AddReplica starts a replica and registers it.
@@ -341,7 +339,7 @@
 	}
 }
 
-// Head returns the head of a replica's answer to a.
+// HeadOf returns the head of a replica's answer to a.
 func (a *Arrival) HeadOf(status int, more string) string {
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-%s-%s\r\nX-Replica-Id: %s\r\n%s\r\n", status, http.StatusText(status), a.ID(), a.Replica.ID, a.ID(), a.Replica.ID, more)
 }
