Review case 6: a part of an answer that is reset under an upload counts as whole

A replica answers a long upload early without a length, breaks off in the middle, ends its direction and resets the connection 2 ms later. The client gets the part with a Content-Length, as a success (MIXED).

--- a/review/rig2/rig2.go
+++ b/review/rig2/rig2.go
@@ -227,6 +227,9 @@
 	// Serve answers a request that was read whole, and returns false if the connection has to be closed. Health checks, reports and other
 	// calls without an attempt's id don't reach it.
 	Serve func(a *Arrival) bool
+	// Early, if set, is called with each request whose head was read and whose body wasn't. It returns true if it has answered, after
+	// which the connection is closed.
+	Early func(a *Arrival) bool
 	// Report, if set, returns the body of a report.
 	Report func() string
 
@@ -286,11 +289,17 @@
 	}()
 	br := bufio.NewReader(c)
 	for {
-		a, err := readRequest(br)
+		a, err := readHead(br)
 		if err != nil {
 			return
 		}
 		a.At, a.Replica, a.Conn, a.Reader = time.Now(), p, c, br
+		if a.ID() != "" && p.Early != nil && p.Early(a) {
+			return
+		}
+		if err := a.readBody(); err != nil {
+			return
+		}
 		if a.ID() == "" {
 			if !p.serveCall(a) {
 				return
@@ -350,7 +359,7 @@
 	return err == nil
 }
 
-func readRequest(br *bufio.Reader) (*Arrival, error) {
+func readHead(br *bufio.Reader) (*Arrival, error) {
 	line, err := br.ReadString('\n')
 	if err != nil {
 		return nil, err
@@ -363,18 +372,21 @@
 		}
 		l = strings.TrimRight(l, "\r\n")
 		if l == "" {
-			break
+			return a, nil
 		}
 		name, value, _ := strings.Cut(l, ":")
 		a.Head.Add(name, strings.TrimSpace(value))
 	}
+}
+
+func (a *Arrival) readBody() error {
 	if a.Head.Get("Transfer-Encoding") == "chunked" {
-		return a, errors.New("chunks aren't read")
+		return errors.New("chunks aren't read")
 	}
 	n, _ := strconv.Atoi(a.Head.Get("Content-Length"))
 	a.Body = make([]byte, n)
-	_, err = io.ReadFull(br, a.Body)
-	return a, err
+	_, err := io.ReadFull(a.Reader, a.Body)
+	return err
 }
 
 // Reply is what a client got.
