--- a/review/rig2/rig2.go
+++ b/review/rig2/rig2.go
@@ -106,26 +106,43 @@
 	return "", err
 }
 
-// AddRouter starts a router that reaches the store at an address, and waits until it is ready.
-func (r *Rig) AddRouter(id, domain, store string, first bool) (*Router, error) {
-	n := &Router{ID: id, rig: r, store: store}
+// AddRouter starts a router that reaches the store at an address, and waits until it is ready. If another program takes one of its ports
+// before it starts, it is started at others.
+func (r *Rig) AddRouter(id, domain, store string, first bool) (n *Router, err error) {
+	for range 5 {
+		n = &Router{ID: id, rig: r, store: store, settings: filepath.Join(r.dir, id+".json")}
+		if err = n.startAnywhere(domain, first); err == nil || n.ended == nil {
+			break
+		}
+		n.Kill()
+		if !strings.Contains(n.Output(), "address already in use") {
+			break
+		}
+		_ = os.Remove(n.settings + ".log")
+	}
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routers = append(r.routers, n)
+	return n, nil
+}
+
+func (n *Router) startAnywhere(domain string, first bool) error {
 	for _, a := range []*string{&n.Front, &n.Ready, &n.Stats, &n.Peer} {
 		var err error
 		if *a, err = FreeAddr(); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	n.settings = filepath.Join(r.dir, id+".json")
 	if err := n.write(domain, first); err != nil {
-		return nil, err
+		return err
 	}
-	r.mu.Lock()
-	r.routers = append(r.routers, n)
-	r.mu.Unlock()
 	if err := n.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	return n, n.AwaitReady(15 * time.Second)
+	return n.AwaitReady(15 * time.Second)
 }
 
 // write writes the settings as deploy/wigeond.json.tmpl renders them for the site notas-andinas.
@@ -174,7 +191,7 @@
 
 // Kill kills the process and waits for its end.
 func (n *Router) Kill() {
-	if n.cmd == nil {
+	if n.ended == nil {
 		return
 	}
 	_ = n.cmd.Process.Kill()
@@ -196,7 +213,11 @@
 				return nil
 			}
 		}
-		time.Sleep(20 * time.Millisecond)
+		select {
+		case <-n.ended:
+			until = time.Now()
+		case <-time.After(20 * time.Millisecond):
+		}
 	}
 	return fmt.Errorf("router %s isn't ready; its log: %s", n.ID, n.Output())
 }
