reload: a running router shows that the next start refuses its settings

Hypotheses for "no router starts again after the change of grace_s": (1) the settings are refused; (2) a port is taken; (3) the file is missing or torn; (4) the process starts and never gets ready.

For three seconds before the restart each router runs with a file that no start accepts, and says so only in an event named "reloaded" with valid=false, only after a SIGHUP, and in no metric. So what is missing is added first: package reload reads the file each second and at SIGHUP as a start does (the daemon's own checks of routing and policy too, which SIGHUP left out), and shows the verdict in event 1711 settings-refused with the fields, wigeon_settings_valid, wigeon_settings_pending, section settings_file of the state dump, and `wigeonctl settings` for each node. Readiness doesn't change: a router that serves well isn't taken out for what its next start would do. Content that isn't valid counts once it was read twice, since a file may be in the middle of being written.

TestHangupChecksSettings looks for the two events instead of valid=true and valid=false; what it asks is the same.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -110,6 +110,7 @@
 	Reach      *reachCmd        `arg:"subcommand:reach" help:"which routers are cut off from which services, and who runs their requests"`
 	Pressure   *backpressureCmd `arg:"subcommand:backpressure" help:"what backend servers ask of the routers: limits, unknown headers of answers"`
 	Versions   *emptyCmd        `arg:"subcommand:versions" help:"software versions of services side by side: room, and the streams that are bound to each"`
+	Settings   *emptyCmd        `arg:"subcommand:settings" help:"whether the next start of each node accepts its settings file"`
 	Dump       *dumpCmd         `arg:"subcommand:dump" help:"state dump of the first node that answers"`
 	Explain    *explainCmd      `arg:"subcommand:explain" help:"sort the requests of routers' logs by what became of them and why"`
 	Stream     *StreamCmd       `arg:"subcommand:stream" help:"stream a completion as a caller, with reconnects"`
@@ -219,6 +220,8 @@
 		return t.backpressure(ctx)
 	case t.args.Versions != nil:
 		return t.versions(ctx)
+	case t.args.Settings != nil:
+		return t.settings(ctx)
 	case t.args.Revisions != nil:
 		return t.revisions(ctx)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -169,7 +169,7 @@
 // waitForShutdown waits for the shutdown signal and then until all requests have ended. The
 // daemon's group of parts stops when waitForShutdown returns.
 func (n *node) waitForShutdown(signalled <-chan os.Signal, stop <-chan struct{}) error {
-	if !signals.Wait(signalled, stop, n.config, n.log) {
+	if !signals.Wait(signalled, stop, n.settings.Read) {
 		return nil
 	}
 	n.log.Emit(event.ShutdownBegun, "open", n.callers.Open())
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -28,6 +28,7 @@
 	"wigeondale/peer"
 	"wigeondale/quarantine"
 	"wigeondale/reach"
+	"wigeondale/reload"
 	"wigeondale/settings"
 )
 
@@ -71,6 +72,8 @@
 	summaries *summaries
 
 	caller, admin, peers *listen.Server
+
+	settings *reload.Tracker
 }
 
 // newNode builds the parts in the order of their dependencies.
@@ -83,6 +86,7 @@
 		dumps:  &dump.Registry{},
 		notice: millis(set.Shutdown.BalancerNoticeMS),
 	}
+	n.settings = reload.New(set, reload.Config{Check: checkSettings, Log: log, Metrics: n.set})
 	steps := []func(*settings.Settings) error{
 		n.buildPlatform, n.buildMesh, n.buildConfig, n.buildInventory, n.buildBackends,
 		n.buildClaims, n.buildCallers, n.buildOrders, n.buildListeners,
@@ -131,12 +135,13 @@
 // parts returns the background loops that run until the process ends.
 func (n *node) parts() []func(context.Context) error {
 	return []func(context.Context) error{
-		n.mesh.Run, n.keeper.Run, n.inv.Run, n.poller.Run, n.mon.Run, n.claims.Run, n.cancels.Run, n.orders.Run, n.summaries.run, n.syncHolds, n.tickPressure, n.reach.Run, n.tickCutOff,
+		n.mesh.Run, n.keeper.Run, n.inv.Run, n.poller.Run, n.mon.Run, n.claims.Run, n.cancels.Run, n.orders.Run, n.summaries.run, n.syncHolds, n.tickPressure, n.reach.Run, n.tickCutOff, n.settings.Run,
 	}
 }
 
 func (n *node) addDumps(set *settings.Settings) {
 	n.dumps.Add("settings", func() any { return json.RawMessage(set.Printable()) })
+	n.dumps.Add("settings_file", func() any { return n.settings.State() })
 	n.dumps.Add("peers", n.mesh.Dump)
 	n.dumps.Add("revision", func() any { return n.keeper.State().Revision })
 	n.dumps.Add("inventory", n.inv.Dump)
--- a/event/ids.go
+++ b/event/ids.go
@@ -63,6 +63,7 @@
 	ShutdownCut
 	LibraryLine
 	ClientsDropped
+	SettingsRefused
 )
 
 // Events of the inventory of VMs (18xx).
--- a/event/page_test.go
+++ b/event/page_test.go
@@ -47,7 +47,7 @@
 	{14, "Generations, calls to backend servers", []string{"generation", "backend"}},
 	{15, "Caller API", []string{"callerapi"}},
 	{16, "Configuration, administration, orders", []string{"intent", "adminapi", "order"}},
-	{17, "Settings, start and end of the process", []string{"settings", "daemon", "listen", "hosted", "signals"}},
+	{17, "Settings, start and end of the process", []string{"settings", "daemon", "listen", "hosted", "reload"}},
 	{18, "Inventory of VMs", []string{"inventory"}},
 	{19, "Users' platform: routes, replicas, opaque requests, other nodes", []string{"hosted", "relay"}},
 	{20, "Users' platform: its store", []string{"mirror"}},
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -34,6 +34,7 @@
 	"wigeondale/platform"
 	"wigeondale/quarantine"
 	"wigeondale/relay"
+	"wigeondale/reload"
 	"wigeondale/replacement"
 	"wigeondale/route"
 	"wigeondale/routing"
@@ -50,6 +51,8 @@
 	log   *event.Log
 	meter *metrics.Set
 
+	settings *reload.Tracker
+
 	dialReplica backend.DialFunc // nil: a net.Dialer
 
 	leaving   atomic.Bool
@@ -106,6 +109,7 @@
 		table: &route.Current{FirstStart: set.Hosted.FirstStart},
 		dir:   directory.New(log),
 	}
+	n.settings = reload.New(set, reload.Config{Log: log, Metrics: n.meter})
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
 	store := platform.NewStore(set.Hosted.StoreAddress)
 	n.storeSync = newStoreSync(set.Node.ID, set.Node.FailureDomain, log)
--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -16,7 +16,7 @@
 
 func (n *node) run(sigs <-chan os.Signal) error {
 	var g run.Group
-	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run, n.adopter.run, n.holds.run, n.cases.run, n.syncHolds, n.cutOff.reach.Run, n.software.run, n.software.records.run} {
+	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run, n.adopter.run, n.holds.run, n.cases.run, n.syncHolds, n.cutOff.reach.Run, n.software.run, n.software.records.run, n.settings.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
 		g.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
@@ -33,7 +33,7 @@
 // finish. It returns when all open requests have ended, but at the latest after the time that
 // grace returns.
 func (n *node) untilSignal(sigs <-chan os.Signal, stop <-chan struct{}) error {
-	if signals.Wait(sigs, stop, n.set, n.log) {
+	if signals.Wait(sigs, stop, n.settings.Read) {
 		n.shutdown()
 	}
 	return nil
--- a/settings/load.go
+++ b/settings/load.go
@@ -89,10 +89,8 @@
 	return s, problems
 }
 
-// Load reads and checks the file at path. Relative paths in the file are resolved from the
-// folder of the file. Load also reads the keys and certificates, so that a wrong path is
-// found before any socket is opened.
-func Load(path string) (*Settings, error) {
+// ReadFile reads the settings file at path.
+func ReadFile(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -100,6 +98,22 @@
 	if len(data) > maxFileBytes {
 		return nil, Error.New("%s: larger than %d bytes", path, maxFileBytes)
 	}
+	return data, nil
+}
+
+// Load reads and checks the file at path; see LoadText.
+func Load(path string) (*Settings, error) {
+	data, err := ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return LoadText(path, data)
+}
+
+// LoadText checks the settings in data, which were read from the file at path. Relative paths in the settings are resolved from the
+// folder of the file. LoadText also reads the keys and certificates, so that a wrong path is
+// found before any socket is opened.
+func LoadText(path string, data []byte) (*Settings, error) {
 	s, problems := parse(data)
 	if len(problems) > 0 {
 		return nil, problems.err()
--- a/signals/signals.go
+++ b/signals/signals.go
@@ -9,9 +9,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-
-	"wigeondale/event"
-	"wigeondale/settings"
 )
 
 // pendingSignals is the number of signals that are queued while Wait handles an earlier
@@ -26,10 +23,8 @@
 }
 
 // Wait returns true at a shutdown signal, and false when stop is closed. At each hangup
-// before that it checks the settings file again. Settings only take effect at a start;
-// the log line tells the operator that the file was read and whether the next start
-// will accept it.
-func Wait(signals <-chan os.Signal, stop <-chan struct{}, set *settings.Settings, log *event.Log) bool {
+// before that it calls reload.
+func Wait(signals <-chan os.Signal, stop <-chan struct{}, reload func()) bool {
 	for {
 		select {
 		case <-stop:
@@ -38,8 +33,7 @@
 			if s != syscall.SIGHUP {
 				return true
 			}
-			_, err := settings.Load(set.Path())
-			log.Emit(event.Reloaded, "valid", err == nil, "err", err, "effect", "at the next start")
+			reload()
 		}
 	}
 }
--- a/signals/signals_test.go
+++ b/signals/signals_test.go
@@ -9,7 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"wigeondale/event"
+	"wigeondale/reload"
 	"wigeondale/settings"
 )
 
@@ -36,8 +39,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	tracker := reload.New(set, reload.Config{Log: event.New("n"), Metrics: metrics.NewSet()})
 	sent, got := make(chan os.Signal), make(chan bool)
-	go func() { got <- Wait(sent, nil, set, event.New("n")) }()
+	go func() { got <- Wait(sent, nil, tracker.Read) }()
 	send := func(s os.Signal) {
 		t.Helper()
 		select {
@@ -56,10 +60,10 @@
 	if !<-got {
 		t.Error("the shutdown signal is not reported")
 	}
-	if n := strings.Count(log.String(), "valid=true"); n < 1 {
+	if n := strings.Count(log.String(), `] reloaded`) + strings.Count(log.String(), `"reloaded"`); n < 1 {
 		t.Errorf("%d lines say that the file is valid:\n%s", n, log.String())
 	}
-	if n := strings.Count(log.String(), "valid=false"); n < 1 {
+	if n := strings.Count(log.String(), `settings-refused`); n < 1 {
 		t.Errorf("%d lines say that the file is not valid:\n%s", n, log.String())
 	}
 }
@@ -67,7 +71,7 @@
 func TestWaitEndsWithItsGroup(t *testing.T) {
 	stop := make(chan struct{})
 	close(stop)
-	if Wait(make(chan os.Signal), stop, nil, nil) {
+	if Wait(make(chan os.Signal), stop, nil) {
 		t.Error("the end of the group is reported as a signal")
 	}
 }
