settings: each number of the platform is read in each form that it may have

Cause: the template made milliseconds by appending 000 to the number of seconds, and the field took digits only. One refused field refuses the file, at all routers at once.

The class: a value that the pages allow isn't read, and all of what it stands in is lost.

A grace that isn't known begins no request after the signal and ends no open one. Ranges of ours stop no router any more: what is outside of what is served well is in force as far as it can be, and reported (event 1712). Mistakes are still refused with their field: a wrong type, a negative number, both forms of the grace.

hosted's test fleet can leave the grace out; what its tests ask is unchanged.

--- a/event/ids.go
+++ b/event/ids.go
@@ -64,6 +64,7 @@
 	LibraryLine
 	ClientsDropped
 	SettingsRefused
+	SettingsUnusual
 )
 
 // Events of the inventory of VMs (18xx).
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -35,7 +35,7 @@
 	retryWindows map[string]int // settings of nodes, in seconds; 0 for the others
 	sizing       string         // hosted.decisions.sizing of the nodes; empty for the default
 	firstStart   bool           // hosted.first_start of the nodes
-	graceMS      int            // hosted.grace_ms of the nodes; 0 for 8000
+	graceMS      int            // hosted.grace_ms of the nodes; 0 for 8000, -1 for none
 }
 
 func newFleet(t *testing.T) *testFleet {
@@ -147,7 +147,7 @@
 		"node": {"id": %q, "vm": %q, "failure_domain": "d0", "region": "r", "incarnation": "1"},
 		"shutdown": {"balancer_notice_ms": 200},
 		"hosted": {"front_address": "127.0.0.1:0", "readiness_address": "127.0.0.1:0", "metrics_address": "127.0.0.1:0",
-			"peer_address": %q, "store_address": %q, "grace_ms": %d, "retry_window_s": %d, "first_start": %t, "decisions": {"sizing": %q}}}`, id, id, freeAddr(f.t), store, cmp.Or(f.graceMS, 8000), f.retryWindows[id], f.firstStart, sizing))
+			"peer_address": %q, "store_address": %q, "grace_ms": %d, "retry_window_s": %d, "first_start": %t, "decisions": {"sizing": %q}}}`, id, id, freeAddr(f.t), store, max(cmp.Or(f.graceMS, 8000), 0), f.retryWindows[id], f.firstStart, sizing))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -41,18 +41,26 @@
 
 // shutdown makes the node accept no new connections, and lets the open requests, those of other routers too,
 // finish for as long as the platform lets the process run. Requests that could not end in that time don't begin, and those that have
-// not ended shortly before get their final answer.
+// not ended shortly before get their final answer. If it isn't known how long that is, no request begins, and those that are open go on.
 func (n *node) shutdown() {
-	now := clock.SinceBoot()
-	n.stop.Begin(now+millis(n.set.Shutdown.BalancerNoticeMS), now+n.grace()-answerTime)
-	n.log.Emit(event.ShutdownBegun, "grace_ms", n.grace().Milliseconds())
+	now, notice := clock.SinceBoot(), millis(n.set.Shutdown.BalancerNoticeMS)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if grace, known := n.set.Hosted.Grace(); known {
+		exit, answers := exitTimes(grace)
+		n.stop.Begin(now+notice, now+answers)
+		ctx, cancel = context.WithTimeout(ctx, exit)
+		defer cancel()
+		n.log.Emit(event.ShutdownBegun, "grace_ms", exit.Milliseconds())
+	} else {
+		n.stop.BeginWithoutEnd(now + notice)
+		n.log.Emit(event.ShutdownBegun, "grace_ms", "not known")
+	}
 	n.leaving.Store(true)
 	if mesh := n.peers.currentMesh(); mesh != nil {
 		mesh.SetLeaving()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), n.grace())
-	defer cancel()
-	if err := n.front.Shutdown(ctx, millis(n.set.Shutdown.BalancerNoticeMS)); err != nil {
+	if err := n.front.Shutdown(ctx, notice); err != nil {
 		n.log.Emit(event.ShutdownCut, "err", err)
 	}
 	n.forwarder.Drain(ctx)
@@ -79,8 +87,9 @@
 // answerTime is the time for the final answers of requests that have not ended when the node stops.
 const answerTime = 250 * time.Millisecond
 
-// grace returns how long open requests may take to finish after a signal. The platform ends
-// the process by force killMargin later.
-func (n *node) grace() time.Duration {
-	return millis(n.set.Hosted.GraceMS) - killMargin
+// exitTimes returns how long after the signal the process exits, killMargin before the platform ends it by force, and when the requests
+// that are open then get their final answers. Of a grace that is too short for both, each gets a half.
+func exitTimes(grace time.Duration) (exit, answers time.Duration) {
+	exit = max(grace-killMargin, grace/2)
+	return exit, max(exit-answerTime, exit/2)
 }
--- a/hosted/loans.go
+++ b/hosted/loans.go
@@ -41,10 +41,10 @@
 }
 
 func newLoans(h *settings.Hosted, now func() time.Duration, set *metrics.Set) *loans {
-	if h.RetryWindowS == 0 {
+	window := h.RetryWindow()
+	if window == 0 {
 		return nil
 	}
-	window := time.Duration(h.RetryWindowS * float64(time.Second))
 	return &loans{
 		cfg:       retrybudget.Config{Share: budgetMargin * h.RetryShare, Burst: budgetMargin * h.RetryBurst, Window: window, Start: now(), Rank: rand.Uint32},
 		now:       now,
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -56,7 +56,7 @@
 	p.MinPrefill = millis(h.MinPrefillMS)
 	p.PrefillFactor = prefillFactor
 	p.QueueFactor = queueFactor
-	p.MinBackoff = expiryHeartbeats * millis(h.HeartbeatMS)
+	p.MinBackoff = expiryHeartbeats * h.Heartbeat()
 	p.TypicalGap = typicalGap
 	p.Tick = tick
 	return p
--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -93,7 +93,7 @@
 	}
 	return &rollouts{
 		writer: w, dir: dir, mon: mon, log: log, chart: c,
-		limits:      rollout.Limits{Share: h.RolloutShare, Burst: h.RolloutBurst},
+		limits:      rollout.Limits{Share: min(h.RolloutShare, 1), Burst: h.RolloutBurst},
 		incarnation: rand.Uint64(),
 		runs:        newRunSet(),
 		prober:      backend.Prober{},
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -112,7 +112,7 @@
 	s.reads, s.configs, s.moves = newSharedReads(s.readStatement), newSharedReads(s.readConfigVersion), newSharedReads(s.routes.readMoves)
 	s.records = &streamRecords{
 		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
-		lifetime: s.longestLifetime, nodes: n.peers.registeredNodes, writes: n.set.Hosted.StoreWritesPerS,
+		lifetime: s.longestLifetime, nodes: n.peers.registeredNodes, writes: n.set.Hosted.StoreWrites(),
 		written: n.meter.NewCounter("wigeon_stream_records_stored_total"),
 		failed:  n.meter.NewCounter("wigeon_stream_record_writes_failed_total"),
 	}
--- a/reload/reload.go
+++ b/reload/reload.go
@@ -51,6 +51,7 @@
 	Valid    bool      // the next start accepts it
 	ReadAt   time.Time // when its present content was evaluated
 	Problems []string  // one line for each field that the next start refuses
+	Unusual  []string  // one line for each value that is in force though it isn't served well
 	// AtNextStart are the fields whose new values take effect at the next start.
 	AtNextStart []string
 }
@@ -66,6 +67,7 @@
 	})
 	t.pending = cfg.Metrics.NewGauge("wigeon_settings_pending", func() float64 { return float64(len(t.State().AtNextStart)) })
 	t.changes = cfg.Metrics.NewCounter("wigeon_settings_changes_total")
+	t.warn(started)
 	return t
 }
 
@@ -146,16 +148,28 @@
 	t.changes.Inc()
 	t.state = State{File: t.state.File, Valid: true, ReadAt: time.Now(), AtNextStart: pending}
 	t.cfg.Log.Emit(event.Reloaded, "file", t.state.File, "at_next_start", strings.Join(pending, ","))
+	t.warn(set)
+}
+
+// warn reports the values that aren't served well.
+func (t *Tracker) warn(set *settings.Settings) {
+	if t.state.Unusual = lines(set.Unusual()); len(t.state.Unusual) > 0 {
+		t.cfg.Log.Emit(event.SettingsUnusual, "problems", strings.Join(t.state.Unusual, "; "))
+	}
 }
 
 // problemLines returns one line for each problem.
 func problemLines(err error) []string {
 	if problems, ok := errors.AsType[settings.Problems](err); ok {
-		out := make([]string, len(problems))
-		for i, p := range problems {
-			out[i] = p.String()
-		}
-		return out
+		return lines(problems)
 	}
 	return []string{err.Error()}
 }
+
+func lines(problems settings.Problems) []string {
+	out := make([]string, len(problems))
+	for i, p := range problems {
+		out[i] = p.String()
+	}
+	return out
+}
--- a/reload/reload_test.go
+++ b/reload/reload_test.go
@@ -106,3 +106,13 @@
 		t.Errorf("%+v\n%s", f.State(), f.log.String())
 	}
 }
+
+// Guards against a value that hardly lets a node serve, and of which nothing tells.
+func TestUnusualValuesAreReported(t *testing.T) {
+	f := newFile(t)
+	f.write(strings.Replace(before, `"grace_ms": 8000`, `"grace_s": 0.5, "heartbeat_ms": 10, "retry_window_s": 3600, "retry_share": 50`, 1))
+	f.Read()
+	if s := f.State(); !s.Valid || len(s.Unusual) != 4 || !strings.Contains(f.log.String(), "settings-unusual") {
+		t.Errorf("%+v", s)
+	}
+}
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -12,7 +12,7 @@
 	connBytes = 16 << 10
 	// encryptedConnBytes is the same for a connection with TLS, which keeps the buffers of its records, and of HTTP/2.
 	encryptedConnBytes = 48 << 10
-	// minDescriptors is the least number of descriptors that can be set: fewer leave no connections for backend servers.
+	// minDescriptors is the least number of descriptors that is served well: fewer leave hardly any connections for backend servers.
 	minDescriptors = 128
 	// minConns is the least number of connections of a listener.
 	minConns = 16
--- a/settings/check.go
+++ b/settings/check.go
@@ -223,10 +223,8 @@
 func (c *checker) limits(l *Limits) {
 	inRange(c, "limits.header_bytes", l.HeaderBytes, 4096, 1<<20)
 	inRange(c, "limits.body_bytes", l.BodyBytes, 1024, 1<<30)
-	inRange(c, "limits.memory_mb", l.MemoryMB, 0, 1<<20)
-	if l.Descriptors != 0 {
-		inRange(c, "limits.descriptors", l.Descriptors, minDescriptors, 1<<30)
-	}
+	inRange(c, "limits.memory_mb", l.MemoryMB, 0, math.MaxInt32)
+	inRange(c, "limits.descriptors", l.Descriptors, 0, math.MaxInt32)
 	inRange(c, "limits.max_open_requests", l.MaxOpenRequests, 1, math.MaxInt32)
 	inRange(c, "limits.queue", l.Queue, 0, math.MaxInt32)
 	inRange(c, "limits.requests_per_engine", l.RequestsPerEngine, 0, 100000)
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -7,6 +7,8 @@
 	"io"
 	"reflect"
 	"strings"
+
+	"wigeondale/number"
 )
 
 // defaulter is an optional section that sets its own defaults when it is present in the
@@ -88,12 +90,16 @@
 			d.add(at, "the field once", "it a second time")
 		}
 		seen[name] = true
-		target, known := fieldOf(v, name)
-		if !known {
+		target, field, known := fieldOf(v, name)
+		switch {
+		case !known:
 			d.add(at, "one of "+strings.Join(fieldNames(v), ", "), "an unknown field")
-			return
+		case string(child) == "null" && field.Tag.Get("null") == "absent":
+		case field.Tag.Get("round") == "limit":
+			d.limit(target, at, child)
+		default:
+			d.value(target, at, child)
 		}
-		d.value(target, at, child)
 	})
 }
 
@@ -113,9 +119,29 @@
 
 // scalar sets a string, bool or number. It rejects null, which encoding/json ignores.
 func (d *decoder) scalar(v reflect.Value, path string, raw json.RawMessage) {
-	if string(raw) == "null" || json.Unmarshal(raw, v.Addr().Interface()) != nil {
+	target := v.Addr().Interface()
+	var whole number.Whole
+	if v.CanInt() {
+		target = &whole
+	}
+	if string(raw) == "null" || json.Unmarshal(raw, target) != nil || v.CanInt() && v.OverflowInt(int64(whole)) {
 		d.add(path, typeName(v.Kind()), describe(raw))
+		return
+	}
+	if v.CanInt() {
+		v.SetInt(int64(whole))
+	}
+}
+
+// limit sets a limit, which is rounded down, but not to 0: that stands for a limit that isn't known.
+func (d *decoder) limit(v reflect.Value, path string, raw json.RawMessage) {
+	var down number.Floor
+	var up number.Ceil
+	if string(raw) == "null" || json.Unmarshal(raw, &down) != nil || json.Unmarshal(raw, &up) != nil {
+		d.add(path, "a number", describe(raw))
+		return
 	}
+	v.SetInt(int64(max(down.Int(), min(up.Int(), 1))))
 }
 
 func typeName(k reflect.Kind) string {
@@ -145,13 +171,14 @@
 	return path + "." + name
 }
 
-func fieldOf(v reflect.Value, name string) (reflect.Value, bool) {
+func fieldOf(v reflect.Value, name string) (reflect.Value, reflect.StructField, bool) {
 	for i := range v.NumField() {
-		if tag := v.Type().Field(i).Tag.Get("json"); tag != "" && tag == name {
-			return v.Field(i), true
+		field := v.Type().Field(i)
+		if tag := field.Tag.Get("json"); tag != "" && tag == name {
+			return v.Field(i), field, true
 		}
 	}
-	return reflect.Value{}, false
+	return reflect.Value{}, reflect.StructField{}, false
 }
 
 func fieldNames(v reflect.Value) []string {
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"math"
+	"net"
 	"slices"
 	"strconv"
+	"time"
 
 	"wigeondale/admission"
+	"wigeondale/number"
 )
 
 // Hosted holds the settings for the users' platform.
@@ -18,28 +22,32 @@
 	// nodes; if empty, it connects to them directly.
 	PeerProxyAddress string `json:"peer_proxy_address"`
 	StoreAddress     string `json:"store_address"`
-	// GraceMS is the time between the shutdown signal and the platform's kill.
-	GraceMS int `json:"grace_ms"`
+	// PeerPort, if set, is the port of PeerAddress, which is a host alone in the file then.
+	PeerPort int `json:"peer_port"`
+	// GraceS is the time between the shutdown signal and the platform's kill, in seconds, and GraceMS the same in milliseconds; see
+	// Grace.
+	GraceS  float64 `json:"grace_s" null:"absent"`
+	GraceMS float64 `json:"grace_ms" null:"absent"`
 	// RetryShare is the share of a service's requests that may be retried, and RetryBurst
 	// the number of retries that may be made at once beyond that share. Both apply to all
 	// nodes together.
-	RetryShare float64 `json:"retry_share"`
-	RetryBurst float64 `json:"retry_burst"`
+	RetryShare float64 `json:"retry_share" null:"absent"`
+	RetryBurst float64 `json:"retry_burst" null:"absent"`
 	// RetryWindowS is the number of seconds over which the platform counts requests and
 	// retries. If it is 0, the window isn't known, and nodes lend no retry budget.
-	RetryWindowS float64 `json:"retry_window_s"`
+	RetryWindowS float64 `json:"retry_window_s" null:"absent"`
 	// RolloutShare is the share of a service's requests, and RolloutBurst the number of
 	// requests beyond that share, that all nodes together may send to a version on trial.
 	// If that version is bad, only these requests are affected.
-	RolloutShare float64 `json:"rollout_share"`
-	RolloutBurst float64 `json:"rollout_burst"`
+	RolloutShare float64 `json:"rollout_share" null:"absent"`
+	RolloutBurst float64 `json:"rollout_burst" null:"absent"`
 	// StoreWritesPerS is how many writes a second the store takes from all nodes together.
-	StoreWritesPerS float64 `json:"store_writes_per_s"`
+	StoreWritesPerS float64 `json:"store_writes_per_s" null:"absent"`
 	// FirstStart states that the whole deployment starts for the first time: no node has served before. It must not stay
 	// set for later starts of a node.
 	FirstStart bool `json:"first_start"`
 	// HeartbeatMS is the interval at which replicas renew their store entries.
-	HeartbeatMS int `json:"heartbeat_ms"`
+	HeartbeatMS float64 `json:"heartbeat_ms" null:"absent"`
 	// FailuresPerHour is the assumed failure rate of a replica before any failure is
 	// observed.
 	FailuresPerHour float64 `json:"failures_per_hour"`
@@ -76,7 +84,6 @@
 // SetDefaults sets the values of fields that a file with this section does not set.
 func (h *Hosted) SetDefaults() {
 	*h = Hosted{
-		GraceMS:                8000,
 		RetryShare:             0.8,
 		RetryBurst:             150,
 		RolloutShare:           0.1,
@@ -93,9 +100,59 @@
 	}
 }
 
-// maxRetryWindowS bounds the window of the retry budget. A router that has just started has no part
-// of the burst for a window, so a long window would leave it without for long.
-const maxRetryWindowS = 600
+// Ranges of values that the program serves well. A value outside of them is no reason to serve nobody: it is in force as far as it can
+// be, and reported.
+const (
+	minHeartbeat, maxHeartbeat = 50 * time.Millisecond, time.Minute
+	minGrace                   = time.Second // a shorter one leaves hardly any request the time to end
+	// maxRetryWindow: a router that has just started has no part of the burst for a window.
+	maxRetryWindow     = 10 * time.Minute
+	maxRetryShare      = 10
+	minStoreWritesPerS = 1
+	// maxWindow keeps sums of times within a time.Duration.
+	maxWindow = 365 * 24 * time.Hour
+)
+
+// Grace returns the time between the shutdown signal and the platform's kill, and false if it isn't known.
+func (h *Hosted) Grace() (grace time.Duration, known bool) {
+	if h.GraceS > 0 {
+		return number.Duration(h.GraceS, time.Second), true
+	}
+	return number.Duration(h.GraceMS, time.Millisecond), h.GraceMS > 0
+}
+
+// RetryWindow returns the window in which the platform counts retries, or 0 if it isn't known.
+func (h *Hosted) RetryWindow() time.Duration {
+	return min(number.Duration(h.RetryWindowS, time.Second), maxWindow)
+}
+
+// Heartbeat returns the interval at which replicas renew their store entries, within the range that is served.
+func (h *Hosted) Heartbeat() time.Duration {
+	return min(max(number.Duration(h.HeartbeatMS, time.Millisecond), minHeartbeat), maxHeartbeat)
+}
+
+// StoreWrites returns how many writes a second the store takes from all nodes together, at least minStoreWritesPerS.
+func (h *Hosted) StoreWrites() float64 { return max(h.StoreWritesPerS, minStoreWritesPerS) }
+
+// unusual returns the values that are outside of the range that is served well.
+func (h *Hosted) unusual() Problems {
+	c := &checker{}
+	if grace, known := h.Grace(); known && grace < minGrace {
+		c.addProblem("hosted.grace_s", "1 or more, since hardly any request can end before the kill", grace.Seconds())
+	} else if !known {
+		c.addProblem("hosted.grace_s", "a value, since a stopping node begins no request without it", "none")
+	}
+	if h.RetryWindow() > maxRetryWindow {
+		c.addProblem("hosted.retry_window_s", "600 or less, since a node has no part of the burst for so long after its start", h.RetryWindowS)
+	}
+	inRange(c, "hosted.retry_share", h.RetryShare, 0, maxRetryShare)
+	inRange(c, "hosted.rollout_share", h.RolloutShare, 0, 1)
+	inRange(c, "hosted.store_writes_per_s", h.StoreWritesPerS, minStoreWritesPerS, math.MaxFloat64)
+	inRange(c, "hosted.heartbeat_ms", h.HeartbeatMS, millis(minHeartbeat), millis(maxHeartbeat))
+	return c.problems
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func (c *checker) hosted(h *Hosted) {
 	c.address("hosted.front_address", h.FrontAddress)
@@ -103,17 +160,21 @@
 	c.address("hosted.metrics_address", h.MetricsAddress)
 	c.address("hosted.store_address", h.StoreAddress)
 	c.address("hosted.peer_address", h.PeerAddress)
+	inRange(c, "hosted.peer_port", h.PeerPort, 0, math.MaxUint16)
 	if h.PeerProxyAddress != "" {
 		c.address("hosted.peer_proxy_address", h.PeerProxyAddress)
 	}
-	inRange(c, "hosted.grace_ms", h.GraceMS, 1000, dayMS)
-	inRange(c, "hosted.retry_share", h.RetryShare, 0, 10)
-	inRange(c, "hosted.retry_burst", h.RetryBurst, 0, 10000)
-	inRange(c, "hosted.retry_window_s", h.RetryWindowS, 0, maxRetryWindowS)
-	inRange(c, "hosted.rollout_share", h.RolloutShare, 0.001, 1)
-	inRange(c, "hosted.rollout_burst", h.RolloutBurst, 0, 10000)
-	inRange(c, "hosted.store_writes_per_s", h.StoreWritesPerS, 1, 1e9)
-	inRange(c, "hosted.heartbeat_ms", h.HeartbeatMS, 50, 60000)
+	for path, v := range map[string]float64{
+		"grace_s": h.GraceS, "grace_ms": h.GraceMS, "retry_share": h.RetryShare, "retry_burst": h.RetryBurst, "retry_window_s": h.RetryWindowS,
+		"rollout_share": h.RolloutShare, "rollout_burst": h.RolloutBurst, "store_writes_per_s": h.StoreWritesPerS, "heartbeat_ms": h.HeartbeatMS,
+	} {
+		if v < 0 {
+			c.addProblem("hosted."+path, "0 or more", v)
+		}
+	}
+	if h.GraceS > 0 && h.GraceMS > 0 {
+		c.addProblem("hosted.grace_ms", "only one of grace_s and grace_ms", "both")
+	}
 	inRange(c, "hosted.failures_per_hour", h.FailuresPerHour, 0.001, 100000)
 	inRange(c, "hosted.min_silence_ms", h.MinSilenceMS, 10, maxSuspectMS)
 	inRange(c, "hosted.max_silence_ms", h.MaxSilenceMS, h.MinSilenceMS+1, maxSuspectMS)
@@ -125,6 +186,13 @@
 	c.oneOf("hosted.decisions.sizing", h.Decisions.Sizing, []string{SizingMaximum, SizingLearned})
 }
 
+// joinPeerPort adds the port to an address that is a host alone.
+func (h *Hosted) joinPeerPort() {
+	if _, _, err := net.SplitHostPort(h.PeerAddress); err != nil && h.PeerPort > 0 && h.PeerAddress != "" {
+		h.PeerAddress = net.JoinHostPort(h.PeerAddress, strconv.Itoa(h.PeerPort))
+	}
+}
+
 // oneOf adds a problem if the value of a field is not one of the names.
 func (c *checker) oneOf(field, value string, names []string) {
 	if !slices.Contains(names, value) {
--- a/settings/load.go
+++ b/settings/load.go
@@ -70,6 +70,9 @@
 func parse(data []byte) (*Settings, Problems) {
 	s := Default()
 	problems := decode(data, s)
+	if s.Hosted != nil {
+		s.Hosted.joinPeerPort()
+	}
 	// A field of the wrong type has kept its default, so the values of all fields can be
 	// checked all the same. In this way one run reports all faults, and each fault once.
 	reported := map[string]bool{}
@@ -89,6 +92,18 @@
 	return s, problems
 }
 
+// Unusual returns the values that are in force although they are outside of the range that is served well.
+func (s *Settings) Unusual() Problems {
+	if s.Hosted == nil {
+		return nil
+	}
+	out := s.Hosted.unusual()
+	if d := s.Limits.Descriptors; d > 0 && d < minDescriptors {
+		out = append(out, Problem{Path: "limits.descriptors", Want: fmt.Sprintf("%d or more", minDescriptors), Got: fmt.Sprint(d)})
+	}
+	return out
+}
+
 // ReadFile reads the settings file at path.
 func ReadFile(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -163,9 +163,9 @@
 	BodyBytes   int64 `json:"body_bytes"`
 	// MemoryMB is the memory that the process may use; 0 means that it isn't known. An eighth of it is for answers
 	// while they are read and passed on, an eighth for requests, and an eighth for the receive buffers of clients.
-	MemoryMB int `json:"memory_mb"`
+	MemoryMB int `json:"memory_mb" round:"limit" null:"absent"`
 	// Descriptors is the number of files and connections that the process may have open; 0 means the limit of the operating system.
-	Descriptors     int `json:"descriptors"`
+	Descriptors     int `json:"descriptors" round:"limit" null:"absent"`
 	MaxOpenRequests int `json:"max_open_requests"`
 	Queue           int `json:"queue"` // requests
 	// RequestsPerEngine is the number of requests that one engine gets at once from all
--- a/stopping/stopping.go
+++ b/stopping/stopping.go
@@ -51,6 +51,15 @@
 	}
 }
 
+// never is later than any process ends.
+const never = 100 * 365 * 24 * time.Hour
+
+// BeginWithoutEnd states that the process stops, and that it isn't known when it is killed. No work begins any more, and what is open
+// goes on: it may end before the kill.
+func (g *Gate) BeginWithoutEnd(unused time.Duration) {
+	g.Begin(unused, never)
+}
+
 // MayBegin reports whether work that begins now ends before the process does. endsBy returns when the work has ended in any case, as
 // time since the machine's start, or 0 if there is no such time. It is called only if the process stops.
 func (g *Gate) MayBegin(endsBy func() time.Duration) bool {
@@ -65,7 +74,7 @@
 
 // latestBegin returns until when work may begin that has ended by endsBy, if it has to have ended at end; 0 means that it may not.
 func latestBegin(endsBy, end time.Duration) time.Duration {
-	if endsBy > 0 && endsBy <= end {
+	if endsBy > 0 && endsBy <= end && end != never {
 		return end
 	}
 	return 0
--- a/stopping/stopping_test.go
+++ b/stopping/stopping_test.go
@@ -60,3 +60,23 @@
 		}
 	})
 }
+
+// Guards against work that begins before a kill of which it isn't known when it comes, and against runs that are ended early for it.
+func TestWithoutAKnownKillOnlyOpenWorkGoesOn(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		g := New()
+		ctx, done := g.UntilEnd(t.Context())
+		defer done()
+		soon := func() time.Duration { return clock.SinceBoot() + time.Millisecond }
+		wait, doneWaiting := g.UntilLatestBegin(t.Context(), soon)
+		defer doneWaiting()
+		g.BeginWithoutEnd(clock.SinceBoot() + time.Second)
+		time.Sleep(time.Hour)
+		if g.MayBegin(soon) || !errors.Is(context.Cause(wait), ErrStopping) {
+			t.Error("work begins after the signal")
+		}
+		if ctx.Err() != nil {
+			t.Error("a run is ended")
+		}
+	})
+}
