--- a/number/number.go
+++ b/number/number.go
@@ -27,11 +27,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (f *Floor) UnmarshalJSON(text []byte) error {
-	return unmarshal(text, func(whole int64, fraction bool, negative bool) error {
-		if fraction && negative {
-			whole--
+	return unmarshal(text, func(n parts) error {
+		if n.fraction && n.negative {
+			n.whole--
 		}
-		*f = Floor(whole)
+		*f = Floor(n.whole)
 		return nil
 	})
 }
@@ -44,11 +44,11 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (c *Ceil) UnmarshalJSON(text []byte) error {
-	return unmarshal(text, func(whole int64, fraction bool, negative bool) error {
-		if fraction && !negative {
-			whole = min(whole, math.MaxInt64-1) + 1
+	return unmarshal(text, func(n parts) error {
+		if n.fraction && !n.negative {
+			n.whole = min(n.whole, math.MaxInt64-1) + 1
 		}
-		*c = Ceil(whole)
+		*c = Ceil(n.whole)
 		return nil
 	})
 }
@@ -61,23 +61,33 @@
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (w *Whole) UnmarshalJSON(text []byte) error {
-	return unmarshal(text, func(whole int64, fraction bool, negative bool) error {
+	return unmarshal(text, func(n parts) error {
 		switch {
-		case fraction:
+		case n.fraction:
 			return errFraction
-		case whole == math.MaxInt64 || whole == -math.MaxInt64:
+		case n.overflow:
 			return Error.New("%.40s is out of range", text)
 		}
-		*w = Whole(whole)
+		*w = Whole(n.whole)
 		return nil
 	})
 }
 
 func clamp(n int64) int { return int(min(max(n, math.MinInt32), math.MaxInt32)) }
 
-// unmarshal calls set with the whole part of a JSON number, or the nearest int64, and whether the number has a fraction beside it and
-// is negative. Like encoding/json, it leaves a value unchanged for null.
-func unmarshal(text []byte, set func(whole int64, fraction, negative bool) error) error {
+// parts are those of a number.
+type parts struct {
+	whole    int64 // the part before the point, or the nearest that can be held
+	fraction bool  // there is more than the whole part
+	negative bool
+	overflow bool // the whole part is out of range
+}
+
+// unmarshal calls set with the parts of a JSON number. Like encoding/json, it leaves a value unchanged for null.
+func unmarshal(text []byte, set func(parts) error) error {
+	if n, ok := digits(text); ok {
+		return set(parts{whole: n})
+	}
 	if string(text) == "null" {
 		return nil
 	}
@@ -87,51 +97,77 @@
 	return set(split(string(text)))
 }
 
+// digits returns a number that is written as up to 18 digits, which always fit: the usual notation.
+func digits(text []byte) (n int64, ok bool) {
+	if len(text) == 0 || len(text) > 18 || text[0] == '0' && len(text) > 1 {
+		return 0, false
+	}
+	for _, c := range text {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = 10*n + int64(c-'0')
+	}
+	return n, true
+}
+
 // maxExponent is above the number of digits of any document.
 const maxExponent = 1 << 30
 
-// split returns the whole part of a valid JSON number.
-func split(text string) (whole int64, fraction, negative bool) {
-	text, negative = strings.CutPrefix(text, "-")
+// split returns the parts of a valid JSON number.
+func split(text string) (n parts) {
+	text, n.negative = strings.CutPrefix(text, "-")
 	mantissa, exponent := text, 0
 	if i := strings.IndexAny(text, "eE"); i >= 0 {
-		mantissa = text[:i]
-		var err error
-		if exponent, err = strconv.Atoi(text[i+1:]); err != nil { // out of range
-			exponent = maxExponent
-			if text[i+1] == '-' {
-				exponent = -maxExponent
-			}
-		}
-		exponent = min(max(exponent, -maxExponent), maxExponent)
+		mantissa, exponent = text[:i], parseExponent(text[i+1:])
 	}
 	before, after, _ := strings.Cut(mantissa, ".")
-	digits := strings.TrimRight(before+after, "0")
-	// The number is 0.DIGITS times ten to the power of point.
+	significant := strings.TrimRight(before+after, "0")
+	// The number is 0.SIGNIFICANT times ten to the power of point.
 	point := len(before) + exponent
-	leading := len(digits) - len(strings.TrimLeft(digits, "0"))
-	digits, point = digits[leading:], point-leading
+	leading := len(significant) - len(strings.TrimLeft(significant, "0"))
+	significant, point = significant[leading:], point-leading
+	n.fraction = len(significant) > max(point, 0)
+	if significant != "" && point > 0 {
+		n.whole, n.overflow = shift(significant, point)
+	}
+	if n.negative {
+		n.whole = -n.whole
+	}
+	return n
+}
+
+func parseExponent(text string) int {
+	exponent, err := strconv.Atoi(text)
 	switch {
-	case digits == "":
-		return 0, false, negative
-	case point <= 0:
-		return 0, true, negative
+	case err == nil:
+		return min(max(exponent, -maxExponent), maxExponent)
+	case strings.HasPrefix(text, "-"):
+		return -maxExponent
 	}
-	fraction = len(digits) > point
+	return maxExponent
+}
+
+// shift returns the number that the first digits are, as many as point says, with zeros behind them if there are fewer.
+func shift(digits string, point int) (n int64, overflow bool) {
 	const maxDigits = 19 // of an int64
-	magnitude := int64(math.MaxInt64)
-	if point <= maxDigits {
-		if fraction {
-			digits = digits[:point]
-		}
-		if n, err := strconv.ParseInt(digits+strings.Repeat("0", point-len(digits)), 10, 64); err == nil {
-			magnitude = n
-		}
+	if point > maxDigits {
+		return math.MaxInt64, true
+	}
+	digits = (digits + strings.Repeat("0", maxDigits))[:point]
+	n, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil {
+		return math.MaxInt64, true
 	}
-	if negative {
-		return -magnitude, fraction, true
+	return n, false
+}
+
+// Int returns the whole part of n as an int of 32 bits, or the nearest. Not a number is 0.
+func Int(n float64) int {
+	if n != n {
+		return 0
 	}
-	return magnitude, fraction, false
+	return int(min(max(n, math.MinInt32), math.MaxInt32))
 }
 
 // Duration returns a number of units as a duration, or the nearest that can be held. Not a number is 0.
--- a/number/number_test.go
+++ b/number/number_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/big"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 		{"8", 8, 8}, {"8.0", 8, 8}, {"8e0", 8, 8}, {"0.8E+1", 8, 8}, {"80e-1", 8, 8}, {"800.000e-2", 8, 8}, {"-8.0", -8, -8},
 		{"0", 0, 0}, {"-0.0", 0, 0}, {"0e999999999999", 0, 0}, {"7.5", 7, 8}, {"-7.5", -8, -7}, {"0.001", 0, 1}, {"1e-999999999999", 0, 1},
 		{"9007199254740993.0", 9007199254740993, 9007199254740993}, {"9223372036854775806.9", math.MaxInt64 - 1, math.MaxInt64},
-		{"1e999999999999", math.MaxInt64, math.MaxInt64}, {"-1e30", -math.MaxInt64, -math.MaxInt64},
+		{"9223372036854775807", math.MaxInt64, math.MaxInt64}, {"9223372036854775807.0", math.MaxInt64, math.MaxInt64}, {"1e999999999999", math.MaxInt64, math.MaxInt64}, {"-1e30", -math.MaxInt64, -math.MaxInt64},
 	} {
 		var f Floor
 		var ceil Ceil
@@ -31,7 +32,7 @@
 			t.Errorf("%s: rounded up %d, %v, want %d", c.text, ceil, err, c.ceil)
 		}
 		var w Whole
-		whole := c.floor == c.ceil && c.floor < math.MaxInt64 && c.floor > -math.MaxInt64
+		whole := c.floor == c.ceil && !strings.HasSuffix(c.text, "e999999999999") && c.text != "-1e30" || c.text == "0e999999999999"
 		if err := json.Unmarshal([]byte(c.text), &w); (err == nil) != whole || whole && int64(w) != c.floor {
 			t.Errorf("%s: whole %d, %v", c.text, w, err)
 		}
