--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -95,7 +95,8 @@
 		tests.WriteString("scenario/" + strings.TrimSuffix(filepath.Base(name), ".txtar") + "\n")
 	}
 	known := strings.Split(tests.String(), "\n")
-	named := all("`((?:[a-z]+\\.(?:Test|Fuzz)\\w+)|(?:scenario/[a-z_]+))`", read(t, "PROOFS.md"))
+	pages := read(t, "PROOFS.md") + read(t, "design/values-read.md")
+	named := all("`((?:[a-z]+\\.(?:Test|Fuzz)\\w+)|(?:scenario/[a-z_]+))`", pages)
 	if len(named) == 0 {
 		t.Fatal("the page names no test")
 	}
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -13,6 +13,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
+
+	"wigeondale/number"
 )
 
 // Error is the class of this package's errors.
@@ -125,10 +127,20 @@
 
 // Decode decodes a stored plan.
 func Decode(data []byte) (Plan, error) {
-	var p Plan
-	if err := json.Unmarshal(data, &p); err != nil {
+	var stored struct {
+		Halvings map[string]number.Whole `json:"halvings"`
+		Wanted   map[string]number.Ceil  `json:"wanted"`
+	}
+	if err := json.Unmarshal(data, &stored); err != nil {
 		return Plan{}, Error.Wrap(err)
 	}
+	p := Plan{Halvings: make(map[string]int, len(stored.Halvings)), Wanted: make(map[string]int, len(stored.Wanted))}
+	for service, n := range stored.Halvings {
+		p.Halvings[service] = number.Int(float64(n))
+	}
+	for service, n := range stored.Wanted {
+		p.Wanted[service] = n.Int()
+	}
 	for service, halvings := range p.Halvings {
 		if halvings < 0 || halvings > maxHalvings {
 			return Plan{}, Error.New("service %q: %d halvings", service, halvings)
--- a/sample/sample_test.go
+++ b/sample/sample_test.go
@@ -88,3 +88,11 @@
 		}
 	})
 }
+
+// Guards against a plan that counts as none because an operator or another program wrote its numbers in another notation.
+func TestDecodeReadsEachNotation(t *testing.T) {
+	p, err := Decode([]byte(`{"halvings": {"a": 3.0, "b": 1e0}, "wanted": {"a": 4096.0, "b": 2500.5}}`))
+	if err != nil || p.Halvings["a"] != 3 || p.Halvings["b"] != 1 || p.Wanted["a"] != 4096 || p.Wanted["b"] != 2501 {
+		t.Errorf("%+v, %v", p, err)
+	}
+}
