signals: a shutdown signal doesn't wait behind hangups

Cause: one queue of four for all kinds; the runtime drops a signal whose queue is full, and SIGHUPs fill it while the settings file is read. Evidence: TestShutdownIsNotLostAmongHangups sends 101 SIGHUPs during a reading and then SIGTERM; with the one queue SIGTERM is lost. Why it works: shutdown and reload signals have a queue each, with one place, and Wait returns at a shutdown signal while a file is read.

hosted's tests send hangups on a channel of their own; what they ask is unchanged, and so it is in TestHangupChecksSettings.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -106,7 +106,7 @@
 
 // serve runs one daemon. The daemon's log goes to standard output through a buffer, so that
 // a process that stops reading the log can't block the daemon.
-func serve(set *settings.Settings, signalled <-chan os.Signal, stderr io.Writer) int {
+func serve(set *settings.Settings, signalled signals.Received, stderr io.Writer) int {
 	out := event.NewOutput(os.Stdout, set.Log.LinesPerSecond)
 	defer out.Close()
 	event.LogTo(out, set.Log.Verbosity)
@@ -130,7 +130,7 @@
 }
 
 // runNative serves the product's own API.
-func runNative(set *settings.Settings, signalled <-chan os.Signal, log *event.Log) error {
+func runNative(set *settings.Settings, signalled signals.Received, log *event.Log) error {
 	n, err := newNode(set, log)
 	if err != nil {
 		return err
@@ -139,13 +139,13 @@
 }
 
 // runHosted serves on the users' platform.
-func runHosted(set *settings.Settings, signalled <-chan os.Signal, log *event.Log) error {
+func runHosted(set *settings.Settings, signalled signals.Received, log *event.Log) error {
 	debug.SetGCPercent(set.Hosted.GCPercent)
 	return hosted.Run(set, signalled, log)
 }
 
 // run serves until a signal arrives and every open request has ended.
-func (n *node) run(signalled <-chan os.Signal) error {
+func (n *node) run(signalled signals.Received) error {
 	var g run.Group
 	for _, part := range n.parts() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -168,7 +168,7 @@
 
 // waitForShutdown waits for the shutdown signal and then until all requests have ended. The
 // daemon's group of parts stops when waitForShutdown returns.
-func (n *node) waitForShutdown(signalled <-chan os.Signal, stop <-chan struct{}) error {
+func (n *node) waitForShutdown(signalled signals.Received, stop <-chan struct{}) error {
 	if !signals.Wait(signalled, stop, n.settings.Read) {
 		return nil
 	}
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -17,6 +17,7 @@
 	fakes "wigeondale/fakes/hosted"
 	"wigeondale/fakes/ports"
 	"wigeondale/settings"
+	"wigeondale/signals"
 )
 
 const (
@@ -127,7 +128,8 @@
 	*node
 	replicaLinks *fault.Dialer // the node's links to replicas
 	t            *testing.T
-	signals      chan os.Signal
+	signals      chan os.Signal // those that end it
+	hangups      chan os.Signal
 	done         chan struct{}
 }
 
@@ -156,10 +158,10 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	tn := &testNode{node: n, replicaLinks: dialer, t: f.t, signals: make(chan os.Signal, 1), done: make(chan struct{})}
+	tn := &testNode{node: n, replicaLinks: dialer, t: f.t, signals: make(chan os.Signal, 1), hangups: make(chan os.Signal, 1), done: make(chan struct{})}
 	go func() {
 		defer close(tn.done)
-		if err := n.run(tn.signals); err != nil {
+		if err := n.run(signals.Received{Shutdown: tn.signals, Reload: tn.hangups}); err != nil {
 			f.t.Error(err)
 		}
 	}()
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -9,7 +9,6 @@
 
 import (
 	"math/rand/v2"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +38,7 @@
 	"wigeondale/route"
 	"wigeondale/routing"
 	"wigeondale/settings"
+	"wigeondale/signals"
 	"wigeondale/stopping"
 )
 
@@ -84,7 +84,7 @@
 
 // Run runs one node: it serves requests until a signal from sigs tells it to stop, and then
 // lets the open requests finish.
-func Run(set *settings.Settings, sigs <-chan os.Signal, log *event.Log) error {
+func Run(set *settings.Settings, sigs signals.Received, log *event.Log) error {
 	n, err := newNode(set, log)
 	if err != nil {
 		return Error.Wrap(err)
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -188,7 +188,7 @@
 	f := newFleet(t)
 	f.startApp("a0", "d0")
 	n := f.startServingNode()
-	n.signals <- syscall.SIGHUP
+	n.hangups <- syscall.SIGHUP
 	if status, _ := n.get("/look/x", "q", key); status != 200 || !n.ready() {
 		t.Errorf("got %d", status)
 	}
--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"time"
 
 	"github.com/oklog/run"
@@ -14,7 +13,7 @@
 	"wigeondale/stopping"
 )
 
-func (n *node) run(sigs <-chan os.Signal) error {
+func (n *node) run(sigs signals.Received) error {
 	var g run.Group
 	for _, part := range []func(context.Context) error{n.mirror.Run, n.mon.Run, n.peers.run, n.adopter.run, n.holds.run, n.cases.run, n.syncHolds, n.cutOff.reach.Run, n.software.run, n.software.records.run, n.settings.Run} {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -32,7 +31,7 @@
 // untilSignal waits for a signal that ends the process, and then lets the open requests
 // finish. It returns when all open requests have ended, but at the latest after the time that
 // grace returns.
-func (n *node) untilSignal(sigs <-chan os.Signal, stop <-chan struct{}) error {
+func (n *node) untilSignal(sigs signals.Received, stop <-chan struct{}) error {
 	if signals.Wait(sigs, stop, n.settings.Read) {
 		n.shutdown()
 	}
--- a/signals/signals_test.go
+++ b/signals/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -40,23 +41,33 @@
 		t.Fatal(err)
 	}
 	tracker := reload.New(set, reload.Config{Log: event.New("n"), Metrics: metrics.NewSet()})
-	sent, got := make(chan os.Signal), make(chan bool)
-	go func() { got <- Wait(sent, nil, tracker.Read) }()
-	send := func(s os.Signal) {
+	shutdown, hangup, got := make(chan os.Signal), make(chan os.Signal), make(chan bool)
+	read := make(chan struct{})
+	go func() { got <- Wait(Received{shutdown, hangup}, nil, func() { tracker.Read(); read <- struct{}{} }) }()
+	send := func(to chan os.Signal, s os.Signal) {
 		t.Helper()
 		select {
-		case sent <- s:
+		case to <- s:
 		case <-got:
 			t.Fatalf("Wait returned before %v", s)
 		case <-time.After(maxWait):
 			t.Fatalf("%v is not received", s)
 		}
 	}
-	send(syscall.SIGHUP)
-	send(syscall.SIGHUP) // accepted only after the first has been handled
+	reload := func() {
+		t.Helper()
+		send(hangup, syscall.SIGHUP)
+		select {
+		case <-read:
+		case <-time.After(maxWait):
+			t.Fatal("the file is not read")
+		}
+	}
+	reload()
+	reload()
 	write(`{"node"`)
-	send(syscall.SIGHUP)
-	send(syscall.SIGTERM)
+	reload()
+	send(shutdown, syscall.SIGTERM)
 	if !<-got {
 		t.Error("the shutdown signal is not reported")
 	}
@@ -71,7 +82,46 @@
 func TestWaitEndsWithItsGroup(t *testing.T) {
 	stop := make(chan struct{})
 	close(stop)
-	if Wait(make(chan os.Signal), stop, nil) {
+	if Wait(Received{}, stop, nil) {
 		t.Error("the end of the group is reported as a signal")
 	}
 }
+
+// Guards against a shutdown signal that is lost among hangups, or waits for the reading of a file: the process would run on until it is
+// killed with all that it holds.
+func TestShutdownIsNotLostAmongHangups(t *testing.T) {
+	received := Notify()
+	defer signal.Reset(syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	reading, release := make(chan struct{}, 1), make(chan struct{})
+	defer close(release)
+	got := make(chan bool)
+	go func() {
+		got <- Wait(received, nil, func() {
+			select {
+			case reading <- struct{}{}:
+			default:
+			}
+			<-release
+		})
+	}()
+	kill := func(s syscall.Signal) {
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	kill(syscall.SIGHUP)
+	<-reading
+	for range 100 {
+		kill(syscall.SIGHUP)
+		time.Sleep(100 * time.Microsecond) // a signal of a kind that is pending is dropped by the operating system
+	}
+	kill(syscall.SIGTERM)
+	select {
+	case shutdown := <-got:
+		if !shutdown {
+			t.Error("no shutdown")
+		}
+	case <-time.After(maxWait):
+		t.Error("the shutdown signal is lost")
+	}
+}
