reload: changed bounds of the platform are in force while a router runs

Routers with the old and with the new budget of retries exceed both until all have started again.

Cause: settings were read at the start only.

Change: the file is read each second, at SIGHUP and before a stop is planned; the fields that settings tags as live are in force at once: the grace, the shares and bursts of retries and roll-outs, the retry window, the store's writes. While a budget changes, the routers together stay within the larger one: each uses its part of one of the two, one with another window, or that has just started, has no part of the burst for a window. The state dump shows the settings in force.

--- a/admission/retry.go
+++ b/admission/retry.go
@@ -26,6 +26,13 @@
 	b.level = min(b.level, b.burst)
 }
 
+// SetShare changes by how much the budget grows with each first try.
+func (b *RetryBudget) SetShare(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share = share
+}
+
 // First records a first try, from which the budget grows.
 func (b *RetryBudget) First() {
 	b.mu.Lock()
--- a/hosted/budgets.go
+++ b/hosted/budgets.go
@@ -19,12 +19,12 @@
 // nodes together: by a share of the requests, and by a burst that is divided among the nodes.
 // If the window is known in which the platform counts, loans keeps the budgets instead.
 type budgets struct {
-	share float64
-	burst func() float64 // burst of one node
-	loans *loans         // nil if the window isn't known
+	nodes func() int
+	loans *loans // nil if the window isn't known
 
-	mu        sync.Mutex
-	byService map[string]*admission.RetryBudget
+	mu           sync.Mutex
+	share, burst float64 // guarded by mu, as what follows; of all nodes
+	byService    map[string]*admission.RetryBudget
 }
 
 // budgetMargin is the part of the platform's bound that is used. The rest is a reserve
@@ -42,17 +42,26 @@
 )
 
 func newBudgets(h *settings.Hosted, nodes func() int) *budgets {
-	return &budgets{
-		share:     budgetMargin * h.RetryShare,
-		burst:     func() float64 { return max(budgetMargin*h.RetryBurst/float64(nodes()), minBurst) },
-		byService: map[string]*admission.RetryBudget{},
+	return &budgets{nodes: nodes, share: budgetMargin * h.RetryShare, burst: budgetMargin * h.RetryBurst, byService: map[string]*admission.RetryBudget{}}
+}
+
+// update puts changed settings in force. Whether the window is known is only read at the start.
+func (b *budgets) update(h *settings.Hosted) {
+	if b.loans != nil {
+		b.loans.update(h)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share, b.burst = budgetMargin*h.RetryShare, budgetMargin*h.RetryBurst
+	for _, budget := range b.byService {
+		budget.SetShare(b.share)
 	}
 }
 
 func (b *budgets) of(service string) *admission.RetryBudget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	burst := b.burst()
+	burst := max(b.burst/float64(b.nodes()), minBurst)
 	budget := b.byService[service]
 	if budget == nil {
 		budget = admission.NewRetryBudget(b.share, burst)
--- a/hosted/fleet_test.go
+++ b/hosted/fleet_test.go
@@ -153,8 +153,14 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	return f.runNode(set, event.New(id))
+}
+
+// runNode runs a node with the settings until the test ends.
+func (f *testFleet) runNode(set *settings.Settings, log *event.Log) *testNode {
+	f.t.Helper()
 	dialer := fault.NewDialer()
-	n, err := newNodeWith(set, event.New(id), dialer.DialContext)
+	n, err := newNodeWith(set, log, dialer.DialContext)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -64,6 +64,7 @@
 	storeSync *storeSync
 	adopter   *adopter
 	rollouts  *rollouts
+	budgets   *budgets
 	software  *software
 	order     *waitOrder
 	guard     *quarantine.Guard
@@ -109,7 +110,7 @@
 		table: &route.Current{FirstStart: set.Hosted.FirstStart},
 		dir:   directory.New(log),
 	}
-	n.settings = reload.New(set, reload.Config{Log: log, Metrics: n.meter})
+	n.settings = reload.New(set, reload.Config{Apply: n.applySettings, Log: log, Metrics: n.meter})
 	n.mon = health.NewMonitor(policyOf(set.Hosted), log, n.meter)
 	store := platform.NewStore(set.Hosted.StoreAddress)
 	n.storeSync = newStoreSync(set.Node.ID, set.Node.FailureDomain, log)
@@ -203,6 +204,7 @@
 	n.peers.handleStream = n.handleStream
 	budgets := newBudgets(n.set.Hosted, n.peers.registeredNodes)
 	budgets.loans = n.newLoans()
+	n.budgets = budgets
 	n.peers.loans = budgets.loans
 	n.dumps.Add("retry_budgets", budgets.loans.state)
 	n.runner, err = generation.New(generation.Deps{
--- a/hosted/lifecycle.go
+++ b/hosted/lifecycle.go
@@ -33,6 +33,7 @@
 // grace returns.
 func (n *node) untilSignal(sigs signals.Received, stop <-chan struct{}) error {
 	if signals.Wait(sigs, stop, n.settings.Read) {
+		n.settings.ReadWithin(settingsReadTime) // the file may have changed without a signal
 		n.shutdown()
 	}
 	return nil
@@ -45,7 +46,7 @@
 	now, notice := clock.SinceBoot(), millis(n.set.Shutdown.BalancerNoticeMS)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if grace, known := n.set.Hosted.Grace(); known {
+	if grace, known := n.settings.InForce().Hosted.Grace(); known {
 		exit, answers := exitTimes(grace)
 		n.stop.Begin(now+notice, now+answers)
 		ctx, cancel = context.WithTimeout(ctx, exit)
--- a/hosted/listeners.go
+++ b/hosted/listeners.go
@@ -56,7 +56,7 @@
 
 // inspection returns the handler for metrics and the state dump.
 func (n *node) inspection() http.Handler {
-	n.dumps.Add("settings", func() any { return json.RawMessage(n.set.Printable()) })
+	n.dumps.Add("settings", func() any { return json.RawMessage(n.settings.InForce().Printable()) })
 	n.dumps.Add("settings_file", func() any { return n.settings.State() })
 	n.dumps.Add("table", func() any { return n.tableState() })
 	n.dumps.Add("store", func() any { return n.storeSync.state() })
--- a/hosted/loans.go
+++ b/hosted/loans.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// update puts changed settings in force.
+func (l *loans) update(h *settings.Hosted) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	l.cfg.Share, l.cfg.Burst = budgetMargin*h.RetryShare, budgetMargin*h.RetryBurst
+	if window := h.RetryWindow(); window != 0 && window != l.cfg.Window {
+		l.cfg.Window, l.cfg.Start, l.routers.Window = window, now, window
+	}
+	for _, b := range l.byService {
+		b.Reconfigure(l.cfg)
+		l.notify(b)
+	}
+}
+
 // of returns the budget of a service. The caller holds l.mu.
 func (l *loans) of(service string) *serviceBudget {
 	b := l.byService[service]
--- a/hosted/policy.go
+++ b/hosted/policy.go
@@ -24,6 +24,8 @@
 	// killMargin is the time between the moment at which the process exits on its own and the
 	// moment at which the platform would end the process by force.
 	killMargin = 300 * time.Millisecond
+	// settingsReadTime bounds the reading of the settings file before a stop, whose time has begun.
+	settingsReadTime = 100 * time.Millisecond
 	// expiryHeartbeats is the number of missed heartbeats after which an entry expires, as the
 	// platform documents. A suspected replica gets no request before that time has passed. By
 	// then a crashed replica has been removed from the registry and its successor is another
--- a/hosted/rollouts.go
+++ b/hosted/rollouts.go
@@ -68,7 +68,6 @@
 	mon         *health.Monitor
 	log         *event.Log
 	chart       *chart.Chart
-	limits      rollout.Limits
 	incarnation uint64
 	runs        *runSet
 	prober      quarantine.Prober
@@ -80,6 +79,7 @@
 	flood   func(rollout.Report)
 
 	mu        sync.RWMutex
+	limits    rollout.Limits // guarded by mu, as what follows
 	byService map[string]*serviceRollout
 	lastTick  time.Duration
 
@@ -93,7 +93,6 @@
 	}
 	return &rollouts{
 		writer: w, dir: dir, mon: mon, log: log, chart: c,
-		limits:      rollout.Limits{Share: min(h.RolloutShare, 1), Burst: h.RolloutBurst},
 		incarnation: rand.Uint64(),
 		runs:        newRunSet(),
 		prober:      backend.Prober{},
@@ -101,6 +100,7 @@
 		age:         func(time.Time) time.Duration { return 0 },
 		rank:        func(string) int { return 0 },
 		flood:       func(rollout.Report) {},
+		limits:      rolloutLimits(h),
 		byService:   map[string]*serviceRollout{},
 		rated:       set.NewCounter("wigeon_rollout_answers_total"),
 	}, nil
@@ -136,6 +136,22 @@
 	return ro
 }
 
+// setLimits changes the limits of running and later roll-outs.
+func (s *rollouts) setLimits(l rollout.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+	for _, ro := range s.byService {
+		ro.SetLimits(l)
+	}
+}
+
+func (s *rollouts) currentLimits() rollout.Limits {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.limits
+}
+
 // put applies an item of the store that is an operator's order or the record of a roll-out; it
 // returns false if the item is neither. An unreadable item is only logged.
 func (s *rollouts) put(item infra.Value) bool {
--- a/hosted/software.go
+++ b/hosted/software.go
@@ -112,10 +112,11 @@
 	s.reads, s.configs, s.moves = newSharedReads(s.readStatement), newSharedReads(s.readConfigVersion), newSharedReads(s.routes.readMoves)
 	s.records = &streamRecords{
 		store: store, tracker: s.tracker, log: n.log, wake: make(chan struct{}, 1),
-		lifetime: s.longestLifetime, nodes: n.peers.registeredNodes, writes: n.set.Hosted.StoreWrites(),
+		lifetime: s.longestLifetime, nodes: n.peers.registeredNodes,
 		written: n.meter.NewCounter("wigeon_stream_records_stored_total"),
 		failed:  n.meter.NewCounter("wigeon_stream_record_writes_failed_total"),
 	}
+	s.records.setWrites(n.set.Hosted.StoreWrites())
 	return s
 }
 
--- a/hosted/software_records.go
+++ b/hosted/software_records.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/hex"
 	"errors"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +16,7 @@
 	"wigeondale/fleet"
 	"wigeondale/generation"
 	"wigeondale/infra"
+	"wigeondale/number"
 	"wigeondale/platform"
 )
 
@@ -52,7 +55,7 @@
 	log      *event.Log
 	lifetime func() time.Duration // the longest of any stream
 	nodes    func() int           // registered nodes
-	writes   float64              // the store's limit of writes a second
+	writes   atomic.Uint64        // bits of the store's limit of writes a second
 	wake     chan struct{}
 
 	lease     infra.Lease
@@ -64,10 +67,12 @@
 
 // interval returns the time between two writes of this router.
 func (s *streamRecords) interval() time.Duration {
-	share := time.Duration(float64(s.nodes()) / (recordShare * s.writes) * float64(time.Second))
-	return max(share, minRecordInterval)
+	writes := math.Float64frombits(s.writes.Load())
+	return max(number.Duration(float64(s.nodes())/(recordShare*writes), time.Second), minRecordInterval)
 }
 
+func (s *streamRecords) setWrites(perSecond float64) { s.writes.Store(math.Float64bits(perSecond)) }
+
 // began makes the next write happen as soon as the interval allows.
 func (s *streamRecords) began() {
 	select {
--- a/hosted/versions.go
+++ b/hosted/versions.go
@@ -101,7 +101,7 @@
 	// that is known to work.
 	firstAttempt := !a.IsRetry && !a.Resume && len(a.PromptParts) == 0
 	trial := firstAttempt && p.mayBeginAt(a, ro.Rule().Target) && ro.Assign(a.RequestID, clock.SinceBoot())
-	return p.beginnable(a, ro.candidates(all, trial, p.rollouts.limits))
+	return p.beginnable(a, ro.candidates(all, trial, p.rollouts.currentLimits()))
 }
 
 // mayBeginAt reports whether an attempt may be the beginning of a stream at a version, or is no
@@ -115,7 +115,7 @@
 func (p *picker) allowedReplicas(service string) []routing.Candidate {
 	all := p.dir.Service(service)
 	if ro := p.rollouts.of(service); ro != nil {
-		return ro.candidates(all, false, p.rollouts.limits)
+		return ro.candidates(all, false, p.rollouts.currentLimits())
 	}
 	return all
 }
--- a/reload/reload.go
+++ b/reload/reload.go
@@ -3,6 +3,9 @@
 // A file that the next start refuses has no effect on running processes. If it is only noticed at a start, a restart of all
 // processes finds none that starts. The package therefore reads the file as a start does, at each signal and whenever it
 // has changed, and shows in metrics, in the state dump and in the log whether the next start accepts it, and which fields it refuses.
+//
+// The fields that package settings tags as live take effect at once: the platform may change them at any time, and judges running
+// processes by them.
 package reload
 
 import (
@@ -11,6 +14,7 @@
 	"errors"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -26,7 +30,9 @@
 // Config says how the file is checked, and where the result is shown.
 type Config struct {
 	// Check reports what is wrong with settings beyond what package settings checks; nil checks nothing.
-	Check   func(*settings.Settings) error
+	Check func(*settings.Settings) error
+	// Apply puts changed live fields in force. It is called for one change at a time.
+	Apply   func(*settings.Settings)
 	Log     *event.Log
 	Metrics *metrics.Set
 }
@@ -35,6 +41,7 @@
 type Tracker struct {
 	cfg     Config
 	started *settings.Settings
+	inForce atomic.Pointer[settings.Settings]
 
 	valid, pending *metrics.Gauge
 	changes        *metrics.Counter
@@ -67,10 +74,14 @@
 	})
 	t.pending = cfg.Metrics.NewGauge("wigeon_settings_pending", func() float64 { return float64(len(t.State().AtNextStart)) })
 	t.changes = cfg.Metrics.NewCounter("wigeon_settings_changes_total")
+	t.inForce.Store(started)
 	t.warn(started)
 	return t
 }
 
+// InForce returns the settings in force.
+func (t *Tracker) InForce() *settings.Settings { return t.inForce.Load() }
+
 // State returns what is known of the file.
 func (t *Tracker) State() State {
 	t.mu.Lock()
@@ -98,6 +109,19 @@
 	t.evaluate(data, err, true)
 }
 
+// ReadWithin is Read, but returns after a time at the latest, and leaves what was known before in force until the file is read.
+func (t *Tracker) ReadWithin(limit time.Duration) {
+	read := make(chan struct{})
+	go func() {
+		t.Read()
+		close(read)
+	}()
+	select {
+	case <-read:
+	case <-time.After(limit):
+	}
+}
+
 // follow evaluates the file if it has changed. Whoever writes the file may be in the middle of it, so that content that isn't valid
 // counts once it has been read twice.
 func (t *Tracker) follow() {
@@ -141,13 +165,19 @@
 		t.cfg.Log.Emit(event.SettingsRefused, "file", t.state.File, "problems", strings.Join(t.state.Problems, "; "))
 		return
 	}
-	pending := set.Differ(t.started)
-	if !always && len(pending) == 0 {
+	updated, live, pending := t.InForce().Reload(set)
+	if !always && len(live)+len(pending) == 0 {
 		return
 	}
 	t.changes.Inc()
 	t.state = State{File: t.state.File, Valid: true, ReadAt: time.Now(), AtNextStart: pending}
-	t.cfg.Log.Emit(event.Reloaded, "file", t.state.File, "at_next_start", strings.Join(pending, ","))
+	if len(live) > 0 {
+		t.inForce.Store(updated)
+		if t.cfg.Apply != nil {
+			t.cfg.Apply(updated)
+		}
+	}
+	t.cfg.Log.Emit(event.Reloaded, "file", t.state.File, "in_force", strings.Join(live, ","), "at_next_start", strings.Join(pending, ","))
 	t.warn(set)
 }
 
--- a/reload/reload_test.go
+++ b/reload/reload_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -116,3 +117,39 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// Guards against a running process that goes on with the time until its kill, or the budgets, that its file said at its start.
+func TestLiveFieldsTakeEffectWhileTheProcessRuns(t *testing.T) {
+	for _, signalled := range []bool{false, true} {
+		f := newFile(t)
+		applied := 0
+		f.cfg.Apply = func(set *settings.Settings) {
+			applied++
+			if set.Hosted.RetryBurst != 7 {
+				t.Errorf("applied: %+v", set.Hosted)
+			}
+		}
+		f.follow()
+		f.write(strings.Replace(before, `"grace_ms": 8000`, `"grace_s": 2.5, "retry_burst": 7, "retry_window_s": 10, "gc_percent": 40`, 1))
+		if signalled {
+			f.Read()
+		} else {
+			f.follow()
+		}
+		h := f.InForce().Hosted
+		if grace, known := h.Grace(); !known || grace != 2500*time.Millisecond || applied != 1 {
+			t.Errorf("grace %v, applied %d times", grace, applied)
+		}
+		if h.GCPercent != 30 || h.RetryWindowS != 0 {
+			t.Errorf("in force before the next start: %+v", h)
+		}
+		if s := f.State(); !slices.Equal(s.AtNextStart, []string{"hosted.retry_window_s", "hosted.gc_percent"}) {
+			t.Errorf("at the next start: %v", s.AtNextStart)
+		}
+		f.write(`{"hosted": {"retry_burst": 9`)
+		f.Read()
+		if f.InForce().Hosted != h || applied != 1 || f.State().Valid {
+			t.Error("settings that aren't valid are in force")
+		}
+	}
+}
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -57,6 +57,15 @@
 	return &Budget{cfg: cfg, ledger: newLedger(cfg.Window), allowed: asksAtOnce, asked: cfg.Start}
 }
 
+// Reconfigure puts another configuration in force. Another window begins with no history, as at a start: until it has passed, the
+// router has no part of the burst, since it may have used that in the window before.
+func (b *Budget) Reconfigure(cfg Config) {
+	if cfg.Window != b.cfg.Window {
+		b.ledger = newLedger(cfg.Window)
+	}
+	b.cfg = cfg
+}
+
 // First records the first try of a request.
 func (b *Budget) First(now time.Duration) { b.ledger.first(now) }
 
--- a/rollout/quota.go
+++ b/rollout/quota.go
@@ -58,7 +58,13 @@
 
 // newQuota returns the quota of one of several routers; random is uniform in [0, 1).
 func newQuota(l Limits, routers int, random float64) *quota {
-	return &quota{allowed: random, extra: usedBurst * l.Burst / float64(max(routers, 1))}
+	q := &quota{allowed: random}
+	q.setBurst(l, routers)
+	return q
+}
+
+func (q *quota) setBurst(l Limits, routers int) {
+	q.extra = usedBurst * l.Burst / float64(max(routers, 1))
 }
 
 // admit counts one request and reports whether the request goes to the new version. elapsed is
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -201,6 +201,16 @@
 	return trial
 }
 
+// SetLimits changes the limits, also those of a running trial.
+func (r *Rollout) SetLimits(l Limits) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cfg.Limits = l
+	if r.quota != nil {
+		r.quota.setBurst(l, r.cfg.Routers())
+	}
+}
+
 // MarkSent drops the assignment of a request that was sent, since the assignment is needed only
 // while the request waits.
 func (r *Rollout) MarkSent(request string) {
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -26,23 +26,23 @@
 	PeerPort int `json:"peer_port"`
 	// GraceS is the time between the shutdown signal and the platform's kill, in seconds, and GraceMS the same in milliseconds; see
 	// Grace.
-	GraceS  float64 `json:"grace_s" null:"absent"`
-	GraceMS float64 `json:"grace_ms" null:"absent"`
+	GraceS  float64 `json:"grace_s" null:"absent" reload:"live"`
+	GraceMS float64 `json:"grace_ms" null:"absent" reload:"live"`
 	// RetryShare is the share of a service's requests that may be retried, and RetryBurst
 	// the number of retries that may be made at once beyond that share. Both apply to all
 	// nodes together.
-	RetryShare float64 `json:"retry_share" null:"absent"`
-	RetryBurst float64 `json:"retry_burst" null:"absent"`
+	RetryShare float64 `json:"retry_share" null:"absent" reload:"live"`
+	RetryBurst float64 `json:"retry_burst" null:"absent" reload:"live"`
 	// RetryWindowS is the number of seconds over which the platform counts requests and
 	// retries. If it is 0, the window isn't known, and nodes lend no retry budget.
-	RetryWindowS float64 `json:"retry_window_s" null:"absent"`
+	RetryWindowS float64 `json:"retry_window_s" null:"absent" reload:"live-if-set"`
 	// RolloutShare is the share of a service's requests, and RolloutBurst the number of
 	// requests beyond that share, that all nodes together may send to a version on trial.
 	// If that version is bad, only these requests are affected.
-	RolloutShare float64 `json:"rollout_share" null:"absent"`
-	RolloutBurst float64 `json:"rollout_burst" null:"absent"`
+	RolloutShare float64 `json:"rollout_share" null:"absent" reload:"live"`
+	RolloutBurst float64 `json:"rollout_burst" null:"absent" reload:"live"`
 	// StoreWritesPerS is how many writes a second the store takes from all nodes together.
-	StoreWritesPerS float64 `json:"store_writes_per_s" null:"absent"`
+	StoreWritesPerS float64 `json:"store_writes_per_s" null:"absent" reload:"live"`
 	// FirstStart states that the whole deployment starts for the first time: no node has served before. It must not stay
 	// set for later starts of a node.
 	FirstStart bool `json:"first_start"`
