soak: the settings of all routers change while they run

It checks that a router begins to stop, plans with the settings of that moment, and has ended before its kill; processes that don't start break the promises that there were.

--- a/soak/command.go
+++ b/soak/command.go
@@ -57,6 +57,8 @@
 	Moves            bool          `arg:"--moves" help:"the route of streams moves between two services and is split over both"`
 	Rare             bool          `arg:"--rare" help:"bursts of clients, machines that go dark, addresses that go to another service, a store that refuses some calls of a router or answers stale reads from an older state, and kills after an acknowledgement"`
 	Stops            bool          `arg:"--stops" help:"routers are told to end under load, with a short grace, on the platform's interface several at once while backend servers turn slow"`
+	Settings         bool          `arg:"--settings" help:"the settings of all routers of the platform's interface change while they run, in each form of a number, and routers end and start with them"`
+	Template         string        `arg:"--template" help:"with --settings: a template in place of that of the deploy file"`
 	Malformed        bool          `arg:"--malformed" help:"backend servers of the platform reset long uploads after a part of an answer, and send malformed heads"`
 	Unfit            bool          `arg:"--unfit" help:"streams break off, and engines answer requests that continue one with errors and other answers that aren't its rest; clients of the platform's interface take streams up"`
 	Floods           bool          `arg:"--floods" help:"all plain services answer many requests at once without end"`
@@ -161,7 +163,7 @@
 		Seed: seed, Wigeond: args.Wigeond, Nodes: args.Nodes, Engines: args.Engines,
 		Services: args.Services, Clients: args.Clients, FaultTime: args.FaultTime, Dir: dir, Out: out, CheckTimes: true, Restarts: args.Restarts, Rollouts: args.Rollouts, CrashingRequests: args.CrashingRequests, CrashingParts: args.CrashingParts, Herd: args.Herd, Calm: args.Calm, Asks: args.Asks, Drills: args.Drills,
 		Software: args.Software, Brittle: args.Brittle, Endless: args.Endless, Repeats: args.Repeats, Outages: args.Outages, Evidence: args.Evidence, Silences: args.Silences, Cuts: args.Cuts, NoSilences: args.NoSilences,
-		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Unnamed: args.Unnamed, OddClients: args.OddClients, Moves: args.Moves, Rare: args.Rare, Stops: args.Stops, Malformed: args.Malformed, Unfit: args.Unfit, Floods: args.Floods, Crowds: args.Crowds,
+		OutOfStep: args.OutOfStep, PeerCuts: args.PeerCuts, TakeUps: args.TakeUps, Unnamed: args.Unnamed, OddClients: args.OddClients, Moves: args.Moves, Rare: args.Rare, Stops: args.Stops, Settings: args.Settings, Template: args.Template, Malformed: args.Malformed, Unfit: args.Unfit, Floods: args.Floods, Crowds: args.Crowds,
 		Room: args.Room, Work: args.Work, Chunks: args.Chunks, Alone: args.Alone,
 	})
 	if err != nil {
--- a/soak/platform.go
+++ b/soak/platform.go
@@ -45,6 +45,7 @@
 	silences    sync.WaitGroup
 	cuts        *cuts
 	series      *series
+	settings    *platformSettings // nil without Config.Settings
 	stopped     atomic.Bool
 	stopCopies  func()
 	faultsEnded atomic.Bool // all faults have ended
@@ -83,6 +84,12 @@
 }
 
 func (r *platformRun) start(ctx context.Context) error {
+	if r.cfg.Settings {
+		var err error
+		if r.settings, err = newPlatformSettings(&r.cfg); err != nil {
+			return err
+		}
+	}
 	for i := range r.cfg.Engines {
 		if err := r.addReplica("llm", i%2, true); err != nil {
 			return err
--- a/soak/platform_node.go
+++ b/soak/platform_node.go
@@ -21,8 +21,9 @@
 	peer  string          // address at which the other routers dial it
 	// peerProxy is the proxy through which it dials the other routers; nil without Config.PeerCuts.
 	peerProxy *proxy.Proxy
-	// rewrite writes the settings again: the next start is not the deployment's first one.
-	rewrite func() error
+	// rewrite writes the settings again: the next start is not the deployment's first one. rewriteLocked is rewrite for callers that hold
+	// the lock of the platform's settings, with Config.Settings.
+	rewrite, rewriteLocked func() error
 }
 
 func newNode(r *platformRun, i int) (*node, error) {
@@ -53,11 +54,21 @@
 	return n, n.writeSettings(r, i, front, ready, stats)
 }
 
+// firstStart reports whether the settings say that the deployment starts for the first time.
+func (c *Config) firstStart() bool { return c.OutOfStep || c.PeerCuts || c.Unnamed }
+
 // wholeLog is the section "log" of the settings with which no lines are dropped: checkStops reads when a process began to stop.
 const wholeLog = `{"lines_per_second": 1000000}`
 
 // writeSettings writes the settings of the node's next process.
 func (n *node) writeSettings(r *platformRun, i int, front, ready, stats string) error {
+	n.rewrite = func() error { return n.writeSettings(r, i, front, ready, stats) }
+	if r.settings != nil {
+		n.rewriteLocked = func() error { return n.writeRendered(r, i, front, ready, stats) }
+		r.settings.mu.Lock()
+		defer r.settings.mu.Unlock()
+		return n.rewriteLocked()
+	}
 	budget, grace, log := r.cfg.retryBudget(), 10*time.Second, "{}"
 	if r.cfg.Stops {
 		grace, log = stopGrace, wholeLog
@@ -65,7 +76,6 @@
 	text := fmt.Sprintf(`{"node": {"id": %q, "vm": %q, "failure_domain": "d%d", "region": "r", "backend_proxy_address": %q},
  "limits": %s, "log": %s, "shutdown": {"balancer_notice_ms": 300},
  "hosted": {"first_start": %t, "front_address": %q, "readiness_address": %q, "metrics_address": %q, "peer_address": %q,%s
-  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.limits(), log, (r.cfg.OutOfStep || r.cfg.PeerCuts || r.cfg.Unnamed) && n.launches == 0, front, ready, stats, n.peer, n.peerProxySetting(), n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
-	n.rewrite = func() error { return n.writeSettings(r, i, front, ready, stats) }
+  "store_address": %q, "grace_ms": %d, "retry_share": %v, "retry_burst": %v}}`, n.id, n.id, i%2, n.proxy, r.cfg.limits(), log, r.cfg.firstStart() && n.launches == 0, front, ready, stats, n.peer, n.peerProxySetting(), n.link.Addr(), grace.Milliseconds(), budget.share, budget.burst)
 	return Error.Wrap(os.WriteFile(n.settingsPath(), []byte(text), 0o600))
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -203,6 +203,32 @@
 	return ok && status.Signaled() && status.Signal() == s
 }
 
+// currentLog returns what the current process writes.
+func (p *process) currentLog() processLog {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return processLog{p.logPath(), 0}
+	}
+	return processLog{p.logPath(), p.cmd.Process.Pid}
+}
+
+// awaitExit waits until the current process has exited, and returns false if it hasn't within the limit.
+func (p *process) awaitExit(limit time.Duration) bool {
+	p.mu.Lock()
+	done, running := p.done, p.cmd != nil
+	p.mu.Unlock()
+	if !running {
+		return true
+	}
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
 // kill sends SIGKILL to the process and waits until it has exited.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/soak/series.go
+++ b/soak/series.go
@@ -64,7 +64,7 @@
 	s.running.Wait()
 }
 
-// seriesFaults lists the faults of Config.OutOfStep, Config.PeerCuts, Config.Stops, Config.Floods and Config.Crowds.
+// seriesFaults lists the faults of Config.OutOfStep, Config.PeerCuts, Config.Stops, Config.Settings, Config.Floods and Config.Crowds.
 func (r *platformRun) seriesFaults() []seriesFault {
 	var all []seriesFault
 	if r.cfg.OutOfStep {
@@ -76,6 +76,9 @@
 	if r.cfg.Stops {
 		all = append(all, seriesFault{"routers are told to end under load", r.stopUnderLoad})
 	}
+	if r.cfg.Settings {
+		all = append(all, seriesFault{"the settings change", r.changeSettings})
+	}
 	if r.cfg.Floods {
 		all = append(all, seriesFault{"all replicas of a service answer many requests without end", r.flood})
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -101,6 +101,10 @@
 	// Stops sends routers SIGTERM under load, with a short grace and requests of drawn lengths. On the users' platform several routers stop
 	// in series or overlap, replicas turn slow meanwhile, and clients use their connections to a router until it is gone.
 	Stops bool
+	// Settings changes the settings of all routers of the users' platform while they run, renders them from the template of the deploy
+	// file, and restarts routers after it. Template is another template's file; empty for that one.
+	Settings bool
+	Template string
 	// Malformed makes replicas of the users' platform answer long uploads early and reset them, and send malformed heads.
 	Malformed bool
 	// Unfit breaks streams off, and has engines answer requests that continue one with answers that aren't its rest. Clients of the users'
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -194,6 +194,12 @@
 	checkSeed(t, Run, Config{Seed: 31002, Nodes: 4, Engines: 6, Services: 4, Clients: 20, FaultTime: 8 * time.Second, Stops: true, Alone: true})
 }
 
+// TestSettingsSeeds makes the same checks as TestSeeds while the settings of all routers change, in each form of a number, and routers end and
+// start with them. Guards against settings that no router starts with, stops that are planned with earlier ones, and lost signals.
+func TestSettingsSeeds(t *testing.T) {
+	checkSeed(t, Run, Config{Seed: 40002, Nodes: 3, Engines: 6, Services: 3, Clients: 8, FaultTime: 6 * time.Second, Settings: true})
+}
+
 // TestOddClientSeeds makes the same checks as TestSeeds while clients speak HTTP/1.0 or state a Last-Event-Id that names no piece.
 // Guards against streams that look whole to such clients, or begin again for them.
 func TestOddClientSeeds(t *testing.T) {
--- a/soak/stops.go
+++ b/soak/stops.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// wasHarmed reports whether an incarnation of a router was killed or paused.
+func (s *stopRecord) wasHarmed(incarnation string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.harmed[incarnation]
+}
+
 // add keeps a result for check if its client got no whole answer, or 502.
 func (s *stopRecord) add(r result) {
 	if r.abandoned || r.err == nil && r.status != http.StatusBadGateway {
@@ -177,3 +184,27 @@
 	}
 	return false
 }
+
+// awaitField waits until the process has logged an event, and returns the value of one of its fields; false if it hasn't in time.
+func (l processLog) awaitField(event, field string, limit time.Duration) (value string, ok bool) {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		data, err := os.ReadFile(l.path)
+		if err != nil {
+			return "", false
+		}
+		for line := range strings.Lines(string(data)) {
+			fields := strings.Fields(line)
+			if len(fields) < 5 || fields[2] != fmt.Sprint(l.pid) || fields[4] != event || !strings.HasSuffix(line, "\n") {
+				continue
+			}
+			_, value, _ := strings.Cut(line, " "+field+"=")
+			if text, quoted := strings.CutPrefix(value, `"`); quoted {
+				text, _, _ = strings.Cut(text, `"`)
+				return `"` + text + `"`, true
+			}
+			value, _, _ = strings.Cut(value, " ")
+			return strings.TrimSpace(value), true
+		}
+	}
+	return "", false
+}
