bounded: an end counts once the server has taken the whole request

Cause: a clean end of the connection counted as the end of the answer while the request was still being sent, and the write was ended then, so that the reset met nobody.

Why it works: an end proves that an answer without a length is whole once its server has taken the whole request, which is written and acknowledged on a connection that has not failed since. Until then the request goes on being sent and the reader waits, as long as the request has time. Servers that end early and read on stay served (TestEarlyAnswerToAnUploadIsWhole, unchanged), and so do those that end after they have read. A first form asked only for a failed write and waited for the whole budget of the request (20 s in the test) where the request fitted into the socket: the kernel is asked for the failure now.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -90,7 +90,11 @@
 		}
 		c.expect(x)
 		written := c.sealed.writtenBytes()
-		resp, err := bounded.CheckSwitch(c.client.RoundTrip(req))
+		tracked := req
+		if ends := bounded.ConnOf(c.sealed); ends != nil {
+			tracked = ends.Track(req)
+		}
+		resp, err := bounded.CheckSwitch(c.client.RoundTrip(tracked))
 		if err == nil {
 			c.answers.CheckBody(resp)
 			return resp, c, true, nil
--- a/backend/early_answer_test.go
+++ b/backend/early_answer_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// Guards against a part of a service's answer counting as the whole when the service ends its direction and resets the connection under
+// the call, at once or later.
+func TestServiceAnswerEndedAndResetUnderAnUploadIsNotWhole(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		for _, after := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond, 200 * time.Millisecond} {
+			s := &raw.Early{Answer: earlyHead + "Connection: close\r\n\r\npart of it", End: raw.EndAndReset(after)}
+			if body, err := callEarly(t, s, 8<<20, idempotent); err == nil || errors.Is(err, ErrNotSent) {
+				t.Errorf("idempotent %v, reset after %v: got %q, %v", idempotent, after, body, err)
+			}
+		}
+	}
+}
+
 // Guards against an early answer of a service that is whole counting as broken, or its call hanging.
 func TestEarlyServiceAnswerToAnUploadIsWhole(t *testing.T) {
 	for _, rest := range []string{
--- a/backend/send.go
+++ b/backend/send.go
@@ -165,6 +165,9 @@
 	written int64
 }
 
+// NetConn returns the connection below.
+func (c *sealConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. The transport reads a connection also while it is idle, so that the
 // observer is notified when an idle connection is lost.
 func (c *sealConn) Read(p []byte) (int, error) {
--- a/bounded/answers.go
+++ b/bounded/answers.go
@@ -200,12 +200,24 @@
 // is malformed.
 func roundTrip(t *http.Transport, req *http.Request) (*http.Response, error) {
 	var carrier atomic.Pointer[AnswerReader]
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*AnswerConn); ok {
-			c.Expect(req.Method)
-			carrier.Store(c.AnswerReader)
-		}
-	}}
+	var ends atomic.Pointer[Conn]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*AnswerConn); ok {
+				c.Expect(req.Method)
+				carrier.Store(c.AnswerReader)
+			}
+			if c := ConnOf(info.Conn); c != nil {
+				c.unwritten.Store(true)
+				ends.Store(c)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := ends.Load(); c != nil {
+				c.wroteRequest(info)
+			}
+		},
+	}
 	resp, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	a := carrier.Load()
 	switch {
--- a/bounded/end_test.go
+++ b/bounded/end_test.go
@@ -158,3 +158,102 @@
 		}
 	}
 }
+
+// endEarly accepts connections, reads the head of a request, sends a part of an answer without a length, ends its direction, and calls then.
+func endEarly(ln net.Listener, readFirst bool, then func(c *net.TCPConn, body io.Reader)) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			if readFirst {
+				io.Copy(io.Discard, req.Body)
+			}
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+			conn.(*net.TCPConn).CloseWrite()
+			then(conn.(*net.TCPConn), req.Body)
+		}()
+	}
+}
+
+func resetAfter(pause time.Duration) func(*net.TCPConn, io.Reader) {
+	return func(c *net.TCPConn, _ io.Reader) {
+		time.Sleep(pause)
+		c.SetLinger(0)
+		c.Close()
+	}
+}
+
+// Guards against a part of an answer that counts as the whole when its server ends its direction and then resets the connection under
+// the upload, and against the loss of the answers of servers that end early and read on, or end after they have read.
+func TestEndBeforeTheRequestIsTakenIsNoEnd(t *testing.T) {
+	readOn := func(c *net.TCPConn, body io.Reader) {
+		io.Copy(io.Discard, body)
+		c.Close()
+	}
+	for name, c := range map[string]struct {
+		readFirst bool
+		then      func(*net.TCPConn, io.Reader)
+		whole     bool
+	}{
+		"resets at once":      {then: resetAfter(0)},
+		"resets soon":         {then: resetAfter(2 * time.Millisecond)},
+		"resets late":         {then: resetAfter(150 * time.Millisecond)},
+		"reads on":            {then: readOn, whole: true},
+		"reads on later":      {then: func(c *net.TCPConn, body io.Reader) { time.Sleep(50 * time.Millisecond); readOn(c, body) }, whole: true},
+		"has read":            {readFirst: true, then: func(c *net.TCPConn, _ io.Reader) { c.Close() }, whole: true},
+		"has read, and stays": {readFirst: true, then: func(*net.TCPConn, io.Reader) {}, whole: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			go endEarly(ln, c.readFirst, c.then)
+			client := http.Client{Timeout: 20 * time.Second, Transport: NewTransport(&http.Transport{DisableKeepAlives: true})}
+			for range 20 {
+				resp, err := client.Post("http://"+ln.Addr().String(), "text/plain", bytes.NewReader(make([]byte, 8<<20)))
+				whole := false
+				if err == nil {
+					_, err = ReadAll(resp, 1<<20)
+					whole = err == nil
+					resp.Body.Close()
+				}
+				if whole != c.whole {
+					t.Fatalf("whole: %v, want %v; %v", whole, c.whole, err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a wait for a server that has ended its answer and takes no more of the request, when the request is given up.
+func TestWaitForTheRequestEndsWithIt(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ended := make(chan struct{})
+	defer close(ended)
+	go endEarly(ln, false, func(c *net.TCPConn, _ io.Reader) { <-ended; c.Close() })
+	ctx, giveUp := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ln.Addr().String(), bytes.NewReader(make([]byte, 32<<20)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := NewTransport(&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(100*time.Millisecond, giveUp)
+	if _, err := ReadAll(resp, 1<<20); err == nil {
+		t.Error("the answer counts as whole")
+	}
+}
--- a/fakes/hosted/malformed.go
+++ b/fakes/hosted/malformed.go
@@ -56,6 +56,9 @@
 	}
 	text := CompleteResponse(a.ID)
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n"+malformedFields+"\r\n%[2]s", a.ID, text[:len(text)/2])
+	if tcp, ok := conn.(interface{ CloseWrite() error }); ok && rand.N(2) == 0 {
+		tcp.CloseWrite() // the end of the answer's direction comes before the reset
+	}
 	time.Sleep(rand.N(maxBeforeReset))
 	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		tcp.SetLinger(0)
--- a/fakes/raw/early.go
+++ b/fakes/raw/early.go
@@ -27,6 +27,15 @@
 	_ = conn.SetLinger(0)
 }
 
+// EndAndReset returns a function that ends the answer's direction of the connection, and resets the connection after a time.
+func EndAndReset(after time.Duration) func(*net.TCPConn, io.Reader) {
+	return func(conn *net.TCPConn, in io.Reader) {
+		_ = conn.CloseWrite() // fails only if the client has closed the connection
+		time.Sleep(after)
+		ResetConn(conn, in)
+	}
+}
+
 // HalfClose ends the answer's direction of the connection and reads on.
 func HalfClose(conn *net.TCPConn, in io.Reader) {
 	_ = conn.CloseWrite() // fails only if the client has closed the connection
--- a/linger/linger.go
+++ b/linger/linger.go
@@ -8,19 +8,14 @@
 package linger
 
 import (
-	"errors"
 	"net"
-	"syscall"
 
-	"golang.org/x/sys/unix"
+	"wigeondale/socket"
 )
 
 // conn is a connection that can be reset, such as *net.TCPConn.
 type conn interface{ SetLinger(sec int) error }
 
-// holder is a connection that knows itself how many bytes it holds.
-type holder interface{ Unacknowledged() (int, error) }
-
 // wrapper is a connection around another one, such as *bounded.Conn.
 type wrapper interface{ NetConn() net.Conn }
 
@@ -33,31 +28,12 @@
 	if !ok {
 		return
 	}
-	if n, err := unacknowledged(c); err == nil && n == 0 {
+	if n, err := socket.Unacknowledged(c); err == nil && n == 0 {
 		return
 	}
 	_ = tcp.SetLinger(0) // fails only if c is closed already
 }
 
-// unacknowledged returns how many of the bytes written to c the other side has not acknowledged.
-func unacknowledged(c net.Conn) (n int, err error) {
-	if h, ok := c.(holder); ok {
-		return h.Unacknowledged()
-	}
-	sys, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	if ctl := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); ctl != nil {
-		return 0, ctl
-	}
-	return n, err
-}
-
 // Conn is a connection whose Close drops what the other side has not acknowledged.
 type Conn struct{ net.Conn }
 
