deploy: each placeholder of the template stands in a section

An operator whose platform lacks an address, a name or a zone got "(whole file): want valid JSON" from all routers, since the placeholder left nothing behind its colon. Each stands in a section of its own now, so that the field is named: TestMistakesInTheTemplatesValuesAreNamed covers seven of them.

--- a/settings/template_test.go
+++ b/settings/template_test.go
@@ -168,10 +168,18 @@
 	if len(names) != len(templateNumbers) {
 		t.Errorf("%d of %d numbers are checked", len(names), len(templateNumbers))
 	}
-	fields := platformFields()
-	delete(fields, "internal_ports")
-	if _, err := render(text, fields); err == nil || !strings.Contains(err.Error(), "hosted.peer_address") {
-		t.Errorf("no port for other routers: %v", err)
+	for absent, name := range map[string]string{
+		"internal_ports.0": "hosted.peer_address", "ip": "hosted.peer_address", "listen.front": "hosted.front_address",
+		"listen.readiness": "hosted.readiness_address", "platform.address": "hosted.store_address", "node_name": "node.id", "zone": "node.failure_domain",
+	} {
+		fields := platformFields()
+		if absent == "internal_ports.0" {
+			absent = "internal_ports"
+		}
+		set(fields, absent, nil)
+		if _, err := render(text, fields); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("without %s: %v, want a problem of %s", absent, err, name)
+		}
 	}
 	if _, err := settings.Parse([]byte(`{"hosted": {"grace_s": 8, "grace_ms": 8000}}`)); err == nil || !strings.Contains(err.Error(), "hosted.grace_ms") {
 		t.Errorf("grace stated twice: %v", err)
