bounded: the wait for a request that isn't taken yet is that of answers that have begun

Only HTTP/1 answers end with their connection, so that only these are tracked. - a connection that ends without a byte of an answer waited until the request was written: it was sent to a server that had closed, and counted as one that may have run (TestRequestIsNotSentAfterAnEndWithoutAnAnswer). The wait begins with the answer now. - connections that carry no such requests, as those to other routers, don't wait.

--- a/bounded/answers.go
+++ b/bounded/answers.go
@@ -203,13 +203,15 @@
 	var ends atomic.Pointer[Conn]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if c, ok := info.Conn.(*AnswerConn); ok {
-				c.Expect(req.Method)
-				carrier.Store(c.AnswerReader)
+			c, ok := info.Conn.(*AnswerConn)
+			if !ok {
+				return // HTTP/2, whose answers don't end with their connection
 			}
-			if c := ConnOf(info.Conn); c != nil {
-				c.unwritten.Store(true)
-				ends.Store(c)
+			c.Expect(req.Method)
+			carrier.Store(c.AnswerReader)
+			if below := ConnOf(c); below != nil {
+				below.track()
+				ends.Store(below)
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
--- a/bounded/end.go
+++ b/bounded/end.go
@@ -47,7 +47,9 @@
 type Conn struct {
 	net.Conn
 
-	unwritten atomic.Bool // a tracked request isn't written yet
+	tracked   atomic.Bool // the fields below are in use
+	unwritten atomic.Bool // a request isn't written yet
+	answered  atomic.Bool // its answer has begun
 	closed    atomic.Bool
 	failed    atomic.Bool // failure is set
 
@@ -61,10 +63,16 @@
 
 // Track returns the request with a trace that tells c when it has been written. c must be the connection that carries it.
 func (c *Conn) Track(req *http.Request) *http.Request {
-	c.unwritten.Store(true)
+	c.track()
 	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{WroteRequest: c.wroteRequest}))
 }
 
+func (c *Conn) track() {
+	c.unwritten.Store(true)
+	c.answered.Store(false)
+	c.tracked.Store(true)
+}
+
 func (c *Conn) wroteRequest(info httptrace.WroteRequestInfo) {
 	if info.Err == nil {
 		c.unwritten.Store(false)
@@ -109,14 +117,22 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.tracked.Load() {
+		c.answered.Store(true)
+	}
 	if err != io.EOF {
 		return n, err
 	}
-	lost := c.awaitTaken()
+	// Without a byte of an answer there is no end of one, and the request must not go on to a server that has closed.
+	answered := c.answered.Load()
+	var lost error
+	if answered {
+		lost = c.awaitTaken()
+	}
 	if failure := errors.Join(lost, c.endWrites()); failure != nil {
 		return n, Error.New("%w: %w", ErrEndUnconfirmed, failure)
 	}
-	if c.unwritten.Load() {
+	if answered && c.unwritten.Load() {
 		return n, Error.New("%w: it was closed", ErrEndUnconfirmed)
 	}
 	return n, io.EOF
--- a/bounded/end_test.go
+++ b/bounded/end_test.go
@@ -257,3 +257,61 @@
 		t.Error("the answer counts as whole")
 	}
 }
+
+// Guards against requests over HTTP/2 that wait for the end of another one's upload when their connection ends.
+func TestEndOfAnHTTP2ConnectionIsFoundAtOnce(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		<-r.Context().Done()
+	}))
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	base := server.Client().Transport.(*http.Transport).Clone()
+	dialed := make(chan net.Conn, 1)
+	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		dialed <- c
+		return c, err
+	}
+	transport := NewTransport(base)
+	body, upload := io.Pipe()
+	defer upload.Close()
+	failed := make(chan error, 1)
+	go func() {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, body)
+		if err == nil {
+			_, err = transport.RoundTrip(req)
+		}
+		failed <- err
+	}()
+	select {
+	case <-begun:
+	case err := <-failed:
+		t.Fatal(err)
+	}
+	(<-dialed).(*net.TCPConn).CloseRead() // the client finds the end
+	select {
+	case err := <-failed:
+		if err == nil {
+			t.Error("answered")
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the request waits")
+	}
+}
+
+// Guards against a request that is still sent to a server that has ended the connection without a byte of an answer: it would count as
+// one that may have run.
+func TestRequestIsNotSentAfterAnEndWithoutAnAnswer(t *testing.T) {
+	below := newEndedConn(nil)
+	c := &Conn{Conn: below}
+	c.track()
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("got %v, want EOF", err)
+	}
+	if _, err := c.Write([]byte("request")); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("the request is sent: %v", err)
+	}
+}
