listen: the test of idle connections waits until the first one is idle

Traced: the client has an answer before the server counts its connection as idle. So the test asked for an order that it hadn't made.

It waits now until the memory of the first request is free, which the server gives back where it records since when the connection is idle. It asks the same as before: the first connection has to end.

--- a/listen/crowd_test.go
+++ b/listen/crowd_test.go
@@ -56,6 +56,18 @@
 	t.Fatal("the pool is not in use")
 }
 
+// awaitFree waits until the pool is not in use.
+func awaitFree(t *testing.T, p *bounded.Pool) {
+	t.Helper()
+	for range 10_000 {
+		if used, _ := p.Usage(); used == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the pool stays in use")
+}
+
 // awaitEnd reads until the other side closes the connection.
 func (c *testClient) awaitEnd(t *testing.T) string {
 	t.Helper()
@@ -71,9 +83,11 @@
 
 // Guards against idle connections that keep new ones out.
 func TestIdleConnectionEndsForANewOne(t *testing.T) {
-	addr := serve(t, listen.Config{MaxConns: 4})
+	pool := bounded.NewPool(16<<20, "test", nil)
+	addr := serve(t, listen.Config{MaxConns: 4, Requests: pool})
 	first := write(t, addr, smallRequest)
 	first.readAnswer(t)
+	awaitFree(t, pool) // its request has ended, so that it is idle for longer than all that follow
 	for range 6 {
 		write(t, addr, smallRequest).readAnswer(t)
 	}
