--- a/bounded/end.go
+++ b/bounded/end.go
@@ -61,7 +61,7 @@
 // takenInterval is how often a Conn checks whether its request has been taken.
 const takenInterval = 2 * time.Millisecond
 
-// Track returns the request with a trace that tells c when it has been written. c must be the connection that carries it.
+// Track returns the request with a trace that notifies c when it has been written. c must be the connection that carries it.
 func (c *Conn) Track(req *http.Request) *http.Request {
 	c.track()
 	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{WroteRequest: c.wroteRequest}))
--- a/reload/reload_test.go
+++ b/reload/reload_test.go
@@ -52,7 +52,7 @@
 	return page.String()
 }
 
-// Guards against settings that the next start refuses, and of which no running process tells until it is restarted.
+// Guards against settings that the next start refuses, and that no running process reports before it is restarted.
 func TestRefusedSettingsAreShownBeforeTheRestart(t *testing.T) {
 	f := newFile(t)
 	f.follow()
@@ -108,7 +108,7 @@
 	}
 }
 
-// Guards against a value that hardly lets a node serve, and of which nothing tells.
+// Guards against a value with which a node hardly serves, and that nothing reports.
 func TestUnusualValuesAreReported(t *testing.T) {
 	f := newFile(t)
 	f.write(strings.Replace(before, `"grace_ms": 8000`, `"grace_s": 0.5, "heartbeat_ms": 10, "retry_window_s": 3600, "retry_share": 50`, 1))
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// Ranges of values that the program serves well. A value outside of them is no reason to serve nobody: it is in force as far as it can
-// be, and reported.
+// Ranges of values that the program serves well. A value outside of them doesn't refuse the file, which would stop all routers at once: it
+// is in force as far as it can be, and reported.
 const (
 	minHeartbeat, maxHeartbeat = 50 * time.Millisecond, time.Minute
 	minGrace                   = time.Second // a shorter one leaves hardly any request the time to end
--- a/soak/settings_changes.go
+++ b/soak/settings_changes.go
@@ -22,7 +22,7 @@
 type platformSettings struct {
 	template string
 
-	mu    sync.Mutex // held while files are written, and until a router that is told to end has read its file
+	mu    sync.Mutex // held while files are written, and until a router that was sent SIGTERM has read its file
 	forms map[string]string
 }
 
@@ -190,7 +190,7 @@
 	}
 }
 
-// stopWithSettings tells a router to end, checks that it plans its stop with the settings of that moment, and that it has ended before
+// stopWithSettings sends a router SIGTERM, checks that it plans its stop with the settings of that moment, and that it has ended before
 // the kill.
 func (r *platformRun) stopWithSettings(rng *rand.Rand, n *node) {
 	s := r.settings
