settings: times as long as can be written don't overflow

The moment at which a stop has to have ended is added to the time since the machine's start, overflowed, and lay in the past: all open requests would have been ended at the signal. Times from the settings are at most a year now, as the retry window was. TestLongTimesDoNotOverflow fails without it.

--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -109,21 +109,22 @@
 	maxRetryWindow     = 10 * time.Minute
 	maxRetryShare      = 10
 	minStoreWritesPerS = 1
-	// maxWindow keeps sums of times within a time.Duration.
-	maxWindow = 365 * 24 * time.Hour
+	// maxSpan keeps sums of times within a time.Duration.
+	maxSpan = 365 * 24 * time.Hour
 )
 
 // Grace returns the time between the shutdown signal and the platform's kill, and false if it isn't known.
 func (h *Hosted) Grace() (grace time.Duration, known bool) {
+	grace = number.Duration(h.GraceMS, time.Millisecond)
 	if h.GraceS > 0 {
-		return number.Duration(h.GraceS, time.Second), true
+		grace = number.Duration(h.GraceS, time.Second)
 	}
-	return number.Duration(h.GraceMS, time.Millisecond), h.GraceMS > 0
+	return min(grace, maxSpan), h.GraceS > 0 || h.GraceMS > 0
 }
 
 // RetryWindow returns the window in which the platform counts retries, or 0 if it isn't known.
 func (h *Hosted) RetryWindow() time.Duration {
-	return min(number.Duration(h.RetryWindowS, time.Second), maxWindow)
+	return min(number.Duration(h.RetryWindowS, time.Second), maxSpan)
 }
 
 // Heartbeat returns the interval at which replicas renew their store entries, within the range that is served.
--- a/settings/template_test.go
+++ b/settings/template_test.go
@@ -119,6 +119,21 @@
 	}
 }
 
+// Guards against times so long that a sum of them overflows: a stop would be over before it begins.
+func TestLongTimesDoNotOverflow(t *testing.T) {
+	for _, text := range []string{`"grace_s": 1e300`, `"grace_ms": 1e18`, `"grace_s": 9223372036`} {
+		s, err := settings.Parse([]byte(`{"node": {"id": "n", "vm": "n", "failure_domain": "d", "region": "r"}, "hosted": {"front_address": "h:1",
+			"readiness_address": "h:1", "metrics_address": "h:1", "peer_address": "h:1", "store_address": "h:1", "retry_window_s": 1e300, ` + text + `}}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		const most = 1000 * 24 * time.Hour
+		if grace, known := s.Hosted.Grace(); !known || grace < time.Hour || grace > most || s.Hosted.RetryWindow() > most {
+			t.Errorf("%s: grace %v, window %v", text, grace, s.Hosted.RetryWindow())
+		}
+	}
+}
+
 // Guards against forms of several numbers that only together stop a router, and against renderings of an absent value as null.
 func TestTemplateTakesAnyFormsTogether(t *testing.T) {
 	text := template(t)
